--- /dev/null
+++ b/internal/core/registry/registry.go
@@ -0,0 +1,242 @@
+// Package registry merges what is heard of back ends into one list. The sources
+// disagree and lag: the platform's machine list, status reports, answers to
+// requests, operators' drains, and what other daemons saw. A leave wins over
+// every older report that says otherwise. The package is pure.
+package registry
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/lotusward/lotusward/internal/config/dynamic"
+	"github.com/lotusward/lotusward/internal/core/identity"
+	"github.com/lotusward/lotusward/internal/core/scheduler"
+	"github.com/lotusward/lotusward/internal/wire/enginewire"
+	"github.com/lotusward/lotusward/internal/wire/platformwire"
+)
+
+// Registry is the merged knowledge of all back ends. It is owned by one
+// goroutine.
+type Registry struct {
+	options Options
+	entries map[identity.BackendID]*entry
+	drains  map[identity.BackendID]bool
+	// leaves holds the incarnation in which a back end was seen leaving. It
+	// outlives the entry, so that a list that lags cannot bring the back end back.
+	leaves map[identity.BackendID]leave
+}
+
+// Options are the settable times of a registry.
+type Options struct {
+	// UnreachableAfter is how long without any sign of life a back end that was
+	// once reached is kept as eligible.
+	UnreachableAfter time.Duration
+	// ForgetLeaveAfter is how long a leave is remembered once the back end is no
+	// longer in the machine list. It must be longer than that list's lag.
+	ForgetLeaveAfter time.Duration
+}
+
+// DefaultOptions returns the times used when nothing else is set.
+func DefaultOptions() Options {
+	return Options{UnreachableAfter: 3 * time.Second, ForgetLeaveAfter: 10 * time.Minute}
+}
+
+type entry struct {
+	machine platformwire.Machine
+	listed  bool
+	status  *enginewire.Status
+	heardAt time.Time
+}
+
+type leave struct {
+	incarnation identity.Incarnation
+	at          time.Time
+}
+
+// New makes an empty registry.
+func New(options Options) *Registry {
+	return &Registry{
+		options: options,
+		entries: make(map[identity.BackendID]*entry),
+		drains:  make(map[identity.BackendID]bool),
+		leaves:  make(map[identity.BackendID]leave),
+	}
+}
+
+// ObserveMachines takes a machine list. It replaces the one before.
+func (r *Registry) ObserveMachines(now time.Time, list platformwire.MachineList) {
+	for _, known := range r.entries {
+		known.listed = false
+	}
+	for _, machine := range list.Machines {
+		known := r.entryOf(machine.ID)
+		known.machine = machine
+		known.listed = true
+		if machine.State == platformwire.MachineLeaving {
+			r.recordLeave(now, machine.ID, known.incarnation())
+		}
+	}
+	maps.DeleteFunc(r.entries, func(_ identity.BackendID, known *entry) bool { return !known.listed })
+	r.forgetOldLeaves(now)
+}
+
+// ObserveStatus takes a status report. A report of an older incarnation is
+// dropped. A report of a newer incarnation that serves ends an earlier leave:
+// the process that left is gone, and a new one stands in its place.
+func (r *Registry) ObserveStatus(now time.Time, status enginewire.Status) {
+	known, found := r.entries[status.Backend]
+	if !found || status.Incarnation < known.incarnation() {
+		return
+	}
+	known.status = &status
+	known.heardAt = now
+	if status.State == enginewire.StateLeaving {
+		r.recordLeave(now, status.Backend, status.Incarnation)
+		return
+	}
+	left, leaving := r.leaves[status.Backend]
+	if leaving && status.Incarnation > left.incarnation {
+		delete(r.leaves, status.Backend)
+	}
+}
+
+// ObserveReturn ends a leave by an operator's order, which a daemon sees as a
+// serving status that follows the order in the same incarnation.
+func (r *Registry) ObserveReturn(id identity.BackendID) {
+	delete(r.leaves, id)
+}
+
+// ObserveLeaving takes the word of an answer or of another daemon that a back
+// end leaves.
+func (r *Registry) ObserveLeaving(now time.Time, id identity.BackendID, incarnation identity.Incarnation) {
+	known, found := r.entries[id]
+	if found && incarnation < known.incarnation() {
+		return
+	}
+	r.recordLeave(now, id, incarnation)
+}
+
+// ObserveAlive notes that a back end answered something.
+func (r *Registry) ObserveAlive(now time.Time, id identity.BackendID) {
+	if known, found := r.entries[id]; found {
+		known.heardAt = now
+	}
+}
+
+// ObserveDocument takes the drains of a configuration. A drain that the document
+// no longer has was ended by an operator's return.
+func (r *Registry) ObserveDocument(document *dynamic.Document) {
+	drains := make(map[identity.BackendID]bool, len(document.Drains))
+	for _, drain := range document.Drains {
+		drains[drain.Backend] = true
+	}
+	for id := range r.drains {
+		if !drains[id] {
+			r.ObserveReturn(id)
+		}
+	}
+	r.drains = drains
+}
+
+// Backends returns the back ends whose incarnation is known, ordered by ID.
+func (r *Registry) Backends(now time.Time) []scheduler.Backend {
+	backends := make([]scheduler.Backend, 0, len(r.entries))
+	for id, known := range r.entries {
+		if known.status == nil || now.Sub(known.heardAt) > r.options.UnreachableAfter {
+			continue
+		}
+		backends = append(backends, r.backendOf(id, known))
+	}
+	slices.SortFunc(backends, func(left, right scheduler.Backend) int {
+		return compareIDs(left.ID, right.ID)
+	})
+	return backends
+}
+
+// Machines returns the listed machines, ordered by ID.
+func (r *Registry) Machines() []platformwire.Machine {
+	machines := make([]platformwire.Machine, 0, len(r.entries))
+	for _, known := range r.entries {
+		machines = append(machines, known.machine)
+	}
+	slices.SortFunc(machines, func(left, right platformwire.Machine) int {
+		return compareIDs(left.ID, right.ID)
+	})
+	return machines
+}
+
+// Status returns the last status report of a back end, or nil.
+func (r *Registry) Status(id identity.BackendID) *enginewire.Status {
+	known, found := r.entries[id]
+	if !found {
+		return nil
+	}
+	return known.status
+}
+
+func (r *Registry) backendOf(id identity.BackendID, known *entry) scheduler.Backend {
+	_, leaving := r.leaves[id]
+	return scheduler.Backend{
+		ID:          id,
+		Kind:        known.machine.Kind,
+		Service:     known.machine.Service,
+		Zone:        known.machine.Zone,
+		Address:     known.machine.Address,
+		Incarnation: known.status.Incarnation,
+		Models:      readyModels(known.status.Models),
+		Leaving:     leaving || r.drains[id],
+	}
+}
+
+func (r *Registry) entryOf(id identity.BackendID) *entry {
+	known, found := r.entries[id]
+	if !found {
+		known = &entry{}
+		r.entries[id] = known
+	}
+	return known
+}
+
+func (r *Registry) recordLeave(now time.Time, id identity.BackendID, incarnation identity.Incarnation) {
+	earlier, found := r.leaves[id]
+	if found && earlier.incarnation >= incarnation {
+		return
+	}
+	r.leaves[id] = leave{incarnation: incarnation, at: now}
+}
+
+func (r *Registry) forgetOldLeaves(now time.Time) {
+	maps.DeleteFunc(r.leaves, func(id identity.BackendID, left leave) bool {
+		_, listed := r.entries[id]
+		return !listed && now.Sub(left.at) > r.options.ForgetLeaveAfter
+	})
+}
+
+func (e *entry) incarnation() identity.Incarnation {
+	if e.status == nil {
+		return 0
+	}
+	return e.status.Incarnation
+}
+
+func readyModels(models []enginewire.LoadedModel) []enginewire.LoadedModel {
+	var ready []enginewire.LoadedModel
+	for _, model := range models {
+		if model.Ready {
+			ready = append(ready, model)
+		}
+	}
+	return ready
+}
+
+func compareIDs(left, right identity.BackendID) int {
+	switch {
+	case left < right:
+		return -1
+	case left > right:
+		return 1
+	default:
+		return 0
+	}
+}
--- /dev/null
+++ b/internal/daemon/control/events.go
@@ -0,0 +1,144 @@
+package control
+
+import (
+	"time"
+
+	"github.com/lotusward/lotusward/internal/config/dynamic"
+	"github.com/lotusward/lotusward/internal/core/identity"
+	"github.com/lotusward/lotusward/internal/core/scheduler"
+	"github.com/lotusward/lotusward/internal/wire/enginewire"
+	"github.com/lotusward/lotusward/internal/wire/platformwire"
+)
+
+// event is one thing that happened, applied on the control goroutine.
+type event interface {
+	apply(state *state, now time.Time)
+}
+
+// decision answers an arrival.
+type decision struct {
+	start scheduler.Start
+	err   error
+}
+
+type arrival struct {
+	request scheduler.Request
+	reply   chan decision
+}
+
+func (e arrival) apply(state *state, now time.Time) {
+	state.waiting[e.request.ID] = e.reply
+	state.act(state.policy.Arrive(now, e.request))
+}
+
+// withdrawal is sent when the caller of Schedule went away. The decision may
+// have been made just before; then the attempt is finished unused.
+type withdrawal struct {
+	id    identity.RequestID
+	reply chan decision
+}
+
+func (e withdrawal) apply(state *state, now time.Time) {
+	if state.waiting[e.id] == e.reply {
+		delete(state.waiting, e.id)
+		state.act(state.policy.Cancel(now, e.id))
+		return
+	}
+	select {
+	case decided := <-e.reply:
+		if decided.err == nil {
+			unused := scheduler.Finish{RequestID: e.id, Backend: decided.start.Backend.ID}
+			state.act(state.policy.Finish(now, unused))
+		}
+	default:
+	}
+}
+
+type firstToken struct{ report scheduler.FirstToken }
+
+func (e firstToken) apply(state *state, now time.Time) {
+	state.registry.ObserveAlive(now, e.report.Backend)
+	state.act(state.policy.FirstToken(now, e.report))
+}
+
+type finish struct{ report scheduler.Finish }
+
+func (e finish) apply(state *state, now time.Time) {
+	if !e.report.Failed {
+		state.registry.ObserveAlive(now, e.report.Backend)
+	}
+	state.act(state.policy.Finish(now, e.report))
+}
+
+type documentChanged struct{ document *dynamic.Document }
+
+func (e documentChanged) apply(state *state, now time.Time) {
+	state.document = e.document
+	state.registry.ObserveDocument(e.document)
+	state.documentDirty = true
+	state.refresh(now)
+}
+
+type isolationChanged struct{ isolated bool }
+
+func (e isolationChanged) apply(state *state, _ time.Time) {
+	state.isolated = e.isolated
+	state.publish()
+}
+
+type machinesListed struct{ list platformwire.MachineList }
+
+func (e machinesListed) apply(state *state, now time.Time) {
+	state.registry.ObserveMachines(now, e.list)
+	state.refresh(now)
+}
+
+type statusReported struct{ status enginewire.Status }
+
+func (e statusReported) apply(state *state, now time.Time) {
+	state.registry.ObserveStatus(now, e.status)
+	state.policy.ObserveLoad(now, e.status.Backend, e.status.Incarnation, e.status.Load)
+	state.refresh(now)
+}
+
+type leavingSeen struct {
+	id          identity.BackendID
+	incarnation identity.Incarnation
+	// spread is false for what other daemons told.
+	spread bool
+}
+
+func (e leavingSeen) apply(state *state, now time.Time) {
+	state.registry.ObserveLeaving(now, e.id, e.incarnation)
+	if e.spread && state.onLeaving != nil {
+		state.onLeaving(e.id, e.incarnation)
+	}
+	state.refresh(now)
+}
+
+type cacheEventsSeen struct {
+	backend identity.BackendID
+	batch   enginewire.CacheEventBatch
+}
+
+func (e cacheEventsSeen) apply(state *state, now time.Time) {
+	state.policy.ObserveCacheEvents(now, e.backend, e.batch)
+}
+
+type limitsChanged struct{ limits []scheduler.TenantLimit }
+
+func (e limitsChanged) apply(state *state, now time.Time) {
+	state.policy.SetTenants(now, e.limits)
+}
+
+// call runs a function on the control goroutine, for reads of its state and for
+// parts that are owned by it.
+type call struct {
+	function func(now time.Time)
+	done     chan struct{}
+}
+
+func (e call) apply(_ *state, now time.Time) {
+	e.function(now)
+	close(e.done)
+}
--- /dev/null
+++ b/internal/daemon/control/inputs.go
@@ -0,0 +1,65 @@
+package control
+
+import (
+	"time"
+
+	"github.com/lotusward/lotusward/internal/config/dynamic"
+	"github.com/lotusward/lotusward/internal/core/identity"
+	"github.com/lotusward/lotusward/internal/core/scheduler"
+	"github.com/lotusward/lotusward/internal/wire/enginewire"
+	"github.com/lotusward/lotusward/internal/wire/platformwire"
+)
+
+// SetDocument puts a configuration document in force.
+func (l *Loop) SetDocument(document *dynamic.Document) {
+	l.post(documentChanged{document: document})
+}
+
+// SetIsolated tells whether the configuration may be out of date.
+func (l *Loop) SetIsolated(isolated bool) {
+	l.post(isolationChanged{isolated: isolated})
+}
+
+// ObserveMachines takes a machine list of the platform.
+func (l *Loop) ObserveMachines(list platformwire.MachineList) {
+	l.post(machinesListed{list: list})
+}
+
+// ObserveStatus takes a status report of a back end.
+func (l *Loop) ObserveStatus(status enginewire.Status) {
+	l.post(statusReported{status: status})
+}
+
+// ObserveLeaving takes the word of an answer to one of our own requests that a
+// back end leaves. It is spread to the other daemons.
+func (l *Loop) ObserveLeaving(id identity.BackendID, incarnation identity.Incarnation) {
+	l.post(leavingSeen{id: id, incarnation: incarnation, spread: true})
+}
+
+// ObservePeerLeaving takes the word of another daemon that a back end leaves.
+func (l *Loop) ObservePeerLeaving(id identity.BackendID, incarnation identity.Incarnation) {
+	l.post(leavingSeen{id: id, incarnation: incarnation})
+}
+
+// ObserveCacheEvents takes cache events of an engine.
+func (l *Loop) ObserveCacheEvents(backend identity.BackendID, batch enginewire.CacheEventBatch) {
+	l.post(cacheEventsSeen{backend: backend, batch: batch})
+}
+
+// SetTenantLimits replaces this daemon's shares of the tenants' limits.
+func (l *Loop) SetTenantLimits(limits []scheduler.TenantLimit) {
+	l.post(limitsChanged{limits: limits})
+}
+
+// Call runs a function on the control goroutine and waits for it. It returns
+// false, without running the function, when the loop has stopped.
+func (l *Loop) Call(function func(now time.Time)) bool {
+	done := make(chan struct{})
+	l.post(call{function: function, done: done})
+	select {
+	case <-done:
+		return true
+	case <-l.stopped:
+		return false
+	}
+}
--- /dev/null
+++ b/internal/daemon/control/state.go
@@ -0,0 +1,97 @@
+package control
+
+import (
+	"reflect"
+	"sync/atomic"
+	"time"
+
+	"github.com/lotusward/lotusward/internal/config/dynamic"
+	"github.com/lotusward/lotusward/internal/core/identity"
+	"github.com/lotusward/lotusward/internal/core/registry"
+	"github.com/lotusward/lotusward/internal/core/scheduler"
+	"github.com/lotusward/lotusward/internal/core/view"
+	"github.com/lotusward/lotusward/internal/port"
+)
+
+// refreshInterval is how often back ends are looked at again for silence.
+const refreshInterval = 200 * time.Millisecond
+
+// state is what the control goroutine owns.
+type state struct {
+	policy    scheduler.Policy
+	registry  *registry.Registry
+	onLeaving func(identity.BackendID, identity.Incarnation)
+	published *atomic.Pointer[view.View]
+
+	waiting       map[identity.RequestID]chan decision
+	document      *dynamic.Document
+	documentDirty bool
+	backends      []scheduler.Backend
+	isolated      bool
+	refreshedAt   time.Time
+}
+
+func newState(options Options, published *atomic.Pointer[view.View]) state {
+	return state{
+		policy:    options.Policy,
+		registry:  options.Registry,
+		onLeaving: options.OnLeaving,
+		published: published,
+		waiting:   make(map[identity.RequestID]chan decision),
+		document:  &dynamic.Document{},
+	}
+}
+
+// act carries out what the scheduler decided.
+func (s *state) act(actions []scheduler.Action) {
+	for _, action := range actions {
+		switch decided := action.(type) {
+		case scheduler.Start:
+			s.answer(decided.RequestID, decision{start: decided})
+		case scheduler.Refuse:
+			refused := &port.RefusedError{Reason: decided.Reason, RetryAfter: decided.RetryAfter}
+			s.answer(decided.RequestID, decision{err: refused})
+		}
+	}
+}
+
+func (s *state) answer(id identity.RequestID, decided decision) {
+	reply, found := s.waiting[id]
+	if !found {
+		return
+	}
+	delete(s.waiting, id)
+	reply <- decided
+}
+
+func (s *state) tick(now time.Time) {
+	if now.Sub(s.refreshedAt) >= refreshInterval {
+		s.refresh(now)
+	}
+	s.act(s.policy.Tick(now))
+}
+
+// refresh passes the merged back ends on when they changed.
+func (s *state) refresh(now time.Time) {
+	s.refreshedAt = now
+	backends := s.registry.Backends(now)
+	changed := !reflect.DeepEqual(backends, s.backends)
+	if changed {
+		s.backends = backends
+		s.act(s.policy.SetBackends(now, backends))
+	}
+	if changed || s.documentDirty {
+		s.publish()
+	}
+}
+
+// publish makes the view that traffic goroutines read from now on.
+func (s *state) publish() {
+	previous := s.published.Load()
+	next := previous.WithBackends(s.backends)
+	if s.documentDirty {
+		next = view.New(s.document, s.backends)
+		s.documentDirty = false
+	}
+	s.published.Store(next.WithIsolated(s.isolated))
+}
