--- a/internal/wire/enginewire/enginewire.go
+++ b/internal/wire/enginewire/enginewire.go
@@ -6,7 +6,11 @@
 // A model engine serves POST /v1/completions and POST /v1/chat/completions. The
 // router always asks for a stream (server-sent events) with usage. Each event
 // carries an `id:` line with the token offset of the event's first token (the
-// first token of the answer has offset 0); an event holds one or more tokens.
+// first token of the answer has offset 0). An event that holds another number
+// of tokens than one says so after a plus sign: `id: 12+3` holds tokens 12, 13
+// and 14, and `id: 15+0` holds none, such as a finish event without text. So a
+// reader can tell a lost event from one that holds several tokens. An event
+// before the first token that only names the role has no `id:` line.
 // The event with a finish_reason is followed by one with usage and empty
 // choices, and then by `data: [DONE]`. A stream without [DONE] was cut.
 package enginewire
@@ -45,6 +49,8 @@
 	HeaderFreeBlocks   = "X-Load-Free-Blocks"
 	// HeaderRunState is on every refusal, with an identity.RunState value.
 	HeaderRunState = "X-Run-State"
+	// HeaderStateVersion carries Status.StateVersion, in decimal.
+	HeaderStateVersion = "X-State-Version"
 	// HeaderLeaving is "true" when the back end takes no new work.
 	HeaderLeaving = "X-Leaving"
 )
@@ -123,9 +129,14 @@
 	Kind        identity.BackendKind `json:"kind"`
 	Incarnation identity.Incarnation `json:"incarnation"`
 	State       State                `json:"state"`
-	Role        string               `json:"role,omitempty"`
-	Models      []LoadedModel        `json:"models,omitempty"`
-	Load        Load                 `json:"load"`
+	// StateVersion grows with every change of State, over all lives of the back
+	// end: it starts as the Incarnation and is raised at each change, to the time
+	// in microseconds since the Unix epoch or by 1, whichever is more. Reports of
+	// a lower version are older.
+	StateVersion uint64        `json:"state_version"`
+	Role         string        `json:"role,omitempty"`
+	Models       []LoadedModel `json:"models,omitempty"`
+	Load         Load          `json:"load"`
 }
 
 // LoadedModel is a model that an engine holds.
