Order the states of a back end by a version that it sets itself

Cause: a back end that an operator returns keeps its incarnation, so a leave tied to the incarnation alone could never end, and one that any 'serving' report ends could be undone by a late report. A state version, raised by the back end at each change, orders both. Ruled out: ending leaves by the configuration's revision, since the engine goes on reporting 'leaving' until the order reaches it and would be marked again. The property test now returns back ends as well; with the version checks off it fails, with them it passes.

--- a/internal/core/registry/registry.go
+++ b/internal/core/registry/registry.go
@@ -22,7 +22,7 @@
 	options Options
 	entries map[identity.BackendID]*entry
 	drains  map[identity.BackendID]bool
-	// leaves holds the incarnation in which a back end was seen leaving. It
+	// leaves holds the state version at which a back end was seen leaving. It
 	// outlives the entry, so that a list that lags cannot bring the back end back.
 	leaves map[identity.BackendID]leave
 }
@@ -50,8 +50,8 @@
 }
 
 type leave struct {
-	incarnation identity.Incarnation
-	at          time.Time
+	stateVersion uint64
+	at           time.Time
 }
 
 // New makes an empty registry.
@@ -74,47 +74,41 @@
 		known.machine = machine
 		known.listed = true
 		if machine.State == platformwire.MachineLeaving {
-			r.recordLeave(now, machine.ID, known.incarnation())
+			r.recordLeave(now, machine.ID, known.stateVersion())
 		}
 	}
 	maps.DeleteFunc(r.entries, func(_ identity.BackendID, known *entry) bool { return !known.listed })
 	r.forgetOldLeaves(now)
 }
 
-// ObserveStatus takes a status report. A report of an older incarnation is
-// dropped. A report of a newer incarnation that serves ends an earlier leave:
-// the process that left is gone, and a new one stands in its place.
+// ObserveStatus takes a status report. A report of an older state is dropped. A
+// report of a newer state that serves ends an earlier leave: the back end was
+// returned, or a new process stands in its place.
 func (r *Registry) ObserveStatus(now time.Time, status enginewire.Status) {
 	known, found := r.entries[status.Backend]
-	if !found || status.Incarnation < known.incarnation() {
+	if !found || status.StateVersion < known.stateVersion() {
 		return
 	}
 	known.status = &status
 	known.heardAt = now
 	if status.State == enginewire.StateLeaving {
-		r.recordLeave(now, status.Backend, status.Incarnation)
+		r.recordLeave(now, status.Backend, status.StateVersion)
 		return
 	}
 	left, leaving := r.leaves[status.Backend]
-	if leaving && status.Incarnation > left.incarnation {
+	if leaving && status.StateVersion > left.stateVersion {
 		delete(r.leaves, status.Backend)
 	}
 }
 
-// ObserveReturn ends a leave by an operator's order, which a daemon sees as a
-// serving status that follows the order in the same incarnation.
-func (r *Registry) ObserveReturn(id identity.BackendID) {
-	delete(r.leaves, id)
-}
-
 // ObserveLeaving takes the word of an answer or of another daemon that a back
-// end leaves.
-func (r *Registry) ObserveLeaving(now time.Time, id identity.BackendID, incarnation identity.Incarnation) {
+// end left at a state version.
+func (r *Registry) ObserveLeaving(now time.Time, id identity.BackendID, stateVersion uint64) {
 	known, found := r.entries[id]
-	if found && incarnation < known.incarnation() {
+	if found && stateVersion < known.stateVersion() {
 		return
 	}
-	r.recordLeave(now, id, incarnation)
+	r.recordLeave(now, id, stateVersion)
 }
 
 // ObserveAlive notes that a back end answered something.
@@ -124,19 +118,13 @@
 	}
 }
 
-// ObserveDocument takes the drains of a configuration. A drain that the document
-// no longer has was ended by an operator's return.
+// ObserveDocument takes the drains of a configuration. A drained back end counts
+// as leaving whatever it reports itself.
 func (r *Registry) ObserveDocument(document *dynamic.Document) {
-	drains := make(map[identity.BackendID]bool, len(document.Drains))
+	r.drains = make(map[identity.BackendID]bool, len(document.Drains))
 	for _, drain := range document.Drains {
-		drains[drain.Backend] = true
-	}
-	for id := range r.drains {
-		if !drains[id] {
-			r.ObserveReturn(id)
-		}
+		r.drains[drain.Backend] = true
 	}
-	r.drains = drains
 }
 
 // Backends returns the back ends whose incarnation is known, ordered by ID.
@@ -198,12 +186,12 @@
 	return known
 }
 
-func (r *Registry) recordLeave(now time.Time, id identity.BackendID, incarnation identity.Incarnation) {
+func (r *Registry) recordLeave(now time.Time, id identity.BackendID, stateVersion uint64) {
 	earlier, found := r.leaves[id]
-	if found && earlier.incarnation >= incarnation {
+	if found && earlier.stateVersion >= stateVersion {
 		return
 	}
-	r.leaves[id] = leave{incarnation: incarnation, at: now}
+	r.leaves[id] = leave{stateVersion: stateVersion, at: now}
 }
 
 func (r *Registry) forgetOldLeaves(now time.Time) {
@@ -213,11 +201,11 @@
 	})
 }
 
-func (e *entry) incarnation() identity.Incarnation {
+func (e *entry) stateVersion() uint64 {
 	if e.status == nil {
 		return 0
 	}
-	return e.status.Incarnation
+	return e.status.StateVersion
 }
 
 func readyModels(models []enginewire.LoadedModel) []enginewire.LoadedModel {
--- a/internal/core/registry/registry_test.go
+++ b/internal/core/registry/registry_test.go
@@ -18,10 +18,11 @@
 // truth is the oracle: what really is so of the one back end, and the reports
 // of earlier moments that may still be on their way.
 type truth struct {
-	incarnation identity.Incarnation
-	leaving     bool
-	reports     []enginewire.Status
-	lists       []platformwire.MachineList
+	incarnation  identity.Incarnation
+	stateVersion uint64
+	leaving      bool
+	reports      []enginewire.Status
+	lists        []platformwire.MachineList
 }
 
 func (o *truth) status() enginewire.Status {
@@ -29,7 +30,7 @@
 	if o.leaving {
 		state = enginewire.StateLeaving
 	}
-	return enginewire.Status{Backend: backendID, Incarnation: o.incarnation, State: state}
+	return enginewire.Status{Backend: backendID, Incarnation: o.incarnation, State: state, StateVersion: o.stateVersion}
 }
 
 func (o *truth) list() platformwire.MachineList {
@@ -47,11 +48,11 @@
 	rapid.Check(t, func(t *rapid.T) {
 		now := time.Unix(1_000_000, 0)
 		known := New(Options{UnreachableAfter: time.Hour, ForgetLeaveAfter: time.Hour})
-		oracle := &truth{incarnation: 1}
+		oracle := &truth{incarnation: 1, stateVersion: 1}
 		toldLeaving := false
 		deliver := func(status enginewire.Status) {
 			known.ObserveStatus(now, status)
-			if status.Incarnation == oracle.incarnation && status.State == enginewire.StateLeaving {
+			if status.StateVersion == oracle.stateVersion && status.State == enginewire.StateLeaving {
 				toldLeaving = true
 			}
 		}
@@ -63,13 +64,29 @@
 				oracle.reports = append(oracle.reports, oracle.status())
 				oracle.lists = append(oracle.lists, oracle.list())
 			},
-			"leave": func(*rapid.T) { oracle.leaving = true },
+			"leave": func(*rapid.T) {
+				if !oracle.leaving {
+					oracle.stateVersion++
+				}
+				oracle.leaving = true
+			},
+			"return": func(*rapid.T) {
+				if !oracle.leaving {
+					return
+				}
+				oracle.stateVersion++
+				oracle.leaving = false
+				toldLeaving = false
+				deliver(oracle.status())
+				oracle.lists = nil
+			},
 			"restart": func(*rapid.T) {
-				oracle.incarnation++
+				oracle.stateVersion++
+				oracle.incarnation = identity.Incarnation(oracle.stateVersion)
 				oracle.leaving = false
 				toldLeaving = false
 				deliver(oracle.status())
-				// Lists from before the restart may tell of the old process only.
+				// The machine list lags but does not go back past a restart or return.
 				oracle.lists = nil
 			},
 			"deliver a status late or again": func(t *rapid.T) {
@@ -90,7 +107,7 @@
 			},
 			"another daemon tells": func(*rapid.T) {
 				if oracle.leaving {
-					known.ObserveLeaving(now, backendID, oracle.incarnation)
+					known.ObserveLeaving(now, backendID, oracle.stateVersion)
 					toldLeaving = true
 				}
 			},
@@ -105,19 +122,22 @@
 	})
 }
 
-// A drain holds while the document has it, and its end gives the back end back.
+// A drain holds while the document has it; then the back end's own newer word counts.
 func TestDrainEndsWithTheDocument(t *testing.T) {
 	now := time.Unix(1_000_000, 0)
 	known := New(DefaultOptions())
-	oracle := &truth{incarnation: 1}
+	oracle := &truth{incarnation: 1, stateVersion: 1}
 	known.ObserveMachines(now, oracle.list())
 	known.ObserveStatus(now, oracle.status())
 
 	known.ObserveDocument(&dynamic.Document{Drains: []dynamic.Drain{{Backend: backendID, Since: now}}})
 	assert.Assert(t, known.Backends(now)[0].Leaving)
-	oracle.leaving = true
+	oracle.leaving, oracle.stateVersion = true, 2
 	known.ObserveStatus(now, oracle.status())
 
 	known.ObserveDocument(&dynamic.Document{})
+	assert.Assert(t, known.Backends(now)[0].Leaving, "it still says so itself")
+	oracle.leaving, oracle.stateVersion = false, 3
+	known.ObserveStatus(now, oracle.status())
 	assert.Assert(t, !known.Backends(now)[0].Leaving)
 }
--- a/internal/daemon/control/events.go
+++ b/internal/daemon/control/events.go
@@ -102,16 +102,16 @@
 }
 
 type leavingSeen struct {
-	id          identity.BackendID
-	incarnation identity.Incarnation
+	id           identity.BackendID
+	stateVersion uint64
 	// spread is false for what other daemons told.
 	spread bool
 }
 
 func (e leavingSeen) apply(state *state, now time.Time) {
-	state.registry.ObserveLeaving(now, e.id, e.incarnation)
+	state.registry.ObserveLeaving(now, e.id, e.stateVersion)
 	if e.spread && state.onLeaving != nil {
-		state.onLeaving(e.id, e.incarnation)
+		state.onLeaving(e.id, e.stateVersion)
 	}
 	state.refresh(now)
 }
--- a/internal/daemon/control/inputs.go
+++ b/internal/daemon/control/inputs.go
@@ -32,13 +32,13 @@
 
 // ObserveLeaving takes the word of an answer to one of our own requests that a
 // back end leaves. It is spread to the other daemons.
-func (l *Loop) ObserveLeaving(id identity.BackendID, incarnation identity.Incarnation) {
-	l.post(leavingSeen{id: id, incarnation: incarnation, spread: true})
+func (l *Loop) ObserveLeaving(id identity.BackendID, stateVersion uint64) {
+	l.post(leavingSeen{id: id, stateVersion: stateVersion, spread: true})
 }
 
 // ObservePeerLeaving takes the word of another daemon that a back end leaves.
-func (l *Loop) ObservePeerLeaving(id identity.BackendID, incarnation identity.Incarnation) {
-	l.post(leavingSeen{id: id, incarnation: incarnation})
+func (l *Loop) ObservePeerLeaving(id identity.BackendID, stateVersion uint64) {
+	l.post(leavingSeen{id: id, stateVersion: stateVersion})
 }
 
 // ObserveCacheEvents takes cache events of an engine.
--- a/internal/daemon/control/loop.go
+++ b/internal/daemon/control/loop.go
@@ -35,7 +35,7 @@
 	Clock func() time.Time
 	// OnLeaving, when not nil, is told on the control goroutine of a back end
 	// that an answer reported as leaving, so that it can be spread.
-	OnLeaving func(id identity.BackendID, incarnation identity.Incarnation)
+	OnLeaving func(id identity.BackendID, stateVersion uint64)
 }
 
 // Loop owns the control state. Make it with New, and run it with Run.
--- a/internal/daemon/control/state.go
+++ b/internal/daemon/control/state.go
@@ -20,7 +20,7 @@
 type state struct {
 	policy    scheduler.Policy
 	registry  *registry.Registry
-	onLeaving func(identity.BackendID, identity.Incarnation)
+	onLeaving func(identity.BackendID, uint64)
 	published *atomic.Pointer[view.View]
 
 	waiting       map[identity.RequestID]chan decision
