Add the belief of what each engine caches

Cause: raw event streams do not fit the control budget, so the index learns from placements and reported cached counts, and events only correct it. Ruled out: every k-th position as checkpoint (events do not carry positions); a wall-clock age (engines evict by use, not by time).

--- /dev/null
+++ b/internal/core/belief/index.go
@@ -0,0 +1,168 @@
+// Package belief is what a daemon believes that each engine has in its prefix
+// cache. It learns from its own placements, from the cached-token counts that
+// answers report, and from cache events, which may be late, repeated or lost.
+// What it says may be wrong; a wrong belief costs time, never correctness.
+//
+// For each engine the index keeps a least-recently-used list, as the engine
+// does, so that a belief ages out when the engine should have evicted the block.
+// Only one block in BlocksPerCheckpoint has an entry. A cached chain is closed
+// towards its start, so a few probes find how deep it reaches.
+package belief
+
+import (
+	"github.com/lotusward/lotusward/internal/core/identity"
+	"github.com/lotusward/lotusward/internal/core/prefix"
+)
+
+// Slot is the index's small number for an engine.
+type Slot uint16
+
+// DefaultMaxEntries bounds the index when Options sets no bound. An entry takes
+// about 125 bytes, so this is under 40 MB, for 2.4 million cached blocks.
+const DefaultMaxEntries = 300_000
+
+// none is the entry number that stands for no entry.
+const none = 0
+
+// Options configure an Index.
+type Options struct {
+	// MaxEntries bounds the entries of all engines together.
+	MaxEntries int
+}
+
+// entry says that one engine has one checkpoint. It is a member of two lists:
+// all entries of the engine by their last use, and all entries of the hash.
+type entry struct {
+	hash         prefix.Hash
+	newer, older uint32
+	next, prior  uint32
+	// stamp is the engine's use counter at the last use.
+	stamp uint32
+	slot  Slot
+	// pending is set while the block is still to be computed.
+	pending bool
+}
+
+// holders is the list of the entries of one hash.
+type holders struct {
+	first uint32
+	count uint32
+}
+
+// pair finds the entry of one hash on one engine.
+type pair struct {
+	hash prefix.Hash
+	slot Slot
+}
+
+// engine is what the index keeps for one engine.
+type engine struct {
+	incarnation    identity.Incarnation
+	known          bool
+	newest, oldest uint32
+	count          int
+	uses           uint32
+	// capacity is how many entries the engine's whole cache has room for, and
+	// limit is how many of them the engine's answers have shown to survive.
+	// Zero means not known.
+	capacity, limit int
+	sequence        uint64
+}
+
+// Index is the belief about all engines. It is not safe for concurrent use.
+type Index struct {
+	options Options
+	entries []entry
+	free    []uint32
+	byHash  map[prefix.Hash]holders
+	byPair  map[pair]uint32
+	engines []engine
+	slots   map[identity.BackendID]Slot
+	unused  []Slot
+	// hand is the engine that gives up an entry next when the index is full.
+	hand int
+	// visited marks engines that a running match has found.
+	visited    []uint32
+	generation uint32
+}
+
+// New makes an empty index.
+func New(options Options) *Index {
+	if options.MaxEntries == 0 {
+		options.MaxEntries = DefaultMaxEntries
+	}
+	return &Index{
+		options: options,
+		entries: make([]entry, 1),
+		byHash:  make(map[prefix.Hash]holders),
+		byPair:  make(map[pair]uint32),
+		slots:   make(map[identity.BackendID]Slot),
+	}
+}
+
+// SetEngine makes an engine known in an incarnation and returns its slot. All
+// that was believed of another incarnation is dropped.
+func (x *Index) SetEngine(id identity.BackendID, incarnation identity.Incarnation) Slot {
+	slot, found := x.slots[id]
+	if !found {
+		slot = x.takeSlot()
+		x.slots[id] = slot
+	}
+	if found && x.engines[slot].incarnation == incarnation {
+		return slot
+	}
+	x.Clear(slot)
+	x.engines[slot] = engine{incarnation: incarnation, known: true}
+	return slot
+}
+
+// RemoveEngine forgets an engine.
+func (x *Index) RemoveEngine(id identity.BackendID) {
+	slot, found := x.slots[id]
+	if !found {
+		return
+	}
+	x.Clear(slot)
+	x.engines[slot] = engine{}
+	delete(x.slots, id)
+	x.unused = append(x.unused, slot)
+}
+
+func (x *Index) takeSlot() Slot {
+	if last := len(x.unused) - 1; last >= 0 {
+		slot := x.unused[last]
+		x.unused = x.unused[:last]
+		return slot
+	}
+	x.engines = append(x.engines, engine{})
+	x.visited = append(x.visited, 0)
+	return Slot(len(x.engines) - 1)
+}
+
+// Clear drops all that is believed of an engine's cache.
+func (x *Index) Clear(slot Slot) {
+	for x.engines[slot].oldest != none {
+		x.remove(x.engines[slot].oldest)
+	}
+}
+
+// SetCapacity tells how many blocks the engine's cache holds; zero is ignored.
+func (x *Index) SetCapacity(slot Slot, blocks int) {
+	if blocks <= 0 {
+		return
+	}
+	holder := &x.engines[slot]
+	capacity := max(1, blocks/BlocksPerCheckpoint)
+	if holder.capacity == capacity {
+		return
+	}
+	holder.capacity = capacity
+	holder.limit = capacity
+	x.trimToLimit(slot)
+}
+
+// Entries is how many entries the index holds.
+func (x *Index) Entries() int { return len(x.entries) - 1 - len(x.free) }
+
+// EngineEntries is how many entries the index holds for one engine.
+func (x *Index) EngineEntries(slot Slot) int { return x.engines[slot].count }
