--- a/internal/config/dynamic/document.go
+++ b/internal/config/dynamic/document.go
@@ -24,6 +24,9 @@
 	// Rosters lists the claim replica rosters, newest last. At most the two
 	// newest are kept: a replica of the newest catches up from the one before.
 	Rosters []Roster `json:"rosters" msgpack:"rosters"`
+	// History lists the newest accepted changes, oldest first, at most
+	// HistoryLength of them. Apply keeps it, and tells conflicts by it.
+	History []Touch `json:"history,omitempty" msgpack:"history,omitempty"`
 }
 
 // Service is a group of back ends that serve the same work.
