--- /dev/null
+++ b/cmd/lotuslab/main.go
@@ -0,0 +1,59 @@
+// Command lotuslab runs the stand-ins of everything outside lotusward, load,
+// experiments and the demo.
+package main
+
+import (
+	"errors"
+	"fmt"
+	"os"
+
+	"github.com/jessevdk/go-flags"
+
+	"github.com/lotusward/lotusward/internal/exitcode"
+	"github.com/lotusward/lotusward/internal/lab/command"
+)
+
+func main() {
+	os.Exit(run())
+}
+
+func run() int {
+	parser := flags.NewNamedParser("lotuslab", flags.HelpFlag|flags.PassDoubleDash)
+	parser.LongDescription = "Stand-ins, load, experiments and the demo of lotusward."
+	if err := addCommands(parser); err != nil {
+		fmt.Fprintln(os.Stderr, "lotuslab:", err)
+		return exitcode.Failure
+	}
+	_, err := parser.Parse()
+	var flagError *flags.Error
+	switch {
+	case err == nil:
+		return exitcode.OK
+	case errors.As(err, &flagError) && flagError.Type == flags.ErrHelp:
+		fmt.Println(err)
+		return exitcode.OK
+	case errors.As(err, &flagError):
+		fmt.Fprintln(os.Stderr, "lotuslab:", err)
+		return exitcode.Usage
+	default:
+		fmt.Fprintln(os.Stderr, "lotuslab:", err)
+		return exitcode.Failure
+	}
+}
+
+func addCommands(parser *flags.Parser) error {
+	commands := []struct {
+		name, short, long string
+		data              any
+	}{
+		{"platform", "Run the platform stand-in", "Serves the table service, object store, weight store and machine list in memory.", &command.Platform{}},
+		{"engine", "Run a stand-in model engine", "Serves the engine interface and enters the platform's machine list.", &command.Engine{}},
+		{"app", "Run a stand-in web-app runner", "Serves pages and enters the platform's machine list.", &command.App{}},
+	}
+	for _, added := range commands {
+		if _, err := parser.AddCommand(added.name, added.short, added.long, added.data); err != nil {
+			return err
+		}
+	}
+	return nil
+}
