Report an engine's queued tokens without walking its queue

A load report walked the blocks of all waiting prompts. The expected tokens are now kept as requests come and go, and blocks that a request will compute count for those behind it. At rest the load must be zero: the property test checks it.

--- a/internal/standin/engine/model/engine.go
+++ b/internal/standin/engine/model/engine.go
@@ -22,8 +22,10 @@
 	imports  []pendingImport
 	models   map[identity.ModelName]enginewire.LoadedModel
 	results  []Result
-	load     enginewire.Load
-	loadAt   time.Time
+	// waitingTokens is how many tokens the waiting requests will compute.
+	waitingTokens int
+	// coming counts, for each block, the requests that will compute it.
+	coming map[prefix.Hash]int
 }
 
 // New makes an empty engine without models.
@@ -34,6 +36,7 @@
 		cache:   newCache(options.Blocks),
 		byKey:   make(map[Key]*sequence),
 		models:  make(map[identity.ModelName]enginewire.LoadedModel),
+		coming:  make(map[prefix.Hash]int),
 	}
 }
 
@@ -48,6 +51,7 @@
 	e.arrivals++
 	added := &sequence{request: request, arrival: e.arrivals}
 	e.byKey[request.Key] = added
+	e.expect(added)
 	insertInOrder(&e.waiting, added)
 	e.startStep(now)
 	return ""
@@ -111,7 +115,7 @@
 }
 
 // CachedTokens tells how much of a prompt the engine would take from its cache
-// now. Only tests and the clairvoyant baseline may ask.
+// now.
 func (e *Engine) CachedTokens(chain prefix.Chain, contextTokens int) int {
 	return e.cache.cachedBlocks(Request{Chain: chain, ContextTokens: contextTokens}) * prefix.BlockTokens
 }
@@ -134,6 +138,10 @@
 // remove takes a request out of the engine and frees its blocks.
 func (e *Engine) remove(removed *sequence) {
 	delete(e.byKey, removed.request.Key)
+	e.unannounce(removed)
+	if !removed.started {
+		e.waitingTokens -= removed.expected
+	}
 	removeFrom(&e.waiting, removed)
 	removeFrom(&e.running, removed)
 	e.cache.dismiss(removed)
--- a/internal/standin/engine/model/engine_test.go
+++ b/internal/standin/engine/model/engine_test.go
@@ -101,7 +101,7 @@
 	if len(o.cached) > testBlocks {
 		t.Fatalf("%d blocks cached of %d", len(o.cached), testBlocks)
 	}
-	load := o.engine.ExactLoad()
+	load := o.engine.Load(o.now)
 	if load.FreeBlocks < 0 || load.FreeBlocks > testBlocks || load.Running > 4 || load.Waiting > 6 {
 		t.Fatalf("load out of bounds: %+v", load)
 	}
@@ -189,8 +189,9 @@
 			t.Fatalf("%v never ended", key)
 		}
 	}
-	if free := o.engine.ExactLoad().FreeBlocks; free != testBlocks {
-		t.Fatalf("%d blocks free at rest, want %d", free, testBlocks)
+	atRest := enginewire.Load{FreeBlocks: testBlocks, TotalBlocks: testBlocks}
+	if load := o.engine.Load(o.now); load != atRest {
+		t.Fatalf("load at rest is %+v", load)
 	}
 }
 
--- a/internal/standin/engine/model/load.go
+++ b/internal/standin/engine/model/load.go
@@ -7,18 +7,9 @@
 	"github.com/lotusward/lotusward/internal/wire/enginewire"
 )
 
-// Load reports how busy the engine is, at most Options.LoadRefresh old.
+// Load reports how busy the engine is.
 func (e *Engine) Load(now time.Time) enginewire.Load {
 	e.advance(now)
-	if e.loadAt.IsZero() || now.Sub(e.loadAt) >= e.options.LoadRefresh {
-		e.load = e.ExactLoad()
-		e.loadAt = now
-	}
-	return e.load
-}
-
-// ExactLoad computes the load as it is at the last advance.
-func (e *Engine) ExactLoad() enginewire.Load {
 	return enginewire.Load{
 		Running:      len(e.running),
 		Waiting:      len(e.waiting),
@@ -28,40 +19,59 @@
 	}
 }
 
-// queuedTokens is how many prompt tokens the engine will compute for the
-// requests that it has. A block that several of them need counts once.
+// queuedTokens is how many context tokens the engine will compute for the
+// requests that it has.
 func (e *Engine) queuedTokens() int {
-	total := 0
-	coming := make(map[prefix.Hash]struct{})
+	total := e.waitingTokens
 	for _, candidate := range e.running {
 		total += candidate.prefillLeft()
-		if candidate.prefillLeft() == 0 {
-			continue
-		}
-		for _, hash := range candidate.request.Chain[candidate.published:] {
-			coming[hash] = struct{}{}
-		}
-	}
-	for _, candidate := range e.waiting {
-		total += e.uncachedTokens(candidate.request, coming)
 	}
 	return total
 }
 
-// uncachedTokens counts the prompt tokens of a request that are neither cached
-// nor coming, and adds its blocks to those coming.
-func (e *Engine) uncachedTokens(request Request, coming map[prefix.Hash]struct{}) int {
-	limit := min(max(0, request.ContextTokens-1)/prefix.BlockTokens, len(request.Chain))
+// UncachedTokens tells how many context tokens of a request the engine would
+// have to compute: those of blocks that are neither cached, nor coming by the
+// requests that it has, nor, when the function is not nil, coming by others.
+func (e *Engine) UncachedTokens(chain prefix.Chain, contextTokens int, others func(prefix.Hash) bool) int {
 	hits := 0
-	for _, hash := range request.Chain[:limit] {
-		_, expected := coming[hash]
-		if !expected && e.cache.blocks[hash] == nil {
+	for _, hash := range reusable(chain, contextTokens) {
+		if e.cache.blocks[hash] == nil && e.coming[hash] == 0 && (others == nil || !others(hash)) {
 			break
 		}
 		hits++
 	}
-	for _, hash := range request.Chain[hits:limit] {
-		coming[hash] = struct{}{}
+	return contextTokens - hits*prefix.BlockTokens
+}
+
+// Holds tells whether a block is cached.
+func (e *Engine) Holds(hash prefix.Hash) bool { return e.cache.blocks[hash] != nil }
+
+// reusable is the part of a chain that a request can take from a cache. At least
+// one context token is always computed.
+func reusable(chain prefix.Chain, contextTokens int) prefix.Chain {
+	return chain[:min(max(0, contextTokens-1)/prefix.BlockTokens, len(chain))]
+}
+
+// expect notes the blocks that a request that arrives will compute.
+func (e *Engine) expect(arrived *sequence) {
+	request := arrived.request
+	arrived.expected = e.UncachedTokens(request.Chain, request.ContextTokens, nil)
+	arrived.announced = reusable(request.Chain, request.ContextTokens)
+	hits := (request.ContextTokens - arrived.expected) / prefix.BlockTokens
+	arrived.announced = arrived.announced[hits:]
+	for _, hash := range arrived.announced {
+		e.coming[hash]++
+	}
+	e.waitingTokens += arrived.expected
+}
+
+// unannounce forgets what a request was expected to compute, once it has
+// computed it or has left.
+func (e *Engine) unannounce(owner *sequence) {
+	for _, hash := range owner.announced {
+		if e.coming[hash]--; e.coming[hash] == 0 {
+			delete(e.coming, hash)
+		}
 	}
-	return request.ContextTokens - hits*prefix.BlockTokens
+	owner.announced = nil
 }
--- a/internal/standin/engine/model/options.go
+++ b/internal/standin/engine/model/options.go
@@ -26,8 +26,6 @@
 	StepCeiling time.Duration
 	// KVPerBlock is the cost of importing or exporting one block.
 	KVPerBlock time.Duration
-	// LoadRefresh is how often the load report is computed anew.
-	LoadRefresh time.Duration
 }
 
 // The defaults of Options: a small engine that computes about 25,000 prompt
@@ -41,7 +39,6 @@
 	DefaultDecodePerSequence = 50 * time.Microsecond
 	DefaultStepCeiling       = 25 * time.Millisecond
 	DefaultKVPerBlock        = 40 * time.Microsecond
-	DefaultLoadRefresh       = 20 * time.Millisecond
 )
 
 // minimumChunk is the least prefill tokens that a step may hold, so that a full
@@ -58,7 +55,6 @@
 	setDefault(&o.DecodePerSequence, DefaultDecodePerSequence)
 	setDefault(&o.StepCeiling, DefaultStepCeiling)
 	setDefault(&o.KVPerBlock, DefaultKVPerBlock)
-	setDefault(&o.LoadRefresh, DefaultLoadRefresh)
 	return o
 }
 
--- a/internal/standin/engine/model/sequence.go
+++ b/internal/standin/engine/model/sequence.go
@@ -20,6 +20,10 @@
 	// generated counts the new tokens given.
 	generated int
 	started   bool
+	// expected is how many context tokens the request was to compute when it
+	// arrived, and announced are the blocks among them.
+	expected  int
+	announced prefix.Chain
 	ended     bool
 }
 
@@ -35,10 +39,9 @@
 func (s *sequence) prefillLeft() int { return s.request.ContextTokens - s.computed }
 
 // cachedBlocks counts the leading blocks that a request could take from the
-// cache. At least one context token is always computed.
+// cache.
 func (c *cache) cachedBlocks(request Request) int {
-	limit := max(0, request.ContextTokens-1) / prefix.BlockTokens
-	return c.lookup(request.Chain[:min(limit, len(request.Chain))])
+	return c.lookup(reusable(request.Chain, request.ContextTokens))
 }
 
 // admit takes the blocks that a request needs. It returns false, and takes
--- a/internal/standin/engine/model/step.go
+++ b/internal/standin/engine/model/step.go
@@ -57,6 +57,7 @@
 		candidate.computed += chunk
 		e.cache.publishComputed(candidate)
 		if candidate.prefillLeft() == 0 {
+			e.unannounce(candidate)
 			next.decoding = append(next.decoding, candidate)
 		}
 	}
@@ -89,6 +90,7 @@
 		return false
 	}
 	started.started = true
+	e.waitingTokens -= started.expected
 	removeFrom(&e.waiting, started)
 	insertInOrder(&e.running, started)
 	e.results = append(e.results, Started{At: now, Key: started.request.Key, CachedTokens: started.computed})
