Keep the operator's statement in a change

A command that keeps parts of what is there is built anew on each try, so that its operation and base may differ between two tries of one change ID. The statement tells that they are the same command. The field is additive.

--- a/internal/config/dynamic/document.go
+++ b/internal/config/dynamic/document.go
@@ -141,8 +141,12 @@
 	At       time.Time `json:"at" msgpack:"at"`
 	// Base, when not nil, is the revision that the operator had read: the change
 	// is refused with a conflict if what it touches changed since.
-	Base      *identity.Revision `json:"base,omitempty" msgpack:"base,omitempty"`
-	Operation Operation          `json:"operation" msgpack:"operation"`
+	Base *identity.Revision `json:"base,omitempty" msgpack:"base,omitempty"`
+	// Statement is the command in the operators' language that the change was
+	// made of; empty for an import. It is kept for the audit, and tells whether a
+	// repeated command is the one that was accepted.
+	Statement string    `json:"statement,omitempty" msgpack:"statement,omitempty"`
+	Operation Operation `json:"operation" msgpack:"operation"`
 }
 
 // Operation is what a change does. Exactly one field is set.
