--- a/internal/adapter/datagram/conn.go
+++ b/internal/adapter/datagram/conn.go
@@ -81,15 +81,15 @@
 // Send encodes and signs message and sends it once to address (IP:port). It
 // fails with ErrTooLarge when the message doesn't fit one datagram.
 func (c *Conn) Send(address string, message any) error {
-	body, err := msgpack.Marshal(message)
+	body, err := Encode(message)
 	if err != nil {
-		return fmt.Errorf("datagram: encode: %w", err)
+		return err
 	}
 	target, err := netip.ParseAddrPort(address)
 	if err != nil {
 		return fmt.Errorf("datagram: address: %w", err)
 	}
-	frame, err := seal(c.ring, c.sender, c.now(), body)
+	frame, err := Seal(c.ring, c.sender, c.now(), body)
 	if err != nil {
 		return err
 	}
@@ -111,7 +111,7 @@
 			return fmt.Errorf("datagram: receive: %w", err)
 		}
 		conn.bytes.WithLabelValues("received").Add(float64(size))
-		sender, body, err := open(conn.ring, conn.now(), buffer[:size])
+		sender, body, err := Open(conn.ring, conn.now(), buffer[:size])
 		if err != nil {
 			conn.drop(err)
 			continue
--- a/internal/adapter/datagram/datagram.go
+++ b/internal/adapter/datagram/datagram.go
@@ -9,11 +9,14 @@
 package datagram
 
 import (
+	"bytes"
 	"encoding/binary"
 	"errors"
 	"fmt"
 	"time"
 
+	"github.com/vmihailenco/msgpack/v5"
+
 	"github.com/lotusward/lotusward/internal/adapter/keyring"
 	"github.com/lotusward/lotusward/internal/core/identity"
 )
@@ -49,8 +52,22 @@
 	errStale     = errors.New("datagram: stale")
 )
 
-// seal makes a signed frame around body.
-func seal(ring *keyring.Ring, sender identity.DaemonID, at time.Time, body []byte) ([]byte, error) {
+// Encode encodes a message for a datagram. Integers take as few bytes as they
+// can.
+func Encode(message any) ([]byte, error) {
+	var buffer bytes.Buffer
+	encoder := msgpack.GetEncoder()
+	defer msgpack.PutEncoder(encoder)
+	encoder.Reset(&buffer)
+	encoder.UseCompactInts(true)
+	if err := encoder.Encode(message); err != nil {
+		return nil, fmt.Errorf("datagram: encode: %w", err)
+	}
+	return buffer.Bytes(), nil
+}
+
+// Seal makes a signed frame around body.
+func Seal(ring *keyring.Ring, sender identity.DaemonID, at time.Time, body []byte) ([]byte, error) {
 	if len(sender) == 0 || len(sender) > MaximumSenderBytes {
 		return nil, ErrSenderName
 	}
@@ -69,8 +86,8 @@
 	return frame, nil
 }
 
-// open checks a frame and returns its sender and body, which lie inside frame.
-func open(ring *keyring.Ring, now time.Time, frame []byte) (identity.DaemonID, []byte, error) {
+// Open checks a frame and returns its sender and body, which lie inside frame.
+func Open(ring *keyring.Ring, now time.Time, frame []byte) (identity.DaemonID, []byte, error) {
 	if len(frame) < headerBytes || len(frame) > MaximumBytes || frame[0] != frameVersion {
 		return "", nil, errMalformed
 	}
--- a/internal/adapter/datagram/datagram_test.go
+++ b/internal/adapter/datagram/datagram_test.go
@@ -34,10 +34,10 @@
 		signing := ringOf(t, rapid.SampledFrom([]string{"old-key-0123456789", "new-key-0123456789"}).Draw(t, "key"))
 		sender := identity.DaemonID(rapid.StringMatching("[a-z]{1,64}").Draw(t, "sender"))
 		body := rapid.SliceOfN(rapid.Byte(), 0, MaximumBodyBytes).Draw(t, "body")
-		frame, err := seal(signing, sender, fixed, body)
+		frame, err := Seal(signing, sender, fixed, body)
 		assert.NilError(t, err)
 
-		gotSender, gotBody, err := open(ring, fixed, frame)
+		gotSender, gotBody, err := Open(ring, fixed, frame)
 		assert.NilError(t, err)
 		assert.Equal(t, gotSender, sender)
 		assert.Assert(t, bytes.Equal(gotBody, body))
@@ -45,29 +45,29 @@
 		changed := append([]byte(nil), frame...)
 		position := rapid.IntRange(0, len(changed)-1).Draw(t, "position")
 		changed[position] ^= byte(rapid.IntRange(1, 255).Draw(t, "flip"))
-		_, _, err = open(ring, fixed, changed)
+		_, _, err = Open(ring, fixed, changed)
 		assert.Assert(t, err != nil)
-		_, _, err = open(ring, fixed, frame[:rapid.IntRange(0, len(frame)-1).Draw(t, "cut")])
+		_, _, err = Open(ring, fixed, frame[:rapid.IntRange(0, len(frame)-1).Draw(t, "cut")])
 		assert.Assert(t, err != nil)
-		_, _, err = open(ringOf(t, "wrong-key-0123456789"), fixed, frame)
+		_, _, err = Open(ringOf(t, "wrong-key-0123456789"), fixed, frame)
 		assert.Assert(t, errors.Is(err, errSignature))
-		_, _, err = open(ring, fixed.Add(DefaultFreshness+time.Second), frame)
+		_, _, err = Open(ring, fixed.Add(DefaultFreshness+time.Second), frame)
 		assert.Assert(t, errors.Is(err, errStale))
 	})
 }
 
 func TestTooLargeMessageIsNotSent(t *testing.T) {
-	_, err := seal(ringOf(t, "new-key-0123456789"), "d", fixed, make([]byte, MaximumBytes))
+	_, err := Seal(ringOf(t, "new-key-0123456789"), "d", fixed, make([]byte, MaximumBytes))
 	assert.Assert(t, errors.Is(err, ErrTooLarge))
 }
 
 func FuzzOpen(f *testing.F) {
 	ring := ringOf(f, "new-key-0123456789")
-	frame, err := seal(ringOf(f, "other-key-0123456789"), "daemon-1", fixed, []byte("body"))
+	frame, err := Seal(ringOf(f, "other-key-0123456789"), "daemon-1", fixed, []byte("body"))
 	assert.NilError(f, err)
 	f.Add(frame)
 	f.Fuzz(func(t *testing.T, data []byte) {
-		_, _, err := open(ring, fixed, data)
+		_, _, err := Open(ring, fixed, data)
 		assert.Assert(t, err != nil, "a frame without the key opened")
 	})
 }
