--- /dev/null
+++ b/internal/lab/experiment/command.go
@@ -0,0 +1,94 @@
+package experiment
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"path/filepath"
+
+	"github.com/lotusward/lotusward/internal/lab/report"
+)
+
+// Command is the command line of an experiment, for go-flags.
+type Command struct {
+	Deployments []string     `long:"deployment" description:"Run only this deployment's scenarios; may be given several times" choice:"foulee" choice:"kalahari-pot"`
+	Scenarios   []string     `long:"scenario" description:"Run only this scenario; may be given several times"`
+	Policies    []PolicyName `long:"policy" description:"Run only this policy; may be given several times"`
+	Seeds       int          `long:"seeds" default:"3" description:"Number of seeds; figures are medians over them"`
+	Workers     int          `long:"workers" default:"3" description:"Number of runs at once"`
+	RateFactor  float64      `long:"rate-factor" default:"1" description:"Multiply the requests a second"`
+	Format      string       `long:"format" default:"table" choice:"table" choice:"csv" choice:"json" description:"Form of the printed results"`
+	Output      string       `long:"output-directory" description:"Also write results.csv, results.json and the plots into this directory"`
+}
+
+// directoryMode is the mode of a directory that Command makes.
+const directoryMode = 0o755
+
+// Execute implements flags.Commander.
+func (c *Command) Execute([]string) error {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
+	defer stop()
+	return c.run(ctx, os.Stdout)
+}
+
+func (c *Command) run(ctx context.Context, output io.Writer) error {
+	results, err := Run(ctx, Options{
+		Deployments: c.Deployments, Scenarios: c.Scenarios, Policies: c.Policies,
+		Seeds: c.Seeds, Workers: c.Workers, RateFactor: c.RateFactor,
+	})
+	if err != nil {
+		return fmt.Errorf("experiment: %w", err)
+	}
+	if c.Output != "" {
+		if err := c.writeFiles(results); err != nil {
+			return fmt.Errorf("experiment: %w", err)
+		}
+	}
+	switch c.Format {
+	case "csv":
+		return report.WriteCSV(output, results.Summaries)
+	case "json":
+		return report.WriteJSON(output, results.Summaries)
+	default:
+		report.WriteTable(output, results.Summaries)
+		return nil
+	}
+}
+
+func (c *Command) writeFiles(results Results) error {
+	if err := os.MkdirAll(c.Output, directoryMode); err != nil {
+		return err
+	}
+	err := writeFile(filepath.Join(c.Output, "results.csv"), func(file io.Writer) error {
+		return report.WriteCSV(file, results.Summaries)
+	})
+	if err != nil {
+		return err
+	}
+	err = writeFile(filepath.Join(c.Output, "results.json"), func(file io.Writer) error {
+		return report.WriteJSON(file, results.Summaries)
+	})
+	if err != nil {
+		return err
+	}
+	for _, runs := range results.FirstRuns {
+		if _, err := report.WritePlots(c.Output, runs); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func writeFile(path string, write func(io.Writer) error) error {
+	file, err := os.Create(path)
+	if err != nil {
+		return err
+	}
+	if err := write(file); err != nil {
+		_ = file.Close()
+		return err
+	}
+	return file.Close()
+}
