Serve a request through a whole daemon, end to end

Cause: the packages so far were tested apart. Daemons do not know each other yet; claims, membership and the administration API are not wired.

--- /dev/null
+++ b/internal/daemon/members.go
@@ -0,0 +1,60 @@
+package daemon
+
+import (
+	"sync/atomic"
+
+	"github.com/lotusward/lotusward/internal/core/identity"
+	"github.com/lotusward/lotusward/internal/core/membership"
+	"github.com/lotusward/lotusward/internal/daemon/configuration"
+)
+
+// memberDirectory is the newest picture of the other daemons, published by the
+// control goroutine for all others.
+type memberDirectory struct {
+	self    identity.DaemonID
+	minimum int
+	picture atomic.Pointer[memberPicture]
+}
+
+type memberPicture struct {
+	// all holds every remembered member, this daemon among them.
+	all  []membership.Member
+	live []configuration.Member
+	size int
+}
+
+// newMemberDirectory makes a directory that knows of no other daemon. Minimum is
+// how many daemons the settings name at least, this one among them.
+func newMemberDirectory(self identity.DaemonID, minimum int) *memberDirectory {
+	directory := &memberDirectory{self: self, minimum: minimum}
+	directory.publish(nil)
+	return directory
+}
+
+// publish replaces the picture.
+func (d *memberDirectory) publish(members []membership.Member) {
+	picture := &memberPicture{all: members}
+	present := 0
+	for _, member := range members {
+		if member.State == membership.StateLeft {
+			continue
+		}
+		present++
+		if member.ID == d.self || !member.Live() {
+			continue
+		}
+		picture.live = append(picture.live, configuration.Member{ID: member.ID, Address: member.Address})
+	}
+	picture.size = max(present, d.minimum)
+	d.picture.Store(picture)
+}
+
+// Members implements configuration.Membership.
+func (d *memberDirectory) Members() []configuration.Member { return d.picture.Load().live }
+
+// Size implements configuration.Membership. Daemons that died count until they
+// are forgotten, so that a minority cannot take itself for all.
+func (d *memberDirectory) Size() int { return d.picture.Load().size }
+
+// All returns every remembered member, this daemon among them.
+func (d *memberDirectory) All() []membership.Member { return d.picture.Load().all }
--- /dev/null
+++ b/internal/daemon/parts.go
@@ -0,0 +1,118 @@
+package daemon
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/oklog/run"
+
+	"github.com/lotusward/lotusward/internal/adapter/callerhttp"
+	"github.com/lotusward/lotusward/internal/daemon/backendwatch"
+)
+
+// Times of an orderly stop.
+const (
+	// notReadyNotice is how long the daemon still takes requests after it has
+	// said that it is not ready, so that load balancers see it first.
+	notReadyNotice = 300 * time.Millisecond
+	// drainPollInterval is how often a stop looks whether requests still run.
+	drainPollInterval = 20 * time.Millisecond
+	// serverStopTimeout bounds the stop of a server without long requests.
+	serverStopTimeout = 2 * time.Second
+)
+
+// addRunner adds a part that runs until its context ends.
+func addRunner(group *run.Group, runPart func(ctx context.Context) error) {
+	ctx, cancel := context.WithCancel(context.Background())
+	group.Add(func() error { return runPart(ctx) }, func(error) { cancel() })
+}
+
+// addServer adds an HTTP server without long requests.
+func (d *Daemon) addServer(group *run.Group, name string, listener net.Listener, handler http.Handler) {
+	server := &http.Server{
+		Handler:           handler,
+		ReadHeaderTimeout: d.settings.Limits.HeaderReadTimeout,
+		IdleTimeout:       d.settings.Limits.IdleTimeout,
+	}
+	group.Add(func() error {
+		return serve(server, listener)
+	}, func(error) {
+		ctx, cancel := context.WithTimeout(context.Background(), serverStopTimeout)
+		defer cancel()
+		if err := server.Shutdown(ctx); err != nil {
+			d.part(name).WithError(err).Warn("Requests were cut by the stop.")
+		}
+	})
+}
+
+// addCallers adds the callers' server. Its interrupt returns when the running
+// requests have ended, or after the settings' stop timeout.
+func (d *Daemon) addCallers(group *run.Group) {
+	server := callerhttp.NewServer(d.callers)
+	group.Add(func() error {
+		d.part("callers").WithField("address", d.listeners.callers.Addr().String()).Info("Serving callers.")
+		return serve(server, d.listeners.callers)
+	}, func(error) {
+		d.drainCallers(server)
+	})
+}
+
+func (d *Daemon) drainCallers(server *http.Server) {
+	log := d.part("callers")
+	d.stopping.Store(true)
+	log.WithField("running", d.callers.Active()).Info("Stopping; running requests go on.")
+	time.Sleep(notReadyNotice)
+	d.callers.Drain()
+	ctx, cancel := context.WithTimeout(context.Background(), d.settings.Tuning.StopTimeout)
+	defer cancel()
+	d.awaitIdle(ctx)
+	if err := server.Shutdown(ctx); err != nil {
+		log.WithField("running", d.callers.Active()).Warn("The stop timeout cut requests.")
+	}
+	d.callers.Wait()
+	log.Info("All requests have ended.")
+}
+
+// awaitIdle waits until no request runs or the context ends. New connections
+// are still answered meanwhile, with a refusal.
+func (d *Daemon) awaitIdle(ctx context.Context) {
+	ticker := time.NewTicker(drainPollInterval)
+	defer ticker.Stop()
+	for d.callers.Active() > 0 {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+func (d *Daemon) addLoop(group *run.Group) {
+	addRunner(group, d.loop.Run)
+}
+
+// addBackgroundParts adds the parts that keep the daemon's knowledge fresh.
+func (d *Daemon) addBackgroundParts(group *run.Group) {
+	watcher := backendwatch.New(backendwatch.Options{
+		Machines:       d.platform.machines,
+		Statuses:       d.engines,
+		Sink:           d.loop,
+		Assignment:     backendwatch.AssignAll{},
+		Log:            d.part("backends"),
+		ListInterval:   d.settings.Tuning.MachineListInterval,
+		StatusInterval: d.settings.Tuning.LoadPollInterval,
+	})
+	addRunner(group, d.configuration.Run)
+	addRunner(group, watcher.Run)
+}
+
+func serve(server *http.Server, listener net.Listener) error {
+	err := server.Serve(listener)
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return err
+}
