--- a/internal/core/stream/stream_test.go
+++ b/internal/core/stream/stream_test.go
@@ -54,7 +54,7 @@
 			return frames
 		}
 		at := rapid.IntRange(0, len(frames)-2).Draw(t, "at")
-		switch rapid.SampledFrom([]string{"lose", "repeat", "swap", "late", "error", "recut"}).Draw(t, "fault") {
+		switch rapid.SampledFrom([]string{"lose", "repeat", "swap", "late", "error", "recut", "recut", "recut"}).Draw(t, "fault") {
 		case "lose":
 			frames = slices.Delete(slices.Clone(frames), at, at+1)
 		case "repeat":
@@ -187,3 +187,28 @@
 	assert.Equal(t, assembler.Accept(1, Frame{Kind: KindTokens, Offset: 0, Tokens: 1, Opaque: true}).Action, Send)
 	assert.Assert(t, !assembler.Resumable())
 }
+
+// TestSeams gives an answer of which two tokens were sent one more event, and
+// demands that what does not fit the seam exactly breaks the attempt.
+func TestSeams(t *testing.T) {
+	cases := []struct {
+		name  string
+		frame Frame
+		want  Verdict
+	}{
+		{"fits", Frame{Offset: 2, Tokens: 1}, Verdict{Action: Send}},
+		{"sent before", Frame{Offset: 0, Tokens: 2}, Verdict{Action: Drop}},
+		{"overlaps", Frame{Offset: 1, Tokens: 2}, Verdict{Break, ReasonOverlap}},
+		{"leaves a gap", Frame{Offset: 3, Tokens: 1}, Verdict{Break, ReasonGap}},
+		{"text without an offset", Frame{Offset: NoOffset, Text: []byte("x")}, Verdict{Break, ReasonNoOffset}},
+		{"finish elsewhere", Frame{Kind: KindFinish, Offset: 3}, Verdict{Break, ReasonGap}},
+		{"end without finish", Frame{Kind: KindDone, Offset: NoOffset}, Verdict{Break, ReasonNoFinish}},
+		{"engine error", Frame{Kind: KindError, Offset: NoOffset}, Verdict{Break, ReasonEngineError}},
+	}
+	for _, test := range cases {
+		var assembler Assembler
+		assembler.Begin(1)
+		assembler.Accept(1, Frame{Offset: 0, Tokens: 2, Text: []byte("ab")})
+		assert.Equal(t, assembler.Accept(1, test.frame), test.want, test.name)
+	}
+}
