--- a/internal/core/query/build.go
+++ b/internal/core/query/build.go
@@ -33,10 +33,11 @@
 // a race would silently undo the winner's change.
 func (c *Command) Change(document *dynamic.Document, proposal Proposal) (dynamic.Change, error) {
 	change := dynamic.Change{
-		ID:       proposal.ChangeID,
-		Operator: proposal.Operator,
-		At:       proposal.At,
-		Base:     c.BaseRevision(),
+		ID:        proposal.ChangeID,
+		Operator:  proposal.Operator,
+		At:        proposal.At,
+		Base:      c.BaseRevision(),
+		Statement: c.Statement(),
 	}
 	operation, dependsOnPresent, err := operationOf(c.Action, document)
 	if err != nil {
@@ -50,6 +51,28 @@
 	return change, nil
 }
 
+// Statement is the command's canonical text without its change ID.
+func (c *Command) Statement() string {
+	unnamed := *c
+	unnamed.ChangeID = ""
+	return unnamed.String()
+}
+
+// Rebuilds tells whether the command, refused since what it touches has changed,
+// should be made again on the present document: it keeps what it doesn't name,
+// and the operator named no base revision.
+func (c *Command) Rebuilds() bool {
+	if c.Base != nil {
+		return false
+	}
+	switch c.Action.(type) {
+	case ChangeEvent, SetLimits, SetVersion:
+		return true
+	default:
+		return false
+	}
+}
+
 // operationOf also tells whether the operation depends on the present document.
 func operationOf(action Action, document *dynamic.Document) (dynamic.Operation, bool, error) {
 	switch action := action.(type) {
--- a/internal/core/query/document.go
+++ b/internal/core/query/document.go
@@ -90,6 +90,7 @@
 			At:        accepted.Change.At,
 			Operator:  accepted.Change.Operator,
 			Change:    accepted.Change.ID,
+			Statement: accepted.Change.Statement,
 			Operation: operation,
 			Detail:    detail,
 		})
--- a/internal/core/query/merge.go
+++ b/internal/core/query/merge.go
@@ -89,3 +89,10 @@
 	}
 	return false
 }
+
+// OnlyLeaving keeps the leaving ones of a whole table of back ends.
+func OnlyLeaving(backends Table) Table {
+	leaving := columnIndex(backends.Columns, "leaving")
+	rows := slices.DeleteFunc(slices.Clone(backends.Rows), func(row Row) bool { return row[leaving].Number == 0 })
+	return Table{Columns: backends.Columns, Rows: rows}
+}
--- a/internal/core/query/rows.go
+++ b/internal/core/query/rows.go
@@ -65,7 +65,8 @@
 	Waiting int `column:"waiting"`
 	// Assigned counts requests that daemons have sent and that have not ended.
 	Assigned     int       `column:"assigned,sum"`
-	CachedBlocks int       `column:"cached_blocks"`
+	QueuedTokens int       `column:"queued_tokens"`
+	FreeBlocks   int       `column:"free_blocks"`
 	TotalBlocks  int       `column:"total_blocks"`
 	Observed     time.Time `column:"observed,order"`
 }
@@ -131,6 +132,7 @@
 	At        time.Time         `column:"at"`
 	Operator  string            `column:"operator"`
 	Change    string            `column:"change"`
+	Statement string            `column:"statement"`
 	Operation string            `column:"operation"`
 	// Detail is the operation in JSON, without key hashes.
 	Detail string `column:"detail"`
