Add leases with fencing tokens and the keeper that drives them

A lease is one table row changed by conditional commits. A holder counts from when it sent its confirmed commit and stops before the duration is over; a challenger waits the whole duration from when it first saw the row's present version.

--- /dev/null
+++ b/internal/core/lease/machine.go
@@ -0,0 +1,263 @@
+// Package lease decides when a daemon may act as the single holder of a duty. It
+// is pure: it does no I/O and reads no clock. The lease is one row of the
+// platform's table, and only conditional commits change it.
+//
+// No two clocks are ever compared. A holder counts from when it sent the commit
+// that was confirmed, and stops before the lease's duration is over. Any other
+// daemon counts the whole duration from when it first saw the row's present
+// version, which is after the holder's commit took effect and so after it was
+// sent. The holder's margin covers clocks that run at different rates.
+//
+// A holder that was paused may still send effects after its lease lapsed. Each
+// effect therefore carries the grant's fencing token, and receivers refuse
+// tokens older than the newest they have seen (type Fence).
+package lease
+
+import (
+	"encoding/json"
+	"errors"
+	"time"
+
+	"github.com/lotusward/lotusward/internal/core/identity"
+	"github.com/lotusward/lotusward/internal/port"
+	"github.com/lotusward/lotusward/internal/wire/platformwire"
+)
+
+// Machine is one daemon's state for one lease. All times are of the daemon's own
+// monotonic clock.
+type Machine struct {
+	settings Settings
+	// wanted is false while the daemon doesn't want the lease.
+	wanted bool
+	grant  Grant
+	// renewAt is when the grant is to be renewed.
+	renewAt time.Time
+
+	// seen is set once the row has been read. Then version and record are the
+	// newest known of it, and seenAt is when that version was first seen.
+	seen    bool
+	version uint64
+	record  Record
+	seenAt  time.Time
+	// highestToken is the newest token ever seen in the row.
+	highestToken identity.FencingToken
+	// stale is set when the row has to be read before the next commit.
+	stale bool
+
+	// involved is set once this machine has tried to write the row.
+	involved bool
+	// calling is set while a call is under way.
+	calling bool
+	// proposed and sentAt are of the commit under way.
+	proposed Record
+	sentAt   time.Time
+	// pollAt is when the row is read again while another daemon holds the lease.
+	pollAt time.Time
+	// notBefore is the earliest time of the next call.
+	notBefore time.Time
+}
+
+// New makes a machine that wants the lease.
+func New(settings Settings) *Machine {
+	return &Machine{settings: settings, wanted: true, stale: true}
+}
+
+// Grant returns the newest grant, which may have lapsed.
+func (m *Machine) Grant() Grant { return m.grant }
+
+// Want says whether the daemon wants the lease. A holder that no longer wants it
+// stops at once and then releases the row.
+func (m *Machine) Want(wanted bool) {
+	if m.wanted && !wanted {
+		m.grant = Grant{}
+	}
+	m.wanted = wanted
+}
+
+// Settled tells whether a daemon that doesn't want the lease has nothing left to
+// release.
+func (m *Machine) Settled() bool {
+	if m.wanted || m.calling {
+		return false
+	}
+	return !m.involved || (!m.stale && !m.heldByUs())
+}
+
+// Tick returns the next call to make, or nil. It is called every RetryInterval.
+func (m *Machine) Tick(now time.Time) Action {
+	if m.calling || now.Before(m.notBefore) {
+		return nil
+	}
+	if !m.wanted && !m.involved {
+		return nil // daemons that never tried leave the table alone
+	}
+	if m.stale {
+		return m.read(now)
+	}
+	if !m.wanted {
+		return m.release(now)
+	}
+	if m.grant.ValidAt(now) {
+		return m.renew(now)
+	}
+	if m.free(now) {
+		return m.commit(now, m.newRecord(m.highestToken+1))
+	}
+	if !now.Before(m.pollAt) {
+		return m.read(now)
+	}
+	return nil
+}
+
+// free tells whether nobody else can believe to hold the lease.
+func (m *Machine) free(now time.Time) bool {
+	if m.version == 0 || m.record.Released {
+		return true
+	}
+	// Only this machine acts on its own record, and it holds no valid grant.
+	return m.heldByUs() || now.Sub(m.seenAt) >= m.record.Duration
+}
+
+// heldByUs tells whether the row names this life of this daemon.
+func (m *Machine) heldByUs() bool {
+	return m.version > 0 && !m.record.Released &&
+		m.record.Holder == m.settings.Holder && m.record.Incarnation == m.settings.Incarnation
+}
+
+// newRecord returns the record of a grant to this daemon.
+func (m *Machine) newRecord(token identity.FencingToken) Record {
+	return Record{
+		Holder:      m.settings.Holder,
+		Incarnation: m.settings.Incarnation,
+		Token:       token,
+		Duration:    m.settings.Duration,
+	}
+}
+
+// read starts a read of the row.
+func (m *Machine) read(now time.Time) Action {
+	m.calling = true
+	m.pollAt = now.Add(m.settings.Duration / pollFraction)
+	return Read{Key: m.settings.Key}
+}
+
+// renew starts a renewal when it is due.
+func (m *Machine) renew(now time.Time) Action {
+	if now.Before(m.renewAt) {
+		return nil
+	}
+	return m.commit(now, m.newRecord(m.grant.Token))
+}
+
+// release starts a release when the row names this daemon.
+func (m *Machine) release(now time.Time) Action {
+	if !m.heldByUs() {
+		return nil
+	}
+	released := m.record
+	released.Released = true
+	return m.commit(now, released)
+}
+
+// commit starts a write of the row on condition that it is as last seen.
+func (m *Machine) commit(now time.Time, record Record) Action {
+	m.calling = true
+	m.involved = true
+	m.proposed = record
+	m.sentAt = now
+	return Commit{Transaction: platformwire.Transaction{
+		Conditions: []platformwire.Condition{{Key: m.settings.Key, Version: m.version}},
+		Writes:     []platformwire.Write{{Key: m.settings.Key, Value: record.encode()}},
+	}}
+}
+
+// ReadDone takes the result of a read. It returns a *MalformedError when the row
+// cannot be understood.
+func (m *Machine) ReadDone(now time.Time, rows []platformwire.Row, err error) error {
+	m.calling = false
+	if err != nil {
+		m.retryLater(now, err)
+		return nil
+	}
+	if len(rows) == 0 {
+		return m.observe(now, platformwire.Row{Key: m.settings.Key})
+	}
+	return m.observe(now, rows[0])
+}
+
+// CommitDone takes the result of a commit. It returns a *MalformedError when the
+// row that caused a conflict cannot be understood.
+func (m *Machine) CommitDone(now time.Time, rows []platformwire.Row, err error) error {
+	m.calling = false
+	if err == nil && len(rows) == 1 {
+		m.confirm(now, rows[0].Version)
+		return nil
+	}
+	var conflict *port.ConflictError
+	if errors.As(err, &conflict) && len(conflict.Current) == 1 {
+		return m.observe(now, conflict.Current[0])
+	}
+	if !withoutEffect(err) {
+		m.stale = true
+	}
+	m.retryLater(now, err)
+	return nil
+}
+
+// withoutEffect tells whether a failed commit certainly wrote nothing and left
+// what is known of the row as it was.
+func withoutEffect(err error) bool {
+	var unavailable *port.UnavailableError
+	var limited *port.RateLimitedError
+	return errors.As(err, &unavailable) || errors.As(err, &limited)
+}
+
+// confirm takes over the record of a commit that is known to have taken effect.
+// Nothing else ever makes or extends a grant.
+func (m *Machine) confirm(now time.Time, version uint64) {
+	m.seen = true
+	m.version = version
+	m.record = m.proposed
+	m.seenAt = now
+	m.highestToken = max(m.highestToken, m.record.Token)
+	if m.record.Released || !m.wanted {
+		return
+	}
+	// The time of sending counts: others may have seen the row any time since.
+	m.grant = Grant{Token: m.record.Token, Until: m.sentAt.Add(m.settings.usable())}
+	m.renewAt = m.sentAt.Add(m.settings.Duration / renewFraction)
+}
+
+// observe takes over the row as the table gave it.
+func (m *Machine) observe(now time.Time, row platformwire.Row) error {
+	var record Record
+	if row.Version > 0 {
+		if err := json.Unmarshal(row.Value, &record); err != nil {
+			m.stale = true
+			m.notBefore = now.Add(m.settings.Duration)
+			return &MalformedError{Key: m.settings.Key, Cause: err}
+		}
+	}
+	m.stale = false
+	if !m.seen || row.Version != m.version {
+		m.seen = true
+		m.version = row.Version
+		m.record = record
+		m.seenAt = now
+		m.highestToken = max(m.highestToken, record.Token)
+	}
+	if !m.heldByUs() {
+		m.grant = Grant{}
+	}
+	return nil
+}
+
+// retryLater sets the time of the next call after a failure.
+func (m *Machine) retryLater(now time.Time, err error) {
+	pause := m.settings.RetryInterval()
+	var limited *port.RateLimitedError
+	if errors.As(err, &limited) {
+		pause = max(pause, min(limited.RetryAfter, m.settings.Duration/renewFraction))
+	}
+	m.notBefore = now.Add(pause)
+}
--- /dev/null
+++ b/internal/core/lease/record.go
@@ -0,0 +1,47 @@
+package lease
+
+import (
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"github.com/lotusward/lotusward/internal/core/identity"
+)
+
+// Record is the value of a lease's row in the table.
+type Record struct {
+	Holder identity.DaemonID `json:"holder"`
+	// Incarnation tells the holder's lives apart: a restarted daemon does not
+	// hold what it held before.
+	Incarnation identity.Incarnation  `json:"incarnation"`
+	Token       identity.FencingToken `json:"token"`
+	// Duration is how long others wait after they first saw this version of the
+	// row, in nanoseconds.
+	Duration time.Duration `json:"duration"`
+	// Released means that nobody holds the lease and nobody has to wait.
+	Released bool `json:"released,omitempty"`
+}
+
+// MalformedError says that the lease's row could not be read. The lease is then
+// granted to nobody, since the next fencing token is not known.
+type MalformedError struct {
+	Key   string
+	Cause error
+}
+
+// Error implements error.
+func (e *MalformedError) Error() string {
+	return fmt.Sprintf("lease %q: malformed row: %v", e.Key, e.Cause)
+}
+
+// Unwrap returns the cause.
+func (e *MalformedError) Unwrap() error { return e.Cause }
+
+// encode returns the row value of a record.
+func (r Record) encode() []byte {
+	value, err := json.Marshal(r)
+	if err != nil {
+		panic(err) // a record has only plain fields
+	}
+	return value
+}
--- /dev/null
+++ b/internal/core/lease/settings.go
@@ -0,0 +1,64 @@
+package lease
+
+import (
+	"time"
+
+	"github.com/lotusward/lotusward/internal/core/identity"
+	"github.com/lotusward/lotusward/internal/wire/platformwire"
+)
+
+// Fractions of the lease's duration.
+const (
+	// renewFraction is the age at which a holder renews its grant.
+	renewFraction = 3
+	// pollFraction is how often a daemon that waits reads the row.
+	pollFraction = 4
+	// retryFraction is the pause after a failed call.
+	retryFraction = 20
+)
+
+// Settings of one daemon for one lease.
+type Settings struct {
+	// Key is the lease's row. The row must never be deleted, since its fencing
+	// token would start again.
+	Key         string
+	Holder      identity.DaemonID
+	Incarnation identity.Incarnation
+	// Duration is how long a grant lasts unless it is renewed.
+	Duration time.Duration
+	// MaximumDrift bounds by how much any daemon's clock runs too fast or too
+	// slow, as a fraction. A holder gives up twice that fraction of the duration.
+	MaximumDrift float64
+}
+
+// RetryInterval is the pause after a failed call, and how often Tick is due.
+func (s Settings) RetryInterval() time.Duration { return s.Duration / retryFraction }
+
+// usable is how long a holder relies on a confirmed commit.
+func (s Settings) usable() time.Duration {
+	return s.Duration - time.Duration(2*s.MaximumDrift*float64(s.Duration))
+}
+
+// Action is a call of the table that the machine asks for. Its result goes back
+// through ReadDone or CommitDone before Tick gives the next action.
+type Action interface{ isAction() }
+
+// Read asks for the row with a key.
+type Read struct{ Key string }
+
+// Commit asks for a conditional write of the row.
+type Commit struct{ Transaction platformwire.Transaction }
+
+func (Read) isAction()   {}
+func (Commit) isAction() {}
+
+// Grant is the right to act as the holder.
+type Grant struct {
+	Token identity.FencingToken
+	// Until is when the grant lapses, by the holder's own monotonic clock. The
+	// zero time is no grant.
+	Until time.Time
+}
+
+// ValidAt tells whether the grant still holds.
+func (g Grant) ValidAt(now time.Time) bool { return now.Before(g.Until) }
--- /dev/null
+++ b/internal/daemon/leasekeeper/keeper_test.go
@@ -0,0 +1,98 @@
+package leasekeeper_test
+
+import (
+	"context"
+	"net"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"github.com/lotusward/lotusward/internal/adapter/tablehttp"
+	"github.com/lotusward/lotusward/internal/core/identity"
+	"github.com/lotusward/lotusward/internal/core/lease"
+	"github.com/lotusward/lotusward/internal/daemon/leasekeeper"
+	"github.com/lotusward/lotusward/internal/logging"
+	"github.com/lotusward/lotusward/internal/port"
+	"github.com/lotusward/lotusward/internal/standin/platform"
+)
+
+// duration is long enough that a busy machine renews in time.
+const duration = 2 * time.Second
+
+// clock is the real clock plus a jump that stands for a pause.
+type clock struct{ jump atomic.Int64 }
+
+func (c *clock) now() time.Time { return time.Now().Add(time.Duration(c.jump.Load())) }
+
+// start runs a function until the returned stop function is called.
+func start(t *testing.T, run func(context.Context) error) func() {
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- run(ctx) }()
+	return func() {
+		cancel()
+		assert.NilError(t, <-ended)
+	}
+}
+
+func newKeeper(table port.TableService, holder identity.DaemonID, clock *clock) *leasekeeper.Keeper {
+	return leasekeeper.New(leasekeeper.Options{
+		Table: table,
+		Settings: lease.Settings{
+			Key: "lease/test", Holder: holder, Incarnation: 1,
+			Duration: duration, MaximumDrift: leasekeeper.DefaultMaximumDrift,
+		},
+		Log: logging.Discard(),
+		Now: clock.now,
+	})
+}
+
+func waitHeld(t *testing.T, keeper *leasekeeper.Keeper) identity.FencingToken {
+	t.Helper()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if _, held := keeper.Held(); held {
+			return poll.Success()
+		}
+		return poll.Continue("the lease is not held")
+	}, poll.WithTimeout(30*time.Second))
+	token, _ := keeper.Held()
+	return token
+}
+
+// TestPauseOutageAndHandOver takes one lease through a holder's pause, an outage
+// of the table with lost answers, and an orderly stop of the holder.
+func TestPauseOutageAndHandOver(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	server := platform.New(platform.Options{})
+	defer start(t, func(ctx context.Context) error { return server.Serve(ctx, listener) })()
+	table := tablehttp.New("http://"+listener.Addr().String(), nil)
+
+	var clock clock
+	first := newKeeper(table, "first", &clock)
+	stopFirst := start(t, first.Run)
+	before := waitHeld(t, first)
+
+	// A holder that was paused past its lease sees at once that it lapsed.
+	server.SetFaults(platform.Faults{Table: platform.ServiceFaults{Outage: platform.OutageRefuse}})
+	clock.jump.Store(int64(duration))
+	_, held := first.Held()
+	assert.Assert(t, !held, "a paused holder must not act")
+
+	// Lost answers delay the next grant and don't repeat a token.
+	server.SetFaults(platform.Faults{Table: platform.ServiceFaults{LoseAnswerEvery: 2}})
+	after := waitHeld(t, first)
+	assert.Assert(t, after > before, "token %d after %d", after, before)
+
+	// A holder that stops hands over.
+	server.SetFaults(platform.Faults{})
+	second := newKeeper(table, "second", &clock)
+	defer start(t, second.Run)()
+	stopFirst()
+	assert.Assert(t, waitHeld(t, second) > after)
+	_, held = first.Held()
+	assert.Assert(t, !held)
+}
