Let daemons know each other, and serve the administration API

Cause: daemons ran side by side without knowing of each other. The control loop now owns the membership core; datagrams and peer calls carry its messages, and what one daemon sees of a leaving back end reaches the registry of the others. The configuration runner takes its peers from the published member list, and operators' questions go to all of them. A part's interrupt waits for the part, so that the loop still runs while membership says that the daemon leaves. internal/lab/process starts the programs as separate processes; it is not yet run, lotusctl is still being written. Ruled out: a second goroutine for membership, which would share back-end facts with the loop through locks. internal/lab/cluster passes as before (1.1 s).

--- a/internal/core/registry/registry.go
+++ b/internal/core/registry/registry.go
@@ -154,13 +154,13 @@
 	return machines
 }
 
-// Status returns the last status report of a back end, or nil.
-func (r *Registry) Status(id identity.BackendID) *enginewire.Status {
+// Status returns the last status report of a back end and when it was last heard.
+func (r *Registry) Status(id identity.BackendID) (enginewire.Status, time.Time, bool) {
 	known, found := r.entries[id]
-	if !found {
-		return nil
+	if !found || known.status == nil {
+		return enginewire.Status{}, time.Time{}, false
 	}
-	return known.status
+	return *known.status, known.heardAt, true
 }
 
 func (r *Registry) backendOf(id identity.BackendID, known *entry) scheduler.Backend {
--- a/internal/daemon/control/events.go
+++ b/internal/daemon/control/events.go
@@ -76,6 +76,9 @@
 	state.document = e.document
 	state.registry.ObserveDocument(e.document)
 	state.documentDirty = true
+	if state.membership != nil {
+		state.membership.Node.SetRevision(e.document.Revision)
+	}
 	state.refresh(now)
 }
 
@@ -98,21 +101,20 @@
 func (e statusReported) apply(state *state, now time.Time) {
 	state.registry.ObserveStatus(now, e.status)
 	state.policy.ObserveLoad(now, e.status.Backend, e.status.Incarnation, e.status.Load)
+	leaving := e.status.State == enginewire.StateLeaving
+	state.tellLeaving(now, e.status.Backend, e.status.StateVersion, leaving)
 	state.refresh(now)
 }
 
+// leavingSeen is the word of an answer to a request of this daemon.
 type leavingSeen struct {
 	id           identity.BackendID
 	stateVersion uint64
-	// spread is false for what other daemons told.
-	spread bool
 }
 
 func (e leavingSeen) apply(state *state, now time.Time) {
 	state.registry.ObserveLeaving(now, e.id, e.stateVersion)
-	if e.spread && state.onLeaving != nil {
-		state.onLeaving(e.id, e.stateVersion)
-	}
+	state.tellLeaving(now, e.id, e.stateVersion, true)
 	state.refresh(now)
 }
 
--- a/internal/daemon/control/inputs.go
+++ b/internal/daemon/control/inputs.go
@@ -31,13 +31,8 @@
 }
 
 // ObserveLeaving takes the word of an answer to one of our own requests that a
-// back end leaves. It is spread to the other daemons.
+// back end left at a state version. It is spread to the other daemons.
 func (l *Loop) ObserveLeaving(id identity.BackendID, stateVersion uint64) {
-	l.post(leavingSeen{id: id, stateVersion: stateVersion, spread: true})
-}
-
-// ObservePeerLeaving takes the word of another daemon that a back end leaves.
-func (l *Loop) ObservePeerLeaving(id identity.BackendID, stateVersion uint64) {
 	l.post(leavingSeen{id: id, stateVersion: stateVersion})
 }
 
@@ -63,3 +58,12 @@
 		return false
 	}
 }
+
+// Status returns the newest status report of a back end and when it came. It
+// asks the control goroutine: it is for operators' questions, not for traffic.
+func (l *Loop) Status(backend identity.BackendID) (status enginewire.Status, heardAt time.Time, found bool) {
+	l.Call(func(time.Time) {
+		status, heardAt, found = l.state.registry.Status(backend)
+	})
+	return status, heardAt, found
+}
--- a/internal/daemon/control/loop.go
+++ b/internal/daemon/control/loop.go
@@ -11,7 +11,6 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/lotusward/lotusward/internal/config/dynamic"
-	"github.com/lotusward/lotusward/internal/core/identity"
 	"github.com/lotusward/lotusward/internal/core/registry"
 	"github.com/lotusward/lotusward/internal/core/scheduler"
 	"github.com/lotusward/lotusward/internal/core/view"
@@ -33,9 +32,6 @@
 	Log      logrus.FieldLogger
 	// Clock returns the time; time.Now when nil.
 	Clock func() time.Time
-	// OnLeaving, when not nil, is told on the control goroutine of a back end
-	// that an answer reported as leaving, so that it can be spread.
-	OnLeaving func(id identity.BackendID, stateVersion uint64)
 }
 
 // Loop owns the control state. Make it with New, and run it with Run.
--- a/internal/daemon/control/state.go
+++ b/internal/daemon/control/state.go
@@ -20,8 +20,9 @@
 type state struct {
 	policy    scheduler.Policy
 	registry  *registry.Registry
-	onLeaving func(identity.BackendID, uint64)
 	published *atomic.Pointer[view.View]
+	// membership is nil in a daemon without peers, such as an experiment's.
+	membership *Membership
 
 	waiting       map[identity.RequestID]chan decision
 	document      *dynamic.Document
@@ -35,7 +36,6 @@
 	return state{
 		policy:    options.Policy,
 		registry:  options.Registry,
-		onLeaving: options.OnLeaving,
 		published: published,
 		waiting:   make(map[identity.RequestID]chan decision),
 		document:  &dynamic.Document{},
@@ -69,6 +69,9 @@
 		s.refresh(now)
 	}
 	s.act(s.policy.Tick(now))
+	if s.membership != nil {
+		s.carry(now, s.membership.Node.Tick(now))
+	}
 }
 
 // refresh passes the merged back ends on when they changed.
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -16,6 +16,7 @@
 	"github.com/lotusward/lotusward/internal/adapter/callerhttp"
 	"github.com/lotusward/lotusward/internal/adapter/datagram"
 	"github.com/lotusward/lotusward/internal/adapter/enginehttp"
+	"github.com/lotusward/lotusward/internal/adapter/healthhttp"
 	"github.com/lotusward/lotusward/internal/adapter/keyring"
 	"github.com/lotusward/lotusward/internal/adapter/peer"
 	"github.com/lotusward/lotusward/internal/config/static"
@@ -25,6 +26,7 @@
 	"github.com/lotusward/lotusward/internal/core/view"
 	"github.com/lotusward/lotusward/internal/daemon/configuration"
 	"github.com/lotusward/lotusward/internal/daemon/control"
+	"github.com/lotusward/lotusward/internal/daemon/gossip"
 	"github.com/lotusward/lotusward/internal/logging"
 )
 
@@ -57,6 +59,7 @@
 	admin     http.Handler
 
 	members       *memberDirectory
+	transport     *gossip.Transport
 	configuration *configuration.Runner
 	// stopping is set when an orderly stop has begun.
 	stopping atomic.Bool
@@ -86,7 +89,8 @@
 	daemon.wirePlatform()
 	daemon.wireTraffic(options.Policy)
 	daemon.wireConfiguration()
-	daemon.admin = http.NotFoundHandler()
+	daemon.wireMembership()
+	daemon.wireAdministration()
 	return daemon, nil
 }
 
@@ -115,7 +119,7 @@
 func (d *Daemon) wirePeers(ring *keyring.Ring) {
 	d.peers = peer.NewClient(ring, d.settings.Identity.Daemon, time.Now)
 	d.rpc = peer.NewServer(ring, time.Now, d.metrics)
-	d.members = newMemberDirectory(d.settings.Identity.Daemon, 1)
+	d.members = newMemberDirectory(d.settings.Identity.Daemon, d.minimumMembers())
 }
 
 func (d *Daemon) wireTraffic(policy scheduler.Policy) {
@@ -154,8 +158,9 @@
 	d.addCallers(group)
 	d.addServer(group, "admin", d.listeners.admin, d.admin)
 	d.addBackgroundParts(group)
+	addRunner(group, d.runMembership)
 	d.addServer(group, "peer", d.listeners.peer, d.rpc)
-	d.addServer(group, "health", d.listeners.health, d.healthHandler())
+	d.addServer(group, "health", d.listeners.health, healthhttp.New(d, d.metrics))
 	d.addLoop(group)
 }
 
--- a/internal/daemon/parts.go
+++ b/internal/daemon/parts.go
@@ -24,10 +24,18 @@
 	serverStopTimeout = 2 * time.Second
 )
 
-// addRunner adds a part that runs until its context ends.
+// addRunner adds a part that runs until its context ends. Its interrupt waits for
+// it, so that what it needs is still there while it ends.
 func addRunner(group *run.Group, runPart func(ctx context.Context) error) {
 	ctx, cancel := context.WithCancel(context.Background())
-	group.Add(func() error { return runPart(ctx) }, func(error) { cancel() })
+	done := make(chan struct{})
+	group.Add(func() error {
+		defer close(done)
+		return runPart(ctx)
+	}, func(error) {
+		cancel()
+		<-done
+	})
 }
 
 // addServer adds an HTTP server without long requests.
--- /dev/null
+++ b/internal/lab/process/deployment.go
@@ -0,0 +1,263 @@
+package process
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"time"
+
+	"github.com/goccy/go-yaml"
+
+	"github.com/lotusward/lotusward/internal/config/dynamic"
+	"github.com/lotusward/lotusward/internal/core/view"
+)
+
+// Credentials of a lab deployment. They protect nothing.
+const (
+	peerKey       = "lab-key-of-at-least-thirty-two-bytes"
+	OperatorToken = "lab-operator-token"
+	operatorName  = "lab"
+)
+
+// readyPollInterval is how often AwaitReady asks.
+const readyPollInterval = 50 * time.Millisecond
+
+// BackendPlan describes one stand-in back end.
+type BackendPlan struct {
+	ID, Service, Zone string
+	// Models are NAME@VERSION; a back end without models is a web-app runner.
+	Models []string
+	// Flags are further flags of the lotuslab subcommand.
+	Flags []string
+}
+
+// DaemonPlan describes one daemon.
+type DaemonPlan struct {
+	ID, Zone string
+}
+
+// Plan describes a whole deployment.
+type Plan struct {
+	// Directory holds settings and logs; Binaries holds the three programs.
+	Directory     string
+	Binaries      string
+	PlatformFlags []string
+	Backends      []BackendPlan
+	Daemons       []DaemonPlan
+	Document      *dynamic.Document
+}
+
+// Backend is a running stand-in back end.
+type Backend struct {
+	*Process
+	Plan    BackendPlan
+	Address string
+}
+
+// Daemon is a daemon's place in the deployment. Process is replaced by a restart.
+type Daemon struct {
+	*Process
+	Plan         DaemonPlan
+	Callers      string
+	Admin        string
+	Peer         string
+	Health       string
+	settingsPath string
+}
+
+// Deployment is a running deployment of separate processes.
+type Deployment struct {
+	Plan     Plan
+	Platform *Process
+	// PlatformURL is the base URL of all platform services.
+	PlatformURL string
+	Backends    []*Backend
+	Daemons     []*Daemon
+}
+
+// Run starts a deployment, imports its document with lotusctl and waits until
+// every daemon is ready.
+func Run(ctx context.Context, plan Plan) (*Deployment, error) {
+	started := &Deployment{Plan: plan}
+	if err := started.start(ctx); err != nil {
+		started.Kill()
+		return nil, err
+	}
+	return started, nil
+}
+
+func (d *Deployment) start(ctx context.Context) error {
+	const daemonAddresses = 4
+	addresses, err := FreeAddresses(1 + len(d.Plan.Backends) + daemonAddresses*len(d.Plan.Daemons))
+	if err != nil {
+		return err
+	}
+	if err := d.startPlatform(addresses[0]); err != nil {
+		return err
+	}
+	addresses = addresses[1:]
+	for index, backend := range d.Plan.Backends {
+		if err := d.startBackend(backend, addresses[index]); err != nil {
+			return err
+		}
+	}
+	addresses = addresses[len(d.Plan.Backends):]
+	for index, plan := range d.Plan.Daemons {
+		own := addresses[index*daemonAddresses:]
+		d.Daemons = append(d.Daemons, &Daemon{
+			Plan: plan, Callers: own[0], Admin: own[1], Peer: own[2], Health: own[3],
+		})
+	}
+	for _, daemon := range d.Daemons {
+		if err := d.writeSettings(daemon); err != nil {
+			return err
+		}
+		if err := d.StartDaemon(daemon); err != nil {
+			return err
+		}
+	}
+	if err := d.importDocument(ctx); err != nil {
+		return err
+	}
+	return d.AwaitReady(ctx)
+}
+
+func (d *Deployment) startPlatform(address string) error {
+	arguments := append([]string{"platform", "--listen", address}, d.Plan.PlatformFlags...)
+	started, err := Start(d.Plan.Directory, "platform", d.program("lotuslab"), arguments...)
+	if err != nil {
+		return err
+	}
+	d.Platform = started
+	d.PlatformURL = "http://" + address
+	return awaitHTTP(d.PlatformURL + "/lab/v1/faults")
+}
+
+func (d *Deployment) startBackend(plan BackendPlan, address string) error {
+	subcommand := "app"
+	if len(plan.Models) > 0 {
+		subcommand = "engine"
+	}
+	arguments := []string{
+		subcommand, "--listen", address, "--id", plan.ID, "--service", plan.Service,
+		"--zone", plan.Zone, "--platform", d.PlatformURL,
+	}
+	for _, model := range plan.Models {
+		arguments = append(arguments, "--model", model)
+	}
+	arguments = append(arguments, plan.Flags...)
+	started, err := Start(d.Plan.Directory, plan.ID, d.program("lotuslab"), arguments...)
+	if err != nil {
+		return err
+	}
+	d.Backends = append(d.Backends, &Backend{Process: started, Plan: plan, Address: address})
+	return nil
+}
+
+// StartDaemon starts a daemon that does not run, with its settings as before.
+func (d *Deployment) StartDaemon(daemon *Daemon) error {
+	started, err := Start(d.Plan.Directory, daemon.Plan.ID, d.program("lotusward"), "--settings", daemon.settingsPath)
+	if err != nil {
+		return err
+	}
+	daemon.Process = started
+	return nil
+}
+
+func (d *Deployment) program(name string) string {
+	return filepath.Join(d.Plan.Binaries, name)
+}
+
+func (d *Deployment) writeSettings(daemon *Daemon) error {
+	var seeds []string
+	for _, other := range d.Daemons {
+		if other != daemon {
+			seeds = append(seeds, other.Peer)
+		}
+	}
+	settings := map[string]any{
+		"identity": map[string]any{"daemon": daemon.Plan.ID, "zone": daemon.Plan.Zone, "region": "lab"},
+		"listen": map[string]any{
+			"callers": daemon.Callers, "admin": daemon.Admin, "peer": daemon.Peer, "health": daemon.Health,
+		},
+		"peers":    map[string]any{"seeds": seeds, "keys": []any{map[string]any{"value": peerKey}}},
+		"platform": map[string]any{"table": d.PlatformURL, "objects": d.PlatformURL, "machines": d.PlatformURL},
+		"operators": []any{map[string]any{
+			"name": operatorName, "role": "operate", "token_sha256": view.HashKey(OperatorToken),
+		}},
+	}
+	text, err := yaml.Marshal(settings)
+	if err != nil {
+		return err
+	}
+	daemon.settingsPath = filepath.Join(d.Plan.Directory, daemon.Plan.ID+".yaml")
+	return os.WriteFile(daemon.settingsPath, text, 0o600)
+}
+
+// AwaitReady waits until every running daemon says that it is ready.
+func (d *Deployment) AwaitReady(ctx context.Context) error {
+	for _, daemon := range d.Daemons {
+		for !isOK("http://" + daemon.Health + "/readyz") {
+			if daemon.Exited() {
+				return fmt.Errorf("%s has ended; see %s", daemon.Name, daemon.LogPath)
+			}
+			select {
+			case <-ctx.Done():
+				return errors.Join(ctx.Err(), fmt.Errorf("%s is not ready; see %s", daemon.Name, daemon.LogPath))
+			case <-time.After(readyPollInterval):
+			}
+		}
+	}
+	return nil
+}
+
+// AdminURLs returns the administration addresses of all daemons, as lotusctl
+// takes them.
+func (d *Deployment) AdminURLs() string {
+	urls := make([]string, 0, len(d.Daemons))
+	for _, daemon := range d.Daemons {
+		urls = append(urls, "http://"+daemon.Admin)
+	}
+	return strings.Join(urls, ",")
+}
+
+// Kill ends all processes at once.
+func (d *Deployment) Kill() {
+	for _, daemon := range d.Daemons {
+		if daemon.Process != nil {
+			daemon.Process.Kill()
+		}
+	}
+	for _, backend := range d.Backends {
+		backend.Process.Kill()
+	}
+	if d.Platform != nil {
+		d.Platform.Kill()
+	}
+}
+
+func isOK(url string) bool {
+	client := http.Client{Timeout: time.Second}
+	answer, err := client.Get(url)
+	if err != nil {
+		return false
+	}
+	defer answer.Body.Close()
+	return answer.StatusCode == http.StatusOK
+}
+
+// awaitHTTP waits until a URL answers.
+func awaitHTTP(url string) error {
+	deadline := time.Now().Add(stopTimeout)
+	for !isOK(url) {
+		if time.Now().After(deadline) {
+			return fmt.Errorf("%s does not answer", url)
+		}
+		time.Sleep(readyPollInterval)
+	}
+	return nil
+}
