--- a/internal/core/query/build.go
+++ b/internal/core/query/build.go
@@ -129,7 +129,7 @@
 	}
 }
 
-func modelOrder(engine, model, version Name, unload bool) *dynamic.StandingOrder {
+func modelOrder(engine Name, model SlashedName, version Name, unload bool) *dynamic.StandingOrder {
 	return &dynamic.StandingOrder{
 		Backend: identity.BackendID(engine),
 		Model:   identity.ModelName(model),
@@ -138,7 +138,7 @@
 	}
 }
 
-func adapterOrder(engine, model, adapter Name, unload bool) *dynamic.StandingOrder {
+func adapterOrder(engine Name, model, adapter SlashedName, unload bool) *dynamic.StandingOrder {
 	return &dynamic.StandingOrder{
 		Backend: identity.BackendID(engine),
 		Model:   identity.ModelName(model),
--- a/internal/core/query/lexer.go
+++ b/internal/core/query/lexer.go
@@ -4,6 +4,7 @@
 	"math"
 	"regexp"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/alecthomas/participle/v2"
@@ -35,6 +36,9 @@
 	kindWord  = definition.Symbols()[tokenWord]
 )
 
+// slash stands between the parts of a name.
+const slash = "/"
+
 // minuteLayout is RFC 3339 without seconds, which operators may leave out.
 const minuteLayout = "2006-01-02T15:04Z07:00"
 
@@ -69,6 +73,48 @@
 	return strconv.Quote(string(n))
 }
 
+// SlashedName is a name that may have slashes, such as that of a published model.
+type SlashedName string
+
+// Parse implements participle.Parseable.
+func (n *SlashedName) Parse(tokens *lexer.PeekingLexer) error {
+	text, ok := plainOrQuoted(tokens.Peek(), kindWord)
+	if !ok {
+		return participle.NextMatch
+	}
+	*n = SlashedName(takeSlashed(tokens, text))
+	return nil
+}
+
+// String writes the name with quotes if it needs them.
+func (n SlashedName) String() string {
+	for _, part := range strings.Split(string(n), slash) {
+		if Name(part).String() != part {
+			return strconv.Quote(string(n))
+		}
+	}
+	return string(n)
+}
+
+// takeSlashed takes a token and, if it is a word, all words that follow it after
+// slashes.
+func takeSlashed(tokens *lexer.PeekingLexer, text string) string {
+	first := tokens.Next()
+	if first.Type != kindWord {
+		return text
+	}
+	for tokens.Peek().Value == slash {
+		before := tokens.MakeCheckpoint()
+		tokens.Next()
+		if tokens.Peek().Type != kindWord {
+			tokens.LoadCheckpoint(before)
+			break
+		}
+		text += slash + tokens.Next().Value
+	}
+	return text
+}
+
 // Route is SERVICE:/path as an operator writes it.
 type Route string
 
@@ -107,8 +153,7 @@
 	if !ok {
 		return participle.NextMatch
 	}
-	tokens.Next()
-	*o = Operand{Text: text, offset: token.Pos.Offset}
+	*o = Operand{Text: takeSlashed(tokens, text), offset: token.Pos.Offset}
 	return nil
 }
 
@@ -117,7 +162,7 @@
 	if _, err := parseInstant(o.Text); err == nil && startsLikeTime.FindString(o.Text) == o.Text {
 		return o.Text
 	}
-	return Name(o.Text).String()
+	return SlashedName(o.Text).String()
 }
 
 // Number is a number from 0.
--- a/internal/core/query/parse_test.go
+++ b/internal/core/query/parse_test.go
@@ -22,13 +22,13 @@
 		return query.Instant{Time: time.Unix(rapid.Int64Range(0, 4e9).Draw(t, "seconds"), 0).UTC()}
 	})
 	needs = rapid.Custom(func(t *rapid.T) query.ModelNeed {
-		return query.ModelNeed{Service: names.Draw(t, "service"), Model: names.Draw(t, "model"), Version: names.Draw(t, "version"), Engines: counts.Draw(t, "engines")}
+		return query.ModelNeed{Service: names.Draw(t, "service"), Model: query.SlashedName(drawText(t)), Version: names.Draw(t, "version"), Engines: counts.Draw(t, "engines")}
 	})
 	routes = rapid.Custom(func(t *rapid.T) query.Route {
 		return query.Route(rapid.SampledFrom([]string{"app:/finish", "a b:/x y", "s:/"}).Draw(t, "route"))
 	})
 	prefixes = rapid.Custom(func(t *rapid.T) query.PromptPrefix {
-		return query.PromptPrefix{Tenant: names.Draw(t, "tenant"), Model: names.Draw(t, "model"), ObjectKey: names.Draw(t, "object")}
+		return query.PromptPrefix{Tenant: names.Draw(t, "tenant"), Model: query.SlashedName(drawText(t)), ObjectKey: names.Draw(t, "object")}
 	})
 )
 
@@ -36,13 +36,14 @@
 func drawText(t *rapid.T) string {
 	odd := rapid.SampledFrom([]string{
 		"where", "if", "as", "x", "7", "1.5", "a b", `q"uote`, "back\\slash", "new\nline", "é", "\xff", "a:b", "a:", "a:/p",
-		"2026-05-01T17:00:00Z", "2026-05-01T17:00:00Zulu", "m/v@1", ",", "127.0.0.1:80", "-1", ".", "_", "in-force",
+		"2026-05-01T17:00:00Z", "2026-05-01T17:00:00Zulu", "m/v@1", ",", "127.0.0.1:80", "-1", ".", "_", "in-force", "meta/llama-3.1-8b", "a//b", "/", "a/",
 	})
 	return rapid.OneOf(odd, rapid.StringMatching(`[a-z0-9._-]{1,8}`), rapid.StringN(1, 8, 20)).Draw(t, "text")
 }
 
 func drawAction(t *rapid.T) query.Action {
 	name := func() query.Name { return names.Draw(t, "name") }
+	slashed := func() query.SlashedName { return query.SlashedName(drawText(t)) }
 	from := moments.Draw(t, "from")
 	someNames := rapid.SliceOfN(names, 1, 3).Draw(t, "names")
 	someNeeds := rapid.SliceOfN(needs, 1, 3).Draw(t, "needs")
@@ -53,9 +54,9 @@
 		query.ChangeEvent{Name: name(), From: &from, NotRepeatable: someRoutes, Prefixes: somePrefixes},
 		query.ChangeEvent{Name: name(), Tenants: someNames, Models: someNeeds},
 		query.CancelEvent{Name: name()}, query.DrainBackend{Backend: name()}, query.ReturnBackend{Backend: name()},
-		query.LoadModel{Model: name(), Version: name(), Engine: name()}, query.UnloadModel{Model: name(), Version: name(), Engine: name()},
-		query.LoadAdapter{Adapter: name(), Model: name(), Engine: name()}, query.UnloadAdapter{Adapter: name(), Model: name(), Engine: name()},
-		query.SetRole{Role: name(), Engine: name()}, query.SetVersion{Model: name(), Version: name()},
+		query.LoadModel{Model: slashed(), Version: name(), Engine: name()}, query.UnloadModel{Model: slashed(), Version: name(), Engine: name()},
+		query.LoadAdapter{Adapter: slashed(), Model: slashed(), Engine: name()}, query.UnloadAdapter{Adapter: slashed(), Model: slashed(), Engine: name()},
+		query.SetRole{Role: name(), Engine: name()}, query.SetVersion{Model: slashed(), Version: name()},
 		query.SetLimits{Tenant: name(), TokensPerSecond: rapid.Ptr(numbers, true).Draw(t, "tokens"), Concurrent: rapid.Ptr(counts, false).Draw(t, "concurrent")},
 	}).Draw(t, "action")
 }
--- a/internal/core/query/statement.go
+++ b/internal/core/query/statement.go
@@ -100,17 +100,17 @@
 
 // ModelNeed is a model that an event needs on a number of engines.
 type ModelNeed struct {
-	Service Name  `parser:"@@ '/'"`
-	Model   Name  `parser:"@@ '@'"`
-	Version Name  `parser:"@@"`
-	Engines Count `parser:"'x' @@"`
+	Service Name        `parser:"@@ '/'"`
+	Model   SlashedName `parser:"@@ '@'"`
+	Version Name        `parser:"@@"`
+	Engines Count       `parser:"'x' @@"`
 }
 
 // PromptPrefix is a prompt to compute before an event, kept in the object store.
 type PromptPrefix struct {
-	Tenant    Name `parser:"@@ '/'"`
-	Model     Name `parser:"@@ 'at'"`
-	ObjectKey Name `parser:"@@"`
+	Tenant    Name        `parser:"@@ '/'"`
+	Model     SlashedName `parser:"@@ 'at'"`
+	ObjectKey Name        `parser:"@@"`
 }
 
 // CancelEvent removes an event.
@@ -130,30 +130,30 @@
 
 // LoadModel loads a version of a model on an engine.
 type LoadModel struct {
-	Model   Name `parser:"'load' 'model' @@ '@'"`
-	Version Name `parser:"@@"`
-	Engine  Name `parser:"'on' @@"`
+	Model   SlashedName `parser:"'load' 'model' @@ '@'"`
+	Version Name        `parser:"@@"`
+	Engine  Name        `parser:"'on' @@"`
 }
 
 // UnloadModel removes a version of a model from an engine.
 type UnloadModel struct {
-	Model   Name `parser:"'unload' 'model' @@ '@'"`
-	Version Name `parser:"@@"`
-	Engine  Name `parser:"'from' @@"`
+	Model   SlashedName `parser:"'unload' 'model' @@ '@'"`
+	Version Name        `parser:"@@"`
+	Engine  Name        `parser:"'from' @@"`
 }
 
 // LoadAdapter loads an adapter of a model on an engine.
 type LoadAdapter struct {
-	Adapter Name `parser:"'load' 'adapter' @@"`
-	Model   Name `parser:"'of' @@"`
-	Engine  Name `parser:"'on' @@"`
+	Adapter SlashedName `parser:"'load' 'adapter' @@"`
+	Model   SlashedName `parser:"'of' @@"`
+	Engine  Name        `parser:"'on' @@"`
 }
 
 // UnloadAdapter removes an adapter of a model from an engine.
 type UnloadAdapter struct {
-	Adapter Name `parser:"'unload' 'adapter' @@"`
-	Model   Name `parser:"'of' @@"`
-	Engine  Name `parser:"'from' @@"`
+	Adapter SlashedName `parser:"'unload' 'adapter' @@"`
+	Model   SlashedName `parser:"'of' @@"`
+	Engine  Name        `parser:"'from' @@"`
 }
 
 // SetRole changes the role of an engine.
@@ -173,8 +173,8 @@
 
 // SetVersion changes the version of its weights that a model runs on.
 type SetVersion struct {
-	Model   Name `parser:"'set' 'version' 'of' @@"`
-	Version Name `parser:"'to' @@"`
+	Model   SlashedName `parser:"'set' 'version' 'of' @@"`
+	Version Name        `parser:"'to' @@"`
 }
 
 func (DeclareEvent) isAction()  {}
