Add a load player and the demo: an event start on real daemons

Cause: the same arrivals as in simulated time are now played over HTTP against real daemons, every answer is compared to the byte, and the outcomes go into the same table. The demo runs both users' event starts under our scheduler and two baselines.

--- a/cmd/lotuslab/main.go
+++ b/cmd/lotuslab/main.go
@@ -11,6 +11,7 @@
 
 	"github.com/lotusward/lotusward/internal/exitcode"
 	"github.com/lotusward/lotusward/internal/lab/command"
+	"github.com/lotusward/lotusward/internal/lab/demo"
 	"github.com/lotusward/lotusward/internal/lab/experiment"
 )
 
@@ -50,6 +51,7 @@
 		{"platform", "Run the platform stand-in", "Serves the table service, object store, weight store and machine list in memory.", &command.Platform{}},
 		{"engine", "Run a stand-in model engine", "Serves the engine interface and enters the platform's machine list.", &command.Engine{}},
 		{"app", "Run a stand-in web-app runner", "Serves pages and enters the platform's machine list.", &command.App{}},
+		{"demo", "Show an event start on real daemons", "Runs stand-ins and daemons in this process, plays an event start under several policies and prints a table. Takes about a minute.", &demo.Command{}},
 		{"experiment", "Run scenarios in simulated time", "Runs named scenarios with the daemon's scheduler and with baselines, on the same arrivals, and prints a table.", &experiment.Command{}},
 	}
 	for _, added := range commands {
--- a/internal/lab/cluster/cluster.go
+++ b/internal/lab/cluster/cluster.go
@@ -153,6 +153,15 @@
 	return c.AwaitReady(ctx)
 }
 
+// CallerAddresses returns the callers' address of each daemon.
+func (c *Cluster) CallerAddresses() []string {
+	addresses := make([]string, 0, len(c.Daemons))
+	for _, running := range c.Daemons {
+		addresses = append(addresses, running.Addresses().Callers)
+	}
+	return addresses
+}
+
 // Close stops everything without waiting for running requests.
 func (c *Cluster) Close() {
 	c.cancel()
