--- a/internal/core/query/value.go
+++ b/internal/core/query/value.go
@@ -61,6 +61,9 @@
 	return time.UnixMicro(int64(v.Number)).UTC()
 }
 
+// shownTime is how times are shown to a person, to the millisecond.
+const shownTime = "2006-01-02T15:04:05.999Z07:00"
+
 // String renders the value for a person.
 func (v Value) String() string {
 	switch v.Type {
@@ -74,7 +77,7 @@
 		if v.Number == 0 {
 			return ""
 		}
-		return v.Time().Format(time.RFC3339Nano)
+		return v.Time().Format(shownTime)
 	default:
 		return v.Text
 	}
--- a/internal/operator/failure.go
+++ b/internal/operator/failure.go
@@ -3,7 +3,9 @@
 import (
 	"fmt"
 	"strings"
+	"time"
 
+	"github.com/lotusward/lotusward/internal/config/dynamic"
 	"github.com/lotusward/lotusward/internal/wire/adminwire"
 )
 
@@ -39,14 +41,23 @@
 		}
 		return strings.Join(lines, "\n")
 	case failure.Conflict != nil:
-		return fmt.Sprintf("%s\n  as you read it at revision %d: %s\n  as it is at revision %d:       %s",
-			failure.Message, failure.Conflict.Base, orNone(failure.Conflict.BasedOn),
-			failure.Conflict.CurrentRevision, orNone(failure.Conflict.Current))
+		return describeConflict(failure.Conflict)
 	default:
 		return failure.Message
 	}
 }
 
+// describeConflict shows both sides of a conflict.
+func describeConflict(conflict *dynamic.ConflictError) string {
+	cause := fmt.Sprintf("it can't be told what changed since revision %d", conflict.Base)
+	if conflict.ChangedBy != "" {
+		cause = fmt.Sprintf("changed since by %s at %s in revision %d",
+			conflict.ChangedBy, conflict.ChangedAt.Format(time.RFC3339), conflict.ChangeRevision)
+	}
+	return fmt.Sprintf("conflict on %s: %s; nothing was done\n  as it was at revision %d: %s\n  as it is at revision %d:  %s",
+		conflict.Item, cause, conflict.Base, orNone(conflict.BasedOn), conflict.CurrentRevision, orNone(conflict.Current))
+}
+
 func orNone(value []byte) string {
 	if len(value) == 0 {
 		return "none or not known"
@@ -89,5 +100,5 @@
 
 // Error implements error.
 func (e *NotInForceError) Error() string {
-	return "the change is accepted, but not in force everywhere yet: " + describeInForce(e.Report)
+	return "the change is accepted, but not in force everywhere yet"
 }
--- a/internal/operator/print.go
+++ b/internal/operator/print.go
@@ -74,7 +74,14 @@
 		writer.AppendRow(row)
 	}
 	fmt.Fprintln(p.output, writer.Render())
-	fmt.Fprintf(p.output, "%d rows\n", len(answer.Rows))
+	fmt.Fprintln(p.output, countRows(len(answer.Rows)))
+}
+
+func countRows(count int) string {
+	if count == 1 {
+		return "1 row"
+	}
+	return fmt.Sprintf("%d rows", count)
 }
 
 func describeAccepted(accepted adminwire.Accepted) string {
