Let an experiment set the share of lost cache events

The hit rate has to be measured with all events, some and none. The choices of two flags are checked by the command now, since the linter takes a repeated struct tag for a mistake.

--- a/internal/lab/experiment/command.go
+++ b/internal/lab/experiment/command.go
@@ -7,19 +7,40 @@
 	"os"
 	"os/signal"
 	"path/filepath"
+	"slices"
 
 	"github.com/lotusward/lotusward/internal/lab/report"
 )
 
+// Format is a form of printed results.
+type Format string
+
+// The forms of printed results.
+const (
+	FormatTable Format = "table"
+	FormatCSV   Format = "csv"
+	FormatJSON  Format = "json"
+)
+
+// UnmarshalFlag implements flags.Unmarshaler.
+func (f *Format) UnmarshalFlag(value string) error {
+	*f = Format(value)
+	if !slices.Contains([]Format{FormatTable, FormatCSV, FormatJSON}, *f) {
+		return &UnknownNameError{Kind: "format", Name: value}
+	}
+	return nil
+}
+
 // Command is the command line of an experiment, for go-flags.
 type Command struct {
-	Deployments []string     `long:"deployment" description:"Run only this deployment's scenarios; may be given several times" choice:"foulee" choice:"kalahari-pot"`
+	Deployments []string     `long:"deployment" description:"Run only the scenarios of this deployment, foulee or kalahari-pot; may be given several times"`
 	Scenarios   []string     `long:"scenario" description:"Run only this scenario; may be given several times"`
 	Policies    []PolicyName `long:"policy" description:"Run only this policy; may be given several times"`
 	Seeds       int          `long:"seeds" default:"3" description:"Number of seeds; figures are medians over them"`
 	Workers     int          `long:"workers" default:"3" description:"Number of runs at once"`
 	RateFactor  float64      `long:"rate-factor" default:"1" description:"Multiply the requests a second"`
-	Format      string       `long:"format" default:"table" choice:"table" choice:"csv" choice:"json" description:"Form of the printed results"`
+	EventGaps   *float64     `long:"event-gap-probability" description:"Lose this share of the cache event batches in place of what the scenario says; 1 loses all"`
+	Format      Format       `long:"format" default:"table" description:"Form of the printed results: table, csv or json"`
 	Output      string       `long:"output-directory" description:"Also write results.csv, results.json and the plots into this directory"`
 }
 
@@ -44,7 +65,7 @@
 func (c *Command) run(ctx context.Context, output io.Writer) error {
 	results, err := Run(ctx, Options{
 		Deployments: c.Deployments, Scenarios: c.Scenarios, Policies: c.Policies,
-		Seeds: c.Seeds, Workers: c.Workers, RateFactor: c.RateFactor,
+		Seeds: c.Seeds, Workers: c.Workers, RateFactor: c.RateFactor, EventGapProbability: c.EventGaps,
 	})
 	if err != nil {
 		return fmt.Errorf("experiment: %w", err)
@@ -55,9 +76,9 @@
 		}
 	}
 	switch c.Format {
-	case "csv":
+	case FormatCSV:
 		return report.WriteCSV(output, results.Summaries)
-	case "json":
+	case FormatJSON:
 		return report.WriteJSON(output, results.Summaries)
 	default:
 		report.WriteTable(output, results.Summaries)
--- a/internal/lab/experiment/experiment.go
+++ b/internal/lab/experiment/experiment.go
@@ -31,6 +31,8 @@
 	Workers int
 	// RateFactor multiplies the requests a second; zero means 1.
 	RateFactor float64
+	// EventGapProbability, when not nil, replaces that of each scenario.
+	EventGapProbability *float64
 }
 
 // Results are an experiment's summaries in the order of the catalog, and the
@@ -92,15 +94,23 @@
 	chosen := slices.DeleteFunc(catalog, func(s scenario.Scenario) bool {
 		return !wanted(options.Deployments, s.Deployment.Name) || !wanted(options.Scenarios, s.Name)
 	})
-	if options.RateFactor > 0 {
-		for index := range chosen {
-			chosen[index].BaseRate *= options.RateFactor
-			chosen[index].PeakRate *= options.RateFactor
-		}
+	for index := range chosen {
+		options.adjust(&chosen[index])
 	}
 	return chosen, nil
 }
 
+// adjust changes a scenario as the options ask.
+func (o Options) adjust(chosen *scenario.Scenario) {
+	if o.RateFactor > 0 {
+		chosen.BaseRate *= o.RateFactor
+		chosen.PeakRate *= o.RateFactor
+	}
+	if o.EventGapProbability != nil {
+		chosen.EventGapProbability = *o.EventGapProbability
+	}
+}
+
 func wanted(names []string, name string) bool { return len(names) == 0 || slices.Contains(names, name) }
 
 // runAll runs every scenario under every policy with every seed. The order of
