Serve end to end across separate processes, and hold early requests

Cause: a daemon that had just started refused requests with 'no back end' until the lagging machine list and the first status reports were in; the first run of the process test failed on exactly that (503, not_run, 2.1 s after the start). A starting daemon now holds requests until its picture of the back ends is complete, for 2 s at most, is not ready before, and asks three other daemons what they know, so that it serves while the machine list is down. An empty list is read again after 250 ms. Without a configuration callers are told to come back, not that their key is wrong. Ruled out: only not being ready, since callers arrive all the same when all daemons restart together. With the hold off its test fails ('refused: no_backend'); with it, it passes. The process test builds the three programs, starts platform, four engines, a web-app runner and three daemons, imports a configuration with lotusctl, serves through each daemon, drains an engine and stops a daemon under a running answer: passes in 3.6 s.

--- a/internal/core/registry/registry.go
+++ b/internal/core/registry/registry.go
@@ -22,6 +22,9 @@
 	options Options
 	entries map[identity.BackendID]*entry
 	drains  map[identity.BackendID]bool
+	// list is the newest machine list; listedAt is when the first one came.
+	list     platformwire.MachineList
+	listedAt time.Time
 	// leaves holds the state version at which a back end was seen leaving. It
 	// outlives the entry, so that a list that lags cannot bring the back end back.
 	leaves map[identity.BackendID]leave
@@ -35,11 +38,18 @@
 	// ForgetLeaveAfter is how long a leave is remembered once the back end is no
 	// longer in the machine list. It must be longer than that list's lag.
 	ForgetLeaveAfter time.Duration
+	// FirstStatusWithin is how long after the first machine list a listed back end
+	// without a status report still counts as not asked yet.
+	FirstStatusWithin time.Duration
 }
 
 // DefaultOptions returns the times used when nothing else is set.
 func DefaultOptions() Options {
-	return Options{UnreachableAfter: 3 * time.Second, ForgetLeaveAfter: 10 * time.Minute}
+	return Options{
+		UnreachableAfter:  3 * time.Second,
+		ForgetLeaveAfter:  10 * time.Minute,
+		FirstStatusWithin: time.Second,
+	}
 }
 
 type entry struct {
@@ -64,8 +74,20 @@
 	}
 }
 
-// ObserveMachines takes a machine list. It replaces the one before.
+// ObservePeerMachines takes a machine list that another daemon read. It counts
+// only when it is newer than the list known here.
+func (r *Registry) ObservePeerMachines(now time.Time, list platformwire.MachineList) {
+	if r.listedAt.IsZero() || list.Version > r.list.Version {
+		r.ObserveMachines(now, list)
+	}
+}
+
+// ObserveMachines takes a machine list of the platform. It replaces the one before.
 func (r *Registry) ObserveMachines(now time.Time, list platformwire.MachineList) {
+	r.list = list
+	if r.listedAt.IsZero() {
+		r.listedAt = now
+	}
 	for _, known := range r.entries {
 		known.listed = false
 	}
@@ -142,16 +164,40 @@
 	return backends
 }
 
-// Machines returns the listed machines, ordered by ID.
-func (r *Registry) Machines() []platformwire.Machine {
-	machines := make([]platformwire.Machine, 0, len(r.entries))
+// Known tells whether the picture is complete enough to place requests: there is
+// a machine list with back ends on it, and each has reported or had time to.
+func (r *Registry) Known(now time.Time) bool {
+	if len(r.entries) == 0 {
+		return false
+	}
+	if now.Sub(r.listedAt) >= r.options.FirstStatusWithin {
+		return true
+	}
 	for _, known := range r.entries {
-		machines = append(machines, known.machine)
+		if known.status == nil {
+			return false
+		}
 	}
-	slices.SortFunc(machines, func(left, right platformwire.Machine) int {
-		return compareIDs(left.ID, right.ID)
-	})
-	return machines
+	return true
+}
+
+// Knowledge is what one daemon knows of the back ends, for another that starts.
+type Knowledge struct {
+	Listed   bool                     `msgpack:"listed"`
+	Machines platformwire.MachineList `msgpack:"machines"`
+	Statuses []enginewire.Status      `msgpack:"statuses"`
+}
+
+// Knowledge returns the machine list and the reports of back ends that were
+// heard of lately.
+func (r *Registry) Knowledge(now time.Time) Knowledge {
+	knowledge := Knowledge{Listed: !r.listedAt.IsZero(), Machines: r.list}
+	for _, known := range r.entries {
+		if known.status != nil && now.Sub(known.heardAt) <= r.options.UnreachableAfter {
+			knowledge.Statuses = append(knowledge.Statuses, *known.status)
+		}
+	}
+	return knowledge
 }
 
 // Status returns the last status report of a back end and when it was last heard.
--- a/internal/core/view/view.go
+++ b/internal/core/view/view.go
@@ -21,6 +21,8 @@
 	// Isolated is set while the daemon cannot know whether its configuration is
 	// the newest: it reaches neither the table nor a majority of its peers.
 	Isolated bool
+	// BackendsKnown is set once a daemon that starts has heard of the back ends.
+	BackendsKnown bool
 
 	tenantsByKeyHash map[string]*dynamic.Tenant
 	models           map[identity.ModelName]*dynamic.Model
@@ -65,6 +67,13 @@
 	return &changed
 }
 
+// WithBackendsKnown returns a copy of the view with BackendsKnown set as given.
+func (v *View) WithBackendsKnown(known bool) *View {
+	changed := *v
+	changed.BackendsKnown = known
+	return &changed
+}
+
 // HashKey returns the form in which the configuration stores a bearer key.
 func HashKey(bearerKey string) string {
 	sum := sha256.Sum256([]byte(bearerKey))
--- a/internal/daemon/backendwatch/watcher.go
+++ b/internal/daemon/backendwatch/watcher.go
@@ -32,6 +32,10 @@
 	Assigned(machines []platformwire.Machine) []platformwire.Machine
 }
 
+// emptyListInterval is how soon an empty machine list is read again: it lags, and
+// most likely the machines are just not on it yet.
+const emptyListInterval = 250 * time.Millisecond
+
 // Options configure a watcher.
 type Options struct {
 	Machines   port.MachineList
@@ -71,10 +75,10 @@
 	delays.MaxInterval = 10 * w.options.ListInterval
 	for {
 		wait := w.options.ListInterval
-		if w.readList(ctx) {
-			delays.Reset()
-		} else {
+		if !w.readList(ctx) {
 			wait = delays.NextBackOff()
+		} else if delays.Reset(); len(w.polls) == 0 {
+			wait = min(wait, emptyListInterval)
 		}
 		select {
 		case <-ctx.Done():
--- a/internal/daemon/control/events.go
+++ b/internal/daemon/control/events.go
@@ -5,6 +5,7 @@
 
 	"github.com/lotusward/lotusward/internal/config/dynamic"
 	"github.com/lotusward/lotusward/internal/core/identity"
+	"github.com/lotusward/lotusward/internal/core/registry"
 	"github.com/lotusward/lotusward/internal/core/scheduler"
 	"github.com/lotusward/lotusward/internal/wire/enginewire"
 	"github.com/lotusward/lotusward/internal/wire/platformwire"
@@ -27,6 +28,10 @@
 }
 
 func (e arrival) apply(state *state, now time.Time) {
+	if !state.backendsKnown {
+		state.early = append(state.early, e)
+		return
+	}
 	state.waiting[e.request.ID] = e.reply
 	state.act(state.policy.Arrive(now, e.request))
 }
@@ -39,6 +44,9 @@
 }
 
 func (e withdrawal) apply(state *state, now time.Time) {
+	if state.forgetEarly(e.reply) {
+		return
+	}
 	if state.waiting[e.id] == e.reply {
 		delete(state.waiting, e.id)
 		state.act(state.policy.Cancel(now, e.id))
@@ -96,6 +104,17 @@
 	state.refresh(now)
 }
 
+// knowledgeGiven is what another daemon knows, for a daemon that starts.
+type knowledgeGiven struct{ knowledge registry.Knowledge }
+
+func (e knowledgeGiven) apply(state *state, now time.Time) {
+	state.registry.ObservePeerMachines(now, e.knowledge.Machines)
+	for _, status := range e.knowledge.Statuses {
+		state.registry.ObserveStatus(now, status)
+	}
+	state.refresh(now)
+}
+
 type statusReported struct{ status enginewire.Status }
 
 func (e statusReported) apply(state *state, now time.Time) {
--- a/internal/daemon/control/inputs.go
+++ b/internal/daemon/control/inputs.go
@@ -5,6 +5,7 @@
 
 	"github.com/lotusward/lotusward/internal/config/dynamic"
 	"github.com/lotusward/lotusward/internal/core/identity"
+	"github.com/lotusward/lotusward/internal/core/registry"
 	"github.com/lotusward/lotusward/internal/core/scheduler"
 	"github.com/lotusward/lotusward/internal/wire/enginewire"
 	"github.com/lotusward/lotusward/internal/wire/platformwire"
@@ -25,6 +26,18 @@
 	l.post(machinesListed{list: list})
 }
 
+// ObserveKnowledge takes what another daemon knows of the back ends.
+func (l *Loop) ObserveKnowledge(knowledge registry.Knowledge) {
+	l.post(knowledgeGiven{knowledge: knowledge})
+}
+
+// Knowledge returns what this daemon knows of the back ends, for another daemon.
+func (l *Loop) Knowledge() registry.Knowledge {
+	var knowledge registry.Knowledge
+	l.Call(func(now time.Time) { knowledge = l.state.registry.Knowledge(now) })
+	return knowledge
+}
+
 // ObserveStatus takes a status report of a back end.
 func (l *Loop) ObserveStatus(status enginewire.Status) {
 	l.post(statusReported{status: status})
--- a/internal/daemon/control/state.go
+++ b/internal/daemon/control/state.go
@@ -2,6 +2,7 @@
 
 import (
 	"reflect"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -13,6 +14,10 @@
 	"github.com/lotusward/lotusward/internal/port"
 )
 
+// earlyLimit is how long a starting daemon holds requests for want of any
+// knowledge of back ends.
+const earlyLimit = 2 * time.Second
+
 // refreshInterval is how often back ends are looked at again for silence.
 const refreshInterval = 200 * time.Millisecond
 
@@ -30,6 +35,11 @@
 	backends      []scheduler.Backend
 	isolated      bool
 	refreshedAt   time.Time
+	// early holds requests that came before the back ends were known; they are
+	// passed on together, so that a daemon that has just started refuses nobody.
+	early         []arrival
+	backendsKnown bool
+	startedAt     time.Time
 }
 
 func newState(options Options, published *atomic.Pointer[view.View]) state {
@@ -86,6 +96,37 @@
 	if changed || s.documentDirty {
 		s.publish()
 	}
+	if !s.backendsKnown {
+		s.admitEarly(now)
+	}
+}
+
+// admitEarly passes the held requests on once the back ends are known, or when
+// they cannot be held any longer.
+func (s *state) admitEarly(now time.Time) {
+	if s.startedAt.IsZero() {
+		s.startedAt = now
+	}
+	if !s.registry.Known(now) && now.Sub(s.startedAt) < earlyLimit {
+		return
+	}
+	s.backendsKnown = true
+	held := s.early
+	s.early = nil
+	for _, waiting := range held {
+		waiting.apply(s, now)
+	}
+	s.publish()
+}
+
+// forgetEarly drops a held request and tells whether it was held.
+func (s *state) forgetEarly(reply chan decision) bool {
+	index := slices.IndexFunc(s.early, func(held arrival) bool { return held.reply == reply })
+	if index < 0 {
+		return false
+	}
+	s.early = slices.Delete(s.early, index, index+1)
+	return true
 }
 
 // publish makes the view that traffic goroutines read from now on.
@@ -96,5 +137,8 @@
 		next = view.New(s.document, s.backends)
 		s.documentDirty = false
 	}
-	s.published.Store(next.WithIsolated(s.isolated))
+	// Without any configuration no tenant is known: callers are told to come back,
+	// not that their key is wrong.
+	refuse := s.isolated || s.document.Revision == 0
+	s.published.Store(next.WithIsolated(refuse).WithBackendsKnown(s.backendsKnown))
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -90,6 +90,7 @@
 	daemon.wireTraffic(options.Policy)
 	daemon.wireConfiguration()
 	daemon.wireMembership()
+	daemon.wireKnowledge()
 	daemon.wireAdministration()
 	return daemon, nil
 }
--- a/internal/daemon/health.go
+++ b/internal/daemon/health.go
@@ -14,5 +14,8 @@
 	if current.Isolated {
 		reasons = append(reasons, "the configuration cannot be confirmed as the newest")
 	}
+	if !current.BackendsKnown {
+		reasons = append(reasons, "the back ends are not known yet")
+	}
 	return reasons
 }
--- a/internal/daemon/parts.go
+++ b/internal/daemon/parts.go
@@ -114,6 +114,7 @@
 		StatusInterval: d.settings.Tuning.LoadPollInterval,
 	})
 	addRunner(group, d.configuration.Run)
+	addRunner(group, d.runKnowledge)
 	addRunner(group, watcher.Run)
 }
 
--- a/internal/lab/process/deployment.go
+++ b/internal/lab/process/deployment.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"net/http"
@@ -14,6 +15,7 @@
 
 	"github.com/lotusward/lotusward/internal/config/dynamic"
 	"github.com/lotusward/lotusward/internal/core/view"
+	"github.com/lotusward/lotusward/internal/wire/enginewire"
 )
 
 // Credentials of a lab deployment. They protect nothing.
@@ -105,6 +107,9 @@
 			return err
 		}
 	}
+	if err := d.awaitBackends(ctx); err != nil {
+		return err
+	}
 	addresses = addresses[len(d.Plan.Backends):]
 	for index, plan := range d.Plan.Daemons {
 		own := addresses[index*daemonAddresses:]
@@ -158,6 +163,42 @@
 	return nil
 }
 
+// awaitBackends waits until every back end serves: engines load weights first.
+func (d *Deployment) awaitBackends(ctx context.Context) error {
+	for _, backend := range d.Backends {
+		for backend.State() != enginewire.StateServing {
+			select {
+			case <-ctx.Done():
+				return errors.Join(ctx.Err(), fmt.Errorf("%s does not serve; see %s", backend.Name, backend.LogPath))
+			case <-time.After(readyPollInterval):
+			}
+		}
+	}
+	return nil
+}
+
+// Status reads the back end's report about itself.
+func (b *Backend) Status() (enginewire.Status, error) {
+	client := http.Client{Timeout: time.Second}
+	answer, err := client.Get("http://" + b.Address + enginewire.PathStatus)
+	if err != nil {
+		return enginewire.Status{}, err
+	}
+	defer answer.Body.Close()
+	var status enginewire.Status
+	err = json.NewDecoder(answer.Body).Decode(&status)
+	return status, err
+}
+
+// State reads the back end's state; it is empty when the back end does not answer.
+func (b *Backend) State() enginewire.State {
+	status, err := b.Status()
+	if err != nil {
+		return ""
+	}
+	return status.State
+}
+
 // StartDaemon starts a daemon that does not run, with its settings as before.
 func (d *Deployment) StartDaemon(daemon *Daemon) error {
 	started, err := Start(d.Plan.Directory, daemon.Plan.ID, d.program("lotusward"), "--settings", daemon.settingsPath)
