Make the test of held requests fail without the hold

Seen this time: with the hold off the test fails ('refused: no_backend'); with it, it passes, 20 times in a row.

--- a/internal/daemon/control/loop_test.go
+++ b/internal/daemon/control/loop_test.go
@@ -53,21 +53,18 @@
 	_, err := loop.Schedule(gone, pageRequest("gone"))
 	assert.Assert(t, errors.Is(err, context.Canceled), "%v", err)
 
-	started := make(chan error, 1)
-	go func() {
-		start, err := loop.Schedule(context.Background(), pageRequest("held"))
-		if err == nil && start.Backend.ID != "app-1" {
-			err = errors.New("started on another back end")
-		}
-		started <- err
-	}()
+	// Posted as Schedule does it, so that it surely comes before the reports.
+	reply := make(chan decision, 1)
+	loop.post(arrival{request: pageRequest("held"), reply: reply})
 	loop.ObserveMachines(platformwire.MachineList{Machines: []platformwire.Machine{{
 		ID: "app-1", Kind: identity.KindApp, Service: "results-app", Address: "127.0.0.1:1",
 	}}})
 	loop.ObserveStatus(enginewire.Status{
 		Backend: "app-1", Kind: identity.KindApp, Incarnation: 1, StateVersion: 1, State: enginewire.StateServing,
 	})
-	assert.NilError(t, <-started)
+	decided := <-reply
+	assert.NilError(t, decided.err)
+	assert.Equal(t, decided.start.Backend.ID, identity.BackendID("app-1"))
 }
 
 // Once the back ends are known, a request that none can take is refused at once.
