--- a/internal/operator/session.go
+++ b/internal/operator/session.go
@@ -113,7 +113,7 @@
 	typed := len([]rune(text[strings.LastIndexAny(text, " \t,")+1:]))
 	var endings [][]rune
 	for _, word := range query.Complete(text) {
-		endings = append(endings, []rune(word)[typed:])
+		endings = append(endings, append([]rune(word)[typed:], ' '))
 	}
 	return endings, typed
 }
