Let the newest order of a model win in the stand-in engine

Cause: weights that were being fetched became ready although the model had been unloaded meanwhile, and a load overtaken by a newer one replaced it. The test fails without the check at the end of a load (the unloaded model answers) and passes with it, three times with the race detector.

--- a/internal/standin/engine/control.go
+++ b/internal/standin/engine/control.go
@@ -59,10 +59,10 @@
 	switch order.Kind {
 	case enginewire.OrderLoadModel:
 		wanted := ModelVersion{Model: order.Model, Version: order.Version}
-		l.driver.setLoading(wanted)
+		l.driver.want(wanted)
 		l.loads <- wanted
 	case enginewire.OrderUnloadModel:
-		l.driver.change(func(now time.Time, engine *model.Engine) { engine.Unload(now, order.Model) })
+		l.driver.unload(order.Model)
 	case enginewire.OrderLoadAdapter, enginewire.OrderUnloadAdapter:
 		present := order.Kind == enginewire.OrderLoadAdapter
 		l.driver.change(func(_ time.Time, engine *model.Engine) {
--- a/internal/standin/engine/driver.go
+++ b/internal/standin/engine/driver.go
@@ -27,6 +27,8 @@
 	streams map[model.Key]chan model.Result
 	samples []loadSample
 	role    string
+	// wanted is the newest version ordered of each model.
+	wanted map[identity.ModelName]identity.WeightsVersion
 }
 
 // loadSample is a load report with its time.
@@ -48,6 +50,7 @@
 		wake:    make(chan struct{}, 1),
 		engine:  model.New(owner.options.Model),
 		streams: make(map[model.Key]chan model.Result),
+		wanted:  make(map[identity.ModelName]identity.WeightsVersion),
 	}
 }
 
@@ -198,12 +201,39 @@
 	return d.role
 }
 
-func (d *driver) setLoading(wanted ModelVersion) {
+// want notes that a version of a model is to be loaded.
+func (d *driver) want(wanted ModelVersion) {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
+	d.wanted[wanted.Model] = wanted.Version
 	d.engine.SetLoading(wanted.Model, wanted.Version)
 }
 
+// unload removes a model, also one that is still loading.
+func (d *driver) unload(name identity.ModelName) {
+	d.change(func(now time.Time, engine *model.Engine) {
+		delete(d.wanted, name)
+		engine.Unload(now, name)
+	})
+}
+
+// needed tells whether a version is still wanted and not yet ready.
+func (d *driver) needed(wanted ModelVersion) bool {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	version, ready := d.engine.Loaded(wanted.Model)
+	return d.wanted[wanted.Model] == wanted.Version && (!ready || version != wanted.Version)
+}
+
+// finishLoad makes fetched weights ready, unless a later order wants others.
+func (d *driver) finishLoad(wanted ModelVersion) {
+	d.change(func(now time.Time, engine *model.Engine) {
+		if d.wanted[wanted.Model] == wanted.Version {
+			engine.SetLoaded(now, wanted.Model, wanted.Version)
+		}
+	})
+}
+
 // change lets a function change the engine and hands out what follows.
 func (d *driver) change(apply func(now time.Time, engine *model.Engine)) {
 	d.mutex.Lock()
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -123,7 +123,7 @@
 func (l *life) Run(ctx context.Context) {
 	go l.driver.run(ctx)
 	for _, wanted := range l.options.Models {
-		l.driver.setLoading(wanted)
+		l.driver.want(wanted)
 		l.loads <- wanted
 	}
 	if len(l.options.Models) == 0 {
--- a/internal/standin/engine/engine_test.go
+++ b/internal/standin/engine/engine_test.go
@@ -296,3 +296,30 @@
 	assert.Assert(t, f.post(t, enginewire.PathCompletions, stream(nil)).done)
 	assert.Equal(t, len(f.engine.Runs()), 1)
 }
+
+// TestNewestOrderOfAModelWins orders versions one after the other while the
+// first still loads: the engine ends with the last, and an unload is not undone
+// by a load that was under way.
+func TestNewestOrderOfAModelWins(t *testing.T) {
+	f := start(t)
+	order := func(fence int, kind enginewire.OrderKind, name, version string) {
+		got := f.post(t, enginewire.PathOrders, map[string]any{"fence": fence, "kind": kind, "model": name, "version": version})
+		assert.Equal(t, got.status, http.StatusNoContent)
+	}
+	order(1, enginewire.OrderLoadModel, "other", "v1")
+	order(2, enginewire.OrderUnloadModel, "other", "")
+	order(3, enginewire.OrderLoadModel, modelName, "v2")
+	order(4, enginewire.OrderLoadModel, modelName, "v3")
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		got := f.post(t, enginewire.PathCompletions, stream(nil), enginewire.HeaderExpectedWeights, "v3")
+		if got.refusal.Code != "" {
+			return poll.Continue("%s", got.refusal.Code)
+		}
+		assert.Equal(t, got.text, model.AnswerOf(modelName, "v3", []byte(prompt)).Text(0, 12))
+		return poll.Success()
+	})
+	stale := f.post(t, enginewire.PathCompletions, stream(nil), enginewire.HeaderExpectedWeights, version)
+	assert.Equal(t, stale.refusal.Code, enginewire.CodeWrongWeights)
+	unloaded := f.post(t, enginewire.PathCompletions, stream(map[string]any{"model": "other"}))
+	assert.Equal(t, unloaded.refusal.Code, enginewire.CodeModelNotLoaded)
+}
--- a/internal/standin/engine/weights.go
+++ b/internal/standin/engine/weights.go
@@ -8,7 +8,6 @@
 	"net/http"
 	"time"
 
-	"github.com/lotusward/lotusward/internal/standin/engine/model"
 	"github.com/lotusward/lotusward/internal/wire/platformwire"
 )
 
@@ -30,12 +29,10 @@
 	}
 }
 
-// load fetches weights, again and again until it has them, and makes them ready.
+// load fetches weights, again and again until it has them or they are no longer
+// wanted, and makes them ready.
 func (l *life) load(ctx context.Context, wanted ModelVersion) {
-	if version, ready := l.driver.loaded(wanted.Model); ready && version == wanted.Version {
-		return
-	}
-	for {
+	for l.driver.needed(wanted) {
 		err := l.fetchWeights(ctx, wanted)
 		if err == nil {
 			break
@@ -48,9 +45,7 @@
 		}
 		pause(ctx, weightsRetryPause)
 	}
-	l.driver.change(func(now time.Time, engine *model.Engine) {
-		engine.SetLoaded(now, wanted.Model, wanted.Version)
-	})
+	l.driver.finishLoad(wanted)
 	l.SetReady()
 }
 
