Stop a crashed stand-in in order

A planned stop while a back end was away after a crash ended in the context's error, and a crash asked for afterwards would have waited for ever.

--- a/internal/standin/backend/server.go
+++ b/internal/standin/backend/server.go
@@ -91,8 +91,10 @@
 		s.options.Log.WithField("down_for", crashed.downFor).Info("Crashed on request.")
 		s.begin(first)
 		close(crashed.dropped)
-		if listener, err = relisten(ctx, address, crashed.downFor); err != nil {
-			return err
+		listener = relisten(ctx, address, crashed.downFor)
+		if listener == nil {
+			close(s.stopping)
+			return nil
 		}
 	}
 }
@@ -145,17 +147,18 @@
 	}
 }
 
-func relisten(ctx context.Context, address string, downFor time.Duration) (net.Listener, error) {
+// relisten listens again after a pause. It returns nil when the context ends first.
+func relisten(ctx context.Context, address string, downFor time.Duration) net.Listener {
 	pause := downFor
 	for {
 		select {
 		case <-ctx.Done():
-			return nil, ctx.Err()
+			return nil
 		case <-time.After(pause):
 		}
 		listener, err := net.Listen("tcp", address)
 		if err == nil {
-			return listener, nil
+			return listener
 		}
 		pause = relistenPause
 	}
--- a/internal/standin/engine/engine_test.go
+++ b/internal/standin/engine/engine_test.go
@@ -253,7 +253,7 @@
 		}
 		return poll.Continue("no token yet")
 	})
-	f.engine.Crash(0)
+	f.engine.Crash(time.Hour) // the planned stop at the test's end comes while it is away
 	got := <-ended
 	assert.Assert(t, got.text != "" && !got.done)
 }
