Keep answers between daemons small; drop settings that nothing reads

A daemon answers others only about engines that it observes or has work on; the asking one has the rest from its own view. Proof: with rows that have work but no report left out, the merge test fails; with them kept it passes.

configuration_poll_interval and configuration_spread_interval had no reader and are gone. A test compares the table of settings.md with the example.

go test ./internal/core/query ./internal/operator ./internal/config/static pass.

--- a/internal/config/static/check.go
+++ b/internal/config/static/check.go
@@ -228,9 +228,8 @@
 	if tuning.ProbeTimeout > tuning.ProbeInterval {
 		c.add("tuning.probe_timeout", "%s is longer than tuning.probe_interval, %s", tuning.ProbeTimeout, tuning.ProbeInterval)
 	}
-	if tuning.IsolationTimeout < tuning.ConfigurationPollInterval {
-		c.add("tuning.isolation_timeout", "%s is shorter than tuning.configuration_poll_interval, %s",
-			tuning.IsolationTimeout, tuning.ConfigurationPollInterval)
+	if tuning.SuspicionTimeout < tuning.ProbeInterval {
+		c.add("tuning.suspicion_timeout", "%s is shorter than tuning.probe_interval, %s", tuning.SuspicionTimeout, tuning.ProbeInterval)
 	}
 }
 
--- a/internal/config/static/interval.go
+++ b/internal/config/static/interval.go
@@ -13,8 +13,6 @@
 		{"probe_interval", t.ProbeInterval},
 		{"probe_timeout", t.ProbeTimeout},
 		{"suspicion_timeout", t.SuspicionTimeout},
-		{"configuration_poll_interval", t.ConfigurationPollInterval},
-		{"configuration_spread_interval", t.ConfigurationSpreadInterval},
 		{"isolation_timeout", t.IsolationTimeout},
 		{"load_poll_interval", t.LoadPollInterval},
 		{"machine_list_interval", t.MachineListInterval},
--- a/internal/config/static/load_test.go
+++ b/internal/config/static/load_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"regexp"
 	"strings"
 	"testing"
 
@@ -42,6 +43,12 @@
 	page, err := os.ReadFile(settingsPage)
 	assert.NilError(t, err)
 	assert.Assert(t, bytes.Contains(page, static.Example), "settings.md does not show example.yaml as it is")
+	rows := regexp.MustCompile("(?m)^\\| `(?:[a-z_]+\\.)?([a-z_]+)` \\| `([^`]+)` \\|").FindAllStringSubmatch(string(page), -1)
+	assert.Assert(t, len(rows) > 20)
+	for _, row := range rows {
+		shown := regexp.MustCompile(`(?m)^ *` + row[1] + `: .*` + regexp.QuoteMeta(row[2]) + `( |$)`)
+		assert.Assert(t, shown.Match(static.Example), "the table of settings.md gives %s the default %s, the example another", row[1], row[2])
+	}
 }
 
 const faulty = `identity:
--- a/internal/config/static/settings.go
+++ b/internal/config/static/settings.go
@@ -135,14 +135,9 @@
 	// SuspicionTimeout is how long a suspected daemon has to speak up before it
 	// counts as dead.
 	SuspicionTimeout time.Duration `yaml:"suspicion_timeout"`
-	// ConfigurationPollInterval is the time between two reads of the
-	// configuration revision from the table service.
-	ConfigurationPollInterval time.Duration `yaml:"configuration_poll_interval"`
-	// ConfigurationSpreadInterval is the time between two exchanges of the
-	// configuration revision with another daemon.
-	ConfigurationSpreadInterval time.Duration `yaml:"configuration_spread_interval"`
-	// IsolationTimeout is how long neither the table service nor a majority of
-	// peers may answer before the daemon counts itself as isolated.
+	// IsolationTimeout is how old the last confirmation that the configuration is
+	// the newest, by the table service or a majority of daemons, may become before
+	// the daemon counts itself as isolated.
 	IsolationTimeout time.Duration `yaml:"isolation_timeout"`
 	// LoadPollInterval is the time between two status polls of a back end.
 	LoadPollInterval time.Duration `yaml:"load_poll_interval"`
--- a/internal/core/query/merge.go
+++ b/internal/core/query/merge.go
@@ -11,7 +11,7 @@
 // MergeOrder column beside them, where the first answer goes before later ones.
 func Merge(source Source, answers ...Table) (Table, error) {
 	columns := schemas[source]
-	merged := Table{Columns: slices.Clone(columns)}
+	merged := Table{Columns: slices.Clone(columns), Rows: []Row{}}
 	positions := map[string]int{}
 	for _, answer := range answers {
 		if err := answer.Verify(source); err != nil {
@@ -90,6 +90,27 @@
 	return false
 }
 
+// DropUnobserved leaves out the rows of engines or back ends that a daemon has no
+// report of and no work on. The daemon that asks has them from its own view, so
+// that the answers of many daemons stay small.
+func DropUnobserved(table Table) Table {
+	observed := columnIndex(table.Columns, "observed")
+	rows := slices.DeleteFunc(slices.Clone(table.Rows), func(row Row) bool {
+		return row[observed].Number == 0 && !hasWork(table.Columns, row)
+	})
+	return Table{Columns: table.Columns, Rows: rows}
+}
+
+// hasWork tells whether a row counts in a sum or says that something leaves.
+func hasWork(columns []Column, row Row) bool {
+	for index, column := range columns {
+		if (column.Merge == MergeSum || column.Merge == MergeMaximum) && row[index].Number != 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // OnlyLeaving keeps the leaving ones of a whole table of back ends.
 func OnlyLeaving(backends Table) Table {
 	leaving := columnIndex(backends.Columns, "leaving")
--- a/internal/core/query/table_test.go
+++ b/internal/core/query/table_test.go
@@ -29,6 +29,9 @@
 			Assigned: rapid.IntRange(0, 9).Draw(t, "assigned"),
 			Observed: epoch.Add(time.Duration(rapid.IntRange(0, 3).Draw(t, "observed")) * time.Second),
 		})
+		if rapid.IntRange(0, 4).Draw(t, "unobserved") == 0 {
+			engines[number] = query.Engine{Engine: engines[number].Engine, Zone: "a", Assigned: rapid.IntRange(0, 1).Draw(t, "work")}
+		}
 	}
 	return engines
 }
@@ -68,10 +71,30 @@
 			assert.DeepEqual(t, merged.Rows[index], expected.Rows[index])
 		}
 		checkCodecs(t, expected)
+		checkSmallAnswers(t, answers, expected)
 		checkEvaluation(t, expected, rows)
 	})
 }
 
+// checkSmallAnswers lets the asking daemon know all engines, and the others
+// answer only about those that they observe.
+func checkSmallAnswers(t *rapid.T, answers []query.Table, expected query.Table) {
+	if len(answers) == 0 {
+		return
+	}
+	var known []query.Engine
+	for _, row := range expected.Rows {
+		known = append(known, query.Engine{Engine: identity.BackendID(row[0].Text), Zone: identity.Zone(row[2].Text)})
+	}
+	small := []query.Table{query.TableOf(known)}
+	for _, answer := range answers {
+		small = append(small, query.DropUnobserved(answer))
+	}
+	merged, err := query.Merge(query.SourceEngines, small...)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, merged.Rows, expected.Rows)
+}
+
 func checkCodecs(t *rapid.T, table query.Table) {
 	encoded, err := json.Marshal(table)
 	assert.NilError(t, err)
--- a/internal/daemon/administration/peers.go
+++ b/internal/daemon/administration/peers.go
@@ -86,6 +86,9 @@
 func HandleTable(handler *adminhttp.Handler) func(context.Context, TableRequest) (TableResponse, error) {
 	return func(ctx context.Context, request TableRequest) (TableResponse, error) {
 		table, err := handler.LocalTable(ctx, request.Source)
+		if request.Source == query.SourceEngines || request.Source == query.SourceBackends {
+			table = query.DropUnobserved(table)
+		}
 		return TableResponse{Table: table}, err
 	}
 }
