Show no report of a back end that has none

The test is right: the state took a report that its source had declared absent. go test ./internal/daemon/administration ./internal/core/query ./internal/operator pass now.

--- a/internal/daemon/administration/state.go
+++ b/internal/daemon/administration/state.go
@@ -124,7 +124,10 @@
 	if s.Report == nil {
 		return Report{}
 	}
-	report, _ := s.Report(backend)
+	report, found := s.Report(backend)
+	if !found {
+		return Report{}
+	}
 	return report
 }
 
