Run separate processes under random faults with an oracle

Cause: what must always hold has to be shown on real processes under all faults together. lotuslab faults draws a plan of 15 kinds of fault from a seed (daemons killed, paused, stopped in order, all at once; back ends crashed, paused, hung, streams cut; platform down, hanging, slow, losing answers; operators racing; drains), sends model requests, pages and keyed requests through two daemons at once, and checks texts, run states, keys, drains and revisions against the back ends' own record of what ran. Ruled out: killing back ends with SIGKILL, which would lose the record; their crash endpoint drops all connections and the cache instead. Not covered: cuts of the network between daemons (simulated only).

--- a/cmd/lotuslab/main.go
+++ b/cmd/lotuslab/main.go
@@ -13,6 +13,7 @@
 	"github.com/lotusward/lotusward/internal/lab/command"
 	"github.com/lotusward/lotusward/internal/lab/demo"
 	"github.com/lotusward/lotusward/internal/lab/experiment"
+	"github.com/lotusward/lotusward/internal/lab/fault"
 )
 
 func main() {
@@ -52,6 +53,7 @@
 		{"engine", "Run a stand-in model engine", "Serves the engine interface and enters the platform's machine list.", &command.Engine{}},
 		{"app", "Run a stand-in web-app runner", "Serves pages and enters the platform's machine list.", &command.App{}},
 		{"demo", "Show an event start on real daemons", "Runs stand-ins and daemons in this process, plays an event start under several policies and prints a table. Takes about a minute.", &demo.Command{}},
+		{"faults", "Run a deployment under random faults", "Starts separate processes, sends requests while daemons, back ends and the platform fail, and checks what must always hold.", &fault.Command{}},
 		{"experiment", "Run scenarios in simulated time", "Runs named scenarios with the daemon's scheduler and with baselines, on the same arrivals, and prints a table.", &experiment.Command{}},
 	}
 	for _, added := range commands {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -92,6 +92,7 @@
 	daemon.wireMembership()
 	daemon.wireKnowledge()
 	daemon.wireAdministration()
+	daemon.registerGauges()
 	return daemon, nil
 }
 
