--- a/internal/core/claim/coordinator.go
+++ b/internal/core/claim/coordinator.go
@@ -44,7 +44,8 @@
 	Request SettleRequest
 }
 
-// Decide tells the verdict. It comes once.
+// Decide tells the verdict. It comes once, but that VerdictEpochChanged may be
+// followed by VerdictInDoubt at the deadline.
 type Decide struct {
 	Verdict Verdict
 }
@@ -106,7 +107,7 @@
 	if c.verdict != VerdictPending {
 		return c.afterVerdict(position, reply)
 	}
-	if reply.Answer == AnswerVoted && reply.Epoch != c.request.Epoch {
+	if reply.Answer != AnswerWrongEpoch && reply.Epoch != c.request.Epoch {
 		return nil
 	}
 	c.replies[position] = reply
@@ -289,3 +290,6 @@
 	}
 	return false
 }
+
+// Epoch returns the epoch that the coordinator asks in.
+func (c *Coordinator) Epoch() uint64 { return c.request.Epoch }
