--- a/internal/adapter/enginehttp/dispatch_test.go
+++ b/internal/adapter/enginehttp/dispatch_test.go
@@ -135,6 +135,7 @@
 // and makes another request at once.
 func TestCancelledAnswerReachesNobodyElse(t *testing.T) {
 	var connections atomic.Int32
+	endResponse := make(chan struct{}, 3)
 	engine := httptest.NewUnstartedServer(http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
 		writer.Header().Set("Content-Type", contentTypeEvents)
 		id := request.Header.Get("X-Request-Id")
@@ -148,6 +149,7 @@
 		}
 		_, _ = io.WriteString(writer, "data: [DONE]\n\n")
 		_ = http.NewResponseController(writer).Flush()
+		<-endResponse
 	}))
 	engine.Config.ConnState = func(_ net.Conn, state http.ConnState) {
 		if state == http.StateNew {
@@ -177,6 +179,7 @@
 		frame, err := source.Next()
 		assert.NilError(t, err)
 		assert.Equal(t, frame.Kind, stream.KindDone)
+		endResponse <- struct{}{}
 		source.Close()
 	}
 	assert.Equal(t, connections.Load(), int32(2), "an abandoned connection is not used again, a finished one is")
--- a/internal/adapter/enginehttp/generate.go
+++ b/internal/adapter/enginehttp/generate.go
@@ -27,7 +27,7 @@
 const drainBytes = 64
 
 // drainTimeout is how long the end of the response may take after the end marker.
-const drainTimeout = 50 * time.Millisecond
+const drainTimeout = 200 * time.Millisecond
 
 // Generate implements port.Engines.
 func (c *Client) Generate(ctx context.Context, generation port.Generation) (port.TokenStream, error) {
