Guard non-repeatable requests by claims in the daemon

Cause: keyed pages were all refused, the claim replicas were not wired. A daemon is now a replica for the others and coordinates its callers' claims. A roster takes effect only once a majority of daemons has its revision in force, and a restarted replica votes only after a confirmation that began in its own life; so it may confirm with a majority while the table is down without missing a roster in use. Ruled out: waiting for the table alone, which would stop keyed pages for the whole of an outage after three restarts.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -24,6 +24,7 @@
 	"github.com/lotusward/lotusward/internal/core/registry"
 	"github.com/lotusward/lotusward/internal/core/scheduler"
 	"github.com/lotusward/lotusward/internal/core/view"
+	"github.com/lotusward/lotusward/internal/daemon/claims"
 	"github.com/lotusward/lotusward/internal/daemon/configuration"
 	"github.com/lotusward/lotusward/internal/daemon/control"
 	"github.com/lotusward/lotusward/internal/daemon/gossip"
@@ -61,6 +62,7 @@
 	members       *memberDirectory
 	transport     *gossip.Transport
 	configuration *configuration.Runner
+	claims        *claims.Runner
 	// stopping is set when an orderly stop has begun.
 	stopping atomic.Bool
 }
@@ -87,6 +89,7 @@
 	}
 	daemon.wirePeers(ring)
 	daemon.wirePlatform()
+	daemon.wireClaims()
 	daemon.wireTraffic(options.Policy)
 	daemon.wireConfiguration()
 	daemon.wireMembership()
@@ -137,6 +140,7 @@
 	d.callers = callerhttp.New(callerhttp.Options{
 		Views:      d.loop,
 		Scheduling: d.loop,
+		Claims:     d.claims,
 		Engines:    d.engines,
 		Log:        d.part("callers"),
 		Registerer: d.metrics,
--- a/internal/daemon/parts.go
+++ b/internal/daemon/parts.go
@@ -113,6 +113,8 @@
 		ListInterval:   d.settings.Tuning.MachineListInterval,
 		StatusInterval: d.settings.Tuning.LoadPollInterval,
 	})
+	addRunner(group, d.runClaims)
+	addRunner(group, d.runRosters)
 	addRunner(group, d.configuration.Run)
 	addRunner(group, d.runKnowledge)
 	addRunner(group, watcher.Run)
--- a/internal/lab/process/deployment.go
+++ b/internal/lab/process/deployment.go
@@ -14,6 +14,7 @@
 	"github.com/goccy/go-yaml"
 
 	"github.com/lotusward/lotusward/internal/config/dynamic"
+	"github.com/lotusward/lotusward/internal/core/identity"
 	"github.com/lotusward/lotusward/internal/core/view"
 	"github.com/lotusward/lotusward/internal/wire/enginewire"
 )
@@ -117,6 +118,7 @@
 			Plan: plan, Callers: own[0], Admin: own[1], Peer: own[2], Health: own[3],
 		})
 	}
+	d.addRoster()
 	for _, daemon := range d.Daemons {
 		if err := d.writeSettings(daemon); err != nil {
 			return err
@@ -131,6 +133,22 @@
 	return d.AwaitReady(ctx)
 }
 
+// addRoster makes all daemons claim replicas in the plan's document.
+func (d *Deployment) addRoster() {
+	if d.Plan.Document == nil {
+		return
+	}
+	roster := dynamic.Roster{Epoch: 1}
+	for _, daemon := range d.Daemons {
+		roster.Daemons = append(roster.Daemons, dynamic.Daemon{
+			ID: identity.DaemonID(daemon.Plan.ID), Zone: identity.Zone(daemon.Plan.Zone), Address: daemon.Peer,
+		})
+	}
+	withRoster := *d.Plan.Document
+	withRoster.Rosters = []dynamic.Roster{roster}
+	d.Plan.Document = &withRoster
+}
+
 func (d *Deployment) startPlatform(address string) error {
 	arguments := append([]string{"platform", "--listen", address}, d.Plan.PlatformFlags...)
 	started, err := Start(d.Plan.Directory, "platform", d.program("lotuslab"), arguments...)
