--- a/internal/core/revision/freshness.go
+++ b/internal/core/revision/freshness.go
@@ -21,9 +21,11 @@
 func (s *Store) ConfirmedAt() time.Time { return s.confirmedAt }
 
 // Provisional tells whether the document was not confirmed since the daemon
-// started: it may be older than what the daemon had before its restart.
+// started: it may be older than what the daemon had before its restart. A
+// confirmation at the very moment of the start doesn't count, since a revision
+// may have been accepted and put in force at that moment too.
 func (s *Store) Provisional() bool {
-	return s.confirmedAt.IsZero() || s.confirmedAt.Before(s.startedAt)
+	return !s.confirmedAt.After(s.startedAt)
 }
 
 // Isolated tells whether the last confirmation is older than limit.
--- a/internal/daemon/configuration/cluster_test.go
+++ b/internal/daemon/configuration/cluster_test.go
@@ -104,7 +104,7 @@
 	d.holders = len(d.cluster.daemons)
 	d.runner = New(Options{
 		Self: d.member, Table: (*daemonTable)(d), Objects: (*clusterObjects)(d.cluster), Peers: d,
-		Clock:       func() time.Time { return d.cluster.now },
+		Clock:       d.cluster.clock,
 		OnDocument:  d.onDocument,
 		HedgeDelay:  time.Hour,
 		CallsAtOnce: 1,
@@ -114,6 +114,12 @@
 	})
 }
 
+// clock never shows the same time twice.
+func (c *cluster) clock() time.Time {
+	c.now = c.now.Add(time.Microsecond)
+	return c.now
+}
+
 func (d *daemon) crash() {
 	if d.runner != nil {
 		d.runner.stop()
--- a/internal/daemon/configuration/confirm.go
+++ b/internal/daemon/configuration/confirm.go
@@ -27,7 +27,7 @@
 	parent, hasParent := revision.Parent(rank)
 	if !hasParent {
 		return r.hedged(ctx, r.confirmFromTable, func(ctx context.Context) error {
-			return r.confirmWithoutTable(ctx, ranking[:rank], members)
+			return r.confirmWithoutTable(ctx, rootsOf(ranking), members)
 		})
 	}
 	err := r.confirmFromPeer(ctx, members[ranking[parent]])
@@ -42,7 +42,7 @@
 		return err
 	}
 	return r.hedged(ctx, r.confirmFromTable, func(ctx context.Context) error {
-		return r.confirmWithoutTable(ctx, ranking[:min(revision.Roots, len(ranking))], members)
+		return r.confirmWithoutTable(ctx, rootsOf(ranking), members)
 	})
 }
 
@@ -59,6 +59,10 @@
 	return ranking, slices.Index(ranking, r.options.Self.ID), members
 }
 
+func rootsOf(ranking []identity.DaemonID) []identity.DaemonID {
+	return ranking[:min(revision.Roots, len(ranking))]
+}
+
 func (r *Runner) randomOf(ranking []identity.DaemonID) identity.DaemonID {
 	return ranking[int(r.options.Random()*float64(len(ranking)))%len(ranking)]
 }
@@ -86,10 +90,11 @@
 	return r.confirm(position.Head, asked)
 }
 
-// confirmWithoutTable asks some daemons for a confirmation newer than ours, and
-// then all daemons for their votes.
-func (r *Runner) confirmWithoutTable(ctx context.Context, first []identity.DaemonID, members map[identity.DaemonID]Member) error {
-	for _, daemon := range first {
+// confirmWithoutTable asks the roots for a confirmation newer than ours, in the
+// order of their ranks so that few of them count votes, and then all daemons for
+// their votes.
+func (r *Runner) confirmWithoutTable(ctx context.Context, roots []identity.DaemonID, members map[identity.DaemonID]Member) error {
+	for _, daemon := range roots {
 		if daemon == r.options.Self.ID {
 			continue
 		}
--- a/internal/daemon/configuration/runner_test.go
+++ b/internal/daemon/configuration/runner_test.go
@@ -68,3 +68,49 @@
 	cancel()
 	assert.NilError(t, <-ended)
 }
+
+// A daemon that restarts while the table is down must not take the word of a
+// peer that was confirmed before the restart: the peer may lack what the daemon
+// had in force.
+func TestRestartedDaemonWantsAConfirmationSinceItsRestart(t *testing.T) {
+	ctx := context.Background()
+	made := newCluster(t, 2, 100)
+	restarted, peer := made.daemons[0], made.daemons[1]
+	put := func(id string) {
+		_, err := restarted.runner.Propose(ctx, dynamic.Change{
+			ID: id, Operator: "anna", At: epoch, Operation: dynamic.Operation{PutTenant: &dynamic.Tenant{Name: "club"}},
+		})
+		assert.NilError(t, err)
+	}
+	put("first")
+	peer.runner.step(ctx)
+	put("second")
+	made.now = made.now.Add(time.Second)
+	restarted.crash()
+	restarted.start()
+	restarted.tableDown = true
+	restarted.runner.step(ctx)
+	status := restarted.runner.Status()
+	assert.Assert(t, status.Provisional && status.Head.Revision == 1, "%+v", status)
+
+	made.now = made.now.Add(time.Second)
+	peer.runner.step(ctx)
+	restarted.runner.step(ctx)
+	status = restarted.runner.Status()
+	assert.Assert(t, !status.Provisional && status.Head.Revision == 2, "%+v", status)
+}
+
+// An answer that was long on its way says nothing of the time since.
+func TestLateAnswerConfirmsOnlyTheMomentOfTheQuestion(t *testing.T) {
+	ctx := context.Background()
+	made := newCluster(t, 2, 100)
+	asking, peer := made.daemons[0], made.daemons[1]
+	made.now = made.now.Add(time.Second)
+	peer.runner.step(ctx)
+	asking.tableDown = true
+	asking.delayed[peer.member.ID] = 10 * time.Second
+	asking.runner.step(ctx)
+	status := asking.runner.Status()
+	assert.Assert(t, !status.Provisional && status.Isolated, "%+v", status)
+	assert.Assert(t, status.ConfirmedAt.Before(epoch.Add(2*time.Second)))
+}
