--- /dev/null
+++ b/internal/core/placement/leastcost/leastcost.go
@@ -0,0 +1,35 @@
+// Package leastcost picks the candidate with the least cost. Candidates whose
+// costs differ by less than what the estimates can tell apart are ranked by
+// rendezvous hashing on the prefix root, so that daemons which know nothing yet
+// agree with those that do.
+package leastcost
+
+import (
+	"github.com/lotusward/lotusward/internal/core/placement"
+	"github.com/lotusward/lotusward/internal/core/rendezvous"
+)
+
+// Picker is the picker. ToleranceSeconds is the difference of costs that is
+// taken as none.
+type Picker struct {
+	ToleranceSeconds float64
+}
+
+// Pick implements placement.Picker.
+func (p Picker) Pick(query *placement.Query, candidates []placement.Candidate) int {
+	least := candidates[0].Cost
+	for index := range candidates {
+		least = min(least, candidates[index].Cost)
+	}
+	best, bestScore := -1, uint64(0)
+	for index := range candidates {
+		if candidates[index].Cost > least+p.ToleranceSeconds {
+			continue
+		}
+		score := rendezvous.Score(query.Root, string(candidates[index].ID))
+		if best < 0 || score > bestScore {
+			best, bestScore = index, score
+		}
+	}
+	return best
+}
--- a/internal/core/scheduler/api.go
+++ b/internal/core/scheduler/api.go
@@ -107,6 +107,9 @@
 	// Unreachable is set when the back end could not be reached or broke the
 	// connection, so that it is avoided for a while.
 	Unreachable bool
+	// Retrying is set when another attempt follows at once. The request then keeps
+	// its place in its tenant's concurrency.
+	Retrying bool
 }
 
 // TenantLimit is this daemon's present share of a tenant's limits.
--- /dev/null
+++ b/internal/core/scheduler/ring.go
@@ -0,0 +1,95 @@
+package scheduler
+
+import (
+	"math"
+	"slices"
+
+	"github.com/lotusward/lotusward/internal/core/rendezvous"
+)
+
+// bucketCount is the number of buckets of a hashRing.
+const bucketCount = 64
+
+// flatLimit is up to how many members a hashRing ranks all of them.
+const flatLimit = 128
+
+// hashRing ranks the members of a group for a key by rendezvous hashing. With
+// many members it ranks buckets of members first, weighted by their sizes, and
+// then the members of the best bucket, so that the work stays small.
+type hashRing struct {
+	count   int
+	buckets [bucketCount][]*backendState
+}
+
+func bucketOf(member *backendState) int {
+	return int(rendezvous.Key(string(member.backend.ID)) % bucketCount)
+}
+
+func (r *hashRing) add(member *backendState) {
+	bucket := bucketOf(member)
+	r.buckets[bucket] = append(r.buckets[bucket], member)
+	r.count++
+}
+
+func (r *hashRing) remove(member *backendState) {
+	bucket := bucketOf(member)
+	before := len(r.buckets[bucket])
+	r.buckets[bucket] = slices.DeleteFunc(r.buckets[bucket], func(other *backendState) bool { return other == member })
+	r.count -= before - len(r.buckets[bucket])
+}
+
+// top returns the two best members for a key, best first; nil where there is none.
+func (r *hashRing) top(key uint64) [2]*backendState {
+	var best ranking
+	if r.count <= flatLimit {
+		for index := range r.buckets {
+			best.addAll(key, r.buckets[index])
+		}
+		return best.members
+	}
+	best.addAll(key, r.buckets[r.bestBucket(key)])
+	return best.members
+}
+
+// bestBucket ranks buckets by rendezvous hashing weighted by their sizes.
+func (r *hashRing) bestBucket(key uint64) int {
+	best, least := 0, math.Inf(1)
+	for index := range r.buckets {
+		if len(r.buckets[index]) == 0 {
+			continue
+		}
+		uniform := float64(mix(key^mix(uint64(index+1)))>>11+1) / (1 << 53)
+		if score := -math.Log(uniform) / float64(len(r.buckets[index])); score < least {
+			best, least = index, score
+		}
+	}
+	return best
+}
+
+// mix is the finalizer of SplitMix64.
+func mix(value uint64) uint64 {
+	value ^= value >> 30
+	value *= 0xbf58476d1ce4e5b9
+	value ^= value >> 27
+	value *= 0x94d049bb133111eb
+	return value ^ value>>31
+}
+
+// ranking keeps the two best members.
+type ranking struct {
+	members [2]*backendState
+	scores  [2]uint64
+}
+
+func (r *ranking) addAll(key uint64, members []*backendState) {
+	for _, member := range members {
+		score := rendezvous.Score(key, string(member.backend.ID))
+		switch {
+		case r.members[0] == nil || score > r.scores[0]:
+			r.members[1], r.scores[1] = r.members[0], r.scores[0]
+			r.members[0], r.scores[0] = member, score
+		case r.members[1] == nil || score > r.scores[1]:
+			r.members[1], r.scores[1] = member, score
+		}
+	}
+}
