--- a/internal/daemon/claims/claims.go
+++ b/internal/daemon/claims/claims.go
@@ -159,6 +159,7 @@
 	if err != nil {
 		return err
 	}
+	r.replica.hurryUp()
 	r.publish(newest)
 	return nil
 }
--- a/internal/daemon/claims/claims_test.go
+++ b/internal/daemon/claims/claims_test.go
@@ -11,6 +11,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/lotusward/lotusward/internal/config/dynamic"
 	"github.com/lotusward/lotusward/internal/core/identity"
 	"github.com/lotusward/lotusward/internal/port"
 )
@@ -158,6 +159,35 @@
 	})
 }
 
+// A new roster takes over what the old one knew, while claims go on.
+func TestRosterChange(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(4, newTable())
+		defer w.stopAll()
+		all := w.roster.Daemons
+		first, second := w.roster, dynamic.Roster{Epoch: 2, Daemons: all[1:]}
+		first.Daemons = all[:3]
+		w.roster = first
+		runners := w.startAll()
+		w.roster.Daemons = all
+		runners = append(runners, w.start(3))
+		ctx, ran, running := context.Background(), keyOf("ran", true), keyOf("running", true)
+		assert.Equal(t, runners[0].Claim(ctx, ran), port.ClaimGranted)
+		runners[0].Settle(ran, identity.RunStateRan)
+		assert.Equal(t, runners[0].Claim(ctx, running), port.ClaimGranted)
+		time.Sleep(time.Second)
+
+		for _, runner := range runners {
+			assert.NilError(t, runner.SetRosters(ctx, []dynamic.Roster{first, second}))
+		}
+		before := time.Now()
+		assert.Equal(t, runners[3].Claim(ctx, keyOf("new", true)), port.ClaimGranted)
+		t.Logf("first grant after %s", time.Since(before))
+		assert.Equal(t, runners[1].Claim(ctx, ran), port.ClaimRan)
+		assert.Equal(t, runners[1].Claim(ctx, running), port.ClaimRunning)
+	})
+}
+
 // A replica that hangs or is gone costs nothing; two of three decide.
 func TestOneReplicaGone(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/daemon/claims/replica_loop.go
+++ b/internal/daemon/claims/replica_loop.go
@@ -21,6 +21,8 @@
 	replica *claim.Replica
 	inbox   chan func(*claim.Replica, claim.Timestamp)
 	stopped chan struct{}
+	// hurry asks for a round of recovery at once.
+	hurry chan struct{}
 	// read sends one read of the recovery; reading counts those on their way.
 	read    func(context.Context, claim.Read)
 	reading atomic.Int64
@@ -35,6 +37,7 @@
 		}),
 		inbox:   make(chan func(*claim.Replica, claim.Timestamp), inboxSize),
 		stopped: make(chan struct{}),
+		hurry:   make(chan struct{}, 1),
 		read:    read,
 	}
 }
@@ -51,6 +54,8 @@
 			return ctx.Err()
 		case handle := <-l.inbox:
 			handle(l.replica, l.now())
+		case <-l.hurry:
+			l.recover(ctx)
 		case <-ticker.C:
 			l.replica.Expire(l.now())
 			l.recover(ctx)
@@ -73,6 +78,14 @@
 	}
 }
 
+// hurryUp has the replica recover without waiting for the next round.
+func (l *replicaLoop) hurryUp() {
+	select {
+	case l.hurry <- struct{}{}:
+	default:
+	}
+}
+
 // do runs a function on the replica and waits for it.
 func (l *replicaLoop) do(ctx context.Context, handle func(*claim.Replica, claim.Timestamp)) error {
 	_, err := ask(ctx, l, func(replica *claim.Replica, now claim.Timestamp) struct{} {
