Let daemons agree on engines for uncached prompts

Cause: daemons that know nothing placed a prefix on different engines, since the least loaded one won every near tie.

--- a/internal/core/placement/leastcost/leastcost.go
+++ b/internal/core/placement/leastcost/leastcost.go
@@ -13,17 +13,25 @@
 // taken as none.
 type Picker struct {
 	ToleranceSeconds float64
+	// ToleranceShare is a further tolerance, as a share of the time that the best
+	// candidate takes to compute uncached tokens.
+	ToleranceShare float64
 }
 
 // Pick implements placement.Picker.
 func (p Picker) Pick(query *placement.Query, candidates []placement.Candidate) int {
-	least := candidates[0].Cost
+	cheapest := 0
 	for index := range candidates {
-		least = min(least, candidates[index].Cost)
+		if candidates[index].Cost < candidates[cheapest].Cost {
+			cheapest = index
+		}
 	}
+	least := &candidates[cheapest]
+	uncached := float64(query.PromptTokens - least.CachedTokens - least.ImportTokens)
+	limit := least.Cost + p.ToleranceSeconds + p.ToleranceShare*uncached*least.SecondsPerToken
 	best, bestScore := -1, uint64(0)
 	for index := range candidates {
-		if candidates[index].Cost > least+p.ToleranceSeconds {
+		if candidates[index].Cost > limit {
 			continue
 		}
 		score := rendezvous.Score(query.Root, string(candidates[index].ID))
--- a/internal/core/scheduler/place.go
+++ b/internal/core/scheduler/place.go
@@ -36,7 +36,18 @@
 	if len(chain) == 0 {
 		return rendezvous.Key(string(wanted.request.ID))
 	}
-	return uint64(chain[min(len(chain), s.options.RootBlocks)-1])
+	return uint64(chain[rootBlocks(len(chain), s.options.RootBlocks)-1])
+}
+
+// rootBlocks is the length of the prefix root of a chain: a power of two, so that
+// prompts of about the same length agree, which leaves out the end of the chain,
+// where prompts mostly differ.
+func rootBlocks(blocks, most int) int {
+	root := 1
+	for root*2 <= blocks-blocks/8 && root*2 <= most {
+		root *= 2
+	}
+	return root
 }
 
 // collect gathers the candidates: those that cache a part of the prompt, the
--- a/internal/core/scheduler/scheduler.go
+++ b/internal/core/scheduler/scheduler.go
@@ -18,7 +18,7 @@
 	DefaultQueueLimit = 4096
 	DefaultWindow     = 100 * time.Millisecond
 	DefaultLoadLag    = 150 * time.Millisecond
-	DefaultRootBlocks = 128
+	DefaultRootBlocks = 256
 )
 
 // Options are the settings of a Scheduler. A zero field takes its default.
@@ -92,7 +92,10 @@
 var _ Policy = (*Scheduler)(nil)
 
 // tieSeconds is the difference of costs that the estimates cannot tell apart.
-const tieSeconds = 0.002
+const (
+	tieSeconds = 0.002
+	tieShare   = 0.3
+)
 
 // New makes a scheduler that knows no back ends yet.
 func New(options Options) *Scheduler {
@@ -104,7 +107,7 @@
 		pipeline: placement.Pipeline{
 			Filters: []placement.Filter{eligible.NotExcluded{}},
 			Scorer:  firsttoken.Scorer{},
-			Picker:  leastcost.Picker{ToleranceSeconds: tieSeconds},
+			Picker:  leastcost.Picker{ToleranceSeconds: tieSeconds, ToleranceShare: tieShare},
 		},
 		backends:   make(map[identity.BackendID]*backendState),
 		groups:     make(map[eligible.Work]*group),
