Measure what the relay adds: lotuslab relay-cost

A daemon as a process of its own, paced engines that write the time of sending into each token, and the same streams by turns through the daemon and directly. The daemon now gives its process's and the Go runtime's figures on /metrics, from which the processor time comes.

--- a/cmd/lotuslab/main.go
+++ b/cmd/lotuslab/main.go
@@ -14,6 +14,7 @@
 	"github.com/lotusward/lotusward/internal/lab/demo"
 	"github.com/lotusward/lotusward/internal/lab/experiment"
 	"github.com/lotusward/lotusward/internal/lab/fault"
+	"github.com/lotusward/lotusward/internal/lab/relaycost"
 )
 
 func main() {
@@ -54,6 +55,7 @@
 		{"app", "Run a stand-in web-app runner", "Serves pages and enters the platform's machine list.", &command.App{}},
 		{"demo", "Show an event start on real daemons", "Runs stand-ins and daemons in this process, plays an event start under several policies and prints a table. Takes about a minute.", &demo.Command{}},
 		{"faults", "Run a deployment under random faults", "Starts separate processes, sends requests while daemons, back ends and the platform fail, and checks what must always hold.", &fault.Command{}},
+		{"relay-cost", "Measure what the relay adds", "Sends the same streams through a daemon and directly to paced engines and prints the added time and the daemon's processor time.", &relaycost.Command{}},
 		{"experiment", "Run scenarios in simulated time", "Runs named scenarios with the daemon's scheduler and with baselines, on the same arrivals, and prints a table.", &experiment.Command{}},
 	}
 	for _, added := range commands {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -95,6 +95,7 @@
 	daemon.wireMembership()
 	daemon.wireKnowledge()
 	daemon.wireAdministration()
+	daemon.registerProcess()
 	daemon.registerGauges()
 	return daemon, nil
 }
--- a/internal/daemon/metrics.go
+++ b/internal/daemon/metrics.go
@@ -1,6 +1,18 @@
 package daemon
 
-import "github.com/prometheus/client_golang/prometheus"
+import (
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+)
+
+// registerProcess registers the process's own figures: processor time, memory,
+// open files and the Go runtime.
+func (d *Daemon) registerProcess() {
+	d.metrics.MustRegister(
+		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
+		collectors.NewGoCollector(),
+	)
+}
 
 // registerGauges registers the metrics that read the daemon's published state.
 func (d *Daemon) registerGauges() {
--- a/internal/lab/fault/revisions.go
+++ b/internal/lab/fault/revisions.go
@@ -1,12 +1,7 @@
 package fault
 
 import (
-	"bufio"
 	"context"
-	"fmt"
-	"net/http"
-	"strconv"
-	"strings"
 	"time"
 
 	"github.com/lotusward/lotusward/internal/lab/process"
@@ -65,20 +60,6 @@
 }
 
 func readRevision(daemon *process.Daemon) (uint64, error) {
-	client := http.Client{Timeout: time.Second}
-	answer, err := client.Get("http://" + daemon.Health + "/metrics")
-	if err != nil {
-		return 0, err
-	}
-	defer answer.Body.Close()
-	scanner := bufio.NewScanner(answer.Body)
-	for scanner.Scan() {
-		text, found := strings.CutPrefix(scanner.Text(), revisionMetric+" ")
-		if !found {
-			continue
-		}
-		value, err := strconv.ParseFloat(text, 64)
-		return uint64(value), err
-	}
-	return 0, fmt.Errorf("no %s", revisionMetric)
+	value, err := daemon.Metric(revisionMetric)
+	return uint64(value), err
 }
