Count refusals of fault runs by their code

Cause: 'unknown' alone did not tell a key that another request holds from one whose outcome nobody knows.

--- a/internal/lab/fault/command.go
+++ b/internal/lab/fault/command.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"maps"
 	"math/rand/v2"
 	"os"
 	"os/signal"
@@ -85,18 +86,15 @@
 	faults.SetOutputMirror(output)
 	faults.SetStyle(table.StyleLight)
 	faults.AppendHeader(table.Row{"fault", "times"})
-	var names []Kind
-	for kind := range figures.Faults {
-		names = append(names, kind)
-	}
-	slices.Sort(names)
-	for _, kind := range names {
+	for _, kind := range slices.Sorted(maps.Keys(figures.Faults)) {
 		faults.AppendRow(table.Row{kind, figures.Faults[kind]})
 	}
 	faults.Render()
 	fmt.Fprintf(output, "requests %d: whole %d, refused %d, ended with an error %d, daemon unreached %d\n",
 		figures.Requests, figures.Whole, figures.Refused, figures.Broken, figures.Unreached)
-	fmt.Fprintf(output, "refusals by status and run state: %v\n", figures.Refusals)
+	for _, reason := range slices.Sorted(maps.Keys(figures.Refusals)) {
+		fmt.Fprintf(output, "  refused %5d: %s\n", figures.Refusals[reason], reason)
+	}
 	fmt.Fprintf(output, "first token p50 %s, p99 %s; pages p50 %s, p99 %s\n",
 		figures.FirstTokenP50.Round(time.Millisecond), figures.FirstTokenP99.Round(time.Millisecond),
 		figures.PageP50.Round(time.Millisecond), figures.PageP99.Round(time.Millisecond))
--- a/internal/lab/fault/oracle.go
+++ b/internal/lab/fault/oracle.go
@@ -129,7 +129,7 @@
 	// FirstTokenP50 and the others are of whole model answers.
 	FirstTokenP50, FirstTokenP99 time.Duration
 	PageP50, PageP99             time.Duration
-	// Tables of refusals by status and run state.
+	// Refusals counts them by status, run state and code.
 	Refusals map[string]int
 }
 
@@ -152,7 +152,7 @@
 			sums.Broken++
 		default:
 			sums.Refused++
-			sums.Refusals[fmt.Sprintf("%d %s", answer.StatusCode, answer.RunState)]++
+			sums.Refusals[fmt.Sprintf("%d %s %s", answer.StatusCode, answer.RunState, answer.Code)]++
 		}
 	}
 	sums.FirstTokenP50, sums.FirstTokenP99 = quantiles(tokens)
--- a/internal/lab/load/client.go
+++ b/internal/lab/load/client.go
@@ -38,6 +38,8 @@
 	StatusCode int
 	// RunState is what a refusal or a broken answer said, or empty.
 	RunState identity.RunState
+	// Code says why, in the words of the daemon's API.
+	Code string
 	// FirstAfter is the wait for the first token or the page.
 	FirstAfter time.Duration
 	Text       string
@@ -140,6 +142,7 @@
 		return
 	}
 	answer.RunState = refusal.Error.RunState
+	answer.Code = refusal.Error.Code
 }
 
 // chunk is what the load needs of a completion chunk.
