Add a link with faults in front of back ends and peers in the lab

A forwarder of TCP and UDP that cuts, goes silent, delays and loses datagrams. Process deployments can put one in front of each back end (the machine list then has the link's address) and of each daemon's peer address (which it advertises).

--- a/internal/lab/command/standins.go
+++ b/internal/lab/command/standins.go
@@ -4,6 +4,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -56,11 +57,12 @@
 
 // Backend holds the flags that engines and web-app runners share.
 type Backend struct {
-	Listen   string `long:"listen" value-name:"IP:PORT" required:"true" description:"Address to serve on"`
-	ID       string `long:"id" required:"true" description:"Name in the machine list"`
-	Service  string `long:"service" required:"true" description:"Service that the back end belongs to"`
-	Zone     string `long:"zone" required:"true" description:"Zone that the back end stands in"`
-	Platform string `long:"platform" value-name:"URL" description:"Platform whose machine list to enter, http://IP:port"`
+	Listen    string `long:"listen" value-name:"IP:PORT" required:"true" description:"Address to serve on"`
+	Advertise string `long:"advertise" value-name:"IP:PORT" description:"Address in the machine list; the one to serve on by default"`
+	ID        string `long:"id" required:"true" description:"Name in the machine list"`
+	Service   string `long:"service" required:"true" description:"Service that the back end belongs to"`
+	Zone      string `long:"zone" required:"true" description:"Zone that the back end stands in"`
+	Platform  string `long:"platform" value-name:"URL" description:"Platform whose machine list to enter, http://IP:port"`
 }
 
 func (b *Backend) machine(kind identity.BackendKind) platformwire.Machine {
@@ -69,7 +71,7 @@
 		Kind:    kind,
 		Service: identity.ServiceName(b.Service),
 		Zone:    identity.Zone(b.Zone),
-		Address: b.Listen,
+		Address: cmp.Or(b.Advertise, b.Listen),
 		State:   platformwire.MachineLive,
 	}
 }
--- a/internal/lab/process/deployment.go
+++ b/internal/lab/process/deployment.go
@@ -6,16 +6,12 @@
 	"errors"
 	"fmt"
 	"net/http"
-	"os"
 	"path/filepath"
 	"strings"
 	"time"
 
-	"github.com/goccy/go-yaml"
-
 	"github.com/lotusward/lotusward/internal/config/dynamic"
-	"github.com/lotusward/lotusward/internal/core/identity"
-	"github.com/lotusward/lotusward/internal/core/view"
+	"github.com/lotusward/lotusward/internal/lab/link"
 	"github.com/lotusward/lotusward/internal/wire/enginewire"
 )
 
@@ -52,6 +48,9 @@
 	Backends      []BackendPlan
 	Daemons       []DaemonPlan
 	Document      *dynamic.Document
+	// Links puts a link with faults in front of each back end and of each daemon's
+	// peer address.
+	Links bool
 }
 
 // Backend is a running stand-in back end.
@@ -59,6 +58,8 @@
 	*Process
 	Plan    BackendPlan
 	Address string
+	// Link is what daemons reach the back end through, or nil.
+	Link *link.Link
 }
 
 // Daemon is a daemon's place in the deployment. Process is replaced by a restart.
@@ -70,6 +71,8 @@
 	Peer         string
 	Health       string
 	settingsPath string
+	// PeerLink is what the other daemons reach this one through, or nil.
+	PeerLink *link.Link
 }
 
 // Deployment is a running deployment of separate processes.
@@ -80,6 +83,7 @@
 	PlatformURL string
 	Backends    []*Backend
 	Daemons     []*Daemon
+	links       []*link.Link
 }
 
 // Run starts a deployment, imports its document with lotusctl and waits until
@@ -114,8 +118,12 @@
 	addresses = addresses[len(d.Plan.Backends):]
 	for index, plan := range d.Plan.Daemons {
 		own := addresses[index*daemonAddresses:]
+		peerLink, err := d.openLink(own[2])
+		if err != nil {
+			return err
+		}
 		d.Daemons = append(d.Daemons, &Daemon{
-			Plan: plan, Callers: own[0], Admin: own[1], Peer: own[2], Health: own[3],
+			Plan: plan, Callers: own[0], Admin: own[1], Peer: own[2], Health: own[3], PeerLink: peerLink,
 		})
 	}
 	d.addRoster()
@@ -133,22 +141,6 @@
 	return d.AwaitReady(ctx)
 }
 
-// addRoster makes all daemons claim replicas in the plan's document.
-func (d *Deployment) addRoster() {
-	if d.Plan.Document == nil {
-		return
-	}
-	roster := dynamic.Roster{Epoch: 1}
-	for _, daemon := range d.Daemons {
-		roster.Daemons = append(roster.Daemons, dynamic.Daemon{
-			ID: identity.DaemonID(daemon.Plan.ID), Zone: identity.Zone(daemon.Plan.Zone), Address: daemon.Peer,
-		})
-	}
-	withRoster := *d.Plan.Document
-	withRoster.Rosters = []dynamic.Roster{roster}
-	d.Plan.Document = &withRoster
-}
-
 func (d *Deployment) startPlatform(address string) error {
 	arguments := append([]string{"platform", "--listen", address}, d.Plan.PlatformFlags...)
 	started, err := Start(d.Plan.Directory, "platform", d.program("lotuslab"), arguments...)
@@ -165,10 +157,17 @@
 	if len(plan.Models) > 0 {
 		subcommand = "engine"
 	}
+	backendLink, err := d.openLink(address)
+	if err != nil {
+		return err
+	}
 	arguments := []string{
 		subcommand, "--listen", address, "--id", plan.ID, "--service", plan.Service,
 		"--zone", plan.Zone, "--platform", d.PlatformURL,
 	}
+	if backendLink != nil {
+		arguments = append(arguments, "--advertise", backendLink.Address())
+	}
 	for _, model := range plan.Models {
 		arguments = append(arguments, "--model", model)
 	}
@@ -177,7 +176,7 @@
 	if err != nil {
 		return err
 	}
-	d.Backends = append(d.Backends, &Backend{Process: started, Plan: plan, Address: address})
+	d.Backends = append(d.Backends, &Backend{Process: started, Plan: plan, Address: address, Link: backendLink})
 	return nil
 }
 
@@ -231,32 +230,6 @@
 	return filepath.Join(d.Plan.Binaries, name)
 }
 
-func (d *Deployment) writeSettings(daemon *Daemon) error {
-	var seeds []string
-	for _, other := range d.Daemons {
-		if other != daemon {
-			seeds = append(seeds, other.Peer)
-		}
-	}
-	settings := map[string]any{
-		"identity": map[string]any{"daemon": daemon.Plan.ID, "zone": daemon.Plan.Zone, "region": "lab"},
-		"listen": map[string]any{
-			"callers": daemon.Callers, "admin": daemon.Admin, "peer": daemon.Peer, "health": daemon.Health,
-		},
-		"peers":    map[string]any{"seeds": seeds, "keys": []any{map[string]any{"value": peerKey}}},
-		"platform": map[string]any{"table": d.PlatformURL, "objects": d.PlatformURL, "machines": d.PlatformURL},
-		"operators": []any{map[string]any{
-			"name": operatorName, "role": "operate", "token_sha256": view.HashKey(OperatorToken),
-		}},
-	}
-	text, err := yaml.Marshal(settings)
-	if err != nil {
-		return err
-	}
-	daemon.settingsPath = filepath.Join(d.Plan.Directory, daemon.Plan.ID+".yaml")
-	return os.WriteFile(daemon.settingsPath, text, 0o600)
-}
-
 // AwaitReady waits until every running daemon says that it is ready.
 func (d *Deployment) AwaitReady(ctx context.Context) error {
 	for _, daemon := range d.Daemons {
@@ -297,6 +270,9 @@
 	if d.Platform != nil {
 		d.Platform.Kill()
 	}
+	for _, opened := range d.links {
+		opened.Close()
+	}
 }
 
 func isOK(url string) bool {
