--- a/internal/core/membership/gossip.go
+++ b/internal/core/membership/gossip.go
@@ -78,8 +78,8 @@
 }
 
 // transmits is how often a fact is sent on by each daemon.
-func (n *Node) transmits() int {
-	return n.options.TransmitFactor * int(math.Ceil(math.Log10(float64(len(n.list)+1))))
+func (n *Node) transmits(above int) int {
+	return above + int(math.Ceil(math.Log(float64(len(n.list)+1))))
 }
 
 // addFacts puts in what is to be sent on, most urgent first: leaving back ends,
@@ -93,7 +93,7 @@
 		room -= size
 		return true
 	}
-	n.backendQueue.take(n.transmits(), func(id identity.BackendID) bool {
+	n.backendQueue.take(n.transmits(n.options.UrgentTransmits), func(id identity.BackendID) bool {
 		fact, found := n.backends[id]
 		if !found {
 			return true
@@ -115,8 +115,8 @@
 		message.Members = append(message.Members, known.Member)
 		return true
 	}
-	n.memberQueue.take(n.transmits(), addMember)
-	n.joinQueue.take(n.transmits(), addMember)
+	n.memberQueue.take(n.transmits(n.options.UrgentTransmits), addMember)
+	n.joinQueue.take(n.transmits(n.options.ConfirmTransmits), addMember)
 	n.loadQueue.take(n.options.LoadTransmits, func(zone identity.Zone) bool {
 		load := n.loads[zone]
 		if !fits(loadBytes + len(zone) + len(load.Data)) {
@@ -130,7 +130,7 @@
 }
 
 func (n *Node) addConfirmations(message *Message, fits func(int) bool) {
-	n.confirmQueue.take(n.transmits(), func(id identity.DaemonID) bool {
+	n.confirmQueue.take(n.transmits(n.options.ConfirmTransmits), func(id identity.DaemonID) bool {
 		known, found := n.members[id]
 		if !found {
 			return true
@@ -172,12 +172,3 @@
 	copy(whole[8-referenceBytes:], packed[:referenceBytes])
 	return reference(binary.BigEndian.Uint64(whole[:]))
 }
-
-// informSender tells a sender that is not believed alive, so that it can refute.
-func (n *Node) informSender(from identity.DaemonID) {
-	known, found := n.members[from]
-	if !found || known.State == StateAlive || known.State == StateLeft {
-		return
-	}
-	n.send(known.Address, Message{Kind: MessageGossip, Members: []Member{known.Member, n.self.Member}})
-}
--- a/internal/core/membership/merge.go
+++ b/internal/core/membership/merge.go
@@ -106,7 +106,7 @@
 	if update.Incarnation < n.self.Incarnation {
 		return
 	}
-	if update.Incarnation == n.self.Incarnation && update.State <= n.self.State {
+	if update.Incarnation == n.self.Incarnation && n.saidBySelf(update) {
 		return
 	}
 	delete(n.references, n.self.reference)
@@ -117,6 +117,13 @@
 	n.memberQueue.add(n.self.ID)
 }
 
+// saidBySelf tells whether a fact of this incarnation can come from this life. It
+// can't when a clock that was set back gave an earlier life the same incarnation.
+func (n *Node) saidBySelf(update Member) bool {
+	return update.State <= n.self.State && update.Revision <= n.self.Revision &&
+		update.Address == n.self.Address && update.Zone == n.self.Zone
+}
+
 func (n *Node) mergeConfirmation(confirmation Confirmation) {
 	packed := confirmation.Members
 	for len(packed) >= referenceBytes {
--- a/internal/core/membership/node.go
+++ b/internal/core/membership/node.go
@@ -122,8 +122,6 @@
 	n.mergeAll(now, message)
 	n.mergeContact(now, message)
 	switch message.Kind {
-	case MessageGossip:
-		n.informSender(from)
 	case MessagePing:
 		n.handlePing(now, from, address, message)
 	case MessagePingRequest:
--- a/internal/core/membership/options.go
+++ b/internal/core/membership/options.go
@@ -28,8 +28,13 @@
 	GossipInterval time.Duration
 	Fanout         int
 	ZoneFanout     int
-	// TransmitFactor times log10 of the members is how often a fact is sent on.
-	TransmitFactor int
+	// UrgentTransmits and ConfirmTransmits, each with the natural logarithm of the
+	// number of members added, are how often a daemon sends a fact on. A fact sent
+	// on k times by everyone misses a member with a chance of about exp(-k). Urgent
+	// are leaving back ends and changes of members; confirmations and joins are
+	// many, and repaired by exchanges.
+	UrgentTransmits  int
+	ConfirmTransmits int
 	// LoadTransmits is how often a zone's load summary is sent on.
 	LoadTransmits int
 	// GossipBytes bounds the facts in gossip, in bytes a second; GossipBurst is how
@@ -77,7 +82,8 @@
 		GossipInterval:     250 * time.Millisecond,
 		Fanout:             3,
 		ZoneFanout:         1,
-		TransmitFactor:     3,
+		UrgentTransmits:    8,
+		ConfirmTransmits:   4,
 		LoadTransmits:      4,
 		GossipBytes:        5000,
 		GossipBurst:        16000,
