--- a/internal/core/membership/query.go
+++ b/internal/core/membership/query.go
@@ -24,6 +24,9 @@
 	return members
 }
 
+// Size returns how many members are remembered, this daemon among them.
+func (n *Node) Size() int { return len(n.list) }
+
 // Member finds one member.
 func (n *Node) Member(id identity.DaemonID) (Member, bool) {
 	known, found := n.members[id]
@@ -71,6 +74,12 @@
 	return facts
 }
 
+// KnowsBackend tells whether a fact about a back end is remembered.
+func (n *Node) KnowsBackend(id identity.BackendID) bool {
+	_, found := n.backends[id]
+	return found
+}
+
 // ZoneLoads returns the newest load summaries, by zone.
 func (n *Node) ZoneLoads() []ZoneLoad {
 	loads := make([]ZoneLoad, 0, len(n.loads))
