Draw network faults in fault runs: links to back ends and between daemons

Cuts, silence and delay towards back ends; cuts, silence and lost datagrams towards a daemon, and all daemons cut from each other. A daemon may miss a revision only while all peer links are cut and the table service is down, or shortly after.

--- a/internal/lab/fault/inject.go
+++ b/internal/lab/fault/inject.go
@@ -34,7 +34,10 @@
 	daemons    []sync.Mutex
 	backends   []sync.Mutex
 	platform   sync.Mutex
-	log        func(format string, arguments ...any)
+	// backendLinks and peerLinks are locked while their links have a fault.
+	backendLinks []sync.Mutex
+	peerLinks    []sync.Mutex
+	log          func(format string, arguments ...any)
 }
 
 func newInjector(deployment *process.Deployment, judge *oracle, log func(string, ...any)) *injector {
@@ -42,6 +45,9 @@
 		deployment: deployment, oracle: judge, log: log,
 		daemons:  make([]sync.Mutex, len(deployment.Daemons)),
 		backends: make([]sync.Mutex, len(deployment.Backends)),
+
+		backendLinks: make([]sync.Mutex, len(deployment.Backends)),
+		peerLinks:    make([]sync.Mutex, len(deployment.Daemons)),
 	}
 }
 
@@ -58,6 +64,12 @@
 		i.applyToBackend(injection)
 	case OperatorsRace:
 		i.operatorsRace(injection)
+	case BackendLinkCut, BackendLinkSilent, BackendLinkSlow:
+		i.applyToBackendLink(injection)
+	case PeerLinkCut, PeerLinkSilent, PeerLinkLoss:
+		i.applyToPeerLink(injection)
+	case PeersApart:
+		i.peersApart(injection)
 	default:
 		i.applyToPlatform(injection)
 	}
@@ -204,6 +216,9 @@
 		faults.MachinesFrozen = true
 	}
 	target := i.deployment.PlatformURL + platform.PathLabFaults
+	if faults.Table.Outage != "" {
+		defer i.oracle.noteTableDown(injection.Duration)()
+	}
 	i.check(post(target, faults))
 	time.Sleep(injection.Duration)
 	i.check(post(target, platform.Faults{}))
--- a/internal/lab/fault/oracle.go
+++ b/internal/lab/fault/oracle.go
@@ -39,6 +39,9 @@
 	spans      map[int][]span
 	violations []Violation
 	faults     map[Kind]int
+	// apart and tableDown are when the daemons were cut from each other, and when
+	// the table service did not answer.
+	apart, tableDown []span
 }
 
 func newOracle() *oracle {
--- a/internal/lab/fault/plan.go
+++ b/internal/lab/fault/plan.go
@@ -29,6 +29,14 @@
 	MachinesFrozen  Kind = "machine list frozen"
 	OperatorsRace   Kind = "operators race"
 	BackendDrain    Kind = "back end drained and returned"
+
+	BackendLinkCut    Kind = "back end link cut"
+	BackendLinkSilent Kind = "back end link half-open"
+	BackendLinkSlow   Kind = "back end link slow"
+	PeerLinkCut       Kind = "peer link cut"
+	PeerLinkSilent    Kind = "peer link half-open"
+	PeerLinkLoss      Kind = "peer link loses datagrams"
+	PeersApart        Kind = "all peer links cut"
 )
 
 // kinds are all kinds with how often they are drawn.
@@ -40,6 +48,8 @@
 	{BackendCrash, 4}, {BackendPause, 2}, {BackendHang, 2}, {StreamsCut, 4},
 	{TableOutage, 2}, {TableHang, 1}, {TableLostAnswer, 2}, {TableSlow, 2}, {MachinesFrozen, 1},
 	{OperatorsRace, 3}, {BackendDrain, 2},
+	{BackendLinkCut, 3}, {BackendLinkSilent, 3}, {BackendLinkSlow, 2},
+	{PeerLinkCut, 2}, {PeerLinkSilent, 2}, {PeerLinkLoss, 2}, {PeersApart, 1},
 }
 
 // Bounds of drawn times.
--- a/internal/lab/fault/run.go
+++ b/internal/lab/fault/run.go
@@ -84,6 +84,7 @@
 		Directory: options.Directory, Binaries: options.Binaries,
 		PlatformFlags: []string{"--machine-lag", "1s", "--weight-time", "300ms"},
 		Document:      document(),
+		Links:         true,
 	}
 	for number, zone := range zones {
 		plan.Daemons = append(plan.Daemons, process.DaemonPlan{ID: fmt.Sprintf("daemon-%d", number+1), Zone: zone})
