Simulate clock steps and keys ahead of all clocks in claims

Turning off more parts of the protocol in a trial showed three that the simulation did not notice: a clock that steps back or a birth beyond the bound never happened, and two orders of events were too rare. Vouching by confirmed members only, and replies only to the life that asked, are played in fixed traces: two grants without them, one with them.

--- a/internal/core/claim/claim_test.go
+++ b/internal/core/claim/claim_test.go
@@ -55,6 +55,7 @@
 		"readSize": {readSize: true},
 		"conflict": {conflict: true},
 		"ownFloor": {ownFloor: true},
+		"future":   {future: true},
 	}
 	for name, without := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -78,6 +79,8 @@
 	}{
 		"incarnations": {mechanisms{incarnations: true}, traceVoteOfEarlierLife},
 		"confirmation": {mechanisms{confirmation: true}, traceForgottenSeal},
+		"vouchers":     {mechanisms{vouchers: true}, traceNobodyRemembersTheSeal},
+		"addressee":    {mechanisms{addressee: true}, traceReplyToEarlierLife},
 		"horizon":      {mechanisms{horizon: true}, traceExpiredAtTheDonors},
 	}
 	for name, example := range cases {
@@ -112,8 +115,51 @@
 	s.deliverBetween(1, 3)
 }
 
+// A reply to a life that voted since reaches the next life.
+func traceReplyToEarlierLife(s *simulation) {
+	s.restart(s.machines[0])
+	s.confirm(s.machines[0])
+	s.recoverWith(0, 1, 2)
+	replies := s.network
+	s.network = nil
+	s.now = s.now.Add(time.Second)
+	key := simulatedKey{key: Key{0, 0, 1}, born: s.now}
+	s.claim(s.machines[3], key)
+	s.deliverBetween(0, 3)
+	delayed := s.network
+	s.restart(s.machines[0])
+	s.confirm(s.machines[0])
+	s.network = replies
+	s.deliverBetween(0)
+	s.claim(s.machines[4], key)
+	s.deliverBetween(0, 2, 4)
+	s.network = delayed
+	s.deliverBetween(1, 3)
+}
+
 // A replica was sealed, restarts, and learns of the old roster only.
 func traceForgottenSeal(s *simulation) {
+	s.sealFirstRoster()
+	s.restart(s.machines[0])
+	s.setGroups(s.machines[0], 0)
+	s.grantInBothRosters()
+}
+
+// All replicas of a sealed group restart, learn of the old roster only, and ask
+// each other whether they were sealed.
+func traceNobodyRemembersTheSeal(s *simulation) {
+	s.sealFirstRoster()
+	for index := range 3 {
+		s.restart(s.machines[index])
+		s.setGroups(s.machines[index], 0)
+	}
+	s.recoverWith(0, 0, 1, 2)
+	s.recoverWith(1, 0, 1, 2)
+	s.grantInBothRosters()
+}
+
+// sealFirstRoster has a second roster take over from two of three replicas.
+func (s *simulation) sealFirstRoster() {
 	s.history = append(s.history, s.groupsOf(2, s.machines[3:6]))
 	s.retired = false
 	for index := 3; index < 6; index++ {
@@ -121,8 +167,10 @@
 		s.recoverWith(index, 0, 2, index)
 	}
 	s.network = nil
-	s.restart(s.machines[0])
-	s.setGroups(s.machines[0], 0)
+}
+
+// grantInBothRosters claims a new key from two replicas of each roster.
+func (s *simulation) grantInBothRosters() {
 	s.now = s.now.Add(time.Second)
 	key := simulatedKey{key: Key{0, 0, 1}, born: s.now}
 	s.claim(s.machines[1], key)
--- a/internal/core/claim/recovery.go
+++ b/internal/core/claim/recovery.go
@@ -211,7 +211,8 @@
 // HandleReadReply takes in what another replica told.
 func (r *Replica) HandleReadReply(now Timestamp, reply ReadReply) {
 	r.advance(now)
-	if reply.To != r.options.Incarnation || reply.Epoch != r.epoch {
+	forThisLife := reply.To == r.options.Incarnation || r.options.without.addressee
+	if !forThisLife || reply.Epoch != r.epoch {
 		return
 	}
 	for _, copied := range reply.Slots {
@@ -283,7 +284,7 @@
 		r.mergeAll(state, copied.Claims, state.floor)
 	}
 	state.recovery.members.add(position, copied.Floor)
-	state.recovery.vouchers[position] = copied.Confirmed
+	state.recovery.vouchers[position] = copied.Confirmed || r.options.without.vouchers
 	if state.recovery.members.count() >= r.readSize(state.group) {
 		state.floor = min(state.floor, state.recovery.members.highest())
 		state.caughtUp = true
--- a/internal/core/claim/replica.go
+++ b/internal/core/claim/replica.go
@@ -21,6 +21,7 @@
 // mechanisms are parts of the protocol that tests can turn off.
 type mechanisms struct {
 	floor, seal, readSize, incarnations, confirmation, conflict, horizon, ownFloor bool
+	future, vouchers, addressee                                                    bool
 }
 
 // Replica keeps the votes of one daemon. It is not safe for concurrent use.
@@ -189,7 +190,7 @@
 		return AnswerExpired
 	case request.Born > r.options.Limits.birthsBefore(r.now):
 		return AnswerFuture
-	case request.Born > r.now.Add(r.options.Limits.MaxFutureBirth):
+	case request.Born > r.now.Add(r.options.Limits.MaxFutureBirth) && !r.options.without.future:
 		return AnswerNotReady
 	case !r.votes(state):
 		return AnswerNotReady
--- a/internal/core/claim/simulation_test.go
+++ b/internal/core/claim/simulation_test.go
@@ -120,7 +120,7 @@
 	}
 	faults := []weighted{
 		{3, s.repeat}, {3, s.lose}, {2, func() { s.restart(s.pick()) }}, {1, s.restartAll},
-		{2, s.changeRoster}, {3, s.learn}, {4, s.advance}, {4, s.startClaim},
+		{2, s.changeRoster}, {3, s.learn}, {4, s.advance}, {4, s.startClaim}, {2, func() { s.setClock(s.pick()) }},
 	}
 	for _, fault := range faults {
 		fault.weight *= s.choose(3)
@@ -239,7 +239,7 @@
 		return
 	}
 	if len(s.keys) == 0 || s.choose(4) == 0 {
-		born := s.now.Add(time.Duration(s.choose(4)-2) * 10 * time.Millisecond)
+		born := s.now.Add(time.Duration(s.choose(6)-2) * 10 * time.Millisecond)
 		s.keys = append(s.keys, simulatedKey{key: Key{0, 0, byte(len(s.keys)), byte(len(s.keys) >> 8)}, born: born})
 	}
 	recent := min(3, len(s.keys))
@@ -323,7 +323,7 @@
 // restart forgets all that a machine knew. Its clock may be another one.
 func (s *simulation) restart(m *machine) {
 	m.incarnation++
-	m.skew = time.Duration(s.choose(3)-1) * testLimits.MaxClockSkew
+	s.setClock(m)
 	m.groups = nil
 	m.claims = nil
 	m.replica = NewReplica(Options{
@@ -331,6 +331,11 @@
 	})
 }
 
+// setClock steps a machine's clock, perhaps backwards.
+func (s *simulation) setClock(m *machine) {
+	m.skew = time.Duration(s.choose(3)-1) * testLimits.MaxClockSkew
+}
+
 // restartAll restarts all machines, which then read the configuration.
 func (s *simulation) restartAll() {
 	for _, m := range s.machines {
