Share placements between daemons, and count slots and evictions in the cost

Cause: daemons are blind to each other's sends for up to 200 ms, so at an event's start each spilled a prefix to another engine; engines with full batches or full caches looked as good as others.

--- a/internal/core/belief/index.go
+++ b/internal/core/belief/index.go
@@ -161,6 +161,13 @@
 	x.trimToLimit(slot)
 }
 
+// FreeBlocks is how many blocks the engine can take before it evicts any that is
+// believed to be cached, or false when its size is not known.
+func (x *Index) FreeBlocks(slot Slot) (int, bool) {
+	holder := &x.engines[slot]
+	return max(0, holder.capacity-holder.count) * BlocksPerCheckpoint, holder.capacity > 0
+}
+
 // Entries is how many entries the index holds.
 func (x *Index) Entries() int { return len(x.entries) - 1 - len(x.free) }
 
--- a/internal/core/belief/learn.go
+++ b/internal/core/belief/learn.go
@@ -129,6 +129,21 @@
 	}
 }
 
+// Expect records that an engine will compute blocks for another daemon.
+func (x *Index) Expect(slot Slot, blocks []uint64) {
+	for position := len(blocks) - 1; position >= 0; position-- {
+		hash := prefix.Hash(blocks[position])
+		if !IsCheckpoint(hash) {
+			continue
+		}
+		number, added := x.touch(slot, hash)
+		if added {
+			x.entries[number].pending = true
+		}
+	}
+	x.trimToLimit(slot)
+}
+
 // applyStored adds what other daemons' requests brought. A block that is known
 // already keeps its place, since the event is older than our own last use.
 func (x *Index) applyStored(slot Slot, blocks []uint64) {
--- a/internal/core/placement/firsttoken/firsttoken.go
+++ b/internal/core/placement/firsttoken/firsttoken.go
@@ -10,6 +10,10 @@
 // come after. The value is that of the clairvoyant policy in the experiments.
 const RecomputeWeight = 0.25
 
+// ReuseProbability is the chance that a block which an engine evicts is asked for
+// again soon enough to have been worth keeping.
+const ReuseProbability = 0.35
+
 // Costs of a KV import, until one engine's are known better.
 const (
 	// ImportSecondsPerToken is the time to move one token's KV.
@@ -36,7 +40,17 @@
 		}
 	}
 	candidate.Wait = candidate.DelaySeconds + candidate.AheadTokens*candidate.SecondsPerToken + compute
-	candidate.Cost = candidate.Wait + RecomputeWeight*compute
+	candidate.Cost = candidate.Wait + RecomputeWeight*compute + evictionSeconds(uncached, candidate)
+}
+
+// evictionSeconds is the time that recomputing will take of what the engine
+// evicts for the request's uncached tokens.
+func evictionSeconds(uncached int, candidate *placement.Candidate) float64 {
+	if candidate.FreeTokens < 0 {
+		return 0
+	}
+	evicted := max(0, uncached-candidate.FreeTokens)
+	return ReuseProbability * float64(evicted) * candidate.SecondsPerToken
 }
 
 func importSeconds(tokens int) float64 {
--- a/internal/core/placement/placement.go
+++ b/internal/core/placement/placement.go
@@ -28,6 +28,9 @@
 	// DelaySeconds is what the request waits beside prompt tokens: the network,
 	// the engine's step, and the time for which a failing back end is avoided.
 	DelaySeconds float64
+	// FreeTokens is how many tokens the back end can cache before it evicts others;
+	// negative when that is not known.
+	FreeTokens int
 	// ImportTokens are cached tokens that could be imported from ImportFrom.
 	ImportTokens int
 	ImportFrom   identity.BackendID
--- a/internal/core/scheduler/backend.go
+++ b/internal/core/scheduler/backend.go
@@ -21,6 +21,7 @@
 	groups  []*group
 	pace    *estimate.Pace
 	queue   workQueue
+	batch   batch
 	// running counts our own requests there.
 	running int
 	// parked are the requests that wait here for this back end.
--- a/internal/core/scheduler/dispatch.go
+++ b/internal/core/scheduler/dispatch.go
@@ -26,8 +26,13 @@
 		return state.running < pageConcurrency
 	}
 	window := s.options.Window.Seconds()
+	reserve := slotReserve
 	if class == identity.ClassInteractive {
 		window *= interactiveReserve
+		reserve = 0
+	}
+	if !state.batch.room(reserve) {
+		return false
 	}
 	return state.queue.at(at, state.pace)*state.pace.SecondsPerToken() < window
 }
@@ -115,6 +120,8 @@
 	started.queuedAtStart = state.queue.at(at, state.pace)
 	if started.isEngineWork() {
 		state.queue.add(at, started.uncached, state.pace)
+		state.batch.note(at, 1)
+		s.noteForPeers(started)
 	}
 	state.running++
 	s.reorder(state)
@@ -178,7 +185,7 @@
 	if !found || s.bySlot[chosen.Index] == present {
 		return
 	}
-	stay := s.delay(at, present) + (s.ahead(at, candidate, present)+candidate.uncached)*present.pace.SecondsPerToken()
+	stay := s.delay(at, present, candidate.request.Class) + (s.ahead(at, candidate, present)+candidate.uncached)*present.pace.SecondsPerToken()
 	if chosen.Wait > stay*(1-moveGain) {
 		return
 	}
--- a/internal/core/scheduler/place.go
+++ b/internal/core/scheduler/place.go
@@ -14,6 +14,8 @@
 	leastLoadedCandidates = 8
 	// crossZoneSeconds is what the network to another zone adds to a first token.
 	crossZoneSeconds = 0.003
+	// decodeSeconds is taken for what one decoding request adds to a step.
+	decodeSeconds = 50e-6
 	// pageSeconds is taken for the time of a web-app request, to compare queues.
 	pageSeconds = 0.002
 )
@@ -91,11 +93,12 @@
 		ID:           state.backend.ID,
 		Index:        int(state.slot),
 		CachedTokens: min(match.Blocks*prefix.BlockTokens, wanted.request.PromptTokens),
-		DelaySeconds: s.delay(now, state),
+		DelaySeconds: s.delay(now, state, wanted.request.Class),
 	}
 	if wanted.isEngineWork() {
 		candidate.SecondsPerToken = state.pace.SecondsPerToken()
 		candidate.AheadTokens = s.ahead(now, wanted, state)
+		candidate.FreeTokens = s.freeTokens(state)
 	} else {
 		candidate.SecondsPerToken = 0
 		candidate.DelaySeconds += float64(state.running) * pageSeconds
@@ -103,18 +106,36 @@
 	s.candidates = append(s.candidates, candidate)
 }
 
+// freeTokens is how many tokens an engine can cache without evicting others.
+func (s *Scheduler) freeTokens(state *backendState) int {
+	blocks, known := s.index.FreeBlocks(state.slot)
+	if !known {
+		return -1
+	}
+	return blocks * prefix.BlockTokens
+}
+
 // delay is what a request to a back end waits beside prompt tokens.
-func (s *Scheduler) delay(now float64, state *backendState) float64 {
+func (s *Scheduler) delay(now float64, state *backendState, class identity.PriorityClass) float64 {
 	delay := max(0, state.avoidUntil-now)
 	if state.backend.Zone != s.options.Zone {
 		delay += crossZoneSeconds
 	}
 	if state.backend.Kind == identity.KindEngine {
-		delay += state.pace.StepSeconds()
+		delay += state.pace.StepSeconds() + s.batchSeconds(state, class)
 	}
 	return delay
 }
 
+// batchSeconds is what the requests in an engine's batch cost a first token.
+func (s *Scheduler) batchSeconds(state *backendState, class identity.PriorityClass) float64 {
+	decoding := float64(state.batch.occupancy()) * decodeSeconds
+	if class == identity.ClassInteractive {
+		return decoding + state.batch.wait(0, 0)
+	}
+	return decoding + state.batch.wait(state.parked.Len(), slotReserve)
+}
+
 // ahead is how many prompt tokens an engine will compute before a job's own.
 func (s *Scheduler) ahead(now float64, wanted *job, state *backendState) float64 {
 	if wanted.request.Class == identity.ClassInteractive {
--- a/internal/core/scheduler/reports.go
+++ b/internal/core/scheduler/reports.go
@@ -13,6 +13,8 @@
 	// correctionGain is the share of a first token's lateness that is taken as
 	// work that was not known.
 	correctionGain = 0.5
+	// mostSurprise bounds a first token's time, over what was expected, in learning.
+	mostSurprise = 2
 	// firstAvoidance is how long a back end is avoided after one failure; it
 	// doubles with each further one up to mostAvoidance.
 	firstAvoidance = 0.5
@@ -64,8 +66,9 @@
 		ahead = 0
 	}
 	expected := state.pace.StepSeconds() + (ahead+computed)*state.pace.SecondsPerToken()
-	if reported.importFrom == "" {
-		state.pace.Learn(ahead+computed, took)
+	if reported.importFrom == "" && state.batch.wait(0, 0) == 0 {
+		// A wait of another cause must not count as the engine's pace.
+		state.pace.Learn(ahead+computed, min(took, mostSurprise*expected))
 	}
 	if reported.request.Class != identity.ClassInteractive {
 		state.queue.correct(at, correctionGain*(took-expected)/state.pace.SecondsPerToken(), state.pace)
@@ -89,6 +92,12 @@
 	delete(s.running, report.RequestID)
 	state := finished.backend
 	state.running--
+	if finished.isEngineWork() {
+		state.batch.note(at, -1)
+		if !report.Failed && finished.firstToken {
+			state.batch.learnDuration(at - finished.startedAt)
+		}
+	}
 	if finished.isEngineWork() && !finished.firstToken {
 		s.index.Forget(finished.checkpoints, finished.placement)
 		state.queue.correct(at, -finished.uncached, state.pace)
@@ -155,6 +164,7 @@
 func (s *Scheduler) observeLoad(at float64, state *backendState, load enginewire.Load) {
 	s.index.SetCapacity(state.slot, load.TotalBlocks)
 	state.queue.report(at, s.options.LoadLag.Seconds(), load, state.pace)
+	state.batch.report(at, s.options.LoadLag.Seconds(), load)
 }
 
 // ObserveCacheEvents implements Policy.
--- a/internal/core/scheduler/ring.go
+++ b/internal/core/scheduler/ring.go
@@ -38,8 +38,11 @@
 	r.count -= before - len(r.buckets[bucket])
 }
 
-// top returns the two best members for a key, best first; nil where there is none.
-func (r *hashRing) top(key uint64) [2]*backendState {
+// rankedCount is how many members a ranking keeps.
+const rankedCount = 6
+
+// top returns the best members for a key, best first; nil where there is none.
+func (r *hashRing) top(key uint64) [rankedCount]*backendState {
 	var best ranking
 	if r.count <= flatLimit {
 		for index := range r.buckets {
@@ -75,21 +78,28 @@
 	return value ^ value>>31
 }
 
-// ranking keeps the two best members.
+// ranking keeps the best members, best first.
 type ranking struct {
-	members [2]*backendState
-	scores  [2]uint64
+	members [rankedCount]*backendState
+	scores  [rankedCount]uint64
 }
 
 func (r *ranking) addAll(key uint64, members []*backendState) {
 	for _, member := range members {
 		score := rendezvous.Score(key, string(member.backend.ID))
-		switch {
-		case r.members[0] == nil || score > r.scores[0]:
-			r.members[1], r.scores[1] = r.members[0], r.scores[0]
-			r.members[0], r.scores[0] = member, score
-		case r.members[1] == nil || score > r.scores[1]:
-			r.members[1], r.scores[1] = member, score
+		r.add(member, score)
+	}
+}
+
+func (r *ranking) add(member *backendState, score uint64) {
+	for place := range r.members {
+		if r.members[place] == nil {
+			r.members[place], r.scores[place] = member, score
+			return
+		}
+		if score > r.scores[place] {
+			r.members[place], member = member, r.members[place]
+			r.scores[place], score = score, r.scores[place]
 		}
 	}
 }
--- a/internal/core/scheduler/scheduler.go
+++ b/internal/core/scheduler/scheduler.go
@@ -17,7 +17,7 @@
 const (
 	DefaultQueueLimit = 4096
 	DefaultWindow     = 100 * time.Millisecond
-	DefaultLoadLag    = 150 * time.Millisecond
+	DefaultLoadLag    = 110 * time.Millisecond
 	DefaultRootBlocks = 256
 )
 
@@ -77,6 +77,8 @@
 
 	// actions collects what the present call leads to.
 	actions []Action
+	// notices are for the other daemons.
+	notices []Notice
 	// Scratch space of decisions.
 	matches    []belief.Match
 	candidates []placement.Candidate
@@ -94,7 +96,7 @@
 // tieSeconds is the difference of costs that the estimates cannot tell apart.
 const (
 	tieSeconds = 0.002
-	tieShare   = 0.3
+	tieShare   = 0.05
 )
 
 // New makes a scheduler that knows no back ends yet.
--- /dev/null
+++ b/internal/core/scheduler/sharing.go
@@ -0,0 +1,84 @@
+package scheduler
+
+import (
+	"time"
+
+	"github.com/lotusward/lotusward/internal/core/identity"
+)
+
+// Notice tells other daemons what a daemon has sent to an engine, before cache
+// events and load reports can show it. Notices may be lost, late or repeated:
+// what they said shows in later reports.
+type Notice struct {
+	Backend     identity.BackendID   `msgpack:"backend"`
+	Incarnation identity.Incarnation `msgpack:"incarnation"`
+	// Tokens are the prompt tokens that the engine will compute.
+	Tokens int `msgpack:"tokens"`
+	// Checkpoints are the hashes that the engine will cache anew, of the blocks
+	// that package belief keeps.
+	Checkpoints []uint64 `msgpack:"checkpoints,omitempty"`
+}
+
+// Sharing is what a policy implements when daemons tell each other what they place.
+type Sharing interface {
+	// TakeNotices returns the notices since the last call, for the other daemons.
+	TakeNotices() []Notice
+	// ObserveNotices takes the notices of another daemon.
+	ObserveNotices(now time.Time, notices []Notice)
+}
+
+var _ Sharing = (*Scheduler)(nil)
+
+// Bounds of notices.
+const (
+	// noticeTokens is the least work that is worth a notice.
+	noticeTokens = 128
+	// maxNotices is how many notices are kept for one call of TakeNotices.
+	maxNotices = 1024
+)
+
+// TakeNotices implements Sharing.
+func (s *Scheduler) TakeNotices() []Notice {
+	notices := s.notices
+	s.notices = nil
+	return notices
+}
+
+// noteForPeers keeps a notice of a job that starts.
+func (s *Scheduler) noteForPeers(started *job) {
+	if started.uncached < noticeTokens || len(s.notices) >= maxNotices {
+		return
+	}
+	s.notices = append(s.notices, Notice{
+		Backend:     started.backend.backend.ID,
+		Incarnation: started.backend.backend.Incarnation,
+		Tokens:      int(started.uncached),
+		Checkpoints: newCheckpoints(started),
+	})
+}
+
+// newCheckpoints lists the checkpoints that the job's engine does not have yet.
+func newCheckpoints(started *job) []uint64 {
+	var hashes []uint64
+	for _, checkpoint := range started.checkpoints {
+		if int(checkpoint.Blocks) > started.placement.Expected.Blocks {
+			hashes = append(hashes, uint64(checkpoint.Hash))
+		}
+	}
+	return hashes
+}
+
+// ObserveNotices implements Sharing.
+func (s *Scheduler) ObserveNotices(now time.Time, notices []Notice) {
+	at := s.seconds(now)
+	for _, notice := range notices {
+		state := s.backends[notice.Backend]
+		if state == nil || state.backend.Incarnation != notice.Incarnation {
+			continue
+		}
+		s.index.Expect(state.slot, notice.Checkpoints)
+		state.queue.add(at, float64(notice.Tokens), state.pace)
+		state.batch.note(at, 1)
+		s.reorder(state)
+	}
+}
--- a/internal/lab/simulation/daemon.go
+++ b/internal/lab/simulation/daemon.go
@@ -105,6 +105,7 @@
 			w.refuse(daemon, action)
 		}
 	}
+	w.share(daemon)
 }
 
 func (w *world) refuse(daemon *daemonNode, refusal scheduler.Refuse) {
