--- a/internal/adapter/callerhttp/chunkidentity.go
+++ b/internal/adapter/callerhttp/chunkidentity.go
@@ -8,7 +8,9 @@
 type chunkIdentity struct {
 	id      []byte
 	created []byte
-	changed []byte
+	// head is the start of the chunk that was passed on last, up to its
+	// choices. A chunk with the same head needs no look inside.
+	head []byte
 }
 
 var (
@@ -17,11 +19,17 @@
 	nameChoices = []byte(`"choices"`)
 )
 
-// apply returns the chunk with the identity of the first one. The result is valid
-// until the next call or the chunk's end.
+// apply returns the chunk with the identity of the first one.
 func (c *chunkIdentity) apply(data []byte) []byte {
-	data = c.replace(data, nameID, &c.id)
-	return c.replace(data, nameCreated, &c.created)
+	if len(c.head) > 0 && bytes.HasPrefix(data, c.head) {
+		return data
+	}
+	changed := c.replace(data, nameID, &c.id)
+	changed = c.replace(changed, nameCreated, &c.created)
+	if choices := bytes.Index(changed, nameChoices); choices >= 0 {
+		c.head = append(c.head[:0], changed[:choices]...)
+	}
+	return changed
 }
 
 func (c *chunkIdentity) replace(data, name []byte, kept *[]byte) []byte {
@@ -40,8 +48,7 @@
 	changed := make([]byte, 0, len(data)+len(*kept))
 	changed = append(changed, data[:start]...)
 	changed = append(changed, *kept...)
-	c.changed = append(changed, data[end:]...)
-	return c.changed
+	return append(changed, data[end:]...)
 }
 
 // scalarAfter finds the value after a name, before the choices of a chunk.
