Let a roster change go on with a dead replica in the newest roster

A next roster had to wait until all replicas of the newest were active, and a dead one could hold it up for good. One active replica per slot now suffices: it proves that the epoch before is sealed, so that a replica that does not know its group's claims can answer a later roster with a floor of when it learned of that roster.

--- a/internal/core/claim/recovery.go
+++ b/internal/core/claim/recovery.go
@@ -97,7 +97,7 @@
 // wantsMembers tells whether reading the other members can help: to become
 // active, to vote before the configuration is confirmed, or to lower the floor.
 func (r *Replica) wantsMembers(state *slotState) bool {
-	forgetful := !state.caughtUp && state.floor > r.options.Limits.horizon(r.now)
+	forgetful := !state.caughtUp && state.floor > r.limits().horizon(r.now)
 	return !state.active || !r.votes(state) || forgetful
 }
 
@@ -176,15 +176,19 @@
 		r.seals[slot] = max(r.seals[slot], request.Epoch)
 	}
 	state := r.slotIn(slot, request.ReadEpoch)
-	switch {
-	case state != nil && (state.active || !state.fresh):
+	if state != nil && state.active {
 		return r.copyOf(slot, state)
-	case state != nil || (r.firstEpoch != 0 && r.firstEpoch < request.ReadEpoch):
-		// This life should have taken over the slot first.
-		return SlotCopy{Slot: slot}
-	default:
-		return SlotCopy{Slot: slot, Ready: true, Floor: r.startFloor}
 	}
+	return SlotCopy{Slot: slot, Ready: true, Floor: r.limits().birthsBefore(r.sealedAt(request.Epoch))}
+}
+
+// sealedAt bounds the time of all votes in epochs before this one that this
+// replica, in any life, knows nothing of.
+func (r *Replica) sealedAt(epoch uint64) Timestamp {
+	if r.epoch == epoch {
+		return r.learnedAt
+	}
+	return r.now
 }
 
 func (r *Replica) slotIn(slot Slot, epoch uint64) *slotState {
@@ -201,7 +205,7 @@
 // copyOf tells all that the replica knows of a slot. What it has expired counts
 // as forgotten, since the reader's clock may be behind.
 func (r *Replica) copyOf(slot Slot, state *slotState) SlotCopy {
-	floor := max(state.floor, r.options.Limits.horizon(r.now))
+	floor := max(state.floor, r.limits().horizon(r.now))
 	if r.options.without.horizon {
 		floor = state.floor
 	}
@@ -297,7 +301,7 @@
 // mergeAll takes in the claims on keys born until a bound. Above its floor, an
 // active replica needs nobody's help.
 func (r *Replica) mergeAll(state *slotState, claims []ClaimCopy, until Timestamp) {
-	horizon := r.options.Limits.horizon(r.now)
+	horizon := r.limits().horizon(r.now)
 	for _, copied := range claims {
 		if copied.Born <= horizon || copied.Born > until {
 			continue
--- a/internal/core/claim/replica.go
+++ b/internal/core/claim/replica.go
@@ -33,9 +33,9 @@
 	// confirmedEpoch is the newest epoch that is known to have been the newest at
 	// some time in this life; zero until then.
 	confirmedEpoch uint64
-	// firstEpoch is the first epoch that this life knew of.
-	firstEpoch    uint64
-	epoch         uint64
+	epoch          uint64
+	// learnedAt is when the replica learned of its epoch.
+	learnedAt     Timestamp
 	previousEpoch uint64
 	previousGroup *Groups
 	current       map[Slot]*slotState
@@ -72,13 +72,10 @@
 	if newest.Epoch <= r.epoch {
 		return
 	}
-	if r.firstEpoch == 0 {
-		r.firstEpoch = newest.Epoch
-	}
 	fresh := r.confirmedEpoch > 0 && r.confirmedEpoch < newest.Epoch
 	r.previous, r.previousEpoch = r.current, r.epoch
 	r.previousGroup = previous
-	r.epoch = newest.Epoch
+	r.epoch, r.learnedAt = newest.Epoch, r.now
 	r.current = r.newSlots(newest, fresh)
 	maps.DeleteFunc(r.seals, func(_ Slot, epoch uint64) bool { return epoch <= r.epoch })
 	clear(r.names)
@@ -112,7 +109,7 @@
 	state.known[position] = r.options.Incarnation
 	if r.previousGroup == nil {
 		state.active = true
-		state.floor = r.options.Limits.birthsBefore(r.now)
+		state.floor = r.limits().birthsBefore(r.now)
 	}
 	return state
 }
@@ -126,6 +123,8 @@
 	r.confirmedEpoch = max(r.confirmedEpoch, epoch)
 }
 
+func (r *Replica) limits() Limits { return r.options.Limits }
+
 // advance keeps the replica's time from running backwards: what it expired once
 // must stay refused.
 func (r *Replica) advance(now Timestamp) { r.now = max(r.now, now) }
@@ -168,7 +167,7 @@
 	switch {
 	case present.state == StateRan:
 		return AnswerRan, Claimant{}
-	case present.born <= r.options.Limits.horizon(r.now):
+	case present.born <= r.limits().horizon(r.now):
 		return AnswerExpired, Claimant{}
 	case present.state == StateConflict || present.state == StateUnknown:
 		return AnswerUnknown, Claimant{}
@@ -186,17 +185,17 @@
 // vote gives the vote for a key that the replica has no claim on, if it may.
 func (r *Replica) vote(state *slotState, request ClaimRequest) Answer {
 	switch {
-	case request.Born <= r.options.Limits.horizon(r.now):
+	case request.Born <= r.limits().horizon(r.now):
 		return AnswerExpired
-	case request.Born > r.options.Limits.birthsBefore(r.now):
+	case request.Born > r.limits().birthsBefore(r.now):
 		return AnswerFuture
-	case request.Born > r.now.Add(r.options.Limits.MaxFutureBirth) && !r.options.without.future:
+	case request.Born > r.now.Add(r.limits().MaxFutureBirth) && !r.options.without.future:
 		return AnswerNotReady
 	case !r.votes(state):
 		return AnswerNotReady
 	case r.belowFloor(state, request.Born):
 		return AnswerForgotten
-	case r.count >= r.options.Limits.Capacity:
+	case r.count >= r.limits().Capacity:
 		return AnswerFull
 	}
 	holder := request.Claimant
@@ -270,7 +269,7 @@
 // Expire forgets expired claims in the next few slots.
 func (r *Replica) Expire(now Timestamp) {
 	r.advance(now)
-	horizon := r.options.Limits.horizon(r.now)
+	horizon := r.limits().horizon(r.now)
 	for range slotsPerSweep {
 		for _, slots := range [...]map[Slot]*slotState{r.current, r.previous} {
 			if state := slots[r.sweep]; state != nil {
@@ -285,8 +284,9 @@
 type Status struct {
 	Epoch uint64
 	// Slots is how many slots the replica serves, and ActiveSlots in how many of
-	// them it votes. A next roster may be put only once they are equal on all
-	// daemons.
+	// them it votes. A next roster may be put only once each slot is active on at
+	// least one of its replicas; that is so when the two are equal on all daemons
+	// of the newest roster but at most two.
 	Slots, ActiveSlots int
 	Claims             int
 	Confirmed          bool
