Spare the table and the peers at 340 daemons

A simulation of 340 daemons showed that a herd restart with the table down made every daemon count votes: up to 141 calls a second answered by one daemon, and that in an outage a confirmation became 4.4 s old, past the limit of 4 s. Now only roots count votes, mostly the first one and only until a majority has answered; the other daemons ask the table at waits that double; the interval is 700 ms with 15% jitter in place of 900 ms with 25%.

Still over the budget: the first root in an outage asks 170 daemons each 0.7 s.

The guards on the table's rate and on the confirmation's age were seen failing without the gate and with 75% jitter; a push that isn't passed on was seen failing too.

--- a/internal/daemon/configuration/cluster_test.go
+++ b/internal/daemon/configuration/cluster_test.go
@@ -55,9 +55,15 @@
 	objectsDown bool
 	daemons     []*daemon
 	size        int
+	random      func() float64
 	committed   []revision.Head
 	committedAt []time.Time
 	late        []platformwire.Transaction
+	// tableReads and served count the reads of the table, and the calls that each
+	// daemon answered.
+	tableReads  int
+	objectReads int
+	served      map[identity.DaemonID]int
 }
 
 // daemon is one daemon with its faults.
@@ -87,7 +93,8 @@
 }
 
 func newCluster(t assert.TestingT, daemons, size int) *cluster {
-	made := &cluster{t: t, now: epoch, table: platform.NewTable(), objects: map[string][]byte{}, size: size}
+	made := &cluster{t: t, now: epoch, table: platform.NewTable(), objects: map[string][]byte{}, served: map[identity.DaemonID]int{}, size: size}
+	made.random = func() float64 { return 0.5 }
 	for number := range daemons {
 		id := identity.DaemonID(fmt.Sprintf("daemon-%d", number))
 		made.daemons = append(made.daemons, &daemon{
@@ -116,7 +123,7 @@
 		CallsAtOnce: 1,
 		NewBackOff:  func() backoff.BackOff { return &fewTries{} },
 		Go:          func(task func()) { d.tasks = append(d.tasks, task) },
-		Random:      func() float64 { return 0.5 },
+		Random:      d.cluster.random,
 	})
 }
 
@@ -218,6 +225,7 @@
 }
 
 func (d *daemonTable) Read(_ context.Context, keys ...string) ([]platformwire.Row, error) {
+	d.cluster.tableReads++
 	if err := d.nextFault(&d.faults).failure(); err != nil {
 		return nil, err
 	}
@@ -225,6 +233,7 @@
 }
 
 func (d *daemonTable) Scan(_ context.Context, prefix, after string, limit int) ([]platformwire.Row, error) {
+	d.cluster.tableReads++
 	if err := d.nextFault(&d.faults).failure(); err != nil {
 		return nil, err
 	}
@@ -274,6 +283,7 @@
 	if c.objectsDown {
 		return nil, &port.UnavailableError{Service: "objects", Cause: errFault}
 	}
+	c.objectReads++
 	body, found := c.objects[key]
 	if !found {
 		return nil, &port.NotFoundError{Service: "objects", Key: key}
@@ -321,6 +331,7 @@
 	if target.runner == nil || from.cut[member.ID] || target.cut[from.member.ID] {
 		return none, &port.UnavailableError{Service: "peer", Cause: errFault}
 	}
+	from.cluster.served[member.ID]++
 	response, err := handle(target.runner, ctx, recode(from.cluster.t, request))
 	from.cluster.now = from.cluster.now.Add(from.delayed[member.ID])
 	if err != nil {
--- a/internal/daemon/configuration/confirm.go
+++ b/internal/daemon/configuration/confirm.go
@@ -20,14 +20,14 @@
 )
 
 // confirmOnce asks once whether a newer revision is known, and takes it. Roots
-// ask the table, others ask their parent in the forest; what fails is replaced
-// by the next best, so that an isolated daemon has tried everything.
+// ask the table, and without it count votes. Others ask their parent in the
+// forest, then anyone, and now and then the table.
 func (r *Runner) confirmOnce(ctx context.Context) error {
 	ranking, rank, members := r.ranking()
 	parent, hasParent := revision.Parent(rank)
 	if !hasParent {
 		return r.hedged(ctx, r.confirmFromTable, func(ctx context.Context) error {
-			return r.confirmWithoutTable(ctx, rootsOf(ranking), members)
+			return r.confirmAsRoot(ctx, rank, rootsOf(ranking), members)
 		})
 	}
 	err := r.confirmFromPeer(ctx, members[ranking[parent]])
@@ -37,13 +37,14 @@
 	if err := r.confirmFromPeer(ctx, members[r.randomOf(ranking)]); err == nil {
 		return nil
 	}
-	now := r.options.Clock()
-	if r.confirmedWithin(r.options.IsolationLimit/2) || !r.fallback.enter(now, r.herdPeriod()) {
+	if r.confirmedWithin(r.options.IsolationLimit/2) || !r.fallback.enter(r.options.Clock()) {
 		return err
 	}
-	return r.hedged(ctx, r.confirmFromTable, func(ctx context.Context) error {
-		return r.confirmWithoutTable(ctx, rootsOf(ranking), members)
-	})
+	if err := r.confirmFromTable(ctx); err != nil {
+		return err
+	}
+	r.fallback.succeeded()
+	return nil
 }
 
 // ranking ranks all daemons, and tells this daemon's rank.
@@ -90,19 +91,33 @@
 	return r.confirm(position.Head, asked)
 }
 
-// confirmWithoutTable asks the roots for a confirmation newer than ours, in the
-// order of their ranks so that few of them count votes, and then all daemons for
-// their votes.
-func (r *Runner) confirmWithoutTable(ctx context.Context, roots []identity.DaemonID, members map[identity.DaemonID]Member) error {
-	for _, daemon := range roots {
-		if daemon == r.options.Self.ID {
-			continue
-		}
-		if err := r.confirmFromPeer(ctx, members[daemon]); err == nil && r.confirmedWithin(r.options.IsolationLimit/2) {
+// confirmAsRoot confirms without the table: by roots of a lower rank if they have
+// a confirmation, else by a majority, else by any other root. So mostly the first
+// root alone counts votes.
+func (r *Runner) confirmAsRoot(ctx context.Context, rank int, roots []identity.DaemonID, members map[identity.DaemonID]Member) error {
+	if r.confirmFromRoots(ctx, roots[:rank], members) {
+		return nil
+	}
+	if r.voteCounts.enter(r.options.Clock()) {
+		if err := r.confirmFromMajority(ctx); err == nil {
 			return nil
 		}
 	}
-	return r.confirmFromMajority(ctx)
+	if r.confirmFromRoots(ctx, roots[rank+1:], members) {
+		return nil
+	}
+	return errNoMajority
+}
+
+// confirmFromRoots asks roots until one has a confirmation that isn't old.
+func (r *Runner) confirmFromRoots(ctx context.Context, roots []identity.DaemonID, members map[identity.DaemonID]Member) bool {
+	for _, root := range roots {
+		err := r.confirmFromPeer(ctx, members[root])
+		if err == nil && r.confirmedWithin(r.options.IsolationLimit/2) {
+			return true
+		}
+	}
+	return false
 }
 
 // confirmFromPeer takes what a peer has, and the peer's last confirmation. It
@@ -142,18 +157,18 @@
 	member Member
 }
 
-// confirmFromMajority asks all daemons for their newest revision, takes the
-// newest, and records a confirmation if a majority answered.
+// confirmFromMajority asks daemons for their newest revision until a majority has
+// answered, takes the newest, and records a confirmation.
 func (r *Runner) confirmFromMajority(ctx context.Context) error {
 	asked := r.options.Clock()
-	votes := r.collectVotes(ctx)
-	counted := make([]revision.Vote, 0, len(votes)+1)
 	own := r.Status()
-	counted = append(counted, revision.Vote{Revision: own.Head.Revision, Provisional: own.Provisional})
-	for _, cast := range votes {
-		counted = append(counted, cast.Vote)
-	}
-	newest, majority := revision.Tally(counted, r.options.Peers.Size())
+	ownVote := revision.Vote{Revision: own.Head.Revision, Provisional: own.Provisional}
+	size := r.options.Peers.Size()
+	votes := r.collectVotes(ctx, func(votes []vote) bool {
+		_, majority := tally(ownVote, votes, size)
+		return majority
+	})
+	newest, majority := tally(ownVote, votes, size)
 	if err := r.pullNewest(ctx, votes, newest); err != nil {
 		return err
 	}
@@ -166,12 +181,41 @@
 	})
 }
 
-func (r *Runner) collectVotes(ctx context.Context) []vote {
+func tally(own revision.Vote, votes []vote, size int) (identity.Revision, bool) {
+	counted := make([]revision.Vote, 0, len(votes)+1)
+	counted = append(counted, own)
+	for _, cast := range votes {
+		counted = append(counted, cast.Vote)
+	}
+	return revision.Tally(counted, size)
+}
+
+// collectVotes asks the other daemons for their votes, some at a time and from a
+// random one on, until there are enough.
+func (r *Runner) collectVotes(ctx context.Context, enough func(votes []vote) bool) []vote {
+	members := r.options.Peers.Members()
+	if len(members) == 0 {
+		return nil
+	}
+	first := int(r.options.Random()*float64(len(members))) % len(members)
+	members = slices.Concat(members[first:], members[:first])
+	var votes []vote
+	for chunk := range slices.Chunk(members, r.options.CallsAtOnce) {
+		votes = append(votes, r.askVotes(ctx, chunk)...)
+		if enough(votes) {
+			break
+		}
+	}
+	return votes
+}
+
+// askVotes asks daemons at the same time. Those that don't answer are left out.
+func (r *Runner) askVotes(ctx context.Context, members []Member) []vote {
 	var mutex sync.Mutex
 	var votes []vote
 	ctx, cancel := context.WithTimeout(ctx, r.options.CallTimeout)
 	defer cancel()
-	forEach(r.options.Peers.Members(), r.options.CallsAtOnce, func(member Member) {
+	forEach(members, r.options.CallsAtOnce, func(member Member) {
 		response, err := r.options.Peers.Head(ctx, member, HeadRequest{})
 		if err != nil {
 			return
--- a/internal/daemon/configuration/options.go
+++ b/internal/daemon/configuration/options.go
@@ -19,8 +19,9 @@
 	// DefaultIsolationLimit is how old the last confirmation may become.
 	DefaultIsolationLimit = 4 * time.Second
 	// DefaultConfirmInterval is how often a daemon asks for a confirmation. With
-	// three levels below the roots, a confirmation is at most four intervals old.
-	DefaultConfirmInterval = 900 * time.Millisecond
+	// three levels below the roots, a confirmation is at most four intervals old,
+	// and five while the first root counts votes for the others.
+	DefaultConfirmInterval = 700 * time.Millisecond
 	// DefaultCallTimeout bounds one call to a peer.
 	DefaultCallTimeout = time.Second
 	// DefaultTableTimeout bounds one background call to the table service.
--- a/internal/daemon/configuration/report.go
+++ b/internal/daemon/configuration/report.go
@@ -23,7 +23,7 @@
 	if own.Head.Revision >= wanted && !own.Provisional {
 		count++
 	}
-	for _, cast := range r.collectVotes(ctx) {
+	for _, cast := range r.collectVotes(ctx, func([]vote) bool { return false }) {
 		if cast.Revision >= wanted && !cast.Provisional {
 			count++
 		}
--- a/internal/daemon/configuration/run.go
+++ b/internal/daemon/configuration/run.go
@@ -8,8 +8,12 @@
 )
 
 const (
-	// startingInterval is the pause between two steps until the first confirmation.
+	// startingInterval is the pause between two steps until the first
+	// confirmation, in the first startingPeriod of a daemon's life.
 	startingInterval = 250 * time.Millisecond
+	startingPeriod   = 5 * time.Second
+	// confirmJitter is the part by which a pause is longer or shorter at random.
+	confirmJitter = 0.15
 	// refreshInterval is how often isolation and the mirror are looked after.
 	refreshInterval = 250 * time.Millisecond
 	// awaitInterval is how often a starting daemon looks for its peers.
@@ -77,7 +81,7 @@
 		return false
 	}
 	_, rank, _ := r.ranking()
-	return rank < revision.Roots || r.fallback.passed(r.options.Clock())
+	return rank < revision.Roots
 }
 
 func (r *Runner) startFromMirror(ctx context.Context) {
@@ -90,10 +94,12 @@
 
 func (r *Runner) pause() time.Duration {
 	interval := r.options.ConfirmInterval
-	if r.Status().Provisional {
+	starting := r.options.Clock().Sub(r.startedAt) < startingPeriod
+	if starting && r.Status().Provisional {
 		interval = min(interval, startingInterval)
 	}
-	return time.Duration((0.75 + 0.5*r.options.Random()) * float64(interval))
+	jitter := (2*r.options.Random() - 1) * confirmJitter
+	return time.Duration((1 + jitter) * float64(interval))
 }
 
 // lookAfter notices isolation, and writes the mirror.
--- a/internal/daemon/configuration/runner.go
+++ b/internal/daemon/configuration/runner.go
@@ -32,7 +32,10 @@
 
 	startedAt  time.Time
 	tableReads *rate.Limiter
-	fallback   fallbackGate
+	// fallback spaces out the questions to the table of a daemon that isn't a
+	// root, and voteCounts the questions to all daemons of one that is.
+	fallback   *gate
+	voteCounts *gate
 	// proposing lets one proposal at a time through: they would only conflict.
 	proposing chan struct{}
 	snapshots snapshotSender
@@ -56,7 +59,8 @@
 		snapshots:  newSnapshotSender(),
 	}
 	runner.stopped, runner.stop = context.WithCancel(context.Background())
-	runner.fallback.next = now.Add(firstFallback + runner.herdDelay())
+	runner.fallback = newGate(now.Add(firstFallback+runner.herdDelay()), runner.herdPeriod(), fallbackGrowth)
+	runner.voteCounts = newGate(now, options.ConfirmInterval/2, 1)
 	runner.document.Store(runner.store.Document())
 	options.OnIsolated(true)
 	return runner
