--- a/internal/adapter/callerhttp/attempts.go
+++ b/internal/adapter/callerhttp/attempts.go
@@ -7,6 +7,8 @@
 	"slices"
 	"time"
 
+	"github.com/cenkalti/backoff/v5"
+
 	"github.com/lotusward/lotusward/internal/core/identity"
 	"github.com/lotusward/lotusward/internal/core/outcome"
 	"github.com/lotusward/lotusward/internal/core/scheduler"
@@ -14,6 +16,13 @@
 	"github.com/lotusward/lotusward/internal/wire/enginewire"
 )
 
+// The pauses before a back end that failed this request is tried again, when no
+// other can take it. It may be restarting.
+const (
+	firstPause   = 100 * time.Millisecond
+	longestPause = time.Second
+)
+
 // cancelTimeout limits a cancel call to an engine.
 const cancelTimeout = time.Second
 
@@ -37,18 +46,23 @@
 	// stopCause ends the request's context; deadline runs until the first token.
 	stopCause context.CancelCauseFunc
 	deadline  *time.Timer
+	// pauses are made before a back end that failed is tried again.
+	pauses backoff.ExponentialBackOff
 }
 
 // begin derives the request's context, which ends with the caller's connection or
 // at the deadline. The caller of begin must call finish.
 func (e *exchange) begin(options callOptions, repeatable bool) (*attempts, context.Context) {
-	e.handler.countRequest()
 	e.handler.metrics.active.Inc()
 	ctx, stop := context.WithCancelCause(e.request.Context())
 	wait := options.Deadline.Sub(e.handler.options.Clock())
 	return &attempts{
 		exchange: e, options: options, repeatable: repeatable, stopCause: stop,
 		deadline: time.AfterFunc(wait, func() { stop(errDeadline) }),
+		pauses: backoff.ExponentialBackOff{
+			InitialInterval: firstPause, MaxInterval: longestPause,
+			Multiplier: backoff.DefaultMultiplier, RandomizationFactor: backoff.DefaultRandomizationFactor,
+		},
 	}, ctx
 }
 
@@ -72,14 +86,27 @@
 		// No other back end can take it: one that failed before may have recovered.
 		a.excluded = nil
 		request.Excluded = nil
+		a.pause(ctx)
 		start, err = a.exchange.handler.options.Scheduling.Schedule(ctx, request)
 	}
 	if err != nil {
 		return start, a.scheduleFailure(ctx, err)
 	}
+	if a.number == 1 {
+		a.exchange.handler.countRequest()
+	}
 	return start, nil
 }
 
+func (a *attempts) pause(ctx context.Context) {
+	timer := time.NewTimer(a.pauses.NextBackOff())
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
 func (a *attempts) noBackendLeft(err error) bool {
 	var refused *port.RefusedError
 	return errors.As(err, &refused) &&
@@ -148,6 +175,9 @@
 	if result.evidence > outcome.DeclaredNotRun {
 		a.cancelOnEngine(result.start)
 	}
+	if result.refusal != nil && result.refusal.Code == enginewire.CodeLeaving {
+		a.exchange.handler.options.OnLeaving(result.start.Backend.ID, result.start.Backend.Incarnation)
+	}
 	if ctx.Err() != nil {
 		return a.contextFailure(ctx, result.cause)
 	}
--- a/internal/adapter/callerhttp/generation.go
+++ b/internal/adapter/callerhttp/generation.go
@@ -195,6 +195,9 @@
 	attemptCtx, stop := context.WithCancelCause(ctx)
 	defer stop(errFinished)
 	err := g.relayAttempt(attemptCtx, stop, start)
+	if err != nil {
+		err = errors.Join(err, g.sink.settle())
+	}
 	result := endedBy(ctx, attemptCtx, start, err)
 	if errors.Is(err, errCallerGone) {
 		result.backendFault = false
--- a/internal/adapter/callerhttp/options.go
+++ b/internal/adapter/callerhttp/options.go
@@ -62,7 +62,7 @@
 		MaxFirstTokenTimeout: 10 * time.Minute,
 		AttemptTimeout:       15 * time.Second,
 		StallTimeout:         10 * time.Second,
-		MaxAttempts:          4,
+		MaxAttempts:          6,
 		DefaultOutputTokens:  256,
 		PageBufferBytes:      256 << 10,
 		ImportTimeout:        300 * time.Millisecond,
--- a/internal/adapter/callerhttp/page.go
+++ b/internal/adapter/callerhttp/page.go
@@ -17,7 +17,7 @@
 
 // routerHeaders are for the router and are not passed on to web-app runners.
 var routerHeaders = []string{
-	"Authorization", headerPriorityClass, headerNotRepeatable, headerTimeout,
+	"Authorization", "Expect", headerPriorityClass, headerNotRepeatable, headerTimeout,
 }
 
 // backendHeaders are for the router and are not passed on to callers.
--- a/internal/adapter/callerhttp/sink.go
+++ b/internal/adapter/callerhttp/sink.go
@@ -13,6 +13,8 @@
 type answerSink interface {
 	// write takes one frame. It fails with errCallerGone.
 	write(frame stream.Frame, flush bool) error
+	// settle sends what write held back, at the end of an attempt that broke.
+	settle() error
 	// complete ends a whole answer.
 	complete(answer *stream.Assembler) error
 	// started tells whether the caller was sent anything.
@@ -64,6 +66,15 @@
 	return s.flush()
 }
 
+// settle sends the pending events, unless the headers are still open for a
+// failure's status.
+func (s *eventSink) settle() error {
+	if !s.headersSent || s.pending == nil || len(*s.pending) == 0 {
+		return nil
+	}
+	return s.flush()
+}
+
 // append adds an event to the pending ones.
 func (s *eventSink) append(data []byte) {
 	s.ensurePending()
--- a/internal/adapter/callerhttp/wholesink.go
+++ b/internal/adapter/callerhttp/wholesink.go
@@ -201,5 +201,8 @@
 	return message
 }
 
+// settle has nothing to do: nothing is sent before the answer is whole.
+func (s *wholeSink) settle() error { return nil }
+
 // fail has nothing to do: nothing is sent before the answer is whole.
 func (s *wholeSink) fail(*failure) {}
