Describe the configuration for developers and operators

The design note weighs the ways and gives the figures with their commands; the operators' page shows the embedded example, and a test compares the two.

--- a/internal/config/dynamic/dynamic_test.go
+++ b/internal/config/dynamic/dynamic_test.go
@@ -4,6 +4,8 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"os"
+	"path/filepath"
 	"strings"
 	"testing"
 	"time"
@@ -199,6 +201,12 @@
 	assert.Equal(t, len(imported.Tenants), 2)
 }
 
+func TestOperatorsPageShowsTheExample(t *testing.T) {
+	page, err := os.ReadFile(filepath.Join("..", "..", "..", "docs", "operations", "configuration.md"))
+	assert.NilError(t, err)
+	assert.Assert(t, strings.Contains(string(page), "```yaml\n"+string(Example)+"```\n"))
+}
+
 func TestParseDocumentReportsAllFindingsWithTheirPlaces(t *testing.T) {
 	text := `tenants:
   - name: club
--- a/internal/daemon/configuration/spread.go
+++ b/internal/daemon/configuration/spread.go
@@ -17,6 +17,8 @@
 	// hintJitter is the longest wait before a hint of gossip makes a daemon pull.
 	// The push has mostly come by then.
 	hintJitter = 300 * time.Millisecond
+	// pullTimeout bounds one pull, which may bring a snapshot of some megabytes.
+	pullTimeout = 5 * time.Second
 )
 
 // errBusy says that a peer sends enough snapshots already.
@@ -85,7 +87,7 @@
 func (r *Runner) pullFrom(ctx context.Context, member Member) error {
 	for {
 		before := r.Revision()
-		callContext, cancel := context.WithTimeout(ctx, r.options.CallTimeout)
+		callContext, cancel := context.WithTimeout(ctx, pullTimeout)
 		response, err := r.options.Peers.Pull(callContext, member, PullRequest{From: before})
 		cancel()
 		if err != nil {
