--- a/internal/core/claim/replica.go
+++ b/internal/core/claim/replica.go
@@ -114,9 +114,10 @@
 	return state
 }
 
-// ConfigurationConfirmed tells the replica that the configuration with this
-// newest epoch was read from the table service, as the newest, by a read that
-// began in this life. Until then the replica does not vote, unless enough other
+// ConfigurationConfirmed tells the replica that this was the newest epoch at some
+// time in this life: by a read of the table, or by a majority of daemons that are
+// confirmed themselves, if a roster takes effect only once a majority of daemons
+// has it in force. Until then the replica does not vote, unless enough other
 // members vouch that no newer epoch sealed the slot: an earlier life may have
 // been sealed.
 func (r *Replica) ConfigurationConfirmed(epoch uint64) {
