Count only on prefixes whose computing request is sent

Cause: the account test found a request that started before the one it expected to share a prefix with: a waiting request's blocks counted as coming hits even for those that overtook it, or after it was withdrawn. Pending blocks now name the placement that will compute them, and those of waiting requests are left out at a start.

--- a/internal/core/belief/entries.go
+++ b/internal/core/belief/entries.go
@@ -5,7 +5,7 @@
 // touch makes the entry of a hash on an engine the newest, and adds it when it
 // is missing. It returns the entry's number and whether it was added.
 func (x *Index) touch(slot Slot, hash prefix.Hash) (uint32, bool) {
-	key := pair{hash: hash, slot: slot}
+	key := pairOf(hash, slot)
 	number, found := x.byPair[key]
 	if found {
 		x.unlinkUse(number)
@@ -50,7 +50,7 @@
 	removed := x.entries[number]
 	x.unlinkUse(number)
 	x.unlinkHash(number)
-	delete(x.byPair, pair{hash: removed.hash, slot: removed.slot})
+	delete(x.byPair, pairOf(removed.hash, removed.slot))
 	x.entries[number] = entry{}
 	x.free = append(x.free, number)
 }
--- a/internal/core/belief/index.go
+++ b/internal/core/belief/index.go
@@ -21,6 +21,14 @@
 // about 125 bytes, so this is under 40 MB, for 2.4 million cached blocks.
 const DefaultMaxEntries = 300_000
 
+// Owners that are no placement of our own.
+const (
+	computed  = 0
+	otherPeer = 1
+	// waits marks the owners that are placements which were not sent yet.
+	waits = 1 << 31
+)
+
 // none is the entry number that stands for no entry.
 const none = 0
 
@@ -38,9 +46,9 @@
 	next, prior  uint32
 	// stamp is the engine's use counter at the last use.
 	stamp uint32
+	// owner is the placement that will compute the block; computed when it has.
+	owner uint32
 	slot  Slot
-	// pending is set while the block is still to be computed.
-	pending bool
 }
 
 // holders is the list of the entries of one hash.
@@ -49,10 +57,13 @@
 	count uint32
 }
 
-// pair finds the entry of one hash on one engine.
-type pair struct {
-	hash prefix.Hash
-	slot Slot
+// pair finds the entry of one hash on one engine. Both are mixed into one number,
+// which makes the fastest map key; that two pairs get the same one is as unlikely
+// as that two blocks get the same hash.
+type pair uint64
+
+func pairOf(hash prefix.Hash, slot Slot) pair {
+	return pair(uint64(hash) ^ (uint64(slot)+1)*0x9e3779b97f4a7c15)
 }
 
 // engine is what the index keeps for one engine.
@@ -81,6 +92,8 @@
 	unused  []Slot
 	// hand is the engine that gives up an entry next when the index is full.
 	hand int
+	// placements numbers the placements, which are the owners of pending blocks.
+	placements uint32
 	// visited marks engines that a running match has found.
 	visited    []uint32
 	generation uint32
--- a/internal/core/belief/learn.go
+++ b/internal/core/belief/learn.go
@@ -14,16 +14,38 @@
 	Expected Match
 	// lastUse is the use counter of the deepest expected block before the placement.
 	lastUse uint32
+	// number tells the placements apart.
+	number uint32
 }
 
 // limitFloorShare is the least part of an engine's cache that mismatches can
 // bring the believed room down to.
 const limitFloorShare = 8
 
-// Place records that a chain will be computed on an engine. Until Confirm or
-// Forget its new blocks are pending: coming hits for requests that follow.
+// Place records that a chain is sent to an engine to be computed. Until Confirm
+// or Forget its new blocks are pending: coming hits for requests that follow.
 func (x *Index) Place(checkpoints []Checkpoint, slot Slot) Placement {
-	placement := Placement{Slot: slot, Incarnation: x.engines[slot].incarnation, Expected: x.Depth(checkpoints, slot)}
+	return x.place(checkpoints, Placement{
+		Slot:        slot,
+		Incarnation: x.engines[slot].incarnation,
+		Expected:    x.depth(checkpoints, slot, isThere),
+		number:      x.nextPlacement(),
+	})
+}
+
+// PlaceWaiting records that a chain shall be computed on an engine by a request
+// that is not sent yet. Requests that are sent before it do not count on it.
+func (x *Index) PlaceWaiting(checkpoints []Checkpoint, slot Slot) Placement {
+	return x.place(checkpoints, Placement{
+		Slot:        slot,
+		Incarnation: x.engines[slot].incarnation,
+		Expected:    x.Depth(checkpoints, slot),
+		number:      x.nextPlacement() | waits,
+	})
+}
+
+func (x *Index) place(checkpoints []Checkpoint, placement Placement) Placement {
+	slot := placement.Slot
 	// The start of the chain is touched last, since engines evict a chain from its end.
 	for position := len(checkpoints) - 1; position >= 0; position-- {
 		checkpoint := checkpoints[position]
@@ -31,16 +53,27 @@
 			placement.lastUse = x.stampOf(slot, checkpoint.Hash)
 		}
 		number, added := x.touch(slot, checkpoint.Hash)
-		if added {
-			x.entries[number].pending = true
+		if added || !isThere(&x.entries[number]) && placement.number&waits == 0 {
+			x.entries[number].owner = placement.number
 		}
 	}
 	x.trimToLimit(slot)
 	return placement
 }
 
+// nextPlacement numbers a placement; the counter may wrap around, past the
+// owners that are no placements.
+func (x *Index) nextPlacement() uint32 {
+	x.placements++
+	if x.placements >= waits {
+		x.placements = 0
+	}
+	x.placements = max(x.placements, otherPeer+1)
+	return x.placements
+}
+
 func (x *Index) stampOf(slot Slot, hash prefix.Hash) uint32 {
-	return x.entries[x.byPair[pair{hash: hash, slot: slot}]].stamp
+	return x.entries[x.byPair[pairOf(hash, slot)]].stamp
 }
 
 // Confirm takes the engine's report that it has computed the whole chain, with
@@ -54,7 +87,7 @@
 	slot := placement.Slot
 	for position := len(checkpoints) - 1; position >= 0; position-- {
 		number, _ := x.touch(slot, checkpoints[position].Hash)
-		x.entries[number].pending = false
+		x.entries[number].owner = computed
 	}
 	if cachedBlocks >= 0 {
 		x.learnRoom(placement, cachedBlocks)
@@ -82,14 +115,15 @@
 	}
 }
 
-// Forget takes back a placement that was not computed.
+// Forget takes back a placement that was not computed, with the blocks that no
+// other one will compute.
 func (x *Index) Forget(checkpoints []Checkpoint, placement Placement) {
 	if !x.current(placement, placement.Incarnation) {
 		return
 	}
 	for position := len(checkpoints) - 1; position >= 0; position-- {
-		number, found := x.byPair[pair{hash: checkpoints[position].Hash, slot: placement.Slot}]
-		if found && x.entries[number].pending {
+		number, found := x.byPair[pairOf(checkpoints[position].Hash, placement.Slot)]
+		if found && x.entries[number].owner == placement.number {
 			x.remove(number)
 		}
 	}
@@ -138,7 +172,7 @@
 		}
 		number, added := x.touch(slot, hash)
 		if added {
-			x.entries[number].pending = true
+			x.entries[number].owner = otherPeer
 		}
 	}
 	x.trimToLimit(slot)
@@ -152,8 +186,8 @@
 		if !IsCheckpoint(hash) {
 			continue
 		}
-		if number, found := x.byPair[pair{hash: hash, slot: slot}]; found {
-			x.entries[number].pending = false
+		if number, found := x.byPair[pairOf(hash, slot)]; found {
+			x.entries[number].owner = computed
 			continue
 		}
 		x.touch(slot, hash)
@@ -162,8 +196,8 @@
 
 func (x *Index) applyRemoved(slot Slot, blocks []uint64) {
 	for _, block := range blocks {
-		number, found := x.byPair[pair{hash: prefix.Hash(block), slot: slot}]
-		if found && !x.entries[number].pending {
+		number, found := x.byPair[pairOf(prefix.Hash(block), slot)]
+		if found && x.entries[number].owner == computed {
 			x.remove(number)
 		}
 	}
--- a/internal/core/belief/match.go
+++ b/internal/core/belief/match.go
@@ -21,16 +21,23 @@
 
 // Depth tells how many leading blocks of a chain an engine should have.
 func (x *Index) Depth(checkpoints []Checkpoint, slot Slot) Match {
+	return x.depth(checkpoints, slot, nil)
+}
+
+// isThere tells whether a block is computed or will be by a request that is sent.
+func isThere(found *entry) bool { return found.owner&waits == 0 }
+
+func (x *Index) depth(checkpoints []Checkpoint, slot Slot, counts func(*entry) bool) Match {
 	count := sort.Search(len(checkpoints), func(position int) bool {
-		_, found := x.byPair[pair{hash: checkpoints[position].Hash, slot: slot}]
-		return !found
+		number, found := x.byPair[pairOf(checkpoints[position].Hash, slot)]
+		return !found || counts != nil && !counts(&x.entries[number])
 	})
 	if count == 0 {
 		return Match{Slot: slot}
 	}
 	last := checkpoints[count-1]
-	number := x.byPair[pair{hash: last.Hash, slot: slot}]
-	return Match{Slot: slot, Blocks: int(last.Blocks), Pending: x.entries[number].pending}
+	number := x.byPair[pairOf(last.Hash, slot)]
+	return Match{Slot: slot, Blocks: int(last.Blocks), Pending: x.entries[number].owner != computed}
 }
 
 // AppendMatches appends engines that should have a leading part of the chain,
@@ -66,7 +73,7 @@
 		holder := &x.entries[number]
 		if x.visited[holder.slot] != x.generation {
 			x.visited[holder.slot] = x.generation
-			matches = append(matches, Match{Slot: holder.slot, Blocks: int(checkpoint.Blocks), Pending: holder.pending})
+			matches = append(matches, Match{Slot: holder.slot, Blocks: int(checkpoint.Blocks), Pending: holder.owner != computed})
 		}
 		number = holder.next
 	}
--- a/internal/core/scheduler/arrive.go
+++ b/internal/core/scheduler/arrive.go
@@ -95,7 +95,10 @@
 	if request.Attempt <= 1 {
 		arrived.charge = float64(uncached + outputCharge*request.OutputTokens)
 		arrived.order.Tag = arrived.group.clock.Tag(request.Tenant, request.Class, s.limits.Weight(request.Tenant), arrived.charge)
-		chosen, _ = s.choose(at, arrived)
+		if arrived.group.waiting.Len() > 0 {
+			// The tag may have put it behind others that wait.
+			chosen, _ = s.choose(at, arrived)
+		}
 	}
 	if late := s.lateness(at, arrived, chosen); late > 0 {
 		s.refundCharge(arrived)
@@ -125,13 +128,13 @@
 	settled.uncached = float64(max(1, settled.request.PromptTokens-chosen.CachedTokens-chosen.ImportTokens))
 	settled.importFrom = chosen.ImportFrom
 	settled.expectedWait = chosen.Wait
-	if settled.isEngineWork() {
-		settled.placement = s.index.Place(settled.checkpoints, state.slot)
-	}
 	if s.accepts(at, state, settled.request.Class) && state.parked.Position(settled.order) == 0 {
 		s.start(at, settled)
 		return
 	}
+	if settled.isEngineWork() {
+		settled.placement = s.index.PlaceWaiting(settled.checkpoints, state.slot)
+	}
 	s.park(settled)
 }
 
--- a/internal/core/scheduler/dispatch.go
+++ b/internal/core/scheduler/dispatch.go
@@ -109,16 +109,28 @@
 			return
 		}
 		s.unpark(first)
+		s.index.Forget(first.checkpoints, first.placement)
 		s.start(at, first)
 	}
 }
 
+// expect notes what a job that starts will find in the cache and what it will
+// bring. Requests that it counted on while it waited may have been withdrawn.
+func (s *Scheduler) expect(started *job) {
+	started.placement = s.index.Place(started.checkpoints, started.backend.slot)
+	if started.importFrom == "" {
+		cached := min(started.placement.Expected.Blocks*prefix.BlockTokens, started.request.PromptTokens)
+		started.uncached = float64(max(1, started.request.PromptTokens-cached))
+	}
+}
+
 // start sends a job to its back end.
 func (s *Scheduler) start(at float64, started *job) {
 	state := started.backend
 	started.startedAt = at
 	started.queuedAtStart = state.queue.at(at, state.pace)
 	if started.isEngineWork() {
+		s.expect(started)
 		state.queue.add(at, started.uncached, state.pace)
 		state.batch.note(at, 1)
 		s.noteForPeers(started)
