--- a/internal/lab/process/address.go
+++ b/internal/lab/process/address.go
@@ -1,25 +1,46 @@
 package process
 
-import "net"
+import (
+	"fmt"
+	"math/rand/v2"
+	"net"
+)
+
+// Ports below the range from which systems take those of outgoing connections,
+// so that no connection takes an address before its process starts, or starts
+// again.
+const (
+	leastPort = 12000
+	mostPort  = 32000
+)
 
 // FreeAddresses returns loopback addresses that were free a moment ago, for TCP
 // and UDP alike.
 func FreeAddresses(count int) ([]string, error) {
 	addresses := make([]string, 0, count)
-	for len(addresses) < count {
-		// All are held until the end, so that no address comes twice.
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			return nil, err
+	tried := rand.Perm(mostPort - leastPort)
+	for _, offset := range tried {
+		if len(addresses) == count {
+			return addresses, nil
 		}
-		defer listener.Close()
-		address := listener.Addr().String()
-		datagrams, err := net.ListenPacket("udp", address)
-		if err != nil {
-			continue
+		address := fmt.Sprintf("127.0.0.1:%d", leastPort+offset)
+		if isFree(address) {
+			addresses = append(addresses, address)
 		}
-		defer datagrams.Close()
-		addresses = append(addresses, address)
 	}
-	return addresses, nil
+	return nil, fmt.Errorf("fewer than %d free ports from %d to %d", count, leastPort, mostPort)
+}
+
+// isFree tells whether an address can be listened on.
+func isFree(address string) bool {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return false
+	}
+	defer listener.Close()
+	datagrams, err := net.ListenPacket("udp", address)
+	if err != nil {
+		return false
+	}
+	return datagrams.Close() == nil
 }
