Play a scenario on real daemons beside the simulation

lotuslab experiment-real; what the demo had to turn a scenario into a deployment moves to internal/lab/cluster, and the scaling to internal/lab/scenario.

--- a/cmd/lotuslab/main.go
+++ b/cmd/lotuslab/main.go
@@ -57,6 +57,7 @@
 		{"faults", "Run a deployment under random faults", "Starts separate processes, sends requests while daemons, back ends and the platform fail, and checks what must always hold.", &fault.Command{}},
 		{"relay-cost", "Measure what the relay adds", "Sends the same streams through a daemon and directly to paced engines and prints the added time and the daemon's processor time.", &relaycost.Command{}},
 		{"experiment", "Run scenarios in simulated time", "Runs named scenarios with the daemon's scheduler and with baselines, on the same arrivals, and prints a table.", &experiment.Command{}},
+		{"experiment-real", "Run a scenario on real daemons beside the simulation", "Plays one scaled scenario on stand-ins and daemons in this process and in simulated time, under several policies, and prints one row for each.", &experiment.RealCommand{}},
 	}
 	for _, added := range commands {
 		if _, err := parser.AddCommand(added.name, added.short, added.long, added.data); err != nil {
--- a/internal/lab/demo/command.go
+++ b/internal/lab/demo/command.go
@@ -11,6 +11,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/lotusward/lotusward/internal/core/identity"
 	"github.com/lotusward/lotusward/internal/core/scheduler"
 	"github.com/lotusward/lotusward/internal/lab/baseline"
 	"github.com/lotusward/lotusward/internal/lab/cluster"
@@ -33,11 +34,19 @@
 // compared are the policies of the closing table, ours first.
 var compared = []struct {
 	name string
-	make policyMaker
+	make cluster.PolicyMaker
 }{
 	{"lotusward", nil},
-	{"round-robin", func(seed uint64) scheduler.Policy { return baseline.NewRoundRobin(seed) }},
-	{"least-outstanding", func(seed uint64) scheduler.Policy { return baseline.NewLeastOutstanding(seed) }},
+	{"round-robin", roundRobin},
+	{"least-outstanding", leastOutstanding},
+}
+
+func roundRobin(index int, _ identity.Zone) scheduler.Policy {
+	return baseline.NewRoundRobin(uint64(index + 1))
+}
+
+func leastOutstanding(index int, _ identity.Zone) scheduler.Policy {
+	return baseline.NewLeastOutstanding(uint64(index + 1))
 }
 
 // Execute implements flags.Commander.
@@ -85,10 +94,10 @@
 }
 
 // play runs one scenario under one policy on a fresh deployment.
-func (c *Command) play(ctx context.Context, output io.Writer, run *scenario.Scenario, name string, makePolicy policyMaker, logger *logrus.Logger) (load.Report, error) {
+func (c *Command) play(ctx context.Context, output io.Writer, run *scenario.Scenario, name string, makePolicy cluster.PolicyMaker, logger *logrus.Logger) (load.Report, error) {
 	startContext, cancel := context.WithTimeout(ctx, startTimeout)
 	defer cancel()
-	running, err := cluster.Start(startContext, clusterOptions(run, makePolicy, logger))
+	running, err := cluster.Start(startContext, cluster.OptionsOf(run, makePolicy, logger))
 	if err != nil {
 		return load.Report{}, fmt.Errorf("demo: %w", err)
 	}
@@ -110,7 +119,7 @@
 	run := scenarios()[0]
 	startContext, cancel := context.WithTimeout(ctx, startTimeout)
 	defer cancel()
-	running, err := cluster.Start(startContext, clusterOptions(run, nil, logger))
+	running, err := cluster.Start(startContext, cluster.OptionsOf(run, nil, logger))
 	if err != nil {
 		return fmt.Errorf("demo: %w", err)
 	}
--- a/internal/lab/relaycost/run.go
+++ b/internal/lab/relaycost/run.go
@@ -9,7 +9,6 @@
 	"fmt"
 	"net"
 	"net/http"
-	"os"
 	"strings"
 	"sync"
 	"time"
@@ -19,6 +18,7 @@
 	"github.com/lotusward/lotusward/internal/core/view"
 	"github.com/lotusward/lotusward/internal/lab/command"
 	"github.com/lotusward/lotusward/internal/lab/load"
+	"github.com/lotusward/lotusward/internal/lab/machine"
 	"github.com/lotusward/lotusward/internal/lab/process"
 	"github.com/lotusward/lotusward/internal/wire/enginewire"
 	"github.com/lotusward/lotusward/internal/wire/platformwire"
@@ -155,7 +155,7 @@
 // measure makes the rounds, the two paths by turns after a round of each that
 // does not count.
 func (b *bench) measure(ctx context.Context) (Report, error) {
-	report := Report{Options: b.options, Direct: newFigures(), Relayed: newFigures(), LoadBefore: loadAverage()}
+	report := Report{Options: b.options, Direct: newFigures(), Relayed: newFigures(), LoadBefore: machine.LoadAverage()}
 	direct := path{name: "direct", addresses: b.engines}
 	relayed := path{name: "relayed", addresses: []string{b.deployment.Daemons[0].Callers}, key: load.KeyOf(tenantName)}
 	for round := range 1 + b.options.Rounds {
@@ -170,7 +170,7 @@
 			return report, err
 		}
 	}
-	report.LoadAfter = loadAverage()
+	report.LoadAfter = machine.LoadAverage()
 	return report, ctx.Err()
 }
 
@@ -223,13 +223,3 @@
 	}
 	streams.Wait()
 }
-
-// loadAverage returns the machine's load averages of 1, 5 and 15 minutes.
-func loadAverage() string {
-	text, err := os.ReadFile("/proc/loadavg")
-	if err != nil {
-		return "unknown"
-	}
-	const averages = 3
-	return strings.Join(strings.Fields(string(text))[:averages], " ")
-}
