Serve keyed requests after every restart

A process test that restarts each daemon and then all found three causes. The member list was shown only when a member came or went, so a new revision in force was not seen and the roster took effect late. The roster rule counted gossip, which may be from before a daemon's restart; it now asks all daemons. And a daemon was ready before its replica voted on keys made then: it is now not ready until then, and holds keyed requests for at most 2 s. Seeds are tried every 200 ms until one answers (was 1 s). Ruled out: refusing at once, which every caller of a herd restart would see as a doubt about a new key.

--- a/internal/daemon/claims.go
+++ b/internal/daemon/claims.go
@@ -7,11 +7,22 @@
 	"github.com/lotusward/lotusward/internal/adapter/peer"
 	"github.com/lotusward/lotusward/internal/core/identity"
 	"github.com/lotusward/lotusward/internal/daemon/claims"
+	"github.com/lotusward/lotusward/internal/port"
 )
 
 const (
 	// rosterInterval is how often a daemon looks whether a roster can take effect.
 	rosterInterval = 100 * time.Millisecond
+	// rosterQuestionTimeout bounds the question to all daemons for a new roster.
+	rosterQuestionTimeout = time.Second
+	// newKeysAfter is how long after a replica has its first roster it votes on keys
+	// made then: twice the clock skew and the most future birth of
+	// claim.DefaultLimits. An earlier life may have voted on keys whose makers'
+	// clocks were ahead.
+	newKeysAfter = 400 * time.Millisecond
+	// firstRosterWait is how long a request that must run at most once is held in a
+	// daemon that has just started and has no claim roster in use yet.
+	firstRosterWait = 2 * time.Second
 	// claimsDrainTimeout bounds how long a stop waits until the ends of claims
 	// were told to their replicas.
 	claimsDrainTimeout = 5 * time.Second
@@ -33,6 +44,25 @@
 	peer.Handle(d.rpc, claims.PathRead, d.claims.HandleRead)
 }
 
+// startingClaims holds claims until this daemon votes itself. Without that, a key
+// made just now would be in doubt for no reason but the daemon's own start.
+type startingClaims struct {
+	port.Claims
+	ready <-chan struct{}
+}
+
+// Claim implements port.Claims.
+func (c startingClaims) Claim(ctx context.Context, key port.ClaimKey) port.ClaimVerdict {
+	timer := time.NewTimer(firstRosterWait)
+	defer timer.Stop()
+	select {
+	case <-c.ready:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	return c.Claims.Claim(ctx, key)
+}
+
 // runClaims runs the replica, and at the end waits until the outcomes of this
 // daemon's claims are told.
 func (d *Daemon) runClaims(ctx context.Context) error {
@@ -56,6 +86,7 @@
 // that restarts and confirms its configuration with a majority then cannot miss
 // a roster that is in use.
 func (d *Daemon) runRosters(ctx context.Context) error {
+	log := d.part("claims")
 	startedAt := time.Now()
 	ticker := time.NewTicker(rosterInterval)
 	defer ticker.Stop()
@@ -70,29 +101,45 @@
 		if len(document.Rosters) == 0 {
 			continue
 		}
+		status := d.configuration.Status()
+		confirmed := !status.Provisional && status.ConfirmedAt.After(startedAt)
 		epoch := document.Rosters[len(document.Rosters)-1].Epoch
-		if epoch > appliedEpoch && d.majorityHas(document.Revision) {
+		if confirmed && epoch > appliedEpoch && d.majorityHas(ctx, document.Revision) {
 			if d.claims.SetRosters(ctx, document.Rosters) == nil {
 				appliedEpoch = epoch
+				log.WithField("epoch", epoch).Info("The claim roster is in use.")
 			}
 		}
-		status := d.configuration.Status()
-		confirmed := !status.Provisional && status.ConfirmedAt.After(startedAt)
 		if confirmed && epoch == appliedEpoch && epoch > confirmedEpoch {
 			if d.claims.ConfigurationConfirmed(ctx, epoch) == nil {
+				if confirmedEpoch == 0 {
+					time.AfterFunc(newKeysAfter, func() { close(d.votes) })
+				}
 				confirmedEpoch = epoch
+				log.WithField("epoch", epoch).Info("This replica votes on claims.")
 			}
 		}
 	}
 }
 
-// majorityHas tells whether most daemons have a revision in force.
-func (d *Daemon) majorityHas(revision identity.Revision) bool {
-	confirmed := 0
-	for _, member := range d.members.All() {
-		if member.Revision >= revision || member.ID == d.settings.Identity.Daemon {
-			confirmed++
-		}
+// majorityHas asks all daemons whether most of them have a revision in force.
+// Gossip does not do: what it says of a daemon may be from before its restart.
+func (d *Daemon) majorityHas(ctx context.Context, revision identity.Revision) bool {
+	limited, cancel := context.WithTimeout(ctx, rosterQuestionTimeout)
+	defer cancel()
+	inForce := d.configuration.InForce(limited, revision)
+	return inForce.Daemons > inForce.Of/2
+}
+
+// canClaim tells whether keys that callers make now can be claimed.
+func (d *Daemon) canClaim() bool {
+	if len(d.configuration.Document().Rosters) == 0 {
+		return true
+	}
+	select {
+	case <-d.votes:
+		return true
+	default:
+		return false
 	}
-	return confirmed > d.members.Size()/2
 }
--- a/internal/daemon/control/members.go
+++ b/internal/daemon/control/members.go
@@ -72,6 +72,14 @@
 		}
 	}
 	if membersChanged {
+		s.publishMembers()
+	}
+}
+
+// publishMembers shows the member list to the other goroutines. It is called on
+// every change of who is there, and now and then for the revisions in force.
+func (s *state) publishMembers() {
+	if s.membership != nil {
 		s.membership.OnMembers(s.membership.Node.Members())
 	}
 }
--- a/internal/daemon/control/state.go
+++ b/internal/daemon/control/state.go
@@ -77,6 +77,7 @@
 func (s *state) tick(now time.Time) {
 	if now.Sub(s.refreshedAt) >= refreshInterval {
 		s.refresh(now)
+		s.publishMembers()
 	}
 	s.act(s.policy.Tick(now))
 	if s.membership != nil {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -63,6 +63,8 @@
 	transport     *gossip.Transport
 	configuration *configuration.Runner
 	claims        *claims.Runner
+	// votes is closed once this daemon votes on claims.
+	votes chan struct{}
 	// stopping is set when an orderly stop has begun.
 	stopping atomic.Bool
 }
@@ -75,6 +77,7 @@
 		logger:      options.Logger,
 		metrics:     options.Registry,
 		incarnation: identity.Incarnation(time.Now().UnixMicro()),
+		votes:       make(chan struct{}),
 	}
 	if daemon.metrics == nil {
 		daemon.metrics = prometheus.NewRegistry()
@@ -141,7 +144,7 @@
 	d.callers = callerhttp.New(callerhttp.Options{
 		Views:      d.loop,
 		Scheduling: d.loop,
-		Claims:     d.claims,
+		Claims:     startingClaims{Claims: d.claims, ready: d.votes},
 		Engines:    d.engines,
 		Log:        d.part("callers"),
 		Registerer: d.metrics,
--- a/internal/daemon/health.go
+++ b/internal/daemon/health.go
@@ -14,6 +14,9 @@
 	if current.Isolated {
 		reasons = append(reasons, "the configuration cannot be confirmed as the newest")
 	}
+	if !d.canClaim() {
+		reasons = append(reasons, "new claims cannot be voted on yet")
+	}
 	if !current.BackendsKnown {
 		reasons = append(reasons, "the back ends are not known yet")
 	}
--- a/internal/daemon/membership.go
+++ b/internal/daemon/membership.go
@@ -11,6 +11,10 @@
 	"github.com/lotusward/lotusward/internal/daemon/gossip"
 )
 
+// joinInterval is how often a starting daemon tries to reach another one. It is
+// short since all may start together, each before the others listen.
+const joinInterval = 200 * time.Millisecond
+
 // leaveNotice is how long a leaving daemon goes on to gossip that it leaves.
 const leaveNotice = 500 * time.Millisecond
 
@@ -38,6 +42,7 @@
 	options.ProbeInterval = d.settings.Tuning.ProbeInterval
 	options.DirectTimeout = d.settings.Tuning.ProbeTimeout
 	options.SuspicionTimeout = d.settings.Tuning.SuspicionTimeout
+	options.JoinInterval = joinInterval
 	options.MinimumMembers = d.minimumMembers()
 	return options
 }
--- a/internal/lab/process/process.go
+++ b/internal/lab/process/process.go
@@ -49,6 +49,9 @@
 	return started, nil
 }
 
+// ID returns the operating system's number of the process.
+func (p *Process) ID() int { return p.command.Process.Pid }
+
 // Stop asks the process to stop in order and waits. It fails when the process
 // had to be killed or ended with an error.
 func (p *Process) Stop() error {
