Learn how much of what an engine evicts is reused; time the decision

The cost of an eviction used a fixed reuse probability; each engine's is now learned from the entries that age out of its list. One block in sixteen has an entry, in place of one in eight.

--- a/internal/core/belief/checkpoint.go
+++ b/internal/core/belief/checkpoint.go
@@ -6,7 +6,7 @@
 // index only knows checkpoints: the blocks whose hash is a multiple of it. Since
 // the hash alone decides, a cache event needs no knowledge of its block's place
 // in a chain, and all daemons agree on the checkpoints without talking.
-const BlocksPerCheckpoint = 8
+const BlocksPerCheckpoint = 16
 
 // Checkpoint is a block of a chain that the index may know.
 type Checkpoint struct {
--- a/internal/core/belief/entries.go
+++ b/internal/core/belief/entries.go
@@ -124,10 +124,19 @@
 		return
 	}
 	for holder.count > holder.limit {
+		x.learnReuse(holder, &x.entries[holder.oldest])
 		x.remove(holder.oldest)
 	}
 }
 
+func (x *Index) learnReuse(holder *engine, evicted *entry) {
+	sample := 0.0
+	if evicted.reused {
+		sample = 1
+	}
+	holder.reuse += reuseGain * (sample - holder.reuse)
+}
+
 // trimOlder removes the entries whose last use is not after stamp. The use
 // counter wraps around, so that only its differences mean something.
 func (x *Index) trimOlder(slot Slot, stamp uint32) {
--- a/internal/core/belief/index.go
+++ b/internal/core/belief/index.go
@@ -21,6 +21,13 @@
 // about 125 bytes, so this is under 40 MB, for 2.4 million cached blocks.
 const DefaultMaxEntries = 300_000
 
+// What is believed of the reuse of blocks: the share to begin with, and the
+// weight of the newest eviction.
+const (
+	firstReuse = 0.35
+	reuseGain  = 0.005
+)
+
 // Owners that are no placement of our own.
 const (
 	computed  = 0
@@ -49,6 +56,8 @@
 	// owner is the placement that will compute the block; computed when it has.
 	owner uint32
 	slot  Slot
+	// reused is set once a request took the block from the cache.
+	reused bool
 }
 
 // holders is the list of the entries of one hash.
@@ -78,6 +87,8 @@
 	// Zero means not known.
 	capacity, limit int
 	sequence        uint64
+	// reuse is the share of blocks that are reused before they are evicted.
+	reuse float64
 }
 
 // Index is the belief about all engines. It is not safe for concurrent use.
@@ -125,7 +136,7 @@
 		return slot
 	}
 	x.Clear(slot)
-	x.engines[slot] = engine{incarnation: incarnation, known: true}
+	x.engines[slot] = engine{incarnation: incarnation, known: true, reuse: firstReuse}
 	return slot
 }
 
@@ -181,6 +192,9 @@
 	return max(0, holder.capacity-holder.count) * BlocksPerCheckpoint, holder.capacity > 0
 }
 
+// Reuse is the share of an engine's blocks that are reused before they are evicted.
+func (x *Index) Reuse(slot Slot) float64 { return x.engines[slot].reuse }
+
 // Entries is how many entries the index holds.
 func (x *Index) Entries() int { return len(x.entries) - 1 - len(x.free) }
 
--- a/internal/core/belief/learn.go
+++ b/internal/core/belief/learn.go
@@ -53,6 +53,9 @@
 			placement.lastUse = x.stampOf(slot, checkpoint.Hash)
 		}
 		number, added := x.touch(slot, checkpoint.Hash)
+		if !added {
+			x.entries[number].reused = true
+		}
 		if added || !isThere(&x.entries[number]) && placement.number&waits == 0 {
 			x.entries[number].owner = placement.number
 		}
--- a/internal/core/placement/firsttoken/firsttoken.go
+++ b/internal/core/placement/firsttoken/firsttoken.go
@@ -10,10 +10,6 @@
 // come after. The value is that of the clairvoyant policy in the experiments.
 const RecomputeWeight = 0.25
 
-// ReuseProbability is the chance that a block which an engine evicts is asked for
-// again soon enough to have been worth keeping.
-const ReuseProbability = 0.35
-
 // Costs of a KV import, until one engine's are known better.
 const (
 	// ImportSecondsPerToken is the time to move one token's KV.
@@ -50,7 +46,7 @@
 		return 0
 	}
 	evicted := max(0, uncached-candidate.FreeTokens)
-	return ReuseProbability * float64(evicted) * candidate.SecondsPerToken
+	return candidate.ReuseProbability * float64(evicted) * candidate.SecondsPerToken
 }
 
 func importSeconds(tokens int) float64 {
--- a/internal/core/placement/placement.go
+++ b/internal/core/placement/placement.go
@@ -31,6 +31,9 @@
 	// FreeTokens is how many tokens the back end can cache before it evicts others;
 	// negative when that is not known.
 	FreeTokens int
+	// ReuseProbability is the chance that a block which the back end evicts would
+	// have been asked for again.
+	ReuseProbability float64
 	// ImportTokens are cached tokens that could be imported from ImportFrom.
 	ImportTokens int
 	ImportFrom   identity.BackendID
