Keep the rosters when a whole document is imported

An import replaced the rosters too: a file without them, or an older file, took the newest epoch away, and a later roster could reuse it. Claims rely on epochs that never go back. Now rosters stay once there are any, and only PutRoster changes them.

Ruled out: refusing such an import, which would fail every re-import of an exported document.

--- a/internal/config/dynamic/apply.go
+++ b/internal/config/dynamic/apply.go
@@ -119,9 +119,14 @@
 }
 
 // replace takes all lists of another document, and adds them up anew. The
-// history stays.
+// history stays, and so do rosters: claims rely on epochs that never go back and
+// on the roster before the newest. An import can only bring the first ones.
 func (e *editor) replace(other *Document) error {
+	rosters := e.document.Rosters
 	e.document.replaceLists(other)
+	if len(rosters) > 0 {
+		e.document.Rosters = rosters
+	}
 	var err error
 	e.entries, err = fullSum(e.document)
 	return err
--- a/internal/config/dynamic/document.go
+++ b/internal/config/dynamic/document.go
@@ -23,6 +23,7 @@
 	Orders   []StandingOrder   `json:"orders" msgpack:"orders"`
 	// Rosters lists the claim replica rosters, newest last. At most the two
 	// newest are kept: a replica of the newest catches up from the one before.
+	// Once there are rosters, only PutRoster changes them.
 	Rosters []Roster `json:"rosters" msgpack:"rosters"`
 	// History lists the newest accepted changes, oldest first, at most
 	// HistoryLength of them. Apply keeps it, and tells conflicts by it.
--- a/internal/config/dynamic/dynamic_test.go
+++ b/internal/config/dynamic/dynamic_test.go
@@ -50,7 +50,10 @@
 		{PutModel: &Model{Name: "m", Version: identity.WeightsVersion(fmt.Sprint(number)), ContextTokens: 1}},
 		{PutService: &Service{Name: "s", Kind: identity.KindApp, ConcurrentLoads: number}},
 		{PutRoster: &Roster{Epoch: uint64(number + 1)}},
-		{Replace: &Document{Tenants: []Tenant{{Name: "c"}, {Name: "a"}}}},
+		{Replace: &Document{
+			Tenants: []Tenant{{Name: "c"}, {Name: "a"}},
+			Rosters: []Roster{{Epoch: uint64(number)}}[:number%2],
+		}},
 	}
 	return rapid.SampledFrom(operations).Draw(t, "operation")
 }
@@ -108,6 +111,7 @@
 				continue
 			}
 			assert.Equal(t, next.Revision, document.Revision+1)
+			assert.Assert(t, newestEpoch(next) >= newestEpoch(document), "a roster's epoch went back")
 			summed, err := fullSum(next)
 			assert.NilError(t, err)
 			assert.Equal(t, *next.entries, summed, "the sum was not kept")
@@ -118,6 +122,13 @@
 	})
 }
 
+func newestEpoch(document *Document) uint64 {
+	if len(document.Rosters) == 0 {
+		return 0
+	}
+	return document.Rosters[len(document.Rosters)-1].Epoch
+}
+
 func replacedSince(touched map[identity.Revision]Item, base identity.Revision) bool {
 	for revision, item := range touched {
 		if revision > base && (item == ItemAll || item == ItemRosters) {
