--- a/internal/core/belief/entries.go
+++ b/internal/core/belief/entries.go
@@ -60,6 +60,7 @@
 	holder := &x.engines[added.slot]
 	holder.uses++
 	added.stamp = holder.uses
+	added.usedAt = x.now
 	added.newer = none
 	added.older = holder.newest
 	if holder.newest != none {
--- a/internal/core/belief/index.go
+++ b/internal/core/belief/index.go
@@ -26,6 +26,8 @@
 const (
 	firstReuse = 0.35
 	reuseGain  = 0.005
+	// fullParts says when a cache is full: all but one of so many parts.
+	fullParts = 10
 )
 
 // Owners that are no placement of our own.
@@ -53,6 +55,8 @@
 	next, prior  uint32
 	// stamp is the engine's use counter at the last use.
 	stamp uint32
+	// usedAt is the time of the last use, in milliseconds of the index's clock.
+	usedAt uint32
 	// owner is the placement that will compute the block; computed when it has.
 	owner uint32
 	slot  Slot
@@ -103,6 +107,8 @@
 	unused  []Slot
 	// hand is the engine that gives up an entry next when the index is full.
 	hand int
+	// now is the time, in milliseconds; it may wrap around.
+	now uint32
 	// placements numbers the placements, which are the owners of pending blocks.
 	placements uint32
 	// visited marks engines that a running match has found.
@@ -192,6 +198,19 @@
 	return max(0, holder.capacity-holder.count) * BlocksPerCheckpoint, holder.capacity > 0
 }
 
+// SetTime moves the index's clock; the time is in seconds from any start.
+func (x *Index) SetTime(seconds float64) { x.now = uint32(int64(seconds * 1000)) }
+
+// Turnover is how long an engine keeps a block that is not used, in seconds, or
+// false while it has room left.
+func (x *Index) Turnover(slot Slot) (float64, bool) {
+	holder := &x.engines[slot]
+	if holder.limit == 0 || holder.count*fullParts < holder.limit*(fullParts-1) {
+		return 0, false
+	}
+	return float64(x.now-x.entries[holder.oldest].usedAt) / 1000, true
+}
+
 // Reuse is the share of an engine's blocks that are reused before they are evicted.
 func (x *Index) Reuse(slot Slot) float64 { return x.engines[slot].reuse }
 
--- a/internal/core/placement/firsttoken/firsttoken.go
+++ b/internal/core/placement/firsttoken/firsttoken.go
@@ -36,7 +36,16 @@
 		}
 	}
 	candidate.Wait = candidate.DelaySeconds + candidate.AheadTokens*candidate.SecondsPerToken + compute
-	candidate.Cost = candidate.Wait + RecomputeWeight*compute + evictionSeconds(uncached, candidate)
+	candidate.Cost = candidate.Wait + RecomputeWeight*compute + compute*lossProbability(candidate)
+}
+
+const reuseSeconds = 5
+
+func lossProbability(candidate *placement.Candidate) float64 {
+	if candidate.TurnoverSeconds == 0 {
+		return 0
+	}
+	return reuseSeconds / (reuseSeconds + candidate.TurnoverSeconds)
 }
 
 // evictionSeconds is the time that recomputing will take of what the engine
--- a/internal/core/placement/placement.go
+++ b/internal/core/placement/placement.go
@@ -34,6 +34,9 @@
 	// ReuseProbability is the chance that a block which the back end evicts would
 	// have been asked for again.
 	ReuseProbability float64
+	// TurnoverSeconds is how long the back end keeps an unused block; zero while
+	// it has room.
+	TurnoverSeconds float64
 	// ImportTokens are cached tokens that could be imported from ImportFrom.
 	ImportTokens int
 	ImportFrom   identity.BackendID
--- a/internal/core/scheduler/place.go
+++ b/internal/core/scheduler/place.go
@@ -99,6 +99,7 @@
 		candidate.SecondsPerToken = state.pace.SecondsPerToken()
 		candidate.AheadTokens = s.ahead(now, wanted, state)
 		candidate.FreeTokens = s.freeTokens(state)
+		candidate.TurnoverSeconds, _ = s.index.Turnover(state.slot)
 		candidate.ReuseProbability = s.index.Reuse(state.slot)
 	} else {
 		candidate.SecondsPerToken = 0
--- a/internal/core/scheduler/scheduler.go
+++ b/internal/core/scheduler/scheduler.go
@@ -126,7 +126,9 @@
 	if s.began.IsZero() {
 		s.began = now
 	}
-	return now.Sub(s.began).Seconds()
+	at := now.Sub(s.began).Seconds()
+	s.index.SetTime(at)
+	return at
 }
 
 // takeActions returns what the present call led to.
--- a/internal/lab/simulation/daemon.go
+++ b/internal/lab/simulation/daemon.go
@@ -53,6 +53,7 @@
 func (w *world) restart(daemon *daemonNode) {
 	cut := w.flightsOf(daemon)
 	w.begin(daemon)
+	w.replayEvents(daemon)
 	for _, lost := range cut {
 		w.cancelAtBackend(lost, daemon.zone)
 		if lost.outcome.Answered {
--- a/internal/lab/simulation/engine.go
+++ b/internal/lab/simulation/engine.go
@@ -21,6 +21,8 @@
 	flights     map[model.Key]*flight
 	wakeAt      time.Time
 	sequence    uint64
+	// kept are the batches of cache events that a daemon can read again.
+	kept []keptBatch
 	// lagged is the newest load report that has left the engine.
 	lagged enginewire.Load
 	// coming are the blocks of requests that are on their way.
@@ -54,6 +56,7 @@
 	engine.incarnation++
 	engine.up = true
 	engine.sequence = 0
+	engine.kept = nil
 	engine.wakeAt = time.Time{}
 	engine.flights = make(map[model.Key]*flight)
 	if engine.coming == nil {
@@ -220,6 +223,7 @@
 		return
 	}
 	batch := enginewire.CacheEventBatch{Sequence: engine.sequence, Incarnation: engine.incarnation, Events: events}
+	engine.keep(batch, w.now.Add(w.scenario.EventLateness))
 	w.after(w.scenario.EventLateness, func() {
 		for _, daemon := range w.daemons {
 			daemon.policy.ObserveCacheEvents(w.now, engine.id, batch)
