Tell other daemons which cached prefixes are in use

Cause: each daemon's picture of an engine's eviction order lacked the hits of the others, so it took chapters for evicted that they kept in use, and recomputed them elsewhere.

--- a/internal/core/scheduler/dispatch.go
+++ b/internal/core/scheduler/dispatch.go
@@ -133,7 +133,7 @@
 		s.expect(started)
 		state.queue.add(at, started.uncached, state.pace)
 		state.batch.note(at, 1)
-		s.noteForPeers(started)
+		s.noteForPeers(at, started)
 	}
 	state.running++
 	s.reorder(state)
--- a/internal/core/scheduler/scheduler.go
+++ b/internal/core/scheduler/scheduler.go
@@ -79,6 +79,8 @@
 	actions []Action
 	// notices are for the other daemons.
 	notices []Notice
+	// reuseTold is when the other daemons were last told of a prefix's reuse.
+	reuseTold map[reusedPrefix]float64
 	// Scratch space of decisions.
 	matches    []belief.Match
 	candidates []placement.Candidate
@@ -117,6 +119,7 @@
 		waiting:    make(map[identity.RequestID]*job),
 		running:    make(map[identity.RequestID]*job),
 		retrying:   make(map[identity.RequestID]retry),
+		reuseTold:  make(map[reusedPrefix]float64),
 		considered: make(map[*backendState]bool),
 	}
 }
