Compare the relay with a bare hop, and say how busy the machine was

lotuslab relay-cost has a third path through a forwarder that only copies bytes (lotuslab forward), and prints how long the threads of each waited for a processor.

--- a/internal/lab/link/link.go
+++ b/internal/lab/link/link.go
@@ -48,13 +48,16 @@
 }
 
 // Start opens a link to target (IP:port) on a free loopback port for TCP and UDP.
-func Start(target string) (*Link, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+func Start(target string) (*Link, error) { return StartAt("127.0.0.1:0", target) }
+
+// StartAt opens a link to target on an address, both IP:port.
+func StartAt(address, target string) (*Link, error) {
+	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, err
 	}
-	address := net.UDPAddrFromAddrPort(listener.Addr().(*net.TCPAddr).AddrPort())
-	datagram, err := net.ListenUDP("udp", address)
+	opened := net.UDPAddrFromAddrPort(listener.Addr().(*net.TCPAddr).AddrPort())
+	datagram, err := net.ListenUDP("udp", opened)
 	if err != nil {
 		return nil, errors.Join(err, listener.Close())
 	}
--- a/internal/lab/relaycost/caller.go
+++ b/internal/lab/relaycost/caller.go
@@ -13,6 +13,8 @@
 
 	"github.com/google/uuid"
 
+	"github.com/lotusward/lotusward/internal/lab/machine"
+	"github.com/lotusward/lotusward/internal/lab/process"
 	"github.com/lotusward/lotusward/internal/wire/enginewire"
 )
 
@@ -31,12 +33,23 @@
 	textName   = []byte(`"text":"`)
 )
 
-// path is one way to the engines: through the daemon, or directly.
+// path is one way to the engines: directly, through a bare hop, or through the
+// daemon.
 type path struct {
-	name string
+	into *figures
 	// addresses are taken in turn, IP:port.
 	addresses []string
 	key       string
+	// process carries the path; it is nil when the path is direct.
+	process *process.Process
+}
+
+// scheduling is what the process that carries the path got from the machine.
+func (p path) scheduling() (machine.Scheduling, error) {
+	if p.process == nil {
+		return machine.Scheduling{}, nil
+	}
+	return machine.SchedulingOf(p.process.ID())
 }
 
 // caller sends requests one after the other and measures the answers.
--- a/internal/lab/relaycost/measure.go
+++ b/internal/lab/relaycost/measure.go
@@ -22,6 +22,7 @@
 // figures are the sums of one path over its rounds. They are safe for use by any
 // goroutine.
 type figures struct {
+	name       string
 	mutex      sync.Mutex
 	firstToken *hdrhistogram.Histogram
 	perToken   *hdrhistogram.Histogram
@@ -29,13 +30,17 @@
 	bytes      int
 	answers    int
 	failures   map[string]int
-	// daemonCPU is the daemon's processor time in the rounds, and took their length.
-	daemonCPU time.Duration
-	took      time.Duration
+	// ran and waited are of the threads of the process that carries the path:
+	// processor time, and time without a processor while they could run.
+	ran, waited time.Duration
+	// stalled is the time in which any task of the machine waited for a processor,
+	// and took the length of the rounds.
+	stalled, took time.Duration
 }
 
-func newFigures() *figures {
+func newFigures(name string) *figures {
 	return &figures{
+		name:       name,
 		firstToken: hdrhistogram.New(leastDelay, mostDelay, digits),
 		perToken:   hdrhistogram.New(leastDelay, mostDelay, digits),
 		failures:   make(map[string]int),
@@ -68,25 +73,13 @@
 
 // Report is what a run gave.
 type Report struct {
-	Options         Options
-	Direct, Relayed *figures
+	Direct, Hop, Relayed *figures
 	// LoadBefore and LoadAfter are the machine's load averages.
 	LoadBefore, LoadAfter string
 }
 
-// idleCPU is the daemon's processor time per second while the load goes past it.
-func (r Report) idleCPU() float64 {
-	return share(r.Direct.daemonCPU, r.Direct.took)
-}
-
-// cpuPerToken is the daemon's processor time per relayed token, without what it
-// uses when it relays nothing.
-func (r Report) cpuPerToken() time.Duration {
-	if r.Relayed.tokens == 0 {
-		return 0
-	}
-	idle := time.Duration(r.idleCPU() * float64(r.Relayed.took))
-	return (r.Relayed.daemonCPU - idle) / time.Duration(r.Relayed.tokens)
+func perToken(whole time.Duration, tokens int) time.Duration {
+	return (whole / time.Duration(max(tokens, 1))).Round(100 * time.Nanosecond)
 }
 
 func share(part, whole time.Duration) float64 {
@@ -105,33 +98,46 @@
 		"path", "first token p50 ms", "first token p99 ms", "per token p50 ms", "per token p99 ms",
 		"tokens/s", "bytes/token", "answers", "failed",
 	})
-	writer.AppendRow(r.Direct.row("direct"))
-	writer.AppendRow(r.Relayed.row("through the daemon"))
-	writer.AppendRow(table.Row{
-		"added",
-		difference(r.Relayed.firstToken, r.Direct.firstToken, medianPercent),
-		difference(r.Relayed.firstToken, r.Direct.firstToken, tailPercent),
-		difference(r.Relayed.perToken, r.Direct.perToken, medianPercent),
-		difference(r.Relayed.perToken, r.Direct.perToken, tailPercent),
-	})
+	for _, way := range r.paths() {
+		writer.AppendRow(way.row())
+	}
+	writer.AppendSeparator()
+	writer.AppendRow(added("added by a bare hop", r.Hop, r.Direct))
+	writer.AppendRow(added("added by the daemon", r.Relayed, r.Direct))
+	writer.AppendRow(added("daemon over bare hop", r.Relayed, r.Hop))
 	writer.Render()
-	fmt.Fprintf(output, "daemon's processor time: %s per relayed token, %.2f cores while relaying, %.3f cores while idle\n",
-		r.cpuPerToken(), share(r.Relayed.daemonCPU, r.Relayed.took), r.idleCPU())
-	fmt.Fprintf(output, "load average of the machine: %s before, %s after\n", r.LoadBefore, r.LoadAfter)
-	for _, side := range []*figures{r.Direct, r.Relayed} {
-		for cause, count := range side.failures {
-			fmt.Fprintf(output, "failed %d times: %s\n", count, cause)
+	for _, way := range []*figures{r.Hop, r.Relayed} {
+		fmt.Fprintf(output, "%s: processor time %s per token, %.2f cores; its threads waited %s per token for a processor\n",
+			way.name, perToken(way.ran, way.tokens), share(way.ran, way.took), perToken(way.waited, way.tokens))
+	}
+	for _, way := range r.paths() {
+		fmt.Fprintf(output, "%s: some task of the machine waited for a processor in %.0f%% of the time\n",
+			way.name, 100*share(way.stalled, way.took))
+		for cause, count := range way.failures {
+			fmt.Fprintf(output, "%s: failed %d times: %s\n", way.name, count, cause)
 		}
 	}
+	fmt.Fprintf(output, "load average of the machine: %s before, %s after\n", r.LoadBefore, r.LoadAfter)
+}
+
+func (r Report) paths() []*figures { return []*figures{r.Direct, r.Hop, r.Relayed} }
+
+// added is the row of what one path takes longer than another, quantile by quantile.
+func added(name string, of, from *figures) table.Row {
+	return table.Row{
+		name,
+		difference(of.firstToken, from.firstToken, medianPercent), difference(of.firstToken, from.firstToken, tailPercent),
+		difference(of.perToken, from.perToken, medianPercent), difference(of.perToken, from.perToken, tailPercent),
+	}
 }
 
-func (f *figures) row(name string) table.Row {
+func (f *figures) row() table.Row {
 	failed := 0
 	for _, count := range f.failures {
 		failed += count
 	}
 	return table.Row{
-		name,
+		f.name,
 		milliseconds(f.firstToken.ValueAtPercentile(medianPercent)), milliseconds(f.firstToken.ValueAtPercentile(tailPercent)),
 		milliseconds(f.perToken.ValueAtPercentile(medianPercent)), milliseconds(f.perToken.ValueAtPercentile(tailPercent)),
 		fmt.Sprintf("%.0f", float64(f.tokens)/max(f.took.Seconds(), 1e-9)),
--- a/internal/lab/relaycost/run.go
+++ b/internal/lab/relaycost/run.go
@@ -6,9 +6,11 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
+	"path/filepath"
 	"strings"
 	"sync"
 	"time"
@@ -59,8 +61,11 @@
 	clock      clock
 	deployment *process.Deployment
 	engines    []string
-	stop       context.CancelFunc
-	serving    sync.WaitGroup
+	// forwarder is a bare hop to the engines, and hops its addresses.
+	forwarder *process.Process
+	hops      []string
+	stop      context.CancelFunc
+	serving   sync.WaitGroup
 }
 
 // Run starts a deployment, measures and ends it.
@@ -94,13 +99,29 @@
 			return nil, err
 		}
 	}
-	if err := made.awaitEngines(limited); err != nil {
+	err = errors.Join(made.startForwarder(), made.awaitEngines(limited))
+	if err != nil {
 		made.close()
 		return nil, err
 	}
 	return made, nil
 }
 
+// startForwarder starts the bare hop as a process of its own, as the daemon is.
+func (b *bench) startForwarder() error {
+	hops, err := process.FreeAddresses(len(b.engines))
+	if err != nil {
+		return err
+	}
+	arguments := []string{"forward"}
+	for number, engine := range b.engines {
+		arguments = append(arguments, "--pair", hops[number]+"="+engine)
+	}
+	b.hops = hops
+	b.forwarder, err = process.Start(b.options.Directory, "forwarder", filepath.Join(b.options.Binaries, "lotuslab"), arguments...)
+	return err
+}
+
 func document() *dynamic.Document {
 	return &dynamic.Document{
 		Services: []dynamic.Service{{
@@ -149,25 +170,35 @@
 func (b *bench) close() {
 	b.stop()
 	b.deployment.Kill()
+	if b.forwarder != nil {
+		b.forwarder.Kill()
+	}
 	b.serving.Wait()
 }
 
-// measure makes the rounds, the two paths by turns after a round of each that
-// does not count.
+// measure makes the rounds, the paths by turns after a round of each that does
+// not count.
 func (b *bench) measure(ctx context.Context) (Report, error) {
-	report := Report{Options: b.options, Direct: newFigures(), Relayed: newFigures(), LoadBefore: machine.LoadAverage()}
-	direct := path{name: "direct", addresses: b.engines}
-	relayed := path{name: "relayed", addresses: []string{b.deployment.Daemons[0].Callers}, key: load.KeyOf(tenantName)}
+	report := Report{
+		Direct: newFigures("direct"), Hop: newFigures("through a bare hop"), Relayed: newFigures("through the daemon"),
+		LoadBefore: machine.LoadAverage(),
+	}
+	paths := []path{
+		{into: report.Direct, addresses: b.engines},
+		{into: report.Hop, addresses: b.hops, process: b.forwarder},
+		{
+			into: report.Relayed, addresses: []string{b.deployment.Daemons[0].Callers},
+			key: load.KeyOf(tenantName), process: b.deployment.Daemons[0].Process,
+		},
+	}
 	for round := range 1 + b.options.Rounds {
-		into := []*figures{report.Direct, report.Relayed}
-		if round == 0 {
-			into = []*figures{newFigures(), newFigures()}
-		}
-		if err := b.round(ctx, direct, into[0]); err != nil {
-			return report, err
-		}
-		if err := b.round(ctx, relayed, into[1]); err != nil {
-			return report, err
+		for _, way := range paths {
+			if round == 0 {
+				way.into = newFigures(way.into.name)
+			}
+			if err := b.round(ctx, way); err != nil {
+				return report, err
+			}
 		}
 	}
 	report.LoadAfter = machine.LoadAverage()
@@ -175,29 +206,25 @@
 }
 
 // round keeps the streams of one path running for a time.
-func (b *bench) round(ctx context.Context, way path, into *figures) error {
-	before, err := b.daemonMetric(cpuMetric)
+func (b *bench) round(ctx context.Context, way path) error {
+	before, err := way.scheduling()
 	if err != nil {
 		return err
 	}
+	stalledBefore := machine.CPUStall()
 	began := time.Now()
-	b.runStreams(ctx, way, into, began.Add(b.options.Round))
-	took := time.Since(began)
-	after, err := b.daemonMetric(cpuMetric)
-	if err != nil {
-		return err
-	}
-	into.took += took
-	into.daemonCPU += time.Duration((after - before) * float64(time.Second))
-	return nil
+	b.runStreams(ctx, way, began.Add(b.options.Round))
+	way.into.took += time.Since(began)
+	way.into.stalled += machine.CPUStall() - stalledBefore
+	after, err := way.scheduling()
+	way.into.ran += after.Ran - before.Ran
+	way.into.waited += after.Waited - before.Waited
+	return err
 }
 
-// cpuMetric is the daemon's processor time in seconds.
-const cpuMetric = "process_cpu_seconds_total"
-
 // runStreams starts the streams evenly over the length of one answer. Each asks
 // again when its answer has ended, until the end of the round.
-func (b *bench) runStreams(ctx context.Context, way path, into *figures, until time.Time) {
+func (b *bench) runStreams(ctx context.Context, way path, until time.Time) {
 	transport := &http.Transport{MaxIdleConnsPerHost: b.options.Streams, DisableCompression: true}
 	defer transport.CloseIdleConnections()
 	asking := &caller{
@@ -213,10 +240,10 @@
 			for ctx.Err() == nil && time.Now().Before(until) {
 				answer, err := asking.ask(ctx, way, address)
 				if err == nil {
-					err = into.add(answer)
+					err = way.into.add(answer)
 				}
 				if err != nil {
-					into.fail(err)
+					way.into.fail(err)
 				}
 			}
 		})
