--- a/internal/core/admission/limits.go
+++ b/internal/core/admission/limits.go
@@ -23,7 +23,7 @@
 	Tenant             identity.TenantName
 	Weight             float64
 	TokensPerSecond    float64 // zero: no limit
-	ConcurrentRequests int     // zero: no limit
+	ConcurrentRequests int     // zero: no limit; negative: none allowed now
 }
 
 // Verdict is the outcome of an admission check.
@@ -96,8 +96,8 @@
 func (l *Limits) Admit(now time.Time, tenant identity.TenantName, tokens int) (Verdict, time.Duration) {
 	used := l.account(tenant)
 	used.refill(now)
-	if limit := used.share.ConcurrentRequests; limit > 0 && used.active >= limit {
-		return OverConcurrency, max(minRetryAfter, used.meanDuration()/time.Duration(limit))
+	if limit := used.share.ConcurrentRequests; limit != 0 && used.active >= limit {
+		return OverConcurrency, max(minRetryAfter, used.meanDuration()/time.Duration(max(1, limit)))
 	}
 	if rate := used.share.TokensPerSecond; rate > 0 {
 		// A request larger than the bucket waits for a full one and leaves a debt.
--- a/internal/core/scheduler/api.go
+++ b/internal/core/scheduler/api.go
@@ -117,7 +117,7 @@
 	Tenant             identity.TenantName
 	Weight             float64
 	TokensPerSecond    float64 // zero: no limit
-	ConcurrentRequests int     // zero: no limit
+	ConcurrentRequests int     // zero: no limit; negative: none allowed now
 }
 
 // Policy is what the daemon and the experiments drive. *Scheduler implements it,
