--- /dev/null
+++ b/internal/lab/hollow/measure.go
@@ -0,0 +1,29 @@
+package hollow
+
+import (
+	"fmt"
+	"time"
+)
+
+// Times around a measurement of a busy fleet.
+const (
+	measureJoinLimit = 2 * time.Minute
+	measureSettle    = 30 * time.Second
+)
+
+// Busy starts a fleet under local conditions with some loss, lets it settle, and
+// measures a busy stretch of simulated time. HeapBytes is the live heap of one
+// daemon. It fails when the fleet does not come together.
+func Busy(size, zones int, seed uint64, length time.Duration, restartFactor float64) (cost Cost, heapBytes float64, err error) {
+	before := heapInUse()
+	run, err := newFleet(size, zones, seed, LocalConditions())
+	if err != nil {
+		return Cost{}, 0, err
+	}
+	if _, joined := run.join(measureJoinLimit); !joined {
+		return Cost{}, 0, fmt.Errorf("hollow: %d daemons did not find each other within %s", size, measureJoinLimit)
+	}
+	run.network.Run(measureSettle)
+	heapBytes = float64(heapInUse()-before) / float64(size)
+	return run.busy(length, restartFactor), heapBytes, nil
+}
