Take a crossed answer or refusal as saying nothing

Cause: a refusal that named another request was believed, so its not_run was told to a caller whose request may have run; and a crossed answer counted as this request having run. Either now leaves the run state unknown.

Seen failing, then passing (TestRunStatesAreTrue, new cases): without the check not_run was said of a request with a crossed refusal; with the check giving Answered, ran was said.

--- a/internal/adapter/callerhttp/generation_test.go
+++ b/internal/adapter/callerhttp/generation_test.go
@@ -170,6 +170,14 @@
 		{"nobody listens", closedAddress, nil, identity.RunStateNotRun, 0},
 		{"refused not run", "", func(r *engineReply) { r.refuse(503, enginewire.CodeLeaving, "not_run") }, identity.RunStateNotRun, 3},
 		{"refused without a word", "", func(r *engineReply) { r.refuse(503, "", "") }, identity.RunStateUnknown, 1},
+		{"refusal of another request", "", func(r *engineReply) {
+			r.Header().Set(enginewire.HeaderRequestID, "someone-else")
+			r.refuse(503, enginewire.CodeLeaving, "not_run")
+		}, identity.RunStateUnknown, 1},
+		{"answer of another request", "", func(r *engineReply) {
+			r.Header().Set(enginewire.HeaderRequestID, "someone-else")
+			r.rest()
+		}, identity.RunStateUnknown, 1},
 		{"refusal lost", "", cut, identity.RunStateUnknown, 1},
 		{"cut after the first token", "", func(r *engineReply) { r.token(0); cut(r) }, identity.RunStateRan, 1},
 	}
--- a/internal/adapter/enginehttp/generate.go
+++ b/internal/adapter/enginehttp/generate.go
@@ -61,12 +61,12 @@
 
 // checkAnswer makes sure that the response is an answer to this very attempt.
 func (c *Client) checkAnswer(response *http.Response, generation port.Generation) error {
-	if response.StatusCode != http.StatusOK {
-		return c.readRefusal(response)
-	}
 	if err := checkEcho(response.Header, generation.Target); err != nil {
 		return err
 	}
+	if response.StatusCode != http.StatusOK {
+		return c.readRefusal(response)
+	}
 	weights := response.Header.Get(enginewire.HeaderWeights)
 	if weights != "" && weights != string(generation.Weights) {
 		return answeredWrong("back end ran weights %q in place of %q", weights, generation.Weights)
@@ -78,18 +78,22 @@
 	return nil
 }
 
-// checkEcho refuses an answer that names another request or attempt. A back end
-// need not name them.
+// checkEcho refuses an answer that names another request or attempt: it says
+// nothing about this one. A back end need not name them.
 func checkEcho(header http.Header, target port.Target) error {
 	if id := header.Get(enginewire.HeaderRequestID); id != "" && id != string(target.RequestID) {
-		return answeredWrong("answer is for request %q in place of %q", id, target.RequestID)
+		return crossed("answer is for request %q in place of %q", id, target.RequestID)
 	}
 	if attempt := header.Get(enginewire.HeaderAttempt); attempt != "" && attempt != strconv.Itoa(target.Attempt) {
-		return answeredWrong("answer is for attempt %s in place of %d", attempt, target.Attempt)
+		return crossed("answer is for attempt %s in place of %d", attempt, target.Attempt)
 	}
 	return nil
 }
 
+func crossed(format string, arguments ...any) error {
+	return &port.AttemptError{Evidence: outcome.Sent, Cause: fmt.Errorf(format, arguments...)}
+}
+
 func answeredWrong(format string, arguments ...any) error {
 	return &port.AttemptError{Evidence: outcome.Answered, Cause: fmt.Errorf(format, arguments...)}
 }
--- a/internal/adapter/enginehttp/page.go
+++ b/internal/adapter/enginehttp/page.go
@@ -46,7 +46,7 @@
 		return nil, err
 	}
 	err = checkEcho(response.Header, page.Target)
-	if response.Header.Get(enginewire.HeaderRunState) != "" {
+	if err == nil && response.Header.Get(enginewire.HeaderRunState) != "" {
 		err = c.readRefusal(response)
 	}
 	if err != nil {
