--- a/internal/core/belief/index.go
+++ b/internal/core/belief/index.go
@@ -191,13 +191,6 @@
 	x.trimToLimit(slot)
 }
 
-// FreeBlocks is how many blocks the engine can take before it evicts any that is
-// believed to be cached, or false when its size is not known.
-func (x *Index) FreeBlocks(slot Slot) (int, bool) {
-	holder := &x.engines[slot]
-	return max(0, holder.capacity-holder.count) * BlocksPerCheckpoint, holder.capacity > 0
-}
-
 // SetTime moves the index's clock; the time is in seconds from any start.
 func (x *Index) SetTime(seconds float64) { x.now = uint32(int64(seconds * 1000)) }
 
--- a/internal/core/placement/leastcost/leastcost.go
+++ b/internal/core/placement/leastcost/leastcost.go
@@ -6,7 +6,6 @@
 
 import (
 	"github.com/lotusward/lotusward/internal/core/placement"
-	"github.com/lotusward/lotusward/internal/core/rendezvous"
 )
 
 // Picker is the picker. ToleranceSeconds is the difference of costs that is
@@ -34,7 +33,7 @@
 		if candidates[index].Cost > limit {
 			continue
 		}
-		score := rendezvous.Score(query.Root, string(candidates[index].ID))
+		score := placement.Rank(query.Root, candidates[index].Key)
 		if best < 0 || score > bestScore {
 			best, bestScore = index, score
 		}
--- a/internal/core/placement/placement.go
+++ b/internal/core/placement/placement.go
@@ -17,6 +17,8 @@
 // Candidate is a back end with what is believed about it for one request.
 type Candidate struct {
 	ID identity.BackendID
+	// Key is the hash of the ID.
+	Key uint64
 	// Index is the caller's own number for the back end.
 	Index int
 	// CachedTokens is how much of the prompt is or will be cached there.
@@ -28,9 +30,6 @@
 	// DelaySeconds is what the request waits beside prompt tokens: the network,
 	// the engine's step, and the time for which a failing back end is avoided.
 	DelaySeconds float64
-	// FreeTokens is how many tokens the back end can cache before it evicts others;
-	// negative when that is not known.
-	FreeTokens int
 	// ReuseProbability is the chance that a block which the back end evicts would
 	// have been asked for again.
 	ReuseProbability float64
--- a/internal/core/scheduler/backend.go
+++ b/internal/core/scheduler/backend.go
@@ -11,17 +11,20 @@
 	"github.com/lotusward/lotusward/internal/core/identity"
 	"github.com/lotusward/lotusward/internal/core/placement/eligible"
 	"github.com/lotusward/lotusward/internal/core/placement/estimate"
+	"github.com/lotusward/lotusward/internal/core/rendezvous"
 )
 
 // backendState is what the scheduler keeps for one back end.
 type backendState struct {
 	backend Backend
-	slot    belief.Slot
-	works   []eligible.Work
-	groups  []*group
-	pace    *estimate.Pace
-	queue   workQueue
-	batch   batch
+	// key is the hash of the back end's ID.
+	key    uint64
+	slot   belief.Slot
+	works  []eligible.Work
+	groups []*group
+	pace   *estimate.Pace
+	queue  workQueue
+	batch  batch
 	// running counts our own requests there.
 	running int
 	// parked are the requests that wait here for this back end.
@@ -40,7 +43,7 @@
 	members []*backendState
 	// byLoad orders the members by when they will be free.
 	byLoad  *btree.BTreeG[*backendState]
-	buckets hashRing
+	ring    hashRing
 	clock   *admission.FairClock
 	waiting admission.Queue[*job]
 }
@@ -92,6 +95,7 @@
 // for it, when it no longer takes the same work.
 func (s *Scheduler) updateBackend(state *backendState, backend Backend) []*job {
 	state.backend = backend
+	state.key = rendezvous.Key(string(backend.ID))
 	state.slot = s.index.SetEngine(backend.ID, backend.Incarnation)
 	works := eligible.WorksOf(backend.Kind, backend.Service, backend.Models, backend.Leaving)
 	if slices.Equal(works, state.works) && len(state.groups) == len(works) {
@@ -104,7 +108,7 @@
 		joined := s.group(work)
 		joined.members = append(joined.members, state)
 		joined.byLoad.ReplaceOrInsert(state)
-		joined.buckets.add(state)
+		joined.ring.add(state)
 		state.groups = append(state.groups, joined)
 	}
 	if len(works) > 0 {
@@ -137,7 +141,7 @@
 	for _, left := range state.groups {
 		left.members = slices.DeleteFunc(left.members, func(member *backendState) bool { return member == state })
 		left.byLoad.Delete(state)
-		left.buckets.remove(state)
+		left.ring.remove(state)
 	}
 	state.groups = nil
 	state.works = nil
--- a/internal/core/scheduler/place.go
+++ b/internal/core/scheduler/place.go
@@ -67,7 +67,7 @@
 		count--
 		return count > 0
 	})
-	for _, state := range wanted.group.buckets.top(query.Root) {
+	for _, state := range wanted.group.ring.top(query.Root) {
 		if state != nil {
 			s.considerUnmatched(now, wanted, state)
 		}
@@ -91,6 +91,7 @@
 	s.considered[state] = true
 	candidate := placement.Candidate{
 		ID:           state.backend.ID,
+		Key:          state.key,
 		Index:        int(state.slot),
 		CachedTokens: min(match.Blocks*prefix.BlockTokens, wanted.request.PromptTokens),
 		DelaySeconds: s.delay(now, state, wanted.request.Class),
@@ -98,7 +99,6 @@
 	if wanted.isEngineWork() {
 		candidate.SecondsPerToken = state.pace.SecondsPerToken()
 		candidate.AheadTokens = s.ahead(now, wanted, state)
-		candidate.FreeTokens = s.freeTokens(state)
 		candidate.TurnoverSeconds, _ = s.index.Turnover(state.slot)
 		candidate.ReuseProbability = s.index.Reuse(state.slot)
 	} else {
@@ -108,15 +108,6 @@
 	s.candidates = append(s.candidates, candidate)
 }
 
-// freeTokens is how many tokens an engine can cache without evicting others.
-func (s *Scheduler) freeTokens(state *backendState) int {
-	blocks, known := s.index.FreeBlocks(state.slot)
-	if !known {
-		return -1
-	}
-	return blocks * prefix.BlockTokens
-}
-
 // delay is what a request to a back end waits beside prompt tokens.
 func (s *Scheduler) delay(now float64, state *backendState, class identity.PriorityClass) float64 {
 	delay := max(0, state.avoidUntil-now)
