Pass on with its state version that a back end leaves

OnLeaving now has the shape of the control loop's ObserveLeaving, and refusals tell of leaving as answers do: port.AttemptError carries what the headers said. TestLeavingIsPassedOn: passes.

--- a/internal/adapter/callerhttp/attempts.go
+++ b/internal/adapter/callerhttp/attempts.go
@@ -175,8 +175,8 @@
 	if result.evidence > outcome.DeclaredNotRun {
 		a.cancelOnEngine(result.start)
 	}
-	if result.refusal != nil && result.refusal.Code == enginewire.CodeLeaving {
-		a.exchange.handler.options.OnLeaving(result.start.Backend.ID, result.start.Backend.Incarnation)
+	if result.refusal != nil && result.refusal.Head.Leaving {
+		a.exchange.handler.options.OnLeaving(result.start.Backend.ID, result.refusal.Head.StateVersion)
 	}
 	if ctx.Err() != nil {
 		return a.contextFailure(ctx, result.cause)
@@ -263,7 +263,7 @@
 		head.Incarnation = start.Backend.Incarnation
 	}
 	if head.Leaving {
-		options.OnLeaving(start.Backend.ID, head.Incarnation)
+		options.OnLeaving(start.Backend.ID, head.StateVersion)
 	}
 	options.Scheduling.FirstToken(scheduler.FirstToken{
 		RequestID: a.exchange.id, Backend: start.Backend.ID, Incarnation: head.Incarnation,
--- a/internal/adapter/callerhttp/generation.go
+++ b/internal/adapter/callerhttp/generation.go
@@ -5,7 +5,6 @@
 	"errors"
 	"fmt"
 	"net/http"
-	"slices"
 	"time"
 
 	"github.com/lotusward/lotusward/internal/core/identity"
@@ -13,12 +12,8 @@
 	"github.com/lotusward/lotusward/internal/core/scheduler"
 	"github.com/lotusward/lotusward/internal/core/stream"
 	"github.com/lotusward/lotusward/internal/port"
-	"github.com/lotusward/lotusward/internal/wire/enginewire"
 )
 
-// completionClaims is the service name under which model requests are claimed.
-const completionClaims identity.ServiceName = "openai"
-
 // errBrokenStream says that an engine's stream cannot be trusted to be whole.
 type errBrokenStream struct{ reason stream.Reason }
 
@@ -30,74 +25,6 @@
 // errCallerGone says that the caller took no more of the answer.
 var errCallerGone = errors.New("the caller takes no more of the answer")
 
-// serveCompletion serves /v1/completions and /v1/chat/completions.
-func (h *Handler) serveCompletion(exchange *exchange) *failure {
-	parsed, failed := exchange.readCompletion()
-	if failed != nil {
-		return failed
-	}
-	options, failed := exchange.readOptions(identity.ClassStandard)
-	if failed != nil {
-		return failed
-	}
-	notRepeatable := options.NotRepeatable || exchange.completionNotRepeatable(parsed.Model)
-	attempts, ctx := exchange.begin(options, !notRepeatable)
-	defer attempts.finish()
-	settle := func(identity.RunState) {}
-	if notRepeatable {
-		if settle, failed = exchange.claim(ctx, completionClaims, options); failed != nil {
-			return failed
-		}
-	}
-	// A panic between here and the end leaves the outcome unknown.
-	state := identity.RunStateUnknown
-	defer func() { settle(state) }()
-	generation := newGeneration(attempts, parsed)
-	failed = generation.run(ctx)
-	state = attempts.history.RunState()
-	return generation.conclude(ctx, failed)
-}
-
-// readCompletion reads and checks the body against the configuration.
-func (e *exchange) readCompletion() (*completionRequest, *failure) {
-	if failed := e.checkJSON(); failed != nil {
-		return nil, failed
-	}
-	body, failed := e.readBody()
-	if failed != nil {
-		return nil, failed
-	}
-	parsed, failed := parseCompletion(body, e.request.URL.Path == enginewire.PathChatCompletions)
-	if failed != nil {
-		return nil, failed
-	}
-	model := e.view.Model(parsed.Model)
-	if model == nil {
-		return nil, invalid(codeModelNotFound, fieldModel, "the model %q does not exist", parsed.Model).
-			withStatus(http.StatusNotFound)
-	}
-	tokens := prefix.Tokens(len(parsed.Prompt)) + parsed.MaxTokens
-	if model.ContextTokens > 0 && tokens > model.ContextTokens {
-		return nil, invalid(codeContextLength, parsed.promptField(),
-			"prompt and answer take %d tokens; the model has %d", tokens, model.ContextTokens)
-	}
-	return parsed, nil
-}
-
-// completionNotRepeatable tells whether the configuration lets a model's requests
-// run only once, by any service that has the model.
-func (e *exchange) completionNotRepeatable(model identity.ModelName) bool {
-	for _, service := range e.view.Document.Services {
-		if !slices.Contains(service.Models, model) {
-			continue
-		}
-		if e.view.NotRepeatable(e.tenant.Name, service.Name, e.request.URL.Path, e.arrived) {
-			return true
-		}
-	}
-	return false
-}
-
 // generation is one answer of an engine on its way to the caller.
 type generation struct {
 	*attempts
@@ -276,7 +203,7 @@
 		g.firstTokenSeen = true
 		g.deadline.Stop()
 		now := g.exchange.handler.options.Clock()
-		g.exchange.handler.metrics.firstToken.Observe(seconds(now.Sub(g.exchange.arrived)))
+		g.exchange.handler.metrics.firstToken.Observe(now.Sub(g.exchange.arrived).Seconds())
 	}
 	return nil
 }
--- a/internal/adapter/callerhttp/handler.go
+++ b/internal/adapter/callerhttp/handler.go
@@ -1,6 +1,7 @@
 package callerhttp
 
 import (
+	"log"
 	"net/http"
 	"strings"
 	"sync"
@@ -8,6 +9,7 @@
 	"time"
 
 	"github.com/google/uuid"
+	"github.com/sirupsen/logrus"
 
 	"github.com/lotusward/lotusward/internal/config/dynamic"
 	"github.com/lotusward/lotusward/internal/core/identity"
@@ -60,9 +62,19 @@
 		ReadHeaderTimeout: limits.HeaderTimeout,
 		IdleTimeout:       limits.IdleTimeout,
 		MaxHeaderBytes:    limits.MaxHeaderBytes,
+		ErrorLog:          log.New(serverLog{handler.options.Log}, "", 0),
 	}
 }
 
+// serverLog writes what net/http logs to the structured log.
+type serverLog struct{ log logrus.FieldLogger }
+
+// Write implements io.Writer.
+func (s serverLog) Write(line []byte) (int, error) {
+	s.log.Warn(strings.TrimSpace(string(line)))
+	return len(line), nil
+}
+
 // Drain makes the handler refuse new requests from now on. Running requests go on
 // to their end; Active tells how many there are.
 func (h *Handler) Drain() { h.draining.Store(true) }
--- a/internal/adapter/callerhttp/lifecycle_test.go
+++ b/internal/adapter/callerhttp/lifecycle_test.go
@@ -50,6 +50,26 @@
 	assert.Assert(t, whole)
 }
 
+// TestLeavingIsPassedOn has one engine refuse and one answer while they leave.
+func TestLeavingIsPassedOn(t *testing.T) {
+	say := func(version string, then func(*engineReply)) func(*engineReply) {
+		return func(r *engineReply) {
+			r.Header().Set(enginewire.HeaderLeaving, "true")
+			r.Header().Set(enginewire.HeaderStateVersion, version)
+			then(r)
+		}
+	}
+	refusing := newFakeEngine(t, say("9", func(r *engineReply) { r.refuse(503, enginewire.CodeLeaving, identity.RunStateNotRun) }))
+	answering := newFakeEngine(t, say("7", serveWhole))
+	world := newWorld(t, Limits{}, engineBackend("a", refusing.address()), engineBackend("b", answering.address()))
+	got := world.ask(t, http.MethodPost, enginewire.PathChatCompletions, streamedChat)
+	assert.Equal(t, got.Status, http.StatusOK)
+	for id, want := range map[identity.BackendID]uint64{"a": 9, "b": 7} {
+		version, told := world.left.Load(id)
+		assert.Assert(t, told && version == want, "%s: %v", id, version)
+	}
+}
+
 // TestCallerGoneCancelsTheEngine leaves in the middle of a stream.
 func TestCallerGoneCancelsTheEngine(t *testing.T) {
 	half := make(chan struct{})
--- a/internal/adapter/callerhttp/metrics.go
+++ b/internal/adapter/callerhttp/metrics.go
@@ -2,7 +2,6 @@
 
 import (
 	"net/http"
-	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
 
@@ -91,5 +90,3 @@
 func (m *metrics) failed(failed *failure) {
 	m.failures.WithLabelValues(failed.Code, string(failed.RunState)).Inc()
 }
-
-func seconds(duration time.Duration) float64 { return duration.Seconds() }
--- a/internal/adapter/callerhttp/options.go
+++ b/internal/adapter/callerhttp/options.go
@@ -111,8 +111,9 @@
 	// Registerer takes the metrics.
 	Registerer prometheus.Registerer
 	Limits     Limits
-	// OnLeaving is told when a back end's answer says that it leaves.
-	OnLeaving func(backend identity.BackendID, incarnation identity.Incarnation)
+	// OnLeaving is told when an answer or a refusal says that a back end leaves,
+	// with the version of that state.
+	OnLeaving func(backend identity.BackendID, stateVersion uint64)
 }
 
 func (o Options) withDefaults() Options {
@@ -124,7 +125,7 @@
 		o.Clock = time.Now
 	}
 	if o.OnLeaving == nil {
-		o.OnLeaving = func(identity.BackendID, identity.Incarnation) {}
+		o.OnLeaving = func(identity.BackendID, uint64) {}
 	}
 	return o
 }
--- a/internal/adapter/callerhttp/page.go
+++ b/internal/adapter/callerhttp/page.go
@@ -23,7 +23,7 @@
 // backendHeaders are for the router and are not passed on to callers.
 var backendHeaders = []string{
 	enginewire.HeaderIncarnation, enginewire.HeaderQueuedTokens, enginewire.HeaderRunning,
-	enginewire.HeaderWaiting, enginewire.HeaderFreeBlocks, enginewire.HeaderLeaving, enginewire.HeaderAttempt,
+	enginewire.HeaderWaiting, enginewire.HeaderFreeBlocks, enginewire.HeaderLeaving, enginewire.HeaderStateVersion, enginewire.HeaderAttempt,
 }
 
 // servePage serves /v1/services/{service}/{path...}.
@@ -214,7 +214,7 @@
 	metrics := p.exchange.handler.metrics
 	if failed == nil {
 		metrics.requests.WithLabelValues(workPage, outcomeComplete).Inc()
-		metrics.firstByte.Observe(seconds(p.exchange.handler.options.Clock().Sub(p.exchange.arrived)))
+		metrics.firstByte.Observe(p.exchange.handler.options.Clock().Sub(p.exchange.arrived).Seconds())
 		return nil
 	}
 	if p.exchange.callerGone(ctx) {
--- a/internal/adapter/enginehttp/control_test.go
+++ b/internal/adapter/enginehttp/control_test.go
@@ -118,6 +118,7 @@
 	assert.Assert(t, errors.As(err, &refused), "%v", err)
 	assert.Equal(t, refused.Code, enginewire.CodeLeaving)
 	assert.Equal(t, refused.Evidence, outcome.DeclaredNotRun)
+	assert.Assert(t, refused.Head.Leaving && refused.Head.StateVersion > 0)
 
 	wrong := completion(second, 4)
 	wrong.Incarnation = 1
--- a/internal/adapter/enginehttp/generate.go
+++ b/internal/adapter/enginehttp/generate.go
@@ -104,6 +104,7 @@
 		Evidence:   outcome.FromRefusal(identity.RunState(response.Header.Get(enginewire.HeaderRunState))),
 		Status:     response.StatusCode,
 		RetryAfter: retryAfter(response.Header),
+		Head:       readHead(response.Header),
 	}
 	body, err := io.ReadAll(io.LimitReader(response.Body, c.options.MaxControlBytes))
 	if err != nil {
@@ -136,6 +137,9 @@
 	if incarnation, err := strconv.ParseUint(header.Get(enginewire.HeaderIncarnation), 10, 64); err == nil {
 		head.Incarnation = identity.Incarnation(incarnation)
 	}
+	if version, err := strconv.ParseUint(header.Get(enginewire.HeaderStateVersion), 10, 64); err == nil {
+		head.StateVersion = version
+	}
 	if header.Get(enginewire.HeaderRunning) != "" {
 		head.Load = &enginewire.Load{
 			Running:      numberOr(header, enginewire.HeaderRunning, 0),
--- a/internal/port/engine.go
+++ b/internal/port/engine.go
@@ -47,6 +47,8 @@
 	// Load is nil when not said.
 	Load    *enginewire.Load
 	Leaving bool
+	// StateVersion numbers the state that Leaving tells of; zero when not said.
+	StateVersion uint64
 }
 
 // TokenStream is the running answer of an engine. It is for one goroutine.
@@ -121,6 +123,8 @@
 	Code string
 	// Message is the engine's message of a refusal, or empty.
 	Message string
+	// Head is what a refusal's headers say of the back end.
+	Head AnswerHead
 	// RetryAfter is when the engine wants to be asked again; zero when not said.
 	RetryAfter time.Duration
 	// Unreachable is set when the back end could not be reached or broke the connection.
