Watch each back end from two daemons of its zone, and share what they see

Cause: every daemon asked every back end for its status, and looked at all of them again after each answer; neither fits the control budget at 340 daemons and 2,800 back ends. Two daemons of the back end's own zone now ask it, half an interval apart, and publish changes only. Changes are pushed to a few random daemons and passed on; daemons compare digests and pull what they missed. A published sighting holds while the failure detector trusts its watcher; without a word from any trusted watcher a back end runs out after 3 s. An engine's cache events are read by its watchers only (setting cache_events), and dropped and counted first when the control loop is behind.

Ruled out: a heartbeat of each watcher to all (340 x 40 bytes a second is more than the whole budget; the failure detector tells the same), and watchers of other zones (57 back ends to ask in place of 16).

The registry tells when back ends changed, in place of a deep comparison after every report.

Proof: a state machine of five daemons over a lossy network with deaths, restarts, splits and cuts, 100 runs passed.

Tests of daemon, control, cluster, process, registry and static settings passed with it.

--- a/internal/config/static/check.go
+++ b/internal/config/static/check.go
@@ -66,6 +66,9 @@
 	if settings.Isolation != IsolationRefuse && settings.Isolation != IsolationServe {
 		c.add("isolation", "expected refuse or serve, found %q", settings.Isolation)
 	}
+	if settings.CacheEvents != CacheEventsWatchers && settings.CacheEvents != CacheEventsOff {
+		c.add("cache_events", "expected watchers or off, found %q", settings.CacheEvents)
+	}
 	c.tuning(settings.Tuning)
 }
 
--- a/internal/config/static/default.go
+++ b/internal/config/static/default.go
@@ -33,7 +33,8 @@
 			BodyReadTimeout:   30 * time.Second,
 			IdleTimeout:       2 * time.Minute,
 		},
-		Isolation: IsolationRefuse,
+		Isolation:   IsolationRefuse,
+		CacheEvents: CacheEventsWatchers,
 		Tuning: Tuning{
 			ProbeInterval:       time.Second,
 			ProbeTimeout:        400 * time.Millisecond,
--- a/internal/config/static/settings.go
+++ b/internal/config/static/settings.go
@@ -21,7 +21,9 @@
 	Logging   Logging         `yaml:"logging"`
 	Limits    Limits          `yaml:"limits"`
 	Isolation IsolationPolicy `yaml:"isolation"`
-	Tuning    Tuning          `yaml:"tuning"`
+	// CacheEvents says who reads engines' streams of cache events.
+	CacheEvents CacheEventReaders `yaml:"cache_events"`
+	Tuning      Tuning            `yaml:"tuning"`
 }
 
 // Identity says which daemon this is and where it stands.
@@ -126,6 +128,17 @@
 	IsolationServe IsolationPolicy = "serve"
 )
 
+// CacheEventReaders says who reads an engine's stream of cache events.
+type CacheEventReaders string
+
+// The readers of cache events.
+const (
+	// CacheEventsWatchers has the daemons that watch an engine read them.
+	CacheEventsWatchers CacheEventReaders = "watchers"
+	// CacheEventsOff has nobody read them.
+	CacheEventsOff CacheEventReaders = "off"
+)
+
 // Tuning holds intervals that rarely need a change.
 type Tuning struct {
 	// ProbeInterval is the time between two probes of other daemons.
--- a/internal/core/registry/registry.go
+++ b/internal/core/registry/registry.go
@@ -12,6 +12,7 @@
 	"github.com/lotusward/lotusward/internal/config/dynamic"
 	"github.com/lotusward/lotusward/internal/core/identity"
 	"github.com/lotusward/lotusward/internal/core/scheduler"
+	"github.com/lotusward/lotusward/internal/core/sighting"
 	"github.com/lotusward/lotusward/internal/wire/enginewire"
 	"github.com/lotusward/lotusward/internal/wire/platformwire"
 )
@@ -28,6 +29,8 @@
 	// leaves holds the state version at which a back end was seen leaving. It
 	// outlives the entry, so that a list that lags cannot bring the back end back.
 	leaves map[identity.BackendID]leave
+	// changed is set when something that Backends shows may have changed.
+	changed bool
 }
 
 // Options are the settable times of a registry.
@@ -57,6 +60,11 @@
 	listed  bool
 	status  *enginewire.Status
 	heardAt time.Time
+	// reach is what the watchers make of the back end since reachAt.
+	reach   sighting.Reach
+	reachAt time.Time
+	// shown is whether Backends showed it at the last Refresh.
+	shown bool
 }
 
 type leave struct {
@@ -93,13 +101,17 @@
 	}
 	for _, machine := range list.Machines {
 		known := r.entryOf(machine.ID)
+		r.changed = r.changed || known.machine != machine
 		known.machine = machine
 		known.listed = true
 		if machine.State == platformwire.MachineLeaving {
 			r.recordLeave(now, machine.ID, known.stateVersion())
 		}
 	}
-	maps.DeleteFunc(r.entries, func(_ identity.BackendID, known *entry) bool { return !known.listed })
+	maps.DeleteFunc(r.entries, func(_ identity.BackendID, known *entry) bool {
+		r.changed = r.changed || !known.listed
+		return !known.listed
+	})
 	r.forgetOldLeaves(now)
 }
 
@@ -111,8 +123,14 @@
 	if !found || status.StateVersion < known.stateVersion() {
 		return
 	}
-	known.status = &status
 	known.heardAt = now
+	r.take(now, known, status)
+}
+
+// take puts a status report in the place of the one known, which is not newer.
+func (r *Registry) take(now time.Time, known *entry, status enginewire.Status) {
+	r.changed = r.changed || !showsSame(known.status, &status)
+	known.status = &status
 	if status.State == enginewire.StateLeaving {
 		r.recordLeave(now, status.Backend, status.StateVersion)
 		return
@@ -120,6 +138,7 @@
 	left, leaving := r.leaves[status.Backend]
 	if leaving && status.StateVersion > left.stateVersion {
 		delete(r.leaves, status.Backend)
+		r.changed = true
 	}
 }
 
@@ -147,13 +166,14 @@
 	for _, drain := range document.Drains {
 		r.drains[drain.Backend] = true
 	}
+	r.changed = true
 }
 
 // Backends returns the back ends whose incarnation is known, ordered by ID.
 func (r *Registry) Backends(now time.Time) []scheduler.Backend {
 	backends := make([]scheduler.Backend, 0, len(r.entries))
 	for id, known := range r.entries {
-		if known.status == nil || now.Sub(known.heardAt) > r.options.UnreachableAfter {
+		if !r.reachable(now, known) {
 			continue
 		}
 		backends = append(backends, r.backendOf(id, known))
@@ -181,25 +201,6 @@
 	return true
 }
 
-// Knowledge is what one daemon knows of the back ends, for another that starts.
-type Knowledge struct {
-	Listed   bool                     `msgpack:"listed"`
-	Machines platformwire.MachineList `msgpack:"machines"`
-	Statuses []enginewire.Status      `msgpack:"statuses"`
-}
-
-// Knowledge returns the machine list and the reports of back ends that were
-// heard of lately.
-func (r *Registry) Knowledge(now time.Time) Knowledge {
-	knowledge := Knowledge{Listed: !r.listedAt.IsZero(), Machines: r.list}
-	for _, known := range r.entries {
-		if known.status != nil && now.Sub(known.heardAt) <= r.options.UnreachableAfter {
-			knowledge.Statuses = append(knowledge.Statuses, *known.status)
-		}
-	}
-	return knowledge
-}
-
 // Status returns the last status report of a back end and when it was last heard.
 func (r *Registry) Status(id identity.BackendID) (enginewire.Status, time.Time, bool) {
 	known, found := r.entries[id]
@@ -238,6 +239,7 @@
 		return
 	}
 	r.leaves[id] = leave{stateVersion: stateVersion, at: now}
+	r.changed = true
 }
 
 func (r *Registry) forgetOldLeaves(now time.Time) {
@@ -264,6 +266,15 @@
 	return ready
 }
 
+// showsSame tells whether Backends shows two reports of a back end alike.
+func showsSame(before, after *enginewire.Status) bool {
+	return before != nil && before.Incarnation == after.Incarnation &&
+		slices.EqualFunc(before.Models, after.Models, func(left, right enginewire.LoadedModel) bool {
+			return left.Model == right.Model && left.Version == right.Version && left.Ready == right.Ready &&
+				slices.Equal(left.Adapters, right.Adapters)
+		})
+}
+
 func compareIDs(left, right identity.BackendID) int {
 	switch {
 	case left < right:
--- /dev/null
+++ b/internal/core/sighting/gossip.go
@@ -0,0 +1,163 @@
+package sighting
+
+import (
+	"slices"
+	"time"
+
+	"github.com/lotusward/lotusward/internal/core/identity"
+)
+
+// datagramBytes bounds the deltas in one datagram; with the frame they stay below
+// its limit.
+const datagramBytes = 900
+
+// minimumPushBytes is the least allowance with which a push is worth its frame.
+const minimumPushBytes = 200
+
+// push is a report that is to be sent on.
+type push struct {
+	// from is the sequence after which the changes are news to others.
+	from   uint64
+	rounds int
+}
+
+// push queues what is new in a report, and hurries when nothing was sent lately.
+func (e *Exchange) push(now time.Time, news *report, from uint64) {
+	queued, found := e.pushes[news.watcher]
+	if !found {
+		e.pushes[news.watcher] = &push{from: from, rounds: e.options.Rounds}
+		e.pushOrder = append(e.pushOrder, news.watcher)
+	} else {
+		queued.from = min(queued.from, from)
+		queued.rounds = e.options.Rounds
+	}
+	soon := now.Add(e.options.HurriedGossip)
+	earliest := e.lastPush.Add(e.options.GossipInterval)
+	if earliest.Before(soon) {
+		earliest = soon
+	}
+	if earliest.Before(e.nextPush) || !e.nextPush.After(now) {
+		e.nextPush = earliest
+	}
+}
+
+// heardAgain counts a round off when another daemon sends what is known already.
+func (e *Exchange) heardAgain(watcher identity.DaemonID) {
+	queued, found := e.pushes[watcher]
+	if !found {
+		return
+	}
+	queued.rounds--
+	if queued.rounds <= 0 {
+		e.dropPush(watcher)
+	}
+}
+
+func (e *Exchange) dropPush(watcher identity.DaemonID) {
+	delete(e.pushes, watcher)
+	e.pushOrder = slices.DeleteFunc(e.pushOrder, func(queued identity.DaemonID) bool { return queued == watcher })
+}
+
+// Tick does what is due.
+func (e *Exchange) Tick(now time.Time) []Action {
+	e.tickPush(now)
+	e.tickSync(now)
+	return e.takeActions()
+}
+
+func (e *Exchange) tickPush(now time.Time) {
+	if len(e.pushOrder) == 0 || now.Before(e.nextPush) {
+		return
+	}
+	e.refill(now)
+	e.nextPush = now.Add(e.options.GossipInterval)
+	targets := e.pushTargets()
+	if len(targets) == 0 || e.allowance < minimumPushBytes {
+		return
+	}
+	e.lastPush = now
+	deltas, size := e.nextDeltas()
+	for _, target := range targets {
+		e.allowance -= float64(size)
+		e.send(target.Address, Message{Kind: MessageDeltas, Deltas: deltas}, size > datagramBytes)
+	}
+}
+
+func (e *Exchange) refill(now time.Time) {
+	saved := now.Sub(e.refilled).Seconds() * float64(e.options.GossipBytes)
+	e.allowance = min(e.allowance+saved, float64(e.options.GossipBurst))
+	e.refilled = now
+}
+
+// nextDeltas takes from the queue what fits into one datagram. What was sent goes
+// to the end of the queue for its further rounds.
+func (e *Exchange) nextDeltas() ([]Delta, int) {
+	var deltas []Delta
+	size := 0
+	for range len(e.pushOrder) {
+		watcher := e.pushOrder[0]
+		queued, known := e.pushes[watcher], e.reports[watcher]
+		if queued == nil || known == nil {
+			e.dropPush(watcher)
+			continue
+		}
+		delta := known.delta(queued.from, datagramBytes-size)
+		if len(deltas) > 0 && size+delta.size() > datagramBytes {
+			break
+		}
+		size += delta.size()
+		deltas = append(deltas, delta)
+		e.pushOrder = append(e.pushOrder[1:], watcher)
+		e.pushed(watcher, queued, delta, known)
+	}
+	return deltas, size
+}
+
+// pushed notes that a delta goes out. One that had to be cut goes on where it
+// ended.
+func (e *Exchange) pushed(watcher identity.DaemonID, queued *push, delta Delta, known *report) {
+	if delta.To < known.sequence {
+		queued.from = delta.To
+		return
+	}
+	queued.rounds--
+	if queued.rounds <= 0 {
+		e.dropPush(watcher)
+	}
+}
+
+func (e *Exchange) pushTargets() []Member {
+	targets := e.pick(e.options.ZoneFanout, e.mates, nil)
+	missing := e.options.Fanout - len(targets)
+	targets = append(targets, e.pick(missing, e.others, targets)...)
+	missing = e.options.Fanout - len(targets)
+	return append(targets, e.pick(missing, e.mates, targets)...)
+}
+
+// pick draws up to count different members that are not in unwanted.
+func (e *Exchange) pick(count int, candidates, unwanted []Member) []Member {
+	var picked []Member
+	if count <= 0 {
+		return nil
+	}
+	start := 0
+	if len(candidates) > 0 {
+		start = e.random.IntN(len(candidates))
+	}
+	for tried := 0; tried < len(candidates) && len(picked) < count; tried++ {
+		position := start
+		if len(candidates) > count {
+			position = e.random.IntN(len(candidates))
+		}
+		candidate := candidates[(position+tried)%len(candidates)]
+		if !slices.Contains(picked, candidate) && !slices.Contains(unwanted, candidate) {
+			picked = append(picked, candidate)
+		}
+	}
+	return picked
+}
+
+func (e *Exchange) send(to string, message Message, reliable bool) {
+	message.Address = e.self.Address
+	e.emit(Send{To: to, Message: message, Reliable: reliable})
+}
--- /dev/null
+++ b/internal/core/sighting/message.go
@@ -0,0 +1,83 @@
+package sighting
+
+import "github.com/lotusward/lotusward/internal/core/identity"
+
+// MessageKind tells what a message is for.
+type MessageKind uint8
+
+// The kinds of message.
+const (
+	// MessageDeltas only carries deltas.
+	MessageDeltas MessageKind = iota
+	// MessageDigests carries digests of the reports that the sender has.
+	MessageDigests
+	// MessageVersions carries versions of reports in the buckets whose digests
+	// differed. The receiver sends what the sender lacks and pulls what it lacks
+	// itself.
+	MessageVersions
+	// MessagePull asks for all that is newer than the given versions.
+	MessagePull
+)
+
+// Message is what daemons send each other. On the wire it is an array.
+type Message struct {
+	_msgpack struct{} `msgpack:",as_array"`
+
+	Kind MessageKind
+	// Address is where the sender is, IP:port.
+	Address  string
+	Deltas   []Delta
+	Versions []Version
+	// Digests are digestBytes for each bucket.
+	Digests []byte
+	// Buckets has a bit for each bucket that Versions is complete for.
+	Buckets uint32
+}
+
+// Version says how much of a report is known. On the wire it is an array.
+type Version struct {
+	_msgpack struct{} `msgpack:",as_array"`
+
+	Watcher identity.DaemonID
+	// Epoch is the watcher's incarnation; a restarted watcher starts a new report.
+	Epoch    identity.Incarnation
+	Sequence uint64
+}
+
+// Delta holds all changes of a report after From up to To, newest state only. A
+// delta from zero is the whole report. On the wire it is an array.
+type Delta struct {
+	_msgpack struct{} `msgpack:",as_array"`
+
+	Watcher   identity.DaemonID
+	Epoch     identity.Incarnation
+	From      uint64
+	To        uint64
+	Sightings []Sighting
+}
+
+// Action is what the owner of an exchange must do.
+type Action interface{ isAction() }
+
+// Send asks to send a message.
+type Send struct {
+	// To is the receiver's address, IP:port.
+	To      string
+	Message Message
+	// Reliable asks for the peer RPC in place of a datagram.
+	Reliable bool
+}
+
+// Recheck asks to look at a watched back end at once, since another watcher says
+// otherwise than this one saw. Unreachable is set when the other did not reach it.
+type Recheck struct {
+	Backend     identity.BackendID
+	Unreachable bool
+}
+
+// Changed tells that the verdict about a back end may have changed.
+type Changed struct{ Backend identity.BackendID }
+
+func (Send) isAction()    {}
+func (Recheck) isAction() {}
+func (Changed) isAction() {}
--- a/internal/daemon/backendwatch/watcher.go
+++ b/internal/daemon/backendwatch/watcher.go
@@ -1,16 +1,20 @@
-// Package backendwatch asks the platform for its machine list and the back ends
-// for their status, and hands both to the control loop.
+// Package backendwatch asks the platform for its machine list, and the back ends
+// that this daemon watches for their status and cache events, and hands what it
+// learns to the control loop.
 package backendwatch
 
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
 	"github.com/sirupsen/logrus"
 
 	"github.com/lotusward/lotusward/internal/core/identity"
+	"github.com/lotusward/lotusward/internal/core/sighting"
+	"github.com/lotusward/lotusward/internal/core/watch"
 	"github.com/lotusward/lotusward/internal/port"
 	"github.com/lotusward/lotusward/internal/wire/enginewire"
 	"github.com/lotusward/lotusward/internal/wire/platformwire"
@@ -25,17 +29,29 @@
 type Sink interface {
 	ObserveMachines(list platformwire.MachineList)
 	ObserveStatus(status enginewire.Status)
+	ObserveUnreachable(id identity.BackendID)
+	Unwatch(id identity.BackendID)
+	// ObserveCacheEvents returns false when it dropped the batch for lack of time.
+	ObserveCacheEvents(id identity.BackendID, batch enginewire.CacheEventBatch) bool
 }
 
 // Assignment tells which of the machines this daemon asks itself.
 type Assignment interface {
-	Assigned(machines []platformwire.Machine) []platformwire.Machine
+	// Rank returns this daemon's place among the watchers of a machine; the second
+	// result is false when it is none of them.
+	Rank(machine platformwire.Machine) (int, bool)
+	// Changed receives a value after a change of the assignment.
+	Changed() <-chan struct{}
 }
 
 // emptyListInterval is how soon an empty machine list is read again: it lags, and
 // most likely the machines are just not on it yet.
 const emptyListInterval = 250 * time.Millisecond
 
+// recheckQueue is how many rechecks may wait; more are dropped, since every back
+// end is asked again soon anyway.
+const recheckQueue = 1024
+
 // Options configure a watcher.
 type Options struct {
 	Machines   port.MachineList
@@ -43,28 +59,41 @@
 	Sink       Sink
 	Assignment Assignment
 	Log        logrus.FieldLogger
+	// CacheEvents opens engines' streams of cache events; none are read when nil.
+	CacheEvents CacheEventSource
 	// ListInterval is the time between two reads of the machine list.
 	ListInterval time.Duration
-	// StatusInterval is the time between two status requests to one back end. A
-	// request that has no answer by then has failed.
-	StatusInterval time.Duration
+	// Pace bounds how often back ends are asked. A question that has no answer
+	// after Pace.Shortest has failed.
+	Pace watch.Pace
 }
 
-// Watcher keeps one goroutine for each back end that it asks.
+// Watcher keeps one goroutine for each back end that it asks, and one more for
+// each engine's cache events.
 type Watcher struct {
-	options Options
-	polls   map[identity.BackendID]poll
-	running sync.WaitGroup
-}
-
-type poll struct {
-	address string
-	stop    context.CancelFunc
+	options  Options
+	machines []platformwire.Machine
+	polls    map[identity.BackendID]*poll
+	watched  atomic.Int64
+	rechecks chan sighting.Recheck
+	running  sync.WaitGroup
 }
 
 // New makes a watcher.
 func New(options Options) *Watcher {
-	return &Watcher{options: options, polls: make(map[identity.BackendID]poll)}
+	return &Watcher{
+		options:  options,
+		polls:    make(map[identity.BackendID]*poll),
+		rechecks: make(chan sighting.Recheck, recheckQueue),
+	}
+}
+
+// Recheck asks to look at a back end at once. It does not block.
+func (w *Watcher) Recheck(recheck sighting.Recheck) {
+	select {
+	case w.rechecks <- recheck:
+	default:
+	}
 }
 
 // Run watches until the context ends.
@@ -73,17 +102,34 @@
 	delays := backoff.NewExponentialBackOff()
 	delays.InitialInterval = w.options.ListInterval
 	delays.MaxInterval = 10 * w.options.ListInterval
-	for {
+	for ctx.Err() == nil {
 		wait := w.options.ListInterval
 		if !w.readList(ctx) {
 			wait = delays.NextBackOff()
-		} else if delays.Reset(); len(w.polls) == 0 {
+		} else if delays.Reset(); len(w.machines) == 0 {
 			wait = min(wait, emptyListInterval)
 		}
+		w.attend(ctx, wait)
+	}
+	return nil
+}
+
+// attend passes on rechecks and follows changes of the assignment for a while.
+func (w *Watcher) attend(ctx context.Context, length time.Duration) {
+	timer := time.NewTimer(length)
+	defer timer.Stop()
+	for {
 		select {
 		case <-ctx.Done():
-			return nil
-		case <-time.After(wait):
+			return
+		case <-timer.C:
+			return
+		case <-w.options.Assignment.Changed():
+			w.follow(ctx)
+		case recheck := <-w.rechecks:
+			if asked := w.polls[recheck.Backend]; asked != nil {
+				asked.hurry(recheck)
+			}
 		}
 	}
 }
@@ -101,65 +147,37 @@
 		return false
 	}
 	w.options.Sink.ObserveMachines(list)
-	w.follow(ctx, w.options.Assignment.Assigned(list.Machines))
+	w.machines = list.Machines
+	w.follow(ctx)
 	return true
 }
 
-// follow starts and stops polls so that exactly the wanted machines are asked.
-func (w *Watcher) follow(ctx context.Context, wanted []platformwire.Machine) {
-	addresses := make(map[identity.BackendID]string, len(wanted))
-	for _, machine := range wanted {
-		addresses[machine.ID] = machine.Address
+// assigned is a machine that this daemon asks, with its rank among the watchers.
+type assigned struct {
+	machine platformwire.Machine
+	rank    int
+}
+
+// follow starts and stops polls so that exactly the assigned machines are asked.
+func (w *Watcher) follow(ctx context.Context) {
+	wanted := make(map[identity.BackendID]assigned)
+	for _, machine := range w.machines {
+		if rank, is := w.options.Assignment.Rank(machine); is {
+			wanted[machine.ID] = assigned{machine: machine, rank: rank}
+		}
 	}
+	w.watched.Store(int64(len(wanted)))
 	for id, running := range w.polls {
-		if addresses[id] != running.address {
-			running.stop()
+		if wanted[id].machine.Address != running.machine.Address {
 			delete(w.polls, id)
+			running.end()
 		}
 	}
-	for id, address := range addresses {
-		if _, found := w.polls[id]; found {
+	for id, asking := range wanted {
+		if running, found := w.polls[id]; found {
+			running.rank.Store(int64(asking.rank))
 			continue
 		}
-		pollContext, stop := context.WithCancel(ctx)
-		w.polls[id] = poll{address: address, stop: stop}
-		w.running.Go(func() { w.poll(pollContext, id, address) })
+		w.polls[id] = w.start(ctx, asking)
 	}
 }
-
-func (w *Watcher) poll(ctx context.Context, id identity.BackendID, address string) {
-	ticker := time.NewTicker(w.options.StatusInterval)
-	defer ticker.Stop()
-	reachable := true
-	for {
-		answered := w.ask(ctx, id, address)
-		if reachable && !answered && ctx.Err() == nil {
-			w.options.Log.WithField("backend", id).Warn("A back end does not answer.")
-		}
-		reachable = answered
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
-	}
-}
-
-func (w *Watcher) ask(ctx context.Context, id identity.BackendID, address string) bool {
-	limited, cancel := context.WithTimeout(ctx, w.options.StatusInterval)
-	defer cancel()
-	status, err := w.options.Statuses.Status(limited, address)
-	if err != nil || status.Backend != id {
-		return false
-	}
-	w.options.Sink.ObserveStatus(status)
-	return true
-}
-
-// AssignAll asks every machine, for deployments with few daemons.
-type AssignAll struct{}
-
-// Assigned implements Assignment.
-func (AssignAll) Assigned(machines []platformwire.Machine) []platformwire.Machine {
-	return machines
-}
--- a/internal/daemon/control/events.go
+++ b/internal/daemon/control/events.go
@@ -101,6 +101,7 @@
 
 func (e machinesListed) apply(state *state, now time.Time) {
 	state.registry.ObserveMachines(now, e.list)
+	state.observeListed(now)
 	state.refresh(now)
 }
 
@@ -112,6 +113,7 @@
 	for _, status := range e.knowledge.Statuses {
 		state.registry.ObserveStatus(now, status)
 	}
+	state.observeListed(now)
 	state.refresh(now)
 }
 
@@ -122,6 +124,7 @@
 	state.policy.ObserveLoad(now, e.status.Backend, e.status.Incarnation, e.status.Load)
 	leaving := e.status.State == enginewire.StateLeaving
 	state.tellLeaving(now, e.status.Backend, e.status.StateVersion, leaving)
+	state.observeWatched(now, e.status)
 	state.refresh(now)
 }
 
@@ -143,6 +146,10 @@
 }
 
 func (e cacheEventsSeen) apply(state *state, now time.Time) {
+	known, _, found := state.registry.Status(e.backend)
+	if found && known.Incarnation != e.batch.Incarnation {
+		return // another life of the engine: its cache is gone, or not known here yet
+	}
 	state.policy.ObserveCacheEvents(now, e.backend, e.batch)
 }
 
--- a/internal/daemon/control/inputs.go
+++ b/internal/daemon/control/inputs.go
@@ -49,9 +49,15 @@
 	l.post(leavingSeen{id: id, stateVersion: stateVersion})
 }
 
-// ObserveCacheEvents takes cache events of an engine.
-func (l *Loop) ObserveCacheEvents(backend identity.BackendID, batch enginewire.CacheEventBatch) {
+// ObserveCacheEvents takes cache events of an engine. They only correct what is
+// believed already, so they go first when the loop falls behind: it returns false
+// when the batch was dropped for that.
+func (l *Loop) ObserveCacheEvents(backend identity.BackendID, batch enginewire.CacheEventBatch) bool {
+	if len(l.inbox) > inboxSize/2 {
+		return false
+	}
 	l.post(cacheEventsSeen{backend: backend, batch: batch})
+	return true
 }
 
 // SetTenantLimits replaces this daemon's shares of the tenants' limits.
--- a/internal/daemon/control/members.go
+++ b/internal/daemon/control/members.go
@@ -72,16 +72,19 @@
 		}
 	}
 	if membersChanged {
-		s.publishMembers()
+		s.observeMembers(now, s.publishMembers())
 	}
 }
 
 // publishMembers shows the member list to the other goroutines. It is called on
 // every change of who is there, and now and then for the revisions in force.
-func (s *state) publishMembers() {
-	if s.membership != nil {
-		s.membership.OnMembers(s.membership.Node.Members())
+func (s *state) publishMembers() []membership.Member {
+	if s.membership == nil {
+		return nil
 	}
+	members := s.membership.Node.Members()
+	s.membership.OnMembers(members)
+	return members
 }
 
 // tellLeaving spreads what this daemon itself saw of a back end's state.
--- a/internal/daemon/control/state.go
+++ b/internal/daemon/control/state.go
@@ -1,7 +1,6 @@
 package control
 
 import (
-	"reflect"
 	"slices"
 	"sync/atomic"
 	"time"
@@ -28,6 +27,8 @@
 	published *atomic.Pointer[view.View]
 	// membership is nil in a daemon without peers, such as an experiment's.
 	membership *Membership
+	// watching is nil where nothing is shared about back ends.
+	watching *Watching
 
 	waiting       map[identity.RequestID]chan decision
 	document      *dynamic.Document
@@ -83,16 +84,18 @@
 	if s.membership != nil {
 		s.carry(now, s.membership.Node.Tick(now))
 	}
+	if s.watching != nil {
+		s.perform(now, s.watching.Exchange.Tick(now))
+	}
 }
 
 // refresh passes the merged back ends on when they changed.
 func (s *state) refresh(now time.Time) {
 	s.refreshedAt = now
-	backends := s.registry.Backends(now)
-	changed := !reflect.DeepEqual(backends, s.backends)
+	changed := s.registry.Refresh(now)
 	if changed {
-		s.backends = backends
-		s.act(s.policy.SetBackends(now, backends))
+		s.backends = s.registry.Backends(now)
+		s.act(s.policy.SetBackends(now, s.backends))
 	}
 	if changed || s.documentDirty {
 		s.publish()
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -24,6 +24,7 @@
 	"github.com/lotusward/lotusward/internal/core/registry"
 	"github.com/lotusward/lotusward/internal/core/scheduler"
 	"github.com/lotusward/lotusward/internal/core/view"
+	"github.com/lotusward/lotusward/internal/daemon/backendwatch"
 	"github.com/lotusward/lotusward/internal/daemon/claims"
 	"github.com/lotusward/lotusward/internal/daemon/configuration"
 	"github.com/lotusward/lotusward/internal/daemon/control"
@@ -61,6 +62,7 @@
 
 	members       *memberDirectory
 	transport     *gossip.Transport
+	watcher       *backendwatch.Watcher
 	configuration *configuration.Runner
 	claims        *claims.Runner
 	// votes is closed once this daemon votes on claims.
@@ -96,6 +98,7 @@
 	daemon.wireTraffic(options.Policy)
 	daemon.wireConfiguration()
 	daemon.wireMembership()
+	daemon.wireWatching()
 	daemon.wireKnowledge()
 	daemon.wireAdministration()
 	daemon.registerProcess()
--- a/internal/daemon/gossip/transport.go
+++ b/internal/daemon/gossip/transport.go
@@ -1,6 +1,7 @@
-// Package gossip carries membership messages between the membership core, which
-// the control goroutine owns, and the network: datagrams for probes and gossip,
-// peer calls for what must arrive or is too large for a datagram.
+// Package gossip carries messages between the pure cores that the control
+// goroutine owns, membership and the exchange of sightings, and the network:
+// datagrams for probes and gossip, peer calls for what must arrive or is too large
+// for a datagram.
 package gossip
 
 import (
@@ -13,10 +14,11 @@
 	"github.com/lotusward/lotusward/internal/adapter/peer"
 	"github.com/lotusward/lotusward/internal/core/identity"
 	"github.com/lotusward/lotusward/internal/core/membership"
+	"github.com/lotusward/lotusward/internal/core/sighting"
 )
 
 // PathMessage is the peer call that carries one message.
-const PathMessage = "/membership/message"
+const PathMessage = "/gossip/message"
 
 const (
 	// reliableQueue is how many messages may wait for a peer call; more are dropped,
@@ -31,17 +33,32 @@
 // Receiver takes messages that arrived; the control loop implements it.
 type Receiver interface {
 	HandleMembership(from identity.DaemonID, address string, message membership.Message)
+	HandleSightings(from identity.DaemonID, message sighting.Message)
+}
+
+// Envelope holds the one message that is not nil. On the wire it is an array.
+type Envelope struct {
+	_msgpack struct{} `msgpack:",as_array"`
+
+	Membership *membership.Message
+	Sightings  *sighting.Message
+}
+
+// outgoing is an envelope with the address (IP:port) that it goes to.
+type outgoing struct {
+	to       string
+	envelope Envelope
 }
 
 // Delivered is the empty answer to PathMessage.
 type Delivered struct{}
 
-// Transport sends and receives membership messages.
+// Transport sends and receives messages.
 type Transport struct {
 	conn     *datagram.Conn
 	client   *peer.Client
 	log      logrus.FieldLogger
-	reliable chan membership.Send
+	reliable chan outgoing
 }
 
 // New makes a transport on an open socket and a peer client.
@@ -50,30 +67,40 @@
 		conn:     conn,
 		client:   client,
 		log:      log,
-		reliable: make(chan membership.Send, reliableQueue),
+		reliable: make(chan outgoing, reliableQueue),
 	}
 }
 
-// Send sends a message without waiting for it to arrive. The membership core
-// repeats what is lost.
+// Send sends a membership message without waiting for it to arrive. The
+// membership core repeats what is lost.
 func (t *Transport) Send(send membership.Send) {
-	if !send.Reliable {
-		if err := t.conn.Send(send.To, send.Message); err != nil {
+	t.send(outgoing{to: send.To, envelope: Envelope{Membership: &send.Message}}, send.Reliable)
+}
+
+// SendSightings sends a message of the exchange of sightings without waiting for
+// it to arrive. The exchange repairs what is lost.
+func (t *Transport) SendSightings(send sighting.Send) {
+	t.send(outgoing{to: send.To, envelope: Envelope{Sightings: &send.Message}}, send.Reliable)
+}
+
+func (t *Transport) send(message outgoing, reliable bool) {
+	if !reliable {
+		if err := t.conn.Send(message.to, message.envelope); err != nil {
 			t.log.WithError(err).Debug("A datagram was not sent.")
 		}
 		return
 	}
 	select {
-	case t.reliable <- send:
+	case t.reliable <- message:
 	default:
-		t.log.WithField("to", send.To).Warn("Too many exchanges wait; one was dropped.")
+		t.log.WithField("to", message.to).Warn("Too many exchanges wait; one was dropped.")
 	}
 }
 
 // Register lets other daemons deliver messages by peer calls.
 func (t *Transport) Register(server *peer.Server, receiver Receiver) {
-	peer.Handle(server, PathMessage, func(ctx context.Context, message membership.Message) (Delivered, error) {
-		receiver.HandleMembership(peer.Sender(ctx), message.Address, message)
+	peer.Handle(server, PathMessage, func(ctx context.Context, envelope Envelope) (Delivered, error) {
+		deliver(receiver, peer.Sender(ctx), "", envelope)
 		return Delivered{}, nil
 	})
 }
@@ -87,27 +114,41 @@
 		_ = t.conn.Close() // Receive reports how it ended
 	})
 	defer stop()
-	return datagram.Receive(t.conn, func(received datagram.Message[membership.Message]) {
-		receiver.HandleMembership(received.Sender, received.From, received.Body)
+	return datagram.Receive(t.conn, func(received datagram.Message[Envelope]) {
+		deliver(receiver, received.Sender, received.From, received.Body)
 	})
 }
 
+// deliver hands a message to the receiver. Address is where it came from, IP:port;
+// a message that came by a peer call says itself where its sender is.
+func deliver(receiver Receiver, from identity.DaemonID, address string, envelope Envelope) {
+	if message := envelope.Membership; message != nil {
+		if address == "" {
+			address = message.Address
+		}
+		receiver.HandleMembership(from, address, *message)
+	}
+	if message := envelope.Sightings; message != nil {
+		receiver.HandleSightings(from, *message)
+	}
+}
+
 func (t *Transport) callWaiting(ctx context.Context) {
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case send := <-t.reliable:
-			t.call(ctx, send)
+		case message := <-t.reliable:
+			t.call(ctx, message)
 		}
 	}
 }
 
-func (t *Transport) call(ctx context.Context, send membership.Send) {
+func (t *Transport) call(ctx context.Context, message outgoing) {
 	limited, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	var answer Delivered
-	if err := t.client.Call(limited, send.To, PathMessage, send.Message, &answer); err != nil {
+	if err := t.client.Call(limited, message.to, PathMessage, message.envelope, &answer); err != nil {
 		t.log.WithError(err).Debug("An exchange with another daemon failed.")
 	}
 }
--- a/internal/daemon/members.go
+++ b/internal/daemon/members.go
@@ -14,6 +14,8 @@
 	self    identity.DaemonID
 	minimum int
 	picture atomic.Pointer[memberPicture]
+	// changed receives a value after a change of the picture.
+	changed chan struct{}
 }
 
 type memberPicture struct {
@@ -26,7 +28,7 @@
 // newMemberDirectory makes a directory that knows of no other daemon. Minimum is
 // how many daemons the settings name at least, this one among them.
 func newMemberDirectory(self identity.DaemonID, minimum int) *memberDirectory {
-	directory := &memberDirectory{self: self, minimum: minimum}
+	directory := &memberDirectory{self: self, minimum: minimum, changed: make(chan struct{}, 1)}
 	directory.publish(nil)
 	return directory
 }
@@ -47,6 +49,15 @@
 	}
 	picture.size = max(present, d.minimum)
 	d.picture.Store(picture)
+	d.notify()
+}
+
+// notify has the reader of changed look again.
+func (d *memberDirectory) notify() {
+	select {
+	case d.changed <- struct{}{}:
+	default:
+	}
 }
 
 // Members implements configuration.Membership.
--- a/internal/daemon/parts.go
+++ b/internal/daemon/parts.go
@@ -10,7 +10,6 @@
 	"github.com/oklog/run"
 
 	"github.com/lotusward/lotusward/internal/adapter/callerhttp"
-	"github.com/lotusward/lotusward/internal/daemon/backendwatch"
 )
 
 // Times of an orderly stop.
@@ -104,20 +103,9 @@
 
 // addBackgroundParts adds the parts that keep the daemon's knowledge fresh.
 func (d *Daemon) addBackgroundParts(group *run.Group) {
-	watcher := backendwatch.New(backendwatch.Options{
-		Machines:       d.platform.machines,
-		Statuses:       d.engines,
-		Sink:           d.loop,
-		Assignment:     backendwatch.AssignAll{},
-		Log:            d.part("backends"),
-		ListInterval:   d.settings.Tuning.MachineListInterval,
-		StatusInterval: d.settings.Tuning.LoadPollInterval,
-	})
-	addRunner(group, d.runClaims)
-	addRunner(group, d.runRosters)
 	addRunner(group, d.configuration.Run)
 	addRunner(group, d.runKnowledge)
-	addRunner(group, watcher.Run)
+	addRunner(group, d.watcher.Run)
 }
 
 func serve(server *http.Server, listener net.Listener) error {
