Import a prefix's KV where that is cheaper, and never mix lives of a slot

A start names the engine that has computed most of the prompt, when importing is expected to be faster than computing; the time of imports is learned. Eviction costs count the uncached tokens whether they are computed or imported. The account test found two faults: an import source that had restarted while the request waited; and an answer of a removed engine credited to another engine that had taken its slot in an incarnation of the same number.

--- a/internal/core/belief/index.go
+++ b/internal/core/belief/index.go
@@ -81,8 +81,9 @@
 
 // engine is what the index keeps for one engine.
 type engine struct {
-	incarnation    identity.Incarnation
-	known          bool
+	incarnation identity.Incarnation
+	// life tells apart all lives of all engines that have had the slot.
+	life           uint64
 	newest, oldest uint32
 	count          int
 	uses           uint32
@@ -107,6 +108,8 @@
 	unused  []Slot
 	// hand is the engine that gives up an entry next when the index is full.
 	hand int
+	// lives counts the lives of engines.
+	lives uint64
 	// now is the time, in milliseconds; it may wrap around.
 	now uint32
 	// placements numbers the placements, which are the owners of pending blocks.
@@ -142,7 +145,8 @@
 		return slot
 	}
 	x.Clear(slot)
-	x.engines[slot] = engine{incarnation: incarnation, known: true, reuse: firstReuse}
+	x.lives++
+	x.engines[slot] = engine{incarnation: incarnation, life: x.lives, reuse: firstReuse}
 	return slot
 }
 
--- a/internal/core/belief/learn.go
+++ b/internal/core/belief/learn.go
@@ -14,6 +14,8 @@
 	Expected Match
 	// lastUse is the use counter of the deepest expected block before the placement.
 	lastUse uint32
+	// life is the engine's life at the placement.
+	life uint64
 	// number tells the placements apart.
 	number uint32
 }
@@ -29,6 +31,7 @@
 		Slot:        slot,
 		Incarnation: x.engines[slot].incarnation,
 		Expected:    x.depth(checkpoints, slot, isThere),
+		life:        x.engines[slot].life,
 		number:      x.nextPlacement(),
 	})
 }
@@ -40,6 +43,7 @@
 		Slot:        slot,
 		Incarnation: x.engines[slot].incarnation,
 		Expected:    x.Depth(checkpoints, slot),
+		life:        x.engines[slot].life,
 		number:      x.nextPlacement() | waits,
 	})
 }
@@ -137,7 +141,7 @@
 		return false
 	}
 	holder := x.engines[placement.Slot]
-	return holder.known && holder.incarnation == placement.Incarnation && holder.incarnation == incarnation
+	return holder.life == placement.life && holder.life != 0 && holder.incarnation == incarnation
 }
 
 // ApplyEvents corrects the belief by cache events. Batches of another
--- a/internal/core/placement/estimate/estimate.go
+++ b/internal/core/placement/estimate/estimate.go
@@ -8,10 +8,13 @@
 	DefaultSecondsPerToken = 40e-6
 	// DefaultStepSeconds is the wait for a first token beside prompt tokens.
 	DefaultStepSeconds = 0.02
-	leastPace          = 1e-7
-	mostPace           = 0.02
-	leastStep          = 0.0005
-	mostStep           = 0.5
+	// DefaultImportSecondsPerToken and DefaultImportSeconds are those of KV imports.
+	DefaultImportSecondsPerToken = 10e-6
+	DefaultImportSeconds         = 0.02
+	leastPace                    = 1e-7
+	mostPace                     = 0.02
+	leastStep                    = 0.0005
+	mostStep                     = 0.5
 	// forgetting is the weight that a sample loses with each that follows.
 	forgetting = 0.995
 	// priorSamples is how many samples the defaults count for.
@@ -27,10 +30,15 @@
 }
 
 // NewPace makes a pace at the defaults.
-func NewPace() *Pace {
+func NewPace() *Pace { return newPace(DefaultSecondsPerToken, DefaultStepSeconds) }
+
+// NewImportPace makes a pace at the defaults of KV imports.
+func NewImportPace() *Pace { return newPace(DefaultImportSecondsPerToken, DefaultImportSeconds) }
+
+func newPace(perToken, step float64) *Pace {
 	pace := &Pace{}
 	for _, tokens := range []float64{0, priorTokens} {
-		pace.add(priorSamples/2, tokens, DefaultStepSeconds+tokens*DefaultSecondsPerToken)
+		pace.add(priorSamples/2, tokens, step+tokens*perToken)
 	}
 	pace.fit()
 	return pace
@@ -64,7 +72,7 @@
 
 func (p *Pace) fit() {
 	variance := p.weight*p.sumXX - p.sumX*p.sumX
-	perToken := DefaultSecondsPerToken
+	perToken := p.perToken
 	if variance > 0 {
 		perToken = (p.weight*p.sumXY - p.sumX*p.sumY) / variance
 	}
--- a/internal/core/placement/firsttoken/firsttoken.go
+++ b/internal/core/placement/firsttoken/firsttoken.go
@@ -15,12 +15,6 @@
 	reuseSeconds = 5
 )
 
-// Costs of a KV import, until an engine's are known better.
-const (
-	importSecondsPerToken = 10e-6
-	importSetupSeconds    = 0.02
-)
-
 // Scorer is the scorer. All of its parts are in seconds.
 type Scorer struct{}
 
@@ -29,7 +23,7 @@
 func (Scorer) Score(query *placement.Query, candidate *placement.Candidate) {
 	uncached := max(1, query.PromptTokens-candidate.CachedTokens)
 	compute := float64(uncached) * candidate.SecondsPerToken
-	imported := float64(uncached-candidate.ImportTokens)*candidate.SecondsPerToken + importSeconds(candidate.ImportTokens)
+	imported := float64(uncached-candidate.ImportTokens)*candidate.SecondsPerToken + candidate.ImportSeconds
 	if candidate.ImportTokens > 0 && imported < compute {
 		compute = imported
 	} else {
@@ -37,7 +31,8 @@
 		candidate.ImportTokens = 0
 	}
 	candidate.Wait = candidate.DelaySeconds + candidate.AheadTokens*candidate.SecondsPerToken + compute
-	candidate.Cost = candidate.Wait + compute*(recomputeWeight+lossProbability(candidate))
+	candidate.Cost = candidate.Wait + recomputeWeight*compute +
+		lossProbability(candidate)*float64(uncached)*candidate.SecondsPerToken
 }
 
 // lossProbability is the chance that a block is computed again since another took
@@ -49,7 +44,3 @@
 	}
 	return max(candidate.ReuseProbability, reuseSeconds/(reuseSeconds+candidate.TurnoverSeconds))
 }
-
-func importSeconds(tokens int) float64 {
-	return importSetupSeconds + float64(tokens)*importSecondsPerToken
-}
--- a/internal/core/placement/firsttoken/firsttoken_test.go
+++ b/internal/core/placement/firsttoken/firsttoken_test.go
@@ -32,6 +32,7 @@
 		importing := candidate
 		importing.ImportTokens = max(0, query.PromptTokens-candidate.CachedTokens-1)
 		importing.ImportFrom = "other"
+		importing.ImportSeconds = rapid.Float64Range(0, 1).Draw(t, "import")
 		Scorer{}.Score(&query, &importing)
 		assert.Assert(t, importing.Wait <= plain.Wait)
 		assert.Equal(t, importing.ImportFrom != "", importing.Wait < plain.Wait, "%+v %+v", importing, plain)
--- a/internal/core/placement/placement.go
+++ b/internal/core/placement/placement.go
@@ -23,6 +23,8 @@
 	Index int
 	// CachedTokens is how much of the prompt is or will be cached there.
 	CachedTokens int
+	// Computing is set when some of them are still to be computed.
+	Computing bool
 	// AheadTokens are the prompt tokens to be computed before the request's own.
 	AheadTokens float64
 	// SecondsPerToken is the back end's pace for prompt tokens.
@@ -39,6 +41,8 @@
 	// ImportTokens are cached tokens that could be imported from ImportFrom.
 	ImportTokens int
 	ImportFrom   identity.BackendID
+	// ImportSeconds is how long the import should take.
+	ImportSeconds float64
 	// Cost is the scorer's result, in seconds; the least is best.
 	Cost float64
 	// Wait is the expected time to the first token, in seconds.
--- a/internal/core/scheduler/api.go
+++ b/internal/core/scheduler/api.go
@@ -59,7 +59,8 @@
 type Start struct {
 	RequestID identity.RequestID
 	Backend   Backend
-	// ExpectedCachedTokens is how much of the prompt should be cached there.
+	// ExpectedCachedTokens is how much of the prompt should be cached there, with
+	// what is imported first.
 	ExpectedCachedTokens int
 	// ImportFrom, when not empty, is an engine to import the prefix's KV from first.
 	ImportFrom identity.BackendID
--- a/internal/core/scheduler/arrive.go
+++ b/internal/core/scheduler/arrive.go
@@ -127,6 +127,7 @@
 	settled.backend = state
 	settled.uncached = float64(max(1, settled.request.PromptTokens-chosen.CachedTokens-chosen.ImportTokens))
 	settled.importFrom = chosen.ImportFrom
+	settled.imported = chosen.ImportTokens
 	settled.expectedWait = chosen.Wait
 	if s.accepts(at, state, settled.request.Class) && state.parked.Position(settled.order) == 0 {
 		s.start(at, settled)
--- a/internal/core/scheduler/backend.go
+++ b/internal/core/scheduler/backend.go
@@ -42,9 +42,11 @@
 	work    eligible.Work
 	members []*backendState
 	// byLoad orders the members by when they will be free.
-	byLoad  *btree.BTreeG[*backendState]
-	ring    hashRing
-	clock   *admission.FairClock
+	byLoad *btree.BTreeG[*backendState]
+	ring   hashRing
+	clock  *admission.FairClock
+	// imports is the time of KV imports over the imported tokens.
+	imports *estimate.Pace
 	waiting admission.Queue[*job]
 }
 
@@ -131,7 +133,7 @@
 func (s *Scheduler) group(work eligible.Work) *group {
 	found := s.groups[work]
 	if found == nil {
-		found = &group{work: work, byLoad: btree.NewG(btreeDegree, lessLoaded), clock: admission.NewFairClock()}
+		found = &group{work: work, byLoad: btree.NewG(btreeDegree, lessLoaded), clock: admission.NewFairClock(), imports: estimate.NewImportPace()}
 		s.groups[work] = found
 	}
 	return found
--- a/internal/core/scheduler/dispatch.go
+++ b/internal/core/scheduler/dispatch.go
@@ -118,10 +118,26 @@
 // bring. Requests that it counted on while it waited may have been withdrawn.
 func (s *Scheduler) expect(started *job) {
 	started.placement = s.index.Place(started.checkpoints, started.backend.slot)
-	if started.importFrom == "" {
-		cached := min(started.placement.Expected.Blocks*prefix.BlockTokens, started.request.PromptTokens)
-		started.uncached = float64(max(1, started.request.PromptTokens-cached))
+	cached := started.placement.Expected.Blocks * prefix.BlockTokens
+	started.imported = max(0, s.importable(started)-cached)
+	if started.imported == 0 {
+		started.importFrom = ""
 	}
+	started.expectedCached = cached + started.imported
+	started.uncached = float64(max(1, started.request.PromptTokens-started.expectedCached))
+}
+
+// importable is how much of a job's prompt its import source has computed.
+func (s *Scheduler) importable(started *job) int {
+	source := s.backends[started.importFrom]
+	if source == nil || !source.takes(started.group) {
+		return 0
+	}
+	held := s.index.Depth(started.checkpoints, source.slot)
+	if held.Pending {
+		return 0
+	}
+	return held.Blocks * prefix.BlockTokens
 }
 
 // start sends a job to its back end.
@@ -142,7 +158,7 @@
 	s.actions = append(s.actions, Start{
 		RequestID:            started.request.ID,
 		Backend:              state.backend,
-		ExpectedCachedTokens: started.placement.Expected.Blocks * prefix.BlockTokens,
+		ExpectedCachedTokens: started.expectedCached,
 		ImportFrom:           started.importFrom,
 	})
 }
--- a/internal/core/scheduler/job.go
+++ b/internal/core/scheduler/job.go
@@ -22,6 +22,11 @@
 	// uncached is how many prompt tokens the back end should have to compute.
 	uncached   float64
 	importFrom identity.BackendID
+	// expectedCached is how much of the prompt should be cached at the start, with
+	// what is imported.
+	expectedCached int
+	// imported is how many tokens are imported from there.
+	imported int
 	// startedAt and queuedAtStart are for learning from the first token.
 	startedAt     float64
 	queuedAtStart float64
--- a/internal/core/scheduler/place.go
+++ b/internal/core/scheduler/place.go
@@ -4,6 +4,7 @@
 	"github.com/lotusward/lotusward/internal/core/belief"
 	"github.com/lotusward/lotusward/internal/core/identity"
 	"github.com/lotusward/lotusward/internal/core/placement"
+	"github.com/lotusward/lotusward/internal/core/placement/estimate"
 	"github.com/lotusward/lotusward/internal/core/prefix"
 	"github.com/lotusward/lotusward/internal/core/rendezvous"
 )
@@ -72,8 +73,8 @@
 			s.considerUnmatched(now, wanted, state)
 		}
 	}
-	if s.options.KVImport {
-		s.offerImports()
+	if !s.options.NoImport && wanted.isEngineWork() {
+		s.offerImports(wanted.group.imports)
 	}
 }
 
@@ -92,6 +93,7 @@
 	candidate := placement.Candidate{
 		ID:           state.backend.ID,
 		Key:          state.key,
+		Computing:    match.Pending,
 		Index:        int(state.slot),
 		CachedTokens: min(match.Blocks*prefix.BlockTokens, wanted.request.PromptTokens),
 		DelaySeconds: s.delay(now, state, wanted.request.Class),
@@ -147,17 +149,24 @@
 }
 
 // offerImports tells each candidate which other one caches most of the prompt.
-func (s *Scheduler) offerImports() {
-	best := 0
+func (s *Scheduler) offerImports(imports *estimate.Pace) {
+	best := -1
 	for index := range s.candidates {
-		if s.candidates[index].CachedTokens > s.candidates[best].CachedTokens {
+		if s.candidates[index].Computing {
+			continue
+		}
+		if best < 0 || s.candidates[index].CachedTokens > s.candidates[best].CachedTokens {
 			best = index
 		}
 	}
+	if best < 0 {
+		return
+	}
 	for index := range s.candidates {
 		if missing := s.candidates[best].CachedTokens - s.candidates[index].CachedTokens; missing > 0 {
 			s.candidates[index].ImportTokens = missing
 			s.candidates[index].ImportFrom = s.candidates[best].ID
+			s.candidates[index].ImportSeconds = imports.StepSeconds() + float64(missing)*imports.SecondsPerToken()
 		}
 	}
 }
--- a/internal/core/scheduler/reports.go
+++ b/internal/core/scheduler/reports.go
@@ -66,15 +66,27 @@
 		ahead = 0
 	}
 	expected := state.pace.StepSeconds() + (ahead+computed)*state.pace.SecondsPerToken()
-	if reported.importFrom == "" && state.batch.wait(0, 0) == 0 {
+	if state.batch.wait(0, 0) == 0 {
 		// A wait of another cause must not count as the engine's pace.
-		state.pace.Learn(ahead+computed, min(took, mostSurprise*expected))
+		s.learnFrom(reported, ahead+computed, took, expected)
 	}
 	if reported.request.Class != identity.ClassInteractive {
 		state.queue.correct(at, correctionGain*(took-expected)/state.pace.SecondsPerToken(), state.pace)
 	}
 }
 
+// learnFrom takes the time of a first token as the engine's pace, or as an
+// import's when there was one.
+func (s *Scheduler) learnFrom(reported *job, computed, took, expected float64) {
+	if reported.importFrom == "" {
+		reported.backend.pace.Learn(computed, min(took, mostSurprise*expected))
+		return
+	}
+	imports := reported.group.imports
+	longest := mostSurprise * (imports.StepSeconds() + float64(reported.imported)*imports.SecondsPerToken())
+	imports.Learn(float64(reported.imported), min(max(0, took-expected), longest))
+}
+
 // Finish implements Policy.
 func (s *Scheduler) Finish(now time.Time, report Finish) []Action {
 	finished := s.running[report.RequestID]
--- a/internal/core/scheduler/scheduler.go
+++ b/internal/core/scheduler/scheduler.go
@@ -37,8 +37,8 @@
 	RootBlocks int
 	// MaxIndexEntries bounds the belief of what engines cache.
 	MaxIndexEntries int
-	// KVImport lets requests import a prefix's KV where that is cheaper.
-	KVImport bool
+	// NoImport keeps requests from importing a prefix's KV where that is cheaper.
+	NoImport bool
 }
 
 func (o Options) withDefaults() Options {
--- a/internal/core/scheduler/world_test.go
+++ b/internal/core/scheduler/world_test.go
@@ -184,15 +184,26 @@
 	assert.Assert(t, !slices.Contains(request.Excluded, backend.ID))
 
 	place := life{backend.ID, backend.Incarnation}
-	most := 0
-	for _, chain := range w.held[place] {
-		most = max(most, commonBlocks(chain, request.Chain))
+	most := w.mostHeld(place, request.Chain)
+	if start.ImportFrom != "" {
+		source, known := w.backends[start.ImportFrom]
+		assert.Assert(t, known && !source.Leaving)
+		most = max(most, w.mostHeld(life{source.ID, source.Incarnation}, request.Chain))
 	}
 	assert.Assert(t, start.ExpectedCachedTokens <= most*prefix.BlockTokens,
 		"%d tokens expected on %v, which can have %d blocks", start.ExpectedCachedTokens, place, most)
 	w.held[place] = append(w.held[place], request.Chain)
 }
 
+// mostHeld is how many leading blocks of a chain a life can have cached.
+func (w *world) mostHeld(place life, chain prefix.Chain) int {
+	most := 0
+	for _, held := range w.held[place] {
+		most = max(most, commonBlocks(held, chain))
+	}
+	return most
+}
+
 func commonBlocks(one, other prefix.Chain) int {
 	count := 0
 	for count < min(len(one), len(other)) && one[count] == other[count] {
