Give one daemon the duty of the fleet controller, and run claims again

Cause: nobody held the fleet lease, so orders and events had no effect. Three live daemons, chosen by rendezvous hashing, try for it; the holder plans, sends fenced orders and proposes rosters, for which it asks each replica whether it votes in all its slots. What an answer says of a leaving back end now reaches the registry. Ruled out: every daemon trying for the lease, 340 reads of its row a second. internal/lab/cluster and internal/lab/process pass.

--- a/internal/daemon/administration.go
+++ b/internal/daemon/administration.go
@@ -63,6 +63,7 @@
 		if member.ID == d.settings.Identity.Daemon {
 			row.Revision = d.configuration.Revision()
 			row.Running = d.callers.Active()
+			_, row.Controller = d.lease.Held()
 			row.Observed = now
 		}
 		rows = append(rows, row)
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -28,7 +28,9 @@
 	"github.com/lotusward/lotusward/internal/daemon/claims"
 	"github.com/lotusward/lotusward/internal/daemon/configuration"
 	"github.com/lotusward/lotusward/internal/daemon/control"
+	"github.com/lotusward/lotusward/internal/daemon/fleetkeeper"
 	"github.com/lotusward/lotusward/internal/daemon/gossip"
+	"github.com/lotusward/lotusward/internal/daemon/leasekeeper"
 	"github.com/lotusward/lotusward/internal/logging"
 )
 
@@ -65,6 +67,8 @@
 	watcher       *backendwatch.Watcher
 	configuration *configuration.Runner
 	claims        *claims.Runner
+	lease         *leasekeeper.Keeper
+	fleet         *fleetkeeper.Keeper
 	// votes is closed once this daemon votes on claims.
 	votes chan struct{}
 	// stopping is set when an orderly stop has begun.
@@ -100,6 +104,7 @@
 	daemon.wireMembership()
 	daemon.wireWatching()
 	daemon.wireKnowledge()
+	daemon.wireFleet()
 	daemon.wireAdministration()
 	daemon.registerProcess()
 	daemon.registerGauges()
@@ -152,6 +157,7 @@
 		Log:        d.part("callers"),
 		Registerer: d.metrics,
 		Limits:     d.callerLimits(),
+		OnLeaving:  d.loop.ObserveLeaving,
 	})
 }
 
--- a/internal/daemon/parts.go
+++ b/internal/daemon/parts.go
@@ -103,6 +103,10 @@
 
 // addBackgroundParts adds the parts that keep the daemon's knowledge fresh.
 func (d *Daemon) addBackgroundParts(group *run.Group) {
+	addRunner(group, d.runClaims)
+	addRunner(group, d.runRosters)
+	addRunner(group, d.fleet.Run)
+	addRunner(group, d.lease.Run)
 	addRunner(group, d.configuration.Run)
 	addRunner(group, d.runKnowledge)
 	addRunner(group, d.watcher.Run)
