Print answers that ended with an error though their daemon was unharmed

A stream that ends with a stated error is no violation for the oracle, but it is not complete either.

--- a/internal/lab/fault/command.go
+++ b/internal/lab/fault/command.go
@@ -92,6 +92,9 @@
 	faults.Render()
 	fmt.Fprintf(output, "requests %d: whole %d, refused %d, ended with an error %d, daemon unreached %d\n",
 		figures.Requests, figures.Whole, figures.Refused, figures.Broken, figures.Unreached)
+	for _, broken := range figures.BrokenUnexcused {
+		fmt.Fprintln(output, "  ended with an error, its daemon unharmed:", broken)
+	}
 	for _, reason := range slices.Sorted(maps.Keys(figures.Refusals)) {
 		fmt.Fprintf(output, "  refused %5d: %s\n", figures.Refusals[reason], reason)
 	}
--- a/internal/lab/fault/oracle.go
+++ b/internal/lab/fault/oracle.go
@@ -129,6 +129,9 @@
 	Requests, Whole, Refused, Broken, Unreached int
 	Faults                                      map[Kind]int
 	Violations                                  []Violation
+	// BrokenUnexcused are those that ended with an error though their daemon was
+	// neither killed nor paused.
+	BrokenUnexcused []string
 	// FirstTokenP50 and the others are of whole model answers.
 	FirstTokenP50, FirstTokenP99 time.Duration
 	PageP50, PageP99             time.Duration
@@ -153,6 +156,9 @@
 			sums.Unreached++
 		case answer.FirstAfter > 0:
 			sums.Broken++
+			if !o.excused(&request) {
+				sums.BrokenUnexcused = append(sums.BrokenUnexcused, brokenAnswer(request))
+			}
 		default:
 			sums.Refused++
 			sums.Refusals[fmt.Sprintf("%d %s %s", answer.StatusCode, answer.RunState, answer.Code)]++
@@ -163,6 +169,13 @@
 	return sums
 }
 
+func brokenAnswer(request sentRequest) string {
+	answer := request.answer
+	return fmt.Sprintf("request %s through daemon %d: %d of %d bytes after %s, then %s %s",
+		answer.RequestID, request.daemon+1, len(answer.Text), len(request.expected),
+		request.ended.Sub(request.began).Round(time.Millisecond), answer.RunState, answer.Code)
+}
+
 func quantiles(values []time.Duration) (median, tail time.Duration) {
 	if len(values) == 0 {
 		return 0, 0
--- a/internal/lab/load/client.go
+++ b/internal/lab/load/client.go
@@ -191,6 +191,7 @@
 func (a *Answer) take(parsed chunk, text *strings.Builder, began time.Time) {
 	if parsed.Error != nil {
 		a.RunState = parsed.Error.RunState
+		a.Code = parsed.Error.Code
 	}
 	if parsed.Usage != nil {
 		a.PromptTokens = parsed.Usage.PromptTokens
