--- a/internal/lab/simulation/daemon.go
+++ b/internal/lab/simulation/daemon.go
@@ -33,6 +33,7 @@
 		// Daemons do not tick in step.
 		offset := tickPeriod * time.Duration(index) / time.Duration(w.scenario.Deployment.Daemons)
 		w.every(offset, tickPeriod, func() { w.act(daemon, daemon.policy.Tick(w.now)) })
+		w.every(offset, sharePeriod, func() { w.share(daemon) })
 	}
 }
 
@@ -106,7 +107,6 @@
 			w.refuse(daemon, action)
 		}
 	}
-	w.share(daemon)
 }
 
 func (w *world) refuse(daemon *daemonNode, refusal scheduler.Refuse) {
--- a/internal/lab/simulation/share.go
+++ b/internal/lab/simulation/share.go
@@ -1,9 +1,14 @@
 package simulation
 
 import (
+	"time"
+
 	"github.com/lotusward/lotusward/internal/core/scheduler"
 )
 
+// sharePeriod is how often daemons send each other what they have placed.
+const sharePeriod = 20 * time.Millisecond
+
 // share brings a daemon's notices to the others, when its policy gives any.
 func (w *world) share(daemon *daemonNode) {
 	sharing, shares := daemon.policy.(scheduler.Sharing)
