--- a/internal/lab/capacity/capacity_test.go
+++ b/internal/lab/capacity/capacity_test.go
@@ -8,6 +8,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/lotusward/lotusward/internal/lab/capacity/projection"
+	"github.com/lotusward/lotusward/internal/lab/process"
 )
 
 // A run at a small size measures every slope that the page cites: a part that no
@@ -15,7 +16,12 @@
 func TestRunMeasuresEverySlope(t *testing.T) {
 	sizes := projection.Target()
 	sizes.Daemons, sizes.Runners, sizes.Tenants = 18, 280, 2000
-	run := &measurement{sizes: sizes, watch: stopwatch{limit: 10 * time.Millisecond}, hollowLength: 2 * time.Second}
+	binaries := t.TempDir()
+	assert.NilError(t, process.Build(binaries))
+	run := &measurement{
+		sizes: sizes, watch: stopwatch{limit: 10 * time.Millisecond}, hollowLength: 2 * time.Second,
+		binaries: binaries, idleLength: time.Second,
+	}
 	result, err := run.measure(func(string, time.Duration) {})
 	assert.NilError(t, err)
 	assert.Equal(t, len(result.Remarks), 0, "%v", result.Remarks)
@@ -26,6 +32,6 @@
 		}
 	}
 	var output bytes.Buffer
-	writeTables(&output, result)
+	printer{output: &output, markdown: true}.write(result)
 	assert.NilError(t, writeJSON(&output, result))
 }
--- a/internal/lab/capacity/command.go
+++ b/internal/lab/capacity/command.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"os"
+	"path/filepath"
 	"runtime"
 	"time"
 
@@ -13,19 +14,31 @@
 
 // Command is the command line of a capacity run, for go-flags.
 type Command struct {
-	Output     string        `long:"output" choice:"table" choice:"json" default:"table" description:"How the result is printed"`
+	Output     string        `long:"output" choice:"table" choice:"markdown" choice:"json" default:"table" description:"How the result is printed"`
 	Workers    int           `long:"workers" default:"2" description:"Processors that the run uses at most"`
 	Each       time.Duration `long:"each" default:"250ms" description:"Time for each timed measurement"`
 	Hollow     time.Duration `long:"hollow" default:"26s" description:"Simulated time of each hollow run"`
+	Idle       time.Duration `long:"idle" default:"15s" description:"For how long idle daemons are measured"`
+	Binaries   string        `long:"binaries" value-name:"DIRECTORY" description:"Where lotusward, lotusctl and lotuslab are; by default beside this program"`
 	KeyedShare float64       `long:"keyed-share" default:"0.05" description:"Share of requests that run at most once (an assumption)"`
 }
 
 // Execute implements flags.Commander.
 func (c *Command) Execute([]string) error {
 	runtime.GOMAXPROCS(c.Workers)
+	if c.Binaries == "" {
+		own, err := os.Executable()
+		if err != nil {
+			return err
+		}
+		c.Binaries = filepath.Dir(own)
+	}
 	sizes := projection.Target()
 	sizes.KeyedShare = c.KeyedShare
-	measured := &measurement{sizes: sizes, watch: stopwatch{limit: c.Each}, hollowLength: c.Hollow}
+	measured := &measurement{
+		sizes: sizes, watch: stopwatch{limit: c.Each}, hollowLength: c.Hollow,
+		binaries: c.Binaries, idleLength: c.Idle,
+	}
 	result, err := measured.measure(func(name string, took time.Duration) {
 		fmt.Fprintf(os.Stderr, "capacity: measured %s in %.1f s\n", name, took.Seconds())
 	})
@@ -35,7 +48,7 @@
 	if c.Output == "json" {
 		return writeJSON(os.Stdout, result)
 	}
-	writeTables(os.Stdout, result)
+	printer{output: os.Stdout, markdown: c.Output == "markdown"}.write(result)
 	return nil
 }
 
--- a/internal/lab/capacity/measurement.go
+++ b/internal/lab/capacity/measurement.go
@@ -2,12 +2,11 @@
 
 import (
 	"fmt"
-	"os"
 	"runtime"
-	"strings"
 	"time"
 
 	"github.com/lotusward/lotusward/internal/lab/capacity/projection"
+	"github.com/lotusward/lotusward/internal/lab/machine"
 )
 
 // measurement collects the slopes of a run.
@@ -15,9 +14,13 @@
 	sizes        projection.Sizes
 	watch        stopwatch
 	hollowLength time.Duration
-	slopes       projection.Slopes
-	remarks      []string
-	failure      error
+	// binaries is the directory of the programs, and idleLength is for how long
+	// idle daemons are measured.
+	binaries   string
+	idleLength time.Duration
+	slopes     projection.Slopes
+	remarks    []string
+	failure    error
 }
 
 // growing are the sizes at which a slope is measured: a tenth, a half and all.
@@ -42,6 +45,7 @@
 
 func (m *measurement) parts() []part {
 	return []part{
+		{"idle daemons", m.measureIdle},
 		{"calls", m.measureCalls},
 		{"backends", m.measureBackends},
 		{"configuration", m.measureConfiguration},
@@ -62,14 +66,11 @@
 	LoadAverage string `json:"load_average"`
 }
 
-// thisMachine reads the load average where the system gives it.
 func thisMachine() Machine {
-	machine := Machine{Cores: runtime.NumCPU(), Workers: runtime.GOMAXPROCS(0), GoVersion: runtime.Version(), LoadAverage: "not known"}
-	if content, err := os.ReadFile("/proc/loadavg"); err == nil {
-		fields := strings.Fields(string(content))
-		machine.LoadAverage = strings.Join(fields[:min(3, len(fields))], " ")
+	return Machine{
+		Cores: runtime.NumCPU(), Workers: runtime.GOMAXPROCS(0), GoVersion: runtime.Version(),
+		LoadAverage: machine.LoadAverage(),
 	}
-	return machine
 }
 
 // Result is a whole run.
@@ -95,7 +96,7 @@
 		progress(part.name, time.Since(began))
 	}
 	result.Duration = time.Since(result.Began)
-	result.LoadEnd = thisMachine().LoadAverage
+	result.LoadEnd = machine.LoadAverage()
 	result.Remarks = m.remarks
 	result.Slopes = m.slopes
 	result.Report = projection.Project(m.sizes, projection.TargetBudget(), m.slopes)
--- a/internal/lab/capacity/print.go
+++ b/internal/lab/capacity/print.go
@@ -18,6 +18,8 @@
 
 func namedSlopes(s projection.Slopes) []namedSlope {
 	return []namedSlope{
+		{"idle daemon, processor time", s.Idle.Core},
+		{"idle daemon, resident memory", s.Idle.ResidentBytes},
 		{"peer call, both ends", s.Call.PeerSeconds},
 		{"peer call, HTTP bytes", s.Call.PeerBytes},
 		{"kept connection, one end", s.Call.ConnectionBytes},
@@ -64,32 +66,57 @@
 	}
 }
 
-// writeTables prints a result for people.
-func writeTables(output io.Writer, result Result) {
+// printer writes a result for people: as tables, or as Markdown for the page.
+type printer struct {
+	output   io.Writer
+	markdown bool
+}
+
+func (p printer) write(result Result) {
 	machine := result.Machine
-	fmt.Fprintf(output, "%d cores shared with other work, %d used; %s; load average %s before, %s after; took %.0f s.\n",
+	fmt.Fprintf(p.output, "%d cores shared with other work, %d used; %s; load average %s before, %s after; took %.0f s.\n",
 		machine.Cores, machine.Workers, machine.GoVersion, machine.LoadAverage, result.LoadEnd, result.Duration.Seconds())
 	for _, remark := range result.Remarks {
-		fmt.Fprintln(output, "Remark:", remark)
+		p.heading("Remark: " + remark)
+	}
+	p.heading("Slopes:")
+	p.writeSlopes(result.Slopes)
+	p.heading("One daemon at the target size (live heap; the sums count the heap twice, for the collector):")
+	p.writeLines(result.Report)
+	p.heading("Lines to be changed, which the last sum leaves out:")
+	for _, line := range result.Report.Lines {
+		if line.Change != "" {
+			fmt.Fprintf(p.output, "- %s, %s: %s.\n", line.Role, line.What, line.Change)
+		}
+	}
+	p.heading("Verdicts:")
+	p.writeVerdicts(result.Report)
+}
+
+func (p printer) heading(text string) {
+	if p.markdown {
+		text = "\n" + text + "\n"
 	}
-	fmt.Fprintln(output, "Slopes:")
-	writeSlopes(output, result.Slopes)
-	fmt.Fprintln(output, "One daemon at the target size (live heap; the sums count the heap twice, for the collector):")
-	writeLines(output, result.Report)
-	fmt.Fprintln(output, "Verdicts:")
-	writeVerdicts(output, result.Report)
+	fmt.Fprintln(p.output, text)
 }
 
-func newTable(output io.Writer, header ...any) table.Writer {
+func newTable(header ...any) table.Writer {
 	writer := table.NewWriter()
-	writer.SetOutputMirror(output)
 	writer.SetStyle(table.StyleLight)
 	writer.AppendHeader(header)
 	return writer
 }
 
-func writeSlopes(output io.Writer, slopes projection.Slopes) {
-	writer := newTable(output, "slope", "measured", "of", "growth")
+func (p printer) render(writer table.Writer) {
+	if p.markdown {
+		fmt.Fprintln(p.output, writer.RenderMarkdown())
+		return
+	}
+	fmt.Fprintln(p.output, writer.Render())
+}
+
+func (p printer) writeSlopes(slopes projection.Slopes) {
+	writer := newTable("slope", "measured", "of", "growth")
 	for _, named := range namedSlopes(slopes) {
 		var points []string
 		for _, point := range named.slope.Points {
@@ -105,7 +132,7 @@
 		}
 		writer.AppendRow(table.Row{named.name, strings.Join(points, "; "), named.slope.Of, growth})
 	}
-	writer.Render()
+	p.render(writer)
 }
 
 func sizeText(size float64) string {
@@ -141,22 +168,22 @@
 	return []any{fmt.Sprintf("%.3f", 100*cost.Core), fmt.Sprintf("%.2f", cost.MemoryBytes/1e6), fmt.Sprintf("%.2f", cost.BytesPerSecond/1e3)}
 }
 
-func writeLines(output io.Writer, report projection.Report) {
-	writer := newTable(output, "role", "what", "group", "rate/s", "core %", "MB", "kB/s", "to be changed")
+func (p printer) writeLines(report projection.Report) {
+	writer := newTable("role", "what", "mechanism", "group", "rate/s", "core %", "MB", "kB/s")
 	for _, line := range report.Lines {
 		rate := ""
 		if line.Rate > 0 {
 			rate = fmt.Sprintf("%.4g", line.Rate)
 		}
-		row := table.Row{line.Role, line.What, line.Group, rate}
+		row := table.Row{line.Role, line.What, line.Mechanism, line.Group, rate}
 		row = append(row, costCells(line.Cost)...)
-		writer.AppendRow(append(row, line.Change))
+		writer.AppendRow(row)
 	}
-	writer.Render()
+	p.render(writer)
 }
 
-func writeVerdicts(output io.Writer, report projection.Report) {
-	writer := newTable(output, "sum", "core %", "MB", "kB/s", "core", "memory", "bytes")
+func (p printer) writeVerdicts(report projection.Report) {
+	writer := newTable("sum", "core %", "MB", "kB/s", "core", "memory", "bytes")
 	budget := report.Budget
 	limits := costCells(projection.Cost{Core: budget.Core, MemoryBytes: budget.MemoryBytes, BytesPerSecond: budget.BytesPerSecond})
 	writer.AppendRow(append(table.Row{"budget"}, limits...))
@@ -164,7 +191,7 @@
 		row := append(table.Row{verdict.Name}, costCells(verdict.Cost)...)
 		writer.AppendRow(append(row, word(verdict.CoreHolds), word(verdict.MemoryHolds), word(verdict.BytesHold)))
 	}
-	writer.Render()
+	p.render(writer)
 }
 
 func word(holds bool) string {
--- a/internal/lab/capacity/projection/project.go
+++ b/internal/lab/capacity/projection/project.go
@@ -26,6 +26,10 @@
 	claimRetention = 600 // seconds
 	// callsPerClaim are a vote and a settlement for each replica.
 	callsPerClaim = 2 * claim.GroupSize
+	// noticeReceivers is that of package daemon.
+	noticeReceivers = 16
+	// datagramBytes are the headers of IP, UDP and a frame.
+	datagramBytes = 28 + 38
 	// segmentBytes are the TCP and IP headers of a call: two data segments and one
 	// acknowledgement.
 	segmentBytes = 3 * 52
@@ -40,6 +44,10 @@
 // Project works out the costs of one daemon, the busiest one where they differ.
 func Project(sizes Sizes, budget Budget, slopes Slopes) Report {
 	report := Report{Sizes: sizes, Budget: budget}
+	report.Lines = append(report.Lines, Line{
+		Role: "all", What: "an idle process with two peers: wake-ups, and a part of the lines below", Mechanism: "daemon", Group: Background, Resident: true,
+		Cost: Cost{Core: slopes.Idle.Core.At(1), MemoryBytes: slopes.Idle.ResidentBytes.At(1)},
+	})
 	report.Lines = append(report.Lines, membershipLines(sizes, slopes)...)
 	report.Lines = append(report.Lines, backendLines(sizes, slopes)...)
 	report.Lines = append(report.Lines, configurationLines(sizes, slopes)...)
@@ -135,7 +143,7 @@
 		{Role: "configuration", What: "pushes of changes by an inner daemon of the tree", Mechanism: "core/revision, daemon/configuration", Group: Background, Rate: changes * (revision.PushFanout + 1), Cost: pushes},
 		{Role: "configuration", What: "apply and compile each change", Mechanism: "config/dynamic, core/view", Group: Background, Rate: changes,
 			Cost: Cost{Core: changes * applied, MemoryBytes: memory}},
-		{Role: "limits", What: "ticks in which the share of a tenant changes", Mechanism: "core/share, core/admission", Group: Planned, Rate: shareTicks,
+		{Role: "limits", What: "ticks in which the share of a tenant changes", Mechanism: "core/share, daemon/control", Group: PerRequest, Rate: shareTicks,
 			Cost:   Cost{Core: shareTicks * slopes.Limits.TickSeconds.At(tenants), MemoryBytes: slopes.Limits.MemoryBytes.At(tenants)},
 			Change: "pass on only the shares that changed"},
 	}
@@ -145,7 +153,7 @@
 	runners := float64(sizes.Runners)
 	requests := sizes.perDaemon(sizes.RequestsPerSecond)
 	events := sizes.perDaemon(sizes.CacheEventsPerSecond * watch.WatchersPerBackend)
-	notices := sizes.RequestsPerSecond * noticedShare
+	notices := requests * noticedShare * noticeReceivers
 	place := slopes.Placement
 	return []Line{
 		{Role: "placement", What: "decisions, first tokens and ends", Mechanism: "core/scheduler, core/placement", Group: PerRequest, Rate: requests,
@@ -159,9 +167,12 @@
 		{Role: "belief", What: "cache events of the watched engines", Mechanism: "daemon/backendwatch, core/belief", Group: Background, Rate: events,
 			Cost:   Cost{Core: events * place.EventSeconds.At(1), BytesPerSecond: events * place.EventBytes.At(1)},
 			Change: "cache_events: off; belief from own placements and answers, or a sample of the events"},
-		{Role: "placement", What: "notices of placements from all daemons", Mechanism: "core/scheduler (Sharing)", Group: Planned, Rate: notices,
-			Cost:   Cost{Core: notices * place.NoticeSeconds.At(1), BytesPerSecond: notices * place.NoticeBytes.At(1)},
-			Change: "send a notice only to the daemons that share the prefix root"},
+		{Role: "placement", What: "notices of placements, sent and received", Mechanism: "core/scheduler (Sharing), daemon", Group: PerRequest, Rate: 2 * notices,
+			Cost: Cost{
+				Core:           notices * (place.NoticeSeconds.At(1) + slopes.Call.DatagramSeconds.At(1)),
+				BytesPerSecond: 2 * notices * (place.NoticeBytes.At(1) + datagramBytes),
+			},
+			Change: "tell only the daemons that serve the prefix root, and shorter"},
 	}
 }
 
--- a/internal/lab/capacity/projection/report.go
+++ b/internal/lab/capacity/projection/report.go
@@ -40,6 +40,8 @@
 	// Rate is how often a second, where the cost is that of single occasions.
 	Rate float64 `json:"rate,omitempty"`
 	Cost Cost    `json:"cost"`
+	// Resident is set when the memory is that of a process, not live heap.
+	Resident bool `json:"resident,omitempty"`
 	// Change is what must be changed when the line alone breaks or nearly breaks a
 	// budget; empty otherwise.
 	Change string `json:"change,omitempty"`
@@ -70,11 +72,15 @@
 func judge(name string, budget Budget, lines []Line, wanted func(Line) bool) Verdict {
 	var sum Cost
 	for _, line := range lines {
-		if wanted(line) {
-			sum = sum.Plus(line.Cost)
+		if !wanted(line) {
+			continue
 		}
+		cost := line.Cost
+		if !line.Resident {
+			cost.MemoryBytes *= heapFactor
+		}
+		sum = sum.Plus(cost)
 	}
-	sum.MemoryBytes *= heapFactor
 	return Verdict{
 		Name: name, Cost: sum,
 		CoreHolds:   sum.Core <= budget.Core,
--- a/internal/lab/capacity/projection/slopes.go
+++ b/internal/lab/capacity/projection/slopes.go
@@ -6,6 +6,7 @@
 
 // Slopes are all that was measured. Times are processor time.
 type Slopes struct {
+	Idle       IdleSlopes   `json:"idle"`
 	Call       CallSlopes   `json:"call"`
 	Membership GossipSlopes `json:"membership"`
 	// StressedMembership is with far more restarts than on an ordinary day.
@@ -21,6 +22,13 @@
 	Controller    ControllerSlopes    `json:"controller"`
 }
 
+// IdleSlopes are what a real daemon without back ends and requests uses. They hold
+// its probes, questions and reads with two peers, and the wake-ups of the runtime.
+type IdleSlopes struct {
+	Core          Slope `json:"core"`
+	ResidentBytes Slope `json:"resident_bytes"`
+}
+
 // CallSlopes are what moves a message between processes.
 type CallSlopes struct {
 	// PeerSeconds and PeerBytes are those of one small call between daemons, both
