--- a/internal/core/placement/firsttoken/firsttoken.go
+++ b/internal/core/placement/firsttoken/firsttoken.go
@@ -8,9 +8,9 @@
 // What a request costs others, in shares of the time to compute its uncached
 // tokens.
 const (
-	// recomputeWeight is for the requests that come after and wait for it. The
-	// value is that of the clairvoyant policy in the experiments.
-	recomputeWeight = 0.25
+	// recomputeWeight is for the requests that come after: they wait as long for the
+	// engine as this one computes.
+	recomputeWeight = 1
 	// reuseSeconds is the age at which every second block is not asked for again.
 	reuseSeconds = 5
 )
