--- a/internal/lab/cluster/cluster.go
+++ b/internal/lab/cluster/cluster.go
@@ -96,10 +96,12 @@
 	done   chan error
 }
 
-// Stop ends the part in order and waits for it.
+// Stop ends the part in order and waits for it. It may be called once.
 func (p part) Stop() error {
 	p.cancel()
-	return <-p.done
+	err := <-p.done
+	close(p.done)
+	return err
 }
 
 // Cluster is a running deployment.
@@ -162,8 +164,15 @@
 	return addresses
 }
 
-// Close stops everything without waiting for running requests.
+// Close stops the daemons in order, and then what they work with: a daemon that
+// stops still gives its lease back.
 func (c *Cluster) Close() {
+	for _, running := range c.Daemons {
+		running.cancel()
+	}
+	for _, running := range c.Daemons {
+		<-running.done
+	}
 	c.cancel()
 	c.running.Wait()
 }
