--- a/internal/core/sighting/exchange.go
+++ b/internal/core/sighting/exchange.go
@@ -116,7 +116,7 @@
 	known.trusted = trusted
 	if !live {
 		delete(e.reports, known.watcher)
-		delete(e.pushes, known.watcher)
+		e.dropPush(known.watcher)
 	}
 	for _, backend := range known.backends() {
 		if !live {
@@ -192,12 +192,26 @@
 	e.link(added.Backend, e.own)
 	e.own.forgetWithdrawals(e.options.WithdrawalRetention)
 	e.push(now, e.own, from)
+	e.tellWatchers(added.Backend, from)
+}
+
+// tellWatchers sends a change of the own report at once to the others who published
+// the back end, so that they look at it again without delay.
+func (e *Exchange) tellWatchers(backend identity.BackendID, from uint64) {
+	for _, other := range e.watchers[backend] {
+		member, live := e.members[other.watcher]
+		if !live || member.Suspect || other.sightings[backend].Withdrawn {
+			continue
+		}
+		delta := e.own.delta(from, datagramBytes)
+		e.send(member.Address, Message{Kind: MessageDeltas, Deltas: []Delta{delta}}, delta.size() > datagramBytes)
+	}
 }
 
 // Handle takes a message of another daemon.
 func (e *Exchange) Handle(now time.Time, from identity.DaemonID, message Message) []Action {
 	for _, delta := range message.Deltas {
-		e.merge(now, delta)
+		e.merge(now, delta, message.Kind == MessageDeltas)
 	}
 	switch message.Kind {
 	case MessageDigests:
@@ -205,14 +219,14 @@
 	case MessageVersions:
 		e.handleVersions(now, message)
 	case MessagePull:
-		e.sendNewer(message.Address, message.Versions)
+		e.sendNewer(message.Address, unpackVersions(message.Versions))
 	}
 	return e.takeActions()
 }
 
 // merge takes a delta of another's report. Only the reports of live members
-// count; one that is not known to be live yet is pulled later.
-func (e *Exchange) merge(now time.Time, delta Delta) {
+// count; one that is not known to be live yet is pulled later. News is passed on.
+func (e *Exchange) merge(now time.Time, delta Delta, news bool) {
 	member, live := e.members[delta.Watcher]
 	if !live || !delta.valid() {
 		return
@@ -228,6 +242,8 @@
 	changed, advanced := known.apply(delta)
 	if advanced {
 		known.forgetWithdrawals(e.options.WithdrawalRetention)
+	}
+	if advanced && news {
 		e.push(now, known, from)
 	} else if delta.To == known.sequence {
 		e.heardAgain(known.watcher)
--- a/internal/core/sighting/gossip.go
+++ b/internal/core/sighting/gossip.go
@@ -19,18 +19,18 @@
 	// from is the sequence after which the changes are news to others.
 	from   uint64
 	rounds int
+	// newsAt is when the newest of the changes came.
+	newsAt time.Time
 }
 
 // push queues what is new in a report, and hurries when nothing was sent lately.
 func (e *Exchange) push(now time.Time, news *report, from uint64) {
-	queued, found := e.pushes[news.watcher]
-	if !found {
-		e.pushes[news.watcher] = &push{from: from, rounds: e.options.Rounds}
-		e.pushOrder = append(e.pushOrder, news.watcher)
-	} else {
-		queued.from = min(queued.from, from)
-		queued.rounds = e.options.Rounds
+	if queued, found := e.pushes[news.watcher]; found {
+		from = min(from, queued.from)
+		e.dropPush(news.watcher)
 	}
+	e.pushes[news.watcher] = &push{from: from, rounds: e.options.Rounds, newsAt: now}
+	e.pushOrder = append(e.pushOrder, news.watcher)
 	soon := now.Add(e.options.HurriedGossip)
 	earliest := e.lastPush.Add(e.options.GossipInterval)
 	if earliest.Before(soon) {
@@ -75,8 +75,11 @@
 	if len(targets) == 0 || e.allowance < minimumPushBytes {
 		return
 	}
+	deltas, size := e.nextDeltas(now)
+	if len(deltas) == 0 {
+		return
+	}
 	e.lastPush = now
-	deltas, size := e.nextDeltas()
 	for _, target := range targets {
 		e.allowance -= float64(size)
 		e.send(target.Address, Message{Kind: MessageDeltas, Deltas: deltas}, size > datagramBytes)
@@ -89,15 +92,15 @@
 	e.refilled = now
 }
 
-// nextDeltas takes from the queue what fits into one datagram. What was sent goes
-// to the end of the queue for its further rounds.
-func (e *Exchange) nextDeltas() ([]Delta, int) {
+// nextDeltas takes the newest of the queue that fit into one datagram. What became
+// old in the queue is dropped: the comparison of digests brings much at once
+// cheaper than pushes can.
+func (e *Exchange) nextDeltas(now time.Time) ([]Delta, int) {
 	var deltas []Delta
 	size := 0
-	for range len(e.pushOrder) {
-		watcher := e.pushOrder[0]
+	for _, watcher := range slices.Backward(slices.Clone(e.pushOrder)) {
 		queued, known := e.pushes[watcher], e.reports[watcher]
-		if queued == nil || known == nil {
+		if known == nil || now.Sub(queued.newsAt) > e.options.PushExpiry {
 			e.dropPush(watcher)
 			continue
 		}
@@ -107,18 +110,16 @@
 		}
 		size += delta.size()
 		deltas = append(deltas, delta)
-		e.pushOrder = append(e.pushOrder[1:], watcher)
 		e.pushed(watcher, queued, delta, known)
 	}
 	return deltas, size
 }
 
 // pushed notes that a delta goes out. One that had to be cut goes on where it
-// ended.
+// ended, but its rounds count all the same.
 func (e *Exchange) pushed(watcher identity.DaemonID, queued *push, delta Delta, known *report) {
 	if delta.To < known.sequence {
 		queued.from = delta.To
-		return
 	}
 	queued.rounds--
 	if queued.rounds <= 0 {
@@ -158,6 +159,8 @@
 }
 
 func (e *Exchange) send(to string, message Message, reliable bool) {
-	message.Address = e.self.Address
+	if message.Kind != MessageDeltas {
+		message.Address = e.self.Address
+	}
 	e.emit(Send{To: to, Message: message, Reliable: reliable})
 }
--- a/internal/core/sighting/message.go
+++ b/internal/core/sighting/message.go
@@ -7,8 +7,11 @@
 
 // The kinds of message.
 const (
-	// MessageDeltas only carries deltas.
+	// MessageDeltas carries news, which the receiver passes on.
 	MessageDeltas MessageKind = iota
+	// MessageRepair carries deltas that the receiver lacked, which it does not pass
+	// on: others find by themselves what they lack.
+	MessageRepair
 	// MessageDigests carries digests of the reports that the sender has.
 	MessageDigests
 	// MessageVersions carries versions of reports in the buckets whose digests
@@ -24,26 +27,17 @@
 	_msgpack struct{} `msgpack:",as_array"`
 
 	Kind MessageKind
-	// Address is where the sender is, IP:port.
-	Address  string
-	Deltas   []Delta
-	Versions []Version
+	// Address is where the sender is, IP:port; empty in news, which nobody answers.
+	Address string
+	Deltas  []Delta
+	// Versions are packed; see version.go.
+	Versions []byte
 	// Digests are digestBytes for each bucket.
 	Digests []byte
 	// Buckets has a bit for each bucket that Versions is complete for.
 	Buckets uint32
 }
 
-// Version says how much of a report is known. On the wire it is an array.
-type Version struct {
-	_msgpack struct{} `msgpack:",as_array"`
-
-	Watcher identity.DaemonID
-	// Epoch is the watcher's incarnation; a restarted watcher starts a new report.
-	Epoch    identity.Incarnation
-	Sequence uint64
-}
-
 // Delta holds all changes of a report after From up to To, newest state only. A
 // delta from zero is the whole report. On the wire it is an array.
 type Delta struct {
--- a/internal/core/sighting/options.go
+++ b/internal/core/sighting/options.go
@@ -14,6 +14,8 @@
 	// Rounds is in how many rounds a daemon pushes a delta; each time that another
 	// daemon sends what is known already counts as one.
 	Rounds int
+	// PushExpiry is for how long news is pushed at most.
+	PushExpiry time.Duration
 	// GossipBytes bounds the pushed deltas, in bytes a second over all targets;
 	// GossipBurst is how many bytes may be saved up.
 	GossipBytes int
@@ -33,9 +35,10 @@
 	return Options{
 		GossipInterval:      200 * time.Millisecond,
 		HurriedGossip:       20 * time.Millisecond,
-		Fanout:              3,
-		ZoneFanout:          1,
-		Rounds:              2,
+		Fanout:              4,
+		ZoneFanout:          2,
+		Rounds:              4,
+		PushExpiry:          2 * time.Second,
 		GossipBytes:         5000,
 		GossipBurst:         20000,
 		SyncInterval:        time.Second,
--- a/internal/core/sighting/report.go
+++ b/internal/core/sighting/report.go
@@ -31,17 +31,8 @@
 	}
 }
 
-func (r *report) version() Version {
-	return Version{Watcher: r.watcher, Epoch: r.epoch, Sequence: r.sequence}
-}
-
-// newer tells whether the report has more than a version.
-func (r *report) newer(than Version) bool {
-	if r.epoch != than.Epoch {
-		return r.epoch > than.Epoch
-	}
-	return r.sequence > than.Sequence
-}
+// reference stands for the report in versions.
+func (r *report) reference() reference { return reference(mix(r.hash, uint64(r.epoch))) }
 
 // delta returns what changed after a sequence, in the order of the changes and as
 // far as it fits into limit bytes. It always holds at least one change.
--- a/internal/core/sighting/sync.go
+++ b/internal/core/sighting/sync.go
@@ -1,12 +1,9 @@
 package sighting
 
 import (
-	"cmp"
 	"encoding/binary"
 	"slices"
 	"time"
-
-	"github.com/lotusward/lotusward/internal/core/identity"
 )
 
 const (
@@ -15,8 +12,6 @@
 	// digestBytes is the length of one digest on the wire. Two different sets look
 	// alike with a chance of 2^-32, until the next change.
 	digestBytes = 4
-	// versionBytes estimates the encoded size of a version without its name.
-	versionBytes = 15
 	// repairBytes bounds the deltas in one answer; the next exchange brings more.
 	repairBytes = 128 << 10
 	// hurriedReports is how many reports must be pulled at once to make the next
@@ -86,92 +81,61 @@
 		return
 	}
 	e.sendVersions(message.Address, Message{
-		Kind: MessageVersions, Buckets: differing, Versions: e.versionsIn(differing),
+		Kind: MessageVersions, Buckets: differing, Versions: e.versionsIn(differing).pack(),
 	})
 }
 
-func (e *Exchange) versionsIn(buckets uint32) []Version {
-	var versions []Version
+func (e *Exchange) versionsIn(buckets uint32) versions {
+	found := make(versions)
 	for _, known := range e.reports {
 		if buckets&(1<<(known.hash%bucketCount)) != 0 {
-			versions = append(versions, known.version())
+			found[known.reference()] = known.sequence
 		}
 	}
-	slices.SortFunc(versions, func(left, right Version) int { return cmp.Compare(left.Watcher, right.Watcher) })
-	return versions
+	return found
 }
 
 func (e *Exchange) sendVersions(to string, message Message) {
-	size := 0
-	for _, version := range message.Versions {
-		size += versionBytes + len(version.Watcher)
-	}
-	e.send(to, message, size > datagramBytes)
+	e.send(to, message, len(message.Versions) > datagramBytes)
 }
 
 // handleVersions sends what the other side lacks and pulls what this side lacks.
 func (e *Exchange) handleVersions(now time.Time, message Message) {
-	theirs := make(map[identity.DaemonID]Version, len(message.Versions))
-	var wanted []Version
-	for _, version := range message.Versions {
-		theirs[version.Watcher] = version
-		if own := e.versionOf(version.Watcher); e.wants(own, version) {
-			wanted = append(wanted, own)
+	theirs := unpackVersions(message.Versions)
+	own := e.versionsIn(message.Buckets)
+	wanted := make(versions)
+	for key, sequence := range theirs {
+		if known, found := own[key]; !found || sequence > known {
+			wanted[key] = known
 		}
 	}
-	var lacked []Version
-	for _, own := range e.versionsIn(message.Buckets) {
-		version, found := theirs[own.Watcher]
-		if !found {
-			version = Version{Watcher: own.Watcher}
-		}
-		lacked = append(lacked, version)
+	for key := range own {
+		own[key] = theirs[key] // zero for what they do not have at all
 	}
-	e.sendNewer(message.Address, lacked)
+	e.sendNewer(message.Address, own)
 	if len(wanted) >= hurriedReports {
 		e.nextSync = now.Add(e.options.SyncInterval / hurriedShare)
 	}
 	if len(wanted) > 0 {
-		e.sendVersions(message.Address, Message{Kind: MessagePull, Versions: wanted})
-	}
-}
-
-// wants tells whether another's version of a live member's report is newer.
-func (e *Exchange) wants(own, other Version) bool {
-	if _, live := e.members[own.Watcher]; !live {
-		return false
-	}
-	if other.Epoch != own.Epoch {
-		return other.Epoch > own.Epoch
-	}
-	return other.Sequence > own.Sequence
-}
-
-func (e *Exchange) versionOf(watcher identity.DaemonID) Version {
-	if known := e.reports[watcher]; known != nil {
-		return known.version()
+		e.sendVersions(message.Address, Message{Kind: MessagePull, Versions: wanted.pack()})
 	}
-	return Version{Watcher: watcher}
 }
 
 // sendNewer sends what is newer than the given versions.
-func (e *Exchange) sendNewer(to string, versions []Version) {
+func (e *Exchange) sendNewer(to string, than versions) {
 	var deltas []Delta
 	size := 0
-	for _, version := range versions {
-		known := e.reports[version.Watcher]
-		if known == nil || !known.newer(version) || size > repairBytes {
+	for _, known := range e.sortedReports() {
+		from, asked := than[known.reference()]
+		fresh := asked && from == 0 && known.sequence == 0
+		if !asked || from >= known.sequence && !fresh || size > repairBytes {
 			continue
 		}
-		from := version.Sequence
-		if version.Epoch != known.epoch {
-			from = 0
-		}
 		delta := known.delta(from, repairBytes)
 		size += delta.size()
 		deltas = append(deltas, delta)
 	}
 	if len(deltas) > 0 {
-		e.send(to, Message{Kind: MessageDeltas, Deltas: deltas}, size > datagramBytes)
+		e.send(to, Message{Kind: MessageRepair, Deltas: deltas}, size > datagramBytes)
 	}
 }
--- a/internal/core/sighting/world_test.go
+++ b/internal/core/sighting/world_test.go
@@ -244,7 +244,11 @@
 	if action.Unreachable {
 		due.doubted = true
 	}
-	if !due.waiting {
+	switch {
+	case due.doubted && due.failures > 0:
+		due.failures = silentLimit
+		w.perform(n, n.exchange.ObserveUnreachable(w.now, action.Backend))
+	case !due.waiting:
 		due.at = w.now
 	}
 }
--- a/internal/daemon/backendwatch/poll.go
+++ b/internal/daemon/backendwatch/poll.go
@@ -109,6 +109,7 @@
 		case <-ctx.Done():
 		case <-timer.C:
 		case <-p.rechecks:
+			p.reconsider()
 		}
 		timer.Stop()
 	}
@@ -132,6 +133,19 @@
 	if p.failures < limit {
 		return
 	}
+	p.giveUp(err)
+}
+
+// reconsider counts failures before another watcher's word like those after it.
+func (p *poll) reconsider() {
+	if p.doubted.Load() && p.failures > 0 && !p.unreachable {
+		p.giveUp(nil)
+	}
+}
+
+// giveUp tells that the back end does not answer; err is the last failure, if it
+// is at hand.
+func (p *poll) giveUp(err error) {
 	if !p.unreachable {
 		p.watcher.options.Log.WithError(err).WithField("backend", p.machine.ID).Warn("A back end does not answer.")
 	}
