Prove across whole daemons that only watchers ask, and that all know

Six daemons in two zones: each engine is asked by two daemons of its own zone and by nobody else, its crash and its next life are known to all, and its cache events come to the two watchers only, also those of the next life. Without wireWatching's exchange nobody but the watchers would know; that path was not run with the mechanism off here, the state machine of package sighting was.

--- /dev/null
+++ b/internal/lab/cluster/watching_test.go
@@ -0,0 +1,149 @@
+package cluster
+
+import (
+	"context"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/lotusward/lotusward/internal/core/identity"
+	"github.com/lotusward/lotusward/internal/core/scheduler"
+	"github.com/lotusward/lotusward/internal/wire/enginewire"
+)
+
+// recorder is a scheduler that notes which engines its daemon asks itself.
+type recorder struct {
+	scheduler.Policy
+	mutex  sync.Mutex
+	asked  map[identity.BackendID]bool
+	events map[identity.BackendID]identity.Incarnation
+}
+
+func newRecorder() *recorder {
+	return &recorder{
+		Policy: scheduler.New(scheduler.Options{}),
+		asked:  map[identity.BackendID]bool{}, events: map[identity.BackendID]identity.Incarnation{},
+	}
+}
+
+// ObserveLoad implements scheduler.Policy. Only own status polls bring loads.
+func (r *recorder) ObserveLoad(now time.Time, id identity.BackendID, incarnation identity.Incarnation, load enginewire.Load) {
+	r.mutex.Lock()
+	r.asked[id] = true
+	r.mutex.Unlock()
+	r.Policy.ObserveLoad(now, id, incarnation, load)
+}
+
+// ObserveCacheEvents implements scheduler.Policy.
+func (r *recorder) ObserveCacheEvents(now time.Time, id identity.BackendID, batch enginewire.CacheEventBatch) {
+	r.mutex.Lock()
+	r.events[id] = batch.Incarnation
+	r.mutex.Unlock()
+	r.Policy.ObserveCacheEvents(now, id, batch)
+}
+
+func (r *recorder) take() map[identity.BackendID]bool {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	taken := r.asked
+	r.asked = map[identity.BackendID]bool{}
+	return taken
+}
+
+func (r *recorder) eventsOf(id identity.BackendID) identity.Incarnation {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return r.events[id]
+}
+
+// await waits until a condition holds.
+func await(t *testing.T, ctx context.Context, what string, condition func() bool) {
+	t.Helper()
+	for !condition() {
+		assert.NilError(t, ctx.Err(), what)
+		time.Sleep(readyPollInterval)
+	}
+}
+
+func (d *Daemon) incarnationOf(id identity.BackendID) identity.Incarnation {
+	for _, backend := range d.View().Backends {
+		if backend.ID == id && len(backend.Models) > 0 {
+			return backend.Incarnation
+		}
+	}
+	return 0
+}
+
+// Each engine is asked by two daemons of its own zone and by nobody else, and yet
+// every daemon learns of its crash and of its next life. Cache events come to the
+// two watchers only, also those of the next life.
+func TestBackendsAreKnownThroughTheirWatchers(t *testing.T) {
+	ctx, cancel := context.WithTimeout(context.Background(), startBudget)
+	defer cancel()
+	options := small(t)
+	options.Engines = options.Engines[:2]
+	recorders := map[identity.DaemonID]*recorder{}
+	zones := map[identity.DaemonID]identity.Zone{}
+	options.Daemons = nil
+	for _, id := range []identity.DaemonID{"daemon-1", "daemon-2", "daemon-3", "daemon-4", "daemon-5", "daemon-6"} {
+		zone := options.Engines[len(recorders)%2].Zone
+		recorders[id], zones[id] = newRecorder(), zone
+		options.Daemons = append(options.Daemons, DaemonOptions{ID: id, Zone: zone, Policy: recorders[id]})
+	}
+	running, err := Start(ctx, options)
+	assert.NilError(t, err)
+	defer running.Close()
+
+	watchers := map[identity.BackendID][]identity.DaemonID{}
+	await(t, ctx, "two watchers for each engine", func() bool {
+		for _, recorder := range recorders {
+			recorder.take()
+		}
+		time.Sleep(time.Second)
+		clear(watchers)
+		for daemon, recorder := range recorders {
+			for engine := range recorder.take() {
+				watchers[engine] = append(watchers[engine], daemon)
+			}
+		}
+		return len(watchers["engine-1"]) == 2 && len(watchers["engine-2"]) == 2
+	})
+	for _, engine := range running.Engines {
+		for _, watcher := range watchers[engine.Machine.ID] {
+			assert.Equal(t, zones[watcher], engine.Machine.Zone)
+		}
+	}
+
+	crashed := running.Engines[0]
+	before := crashed.Incarnation()
+	crashed.Crash(2 * time.Second)
+	for _, daemon := range running.Daemons {
+		await(t, ctx, "the crash known everywhere", func() bool { return daemon.incarnationOf("engine-1") != before })
+	}
+	for _, daemon := range running.Daemons {
+		await(t, ctx, "the next life known everywhere", func() bool { return daemon.incarnationOf("engine-1") > before })
+	}
+
+	// Of two engines one may get all requests, so the other is stopped.
+	running.Engines[1].Crash(time.Minute)
+	for _, daemon := range running.Daemons {
+		await(t, ctx, "the other crash known", func() bool { return daemon.incarnationOf("engine-2") == 0 })
+	}
+	answer, body := post(t, running.Daemons[1].Addresses().Callers, "/v1/completions", map[string]any{
+		"model": modelName, "prompt": strings.Repeat("lap 17 in Rose-Hill. ", 300), "max_tokens": 2,
+	})
+	assert.Equal(t, answer.StatusCode, http.StatusOK, body)
+	for _, watcher := range watchers["engine-1"] {
+		await(t, ctx, "cache events of the next life", func() bool {
+			return recorders[watcher].eventsOf("engine-1") == crashed.Incarnation()
+		})
+		delete(recorders, watcher)
+	}
+	for daemon, recorder := range recorders {
+		assert.Equal(t, recorder.eventsOf("engine-1"), identity.Incarnation(0), "%s reads events it does not watch", daemon)
+	}
+}
