Let a new fleet controller wait until earlier holders can do nothing more

Fault: a new holder began to load after a fixed time, although a paused earlier holder may still send orders to engines that have not seen the new token; and it counted loads by reports older than the engines' first fenced order. Both let more engines load at once than the limit. The first was found by the state machine after 2,019 tests, the second after 365, once a takeover with crossed orders was among its steps.

Now loads wait until every engine has taken an order of this holder and has reported after that; one that takes none for the time of a load is given up.

Ruled out: the dwell time, whose absence the same test reports on its own (after 335).

--- a/internal/core/controller/controller.go
+++ b/internal/core/controller/controller.go
@@ -89,7 +89,7 @@
 		backend := &snapshot.Backends[index]
 		known := c.engines[backend.ID]
 		if known == nil {
-			known = newMemory(c.startedAt)
+			known = newMemory(now, c.startedAt)
 			c.engines[backend.ID] = known
 		}
 		if took, loaded := known.observe(now, backend, c.settings); loaded {
--- a/internal/core/controller/controller_test.go
+++ b/internal/core/controller/controller_test.go
@@ -45,8 +45,20 @@
 			},
 			"crash":    func(t *rapid.T) { f.crash(pick(t)) },
 			"takeover": func(*rapid.T) { f.takeOver() },
-			"change":   func(t *rapid.T) { f.change(t, models) },
-			"":         func(t *rapid.T) { f.checkLimits(t, limit) },
+			"crossed takeover": func(t *rapid.T) {
+				f.change(t, models)
+				earlier := f.holder
+				f.takeOver()
+				f.advance(time.Duration(rapid.IntRange(0, 40).Draw(t, "seconds")) * time.Second)
+				f.plan(earlier)
+				f.change(t, models)
+				f.plan(f.holder)
+				for len(f.letters) > 0 {
+					f.deliver(0)
+				}
+			},
+			"change": func(t *rapid.T) { f.change(t, models) },
+			"":       func(t *rapid.T) { f.checkLimits(t, limit) },
 		})
 		f.settle(t, limit)
 	})
--- a/internal/core/controller/loads.go
+++ b/internal/core/controller/loads.go
@@ -73,15 +73,20 @@
 	return count
 }
 
-// settled tells whether no load of an earlier holder can still come: every
-// engine has taken an order of this one, or such orders have had time to arrive.
+// settled tells whether no load of an earlier holder can begin any more, since
+// every engine has taken an order of this one and reported afterwards. An earlier
+// holder that was paused may send orders at any time, so waiting alone is not
+// enough. Only an engine that takes no orders for the time of a load is no longer
+// waited for.
 func (c *Controller) settled(p *plan) bool {
-	if p.now.Sub(c.startedAt) >= c.settings.OrderLifetime {
-		return true
+	for _, known := range c.engines {
+		reachable := p.now.Sub(known.seenAt) < c.settings.OrderLifetime
+		awaited := p.now.Sub(known.firstSeen) < c.settings.LoadTimeout
+		if known.service == p.service.Name && !known.settled && reachable && awaited {
+			return false
+		}
 	}
-	return !slices.ContainsFunc(slices.Collect(maps.Values(c.engines)), func(known *memory) bool {
-		return known.service == p.service.Name && known.fenced == 0
-	})
+	return true
 }
 
 // countServing adds what an engine serves and will go on to serve.
--- a/internal/core/controller/memory.go
+++ b/internal/core/controller/memory.go
@@ -19,13 +19,18 @@
 
 // memory is what the controller remembers of one back end.
 type memory struct {
-	service identity.ServiceName
-	seenAt  time.Time
+	service   identity.ServiceName
+	firstSeen time.Time
+	seenAt    time.Time
 	// incarnation is the life of the back end that last reported.
 	incarnation identity.Incarnation
 	// fenced is the life that has taken an order of this controller; zero when
 	// none has.
 	fenced identity.Incarnation
+	// fencedAt is when the first order was taken; zero when none was. From a report
+	// asked for later on, settled is set: it tells all that earlier holders did.
+	fencedAt time.Time
+	settled  bool
 	// pending are the orders on their way.
 	pending map[enginewire.Order]*pending
 	// target is what the controller wants the engine to hold; empty for nothing.
@@ -44,8 +49,9 @@
 
 // newMemory makes the memory of a back end that may have moved when its
 // controller started.
-func newMemory(startedAt time.Time) *memory {
+func newMemory(now, startedAt time.Time) *memory {
 	return &memory{
+		firstSeen:     now,
 		movedAt:       startedAt,
 		pending:       make(map[enginewire.Order]*pending),
 		unneededSince: make(map[Slot]time.Time),
@@ -57,6 +63,7 @@
 	m.service = backend.Service
 	m.seenAt = now
 	m.incarnation = backend.Status.Incarnation
+	m.settled = m.settled || (!m.fencedAt.IsZero() && backend.AskedAt.After(m.fencedAt))
 	for order, sent := range m.pending {
 		if sent.over(now, backend, order, settings) {
 			delete(m.pending, order)
@@ -111,6 +118,9 @@
 func (m *memory) orderDone(now time.Time, order enginewire.Order, outcome Outcome) {
 	if outcome == OutcomeAccepted {
 		m.fenced = m.incarnation
+		if m.fencedAt.IsZero() {
+			m.fencedAt = now
+		}
 	}
 	sent := m.pending[order]
 	if sent == nil {
--- a/internal/core/controller/settings.go
+++ b/internal/core/controller/settings.go
@@ -5,8 +5,7 @@
 // Settings are the controller's times and limits.
 type Settings struct {
 	// OrderLifetime is the longest that an order can be on its way. An order
-	// whose answer was lost counts as coming for so long, and a new holder loads
-	// nothing for so long unless every engine has seen its fencing token.
+	// whose answer was lost counts as coming for so long.
 	OrderLifetime time.Duration
 	// RetryInterval is the pause before an order that was refused is repeated.
 	RetryInterval time.Duration
@@ -21,7 +20,8 @@
 	// LoadDuration is how long one load takes until the controller has seen some.
 	LoadDuration time.Duration
 	// LoadTimeout is how long a load that an engine accepted may take until the
-	// order is repeated.
+	// order is repeated. A new holder waits as long for an engine that doesn't take
+	// its orders before it lets others load.
 	LoadTimeout time.Duration
 	// RequestsPerEngine is how many running and waiting requests one engine of a
 	// model is meant to have.
