--- a/internal/core/scheduler/arrive.go
+++ b/internal/core/scheduler/arrive.go
@@ -30,7 +30,8 @@
 	}
 	arrived := &job{request: request, arrivedAt: at, group: s.groups[workOf(&request)]}
 	if arrived.group == nil {
-		arrived.group = s.group(workOf(&request))
+		s.refuseWithoutBackend(now, arrived)
+		return s.takeActions()
 	}
 	arrived.checkpoints = belief.AppendCheckpoints(nil, request.Chain)
 	if len(s.waiting) >= s.options.QueueLimit {
--- a/internal/core/scheduler/sharing.go
+++ b/internal/core/scheduler/sharing.go
@@ -121,7 +121,7 @@
 		}
 		s.index.Expect(state.slot, notice.Checkpoints)
 		state.queue.add(at, float64(notice.Tokens), state.pace)
-		state.batch.note(at, 1)
+		state.batch.notePeer(at)
 		s.reorder(state)
 	}
 }
--- a/internal/core/scheduler/slots.go
+++ b/internal/core/scheduler/slots.go
@@ -1,6 +1,10 @@
 package scheduler
 
-import "github.com/lotusward/lotusward/internal/wire/enginewire"
+import (
+	"slices"
+
+	"github.com/lotusward/lotusward/internal/wire/enginewire"
+)
 
 // Constants of the estimate of batch slots.
 const (
@@ -10,6 +14,8 @@
 	durationGain = 0.05
 	// minimumSlots is the least batch size that is believed.
 	minimumSlots = 8
+	// rememberSeconds is the age from which a report has surely seen what was sent.
+	rememberSeconds = 1.0
 )
 
 // batch estimates how full an engine's batch is. How many requests fit is learned
@@ -29,13 +35,33 @@
 type change struct {
 	at    float64
 	delta int
+	ours  bool
 }
 
 // fullReports is how many reports make sure that a batch was full.
 const fullReports = 3
 
+// note counts a start or an end of our own.
 func (b *batch) note(at float64, delta int) {
-	b.changes = append(b.changes, change{at: at, delta: delta})
+	b.add(change{at: at, delta: delta, ours: true})
+}
+
+// notePeer counts a start by another daemon, whose end will not be told.
+func (b *batch) notePeer(at float64) {
+	b.add(change{at: at, delta: 1})
+}
+
+// add keeps a change. Old ones are folded together, so that an engine that never
+// reports costs no more memory; those of other daemons are forgotten.
+func (b *batch) add(added change) {
+	old := 0
+	for old < len(b.changes) && b.changes[old].at < added.at-rememberSeconds {
+		if b.changes[old].ours {
+			b.requests = max(0, b.requests+b.changes[old].delta)
+		}
+		old++
+	}
+	b.changes = append(slices.Delete(b.changes, 0, old), added)
 }
 
 // report takes a load report that is lag seconds old.
--- a/internal/core/scheduler/workqueue.go
+++ b/internal/core/scheduler/workqueue.go
@@ -1,6 +1,8 @@
 package scheduler
 
 import (
+	"slices"
+
 	"github.com/lotusward/lotusward/internal/core/placement/estimate"
 	"github.com/lotusward/lotusward/internal/wire/enginewire"
 )
@@ -36,7 +38,11 @@
 func (q *workQueue) add(now, tokens float64, pace *estimate.Pace) {
 	q.tokens = q.at(now, pace) + tokens
 	q.asOf = now
-	q.recent = append(q.recent, send{at: now, tokens: tokens})
+	old := 0
+	for old < len(q.recent) && q.recent[old].at < now-rememberSeconds {
+		old++
+	}
+	q.recent = append(slices.Delete(q.recent, 0, old), send{at: now, tokens: tokens})
 }
 
 // correct moves the estimate by a number of tokens.
