Let no grant of an earlier life count as a share of a limit

A daemon numbered its asks from 1 in every life; after a restart a late grant that answered the earlier life's ask of the same number was taken, while the lender had long counted it as ended. Numbers now start at the start time. Ruled out: a longer quarantine, since the late message can be any age.

--- a/internal/core/share/share.go
+++ b/internal/core/share/share.go
@@ -79,8 +79,10 @@
 	return &Sharer{
 		self:      self,
 		startedAt: now,
-		limits:    make(map[identity.TenantName]scheduler.TenantLimit),
-		accounts:  make(map[identity.TenantName]*account),
+		// Numbers of an earlier life must not come again: its late grants would count.
+		asks:     uint64(now.UnixNano()),
+		limits:   make(map[identity.TenantName]scheduler.TenantLimit),
+		accounts: make(map[identity.TenantName]*account),
 	}
 }
 
