Pass many changes of back ends to the scheduler together

Cause: at 2,800 back ends one change costs 6.6 ms (go test -run '^$' -bench Registry ./internal/lab/hollowwatch: list, scheduler), a look without a change 0.08 ms. In a zone's restart about ten messages a second bring changes. The processor time in such a minute was not measured on a whole daemon.

--- a/internal/daemon/control/state.go
+++ b/internal/daemon/control/state.go
@@ -41,6 +41,8 @@
 	backends      []scheduler.Backend
 	isolated      bool
 	refreshedAt   time.Time
+	// changedAt is when a refresh last found a change.
+	changedAt time.Time
 	// early holds requests that came before the back ends were known; they are
 	// passed on together, so that a daemon that has just started refuses nobody.
 	early         []arrival
@@ -104,6 +106,7 @@
 	s.refreshedAt = now
 	changed := s.registry.Refresh(now)
 	if changed {
+		s.changedAt = now
 		s.backends = s.registry.Backends(now)
 		s.act(s.policy.SetBackends(now, s.backends))
 	}
--- a/internal/daemon/control/watching.go
+++ b/internal/daemon/control/watching.go
@@ -114,7 +114,9 @@
 			changed = true
 		}
 	}
-	if changed {
+	// Of many changes in a row all but the first wait for the next regular refresh,
+	// since each passes all back ends to the scheduler.
+	if changed && now.Sub(s.changedAt) >= refreshInterval {
 		s.refresh(now)
 	}
 }
