--- a/internal/lab/fault/workload.go
+++ b/internal/lab/fault/workload.go
@@ -26,7 +26,7 @@
 	chapters             = 6
 	chapterBytes         = 8 << 10
 	leastTokens          = 5
-	mostTokens           = 60
+	mostTokens           = 200
 	requestTimeout       = 30 * time.Second
 	firstTokenDeadline   = 10 * time.Second
 	// keyedTries is how often a caller asks again with the same key.
