--- a/internal/core/sighting/machine_test.go
+++ b/internal/core/sighting/machine_test.go
@@ -12,7 +12,7 @@
 
 const (
 	// deadBound is how long a dead back end may still be shown, in a calm world.
-	deadBound = 4 * time.Second
+	deadBound = 3500 * time.Millisecond
 	// calmAfter is how long after a disturbance the world counts as calm.
 	calmAfter = 12 * time.Second
 )
