Measure the asks for shares of limits at a daemon's part of the requests

The tick in which a share changes was measured, not how often shares change and how many asks leave. One sharer is now driven with a daemon's part of the requests over all tenants, without answers, which makes its asks an upper bound.

--- a/internal/lab/capacity/limits.go
+++ b/internal/lab/capacity/limits.go
@@ -27,9 +27,48 @@
 		Tenant: tenantName(0), Number: 1, Wanted: share.Amount{TokensPerSecond: 100.5, Concurrent: 2},
 	}}})
 	m.note(err)
+	m.measureAsks(members)
 	slopes.AskBytes = projection.Constant(bytesUnit, float64(len(ask)))
 }
 
+// askingTime is the simulated time in which asks are counted, after as long again.
+const askingTime = 5 * time.Second
+
+// measureAsks lets one daemon see its part of the requests, each of another tenant
+// and with the answer's tokens only, and counts the asks. No grants come, so that
+// they are an upper bound; at an equal part of 1/340 a grant is a small part too.
+func (m *measurement) measureAsks(members []identity.DaemonID) {
+	daemon := newLendingDaemon(members, m.sizes.Tenants)
+	perTick := m.sizes.RequestsPerSecond / float64(m.sizes.Daemons) * share.TickInterval.Seconds()
+	tokens := int(m.sizes.TokensPerSecond / m.sizes.RequestsPerSecond)
+	due, requests := 0.0, 0
+	run := func() (asks int) {
+		for end := daemon.now.Add(askingTime); daemon.now.Before(end); {
+			daemon.now = daemon.now.Add(share.TickInterval)
+			for due += perTick; due >= 1; due-- {
+				requests++
+				tenant := tenantName(requests * spreadTenants % m.sizes.Tenants)
+				daemon.sharer.Observe(daemon.now, tenant, tokens, 1)
+			}
+			shares, outgoing := daemon.sharer.Tick(daemon.now)
+			if shares != nil {
+				daemon.policy.SetTenants(daemon.now, shares)
+			}
+			asks += len(outgoing)
+		}
+		return asks
+	}
+	run()
+	used := processorTime()
+	asks := run()
+	core := (processorTime() - used).Seconds() / askingTime.Seconds()
+	m.slopes.Limits.AskingCore = projection.Constant(coreUnit, core)
+	m.slopes.Limits.AsksPerSecond = projection.Constant(perSecond, float64(asks)/askingTime.Seconds())
+}
+
+// spreadTenants steps through the tenants so that none comes again soon.
+const spreadTenants = 7919
+
 // lendingDaemon is asked for a part of another tenant's limits before each tick,
 // so that one share changes in each.
 type lendingDaemon struct {
--- a/internal/lab/capacity/print.go
+++ b/internal/lab/capacity/print.go
@@ -42,6 +42,8 @@
 		{"view, heap", s.Configuration.ViewBytes},
 		{"tick in which a share changes", s.Limits.TickSeconds},
 		{"limits, shares and scheduler, heap", s.Limits.MemoryBytes},
+		{"asks for shares at a daemon's part of the requests", s.Limits.AsksPerSecond},
+		{"shares at a daemon's part of the requests", s.Limits.AskingCore},
 		{"ask for a share, encoded", s.Limits.AskBytes},
 		{"request in the scheduler", s.Placement.RequestSeconds},
 		{"tick of the scheduler", s.Placement.TickSeconds},
--- a/internal/lab/capacity/projection/project.go
+++ b/internal/lab/capacity/projection/project.go
@@ -143,6 +143,7 @@
 		Core:           changes * (revision.PushFanout + 1) * slopes.Call.PeerSeconds.At(1) / 2,
 		BytesPerSecond: changes * (revision.PushFanout + 1) * (slopes.Call.PeerBytes.At(1) + config.ChangeBytes.At(1) + segmentBytes),
 	}
+	asks := slopes.Limits.AsksPerSecond.At(1)
 	memory := config.DocumentBytes.At(tenants) + config.ViewBytes.At(tenants)
 	return []Line{
 		{Role: "configuration", What: "confirmations: own question and four children's", Mechanism: "core/revision, daemon/configuration", Group: Background, Rate: confirmCalls / confirmInterval,
@@ -150,9 +151,15 @@
 		{Role: "configuration", What: "pushes of changes by an inner daemon of the tree", Mechanism: "core/revision, daemon/configuration", Group: Background, Rate: changes * (revision.PushFanout + 1), Cost: pushes},
 		{Role: "configuration", What: "apply and compile each change", Mechanism: "config/dynamic, core/view", Group: Background, Rate: changes,
 			Cost: Cost{Core: changes * applied, MemoryBytes: memory}},
-		{Role: "limits", What: "ticks in which the share of a tenant changes", Mechanism: "core/share, daemon/control", Group: PerRequest, Rate: shareTicks,
-			Cost:   Cost{Core: shareTicks * slopes.Limits.TickSeconds.At(tenants), MemoryBytes: slopes.Limits.MemoryBytes.At(tenants)},
+		{Role: "limits", What: "shares of all tenants, brought up to date each tick", Mechanism: "core/share, daemon/control", Group: PerRequest, Rate: shareTicks,
+			Cost:   Cost{Core: slopes.Limits.AskingCore.At(1), MemoryBytes: slopes.Limits.MemoryBytes.At(tenants)},
 			Change: "pass on only the shares that changed"},
+		{Role: "limits", What: "asks for shares, sent and received", Mechanism: "core/share, daemon/gossip", Group: PerRequest, Rate: 2 * asks,
+			Cost: Cost{
+				Core:           asks * slopes.Call.DatagramSeconds.At(1),
+				BytesPerSecond: 2 * asks * (slopes.Limits.AskBytes.At(1) + datagramBytes),
+			},
+			Change: "ask once until the answer or its time-out, several tenants in a message, and admit a request by a burst first"},
 	}
 }
 
--- a/internal/lab/capacity/projection/slopes.go
+++ b/internal/lab/capacity/projection/slopes.go
@@ -90,6 +90,10 @@
 	TickSeconds Slope `json:"tick_seconds"`
 	// MemoryBytes is the heap of the sharer and of the scheduler's limits.
 	MemoryBytes Slope `json:"memory_bytes"`
+	// AsksPerSecond are what one daemon asks of others at its part of the requests,
+	// and AskingCore is what its sharer and scheduler spend on it.
+	AsksPerSecond Slope `json:"asks_per_second"`
+	AskingCore    Slope `json:"asking_core"`
 	// AskBytes is the encoded size of one ask.
 	AskBytes Slope `json:"ask_bytes"`
 }
