--- a/internal/core/belief/index.go
+++ b/internal/core/belief/index.go
@@ -26,8 +26,16 @@
 const (
 	firstReuse = 0.35
 	reuseGain  = 0.005
-	// fullParts says when a cache is full: all but one of so many parts.
-	fullParts = 10
+)
+
+// Shares of an engine's blocks, in sixteenths.
+const (
+	parts = 16
+	// cachedParts are for cached prefixes; the rest is for running requests.
+	cachedParts = 14
+	// fillingParts are from where on new blocks are taken to push out others: the
+	// room that is left then is filled before the new ones are used again.
+	fillingParts = 7
 )
 
 // Owners that are no placement of our own.
@@ -186,7 +194,7 @@
 		return
 	}
 	holder := &x.engines[slot]
-	capacity := max(1, blocks/BlocksPerCheckpoint)
+	capacity := max(1, blocks*cachedParts/parts/BlocksPerCheckpoint)
 	if holder.capacity == capacity {
 		return
 	}
@@ -198,11 +206,11 @@
 // SetTime moves the index's clock; the time is in seconds from any start.
 func (x *Index) SetTime(seconds float64) { x.now = uint32(int64(seconds * 1000)) }
 
-// Turnover is how long an engine keeps a block that is not used, in seconds, or
-// false while it has room left.
+// Turnover is how long an engine has kept its least recently used block, in
+// seconds, or false while it has much room left.
 func (x *Index) Turnover(slot Slot) (float64, bool) {
 	holder := &x.engines[slot]
-	if holder.limit == 0 || holder.count*fullParts < holder.limit*(fullParts-1) {
+	if holder.limit == 0 || holder.count*parts < holder.limit*fillingParts {
 		return 0, false
 	}
 	return float64(x.now-x.entries[holder.oldest].usedAt) / 1000, true
