Propose the first claim roster, and move requests once in a rolling change

Cause: without a roster in the imported document every keyed request was in doubt; nothing proposed one. The holder of the fleet lease now proposes all present daemons once as many as the settings name have been there for 3 s; where there has never been a roster nothing was claimed, so nothing can be lost. The holder stays a candidate, so that a daemon that joins does not push it out. And callers asked for a model's new version as soon as it was configured, while one engine had it or none: requests now run on the configured version once half of the model's engines have it, and until then on the one that most have. Ruled out: choosing the version per request, which would split the cache of each prefix.

--- a/internal/adapter/callerhttp/generation.go
+++ b/internal/adapter/callerhttp/generation.go
@@ -98,7 +98,7 @@
 	current := g.exchange.handler.options.Views.View()
 	if !g.answer.Started() {
 		if model := current.Model(g.request.Model); model != nil {
-			g.version = model.Version
+			g.version = current.ServingVersion(model)
 		}
 	}
 	outputTokens := g.request.MaxTokens
--- a/internal/core/controller/roster.go
+++ b/internal/core/controller/roster.go
@@ -16,6 +16,9 @@
 	DefaultGoneAfter = 5 * time.Minute
 	// DefaultPresentAfter is how long a new daemon is seen before it gets a place.
 	DefaultPresentAfter = time.Minute
+	// FirstPresentAfter is how long daemons are seen before they make up the first
+	// roster. It is short: until there is one, no request can be claimed.
+	FirstPresentAfter = 3 * time.Second
 	// smallestRoster is the size below which a roster isn't shrunk: a group of
 	// claim replicas has three members.
 	smallestRoster = 3
@@ -40,8 +43,7 @@
 // fewer than half of the roster's places, so that the daemons which keep theirs
 // still hold every claim that a majority granted. When half of the roster or more
 // seems gone it changes nothing: this daemon may be the one that is cut off. The
-// first roster is the operators' to set, and so is the next one after all
-// replicas of a slot were lost.
+// next roster after all replicas of a slot were lost is the operators' to set.
 func ProposeRoster(input RosterInput) (dynamic.Roster, bool) {
 	size := len(input.Current.Daemons)
 	minority := (size - 1) / 2
@@ -67,6 +69,18 @@
 	return dynamic.Roster{Epoch: input.Current.Epoch + 1, Daemons: work.daemons}, true
 }
 
+// FirstRoster makes the first roster out of the daemons that are present, or
+// returns false while fewer are than are expected. It may only be put where there
+// has never been a roster: nothing has been claimed then, so nothing is lost.
+func FirstRoster(alive []dynamic.Daemon, expected int) (dynamic.Roster, bool) {
+	if len(alive) == 0 || len(alive) < expected {
+		return dynamic.Roster{}, false
+	}
+	first := slices.Clone(alive)
+	slices.SortFunc(first, compareDaemons)
+	return dynamic.Roster{Epoch: 1, Daemons: first}, true
+}
+
 // gone lists the daemons of the roster that have been gone for long, longest first.
 func (i RosterInput) gone() []identity.DaemonID {
 	var gone []identity.DaemonID
--- a/internal/core/view/view.go
+++ b/internal/core/view/view.go
@@ -27,6 +27,8 @@
 	tenantsByKeyHash map[string]*dynamic.Tenant
 	models           map[identity.ModelName]*dynamic.Model
 	services         map[identity.ServiceName]*dynamic.Service
+	// serving are the weights versions in use where they differ from the document's.
+	serving map[identity.ModelName]identity.WeightsVersion
 }
 
 // New compiles a view. Neither argument may be modified afterwards.
@@ -50,6 +52,7 @@
 	for index := range document.Services {
 		compiled.services[document.Services[index].Name] = &document.Services[index]
 	}
+	compiled.serving = servingVersions(document.Models, backends)
 	return compiled
 }
 
@@ -57,6 +60,7 @@
 func (v *View) WithBackends(backends []scheduler.Backend) *View {
 	changed := *v
 	changed.Backends = backends
+	changed.serving = servingVersions(v.Document.Models, backends)
 	return &changed
 }
 
@@ -90,6 +94,16 @@
 	return v.models[name]
 }
 
+// ServingVersion is the version of a model's weights that requests run on now. It
+// is the configured one, but while engines are still being loaded with it, the one
+// that most of them have.
+func (v *View) ServingVersion(model *dynamic.Model) identity.WeightsVersion {
+	if version, found := v.serving[model.Name]; found {
+		return version
+	}
+	return model.Version
+}
+
 // Service finds a service by name, or nil.
 func (v *View) Service(name identity.ServiceName) *dynamic.Service {
 	return v.services[name]
--- a/internal/daemon/fleet.go
+++ b/internal/daemon/fleet.go
@@ -57,8 +57,12 @@
 }
 
 // isLeaseCandidate tells whether this daemon is one of the few that try for the
-// fleet lease. All who know the same live daemons agree on them.
+// fleet lease. All who know the same live daemons agree on them. The holder stays
+// one, so that a daemon which joins does not push it out.
 func (d *Daemon) isLeaseCandidate() bool {
+	if _, held := d.lease.Held(); held {
+		return true
+	}
 	daemons := []identity.DaemonID{d.settings.Identity.Daemon}
 	for _, member := range d.members.Members() {
 		daemons = append(daemons, member.ID)
@@ -84,6 +88,9 @@
 	return present
 }
 
+// Expected implements fleetkeeper.Rosters.
+func (r fleetRosters) Expected() int { return r.daemon.members.Size() }
+
 // Active implements fleetkeeper.Rosters by asking every replica of the roster.
 func (r fleetRosters) Active(epoch uint64) map[identity.DaemonID]bool {
 	document := r.daemon.configuration.Document()
--- a/internal/daemon/fleetkeeper/rosters.go
+++ b/internal/daemon/fleetkeeper/rosters.go
@@ -10,8 +10,12 @@
 	"github.com/lotusward/lotusward/internal/core/identity"
 )
 
-// rosterInterval is the time between two looks at the roster.
-const rosterInterval = 10 * time.Second
+const (
+	// rosterInterval is the time between two looks at the roster.
+	rosterInterval = 10 * time.Second
+	// firstRosterInterval is the same while there is no roster yet.
+	firstRosterInterval = time.Second
+)
 
 // Operator is the name under which the keeper proposes changes.
 const Operator = "fleet-controller"
@@ -20,6 +24,8 @@
 type Rosters interface {
 	// Present returns the daemons that are present now, this one among them.
 	Present() []dynamic.Daemon
+	// Expected is how many daemons there are at least, as far as is known.
+	Expected() int
 	// Active returns the daemons that are known to have a roster's epoch in force
 	// and to vote in all their slots.
 	Active(epoch uint64) map[identity.DaemonID]bool
@@ -41,7 +47,12 @@
 // proposeRoster proposes the next roster when one is due.
 func (k *Keeper) proposeRoster(ctx context.Context, document *dynamic.Document) {
 	now := k.options.Now()
-	if k.options.Rosters == nil || len(document.Rosters) == 0 || now.Before(k.rosters.nextAt) {
+	if k.options.Rosters == nil || now.Before(k.rosters.nextAt) {
+		return
+	}
+	if len(document.Rosters) == 0 {
+		k.rosters.nextAt = now.Add(firstRosterInterval)
+		k.proposeFirstRoster(ctx, now, document)
 		return
 	}
 	k.rosters.nextAt = now.Add(rosterInterval)
@@ -64,6 +75,20 @@
 	k.commitRoster(ctx, now, document.Revision, roster)
 }
 
+// proposeFirstRoster makes all present daemons claim replicas, once they are as
+// many as expected. Without any configuration there is nothing to claim for.
+func (k *Keeper) proposeFirstRoster(ctx context.Context, now time.Time, document *dynamic.Document) {
+	present := k.options.Rosters.Present()
+	alive, _ := k.rosters.presence.Observe(now, present, dynamic.Roster{}, controller.FirstPresentAfter)
+	roster, due := controller.FirstRoster(alive, k.options.Rosters.Expected())
+	if !due || document.Revision == 0 {
+		return
+	}
+	if _, held := k.options.Lease.Held(); held {
+		k.commitRoster(ctx, now, document.Revision, roster)
+	}
+}
+
 // commitRoster proposes a roster. The base revision makes two holders' proposals
 // conflict, and the epoch is refused unless it is the next one.
 func (k *Keeper) commitRoster(ctx context.Context, now time.Time, base identity.Revision, roster dynamic.Roster) {
--- a/internal/lab/cluster/cluster_test.go
+++ b/internal/lab/cluster/cluster_test.go
@@ -10,9 +10,11 @@
 	"testing"
 	"time"
 
+	"github.com/google/uuid"
 	"gotest.tools/v3/assert"
 
 	"github.com/lotusward/lotusward/internal/config/dynamic"
+	"github.com/lotusward/lotusward/internal/config/static"
 	"github.com/lotusward/lotusward/internal/core/identity"
 	"github.com/lotusward/lotusward/internal/core/prefix"
 	"github.com/lotusward/lotusward/internal/core/view"
@@ -134,3 +136,36 @@
 		assert.Equal(t, page, app.Answer(http.MethodPost, "/places/17", []byte(`"who"`)))
 	}
 }
+
+// An operator need not name the claim replicas: once all daemons are there, the
+// fleet controller proposes them, and requests that run at most once are served.
+func TestFirstRosterComesByItself(t *testing.T) {
+	ctx, cancel := context.WithTimeout(context.Background(), startBudget)
+	defer cancel()
+	options := small(t)
+	options.Adjust = func(settings *static.Settings) {
+		settings.Tuning.LeaseDuration = 2 * time.Second
+		settings.Tuning.ControllerInterval = 100 * time.Millisecond
+	}
+	running, err := Start(ctx, options)
+	assert.NilError(t, err)
+	defer running.Close()
+	daemon := running.Daemons[0]
+	for len(daemon.View().Document.Rosters) == 0 {
+		assert.NilError(t, ctx.Err(), "no roster was proposed")
+		time.Sleep(readyPollInterval)
+	}
+	assert.Equal(t, len(daemon.View().Document.Rosters[0].Daemons), len(running.Daemons))
+	assert.NilError(t, running.AwaitReady(ctx))
+
+	key, err := uuid.NewV7()
+	assert.NilError(t, err)
+	request, err := http.NewRequest(http.MethodPost, "http://"+daemon.Addresses().Callers+"/v1/services/results-app/finish/1", nil)
+	assert.NilError(t, err)
+	request.Header.Set("Authorization", "Bearer "+tenantKey)
+	request.Header.Set("Idempotency-Key", key.String())
+	answer, err := http.DefaultClient.Do(request)
+	assert.NilError(t, err)
+	defer answer.Body.Close()
+	assert.Equal(t, answer.StatusCode, http.StatusOK)
+}
