--- a/internal/core/membership/backend.go
+++ b/internal/core/membership/backend.go
@@ -15,6 +15,7 @@
 // version nor a revision, such as the machine list, can make no fact that ends
 // a leave.
 type BackendFact struct {
+	//lint:ignore U1000 read by the msgpack library through reflection
 	_msgpack struct{} `msgpack:",as_array"`
 
 	Backend identity.BackendID
@@ -57,6 +58,7 @@
 
 // ZoneLoad is a short summary of the load in one zone. A higher version wins.
 type ZoneLoad struct {
+	//lint:ignore U1000 read by the msgpack library through reflection
 	_msgpack struct{} `msgpack:",as_array"`
 
 	Zone    identity.Zone
--- a/internal/core/membership/member.go
+++ b/internal/core/membership/member.go
@@ -46,6 +46,7 @@
 
 // Member is one daemon as it is known. On the wire it is an array.
 type Member struct {
+	//lint:ignore U1000 read by the msgpack library through reflection
 	_msgpack struct{} `msgpack:",as_array"`
 
 	ID   identity.DaemonID
--- a/internal/core/membership/message.go
+++ b/internal/core/membership/message.go
@@ -26,6 +26,7 @@
 
 // Message is what daemons send each other. On the wire it is an array.
 type Message struct {
+	//lint:ignore U1000 read by the msgpack library through reflection
 	_msgpack struct{} `msgpack:",as_array"`
 
 	Kind MessageKind
@@ -57,6 +58,7 @@
 // Confirmation says that members have a revision in force. Members holds their
 // references, referenceBytes each.
 type Confirmation struct {
+	//lint:ignore U1000 read by the msgpack library through reflection
 	_msgpack struct{} `msgpack:",as_array"`
 
 	Revision identity.Revision
--- a/internal/core/membership/queue.go
+++ b/internal/core/membership/queue.go
@@ -32,8 +32,6 @@
 	q.levels[level] = append(q.levels[level], item)
 }
 
-func (q *queue[Key]) empty() bool { return len(q.current) == 0 }
-
 // take offers keys, least often sent first, until accept returns false. An
 // accepted key counts as sent, and is dropped once it was sent limit times.
 func (q *queue[Key]) take(limit int, accept func(Key) bool) {
--- a/internal/core/sighting/message.go
+++ b/internal/core/sighting/message.go
@@ -25,6 +25,7 @@
 // Message is what daemons send each other. On the wire it is an array.
 type Message struct {
 	//lint:ignore U1000 msgpack reads the tag
+	//lint:ignore U1000 read by the msgpack library through reflection
 	_msgpack struct{} `msgpack:",as_array"`
 
 	Kind MessageKind
@@ -43,6 +44,7 @@
 // delta from zero is the whole report. On the wire it is an array.
 type Delta struct {
 	//lint:ignore U1000 msgpack reads the tag
+	//lint:ignore U1000 read by the msgpack library through reflection
 	_msgpack struct{} `msgpack:",as_array"`
 
 	Watcher   identity.DaemonID
--- a/internal/core/sighting/sighting.go
+++ b/internal/core/sighting/sighting.go
@@ -13,6 +13,7 @@
 // Model is a model on a back end. On the wire it is an array.
 type Model struct {
 	//lint:ignore U1000 msgpack reads the tag
+	//lint:ignore U1000 read by the msgpack library through reflection
 	_msgpack struct{} `msgpack:",as_array"`
 
 	Name     identity.ModelName
@@ -24,6 +25,7 @@
 // Sighting is what a watcher last saw of a back end. On the wire it is an array.
 type Sighting struct {
 	//lint:ignore U1000 msgpack reads the tag
+	//lint:ignore U1000 read by the msgpack library through reflection
 	_msgpack struct{} `msgpack:",as_array"`
 
 	Backend identity.BackendID
--- a/internal/daemon/gossip/transport.go
+++ b/internal/daemon/gossip/transport.go
@@ -44,6 +44,7 @@
 // Envelope holds the one message that is not nil. On the wire it is an array.
 type Envelope struct {
 	//lint:ignore U1000 msgpack reads the tag
+	//lint:ignore U1000 read by the msgpack library through reflection
 	_msgpack struct{} `msgpack:",as_array"`
 
 	Membership *membership.Message
--- a/internal/lab/experiment/real.go
+++ b/internal/lab/experiment/real.go
@@ -28,7 +28,7 @@
 type RealCommand struct {
 	Deployment string       `long:"deployment" default:"foulee" description:"Deployment of the scenario, foulee or kalahari-pot"`
 	Scenario   string       `long:"scenario" default:"finish-line" description:"Scenario to play"`
-	Policies   []PolicyName `long:"policy" default:"lotusward" default:"least-outstanding" default:"rendezvous" description:"Policy to play; may be given several times"`
+	Policies   []PolicyName `long:"policy" description:"Policy to play; may be given several times (default: lotusward, least-outstanding, rendezvous)"`
 	Engines    int          `long:"engines" default:"8" description:"Stand-in engines"`
 	Apps       int          `long:"apps" default:"2" description:"Stand-in web-app runners"`
 	Daemons    int          `long:"daemons" default:"3" description:"Daemons"`
@@ -63,6 +63,9 @@
 	if err != nil {
 		return err
 	}
+	if len(c.Policies) == 0 {
+		c.Policies = []PolicyName{PolicyLotusward, PolicyLeastOutstanding, PolicyRendezvous}
+	}
 	var summaries []report.Summary
 	wrong := 0
 	for _, policy := range c.Policies {
