--- a/internal/core/scheduler/backend.go
+++ b/internal/core/scheduler/backend.go
@@ -39,8 +39,7 @@
 
 // group is the back ends that take one kind of work.
 type group struct {
-	work    eligible.Work
-	members []*backendState
+	work eligible.Work
 	// byLoad orders the members by when they will be free.
 	byLoad *btree.BTreeG[*backendState]
 	ring   hashRing
@@ -108,7 +107,6 @@
 	state.works = works
 	for _, work := range works {
 		joined := s.group(work)
-		joined.members = append(joined.members, state)
 		joined.byLoad.ReplaceOrInsert(state)
 		joined.ring.add(state)
 		state.groups = append(state.groups, joined)
@@ -141,7 +139,6 @@
 
 func (s *Scheduler) leaveGroups(state *backendState) {
 	for _, left := range state.groups {
-		left.members = slices.DeleteFunc(left.members, func(member *backendState) bool { return member == state })
 		left.byLoad.Delete(state)
 		left.ring.remove(state)
 	}
