--- a/internal/lab/capacity/configuration.go
+++ b/internal/lab/capacity/configuration.go
@@ -25,15 +25,20 @@
 	}
 }
 
-// document makes a configuration with a full history of changes.
-func (m *measurement) document(tenants int) *dynamic.Document {
-	made := &dynamic.Document{Revision: 1}
-	for index := range tenants {
-		made.Tenants = append(made.Tenants, dynamic.Tenant{
+func madeTenants(count int) []dynamic.Tenant {
+	var tenants []dynamic.Tenant
+	for index := range count {
+		tenants = append(tenants, dynamic.Tenant{
 			Name: tenantName(index), KeyHashes: []string{view.HashKey(fmt.Sprint("key of ", index))},
 			Limits: dynamic.TenantLimits{TokensPerSecond: 1000, ConcurrentRequests: 20, Weight: 1},
 		})
 	}
+	return tenants
+}
+
+// document makes a configuration with a full history of changes.
+func (m *measurement) document(tenants int) *dynamic.Document {
+	made := &dynamic.Document{Revision: 1, Tenants: madeTenants(tenants)}
 	for number := range dynamic.HistoryLength {
 		made = m.applied(made, limitsChange(number))
 	}
--- a/internal/lab/capacity/idle.go
+++ b/internal/lab/capacity/idle.go
@@ -22,18 +22,31 @@
 )
 
 // measureIdle starts real daemons as processes of their own, without back ends and
-// requests, and measures what each uses. It shows what no slope of a part does: the
-// wake-ups of a running process.
+// requests, with no tenants and with all, and measures what each uses. It shows what
+// no slope of a part does: the wake-ups of a running process, and its memory.
 func (m *measurement) measureIdle() {
+	core := projection.Slope{Unit: coreUnit, Of: tenantsWord}
+	resident := projection.Slope{Unit: bytesUnit, Of: tenantsWord}
+	for _, tenants := range []int{0, m.sizes.Tenants} {
+		used, memory := m.idleWith(tenants)
+		core.Points = append(core.Points, projection.Point{Size: float64(tenants), Value: used})
+		resident.Points = append(resident.Points, projection.Point{Size: float64(tenants), Value: memory})
+	}
+	m.slopes.Idle = projection.IdleSlopes{Core: core, ResidentBytes: resident}
+}
+
+// idleWith returns the share of a core and the resident memory of one daemon.
+func (m *measurement) idleWith(tenants int) (core, resident float64) {
 	directory, err := os.MkdirTemp("", "lotuslab-capacity-")
 	if err != nil {
 		m.note(err)
-		return
+		return 0, 0
 	}
 	defer os.RemoveAll(directory)
 	plan := process.Plan{Directory: directory, Binaries: m.binaries, Document: &dynamic.Document{
 		Models:   []dynamic.Model{{Name: modelName(0), Version: "1", ContextTokens: 1 << 15}},
 		Services: []dynamic.Service{{Name: serviceName, Kind: identity.KindEngine, Models: []identity.ModelName{modelName(0)}}},
+		Tenants:  madeTenants(tenants),
 	}}
 	for index := range idleDaemons {
 		plan.Daemons = append(plan.Daemons, process.DaemonPlan{ID: string(daemonName(index)), Zone: string(zoneName(index))})
@@ -43,22 +56,18 @@
 	deployment, err := process.Run(ctx, plan)
 	if err != nil {
 		m.note(err)
-		return
+		return 0, 0
 	}
 	defer deployment.Kill()
 	time.Sleep(idleSettle)
-	var before, after []machine.Scheduling
-	before = m.scheduling(deployment)
+	before := m.scheduling(deployment)
 	time.Sleep(m.idleLength)
-	after = m.scheduling(deployment)
-	used, resident := 0.0, 0.0
+	after := m.scheduling(deployment)
 	for index, daemon := range deployment.Daemons {
-		used += (after[index].Ran - before[index].Ran).Seconds() / m.idleLength.Seconds() / idleDaemons
+		core += (after[index].Ran - before[index].Ran).Seconds() / m.idleLength.Seconds() / idleDaemons
 		resident += m.residentBytes(daemon.ID()) / idleDaemons
 	}
-	m.slopes.Idle = projection.IdleSlopes{
-		Core: projection.Constant(coreUnit, used), ResidentBytes: projection.Constant(bytesUnit, resident),
-	}
+	return core, resident
 }
 
 func (m *measurement) scheduling(deployment *process.Deployment) []machine.Scheduling {
--- a/internal/lab/capacity/projection/project.go
+++ b/internal/lab/capacity/projection/project.go
@@ -49,7 +49,7 @@
 	report := Report{Sizes: sizes, Budget: budget}
 	report.Lines = append(report.Lines, Line{
 		Role: "all", What: "an idle process with two peers: wake-ups, and a part of the lines below", Mechanism: "daemon", Group: Background, Resident: true,
-		Cost: Cost{Core: slopes.Idle.Core.At(1), MemoryBytes: slopes.Idle.ResidentBytes.At(1)},
+		Cost: Cost{Core: slopes.Idle.Core.At(0), MemoryBytes: slopes.Idle.ResidentBytes.At(0)},
 	})
 	report.Lines = append(report.Lines, membershipLines(sizes, slopes)...)
 	report.Lines = append(report.Lines, backendLines(sizes, slopes)...)
