--- a/internal/lab/process/process_test.go
+++ b/internal/lab/process/process_test.go
@@ -106,17 +106,18 @@
 	assert.Equal(t, answer.Text, expected.Text(0, longAnswer))
 }
 
-// awaitRunning waits until an engine runs a request.
-func awaitRunning(t *testing.T, ctx context.Context, deployment *Deployment) {
+// awaitRunning waits until an engine runs a request, and returns the engine.
+func awaitRunning(t *testing.T, ctx context.Context, deployment *Deployment) *Backend {
 	t.Helper()
 	for ctx.Err() == nil {
 		for _, backend := range deployment.Backends {
 			status, err := backend.Status()
 			assert.NilError(t, err)
 			if status.Load.Running > 0 {
-				return
+				return backend
 			}
 		}
 	}
 	t.Fatal("no engine ran a request")
+	return nil
 }
