--- a/internal/adapter/callerhttp/attempts.go
+++ b/internal/adapter/callerhttp/attempts.go
@@ -192,6 +192,16 @@
 	return nil
 }
 
+// likelyFollowed tells whether another attempt will most likely follow an ended
+// one, so that the request keeps its place in its tenant's concurrency. If none
+// does, the scheduler frees the place after a while.
+func (a *attempts) likelyFollowed(result ended) bool {
+	if !result.backendFault || a.number >= a.exchange.handler.options.Limits.MaxAttempts {
+		return false
+	}
+	return a.repeatable || result.evidence <= outcome.DeclaredNotRun
+}
+
 // finalRefusal is a refusal that every back end would repeat.
 func (a *attempts) finalRefusal(result ended) *failure {
 	if result.refusal == nil || result.refusal.Code != enginewire.CodeInvalidRequest {
--- a/internal/adapter/callerhttp/generation.go
+++ b/internal/adapter/callerhttp/generation.go
@@ -135,6 +135,7 @@
 	g.exchange.handler.options.Scheduling.Finish(scheduler.Finish{
 		RequestID: g.exchange.id, Backend: start.Backend.ID, OutputTokens: tokens,
 		Failed: err != nil && result.backendFault, Unreachable: err != nil && result.unreachable(),
+		Retrying: err != nil && g.likelyFollowed(result),
 	})
 	if err == nil {
 		g.history.Record(result.evidence)
--- a/internal/adapter/callerhttp/page.go
+++ b/internal/adapter/callerhttp/page.go
@@ -122,6 +122,7 @@
 	p.exchange.handler.options.Scheduling.Finish(scheduler.Finish{
 		RequestID: p.exchange.id, Backend: start.Backend.ID,
 		Failed: err != nil && result.backendFault, Unreachable: err != nil && result.unreachable(),
+		Retrying: err != nil && p.likelyFollowed(result),
 	})
 	if err == nil {
 		p.history.Record(outcome.Answered)
