--- a/internal/lab/relaycost/engine.go
+++ b/internal/lab/relaycost/engine.go
@@ -23,7 +23,9 @@
 	*backend.Server
 	clock    clock
 	interval time.Duration
-	model    enginewire.LoadedModel
+	// phase is when in each interval the engine takes its step.
+	phase time.Duration
+	model enginewire.LoadedModel
 
 	mutex   sync.Mutex
 	step    chan struct{}
@@ -47,8 +49,14 @@
 	return e.Server.Serve(ctx, listener, enginewire.StateServing, func() backend.Life { return e })
 }
 
-// Run implements backend.Life: it takes one step after the other.
+// Run implements backend.Life: it takes one step after the other, in its phase.
 func (e *pacedEngine) Run(ctx context.Context) {
+	sinceStep := time.Duration(e.clock.now()) % e.interval
+	select {
+	case <-ctx.Done():
+		return
+	case <-time.After((e.phase - sinceStep + e.interval) % e.interval):
+	}
 	ticker := time.NewTicker(e.interval)
 	defer ticker.Stop()
 	for {
--- a/internal/lab/relaycost/run.go
+++ b/internal/lab/relaycost/run.go
@@ -140,6 +140,8 @@
 	id := identity.BackendID(fmt.Sprintf("engine-%d", number+1))
 	loaded := enginewire.LoadedModel{Model: modelName, Version: modelVersion, Ready: true}
 	engine := newPacedEngine(id, loaded, b.options.Interval, b.clock)
+	// Engines know nothing of each other, so their steps do not come together.
+	engine.phase = b.options.Interval * time.Duration(number) / time.Duration(b.options.Engines)
 	b.serving.Go(func() { _ = engine.serve(ctx, listener) }) // ends with the context
 	b.engines = append(b.engines, listener.Addr().String())
 	return command.EnterMachine(ctx, b.deployment.PlatformURL, platformwire.Machine{
