Fill zero options with cmp.Or in adapters and stand-ins

They are gone from callerhttp, enginehttp, adminhttp and the stand-ins of engine, web-app runner and back end; the values are the same.

go test -count=1 ./internal/adapter/... ./internal/standin/...: pass.

--- a/internal/adapter/adminhttp/options.go
+++ b/internal/adapter/adminhttp/options.go
@@ -4,6 +4,7 @@
 package adminhttp
 
 import (
+	"cmp"
 	"context"
 	"time"
 
@@ -84,11 +85,7 @@
 	if o.NewChangeID == nil {
 		o.NewChangeID = uuid.NewString
 	}
-	if o.AskTimeout == 0 {
-		o.AskTimeout = DefaultAskTimeout
-	}
-	if o.CommandTimeout == 0 {
-		o.CommandTimeout = DefaultCommandTimeout
-	}
+	o.AskTimeout = cmp.Or(o.AskTimeout, DefaultAskTimeout)
+	o.CommandTimeout = cmp.Or(o.CommandTimeout, DefaultCommandTimeout)
 	return o
 }
--- a/internal/adapter/callerhttp/options.go
+++ b/internal/adapter/callerhttp/options.go
@@ -5,6 +5,7 @@
 package callerhttp
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -71,30 +72,23 @@
 
 func (l Limits) withDefaults() Limits {
 	defaults := DefaultLimits()
-	setDefault(&l.MaxBodyBytes, defaults.MaxBodyBytes)
-	setDefault(&l.BodyTimeout, defaults.BodyTimeout)
-	setDefault(&l.HeaderTimeout, defaults.HeaderTimeout)
-	setDefault(&l.MaxHeaderBytes, defaults.MaxHeaderBytes)
-	setDefault(&l.IdleTimeout, defaults.IdleTimeout)
-	setDefault(&l.WriteTimeout, defaults.WriteTimeout)
-	setDefault(&l.FirstTokenTimeout, defaults.FirstTokenTimeout)
-	setDefault(&l.MaxFirstTokenTimeout, defaults.MaxFirstTokenTimeout)
-	setDefault(&l.AttemptTimeout, defaults.AttemptTimeout)
-	setDefault(&l.StallTimeout, defaults.StallTimeout)
-	setDefault(&l.MaxAttempts, defaults.MaxAttempts)
-	setDefault(&l.DefaultOutputTokens, defaults.DefaultOutputTokens)
-	setDefault(&l.PageBufferBytes, defaults.PageBufferBytes)
-	setDefault(&l.ImportTimeout, defaults.ImportTimeout)
+	l.MaxBodyBytes = cmp.Or(l.MaxBodyBytes, defaults.MaxBodyBytes)
+	l.BodyTimeout = cmp.Or(l.BodyTimeout, defaults.BodyTimeout)
+	l.HeaderTimeout = cmp.Or(l.HeaderTimeout, defaults.HeaderTimeout)
+	l.MaxHeaderBytes = cmp.Or(l.MaxHeaderBytes, defaults.MaxHeaderBytes)
+	l.IdleTimeout = cmp.Or(l.IdleTimeout, defaults.IdleTimeout)
+	l.WriteTimeout = cmp.Or(l.WriteTimeout, defaults.WriteTimeout)
+	l.FirstTokenTimeout = cmp.Or(l.FirstTokenTimeout, defaults.FirstTokenTimeout)
+	l.MaxFirstTokenTimeout = cmp.Or(l.MaxFirstTokenTimeout, defaults.MaxFirstTokenTimeout)
+	l.AttemptTimeout = cmp.Or(l.AttemptTimeout, defaults.AttemptTimeout)
+	l.StallTimeout = cmp.Or(l.StallTimeout, defaults.StallTimeout)
+	l.MaxAttempts = cmp.Or(l.MaxAttempts, defaults.MaxAttempts)
+	l.DefaultOutputTokens = cmp.Or(l.DefaultOutputTokens, defaults.DefaultOutputTokens)
+	l.PageBufferBytes = cmp.Or(l.PageBufferBytes, defaults.PageBufferBytes)
+	l.ImportTimeout = cmp.Or(l.ImportTimeout, defaults.ImportTimeout)
 	return l
 }
 
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
-
 // Options are what a Handler works with. Claims, Clock, OnLeaving and Registerer
 // may be nil; without Claims a request with an idempotency key that must run at
 // most once is refused.
@@ -118,9 +112,7 @@
 
 func (o Options) withDefaults() Options {
 	o.Limits = o.Limits.withDefaults()
-	if o.Retries == (retry.Limits{}) {
-		o.Retries = retry.DefaultLimits()
-	}
+	o.Retries = cmp.Or(o.Retries, retry.DefaultLimits())
 	if o.Clock == nil {
 		o.Clock = time.Now
 	}
--- a/internal/adapter/enginehttp/client.go
+++ b/internal/adapter/enginehttp/client.go
@@ -5,6 +5,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"io"
 	"net"
@@ -46,24 +47,12 @@
 )
 
 func (o Options) withDefaults() Options {
-	if o.DialTimeout == 0 {
-		o.DialTimeout = defaultDialTimeout
-	}
-	if o.IdleTimeout == 0 {
-		o.IdleTimeout = defaultIdleTimeout
-	}
-	if o.IdlePerBackend == 0 {
-		o.IdlePerBackend = defaultIdlePerBackend
-	}
-	if o.MaxEventBytes == 0 {
-		o.MaxEventBytes = defaultMaxEventBytes
-	}
-	if o.MaxControlBytes == 0 {
-		o.MaxControlBytes = defaultMaxControlBytes
-	}
-	if o.MaxKVBytes == 0 {
-		o.MaxKVBytes = defaultMaxKVBytes
-	}
+	o.DialTimeout = cmp.Or(o.DialTimeout, defaultDialTimeout)
+	o.IdleTimeout = cmp.Or(o.IdleTimeout, defaultIdleTimeout)
+	o.IdlePerBackend = cmp.Or(o.IdlePerBackend, defaultIdlePerBackend)
+	o.MaxEventBytes = cmp.Or(o.MaxEventBytes, defaultMaxEventBytes)
+	o.MaxControlBytes = cmp.Or(o.MaxControlBytes, defaultMaxControlBytes)
+	o.MaxKVBytes = cmp.Or(o.MaxKVBytes, defaultMaxKVBytes)
 	return o
 }
 
--- a/internal/standin/app/app.go
+++ b/internal/standin/app/app.go
@@ -4,6 +4,7 @@
 package app
 
 import (
+	"cmp"
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
@@ -55,12 +56,8 @@
 
 // New makes a runner.
 func New(options Options) *Runner {
-	if options.ServiceTime == 0 {
-		options.ServiceTime = DefaultServiceTime
-	}
-	if options.Concurrency == 0 {
-		options.Concurrency = DefaultConcurrency
-	}
+	options.ServiceTime = cmp.Or(options.ServiceTime, DefaultServiceTime)
+	options.Concurrency = cmp.Or(options.Concurrency, DefaultConcurrency)
 	server := backend.New(backend.Options{
 		ID: options.ID, Kind: identity.KindApp, StopGrace: options.StopGrace, Log: options.Log,
 	}, enginewire.StateServing)
--- a/internal/standin/backend/server.go
+++ b/internal/standin/backend/server.go
@@ -4,6 +4,7 @@
 package backend
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"net"
@@ -68,9 +69,7 @@
 
 // New makes a server in its first incarnation, in the given state.
 func New(options Options, state enginewire.State) *Server {
-	if options.StopGrace == 0 {
-		options.StopGrace = DefaultStopGrace
-	}
+	options.StopGrace = cmp.Or(options.StopGrace, DefaultStopGrace)
 	if options.Log == nil {
 		options.Log = logging.Discard()
 	}
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -3,6 +3,7 @@
 package engine
 
 import (
+	"cmp"
 	"context"
 	"net"
 	"net/http"
@@ -54,15 +55,9 @@
 }
 
 func (o Options) withDefaults() Options {
-	if o.WeightsTime == 0 {
-		o.WeightsTime = DefaultWeightsTime
-	}
-	if o.LoadLag == 0 {
-		o.LoadLag = DefaultLoadLag
-	}
-	if o.EventLateness == 0 {
-		o.EventLateness = DefaultEventLateness
-	}
+	o.WeightsTime = cmp.Or(o.WeightsTime, DefaultWeightsTime)
+	o.LoadLag = cmp.Or(o.LoadLag, DefaultLoadLag)
+	o.EventLateness = cmp.Or(o.EventLateness, DefaultEventLateness)
 	return o
 }
 
--- a/internal/standin/engine/model/options.go
+++ b/internal/standin/engine/model/options.go
@@ -5,7 +5,10 @@
 // simulated experiments run the same engine.
 package model
 
-import "time"
+import (
+	"cmp"
+	"time"
+)
 
 // Options are the sizes and costs of an engine. The zero value of a field takes
 // its default.
@@ -47,20 +50,13 @@
 
 // WithDefaults fills the fields that are zero.
 func (o Options) WithDefaults() Options {
-	setDefault(&o.Blocks, DefaultBlocks)
-	setDefault(&o.MaxRunning, DefaultMaxRunning)
-	setDefault(&o.MaxWaiting, DefaultMaxWaiting)
-	setDefault(&o.PrefillPerToken, DefaultPrefillPerToken)
-	setDefault(&o.StepBase, DefaultStepBase)
-	setDefault(&o.DecodePerSequence, DefaultDecodePerSequence)
-	setDefault(&o.StepCeiling, DefaultStepCeiling)
-	setDefault(&o.KVPerBlock, DefaultKVPerBlock)
+	o.Blocks = cmp.Or(o.Blocks, DefaultBlocks)
+	o.MaxRunning = cmp.Or(o.MaxRunning, DefaultMaxRunning)
+	o.MaxWaiting = cmp.Or(o.MaxWaiting, DefaultMaxWaiting)
+	o.PrefillPerToken = cmp.Or(o.PrefillPerToken, DefaultPrefillPerToken)
+	o.StepBase = cmp.Or(o.StepBase, DefaultStepBase)
+	o.DecodePerSequence = cmp.Or(o.DecodePerSequence, DefaultDecodePerSequence)
+	o.StepCeiling = cmp.Or(o.StepCeiling, DefaultStepCeiling)
+	o.KVPerBlock = cmp.Or(o.KVPerBlock, DefaultKVPerBlock)
 	return o
 }
-
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
