Write the ends of claims in the table before a planned stop

Cause: Runner.Drain waited only until the replicas were told. The end of a claim on a key of unknown birth waits up to a second in the committer's queue for company, and Run drops the queue when its context ends. So a planned stop within that second left the row at "running", and every later call with the key was told that it runs. Nothing else ends such a row.

Drain now also waits until the committer has nothing waiting and no batch in flight, and outcomes no longer wait for company meanwhile. It stays bounded by its context (5 s in the daemon), also while the table is down. A flush at the end of Run was ruled out: a context that ends stands for a kill in the tests, and those must go on losing the queue.

TestDrainWritesEndsOfClaimsInTheTable before the change: running != ran. TestDrainEndsWithItsContext before: error is nil. Both pass after it; the other tests of the package are unchanged and pass.

--- a/internal/daemon/claims.go
+++ b/internal/daemon/claims.go
@@ -24,7 +24,7 @@
 	// daemon that has just started and has no claim roster in use yet.
 	firstRosterWait = 2 * time.Second
 	// claimsDrainTimeout bounds how long a stop waits until the ends of claims
-	// were told to their replicas.
+	// were told to their replicas and written to the table.
 	claimsDrainTimeout = 5 * time.Second
 )
 
@@ -64,7 +64,7 @@
 }
 
 // runClaims runs the replica, and at the end waits until the outcomes of this
-// daemon's claims are told.
+// daemon's claims are told and written.
 func (d *Daemon) runClaims(ctx context.Context) error {
 	running, cancel := context.WithCancel(context.Background())
 	defer cancel()
--- a/internal/daemon/claims/change.go
+++ b/internal/daemon/claims/change.go
@@ -50,6 +50,8 @@
 type changeQueue struct {
 	mutex   sync.Mutex
 	waiting []*change
+	// taken is how many changes are being tried, from take until putBack.
+	taken int
 }
 
 // add returns false when the queue already holds limit changes.
@@ -63,10 +65,19 @@
 	return true
 }
 
+// putBack ends the try that take began. The changes are those to be tried again.
 func (q *changeQueue) putBack(changes []*change) {
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
 	q.waiting = append(changes, q.waiting...)
+	q.taken = 0
+}
+
+// idle tells whether no change waits or is being tried.
+func (q *changeQueue) idle() bool {
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	return len(q.waiting) == 0 && q.taken == 0
 }
 
 func (q *changeQueue) empty() bool {
@@ -94,5 +105,6 @@
 		taken = append(taken, changed)
 		return true
 	})
+	q.taken = len(taken)
 	return taken
 }
--- a/internal/daemon/claims/claims.go
+++ b/internal/daemon/claims/claims.go
@@ -126,17 +126,18 @@
 	return err
 }
 
-// Drain waits until all ends of claims were told to the replicas, or until the
-// context ends. A planned stop calls it after the last request.
+// Drain waits until all ends of claims were told to the replicas and written to
+// the table, or until the context ends. A planned stop calls it after the last
+// request, while Run still runs.
 func (r *Runner) Drain(ctx context.Context) error {
-	done := make(chan struct{})
+	told := make(chan struct{})
 	go func() {
 		r.settling.Wait()
-		close(done)
+		close(told)
 	}()
 	select {
-	case <-done:
-		return nil
+	case <-told:
+		return r.committer.drain(ctx)
 	case <-ctx.Done():
 		return ctx.Err()
 	}
--- a/internal/daemon/claims/claims_test.go
+++ b/internal/daemon/claims/claims_test.go
@@ -159,6 +159,45 @@
 	})
 }
 
+// A planned stop leaves no row behind that says running for ever, also when the
+// table does not take the first write of the end.
+func TestDrainWritesEndsOfClaimsInTheTable(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := newTable()
+		w := newWorld(3, table)
+		defer w.stopAll()
+		runners := w.startAll()
+		ctx, key := context.Background(), keyOf("undated", false)
+		assert.Equal(t, runners[0].Claim(ctx, key), port.ClaimGranted)
+		table.setFault(func() tableFault { return faultDown })
+		runners[0].Settle(key, identity.RunStateRan)
+		time.AfterFunc(2*time.Second, func() { table.setFault(func() tableFault { return faultNone }) })
+		draining, cancel := context.WithTimeout(ctx, 5*time.Second)
+		defer cancel()
+		assert.NilError(t, runners[0].Drain(draining))
+		w.stop(0)
+		time.Sleep(3 * time.Second)
+		assert.Equal(t, runners[1].Claim(ctx, key), port.ClaimRan)
+	})
+}
+
+// A drain ends with its context when the table stays down.
+func TestDrainEndsWithItsContext(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := newTable()
+		w := newWorld(3, table)
+		defer w.stopAll()
+		runners := w.startAll()
+		ctx, key := context.Background(), keyOf("undated", false)
+		assert.Equal(t, runners[0].Claim(ctx, key), port.ClaimGranted)
+		table.setFault(func() tableFault { return faultDown })
+		runners[0].Settle(key, identity.RunStateRan)
+		draining, cancel := context.WithTimeout(ctx, 5*time.Second)
+		defer cancel()
+		assert.ErrorIs(t, runners[0].Drain(draining), context.DeadlineExceeded)
+	})
+}
+
 // A new roster takes over what the old one knew, while claims go on.
 func TestRosterChange(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/daemon/claims/committer.go
+++ b/internal/daemon/claims/committer.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"sync/atomic"
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
@@ -20,6 +21,8 @@
 	// maxOutcomes bounds the outcomes that wait while the table is down. More are
 	// dropped: replicas know them too, until they expire.
 	maxOutcomes = 20_000
+	// drainPollInterval is how often a stop looks whether all is written.
+	drainPollInterval = 10 * time.Millisecond
 )
 
 // committer writes rows to the table, many in one transaction.
@@ -28,6 +31,8 @@
 	claims   changeQueue
 	outcomes changeQueue
 	wake     chan struct{}
+	// draining is set when outcomes no longer wait for company.
+	draining atomic.Bool
 }
 
 func newCommitter(options Options) *committer {
@@ -74,6 +79,20 @@
 	return <-changed.results, true
 }
 
+// drain has all that waits written without delay. It returns when it is written,
+// or with the context's error when that ends first.
+func (c *committer) drain(ctx context.Context) error {
+	c.draining.Store(true)
+	c.signal()
+	for !c.claims.idle() || !c.outcomes.idle() {
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
+		waitOrDone(ctx, drainPollInterval)
+	}
+	return nil
+}
+
 // run commits batches until the context ends.
 func (c *committer) run(ctx context.Context) {
 	retry := backoff.NewExponentialBackOff()
@@ -98,7 +117,7 @@
 func (c *committer) wait(ctx context.Context) bool {
 	patience := time.NewTimer(c.options.Timing.OutcomeCommit)
 	defer patience.Stop()
-	for c.claims.empty() {
+	for c.claims.empty() && !c.drainsOutcomes() {
 		select {
 		case <-c.wake:
 		case <-patience.C:
@@ -110,6 +129,10 @@
 	return true
 }
 
+func (c *committer) drainsOutcomes() bool {
+	return c.draining.Load() && !c.outcomes.empty()
+}
+
 func (c *committer) collect() []*change {
 	batch := c.claims.take(maxBatch)
 	return append(batch, c.outcomes.take(maxBatch-len(batch))...)
@@ -128,6 +151,7 @@
 	case err == nil:
 		retry.Reset()
 		finishWritten(batch, rows)
+		c.putBack(nil)
 		return 0
 	case errors.As(err, &conflict):
 		retry.Reset()
@@ -143,6 +167,7 @@
 	}
 }
 
+// putBack ends a try, of which these changes are to be tried again.
 func (c *committer) putBack(batch []*change) {
 	var claims, outcomes []*change
 	for _, changed := range batch {
