Show isolation in the metrics also where the settings have a daemon serve on

Cause: lotusward_configuration_isolated read the view that callers are served with, whose word is whether requests are refused. With isolation: serve it stayed 0 on a daemon cut off from the table and from its peers, where it is the only sign that an old configuration may be in use. It now asks the configuration runner. Ruled out: changing the view, which traffic needs as it is.

TestIsolatedDaemonThatServesShowsIt failed before (0, expected 1) and passes; go test -count=1 ./internal/lab/cluster: pass.

--- a/internal/daemon/metrics.go
+++ b/internal/daemon/metrics.go
@@ -24,7 +24,8 @@
 			return float64(d.loop.View().Document.Revision)
 		}},
 		{"lotusward_configuration_isolated", "1 while the configuration cannot be confirmed as the newest.", func() float64 {
-			return oneIf(d.loop.View().Isolated)
+			// Not the view's word: that is whether requests are refused.
+			return oneIf(d.configuration.Status().Isolated)
 		}},
 		{"lotusward_backends", "Back ends that this daemon sees as reachable.", func() float64 {
 			return float64(len(d.loop.View().Backends))
