Keep the lab's credentials once, and print a lotusctl line in the demo

The key between daemons stood in cluster and in process, and a deployment of the demo had no operator, so that nobody could query it. The entry of a back end into the machine list stood twice in cluster.

go test -count=1 ./internal/lab/cluster ./internal/lab/process: pass.

--- a/internal/lab/cluster/cluster.go
+++ b/internal/lab/cluster/cluster.go
@@ -19,15 +19,13 @@
 	"github.com/lotusward/lotusward/internal/core/identity"
 	"github.com/lotusward/lotusward/internal/core/scheduler"
 	"github.com/lotusward/lotusward/internal/daemon"
+	"github.com/lotusward/lotusward/internal/lab/credential"
 	"github.com/lotusward/lotusward/internal/standin/app"
 	"github.com/lotusward/lotusward/internal/standin/engine"
 	"github.com/lotusward/lotusward/internal/standin/platform"
 	"github.com/lotusward/lotusward/internal/wire/platformwire"
 )
 
-// peerKey is the key between the daemons of every cluster. It protects nothing.
-const peerKey = "lab-key-of-at-least-thirty-two-bytes"
-
 // readyPollInterval is how often AwaitReady looks.
 const readyPollInterval = 10 * time.Millisecond
 
@@ -155,6 +153,15 @@
 	return c.AwaitReady(ctx)
 }
 
+// AdminURLs returns the base URL of each daemon's administration API.
+func (c *Cluster) AdminURLs() []string {
+	urls := make([]string, 0, len(c.Daemons))
+	for _, running := range c.Daemons {
+		urls = append(urls, "http://"+running.Addresses().Admin)
+	}
+	return urls
+}
+
 // CallerAddresses returns the callers' address of each daemon.
 func (c *Cluster) CallerAddresses() []string {
 	addresses := make([]string, 0, len(c.Daemons))
@@ -205,11 +212,7 @@
 		return nil, err
 	}
 	options.WeightStore = c.PlatformURL
-	machine := platformwire.Machine{
-		ID: options.ID, Kind: identity.KindEngine, Service: options.Service, Zone: options.Zone,
-		Address: listener.Addr().String(), State: platformwire.MachineLive,
-	}
-	c.Platform.PutMachine(machine)
+	machine := c.list(options.ID, identity.KindEngine, options.Service, options.Zone, listener)
 	standIn := engine.New(options.Options)
 	running := c.launch(func(ctx context.Context) error { return standIn.Serve(ctx, listener) })
 	started := &Engine{Engine: standIn, Machine: machine, part: running}
@@ -224,11 +227,7 @@
 	if err != nil {
 		return nil, err
 	}
-	machine := platformwire.Machine{
-		ID: options.ID, Kind: identity.KindApp, Service: options.Service, Zone: options.Zone,
-		Address: listener.Addr().String(), State: platformwire.MachineLive,
-	}
-	c.Platform.PutMachine(machine)
+	machine := c.list(options.ID, identity.KindApp, options.Service, options.Zone, listener)
 	standIn := app.New(options.Options)
 	running := c.launch(func(ctx context.Context) error { return standIn.Serve(ctx, listener) })
 	started := &App{Runner: standIn, Machine: machine, part: running}
@@ -236,6 +235,16 @@
 	return started, nil
 }
 
+// list enters a back end into the machine list.
+func (c *Cluster) list(id identity.BackendID, kind identity.BackendKind, service identity.ServiceName, zone identity.Zone, listener net.Listener) platformwire.Machine {
+	machine := platformwire.Machine{
+		ID: id, Kind: kind, Service: service, Zone: zone,
+		Address: listener.Addr().String(), State: platformwire.MachineLive,
+	}
+	c.Platform.PutMachine(machine)
+	return machine
+}
+
 // StartDaemon starts one more daemon, which knows the earlier ones as its seeds.
 func (c *Cluster) StartDaemon(options DaemonOptions) (*Daemon, error) {
 	settings := c.settingsOf(options)
@@ -268,7 +277,7 @@
 	settings.Identity = static.Identity{Daemon: options.ID, Zone: options.Zone, Region: "lab"}
 	settings.Listen = static.Listen{Callers: anyPort, Admin: anyPort, Peer: anyPort, Health: anyPort}
 	settings.Peers.Seeds = append([]string(nil), c.seeds...)
-	settings.Peers.Keys = []static.Key{{Value: peerKey}}
+	settings.Peers.Keys = []static.Key{{Value: credential.PeerKey}}
 	settings.Platform = static.Platform{Table: c.PlatformURL, Objects: c.PlatformURL, Machines: c.PlatformURL}
 	settings.Operators = c.options.Operators
 	if c.options.Adjust != nil {
--- a/internal/lab/cluster/scenario.go
+++ b/internal/lab/cluster/scenario.go
@@ -6,9 +6,11 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/lotusward/lotusward/internal/config/dynamic"
+	"github.com/lotusward/lotusward/internal/config/static"
 	"github.com/lotusward/lotusward/internal/core/identity"
 	"github.com/lotusward/lotusward/internal/core/scheduler"
 	"github.com/lotusward/lotusward/internal/core/view"
+	"github.com/lotusward/lotusward/internal/lab/credential"
 	"github.com/lotusward/lotusward/internal/lab/load"
 	"github.com/lotusward/lotusward/internal/lab/scenario"
 	"github.com/lotusward/lotusward/internal/standin/app"
@@ -26,7 +28,11 @@
 // scheduler when makePolicy is nil.
 func OptionsOf(run *scenario.Scenario, makePolicy PolicyMaker, logger *logrus.Logger) Options {
 	deployment := run.Deployment
-	options := Options{Logger: logger, Document: documentOf(deployment)}
+	options := Options{
+		Logger:    logger,
+		Document:  documentOf(deployment),
+		Operators: []static.Operator{credential.Operator()},
+	}
 	for index := range deployment.Engines {
 		options.Engines = append(options.Engines, engineOf(run, index))
 	}
--- a/internal/lab/demo/command.go
+++ b/internal/lab/demo/command.go
@@ -6,6 +6,7 @@
 	"io"
 	"os"
 	"os/signal"
+	"strings"
 	"syscall"
 	"time"
 
@@ -15,6 +16,7 @@
 	"github.com/lotusward/lotusward/internal/core/scheduler"
 	"github.com/lotusward/lotusward/internal/lab/baseline"
 	"github.com/lotusward/lotusward/internal/lab/cluster"
+	"github.com/lotusward/lotusward/internal/lab/credential"
 	"github.com/lotusward/lotusward/internal/lab/load"
 	"github.com/lotusward/lotusward/internal/lab/report"
 	"github.com/lotusward/lotusward/internal/lab/scenario"
@@ -26,7 +28,7 @@
 
 // Command is the demo's command line, for go-flags.
 type Command struct {
-	Serve bool   `long:"serve" description:"Keep a deployment up in place of the comparison and print a curl line for it"`
+	Serve bool   `long:"serve" description:"Keep a deployment up in place of the comparison and print a curl and a lotusctl line for it"`
 	Seed  uint64 `long:"seed" default:"1" description:"Seed of the workload"`
 	Log   string `long:"log-level" default:"error" description:"Level of the daemons' logs on standard error"`
 }
@@ -129,6 +131,8 @@
 	fmt.Fprintf(output, "  curl -N http://%s/v1/chat/completions -H 'Authorization: Bearer %s' -H 'Content-Type: application/json' "+
 		"-d '{\"model\":\"%s\",\"stream\":true,\"max_tokens\":16,\"messages\":[{\"role\":\"user\",\"content\":\"Where did I place?\"}]}'\n\n",
 		running.CallerAddresses()[0], load.KeyOf(deployment.Tenants[0].Name), deployment.Model)
+	fmt.Fprintf(output, "  LOTUSCTL_TOKEN=%s go run ./cmd/lotusctl -a %s 'show engines'\n\n",
+		credential.OperatorToken, strings.Join(running.AdminURLs(), ","))
 	fmt.Fprintln(output, "Ctrl-C stops it.")
 	<-ctx.Done()
 	return nil
--- a/internal/lab/process/deployment.go
+++ b/internal/lab/process/deployment.go
@@ -15,13 +15,6 @@
 	"github.com/lotusward/lotusward/internal/wire/enginewire"
 )
 
-// Credentials of a lab deployment. They protect nothing.
-const (
-	peerKey       = "lab-key-of-at-least-thirty-two-bytes"
-	OperatorToken = "lab-operator-token"
-	operatorName  = "lab"
-)
-
 // readyPollInterval is how often AwaitReady asks.
 const readyPollInterval = 50 * time.Millisecond
 
--- a/internal/lab/process/import.go
+++ b/internal/lab/process/import.go
@@ -7,6 +7,8 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+
+	"github.com/lotusward/lotusward/internal/lab/credential"
 )
 
 // importDocument commits the plan's document through lotusctl.
@@ -29,7 +31,7 @@
 // Control runs lotusctl against all daemons and returns what it printed.
 func (d *Deployment) Control(ctx context.Context, arguments ...string) (string, error) {
 	tokenPath := filepath.Join(d.Plan.Directory, "operator-token")
-	if err := os.WriteFile(tokenPath, []byte(OperatorToken), 0o600); err != nil {
+	if err := os.WriteFile(tokenPath, []byte(credential.OperatorToken), 0o600); err != nil {
 		return "", err
 	}
 	all := append([]string{"--address", d.AdminURLs(), "--token-file", tokenPath}, arguments...)
--- a/internal/lab/process/settings.go
+++ b/internal/lab/process/settings.go
@@ -8,7 +8,7 @@
 
 	"github.com/lotusward/lotusward/internal/config/dynamic"
 	"github.com/lotusward/lotusward/internal/core/identity"
-	"github.com/lotusward/lotusward/internal/core/view"
+	"github.com/lotusward/lotusward/internal/lab/credential"
 )
 
 // addRoster makes all daemons claim replicas in the plan's document.
@@ -34,17 +34,18 @@
 			seeds = append(seeds, other.advertised())
 		}
 	}
+	operator := credential.Operator()
 	settings := map[string]any{
 		"identity": map[string]any{"daemon": daemon.Plan.ID, "zone": daemon.Plan.Zone, "region": "lab"},
 		"listen": map[string]any{
 			"callers": daemon.Callers, "admin": daemon.Admin, "peer": daemon.Peer, "health": daemon.Health,
 		},
 		"peers": map[string]any{
-			"advertise": daemon.advertised(), "seeds": seeds, "keys": []any{map[string]any{"value": peerKey}},
+			"advertise": daemon.advertised(), "seeds": seeds, "keys": []any{map[string]any{"value": credential.PeerKey}},
 		},
 		"platform": map[string]any{"table": d.PlatformURL, "objects": d.PlatformURL, "machines": d.PlatformURL},
 		"operators": []any{map[string]any{
-			"name": operatorName, "role": "operate", "token_sha256": view.HashKey(OperatorToken),
+			"name": operator.Name, "role": operator.Role, "token_sha256": operator.TokenSHA256,
 		}},
 	}
 	text, err := yaml.Marshal(settings)
