Ask a document for its newest roster, and shorten the loop over rosters

Four places took the last roster of a document by index, each with its own check for an empty list. Document.NewestRoster replaces them. runRosters held the whole decision four levels deep in its select loop; it is now advanceRoster, with the two epochs it goes by as named fields. No change of behaviour.

--- a/internal/config/dynamic/document.go
+++ b/internal/config/dynamic/document.go
@@ -33,6 +33,15 @@
 	entries *sum
 }
 
+// NewestRoster returns the roster of claim replicas with the highest epoch, and
+// false when there is none yet.
+func (d *Document) NewestRoster() (Roster, bool) {
+	if len(d.Rosters) == 0 {
+		return Roster{}, false
+	}
+	return d.Rosters[len(d.Rosters)-1], true
+}
+
 // Service is a group of back ends that serve the same work.
 type Service struct {
 	Name identity.ServiceName `json:"name" msgpack:"name"`
--- a/internal/daemon/claims.go
+++ b/internal/daemon/claims.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/lotusward/lotusward/internal/adapter/peer"
+	"github.com/lotusward/lotusward/internal/config/dynamic"
 	"github.com/lotusward/lotusward/internal/core/identity"
 	"github.com/lotusward/lotusward/internal/daemon/claims"
 	"github.com/lotusward/lotusward/internal/port"
@@ -86,42 +87,59 @@
 // that restarts and confirms its configuration with a majority then cannot miss
 // a roster that is in use.
 func (d *Daemon) runRosters(ctx context.Context) error {
-	log := d.part("claims")
-	startedAt := time.Now()
+	progress := rosterProgress{startedAt: time.Now()}
 	ticker := time.NewTicker(rosterInterval)
 	defer ticker.Stop()
-	var appliedEpoch, confirmedEpoch uint64
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
 		case <-ticker.C:
+			d.advanceRoster(ctx, &progress)
 		}
-		document := d.configuration.Document()
-		if len(document.Rosters) == 0 {
-			continue
-		}
-		status := d.configuration.Status()
-		confirmed := !status.Provisional && status.ConfirmedAt.After(startedAt)
-		epoch := document.Rosters[len(document.Rosters)-1].Epoch
-		if confirmed && epoch > appliedEpoch && d.majorityHas(ctx, document.Revision) {
-			if d.claims.SetRosters(ctx, document.Rosters) == nil {
-				appliedEpoch = epoch
-				log.WithField("epoch", epoch).Info("The claim roster is in use.")
-			}
-		}
-		if confirmed && epoch == appliedEpoch && epoch > confirmedEpoch {
-			if d.claims.ConfigurationConfirmed(ctx, epoch) == nil {
-				if confirmedEpoch == 0 {
-					time.AfterFunc(newKeysAfter, func() { close(d.votes) })
-				}
-				confirmedEpoch = epoch
-				log.WithField("epoch", epoch).Info("This replica votes on claims.")
-			}
-		}
 	}
 }
 
+// rosterProgress is how far this daemon's claim replica is with the rosters.
+type rosterProgress struct {
+	startedAt time.Time
+	// applied and confirmed are the epochs of the newest roster that the replica
+	// uses, and of the newest that it was told to be the configuration's newest.
+	applied, confirmed uint64
+}
+
+// advanceRoster applies the newest roster, and confirms it, where that can be done.
+func (d *Daemon) advanceRoster(ctx context.Context, progress *rosterProgress) {
+	document := d.configuration.Document()
+	roster, found := document.NewestRoster()
+	status := d.configuration.Status()
+	if !found || status.Provisional || !status.ConfirmedAt.After(progress.startedAt) {
+		return
+	}
+	log := d.part("claims").WithField("epoch", roster.Epoch)
+	if roster.Epoch > progress.applied && d.applyRosters(ctx, document) {
+		progress.applied = roster.Epoch
+		log.Info("The claim roster is in use.")
+	}
+	if roster.Epoch != progress.applied || roster.Epoch <= progress.confirmed {
+		return
+	}
+	if d.claims.ConfigurationConfirmed(ctx, roster.Epoch) != nil {
+		return // tried again at the next look
+	}
+	if progress.confirmed == 0 {
+		time.AfterFunc(newKeysAfter, func() { close(d.votes) })
+	}
+	progress.confirmed = roster.Epoch
+	log.Info("This replica votes on claims.")
+}
+
+// applyRosters has the replica use a document's rosters, if most daemons have the
+// document in force, and tells whether it does.
+func (d *Daemon) applyRosters(ctx context.Context, document *dynamic.Document) bool {
+	return d.majorityHas(ctx, document.Revision) && d.claims.SetRosters(ctx, document.Rosters) == nil
+}
+
 // majorityHas asks all daemons whether most of them have a revision in force.
 // Gossip does not do: what it says of a daemon may be from before its restart.
 func (d *Daemon) majorityHas(ctx context.Context, revision identity.Revision) bool {
@@ -133,7 +151,7 @@
 
 // canClaim tells whether keys that callers make now can be claimed.
 func (d *Daemon) canClaim() bool {
-	if len(d.configuration.Document().Rosters) == 0 {
+	if _, found := d.configuration.Document().NewestRoster(); !found {
 		return true
 	}
 	select {
--- a/internal/daemon/control/sharing.go
+++ b/internal/daemon/control/sharing.go
@@ -88,9 +88,9 @@
 	// Without a roster a daemon cannot know who else there is: it goes by the whole
 	// limit until the first roster is there.
 	owners := []identity.DaemonID{s.sharing.Self}
-	if count := len(s.document.Rosters); count > 0 {
+	if roster, found := s.document.NewestRoster(); found {
 		owners = nil
-		for _, daemon := range s.document.Rosters[count-1].Daemons {
+		for _, daemon := range roster.Daemons {
 			owners = append(owners, daemon.ID)
 		}
 	}
--- a/internal/daemon/fleet.go
+++ b/internal/daemon/fleet.go
@@ -94,14 +94,14 @@
 
 // Active implements fleetkeeper.Rosters by asking every replica of the roster.
 func (r fleetRosters) Active(epoch uint64) map[identity.DaemonID]bool {
-	document := r.daemon.configuration.Document()
-	if len(document.Rosters) == 0 {
+	roster, found := r.daemon.configuration.Document().NewestRoster()
+	if !found {
 		return nil
 	}
 	var mutex sync.Mutex
 	var asking sync.WaitGroup
 	active := make(map[identity.DaemonID]bool)
-	for _, replica := range document.Rosters[len(document.Rosters)-1].Daemons {
+	for _, replica := range roster.Daemons {
 		asking.Go(func() {
 			status, err := r.askStatus(replica)
 			if err != nil || status.Epoch != epoch || status.ActiveSlots != status.Slots {
--- a/internal/daemon/fleetkeeper/rosters.go
+++ b/internal/daemon/fleetkeeper/rosters.go
@@ -50,13 +50,13 @@
 	if k.options.Rosters == nil || now.Before(k.rosters.nextAt) {
 		return
 	}
-	if len(document.Rosters) == 0 {
+	current, found := document.NewestRoster()
+	if !found {
 		k.rosters.nextAt = now.Add(firstRosterInterval)
 		k.proposeFirstRoster(ctx, now, document)
 		return
 	}
 	k.rosters.nextAt = now.Add(rosterInterval)
-	current := document.Rosters[len(document.Rosters)-1]
 	present := k.options.Rosters.Present()
 	alive, goneFor := k.rosters.presence.Observe(now, present, current, controller.DefaultPresentAfter)
 	roster, due := controller.ProposeRoster(controller.RosterInput{
