Drop exported functions and an option that nothing uses

What Joined's comment said now stands at the field.

Kept although only tests and lotuslab use it: the zone loads of membership, which are part of its messages and of its property tests.

Tests of membership, stream, control and config pass.

--- a/internal/config/yamldecode/decode.go
+++ b/internal/config/yamldecode/decode.go
@@ -35,12 +35,6 @@
 	return finding.Place{File: p.file, Path: path}
 }
 
-// Has tells whether the text has the field path.
-func (p Places) Has(path string) bool {
-	_, found := p.byPath[path]
-	return found
-}
-
 func parentPath(path string) string {
 	end := strings.LastIndexAny(path, ".[")
 	if end < 0 {
--- a/internal/core/membership/node.go
+++ b/internal/core/membership/node.go
@@ -50,6 +50,7 @@
 	zoneOrder    probeOrder
 	crossOrder   probeOrder
 
+	// joined is set once another daemon has answered, or when no seed is configured.
 	joined      bool
 	contact     contact
 	actions     []Action
@@ -178,12 +179,6 @@
 	n.confirmLeft = n.options.ConfirmTries
 }
 
-// ObserveRevision tells that a configuration revision exists, whether or not it
-// is in force here yet.
-func (n *Node) ObserveRevision(revision identity.Revision) {
-	n.highest = max(n.highest, revision)
-}
-
 // ObserveBackend takes what this daemon itself saw of a back end, to be spread:
 // that it leaves, or that an earlier leave is over. It is no news, and ignored,
 // that a back end serves which nobody said was leaving. Since is filled in.
--- a/internal/core/membership/query.go
+++ b/internal/core/membership/query.go
@@ -11,9 +11,6 @@
 // Self returns this daemon as the others should know it.
 func (n *Node) Self() Member { return n.self.Member }
 
-// Joined tells whether another daemon has answered, or none is configured.
-func (n *Node) Joined() bool { return n.joined }
-
 // Members returns all remembered members, this daemon among them, by ID.
 func (n *Node) Members() []Member {
 	members := make([]Member, 0, len(n.list))
--- a/internal/core/stream/stream.go
+++ b/internal/core/stream/stream.go
@@ -107,9 +107,6 @@
 // Resumable tells whether another attempt can go on from Offset and Text.
 func (a *Assembler) Resumable() bool { return !a.opaque }
 
-// Completed tells whether the whole answer was sent.
-func (a *Assembler) Completed() bool { return a.complete }
-
 // Accept decides on a frame that an attempt's connection gave.
 func (a *Assembler) Accept(attempt int, frame Frame) Verdict {
 	if attempt != a.attempt || a.broken || a.complete {
--- a/internal/daemon/control/events.go
+++ b/internal/daemon/control/events.go
@@ -167,12 +167,6 @@
 	state.policy.ObserveCacheEvents(now, e.backend, e.batch)
 }
 
-type limitsChanged struct{ limits []scheduler.TenantLimit }
-
-func (e limitsChanged) apply(state *state, now time.Time) {
-	state.policy.SetTenants(now, e.limits)
-}
-
 // call runs a function on the control goroutine, for reads of its state and for
 // parts that are owned by it.
 type call struct {
--- a/internal/daemon/control/inputs.go
+++ b/internal/daemon/control/inputs.go
@@ -6,7 +6,6 @@
 	"github.com/lotusward/lotusward/internal/config/dynamic"
 	"github.com/lotusward/lotusward/internal/core/identity"
 	"github.com/lotusward/lotusward/internal/core/registry"
-	"github.com/lotusward/lotusward/internal/core/scheduler"
 	"github.com/lotusward/lotusward/internal/wire/enginewire"
 	"github.com/lotusward/lotusward/internal/wire/platformwire"
 )
@@ -60,11 +59,6 @@
 	return true
 }
 
-// SetTenantLimits replaces this daemon's shares of the tenants' limits.
-func (l *Loop) SetTenantLimits(limits []scheduler.TenantLimit) {
-	l.post(limitsChanged{limits: limits})
-}
-
 // Call runs a function on the control goroutine and waits for it. It returns
 // false, without running the function, when the loop has stopped.
 func (l *Loop) Call(function func(now time.Time)) bool {
--- a/internal/daemon/control/loop.go
+++ b/internal/daemon/control/loop.go
@@ -8,8 +8,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/sirupsen/logrus"
-
 	"github.com/lotusward/lotusward/internal/config/dynamic"
 	"github.com/lotusward/lotusward/internal/core/registry"
 	"github.com/lotusward/lotusward/internal/core/scheduler"
@@ -29,7 +27,6 @@
 type Options struct {
 	Policy   scheduler.Policy
 	Registry *registry.Registry
-	Log      logrus.FieldLogger
 	// Clock returns the time; time.Now when nil.
 	Clock func() time.Time
 }
--- a/internal/daemon/control/loop_test.go
+++ b/internal/daemon/control/loop_test.go
@@ -11,7 +11,6 @@
 	"github.com/lotusward/lotusward/internal/core/identity"
 	"github.com/lotusward/lotusward/internal/core/registry"
 	"github.com/lotusward/lotusward/internal/core/scheduler"
-	"github.com/lotusward/lotusward/internal/logging"
 	"github.com/lotusward/lotusward/internal/port"
 	"github.com/lotusward/lotusward/internal/wire/enginewire"
 	"github.com/lotusward/lotusward/internal/wire/platformwire"
@@ -22,7 +21,6 @@
 	loop := New(Options{
 		Policy:   scheduler.New(scheduler.Options{}),
 		Registry: registry.New(registry.DefaultOptions()),
-		Log:      logging.Discard(),
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan struct{})
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -151,7 +151,6 @@
 	d.loop = control.New(control.Options{
 		Policy:   policy,
 		Registry: registry.New(registry.DefaultOptions()),
-		Log:      d.part("control"),
 	})
 	d.callers = callerhttp.New(callerhttp.Options{
 		Views:      d.loop,
