Read a machine list again soon when it changed

A list that lags shows machines one after the other: a daemon that read one without the last machine read again only 2 s later.

--- a/internal/daemon/backendwatch/watcher.go
+++ b/internal/daemon/backendwatch/watcher.go
@@ -44,9 +44,9 @@
 	Changed() <-chan struct{}
 }
 
-// emptyListInterval is how soon an empty machine list is read again: it lags, and
-// most likely the machines are just not on it yet.
-const emptyListInterval = 250 * time.Millisecond
+// unsettledListInterval is how soon a machine list is read again that is empty or
+// just changed: it lags, and most likely more machines are about to show on it.
+const unsettledListInterval = 250 * time.Millisecond
 
 // recheckQueue is how many rechecks may wait; more are dropped, since every back
 // end is asked again soon anyway.
@@ -73,10 +73,12 @@
 type Watcher struct {
 	options  Options
 	machines []platformwire.Machine
-	polls    map[identity.BackendID]*poll
-	watched  atomic.Int64
-	rechecks chan sighting.Recheck
-	running  sync.WaitGroup
+	// listVersion is that of the list that machines are from.
+	listVersion uint64
+	polls       map[identity.BackendID]*poll
+	watched     atomic.Int64
+	rechecks    chan sighting.Recheck
+	running     sync.WaitGroup
 }
 
 // New makes a watcher.
@@ -104,10 +106,11 @@
 	delays.MaxInterval = 10 * w.options.ListInterval
 	for ctx.Err() == nil {
 		wait := w.options.ListInterval
+		before := w.listVersion
 		if !w.readList(ctx) {
 			wait = delays.NextBackOff()
-		} else if delays.Reset(); len(w.machines) == 0 {
-			wait = min(wait, emptyListInterval)
+		} else if delays.Reset(); len(w.machines) == 0 || w.listVersion != before {
+			wait = min(wait, unsettledListInterval)
 		}
 		w.attend(ctx, wait)
 	}
@@ -147,7 +150,7 @@
 		return false
 	}
 	w.options.Sink.ObserveMachines(list)
-	w.machines = list.Machines
+	w.machines, w.listVersion = list.Machines, list.Version
 	w.follow(ctx)
 	return true
 }
