--- a/internal/daemon/claims/committer.go
+++ b/internal/daemon/claims/committer.go
@@ -10,6 +10,7 @@
 	"github.com/cenkalti/backoff/v5"
 
 	"github.com/lotusward/lotusward/internal/core/identity"
+	"github.com/lotusward/lotusward/internal/pause"
 	"github.com/lotusward/lotusward/internal/port"
 	"github.com/lotusward/lotusward/internal/wire/platformwire"
 )
@@ -88,7 +89,7 @@
 		if ctx.Err() != nil {
 			return ctx.Err()
 		}
-		waitOrDone(ctx, drainPollInterval)
+		pause.For(ctx, drainPollInterval)
 	}
 	return nil
 }
@@ -107,8 +108,8 @@
 			continue
 		}
 		started := time.Now()
-		pause := c.commit(ctx, batch, retry)
-		waitOrDone(ctx, max(pause, c.options.Timing.ClaimCommit-time.Since(started)))
+		least := c.commit(ctx, batch, retry)
+		pause.For(ctx, max(least, c.options.Timing.ClaimCommit-time.Since(started)))
 	}
 }
 
--- a/internal/daemon/claims/settle.go
+++ b/internal/daemon/claims/settle.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"sync"
-	"time"
 
 	"github.com/cenkalti/backoff/v5"
 
@@ -125,13 +124,3 @@
 	}
 	return port.ClaimInDoubt
 }
-
-// waitOrDone waits for a duration, or less when the context ends.
-func waitOrDone(ctx context.Context, duration time.Duration) {
-	timer := time.NewTimer(duration)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/daemon/claims/world_test.go
+++ b/internal/daemon/claims/world_test.go
@@ -13,6 +13,7 @@
 	"github.com/lotusward/lotusward/internal/config/dynamic"
 	"github.com/lotusward/lotusward/internal/core/identity"
 	"github.com/lotusward/lotusward/internal/logging"
+	"github.com/lotusward/lotusward/internal/pause"
 	"github.com/lotusward/lotusward/internal/port"
 	"github.com/lotusward/lotusward/internal/standin/platform"
 	"github.com/lotusward/lotusward/internal/wire/platformwire"
@@ -117,7 +118,7 @@
 }
 
 func (w *world) travel(ctx context.Context) error {
-	waitOrDone(ctx, w.delay())
+	pause.For(ctx, w.delay())
 	if w.lose() {
 		return errLost
 	}
@@ -201,7 +202,7 @@
 }
 
 func (t *unreliableTable) Read(ctx context.Context, keys ...string) ([]platformwire.Row, error) {
-	waitOrDone(ctx, t.delay())
+	pause.For(ctx, t.delay())
 	if t.nextFault() != faultNone || ctx.Err() != nil {
 		return nil, &port.UnavailableError{Service: "table", Cause: errDown}
 	}
@@ -213,7 +214,7 @@
 }
 
 func (t *unreliableTable) Commit(ctx context.Context, transaction platformwire.Transaction) ([]platformwire.Row, error) {
-	waitOrDone(ctx, t.delay())
+	pause.For(ctx, t.delay())
 	unknown := &port.OutcomeUnknownError{Service: "table", Cause: errLost}
 	switch t.nextFault() {
 	case faultDown:
--- a/internal/daemon/configuration/options.go
+++ b/internal/daemon/configuration/options.go
@@ -1,7 +1,7 @@
 package configuration
 
 import (
-	"context"
+	"cmp"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -80,16 +80,16 @@
 }
 
 func (o Options) withDefaults() Options {
-	orDefault(&o.IsolationLimit, DefaultIsolationLimit)
-	orDefault(&o.ConfirmInterval, DefaultConfirmInterval)
-	orDefault(&o.CallTimeout, DefaultCallTimeout)
-	orDefault(&o.TableTimeout, DefaultTableTimeout)
-	orDefault(&o.HedgeDelay, DefaultHedgeDelay)
-	orDefault(&o.MirrorGrace, DefaultMirrorGrace)
-	orDefault(&o.MirrorInterval, DefaultMirrorInterval)
-	orDefault(&o.ProposeTimeout, DefaultProposeTimeout)
-	orDefault(&o.CallsAtOnce, DefaultCallsAtOnce)
-	orDefault(&o.TableReadsPerSecond, DefaultTableReadsPerSecond)
+	o.IsolationLimit = cmp.Or(o.IsolationLimit, DefaultIsolationLimit)
+	o.ConfirmInterval = cmp.Or(o.ConfirmInterval, DefaultConfirmInterval)
+	o.CallTimeout = cmp.Or(o.CallTimeout, DefaultCallTimeout)
+	o.TableTimeout = cmp.Or(o.TableTimeout, DefaultTableTimeout)
+	o.HedgeDelay = cmp.Or(o.HedgeDelay, DefaultHedgeDelay)
+	o.MirrorGrace = cmp.Or(o.MirrorGrace, DefaultMirrorGrace)
+	o.MirrorInterval = cmp.Or(o.MirrorInterval, DefaultMirrorInterval)
+	o.ProposeTimeout = cmp.Or(o.ProposeTimeout, DefaultProposeTimeout)
+	o.CallsAtOnce = cmp.Or(o.CallsAtOnce, DefaultCallsAtOnce)
+	o.TableReadsPerSecond = cmp.Or(o.TableReadsPerSecond, DefaultTableReadsPerSecond)
 	if o.Log == nil {
 		o.Log = logging.Discard()
 	}
@@ -114,13 +114,6 @@
 	return o
 }
 
-func orDefault[T comparable](value *T, fallback T) {
-	var zero T
-	if *value == zero {
-		*value = fallback
-	}
-}
-
 // The waits between the tries of one proposal.
 const (
 	proposalFirstWait   = 20 * time.Millisecond
@@ -134,16 +127,6 @@
 	return exponential
 }
 
-// wait sleeps, and returns early when the context ends.
-func wait(ctx context.Context, duration time.Duration) {
-	timer := time.NewTimer(duration)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
-
 // forEach runs a function on all items, with a bounded number at a time.
 func forEach[T any](items []T, atOnce int, function func(item T)) {
 	var group sync.WaitGroup
--- a/internal/daemon/configuration/run.go
+++ b/internal/daemon/configuration/run.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/lotusward/lotusward/internal/core/revision"
+	"github.com/lotusward/lotusward/internal/pause"
 )
 
 const (
@@ -31,7 +32,7 @@
 	}()
 	for ctx.Err() == nil {
 		r.step(ctx)
-		wait(ctx, r.pause())
+		pause.For(ctx, r.pause())
 	}
 	<-done
 	return nil
@@ -45,7 +46,7 @@
 		if len(r.options.Peers.Members())+1 > r.options.Peers.Size()/2 {
 			return
 		}
-		wait(ctx, awaitInterval)
+		pause.For(ctx, awaitInterval)
 	}
 }
 
@@ -109,6 +110,6 @@
 		if err := r.writeMirrorIfDue(ctx); err != nil {
 			r.options.Log.WithError(err).Warn("The mirror can't be written.")
 		}
-		wait(ctx, refreshInterval)
+		pause.For(ctx, refreshInterval)
 	}
 }
--- a/internal/daemon/configuration/spread.go
+++ b/internal/daemon/configuration/spread.go
@@ -8,6 +8,7 @@
 
 	"github.com/lotusward/lotusward/internal/core/identity"
 	"github.com/lotusward/lotusward/internal/core/revision"
+	"github.com/lotusward/lotusward/internal/pause"
 )
 
 const (
@@ -71,7 +72,7 @@
 	}
 	r.options.Go(func() {
 		defer r.pulling.Store(false)
-		wait(r.stopped, time.Duration(r.options.Random()*float64(hintJitter)))
+		pause.For(r.stopped, time.Duration(r.options.Random()*float64(hintJitter)))
 		if newest <= r.Revision() {
 			return
 		}
--- a/internal/daemon/leasekeeper/keeper.go
+++ b/internal/daemon/leasekeeper/keeper.go
@@ -13,6 +13,7 @@
 
 	"github.com/lotusward/lotusward/internal/core/identity"
 	"github.com/lotusward/lotusward/internal/core/lease"
+	"github.com/lotusward/lotusward/internal/pause"
 	"github.com/lotusward/lotusward/internal/port"
 )
 
@@ -93,17 +94,7 @@
 	k.publish()
 	for ctx.Err() == nil && !k.machine.Settled() {
 		k.step(ctx)
-		pause(ctx, settings.RetryInterval())
-	}
-}
-
-// pause waits for a duration or until the context ends.
-func pause(ctx context.Context, duration time.Duration) {
-	timer := time.NewTimer(duration)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
+		pause.For(ctx, settings.RetryInterval())
 	}
 }
 
