Fill zero options with cmp.Or in the core and the daemon

A negative time in claims.Timing was replaced too, although its comment speaks of zero only; nothing sets one. The checker asks Settings.PeerAddress instead of working the address out again.

--- a/internal/config/static/check.go
+++ b/internal/config/static/check.go
@@ -101,7 +101,7 @@
 }
 
 func (c *checker) peers(settings *Settings) {
-	advertised, valid := c.address("peers.advertise", cmp.Or(settings.Peers.Advertise, settings.Listen.Peer))
+	advertised, valid := c.address("peers.advertise", settings.PeerAddress())
 	if valid && advertised.Addr().IsUnspecified() {
 		c.add("peers.advertise", "%s can't be reached by other daemons; give the machine's own IP number", advertised)
 	}
--- a/internal/config/static/settings.go
+++ b/internal/config/static/settings.go
@@ -5,6 +5,7 @@
 package static
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/lotusward/lotusward/internal/core/identity"
@@ -191,8 +192,5 @@
 
 // PeerAddress returns the peer address that other daemons use.
 func (s *Settings) PeerAddress() string {
-	if s.Peers.Advertise != "" {
-		return s.Peers.Advertise
-	}
-	return s.Listen.Peer
+	return cmp.Or(s.Peers.Advertise, s.Listen.Peer)
 }
--- a/internal/core/belief/index.go
+++ b/internal/core/belief/index.go
@@ -10,6 +10,8 @@
 package belief
 
 import (
+	"cmp"
+
 	"github.com/lotusward/lotusward/internal/core/identity"
 	"github.com/lotusward/lotusward/internal/core/prefix"
 )
@@ -129,9 +131,7 @@
 
 // New makes an empty index.
 func New(options Options) *Index {
-	if options.MaxEntries == 0 {
-		options.MaxEntries = DefaultMaxEntries
-	}
+	options.MaxEntries = cmp.Or(options.MaxEntries, DefaultMaxEntries)
 	return &Index{
 		options: options,
 		entries: make([]entry, 1),
--- a/internal/core/scheduler/scheduler.go
+++ b/internal/core/scheduler/scheduler.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/lotusward/lotusward/internal/core/admission"
@@ -42,18 +43,10 @@
 }
 
 func (o Options) withDefaults() Options {
-	if o.QueueLimit == 0 {
-		o.QueueLimit = DefaultQueueLimit
-	}
-	if o.Window == 0 {
-		o.Window = DefaultWindow
-	}
-	if o.LoadLag == 0 {
-		o.LoadLag = DefaultLoadLag
-	}
-	if o.RootBlocks == 0 {
-		o.RootBlocks = DefaultRootBlocks
-	}
+	o.QueueLimit = cmp.Or(o.QueueLimit, DefaultQueueLimit)
+	o.Window = cmp.Or(o.Window, DefaultWindow)
+	o.LoadLag = cmp.Or(o.LoadLag, DefaultLoadLag)
+	o.RootBlocks = cmp.Or(o.RootBlocks, DefaultRootBlocks)
 	return o
 }
 
--- a/internal/daemon/claims/claims.go
+++ b/internal/daemon/claims/claims.go
@@ -5,6 +5,7 @@
 package claims
 
 import (
+	"cmp"
 	"context"
 	"sync"
 	"sync/atomic"
@@ -57,24 +58,18 @@
 }
 
 func (t Timing) withDefaults() Timing {
-	setDefault(&t.Claim, 250*time.Millisecond)
-	setDefault(&t.Retry, 40*time.Millisecond)
-	setDefault(&t.Call, 2*time.Second)
-	setDefault(&t.Settle, 15*time.Second)
-	setDefault(&t.Recovery, 100*time.Millisecond)
-	setDefault(&t.ClaimCommit, 20*time.Millisecond)
-	setDefault(&t.OutcomeCommit, time.Second)
-	setDefault(&t.TableCall, time.Second)
-	setDefault(&t.Lookup, 100*time.Millisecond)
+	t.Claim = cmp.Or(t.Claim, 250*time.Millisecond)
+	t.Retry = cmp.Or(t.Retry, 40*time.Millisecond)
+	t.Call = cmp.Or(t.Call, 2*time.Second)
+	t.Settle = cmp.Or(t.Settle, 15*time.Second)
+	t.Recovery = cmp.Or(t.Recovery, 100*time.Millisecond)
+	t.ClaimCommit = cmp.Or(t.ClaimCommit, 20*time.Millisecond)
+	t.OutcomeCommit = cmp.Or(t.OutcomeCommit, time.Second)
+	t.TableCall = cmp.Or(t.TableCall, time.Second)
+	t.Lookup = cmp.Or(t.Lookup, 100*time.Millisecond)
 	return t
 }
 
-func setDefault(value *time.Duration, standard time.Duration) {
-	if *value <= 0 {
-		*value = standard
-	}
-}
-
 // Options configure a Runner.
 type Options struct {
 	Self        identity.DaemonID
@@ -108,9 +103,7 @@
 	if options.Clock == nil {
 		options.Clock = time.Now
 	}
-	if options.Limits == (claim.Limits{}) {
-		options.Limits = claim.DefaultLimits()
-	}
+	options.Limits = cmp.Or(options.Limits, claim.DefaultLimits())
 	options.Timing = options.Timing.withDefaults()
 	runner := &Runner{options: options, committer: newCommitter(options)}
 	runner.replica = newReplicaLoop(options, runner.read)
--- a/internal/daemon/configuration.go
+++ b/internal/daemon/configuration.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/lotusward/lotusward/internal/adapter/peer"
@@ -43,8 +44,5 @@
 
 // advertisedPeerAddress is the address that other daemons use for this one.
 func (d *Daemon) advertisedPeerAddress() string {
-	if d.settings.Peers.Advertise != "" {
-		return d.settings.Peers.Advertise
-	}
-	return d.listeners.peer.Addr().String()
+	return cmp.Or(d.settings.Peers.Advertise, d.listeners.peer.Addr().String())
 }
--- a/internal/daemon/fleetkeeper/keeper.go
+++ b/internal/daemon/fleetkeeper/keeper.go
@@ -4,6 +4,7 @@
 package fleetkeeper
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"sync"
@@ -72,12 +73,8 @@
 
 // New makes a keeper.
 func New(options Options) *Keeper {
-	if options.Interval == 0 {
-		options.Interval = DefaultInterval
-	}
-	if options.CallTimeout == 0 {
-		options.CallTimeout = DefaultCallTimeout
-	}
+	options.Interval = cmp.Or(options.Interval, DefaultInterval)
+	options.CallTimeout = cmp.Or(options.CallTimeout, DefaultCallTimeout)
 	if options.Now == nil {
 		options.Now = time.Now
 	}
