Split the long steps of gossip's queue and its facts

queue.take went four levels deep and kept each item's level beside it; items now carry how often they were sent, and one level is taken in a function of its own. addFacts has a function for each kind of fact. The heap's methods have their comments.

--- a/internal/core/hotprefix/hotprefix.go
+++ b/internal/core/hotprefix/hotprefix.go
@@ -135,8 +135,13 @@
 // coldestFirst implements heap.Interface.
 type coldestFirst []*entry
 
-func (h coldestFirst) Len() int           { return len(h) }
+// Len implements heap.Interface.
+func (h coldestFirst) Len() int { return len(h) }
+
+// Less implements heap.Interface.
 func (h coldestFirst) Less(i, j int) bool { return h[i].weight < h[j].weight }
+
+// Swap implements heap.Interface.
 func (h coldestFirst) Swap(i, j int) {
 	h[i], h[j] = h[j], h[i]
 	h[i].position, h[j].position = i, j
--- a/internal/core/membership/gossip.go
+++ b/internal/core/membership/gossip.go
@@ -93,6 +93,14 @@
 		room -= size
 		return true
 	}
+	n.addBackends(message, fits)
+	n.addMembers(message, fits)
+	n.addLoads(message, fits)
+	n.addConfirmations(message, fits)
+	n.allowance = max(0, n.allowance-float64(limit-room))
+}
+
+func (n *Node) addBackends(message *Message, fits func(int) bool) {
 	n.backendQueue.take(n.transmits(n.options.UrgentTransmits), func(id identity.BackendID) bool {
 		fact, found := n.backends[id]
 		if !found {
@@ -104,7 +112,10 @@
 		message.Backends = append(message.Backends, fact)
 		return true
 	})
-	addMember := func(id identity.DaemonID) bool {
+}
+
+func (n *Node) addMembers(message *Message, fits func(int) bool) {
+	add := func(id identity.DaemonID) bool {
 		known, found := n.members[id]
 		if !found {
 			return true
@@ -115,8 +126,11 @@
 		message.Members = append(message.Members, known.Member)
 		return true
 	}
-	n.memberQueue.take(n.transmits(n.options.UrgentTransmits), addMember)
-	n.joinQueue.take(n.transmits(n.options.ConfirmTransmits), addMember)
+	n.memberQueue.take(n.transmits(n.options.UrgentTransmits), add)
+	n.joinQueue.take(n.transmits(n.options.ConfirmTransmits), add)
+}
+
+func (n *Node) addLoads(message *Message, fits func(int) bool) {
 	n.loadQueue.take(n.options.LoadTransmits, func(zone identity.Zone) bool {
 		load := n.loads[zone]
 		if !fits(loadBytes + len(zone) + len(load.Data)) {
@@ -125,8 +139,6 @@
 		message.Loads = append(message.Loads, load)
 		return true
 	})
-	n.addConfirmations(message, fits)
-	n.allowance = max(0, n.allowance-float64(limit-room))
 }
 
 func (n *Node) addConfirmations(message *Message, fits func(int) bool) {
--- a/internal/core/membership/queue.go
+++ b/internal/core/membership/queue.go
@@ -12,6 +12,8 @@
 type queued[Key comparable] struct {
 	key    Key
 	number uint64
+	// sent is how often the key was sent, which is its level.
+	sent int
 }
 
 func newQueue[Key comparable]() *queue[Key] {
@@ -22,47 +24,53 @@
 func (q *queue[Key]) add(key Key) {
 	q.next++
 	q.current[key] = q.next
-	q.put(0, queued[Key]{key: key, number: q.next})
+	q.put(queued[Key]{key: key, number: q.next})
 }
 
-func (q *queue[Key]) put(level int, item queued[Key]) {
-	for len(q.levels) <= level {
+func (q *queue[Key]) put(item queued[Key]) {
+	for len(q.levels) <= item.sent {
 		q.levels = append(q.levels, nil)
 	}
-	q.levels[level] = append(q.levels[level], item)
+	q.levels[item.sent] = append(q.levels[item.sent], item)
 }
 
 // take offers keys, least often sent first, until accept returns false. An
 // accepted key counts as sent, and is dropped once it was sent limit times.
 func (q *queue[Key]) take(limit int, accept func(Key) bool) {
-	var sent []queued[Key]
-	var sentLevels []int
-	full := false
-	for level := 0; level < len(q.levels) && !full; level++ {
-		items := q.levels[level]
-		used := 0
-		for used < len(items) {
-			item := items[used]
-			if q.current[item.key] == item.number {
-				if !accept(item.key) {
-					full = true
-					break
-				}
-				sent = append(sent, item)
-				sentLevels = append(sentLevels, level+1)
-			}
-			used++
-		}
-		q.levels[level] = items[used:]
-		if len(q.levels[level]) == 0 {
-			q.levels[level] = nil
+	var accepted []queued[Key]
+	for level := range q.levels {
+		var more bool
+		accepted, more = q.takeLevel(level, accepted, accept)
+		if !more {
+			break
 		}
 	}
-	for index, item := range sent {
-		if sentLevels[index] >= limit {
+	for _, item := range accepted {
+		item.sent++
+		if item.sent >= limit {
 			delete(q.current, item.key)
 			continue
 		}
-		q.put(sentLevels[index], item)
+		q.put(item)
+	}
+}
+
+// takeLevel moves the accepted keys of one level to a list, and drops the stale
+// ones. It returns false once accept did.
+func (q *queue[Key]) takeLevel(level int, accepted []queued[Key], accept func(Key) bool) ([]queued[Key], bool) {
+	items := q.levels[level]
+	for len(items) > 0 {
+		item := items[0]
+		stale := q.current[item.key] != item.number
+		if !stale && !accept(item.key) {
+			q.levels[level] = items
+			return accepted, false
+		}
+		if !stale {
+			accepted = append(accepted, item)
+		}
+		items = items[1:]
 	}
+	q.levels[level] = nil
+	return accepted, true
 }
