Let the prewarmer and the transport end with their goroutines

Both Run methods returned while goroutines that they had started could still use what a stop takes down next. They now wait for them; all of these end with the context. When receiving fails, the transport's callers end as well, which before went on until the context's end.

The prewarmer also logged that a prefix was computed when no engine had done so, and built its request from a bare map; the body is a type now. A doubled linter comment is gone. Tests of gossip pass, also with the race detector; the prewarmer has no test of its own.

--- a/internal/daemon/gossip/transport.go
+++ b/internal/daemon/gossip/transport.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -43,7 +44,6 @@
 
 // Envelope holds the one message that is not nil. On the wire it is an array.
 type Envelope struct {
-	//lint:ignore U1000 msgpack reads the tag
 	//lint:ignore U1000 read by the msgpack library through reflection
 	_msgpack struct{} `msgpack:",as_array"`
 
@@ -130,10 +130,15 @@
 	})
 }
 
-// Run receives datagrams and makes the waiting peer calls until the context ends.
+// Run receives datagrams and makes the waiting peer calls until the context ends or
+// receiving fails.
 func (t *Transport) Run(ctx context.Context, receiver Receiver) error {
+	var calling sync.WaitGroup
+	defer calling.Wait()
+	calls, cancel := context.WithCancel(ctx)
+	defer cancel()
 	for range reliableWorkers {
-		go t.callWaiting(ctx)
+		calling.Go(func() { t.callWaiting(calls) })
 	}
 	stop := context.AfterFunc(ctx, func() {
 		_ = t.conn.Close() // Receive reports how it ended
--- a/internal/daemon/prewarmer/prewarmer.go
+++ b/internal/daemon/prewarmer/prewarmer.go
@@ -8,6 +8,7 @@
 	"encoding/json"
 	"errors"
 	"io"
+	"sync"
 	"time"
 
 	"github.com/google/uuid"
@@ -57,8 +58,11 @@
 	return &Runner{options: options, planner: prewarm.NewPlanner()}
 }
 
-// Run looks after declared events until the context ends.
+// Run looks after declared events until the context ends, and the requests under
+// way with it. It always returns nil.
 func (r *Runner) Run(ctx context.Context) error {
+	var performing sync.WaitGroup
+	defer performing.Wait()
 	ticker := time.NewTicker(interval)
 	defer ticker.Stop()
 	for {
@@ -70,7 +74,7 @@
 				continue
 			}
 			for _, task := range r.planner.Due(now, r.options.Views.View().Document) {
-				go r.perform(ctx, task)
+				performing.Go(func() { r.perform(ctx, task) })
 			}
 		}
 	}
@@ -100,7 +104,9 @@
 		}
 		done = append(done, backend)
 	}
-	log.WithField("engines", len(done)).Info("A prefix was computed before its event.")
+	if len(done) > 0 {
+		log.WithField("engines", len(done)).Info("A prefix was computed before its event.")
+	}
 }
 
 // compute has one engine, other than those that have it, compute the prompt.
@@ -126,9 +132,19 @@
 	return start.Backend.ID, err
 }
 
+// completionBody is the body of a request for one token, which computes the prompt.
+type completionBody struct {
+	Model     identity.ModelName `json:"model"`
+	Prompt    string             `json:"prompt"`
+	MaxTokens int                `json:"max_tokens"`
+	Stream    bool               `json:"stream"`
+}
+
+// generate sends one request to the engine that was chosen for it, and passes the
+// first token on to the scheduler.
 func (r *Runner) generate(ctx context.Context, request scheduler.Request, start scheduler.Start, salt prefix.Salt, prompt []byte) error {
-	body, err := json.Marshal(map[string]any{
-		"model": request.Model, "prompt": string(prompt), "max_tokens": 1, "stream": true,
+	body, err := json.Marshal(completionBody{
+		Model: request.Model, Prompt: string(prompt), MaxTokens: request.OutputTokens, Stream: true,
 	})
 	if err != nil {
 		return err
