Assign watched back ends anew only when the members change

Cause: the control loop publishes the member list every 200 ms for the revisions in force, and every publication told the watcher that the assignment may have changed. So each daemon ranked all back ends five times a second. CAPACITY.md counts that work once in 2 s, with the machine list.

Ruled out: publishing less often (the revisions are shown from it), and comparing in the watcher (it would still be woken). publish now compares who is there, and in which zone, with the picture before, and tells the reader of changed only of that. The watcher does not rely on the repetition: the end of the wait for a first peer has its own call of notify, and each machine list assigns anew.

--- a/internal/daemon/members.go
+++ b/internal/daemon/members.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"slices"
 	"sync/atomic"
 
 	"github.com/lotusward/lotusward/internal/core/identity"
@@ -14,7 +15,7 @@
 	self    identity.DaemonID
 	minimum int
 	picture atomic.Pointer[memberPicture]
-	// changed receives a value after a change of the picture.
+	// changed receives a value after a change of who is there and in which zone.
 	changed chan struct{}
 }
 
@@ -33,7 +34,8 @@
 	return directory
 }
 
-// publish replaces the picture.
+// publish replaces the picture. It is called often only for the members'
+// revisions, so the reader of changed is told of other changes alone.
 func (d *memberDirectory) publish(members []membership.Member) {
 	picture := &memberPicture{all: members}
 	present := 0
@@ -48,8 +50,15 @@
 		picture.live = append(picture.live, configuration.Member{ID: member.ID, Address: member.Address})
 	}
 	picture.size = max(present, d.minimum)
-	d.picture.Store(picture)
-	d.notify()
+	previous := d.picture.Swap(picture)
+	if previous == nil || !slices.EqualFunc(previous.all, members, samePresence) {
+		d.notify()
+	}
+}
+
+// samePresence tells whether two members are the same and are there alike.
+func samePresence(left, right membership.Member) bool {
+	return left.ID == right.ID && left.Zone == right.Zone && left.Live() == right.Live()
 }
 
 // notify has the reader of changed look again.
