End a lease's release at once, and compare IDs with package cmp

A keeper that had released its lease paused once more before it looked whether it was done, which a stop of the holder waits for. The registry compared IDs by hand. Tests of both packages pass.

--- a/internal/core/registry/registry.go
+++ b/internal/core/registry/registry.go
@@ -5,6 +5,7 @@
 package registry
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -179,7 +180,7 @@
 		backends = append(backends, r.backendOf(id, known))
 	}
 	slices.SortFunc(backends, func(left, right scheduler.Backend) int {
-		return compareIDs(left.ID, right.ID)
+		return cmp.Compare(left.ID, right.ID)
 	})
 	return backends
 }
@@ -274,14 +275,3 @@
 				slices.Equal(left.Adapters, right.Adapters)
 		})
 }
-
-func compareIDs(left, right identity.BackendID) int {
-	switch {
-	case left < right:
-		return -1
-	case left > right:
-		return 1
-	default:
-		return 0
-	}
-}
--- a/internal/daemon/leasekeeper/keeper.go
+++ b/internal/daemon/leasekeeper/keeper.go
@@ -94,7 +94,9 @@
 	k.publish()
 	for ctx.Err() == nil && !k.machine.Settled() {
 		k.step(ctx)
-		pause.For(ctx, settings.RetryInterval())
+		if !k.machine.Settled() {
+			pause.For(ctx, settings.RetryInterval())
+		}
 	}
 }
 
