Hold only claims by votes for the first roster

Cause: a daemon that does not vote yet holds each claim for up to two seconds, so that a key made just now is not in doubt for the daemon's own start. It held keys of unknown birth too, although these are decided by the table and need no roster. In a deployment whose first roster is not there yet, since an expected daemon never came up, each request with such a key was served two seconds late.

TestOnlyKeysOfKnownBirthWaitForVotes before: 2s != 0s; passes after. Claims by votes are held as before.

--- a/internal/daemon/claims.go
+++ b/internal/daemon/claims.go
@@ -45,8 +45,9 @@
 	peer.Handle(d.rpc, claims.PathRead, d.claims.HandleRead)
 }
 
-// startingClaims holds claims until this daemon votes itself. Without that, a key
-// made just now would be in doubt for no reason but the daemon's own start.
+// startingClaims holds claims by votes until this daemon votes itself. Without that,
+// a key made just now would be in doubt for no reason but the daemon's own start.
+// Keys of unknown birth are claimed in the table, which needs no roster.
 type startingClaims struct {
 	port.Claims
 	ready <-chan struct{}
@@ -54,6 +55,9 @@
 
 // Claim implements port.Claims.
 func (c startingClaims) Claim(ctx context.Context, key port.ClaimKey) port.ClaimVerdict {
+	if key.Born.IsZero() {
+		return c.Claims.Claim(ctx, key)
+	}
 	timer := time.NewTimer(firstRosterWait)
 	defer timer.Stop()
 	select {
