--- a/internal/config/static/report.go
+++ b/internal/config/static/report.go
@@ -28,6 +28,6 @@
 	if !errors.As(err, &findings) {
 		return exitcode.Failure
 	}
-	fmt.Fprintf(output, "%d findings\n", len(findings.Findings))
+	fmt.Fprintf(output, "findings: %d\n", len(findings.Findings))
 	return exitcode.InvalidSettings
 }
