--- a/docs/operations/record.sh
+++ b/docs/operations/record.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Runs the terminal record of docs/operations/README.md: a deployment of separate
+# Runs the terminal record of docs/operations/record.md: a deployment of separate
 # processes on loopback, an event that is declared, starts, and is over, with a
 # back end drained and a daemon killed in the middle. Run it from the root of the
 # repository; it prints the record.
