--- a/internal/lab/cluster/cluster.go
+++ b/internal/lab/cluster/cluster.go
@@ -20,10 +20,7 @@
 	"github.com/lotusward/lotusward/internal/core/scheduler"
 	"github.com/lotusward/lotusward/internal/daemon"
 	"github.com/lotusward/lotusward/internal/lab/credential"
-	"github.com/lotusward/lotusward/internal/standin/app"
-	"github.com/lotusward/lotusward/internal/standin/engine"
 	"github.com/lotusward/lotusward/internal/standin/platform"
-	"github.com/lotusward/lotusward/internal/wire/platformwire"
 )
 
 // readyPollInterval is how often AwaitReady looks.
@@ -32,20 +29,6 @@
 // anyPort lets the operating system choose a free loopback port.
 const anyPort = "127.0.0.1:0"
 
-// EngineOptions describe one stand-in engine.
-type EngineOptions struct {
-	engine.Options
-	Service identity.ServiceName
-	Zone    identity.Zone
-}
-
-// AppOptions describe one stand-in web-app runner.
-type AppOptions struct {
-	app.Options
-	Service identity.ServiceName
-	Zone    identity.Zone
-}
-
 // DaemonOptions describe one daemon.
 type DaemonOptions struct {
 	ID   identity.DaemonID
@@ -74,20 +57,6 @@
 	part
 }
 
-// Engine is a running stand-in engine.
-type Engine struct {
-	*engine.Engine
-	Machine platformwire.Machine
-	part
-}
-
-// App is a running stand-in web-app runner.
-type App struct {
-	*app.Runner
-	Machine platformwire.Machine
-	part
-}
-
 // part is something that runs until it is stopped.
 type part struct {
 	cancel context.CancelFunc
@@ -205,46 +174,6 @@
 	return nil
 }
 
-// StartEngine starts one more stand-in engine and enters it into the machine list.
-func (c *Cluster) StartEngine(options EngineOptions) (*Engine, error) {
-	listener, err := net.Listen("tcp", anyPort)
-	if err != nil {
-		return nil, err
-	}
-	options.WeightStore = c.PlatformURL
-	machine := c.list(options.ID, identity.KindEngine, options.Service, options.Zone, listener)
-	standIn := engine.New(options.Options)
-	running := c.launch(func(ctx context.Context) error { return standIn.Serve(ctx, listener) })
-	started := &Engine{Engine: standIn, Machine: machine, part: running}
-	c.Engines = append(c.Engines, started)
-	return started, nil
-}
-
-// StartApp starts one more stand-in web-app runner and enters it into the
-// machine list.
-func (c *Cluster) StartApp(options AppOptions) (*App, error) {
-	listener, err := net.Listen("tcp", anyPort)
-	if err != nil {
-		return nil, err
-	}
-	machine := c.list(options.ID, identity.KindApp, options.Service, options.Zone, listener)
-	standIn := app.New(options.Options)
-	running := c.launch(func(ctx context.Context) error { return standIn.Serve(ctx, listener) })
-	started := &App{Runner: standIn, Machine: machine, part: running}
-	c.Apps = append(c.Apps, started)
-	return started, nil
-}
-
-// list enters a back end into the machine list.
-func (c *Cluster) list(id identity.BackendID, kind identity.BackendKind, service identity.ServiceName, zone identity.Zone, listener net.Listener) platformwire.Machine {
-	machine := platformwire.Machine{
-		ID: id, Kind: kind, Service: service, Zone: zone,
-		Address: listener.Addr().String(), State: platformwire.MachineLive,
-	}
-	c.Platform.PutMachine(machine)
-	return machine
-}
-
 // StartDaemon starts one more daemon, which knows the earlier ones as its seeds.
 func (c *Cluster) StartDaemon(options DaemonOptions) (*Daemon, error) {
 	settings := c.settingsOf(options)
