Count the waiting requests of hot prefixes

The control loop counts the waiting requests whose prompt has the prefix. Not mended: the columns engines (the belief's index keeps only some blocks of a chain) and tokens_per_second of tenants; language.md says so.

--- a/internal/daemon/administration.go
+++ b/internal/daemon/administration.go
@@ -51,7 +51,8 @@
 	for _, hot := range d.loop.HotPrefixes(hotPrefixesShown) {
 		rows = append(rows, query.HotPrefix{
 			Prefix: hot.Hash.String(), Tenant: hot.Tenant, Model: hot.Model, Version: hot.Version,
-			Tokens: hot.Blocks * prefix.BlockTokens, RequestsPerSecond: hot.RequestsPerSecond, Observed: now,
+			Tokens: hot.Blocks * prefix.BlockTokens, RequestsPerSecond: hot.RequestsPerSecond,
+			Waiting: hot.Waiting, Observed: now,
 		})
 	}
 	return rows
--- a/internal/daemon/control/usage.go
+++ b/internal/daemon/control/usage.go
@@ -83,6 +83,18 @@
 	}
 }
 
+// waitingFor counts the waiting requests that have a prefix.
+func (u *usage) waitingFor(shared hotprefix.Prefix) int {
+	count := 0
+	for _, tracked := range u.requests {
+		chain := tracked.request.Chain
+		if tracked.backend == "" && len(chain) >= shared.Blocks && chain[shared.Blocks-1] == shared.Hash {
+			count++
+		}
+	}
+	return count
+}
+
 // TenantUsage returns this daemon's present work for a tenant. It asks the control
 // goroutine, and is for operators' questions.
 func (l *Loop) TenantUsage(tenant identity.TenantName) TenantUsage {
@@ -121,9 +133,20 @@
 	return count
 }
 
+// HotPrefix is a prefix that many recent requests share.
+type HotPrefix struct {
+	hotprefix.Prefix
+	// Waiting is how many requests with it wait for their turn.
+	Waiting int
+}
+
 // HotPrefixes returns the prefixes that most recent requests of this daemon share.
-func (l *Loop) HotPrefixes(count int) []hotprefix.Prefix {
-	var hot []hotprefix.Prefix
-	l.Call(func(now time.Time) { hot = l.state.hot.Top(now, count) })
+func (l *Loop) HotPrefixes(count int) []HotPrefix {
+	var hot []HotPrefix
+	l.Call(func(now time.Time) {
+		for _, shared := range l.state.hot.Top(now, count) {
+			hot = append(hot, HotPrefix{Prefix: shared, Waiting: l.state.usage.waitingFor(shared)})
+		}
+	})
 	return hot
 }
