--- a/internal/standin/platform/server.go
+++ b/internal/standin/platform/server.go
@@ -13,7 +13,6 @@
 	"net/http"
 	"time"
 
-	"github.com/lotusward/lotusward/internal/core/identity"
 	"github.com/lotusward/lotusward/internal/wire/platformwire"
 )
 
@@ -127,9 +126,6 @@
 // PutMachine adds or changes a machine; it is seen after the lag.
 func (s *Server) PutMachine(machine platformwire.Machine) { s.machines.put(machine) }
 
-// RemoveMachine takes a machine off the list; that is seen after the lag.
-func (s *Server) RemoveMachine(id identity.BackendID) { s.machines.remove(id) }
-
 // Table returns the table itself, without limits and faults.
 func (s *Server) Table() *Table { return s.table }
 
