Read the fleet controller's orders in one place of the stand-ins

Decoding an order and checking its fence stood in the engine and in the web-app runner; backend.Server.ReadOrder does both.

--- a/internal/standin/app/app.go
+++ b/internal/standin/app/app.go
@@ -8,7 +8,6 @@
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
-	"encoding/json"
 	"fmt"
 	"io"
 	"net"
@@ -101,13 +100,8 @@
 }
 
 func (l life) serveOrder(writer http.ResponseWriter, request *http.Request) {
-	var order enginewire.Order
-	if err := json.NewDecoder(request.Body).Decode(&order); err != nil {
-		l.Refuse(writer, enginewire.CodeInvalidRequest, err.Error())
-		return
-	}
-	if !l.AcceptFence(order.Fence) {
-		l.Refuse(writer, enginewire.CodeStaleFence, "a newer order was seen")
+	order, accepted := l.ReadOrder(writer, request)
+	if !accepted {
 		return
 	}
 	switch order.Kind {
--- a/internal/standin/backend/state.go
+++ b/internal/standin/backend/state.go
@@ -1,6 +1,7 @@
 package backend
 
 import (
+	"encoding/json"
 	"net/http"
 	"strconv"
 	"time"
@@ -58,9 +59,25 @@
 	}
 }
 
-// AcceptFence takes an order's fencing token. It returns false when a newer one
+// ReadOrder reads an order of the fleet controller. It answers a request that is
+// not an order, and an order of an earlier holder of the lease, itself, and returns
+// false for them.
+func (s *Server) ReadOrder(writer http.ResponseWriter, request *http.Request) (enginewire.Order, bool) {
+	var order enginewire.Order
+	if err := json.NewDecoder(request.Body).Decode(&order); err != nil {
+		s.Refuse(writer, enginewire.CodeInvalidRequest, err.Error())
+		return enginewire.Order{}, false
+	}
+	if !s.acceptFence(order.Fence) {
+		s.Refuse(writer, enginewire.CodeStaleFence, "a newer order was seen")
+		return enginewire.Order{}, false
+	}
+	return order, true
+}
+
+// acceptFence takes an order's fencing token. It returns false when a newer one
 // was seen in this life.
-func (s *Server) AcceptFence(fence identity.FencingToken) bool {
+func (s *Server) acceptFence(fence identity.FencingToken) bool {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	if fence < s.fence {
--- a/internal/standin/engine/control.go
+++ b/internal/standin/engine/control.go
@@ -38,13 +38,8 @@
 }
 
 func (l *life) serveOrder(writer http.ResponseWriter, request *http.Request) {
-	var order enginewire.Order
-	if err := json.NewDecoder(request.Body).Decode(&order); err != nil {
-		l.Refuse(writer, enginewire.CodeInvalidRequest, err.Error())
-		return
-	}
-	if !l.AcceptFence(order.Fence) {
-		l.Refuse(writer, enginewire.CodeStaleFence, "a newer order was seen")
+	order, accepted := l.ReadOrder(writer, request)
+	if !accepted {
 		return
 	}
 	if !l.apply(order) {
