Tick every 100 ms while no request waits or runs

The control loop woke 50 times a second whether there was anything to do or not. It now does so only while requests wait or run, and 10 times a second otherwise, which membership and shares allow. A request that comes is still placed at once. Ruled out: a timer at the next deadline, which needs each part to name one.

--- a/internal/daemon/control/loop.go
+++ b/internal/daemon/control/loop.go
@@ -19,8 +19,11 @@
 const (
 	// inboxSize is how many events may wait before those who post them block.
 	inboxSize = 4096
-	// tickInterval is the time between two calls of Tick.
-	tickInterval = 20 * time.Millisecond
+	// busyTickInterval is the time between two ticks while requests wait or run,
+	// and idleTickInterval the time while there are none: wake-ups are most of what
+	// an idle daemon costs.
+	busyTickInterval = 20 * time.Millisecond
+	idleTickInterval = 100 * time.Millisecond
 )
 
 // Options configure a loop.
@@ -63,16 +66,17 @@
 // Run handles events until the context ends.
 func (l *Loop) Run(ctx context.Context) error {
 	defer close(l.stopped)
-	ticker := time.NewTicker(tickInterval)
-	defer ticker.Stop()
+	ticks := time.NewTimer(idleTickInterval)
+	defer ticks.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
 		case received := <-l.inbox:
 			received.apply(&l.state, l.options.Clock())
-		case <-ticker.C:
+		case <-ticks.C:
 			l.state.tick(l.options.Clock())
+			ticks.Reset(l.state.tickInterval())
 		}
 	}
 }
--- a/internal/daemon/control/state.go
+++ b/internal/daemon/control/state.go
@@ -87,6 +87,14 @@
 	reply <- decided
 }
 
+// tickInterval is the time until the next tick.
+func (s *state) tickInterval() time.Duration {
+	if len(s.usage.requests) > 0 || len(s.early) > 0 || !s.backendsKnown {
+		return busyTickInterval
+	}
+	return idleTickInterval
+}
+
 func (s *state) tick(now time.Time) {
 	if now.Sub(s.refreshedAt) >= refreshInterval {
 		s.refresh(now)
