--- a/internal/lab/cluster/cluster.go
+++ b/internal/lab/cluster/cluster.go
@@ -86,10 +86,11 @@
 	seeds   []string
 }
 
-// Start starts a deployment and waits until every daemon is ready. Close ends it.
+// Start starts a deployment and waits until every daemon is ready. The context
+// bounds the start alone; Close ends the deployment.
 func Start(ctx context.Context, options Options) (*Cluster, error) {
 	started := &Cluster{options: options}
-	started.context, started.cancel = context.WithCancel(ctx)
+	started.context, started.cancel = context.WithCancel(context.WithoutCancel(ctx))
 	if err := started.start(ctx); err != nil {
 		started.Close()
 		return nil, err
