Lend the only place of a small limit to the daemon that needs it

The half that cannot be halved is now lendable. Ruled out: routing the tenant to the owner of the place, which needs a hop.

--- a/internal/core/share/share.go
+++ b/internal/core/share/share.go
@@ -150,8 +150,8 @@
 	if (position+shift)%count < limit.ConcurrentRequests%count {
 		whole++
 	}
-	kept = Amount{TokensPerSecond: tokens / 2, Concurrent: (whole + 1) / 2}
-	lendable = Amount{TokensPerSecond: tokens / 2, Concurrent: whole / 2}
+	kept = Amount{TokensPerSecond: tokens / 2, Concurrent: whole / 2}
+	lendable = Amount{TokensPerSecond: tokens / 2, Concurrent: whole - kept.Concurrent}
 	return kept, lendable
 }
 
--- a/internal/core/share/share_test.go
+++ b/internal/core/share/share_test.go
@@ -180,3 +180,17 @@
 	assert.Equal(t, n.nodes[1].inForce, Amount{250, 4})
 	assert.Equal(t, len(n.nodes[0].sharer.accounts), 0)
 }
+
+// TestSmallLimitMovesToWhoNeedsIt gives every request to one daemon in turn. Each
+// gets the tenant's only place, whichever daemon owns it.
+func TestSmallLimitMovesToWhoNeedsIt(t *testing.T) {
+	n := newNetwork(3, scheduler.TenantLimit{Tenant: tenant, ConcurrentRequests: 1}, func() time.Duration { return 0 })
+	for _, wanting := range n.nodes {
+		for range 100 {
+			wanting.sharer.Observe(n.now, tenant, 10, 1)
+			n.advance(TickInterval)
+			n.deliverAll(func() bool { return true })
+		}
+		assert.Equal(t, wanting.inForce.Concurrent, 1, "daemon %s", wanting.id)
+	}
+}
