Count the loads that a daemon has heard of over the whole wait

The test emptied its record at each look, every 10 ms, and so asked for both loads within one such span; they come every 500 ms at phases that need not meet. What it means to show is that each daemon hears of both, so the record is now kept. The check is as strict in what a daemon must have heard, and no longer asks for chance.

--- a/internal/lab/cluster/watching_test.go
+++ b/internal/lab/cluster/watching_test.go
@@ -52,12 +52,11 @@
 	r.Policy.ObserveCacheEvents(now, id, batch)
 }
 
-func (r *recorder) take() map[identity.BackendID]bool {
+// heard counts the engines whose load the daemon has heard of.
+func (r *recorder) heard() int {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	taken := r.loads
-	r.loads = map[identity.BackendID]bool{}
-	return taken
+	return len(r.loads)
 }
 
 func (r *recorder) eventsOf(id identity.BackendID) identity.Incarnation {
@@ -113,7 +112,7 @@
 	})
 	for _, daemon := range running.Daemons {
 		recorder := recorders[daemon.Settings.Identity.Daemon]
-		await(t, ctx, "loads of both engines", func() bool { return len(recorder.take()) == 2 })
+		await(t, ctx, "loads of both engines", func() bool { return recorder.heard() == 2 })
 	}
 
 	crashed := running.Engines[0]
