Wait by the shared pause in the callers' API and the stand-in engine

Cause: a last read of the whole change found two more copies of pause.For, which a review had named and left. The platform stand-in keeps its own, which makes no timer for a wait of nothing. Behaviour is the same; tests of both packages and of internal/lab/cluster pass, vet and the linter are clean.

--- a/internal/adapter/callerhttp/attempts.go
+++ b/internal/adapter/callerhttp/attempts.go
@@ -12,6 +12,7 @@
 	"github.com/lotusward/lotusward/internal/core/identity"
 	"github.com/lotusward/lotusward/internal/core/outcome"
 	"github.com/lotusward/lotusward/internal/core/scheduler"
+	"github.com/lotusward/lotusward/internal/pause"
 	"github.com/lotusward/lotusward/internal/port"
 	"github.com/lotusward/lotusward/internal/wire/enginewire"
 )
@@ -86,7 +87,7 @@
 		// No other back end can take it: one that failed before may have recovered.
 		a.excluded = nil
 		request.Excluded = nil
-		a.pause(ctx)
+		pause.For(ctx, a.pauses.NextBackOff())
 		start, err = a.exchange.handler.options.Scheduling.Schedule(ctx, request)
 	}
 	if err != nil {
@@ -98,15 +99,6 @@
 	return start, nil
 }
 
-func (a *attempts) pause(ctx context.Context) {
-	timer := time.NewTimer(a.pauses.NextBackOff())
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 func (a *attempts) noBackendLeft(err error) bool {
 	var refused *port.RefusedError
 	return errors.As(err, &refused) &&
--- a/internal/standin/engine/completion.go
+++ b/internal/standin/engine/completion.go
@@ -8,6 +8,7 @@
 
 	"github.com/lotusward/lotusward/internal/core/identity"
 	"github.com/lotusward/lotusward/internal/core/prefix"
+	"github.com/lotusward/lotusward/internal/pause"
 	"github.com/lotusward/lotusward/internal/standin/backend"
 	"github.com/lotusward/lotusward/internal/standin/engine/model"
 	"github.com/lotusward/lotusward/internal/wire/enginewire"
@@ -184,7 +185,7 @@
 		if !open || cut && given >= cutAfter {
 			return false
 		}
-		pause(ctx, backend.Milliseconds(l.Faults().TokenDelayMilliseconds))
+		pause.For(ctx, backend.Milliseconds(l.Faults().TokenDelayMilliseconds))
 		given++
 		finished := token.Offset+1 == answer.asked.outputTokens
 		l.UpdateRun(run, func(run *backend.Run) { run.Tokens, run.Finished = given, finished })
--- a/internal/standin/engine/driver.go
+++ b/internal/standin/engine/driver.go
@@ -7,6 +7,7 @@
 
 	"github.com/lotusward/lotusward/internal/core/identity"
 	"github.com/lotusward/lotusward/internal/core/prefix"
+	"github.com/lotusward/lotusward/internal/pause"
 	"github.com/lotusward/lotusward/internal/standin/backend"
 	"github.com/lotusward/lotusward/internal/standin/engine/model"
 	"github.com/lotusward/lotusward/internal/wire/enginewire"
@@ -249,7 +250,7 @@
 	var chain prefix.Chain
 	var duration time.Duration
 	d.change(func(now time.Time, engine *model.Engine) { chain, duration = engine.Export(now, last) })
-	pause(ctx, duration)
+	pause.For(ctx, duration)
 	return chain
 }
 
@@ -257,15 +258,5 @@
 func (d *driver) importChain(ctx context.Context, chain prefix.Chain) {
 	var endsAt time.Time
 	d.change(func(now time.Time, engine *model.Engine) { endsAt = engine.Import(now, chain) })
-	pause(ctx, time.Until(endsAt))
-}
-
-// pause waits for a duration or the end of the context.
-func pause(ctx context.Context, duration time.Duration) {
-	timer := time.NewTimer(duration)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
+	pause.For(ctx, time.Until(endsAt))
 }
--- a/internal/standin/engine/weights.go
+++ b/internal/standin/engine/weights.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"time"
 
+	"github.com/lotusward/lotusward/internal/pause"
 	"github.com/lotusward/lotusward/internal/wire/platformwire"
 )
 
@@ -43,7 +44,7 @@
 		if l.options.Log != nil {
 			l.options.Log.WithError(err).Warn("Could not fetch weights, trying again.")
 		}
-		pause(ctx, weightsRetryPause)
+		pause.For(ctx, weightsRetryPause)
 	}
 	l.driver.finishLoad(wanted)
 	l.SetReady()
@@ -52,7 +53,7 @@
 // fetchWeights takes as long as the weight store needs, or WeightsTime without one.
 func (l *life) fetchWeights(ctx context.Context, wanted ModelVersion) error {
 	if l.options.WeightStore == "" {
-		pause(ctx, l.options.WeightsTime)
+		pause.For(ctx, l.options.WeightsTime)
 		return ctx.Err()
 	}
 	url := l.options.WeightStore + platformwire.PathWeights + string(wanted.Model) + "/" + string(wanted.Version)
