--- a/internal/core/backendpool/pool.go
+++ b/internal/core/backendpool/pool.go
@@ -40,8 +40,12 @@
 	// Version is the version of the model's weights that the back end is believed
 	// to hold; zero without a model.
 	Version uint64
-	entry   *entry
-	pool    *Pool
+	// HomeAddress is the address of the back end that ranks highest for the
+	// prompt, if it is another one, sound and of the same version. It most likely
+	// has the prompt's shared parts.
+	HomeAddress string
+	entry       *entry
+	pool        *Pool
 }
 
 // Pool is safe for use by several goroutines.
@@ -141,7 +145,43 @@
 		return nil
 	}
 	picked.inFlight++
-	return &Ticket{Backend: picked.backend, Version: picked.version(query.Model), entry: picked, pool: p}
+	ticket := &Ticket{Backend: picked.backend, Version: picked.version(query.Model), entry: picked, pool: p}
+	if home := p.home(now, query, ticket.Version); home != nil && home != picked {
+		ticket.HomeAddress = home.backend.Address
+	}
+	return ticket
+}
+
+// home returns the sound back end that ranks highest for the query's prompt,
+// whatever its load, or nil.
+func (p *Pool) home(now time.Time, query Query, version uint64) *entry {
+	if query.Home == 0 {
+		return nil
+	}
+	var best *entry
+	var bestScore uint64
+	for _, candidate := range p.services[query.Service] {
+		if candidate.ejected(now) || candidate.version(query.Model) != version {
+			continue
+		}
+		score := rendezvous.Score(query.Home, string(candidate.backend.ID))
+		if best == nil || score > bestScore {
+			best, bestScore = candidate, score
+		}
+	}
+	return best
+}
+
+// Address returns the address of a sound back end that holds a version of a
+// model's weights, or an empty text.
+func (p *Pool) Address(now time.Time, id identity.BackendID, model identity.ModelName, version uint64) string {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	found := p.byID[id]
+	if found == nil || found.ejected(now) || found.version(model) != version {
+		return ""
+	}
+	return found.backend.Address
 }
 
 // candidates returns the back ends that will do, without the doubted and avoided
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -8,6 +8,7 @@
 	"github.com/lotusward/lotusward/internal/core/backendpool"
 	"github.com/lotusward/lotusward/internal/core/identity"
 	"github.com/lotusward/lotusward/internal/core/outcome"
+	"github.com/lotusward/lotusward/internal/core/promptcache"
 	"github.com/lotusward/lotusward/internal/core/rendezvous"
 	"github.com/lotusward/lotusward/internal/core/routing"
 )
@@ -28,6 +29,7 @@
 // Relay serves requests. It is safe for use by several goroutines.
 type Relay struct {
 	options Options
+	memory  *promptcache.Memory
 }
 
 // New makes a Relay.
@@ -35,7 +37,7 @@
 	if options.Now == nil {
 		options.Now = time.Now
 	}
-	return &Relay{options: options}
+	return &Relay{options: options, memory: promptcache.New()}
 }
 
 // Serve answers one request. The context ends when the caller has left.
@@ -191,12 +193,42 @@
 	}
 	dispatch.Version = ticket.Version
 	dispatch.CacheSalt = cacheSalt(ticket.Version, admitted.tenant)
-	if store := admitted.state.Table.PromptStore(); store != nil {
-		dispatch.FetchFrom = store.Address
+	parts := admitted.request.Prompt.Parts
+	store := admitted.state.Table.PromptStore()
+	if store == nil || len(parts) < 2 {
+		return
+	}
+	key := promptcache.Key{Salt: dispatch.CacheSalt, Part: parts[len(parts)-2].ID}
+	dispatch.FetchFrom = r.fetchFrom(admitted, ticket, key, store)
+	total, own := promptTokens(parts)
+	if r.memory.Sent(r.options.Now(), key, ticket.Backend.ID, total-own, total) {
 		dispatch.SaveTo = store.Address
 	}
 }
 
+// fetchFrom says where the prompt's shared parts most likely are: at their home,
+// at the back end that this daemon last sent them to, or in the store.
+func (r *Relay) fetchFrom(admitted *admission, ticket *backendpool.Ticket, key promptcache.Key, store *routing.PromptStore) string {
+	if ticket.HomeAddress != "" {
+		return ticket.HomeAddress
+	}
+	holder := r.memory.Holder(key)
+	if holder != "" && holder != ticket.Backend.ID {
+		if address := r.options.Pool.Address(r.options.Now(), holder, admitted.request.Prompt.Model, ticket.Version); address != "" {
+			return address
+		}
+	}
+	return store.Address
+}
+
+// promptTokens returns a prompt's tokens, and those of its own last part.
+func promptTokens(parts []Part) (total, own int) {
+	for _, part := range parts {
+		total += part.Tokens
+	}
+	return total, parts[len(parts)-1].Tokens
+}
+
 // cacheSalt names who may share cached prompts: all who use the same weights, or
 // one tenant alone where it is isolated.
 func cacheSalt(version uint64, tenant *routing.Tenant) string {
