Ask a silent back end whether it can be reached before its request is cut

Cause: a watch that counted silence over this daemon's few requests cut long prompts that were only queued, so they were read again elsewhere. Ruled out: spill under load (a trial with a wide bound changed little), saves (the store's events showed most parts stored).

--- a/cmd/lotusward-platform/wire.go
+++ b/cmd/lotusward-platform/wire.go
@@ -10,6 +10,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/lotusward/lotusward/internal/adapter/httpexchange"
+	"github.com/lotusward/lotusward/internal/cachewatch"
 	"github.com/lotusward/lotusward/internal/core/backendpool"
 	"github.com/lotusward/lotusward/internal/core/identity"
 	"github.com/lotusward/lotusward/internal/core/lease"
@@ -53,6 +54,7 @@
 	rollout   *rollout.Keeper
 	follower  *rollout.Follower
 	peers     *peercount.Counter
+	store     *cachewatch.Watcher
 	serving   *serving
 }
 
@@ -73,9 +75,10 @@
 		Source: store, Pool: backends, Log: part("directory"),
 		VersionHeadStart: time.Duration(versionShare*float64(bounds.VersionMs)) * time.Millisecond / 2,
 	})
+	storeWatch := cachewatch.NewWatcher(runners, known.PromptStoreAddress, part("promptstore"))
 	relaying := relay.New(relay.Options{
 		Control: known, Pool: backends, Backends: runners, Budgets: budgets,
-		Policy: policy(bounds), Journal: requestlog.New(part("relay"), counters),
+		Policy: policy(bounds), Store: storeWatch.Cache, Journal: requestlog.New(part("relay"), counters),
 	})
 	keeper := leasekeeper.New(leasekeeper.Options{
 		Table: store, Log: part("lease"),
@@ -98,6 +101,7 @@
 			Self: settings.NodeName, Table: store, Log: part("peers"),
 			Changed: func(count int) { budgets.SetFloor(int(budgetShare * bounds.RetryBudgetSlack / float64(count))) },
 		}),
+		store:   storeWatch,
 		serving: newServing(settings, relaying, known, registry, part("front")),
 	}
 }
@@ -128,6 +132,7 @@
 	add(w.rollout.Run)
 	add(w.follower.Run)
 	add(w.peers.Run)
+	add(w.store.Run)
 	add(w.sweep)
 	add(w.keeper.Run)
 	w.serving.addTo(group)
--- a/internal/adapter/httpexchange/pool.go
+++ b/internal/adapter/httpexchange/pool.go
@@ -70,6 +70,16 @@
 // Opened is how many connections were opened.
 func (p *Pool) Opened() uint64 { return p.opened.Load() }
 
+// Reach tells whether an address accepts a connection, which is then kept.
+func (p *Pool) Reach(ctx context.Context, address string) bool {
+	made, err := p.dial(ctx, address)
+	if err != nil {
+		return false
+	}
+	made.keep(0)
+	return true
+}
+
 // setUserTimeout bounds how long sent bytes may stay unacknowledged.
 func setUserTimeout(_, _ string, raw syscall.RawConn) error {
 	var failed error
--- a/internal/core/promptcache/promptcache.go
+++ b/internal/core/promptcache/promptcache.go
@@ -18,9 +18,9 @@
 	// leastSharedShare of a prompt must be shared for it to be saved: a save moves
 	// the prompt's own part as well.
 	leastSharedShare = 0.5
-	// saveAgainAfter is after how long a part is saved anew; the store may have
-	// dropped it meanwhile.
-	saveAgainAfter = 20 * time.Second
+	// saveAgainAfter is after how long a part is saved anew if the store doesn't have
+	// it: the save may not have been begun, or the part was dropped since.
+	saveAgainAfter = 3 * time.Second
 )
 
 // Key names a shared part under its salt.
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -283,3 +283,12 @@
 	}
 	return targets
 }
+
+// PromptStoreAddress is where the store of prompt caches is; empty when there is none.
+func (d *Directory) PromptStoreAddress() string {
+	state := d.state.Load()
+	if state == nil || state.Table.PromptStore() == nil {
+		return ""
+	}
+	return state.Table.PromptStore().Address
+}
--- a/internal/relay/journal.go
+++ b/internal/relay/journal.go
@@ -27,9 +27,12 @@
 	Backend identity.BackendID
 	// Version is the version of the weights that was demanded.
 	Version uint64
-	Elapsed time.Duration
-	Result  backendpool.Result
-	Reason  string
+	// FetchFrom and SaveTo are where the prompt's cache was to be taken from and
+	// saved to; empty is none.
+	FetchFrom, SaveTo string
+	Elapsed           time.Duration
+	Result            backendpool.Result
+	Reason            string
 }
 
 // Ending is how a request ended.
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -5,6 +5,7 @@
 	"strings"
 	"time"
 
+	"github.com/lotusward/lotusward/internal/cachewatch"
 	"github.com/lotusward/lotusward/internal/core/backendpool"
 	"github.com/lotusward/lotusward/internal/core/identity"
 	"github.com/lotusward/lotusward/internal/core/outcome"
@@ -20,6 +21,8 @@
 	Backends Backends
 	Budgets  *Budgets
 	Policy   Policy
+	// Store returns what the store of prompt caches is believed to hold.
+	Store func() *cachewatch.Cache
 	// Journal is told of each decision.
 	Journal Journal
 	// Now reads the steady clock; nil means time.Now.
@@ -199,26 +202,30 @@
 		return
 	}
 	key := promptcache.Key{Salt: dispatch.CacheSalt, Part: parts[len(parts)-2].ID}
-	dispatch.FetchFrom = r.fetchFrom(admitted, ticket, key, store)
+	stored, known := r.options.Store().Tokens(cachewatch.Part{Salt: key.Salt, ID: key.Part})
+	dispatch.FetchFrom = r.fetchFrom(admitted, ticket, key)
+	if dispatch.FetchFrom == "" || stored > 0 {
+		dispatch.FetchFrom = store.Address
+	}
 	total, own := promptTokens(parts)
-	if r.memory.Sent(r.options.Now(), key, ticket.Backend.ID, total-own, total) {
+	mayBeSaved := r.memory.Sent(r.options.Now(), key, ticket.Backend.ID, total-own, total)
+	if mayBeSaved && known && stored == 0 {
 		dispatch.SaveTo = store.Address
 	}
 }
 
-// fetchFrom says where the prompt's shared parts most likely are: at their home,
-// at the back end that this daemon last sent them to, or in the store.
-func (r *Relay) fetchFrom(admitted *admission, ticket *backendpool.Ticket, key promptcache.Key, store *routing.PromptStore) string {
+// fetchFrom says which other back end most likely has the prompt's shared parts:
+// their home, or the one that this daemon last sent them to. It is empty when the
+// ticket's back end is both.
+func (r *Relay) fetchFrom(admitted *admission, ticket *backendpool.Ticket, key promptcache.Key) string {
 	if ticket.HomeAddress != "" {
 		return ticket.HomeAddress
 	}
 	holder := r.memory.Holder(key)
-	if holder != "" && holder != ticket.Backend.ID {
-		if address := r.options.Pool.Address(r.options.Now(), holder, admitted.request.Prompt.Model, ticket.Version); address != "" {
-			return address
-		}
+	if holder == "" || holder == ticket.Backend.ID {
+		return ""
 	}
-	return store.Address
+	return r.options.Pool.Address(r.options.Now(), holder, admitted.request.Prompt.Model, ticket.Version)
 }
 
 // promptTokens returns a prompt's tokens, and those of its own last part.
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -170,4 +170,6 @@
 	// Send sends once. It fails with *SendError. When the context ends, the
 	// exchange is cut, which cancels the request at the back end.
 	Send(ctx context.Context, dispatch *Dispatch) (*Answer, error)
+	// Reach tells whether a back end accepts a connection.
+	Reach(ctx context.Context, address string) bool
 }
--- a/internal/relay/run.go
+++ b/internal/relay/run.go
@@ -95,7 +95,9 @@
 	sending, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	watch := r.watchFirst(ticket, cancel)
-	answer, err := r.relay.options.Backends.Send(sending, r.relay.dispatch(r.admitted, ticket, r.lastEvent))
+	dispatch := r.relay.dispatch(r.admitted, ticket, r.lastEvent)
+	r.attempt.FetchFrom, r.attempt.SaveTo = dispatch.FetchFrom, dispatch.SaveTo
+	answer, err := r.relay.options.Backends.Send(sending, dispatch)
 	watch.stop()
 
 	next, failed := stepAgain, failure{}
--- a/internal/relay/watch.go
+++ b/internal/relay/watch.go
@@ -10,14 +10,19 @@
 
 // Patience with silent back ends.
 const (
-	// aliveFactor is how many times longer a back end is waited for that answers
-	// other requests meanwhile.
-	aliveFactor = 2
+	// aliveFactor is how many times longer than the target latency a back end is
+	// waited for that can be reached.
+	aliveFactor = 2.5
 	// stallSlack is added to the longest pause of a stream that is in time.
 	stallSlack = 250 * time.Millisecond
 	// aliveStallFactor is as aliveFactor, for streams that have begun.
 	aliveStallFactor = 4
 	defaultGapTarget = 500 * time.Millisecond
+	// slowTokenTime is how long a slow, loaded back end may take for one token of a
+	// prompt.
+	slowTokenTime = 60 * time.Microsecond
+	// reachTimeout is how long a back end may take to accept a connection.
+	reachTimeout = 300 * time.Millisecond
 )
 
 // watchdog cuts a sending whose back end is silent for too long, if the request
@@ -31,7 +36,9 @@
 	patient time.Duration
 	alive   time.Duration
 	since   time.Time
-	stopped bool
+	// reachedAt is when the back end last accepted a connection.
+	reachedAt time.Time
+	stopped   bool
 }
 
 // watchFirst watches for the first byte of an answer.
@@ -40,7 +47,11 @@
 	if target == 0 || !r.couldRepeat() {
 		return &watchdog{}
 	}
-	return r.watch(ticket, cancel, target, aliveFactor*target)
+	if prompt := r.admitted.request.Prompt; prompt != nil {
+		total, _ := promptTokens(prompt.Parts)
+		target += time.Duration(total) * slowTokenTime
+	}
+	return r.watch(ticket, cancel, target, time.Duration(aliveFactor*float64(target)))
 }
 
 // watchStall watches for the next event of a stream.
@@ -71,20 +82,57 @@
 }
 
 // check cuts the sending if nothing came for too long, and otherwise looks again
-// later.
+// later. A back end that has been silent on all requests is asked whether it can
+// be reached; if so, it gets more time.
 func (w *watchdog) check() {
+	if w.unheard() && !w.reach() {
+		w.cut()
+		return
+	}
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
-	if w.stopped {
+	silent := w.run.now().Sub(w.since)
+	if silent < w.alive && !w.stopped {
+		w.timer.Reset(max(min(w.alive-silent, w.patient), time.Millisecond))
 		return
 	}
-	silent := w.run.now().Sub(w.since)
-	bound := w.alive
-	if w.ticket.SilentSince(w.since) {
-		bound = w.patient
+	w.cutLocked()
+}
+
+// unheard tells whether nothing came from the back end for as long as the watch
+// is patient.
+func (w *watchdog) unheard() bool {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	since := w.since
+	if w.reachedAt.After(since) {
+		since = w.reachedAt
+	}
+	return !w.stopped && w.run.now().Sub(since) >= w.patient && w.ticket.SilentSince(since)
+}
+
+// reach tells whether the back end accepts a connection.
+func (w *watchdog) reach() bool {
+	ctx, cancel := context.WithTimeout(context.Background(), reachTimeout)
+	defer cancel()
+	if !w.run.relay.options.Backends.Reach(ctx, w.ticket.Backend.Address) {
+		return false
 	}
-	if silent < bound {
-		w.timer.Reset(max(min(bound-silent, w.patient), time.Millisecond))
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	w.reachedAt = w.run.now()
+	return true
+}
+
+// cut ends the sending.
+func (w *watchdog) cut() {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	w.cutLocked()
+}
+
+func (w *watchdog) cutLocked() {
+	if w.stopped {
 		return
 	}
 	w.stopped = true
--- a/internal/requestlog/requestlog.go
+++ b/internal/requestlog/requestlog.go
@@ -16,7 +16,7 @@
 
 // Rates of lines a second.
 const (
-	servedRate  = 5
+	servedRate  = 500
 	failureRate = 50
 )
 
@@ -64,6 +64,9 @@
 		return
 	}
 	fields := logrus.Fields{"request": request.ID, "status": ended.Status}
+	if request.Prompt != nil {
+		fields["zz"] = request.Prompt.Parts
+	}
 	addEnding(fields, ended)
 	if ended.Cut != "" {
 		fields["outcome"] = "cut"
@@ -123,6 +126,12 @@
 	if attempt.Version > 0 {
 		fields["weights"] = attempt.Version
 	}
+	if attempt.FetchFrom != "" {
+		fields["fetch_from"] = attempt.FetchFrom
+	}
+	if attempt.SaveTo != "" {
+		fields["save_to"] = attempt.SaveTo
+	}
 	if attempt.Reason != "" {
 		fields["attempt_reason"] = attempt.Reason
 	}
