Place by the work that all daemons have under way

Cause: a daemon's own requests in flight show a seventh of a runner's load, so single runners queued prompts for a second while others were idle. Now daemons tell each other their work at each back end in datagrams (10 a second, on change), and a request goes where queue and missing parts cost least.

--- a/cmd/lotusward-platform/wire.go
+++ b/cmd/lotusward-platform/wire.go
@@ -18,9 +18,10 @@
 	"github.com/lotusward/lotusward/internal/daemon/leasekeeper"
 	"github.com/lotusward/lotusward/internal/directory"
 	"github.com/lotusward/lotusward/internal/eventlog"
+	"github.com/lotusward/lotusward/internal/loadshare"
 	"github.com/lotusward/lotusward/internal/logging"
+	"github.com/lotusward/lotusward/internal/members"
 	"github.com/lotusward/lotusward/internal/pause"
-	"github.com/lotusward/lotusward/internal/peercount"
 	"github.com/lotusward/lotusward/internal/relay"
 	"github.com/lotusward/lotusward/internal/requestlog"
 	"github.com/lotusward/lotusward/internal/rollout"
@@ -53,7 +54,8 @@
 	keeper    *leasekeeper.Keeper
 	rollout   *rollout.Keeper
 	follower  *rollout.Follower
-	peers     *peercount.Counter
+	members   *members.List
+	loads     *loadshare.Sharer
 	store     *cachewatch.Watcher
 	serving   *serving
 }
@@ -87,6 +89,10 @@
 			Duration: platform.Milliseconds(bounds.LeaseMs), MaximumDrift: maximumDrift,
 		},
 	})
+	others := members.New(members.Options{
+		Self: settings.NodeName, Address: settings.InternalAddress(), Table: store, Log: part("members"),
+		Changed: func(count int) { budgets.SetFloor(int(budgetShare * bounds.RetryBudgetSlack / float64(count))) },
+	})
 	return &wired{
 		settings:  settings,
 		pool:      connections,
@@ -97,12 +103,10 @@
 			Orders: runners, Quiet: platform.Milliseconds(bounds.LeaseMs), Log: part("rollout"),
 		}),
 		follower: &rollout.Follower{Table: store, Changes: store, Pool: backends, Lease: keeper, Log: part("rollout")},
-		peers: peercount.New(peercount.Options{
-			Self: settings.NodeName, Table: store, Log: part("peers"),
-			Changed: func(count int) { budgets.SetFloor(int(budgetShare * bounds.RetryBudgetSlack / float64(count))) },
-		}),
-		store:   storeWatch,
-		serving: newServing(settings, relaying, known, registry, part("front")),
+		members:  others,
+		loads:    loadshare.New(loadshare.Options{Address: settings.InternalAddress(), Others: others.Others, Pool: backends}),
+		store:    storeWatch,
+		serving:  newServing(settings, relaying, known, registry, part("front")),
 	}
 }
 
@@ -131,7 +135,8 @@
 	add(w.directory.Run)
 	add(w.rollout.Run)
 	add(w.follower.Run)
-	add(w.peers.Run)
+	add(w.members.Run)
+	add(w.loads.Run)
 	add(w.store.Run)
 	add(w.sweep)
 	add(w.keeper.Run)
--- a/internal/core/backendpool/backend.go
+++ b/internal/core/backendpool/backend.go
@@ -69,6 +69,10 @@
 	key uint64
 	// inFlight is the number of requests under way from this daemon.
 	inFlight int
+	// reading is the work of those whose answer has not begun, in tokens.
+	reading float64
+	// others is what other daemons told of their load here.
+	others Load
 	// failureRate is an exponentially weighted mean of failures.
 	failureRate float64
 	// ejectedUntil is when a doubted back end is tried again.
--- /dev/null
+++ b/internal/core/backendpool/choice.go
@@ -0,0 +1,154 @@
+package backendpool
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/lotusward/lotusward/internal/core/rendezvous"
+)
+
+// Costs of a choice. The unit is the time that a back end takes to read one token
+// of a prompt, so that back ends of any speed are compared alike.
+const (
+	// moveCost is the cost of taking one token's cache from elsewhere.
+	moveCost = 0.3
+	// rereadCost is the cost of reading a token again that another back end has
+	// read: the time, and that of other requests there.
+	rereadCost = 1.5
+	// requestCost is what a request under way adds beside the prompt that is read.
+	requestCost = 60
+	// otherZoneCost is the cost of a back end in another zone, for requests without
+	// a prompt: in requests under way.
+	otherZoneCost = 1.5
+	// equalShare of the least cost is as good: the higher rank wins.
+	equalShare = 0.1
+	equalSlack = 100
+)
+
+// Load is what one daemon has under way at a back end.
+type Load struct {
+	// Key is the hash of the back end's ID.
+	Key      uint64
+	InFlight float64
+	// Reading is the work of the requests whose answer has not begun, in tokens.
+	Reading float64
+}
+
+// Plus adds two loads of one back end.
+func (l Load) Plus(other Load) Load {
+	return Load{Key: other.Key, InFlight: l.InFlight + other.InFlight, Reading: l.Reading + other.Reading}
+}
+
+// Times scales a load.
+func (l Load) Times(factor float64) Load {
+	return Load{Key: l.Key, InFlight: l.InFlight * factor, Reading: l.Reading * factor}
+}
+
+// Loads returns what this daemon has under way, for at most a number of back ends,
+// ordered by key.
+func (p *Pool) Loads(most int) []Load {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	var loads []Load
+	for _, found := range p.byID {
+		if found.inFlight == 0 {
+			continue
+		}
+		loads = append(loads, Load{Key: found.key, InFlight: float64(found.inFlight), Reading: found.reading})
+	}
+	slices.SortFunc(loads, func(left, right Load) int { return cmp.Compare(left.Key, right.Key) })
+	return loads[:min(len(loads), most)]
+}
+
+// SetOthersLoad replaces what all other daemons have under way, by key.
+func (p *Pool) SetOthersLoad(loads map[uint64]Load) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	for _, found := range p.byID {
+		found.others = loads[found.key]
+	}
+}
+
+// choose picks one of at least one candidates, and returns the work that the
+// request brings there, in tokens.
+func (p *Pool) choose(candidates []*entry, query Query) (*entry, float64) {
+	if query.Model == "" {
+		return p.chooseLeastLoaded(candidates), 0
+	}
+	return chooseSoonest(candidates, query)
+}
+
+// chooseSoonest takes the back end that should answer soonest: the work that waits
+// there, and what the prompt adds. Among those about as good, the one that ranks
+// highest for the prompt wins, so that daemons agree without talking.
+func chooseSoonest(candidates []*entry, query Query) (*entry, float64) {
+	home := highestRank(candidates, query.Home)
+	least := 0.0
+	for index, candidate := range candidates {
+		cost := candidate.waiting() + missing(candidate, home, query)
+		if index == 0 || cost < least {
+			least = cost
+		}
+	}
+	bound := least*(1+equalShare) + equalSlack
+	var best *entry
+	var bestScore uint64
+	for _, candidate := range candidates {
+		if candidate.waiting()+missing(candidate, home, query) > bound {
+			continue
+		}
+		if score := candidate.rank(query.Home); best == nil || score > bestScore {
+			best, bestScore = candidate, score
+		}
+	}
+	return best, missing(best, home, query) + float64(query.OwnTokens)
+}
+
+// waiting is the cost of what is under way at a back end.
+func (e *entry) waiting() float64 {
+	reading := e.reading + e.others.Reading
+	return reading + requestCost*(float64(e.inFlight)+e.others.InFlight)
+}
+
+// rank is the back end's weight for a prompt in rendezvous hashing.
+func (e *entry) rank(home uint64) uint64 { return rendezvous.Score(home, string(e.backend.ID)) }
+
+// missing is the cost of the prompt's shared parts at a candidate.
+func missing(candidate, home *entry, query Query) float64 {
+	switch {
+	case query.SharedTokens == 0, candidate == home, candidate.backend.ID == query.Holder:
+		return 0
+	case query.Movable:
+		return moveCost * float64(query.SharedTokens)
+	default:
+		return rereadCost * float64(query.SharedTokens)
+	}
+}
+
+// highestRank returns the candidate that ranks highest for a prompt, or nil
+// without a prompt's home.
+func highestRank(candidates []*entry, home uint64) *entry {
+	if home == 0 {
+		return nil
+	}
+	return slices.MaxFunc(candidates, func(left, right *entry) int {
+		return cmp.Compare(left.rank(home), right.rank(home))
+	})
+}
+
+// chooseLeastLoaded takes the back end with the fewest requests under way, and
+// prefers the own zone.
+func (p *Pool) chooseLeastLoaded(candidates []*entry) *entry {
+	return slices.MinFunc(candidates, func(left, right *entry) int {
+		return cmp.Compare(p.requests(left), p.requests(right))
+	})
+}
+
+// requests is the number of requests under way, with the cost of another zone.
+func (p *Pool) requests(candidate *entry) float64 {
+	count := float64(candidate.inFlight) + candidate.others.InFlight
+	if candidate.backend.Zone != p.zone {
+		return count + otherZoneCost
+	}
+	return count
+}
--- a/internal/core/backendpool/pool.go
+++ b/internal/core/backendpool/pool.go
@@ -11,16 +11,6 @@
 	"github.com/lotusward/lotusward/internal/core/rendezvous"
 )
 
-// Load bounds of rendezvous placement: a back end takes its prompts until it has
-// more in flight than loadFactor times the mean plus loadSlack.
-const (
-	loadFactor = 1.3
-	loadSlack  = 2
-	// otherZonePenalty is how many requests in flight a back end of the own zone
-	// may have more than one elsewhere before the latter is taken.
-	otherZonePenalty = 2
-)
-
 // Query is what a pick depends on.
 type Query struct {
 	Service identity.ServiceName
@@ -32,6 +22,12 @@
 	LeastVersion uint64
 	// Exclude are back ends that have failed this request.
 	Exclude []identity.BackendID
+	// SharedTokens of the prompt are shared with other requests, OwnTokens are not.
+	SharedTokens, OwnTokens int
+	// Holder is the back end that this daemon last sent the prompt's shared parts to.
+	Holder identity.BackendID
+	// Movable is set when the shared parts can be taken from elsewhere.
+	Movable bool
 }
 
 // Ticket is one request's place at a back end. Release ends it.
@@ -46,6 +42,10 @@
 	HomeAddress string
 	entry       *entry
 	pool        *Pool
+	// work is what the request adds to the load until its first byte, in tokens.
+	work float64
+	// reading is set until the first byte.
+	reading bool
 }
 
 // Pool is safe for use by several goroutines.
@@ -140,12 +140,17 @@
 func (p *Pool) Pick(now time.Time, query Query) *Ticket {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	picked := p.choose(p.candidates(now, query), query)
-	if picked == nil {
+	candidates := p.candidates(now, query)
+	if len(candidates) == 0 {
 		return nil
 	}
+	picked, work := p.choose(candidates, query)
 	picked.inFlight++
-	ticket := &Ticket{Backend: picked.backend, Version: picked.version(query.Model), entry: picked, pool: p}
+	picked.reading += work
+	ticket := &Ticket{
+		Backend: picked.backend, Version: picked.version(query.Model),
+		entry: picked, pool: p, work: work, reading: true,
+	}
 	if home := p.home(now, query, ticket.Version); home != nil && home != picked {
 		ticket.HomeAddress = home.backend.Address
 	}
@@ -212,56 +217,6 @@
 	return query.Model == "" || found.version(query.Model) >= query.LeastVersion
 }
 
-func (p *Pool) choose(candidates []*entry, query Query) *entry {
-	if len(candidates) == 0 {
-		return nil
-	}
-	if query.Home != 0 {
-		return chooseHome(candidates, query.Home)
-	}
-	return p.chooseLeastLoaded(candidates)
-}
-
-// chooseHome takes the back end that ranks highest for the prompt among those
-// below the load bound.
-func chooseHome(candidates []*entry, home uint64) *entry {
-	total := 0
-	for _, candidate := range candidates {
-		total += candidate.inFlight
-	}
-	bound := loadFactor*float64(total)/float64(len(candidates)) + loadSlack
-	var best *entry
-	var bestScore uint64
-	for _, candidate := range candidates {
-		if float64(candidate.inFlight) > bound {
-			continue
-		}
-		score := rendezvous.Score(home, string(candidate.backend.ID))
-		if best == nil || score > bestScore {
-			best, bestScore = candidate, score
-		}
-	}
-	return best
-}
-
-// chooseLeastLoaded takes the back end with the fewest requests in flight, and
-// prefers the own zone.
-func (p *Pool) chooseLeastLoaded(candidates []*entry) *entry {
-	load := func(candidate *entry) int {
-		if candidate.backend.Zone != p.zone {
-			return candidate.inFlight + otherZonePenalty
-		}
-		return candidate.inFlight
-	}
-	best := candidates[0]
-	for _, candidate := range candidates[1:] {
-		if load(candidate) < load(best) {
-			best = candidate
-		}
-	}
-	return best
-}
-
 // Heard notes that something arrived from the ticket's back end.
 func (t *Ticket) Heard(now time.Time) {
 	t.pool.mutex.Lock()
@@ -269,6 +224,21 @@
 	t.entry.heardAt = now
 }
 
+// Begun notes that the answer's first byte arrived: the prompt was read.
+func (t *Ticket) Begun() {
+	t.pool.mutex.Lock()
+	defer t.pool.mutex.Unlock()
+	t.endReading()
+}
+
+func (t *Ticket) endReading() {
+	if !t.reading {
+		return
+	}
+	t.reading = false
+	t.entry.reading = max(t.entry.reading-t.work, 0)
+}
+
 // SilentSince tells whether nothing at all has arrived from the back end, on any
 // request, since a time.
 func (t *Ticket) SilentSince(since time.Time) bool {
@@ -290,6 +260,7 @@
 	t.pool.mutex.Lock()
 	defer t.pool.mutex.Unlock()
 	t.entry.inFlight--
+	t.endReading()
 	return t.entry.record(now, result)
 }
 
--- /dev/null
+++ b/internal/loadshare/loadshare.go
@@ -0,0 +1,171 @@
+// Package loadshare lets daemons tell each other what they have under way at each
+// back end, several times a second, in single datagrams that may be lost. A
+// daemon that isn't heard of for a moment counts as having nothing under way.
+package loadshare
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/lotusward/lotusward/internal/core/backendpool"
+)
+
+// Times and sizes.
+const (
+	sendInterval = 100 * time.Millisecond
+	// idleInterval is how often a load that doesn't change is told.
+	idleInterval = 400 * time.Millisecond
+	// forgetAfter is how long what a daemon told counts.
+	forgetAfter = time.Second
+	// maximumTargets bounds how many daemons are told at a time. Where there are
+	// more, each tells others in each turn, and what is heard is scaled up.
+	maximumTargets   = 12
+	maximumDatagram  = 8 << 10
+	maximumLoads     = 256
+	receiveErrorWait = 50 * time.Millisecond
+)
+
+// message is one datagram.
+type message struct {
+	From  string
+	Loads []backendpool.Load
+}
+
+// Options are what a Sharer works with.
+type Options struct {
+	// Address is where to listen, IP:port; it also names this daemon.
+	Address string
+	// Others returns the addresses of the other daemons.
+	Others func() []string
+	Pool   *backendpool.Pool
+}
+
+// Sharer tells and hears loads.
+type Sharer struct {
+	options Options
+	mutex   sync.Mutex
+	heard   map[string]heardLoads
+}
+
+// heardLoads is what one daemon told last.
+type heardLoads struct {
+	at    time.Time
+	loads []backendpool.Load
+}
+
+// New makes a Sharer that does nothing until it runs.
+func New(options Options) *Sharer {
+	return &Sharer{options: options, heard: map[string]heardLoads{}}
+}
+
+// Run shares loads until the context ends. Without a socket the daemon goes on
+// with its own loads alone.
+func (s *Sharer) Run(ctx context.Context) error {
+	socket, err := net.ListenPacket("udp4", s.options.Address)
+	if err != nil {
+		<-ctx.Done()
+		return nil
+	}
+	defer func() { _ = socket.Close() }()
+	go s.receive(ctx, socket)
+	ticker := time.NewTicker(sendInterval)
+	defer ticker.Stop()
+	var last []backendpool.Load
+	var sentAt time.Time
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case now := <-ticker.C:
+			s.options.Pool.SetOthersLoad(s.merge(now))
+			loads := s.options.Pool.Loads(maximumLoads)
+			if same(loads, last) && now.Sub(sentAt) < idleInterval {
+				continue
+			}
+			last, sentAt = loads, now
+			s.send(socket, loads)
+		}
+	}
+}
+
+func same(left, right []backendpool.Load) bool {
+	if len(left) != len(right) {
+		return false
+	}
+	for index := range left {
+		if left[index] != right[index] {
+			return false
+		}
+	}
+	return true
+}
+
+// send tells some of the other daemons.
+func (s *Sharer) send(socket net.PacketConn, loads []backendpool.Load) {
+	datagram, err := msgpack.Marshal(&message{From: s.options.Address, Loads: loads})
+	if err != nil || len(datagram) > maximumDatagram {
+		return
+	}
+	others := s.options.Others()
+	start := 0
+	if len(others) > maximumTargets {
+		start = rand.IntN(len(others))
+	}
+	for offset := range min(len(others), maximumTargets) {
+		address, err := netip.ParseAddrPort(others[(start+offset)%len(others)])
+		if err != nil {
+			continue
+		}
+		_, _ = socket.WriteTo(datagram, net.UDPAddrFromAddrPort(address))
+	}
+}
+
+// receive hears other daemons until the socket is closed.
+func (s *Sharer) receive(ctx context.Context, socket net.PacketConn) {
+	buffer := make([]byte, maximumDatagram)
+	for ctx.Err() == nil {
+		count, _, err := socket.ReadFrom(buffer)
+		if err != nil {
+			time.Sleep(receiveErrorWait)
+			continue
+		}
+		var got message
+		if msgpack.Unmarshal(buffer[:count], &got) != nil {
+			continue
+		}
+		s.mutex.Lock()
+		s.heard[got.From] = heardLoads{at: time.Now(), loads: got.Loads}
+		s.mutex.Unlock()
+	}
+}
+
+// merge adds up what was heard lately, scaled up to all other daemons.
+func (s *Sharer) merge(now time.Time) map[uint64]backendpool.Load {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	merged := map[uint64]backendpool.Load{}
+	for from, told := range s.heard {
+		if now.Sub(told.at) > forgetAfter {
+			delete(s.heard, from)
+			continue
+		}
+		for _, load := range told.loads {
+			merged[load.Key] = merged[load.Key].Plus(load)
+		}
+	}
+	others := len(s.options.Others())
+	if others <= maximumTargets || len(s.heard) == 0 {
+		return merged
+	}
+	scale := max(float64(others)/float64(len(s.heard)), 1)
+	for key, load := range merged {
+		merged[key] = load.Times(scale)
+	}
+	return merged
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -138,6 +138,14 @@
 	query.Model = prompt.Model
 	query.Home = home(admitted)
 	query.LeastVersion = r.leastVersion(prompt.Model)
+	total, own := promptTokens(prompt.Parts)
+	query.SharedTokens, query.OwnTokens = total-own, own
+	newest := admitted.state.NewestVersion(prompt.Model)
+	if key, shared := r.cacheKey(admitted, newest); shared {
+		stored, _ := r.options.Store().Tokens(cachewatch.Part{Salt: key.Salt, ID: key.Part})
+		query.Holder = r.memory.Holder(key)
+		query.Movable = stored > 0 || query.Holder != ""
+	}
 	return query
 }
 
@@ -187,6 +195,16 @@
 	return dispatch
 }
 
+// cacheKey names the deepest shared part of a request's prompt under the salt for
+// a version of the weights. It returns false when no part is shared.
+func (r *Relay) cacheKey(admitted *admission, version uint64) (promptcache.Key, bool) {
+	parts := admitted.request.Prompt.Parts
+	if len(parts) < 2 {
+		return promptcache.Key{}, false
+	}
+	return promptcache.Key{Salt: cacheSalt(version, admitted.tenant), Part: parts[len(parts)-2].ID}, true
+}
+
 // describeCache sets the salt, and where prompt caches come from and go to. The
 // version is always part of the salt and always demanded of the back end, so
 // that what is made under a salt is of that version.
@@ -196,18 +214,17 @@
 	}
 	dispatch.Version = ticket.Version
 	dispatch.CacheSalt = cacheSalt(ticket.Version, admitted.tenant)
-	parts := admitted.request.Prompt.Parts
 	store := admitted.state.Table.PromptStore()
-	if store == nil || len(parts) < 2 {
+	key, shared := r.cacheKey(admitted, ticket.Version)
+	if store == nil || !shared {
 		return
 	}
-	key := promptcache.Key{Salt: dispatch.CacheSalt, Part: parts[len(parts)-2].ID}
 	stored, known := r.options.Store().Tokens(cachewatch.Part{Salt: key.Salt, ID: key.Part})
 	dispatch.FetchFrom = r.fetchFrom(admitted, ticket, key)
 	if dispatch.FetchFrom == "" || stored > 0 {
 		dispatch.FetchFrom = store.Address
 	}
-	total, own := promptTokens(parts)
+	total, own := promptTokens(admitted.request.Prompt.Parts)
 	mayBeSaved := r.memory.Sent(r.options.Now(), key, ticket.Backend.ID, total-own, total)
 	if mayBeSaved && known && stored == 0 {
 		dispatch.SaveTo = store.Address
--- a/internal/relay/run.go
+++ b/internal/relay/run.go
@@ -106,6 +106,9 @@
 		failed = r.sendFailure(sending, err)
 	default:
 		ticket.Heard(r.now())
+		if !answer.Stream {
+			ticket.Begun()
+		}
 		next, failed = r.take(sending, cancel, ticket, answer)
 	}
 	r.attempt.Elapsed = r.now().Sub(started)
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -87,6 +87,7 @@
 			return r.brokenStream(ctx, "cut_stream")
 		}
 		watch.heard()
+		ticket.Begun()
 		ticket.Heard(r.now())
 		if err := r.passEvent(answer, got, events.more()); err != nil {
 			return stepEnd, failure{result: backendpool.ResultAbandoned, reason: "caller_left"}
