Let daemons tell each other where shared parts of prompts went

Cause: a daemon knew only its own sendings, so requests spilled to runners without the parts. Facts (16 bytes a request) now ride in the load datagrams.

--- a/cmd/lotusward-platform/wire.go
+++ b/cmd/lotusward-platform/wire.go
@@ -14,6 +14,7 @@
 	"github.com/lotusward/lotusward/internal/core/backendpool"
 	"github.com/lotusward/lotusward/internal/core/identity"
 	"github.com/lotusward/lotusward/internal/core/lease"
+	"github.com/lotusward/lotusward/internal/core/promptcache"
 	"github.com/lotusward/lotusward/internal/core/retry"
 	"github.com/lotusward/lotusward/internal/daemon/leasekeeper"
 	"github.com/lotusward/lotusward/internal/directory"
@@ -78,9 +79,10 @@
 		VersionHeadStart: time.Duration(versionShare*float64(bounds.VersionMs)) * time.Millisecond / 2,
 	})
 	storeWatch := cachewatch.NewWatcher(runners, known.PromptStoreAddress, part("promptstore"))
+	memory := promptcache.New()
 	relaying := relay.New(relay.Options{
 		Control: known, Pool: backends, Backends: runners, Budgets: budgets,
-		Policy: policy(bounds), Store: storeWatch.Cache, Journal: requestlog.New(part("relay"), counters),
+		Policy: policy(bounds), Memory: memory, Store: storeWatch.Cache, Journal: requestlog.New(part("relay"), counters),
 	})
 	keeper := leasekeeper.New(leasekeeper.Options{
 		Table: store, Log: part("lease"),
@@ -104,7 +106,7 @@
 		}),
 		follower: &rollout.Follower{Table: store, Changes: store, Pool: backends, Lease: keeper, Log: part("rollout")},
 		members:  others,
-		loads:    loadshare.New(loadshare.Options{Address: settings.InternalAddress(), Others: others.Others, Pool: backends}),
+		loads:    loadshare.New(loadshare.Options{Address: settings.InternalAddress(), Others: others.Others, Pool: backends, Memory: memory}),
 		store:    storeWatch,
 		serving:  newServing(settings, relaying, known, registry, part("front")),
 	}
--- a/internal/core/backendpool/choice.go
+++ b/internal/core/backendpool/choice.go
@@ -113,10 +113,13 @@
 // rank is the back end's weight for a prompt in rendezvous hashing.
 func (e *entry) rank(home uint64) uint64 { return rendezvous.Score(home, string(e.backend.ID)) }
 
-// missing is the cost of the prompt's shared parts at a candidate.
+// missing is the cost of the prompt's shared parts at a candidate. Where no holder
+// is known, the home is taken for one, since other daemons send them there too.
 func missing(candidate, home *entry, query Query) float64 {
 	switch {
-	case query.SharedTokens == 0, candidate == home, candidate.backend.ID == query.Holder:
+	case query.SharedTokens == 0, slices.Contains(query.Holders, candidate.key):
+		return 0
+	case len(query.Holders) == 0 && candidate == home:
 		return 0
 	case query.Movable:
 		return moveCost * float64(query.SharedTokens)
--- a/internal/core/backendpool/pool.go
+++ b/internal/core/backendpool/pool.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"github.com/lotusward/lotusward/internal/core/identity"
-	"github.com/lotusward/lotusward/internal/core/rendezvous"
 )
 
 // Query is what a pick depends on.
@@ -24,8 +23,8 @@
 	Exclude []identity.BackendID
 	// SharedTokens of the prompt are shared with other requests, OwnTokens are not.
 	SharedTokens, OwnTokens int
-	// Holder is the back end that this daemon last sent the prompt's shared parts to.
-	Holder identity.BackendID
+	// Holders are the hashes of the back ends that most likely hold the shared parts.
+	Holders []uint64
 	// Movable is set when the shared parts can be taken from elsewhere.
 	Movable bool
 }
@@ -36,12 +35,14 @@
 	// Version is the version of the model's weights that the back end is believed
 	// to hold; zero without a model.
 	Version uint64
-	// HomeAddress is the address of the back end that ranks highest for the
-	// prompt, if it is another one, sound and of the same version. It most likely
-	// has the prompt's shared parts.
-	HomeAddress string
-	entry       *entry
-	pool        *Pool
+	// Key is the hash of the back end's ID.
+	Key uint64
+	// HolderAddress is the address of another back end that most likely holds the
+	// prompt's shared parts, sound and of the same version; empty if there is none
+	// or if the ticket's own most likely holds them.
+	HolderAddress string
+	entry         *entry
+	pool          *Pool
 	// work is what the request adds to the load until its first byte, in tokens.
 	work float64
 	// reading is set until the first byte.
@@ -149,44 +150,29 @@
 	picked.reading += work
 	ticket := &Ticket{
 		Backend: picked.backend, Version: picked.version(query.Model),
-		entry: picked, pool: p, work: work, reading: true,
+		Key: picked.key, entry: picked, pool: p, work: work, reading: true,
 	}
-	if home := p.home(now, query, ticket.Version); home != nil && home != picked {
-		ticket.HomeAddress = home.backend.Address
+	if other := p.holder(now, query, picked); other != nil {
+		ticket.HolderAddress = other.backend.Address
 	}
 	return ticket
 }
 
-// home returns the sound back end that ranks highest for the query's prompt,
-// whatever its load, or nil.
-func (p *Pool) home(now time.Time, query Query, version uint64) *entry {
-	if query.Home == 0 {
+// holder returns a sound back end other than the picked one that most likely holds
+// the query's shared parts under the same version, or nil.
+func (p *Pool) holder(now time.Time, query Query, picked *entry) *entry {
+	if slices.Contains(query.Holders, picked.key) {
 		return nil
 	}
-	var best *entry
-	var bestScore uint64
-	for _, candidate := range p.services[query.Service] {
-		if candidate.ejected(now) || candidate.version(query.Model) != version {
-			continue
-		}
-		score := rendezvous.Score(query.Home, string(candidate.backend.ID))
-		if best == nil || score > bestScore {
-			best, bestScore = candidate, score
+	for _, key := range query.Holders {
+		for _, candidate := range p.services[query.Service] {
+			same := candidate.version(query.Model) == picked.version(query.Model)
+			if candidate.key == key && same && !candidate.ejected(now) {
+				return candidate
+			}
 		}
 	}
-	return best
-}
-
-// Address returns the address of a sound back end that holds a version of a
-// model's weights, or an empty text.
-func (p *Pool) Address(now time.Time, id identity.BackendID, model identity.ModelName, version uint64) string {
-	p.mutex.Lock()
-	defer p.mutex.Unlock()
-	found := p.byID[id]
-	if found == nil || found.ejected(now) || found.version(model) != version {
-		return ""
-	}
-	return found.backend.Address
+	return nil
 }
 
 // candidates returns the back ends that will do, without the doubted and avoided
--- a/internal/core/backendpool/pool_test.go
+++ b/internal/core/backendpool/pool_test.go
@@ -18,6 +18,7 @@
 	for index := range count {
 		list = append(list, Backend{
 			ID: identity.BackendID(fmt.Sprintf("engine-%d", index)), Service: "llm", Zone: "a",
+			Address: fmt.Sprintf("10.0.0.%d:80", index),
 			Weights: map[identity.ModelName]uint64{"m": 1},
 		})
 	}
@@ -141,11 +142,12 @@
 	query := Query{Service: "llm", Model: "m", Home: 5, SharedTokens: 1000, OwnTokens: 500, Movable: true}
 	home := pool.Pick(start, query)
 	home.Release(start, ResultServed)
+	query.Holders = []uint64{home.Key}
 	pool.SetOthersLoad(map[uint64]Load{home.entry.key: {Key: home.entry.key, InFlight: 2, Reading: 9000}})
 	elsewhere := pool.Pick(start, query)
 	elsewhere.Release(start, ResultServed)
 	assert.Assert(t, elsewhere.Backend.ID != home.Backend.ID)
-	assert.Equal(t, elsewhere.HomeAddress, home.Backend.Address)
+	assert.Equal(t, elsewhere.HolderAddress, home.Backend.Address)
 	pool.SetOthersLoad(nil)
 	back := pool.Pick(start, query)
 	assert.Equal(t, back.Backend.ID, home.Backend.ID)
--- a/internal/core/promptcache/promptcache.go
+++ b/internal/core/promptcache/promptcache.go
@@ -1,37 +1,56 @@
-// Package promptcache remembers where this daemon last sent each shared part of
-// prompts and which of them it asked to be saved, so that a part is moved rather
-// than read again, and not moved needlessly. It is bounded, does no I/O and reads
-// no clock.
+// Package promptcache remembers which back ends the shared parts of prompts went
+// to, from this daemon and from others, and which parts this daemon asked to be
+// saved, so that a part is moved rather than read again, and not moved needlessly.
+// It is bounded, does no I/O and reads no clock.
 package promptcache
 
 import (
 	"container/list"
+	"slices"
 	"sync"
 	"time"
 
-	"github.com/lotusward/lotusward/internal/core/identity"
+	"github.com/lotusward/lotusward/internal/core/rendezvous"
 )
 
 // Bounds of what is remembered and saved.
 const (
-	defaultCapacity = 4096
+	defaultCapacity = 8192
+	maximumHolders  = 3
+	// maximumUntold bounds the facts that wait to be told to other daemons.
+	maximumUntold = 128
 	// leastSharedShare of a prompt must be shared for it to be saved: a save moves
 	// the prompt's own part as well.
 	leastSharedShare = 0.5
 	// saveAgainAfter is after how long a part is saved anew if the store doesn't have
 	// it: the save may not have been begun, or the part was dropped since.
 	saveAgainAfter = 3 * time.Second
+	// holderTime is how long a back end is believed to hold a part that nobody asks for.
+	holderTime = 15 * time.Second
 )
 
-// Key names a shared part under its salt.
-type Key struct {
-	Salt string
-	Part string
+// Key is the hash of a shared part and its salt.
+type Key uint64
+
+// KeyOf hashes a part's ID and its salt.
+func KeyOf(salt, part string) Key { return Key(rendezvous.Key(salt + "\x00" + part)) }
+
+// Fact says that a request with a part went to a back end.
+type Fact struct {
+	Part Key
+	// Backend is the hash of the back end's ID.
+	Backend uint64
+}
+
+type holder struct {
+	backend uint64
+	at      time.Time
 }
 
 type record struct {
-	key     Key
-	holder  identity.BackendID
+	key Key
+	// holders are the back ends of the last requests, newest first.
+	holders []holder
 	savedAt time.Time
 }
 
@@ -41,6 +60,7 @@
 	capacity int
 	records  map[Key]*list.Element
 	order    *list.List // most recently used first
+	untold   []Fact
 }
 
 // New makes an empty memory.
@@ -48,25 +68,34 @@
 	return &Memory{capacity: defaultCapacity, records: map[Key]*list.Element{}, order: list.New()}
 }
 
-// Holder returns the back end that a request with the part last went to, or an
-// empty ID.
-func (m *Memory) Holder(key Key) identity.BackendID {
+// Holders returns the hashes of the back ends that most likely hold a part, the
+// likeliest first.
+func (m *Memory) Holders(now time.Time, key Key) []uint64 {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
-	if found := m.records[key]; found != nil {
-		return found.Value.(*record).holder
+	element := m.records[key]
+	if element == nil {
+		return nil
+	}
+	var backends []uint64
+	for _, known := range element.Value.(*record).holders {
+		if now.Sub(known.at) <= holderTime {
+			backends = append(backends, known.backend)
+		}
 	}
-	return ""
+	return backends
 }
 
-// Sent notes that a request with the part goes to a back end. It returns true
-// when the part should be saved: its tokens are most of the prompt's, and it was
-// not saved lately.
-func (m *Memory) Sent(now time.Time, key Key, holder identity.BackendID, sharedTokens, promptTokens int) bool {
+// Sent notes that this daemon sends a request with the part to a back end. It
+// returns true when the part should be saved if the store lacks it: its tokens are
+// most of the prompt's, and it was not saved lately.
+func (m *Memory) Sent(now time.Time, fact Fact, sharedTokens, promptTokens int) bool {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
-	found := m.touch(key)
-	found.holder = holder
+	found := m.note(now, fact)
+	if len(m.untold) < maximumUntold {
+		m.untold = append(m.untold, fact)
+	}
 	if float64(sharedTokens) < leastSharedShare*float64(promptTokens) {
 		return false
 	}
@@ -77,6 +106,34 @@
 	return true
 }
 
+// Heard notes what another daemon has sent.
+func (m *Memory) Heard(now time.Time, facts []Fact) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	for _, fact := range facts {
+		m.note(now, fact)
+	}
+}
+
+// Untold returns the facts that other daemons were not told of yet, and counts
+// them as told.
+func (m *Memory) Untold() []Fact {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	facts := m.untold
+	m.untold = nil
+	return facts
+}
+
+// note makes a back end the newest holder of a part.
+func (m *Memory) note(now time.Time, fact Fact) *record {
+	found := m.touch(fact.Part)
+	found.holders = slices.DeleteFunc(found.holders, func(known holder) bool { return known.backend == fact.Backend })
+	found.holders = slices.Insert(found.holders, 0, holder{backend: fact.Backend, at: now})
+	found.holders = found.holders[:min(len(found.holders), maximumHolders)]
+	return found
+}
+
 // touch returns the key's record, made if there is none, as the newest.
 func (m *Memory) touch(key Key) *record {
 	if element := m.records[key]; element != nil {
--- a/internal/loadshare/loadshare.go
+++ b/internal/loadshare/loadshare.go
@@ -1,6 +1,7 @@
 // Package loadshare lets daemons tell each other what they have under way at each
-// back end, several times a second, in single datagrams that may be lost. A
-// daemon that isn't heard of for a moment counts as having nothing under way.
+// back end and where they sent the shared parts of prompts, several times a second,
+// in single datagrams that may be lost. A daemon that isn't heard of for a moment
+// counts as having nothing under way.
 package loadshare
 
 import (
@@ -8,12 +9,14 @@
 	"math/rand/v2"
 	"net"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/lotusward/lotusward/internal/core/backendpool"
+	"github.com/lotusward/lotusward/internal/core/promptcache"
 )
 
 // Times and sizes.
@@ -35,6 +38,7 @@
 type message struct {
 	From  string
 	Loads []backendpool.Load
+	Facts []promptcache.Fact
 }
 
 // Options are what a Sharer works with.
@@ -44,6 +48,7 @@
 	// Others returns the addresses of the other daemons.
 	Others func() []string
 	Pool   *backendpool.Pool
+	Memory *promptcache.Memory
 }
 
 // Sharer tells and hears loads.
@@ -85,30 +90,19 @@
 		case now := <-ticker.C:
 			s.options.Pool.SetOthersLoad(s.merge(now))
 			loads := s.options.Pool.Loads(maximumLoads)
-			if same(loads, last) && now.Sub(sentAt) < idleInterval {
+			facts := s.options.Memory.Untold()
+			if len(facts) == 0 && slices.Equal(loads, last) && now.Sub(sentAt) < idleInterval {
 				continue
 			}
 			last, sentAt = loads, now
-			s.send(socket, loads)
+			s.send(socket, &message{From: s.options.Address, Loads: loads, Facts: facts})
 		}
 	}
 }
 
-func same(left, right []backendpool.Load) bool {
-	if len(left) != len(right) {
-		return false
-	}
-	for index := range left {
-		if left[index] != right[index] {
-			return false
-		}
-	}
-	return true
-}
-
 // send tells some of the other daemons.
-func (s *Sharer) send(socket net.PacketConn, loads []backendpool.Load) {
-	datagram, err := msgpack.Marshal(&message{From: s.options.Address, Loads: loads})
+func (s *Sharer) send(socket net.PacketConn, told *message) {
+	datagram, err := msgpack.Marshal(told)
 	if err != nil || len(datagram) > maximumDatagram {
 		return
 	}
@@ -139,8 +133,10 @@
 		if msgpack.Unmarshal(buffer[:count], &got) != nil {
 			continue
 		}
+		now := time.Now()
+		s.options.Memory.Heard(now, got.Facts)
 		s.mutex.Lock()
-		s.heard[got.From] = heardLoads{at: time.Now(), loads: got.Loads}
+		s.heard[got.From] = heardLoads{at: now, loads: got.Loads}
 		s.mutex.Unlock()
 	}
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -21,6 +21,8 @@
 	Backends Backends
 	Budgets  *Budgets
 	Policy   Policy
+	// Memory remembers where shared parts of prompts went.
+	Memory *promptcache.Memory
 	// Store returns what the store of prompt caches is believed to hold.
 	Store func() *cachewatch.Cache
 	// Journal is told of each decision.
@@ -32,7 +34,6 @@
 // Relay serves requests. It is safe for use by several goroutines.
 type Relay struct {
 	options Options
-	memory  *promptcache.Memory
 }
 
 // New makes a Relay.
@@ -40,7 +41,7 @@
 	if options.Now == nil {
 		options.Now = time.Now
 	}
-	return &Relay{options: options, memory: promptcache.New()}
+	return &Relay{options: options}
 }
 
 // Serve answers one request. The context ends when the caller has left.
@@ -142,9 +143,9 @@
 	query.SharedTokens, query.OwnTokens = total-own, own
 	newest := admitted.state.NewestVersion(prompt.Model)
 	if key, shared := r.cacheKey(admitted, newest); shared {
-		stored, _ := r.options.Store().Tokens(cachewatch.Part{Salt: key.Salt, ID: key.Part})
-		query.Holder = r.memory.Holder(key)
-		query.Movable = stored > 0 || query.Holder != ""
+		stored, _ := r.options.Store().Tokens(key)
+		query.Holders = r.options.Memory.Holders(r.options.Now(), promptcache.KeyOf(key.Salt, key.ID))
+		query.Movable = stored > 0 || len(query.Holders) > 0
 	}
 	return query
 }
@@ -197,12 +198,12 @@
 
 // cacheKey names the deepest shared part of a request's prompt under the salt for
 // a version of the weights. It returns false when no part is shared.
-func (r *Relay) cacheKey(admitted *admission, version uint64) (promptcache.Key, bool) {
+func (r *Relay) cacheKey(admitted *admission, version uint64) (cachewatch.Part, bool) {
 	parts := admitted.request.Prompt.Parts
 	if len(parts) < 2 {
-		return promptcache.Key{}, false
+		return cachewatch.Part{}, false
 	}
-	return promptcache.Key{Salt: cacheSalt(version, admitted.tenant), Part: parts[len(parts)-2].ID}, true
+	return cachewatch.Part{Salt: cacheSalt(version, admitted.tenant), ID: parts[len(parts)-2].ID}, true
 }
 
 // describeCache sets the salt, and where prompt caches come from and go to. The
@@ -219,32 +220,19 @@
 	if store == nil || !shared {
 		return
 	}
-	stored, known := r.options.Store().Tokens(cachewatch.Part{Salt: key.Salt, ID: key.Part})
-	dispatch.FetchFrom = r.fetchFrom(admitted, ticket, key)
+	stored, known := r.options.Store().Tokens(key)
+	dispatch.FetchFrom = ticket.HolderAddress
 	if dispatch.FetchFrom == "" || stored > 0 {
 		dispatch.FetchFrom = store.Address
 	}
 	total, own := promptTokens(admitted.request.Prompt.Parts)
-	mayBeSaved := r.memory.Sent(r.options.Now(), key, ticket.Backend.ID, total-own, total)
+	fact := promptcache.Fact{Part: promptcache.KeyOf(key.Salt, key.ID), Backend: ticket.Key}
+	mayBeSaved := r.options.Memory.Sent(r.options.Now(), fact, total-own, total)
 	if mayBeSaved && known && stored == 0 {
 		dispatch.SaveTo = store.Address
 	}
 }
 
-// fetchFrom says which other back end most likely has the prompt's shared parts:
-// their home, or the one that this daemon last sent them to. It is empty when the
-// ticket's back end is both.
-func (r *Relay) fetchFrom(admitted *admission, ticket *backendpool.Ticket, key promptcache.Key) string {
-	if ticket.HomeAddress != "" {
-		return ticket.HomeAddress
-	}
-	holder := r.memory.Holder(key)
-	if holder == "" || holder == ticket.Backend.ID {
-		return ""
-	}
-	return r.options.Pool.Address(r.options.Now(), holder, admitted.request.Prompt.Model, ticket.Version)
-}
-
 // promptTokens returns a prompt's tokens, and those of its own last part.
 func promptTokens(parts []Part) (total, own int) {
 	for _, part := range parts {
--- a/internal/requestlog/requestlog.go
+++ b/internal/requestlog/requestlog.go
@@ -16,7 +16,7 @@
 
 // Rates of lines a second.
 const (
-	servedRate  = 500
+	servedRate  = 5
 	failureRate = 50
 )
 
