--- a/cmd/lotusward-platform/wire.go
+++ b/cmd/lotusward-platform/wire.go
@@ -76,6 +76,7 @@
 	})
 	known := directory.New(directory.Options{
 		Source: store, Pool: backends, Log: part("directory"),
+		SteadyTime:       platform.Milliseconds(bounds.ContactMs),
 		VersionHeadStart: time.Duration(versionShare*float64(bounds.VersionMs)) * time.Millisecond / 2,
 	})
 	storeWatch := cachewatch.NewWatcher(runners, known.PromptStoreAddress, part("promptstore"))
--- a/internal/core/backendpool/choice.go
+++ b/internal/core/backendpool/choice.go
@@ -82,26 +82,39 @@
 // there, and what the prompt adds. Among those about as good, the one that ranks
 // highest for the prompt wins, so that daemons agree without talking.
 func chooseSoonest(candidates []*entry, query Query) (*entry, float64) {
-	home := highestRank(candidates, query.Home)
-	least := 0.0
+	missing := missingCosts(candidates, query)
+	least := candidates[0].waiting() + missing[0]
 	for index, candidate := range candidates {
-		cost := candidate.waiting() + missing(candidate, home, query)
-		if index == 0 || cost < least {
-			least = cost
-		}
+		least = min(least, candidate.waiting()+missing[index])
 	}
 	bound := least*(1+equalShare) + equalSlack
-	var best *entry
-	var bestScore uint64
-	for _, candidate := range candidates {
-		if candidate.waiting()+missing(candidate, home, query) > bound {
+	best, bestScore := -1, uint64(0)
+	for index, candidate := range candidates {
+		if candidate.waiting()+missing[index] > bound {
 			continue
 		}
-		if score := candidate.rank(query.Home); best == nil || score > bestScore {
-			best, bestScore = candidate, score
+		if score := candidate.rank(query.Home); best < 0 || score > bestScore {
+			best, bestScore = index, score
+		}
+	}
+	return candidates[best], missing[best] + float64(query.OwnTokens)
+}
+
+// missingCosts returns the cost of the prompt's shared parts at each candidate.
+func missingCosts(candidates []*entry, query Query) []float64 {
+	home := highestRank(candidates, query.Home)
+	known := map[uint64]Cached{}
+	costs := make([]float64, len(candidates))
+	for index, candidate := range candidates {
+		version := candidate.version(query.Model)
+		cached, found := known[version]
+		if !found && query.Cached != nil {
+			cached = query.Cached(version)
+			known[version] = cached
 		}
+		costs[index] = missing(candidate, home, cached, query.SharedTokens)
 	}
-	return best, missing(best, home, query) + float64(query.OwnTokens)
+	return costs
 }
 
 // waiting is the cost of what is under way at a back end.
@@ -115,16 +128,16 @@
 
 // missing is the cost of the prompt's shared parts at a candidate. Where no holder
 // is known, the home is taken for one, since other daemons send them there too.
-func missing(candidate, home *entry, query Query) float64 {
+func missing(candidate, home *entry, cached Cached, sharedTokens int) float64 {
 	switch {
-	case query.SharedTokens == 0, slices.Contains(query.Holders, candidate.key):
+	case sharedTokens == 0, slices.Contains(cached.Holders, candidate.key):
 		return 0
-	case len(query.Holders) == 0 && candidate == home:
+	case len(cached.Holders) == 0 && candidate == home:
 		return 0
-	case query.Movable:
-		return moveCost * float64(query.SharedTokens)
+	case cached.Movable:
+		return moveCost * float64(sharedTokens)
 	default:
-		return rereadCost * float64(query.SharedTokens)
+		return rereadCost * float64(sharedTokens)
 	}
 }
 
--- a/internal/core/backendpool/pool.go
+++ b/internal/core/backendpool/pool.go
@@ -23,9 +23,16 @@
 	Exclude []identity.BackendID
 	// SharedTokens of the prompt are shared with other requests, OwnTokens are not.
 	SharedTokens, OwnTokens int
-	// Holders are the hashes of the back ends that most likely hold the shared parts.
+	// Cached says where the shared parts are, as made under a version of the
+	// weights; nil knows nothing.
+	Cached func(version uint64) Cached
+}
+
+// Cached says where a prompt's shared parts are.
+type Cached struct {
+	// Holders are the hashes of the back ends that most likely hold them.
 	Holders []uint64
-	// Movable is set when the shared parts can be taken from elsewhere.
+	// Movable is set when they can be taken from elsewhere.
 	Movable bool
 }
 
@@ -161,12 +168,17 @@
 // holder returns a sound back end other than the picked one that most likely holds
 // the query's shared parts under the same version, or nil.
 func (p *Pool) holder(now time.Time, query Query, picked *entry) *entry {
-	if slices.Contains(query.Holders, picked.key) {
+	version := picked.version(query.Model)
+	if query.Cached == nil || version == 0 {
+		return nil
+	}
+	holders := query.Cached(version).Holders
+	if slices.Contains(holders, picked.key) {
 		return nil
 	}
-	for _, key := range query.Holders {
+	for _, key := range holders {
 		for _, candidate := range p.services[query.Service] {
-			same := candidate.version(query.Model) == picked.version(query.Model)
+			same := candidate.version(query.Model) == version
 			if candidate.key == key && same && !candidate.ejected(now) {
 				return candidate
 			}
--- a/internal/core/backendpool/pool_test.go
+++ b/internal/core/backendpool/pool_test.go
@@ -139,10 +139,10 @@
 func TestOthersLoadCounts(t *testing.T) {
 	pool := New("a")
 	pool.Update(engines(3))
-	query := Query{Service: "llm", Model: "m", Home: 5, SharedTokens: 1000, OwnTokens: 500, Movable: true}
+	query := Query{Service: "llm", Model: "m", Home: 5, SharedTokens: 1000, OwnTokens: 500}
 	home := pool.Pick(start, query)
 	home.Release(start, ResultServed)
-	query.Holders = []uint64{home.Key}
+	query.Cached = func(uint64) Cached { return Cached{Holders: []uint64{home.Key}, Movable: true} }
 	pool.SetOthersLoad(map[uint64]Load{home.entry.key: {Key: home.entry.key, InFlight: 2, Reading: 9000}})
 	elsewhere := pool.Pick(start, query)
 	elsewhere.Release(start, ResultServed)
@@ -165,3 +165,29 @@
 	ticket.Release(start, ResultServed)
 	assert.Equal(t, len(pool.Loads(9)), 0)
 }
+
+// TestOldVersionKeepsItsPrompts sends a prompt to the back end that holds it under
+// the old version of the weights while one with the new version doesn't.
+func TestOldVersionKeepsItsPrompts(t *testing.T) {
+	pool := New("a")
+	list := engines(2)
+	list[1].Weights["m"] = 2
+	pool.Update(list)
+	old := pool.byID["engine-0"].key
+	query := Query{Service: "llm", Model: "m", SharedTokens: 5000, OwnTokens: 500, Cached: func(version uint64) Cached {
+		if version == 1 {
+			return Cached{Holders: []uint64{old}, Movable: true}
+		}
+		return Cached{}
+	}}
+	for home := range uint64(8) {
+		query.Home = home + 1
+		ticket := pool.Pick(start, query)
+		// The home of an unread prompt counts as holding it; the old holder must win
+		// or be that home's equal, so the new back end is only taken as the home.
+		if ticket.Backend.ID == "engine-1" {
+			assert.Assert(t, ticket.entry.rank(query.Home) > pool.byID["engine-0"].rank(query.Home))
+		}
+		ticket.Release(start, ResultServed)
+	}
+}
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -39,6 +39,8 @@
 	// VersionHeadStart is how long ago versions count as named that this daemon
 	// finds at its start.
 	VersionHeadStart time.Duration
+	// SteadyTime is how long after a failed call the store counts as disturbed.
+	SteadyTime time.Duration
 }
 
 // Directory implements relay.Control.
@@ -47,7 +49,9 @@
 	messages  chan message
 	state     atomic.Pointer[relay.State]
 	confirmed atomic.Pointer[time.Time]
-	listed    atomic.Bool
+	// steady is when the store had last been steady for SteadyTime since a failure.
+	steady atomic.Pointer[time.Time]
+	listed atomic.Bool
 
 	// What follows belongs to the goroutine of Run.
 	versions  map[identity.ModelName][]relay.NamedVersion
@@ -75,6 +79,7 @@
 		reachable: map[Table]bool{},
 	}
 	directory.confirmed.Store(&time.Time{})
+	directory.steady.Store(&time.Time{})
 	return directory
 }
 
@@ -84,6 +89,9 @@
 // ConfirmedAt implements relay.Control.
 func (d *Directory) ConfirmedAt() time.Time { return *d.confirmed.Load() }
 
+// SteadySince implements relay.Control.
+func (d *Directory) SteadySince() time.Time { return *d.steady.Load() }
+
 // Complete tells whether a configuration and the back ends are known.
 func (d *Directory) Complete() bool { return d.state.Load() != nil && d.listed.Load() }
 
@@ -154,6 +162,8 @@
 	d.noteReachability(got)
 	switch {
 	case got.err != nil:
+		steady := got.ended.Add(d.options.SteadyTime)
+		d.steady.Store(&steady)
 	case got.declared != nil:
 		d.applyDeclared(got)
 	case got.listed != nil:
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -141,21 +141,30 @@
 	query.LeastVersion = r.leastVersion(prompt.Model)
 	total, own := promptTokens(prompt.Parts)
 	query.SharedTokens, query.OwnTokens = total-own, own
-	newest := admitted.state.NewestVersion(prompt.Model)
-	if key, shared := r.cacheKey(admitted, newest); shared {
-		stored, _ := r.options.Store().Tokens(key)
-		query.Holders = r.options.Memory.Holders(r.options.Now(), promptcache.KeyOf(key.Salt, key.ID))
-		query.Movable = stored > 0 || len(query.Holders) > 0
-	}
+	query.Cached = func(version uint64) backendpool.Cached { return r.cached(admitted, version) }
 	return query
 }
 
+// cached says where a request's shared parts are for a version of the weights.
+func (r *Relay) cached(admitted *admission, version uint64) backendpool.Cached {
+	key, shared := r.cacheKey(admitted, version)
+	if !shared {
+		return backendpool.Cached{}
+	}
+	stored, _ := r.options.Store().Tokens(key)
+	holders := r.options.Memory.Holders(r.options.Now(), promptcache.KeyOf(key.Salt, key.ID))
+	return backendpool.Cached{Holders: holders, Movable: stored > 0 || len(holders) > 0}
+}
+
 // leastVersion is the oldest version of a model's weights that a request may begin
 // on now. It is taken from the present state, which may be newer than the
 // request's own.
 func (r *Relay) leastVersion(model identity.ModelName) uint64 {
-	state := r.options.Control.State()
-	return state.LeastVersion(model, r.options.Now().Add(-r.options.Policy.VersionGrace))
+	namedBefore := r.options.Now().Add(-r.options.Policy.VersionGrace)
+	if r.options.Control.SteadySince().After(namedBefore) {
+		return 0
+	}
+	return r.options.Control.State().LeastVersion(model, namedBefore)
 }
 
 // home is the hash of the deepest part that other requests share, or zero when
--- a/internal/relay/state.go
+++ b/internal/relay/state.go
@@ -52,6 +52,9 @@
 	// ConfirmedAt is when the newest call began that showed the state to be the
 	// newest.
 	ConfirmedAt() time.Time
+	// SteadySince returns since when the platform's store has been steady, which
+	// may be in the future while it is disturbed.
+	SteadySince() time.Time
 }
 
 // Policy holds the bounds that the relay keeps.
@@ -63,7 +66,8 @@
 	// told that its route or key is unknown.
 	ConfirmationForDenials time.Duration
 	// VersionGrace is how long after a version was named back ends with an older
-	// one may begin requests.
+	// one may begin requests. It counts while the platform's store is steady, since
+	// new weights cannot be ordered without it.
 	VersionGrace time.Duration
 	// RetryAfter is what callers are told where a request has not run.
 	RetryAfter time.Duration
--- a/internal/rollout/keeper.go
+++ b/internal/rollout/keeper.go
@@ -181,7 +181,7 @@
 		case ReplyHolds:
 			return version
 		case ReplyTaken:
-			if held := k.await(ctx, backend, model, version); held >= version {
+			if held := k.await(ctx, backend, model, version, report.Sequence); held >= version {
 				return held
 			}
 		case ReplyConflict:
@@ -193,15 +193,19 @@
 	return 0
 }
 
-// await waits until a taken order is done. It returns the version held.
-func (k *Keeper) await(ctx context.Context, backend backendpool.Backend, model identity.ModelName, version uint64) uint64 {
-	pause.For(ctx, settleTime)
+// await waits until a taken order is done. It returns the version held. A report
+// with the count of orders from before the order is of an earlier moment.
+func (k *Keeper) await(ctx context.Context, backend backendpool.Backend, model identity.ModelName, version, before uint64) uint64 {
 	for ctx.Err() == nil {
+		pause.For(ctx, reportInterval)
 		report, err := k.report(ctx, backend)
-		if err == nil && (report.Versions[model] >= version || !report.Busy) {
+		if err != nil {
+			continue
+		}
+		ended := report.Sequence > before && !report.Busy
+		if ended || report.Versions[model] >= version {
 			return report.Versions[model]
 		}
-		pause.For(ctx, reportInterval)
 	}
 	return 0
 }
