--- a/cmd/lotusward-platform/wire.go
+++ b/cmd/lotusward-platform/wire.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"time"
 
@@ -23,6 +24,7 @@
 	"github.com/lotusward/lotusward/internal/logging"
 	"github.com/lotusward/lotusward/internal/members"
 	"github.com/lotusward/lotusward/internal/pause"
+	"github.com/lotusward/lotusward/internal/port"
 	"github.com/lotusward/lotusward/internal/relay"
 	"github.com/lotusward/lotusward/internal/requestlog"
 	"github.com/lotusward/lotusward/internal/rollout"
@@ -41,6 +43,9 @@
 	versionShare = 0.7
 	// budgetShare of the retries that all daemons may make together.
 	budgetShare = 0.7
+	// leaseShare of the time that must lie between two holders' orders: a new holder
+	// waits for that time anyway, so the lease itself may be shorter.
+	leaseShare = 0.7
 	// maximumDrift bounds how much steady clocks differ in rate.
 	maximumDrift = 0.02
 	retryAfter   = 250 * time.Millisecond
@@ -66,7 +71,8 @@
 	registry := prometheus.NewRegistry()
 	counters := requestlog.NewCounters(registry)
 	connections := httpexchange.NewPool(httpexchange.Options{LocalAddress: settings.IP})
-	store := platform.NewStore(connections, settings.Store.Address, counters)
+	watch := &storeObserver{counters: counters}
+	store := platform.NewStore(connections, settings.Store.Address, watch)
 	runners := platform.NewRunners(connections)
 	backends := backendpool.New(settings.Zone)
 	bounds := settings.Bounds
@@ -80,6 +86,7 @@
 		VersionHeadStart: time.Duration(versionShare*float64(bounds.VersionMs)) * time.Millisecond / 2,
 	})
 	storeWatch := cachewatch.NewWatcher(runners, known.PromptStoreAddress, part("promptstore"))
+	watch.directory = known
 	memory := promptcache.New()
 	relaying := relay.New(relay.Options{
 		Control: known, Pool: backends, Backends: runners, Budgets: budgets,
@@ -89,7 +96,7 @@
 		Table: store, Log: part("lease"),
 		Settings: lease.Settings{
 			Key: rollout.KeyLease, Holder: settings.NodeName, Incarnation: identity.Incarnation(rand.Uint64()),
-			Duration: platform.Milliseconds(bounds.LeaseMs), MaximumDrift: maximumDrift,
+			Duration: time.Duration(leaseShare * float64(platform.Milliseconds(bounds.LeaseMs))), MaximumDrift: maximumDrift,
 		},
 	})
 	others := members.New(members.Options{
@@ -113,6 +120,21 @@
 	}
 }
 
+// storeObserver counts the store's calls and tells the directory of failed ones.
+type storeObserver struct {
+	counters  *requestlog.Counters
+	directory *directory.Directory
+}
+
+// StoreCall implements platform.CallObserver.
+func (o *storeObserver) StoreCall(call, result string, err error) {
+	o.counters.StoreCall(call, result, err)
+	var limited *port.RateLimitedError
+	if err != nil && !errors.As(err, &limited) && !errors.Is(err, context.Canceled) {
+		o.directory.Disturbed(time.Now())
+	}
+}
+
 func policy(bounds platform.Bounds) relay.Policy {
 	share := func(share float64, milliseconds int) time.Duration {
 		return time.Duration(share * float64(platform.Milliseconds(milliseconds)))
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -89,6 +89,12 @@
 // ConfirmedAt implements relay.Control.
 func (d *Directory) ConfirmedAt() time.Time { return *d.confirmed.Load() }
 
+// Disturbed notes that a call of the store failed, by whichever part of the daemon.
+func (d *Directory) Disturbed(now time.Time) {
+	steady := now.Add(d.options.SteadyTime)
+	d.steady.Store(&steady)
+}
+
 // SteadySince implements relay.Control.
 func (d *Directory) SteadySince() time.Time { return *d.steady.Load() }
 
@@ -162,8 +168,6 @@
 	d.noteReachability(got)
 	switch {
 	case got.err != nil:
-		steady := got.ended.Add(d.options.SteadyTime)
-		d.steady.Store(&steady)
 	case got.declared != nil:
 		d.applyDeclared(got)
 	case got.listed != nil:
--- a/internal/requestlog/counters.go
+++ b/internal/requestlog/counters.go
@@ -51,7 +51,9 @@
 }
 
 // StoreCall counts a call of the metadata store.
-func (c *Counters) StoreCall(call, result string) { c.storeCalls.WithLabelValues(call, result).Inc() }
+func (c *Counters) StoreCall(call, result string, _ error) {
+	c.storeCalls.WithLabelValues(call, result).Inc()
+}
 
 func (c *Counters) refused(refusal relay.Refusal) {
 	c.requests.WithLabelValues(string(refusal.Kind), refusal.Reason).Inc()
