--- /dev/null
+++ b/cmd/lotusward-platform/deployment_test.go
@@ -0,0 +1,292 @@
+package main
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"github.com/lotusward/lotusward/platform/platformtest"
+)
+
+// runAsDaemon makes the test binary run as the program itself.
+const runAsDaemon = "LOTUSWARD_TEST_RUN_AS_DAEMON"
+
+func TestMain(m *testing.M) {
+	if os.Getenv(runAsDaemon) != "" {
+		os.Exit(start())
+	}
+	os.Exit(m.Run())
+}
+
+// Names of the test deployment.
+const (
+	testHost  = "h.example"
+	testKey   = "key-of-open"
+	otherKey  = "key-to-revoke"
+	testModel = "m"
+)
+
+// process is a daemon as a process of its own.
+type process struct {
+	command *exec.Cmd
+	front   string
+	ready   string
+	mutex   sync.Mutex
+	output  bytes.Buffer
+	ended   chan struct{}
+}
+
+func (p *process) log() string {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return p.output.String()
+}
+
+// deployment is a store, runners and daemons.
+type deployment struct {
+	t       *testing.T
+	store   *platformtest.Store
+	runners []*platformtest.Runner
+	version int
+	bounds  string
+}
+
+// newDeployment starts a store. The tests of deployments run beside each other.
+func newDeployment(t *testing.T) *deployment {
+	t.Helper()
+	t.Parallel()
+	made := &deployment{t: t, store: platformtest.NewStore(), bounds: defaultBounds}
+	t.Cleanup(made.store.Close)
+	return made
+}
+
+const defaultBounds = `
+  contactMs: 300
+  drainMs: 1000
+  graceS: 4
+  configApplyMs: 2000
+  revokeFailClosed: true
+  revokeMs: 1500
+  retryBudgetRatio: 0.2
+  budgetWindowS: 10
+  retryBudgetSlack: 54
+  leaseMs: 1000
+  versionMs: 4000
+`
+
+// page and engine start runners.
+func (d *deployment) page(id string) *platformtest.Runner {
+	return d.keep(platformtest.NewRunner(d.store, id, "pages", "", 0, 0))
+}
+
+func (d *deployment) engine(id string, events int, pause time.Duration) *platformtest.Runner {
+	return d.keep(platformtest.NewRunner(d.store, id, "llm", testModel, events, pause))
+}
+
+func (d *deployment) keep(runner *platformtest.Runner) *platformtest.Runner {
+	d.runners = append(d.runners, runner)
+	d.t.Cleanup(runner.Close)
+	return runner
+}
+
+// configure writes the next configuration; keys are those of the tenant.
+func (d *deployment) configure(keys ...string) {
+	d.version += 3
+	route := func(prefix, kind, service string, attempts int, resumable bool) map[string]any {
+		return map[string]any{
+			"name": "route" + strings.Trim(prefix, "/"), "host": testHost, "pathPrefix": prefix, "type": kind, "service": service,
+			"timeoutMs": 8000, "targetLatencyMs": 800, "gapTargetMs": 500, "maxAttempts": attempts, "resumable": resumable,
+			"unknownField": true,
+		}
+	}
+	d.store.Put("op", "config", map[string]any{
+		"version": d.version,
+		"routes": []any{
+			route("/safe/", "safe", "pages", 2, false),
+			route("/unsafe/", "unsafe", "pages", 1, false),
+			route("/stream/", "streaming", "llm", 2, true),
+			route("/once/", "streaming", "llm", 1, false),
+		},
+		"services": []any{
+			map[string]any{"name": "pages", "healthPath": "/health", "maxConnections": 100},
+			map[string]any{"name": "llm", "healthPath": "/health", "engine": map[string]any{"slots": 8, "models": []any{map[string]any{"name": testModel}}}},
+		},
+		"limits":  map[string]any{"maxBodyBytes": 1 << 20, "maxHeaderBytes": 16384, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
+		"tenants": []any{map[string]any{"name": "open", "apiKeys": keys, "priority": 1}},
+	})
+}
+
+// name names a version of the weights.
+func (d *deployment) name(version int) {
+	d.store.Put("op", "version/"+testModel, map[string]any{"model": testModel, "version": version})
+}
+
+func freePort(t *testing.T) string {
+	t.Helper()
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer func() { _ = listener.Close() }()
+	return listener.Addr().String()
+}
+
+func portOf(address string) string {
+	_, port, _ := net.SplitHostPort(address)
+	return port
+}
+
+// daemon starts a daemon and waits until it is ready, if it should become so.
+func (d *deployment) daemon(name string, untilReady bool) *process {
+	d.t.Helper()
+	made := &process{front: freePort(d.t), ready: freePort(d.t), ended: make(chan struct{})}
+	settings := fmt.Sprintf(`
+nodeName: %q
+ip: "127.0.0.1"
+zone: "a"
+listen:
+  front: %q
+  ready: %q
+internalPorts: [%s]
+platform:
+  address: %q
+bounds:%s`, name, made.front, made.ready, portOf(freePort(d.t)), d.store.Address(), d.bounds)
+	path := filepath.Join(d.t.TempDir(), "node.yaml")
+	assert.NilError(d.t, os.WriteFile(path, []byte(settings), 0o600))
+	made.command = exec.Command(os.Args[0])
+	made.command.Env = append(os.Environ(), runAsDaemon+"=1", "LOTUSWARD_SETTINGS="+path)
+	output, err := made.command.StdoutPipe()
+	assert.NilError(d.t, err)
+	made.command.Stderr = os.Stderr
+	assert.NilError(d.t, made.command.Start())
+	go made.collect(output)
+	d.t.Cleanup(func() {
+		_ = made.command.Process.Kill()
+		<-made.ended
+		if d.t.Failed() {
+			d.t.Logf("log of %s:\n%s", name, made.log())
+		}
+	})
+	if untilReady {
+		poll.WaitOn(d.t, readyIs(made, true), poll.WithTimeout(10*time.Second))
+	}
+	return made
+}
+
+// collect keeps what the daemon prints.
+func (p *process) collect(output io.Reader) {
+	scanner := bufio.NewScanner(output)
+	for scanner.Scan() {
+		p.mutex.Lock()
+		p.output.WriteString(scanner.Text() + "\n")
+		p.mutex.Unlock()
+	}
+	_ = p.command.Wait()
+	close(p.ended)
+}
+
+func (p *process) isReady() bool {
+	response, err := http.Get("http://" + p.ready + "/-/ready")
+	if err != nil {
+		return false
+	}
+	_ = response.Body.Close()
+	return response.StatusCode == http.StatusOK
+}
+
+func readyIs(p *process, want bool) poll.Check {
+	return func(poll.LogT) poll.Result {
+		if p.isReady() == want {
+			return poll.Success()
+		}
+		return poll.Continue("ready is not %t", want)
+	}
+}
+
+// reply is what a client saw.
+type reply struct {
+	status int
+	header http.Header
+	body   string
+	err    error
+}
+
+// call is one request of a client.
+type call struct {
+	method, path, id, key, body string
+	header                      map[string]string
+}
+
+func (p *process) ask(sent call) reply {
+	if sent.method == "" {
+		sent.method = http.MethodPost
+	}
+	if sent.key == "" {
+		sent.key = testKey
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 15*time.Second)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, sent.method, "http://"+p.front+sent.path, strings.NewReader(sent.body))
+	if err != nil {
+		return reply{err: err}
+	}
+	request.Host = testHost
+	request.Header.Set("Lotusward-Request-Id", sent.id)
+	request.Header.Set("Lotusward-Request-Deadline-Ms", "6000")
+	request.Header.Set("Authorization", "Bearer "+sent.key)
+	for name, value := range sent.header {
+		request.Header.Set(name, value)
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return reply{err: err}
+	}
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(response.Body)
+	return reply{status: response.StatusCode, header: response.Header, body: string(body), err: err}
+}
+
+// prompt declares a prompt.
+func prompt(parts string) map[string]string {
+	return map[string]string{"Lotusward-Model": testModel, "Lotusward-Token-Usage": "100,10", "Lotusward-Prompt-Prefix": parts}
+}
+
+// lines returns the structured log lines that name a request.
+func (p *process) lines(request string) []map[string]any {
+	var found []map[string]any
+	for _, text := range strings.Split(p.log(), "\n") {
+		var line map[string]any
+		if json.Unmarshal([]byte(text), &line) == nil && line["request"] == request {
+			found = append(found, line)
+		}
+	}
+	return found
+}
+
+func events(first, last int) string {
+	var text strings.Builder
+	for id := first; id <= last; id++ {
+		text.WriteString(platformtest.EventText(id))
+	}
+	return text.String()
+}
+
+// stop asks the daemon to end in order.
+func (p *process) stop(t *testing.T) {
+	t.Helper()
+	assert.NilError(t, p.command.Process.Signal(syscall.SIGTERM))
+}
