Follow the list of back ends by its changes; few candidates for the lease

Now whole readings are spaced by their size (8 kB/s), changes are followed in between, and about eight daemons at a time try for the lease.

--- a/cmd/lotusward-platform/wire.go
+++ b/cmd/lotusward-platform/wire.go
@@ -92,17 +92,22 @@
 		Control: known, Pool: backends, Backends: runners, Budgets: budgets,
 		Policy: policy(bounds), Memory: memory, Store: storeWatch.Cache, Journal: requestlog.New(part("relay"), counters),
 	})
+	others := members.New(members.Options{
+		Self: settings.NodeName, Address: settings.InternalAddress(), Table: store, Log: part("members"),
+		Changed: func(count int) { budgets.SetFloor(int(budgetShare * bounds.RetryBudgetSlack / float64(count))) },
+	})
+	candidate := &leasekeeper.Candidate{Count: others.Count}
 	keeper := leasekeeper.New(leasekeeper.Options{
-		Table: store, Log: part("lease"),
+		Table: store, Log: part("lease"), Eligible: func() bool { return candidate.Eligible(time.Now()) },
 		Settings: lease.Settings{
 			Key: rollout.KeyLease, Holder: settings.NodeName, Incarnation: identity.Incarnation(rand.Uint64()),
 			Duration: time.Duration(leaseShare * float64(platform.Milliseconds(bounds.LeaseMs))), MaximumDrift: maximumDrift,
 		},
 	})
-	others := members.New(members.Options{
-		Self: settings.NodeName, Address: settings.InternalAddress(), Table: store, Log: part("members"),
-		Changed: func(count int) { budgets.SetFloor(int(budgetShare * bounds.RetryBudgetSlack / float64(count))) },
-	})
+	candidate.Held = func() bool {
+		_, held := keeper.Held()
+		return held
+	}
 	return &wired{
 		settings:  settings,
 		pool:      connections,
--- /dev/null
+++ b/internal/daemon/leasekeeper/candidate.go
@@ -0,0 +1,44 @@
+package leasekeeper
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+)
+
+// Candidates.
+const (
+	// expectedCandidates is about how many daemons try for a lease at a time.
+	expectedCandidates = 8
+	// candidateTime is how long a daemon stays, or doesn't stay, a candidate.
+	candidateTime = 5 * time.Second
+)
+
+// Candidate decides whether a daemon tries for a lease, so that with hundreds of
+// daemons only a few read its row. Each draws lots anew from time to time, so that
+// there are candidates whichever daemons are gone.
+type Candidate struct {
+	// Count returns how many daemons there may be.
+	Count func() int
+	// Held tells whether this daemon holds the lease; a holder stays a candidate.
+	Held func() bool
+
+	mutex  sync.Mutex
+	drawn  bool
+	redraw time.Time
+}
+
+// Eligible tells whether the daemon tries for the lease now.
+func (c *Candidate) Eligible(now time.Time) bool {
+	count := c.Count()
+	if count <= expectedCandidates || c.Held() {
+		return true
+	}
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if now.After(c.redraw) {
+		c.redraw = now.Add(candidateTime/2 + rand.N(candidateTime))
+		c.drawn = rand.Float64() < expectedCandidates/float64(count)
+	}
+	return c.drawn
+}
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -1,8 +1,10 @@
 package directory
 
 import (
+	"cmp"
 	"context"
 	"maps"
+	"math/rand/v2"
 	"slices"
 	"sync/atomic"
 	"time"
@@ -16,15 +18,23 @@
 	"github.com/lotusward/lotusward/internal/relay"
 )
 
-// Times of reading.
+// Times and sizes of reading.
 const (
-	// readInterval is how often rows are read though no change was told: the
-	// store may tell of a change late or not at all.
+	// readInterval is how often rows are read as a whole though no change was told.
 	readInterval = 900 * time.Millisecond
-	// leastInterval lies between two reads, however fast changes come.
-	leastInterval = 120 * time.Millisecond
+	// bytesPerSecond bounds what the whole readings of large tables cost: those are
+	// read less often, and followed by their changes in between.
+	bytesPerSecond      = 8 << 10
+	longestReadInterval = 30 * time.Second
+	// changeWait is how long a call for changes is held.
+	changeWait = 750 * time.Millisecond
+	// leastInterval lies between two calls, however fast changes come.
+	leastInterval = 100 * time.Millisecond
 	failurePause  = 150 * time.Millisecond
 	callTimeout   = 1500 * time.Millisecond
+	// silentTime is how long the store may keep changes to itself before it drops
+	// its history, which a call for changes is then told.
+	silentTime = 1200 * time.Millisecond
 	// clockSlack covers steady clocks that run at different rates.
 	clockSlack = 100 * time.Millisecond
 	// keptVersions is how many named versions of a model are remembered.
@@ -55,17 +65,28 @@
 
 	// What follows belongs to the goroutine of Run.
 	versions  map[identity.ModelName][]relay.NamedVersion
-	freshness map[Table]*freshness
-	reachable map[Table]bool
+	backends  map[identity.BackendID]backendpool.Backend
+	freshness map[table]*freshness
+	reachable map[table]bool
 }
 
-// message is what a reader posts.
+// table names a group of rows that are read together.
+type table string
+
+const (
+	tableDeclared table = "declared"
+	tableBackends table = "back_ends"
+)
+
+// message is what a reader posts. One of the pointers is set unless the call
+// failed or showed no change.
 type message struct {
-	table    Table
+	table    table
 	began    time.Time
 	ended    time.Time
 	declared *Declared
 	listed   *Listed
+	changes  *Changes
 	err      error
 }
 
@@ -75,8 +96,9 @@
 		options:   options,
 		messages:  make(chan message),
 		versions:  map[identity.ModelName][]relay.NamedVersion{},
-		freshness: map[Table]*freshness{TableDeclared: {}, TableBackends: {}},
-		reachable: map[Table]bool{},
+		backends:  map[identity.BackendID]backendpool.Backend{},
+		freshness: map[table]*freshness{tableDeclared: {}, tableBackends: {}},
+		reachable: map[table]bool{},
 	}
 	directory.confirmed.Store(&time.Time{})
 	directory.steady.Store(&time.Time{})
@@ -103,8 +125,8 @@
 
 // Run reads the store until the context ends.
 func (d *Directory) Run(ctx context.Context) error {
-	go d.read(ctx, TableDeclared, d.readDeclared)
-	go d.read(ctx, TableBackends, d.readBackends)
+	go d.read(ctx, d.readDeclared)
+	go d.read(ctx, d.readBackends)
 	for {
 		select {
 		case <-ctx.Done():
@@ -115,35 +137,68 @@
 	}
 }
 
-// read reads one table again and again, at once when the store tells of a change.
-func (d *Directory) read(ctx context.Context, table Table, once func(context.Context) (message, uint64)) {
+// read reads one table again and again, and follows its changes in between.
+func (d *Directory) read(ctx context.Context, whole func(context.Context) (message, follow)) {
 	for ctx.Err() == nil {
-		got, after := once(ctx)
-		got.table = table
-		select {
-		case d.messages <- got:
-		case <-ctx.Done():
-			return
-		}
-		if got.err != nil {
-			pause.For(ctx, failurePause)
+		got, following := whole(ctx)
+		d.post(ctx, got)
+		if got.err == nil && d.follow(ctx, following) {
 			continue
 		}
-		pause.For(ctx, leastInterval)
-		d.waitForChange(ctx, table, after)
+		pause.For(ctx, failurePause/2+rand.N(failurePause))
 	}
 }
 
-// waitForChange returns early when the store tells of a change.
-func (d *Directory) waitForChange(ctx context.Context, table Table, after uint64) {
-	bounded, cancel := context.WithTimeout(ctx, readInterval)
-	defer cancel()
-	if _, err := d.options.Source.Wait(bounded, table, after, readInterval-leastInterval); err != nil {
-		pause.For(bounded, readInterval)
+func (d *Directory) post(ctx context.Context, got message) {
+	select {
+	case d.messages <- got:
+	case <-ctx.Done():
+	}
+}
+
+// follow is how a table's changes are followed after a whole reading.
+type follow struct {
+	// after is the store's version of the reading.
+	after uint64
+	// until is when the table is read as a whole again.
+	until time.Time
+	// next makes one call. It returns the version to go on after, and true when
+	// the table has to be read as a whole now.
+	next func(ctx context.Context, after uint64, wait time.Duration) (message, uint64, bool)
+}
+
+// follow follows changes until the table is to be read as a whole. It returns
+// false when a call failed.
+func (d *Directory) follow(ctx context.Context, following follow) bool {
+	after := following.after
+	for ctx.Err() == nil {
+		pause.For(ctx, leastInterval)
+		left := time.Until(following.until)
+		if left <= 0 {
+			return true
+		}
+		bounded, cancel := context.WithTimeout(ctx, callTimeout)
+		got, next, whole := following.next(bounded, after, min(left, changeWait))
+		cancel()
+		if got.err != nil {
+			return false
+		}
+		d.post(ctx, got)
+		if whole {
+			return true
+		}
+		after = max(after, next)
 	}
+	return true
 }
 
-func (d *Directory) readDeclared(ctx context.Context) (message, uint64) {
+// untilNextReading says when a table of a size is read as a whole again.
+func untilNextReading(now time.Time, bytes int) time.Time {
+	interval := time.Duration(float64(bytes) / bytesPerSecond * float64(time.Second))
+	return now.Add(min(max(interval, readInterval), longestReadInterval))
+}
+
+func (d *Directory) readDeclared(ctx context.Context) (message, follow) {
 	bounded, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	began := time.Now()
@@ -152,15 +207,31 @@
 		known = state.RowVersion
 	}
 	declared, err := d.options.Source.Declared(bounded, known)
-	return message{began: began, ended: time.Now(), declared: &declared, err: err}, declared.Version
+	got := message{table: tableDeclared, began: began, ended: time.Now(), declared: &declared, err: err}
+	return got, follow{after: declared.Version, until: untilNextReading(got.ended, declared.Bytes), next: d.declaredChanged}
+}
+
+// declaredChanged asks whether the operators' rows changed. Without a change the
+// belief is confirmed, but for the time in which the store may be silent.
+func (d *Directory) declaredChanged(ctx context.Context, after uint64, wait time.Duration) (message, uint64, bool) {
+	began := time.Now()
+	changed, err := d.options.Source.DeclaredChanged(ctx, after, wait)
+	return message{table: tableDeclared, began: began.Add(-silentTime), ended: time.Now(), err: err}, after, changed
 }
 
-func (d *Directory) readBackends(ctx context.Context) (message, uint64) {
+func (d *Directory) readBackends(ctx context.Context) (message, follow) {
 	bounded, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	began := time.Now()
 	listed, err := d.options.Source.Backends(bounded)
-	return message{began: began, ended: time.Now(), listed: &listed, err: err}, listed.Version
+	got := message{table: tableBackends, began: began, ended: time.Now(), listed: &listed, err: err}
+	return got, follow{after: listed.Version, until: untilNextReading(got.ended, listed.Bytes), next: d.backendChanges}
+}
+
+func (d *Directory) backendChanges(ctx context.Context, after uint64, wait time.Duration) (message, uint64, bool) {
+	began := time.Now()
+	changes, err := d.options.Source.BackendChanges(ctx, after, wait)
+	return message{table: tableBackends, began: began, ended: time.Now(), changes: &changes, err: err}, changes.Last, false
 }
 
 // apply takes one message in.
@@ -172,6 +243,18 @@
 		d.applyDeclared(got)
 	case got.listed != nil:
 		d.applyListed(got)
+	case got.changes != nil:
+		d.applyChanges(got.changes)
+	case got.table == tableDeclared && d.state.Load() != nil:
+		d.confirm(got.began)
+	}
+}
+
+// confirm notes that a call which began at a time showed the belief to be the
+// newest.
+func (d *Directory) confirm(began time.Time) {
+	if began.After(*d.confirmed.Load()) {
+		d.confirmed.Store(&began)
 	}
 }
 
@@ -182,7 +265,7 @@
 		return
 	}
 	d.reachable[got.table] = reachable
-	log := d.options.Log.WithField("table", got.table.String())
+	log := d.options.Log.WithField("table", got.table)
 	if reachable {
 		log.Info("The store answers.")
 		return
@@ -194,7 +277,7 @@
 // than one before it confirms nothing, and no older configuration is ever applied.
 func (d *Directory) applyDeclared(got message) {
 	declared := got.declared
-	if !d.freshness[TableDeclared].admit(got.began, got.ended, declared.Reading) {
+	if !d.freshness[tableDeclared].admit(got.began, got.ended, declared.Reading) {
 		d.options.Log.WithField("store_version", declared.Version).Warn("An outdated reading is passed over.")
 		return
 	}
@@ -217,7 +300,7 @@
 		d.state.Store(&changed)
 	}
 	if d.state.Load() != nil {
-		d.confirmed.Store(&got.began)
+		d.confirm(got.began)
 	}
 }
 
@@ -268,20 +351,47 @@
 // applyListed takes in the list of back ends.
 func (d *Directory) applyListed(got message) {
 	listed := got.listed
-	if !d.freshness[TableBackends].admit(got.began, got.ended, listed.Reading) {
+	if !d.freshness[tableBackends].admit(got.began, got.ended, listed.Reading) {
 		d.options.Log.WithField("store_version", listed.Version).Warn("An outdated list of back ends is passed over.")
 		return
 	}
 	if listed.Malformed != nil {
 		d.options.Log.WithError(listed.Malformed).Error("Some back ends cannot be read.")
 	}
-	change := d.options.Pool.Update(listed.Backends)
+	clear(d.backends)
+	for _, backend := range listed.Backends {
+		d.backends[backend.ID] = backend
+	}
+	d.updatePool(listed.Version)
 	d.listed.Store(true)
+}
+
+// applyChanges takes in changes of the list since it was read.
+func (d *Directory) applyChanges(changes *Changes) {
+	if changes.Malformed != nil {
+		d.options.Log.WithError(changes.Malformed).Error("Some back ends cannot be read.")
+	}
+	if len(changes.Changed)+len(changes.Gone) == 0 {
+		return
+	}
+	for _, backend := range changes.Changed {
+		d.backends[backend.ID] = backend
+	}
+	for _, id := range changes.Gone {
+		delete(d.backends, id)
+	}
+	d.updatePool(changes.Last)
+}
+
+// updatePool gives the pool the list as it is believed to be.
+func (d *Directory) updatePool(version uint64) {
+	byID := func(left, right backendpool.Backend) int { return cmp.Compare(left.ID, right.ID) }
+	change := d.options.Pool.Update(slices.SortedFunc(maps.Values(d.backends), byID))
 	if len(change.Added)+len(change.Removed)+len(change.Draining) == 0 {
 		return
 	}
 	d.options.Log.WithFields(logrus.Fields{
-		"added": change.Added, "removed": change.Removed, "draining": change.Draining, "store_version": listed.Version,
+		"added": change.Added, "removed": change.Removed, "draining": change.Draining, "store_version": version,
 	}).Info("The list of back ends changed.")
 }
 
--- a/internal/directory/source.go
+++ b/internal/directory/source.go
@@ -19,6 +19,8 @@
 	Version uint64
 	// Clock is the store's own steady clock.
 	Clock time.Duration
+	// Bytes is about how large the answer was.
+	Bytes int
 }
 
 // Declared is what operators have declared.
@@ -44,30 +46,25 @@
 	Malformed error
 }
 
-// Table names a group of rows that are watched together.
-type Table int
-
-// The tables.
-const (
-	TableDeclared Table = iota
-	TableBackends
-)
-
-// String names the table for logs.
-func (t Table) String() string {
-	if t == TableBackends {
-		return "back_ends"
-	}
-	return "declared"
+// Changes are back ends that changed since a version of the store.
+type Changes struct {
+	Changed []backendpool.Backend
+	Gone    []identity.BackendID
+	// Last is the store's version of the newest change, or zero without any.
+	Last uint64
+	// Malformed holds the findings on rows that could not be read.
+	Malformed error
 }
 
-// Source reads the platform's store.
+// Source reads the platform's store. Its calls about changes return when there is
+// a change after a version, or after a time. They fail when the store no longer
+// knows its history from that version on.
 type Source interface {
 	// Declared reads the operators' rows. The configuration is left out when its
 	// row has the known version.
 	Declared(ctx context.Context, known uint64) (Declared, error)
+	// DeclaredChanged tells whether operators' rows changed.
+	DeclaredChanged(ctx context.Context, after uint64, wait time.Duration) (bool, error)
 	Backends(ctx context.Context) (Listed, error)
-	// Wait returns when a row of the table may have changed after a version, or
-	// after a time. It returns the version to wait after next.
-	Wait(ctx context.Context, table Table, after uint64, wait time.Duration) (uint64, error)
+	BackendChanges(ctx context.Context, after uint64, wait time.Duration) (Changes, error)
 }
--- a/internal/members/members.go
+++ b/internal/members/members.go
@@ -23,11 +23,13 @@
 	keyPrefix = "member/"
 	// assumedCount is taken before the rows were read: many, so that the part of a
 	// limit is small.
-	assumedCount  = 64
-	readInterval  = 4 * time.Second
-	failurePause  = 300 * time.Millisecond
-	callTimeout   = 1500 * time.Millisecond
-	rowsInOneCall = 500
+	assumedCount = 64
+	readInterval = 4 * time.Second
+	// intervalPerRow makes the list be read less often the longer it is.
+	intervalPerRow = 80 * time.Millisecond
+	failurePause   = 300 * time.Millisecond
+	callTimeout    = 1500 * time.Millisecond
+	rowsInOneCall  = 500
 )
 
 // Options are what a List works with.
@@ -56,6 +58,9 @@
 	return list
 }
 
+// Count is how many daemons there may be, at least 1.
+func (l *List) Count() int { return len(*l.addresses.Load()) + 1 }
+
 // Others returns the addresses of the other daemons.
 func (l *List) Others() []string { return *l.addresses.Load() }
 
@@ -66,7 +71,7 @@
 	}
 	for ctx.Err() == nil {
 		l.read(ctx)
-		pause.For(ctx, readInterval)
+		pause.For(ctx, max(readInterval, time.Duration(l.count)*intervalPerRow))
 	}
 	return nil
 }
