--- a/cmd/lotusward-platform/deployment_test.go
+++ b/cmd/lotusward-platform/deployment_test.go
@@ -47,6 +47,7 @@
 	command *exec.Cmd
 	front   string
 	ready   string
+	metrics string
 	mutex   sync.Mutex
 	output  bytes.Buffer
 	ended   chan struct{}
@@ -167,7 +168,8 @@
 bounds:%s`, name, made.front, made.ready, portOf(freePort(d.t)), d.store.Address(), d.bounds)
 	path := filepath.Join(d.t.TempDir(), "node.yaml")
 	assert.NilError(d.t, os.WriteFile(path, []byte(settings), 0o600))
-	made.command = exec.Command(os.Args[0])
+	made.metrics = freePort(d.t)
+	made.command = exec.Command(os.Args[0], "--metrics-port", portOf(made.metrics))
 	made.command.Env = append(os.Environ(), runAsDaemon+"=1", "LOTUSWARD_SETTINGS="+path)
 	output, err := made.command.StdoutPipe()
 	assert.NilError(d.t, err)
--- a/cmd/lotusward-platform/explain_test.go
+++ b/cmd/lotusward-platform/explain_test.go
@@ -111,7 +111,7 @@
 		assert.Equal(t, daemon.ask(call{path: "/safe/x", id: "q"}).status, http.StatusOK)
 	}
 	assert.Equal(t, daemon.ask(call{path: "/safe/x", id: "q", key: "wrong"}).status, http.StatusUnauthorized)
-	response, err := http.Get("http://" + daemon.ready + "/metrics")
+	response, err := http.Get("http://" + daemon.metrics + "/metrics")
 	assert.NilError(t, err)
 	defer func() { _ = response.Body.Close() }()
 	text, err := io.ReadAll(response.Body)
--- a/cmd/lotusward-platform/main.go
+++ b/cmd/lotusward-platform/main.go
@@ -29,6 +29,7 @@
 type options struct {
 	Version  bool   `long:"version" description:"Print the version and exit"`
 	Settings string `long:"settings" short:"s" value-name:"FILE" env:"LOTUSWARD_SETTINGS" description:"Settings file"`
+	Metrics  int    `long:"metrics-port" value-name:"PORT" description:"Port on which counters and histograms are served under /metrics; none without it"`
 	Check    bool   `long:"check" description:"Check the settings file, print all findings and exit"`
 }
 
@@ -63,11 +64,11 @@
 		fmt.Println("no findings")
 		return exitcode.OK
 	}
-	return serve(settings, given.Settings)
+	return serve(settings, given)
 }
 
 // serve runs the daemon until a signal or a failure.
-func serve(settings platform.Settings, path string) int {
+func serve(settings platform.Settings, given options) int {
 	writer := eventlog.NewWriter(os.Stdout)
 	defer writer.Stop(logFlushTime)
 	logger, err := eventlog.NewLogger(writer)
@@ -76,11 +77,11 @@
 		return exitcode.Failure
 	}
 	log := logging.Part(logger, "daemon").WithField("node", settings.NodeName)
-	wired := wire(settings, logger, writer)
+	wired := wire(settings, given.Metrics, logger, writer)
 
 	var group run.Group
 	group.Add(run.SignalHandler(context.Background(), os.Interrupt, syscall.SIGTERM))
-	addReload(&group, path, logging.Part(logger, "settings"))
+	addReload(&group, given.Settings, logging.Part(logger, "settings"))
 	wired.addTo(&group)
 	log.WithField("version", version.String()).Info("The daemon starts.")
 	err = group.Run()
--- /dev/null
+++ b/cmd/lotusward-platform/metrics.go
@@ -0,0 +1,55 @@
+package main
+
+import (
+	"net"
+	"net/http"
+	"strconv"
+
+	"github.com/oklog/run"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"github.com/lotusward/lotusward/internal/eventlog"
+	"github.com/lotusward/lotusward/platform"
+)
+
+const metricsPath = "/metrics"
+
+// metrics serves counters and histograms on a port of its own.
+type metrics struct {
+	address string
+	server  *http.Server
+}
+
+// newMetrics returns nil without a port.
+func newMetrics(settings platform.Settings, port int, registry *prometheus.Registry) *metrics {
+	if port == 0 {
+		return nil
+	}
+	mux := http.NewServeMux()
+	mux.Handle("GET "+metricsPath, promhttp.HandlerFor(registry, promhttp.HandlerOpts{DisableCompression: true}))
+	return &metrics{
+		address: net.JoinHostPort(settings.IP, strconv.Itoa(port)),
+		server:  &http.Server{Handler: mux, ReadHeaderTimeout: readyReadDeadline},
+	}
+}
+
+// addTo adds the listener to a group.
+func (m *metrics) addTo(group *run.Group) {
+	if m == nil {
+		return
+	}
+	group.Add(func() error { return listenAndServe(m.server, m.address) }, func(error) { _ = m.server.Close() })
+}
+
+// registerState adds the figures that are read when they are asked for.
+func registerState(registry *prometheus.Registry, writer *eventlog.Writer) {
+	registry.MustRegister(
+		prometheus.NewCounterFunc(prometheus.CounterOpts{
+			Namespace: "lotusward", Name: "log_lines_written_total", Help: "Log lines that were written.",
+		}, func() float64 { return float64(writer.Written()) }),
+		prometheus.NewCounterFunc(prometheus.CounterOpts{
+			Namespace: "lotusward", Name: "log_lines_dropped_total", Help: "Log lines that were dropped since the reader was slow.",
+		}, func() float64 { return float64(writer.Dropped()) }),
+	)
+}
--- a/cmd/lotusward-platform/serving.go
+++ b/cmd/lotusward-platform/serving.go
@@ -9,8 +9,6 @@
 	"time"
 
 	"github.com/oklog/run"
-	"github.com/prometheus/client_golang/prometheus"
-	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"github.com/sirupsen/logrus"
 
 	"github.com/lotusward/lotusward/internal/directory"
@@ -26,7 +24,6 @@
 	headerBytes       = 64 << 10
 	entryForgetTime   = 3 * time.Second
 	lastMoment        = 600 * time.Millisecond
-	metricsPath       = "/metrics"
 	readyReadDeadline = 2 * time.Second
 )
 
@@ -40,7 +37,7 @@
 	log       logrus.FieldLogger
 }
 
-func newServing(settings platform.Settings, relaying *relay.Relay, known *directory.Directory, registry *prometheus.Registry, log logrus.FieldLogger) *serving {
+func newServing(settings platform.Settings, relaying *relay.Relay, known *directory.Directory, log logrus.FieldLogger) *serving {
 	made := &serving{settings: settings, directory: known, log: log}
 	made.front = &http.Server{
 		Handler:           platform.NewFront(relaying, made.maximumBody, made.stopping.Load),
@@ -48,10 +45,7 @@
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    headerBytes,
 	}
-	mux := http.NewServeMux()
-	mux.Handle("/", platform.ReadyHandler(made.isReady))
-	mux.Handle("GET "+metricsPath, promhttp.HandlerFor(registry, promhttp.HandlerOpts{DisableCompression: true}))
-	made.ready = &http.Server{Handler: mux, ReadHeaderTimeout: readyReadDeadline}
+	made.ready = &http.Server{Handler: platform.ReadyHandler(made.isReady), ReadHeaderTimeout: readyReadDeadline}
 	return made
 }
 
@@ -70,7 +64,7 @@
 // since the group waits for their orderly stop.
 func (s *serving) addTo(group *run.Group) {
 	readyDone := make(chan struct{})
-	group.Add(func() error { return s.serve(s.ready, s.settings.Listen.Ready) }, func(error) {
+	group.Add(func() error { return listenAndServe(s.ready, s.settings.Listen.Ready) }, func(error) {
 		go func() {
 			<-readyDone
 			_ = s.ready.Close()
@@ -78,7 +72,7 @@
 	})
 	stopped := make(chan struct{})
 	group.Add(func() error {
-		err := s.serve(s.front, s.settings.Listen.Front)
+		err := listenAndServe(s.front, s.settings.Listen.Front)
 		if err == nil {
 			<-stopped
 		}
@@ -92,7 +86,8 @@
 	})
 }
 
-func (s *serving) serve(server *http.Server, address string) error {
+// listenAndServe serves until the server is closed.
+func listenAndServe(server *http.Server, address string) error {
 	listener, err := net.Listen("tcp4", address)
 	if err != nil {
 		return err
--- a/cmd/lotusward-platform/wire.go
+++ b/cmd/lotusward-platform/wire.go
@@ -63,13 +63,15 @@
 	members   *members.List
 	loads     *loadshare.Sharer
 	store     *cachewatch.Watcher
+	metrics   *metrics
 	serving   *serving
 }
 
-func wire(settings platform.Settings, logger *logrus.Logger, writer *eventlog.Writer) *wired {
+func wire(settings platform.Settings, metricsPort int, logger *logrus.Logger, writer *eventlog.Writer) *wired {
 	part := func(name string) logrus.FieldLogger { return logging.Part(logger, name) }
 	registry := prometheus.NewRegistry()
 	counters := requestlog.NewCounters(registry)
+	registerState(registry, writer)
 	connections := httpexchange.NewPool(httpexchange.Options{LocalAddress: settings.IP})
 	watch := &storeObserver{counters: counters}
 	store := platform.NewStore(connections, settings.Store.Address, watch)
@@ -121,7 +123,8 @@
 		members:  others,
 		loads:    loadshare.New(loadshare.Options{Address: settings.InternalAddress(), Others: others.Others, Pool: backends, Memory: memory}),
 		store:    storeWatch,
-		serving:  newServing(settings, relaying, known, registry, part("front")),
+		metrics:  newMetrics(settings, metricsPort, registry),
+		serving:  newServing(settings, relaying, known, part("front")),
 	}
 }
 
@@ -170,6 +173,7 @@
 	add(w.store.Run)
 	add(w.sweep)
 	add(w.keeper.Run)
+	w.metrics.addTo(group)
 	w.serving.addTo(group)
 }
 
