Bound the begin on old weights by each runner's wait; hand over without a pause

Now a back end with old weights gets a request only if it would begin in time even if slow, and a sending that has not begun shortly before the bound is cut.

--- a/cmd/lotusward-platform/wire.go
+++ b/cmd/lotusward-platform/wire.go
@@ -38,9 +38,9 @@
 	confirmationShare = 0.8
 	// denialShare of the time in which a configuration must be in force.
 	denialShare = 0.6
-	// versionShare of the time in which a named version must be in use: requests
-	// begin some time after they were sent.
-	versionShare = 0.7
+	// versionMargin is taken off the time in which a named version must be in use:
+	// this daemon may have heard of the version that much later.
+	versionMargin = time.Second
 	// budgetShare of the retries that all daemons may make together.
 	budgetShare = 0.7
 	// leaseShare of the time that must lie between two holders' orders: a new holder
@@ -85,7 +85,7 @@
 	known := directory.New(directory.Options{
 		Source: store, Pool: backends, Log: part("directory"),
 		SteadyTime:       platform.Milliseconds(bounds.ContactMs),
-		VersionHeadStart: time.Duration(versionShare*float64(bounds.VersionMs)) * time.Millisecond / 2,
+		VersionHeadStart: versionGrace(bounds) / 2,
 	})
 	storeWatch := cachewatch.NewWatcher(runners, known.PromptStoreAddress, part("promptstore"))
 	watch.directory = known
@@ -117,7 +117,7 @@
 		keeper:    keeper,
 		rollout: rollout.New(rollout.Options{
 			Holder: settings.NodeName, Lease: keeper, Table: store, Pool: backends, Named: known,
-			Orders: runners, Quiet: platform.Milliseconds(bounds.LeaseMs), Log: part("rollout"),
+			Orders: runners, Quiet: quiet(bounds), Log: part("rollout"),
 		}),
 		follower: &rollout.Follower{Table: store, Changes: store, Pool: backends, Lease: keeper, Log: part("rollout")},
 		members:  others,
@@ -143,6 +143,22 @@
 	}
 }
 
+// versionGrace is how long requests may begin on older weights after a version was
+// named.
+func versionGrace(bounds platform.Bounds) time.Duration {
+	named := platform.Milliseconds(bounds.VersionMs)
+	return max(named-versionMargin, named/2)
+}
+
+// quiet is how long a new holder of the roll-out waits. Where back ends check
+// fencing tokens, orders of the holder before it cannot interleave with its own.
+func quiet(bounds platform.Bounds) time.Duration {
+	if bounds.FencingRequired {
+		return 0
+	}
+	return platform.Milliseconds(bounds.LeaseMs)
+}
+
 func policy(bounds platform.Bounds) relay.Policy {
 	share := func(share float64, milliseconds int) time.Duration {
 		return time.Duration(share * float64(platform.Milliseconds(milliseconds)))
@@ -150,7 +166,7 @@
 	chosen := relay.Policy{
 		ConfirmationForKeys:    time.Duration(1<<63 - 1),
 		ConfirmationForDenials: share(denialShare, bounds.ConfigApplyMs),
-		VersionGrace:           share(versionShare, bounds.VersionMs),
+		VersionGrace:           versionGrace(bounds),
 		RetryAfter:             retryAfter,
 	}
 	if bounds.RevokeFailClosed && bounds.RevokeMs > 0 {
--- a/internal/core/backendpool/choice.go
+++ b/internal/core/backendpool/choice.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"github.com/lotusward/lotusward/internal/core/rendezvous"
 )
@@ -23,6 +24,11 @@
 	// equalShare of the least cost is as good: the higher rank wins.
 	equalShare = 0.1
 	equalSlack = 100
+	// slowTokenTime is how long a slow back end may take to read a token.
+	slowTokenTime = 60 * time.Microsecond
+	// leastBeginTime is how long a request takes at least to begin, on the way and
+	// in the back end's present step.
+	leastBeginTime = 300 * time.Millisecond
 )
 
 // Load is what one daemon has under way at a back end.
@@ -123,6 +129,13 @@
 	return reading + requestCost*(float64(e.inFlight)+e.others.InFlight)
 }
 
+// slowestBegin is how long a request may take to begin at a back end that is slow,
+// with the prompt not cached.
+func (e *entry) slowestBegin(query Query) time.Duration {
+	tokens := e.waiting() + float64(query.SharedTokens+query.OwnTokens)
+	return leastBeginTime + time.Duration(tokens*float64(slowTokenTime))
+}
+
 // rank is the back end's weight for a prompt in rendezvous hashing.
 func (e *entry) rank(home uint64) uint64 { return rendezvous.Score(home, string(e.backend.ID)) }
 
--- a/internal/core/backendpool/pool.go
+++ b/internal/core/backendpool/pool.go
@@ -17,8 +17,9 @@
 	Home uint64
 	// Model is empty for requests without one.
 	Model identity.ModelName
-	// LeastVersion is the oldest version of the model's weights that will do.
-	LeastVersion uint64
+	// BeginBy tells until when a request may begin on a version of the model's
+	// weights, the zero time for no bound; nil sets no bounds.
+	BeginBy func(version uint64) time.Time
 	// Exclude are back ends that have failed this request.
 	Exclude []identity.BackendID
 	// SharedTokens of the prompt are shared with other requests, OwnTokens are not.
@@ -192,7 +193,7 @@
 func (p *Pool) candidates(now time.Time, query Query) []*entry {
 	var sound, doubted []*entry
 	for _, found := range p.services[query.Service] {
-		if !allowed(found, query) {
+		if !allowed(now, found, query) {
 			continue
 		}
 		if found.ejected(now) || p.avoided[found.backend.ID] {
@@ -208,11 +209,15 @@
 }
 
 // allowed tells whether a back end may get the request at all.
-func allowed(found *entry, query Query) bool {
+func allowed(now time.Time, found *entry, query Query) bool {
 	if found.backend.Draining || slices.Contains(query.Exclude, found.backend.ID) {
 		return false
 	}
-	return query.Model == "" || found.version(query.Model) >= query.LeastVersion
+	if query.Model == "" || query.BeginBy == nil {
+		return true
+	}
+	bound := query.BeginBy(found.version(query.Model))
+	return bound.IsZero() || now.Add(found.slowestBegin(query)).Before(bound)
 }
 
 // Heard notes that something arrived from the ticket's back end.
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -138,7 +138,7 @@
 	}
 	query.Model = prompt.Model
 	query.Home = home(admitted)
-	query.LeastVersion = r.leastVersion(prompt.Model)
+	query.BeginBy = func(version uint64) time.Time { return r.beginBy(prompt.Model, version) }
 	total, own := promptTokens(prompt.Parts)
 	query.SharedTokens, query.OwnTokens = total-own, own
 	query.Cached = func(version uint64) backendpool.Cached { return r.cached(admitted, version) }
@@ -156,15 +156,11 @@
 	return backendpool.Cached{Holders: holders, Movable: stored > 0 || len(holders) > 0}
 }
 
-// leastVersion is the oldest version of a model's weights that a request may begin
-// on now. It is taken from the present state, which may be newer than the
-// request's own.
-func (r *Relay) leastVersion(model identity.ModelName) uint64 {
-	namedBefore := r.options.Now().Add(-r.options.Policy.VersionGrace)
-	if r.options.Control.SteadySince().After(namedBefore) {
-		return 0
-	}
-	return r.options.Control.State().LeastVersion(model, namedBefore)
+// beginBy is until when a request may begin on a version of a model's weights. It
+// is taken from the present state, which may be newer than the request's own.
+func (r *Relay) beginBy(model identity.ModelName, version uint64) time.Time {
+	control := r.options.Control
+	return control.State().BeginBy(model, version, control.SteadySince(), r.options.Policy.VersionGrace)
 }
 
 // home is the hash of the deepest part that other requests share, or zero when
--- a/internal/relay/run.go
+++ b/internal/relay/run.go
@@ -19,6 +19,9 @@
 var (
 	errDeadline = errors.New("the time for the request is over")
 	errSlow     = errors.New("the back end is silent for too long")
+	// errOldWeights cuts a request that waits at a back end with weights on which
+	// requests may no longer begin.
+	errOldWeights = errors.New("the back end has old weights and has not begun")
 )
 
 // run is one admitted request on its way through back ends.
@@ -38,6 +41,8 @@
 	// lastEvent is the id of the last event sent to the caller.
 	lastEvent string
 	attempt   Attempt
+	// begin watches for the present sending's begin.
+	begin *beginWatch
 }
 
 func newRun(relay *Relay, admitted *admission, caller Caller) *run {
@@ -94,6 +99,8 @@
 	r.attempt = Attempt{Number: r.attempt.Number + 1, Backend: ticket.Backend.ID, Version: ticket.Version}
 	sending, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
+	r.begin = r.watchBegin(ticket, cancel)
+	defer r.begin.stop()
 	watch := r.watchFirst(ticket, cancel)
 	dispatch := r.relay.dispatch(r.admitted, ticket, r.lastEvent)
 	r.attempt.FetchFrom, r.attempt.SaveTo = dispatch.FetchFrom, dispatch.SaveTo
@@ -145,6 +152,10 @@
 	if cause == nil || errors.Is(cause, errSlow) || errors.Is(cause, errDeadline) {
 		return failed
 	}
+	if errors.Is(cause, errOldWeights) {
+		failed.result = backendpool.ResultRejected
+		return failed
+	}
 	failed.result = backendpool.ResultAbandoned
 	return failed
 }
@@ -158,6 +169,8 @@
 		return "silent_backend"
 	case errors.Is(cause, errDeadline):
 		return "deadline"
+	case errors.Is(cause, errOldWeights):
+		return "old_weights"
 	default:
 		return "caller_left"
 	}
--- a/internal/relay/state.go
+++ b/internal/relay/state.go
@@ -17,16 +17,20 @@
 	Versions map[identity.ModelName][]NamedVersion
 }
 
-// LeastVersion is the newest version of a model's weights that was named before a
-// time: back ends with an older one begin no more requests. Zero is none.
-func (s *State) LeastVersion(model identity.ModelName, namedBefore time.Time) uint64 {
-	var least uint64
+// BeginBy is until when requests may begin on a version of a model's weights: some
+// time after the first newer version was named, or after the platform's store was
+// last disturbed. Zero is no bound.
+func (s *State) BeginBy(model identity.ModelName, version uint64, steady time.Time, grace time.Duration) time.Time {
 	for _, named := range s.Versions[model] {
-		if named.SeenAt.Before(namedBefore) {
-			least = named.Version
+		if named.Version <= version {
+			continue
 		}
+		if steady.After(named.SeenAt) {
+			return steady.Add(grace)
+		}
+		return named.SeenAt.Add(grace)
 	}
-	return least
+	return time.Time{}
 }
 
 // NewestVersion is the newest named version of a model's weights, or zero.
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -88,6 +88,7 @@
 		}
 		watch.heard()
 		ticket.Begun()
+		r.begin.stop()
 		ticket.Heard(r.now())
 		if err := r.passEvent(answer, got, events.more()); err != nil {
 			return stepEnd, failure{result: backendpool.ResultAbandoned, reason: "caller_left"}
--- a/internal/relay/watch.go
+++ b/internal/relay/watch.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/lotusward/lotusward/internal/core/backendpool"
+	"github.com/lotusward/lotusward/internal/core/identity"
 )
 
 // Patience with silent back ends.
@@ -21,6 +22,10 @@
 	// slowTokenTime is how long a slow, loaded back end may take for one token of a
 	// prompt.
 	slowTokenTime = 60 * time.Microsecond
+	// lastBegin is how long after the bound for new requests one may still begin.
+	lastBegin = 400 * time.Millisecond
+	// beginCheckInterval is how often it is looked whether a newer version was named.
+	beginCheckInterval = 300 * time.Millisecond
 	// reachTimeout is how long a back end may take to accept a connection.
 	reachTimeout = 300 * time.Millisecond
 )
@@ -54,6 +59,61 @@
 	return r.watch(ticket, cancel, target, time.Duration(aliveFactor*float64(target)))
 }
 
+// beginWatch cuts a sending that has not begun when requests may no longer begin on
+// the version of the weights that it was sent to. The zero value watches nothing.
+type beginWatch struct {
+	mutex   sync.Mutex
+	run     *run
+	model   identity.ModelName
+	version uint64
+	cancel  context.CancelCauseFunc
+	timer   *time.Timer
+	stopped bool
+}
+
+// watchBegin starts the watch for a sending.
+func (r *run) watchBegin(ticket *backendpool.Ticket, cancel context.CancelCauseFunc) *beginWatch {
+	prompt := r.admitted.request.Prompt
+	if prompt == nil || ticket.Version == 0 {
+		return &beginWatch{stopped: true}
+	}
+	watch := &beginWatch{run: r, model: prompt.Model, version: ticket.Version, cancel: cancel}
+	watch.mutex.Lock()
+	defer watch.mutex.Unlock()
+	watch.timer = time.AfterFunc(beginCheckInterval, watch.check)
+	return watch
+}
+
+// check cuts the sending if it is time, and looks again later otherwise.
+func (w *beginWatch) check() {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	if w.stopped {
+		return
+	}
+	bound := w.run.relay.beginBy(w.model, w.version)
+	left := bound.Add(lastBegin).Sub(w.run.now())
+	switch {
+	case bound.IsZero():
+		w.timer.Reset(beginCheckInterval)
+	case left <= 0:
+		w.stopped = true
+		w.cancel(errOldWeights)
+	default:
+		w.timer.Reset(min(left, beginCheckInterval))
+	}
+}
+
+// stop ends the watch. The sending is not cut after it.
+func (w *beginWatch) stop() {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	if !w.stopped {
+		w.stopped = true
+		w.timer.Stop()
+	}
+}
+
 // watchStall watches for the next event of a stream.
 func (r *run) watchStall(ticket *backendpool.Ticket, cancel context.CancelCauseFunc) *watchdog {
 	if !r.couldRepeat() {
