Keep belief and duty while a daemon stops; give lease calls half its time

Second cause there: with a slow store (0.54 s a commit) the lease could not be taken, since calls were cut at a quarter of its 2.1 s. New test: TestStoppingDaemonKeepsItsDutyAndBelief.

--- a/cmd/lotusward-platform/deployment_test.go
+++ b/cmd/lotusward-platform/deployment_test.go
@@ -14,6 +14,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -138,12 +139,22 @@
 	d.store.Put("op", "version/"+testModel, map[string]any{"model": testModel, "version": version})
 }
 
+// nextPort counts up from below the range that the kernel gives to outgoing
+// connections, so that no port is taken between its choice and its use.
+var nextPort atomic.Int32
+
 func freePort(t *testing.T) string {
 	t.Helper()
-	listener, err := net.Listen("tcp4", "127.0.0.1:0")
-	assert.NilError(t, err)
-	defer func() { _ = listener.Close() }()
-	return listener.Addr().String()
+	for range 1000 {
+		address := fmt.Sprintf("127.0.0.1:%d", 21000+nextPort.Add(1)%10000)
+		listener, err := net.Listen("tcp4", address)
+		if err == nil {
+			assert.NilError(t, listener.Close())
+			return address
+		}
+	}
+	t.Fatal("no port is free")
+	return ""
 }
 
 func portOf(address string) string {
--- a/cmd/lotusward-platform/platform_test.go
+++ b/cmd/lotusward-platform/platform_test.go
@@ -347,3 +347,27 @@
 		return poll.Continue("the daemon has not noticed")
 	}, poll.WithTimeout(2*time.Second))
 }
+
+// TestStoppingDaemonKeepsItsDutyAndBelief names a version and takes a key away while
+// the only daemon is stopping: it must still see both.
+func TestStoppingDaemonKeepsItsDutyAndBelief(t *testing.T) {
+	deployed := newDeployment(t)
+	idle := deployed.engine("e1", 12, 200*time.Millisecond)
+	deployed.page("p1")
+	deployed.configure(testKey, otherKey)
+	deployed.name(1)
+	daemon := deployed.daemon("d1", true)
+	go daemon.ask(call{path: "/stream/x", id: "q1", header: prompt("aa:80,bb:20")})
+	time.Sleep(300 * time.Millisecond)
+	busy := deployed.engine("e2", 3, time.Millisecond)
+	daemon.stop(t)
+	deployed.configure(testKey)
+	deployed.name(2)
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if idle.Version() == 2 && busy.Version() == 2 {
+			return poll.Success()
+		}
+		return poll.Continue("versions are %d and %d", idle.Version(), busy.Version())
+	}, poll.WithTimeout(3*time.Second))
+	assert.Equal(t, daemon.ask(call{path: "/safe/x", id: "q2", key: otherKey}).status, http.StatusUnauthorized)
+}
--- a/cmd/lotusward-platform/serving.go
+++ b/cmd/lotusward-platform/serving.go
@@ -33,12 +33,15 @@
 	directory *directory.Directory
 	front     *http.Server
 	ready     *http.Server
-	stopping  atomic.Bool
-	log       logrus.FieldLogger
+	// stopping is set once callers are to use other daemons; stopped is closed when
+	// the last request has ended.
+	stopping atomic.Bool
+	stopped  chan struct{}
+	log      logrus.FieldLogger
 }
 
 func newServing(settings platform.Settings, relaying *relay.Relay, known *directory.Directory, log logrus.FieldLogger) *serving {
-	made := &serving{settings: settings, directory: known, log: log}
+	made := &serving{settings: settings, directory: known, log: log, stopped: make(chan struct{})}
 	made.front = &http.Server{
 		Handler:           platform.NewFront(relaying, made.maximumBody, made.stopping.Load),
 		ReadHeaderTimeout: headerTimeout,
@@ -60,28 +63,26 @@
 	return state.Table.Configuration().Limits.MaxBodyBytes
 }
 
-// addTo adds both listeners to a group. The listeners end last of all parts,
-// since the group waits for their orderly stop.
+// addTo adds both listeners to a group. The platform's questions are answered until
+// the last request has ended.
 func (s *serving) addTo(group *run.Group) {
-	readyDone := make(chan struct{})
 	group.Add(func() error { return listenAndServe(s.ready, s.settings.Listen.Ready) }, func(error) {
 		go func() {
-			<-readyDone
+			<-s.stopped
 			_ = s.ready.Close()
 		}()
 	})
-	stopped := make(chan struct{})
 	group.Add(func() error {
 		err := listenAndServe(s.front, s.settings.Listen.Front)
-		if err == nil {
-			<-stopped
+		if err != nil {
+			return err
 		}
-		close(readyDone)
-		return err
+		<-s.stopped
+		return nil
 	}, func(error) {
 		go func() {
 			s.stop()
-			close(stopped)
+			close(s.stopped)
 		}()
 	})
 }
--- a/cmd/lotusward-platform/wire.go
+++ b/cmd/lotusward-platform/wire.go
@@ -99,8 +99,11 @@
 		Changed: func(count int) { budgets.SetFloor(int(budgetShare * bounds.RetryBudgetSlack / float64(count))) },
 	})
 	candidate := &leasekeeper.Candidate{Count: others.Count}
+	serving := newServing(settings, relaying, known, part("front"))
 	keeper := leasekeeper.New(leasekeeper.Options{
-		Table: store, Log: part("lease"), Eligible: func() bool { return candidate.Eligible(time.Now()) },
+		Table: store, Log: part("lease"), Eligible: func() bool {
+			return candidate.Held() || (!serving.stopping.Load() && candidate.Eligible(time.Now()))
+		},
 		Settings: lease.Settings{
 			Key: rollout.KeyLease, Holder: settings.NodeName, Incarnation: identity.Incarnation(rand.Uint64()),
 			Duration: time.Duration(leaseShare * float64(platform.Milliseconds(bounds.LeaseMs))), MaximumDrift: maximumDrift,
@@ -124,7 +127,7 @@
 		loads:    loadshare.New(loadshare.Options{Address: settings.InternalAddress(), Others: others.Others, Pool: backends, Memory: memory}),
 		store:    storeWatch,
 		metrics:  newMetrics(settings, metricsPort, registry),
-		serving:  newServing(settings, relaying, known, part("front")),
+		serving:  serving,
 	}
 }
 
@@ -175,11 +178,18 @@
 	return chosen
 }
 
-// addTo adds the daemon's parts to a group.
+// addTo adds the daemon's parts to a group. All but the listeners go on until the
+// last request has ended, since requests need a belief that is up to date, and the
+// roll-out's holder keeps its duty for as long as it can.
 func (w *wired) addTo(group *run.Group) {
 	add := func(part func(context.Context) error) {
 		ctx, cancel := context.WithCancel(context.Background())
-		group.Add(func() error { return part(ctx) }, func(error) { cancel() })
+		group.Add(func() error { return part(ctx) }, func(error) {
+			go func() {
+				<-w.serving.stopped
+				cancel()
+			}()
+		})
 	}
 	add(w.directory.Run)
 	add(w.rollout.Run)
--- a/internal/daemon/leasekeeper/keeper.go
+++ b/internal/daemon/leasekeeper/keeper.go
@@ -23,8 +23,9 @@
 	DefaultDuration = 10 * time.Second
 	// DefaultMaximumDrift is far more than what clocks without correction do.
 	DefaultMaximumDrift = 0.02
-	// callFraction of the duration bounds one call of the table.
-	callFraction = 4
+	// callFraction of the duration bounds one call of the table. A table that is
+	// slow and no worse must not cost the lease.
+	callFraction = 2
 )
 
 // Options configure a Keeper.
