Bound what daemons tell each other; read large lists page by page

Load datagrams grew with the back ends in use, to 0.5 MB a second. Now changes are followed on after failed calls, pages are asked for one by one, datagrams carry no field names and are bounded to 16 kB a second.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"errors"
 	"maps"
 	"math/rand/v2"
 	"slices"
@@ -15,6 +16,7 @@
 	"github.com/lotusward/lotusward/internal/core/identity"
 	"github.com/lotusward/lotusward/internal/core/routing"
 	"github.com/lotusward/lotusward/internal/pause"
+	"github.com/lotusward/lotusward/internal/port"
 	"github.com/lotusward/lotusward/internal/relay"
 )
 
@@ -32,6 +34,8 @@
 	leastInterval = 100 * time.Millisecond
 	failurePause  = 150 * time.Millisecond
 	callTimeout   = 1500 * time.Millisecond
+	// listTimeout bounds a reading of the whole list of back ends, page by page.
+	listTimeout = 5 * time.Second
 	// silentTime is how long the store may keep changes to itself before it drops
 	// its history, which a call for changes is then told.
 	silentTime = 1200 * time.Millisecond
@@ -142,10 +146,11 @@
 	for ctx.Err() == nil {
 		got, following := whole(ctx)
 		d.post(ctx, got)
-		if got.err == nil && d.follow(ctx, following) {
+		if got.err != nil {
+			pause.For(ctx, jittered(failurePause))
 			continue
 		}
-		pause.For(ctx, failurePause/2+rand.N(failurePause))
+		d.follow(ctx, following)
 	}
 }
 
@@ -167,31 +172,39 @@
 	next func(ctx context.Context, after uint64, wait time.Duration) (message, uint64, bool)
 }
 
-// follow follows changes until the table is to be read as a whole. It returns
-// false when a call failed.
-func (d *Directory) follow(ctx context.Context, following follow) bool {
+// follow follows changes until the table is to be read as a whole. After a failed
+// call it goes on from where it was, unless the store has dropped its history.
+func (d *Directory) follow(ctx context.Context, following follow) {
 	after := following.after
 	for ctx.Err() == nil {
 		pause.For(ctx, leastInterval)
 		left := time.Until(following.until)
 		if left <= 0 {
-			return true
+			return
 		}
 		bounded, cancel := context.WithTimeout(ctx, callTimeout)
 		got, next, whole := following.next(bounded, after, min(left, changeWait))
 		cancel()
-		if got.err != nil {
-			return false
+		var lost *port.NotFoundError
+		switch {
+		case errors.As(got.err, &lost):
+			return
+		case got.err != nil:
+			pause.For(ctx, jittered(failurePause))
+			continue
 		}
 		d.post(ctx, got)
 		if whole {
-			return true
+			return
 		}
 		after = max(after, next)
 	}
-	return true
 }
 
+// jittered spreads a pause, so that daemons which failed together don't call again
+// together.
+func jittered(duration time.Duration) time.Duration { return duration/2 + rand.N(duration) }
+
 // untilNextReading says when a table of a size is read as a whole again.
 func untilNextReading(now time.Time, bytes int) time.Time {
 	interval := time.Duration(float64(bytes) / bytesPerSecond * float64(time.Second))
@@ -220,14 +233,36 @@
 }
 
 func (d *Directory) readBackends(ctx context.Context) (message, follow) {
-	bounded, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
 	began := time.Now()
-	listed, err := d.options.Source.Backends(bounded)
+	listed, err := d.readPages(ctx)
 	got := message{table: tableBackends, began: began, ended: time.Now(), listed: &listed, err: err}
 	return got, follow{after: listed.Version, until: untilNextReading(got.ended, listed.Bytes), next: d.backendChanges}
 }
 
+// readPages reads the whole list. It is of the moment of its first page: what
+// changed since is told as changes. A page that the store refuses for now is asked
+// for again, so that the pages before it need not be.
+func (d *Directory) readPages(ctx context.Context) (Listed, error) {
+	bounded, cancel := context.WithTimeout(ctx, listTimeout)
+	defer cancel()
+	listed, err := d.options.Source.Backends(bounded, "")
+	for err == nil && listed.Next != "" {
+		var page Listed
+		page, err = d.options.Source.Backends(bounded, listed.Next)
+		var limited *port.RateLimitedError
+		if errors.As(err, &limited) {
+			pause.For(bounded, jittered(failurePause))
+			err = bounded.Err()
+			continue
+		}
+		listed.Next = page.Next
+		listed.Bytes += page.Bytes
+		listed.Backends = append(listed.Backends, page.Backends...)
+		listed.Malformed = errors.Join(listed.Malformed, page.Malformed)
+	}
+	return listed, err
+}
+
 func (d *Directory) backendChanges(ctx context.Context, after uint64, wait time.Duration) (message, uint64, bool) {
 	began := time.Now()
 	changes, err := d.options.Source.BackendChanges(ctx, after, wait)
--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -15,6 +15,7 @@
 	"github.com/lotusward/lotusward/internal/core/identity"
 	"github.com/lotusward/lotusward/internal/core/routing"
 	"github.com/lotusward/lotusward/internal/logging"
+	"github.com/lotusward/lotusward/internal/port"
 )
 
 // memorySource is a store that tests change and break.
@@ -22,9 +23,12 @@
 	mutex    sync.Mutex
 	declared Declared
 	listed   Listed
-	changes  Changes
-	failure  error
-	calls    int
+	// second is the list's second page. The first call for it is refused for now.
+	second  Listed
+	pages   int
+	changes Changes
+	failure error
+	calls   int
 }
 
 func (s *memorySource) set(change func(*memorySource)) {
@@ -40,10 +44,17 @@
 	return s.declared, s.failure
 }
 
-func (s *memorySource) Backends(context.Context) (Listed, error) {
+func (s *memorySource) Backends(_ context.Context, from string) (Listed, error) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	return s.listed, s.failure
+	if from == "" || s.failure != nil {
+		return s.listed, s.failure
+	}
+	s.pages++
+	if s.pages == 1 {
+		return Listed{}, &port.RateLimitedError{Service: "store"}
+	}
+	return s.second, nil
 }
 
 func (s *memorySource) DeclaredChanged(_ context.Context, after uint64, _ time.Duration) (bool, error) {
@@ -244,7 +255,7 @@
 	source := &memorySource{declared: declaration(10, 7), listed: Listed{Reading: Reading{Version: 10, Bytes: 100 * bytesPerSecond}}}
 	directory := start(t, source)
 	poll.WaitOn(t, inForce(directory, 7))
-	source.set(func(s *memorySource) { s.failure = errors.New("gone") })
+	source.set(func(s *memorySource) { s.failure = &port.NotFoundError{Service: "store", Key: "history"} })
 	time.Sleep(2 * failurePause)
 	source.set(func(s *memorySource) {
 		s.failure = nil
@@ -258,3 +269,44 @@
 		return poll.Continue("the list is not read anew")
 	})
 }
+
+// TestFailedCallsDontReadAllAnew follows on from where it was after failed calls.
+func TestFailedCallsDontReadAllAnew(t *testing.T) {
+	source := &memorySource{
+		declared: declaration(10, 7),
+		listed:   Listed{Reading: Reading{Version: 10, Bytes: 100 * bytesPerSecond}, Backends: []backendpool.Backend{{ID: "a", Service: "s"}}},
+	}
+	directory := start(t, source)
+	poll.WaitOn(t, inForce(directory, 7))
+	source.set(func(s *memorySource) {
+		s.failure = errors.New("limited")
+		s.listed = Listed{Reading: Reading{Version: 10}} // a whole reading would lose all
+	})
+	time.Sleep(4 * failurePause)
+	source.set(func(s *memorySource) {
+		s.failure = nil
+		s.changes = Changes{Last: 12, Changed: []backendpool.Backend{{ID: "b", Service: "s"}}}
+	})
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if len(directory.options.Pool.Backends()) == 2 {
+			return poll.Success()
+		}
+		return poll.Continue("the change is not applied")
+	})
+}
+
+// TestListIsReadPageByPage asks for a refused page again.
+func TestListIsReadPageByPage(t *testing.T) {
+	source := &memorySource{
+		declared: declaration(10, 7),
+		listed:   Listed{Reading: Reading{Version: 10}, Next: "b", Backends: []backendpool.Backend{{ID: "a", Service: "s"}}},
+		second:   Listed{Reading: Reading{Version: 11}, Backends: []backendpool.Backend{{ID: "b", Service: "s"}}},
+	}
+	directory := start(t, source)
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if len(directory.options.Pool.Backends()) == 2 {
+			return poll.Success()
+		}
+		return poll.Continue("the second page is missing")
+	})
+}
--- a/internal/directory/source.go
+++ b/internal/directory/source.go
@@ -38,9 +38,11 @@
 	Malformed error
 }
 
-// Listed is the list of back ends.
+// Listed is a page of the list of back ends.
 type Listed struct {
 	Reading
+	// Next is where the next page begins; empty after the last one.
+	Next     string
 	Backends []backendpool.Backend
 	// Malformed holds the findings on rows that could not be read.
 	Malformed error
@@ -65,6 +67,7 @@
 	Declared(ctx context.Context, known uint64) (Declared, error)
 	// DeclaredChanged tells whether operators' rows changed.
 	DeclaredChanged(ctx context.Context, after uint64, wait time.Duration) (bool, error)
-	Backends(ctx context.Context) (Listed, error)
+	// Backends reads the page of the list that begins at a place; empty is the first.
+	Backends(ctx context.Context, from string) (Listed, error)
 	BackendChanges(ctx context.Context, after uint64, wait time.Duration) (Changes, error)
 }
--- a/internal/loadshare/loadshare.go
+++ b/internal/loadshare/loadshare.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/vmihailenco/msgpack/v5"
+	"golang.org/x/time/rate"
 
 	"github.com/lotusward/lotusward/internal/core/backendpool"
 	"github.com/lotusward/lotusward/internal/core/promptcache"
@@ -28,17 +29,63 @@
 	forgetAfter = time.Second
 	// maximumTargets bounds how many daemons are told at a time. Where there are
 	// more, each tells others in each turn, and what is heard is scaled up.
-	maximumTargets   = 12
-	maximumDatagram  = 8 << 10
+	maximumTargets  = 12
+	maximumDatagram = 8 << 10
+	// bytesPerSecond bounds what is sent. Where it isn't enough for all targets of a
+	// turn, some are left out.
+	bytesPerSecond   = 16 << 10
+	burstBytes       = 16 << 10
 	maximumLoads     = 256
 	receiveErrorWait = 50 * time.Millisecond
 )
 
-// message is one datagram.
+// message is one datagram. Its parts are lists of fields, since names would be most
+// of its bytes.
 type message struct {
-	From  string
-	Loads []backendpool.Load
-	Facts []promptcache.Fact
+	_msgpack struct{} `msgpack:",as_array"`
+	From     string
+	Loads    []load
+	Facts    []fact
+}
+
+type load struct {
+	_msgpack struct{} `msgpack:",as_array"`
+	Key      uint64
+	InFlight float32
+	Reading  float32
+}
+
+type fact struct {
+	_msgpack struct{} `msgpack:",as_array"`
+	Part     promptcache.Key
+	Backend  uint64
+}
+
+func encode(from string, loads []backendpool.Load, facts []promptcache.Fact) ([]byte, error) {
+	told := &message{From: from}
+	for _, each := range loads {
+		told.Loads = append(told.Loads, load{Key: each.Key, InFlight: float32(each.InFlight), Reading: float32(each.Reading)})
+	}
+	for _, each := range facts {
+		told.Facts = append(told.Facts, fact{Part: each.Part, Backend: each.Backend})
+	}
+	return msgpack.Marshal(told)
+}
+
+func (m *message) loads() []backendpool.Load {
+	loads := make([]backendpool.Load, len(m.Loads))
+	for index, each := range m.Loads {
+		loads[index] = backendpool.Load{Key: each.Key, InFlight: float64(each.InFlight), Reading: float64(each.Reading)}
+	}
+	return loads
+}
+
+func (m *message) facts() []promptcache.Fact {
+	facts := make([]promptcache.Fact, len(m.Facts))
+	for index, each := range m.Facts {
+		facts[index] = promptcache.Fact{Part: each.Part, Backend: each.Backend}
+	}
+	return facts
 }
 
 // Options are what a Sharer works with.
@@ -54,6 +101,7 @@
 // Sharer tells and hears loads.
 type Sharer struct {
 	options Options
+	limiter *rate.Limiter
 	mutex   sync.Mutex
 	heard   map[string]heardLoads
 }
@@ -66,7 +114,7 @@
 
 // New makes a Sharer that does nothing until it runs.
 func New(options Options) *Sharer {
-	return &Sharer{options: options, heard: map[string]heardLoads{}}
+	return &Sharer{options: options, limiter: rate.NewLimiter(bytesPerSecond, burstBytes), heard: map[string]heardLoads{}}
 }
 
 // Run shares loads until the context ends. Without a socket the daemon goes on
@@ -95,23 +143,23 @@
 				continue
 			}
 			last, sentAt = loads, now
-			s.send(socket, &message{From: s.options.Address, Loads: loads, Facts: facts})
+			s.send(socket, loads, facts)
 		}
 	}
 }
 
-// send tells some of the other daemons.
-func (s *Sharer) send(socket net.PacketConn, told *message) {
-	datagram, err := msgpack.Marshal(told)
-	if err != nil || len(datagram) > maximumDatagram {
-		return
-	}
+// send tells some of the other daemons, within the bound on bytes.
+func (s *Sharer) send(socket net.PacketConn, loads []backendpool.Load, facts []promptcache.Fact) {
+	datagram, err := encode(s.options.Address, loads, facts)
 	others := s.options.Others()
-	start := 0
-	if len(others) > maximumTargets {
-		start = rand.IntN(len(others))
+	if err != nil || len(datagram) > maximumDatagram || len(others) == 0 {
+		return
 	}
+	start := rand.IntN(len(others))
 	for offset := range min(len(others), maximumTargets) {
+		if !s.limiter.AllowN(time.Now(), len(datagram)) {
+			return
+		}
 		address, err := netip.ParseAddrPort(others[(start+offset)%len(others)])
 		if err != nil {
 			continue
@@ -134,9 +182,9 @@
 			continue
 		}
 		now := time.Now()
-		s.options.Memory.Heard(now, got.Facts)
+		s.options.Memory.Heard(now, got.facts())
 		s.mutex.Lock()
-		s.heard[got.From] = heardLoads{at: now, loads: got.Loads}
+		s.heard[got.From] = heardLoads{at: now, loads: got.loads()}
 		s.mutex.Unlock()
 	}
 }
--- /dev/null
+++ b/internal/loadshare/loadshare_test.go
@@ -0,0 +1,96 @@
+package loadshare
+
+import (
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"github.com/lotusward/lotusward/internal/core/backendpool"
+	"github.com/lotusward/lotusward/internal/core/identity"
+	"github.com/lotusward/lotusward/internal/core/promptcache"
+)
+
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	socket, err := net.ListenPacket("udp4", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer func() { _ = socket.Close() }()
+	return socket.LocalAddr().String()
+}
+
+// daemon is a sharer with its pool and memory.
+type daemon struct {
+	pool   *backendpool.Pool
+	memory *promptcache.Memory
+	cancel context.CancelFunc
+}
+
+func startDaemon(t *testing.T, address string, others ...string) *daemon {
+	t.Helper()
+	made := &daemon{pool: backendpool.New("a"), memory: promptcache.New()}
+	made.pool.Update([]backendpool.Backend{
+		{ID: "one", Service: "s", Weights: map[identity.ModelName]uint64{"m": 1}},
+		{ID: "two", Service: "s", Weights: map[identity.ModelName]uint64{"m": 1}},
+	})
+	sharer := New(Options{Address: address, Others: func() []string { return others }, Pool: made.pool, Memory: made.memory})
+	ctx, cancel := context.WithCancel(context.Background())
+	made.cancel = cancel
+	done := make(chan struct{})
+	go func() {
+		_ = sharer.Run(ctx)
+		close(done)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-done
+	})
+	return made
+}
+
+var heavy = backendpool.Query{Service: "s", Model: "m", Home: 1, OwnTokens: 5000}
+
+// TestLoadsAndFactsReachOthers lets one daemon avoid what another has filled, learn
+// where shared parts went, and forget the load once the other is gone.
+func TestLoadsAndFactsReachOthers(t *testing.T) {
+	first, second := freeAddress(t), freeAddress(t)
+	one := startDaemon(t, first, second)
+	two := startDaemon(t, second, first)
+	now := time.Now()
+	taken := one.pool.Pick(now, heavy)
+	key := promptcache.KeyOf("v1", "part")
+	one.memory.Sent(now, promptcache.Fact{Part: key, Backend: taken.Key}, 1, 1)
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		ticket := two.pool.Pick(time.Now(), heavy)
+		defer ticket.Release(time.Now(), backendpool.ResultServed)
+		if ticket.Backend.ID != taken.Backend.ID && len(two.memory.Holders(time.Now(), key)) == 1 {
+			return poll.Success()
+		}
+		return poll.Continue("the load is not heard of")
+	})
+	one.cancel()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		ticket := two.pool.Pick(time.Now(), heavy)
+		defer ticket.Release(time.Now(), backendpool.ResultServed)
+		if ticket.Backend.ID == taken.Backend.ID {
+			return poll.Success()
+		}
+		return poll.Continue("the load is not forgotten")
+	})
+}
+
+// TestHeardLoadsAreScaledUp counts what some of many daemons told for all.
+func TestHeardLoadsAreScaledUp(t *testing.T) {
+	others := make([]string, 4*maximumTargets)
+	sharer := New(Options{Others: func() []string { return others }})
+	now := time.Now()
+	for _, name := range []string{"a", "b"} {
+		sharer.heard[name] = heardLoads{at: now, loads: []backendpool.Load{{Key: 1, InFlight: 3, Reading: 10}}}
+	}
+	sharer.heard["old"] = heardLoads{at: now.Add(-2 * forgetAfter), loads: []backendpool.Load{{Key: 1, InFlight: 99}}}
+	merged := sharer.merge(now)
+	assert.Equal(t, merged[1], backendpool.Load{Key: 1, InFlight: 3 * 4 * maximumTargets, Reading: 10 * 4 * maximumTargets})
+}
