--- a/internal/core/backendpool/choice.go
+++ b/internal/core/backendpool/choice.go
@@ -13,9 +13,14 @@
 const (
 	// moveCost is the cost of taking one token's cache from elsewhere.
 	moveCost = 0.3
-	// rereadCost is the cost of reading a token again that another back end has
-	// read: the time, and that of other requests there.
-	rereadCost = 1.5
+	// unknownHomeCost and unknownElsewhereCost are the costs of a token of which no
+	// holder is known. Most likely it has to be read wherever the prompt goes; if
+	// anyone holds it, or is just reading it for another daemon, it is its home.
+	unknownHomeCost      = 0.7
+	unknownElsewhereCost = 1.2
+	// movableHomeCost is the cost at the home of a token that can be moved there if
+	// the home doesn't hold it after all.
+	movableHomeCost = 0.1
 	// requestCost is what a request under way adds beside the prompt that is read.
 	requestCost = 60
 	// otherZoneCost is the cost of a back end in another zone, for requests without
@@ -139,18 +144,19 @@
 // rank is the back end's weight for a prompt in rendezvous hashing.
 func (e *entry) rank(home uint64) uint64 { return rendezvous.Score(home, string(e.backend.ID)) }
 
-// missing is the cost of the prompt's shared parts at a candidate. Where no holder
-// is known, the home is taken for one, since other daemons send them there too.
+// missing is the cost of the prompt's shared parts at a candidate.
 func missing(candidate, home *entry, cached Cached, sharedTokens int) float64 {
 	switch {
 	case sharedTokens == 0, slices.Contains(cached.Holders, candidate.key):
 		return 0
-	case len(cached.Holders) == 0 && candidate == home:
-		return 0
+	case cached.Movable && candidate == home && len(cached.Holders) == 0:
+		return movableHomeCost * float64(sharedTokens)
 	case cached.Movable:
 		return moveCost * float64(sharedTokens)
+	case candidate == home:
+		return unknownHomeCost * float64(sharedTokens)
 	default:
-		return rereadCost * float64(sharedTokens)
+		return unknownElsewhereCost * float64(sharedTokens)
 	}
 }
 
--- a/internal/core/backendpool/pool_test.go
+++ b/internal/core/backendpool/pool_test.go
@@ -118,7 +118,7 @@
 	for _, found := range pool.byID {
 		least, most = min(least, found.waiting()), max(most, found.waiting())
 	}
-	spill := rereadCost * float64(query.SharedTokens)
+	spill := unknownElsewhereCost * float64(query.SharedTokens)
 	request := float64(query.OwnTokens+requestCost) + spill
 	assert.Assert(t, most <= (least+spill)*(1+equalShare)+equalSlack+request, "%f and %f", least, most)
 }
--- a/internal/core/promptcache/promptcache.go
+++ b/internal/core/promptcache/promptcache.go
@@ -26,7 +26,7 @@
 	// it: the save may not have been begun, or the part was dropped since.
 	saveAgainAfter = 3 * time.Second
 	// holderTime is how long a back end is believed to hold a part that nobody asks for.
-	holderTime = 15 * time.Second
+	holderTime = 25 * time.Second
 )
 
 // Key is the hash of a shared part and its salt.
