--- a/cmd/lotusward-platform/main.go
+++ b/cmd/lotusward-platform/main.go
@@ -28,7 +28,7 @@
 // options are the flags of the program.
 type options struct {
 	Version  bool   `long:"version" description:"Print the version and exit"`
-	Settings string `long:"settings" short:"s" value-name:"FILE" env:"LOTUSWARD_SETTINGS" description:"Settings file"`
+	Settings string `long:"settings" short:"s" value-name:"FILE" description:"Settings file; by default the one that the platform names in the environment"`
 	Metrics  int    `long:"metrics-port" value-name:"PORT" description:"Port on which counters and histograms are served under /metrics; none without it"`
 	Check    bool   `long:"check" description:"Check the settings file, print all findings and exit"`
 }
@@ -39,6 +39,7 @@
 
 func start() int {
 	var given options
+	given.Settings = os.Getenv(platform.SettingsVariable)
 	_, err := flags.NewParser(&given, flags.HelpFlag|flags.PassDoubleDash).Parse()
 	var flagError *flags.Error
 	switch {
--- a/internal/core/backendpool/pool.go
+++ b/internal/core/backendpool/pool.go
@@ -220,6 +220,31 @@
 	return bound.IsZero() || now.Add(found.slowestBegin(query)).Before(bound)
 }
 
+// Shortage says why a query found no back end: how many its service has, and how
+// many of them would not do, each counted for the first reason that applies.
+type Shortage struct {
+	Listed, Draining, Failed, OldWeights int
+}
+
+// Shortage tells why a query finds no back end now.
+func (p *Pool) Shortage(now time.Time, query Query) Shortage {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	var shortage Shortage
+	for _, found := range p.services[query.Service] {
+		shortage.Listed++
+		switch {
+		case found.backend.Draining:
+			shortage.Draining++
+		case slices.Contains(query.Exclude, found.backend.ID):
+			shortage.Failed++
+		case !allowed(now, found, query):
+			shortage.OldWeights++
+		}
+	}
+	return shortage
+}
+
 // Heard notes that something arrived from the ticket's back end.
 func (t *Ticket) Heard(now time.Time) {
 	t.pool.mutex.Lock()
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -10,6 +10,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cenkalti/backoff/v5"
 	"github.com/sirupsen/logrus"
 
 	"github.com/lotusward/lotusward/internal/core/backendpool"
@@ -33,9 +34,11 @@
 	// leastInterval lies between two calls, however fast changes come.
 	leastInterval = 100 * time.Millisecond
 	failurePause  = 150 * time.Millisecond
-	callTimeout   = 1500 * time.Millisecond
+	// longestRetryPause bounds the pause after refusals for now.
+	longestRetryPause = 2 * time.Second
+	callTimeout       = 1500 * time.Millisecond
 	// listTimeout bounds a reading of the whole list of back ends, page by page.
-	listTimeout = 5 * time.Second
+	listTimeout = 15 * time.Second
 	// silentTime is how long the store may keep changes to itself before it drops
 	// its history, which a call for changes is then told.
 	silentTime = 1200 * time.Millisecond
@@ -143,13 +146,15 @@
 
 // read reads one table again and again, and follows its changes in between.
 func (d *Directory) read(ctx context.Context, whole func(context.Context) (message, follow)) {
+	retries := newRetrying()
 	for ctx.Err() == nil {
 		got, following := whole(ctx)
 		d.post(ctx, got)
 		if got.err != nil {
-			pause.For(ctx, jittered(failurePause))
+			retries.after(ctx, got.err)
 			continue
 		}
+		retries.succeeded()
 		d.follow(ctx, following)
 	}
 }
@@ -176,6 +181,7 @@
 // call it goes on from where it was, unless the store has dropped its history.
 func (d *Directory) follow(ctx context.Context, following follow) {
 	after := following.after
+	retries := newRetrying()
 	for ctx.Err() == nil {
 		pause.For(ctx, leastInterval)
 		left := time.Until(following.until)
@@ -190,9 +196,10 @@
 		case errors.As(got.err, &lost):
 			return
 		case got.err != nil:
-			pause.For(ctx, jittered(failurePause))
+			retries.after(ctx, got.err)
 			continue
 		}
+		retries.succeeded()
 		d.post(ctx, got)
 		if whole {
 			return
@@ -201,9 +208,32 @@
 	}
 }
 
-// jittered spreads a pause, so that daemons which failed together don't call again
-// together.
-func jittered(duration time.Duration) time.Duration { return duration/2 + rand.N(duration) }
+// retrying spaces the calls after failed ones.
+type retrying struct {
+	limited *backoff.ExponentialBackOff
+}
+
+func newRetrying() *retrying {
+	limited := backoff.NewExponentialBackOff()
+	limited.InitialInterval = failurePause
+	limited.MaxInterval = longestRetryPause
+	return &retrying{limited: limited}
+}
+
+// after waits after a call that failed. A store that refuses calls for now is left
+// alone for longer each time, since refused calls count against its limits too; one
+// that is out of reach is tried again soon.
+func (r *retrying) after(ctx context.Context, err error) {
+	var limited *port.RateLimitedError
+	if errors.As(err, &limited) {
+		pause.For(ctx, max(r.limited.NextBackOff(), limited.RetryAfter))
+		return
+	}
+	pause.For(ctx, failurePause/2+rand.N(failurePause))
+}
+
+// succeeded starts the pauses anew.
+func (r *retrying) succeeded() { r.limited.Reset() }
 
 // untilNextReading says when a table of a size is read as a whole again.
 func untilNextReading(now time.Time, bytes int) time.Time {
@@ -245,13 +275,14 @@
 func (d *Directory) readPages(ctx context.Context) (Listed, error) {
 	bounded, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
+	retries := newRetrying()
 	listed, err := d.options.Source.Backends(bounded, "")
 	for err == nil && listed.Next != "" {
 		var page Listed
 		page, err = d.options.Source.Backends(bounded, listed.Next)
 		var limited *port.RateLimitedError
 		if errors.As(err, &limited) {
-			pause.For(bounded, jittered(failurePause))
+			retries.after(bounded, err)
 			err = bounded.Err()
 			continue
 		}
--- a/internal/members/members.go
+++ b/internal/members/members.go
@@ -7,6 +7,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -48,6 +49,7 @@
 	options   Options
 	count     int
 	addresses atomic.Pointer[[]string]
+	known     atomic.Bool
 }
 
 // New makes a List, and reports a large count until the rows were read.
@@ -58,8 +60,14 @@
 	return list
 }
 
-// Count is how many daemons there may be, at least 1.
-func (l *List) Count() int { return len(*l.addresses.Load()) + 1 }
+// Count is how many daemons there may be, at least 1; a large number before the
+// rows were read.
+func (l *List) Count() int {
+	if !l.known.Load() {
+		return assumedCount
+	}
+	return len(*l.addresses.Load()) + 1
+}
 
 // Others returns the addresses of the other daemons.
 func (l *List) Others() []string { return *l.addresses.Load() }
@@ -67,10 +75,13 @@
 // Run keeps the list until the context ends.
 func (l *List) Run(ctx context.Context) error {
 	for ctx.Err() == nil && l.announce(ctx) != nil {
-		pause.For(ctx, failurePause)
+		pause.For(ctx, failurePause/2+rand.N(failurePause))
 	}
 	for ctx.Err() == nil {
-		l.read(ctx)
+		if !l.read(ctx) {
+			pause.For(ctx, failurePause+rand.N(failurePause))
+			continue
+		}
 		pause.For(ctx, max(readInterval, time.Duration(l.count)*intervalPerRow))
 	}
 	return nil
@@ -86,8 +97,8 @@
 	return err
 }
 
-// read reads all rows.
-func (l *List) read(ctx context.Context) {
+// read reads all rows. It returns false when that failed.
+func (l *List) read(ctx context.Context) bool {
 	bounded, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	var others []string
@@ -96,7 +107,7 @@
 	for {
 		rows, err := l.options.Table.Scan(bounded, keyPrefix, after, rowsInOneCall)
 		if err != nil {
-			return
+			return false
 		}
 		count += len(rows)
 		for _, row := range rows {
@@ -110,10 +121,12 @@
 		after = rows[len(rows)-1].Key
 	}
 	l.addresses.Store(&others)
+	l.known.Store(true)
 	if count == 0 || count == l.count {
-		return
+		return true
 	}
 	l.count = count
 	l.options.Log.WithField("count", count).Info("The number of daemons changed.")
 	l.options.Changed(count)
+	return true
 }
--- a/internal/relay/journal.go
+++ b/internal/relay/journal.go
@@ -44,8 +44,10 @@
 	ConfirmationAge      time.Duration
 	Tenant               identity.TenantName
 	Attempt              Attempt
-	Status               int
-	Elapsed              time.Duration
+	// Shortage says why no back end would do, where that ended the request.
+	Shortage backendpool.Shortage
+	Status   int
+	Elapsed  time.Duration
 	// FirstByte is the time from arrival to the first byte of the answer.
 	FirstByte time.Duration
 	// Resumed is how often the stream went on at another back end.
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -144,6 +144,7 @@
 	assert.Assert(t, world.ask(promptRequest).refusal == nil)
 	world.control.state.Versions = map[identity.ModelName][]NamedVersion{"m": {name(2, 6*time.Second), name(3, time.Second)}}
 	assert.Equal(t, world.ask(promptRequest).refusal.Kind, RefusalNotRun)
+	assert.Equal(t, world.journal.last.Shortage, backendpool.Shortage{Listed: 2, OldWeights: 2})
 	world.control.steady = time.Now()
 	assert.Assert(t, world.ask(promptRequest).refusal == nil)
 	world.control.steady = time.Time{}
--- a/internal/relay/run.go
+++ b/internal/relay/run.go
@@ -41,6 +41,7 @@
 	// lastEvent is the id of the last event sent to the caller.
 	lastEvent string
 	attempt   Attempt
+	shortage  backendpool.Shortage
 	// begin watches for the present sending's begin.
 	begin *beginWatch
 }
@@ -73,8 +74,10 @@
 func (r *run) serve(ctx context.Context) {
 	var last failure
 	for {
-		ticket := r.relay.options.Pool.Pick(r.now(), r.relay.query(r.admitted, r.excluded))
+		query := r.relay.query(r.admitted, r.excluded)
+		ticket := r.relay.options.Pool.Pick(r.now(), query)
 		if ticket == nil {
+			r.shortage = r.relay.options.Pool.Shortage(r.now(), query)
 			r.giveUp(ctx, last, "no_backend")
 			return
 		}
@@ -256,6 +259,7 @@
 		ConfigurationVersion: r.admitted.state.Table.Version(),
 		ConfirmationAge:      r.now().Sub(r.relay.options.Control.ConfirmedAt()),
 		Attempt:              r.attempt,
+		Shortage:             r.shortage,
 		Status:               status,
 		Elapsed:              r.now().Sub(r.admitted.request.ArrivedAt),
 		FirstByte:            r.firstByte,
--- a/internal/relay/world_test.go
+++ b/internal/relay/world_test.go
@@ -188,13 +188,17 @@
 	c.finals++
 }
 
-// silentJournal takes decisions and forgets them.
-type silentJournal struct{}
+// lastJournal keeps the ending of the last refused request.
+type lastJournal struct{ last Ending }
 
-func (silentJournal) Refused(*Request, *Ending, Refusal)             {}
-func (silentJournal) Served(*Request, *Ending)                       {}
-func (silentJournal) Retried(*Request, Attempt)                      {}
-func (silentJournal) Ejected(identity.BackendID, backendpool.Result) {}
+func (j *lastJournal) Refused(_ *Request, ended *Ending, _ Refusal) {
+	if ended != nil {
+		j.last = *ended
+	}
+}
+func (*lastJournal) Served(*Request, *Ending)                       {}
+func (*lastJournal) Retried(*Request, Attempt)                      {}
+func (*lastJournal) Ejected(identity.BackendID, backendpool.Result) {}
 
 // world is a relay among scripted back ends.
 type world struct {
@@ -203,6 +207,7 @@
 	pool     *backendpool.Pool
 	budgets  *Budgets
 	relay    *Relay
+	journal  *lastJournal
 	route    *routing.Route
 }
 
@@ -221,13 +226,14 @@
 		control:  &fixedControl{state: &State{Table: routing.Compile(configuration)}, confirmed: time.Now()},
 		backends: &scriptedBackends{reachable: true, hang: map[int]bool{}},
 		pool:     backendpool.New("a"),
+		journal:  &lastJournal{},
 		route:    &route,
 	}
 	made.budgets = NewBudgets(retry.Limits{Window: 10 * time.Second, Ratio: 0.2, Floor: floor})
 	made.pool.Update(backendList(count))
 	cache := &cachewatch.Cache{}
 	made.relay = New(Options{
-		Control: made.control, Pool: made.pool, Backends: made.backends, Budgets: made.budgets, Journal: silentJournal{},
+		Control: made.control, Pool: made.pool, Backends: made.backends, Budgets: made.budgets, Journal: made.journal,
 		Memory: promptcache.New(), Store: func() *cachewatch.Cache { return cache },
 		Policy: Policy{
 			ConfirmationForKeys: 4 * time.Second, ConfirmationForDenials: time.Second,
--- a/internal/requestlog/requestlog.go
+++ b/internal/requestlog/requestlog.go
@@ -130,6 +130,12 @@
 	if ended.Resumed > 0 {
 		fields["resumed"] = ended.Resumed
 	}
+	if shortage := ended.Shortage; shortage != (backendpool.Shortage{}) {
+		fields["back_ends"] = shortage.Listed
+		fields["draining"] = shortage.Draining
+		fields["failed"] = shortage.Failed
+		fields["old_weights"] = shortage.OldWeights
+	}
 	addAttempt(fields, ended.Attempt)
 }
 
--- a/internal/rollout/keeper.go
+++ b/internal/rollout/keeper.go
@@ -222,12 +222,12 @@
 	if !held || token != order.Token {
 		return ReplyFenced, nil
 	}
-	bounded, cancel := context.WithTimeout(ctx, callTimeout)
+	bounded, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
 	reply, err := k.options.Orders.Give(bounded, order)
 	k.options.Log.WithFields(logrus.Fields{
 		"backend": order.Backend.ID, "model": order.Model, "version": order.Version,
-		"token": order.Token, "expected": order.Expected, "reply": reply, "error": err,
+		"token": order.Token, "expected": order.Expected, "reply": reply.String(), "error": err,
 	}).Info("An order to load weights was given.")
 	return reply, err
 }
--- a/internal/rollout/plan.go
+++ b/internal/rollout/plan.go
@@ -96,6 +96,24 @@
 	ReplyRefused
 )
 
+// String names the reply for logs.
+func (r Reply) String() string {
+	switch r {
+	case ReplyTaken:
+		return "taken"
+	case ReplyHolds:
+		return "holds"
+	case ReplyConflict:
+		return "conflict"
+	case ReplyFenced:
+		return "fenced"
+	case ReplyReplaced:
+		return "replaced"
+	default:
+		return "refused"
+	}
+}
+
 // Orders calls back ends.
 type Orders interface {
 	Report(ctx context.Context, backend backendpool.Backend) (Report, error)
@@ -126,8 +144,11 @@
 	spreadTime = 40 * time.Millisecond
 	// orderTime bounds the work on one back end before it is looked at anew.
 	orderTime = 6 * time.Second
-	// settleTime is how old a report may be, and a little more.
-	settleTime = 450 * time.Millisecond
+	// orderTimeout bounds the wait for the answer to an order. An order that got none
+	// is given again with the same expected count, so that waiting longer gains nothing.
+	orderTimeout = 300 * time.Millisecond
+	// settleTime is about how old a report may be.
+	settleTime = 250 * time.Millisecond
 	// loadShare is one over the share of a model's back ends that load at a time.
 	loadShare = 3
 )
