Let a restarted daemon take back at once what its earlier life held

Cause: after all daemons were killed the lease had to lapse (2.1 s) before anybody could go on with a roll-out, though its holder was back and a machine runs one process of a role.

--- a/cmd/lotusward-platform/wire.go
+++ b/cmd/lotusward-platform/wire.go
@@ -106,7 +106,8 @@
 		},
 		Settings: lease.Settings{
 			Key: rollout.KeyLease, Holder: settings.NodeName, Incarnation: identity.Incarnation(rand.Uint64()),
-			Duration: time.Duration(leaseShare * float64(platform.Milliseconds(bounds.LeaseMs))), MaximumDrift: maximumDrift,
+			SoleIncarnation: true, // a machine runs one process of a role
+			Duration:        time.Duration(leaseShare * float64(platform.Milliseconds(bounds.LeaseMs))), MaximumDrift: maximumDrift,
 		},
 	})
 	candidate.Held = func() bool {
--- /dev/null
+++ b/internal/core/lease/incarnation_test.go
@@ -0,0 +1,44 @@
+package lease
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/lotusward/lotusward/internal/core/identity"
+	"github.com/lotusward/lotusward/internal/wire/platformwire"
+)
+
+// rowOf is a row that an incarnation of the daemon "one" left behind.
+func rowOf(incarnation identity.Incarnation, token identity.FencingToken) []platformwire.Row {
+	record := Record{Holder: "one", Incarnation: incarnation, Token: token, Duration: testDuration}
+	return []platformwire.Row{{Key: testKey, Value: record.encode(), Version: 7}}
+}
+
+func afterRead(t *testing.T, settings Settings, rows []platformwire.Row) Action {
+	t.Helper()
+	now := time.Unix(1_000_000, 0)
+	machine := New(settings)
+	_, reads := machine.Tick(now).(Read)
+	assert.Assert(t, reads)
+	assert.NilError(t, machine.ReadDone(now, rows, nil))
+	return machine.Tick(now.Add(time.Millisecond))
+}
+
+// TestOnlyIncarnationTakesOverAtOnce takes what an earlier incarnation held without
+// waiting, under a newer token, only where that incarnation has surely ended, and
+// never what another daemon holds.
+func TestOnlyIncarnationTakesOverAtOnce(t *testing.T) {
+	settings := Settings{Key: testKey, Holder: "one", Incarnation: 2, Duration: testDuration, SoleIncarnation: true}
+	commit, commits := afterRead(t, settings, rowOf(1, 5)).(Commit)
+	assert.Assert(t, commits)
+	assert.Equal(t, commit.Transaction.Conditions[0].Version, uint64(7))
+	assert.Assert(t, len(commit.Transaction.Writes) == 1)
+
+	settings.SoleIncarnation = false
+	assert.Assert(t, afterRead(t, settings, rowOf(1, 5)) == nil)
+	settings.SoleIncarnation = true
+	settings.Holder = "two"
+	assert.Assert(t, afterRead(t, settings, rowOf(1, 5)) == nil)
+}
--- a/internal/core/lease/machine.go
+++ b/internal/core/lease/machine.go
@@ -114,6 +114,9 @@
 	if m.version == 0 || m.record.Released {
 		return true
 	}
+	if m.settings.SoleIncarnation && m.record.Holder == m.settings.Holder {
+		return true
+	}
 	// Only this machine acts on its own record, and it holds no valid grant.
 	return m.heldByUs() || now.Sub(m.seenAt) >= m.record.Duration
 }
--- a/internal/core/lease/settings.go
+++ b/internal/core/lease/settings.go
@@ -24,6 +24,9 @@
 	Key         string
 	Holder      identity.DaemonID
 	Incarnation identity.Incarnation
+	// SoleIncarnation says that an earlier incarnation of this daemon has surely ended,
+	// so that what it held is free at once.
+	SoleIncarnation bool
 	// Duration is how long a grant lasts unless it is renewed.
 	Duration time.Duration
 	// MaximumDrift bounds by how much any daemon's clock runs too fast or too
