Space calls by the number of daemons and back off where the store refuses

Ruled out: bytes (132 kB a second), memory (12.7 MB). Now pauses grow, and readings and held calls are spaced by the number of daemons.

--- a/cmd/lotusward-platform/wire.go
+++ b/cmd/lotusward-platform/wire.go
@@ -82,8 +82,13 @@
 		Window: platform.Seconds(bounds.BudgetWindowS),
 		Ratio:  bounds.RetryBudgetRatio * budgetShare,
 	})
+	others := members.New(members.Options{
+		Self: settings.NodeName, Address: settings.InternalAddress(), Table: store, Log: part("members"),
+		Changed: func(count int) { budgets.SetFloor(int(budgetShare * bounds.RetryBudgetSlack / float64(count))) },
+	})
 	known := directory.New(directory.Options{
-		Source: store, Pool: backends, Log: part("directory"),
+		Daemons: others.Count,
+		Source:  store, Pool: backends, Log: part("directory"),
 		SteadyTime:       platform.Milliseconds(bounds.ContactMs),
 		VersionHeadStart: versionGrace(bounds) - platform.Milliseconds(bounds.ContactMs),
 	})
@@ -94,10 +99,6 @@
 		Control: known, Pool: backends, Backends: runners, Budgets: budgets,
 		Policy: policy(bounds), Memory: memory, Store: storeWatch.Cache, Journal: requestlog.New(part("relay"), counters),
 	})
-	others := members.New(members.Options{
-		Self: settings.NodeName, Address: settings.InternalAddress(), Table: store, Log: part("members"),
-		Changed: func(count int) { budgets.SetFloor(int(budgetShare * bounds.RetryBudgetSlack / float64(count))) },
-	})
 	candidate := &leasekeeper.Candidate{Count: others.Count}
 	serving := newServing(settings, relaying, known, part("front"))
 	keeper := leasekeeper.New(leasekeeper.Options{
--- a/internal/core/lease/machine.go
+++ b/internal/core/lease/machine.go
@@ -261,6 +261,9 @@
 	var limited *port.RateLimitedError
 	if errors.As(err, &limited) {
 		pause = max(pause, min(limited.RetryAfter, m.settings.Duration/renewFraction))
+		if !m.grant.ValidAt(now) {
+			pause = max(pause, m.settings.Duration/pollFraction) // many may be asking
+		}
 	}
 	m.notBefore = now.Add(pause)
 }
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -29,8 +29,14 @@
 	// read less often, and followed by their changes in between.
 	bytesPerSecond      = 8 << 10
 	longestReadInterval = 30 * time.Second
-	// changeWait is how long a call for changes is held.
-	changeWait = 750 * time.Millisecond
+	// declaredWait and backendWait are how long calls for changes are held. The first
+	// also confirms the configuration.
+	declaredWait = 750 * time.Millisecond
+	backendWait  = 3 * time.Second
+	// readPerDaemon and waitPerDaemon space the readings of the configuration where
+	// there are many daemons, since the store bounds the calls of all together.
+	readPerDaemon = 8 * time.Millisecond
+	waitPerDaemon = 4 * time.Millisecond
 	// leastInterval lies between two calls, however fast changes come.
 	leastInterval = 100 * time.Millisecond
 	failurePause  = 150 * time.Millisecond
@@ -56,6 +62,8 @@
 	// VersionHeadStart is how long ago versions count as named that this daemon
 	// finds at its start.
 	VersionHeadStart time.Duration
+	// Daemons returns how many daemons there may be; nil means one.
+	Daemons func() int
 	// SteadyTime is how long after a failed call the store counts as disturbed.
 	SteadyTime time.Duration
 }
@@ -110,6 +118,9 @@
 
 // New makes a Directory that knows nothing until it runs.
 func New(options Options) *Directory {
+	if options.Daemons == nil {
+		options.Daemons = func() int { return 1 }
+	}
 	directory := &Directory{
 		options:   options,
 		messages:  make(chan message),
@@ -184,6 +195,8 @@
 	after uint64
 	// until is when the table is read as a whole again.
 	until time.Time
+	// wait is how long a call for changes is held.
+	wait time.Duration
 	// next makes one call. It returns the version to go on after, and true when
 	// the table has to be read as a whole now.
 	next func(ctx context.Context, after uint64, wait time.Duration) (message, uint64, bool)
@@ -200,8 +213,8 @@
 		if left <= 0 {
 			return
 		}
-		bounded, cancel := context.WithTimeout(ctx, callTimeout)
-		got, next, whole := following.next(bounded, after, min(left, changeWait))
+		bounded, cancel := context.WithTimeout(ctx, following.wait+callTimeout)
+		got, next, whole := following.next(bounded, after, min(left, following.wait))
 		cancel()
 		var lost *port.NotFoundError
 		switch {
@@ -263,7 +276,13 @@
 	}
 	declared, err := d.options.Source.Declared(bounded, known)
 	got := message{table: tableDeclared, began: began, ended: time.Now(), declared: &declared, err: err}
-	return got, follow{after: declared.Version, until: untilNextReading(got.ended, declared.Bytes), next: d.declaredChanged}
+	daemons := time.Duration(d.options.Daemons())
+	until := untilNextReading(got.ended, declared.Bytes)
+	if spaced := got.ended.Add(daemons * readPerDaemon); spaced.After(until) {
+		until = spaced
+	}
+	wait := max(declaredWait, daemons*waitPerDaemon)
+	return got, follow{after: declared.Version, until: until, wait: wait, next: d.declaredChanged}
 }
 
 // declaredChanged asks whether the operators' rows changed. Without a change the
@@ -278,7 +297,8 @@
 	began := time.Now()
 	listed, err := d.readPages(ctx)
 	got := message{table: tableBackends, began: began, ended: time.Now(), listed: &listed, err: err}
-	return got, follow{after: listed.Version, until: untilNextReading(got.ended, listed.Bytes), next: d.backendChanges}
+	until := untilNextReading(got.ended, listed.Bytes)
+	return got, follow{after: listed.Version, until: until, wait: backendWait, next: d.backendChanges}
 }
 
 // readPages reads the whole list. It is of the moment of its first page: what
--- a/internal/rollout/follower.go
+++ b/internal/rollout/follower.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
+	"github.com/cenkalti/backoff/v5"
 	"github.com/sirupsen/logrus"
 
 	"github.com/lotusward/lotusward/internal/core/backendpool"
@@ -13,8 +15,11 @@
 )
 
 const (
-	followInterval = 2 * time.Second
-	followPause    = 100 * time.Millisecond
+	followInterval = 3 * time.Second
+	// Pauses after failed calls grow, so that many daemons don't keep a store busy
+	// with calls that it refuses.
+	shortestFollowPause = 100 * time.Millisecond
+	longestFollowPause  = 2 * time.Second
 )
 
 // Changes tells when the plan's row may have changed.
@@ -37,16 +42,24 @@
 
 // Run follows the plan until the context ends.
 func (f *Follower) Run(ctx context.Context) error {
+	pauses := backoff.NewExponentialBackOff()
+	pauses.InitialInterval = shortestFollowPause
+	pauses.MaxInterval = longestFollowPause
 	var after uint64
 	version := f.follow(ctx, 0)
 	for ctx.Err() == nil {
 		next, err := f.wait(ctx, after)
-		if err != nil {
-			pause.For(ctx, followPause)
-			next = 0
+		after = next // the store's whole history after a failure
+		var lost *port.NotFoundError
+		if err != nil && !errors.As(err, &lost) {
+			pause.For(ctx, pauses.NextBackOff())
+			continue
 		}
-		after = next
+		pauses.Reset()
 		version = f.follow(ctx, version)
+		if lost != nil {
+			pause.For(ctx, shortestFollowPause)
+		}
 	}
 	return nil
 }
