--- a/internal/loadshare/loadshare.go
+++ b/internal/loadshare/loadshare.go
@@ -5,6 +5,7 @@
 package loadshare
 
 import (
+	"bytes"
 	"context"
 	"math/rand/v2"
 	"net"
@@ -42,23 +43,20 @@
 // message is one datagram. Its parts are lists of fields, since names would be most
 // of its bytes.
 type message struct {
-	_msgpack struct{} `msgpack:",as_array"`
-	From     string
-	Loads    []load
-	Facts    []fact
+	From  string
+	Loads []load
+	Facts []fact
 }
 
 type load struct {
-	_msgpack struct{} `msgpack:",as_array"`
 	Key      uint64
 	InFlight float32
 	Reading  float32
 }
 
 type fact struct {
-	_msgpack struct{} `msgpack:",as_array"`
-	Part     promptcache.Key
-	Backend  uint64
+	Part    promptcache.Key
+	Backend uint64
 }
 
 func encode(from string, loads []backendpool.Load, facts []promptcache.Fact) ([]byte, error) {
@@ -69,7 +67,11 @@
 	for _, each := range facts {
 		told.Facts = append(told.Facts, fact{Part: each.Part, Backend: each.Backend})
 	}
-	return msgpack.Marshal(told)
+	var datagram bytes.Buffer
+	encoder := msgpack.NewEncoder(&datagram)
+	encoder.UseArrayEncodedStructs(true)
+	err := encoder.Encode(told)
+	return datagram.Bytes(), err
 }
 
 func (m *message) loads() []backendpool.Load {
