Take no version for a guess that was not there at the start

Cause: the platform has no row for a model's first version, so the first version that is named looked as if it had been found at the start, and was taken for named 4 s earlier than it was. All runners with old weights were given up 3 s after the first change: the late first tokens at 4 to 8 s. Found by logging how many back ends would have done (2 of 12). Ruled out: uneven placement. New test: TestFirstNamedVersionIsNoGuess.

--- a/internal/core/backendpool/pool.go
+++ b/internal/core/backendpool/pool.go
@@ -45,6 +45,10 @@
 	Version uint64
 	// Key is the hash of the back end's ID.
 	Key uint64
+	// Candidates is how many back ends would have done, and Waiting the cost of what
+	// was under way at this one, in tokens.
+	Candidates int
+	Waiting    float64
 	// HolderAddress is the address of another back end that most likely holds the
 	// prompt's shared parts, sound and of the same version; empty if there is none
 	// or if the ticket's own most likely holds them.
@@ -154,11 +158,12 @@
 		return nil
 	}
 	picked, work := p.choose(candidates, query)
+	waiting := picked.waiting()
 	picked.inFlight++
 	picked.reading += work
 	ticket := &Ticket{
 		Backend: picked.backend, Version: picked.version(query.Model),
-		Key: picked.key, entry: picked, pool: p, work: work, reading: true,
+		Key: picked.key, Candidates: len(candidates), Waiting: waiting, entry: picked, pool: p, work: work, reading: true,
 	}
 	if other := p.holder(now, query, picked); other != nil {
 		ticket.HolderAddress = other.backend.Address
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -81,6 +81,9 @@
 	// What follows belongs to the goroutine of Run.
 	versions map[identity.ModelName][]relay.NamedVersion
 	backends map[identity.BackendID]backendpool.Backend
+	// started is set after the first reading: a version that is found later was named
+	// since, also if it is a model's first.
+	started bool
 	// told are what other daemons saw last, by model.
 	told      map[identity.ModelName]Seen
 	freshness map[table]*freshness
@@ -391,6 +394,7 @@
 	}
 	now := time.Now()
 	versionsChanged := d.nameVersions(now, declared.Clock, declared.Versions)
+	d.started = true
 	state := d.state.Load()
 	newer := declared.Configuration != nil && (state == nil || declared.Configuration.Version > state.Table.Version())
 	switch {
@@ -439,7 +443,7 @@
 			continue
 		}
 		found := relay.NamedVersion{Version: versions[model], SeenAt: now, StoreClock: clock}
-		if len(named) == 0 {
+		if !d.started {
 			found = relay.NamedVersion{Version: versions[model], SeenAt: now.Add(-d.options.VersionHeadStart), Guessed: true}
 		}
 		named = append(named, found)
--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -171,6 +171,7 @@
 		directory.nameVersions(at, time.Second, map[identity.ModelName]uint64{"m": version})
 	}
 	name(now, 1)
+	directory.started = true
 	name(now.Add(time.Second), 2)
 	name(now.Add(2*time.Second), 1)
 	name(now.Add(3*time.Second), 4)
@@ -345,3 +346,21 @@
 	directory.apply(message{table: tableDeclared, began: began, ended: began, declared: &source.declared})
 	assert.Assert(t, !directory.State().Versions["m"][0].Guessed)
 }
+
+// TestFirstNamedVersionIsNoGuess takes the time at which it was seen for a version
+// that was not there at the start, though it is its model's first.
+func TestFirstNamedVersionIsNoGuess(t *testing.T) {
+	source := &memorySource{declared: declaration(10, 7)}
+	directory := New(Options{Source: source, Pool: backendpool.New("a"), Log: logging.Discard(), VersionHeadStart: 4 * time.Second})
+	read := func() {
+		began := time.Now()
+		directory.apply(message{table: tableDeclared, began: began, ended: began, declared: &source.declared})
+	}
+	read()
+	source.declared.Versions["m"] = 2
+	source.declared.Version = 11
+	read()
+	named := directory.State().Versions["m"][0]
+	assert.Assert(t, !named.Guessed)
+	assert.Assert(t, time.Since(named.SeenAt) < time.Second)
+}
--- a/internal/relay/journal.go
+++ b/internal/relay/journal.go
@@ -28,6 +28,10 @@
 	Backend identity.BackendID
 	// Version is the version of the weights that was demanded.
 	Version uint64
+	// Candidates is how many back ends would have done, and WaitingTokens the work
+	// that was under way at this one.
+	Candidates    int
+	WaitingTokens float64
 	// FetchFrom and SaveTo are where the prompt's cache was to be taken from and
 	// saved to; empty is none.
 	FetchFrom, SaveTo string
--- a/internal/requestlog/requestlog.go
+++ b/internal/requestlog/requestlog.go
@@ -146,7 +146,9 @@
 	fields["attempt"] = attempt.Number
 	fields["backend"] = attempt.Backend
 	fields["attempt_ms"] = attempt.Elapsed.Milliseconds()
+	fields["candidates"] = attempt.Candidates
 	if attempt.Version > 0 {
+		fields["waiting_tokens"] = int(attempt.WaitingTokens)
 		fields["weights"] = attempt.Version
 	}
 	if attempt.FetchFrom != "" {
