--- a/internal/core/backendpool/choice.go
+++ b/internal/core/backendpool/choice.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/lotusward/lotusward/internal/core/identity"
 	"github.com/lotusward/lotusward/internal/core/rendezvous"
 )
 
@@ -21,6 +22,9 @@
 	// movableHomeCost is the cost at the home of a token that can be moved there if
 	// the home doesn't hold it after all.
 	movableHomeCost = 0.1
+	// oldWeightsFactor raises the cost of parts that a back end with older weights
+	// would have to get: it will drop them soon.
+	oldWeightsFactor = 2
 	// requestCost is what a request under way adds beside the prompt that is read.
 	requestCost = 60
 	// otherZoneCost is the cost of a back end in another zone, for requests without
@@ -114,6 +118,7 @@
 // missingCosts returns the cost of the prompt's shared parts at each candidate.
 func missingCosts(candidates []*entry, query Query) []float64 {
 	home := highestRank(candidates, query.Home)
+	newest := newestVersion(candidates, query.Model)
 	known := map[uint64]Cached{}
 	costs := make([]float64, len(candidates))
 	for index, candidate := range candidates {
@@ -124,10 +129,21 @@
 			known[version] = cached
 		}
 		costs[index] = missing(candidate, home, cached, query.SharedTokens)
+		if version < newest {
+			costs[index] *= oldWeightsFactor
+		}
 	}
 	return costs
 }
 
+func newestVersion(candidates []*entry, model identity.ModelName) uint64 {
+	newest := uint64(0)
+	for _, candidate := range candidates {
+		newest = max(newest, candidate.version(model))
+	}
+	return newest
+}
+
 // waiting is the cost of what is under way at a back end.
 func (e *entry) waiting() float64 {
 	reading := e.reading + e.others.Reading
