Wait for parts that are being read instead of fetching them too early

Cause: most of what was read again on Kalahari Pot were parts under way at one runner: the next request went elsewhere with a fetch from a runner that did not have them yet. Facts now say whether a part is being read or was read; only what was read counts as movable. New test: TestPartsBeingReadAreWaitedFor.

--- a/internal/core/backendpool/choice.go
+++ b/internal/core/backendpool/choice.go
@@ -160,16 +160,18 @@
 // rank is the back end's weight for a prompt in rendezvous hashing.
 func (e *entry) rank(home uint64) uint64 { return rendezvous.Score(home, string(e.backend.ID)) }
 
-// missing is the cost of the prompt's shared parts at a candidate.
+// missing is the cost of the prompt's shared parts at a candidate. Parts that are
+// only being read elsewhere cannot be moved yet.
 func missing(candidate, home *entry, cached Cached, sharedTokens int) float64 {
+	movable := cached.Stored || len(cached.Read) > 0
 	switch {
-	case sharedTokens == 0, slices.Contains(cached.Holders, candidate.key):
+	case sharedTokens == 0, slices.Contains(cached.Read, candidate.key), slices.Contains(cached.Reading, candidate.key):
 		return 0
-	case cached.Movable && candidate == home && len(cached.Holders) == 0:
+	case movable && candidate == home && !cached.known():
 		return movableHomeCost * float64(sharedTokens)
-	case cached.Movable:
+	case movable:
 		return moveCost * float64(sharedTokens)
-	case candidate == home:
+	case candidate == home && !cached.known():
 		return unknownHomeCost * float64(sharedTokens)
 	default:
 		return unknownElsewhereCost * float64(sharedTokens)
--- a/internal/core/backendpool/pool.go
+++ b/internal/core/backendpool/pool.go
@@ -31,12 +31,16 @@
 
 // Cached says where a prompt's shared parts are.
 type Cached struct {
-	// Holders are the hashes of the back ends that most likely hold them.
-	Holders []uint64
-	// Movable is set when they can be taken from elsewhere.
-	Movable bool
+	// Read are the hashes of the back ends that most likely hold them, and Reading of
+	// those that are about to read them.
+	Read, Reading []uint64
+	// Stored is set when they can be taken from a store.
+	Stored bool
 }
 
+// known tells whether any back end is known to hold the parts or to read them.
+func (c Cached) known() bool { return len(c.Read) > 0 || len(c.Reading) > 0 }
+
 // Ticket is one request's place at a back end. Release ends it.
 type Ticket struct {
 	Backend Backend
@@ -178,7 +182,7 @@
 	if query.Cached == nil || version == 0 {
 		return nil
 	}
-	holders := query.Cached(version).Holders
+	holders := query.Cached(version).Read
 	if slices.Contains(holders, picked.key) {
 		return nil
 	}
--- a/internal/core/backendpool/pool_test.go
+++ b/internal/core/backendpool/pool_test.go
@@ -149,7 +149,7 @@
 	query := Query{Service: "llm", Model: "m", Home: 5, SharedTokens: 1000, OwnTokens: 500}
 	home := pool.Pick(start, query)
 	home.Release(start, ResultServed)
-	query.Cached = func(uint64) Cached { return Cached{Holders: []uint64{home.Key}, Movable: true} }
+	query.Cached = func(uint64) Cached { return Cached{Read: []uint64{home.Key}} }
 	pool.SetOthersLoad(map[uint64]Load{home.entry.key: {Key: home.entry.key, InFlight: 2, Reading: 9000}})
 	elsewhere := pool.Pick(start, query)
 	elsewhere.Release(start, ResultServed)
@@ -183,7 +183,7 @@
 	old := pool.byID["engine-0"].key
 	query := Query{Service: "llm", Model: "m", SharedTokens: 5000, OwnTokens: 500, Cached: func(version uint64) Cached {
 		if version == 1 {
-			return Cached{Holders: []uint64{old}, Movable: true}
+			return Cached{Read: []uint64{old}}
 		}
 		return Cached{}
 	}}
@@ -212,3 +212,20 @@
 	pool.SetOthersLoad(map[uint64]Load{first.Key: {Key: first.Key, Reading: 20000}})
 	assert.Assert(t, pool.Pick(start, query) == nil)
 }
+
+// TestPartsBeingReadAreWaitedFor sends a second request with an unread part behind
+// the first, and elsewhere once the part can be moved.
+func TestPartsBeingReadAreWaitedFor(t *testing.T) {
+	pool := New("a")
+	pool.Update(engines(4))
+	query := Query{Service: "llm", Model: "m", Home: 3, SharedTokens: 10000, OwnTokens: 500}
+	first := pool.Pick(start, query)
+	query.Cached = func(uint64) Cached { return Cached{Reading: []uint64{first.Key}} }
+	second := pool.Pick(start, query)
+	assert.Equal(t, second.Backend.ID, first.Backend.ID)
+	assert.Equal(t, second.HolderAddress, "")
+	query.Cached = func(uint64) Cached { return Cached{Read: []uint64{first.Key}} }
+	third := pool.Pick(start, query)
+	assert.Assert(t, third.Backend.ID != first.Backend.ID)
+	assert.Equal(t, third.HolderAddress, first.Backend.Address)
+}
--- a/internal/core/promptcache/promptcache.go
+++ b/internal/core/promptcache/promptcache.go
@@ -27,6 +27,8 @@
 	saveAgainAfter = 3 * time.Second
 	// holderTime is how long a back end is believed to hold a part that nobody asks for.
 	holderTime = 25 * time.Second
+	// readingTime is how long a back end is believed to be about to read a part.
+	readingTime = 3 * time.Second
 )
 
 // Key is the hash of a shared part and its salt.
@@ -40,11 +42,14 @@
 	Part Key
 	// Backend is the hash of the back end's ID.
 	Backend uint64
+	// Read is set once the back end has read the part.
+	Read bool
 }
 
 type holder struct {
 	backend uint64
 	at      time.Time
+	read    bool
 }
 
 type record struct {
@@ -68,22 +73,31 @@
 	return &Memory{capacity: defaultCapacity, records: map[Key]*list.Element{}, order: list.New()}
 }
 
-// Holders returns the hashes of the back ends that most likely hold a part, the
-// likeliest first.
-func (m *Memory) Holders(now time.Time, key Key) []uint64 {
+// Holders are the back ends that most likely hold a part, the likeliest first.
+type Holders struct {
+	// Read have read it; Reading are about to.
+	Read, Reading []uint64
+}
+
+// Holders returns what is believed of a part.
+func (m *Memory) Holders(now time.Time, key Key) Holders {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
+	var holders Holders
 	element := m.records[key]
 	if element == nil {
-		return nil
+		return holders
 	}
-	var backends []uint64
 	for _, known := range element.Value.(*record).holders {
-		if now.Sub(known.at) <= holderTime {
-			backends = append(backends, known.backend)
+		age := now.Sub(known.at)
+		switch {
+		case known.read && age <= holderTime:
+			holders.Read = append(holders.Read, known.backend)
+		case !known.read && age <= readingTime:
+			holders.Reading = append(holders.Reading, known.backend)
 		}
 	}
-	return backends
+	return holders
 }
 
 // Sent notes that this daemon sends a request with the part to a back end. It
@@ -93,9 +107,7 @@
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
 	found := m.note(now, fact)
-	if len(m.untold) < maximumUntold {
-		m.untold = append(m.untold, fact)
-	}
+	m.tell(fact)
 	if float64(sharedTokens) < leastSharedShare*float64(promptTokens) {
 		return false
 	}
@@ -106,6 +118,21 @@
 	return true
 }
 
+// HasRead notes that a back end has read a part that this daemon sent there.
+func (m *Memory) HasRead(now time.Time, fact Fact) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	fact.Read = true
+	m.note(now, fact)
+	m.tell(fact)
+}
+
+func (m *Memory) tell(fact Fact) {
+	if len(m.untold) < maximumUntold {
+		m.untold = append(m.untold, fact)
+	}
+}
+
 // Heard notes what another daemon has sent.
 func (m *Memory) Heard(now time.Time, facts []Fact) {
 	m.mutex.Lock()
@@ -125,11 +152,19 @@
 	return facts
 }
 
-// note makes a back end the newest holder of a part.
+// note makes a back end the newest holder of a part. What it has read once it is
+// believed to hold.
 func (m *Memory) note(now time.Time, fact Fact) *record {
 	found := m.touch(fact.Part)
-	found.holders = slices.DeleteFunc(found.holders, func(known holder) bool { return known.backend == fact.Backend })
-	found.holders = slices.Insert(found.holders, 0, holder{backend: fact.Backend, at: now})
+	read := fact.Read
+	found.holders = slices.DeleteFunc(found.holders, func(known holder) bool {
+		if known.backend != fact.Backend {
+			return false
+		}
+		read = read || (known.read && now.Sub(known.at) <= holderTime)
+		return true
+	})
+	found.holders = slices.Insert(found.holders, 0, holder{backend: fact.Backend, at: now, read: read})
 	found.holders = found.holders[:min(len(found.holders), maximumHolders)]
 	return found
 }
--- a/internal/loadshare/loadshare.go
+++ b/internal/loadshare/loadshare.go
@@ -57,6 +57,7 @@
 type fact struct {
 	Part    promptcache.Key
 	Backend uint64
+	Read    bool
 }
 
 func encode(from string, loads []backendpool.Load, facts []promptcache.Fact) ([]byte, error) {
@@ -65,7 +66,7 @@
 		told.Loads = append(told.Loads, load{Key: each.Key, InFlight: float32(each.InFlight), Reading: float32(each.Reading)})
 	}
 	for _, each := range facts {
-		told.Facts = append(told.Facts, fact{Part: each.Part, Backend: each.Backend})
+		told.Facts = append(told.Facts, fact{Part: each.Part, Backend: each.Backend, Read: each.Read})
 	}
 	var datagram bytes.Buffer
 	encoder := msgpack.NewEncoder(&datagram)
@@ -85,7 +86,7 @@
 func (m *message) facts() []promptcache.Fact {
 	facts := make([]promptcache.Fact, len(m.Facts))
 	for index, each := range m.Facts {
-		facts[index] = promptcache.Fact{Part: each.Part, Backend: each.Backend}
+		facts[index] = promptcache.Fact{Part: each.Part, Backend: each.Backend, Read: each.Read}
 	}
 	return facts
 }
--- a/internal/loadshare/loadshare_test.go
+++ b/internal/loadshare/loadshare_test.go
@@ -66,7 +66,7 @@
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
 		ticket := two.pool.Pick(time.Now(), heavy)
 		defer ticket.Release(time.Now(), backendpool.ResultServed)
-		if ticket.Backend.ID != taken.Backend.ID && len(two.memory.Holders(time.Now(), key)) == 1 {
+		if ticket.Backend.ID != taken.Backend.ID && len(two.memory.Holders(time.Now(), key).Reading) == 1 {
 			return poll.Success()
 		}
 		return poll.Continue("the load is not heard of")
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -166,7 +166,7 @@
 	}
 	stored, _ := r.options.Store().Tokens(key)
 	holders := r.options.Memory.Holders(r.options.Now(), promptcache.KeyOf(key.Salt, key.ID))
-	return backendpool.Cached{Holders: holders, Movable: stored > 0 || len(holders) > 0}
+	return backendpool.Cached{Read: holders.Read, Reading: holders.Reading, Stored: stored > 0}
 }
 
 // beginBy is until when a request may begin on a version of a model's weights. It
@@ -251,6 +251,17 @@
 	}
 }
 
+// hasRead notes that a ticket's back end has read a request's shared parts.
+func (r *Relay) hasRead(admitted *admission, ticket *backendpool.Ticket) {
+	if admitted.request.Prompt == nil || ticket.Version == 0 {
+		return
+	}
+	if key, shared := r.cacheKey(admitted, ticket.Version); shared {
+		fact := promptcache.Fact{Part: promptcache.KeyOf(key.Salt, key.ID), Backend: ticket.Key}
+		r.options.Memory.HasRead(r.options.Now(), fact)
+	}
+}
+
 // promptTokens returns a prompt's tokens, and those of its own last part.
 func promptTokens(parts []Part) (total, own int) {
 	for _, part := range parts {
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -78,7 +78,7 @@
 	events := newEventReader(answer.Body)
 	watch := r.watchStall(ticket, cancel)
 	defer watch.stop()
-	for {
+	for first := true; ; first = false {
 		got, err := events.next()
 		if err == io.EOF {
 			return r.endStream(ctx, answer, got.bytes)
@@ -87,9 +87,12 @@
 			return r.brokenStream(ctx, "cut_stream")
 		}
 		watch.heard()
-		ticket.Begun()
-		r.begin.stop()
 		ticket.Heard(r.now())
+		if first {
+			ticket.Begun()
+			r.begin.stop()
+			r.relay.hasRead(r.admitted, ticket)
+		}
 		if err := r.passEvent(answer, got, events.more()); err != nil {
 			return stepEnd, failure{result: backendpool.ResultAbandoned, reason: "caller_left"}
 		}
