--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -311,10 +311,10 @@
 	bounded, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
 	retries := newRetrying()
-	listed, err := d.options.Source.Backends(bounded, "")
+	listed, err := d.readPage(bounded, "")
 	for err == nil && listed.Next != "" {
 		var page Listed
-		page, err = d.options.Source.Backends(bounded, listed.Next)
+		page, err = d.readPage(bounded, listed.Next)
 		var limited *port.RateLimitedError
 		if errors.As(err, &limited) {
 			retries.after(bounded, err)
@@ -329,6 +329,13 @@
 	return listed, err
 }
 
+// readPage makes one call, which a silent store must not hold up.
+func (d *Directory) readPage(ctx context.Context, from string) (Listed, error) {
+	bounded, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	return d.options.Source.Backends(bounded, from)
+}
+
 func (d *Directory) backendChanges(ctx context.Context, after uint64, wait time.Duration) (message, uint64, bool) {
 	began := time.Now()
 	changes, err := d.options.Source.BackendChanges(ctx, after, wait)
--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -25,11 +26,13 @@
 	declared Declared
 	listed   Listed
 	// second is the list's second page. The first call for it is refused for now.
-	second  Listed
-	pages   int
-	changes Changes
-	failure error
-	calls   int
+	second Listed
+	// silentOnce makes the next call for back ends get no answer.
+	silentOnce atomic.Bool
+	pages      int
+	changes    Changes
+	failure    error
+	calls      int
 }
 
 func (s *memorySource) set(change func(*memorySource)) {
@@ -45,7 +48,11 @@
 	return s.declared, s.failure
 }
 
-func (s *memorySource) Backends(_ context.Context, from string) (Listed, error) {
+func (s *memorySource) Backends(ctx context.Context, from string) (Listed, error) {
+	if s.silentOnce.CompareAndSwap(true, false) {
+		<-ctx.Done()
+		return Listed{}, ctx.Err()
+	}
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	if from == "" || s.failure != nil {
@@ -364,3 +371,20 @@
 	assert.Assert(t, !named.Guessed)
 	assert.Assert(t, time.Since(named.SeenAt) < time.Second)
 }
+
+// TestSilentCallForTheListIsGivenUp reads the list soon after a call for it got no
+// answer.
+func TestSilentCallForTheListIsGivenUp(t *testing.T) {
+	source := &memorySource{
+		declared: declaration(10, 7),
+		listed:   Listed{Reading: Reading{Version: 10}, Backends: []backendpool.Backend{{ID: "a", Service: "s"}}},
+	}
+	source.silentOnce.Store(true)
+	directory := start(t, source)
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if len(directory.options.Pool.Backends()) == 1 {
+			return poll.Success()
+		}
+		return poll.Continue("the list is not read")
+	}, poll.WithTimeout(callTimeout+2*time.Second))
+}
