--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -85,7 +85,7 @@
 	// since, also if it is a model's first.
 	started bool
 	// told are what other daemons saw last, by model.
-	told      map[identity.ModelName]Seen
+	told      map[identity.ModelName][]Seen
 	freshness map[table]*freshness
 	reachable map[table]bool
 }
@@ -107,7 +107,7 @@
 	declared *Declared
 	listed   *Listed
 	changes  *Changes
-	seen     *Seen
+	seen     []Seen
 	err      error
 }
 
@@ -129,7 +129,7 @@
 		messages:  make(chan message),
 		versions:  map[identity.ModelName][]relay.NamedVersion{},
 		backends:  map[identity.BackendID]backendpool.Backend{},
-		told:      map[identity.ModelName]Seen{},
+		told:      map[identity.ModelName][]Seen{},
 		freshness: map[table]*freshness{tableDeclared: {}, tableBackends: {}},
 		reachable: map[table]bool{},
 	}
@@ -455,53 +455,69 @@
 		}
 		named = append(named, found)
 		d.versions[model] = named[max(len(named)-keptVersions, 0):]
-		d.replaceGuess(now, model)
+		d.mergeTold(now, model)
 		d.options.Log.WithFields(logrus.Fields{"model": model, "version": versions[model]}).Info("A version of weights is named.")
 		changed = true
 	}
 	return changed
 }
 
-// LearnSeen takes in what another daemon saw, for versions whose time this daemon
-// can only guess. It waits for the goroutine of Run.
-func (d *Directory) LearnSeen(ctx context.Context, seen Seen) {
-	d.post(ctx, message{seen: &seen})
+// LearnSeen takes in what another daemon saw, for versions that were named before
+// this daemon started. It waits for the goroutine of Run.
+func (d *Directory) LearnSeen(ctx context.Context, seen []Seen) {
+	d.post(ctx, message{seen: seen})
 }
 
-// applySeen remembers what another daemon saw; it may come before the version is
+// applySeen remembers what another daemon saw; it may come before the versions are
 // read here.
-func (d *Directory) applySeen(seen *Seen) {
-	d.told[seen.Model] = *seen
+func (d *Directory) applySeen(seen []Seen) {
+	clear(d.told)
+	for _, each := range seen {
+		d.told[each.Model] = append(d.told[each.Model], each)
+	}
 	state := d.state.Load()
-	if !d.replaceGuess(time.Now(), seen.Model) || state == nil {
+	changed := false
+	for model := range d.told {
+		changed = d.mergeTold(time.Now(), model) || changed
+	}
+	if !changed || state == nil {
 		return
 	}
-	changed := *state
-	changed.Versions = d.copyVersions()
-	d.state.Store(&changed)
+	renewed := *state
+	renewed.Versions = d.copyVersions()
+	d.state.Store(&renewed)
 }
 
-// replaceGuess replaces a guess by what another daemon saw. It returns true when
-// there was one to replace.
-func (d *Directory) replaceGuess(now time.Time, model identity.ModelName) bool {
-	seen := d.told[model]
+// mergeTold adds the versions that were named before this daemon started, and
+// replaces its guess of the last of them. All matter: what a back end with old
+// weights may still begin depends on the first version after its own. It returns
+// true when anything changed.
+func (d *Directory) mergeTold(now time.Time, model identity.ModelName) bool {
 	clock, known := d.freshness[tableDeclared].now(now)
-	if !known || seen.StoreClock <= 0 || seen.StoreClock > clock {
+	named := d.versions[model]
+	if !known || len(named) == 0 {
 		return false
 	}
-	for index, named := range d.versions[model] {
-		if !named.Guessed || named.Version != seen.Version {
+	merged := make([]relay.NamedVersion, 0, len(d.told[model])+len(named))
+	for _, seen := range d.told[model] {
+		replaces := named[0].Guessed && named[0].Version == seen.Version
+		if seen.StoreClock <= 0 || seen.StoreClock > clock || (seen.Version >= named[0].Version && !replaces) {
 			continue
 		}
-		d.versions[model][index] = relay.NamedVersion{
-			Version: named.Version, SeenAt: now.Add(seen.StoreClock - clock), StoreClock: seen.StoreClock,
-		}
-		d.options.Log.WithFields(logrus.Fields{
-			"model": model, "version": seen.Version, "age_ms": (clock - seen.StoreClock).Milliseconds(),
-		}).Info("Another daemon told when a version was named.")
-		return true
+		merged = append(merged, relay.NamedVersion{
+			Version: seen.Version, SeenAt: now.Add(seen.StoreClock - clock), StoreClock: seen.StoreClock,
+		})
+	}
+	if len(merged) == 0 {
+		return false
+	}
+	if merged[len(merged)-1].Version == named[0].Version {
+		named = named[1:]
 	}
-	return false
+	merged = append(merged, named...)
+	d.versions[model] = merged[max(len(merged)-keptVersions, 0):]
+	d.options.Log.WithFields(logrus.Fields{"model": model, "versions": len(merged)}).Info("Another daemon told when versions were named.")
+	return true
 }
 
 // applyListed takes in the list of back ends.
@@ -564,8 +580,8 @@
 	return targets
 }
 
-// SeenVersions returns when the newest version of each model was first seen, where
-// that is no guess.
+// SeenVersions returns when the remembered versions were first seen, oldest first,
+// but for those of which that is a guess.
 func (d *Directory) SeenVersions() []Seen {
 	state := d.state.Load()
 	if state == nil {
@@ -573,10 +589,10 @@
 	}
 	var seen []Seen
 	for _, model := range slices.Sorted(maps.Keys(state.Versions)) {
-		named := state.Versions[model]
-		newest := named[len(named)-1]
-		if !newest.Guessed && newest.StoreClock > 0 {
-			seen = append(seen, Seen{Model: model, Version: newest.Version, StoreClock: newest.StoreClock})
+		for _, named := range state.Versions[model] {
+			if !named.Guessed && named.StoreClock > 0 {
+				seen = append(seen, Seen{Model: model, Version: named.Version, StoreClock: named.StoreClock})
+			}
 		}
 	}
 	return seen
--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -331,14 +331,14 @@
 	directory.apply(message{table: tableDeclared, began: began, ended: began, declared: &source.declared})
 	named := func() relay.NamedVersion { return directory.State().Versions["m"][0] }
 	assert.Assert(t, named().Guessed)
-	directory.apply(message{seen: &Seen{Model: "m", Version: 1, StoreClock: 49 * time.Second}})
-	directory.apply(message{seen: &Seen{Model: "m", Version: 2, StoreClock: 99 * time.Second}})
+	directory.apply(message{seen: []Seen{{Model: "other", Version: 2, StoreClock: 49 * time.Second}}})
+	directory.apply(message{seen: []Seen{{Model: "m", Version: 2, StoreClock: 99 * time.Second}}})
 	assert.Assert(t, named().Guessed)
-	directory.apply(message{seen: &Seen{Model: "m", Version: 2, StoreClock: 49 * time.Second}})
+	directory.apply(message{seen: []Seen{{Model: "m", Version: 2, StoreClock: 49 * time.Second}}})
 	assert.Assert(t, !named().Guessed)
 	age := time.Since(named().SeenAt)
 	assert.Assert(t, age >= time.Second && age < 2*time.Second, "seen %s ago", age)
-	directory.apply(message{seen: &Seen{Model: "m", Version: 2, StoreClock: 48 * time.Second}})
+	directory.apply(message{seen: []Seen{{Model: "m", Version: 2, StoreClock: 48 * time.Second}}})
 	assert.Equal(t, named().StoreClock, 49*time.Second)
 }
 
@@ -348,7 +348,7 @@
 	source.declared.Clock = 50 * time.Second
 	source.declared.Versions["m"] = 2
 	directory := New(Options{Source: source, Pool: backendpool.New("a"), Log: logging.Discard(), VersionHeadStart: 4 * time.Second})
-	directory.apply(message{seen: &Seen{Model: "m", Version: 2, StoreClock: 49 * time.Second}})
+	directory.apply(message{seen: []Seen{{Model: "m", Version: 2, StoreClock: 49 * time.Second}}})
 	began := time.Now()
 	directory.apply(message{table: tableDeclared, began: began, ended: began, declared: &source.declared})
 	assert.Assert(t, !directory.State().Versions["m"][0].Guessed)
@@ -388,3 +388,27 @@
 		return poll.Continue("the list is not read")
 	}, poll.WithTimeout(callTimeout+2*time.Second))
 }
+
+// TestSupersededVersionsAreLearnt bounds back ends two versions behind by the first
+// version after their own, though that one was superseded before this daemon
+// started.
+func TestSupersededVersionsAreLearnt(t *testing.T) {
+	source := &memorySource{declared: declaration(10, 7)}
+	source.declared.Clock = 50 * time.Second
+	source.declared.Versions["m"] = 4
+	directory := New(Options{Source: source, Pool: backendpool.New("a"), Log: logging.Discard(), VersionHeadStart: 4 * time.Second})
+	began := time.Now()
+	directory.apply(message{table: tableDeclared, began: began, ended: began, declared: &source.declared})
+	directory.apply(message{seen: []Seen{
+		{Model: "m", Version: 3, StoreClock: 44 * time.Second}, {Model: "m", Version: 4, StoreClock: 49 * time.Second},
+	}})
+	bound := func(version uint64) time.Duration {
+		return began.Sub(directory.State().BeginBy("m", version, time.Time{}, 0)).Round(time.Second)
+	}
+	assert.Equal(t, bound(2), 6*time.Second)
+	assert.Equal(t, bound(3), time.Second)
+	assert.Assert(t, directory.State().BeginBy("m", 4, time.Time{}, 0).IsZero())
+	assert.DeepEqual(t, directory.SeenVersions(), []Seen{
+		{Model: "m", Version: 3, StoreClock: 44 * time.Second}, {Model: "m", Version: 4, StoreClock: 49 * time.Second},
+	})
+}
--- a/internal/rollout/follower.go
+++ b/internal/rollout/follower.go
@@ -36,7 +36,7 @@
 	Pool    *backendpool.Pool
 	Lease   Lease
 	// Learn takes in when versions were first seen.
-	Learn func(ctx context.Context, seen directory.Seen)
+	Learn func(ctx context.Context, seen []directory.Seen)
 	Log   logrus.FieldLogger
 }
 
@@ -88,9 +88,7 @@
 		return rows[0].Version
 	}
 	plan.Follow(f.Pool)
-	for _, seen := range plan.Seen {
-		f.Learn(ctx, seen)
-	}
+	f.Learn(ctx, plan.Seen)
 	f.Log.WithFields(logrus.Fields{"token": plan.Token, "loading": plan.Loading}).Debug("The plan of the roll-out changed.")
 	return rows[0].Version
 }
--- a/internal/rollout/plan.go
+++ b/internal/rollout/plan.go
@@ -29,8 +29,8 @@
 	Loading []identity.BackendID
 	// Loaded are the versions that back ends hold, where the list may not yet say so.
 	Loaded []Loaded
-	// Seen says when the versions that are loaded were first seen, so that a daemon
-	// that starts need not guess.
+	// Seen says when the last versions were first seen, so that a daemon that starts
+	// need not guess.
 	Seen []directory.Seen
 }
 
--- a/internal/rollout/rollout_test.go
+++ b/internal/rollout/rollout_test.go
@@ -349,8 +349,8 @@
 	assert.NilError(t, err)
 	_, err = table.Commit(context.Background(), platformwire.Transaction{Writes: []platformwire.Write{{Key: KeyPlan, Value: value}}})
 	assert.NilError(t, err)
-	learned := make(chan directory.Seen, 1)
-	learn := func(_ context.Context, told directory.Seen) { learned <- told }
+	learned := make(chan []directory.Seen, 1)
+	learn := func(_ context.Context, told []directory.Seen) { learned <- told }
 	follower := &Follower{Table: table, Changes: plannedChanges{}, Pool: pool, Lease: &grantedLease{}, Learn: learn, Log: logging.Discard()}
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
@@ -362,7 +362,7 @@
 		}
 		return poll.Continue("the plan is not heeded")
 	})
-	assert.Equal(t, <-learned, seen)
+	assert.DeepEqual(t, <-learned, []directory.Seen{seen})
 	for home := range uint64(10) {
 		ticket := pool.Pick(time.Now(), backendpool.Query{Service: "s", Model: "m", Home: home + 1})
 		assert.Equal(t, ticket.Backend.ID, identity.BackendID("e01"))
