Take two failed calls for a disturbance, and the lease only with a list

Cause: one lost connection stopped the grace of old weights for 10 s, and a daemon without a list of back ends could hold the roll-out's lease and order nothing.

--- a/cmd/lotusward-platform/wire.go
+++ b/cmd/lotusward-platform/wire.go
@@ -103,7 +103,8 @@
 	serving := newServing(settings, relaying, known, part("front"))
 	keeper := leasekeeper.New(leasekeeper.Options{
 		Table: store, Log: part("lease"), Eligible: func() bool {
-			return candidate.Held() || (!serving.stopping.Load() && candidate.Eligible(time.Now()))
+			mayBecome := known.Complete() && !serving.stopping.Load()
+			return candidate.Held() || (mayBecome && candidate.Eligible(time.Now()))
 		},
 		Settings: lease.Settings{
 			Key: rollout.KeyLease, Holder: settings.NodeName, Incarnation: identity.Incarnation(rand.Uint64()),
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -48,6 +48,8 @@
 	// silentTime is how long the store may keep changes to itself before it drops
 	// its history, which a call for changes is then told.
 	silentTime = 1200 * time.Millisecond
+	// disturbanceWindow is the time within which two failed calls are a disturbance.
+	disturbanceWindow = 3 * time.Second
 	// clockSlack covers steady clocks that run at different rates.
 	clockSlack = 100 * time.Millisecond
 	// keptVersions is how many named versions of a model are remembered.
@@ -145,7 +147,12 @@
 func (d *Directory) ConfirmedAt() time.Time { return *d.confirmed.Load() }
 
 // Disturbed notes that a call of the store failed, by whichever part of the daemon.
+// One failure alone may be a connection's; two within a short time are the store's.
 func (d *Directory) Disturbed(now time.Time) {
+	before := d.failedAt.Swap(&now)
+	if before == nil || now.Sub(*before) > disturbanceWindow {
+		return
+	}
 	steady := now.Add(d.options.SteadyTime)
 	d.steady.Store(&steady)
 }
--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -412,3 +412,16 @@
 		{Model: "m", Version: 3, StoreClock: 44 * time.Second}, {Model: "m", Version: 4, StoreClock: 49 * time.Second},
 	})
 }
+
+// TestOneFailedCallIsNoDisturbance lets the store count as disturbed only after two
+// failures within a short time.
+func TestOneFailedCallIsNoDisturbance(t *testing.T) {
+	directory := New(Options{Source: &memorySource{}, Pool: backendpool.New("a"), Log: logging.Discard(), SteadyTime: time.Second})
+	now := time.Now()
+	directory.Disturbed(now)
+	directory.Disturbed(now.Add(2 * disturbanceWindow))
+	assert.Assert(t, directory.SteadySince().IsZero())
+	last := now.Add(2*disturbanceWindow + time.Second)
+	directory.Disturbed(last)
+	assert.Equal(t, directory.SteadySince(), last.Add(time.Second))
+}
