--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -78,7 +78,9 @@
 	confirmed atomic.Pointer[time.Time]
 	// steady is when the store had last been steady for SteadyTime since a failure.
 	steady atomic.Pointer[time.Time]
-	listed atomic.Bool
+	// failedAt is when a call of the store last failed.
+	failedAt atomic.Pointer[time.Time]
+	listed   atomic.Bool
 
 	// What follows belongs to the goroutine of Run.
 	versions map[identity.ModelName][]relay.NamedVersion
