--- a/cmd/lotusward-platform/wire.go
+++ b/cmd/lotusward-platform/wire.go
@@ -54,98 +54,127 @@
 
 // wired is the daemon's parts.
 type wired struct {
-	settings  platform.Settings
-	pool      *httpexchange.Pool
-	directory *directory.Directory
-	keeper    *leasekeeper.Keeper
-	rollout   *rollout.Keeper
-	follower  *rollout.Follower
-	members   *members.List
-	loads     *loadshare.Sharer
-	store     *cachewatch.Watcher
-	metrics   *metrics
-	serving   *serving
+	settings platform.Settings
+	logger   *logrus.Logger
+
+	pool     *httpexchange.Pool
+	store    *platform.Store
+	runners  *platform.Runners
+	backends *backendpool.Pool
+	memory   *promptcache.Memory
+	budgets  *relay.Budgets
+
+	members    *members.List
+	directory  *directory.Directory
+	promptsIn  *cachewatch.Watcher
+	loads      *loadshare.Sharer
+	serving    *serving
+	keeper     *leasekeeper.Keeper
+	rollout    *rollout.Keeper
+	follower   *rollout.Follower
+	metricsOut *metrics
 }
 
+// wire connects the daemon's parts; nothing runs yet.
 func wire(settings platform.Settings, metricsPort int, logger *logrus.Logger, writer *eventlog.Writer) *wired {
-	part := func(name string) logrus.FieldLogger { return logging.Part(logger, name) }
 	registry := prometheus.NewRegistry()
 	counters := requestlog.NewCounters(registry)
 	registerState(registry, writer)
-	connections := httpexchange.NewPool(httpexchange.Options{LocalAddress: settings.IP})
-	watch := &storeObserver{counters: counters}
-	store := platform.NewStore(connections, settings.Store.Address, watch)
-	runners := platform.NewRunners(connections)
-	backends := backendpool.New(settings.Zone)
-	bounds := settings.Bounds
-	budgets := relay.NewBudgets(retry.Limits{
+	made := &wired{settings: settings, logger: logger, metricsOut: newMetrics(settings, metricsPort, registry)}
+	made.wireOutside(counters)
+	made.wireBelief()
+	made.wireTraffic(counters)
+	made.wireDuty()
+	return made
+}
+
+func (w *wired) part(name string) logrus.FieldLogger { return logging.Part(w.logger, name) }
+
+// wireOutside makes the clients of the store and the runners.
+func (w *wired) wireOutside(counters *requestlog.Counters) {
+	w.pool = httpexchange.NewPool(httpexchange.Options{LocalAddress: w.settings.IP})
+	w.store = platform.NewStore(w.pool, w.settings.Store.Address, &storeObserver{counters: counters, wired: w})
+	w.runners = platform.NewRunners(w.pool)
+}
+
+// wireBelief makes what knows back ends, configuration and other daemons.
+func (w *wired) wireBelief() {
+	bounds := w.settings.Bounds
+	w.backends = backendpool.New(w.settings.Zone)
+	w.memory = promptcache.New()
+	w.budgets = relay.NewBudgets(retry.Limits{
 		Window: platform.Seconds(bounds.BudgetWindowS),
 		Ratio:  bounds.RetryBudgetRatio * budgetShare,
 	})
-	others := members.New(members.Options{
-		Self: settings.NodeName, Address: settings.InternalAddress(), Table: store, Log: part("members"),
-		Changed: func(count int) { budgets.SetFloor(int(budgetShare * bounds.RetryBudgetSlack / float64(count))) },
+	w.members = members.New(members.Options{
+		Self: w.settings.NodeName, Address: w.settings.InternalAddress(), Table: w.store, Log: w.part("members"),
+		Changed: func(count int) { w.budgets.SetFloor(int(budgetShare * bounds.RetryBudgetSlack / float64(count))) },
 	})
-	known := directory.New(directory.Options{
-		Daemons: others.Count,
-		Source:  store, Pool: backends, Log: part("directory"),
+	w.directory = directory.New(directory.Options{
+		Source: w.store, Pool: w.backends, Log: w.part("directory"),
+		Daemons:          w.members.Count,
 		SteadyTime:       platform.Milliseconds(bounds.ContactMs),
 		VersionHeadStart: versionGrace(bounds) - platform.Milliseconds(bounds.ContactMs),
 	})
-	storeWatch := cachewatch.NewWatcher(runners, known.PromptStoreAddress, part("promptstore"))
-	watch.directory = known
-	memory := promptcache.New()
+	w.promptsIn = cachewatch.NewWatcher(w.runners, w.directory.PromptStoreAddress, w.part("promptstore"))
+	w.loads = loadshare.New(loadshare.Options{
+		Address: w.settings.InternalAddress(), Others: w.members.Others, Pool: w.backends, Memory: w.memory,
+	})
+}
+
+// wireTraffic makes what serves callers.
+func (w *wired) wireTraffic(counters *requestlog.Counters) {
 	relaying := relay.New(relay.Options{
-		Control: known, Pool: backends, Backends: runners, Budgets: budgets,
-		Policy: policy(bounds), Memory: memory, Store: storeWatch.Cache, Journal: requestlog.New(part("relay"), counters),
+		Control: w.directory, Pool: w.backends, Backends: w.runners, Budgets: w.budgets,
+		Policy: policy(w.settings.Bounds), Memory: w.memory, Store: w.promptsIn.Cache,
+		Journal: requestlog.New(w.part("relay"), counters),
 	})
-	candidate := &leasekeeper.Candidate{Count: others.Count}
-	serving := newServing(settings, relaying, known, part("front"))
-	keeper := leasekeeper.New(leasekeeper.Options{
-		Table: store, Log: part("lease"), Eligible: func() bool {
-			mayBecome := known.Complete() && !serving.stopping.Load()
-			return candidate.Held() || (mayBecome && candidate.Eligible(time.Now()))
+	w.serving = newServing(w.settings, relaying, w.directory, w.part("front"))
+}
+
+// wireDuty makes the roll-out of weights and the lease that it is done under.
+func (w *wired) wireDuty() {
+	bounds := w.settings.Bounds
+	candidate := &leasekeeper.Candidate{Count: w.members.Count, Held: w.holdsLease}
+	w.keeper = leasekeeper.New(leasekeeper.Options{
+		Table: w.store, Log: w.part("lease"),
+		Eligible: func() bool {
+			mayBecome := w.directory.Complete() && !w.serving.stopping.Load()
+			return w.holdsLease() || (mayBecome && candidate.Eligible(time.Now()))
 		},
 		Settings: lease.Settings{
-			Key: rollout.KeyLease, Holder: settings.NodeName, Incarnation: identity.Incarnation(rand.Uint64()),
+			Key: rollout.KeyLease, Holder: w.settings.NodeName, Incarnation: identity.Incarnation(rand.Uint64()),
 			SoleIncarnation: true, // a machine runs one process of a role
-			Duration:        time.Duration(leaseShare * float64(platform.Milliseconds(bounds.LeaseMs))), MaximumDrift: maximumDrift,
+			Duration:        time.Duration(leaseShare * float64(platform.Milliseconds(bounds.LeaseMs))),
+			MaximumDrift:    maximumDrift,
 		},
 	})
-	candidate.Held = func() bool {
-		_, held := keeper.Held()
-		return held
-	}
-	return &wired{
-		settings:  settings,
-		pool:      connections,
-		directory: known,
-		keeper:    keeper,
-		rollout: rollout.New(rollout.Options{
-			Holder: settings.NodeName, Lease: keeper, Table: store, Pool: backends, Named: known,
-			Orders: runners, Quiet: quiet(bounds), Log: part("rollout"),
-		}),
-		follower: &rollout.Follower{Table: store, Changes: store, Pool: backends, Lease: keeper, Learn: known.LearnSeen, Log: part("rollout")},
-		members:  others,
-		loads:    loadshare.New(loadshare.Options{Address: settings.InternalAddress(), Others: others.Others, Pool: backends, Memory: memory}),
-		store:    storeWatch,
-		metrics:  newMetrics(settings, metricsPort, registry),
-		serving:  serving,
+	w.rollout = rollout.New(rollout.Options{
+		Holder: w.settings.NodeName, Lease: w.keeper, Table: w.store, Pool: w.backends, Named: w.directory,
+		Orders: w.runners, Quiet: quiet(bounds), Log: w.part("rollout"),
+	})
+	w.follower = &rollout.Follower{
+		Table: w.store, Changes: w.store, Pool: w.backends, Lease: w.keeper, Learn: w.directory.LearnSeen, Log: w.part("rollout"),
 	}
 }
 
+func (w *wired) holdsLease() bool {
+	_, held := w.keeper.Held()
+	return held
+}
+
 // storeObserver counts the store's calls and tells the directory of failed ones.
 type storeObserver struct {
-	counters  *requestlog.Counters
-	directory *directory.Directory
+	counters *requestlog.Counters
+	wired    *wired
 }
 
 // StoreCall implements platform.CallObserver.
 func (o *storeObserver) StoreCall(call, result string, err error) {
-	o.counters.StoreCall(call, result, err)
+	o.counters.StoreCall(call, result)
 	var limited *port.RateLimitedError
 	if err != nil && !errors.As(err, &limited) && !errors.Is(err, context.Canceled) {
-		o.directory.Disturbed(time.Now())
+		o.wired.directory.Disturbed(time.Now())
 	}
 }
 
@@ -199,10 +228,10 @@
 	add(w.follower.Run)
 	add(w.members.Run)
 	add(w.loads.Run)
-	add(w.store.Run)
+	add(w.promptsIn.Run)
 	add(w.sweep)
 	add(w.keeper.Run)
-	w.metrics.addTo(group)
+	w.metricsOut.addTo(group)
 	w.serving.addTo(group)
 }
 
--- a/internal/relay/run.go
+++ b/internal/relay/run.go
@@ -99,7 +99,13 @@
 // send makes one sending and ends the ticket.
 func (r *run) send(ctx context.Context, ticket *backendpool.Ticket) (step, failure) {
 	started := r.now()
-	r.attempt = Attempt{Number: r.attempt.Number + 1, Backend: ticket.Backend.ID, Version: ticket.Version, Candidates: ticket.Candidates, WaitingTokens: ticket.Waiting}
+	r.attempt = Attempt{
+		Number:        r.attempt.Number + 1,
+		Backend:       ticket.Backend.ID,
+		Version:       ticket.Version,
+		Candidates:    ticket.Candidates,
+		WaitingTokens: ticket.Waiting,
+	}
 	sending, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	r.begin = r.watchBegin(ticket, cancel)
--- a/internal/requestlog/counters.go
+++ b/internal/requestlog/counters.go
@@ -51,7 +51,7 @@
 }
 
 // StoreCall counts a call of the metadata store.
-func (c *Counters) StoreCall(call, result string, _ error) {
+func (c *Counters) StoreCall(call, result string) {
 	c.storeCalls.WithLabelValues(call, result).Inc()
 }
 
