--- a/internal/core/backendpool/backend.go
+++ b/internal/core/backendpool/backend.go
@@ -97,6 +97,11 @@
 	return max(e.backend.Weights[model], e.learned[model])
 }
 
+// learn notes a version that the back end holds; it never holds an older one again.
+func (e *entry) learn(model identity.ModelName, version uint64) {
+	e.learned[model] = max(e.learned[model], version)
+}
+
 func (e *entry) ejected(now time.Time) bool { return now.Before(e.ejectedUntil) }
 
 // record takes in how a request ended. It returns true when the back end is
--- a/internal/core/backendpool/pool.go
+++ b/internal/core/backendpool/pool.go
@@ -288,7 +288,7 @@
 func (t *Ticket) LearnVersion(model identity.ModelName, version uint64) {
 	t.pool.mutex.Lock()
 	defer t.pool.mutex.Unlock()
-	t.entry.learned[model] = max(t.entry.learned[model], version)
+	t.entry.learn(model, version)
 }
 
 // Release ends the request's place. It returns true when the back end is taken
@@ -306,7 +306,7 @@
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	if found := p.byID[id]; found != nil {
-		found.learned[model] = max(found.learned[model], version)
+		found.learn(model, version)
 	}
 }
 
--- a/internal/relay/budgets.go
+++ b/internal/relay/budgets.go
@@ -12,11 +12,9 @@
 // a ratio of the requests and a slack again; each spends the ratio of its own
 // requests and its part of the slack. It is safe for use by several goroutines.
 type Budgets struct {
-	mutex    sync.Mutex
-	limits   retry.Limits
-	budgets  map[identity.ServiceName]*retry.Budget
-	spent    uint64
-	rejected uint64
+	mutex   sync.Mutex
+	limits  retry.Limits
+	budgets map[identity.ServiceName]*retry.Budget
 }
 
 // NewBudgets makes budgets whose Floor is this daemon's part of the slack.
@@ -45,19 +43,7 @@
 func (b *Budgets) TryRetry(service identity.ServiceName, now time.Time) bool {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	if b.of(service).TryRetry(now) {
-		b.spent++
-		return true
-	}
-	b.rejected++
-	return false
-}
-
-// Counts returns how many second sendings were granted and denied so far.
-func (b *Budgets) Counts() (granted, denied uint64) {
-	b.mutex.Lock()
-	defer b.mutex.Unlock()
-	return b.spent, b.rejected
+	return b.of(service).TryRetry(now)
 }
 
 func (b *Budgets) of(service identity.ServiceName) *retry.Budget {
