Carry datagrams between daemons over one link with kinds

Cause: the loads of daemons had a socket of their own, and what is read from the store is to be told the same way. Behaviour of the loads is unchanged but for one byte of kind. Checked: go test ./internal/loadshare ./internal/peerlink.

--- a/cmd/lotusward-platform/wire.go
+++ b/cmd/lotusward-platform/wire.go
@@ -24,6 +24,7 @@
 	"github.com/lotusward/lotusward/internal/logging"
 	"github.com/lotusward/lotusward/internal/members"
 	"github.com/lotusward/lotusward/internal/pause"
+	"github.com/lotusward/lotusward/internal/peerlink"
 	"github.com/lotusward/lotusward/internal/port"
 	"github.com/lotusward/lotusward/internal/relay"
 	"github.com/lotusward/lotusward/internal/requestlog"
@@ -67,6 +68,7 @@
 	members    *members.List
 	directory  *directory.Directory
 	promptsIn  *cachewatch.Watcher
+	link       *peerlink.Link
 	loads      *loadshare.Sharer
 	serving    *serving
 	keeper     *leasekeeper.Keeper
@@ -100,6 +102,7 @@
 // wireBelief makes what knows back ends, configuration and other daemons.
 func (w *wired) wireBelief() {
 	bounds := w.settings.Bounds
+	w.link = peerlink.New(w.settings.InternalAddress())
 	w.backends = backendpool.New(w.settings.Zone)
 	w.memory = promptcache.New()
 	w.budgets = relay.NewBudgets(retry.Limits{
@@ -118,7 +121,7 @@
 	})
 	w.promptsIn = cachewatch.NewWatcher(w.runners, w.directory.PromptStoreAddress, w.part("promptstore"))
 	w.loads = loadshare.New(loadshare.Options{
-		Address: w.settings.InternalAddress(), Others: w.members.Others, Pool: w.backends, Memory: w.memory,
+		Link: w.link, Others: w.members.Others, Pool: w.backends, Memory: w.memory,
 	})
 }
 
@@ -227,6 +230,7 @@
 	add(w.rollout.Run)
 	add(w.follower.Run)
 	add(w.members.Run)
+	add(w.link.Run)
 	add(w.loads.Run)
 	add(w.promptsIn.Run)
 	add(w.sweep)
--- a/internal/loadshare/loadshare.go
+++ b/internal/loadshare/loadshare.go
@@ -5,20 +5,17 @@
 package loadshare
 
 import (
-	"bytes"
 	"context"
 	"math/rand/v2"
-	"net"
-	"net/netip"
 	"slices"
 	"sync"
 	"time"
 
-	"github.com/vmihailenco/msgpack/v5"
 	"golang.org/x/time/rate"
 
 	"github.com/lotusward/lotusward/internal/core/backendpool"
 	"github.com/lotusward/lotusward/internal/core/promptcache"
+	"github.com/lotusward/lotusward/internal/peerlink"
 )
 
 // Times and sizes.
@@ -30,20 +27,16 @@
 	forgetAfter = time.Second
 	// maximumTargets bounds how many daemons are told at a time. Where there are
 	// more, each tells others in each turn, and what is heard is scaled up.
-	maximumTargets  = 12
-	maximumDatagram = 8 << 10
+	maximumTargets = 12
 	// bytesPerSecond bounds what is sent. Where it isn't enough for all targets of a
 	// turn, some are left out.
-	bytesPerSecond   = 16 << 10
-	burstBytes       = 16 << 10
-	maximumLoads     = 256
-	receiveErrorWait = 50 * time.Millisecond
+	bytesPerSecond = 16 << 10
+	burstBytes     = 16 << 10
+	maximumLoads   = 256
 )
 
-// message is one datagram. Its parts are lists of fields, since names would be most
-// of its bytes.
+// message is one datagram's body.
 type message struct {
-	From  string
 	Loads []load
 	Facts []fact
 }
@@ -60,19 +53,15 @@
 	Read    bool
 }
 
-func encode(from string, loads []backendpool.Load, facts []promptcache.Fact) ([]byte, error) {
-	told := &message{From: from}
+func newMessage(loads []backendpool.Load, facts []promptcache.Fact) *message {
+	told := &message{}
 	for _, each := range loads {
 		told.Loads = append(told.Loads, load{Key: each.Key, InFlight: float32(each.InFlight), Reading: float32(each.Reading)})
 	}
 	for _, each := range facts {
 		told.Facts = append(told.Facts, fact{Part: each.Part, Backend: each.Backend, Read: each.Read})
 	}
-	var datagram bytes.Buffer
-	encoder := msgpack.NewEncoder(&datagram)
-	encoder.UseArrayEncodedStructs(true)
-	err := encoder.Encode(told)
-	return datagram.Bytes(), err
+	return told
 }
 
 func (m *message) loads() []backendpool.Load {
@@ -93,8 +82,7 @@
 
 // Options are what a Sharer works with.
 type Options struct {
-	// Address is where to listen, IP:port; it also names this daemon.
-	Address string
+	Link *peerlink.Link
 	// Others returns the addresses of the other daemons.
 	Others func() []string
 	Pool   *backendpool.Pool
@@ -115,21 +103,15 @@
 	loads []backendpool.Load
 }
 
-// New makes a Sharer that does nothing until it runs.
+// New makes a Sharer that hears of loads, and tells of its own once it runs.
 func New(options Options) *Sharer {
-	return &Sharer{options: options, limiter: rate.NewLimiter(bytesPerSecond, burstBytes), heard: map[string]heardLoads{}}
+	made := &Sharer{options: options, limiter: rate.NewLimiter(bytesPerSecond, burstBytes), heard: map[string]heardLoads{}}
+	options.Link.Handle(peerlink.KindLoads, made.receive)
+	return made
 }
 
-// Run shares loads until the context ends. Without a socket the daemon goes on
-// with its own loads alone.
+// Run shares loads until the context ends.
 func (s *Sharer) Run(ctx context.Context) error {
-	socket, err := net.ListenPacket("udp4", s.options.Address)
-	if err != nil {
-		<-ctx.Done()
-		return nil
-	}
-	defer func() { _ = socket.Close() }()
-	go s.receive(ctx, socket)
 	ticker := time.NewTicker(sendInterval)
 	defer ticker.Stop()
 	var last []backendpool.Load
@@ -146,16 +128,16 @@
 				continue
 			}
 			last, sentAt = loads, now
-			s.send(socket, loads, facts)
+			s.send(loads, facts)
 		}
 	}
 }
 
 // send tells some of the other daemons, within the bound on bytes.
-func (s *Sharer) send(socket net.PacketConn, loads []backendpool.Load, facts []promptcache.Fact) {
-	datagram, err := encode(s.options.Address, loads, facts)
+func (s *Sharer) send(loads []backendpool.Load, facts []promptcache.Fact) {
+	datagram, fits := s.options.Link.Encode(peerlink.KindLoads, newMessage(loads, facts))
 	others := s.options.Others()
-	if err != nil || len(datagram) > maximumDatagram || len(others) == 0 {
+	if !fits || len(others) == 0 {
 		return
 	}
 	start := rand.IntN(len(others))
@@ -163,33 +145,21 @@
 		if !s.limiter.AllowN(time.Now(), len(datagram)) {
 			return
 		}
-		address, err := netip.ParseAddrPort(others[(start+offset)%len(others)])
-		if err != nil {
-			continue
-		}
-		_, _ = socket.WriteTo(datagram, net.UDPAddrFromAddrPort(address))
+		s.options.Link.Send(others[(start+offset)%len(others)], datagram)
 	}
 }
 
-// receive hears other daemons until the socket is closed.
-func (s *Sharer) receive(ctx context.Context, socket net.PacketConn) {
-	buffer := make([]byte, maximumDatagram)
-	for ctx.Err() == nil {
-		count, _, err := socket.ReadFrom(buffer)
-		if err != nil {
-			time.Sleep(receiveErrorWait)
-			continue
-		}
-		var got message
-		if msgpack.Unmarshal(buffer[:count], &got) != nil {
-			continue
-		}
-		now := time.Now()
-		s.options.Memory.Heard(now, got.facts())
-		s.mutex.Lock()
-		s.heard[got.From] = heardLoads{at: now, loads: got.loads()}
-		s.mutex.Unlock()
+// receive hears another daemon.
+func (s *Sharer) receive(from string, body []byte) {
+	var got message
+	if peerlink.Decode(body, &got) != nil {
+		return
 	}
+	now := time.Now()
+	s.options.Memory.Heard(now, got.facts())
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.heard[from] = heardLoads{at: now, loads: got.loads()}
 }
 
 // merge adds up what was heard lately, scaled up to all other daemons.
--- a/internal/loadshare/loadshare_test.go
+++ b/internal/loadshare/loadshare_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"sync"
 	"testing"
 	"time"
 
@@ -12,6 +13,7 @@
 	"github.com/lotusward/lotusward/internal/core/backendpool"
 	"github.com/lotusward/lotusward/internal/core/identity"
 	"github.com/lotusward/lotusward/internal/core/promptcache"
+	"github.com/lotusward/lotusward/internal/peerlink"
 )
 
 func freeAddress(t *testing.T) string {
@@ -36,17 +38,16 @@
 		{ID: "one", Service: "s", Weights: map[identity.ModelName]uint64{"m": 1}},
 		{ID: "two", Service: "s", Weights: map[identity.ModelName]uint64{"m": 1}},
 	})
-	sharer := New(Options{Address: address, Others: func() []string { return others }, Pool: made.pool, Memory: made.memory})
+	link := peerlink.New(address)
+	sharer := New(Options{Link: link, Others: func() []string { return others }, Pool: made.pool, Memory: made.memory})
 	ctx, cancel := context.WithCancel(context.Background())
 	made.cancel = cancel
-	done := make(chan struct{})
-	go func() {
-		_ = sharer.Run(ctx)
-		close(done)
-	}()
+	var running sync.WaitGroup
+	running.Go(func() { _ = link.Run(ctx) })
+	running.Go(func() { _ = sharer.Run(ctx) })
 	t.Cleanup(func() {
 		cancel()
-		<-done
+		running.Wait()
 	})
 	return made
 }
@@ -85,7 +86,7 @@
 // TestHeardLoadsAreScaledUp counts what some of many daemons told for all.
 func TestHeardLoadsAreScaledUp(t *testing.T) {
 	others := make([]string, 4*maximumTargets)
-	sharer := New(Options{Others: func() []string { return others }})
+	sharer := New(Options{Link: peerlink.New("127.0.0.1:1"), Others: func() []string { return others }})
 	now := time.Now()
 	for _, name := range []string{"a", "b"} {
 		sharer.heard[name] = heardLoads{at: now, loads: []backendpool.Load{{Key: 1, InFlight: 3, Reading: 10}}}
--- /dev/null
+++ b/internal/peerlink/peerlink_test.go
@@ -0,0 +1,72 @@
+package peerlink
+
+import (
+	"context"
+	"net"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+)
+
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	socket, err := net.ListenPacket("udp4", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer func() { _ = socket.Close() }()
+	return socket.LocalAddr().String()
+}
+
+func run(t *testing.T, link *Link) {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		_ = link.Run(ctx)
+		close(done)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-done
+	})
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if link.socket.Load() != nil {
+			return poll.Success()
+		}
+		return poll.Continue("the socket is not open")
+	})
+}
+
+type greeting struct{ Text string }
+
+// TestDatagramReachesItsHandlerAlone sends two kinds, and bytes that are no datagram.
+func TestDatagramReachesItsHandlerAlone(t *testing.T) {
+	sender, receiver := New(freeAddress(t)), New(freeAddress(t))
+	got := make(chan greeting, 8)
+	from := make(chan string, 8)
+	receiver.Handle(KindPlan, func(address string, body []byte) {
+		var decoded greeting
+		assert.NilError(t, Decode(body, &decoded))
+		got <- decoded
+		from <- address
+	})
+	run(t, sender)
+	run(t, receiver)
+	other, fits := sender.Encode(KindLoads, greeting{Text: "no handler"})
+	assert.Assert(t, fits)
+	datagram, fits := sender.Encode(KindPlan, greeting{Text: "hello"})
+	assert.Assert(t, fits)
+	sender.Send(receiver.Address(), []byte("no datagram"))
+	sender.Send(receiver.Address(), other)
+	sender.Send("no address", datagram)
+	sender.Send(receiver.Address(), datagram)
+	assert.Equal(t, (<-got).Text, "hello")
+	assert.Equal(t, <-from, sender.Address())
+	assert.Equal(t, len(got), 0)
+}
+
+// TestTooLargeIsNotSent tells that a body doesn't fit one datagram.
+func TestTooLargeIsNotSent(t *testing.T) {
+	_, fits := New(freeAddress(t)).Encode(KindPlan, greeting{Text: string(make([]byte, maximumDatagram))})
+	assert.Assert(t, !fits)
+}
