Let two daemons read the store and tell the others what they read

A count by call in a scratch copy: 52% the plan's row, read anew by every daemon at each of the holder's writes; 30% the feed of back ends, which ends at once since some back end writes its heartbeat at any moment; 12% the operators' rows.

What is told carries the store's own clock, so that a late bulletin confirms nothing newer than it is, and the store's versions between which its changes are all, so that a daemon that missed some reads itself. The holder of the roll-out announces its plan and writes the row once a second. Lists of daemons are read less often; a daemon that tells something is known before its row is read.

Ruled out: spacing the calls alone (drainMs leaves about a second, still 5,000 calls); telling whole rows of heartbeats (bytes between zones).

--- a/cmd/lotusward-platform/wire.go
+++ b/cmd/lotusward-platform/wire.go
@@ -69,6 +69,7 @@
 	directory  *directory.Directory
 	promptsIn  *cachewatch.Watcher
 	link       *peerlink.Link
+	broadcast  *peerlink.Broadcaster
 	loads      *loadshare.Sharer
 	serving    *serving
 	keeper     *leasekeeper.Keeper
@@ -113,12 +114,16 @@
 		Self: w.settings.NodeName, Address: w.settings.InternalAddress(), Table: w.store, Log: w.part("members"),
 		Changed: func(count int) { w.budgets.SetFloor(int(budgetShare * bounds.RetryBudgetSlack / float64(count))) },
 	})
+	w.link.Observe(w.members.Heard)
+	w.broadcast = peerlink.NewBroadcaster(w.link, w.members.Others)
 	w.directory = directory.New(directory.Options{
 		Source: w.store, Pool: w.backends, Log: w.part("directory"),
+		Self: w.link.Address(), Tell: func(bulletin directory.Bulletin) { w.broadcast.Tell(peerlink.KindBulletin, &bulletin) },
 		Daemons:          w.members.Count,
 		SteadyTime:       platform.Milliseconds(bounds.ContactMs),
 		VersionHeadStart: versionGrace(bounds) - platform.Milliseconds(bounds.ContactMs),
 	})
+	peerlink.HandleDecoded(w.link, peerlink.KindBulletin, w.directory.Hear)
 	w.promptsIn = cachewatch.NewWatcher(w.runners, w.directory.PromptStoreAddress, w.part("promptstore"))
 	w.loads = loadshare.New(loadshare.Options{
 		Link: w.link, Others: w.members.Others, Pool: w.backends, Memory: w.memory,
@@ -155,10 +160,12 @@
 	w.rollout = rollout.New(rollout.Options{
 		Holder: w.settings.NodeName, Lease: w.keeper, Table: w.store, Pool: w.backends, Named: w.directory,
 		Orders: w.runners, Quiet: quiet(bounds), Log: w.part("rollout"),
+		Announce: func(announced rollout.Announcement) { w.broadcast.Tell(peerlink.KindPlan, &announced) },
 	})
 	w.follower = &rollout.Follower{
 		Table: w.store, Changes: w.store, Pool: w.backends, Lease: w.keeper, Learn: w.directory.LearnSeen, Log: w.part("rollout"),
 	}
+	peerlink.HandleDecoded(w.link, peerlink.KindPlan, func(_ string, announced rollout.Announcement) { w.follower.Hear(announced) })
 }
 
 func (w *wired) holdsLease() bool {
@@ -231,6 +238,7 @@
 	add(w.follower.Run)
 	add(w.members.Run)
 	add(w.link.Run)
+	add(w.broadcast.Run)
 	add(w.loads.Run)
 	add(w.promptsIn.Run)
 	add(w.sweep)
--- a/internal/core/backendpool/pool.go
+++ b/internal/core/backendpool/pool.go
@@ -71,7 +71,8 @@
 	zone     identity.Zone
 	services map[identity.ServiceName][]*entry
 	byID     map[identity.BackendID]*entry
-	avoided  map[identity.BackendID]bool
+	// avoided holds hashes of IDs.
+	avoided map[uint64]bool
 }
 
 // New makes an empty pool for a daemon in a zone.
@@ -118,11 +119,12 @@
 	return change
 }
 
-// Avoid replaces the set of back ends that get no new requests while others will do.
-func (p *Pool) Avoid(ids []identity.BackendID) {
-	avoided := make(map[identity.BackendID]bool, len(ids))
-	for _, id := range ids {
-		avoided[id] = true
+// Avoid replaces the set of back ends, by the hashes of their IDs, that get no new
+// requests while others will do.
+func (p *Pool) Avoid(keys []uint64) {
+	avoided := make(map[uint64]bool, len(keys))
+	for _, key := range keys {
+		avoided[key] = true
 	}
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
@@ -205,7 +207,7 @@
 		if !allowed(now, found, query) {
 			continue
 		}
-		if found.ejected(now) || p.avoided[found.backend.ID] {
+		if found.ejected(now) || p.avoided[found.key] {
 			doubted = append(doubted, found)
 			continue
 		}
@@ -310,6 +312,18 @@
 	}
 }
 
+// LearnVersions notes that back ends, by the hashes of their IDs, hold a version of
+// a model's weights.
+func (p *Pool) LearnVersions(keys []uint64, model identity.ModelName, version uint64) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	for _, found := range p.byID {
+		if slices.Contains(keys, found.key) {
+			found.learn(model, version)
+		}
+	}
+}
+
 // Holder is a back end with the version of a model's weights that it holds.
 type Holder struct {
 	Backend Backend
--- a/internal/core/backendpool/pool_test.go
+++ b/internal/core/backendpool/pool_test.go
@@ -9,6 +9,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/lotusward/lotusward/internal/core/identity"
+	"github.com/lotusward/lotusward/internal/core/rendezvous"
 )
 
 var start = time.Unix(1_000_000, 0)
@@ -94,7 +95,7 @@
 func TestAvoidedOnlyWithoutOthers(t *testing.T) {
 	pool := New("a")
 	pool.Update(engines(2))
-	pool.Avoid([]identity.BackendID{"engine-0"})
+	pool.Avoid([]uint64{rendezvous.Key("engine-0")})
 	for home := range uint64(20) {
 		ticket := pool.Pick(start, Query{Service: "llm", Model: "m", Home: home + 1})
 		assert.Equal(t, ticket.Backend.ID, identity.BackendID("engine-1"))
--- /dev/null
+++ b/internal/directory/bulletin.go
@@ -0,0 +1,225 @@
+package directory
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/lotusward/lotusward/internal/core/backendpool"
+	"github.com/lotusward/lotusward/internal/core/identity"
+	"github.com/lotusward/lotusward/internal/relay"
+)
+
+// Bounds of what one bulletin tells of back ends.
+const (
+	// keptBatches is how many readings of changes a bulletin repeats, so that a lost
+	// one costs nothing.
+	keptBatches = 3
+	keptChanges = 48
+)
+
+// Bulletin is what a daemon that reads the store tells the others: what it has
+// just read, and of which moment that is by the store's own clock. One of the
+// parts is set.
+type Bulletin struct {
+	Declared *DeclaredNews
+	Backends *BackendNews
+}
+
+// DeclaredNews says what operators had declared at a moment.
+type DeclaredNews struct {
+	// Clock is what the store's clock showed at a moment at which this was the newest.
+	Clock time.Duration
+	// StoreVersion is the store's version then.
+	StoreVersion uint64
+	// RowVersion is the store's version of the configuration's row.
+	RowVersion uint64
+	// Versions are the newest named versions of the models' weights. Their times are
+	// zero where they were guessed.
+	Versions []Seen
+}
+
+// BackendNews says how the list of back ends changed between two versions of the
+// store.
+type BackendNews struct {
+	// From and To are the versions before and after all the changes.
+	From, To uint64
+	Changed  []backendpool.Backend
+	Gone     []identity.BackendID
+}
+
+// batch is what one reading changed.
+type batch struct {
+	from    uint64
+	changed []backendpool.Backend
+	gone    []identity.BackendID
+}
+
+func (b *batch) size() int { return len(b.changed) + len(b.gone) }
+
+// changeLog keeps the last changes of the list for bulletins. The zero value knows
+// none.
+type changeLog struct {
+	batches []batch
+	// last is the store's version after the newest batch.
+	last uint64
+}
+
+// note adds what a reading changed between two versions. A reading that doesn't
+// follow on the one before it starts the log anew.
+func (l *changeLog) note(from, to uint64, changed []backendpool.Backend, gone []identity.BackendID) {
+	if from != l.last || l.last == 0 {
+		l.batches = nil
+	}
+	l.last = to
+	l.batches = append(l.batches, batch{from: from, changed: changed, gone: gone})
+	for len(l.batches) > keptBatches || (len(l.batches) > 1 && l.size() > keptChanges) {
+		l.batches = l.batches[1:]
+	}
+	if l.size() > keptChanges {
+		l.batches = nil
+	}
+}
+
+func (l *changeLog) size() int {
+	total := 0
+	for index := range l.batches {
+		total += l.batches[index].size()
+	}
+	return total
+}
+
+// news is what the log tells others. Where it holds no batches it tells only up to
+// which version there is something to be read.
+func (l *changeLog) news() *BackendNews {
+	from := l.last
+	var merged Changes
+	for _, kept := range l.batches {
+		from = min(from, kept.from)
+		for _, backend := range kept.changed {
+			merged.Put(backend)
+		}
+		for _, id := range kept.gone {
+			merged.Remove(id)
+		}
+	}
+	return &BackendNews{From: from, To: l.last, Changed: merged.Changed, Gone: merged.Gone}
+}
+
+// sameBackend tells whether two rows say the same of a back end.
+func sameBackend(left, right backendpool.Backend) bool {
+	weights := maps.Equal(left.Weights, right.Weights)
+	left.Weights, right.Weights = nil, nil
+	return weights && left.ID == right.ID && left.Service == right.Service && left.Address == right.Address &&
+		left.Zone == right.Zone && left.Slots == right.Slots && left.Draining == right.Draining
+}
+
+// difference returns what a whole list changes in the believed one.
+func difference(believed map[identity.BackendID]backendpool.Backend, listed []backendpool.Backend) ([]backendpool.Backend, []identity.BackendID) {
+	var changed []backendpool.Backend
+	missing := maps.Clone(believed)
+	for _, backend := range listed {
+		before, known := believed[backend.ID]
+		delete(missing, backend.ID)
+		if !known || !sameBackend(before, backend) {
+			changed = append(changed, backend)
+		}
+	}
+	return changed, slices.Sorted(maps.Keys(missing))
+}
+
+// Hear takes in what another daemon has read. It never blocks: a bulletin that
+// finds no room is as good as lost.
+func (d *Directory) Hear(from string, bulletin Bulletin) {
+	select {
+	case d.bulletins <- heardBulletin{from: from, bulletin: bulletin}:
+	default:
+	}
+}
+
+// tellDeclared tells the others what operators have declared as of a time of the
+// store's clock, if this daemon reads for all.
+func (d *Directory) tellDeclared(now time.Time, clock time.Duration) {
+	if !d.turns[tableDeclared].readItself(now) || clock == 0 {
+		return
+	}
+	state := d.state.Load()
+	news := &DeclaredNews{Clock: clock, StoreVersion: d.positions[tableDeclared].Load(), RowVersion: state.RowVersion}
+	for _, model := range slices.Sorted(maps.Keys(d.versions)) {
+		named := d.versions[model][len(d.versions[model])-1]
+		news.Versions = append(news.Versions, Seen{Model: model, Version: named.Version, StoreClock: named.StoreClock})
+	}
+	d.options.Tell(Bulletin{Declared: news})
+}
+
+// tellBackends tells the others how the list changed, if this daemon reads for all.
+func (d *Directory) tellBackends(now time.Time) {
+	if d.turns[tableBackends].readItself(now) {
+		d.options.Tell(Bulletin{Backends: d.changeLog.news()})
+	}
+}
+
+// applyBulletin takes in what another daemon has read.
+func (d *Directory) applyBulletin(now time.Time, heard heardBulletin) {
+	if news := heard.bulletin.Declared; news != nil && d.takeDeclared(now, news) {
+		d.turns[tableDeclared].heard(now, heard.from)
+	}
+	if news := heard.bulletin.Backends; news != nil && d.takeBackends(news) {
+		d.turns[tableBackends].heard(now, heard.from)
+	}
+}
+
+// takeDeclared takes in what operators have declared. A configuration that this
+// daemon doesn't have it must read itself. It returns false for what is no news.
+func (d *Directory) takeDeclared(now time.Time, news *DeclaredNews) bool {
+	state := d.state.Load()
+	at, known := d.freshness[tableDeclared].localTime(news.Clock)
+	if state == nil || !known || news.RowVersion < state.RowVersion {
+		return false
+	}
+	if news.RowVersion > state.RowVersion || at.After(now) {
+		// A time to come shows that the store's clock was last read from an outdated answer.
+		d.turns[tableDeclared].want()
+		return true
+	}
+	if d.takeVersions(now, news) {
+		changed := *state
+		changed.Versions = d.copyVersions()
+		d.state.Store(&changed)
+	}
+	advance(d.positions[tableDeclared], news.StoreVersion)
+	d.confirm(at)
+	return true
+}
+
+// takeVersions remembers the versions that were told. It returns true when any was
+// not known.
+func (d *Directory) takeVersions(now time.Time, news *DeclaredNews) bool {
+	changed := false
+	for _, seen := range news.Versions {
+		found := relay.NamedVersion{Version: seen.Version, SeenAt: now, StoreClock: news.Clock}
+		if at, known := d.freshness[tableDeclared].localTime(seen.StoreClock); known {
+			found.SeenAt, found.StoreClock = at, seen.StoreClock
+		}
+		changed = d.nameVersion(now, seen.Model, found) || changed
+	}
+	return changed
+}
+
+// takeBackends takes in how the list changed. Where the changes don't follow on
+// what this daemon knows, it must read itself. It returns false before it knows
+// any list.
+func (d *Directory) takeBackends(news *BackendNews) bool {
+	if !d.listed.Load() {
+		return false
+	}
+	position := d.positions[tableBackends].Load()
+	switch {
+	case position >= news.To:
+	case position < news.From:
+		d.turns[tableBackends].want()
+	default:
+		d.change(news.Changed, news.Gone, news.To)
+	}
+	return true
+}
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -16,26 +16,26 @@
 	"github.com/lotusward/lotusward/internal/relay"
 )
 
-// Times and sizes of reading.
+// Times and sizes of reading. They hold for the few daemons that read for all.
 const (
-	// readInterval is how often rows are read as a whole though no change was told.
-	readInterval = 900 * time.Millisecond
-	// bytesPerSecond bounds what the whole readings of large tables cost: those are
-	// read less often, and followed by their changes in between.
-	bytesPerSecond      = 8 << 10
+	// declaredInterval and backendsInterval are how often rows are read as a whole
+	// though no change was told; large tables are read less often.
+	declaredInterval    = 450 * time.Millisecond
+	backendsInterval    = 3 * time.Second
+	bytesPerSecond      = 48 << 10
 	longestReadInterval = 30 * time.Second
 	// declaredWait and backendWait are how long calls for changes are held. The first
 	// also confirms the configuration.
-	declaredWait = 750 * time.Millisecond
+	declaredWait = 400 * time.Millisecond
 	backendWait  = 3 * time.Second
-	// readPerDaemon and waitPerDaemon space the readings of the configuration where
-	// there are many daemons, since the store bounds the calls of all together.
-	readPerDaemon = 8 * time.Millisecond
-	waitPerDaemon = 4 * time.Millisecond
-	// leastInterval lies between two calls, however fast changes come.
-	leastInterval = 100 * time.Millisecond
+	// declaredPause and backendPause lie between two calls, however fast changes
+	// come. Back ends write all the time.
+	declaredPause = 100 * time.Millisecond
+	backendPause  = 250 * time.Millisecond
 	failurePause  = 150 * time.Millisecond
-	// longestRetryPause bounds the pause after refusals for now.
+	// failurePausePerDaemon spaces the calls of many daemons that all fail.
+	failurePausePerDaemon = 5 * time.Millisecond
+	// longestRetryPause bounds the pause after failures.
 	longestRetryPause = 2 * time.Second
 	callTimeout       = 1500 * time.Millisecond
 	// listTimeout bounds a reading of the whole list of back ends, page by page.
@@ -49,6 +49,8 @@
 	clockSlack = 100 * time.Millisecond
 	// keptVersions is how many named versions of a model are remembered.
 	keptVersions = 8
+	// waitingBulletins bounds the bulletins that wait to be taken in.
+	waitingBulletins = 64
 )
 
 // Options are what a Directory works with.
@@ -63,12 +65,21 @@
 	Daemons func() int
 	// SteadyTime is how long after a failed call the store counts as disturbed.
 	SteadyTime time.Duration
+	// Self is this daemon's address, as other daemons know it.
+	Self string
+	// Tell tells the other daemons what this one has read; nil when there are none.
+	// It must not block.
+	Tell func(Bulletin)
 }
 
 // Directory implements relay.Control.
 type Directory struct {
 	options   Options
 	messages  chan message
+	bulletins chan heardBulletin
+	turns     map[table]*turn
+	// positions are the store's versions up to which changes of a table are known.
+	positions map[table]*atomic.Uint64
 	state     atomic.Pointer[relay.State]
 	confirmed atomic.Pointer[time.Time]
 	// steady is when the store had last been steady for SteadyTime since a failure.
@@ -87,6 +98,13 @@
 	told      map[identity.ModelName][]Seen
 	freshness map[table]*freshness
 	reachable map[table]bool
+	changeLog changeLog
+}
+
+// heardBulletin is a bulletin with the address of its sender.
+type heardBulletin struct {
+	from     string
+	bulletin Bulletin
 }
 
 // table names a group of rows that are read together.
@@ -115,9 +133,13 @@
 	if options.Daemons == nil {
 		options.Daemons = func() int { return 1 }
 	}
+	alone := options.Tell == nil
 	directory := &Directory{
 		options:   options,
 		messages:  make(chan message),
+		bulletins: make(chan heardBulletin, waitingBulletins),
+		turns:     map[table]*turn{tableDeclared: newTurn(options.Self, alone), tableBackends: newTurn(options.Self, alone)},
+		positions: map[table]*atomic.Uint64{tableDeclared: {}, tableBackends: {}},
 		versions:  map[identity.ModelName][]relay.NamedVersion{},
 		backends:  map[identity.BackendID]backendpool.Backend{},
 		told:      map[identity.ModelName][]Seen{},
@@ -162,6 +184,8 @@
 			return nil
 		case got := <-d.messages:
 			d.apply(got)
+		case heard := <-d.bulletins:
+			d.applyBulletin(time.Now(), heard)
 		}
 	}
 }
@@ -178,11 +202,12 @@
 	case got.listed != nil:
 		d.applyListed(got)
 	case got.changes != nil:
-		d.applyChanges(got.changes)
+		d.applyChanges(got)
 	case got.seen != nil:
 		d.applySeen(got.seen)
 	case got.table == tableDeclared && d.state.Load() != nil:
 		d.confirm(got.began)
+		d.tellDeclared(got.ended, d.freshness[tableDeclared].storeTime(got.began))
 	}
 }
 
@@ -238,6 +263,8 @@
 	}
 	if d.state.Load() != nil {
 		d.confirm(got.began)
+		advance(d.positions[tableDeclared], declared.Version)
+		d.tellDeclared(got.ended, declared.Clock)
 	}
 }
 
@@ -256,39 +283,67 @@
 	}).Info("A configuration is in force.")
 }
 
-// applyListed takes in the list of back ends.
+// applyListed takes in the list of back ends. A list of before what is known from
+// changes is passed over: those would be forgotten for a moment.
 func (d *Directory) applyListed(got message) {
 	listed := got.listed
-	if !d.freshness[tableBackends].admit(got.began, got.ended, listed.Reading) {
+	position := d.positions[tableBackends]
+	fresh := d.freshness[tableBackends].admit(got.began, got.ended, listed.Reading)
+	if !fresh || listed.Version < position.Load() {
 		d.options.Log.WithField("store_version", listed.Version).Warn("An outdated list of back ends is passed over.")
 		return
 	}
 	if listed.Malformed != nil {
 		d.options.Log.WithError(listed.Malformed).Error("Some back ends cannot be read.")
 	}
+	changed, gone := difference(d.backends, listed.Backends)
+	d.changeLog.note(position.Load(), listed.Version, changed, gone)
 	clear(d.backends)
 	for _, backend := range listed.Backends {
 		d.backends[backend.ID] = backend
 	}
+	advance(position, listed.Version)
 	d.updatePool(listed.Version)
 	d.listed.Store(true)
+	d.tellBackends(got.ended)
 }
 
-// applyChanges takes in changes of the list since it was read.
-func (d *Directory) applyChanges(changes *Changes) {
+// applyChanges takes in changes of the list since it was read. Changes of before
+// what is known were told by another daemon meanwhile.
+func (d *Directory) applyChanges(got message) {
+	changes := got.changes
 	if changes.Malformed != nil {
 		d.options.Log.WithError(changes.Malformed).Error("Some back ends cannot be read.")
 	}
-	if len(changes.Changed)+len(changes.Gone) == 0 {
-		return
+	position := d.positions[tableBackends]
+	if changes.Last > position.Load() {
+		changed := slices.DeleteFunc(changes.Changed, func(backend backendpool.Backend) bool {
+			before, known := d.backends[backend.ID]
+			return known && sameBackend(before, backend)
+		})
+		d.changeLog.note(changes.After, changes.Last, changed, changes.Gone)
+		d.change(changed, changes.Gone, changes.Last)
 	}
-	for _, backend := range changes.Changed {
+	d.tellBackends(got.ended)
+}
+
+// change applies changes up to a version of the store.
+func (d *Directory) change(changed []backendpool.Backend, gone []identity.BackendID, to uint64) {
+	advance(d.positions[tableBackends], to)
+	for _, backend := range changed {
 		d.backends[backend.ID] = backend
 	}
-	for _, id := range changes.Gone {
+	for _, id := range gone {
 		delete(d.backends, id)
 	}
-	d.updatePool(changes.Last)
+	if len(changed)+len(gone) > 0 {
+		d.updatePool(to)
+	}
+}
+
+// advance raises a position; it never falls.
+func advance(position *atomic.Uint64, to uint64) {
+	position.Store(max(position.Load(), to))
 }
 
 // updatePool gives the pool the list as it is believed to be.
--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -123,13 +123,13 @@
 	directory := start(t, source)
 	poll.WaitOn(t, inForce(directory, 7))
 	source.set(func(s *memorySource) { s.declared = declaration(9, 5) })
-	time.Sleep(3 * leastInterval)
+	time.Sleep(3 * declaredPause)
 	confirmed := directory.ConfirmedAt()
-	time.Sleep(3 * leastInterval)
+	time.Sleep(3 * declaredPause)
 	assert.Equal(t, directory.State().Table.Version(), uint64(7))
 	assert.Equal(t, directory.ConfirmedAt(), confirmed)
 	source.set(func(s *memorySource) { s.declared = declaration(11, 5) })
-	time.Sleep(3 * leastInterval)
+	time.Sleep(3 * declaredPause)
 	assert.Equal(t, directory.State().Table.Version(), uint64(7))
 	source.set(func(s *memorySource) { s.declared = declaration(12, 8) })
 	poll.WaitOn(t, inForce(directory, 8))
@@ -145,7 +145,7 @@
 		s.declared.Configuration = nil
 		s.declared.Malformed = errors.New("routes.0: names no service")
 	})
-	time.Sleep(3 * leastInterval)
+	time.Sleep(3 * declaredPause)
 	assert.Equal(t, directory.State().Table.Version(), uint64(7))
 }
 
--- a/internal/directory/freshness.go
+++ b/internal/directory/freshness.go
@@ -10,6 +10,8 @@
 	// own steady clock.
 	clock   time.Duration
 	clockAt time.Time
+	// clockFrom is a time at which the store's clock had not yet reached clock.
+	clockFrom time.Time
 }
 
 // admit takes a reading with the times at which its call began and ended. It
@@ -26,6 +28,7 @@
 	f.version = reading.Version
 	f.clock = reading.Clock
 	f.clockAt = ended
+	f.clockFrom = began
 	return true
 }
 
@@ -36,3 +39,22 @@
 	}
 	return f.clock + at.Sub(f.clockAt), true
 }
+
+// localTime is the daemon's own time at which the store's clock showed a time, or
+// somewhat earlier; false when the store's clock is not known.
+func (f *freshness) localTime(clock time.Duration) (time.Time, bool) {
+	if f.clockAt.IsZero() || f.clock == 0 || clock <= 0 {
+		return time.Time{}, false
+	}
+	return f.clockFrom.Add(clock - f.clock), true
+}
+
+// storeTime is what the store's clock had at least reached at a time of the
+// daemon's own; zero when it is not known.
+func (f *freshness) storeTime(at time.Time) time.Duration {
+	clock, known := f.now(at)
+	if !known {
+		return 0
+	}
+	return max(clock, 0)
+}
--- a/internal/directory/reader.go
+++ b/internal/directory/reader.go
@@ -14,7 +14,7 @@
 
 // read reads one table again and again, and follows its changes in between.
 func (d *Directory) read(ctx context.Context, whole func(context.Context) (message, follow)) {
-	retries := newRetrying()
+	retries := d.newRetrying()
 	for ctx.Err() == nil {
 		got, following := whole(ctx)
 		d.post(ctx, got)
@@ -36,12 +36,16 @@
 
 // follow is how a table's changes are followed after a whole reading.
 type follow struct {
+	table table
 	// after is the store's version of the reading.
 	after uint64
 	// until is when the table is read as a whole again.
 	until time.Time
-	// wait is how long a call for changes is held.
-	wait time.Duration
+	// keep is set when others tell all changes, so that the table need not be read
+	// as a whole while they do.
+	keep bool
+	// pause lies between two calls; wait is how long a call for changes is held.
+	pause, wait time.Duration
 	// next makes one call. It returns the version to go on after, and true when
 	// the table has to be read as a whole now.
 	next func(ctx context.Context, after uint64, wait time.Duration) (message, uint64, bool)
@@ -51,21 +55,25 @@
 // call it goes on from where it was, unless the store has dropped its history.
 func (d *Directory) follow(ctx context.Context, following follow) {
 	after := following.after
-	retries := newRetrying()
+	retries := d.newRetrying()
 	for ctx.Err() == nil {
-		pause.For(ctx, leastInterval)
+		pause.For(ctx, following.pause)
+		given := d.awaitTurn(ctx, following.table)
 		left := time.Until(following.until)
-		if left <= 0 {
+		told := following.keep && !d.turns[following.table].readsForAll()
+		if given == taskReadWhole || (left <= 0 && !told) {
 			return
 		}
+		after = max(after, d.positions[following.table].Load())
 		bounded, cancel := context.WithTimeout(ctx, following.wait+callTimeout)
-		got, next, whole := following.next(bounded, after, min(left, following.wait))
+		got, next, whole := following.next(bounded, after, following.hold(left, told))
 		cancel()
 		var lost *port.NotFoundError
 		switch {
 		case errors.As(got.err, &lost):
 			return
 		case got.err != nil:
+			d.post(ctx, got)
 			retries.after(ctx, got.err)
 			continue
 		}
@@ -78,16 +86,38 @@
 	}
 }
 
+// hold is how long a call is held: one that only fills a gap is not.
+func (f *follow) hold(left time.Duration, told bool) time.Duration {
+	if told {
+		return 0
+	}
+	return min(left, f.wait)
+}
+
+// awaitTurn waits until this daemon is to read a table.
+func (d *Directory) awaitTurn(ctx context.Context, which table) task {
+	for ctx.Err() == nil {
+		if given := d.turns[which].due(time.Now()); given != taskNone {
+			return given
+		}
+		pause.For(ctx, turnCheck)
+	}
+	return taskNone
+}
+
 // retrying spaces the calls after failed ones.
 type retrying struct {
 	limited *backoff.ExponentialBackOff
+	// spread is the pause after a call that got no answer.
+	spread time.Duration
 }
 
-func newRetrying() *retrying {
+func (d *Directory) newRetrying() *retrying {
 	limited := backoff.NewExponentialBackOff()
 	limited.InitialInterval = failurePause
 	limited.MaxInterval = longestRetryPause
-	return &retrying{limited: limited}
+	spread := time.Duration(d.options.Daemons()) * failurePausePerDaemon
+	return &retrying{limited: limited, spread: min(max(spread, failurePause), longestRetryPause)}
 }
 
 // after waits after a call that failed. A store that refuses calls for now is left
@@ -99,16 +129,16 @@
 		pause.For(ctx, max(r.limited.NextBackOff(), limited.RetryAfter))
 		return
 	}
-	pause.For(ctx, failurePause/2+rand.N(failurePause))
+	pause.For(ctx, r.spread/2+rand.N(r.spread))
 }
 
 // succeeded starts the pauses anew.
 func (r *retrying) succeeded() { r.limited.Reset() }
 
 // untilNextReading says when a table of a size is read as a whole again.
-func untilNextReading(now time.Time, bytes int) time.Time {
+func untilNextReading(now time.Time, least time.Duration, bytes int) time.Time {
 	interval := time.Duration(float64(bytes) / bytesPerSecond * float64(time.Second))
-	return now.Add(min(max(interval, readInterval), longestReadInterval))
+	return now.Add(min(max(interval, least), longestReadInterval))
 }
 
 func (d *Directory) readDeclared(ctx context.Context) (message, follow) {
@@ -121,13 +151,10 @@
 	}
 	declared, err := d.options.Source.Declared(bounded, known)
 	got := message{table: tableDeclared, began: began, ended: time.Now(), declared: &declared, err: err}
-	daemons := time.Duration(d.options.Daemons())
-	until := untilNextReading(got.ended, declared.Bytes)
-	if spaced := got.ended.Add(daemons * readPerDaemon); spaced.After(until) {
-		until = spaced
+	return got, follow{
+		table: tableDeclared, after: declared.Version, until: untilNextReading(got.ended, declaredInterval, declared.Bytes),
+		pause: declaredPause, wait: declaredWait, next: d.declaredChanged,
 	}
-	wait := max(declaredWait, daemons*waitPerDaemon)
-	return got, follow{after: declared.Version, until: until, wait: wait, next: d.declaredChanged}
 }
 
 // declaredChanged asks whether the operators' rows changed. Without a change the
@@ -142,8 +169,10 @@
 	began := time.Now()
 	listed, err := d.readPages(ctx)
 	got := message{table: tableBackends, began: began, ended: time.Now(), listed: &listed, err: err}
-	until := untilNextReading(got.ended, listed.Bytes)
-	return got, follow{after: listed.Version, until: until, wait: backendWait, next: d.backendChanges}
+	return got, follow{
+		table: tableBackends, after: listed.Version, until: untilNextReading(got.ended, backendsInterval, listed.Bytes),
+		keep: true, pause: backendPause, wait: backendWait, next: d.backendChanges,
+	}
 }
 
 // readPages reads the whole list. It is of the moment of its first page: what
@@ -152,7 +181,7 @@
 func (d *Directory) readPages(ctx context.Context) (Listed, error) {
 	bounded, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
-	retries := newRetrying()
+	retries := d.newRetrying()
 	listed, err := d.readPage(bounded, "")
 	for err == nil && listed.Next != "" {
 		var page Listed
@@ -181,5 +210,6 @@
 func (d *Directory) backendChanges(ctx context.Context, after uint64, wait time.Duration) (message, uint64, bool) {
 	began := time.Now()
 	changes, err := d.options.Source.BackendChanges(ctx, after, wait)
+	changes.After = after
 	return message{table: tableBackends, began: began, ended: time.Now(), changes: &changes, err: err}, changes.Last, false
 }
--- a/internal/directory/source.go
+++ b/internal/directory/source.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/lotusward/lotusward/internal/core/backendpool"
@@ -52,12 +53,31 @@
 type Changes struct {
 	Changed []backendpool.Backend
 	Gone    []identity.BackendID
+	// After is the version since which these are all the changes.
+	After uint64
 	// Last is the store's version of the newest change, or zero without any.
 	Last uint64
 	// Malformed holds the findings on rows that could not be read.
 	Malformed error
 }
 
+// Put notes that a back end is there as given, whatever was noted of it before.
+func (c *Changes) Put(backend backendpool.Backend) {
+	c.forget(backend.ID)
+	c.Changed = append(c.Changed, backend)
+}
+
+// Remove notes that a back end is gone, whatever was noted of it before.
+func (c *Changes) Remove(id identity.BackendID) {
+	c.forget(id)
+	c.Gone = append(c.Gone, id)
+}
+
+func (c *Changes) forget(id identity.BackendID) {
+	c.Changed = slices.DeleteFunc(c.Changed, func(backend backendpool.Backend) bool { return backend.ID == id })
+	c.Gone = slices.DeleteFunc(c.Gone, func(gone identity.BackendID) bool { return gone == id })
+}
+
 // Source reads the platform's store. Its calls about changes return when there is
 // a change after a version, or after a time. They fail when the store no longer
 // knows its history from that version on.
--- a/internal/directory/versions.go
+++ b/internal/directory/versions.go
@@ -28,28 +28,34 @@
 	return copied
 }
 
-// nameVersions remembers versions that were not known. It returns true when
-// there were any.
+// nameVersions remembers versions that were not known, as read at a time at which
+// the store's clock showed another. It returns true when there were any.
 func (d *Directory) nameVersions(now time.Time, clock time.Duration, versions map[identity.ModelName]uint64) bool {
 	changed := false
 	for _, model := range slices.Sorted(maps.Keys(versions)) {
-		named := d.versions[model]
-		if len(named) > 0 && named[len(named)-1].Version >= versions[model] {
-			continue
-		}
 		found := relay.NamedVersion{Version: versions[model], SeenAt: now, StoreClock: clock}
 		if !d.started {
 			found = relay.NamedVersion{Version: versions[model], SeenAt: now.Add(-d.options.VersionHeadStart), Guessed: true}
 		}
-		named = append(named, found)
-		d.versions[model] = named[max(len(named)-keptVersions, 0):]
-		d.mergeTold(now, model)
-		d.options.Log.WithFields(logrus.Fields{"model": model, "version": versions[model]}).Info("A version of weights is named.")
-		changed = true
+		changed = d.nameVersion(now, model, found) || changed
 	}
 	return changed
 }
 
+// nameVersion remembers a version if it is newer than the known ones. It returns
+// true when it is.
+func (d *Directory) nameVersion(now time.Time, model identity.ModelName, found relay.NamedVersion) bool {
+	named := d.versions[model]
+	if len(named) > 0 && named[len(named)-1].Version >= found.Version {
+		return false
+	}
+	named = append(named, found)
+	d.versions[model] = named[max(len(named)-keptVersions, 0):]
+	d.mergeTold(now, model)
+	d.options.Log.WithFields(logrus.Fields{"model": model, "version": found.Version}).Info("A version of weights is named.")
+	return true
+}
+
 // LearnSeen takes in what another daemon saw, for versions that were named before
 // this daemon started. It waits for the goroutine of Run.
 func (d *Directory) LearnSeen(ctx context.Context, seen []Seen) {
--- a/internal/loadshare/loadshare.go
+++ b/internal/loadshare/loadshare.go
@@ -106,7 +106,7 @@
 // New makes a Sharer that hears of loads, and tells of its own once it runs.
 func New(options Options) *Sharer {
 	made := &Sharer{options: options, limiter: rate.NewLimiter(bytesPerSecond, burstBytes), heard: map[string]heardLoads{}}
-	options.Link.Handle(peerlink.KindLoads, made.receive)
+	peerlink.HandleDecoded(options.Link, peerlink.KindLoads, made.receive)
 	return made
 }
 
@@ -150,11 +150,7 @@
 }
 
 // receive hears another daemon.
-func (s *Sharer) receive(from string, body []byte) {
-	var got message
-	if peerlink.Decode(body, &got) != nil {
-		return
-	}
+func (s *Sharer) receive(from string, got message) {
 	now := time.Now()
 	s.options.Memory.Heard(now, got.facts())
 	s.mutex.Lock()
--- a/internal/members/members.go
+++ b/internal/members/members.go
@@ -8,6 +8,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -26,8 +27,9 @@
 	// limit is small.
 	assumedCount = 64
 	readInterval = 4 * time.Second
-	// intervalPerRow makes the list be read less often the longer it is.
-	intervalPerRow = 80 * time.Millisecond
+	// intervalPerRow makes the list be read less often the longer it is: daemons that
+	// start are heard of before they are read.
+	intervalPerRow = 250 * time.Millisecond
 	failurePause   = 300 * time.Millisecond
 	callTimeout    = 1500 * time.Millisecond
 	rowsInOneCall  = 500
@@ -72,6 +74,17 @@
 // Others returns the addresses of the other daemons.
 func (l *List) Others() []string { return *l.addresses.Load() }
 
+// Heard notes the address of a daemon that told something, so that one that has
+// just started is known before its row is read.
+func (l *List) Heard(address string) {
+	others := *l.addresses.Load()
+	if !l.known.Load() || address == l.options.Address || slices.Contains(others, address) {
+		return
+	}
+	extended := append(slices.Clone(others), address)
+	l.addresses.Store(&extended)
+}
+
 // Run keeps the list until the context ends.
 func (l *List) Run(ctx context.Context) error {
 	for ctx.Err() == nil && l.announce(ctx) != nil {
--- /dev/null
+++ b/internal/peerlink/broadcast.go
@@ -0,0 +1,75 @@
+package peerlink
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"golang.org/x/time/rate"
+)
+
+// Bounds of what one daemon tells all others.
+const (
+	broadcastBytesPerSecond = 160 << 10
+	broadcastBurst          = 160 << 10
+	waitingBroadcasts       = 16
+)
+
+// Broadcaster tells all other daemons the same, one datagram each.
+type Broadcaster struct {
+	link    *Link
+	others  func() []string
+	limiter *rate.Limiter
+	waiting chan []byte
+}
+
+// NewBroadcaster makes a Broadcaster that tells nothing until it runs. Others
+// returns the addresses of the other daemons.
+func NewBroadcaster(link *Link, others func() []string) *Broadcaster {
+	return &Broadcaster{
+		link: link, others: others,
+		limiter: rate.NewLimiter(broadcastBytesPerSecond, broadcastBurst),
+		waiting: make(chan []byte, waitingBroadcasts),
+	}
+}
+
+// Tell sends a body soon. It never blocks: what is too large or finds no room is as
+// good as lost.
+func (b *Broadcaster) Tell(kind Kind, body any) {
+	datagram, fits := b.link.Encode(kind, body)
+	if !fits {
+		return
+	}
+	select {
+	case b.waiting <- datagram:
+	default:
+	}
+}
+
+// Run tells until the context ends.
+func (b *Broadcaster) Run(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case datagram := <-b.waiting:
+			b.send(datagram)
+		}
+	}
+}
+
+// send sends a datagram to as many daemons as the bound on bytes allows, beginning
+// with another one each time.
+func (b *Broadcaster) send(datagram []byte) {
+	others := b.others()
+	if len(others) == 0 {
+		return
+	}
+	start := rand.IntN(len(others))
+	for offset := range others {
+		if !b.limiter.AllowN(time.Now(), len(datagram)) {
+			return
+		}
+		b.link.Send(others[(start+offset)%len(others)], datagram)
+	}
+}
--- a/internal/peerlink/peerlink.go
+++ b/internal/peerlink/peerlink.go
@@ -52,7 +52,9 @@
 type Link struct {
 	address  string
 	handlers [kindEnd]Handler
-	socket   atomic.Pointer[net.UDPConn]
+	// observe is told of the sender of each datagram; nil is not.
+	observe func(from string)
+	socket  atomic.Pointer[net.UDPConn]
 }
 
 // New makes a Link that listens on an address (IP:port) once it runs.
@@ -64,6 +66,20 @@
 // Handle sets the handler of a kind.
 func (l *Link) Handle(kind Kind, handler Handler) { l.handlers[kind] = handler }
 
+// Observe sets who is told of the sender of each datagram. It must not block.
+func (l *Link) Observe(observe func(from string)) { l.observe = observe }
+
+// HandleDecoded sets a handler that takes decoded bodies. What cannot be decoded is
+// passed over.
+func HandleDecoded[Body any](link *Link, kind Kind, take func(from string, body Body)) {
+	link.Handle(kind, func(from string, encoded []byte) {
+		var body Body
+		if msgpack.Unmarshal(encoded, &body) == nil {
+			take(from, body)
+		}
+	})
+}
+
 // Encode returns a datagram that Send takes; false when it is too large for one.
 func (l *Link) Encode(kind Kind, body any) ([]byte, bool) {
 	content, err := encode(body)
@@ -74,9 +90,6 @@
 	return datagram, err == nil && len(datagram) <= maximumDatagram
 }
 
-// Decode reads a body that Encode was given.
-func Decode(body []byte, into any) error { return msgpack.Unmarshal(body, into) }
-
 func encode(value any) ([]byte, error) {
 	var content bytes.Buffer
 	encoder := msgpack.NewEncoder(&content)
@@ -133,6 +146,9 @@
 	if msgpack.Unmarshal(datagram, &got) != nil || got.Kind >= kindEnd {
 		return
 	}
+	if l.observe != nil {
+		l.observe(got.From)
+	}
 	if handler := l.handlers[got.Kind]; handler != nil {
 		handler(got.From, got.Body)
 	}
--- a/internal/peerlink/peerlink_test.go
+++ b/internal/peerlink/peerlink_test.go
@@ -44,12 +44,12 @@
 	sender, receiver := New(freeAddress(t)), New(freeAddress(t))
 	got := make(chan greeting, 8)
 	from := make(chan string, 8)
-	receiver.Handle(KindPlan, func(address string, body []byte) {
-		var decoded greeting
-		assert.NilError(t, Decode(body, &decoded))
+	HandleDecoded(receiver, KindPlan, func(address string, decoded greeting) {
 		got <- decoded
 		from <- address
 	})
+	observed := make(chan string, 8)
+	receiver.Observe(func(address string) { observed <- address })
 	run(t, sender)
 	run(t, receiver)
 	other, fits := sender.Encode(KindLoads, greeting{Text: "no handler"})
@@ -63,6 +63,29 @@
 	assert.Equal(t, (<-got).Text, "hello")
 	assert.Equal(t, <-from, sender.Address())
 	assert.Equal(t, len(got), 0)
+	assert.Equal(t, <-observed, sender.Address())
+}
+
+// TestBroadcastReachesAllOthers tells two daemons the same.
+func TestBroadcastReachesAllOthers(t *testing.T) {
+	sender := New(freeAddress(t))
+	run(t, sender)
+	got := make(chan string, 8)
+	var others []string
+	for range 2 {
+		receiver := New(freeAddress(t))
+		HandleDecoded(receiver, KindBulletin, func(_ string, body greeting) { got <- body.Text })
+		run(t, receiver)
+		others = append(others, receiver.Address())
+	}
+	broadcaster := NewBroadcaster(sender, func() []string { return others })
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go func() { _ = broadcaster.Run(ctx) }()
+	broadcaster.Tell(KindBulletin, greeting{Text: string(make([]byte, maximumDatagram))})
+	broadcaster.Tell(KindBulletin, greeting{Text: "hello"})
+	assert.Equal(t, <-got, "hello")
+	assert.Equal(t, <-got, "hello")
 }
 
 // TestTooLargeIsNotSent tells that a body doesn't fit one datagram.
--- /dev/null
+++ b/internal/rollout/announcement.go
@@ -0,0 +1,107 @@
+package rollout
+
+import (
+	"slices"
+	"time"
+
+	"github.com/lotusward/lotusward/internal/core/backendpool"
+	"github.com/lotusward/lotusward/internal/core/identity"
+	"github.com/lotusward/lotusward/internal/core/rendezvous"
+)
+
+const (
+	// announceInterval is how often the holder tells a plan that changes, and
+	// restInterval one that doesn't.
+	announceInterval = 200 * time.Millisecond
+	restInterval     = time.Second
+	// announceTime is how long it is told again that a back end has new weights.
+	announceTime = 1500 * time.Millisecond
+	// announcementTimeout is how long after the last announcement a daemon reads the
+	// plan's row itself.
+	announcementTimeout = 2500 * time.Millisecond
+)
+
+// Announcement is what the holder tells the other daemons of its plan at once. The
+// plan's row is written less often. Back ends are named by the hashes of their IDs.
+type Announcement struct {
+	Token   identity.FencingToken
+	Loading []uint64
+	// Loaded are the back ends that have taken new weights in the last moments.
+	Loaded []LoadedGroup
+}
+
+// LoadedGroup names back ends that hold the same version of a model's weights.
+type LoadedGroup struct {
+	Model    identity.ModelName
+	Version  uint64
+	Backends []uint64
+}
+
+// follow makes the pool heed an announcement.
+func (a *Announcement) follow(pool *backendpool.Pool) {
+	pool.Avoid(a.Loading)
+	for _, group := range a.Loaded {
+		pool.LearnVersions(group.Backends, group.Model, group.Version)
+	}
+}
+
+// recentLoad is a back end that has taken new weights.
+type recentLoad struct {
+	at     time.Time
+	loaded Loaded
+}
+
+// announcer decides when the holder's plan is told. It belongs to the Keeper, whose
+// mutex guards it.
+type announcer struct {
+	announce func(Announcement)
+	toldAt   time.Time
+	recent   []recentLoad
+	changed  bool
+}
+
+// loaded notes that a back end has taken new weights.
+func (a *announcer) loaded(now time.Time, loaded Loaded) {
+	a.recent = append(a.recent, recentLoad{at: now, loaded: loaded})
+	a.changed = true
+}
+
+// due returns what is to be told now; false when it isn't time.
+func (a *announcer) due(now time.Time, plan *Plan) (Announcement, bool) {
+	interval := restInterval
+	if a.changed {
+		interval = announceInterval
+	}
+	if a.announce == nil || now.Sub(a.toldAt) < interval {
+		return Announcement{}, false
+	}
+	a.toldAt = now
+	a.changed = false
+	a.recent = slices.DeleteFunc(a.recent, func(load recentLoad) bool { return now.Sub(load.at) > announceTime })
+	return Announcement{Token: plan.Token, Loading: keysOf(plan.Loading), Loaded: a.groups()}, true
+}
+
+// groups returns the recent loads by model and version.
+func (a *announcer) groups() []LoadedGroup {
+	var groups []LoadedGroup
+	for _, load := range a.recent {
+		loaded := load.loaded
+		at := slices.IndexFunc(groups, func(group LoadedGroup) bool {
+			return group.Model == loaded.Model && group.Version == loaded.Version
+		})
+		if at < 0 {
+			at = len(groups)
+			groups = append(groups, LoadedGroup{Model: loaded.Model, Version: loaded.Version})
+		}
+		groups[at].Backends = append(groups[at].Backends, rendezvous.Key(string(loaded.Backend)))
+	}
+	return groups
+}
+
+func keysOf(ids []identity.BackendID) []uint64 {
+	keys := make([]uint64, len(ids))
+	for index, id := range ids {
+		keys[index] = rendezvous.Key(string(id))
+	}
+	return keys
+}
--- a/internal/rollout/follower.go
+++ b/internal/rollout/follower.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
 	"github.com/sirupsen/logrus"
 
 	"github.com/lotusward/lotusward/internal/core/backendpool"
+	"github.com/lotusward/lotusward/internal/core/identity"
 	"github.com/lotusward/lotusward/internal/directory"
 	"github.com/lotusward/lotusward/internal/pause"
 	"github.com/lotusward/lotusward/internal/port"
@@ -38,6 +40,42 @@
 	// Learn takes in when versions were first seen.
 	Learn func(ctx context.Context, seen []directory.Seen)
 	Log   logrus.FieldLogger
+
+	mutex sync.Mutex
+	// token is the highest of a holder that this daemon has heard of.
+	token identity.FencingToken
+	// heardAt is when the last announcement came.
+	heardAt time.Time
+}
+
+// Hear heeds what a holder announces. An announcement of a holder before the known
+// one is passed over.
+func (f *Follower) Hear(announced Announcement) {
+	if _, held := f.Lease.Held(); held || !f.admit(announced.Token) {
+		return
+	}
+	f.mutex.Lock()
+	f.heardAt = time.Now()
+	f.mutex.Unlock()
+	announced.follow(f.Pool)
+}
+
+// admit tells whether a token is not of a holder before the known one.
+func (f *Follower) admit(token identity.FencingToken) bool {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	if token < f.token {
+		return false
+	}
+	f.token = token
+	return true
+}
+
+// hears tells whether a holder announces its plan, so that its row need not be read.
+func (f *Follower) hears() bool {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return time.Since(f.heardAt) < announcementTimeout
 }
 
 // Run follows the plan until the context ends.
@@ -48,6 +86,10 @@
 	var after uint64
 	version := f.follow(ctx, 0)
 	for ctx.Err() == nil {
+		if f.hears() {
+			pause.For(ctx, restInterval)
+			continue
+		}
 		next, err := f.wait(ctx, after)
 		after = next // the store's whole history after a failure
 		var lost *port.NotFoundError
@@ -87,8 +129,11 @@
 		f.Log.WithError(err).Error("The plan of the roll-out cannot be read.")
 		return rows[0].Version
 	}
-	plan.Follow(f.Pool)
 	f.Learn(ctx, plan.Seen)
+	if !f.admit(plan.Token) {
+		return rows[0].Version
+	}
+	plan.Follow(f.Pool)
 	f.Log.WithFields(logrus.Fields{"token": plan.Token, "loading": plan.Loading}).Debug("The plan of the roll-out changed.")
 	return rows[0].Version
 }
--- a/internal/rollout/keeper.go
+++ b/internal/rollout/keeper.go
@@ -26,7 +26,10 @@
 	// Quiet is how long a new holder waits before its first order, so that its
 	// orders and those of the holder before it never interleave.
 	Quiet time.Duration
-	Log   logrus.FieldLogger
+	// Announce tells the other daemons of the plan at once; nil when there are none.
+	// It must not block.
+	Announce func(Announcement)
+	Log      logrus.FieldLogger
 }
 
 // Keeper gives the orders while it holds the lease.
@@ -44,11 +47,15 @@
 	changed     bool
 	planVersion uint64
 	planKnown   bool
+	writtenAt   time.Time
+	announcer   announcer
 }
 
 // New makes a Keeper that gives no orders until it runs.
 func New(options Options) *Keeper {
-	return &Keeper{options: options, working: map[identity.BackendID]bool{}}
+	return &Keeper{
+		options: options, working: map[identity.BackendID]bool{}, announcer: announcer{announce: options.Announce},
+	}
 }
 
 // Run gives orders until the context ends.
@@ -73,7 +80,18 @@
 	for model, version := range k.options.Named.Targets() {
 		k.start(ctx, model, version)
 	}
-	k.writePlan(ctx)
+	k.announce(now)
+	k.writePlan(ctx, now)
+}
+
+// announce tells the other daemons of the plan if it is time.
+func (k *Keeper) announce(now time.Time) {
+	k.mutex.Lock()
+	announcement, due := k.announcer.due(now, &k.plan)
+	k.mutex.Unlock()
+	if due {
+		k.options.Announce(announcement)
+	}
 }
 
 // mayOrder tells whether the lease is held and the time after it was taken is over.
@@ -121,6 +139,7 @@
 		k.working[id] = true
 		k.plan.Loading = append(k.plan.Loading, id)
 		k.changed = true
+		k.announcer.changed = true
 		go k.bring(ctx, holder.Backend, model, k.token)
 	}
 }
@@ -140,9 +159,12 @@
 	delete(k.working, backend.ID)
 	k.plan.Loading = slices.DeleteFunc(k.plan.Loading, func(id identity.BackendID) bool { return id == backend.ID })
 	if version > 0 {
-		k.plan.note(Loaded{Backend: backend.ID, Model: model, Version: version})
+		loaded := Loaded{Backend: backend.ID, Model: model, Version: version}
+		k.plan.note(loaded)
+		k.announcer.loaded(time.Now(), loaded)
 	}
 	k.changed = true
+	k.announcer.changed = true
 }
 
 // note remembers what a back end holds, in place of what it held.
@@ -234,8 +256,8 @@
 
 // writePlan writes the plan if it changed. When that fails it is tried again at
 // the next tick; the plan only spares requests a rejection.
-func (k *Keeper) writePlan(ctx context.Context) {
-	value, condition, due := k.nextPlan()
+func (k *Keeper) writePlan(ctx context.Context, now time.Time) {
+	value, condition, due := k.nextPlan(now)
 	if !due {
 		return
 	}
@@ -257,6 +279,7 @@
 		return
 	}
 	k.planVersion = rows[0].Version
+	k.writtenAt = now
 }
 
 // planCondition is the version of the plan's row that a write expects.
@@ -266,10 +289,11 @@
 }
 
 // nextPlan returns the plan to write, if one is due.
-func (k *Keeper) nextPlan() ([]byte, planCondition, bool) {
+func (k *Keeper) nextPlan(now time.Time) ([]byte, planCondition, bool) {
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
-	if !k.changed {
+	announced := k.options.Announce != nil && now.Sub(k.writtenAt) < writeInterval
+	if !k.changed || announced {
 		return nil, planCondition{}, false
 	}
 	k.plan.Follow(k.options.Pool)
--- a/internal/rollout/plan.go
+++ b/internal/rollout/plan.go
@@ -55,7 +55,7 @@
 
 // Follow makes the pool heed a plan.
 func (p *Plan) Follow(pool *backendpool.Pool) {
-	pool.Avoid(p.Loading)
+	pool.Avoid(keysOf(p.Loading))
 	for _, loaded := range p.Loaded {
 		pool.LearnVersion(loaded.Backend, loaded.Model, loaded.Version)
 	}
@@ -146,6 +146,8 @@
 	reportInterval = 150 * time.Millisecond
 	callTimeout    = 700 * time.Millisecond
 	planTimeout    = 400 * time.Millisecond
+	// writeInterval is how often the plan's row is written where it is announced too.
+	writeInterval = time.Second
 	// spreadTime is how long the other daemons may take to follow a plan.
 	spreadTime = 40 * time.Millisecond
 	// orderTime bounds the work on one back end before it is looked at anew.
