Fetch only what is worth a move, holders first; several stores; saves bounded by the link

Now prompts with under 512 shared tokens are read; a holder in the runner's zone goes before the store; a part's store is found by rendezvous hashing; all daemons' saves together get 0.3 of a store's link, from the configuration; what was saved is told to the other daemons, since only twelve may watch a store.

--- a/cmd/lotusward-platform/wire.go
+++ b/cmd/lotusward-platform/wire.go
@@ -124,7 +124,7 @@
 		VersionHeadStart: versionGrace(bounds) - platform.Milliseconds(bounds.ContactMs),
 	})
 	peerlink.HandleDecoded(w.link, peerlink.KindBulletin, w.directory.Hear)
-	w.promptsIn = cachewatch.NewWatcher(w.runners, w.directory.PromptStoreAddress, w.part("promptstore"))
+	w.promptsIn = cachewatch.NewWatcher(w.runners, w.directory.PromptStoreAddresses, w.part("promptstore"))
 	w.loads = loadshare.New(loadshare.Options{
 		Link: w.link, Others: w.members.Others, Pool: w.backends, Memory: w.memory,
 	})
@@ -134,7 +134,8 @@
 func (w *wired) wireTraffic(counters *requestlog.Counters) {
 	relaying := relay.New(relay.Options{
 		Control: w.directory, Pool: w.backends, Backends: w.runners, Budgets: w.budgets,
-		Policy: policy(w.settings.Bounds), Memory: w.memory, Store: w.promptsIn.Cache,
+		Policy: policy(w.settings.Bounds), Memory: w.memory, Stores: w.promptsIn.Cache,
+		Daemons: w.members.Count,
 		Journal: requestlog.New(w.part("relay"), counters),
 	})
 	w.serving = newServing(w.settings, relaying, w.directory, w.part("front"))
--- a/internal/cachewatch/watcher.go
+++ b/internal/cachewatch/watcher.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"time"
 
@@ -19,6 +20,8 @@
 	holdTime     = 900 * time.Millisecond
 	callTimeout  = 2 * time.Second
 	failurePause = 400 * time.Millisecond
+	// lookInterval is how often it is looked which caches there are.
+	lookInterval = 400 * time.Millisecond
 	// refusedPause follows a refusal: too many daemons watch already.
 	refusedPause = 10 * time.Second
 	// maximumHeld bounds the memory of one cache.
@@ -109,46 +112,77 @@
 	c.current = false
 }
 
-// Watcher watches the cache at one address at a time.
+// Watcher watches the caches at several addresses.
 type Watcher struct {
 	source Source
 	log    logrus.FieldLogger
-	// address returns the cache's address, or an empty text when there is none.
-	address func() string
+	// addresses returns where the caches are at present.
+	addresses func() []string
 
 	mutex   sync.Mutex
-	watched string
-	cache   *Cache
+	watched map[string]*watched
+}
+
+// watched is a cache with the end of its watch.
+type watched struct {
+	cache *Cache
+	stop  context.CancelFunc
 }
 
 // NewWatcher makes a watcher that knows nothing until it runs.
-func NewWatcher(source Source, address func() string, log logrus.FieldLogger) *Watcher {
-	return &Watcher{source: source, address: address, log: log, cache: &Cache{}}
+func NewWatcher(source Source, addresses func() []string, log logrus.FieldLogger) *Watcher {
+	return &Watcher{source: source, addresses: addresses, log: log, watched: map[string]*watched{}}
 }
 
-// Cache returns what the watched cache is believed to hold.
-func (w *Watcher) Cache() *Cache {
+// Cache returns what the cache at an address is believed to hold.
+func (w *Watcher) Cache(address string) *Cache {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
-	return w.cache
+	if found := w.watched[address]; found != nil {
+		return found.cache
+	}
+	return &Cache{}
 }
 
 // Run watches until the context ends.
 func (w *Watcher) Run(ctx context.Context) error {
 	for ctx.Err() == nil {
-		address := w.address()
-		if address == "" {
-			pause.For(ctx, failurePause)
+		w.update(ctx, w.addresses())
+		pause.For(ctx, lookInterval)
+	}
+	return nil
+}
+
+// update begins and ends watches, so that there is one for each address.
+func (w *Watcher) update(ctx context.Context, addresses []string) {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	for address, found := range w.watched {
+		if !slices.Contains(addresses, address) {
+			found.stop()
+			delete(w.watched, address)
+		}
+	}
+	for _, address := range addresses {
+		if w.watched[address] != nil {
 			continue
 		}
-		w.follow(ctx, address)
+		watching, stop := context.WithCancel(ctx)
+		made := &watched{cache: &Cache{}, stop: stop}
+		w.watched[address] = made
+		go w.watch(watching, address, made.cache)
+	}
+}
+
+// watch follows one cache until the context ends.
+func (w *Watcher) watch(ctx context.Context, address string, cache *Cache) {
+	for ctx.Err() == nil {
+		w.follow(ctx, address, cache)
 	}
-	return nil
 }
 
 // follow makes one call to the cache at an address.
-func (w *Watcher) follow(ctx context.Context, address string) {
-	cache := w.at(address)
+func (w *Watcher) follow(ctx context.Context, address string, cache *Cache) {
 	bounded, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	page, err := w.source.Events(bounded, address, cache.position(), holdTime)
@@ -169,14 +203,3 @@
 	}
 	cache.take(page)
 }
-
-// at returns the cache at an address; another address is another cache.
-func (w *Watcher) at(address string) *Cache {
-	w.mutex.Lock()
-	defer w.mutex.Unlock()
-	if address != w.watched {
-		w.watched = address
-		w.cache = &Cache{}
-	}
-	return w.cache
-}
--- a/internal/core/backendpool/pool.go
+++ b/internal/core/backendpool/pool.go
@@ -53,10 +53,10 @@
 	// was under way at this one, in tokens.
 	Candidates int
 	Waiting    float64
-	// HolderAddress is the address of another back end that most likely holds the
-	// prompt's shared parts, sound and of the same version; empty if there is none
+	// Holder is another back end that most likely holds the
+	// prompt's shared parts, sound and of the same version; nil if there is none
 	// or if the ticket's own most likely holds them.
-	HolderAddress string
+	Holder *Backend
 	entry         *entry
 	pool          *Pool
 	// work is what the request adds to the load until its first byte, in tokens.
@@ -172,13 +172,15 @@
 		Key: picked.key, Candidates: len(candidates), Waiting: waiting, entry: picked, pool: p, work: work, reading: true,
 	}
 	if other := p.holder(now, query, picked); other != nil {
-		ticket.HolderAddress = other.backend.Address
+		holder := other.backend
+		ticket.Holder = &holder
 	}
 	return ticket
 }
 
 // holder returns a sound back end other than the picked one that most likely holds
-// the query's shared parts under the same version, or nil.
+// the query's shared parts under the same version, of the same zone if there is one,
+// or nil.
 func (p *Pool) holder(now time.Time, query Query, picked *entry) *entry {
 	version := picked.version(query.Model)
 	if query.Cached == nil || version == 0 {
@@ -188,15 +190,21 @@
 	if slices.Contains(holders, picked.key) {
 		return nil
 	}
+	var found *entry
 	for _, key := range holders {
 		for _, candidate := range p.services[query.Service] {
-			same := candidate.version(query.Model) == version
-			if candidate.key == key && same && !candidate.ejected(now) {
+			if candidate.key != key || candidate.version(query.Model) != version || candidate.ejected(now) {
+				continue
+			}
+			if candidate.backend.Zone == picked.backend.Zone {
 				return candidate
 			}
+			if found == nil {
+				found = candidate
+			}
 		}
 	}
-	return nil
+	return found
 }
 
 // candidates returns the back ends that will do, without the doubted and avoided
--- a/internal/core/backendpool/pool_test.go
+++ b/internal/core/backendpool/pool_test.go
@@ -155,7 +155,7 @@
 	elsewhere := pool.Pick(start, query)
 	elsewhere.Release(start, ResultServed)
 	assert.Assert(t, elsewhere.Backend.ID != home.Backend.ID)
-	assert.Equal(t, elsewhere.HolderAddress, home.Backend.Address)
+	assert.Equal(t, elsewhere.Holder.Address, home.Backend.Address)
 	pool.SetOthersLoad(nil)
 	back := pool.Pick(start, query)
 	assert.Equal(t, back.Backend.ID, home.Backend.ID)
@@ -224,9 +224,9 @@
 	query.Cached = func(uint64) Cached { return Cached{Reading: []uint64{first.Key}} }
 	second := pool.Pick(start, query)
 	assert.Equal(t, second.Backend.ID, first.Backend.ID)
-	assert.Equal(t, second.HolderAddress, "")
+	assert.Assert(t, second.Holder == nil)
 	query.Cached = func(uint64) Cached { return Cached{Read: []uint64{first.Key}} }
 	third := pool.Pick(start, query)
 	assert.Assert(t, third.Backend.ID != first.Backend.ID)
-	assert.Equal(t, third.HolderAddress, first.Backend.Address)
+	assert.Equal(t, third.Holder.Address, first.Backend.Address)
 }
--- a/internal/core/promptcache/promptcache.go
+++ b/internal/core/promptcache/promptcache.go
@@ -16,7 +16,7 @@
 // Bounds of what is remembered and saved.
 const (
 	defaultCapacity = 8192
-	maximumHolders  = 3
+	maximumHolders  = 4
 	// maximumUntold bounds the facts that wait to be told to other daemons.
 	maximumUntold = 128
 	// leastSharedShare of a prompt must be shared for it to be saved: a save moves
--- a/internal/core/routing/configuration.go
+++ b/internal/core/routing/configuration.go
@@ -83,7 +83,9 @@
 type Engine struct {
 	Slots          int
 	CapacityTokens int
-	Models         []identity.ModelName
+	// TokenBytes is the size of one token's cache in bytes.
+	TokenBytes int
+	Models     []identity.ModelName
 }
 
 // PromptStore is where back ends save prompt caches to and fetch them from.
@@ -92,6 +94,8 @@
 	Address        string
 	Zone           identity.Zone
 	CapacityTokens int
+	// LinkBitsPerSecond is how fast the store sends and takes caches.
+	LinkBitsPerSecond float64
 }
 
 // Tenant owns keys.
--- a/internal/core/routing/table.go
+++ b/internal/core/routing/table.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 
 	"github.com/lotusward/lotusward/internal/core/identity"
+	"github.com/lotusward/lotusward/internal/core/rendezvous"
 )
 
 // Table is a compiled configuration. It is safe for use by several goroutines.
@@ -15,7 +16,7 @@
 	byHost        map[string][]*compiledRoute
 	tenants       map[string]*Tenant
 	services      map[identity.ServiceName]*Service
-	promptStore   *PromptStore
+	promptStores  []*PromptStore
 }
 
 // compiledRoute is a route with the turn of its split.
@@ -67,7 +68,7 @@
 func (t *Table) addService(service *Service) {
 	t.services[service.Name] = service
 	if service.PromptStore != nil {
-		t.promptStore = service.PromptStore
+		t.promptStores = append(t.promptStores, service.PromptStore)
 	}
 }
 
@@ -80,8 +81,21 @@
 // Service returns a service by name, or nil.
 func (t *Table) Service(name identity.ServiceName) *Service { return t.services[name] }
 
-// PromptStore returns the store of prompt caches, or nil when there is none.
-func (t *Table) PromptStore() *PromptStore { return t.promptStore }
+// PromptStores returns the stores of prompt caches.
+func (t *Table) PromptStores() []*PromptStore { return t.promptStores }
+
+// PromptStore returns the store in which a part belongs, by the part's hash, or nil
+// when there is none. All daemons find the same one without talking.
+func (t *Table) PromptStore(part uint64) *PromptStore {
+	var found *PromptStore
+	var best uint64
+	for _, store := range t.promptStores {
+		if score := rendezvous.Score(part, store.Address); found == nil || score > best {
+			found, best = store, score
+		}
+	}
+	return found
+}
 
 // RequiresKey tells whether requests need a key on routes that are not open to
 // anonymous callers.
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -358,11 +358,15 @@
 	}).Info("The list of back ends changed.")
 }
 
-// PromptStoreAddress is where the store of prompt caches is; empty when there is none.
-func (d *Directory) PromptStoreAddress() string {
+// PromptStoreAddresses are where the stores of prompt caches are.
+func (d *Directory) PromptStoreAddresses() []string {
 	state := d.state.Load()
-	if state == nil || state.Table.PromptStore() == nil {
-		return ""
+	if state == nil {
+		return nil
 	}
-	return state.Table.PromptStore().Address
+	var addresses []string
+	for _, store := range state.Table.PromptStores() {
+		addresses = append(addresses, store.Address)
+	}
+	return addresses
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -2,9 +2,10 @@
 
 import (
 	"context"
-	"strings"
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"github.com/lotusward/lotusward/internal/cachewatch"
 	"github.com/lotusward/lotusward/internal/core/backendpool"
 	"github.com/lotusward/lotusward/internal/core/identity"
@@ -23,8 +24,10 @@
 	Policy   Policy
 	// Memory remembers where shared parts of prompts went.
 	Memory *promptcache.Memory
-	// Store returns what the store of prompt caches is believed to hold.
-	Store func() *cachewatch.Cache
+	// Stores returns what the store of prompt caches at an address is believed to hold.
+	Stores func(address string) *cachewatch.Cache
+	// Daemons returns how many daemons there may be.
+	Daemons func() int
 	// Journal is told of each decision.
 	Journal Journal
 	// Now reads the steady clock; nil means time.Now.
@@ -34,6 +37,7 @@
 // Relay serves requests. It is safe for use by several goroutines.
 type Relay struct {
 	options Options
+	saves   saveBudgets
 }
 
 // New makes a Relay.
@@ -41,7 +45,7 @@
 	if options.Now == nil {
 		options.Now = time.Now
 	}
-	return &Relay{options: options}
+	return &Relay{options: options, saves: saveBudgets{limiters: map[string]*rate.Limiter{}}}
 }
 
 // Serve answers one request. The context ends when the caller has left.
@@ -158,17 +162,6 @@
 	return query
 }
 
-// cached says where a request's shared parts are for a version of the weights.
-func (r *Relay) cached(admitted *admission, version uint64) backendpool.Cached {
-	key, shared := r.cacheKey(admitted, version)
-	if !shared {
-		return backendpool.Cached{}
-	}
-	stored, _ := r.options.Store().Tokens(key)
-	holders := r.options.Memory.Holders(r.options.Now(), promptcache.KeyOf(key.Salt, key.ID))
-	return backendpool.Cached{Read: holders.Read, Reading: holders.Reading, Stored: stored > 0}
-}
-
 // beginBy is until when a request may begin on a version of a model's weights. It
 // is taken from the present state, which may be newer than the request's own.
 func (r *Relay) beginBy(model identity.ModelName, version uint64) time.Time {
@@ -214,75 +207,6 @@
 	return dispatch
 }
 
-// cacheKey names the deepest shared part of a request's prompt under the salt for
-// a version of the weights. It returns false when no part is shared.
-func (r *Relay) cacheKey(admitted *admission, version uint64) (cachewatch.Part, bool) {
-	parts := admitted.request.Prompt.Parts
-	if len(parts) < 2 {
-		return cachewatch.Part{}, false
-	}
-	return cachewatch.Part{Salt: cacheSalt(version, admitted.tenant), ID: parts[len(parts)-2].ID}, true
-}
-
-// describeCache sets the salt, and where prompt caches come from and go to. The
-// version is always part of the salt and always demanded of the back end, so
-// that what is made under a salt is of that version.
-func (r *Relay) describeCache(admitted *admission, ticket *backendpool.Ticket, dispatch *Dispatch) {
-	if ticket.Version == 0 {
-		return
-	}
-	dispatch.Version = ticket.Version
-	dispatch.CacheSalt = cacheSalt(ticket.Version, admitted.tenant)
-	store := admitted.state.Table.PromptStore()
-	key, shared := r.cacheKey(admitted, ticket.Version)
-	if store == nil || !shared {
-		return
-	}
-	stored, known := r.options.Store().Tokens(key)
-	dispatch.FetchFrom = ticket.HolderAddress
-	if dispatch.FetchFrom == "" || stored > 0 {
-		dispatch.FetchFrom = store.Address
-	}
-	total, own := promptTokens(admitted.request.Prompt.Parts)
-	fact := promptcache.Fact{Part: promptcache.KeyOf(key.Salt, key.ID), Backend: ticket.Key}
-	mayBeSaved := r.options.Memory.Sent(r.options.Now(), fact, total-own, total)
-	if mayBeSaved && known && stored == 0 {
-		dispatch.SaveTo = store.Address
-	}
-}
-
-// hasRead notes that a ticket's back end has read a request's shared parts.
-func (r *Relay) hasRead(admitted *admission, ticket *backendpool.Ticket) {
-	if admitted.request.Prompt == nil || ticket.Version == 0 {
-		return
-	}
-	if key, shared := r.cacheKey(admitted, ticket.Version); shared {
-		fact := promptcache.Fact{Part: promptcache.KeyOf(key.Salt, key.ID), Backend: ticket.Key}
-		r.options.Memory.HasRead(r.options.Now(), fact)
-	}
-}
-
-// promptTokens returns a prompt's tokens, and those of its own last part.
-func promptTokens(parts []Part) (total, own int) {
-	for _, part := range parts {
-		total += part.Tokens
-	}
-	return total, parts[len(parts)-1].Tokens
-}
-
-// cacheSalt names who may share cached prompts: all who use the same weights, or
-// one tenant alone where it is isolated.
-func cacheSalt(version uint64, tenant *routing.Tenant) string {
-	var salt strings.Builder
-	salt.WriteString("v")
-	salt.WriteString(formatVersion(version))
-	if tenant != nil && tenant.Isolated {
-		salt.WriteString("/")
-		salt.WriteString(string(tenant.Name))
-	}
-	return salt.String()
-}
-
 // resultOf tells the pool what a failed sending says about the back end.
 func resultOf(evidence outcome.Evidence) backendpool.Result {
 	if evidence == outcome.Unreached {
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -91,7 +91,7 @@
 		if first {
 			ticket.Begun()
 			r.begin.stop()
-			r.relay.hasRead(r.admitted, ticket)
+			r.relay.hasRead(r.admitted, ticket, r.attempt.SaveTo)
 		}
 		if err := r.passEvent(answer, got, events.more()); err != nil {
 			return stepEnd, failure{result: backendpool.ResultAbandoned, reason: "caller_left"}
--- a/internal/relay/world_test.go
+++ b/internal/relay/world_test.go
@@ -234,7 +234,7 @@
 	cache := &cachewatch.Cache{}
 	made.relay = New(Options{
 		Control: made.control, Pool: made.pool, Backends: made.backends, Budgets: made.budgets, Journal: made.journal,
-		Memory: promptcache.New(), Store: func() *cachewatch.Cache { return cache },
+		Memory: promptcache.New(), Stores: func(string) *cachewatch.Cache { return cache }, Daemons: func() int { return 1 },
 		Policy: Policy{
 			ConfirmationForKeys: 4 * time.Second, ConfirmationForDenials: time.Second,
 			VersionGrace: 5 * time.Second, RetryAfter: 250 * time.Millisecond,
