Choose among a sample of the back ends where daemons are many

Cause: 79 daemons learn of each other's choices after some tenths of a second. From the logs of all of them: the first runner with new weights got 18 requests within 0.25 s, each from a daemon that believed it idle (waiting 0). Now a choice looks at the home, the holders and a sample, the smaller the more daemons there are; with few daemons at all.

--- a/cmd/lotusward-platform/wire.go
+++ b/cmd/lotusward-platform/wire.go
@@ -112,7 +112,10 @@
 	})
 	w.members = members.New(members.Options{
 		Self: w.settings.NodeName, Address: w.settings.InternalAddress(), Table: w.store, Log: w.part("members"),
-		Changed: func(count int) { w.budgets.SetFloor(int(budgetShare * bounds.RetryBudgetSlack / float64(count))) },
+		Changed: func(count int) {
+			w.budgets.SetFloor(int(budgetShare * bounds.RetryBudgetSlack / float64(count)))
+			w.backends.SetDaemons(count)
+		},
 	})
 	w.link.Observe(w.members.Heard)
 	w.broadcast = peerlink.NewBroadcaster(w.link, w.members.Others)
--- a/internal/core/backendpool/choice.go
+++ b/internal/core/backendpool/choice.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -33,6 +34,12 @@
 	// equalShare of the least cost is as good: the higher rank wins.
 	equalShare = 0.1
 	equalSlack = 100
+	// sampledPerDaemon over the number of daemons is the share of the candidates that a
+	// choice looks at, beside the prompt's home and holders. Many daemons that learn of
+	// each other's choices late would all take the same idle back end; each sees some.
+	sampledPerDaemon = 8
+	// leastSampled is how many candidates a choice looks at in any case.
+	leastSampled = 4
 	// SlowTokenTime is how long a slow, loaded back end may take to read a token.
 	SlowTokenTime = 60 * time.Microsecond
 	// leastBeginTime is how long a request takes at least to begin, on the way and
@@ -87,10 +94,56 @@
 // choose picks one of at least one candidates, and returns the work that the
 // request brings there, in tokens.
 func (p *Pool) choose(candidates []*entry, query Query) (*entry, float64) {
+	sampled := p.sample(candidates)
 	if query.Model == "" {
-		return p.chooseLeastLoaded(candidates), 0
+		return p.chooseLeastLoaded(sampled), 0
 	}
-	return chooseSoonest(candidates, query)
+	return chooseSoonest(withKnown(sampled, candidates, query), query)
+}
+
+// sample returns some of the candidates, the fewer the more daemons there are.
+func (p *Pool) sample(candidates []*entry) []*entry {
+	count := max(sampledPerDaemon*len(candidates)/max(p.daemons, 1), leastSampled)
+	if count >= len(candidates) {
+		return candidates
+	}
+	sampled := slices.Clone(candidates)
+	for index := range count {
+		other := index + rand.IntN(len(sampled)-index)
+		sampled[index], sampled[other] = sampled[other], sampled[index]
+	}
+	return sampled[:count]
+}
+
+// withKnown adds the candidates that the query's shared parts speak for: their home
+// and their holders.
+func withKnown(sampled, candidates []*entry, query Query) []*entry {
+	if len(sampled) == len(candidates) || query.SharedTokens == 0 {
+		return sampled
+	}
+	home := highestRank(candidates, query.Home)
+	known := map[uint64]Cached{}
+	for _, candidate := range candidates {
+		cached := cachedAt(known, query, candidate.version(query.Model))
+		holds := slices.Contains(cached.Read, candidate.key) || slices.Contains(cached.Reading, candidate.key)
+		if (candidate == home || holds) && !slices.Contains(sampled, candidate) {
+			sampled = append(sampled, candidate)
+		}
+	}
+	return sampled
+}
+
+// cachedAt asks a query once for each version of the weights.
+func cachedAt(known map[uint64]Cached, query Query, version uint64) Cached {
+	if query.Cached == nil {
+		return Cached{}
+	}
+	cached, found := known[version]
+	if !found {
+		cached = query.Cached(version)
+		known[version] = cached
+	}
+	return cached
 }
 
 // chooseSoonest takes the back end that should answer soonest: the work that waits
@@ -123,11 +176,7 @@
 	costs := make([]float64, len(candidates))
 	for index, candidate := range candidates {
 		version := candidate.version(query.Model)
-		cached, found := known[version]
-		if !found && query.Cached != nil {
-			cached = query.Cached(version)
-			known[version] = cached
-		}
+		cached := cachedAt(known, query, version)
 		costs[index] = missing(candidate, home, cached, query.SharedTokens)
 		if version < newest {
 			costs[index] *= oldWeightsFactor
--- a/internal/core/backendpool/pool.go
+++ b/internal/core/backendpool/pool.go
@@ -71,6 +71,8 @@
 	zone     identity.Zone
 	services map[identity.ServiceName][]*entry
 	byID     map[identity.BackendID]*entry
+	// daemons is how many daemons choose among the same back ends.
+	daemons int
 	// avoided holds hashes of IDs.
 	avoided map[uint64]bool
 }
@@ -84,6 +86,13 @@
 	}
 }
 
+// SetDaemons changes how many daemons choose among the same back ends.
+func (p *Pool) SetDaemons(count int) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.daemons = count
+}
+
 // Change is what an update did.
 type Change struct {
 	Added, Removed, Draining []identity.BackendID
