--- a/internal/core/backendpool/choice.go
+++ b/internal/core/backendpool/choice.go
@@ -31,6 +31,8 @@
 	// otherZoneCost is the cost of a back end in another zone, for requests without
 	// a prompt: in requests under way.
 	otherZoneCost = 1.5
+	// otherZoneTokens is the cost of the way to another zone and back for a prompt.
+	otherZoneTokens = 150
 	// equalShare of the least cost is as good: the higher rank wins.
 	equalShare = 0.1
 	equalSlack = 100
@@ -98,7 +100,7 @@
 	if query.Model == "" {
 		return p.chooseLeastLoaded(sampled), 0
 	}
-	return chooseSoonest(withKnown(sampled, candidates, query), query)
+	return p.chooseSoonest(withKnown(sampled, candidates, query), query)
 }
 
 // sample returns some of the candidates, the fewer the more daemons there are.
@@ -149,16 +151,19 @@
 // chooseSoonest takes the back end that should answer soonest: the work that waits
 // there, and what the prompt adds. Among those about as good, the one that ranks
 // highest for the prompt wins, so that daemons agree without talking.
-func chooseSoonest(candidates []*entry, query Query) (*entry, float64) {
+func (p *Pool) chooseSoonest(candidates []*entry, query Query) (*entry, float64) {
 	missing := missingCosts(candidates, query)
-	least := candidates[0].waiting() + missing[0]
+	costs := make([]float64, len(candidates))
 	for index, candidate := range candidates {
-		least = min(least, candidate.waiting()+missing[index])
+		costs[index] = candidate.waiting() + missing[index]
+		if candidate.backend.Zone != p.zone {
+			costs[index] += otherZoneTokens
+		}
 	}
-	bound := least*(1+equalShare) + equalSlack
+	bound := slices.Min(costs)*(1+equalShare) + equalSlack
 	best, bestScore := -1, uint64(0)
 	for index, candidate := range candidates {
-		if candidate.waiting()+missing[index] > bound {
+		if costs[index] > bound {
 			continue
 		}
 		if score := candidate.rank(query.Home); best < 0 || score > bestScore {
--- a/internal/loadshare/loadshare.go
+++ b/internal/loadshare/loadshare.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -25,13 +26,14 @@
 	idleInterval = 400 * time.Millisecond
 	// forgetAfter is how long what a daemon told counts.
 	forgetAfter = time.Second
-	// maximumTargets bounds how many daemons are told at a time. Where there are
-	// more, each tells others in each turn, and what is heard is scaled up.
+	// maximumTargets bounds how many daemons are told of loads at a time. Where there
+	// are more, the next ones are told in the next turn, and what is heard is scaled
+	// up. Where parts of prompts are is told to all, since it is told once.
 	maximumTargets = 12
 	// bytesPerSecond bounds what is sent. Where it isn't enough for all targets of a
 	// turn, some are left out.
-	bytesPerSecond = 16 << 10
-	burstBytes     = 16 << 10
+	bytesPerSecond = 20 << 10
+	burstBytes     = 40 << 10
 	maximumLoads   = 256
 )
 
@@ -95,6 +97,8 @@
 	limiter *rate.Limiter
 	mutex   sync.Mutex
 	heard   map[string]heardLoads
+	// next counts the daemons told; it belongs to the goroutine of Run.
+	next int
 }
 
 // heardLoads is what one daemon told last.
@@ -107,6 +111,7 @@
 func New(options Options) *Sharer {
 	made := &Sharer{options: options, limiter: rate.NewLimiter(bytesPerSecond, burstBytes), heard: map[string]heardLoads{}}
 	peerlink.HandleDecoded(options.Link, peerlink.KindLoads, made.receive)
+	made.next = rand.IntN(math.MaxInt32)
 	return made
 }
 
@@ -133,19 +138,24 @@
 	}
 }
 
-// send tells some of the other daemons, within the bound on bytes.
+// send tells the other daemons, within the bound on bytes: all of them of facts, and
+// the next ones of loads alone.
 func (s *Sharer) send(loads []backendpool.Load, facts []promptcache.Fact) {
 	datagram, fits := s.options.Link.Encode(peerlink.KindLoads, newMessage(loads, facts))
 	others := s.options.Others()
 	if !fits || len(others) == 0 {
 		return
 	}
-	start := rand.IntN(len(others))
-	for offset := range min(len(others), maximumTargets) {
+	count := len(others)
+	if len(facts) == 0 {
+		count = min(count, maximumTargets)
+	}
+	for range count {
 		if !s.limiter.AllowN(time.Now(), len(datagram)) {
 			return
 		}
-		s.options.Link.Send(others[(start+offset)%len(others)], datagram)
+		s.options.Link.Send(others[s.next%len(others)], datagram)
+		s.next++
 	}
 }
 
--- a/internal/relay/caching.go
+++ b/internal/relay/caching.go
@@ -16,9 +16,9 @@
 
 // What moves of prompt caches are worth.
 const (
-	// leastFetchedTokens is how many shared tokens a prompt must have for its cache
-	// to be fetched: fewer are read sooner than a move behind others ends.
-	leastFetchedTokens = 512
+	// leastSharedTokens is how many shared tokens a prompt must have for its cache
+	// to be remembered and fetched: fewer are read sooner than a move behind others ends.
+	leastSharedTokens = 512
 	// saveShare of a store's link is for saves of all daemons together: saves hold up
 	// fetches.
 	saveShare = 0.3
@@ -27,10 +27,11 @@
 )
 
 // cacheKey names the deepest shared part of a request's prompt under the salt for
-// a version of the weights. It returns false when no part is shared.
+// a version of the weights. It returns false when too little is shared.
 func (r *Relay) cacheKey(admitted *admission, version uint64) (cachewatch.Part, bool) {
 	parts := admitted.request.Prompt.Parts
-	if len(parts) < 2 {
+	total, own := promptTokens(parts)
+	if total-own < leastSharedTokens {
 		return cachewatch.Part{}, false
 	}
 	return cachewatch.Part{Salt: cacheSalt(version, admitted.tenant), ID: parts[len(parts)-2].ID}, true
@@ -101,9 +102,7 @@
 		state = r.stored(store, part, r.options.Memory.Holders(now, partKey(part)))
 	}
 	total, own := promptTokens(admitted.request.Prompt.Parts)
-	if total-own >= leastFetchedTokens {
-		dispatch.FetchFrom = fetchFrom(ticket, store, state)
-	}
+	dispatch.FetchFrom = fetchFrom(ticket, store, state)
 	fact := promptcache.Fact{Part: partKey(part), Backend: ticket.Key}
 	worthSaving := r.options.Memory.Sent(now, fact, total-own, total)
 	if worthSaving && state != storedYes && store != nil && r.maySave(now, admitted, store, total) {
