--- a/internal/loadshare/loadshare.go
+++ b/internal/loadshare/loadshare.go
@@ -32,8 +32,8 @@
 	maximumTargets = 12
 	// bytesPerSecond bounds what is sent. Where it isn't enough for all targets of a
 	// turn, some are left out.
-	bytesPerSecond = 20 << 10
-	burstBytes     = 40 << 10
+	bytesPerSecond = 36 << 10
+	burstBytes     = 48 << 10
 	maximumLoads   = 256
 )
 
@@ -43,10 +43,11 @@
 	Facts []fact
 }
 
+// load holds whole numbers, which are shorter.
 type load struct {
 	Key      uint64
-	InFlight float32
-	Reading  float32
+	InFlight uint32
+	Reading  uint32
 }
 
 type fact struct {
@@ -58,7 +59,7 @@
 func newMessage(loads []backendpool.Load, facts []promptcache.Fact) *message {
 	told := &message{}
 	for _, each := range loads {
-		told.Loads = append(told.Loads, load{Key: each.Key, InFlight: float32(each.InFlight), Reading: float32(each.Reading)})
+		told.Loads = append(told.Loads, load{Key: each.Key, InFlight: uint32(each.InFlight), Reading: uint32(each.Reading)})
 	}
 	for _, each := range facts {
 		told.Facts = append(told.Facts, fact{Part: each.Part, Backend: each.Backend, Read: each.Read})
