Remember parts of all depths, tell each holder once, fetch what covers most

Now each level of a prompt has its holders, the cost of a back end counts what it has, what can be moved and what must be read, and the fetch goes to whoever has most.

--- /dev/null
+++ b/internal/core/backendpool/cached.go
@@ -0,0 +1,110 @@
+package backendpool
+
+import (
+	"slices"
+	"time"
+)
+
+// Level says where a prompt is up to the end of one of its shared parts.
+type Level struct {
+	// Tokens is the prompt's length up to there.
+	Tokens int
+	// Read are the hashes of the back ends that most likely hold it, and Reading of
+	// those that are about to read it.
+	Read, Reading []uint64
+	// Stored is set when it can be taken from a store.
+	Stored bool
+}
+
+// heldBy tells whether a back end has it, or will have once it has read what was
+// sent there before.
+func (l *Level) heldBy(key uint64) bool {
+	return slices.Contains(l.Read, key) || slices.Contains(l.Reading, key)
+}
+
+// movable tells whether it can be taken from elsewhere.
+func (l *Level) movable() bool { return l.Stored || len(l.Read) > 0 }
+
+// Cached says where a prompt's shared parts are, the deepest first.
+type Cached []Level
+
+// held is how many tokens a back end has.
+func (c Cached) held(key uint64) int {
+	for index := range c {
+		if c[index].heldBy(key) {
+			return c[index].Tokens
+		}
+	}
+	return 0
+}
+
+// movable is how many tokens can be taken from elsewhere.
+func (c Cached) movable() int {
+	for index := range c {
+		if c[index].movable() {
+			return c[index].Tokens
+		}
+	}
+	return 0
+}
+
+// known tells whether any back end is known to have the deepest part, or to read it.
+func (c Cached) known() bool { return len(c) > 0 && len(c[0].Read)+len(c[0].Reading) > 0 }
+
+// Source is where the cache of a prompt can be taken from.
+type Source struct {
+	// Holder is a back end, or nil when none will do.
+	Holder *Backend
+	// HolderTokens and StoredTokens are how much of the prompt the holder and the
+	// store have.
+	HolderTokens, StoredTokens int
+}
+
+// source finds where what a picked back end lacks of a query's prompt can be taken
+// from: a sound back end of the same version, of the same zone if there is one, that
+// has as much of it as any.
+func (p *Pool) source(now time.Time, query Query, picked *entry) Source {
+	var found Source
+	version := picked.version(query.Model)
+	if query.Cached == nil || version == 0 {
+		return found
+	}
+	cached := query.Cached(version)
+	held := cached.held(picked.key)
+	for index := range cached {
+		level := &cached[index]
+		if level.Tokens <= held {
+			break
+		}
+		if level.Stored && found.StoredTokens == 0 {
+			found.StoredTokens = level.Tokens
+		}
+		if found.Holder != nil {
+			continue
+		}
+		if holder := p.holder(now, query, picked, level.Read); holder != nil {
+			backend := holder.backend
+			found.Holder, found.HolderTokens = &backend, level.Tokens
+		}
+	}
+	return found
+}
+
+// holder returns one of some back ends that is sound and of the picked one's
+// version, of the same zone if there is one, or nil.
+func (p *Pool) holder(now time.Time, query Query, picked *entry, keys []uint64) *entry {
+	version := picked.version(query.Model)
+	var found *entry
+	for _, candidate := range p.services[query.Service] {
+		if candidate.version(query.Model) != version || candidate.ejected(now) || !slices.Contains(keys, candidate.key) {
+			continue
+		}
+		if candidate.backend.Zone == picked.backend.Zone {
+			return candidate
+		}
+		if found == nil {
+			found = candidate
+		}
+	}
+	return found
+}
--- a/internal/core/backendpool/choice.go
+++ b/internal/core/backendpool/choice.go
@@ -31,8 +31,6 @@
 	// otherZoneCost is the cost of a back end in another zone, for requests without
 	// a prompt: in requests under way.
 	otherZoneCost = 1.5
-	// otherZoneTokens is the cost of the way to another zone and back for a prompt.
-	otherZoneTokens = 150
 	// equalShare of the least cost is as good: the higher rank wins.
 	equalShare = 0.1
 	equalSlack = 100
@@ -100,7 +98,7 @@
 	if query.Model == "" {
 		return p.chooseLeastLoaded(sampled), 0
 	}
-	return p.chooseSoonest(withKnown(sampled, candidates, query), query)
+	return chooseSoonest(withKnown(sampled, candidates, query), query)
 }
 
 // sample returns some of the candidates, the fewer the more daemons there are.
@@ -127,7 +125,7 @@
 	known := map[uint64]Cached{}
 	for _, candidate := range candidates {
 		cached := cachedAt(known, query, candidate.version(query.Model))
-		holds := slices.Contains(cached.Read, candidate.key) || slices.Contains(cached.Reading, candidate.key)
+		holds := len(cached) > 0 && cached[0].heldBy(candidate.key)
 		if (candidate == home || holds) && !slices.Contains(sampled, candidate) {
 			sampled = append(sampled, candidate)
 		}
@@ -138,7 +136,7 @@
 // cachedAt asks a query once for each version of the weights.
 func cachedAt(known map[uint64]Cached, query Query, version uint64) Cached {
 	if query.Cached == nil {
-		return Cached{}
+		return nil
 	}
 	cached, found := known[version]
 	if !found {
@@ -151,14 +149,11 @@
 // chooseSoonest takes the back end that should answer soonest: the work that waits
 // there, and what the prompt adds. Among those about as good, the one that ranks
 // highest for the prompt wins, so that daemons agree without talking.
-func (p *Pool) chooseSoonest(candidates []*entry, query Query) (*entry, float64) {
+func chooseSoonest(candidates []*entry, query Query) (*entry, float64) {
 	missing := missingCosts(candidates, query)
 	costs := make([]float64, len(candidates))
 	for index, candidate := range candidates {
 		costs[index] = candidate.waiting() + missing[index]
-		if candidate.backend.Zone != p.zone {
-			costs[index] += otherZoneTokens
-		}
 	}
 	bound := slices.Min(costs)*(1+equalShare) + equalSlack
 	best, bestScore := -1, uint64(0)
@@ -182,7 +177,7 @@
 	for index, candidate := range candidates {
 		version := candidate.version(query.Model)
 		cached := cachedAt(known, query, version)
-		costs[index] = missing(candidate, home, cached, query.SharedTokens)
+		costs[index] = missing(candidate, candidate == home && !cached.known(), cached, query.SharedTokens)
 		if version < newest {
 			costs[index] *= oldWeightsFactor
 		}
@@ -214,22 +209,18 @@
 // rank is the back end's weight for a prompt in rendezvous hashing.
 func (e *entry) rank(home uint64) uint64 { return rendezvous.Score(home, string(e.backend.ID)) }
 
-// missing is the cost of the prompt's shared parts at a candidate. Parts that are
-// only being read elsewhere cannot be moved yet.
-func missing(candidate, home *entry, cached Cached, sharedTokens int) float64 {
-	movable := cached.Stored || len(cached.Read) > 0
-	switch {
-	case sharedTokens == 0, slices.Contains(cached.Read, candidate.key), slices.Contains(cached.Reading, candidate.key):
-		return 0
-	case movable && candidate == home && !cached.known():
-		return movableHomeCost * float64(sharedTokens)
-	case movable:
-		return moveCost * float64(sharedTokens)
-	case candidate == home && !cached.known():
-		return unknownHomeCost * float64(sharedTokens)
-	default:
-		return unknownElsewhereCost * float64(sharedTokens)
-	}
+// missing is the cost of the prompt's shared parts at a candidate: of what can be
+// moved there, and of what must be read. Parts that are only being read elsewhere
+// cannot be moved yet. A likely home may hold them though nobody told so.
+func missing(candidate *entry, likelyHome bool, cached Cached, sharedTokens int) float64 {
+	perMoved, perRead := moveCost, unknownElsewhereCost
+	if likelyHome {
+		perMoved, perRead = movableHomeCost, unknownHomeCost
+	}
+	held := cached.held(candidate.key)
+	movable := max(cached.movable()-held, 0)
+	toRead := max(sharedTokens-held-movable, 0)
+	return perMoved*float64(movable) + perRead*float64(toRead)
 }
 
 // highestRank returns the candidate that ranks highest for a prompt, or nil
--- a/internal/core/backendpool/pool.go
+++ b/internal/core/backendpool/pool.go
@@ -29,18 +29,6 @@
 	Cached func(version uint64) Cached
 }
 
-// Cached says where a prompt's shared parts are.
-type Cached struct {
-	// Read are the hashes of the back ends that most likely hold them, and Reading of
-	// those that are about to read them.
-	Read, Reading []uint64
-	// Stored is set when they can be taken from a store.
-	Stored bool
-}
-
-// known tells whether any back end is known to hold the parts or to read them.
-func (c Cached) known() bool { return len(c.Read) > 0 || len(c.Reading) > 0 }
-
 // Ticket is one request's place at a back end. Release ends it.
 type Ticket struct {
 	Backend Backend
@@ -53,12 +41,10 @@
 	// was under way at this one, in tokens.
 	Candidates int
 	Waiting    float64
-	// Holder is another back end that most likely holds the
-	// prompt's shared parts, sound and of the same version; nil if there is none
-	// or if the ticket's own most likely holds them.
-	Holder *Backend
-	entry         *entry
-	pool          *Pool
+	// Source is where what the back end lacks of the prompt can be taken from.
+	Source Source
+	entry  *entry
+	pool   *Pool
 	// work is what the request adds to the load until its first byte, in tokens.
 	work float64
 	// reading is set until the first byte.
@@ -176,44 +162,10 @@
 	waiting := picked.waiting()
 	picked.inFlight++
 	picked.reading += work
-	ticket := &Ticket{
-		Backend: picked.backend, Version: picked.version(query.Model),
+	return &Ticket{
+		Backend: picked.backend, Version: picked.version(query.Model), Source: p.source(now, query, picked),
 		Key: picked.key, Candidates: len(candidates), Waiting: waiting, entry: picked, pool: p, work: work, reading: true,
 	}
-	if other := p.holder(now, query, picked); other != nil {
-		holder := other.backend
-		ticket.Holder = &holder
-	}
-	return ticket
-}
-
-// holder returns a sound back end other than the picked one that most likely holds
-// the query's shared parts under the same version, of the same zone if there is one,
-// or nil.
-func (p *Pool) holder(now time.Time, query Query, picked *entry) *entry {
-	version := picked.version(query.Model)
-	if query.Cached == nil || version == 0 {
-		return nil
-	}
-	holders := query.Cached(version).Read
-	if slices.Contains(holders, picked.key) {
-		return nil
-	}
-	var found *entry
-	for _, key := range holders {
-		for _, candidate := range p.services[query.Service] {
-			if candidate.key != key || candidate.version(query.Model) != version || candidate.ejected(now) {
-				continue
-			}
-			if candidate.backend.Zone == picked.backend.Zone {
-				return candidate
-			}
-			if found == nil {
-				found = candidate
-			}
-		}
-	}
-	return found
 }
 
 // candidates returns the back ends that will do, without the doubted and avoided
--- a/internal/core/backendpool/pool_test.go
+++ b/internal/core/backendpool/pool_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"math"
+	"slices"
 	"testing"
 	"time"
 
@@ -150,12 +152,12 @@
 	query := Query{Service: "llm", Model: "m", Home: 5, SharedTokens: 1000, OwnTokens: 500}
 	home := pool.Pick(start, query)
 	home.Release(start, ResultServed)
-	query.Cached = func(uint64) Cached { return Cached{Read: []uint64{home.Key}} }
+	query.Cached = func(uint64) Cached { return Cached{{Tokens: 1000, Read: []uint64{home.Key}}} }
 	pool.SetOthersLoad(map[uint64]Load{home.entry.key: {Key: home.entry.key, InFlight: 2, Reading: 9000}})
 	elsewhere := pool.Pick(start, query)
 	elsewhere.Release(start, ResultServed)
 	assert.Assert(t, elsewhere.Backend.ID != home.Backend.ID)
-	assert.Equal(t, elsewhere.Holder.Address, home.Backend.Address)
+	assert.Equal(t, elsewhere.Source.Holder.Address, home.Backend.Address)
 	pool.SetOthersLoad(nil)
 	back := pool.Pick(start, query)
 	assert.Equal(t, back.Backend.ID, home.Backend.ID)
@@ -184,7 +186,7 @@
 	old := pool.byID["engine-0"].key
 	query := Query{Service: "llm", Model: "m", SharedTokens: 5000, OwnTokens: 500, Cached: func(version uint64) Cached {
 		if version == 1 {
-			return Cached{Read: []uint64{old}}
+			return Cached{{Tokens: 5000, Read: []uint64{old}}}
 		}
 		return Cached{}
 	}}
@@ -221,12 +223,73 @@
 	pool.Update(engines(4))
 	query := Query{Service: "llm", Model: "m", Home: 3, SharedTokens: 10000, OwnTokens: 500}
 	first := pool.Pick(start, query)
-	query.Cached = func(uint64) Cached { return Cached{Reading: []uint64{first.Key}} }
+	query.Cached = func(uint64) Cached { return Cached{{Tokens: 10000, Reading: []uint64{first.Key}}} }
 	second := pool.Pick(start, query)
 	assert.Equal(t, second.Backend.ID, first.Backend.ID)
-	assert.Assert(t, second.Holder == nil)
-	query.Cached = func(uint64) Cached { return Cached{Read: []uint64{first.Key}} }
+	assert.Assert(t, second.Source.Holder == nil)
+	query.Cached = func(uint64) Cached { return Cached{{Tokens: 10000, Read: []uint64{first.Key}}} }
 	third := pool.Pick(start, query)
 	assert.Assert(t, third.Backend.ID != first.Backend.ID)
-	assert.Equal(t, third.Holder.Address, first.Backend.Address)
+	assert.Equal(t, third.Source.Holder.Address, first.Backend.Address)
+}
+
+// TestShallowerPartsAreTaken takes what another back end holds of a prompt whose
+// deepest part nobody has read, and counts the rest as to be read.
+func TestShallowerPartsAreTaken(t *testing.T) {
+	pool := New("a")
+	pool.Update(engines(2))
+	shallow := pool.byID["engine-0"]
+	cached := Cached{{Tokens: 6000}, {Tokens: 2500, Read: []uint64{shallow.key}}}
+	query := Query{Service: "llm", Model: "m", SharedTokens: 6000, OwnTokens: 500, Cached: func(uint64) Cached { return cached }}
+	query.Exclude = []identity.BackendID{"engine-0"}
+	ticket := pool.Pick(start, query)
+	assert.Equal(t, ticket.Source.Holder.ID, identity.BackendID("engine-0"))
+	assert.Equal(t, ticket.Source.HolderTokens, 2500)
+	cached[0].Stored = true
+	assert.Equal(t, pool.Pick(start, query).Source.StoredTokens, 6000)
+	cached[0].Read = []uint64{pool.byID["engine-1"].key}
+	assert.Assert(t, pool.Pick(start, query).Source.Holder == nil)
+}
+
+// TestCostOfMissingParts compares the cost of a prompt's shared parts with a plain
+// count of its tokens, each of which is held, can be moved or must be read.
+func TestCostOfMissingParts(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		candidate := newEntry(Backend{ID: "candidate"})
+		other := rendezvous.Key("other")
+		shared := rapid.IntRange(0, 200).Draw(t, "shared")
+		var cached Cached
+		for tokens := shared; tokens > 0; tokens -= rapid.IntRange(1, 100).Draw(t, "part") {
+			level := Level{Tokens: tokens, Stored: rapid.Bool().Draw(t, "stored")}
+			if rapid.Bool().Draw(t, "held") {
+				level.Read = append(level.Read, candidate.key)
+			}
+			if rapid.Bool().Draw(t, "held by another") {
+				level.Read = append(level.Read, other)
+			}
+			if rapid.Bool().Draw(t, "being read by another") {
+				level.Reading = append(level.Reading, other)
+			}
+			cached = append(cached, level)
+		}
+		want := 0.0
+		for token := range shared {
+			held, movable := false, false
+			for _, level := range cached {
+				covers := token < level.Tokens
+				held = held || (covers && slices.Contains(level.Read, candidate.key))
+				movable = movable || (covers && (level.Stored || len(level.Read) > 0))
+			}
+			switch {
+			case held:
+			case movable:
+				want += moveCost
+			default:
+				want += unknownElsewhereCost
+			}
+		}
+		got := missing(candidate, false, cached, shared)
+		assert.Assert(t, math.Abs(got-want) < 1e-6, "cost %v, want %v", got, want)
+		assert.Assert(t, missing(candidate, true, cached, shared) <= got)
+	})
 }
--- a/internal/core/promptcache/promptcache.go
+++ b/internal/core/promptcache/promptcache.go
@@ -16,7 +16,9 @@
 // Bounds of what is remembered and saved.
 const (
 	defaultCapacity = 8192
-	maximumHolders  = 4
+	// maximumHolders bounds the back ends remembered for a part. Parts that begin many
+	// prompts are held by most of them.
+	maximumHolders = 96
 	// maximumUntold bounds the facts that wait to be told to other daemons.
 	maximumUntold = 128
 	// leastSharedShare of a prompt must be shared for it to be saved: a save moves
@@ -27,6 +29,10 @@
 	saveAgainAfter = 3 * time.Second
 	// holderTime is how long a back end is believed to hold a part that nobody asks for.
 	holderTime = 25 * time.Second
+	// largeTokens is from how many tokens on all daemons are told of a part.
+	largeTokens = 512
+	// retellAfter is after how long it is told again that a back end holds a part.
+	retellAfter = 8 * time.Second
 	// readingTime is how long a back end is believed to be about to read a part.
 	readingTime = 3 * time.Second
 )
@@ -44,12 +50,19 @@
 	Backend uint64
 	// Read is set once the back end has read the part.
 	Read bool
+	// Tokens is how large the part is with all before it. It is not told to others.
+	Tokens int
 }
 
+// Large tells whether the part is worth telling all daemons.
+func (f Fact) Large() bool { return f.Tokens >= largeTokens }
+
 type holder struct {
 	backend uint64
 	at      time.Time
 	read    bool
+	// toldAt is when all daemons were last told that it was read.
+	toldAt time.Time
 }
 
 type record struct {
@@ -107,7 +120,7 @@
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
 	found := m.note(now, fact)
-	m.tell(fact)
+	m.tell(now, found, fact)
 	if float64(sharedTokens) < leastSharedShare*float64(promptTokens) {
 		return false
 	}
@@ -123,11 +136,18 @@
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
 	fact.Read = true
-	m.note(now, fact)
-	m.tell(fact)
+	m.tell(now, m.note(now, fact), fact)
 }
 
-func (m *Memory) tell(fact Fact) {
+// tell leaves a fact to be told, unless the others know of the holder already.
+func (m *Memory) tell(now time.Time, found *record, fact Fact) {
+	told := &found.holders[0]
+	if told.read && !told.toldAt.IsZero() && now.Sub(told.toldAt) < retellAfter {
+		return
+	}
+	if fact.Read {
+		told.toldAt = now
+	}
 	if len(m.untold) < maximumUntold {
 		m.untold = append(m.untold, fact)
 	}
@@ -138,7 +158,10 @@
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
 	for _, fact := range facts {
-		m.note(now, fact)
+		found := m.note(now, fact)
+		if fact.Read {
+			found.holders[0].toldAt = now
+		}
 	}
 }
 
@@ -156,15 +179,16 @@
 // believed to hold.
 func (m *Memory) note(now time.Time, fact Fact) *record {
 	found := m.touch(fact.Part)
-	read := fact.Read
+	newest := holder{backend: fact.Backend, at: now, read: fact.Read}
 	found.holders = slices.DeleteFunc(found.holders, func(known holder) bool {
 		if known.backend != fact.Backend {
 			return false
 		}
-		read = read || (known.read && now.Sub(known.at) <= holderTime)
+		newest.read = newest.read || (known.read && now.Sub(known.at) <= holderTime)
+		newest.toldAt = known.toldAt
 		return true
 	})
-	found.holders = slices.Insert(found.holders, 0, holder{backend: fact.Backend, at: now, read: read})
+	found.holders = slices.Insert(found.holders, 0, newest)
 	found.holders = found.holders[:min(len(found.holders), maximumHolders)]
 	return found
 }
--- a/internal/loadshare/loadshare.go
+++ b/internal/loadshare/loadshare.go
@@ -28,7 +28,7 @@
 	forgetAfter = time.Second
 	// maximumTargets bounds how many daemons are told of loads at a time. Where there
 	// are more, the next ones are told in the next turn, and what is heard is scaled
-	// up. Where parts of prompts are is told to all, since it is told once.
+	// up. Where large parts of prompts are is told to all, since it is told once.
 	maximumTargets = 12
 	// bytesPerSecond bounds what is sent. Where it isn't enough for all targets of a
 	// turn, some are left out.
@@ -139,8 +139,8 @@
 	}
 }
 
-// send tells the other daemons, within the bound on bytes: all of them of facts, and
-// the next ones of loads alone.
+// send tells the other daemons, within the bound on bytes: all of them of large parts, and
+// the next ones of loads and small parts alone.
 func (s *Sharer) send(loads []backendpool.Load, facts []promptcache.Fact) {
 	datagram, fits := s.options.Link.Encode(peerlink.KindLoads, newMessage(loads, facts))
 	others := s.options.Others()
@@ -148,7 +148,7 @@
 		return
 	}
 	count := len(others)
-	if len(facts) == 0 {
+	if !slices.ContainsFunc(facts, promptcache.Fact.Large) {
 		count = min(count, maximumTargets)
 	}
 	for range count {
--- a/internal/relay/caching.go
+++ b/internal/relay/caching.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -16,9 +17,9 @@
 
 // What moves of prompt caches are worth.
 const (
-	// leastSharedTokens is how many shared tokens a prompt must have for its cache
-	// to be remembered and fetched: fewer are read sooner than a move behind others ends.
-	leastSharedTokens = 512
+	// leastFetchedTokens is how many shared tokens a prompt must have for its cache
+	// to be fetched: fewer are read sooner than a move behind others ends.
+	leastFetchedTokens = 512
 	// saveShare of a store's link is for saves of all daemons together: saves hold up
 	// fetches.
 	saveShare = 0.3
@@ -26,60 +27,53 @@
 	saveBurst = 10 * time.Second
 )
 
-// cacheKey names the deepest shared part of a request's prompt under the salt for
-// a version of the weights. It returns false when too little is shared.
-func (r *Relay) cacheKey(admitted *admission, version uint64) (cachewatch.Part, bool) {
-	parts := admitted.request.Prompt.Parts
-	total, own := promptTokens(parts)
-	if total-own < leastSharedTokens {
-		return cachewatch.Part{}, false
-	}
-	return cachewatch.Part{Salt: cacheSalt(version, admitted.tenant), ID: parts[len(parts)-2].ID}, true
+// level is a prompt up to the end of one of its shared parts.
+type level struct {
+	part   cachewatch.Part
+	key    promptcache.Key
+	tokens int
 }
 
-// partKey is what a part is remembered by.
-func partKey(part cachewatch.Part) promptcache.Key { return promptcache.KeyOf(part.Salt, part.ID) }
+// levels returns the shared parts of a request's prompt under the salt for a version
+// of the weights, the deepest first. The last part is the request's own.
+func (r *Relay) levels(admitted *admission, version uint64) []level {
+	parts := admitted.request.Prompt.Parts
+	salt := cacheSalt(version, admitted.tenant)
+	var found []level
+	tokens := 0
+	for _, part := range parts[:max(len(parts)-1, 0)] {
+		tokens += part.Tokens
+		named := cachewatch.Part{Salt: salt, ID: part.ID}
+		found = append(found, level{part: named, key: promptcache.KeyOf(salt, part.ID), tokens: tokens})
+	}
+	slices.Reverse(found)
+	return found
+}
 
 // cached says where a request's shared parts are for a version of the weights.
 func (r *Relay) cached(admitted *admission, version uint64) backendpool.Cached {
-	part, shared := r.cacheKey(admitted, version)
-	if !shared {
-		return backendpool.Cached{}
-	}
-	holders := r.options.Memory.Holders(r.options.Now(), partKey(part))
-	known := backendpool.Cached{Read: holders.Read, Reading: holders.Reading}
-	if store := admitted.state.Table.PromptStore(uint64(partKey(part))); store != nil {
-		known.Stored = r.stored(store, part, holders) == storedYes
+	now := r.options.Now()
+	levels := r.levels(admitted, version)
+	known := make(backendpool.Cached, 0, len(levels))
+	for _, shared := range levels {
+		holders := r.options.Memory.Holders(now, shared.key)
+		store := admitted.state.Table.PromptStore(uint64(levels[0].key))
+		known = append(known, backendpool.Level{
+			Tokens: shared.tokens, Read: holders.Read, Reading: holders.Reading,
+			Stored: store != nil && r.stored(store, shared, holders),
+		})
 	}
 	return known
 }
 
-// stored says whether a store holds a part.
-type stored int
-
-const (
-	storedUnknown stored = iota
-	storedNo
-	storedYes
-)
-
-// stored tells from the store's own events, and from what daemons told of saves.
-func (r *Relay) stored(store *routing.PromptStore, part cachewatch.Part, holders promptcache.Holders) stored {
-	tokens, known := r.options.Stores(store.Address).Tokens(part)
-	key := rendezvous.Key(store.Address)
-	for _, holder := range holders.Read {
-		if holder == key && !known {
-			return storedYes
-		}
-	}
-	switch {
-	case !known:
-		return storedUnknown
-	case tokens > 0:
-		return storedYes
-	default:
-		return storedNo
+// stored tells whether a store is known to hold a part: from the store's own events,
+// or where those can't be had from what daemons told of saves.
+func (r *Relay) stored(store *routing.PromptStore, shared level, holders promptcache.Holders) bool {
+	tokens, known := r.options.Stores(store.Address).Tokens(shared.part)
+	if known {
+		return tokens > 0
 	}
+	return slices.Contains(holders.Read, rendezvous.Key(store.Address))
 }
 
 // describeCache sets the salt, and where prompt caches come from and go to. The
@@ -91,34 +85,37 @@
 	}
 	dispatch.Version = ticket.Version
 	dispatch.CacheSalt = cacheSalt(ticket.Version, admitted.tenant)
-	part, shared := r.cacheKey(admitted, ticket.Version)
-	if !shared {
+	levels := r.levels(admitted, ticket.Version)
+	if len(levels) == 0 {
 		return
 	}
 	now := r.options.Now()
-	store := admitted.state.Table.PromptStore(uint64(partKey(part)))
-	state := storedNo
-	if store != nil {
-		state = r.stored(store, part, r.options.Memory.Holders(now, partKey(part)))
-	}
-	total, own := promptTokens(admitted.request.Prompt.Parts)
-	dispatch.FetchFrom = fetchFrom(ticket, store, state)
-	fact := promptcache.Fact{Part: partKey(part), Backend: ticket.Key}
-	worthSaving := r.options.Memory.Sent(now, fact, total-own, total)
-	if worthSaving && state != storedYes && store != nil && r.maySave(now, admitted, store, total) {
+	deepest := levels[0]
+	store := admitted.state.Table.PromptStore(uint64(deepest.key))
+	total, _ := promptTokens(admitted.request.Prompt.Parts)
+	if deepest.tokens >= leastFetchedTokens {
+		dispatch.FetchFrom = fetchFrom(ticket, store)
+	}
+	fact := promptcache.Fact{Part: deepest.key, Backend: ticket.Key, Tokens: deepest.tokens}
+	worthSaving := r.options.Memory.Sent(now, fact, deepest.tokens, total)
+	stored := store != nil && r.stored(store, deepest, r.options.Memory.Holders(now, deepest.key))
+	if worthSaving && store != nil && !stored && r.maySave(now, admitted, store, total) {
 		dispatch.SaveTo = store.Address
 	}
 }
 
-// fetchFrom chooses the source of a prompt's cache: another back end of the same
-// zone, else a store that holds it, else any back end that does. A store of which
-// nothing is known is asked too; that costs little.
-func fetchFrom(ticket *backendpool.Ticket, store *routing.PromptStore, state stored) string {
-	holder := ticket.Holder
+// fetchFrom chooses the source of a prompt's cache: whoever has more of it; of equals
+// a back end of the same zone, else the store. A store of which nothing is known is
+// asked too: that costs little, and it may have the first parts.
+func fetchFrom(ticket *backendpool.Ticket, store *routing.PromptStore) string {
+	source := ticket.Source
+	near := source.Holder != nil && source.Holder.Zone == ticket.Backend.Zone
 	switch {
-	case holder != nil && (holder.Zone == ticket.Backend.Zone || state != storedYes):
-		return holder.Address
-	case store != nil && state != storedNo:
+	case source.Holder != nil && (store == nil || source.HolderTokens > source.StoredTokens):
+		return source.Holder.Address
+	case near && source.HolderTokens == source.StoredTokens:
+		return source.Holder.Address
+	case store != nil:
 		return store.Address
 	default:
 		return ""
@@ -164,14 +161,14 @@
 	if admitted.request.Prompt == nil || ticket.Version == 0 {
 		return
 	}
-	part, shared := r.cacheKey(admitted, ticket.Version)
-	if !shared {
-		return
-	}
 	now := r.options.Now()
-	r.options.Memory.HasRead(now, promptcache.Fact{Part: partKey(part), Backend: ticket.Key})
-	if savedTo != "" {
-		r.options.Memory.HasRead(now, promptcache.Fact{Part: partKey(part), Backend: rendezvous.Key(savedTo)})
+	for _, shared := range r.levels(admitted, ticket.Version) {
+		fact := promptcache.Fact{Part: shared.key, Backend: ticket.Key, Tokens: shared.tokens}
+		r.options.Memory.HasRead(now, fact)
+		if savedTo != "" {
+			fact.Backend = rendezvous.Key(savedTo)
+			r.options.Memory.HasRead(now, fact)
+		}
 	}
 }
 
