--- a/internal/core/promptcache/promptcache.go
+++ b/internal/core/promptcache/promptcache.go
@@ -54,8 +54,8 @@
 	Tokens int
 }
 
-// Large tells whether the part is worth telling all daemons.
-func (f Fact) Large() bool { return f.Tokens >= largeTokens }
+// ForAll tells whether the fact is worth telling all daemons.
+func (f Fact) ForAll() bool { return f.Tokens >= largeTokens }
 
 type holder struct {
 	backend uint64
--- a/internal/daemon/leasekeeper/candidate.go
+++ b/internal/daemon/leasekeeper/candidate.go
@@ -9,7 +9,7 @@
 // Candidates.
 const (
 	// expectedCandidates is about how many daemons try for a lease at a time.
-	expectedCandidates = 8
+	expectedCandidates = 5
 	// candidateTime is how long a daemon stays, or doesn't stay, a candidate.
 	candidateTime = 5 * time.Second
 )
--- a/internal/directory/turn.go
+++ b/internal/directory/turn.go
@@ -21,7 +21,7 @@
 	joinSpread = 1500 * time.Millisecond
 	// ownReadingInterval is how often a daemon reads though others tell it: what
 	// was lost on the way is found, and its idea of the store's clock stays true.
-	ownReadingInterval = 25 * time.Second
+	ownReadingInterval = 40 * time.Second
 	// turnCheck is how often a daemon that isn't reading looks again.
 	turnCheck = 100 * time.Millisecond
 )
--- a/internal/loadshare/loadshare.go
+++ b/internal/loadshare/loadshare.go
@@ -148,7 +148,7 @@
 		return
 	}
 	count := len(others)
-	if !slices.ContainsFunc(facts, promptcache.Fact.Large) {
+	if !slices.ContainsFunc(facts, promptcache.Fact.ForAll) {
 		count = min(count, maximumTargets)
 	}
 	for range count {
--- a/internal/peerlink/peerlink.go
+++ b/internal/peerlink/peerlink.go
@@ -36,18 +36,10 @@
 	receiveErrorWait = 50 * time.Millisecond
 )
 
-// Handler takes one datagram. The address is where its sender is reached, IP:port;
+// Handler takes the body of one datagram. The address is where its sender is reached, IP:port;
 // the body is valid until the handler returns. A handler must not block.
 type Handler func(from string, body []byte)
 
-// envelope is one datagram. It is encoded as a list, since names would be most of
-// its bytes.
-type envelope struct {
-	Kind Kind
-	From string
-	Body []byte
-}
-
 // Link is safe for use by several goroutines. All handlers are set before Run.
 type Link struct {
 	address  string
@@ -82,20 +74,12 @@
 
 // Encode returns a datagram that Send takes; false when it is too large for one.
 func (l *Link) Encode(kind Kind, body any) ([]byte, bool) {
-	content, err := encode(body)
-	if err != nil {
-		return nil, false
-	}
-	datagram, err := encode(&envelope{Kind: kind, From: l.address, Body: content})
-	return datagram, err == nil && len(datagram) <= maximumDatagram
-}
-
-func encode(value any) ([]byte, error) {
-	var content bytes.Buffer
-	encoder := msgpack.NewEncoder(&content)
-	encoder.UseArrayEncodedStructs(true)
-	err := encoder.Encode(value)
-	return content.Bytes(), err
+	var datagram bytes.Buffer
+	datagram.WriteByte(byte(kind))
+	encoder := msgpack.NewEncoder(&datagram)
+	encoder.UseArrayEncodedStructs(true) // names would be most of the bytes
+	err := encoder.Encode(body)
+	return datagram.Bytes(), err == nil && datagram.Len() <= maximumDatagram
 }
 
 // Send sends a datagram to a daemon once, if the socket is open. What goes wrong
@@ -131,25 +115,28 @@
 func (l *Link) receive(ctx context.Context, socket *net.UDPConn) {
 	buffer := make([]byte, maximumDatagram)
 	for ctx.Err() == nil {
-		count, _, err := socket.ReadFromUDPAddrPort(buffer)
+		count, from, err := socket.ReadFromUDPAddrPort(buffer)
 		if err != nil {
 			pause.For(ctx, receiveErrorWait)
 			continue
 		}
-		l.deliver(buffer[:count])
+		l.deliver(from, buffer[:count])
 	}
 }
 
-// deliver hands a datagram to its handler. What cannot be read is passed over.
-func (l *Link) deliver(datagram []byte) {
-	var got envelope
-	if msgpack.Unmarshal(datagram, &got) != nil || got.Kind >= kindEnd {
+// deliver hands a datagram to its handler. What is of no known kind is passed over.
+// Daemons send from the socket that they listen on.
+func (l *Link) deliver(from netip.AddrPort, datagram []byte) {
+	if len(datagram) == 0 || Kind(datagram[0]) >= kindEnd {
 		return
 	}
-	if l.observe != nil {
-		l.observe(got.From)
+	handler := l.handlers[datagram[0]]
+	if handler == nil {
+		return
 	}
-	if handler := l.handlers[got.Kind]; handler != nil {
-		handler(got.From, got.Body)
+	sender := netip.AddrPortFrom(from.Addr().Unmap(), from.Port()).String()
+	if l.observe != nil {
+		l.observe(sender)
 	}
+	handler(sender, datagram[1:])
 }
--- a/internal/relay/caching.go
+++ b/internal/relay/caching.go
@@ -20,9 +20,9 @@
 	// leastFetchedTokens is how many shared tokens a prompt must have for its cache
 	// to be fetched: fewer are read sooner than a move behind others ends.
 	leastFetchedTokens = 512
-	// saveShare of a store's link is for saves of all daemons together: saves hold up
+	// saveShare of a store's link is the most for saves of all daemons together: saves hold up
 	// fetches.
-	saveShare = 0.3
+	saveShare = 1.0
 	// saveBurst is for how long of its part a daemon may save at once.
 	saveBurst = 10 * time.Second
 )
