Load a fifth of the back ends at a time

Cause: a third took capacity and caches away at once, and loaded versions that were superseded before many used them.

--- a/internal/rollout/plan.go
+++ b/internal/rollout/plan.go
@@ -158,5 +158,5 @@
 	// settleTime is about how old a report may be.
 	settleTime = 250 * time.Millisecond
 	// loadShare is one over the share of a model's back ends that load at a time.
-	loadShare = 3
+	loadShare = 5
 )
