Hurry a roll-out as its time runs out; share which back ends are out of reach

All daemons lost power in an outage of the store; the first order came at 7.7 s, each runner took up to 4 s to end its streams, three at a time, and old weights were used up to their last moment (15.75 s) while the last runner was ordered at 19.9 s. Back ends that nobody reached count no longer against the sendings of a request; the address of a back end belongs to the one listed last; daemons tell each other of back ends that they could not reach, and believe two of them.

The property test of the relay counted all sendings against the bound; it now counts those that reached a back end against it and the others against their own.

--- a/cmd/lotusward-platform/wire.go
+++ b/cmd/lotusward-platform/wire.go
@@ -164,6 +164,7 @@
 	w.rollout = rollout.New(rollout.Options{
 		Holder: w.settings.NodeName, Lease: w.keeper, Table: w.store, Pool: w.backends, Named: w.directory,
 		Orders: w.runners, Quiet: quiet(bounds), Log: w.part("rollout"),
+		DueBy:    func(model identity.ModelName, version uint64) time.Time { return w.dueBy(model, version) },
 		Announce: func(announced rollout.Announcement) { w.broadcast.Tell(peerlink.KindPlan, &announced) },
 	})
 	w.follower = &rollout.Follower{
@@ -172,6 +173,15 @@
 	peerlink.HandleDecoded(w.link, peerlink.KindPlan, func(_ string, announced rollout.Announcement) { w.follower.Hear(announced) })
 }
 
+// dueBy is until when back ends with a version of a model's weights may begin requests.
+func (w *wired) dueBy(model identity.ModelName, version uint64) time.Time {
+	state := w.directory.State()
+	if state == nil {
+		return time.Time{}
+	}
+	return state.BeginBy(model, version, w.directory.SteadySince(), versionGrace(w.settings.Bounds))
+}
+
 func (w *wired) holdsLease() bool {
 	_, held := w.keeper.Held()
 	return held
--- a/internal/core/backendpool/backend.go
+++ b/internal/core/backendpool/backend.go
@@ -80,6 +80,13 @@
 	ejection     time.Duration
 	// heardAt is when anything last arrived from the back end.
 	heardAt time.Time
+	// replaced is set when a back end that was listed later has the address.
+	replaced bool
+	// listedAt counts the updates of the list up to the one that brought the back end.
+	listedAt uint64
+	// accusedBy and accusedAt are of the last other daemon that did not reach it.
+	accusedBy string
+	accusedAt time.Time
 	// learned are versions that answers told and the list doesn't show yet.
 	learned map[identity.ModelName]uint64
 }
--- a/internal/core/backendpool/pool.go
+++ b/internal/core/backendpool/pool.go
@@ -57,6 +57,10 @@
 	zone     identity.Zone
 	services map[identity.ServiceName][]*entry
 	byID     map[identity.BackendID]*entry
+	// doubts wait to be told to other daemons.
+	doubts []Doubt
+	// updates counts the updates of the list.
+	updates uint64
 	// daemons is how many daemons choose among the same back ends.
 	daemons int
 	// avoided holds hashes of IDs.
@@ -89,6 +93,8 @@
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	var change Change
+	p.updates++
+	byAddress := map[string]uint64{}
 	byID := make(map[identity.BackendID]*entry, len(backends))
 	services := map[identity.ServiceName][]*entry{}
 	for _, backend := range backends {
@@ -96,6 +102,7 @@
 		switch {
 		case found == nil:
 			found = newEntry(backend)
+			found.listedAt = p.updates
 			change.Added = append(change.Added, backend.ID)
 		case backend.Draining && !found.backend.Draining:
 			change.Draining = append(change.Draining, backend.ID)
@@ -103,6 +110,10 @@
 		found.backend = backend
 		byID[backend.ID] = found
 		services[backend.Service] = append(services[backend.Service], found)
+		byAddress[backend.Address] = max(byAddress[backend.Address], found.listedAt)
+	}
+	for _, found := range byID {
+		found.replaced = byAddress[found.backend.Address] > found.listedAt
 	}
 	for id := range p.byID {
 		if byID[id] == nil {
@@ -190,7 +201,7 @@
 
 // allowed tells whether a back end may get the request at all.
 func allowed(now time.Time, found *entry, query Query) bool {
-	if found.backend.Draining || slices.Contains(query.Exclude, found.backend.ID) {
+	if found.backend.Draining || found.replaced || slices.Contains(query.Exclude, found.backend.ID) {
 		return false
 	}
 	if query.Model == "" || query.BeginBy == nil {
@@ -201,7 +212,8 @@
 }
 
 // Shortage says why a query found no back end: how many its service has, and how
-// many of them would not do, each counted for the first reason that applies.
+// many of them would not do, each counted for the first reason that applies. One
+// whose address has gone to another back end counts as draining.
 type Shortage struct {
 	Listed, Draining, Failed, OldWeights int
 }
@@ -214,7 +226,7 @@
 	for _, found := range p.services[query.Service] {
 		shortage.Listed++
 		switch {
-		case found.backend.Draining:
+		case found.backend.Draining, found.replaced:
 			shortage.Draining++
 		case slices.Contains(query.Exclude, found.backend.ID):
 			shortage.Failed++
@@ -269,7 +281,11 @@
 	defer t.pool.mutex.Unlock()
 	t.entry.inFlight--
 	t.endReading()
-	return t.entry.record(now, result)
+	ejected := t.entry.record(now, result)
+	if ejected {
+		t.pool.noteDoubt(t.entry, result)
+	}
+	return ejected
 }
 
 // LearnVersion notes the version of a model's weights that a back end holds.
--- a/internal/core/backendpool/pool_test.go
+++ b/internal/core/backendpool/pool_test.go
@@ -293,3 +293,22 @@
 		assert.Assert(t, missing(candidate, true, cached, shared) <= got)
 	})
 }
+
+// TestAddressBelongsToTheLastListed sends nothing to a back end whose address another
+// one has that was listed later, whatever its own row still says.
+func TestAddressBelongsToTheLastListed(t *testing.T) {
+	pool := New("a")
+	list := engines(2)
+	pool.Update(list)
+	restarted := list[0]
+	restarted.ID = "restarted"
+	pool.Update(append(list, restarted))
+	for home := range uint64(30) {
+		ticket := pool.Pick(start, Query{Service: "llm", Model: "m", Home: home + 1})
+		assert.Assert(t, ticket.Backend.ID != "engine-0")
+		ticket.Release(start, ResultServed)
+	}
+	pool.Update(list)
+	query := Query{Service: "llm", Model: "m", Home: 1, Exclude: []identity.BackendID{"engine-1"}}
+	assert.Equal(t, pool.Pick(start, query).Backend.ID, identity.BackendID("engine-0"))
+}
--- a/internal/loadshare/loadshare.go
+++ b/internal/loadshare/loadshare.go
@@ -1,6 +1,6 @@
 // Package loadshare lets daemons tell each other what they have under way at each
-// back end and where they sent the shared parts of prompts, several times a second,
-// in single datagrams that may be lost. A daemon that isn't heard of for a moment
+// back end, where they sent the shared parts of prompts and which back ends they could
+// not reach, several times a second, in single datagrams that may be lost. A daemon that isn't heard of for a moment
 // counts as having nothing under way.
 package loadshare
 
@@ -39,8 +39,9 @@
 
 // message is one datagram's body.
 type message struct {
-	Loads []load
-	Facts []fact
+	Loads  []load
+	Facts  []fact
+	Doubts []backendpool.Doubt
 }
 
 // load holds whole numbers, which are shorter.
@@ -56,8 +57,8 @@
 	Read    bool
 }
 
-func newMessage(loads []backendpool.Load, facts []promptcache.Fact) *message {
-	told := &message{}
+func newMessage(loads []backendpool.Load, facts []promptcache.Fact, doubts []backendpool.Doubt) *message {
+	told := &message{Doubts: doubts}
 	for _, each := range loads {
 		told.Loads = append(told.Loads, load{Key: each.Key, InFlight: uint32(each.InFlight), Reading: uint32(each.Reading)})
 	}
@@ -130,25 +131,26 @@
 			s.options.Pool.SetOthersLoad(s.merge(now))
 			loads := s.options.Pool.Loads(maximumLoads)
 			facts := s.options.Memory.Untold()
-			if len(facts) == 0 && slices.Equal(loads, last) && now.Sub(sentAt) < idleInterval {
+			doubts := s.options.Pool.Doubts()
+			if len(facts)+len(doubts) == 0 && slices.Equal(loads, last) && now.Sub(sentAt) < idleInterval {
 				continue
 			}
 			last, sentAt = loads, now
-			s.send(loads, facts)
+			s.send(loads, facts, doubts)
 		}
 	}
 }
 
-// send tells the other daemons, within the bound on bytes: all of them of large parts, and
-// the next ones of loads and small parts alone.
-func (s *Sharer) send(loads []backendpool.Load, facts []promptcache.Fact) {
-	datagram, fits := s.options.Link.Encode(peerlink.KindLoads, newMessage(loads, facts))
+// send tells the other daemons, within the bound on bytes: all of them of large parts and
+// of doubts, and the next ones of loads and small parts alone.
+func (s *Sharer) send(loads []backendpool.Load, facts []promptcache.Fact, doubts []backendpool.Doubt) {
+	datagram, fits := s.options.Link.Encode(peerlink.KindLoads, newMessage(loads, facts, doubts))
 	others := s.options.Others()
 	if !fits || len(others) == 0 {
 		return
 	}
 	count := len(others)
-	if !slices.ContainsFunc(facts, promptcache.Fact.ForAll) {
+	if len(doubts) == 0 && !slices.ContainsFunc(facts, promptcache.Fact.ForAll) {
 		count = min(count, maximumTargets)
 	}
 	for range count {
@@ -164,6 +166,7 @@
 func (s *Sharer) receive(from string, got message) {
 	now := time.Now()
 	s.options.Memory.Heard(now, got.facts())
+	s.options.Pool.HearDoubts(now, from, got.Doubts)
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	s.heard[from] = heardLoads{at: now, loads: got.loads()}
--- a/internal/relay/run.go
+++ b/internal/relay/run.go
@@ -15,6 +15,10 @@
 // rejected sendings count too.
 const maximumSendings = 3
 
+// maximumUnreached bounds how many back ends one request finds out of reach. Nothing
+// arrives there, so that only time is lost.
+const maximumUnreached = 8
+
 // Why a sending was cut.
 var (
 	errDeadline = errors.New("the time for the request is over")
@@ -32,8 +36,9 @@
 
 	history  outcome.History
 	excluded []identity.BackendID
-	// ran counts the back ends that may have run the request.
-	ran int
+	// ran counts the back ends that may have run the request, and unreached those of
+	// which none heard of it.
+	ran, unreached int
 	// begun is set once the head was sent to the caller.
 	begun     bool
 	firstByte time.Duration
@@ -141,6 +146,9 @@
 	if failed.evidence.RunState() != identity.RunStateNotRun {
 		r.ran++
 	}
+	if failed.evidence == outcome.Unreached {
+		r.unreached++
+	}
 	r.excluded = append(r.excluded, ticket.Backend.ID)
 	return next, failed
 }
@@ -220,7 +228,7 @@
 		return last.reason, false
 	case r.ran >= max(route.MaxAttempts, 1):
 		return last.reason, false
-	case r.history.Attempts() >= maximumSendings:
+	case r.sendings() >= maximumSendings, r.unreached >= maximumUnreached:
 		return last.reason, false
 	case last.evidence == outcome.Unreached:
 		return "", true // nothing arrived at the back end
@@ -230,6 +238,9 @@
 	return "", true
 }
 
+// sendings is how many back ends have heard of the request.
+func (r *run) sendings() int { return r.history.Attempts() - r.unreached }
+
 // giveUp gives the caller its final answer.
 func (r *run) giveUp(ctx context.Context, last failure, reason string) {
 	if r.begun {
--- a/internal/relay/watch.go
+++ b/internal/relay/watch.go
@@ -127,7 +127,7 @@
 // present sending.
 func (r *run) couldRepeat() bool {
 	route := r.admitted.match.Route
-	return route.Repeatable() && r.ran+1 < route.MaxAttempts && r.history.Attempts()+1 < maximumSendings
+	return route.Repeatable() && r.ran+1 < route.MaxAttempts && r.sendings()+1 < maximumSendings
 }
 
 func (r *run) watch(ticket *backendpool.Ticket, cancel context.CancelCauseFunc, patient, alive time.Duration) *watchdog {
--- a/internal/relay/world_test.go
+++ b/internal/relay/world_test.go
@@ -76,6 +76,17 @@
 	return b.script[number], number
 }
 
+// unreached counts the sendings that reached nobody.
+func (b *scriptedBackends) unreached() int {
+	count := 0
+	for number := range b.dispatches {
+		if number < len(b.script) && b.script[number] == behaveUnreached {
+			count++
+		}
+	}
+	return count
+}
+
 func (b *scriptedBackends) run() {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
--- a/internal/rollout/keeper.go
+++ b/internal/rollout/keeper.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"slices"
 	"sync"
 	"time"
@@ -29,7 +30,10 @@
 	// Announce tells the other daemons of the plan at once; nil when there are none.
 	// It must not block.
 	Announce func(Announcement)
-	Log      logrus.FieldLogger
+	// DueBy returns until when back ends with a version of a model's weights may begin
+	// requests; zero is no bound, and nil knows none.
+	DueBy func(model identity.ModelName, version uint64) time.Time
+	Log   logrus.FieldLogger
 }
 
 // Keeper gives the orders while it holds the lease.
@@ -49,12 +53,15 @@
 	planKnown   bool
 	writtenAt   time.Time
 	announcer   announcer
+	// loadTime is the mean time that a back end takes from the plan to new weights.
+	loadTime time.Duration
 }
 
 // New makes a Keeper that gives no orders until it runs.
 func New(options Options) *Keeper {
 	return &Keeper{
 		options: options, working: map[identity.BackendID]bool{}, announcer: announcer{announce: options.Announce},
+		loadTime: expectedLoadTime,
 	}
 }
 
@@ -126,7 +133,7 @@
 	holders := k.options.Pool.Holders(model)
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
-	room := max((len(holders)+loadShare-1)/loadShare, 1) - len(k.working)
+	room := k.parallel(time.Now(), model, version, holders) - len(k.working)
 	for _, holder := range holders {
 		if room <= 0 {
 			return
@@ -144,18 +151,48 @@
 	}
 }
 
+// parallel is how many back ends may load at a time: few, so that the others hold
+// up, but as many as it takes to be done before those with the oldest weights may no
+// longer begin requests. The caller holds the mutex.
+func (k *Keeper) parallel(now time.Time, model identity.ModelName, version uint64, holders []backendpool.Holder) int {
+	least := max((len(holders)+loadShare-1)/loadShare, 1)
+	most := max((len(holders)+hastyShare-1)/hastyShare, 1)
+	behind := 0
+	for _, holder := range holders {
+		if holder.Version < version && !holder.Backend.Draining {
+			behind++
+		}
+	}
+	if behind == 0 || k.options.DueBy == nil {
+		return least
+	}
+	due := k.options.DueBy(model, holders[0].Version)
+	if due.IsZero() {
+		return least
+	}
+	left := max(time.Duration(usedShare*float64(due.Sub(now))), k.loadTime/2)
+	needed := int(math.Ceil(float64(behind) * float64(k.loadTime) / float64(left)))
+	return min(max(needed, least), most)
+}
+
 // bring brings one back end to the newest version, and gives its place up when
 // that is done or takes too long.
 func (k *Keeper) bring(ctx context.Context, backend backendpool.Backend, model identity.ModelName, token identity.FencingToken) {
 	bounded, cancel := context.WithTimeout(ctx, orderTime)
 	defer cancel()
+	began := time.Now()
 	pause.For(bounded, spreadTime)
 	version := k.load(bounded, backend, model, token)
+	took := time.Since(began)
 	if version > 0 {
 		k.options.Pool.LearnVersion(backend.ID, model, version)
 	}
+	k.options.Log.WithFields(logrus.Fields{
+		"backend": backend.ID, "model": model, "version": version, "took_ms": took.Milliseconds(),
+	}).Info("The work on a back end's weights ended.")
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
+	k.loadTime += time.Duration(loadTimeWeight * float64(took-k.loadTime))
 	delete(k.working, backend.ID)
 	k.plan.Loading = slices.DeleteFunc(k.plan.Loading, func(id identity.BackendID) bool { return id == backend.ID })
 	if version > 0 {
--- a/internal/rollout/rollout_test.go
+++ b/internal/rollout/rollout_test.go
@@ -429,3 +429,29 @@
 	defer table.mutex.Unlock()
 	assert.Assert(t, table.version <= 4, "the row was written %d times, announced %d times", table.version, announced)
 }
+
+// TestHasteGrowsAsTimeRunsOut loads few back ends at a time while there is time, as
+// many as are needed to be done in time otherwise, and never more than half.
+func TestHasteGrowsAsTimeRunsOut(t *testing.T) {
+	now := time.Now()
+	var holders []backendpool.Holder
+	for range 20 {
+		holders = append(holders, backendpool.Holder{Version: 1})
+	}
+	left := time.Duration(0)
+	keeper := New(Options{DueBy: func(identity.ModelName, uint64) time.Time { return now.Add(left) }})
+	parallel := func() int { return keeper.parallel(now, "m", 2, holders) }
+	keeper.loadTime = time.Second
+	left = time.Minute
+	assert.Equal(t, parallel(), 4)
+	left = 4 * time.Second
+	assert.Equal(t, parallel(), 7) // 20 loads in 3 s
+	left = time.Second
+	assert.Equal(t, parallel(), 10)
+	left = -time.Second
+	assert.Equal(t, parallel(), 10)
+	for index := range holders {
+		holders[index].Version = 2
+	}
+	assert.Equal(t, parallel(), 4)
+}
