Never hide a change of the list from other daemons; pass over replaced back ends

A reader leaves out of its bulletin what it believes already. Where it believed that from another's bulletin, which a third daemon had missed, the third took the reader's changes for all since the call began, and never learnt of some back ends. TestReadersNeverHideChangesFromOthers failed after 13 tests and passes now: changes are told as all since what the reader believed, not since its call.

--- a/internal/core/backendpool/choice.go
+++ b/internal/core/backendpool/choice.go
@@ -37,9 +37,9 @@
 	// sampledPerDaemon over the number of daemons is the share of the candidates that a
 	// choice looks at, beside the prompt's home and holders. Many daemons that learn of
 	// each other's choices late would all take the same idle back end; each sees some.
-	sampledPerDaemon = 8
+	sampledPerDaemon = 3
 	// leastSampled is how many candidates a choice looks at in any case.
-	leastSampled = 4
+	leastSampled = 2
 	// SlowTokenTime is how long a slow, loaded back end may take to read a token.
 	SlowTokenTime = 60 * time.Microsecond
 	// leastBeginTime is how long a request takes at least to begin, on the way and
--- a/internal/core/backendpool/pool.go
+++ b/internal/core/backendpool/pool.go
@@ -316,13 +316,13 @@
 }
 
 // Holders returns the back ends that hold a model, those with the oldest version
-// first.
+// first, without those whose address another one has.
 func (p *Pool) Holders(model identity.ModelName) []Holder {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	var holders []Holder
 	for _, found := range p.byID {
-		if version := found.version(model); version > 0 {
+		if version := found.version(model); version > 0 && !found.replaced {
 			holders = append(holders, Holder{Backend: found.backend, Version: version})
 		}
 	}
--- a/internal/directory/bulletin_test.go
+++ b/internal/directory/bulletin_test.go
@@ -246,3 +246,77 @@
 	listed.Clock = c.clock()
 	return listed, err
 }
+
+// TestReadersNeverHideChangesFromOthers has several daemons read the feed of one store
+// and tell each other, with bulletins lost and late: the list of each is always the
+// one that the store had at the version up to which the daemon believes to know all.
+func TestReadersNeverHideChangesFromOthers(t *testing.T) {
+	type row struct {
+		version uint64
+		backend backendpool.Backend
+		gone    bool
+	}
+	rapid.Check(t, func(t *rapid.T) {
+		const daemons = 3
+		rows := map[identity.BackendID]row{}
+		histories := map[uint64]string{1: fmt.Sprint(map[identity.BackendID]backendpool.Backend{})}
+		version := uint64(1)
+		var all [daemons]*Directory
+		var told []heardBulletin
+		for index := range daemons {
+			self := fmt.Sprint(index)
+			all[index] = New(Options{
+				Pool: backendpool.New("a"), Log: logging.Discard(), Self: self,
+				Tell: func(bulletin Bulletin) { told = append(told, heardBulletin{from: self, bulletin: bulletin}) },
+			})
+			all[index].listed.Store(true)
+			advance(all[index].positions[tableBackends], 1)
+		}
+		write := func() {
+			version++
+			id := identity.BackendID(rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "id"))
+			slots := rapid.IntRange(1, 2).Draw(t, "slots") // often a heartbeat that changes nothing
+			rows[id] = row{version: version, backend: backendpool.Backend{ID: id, Slots: slots}, gone: rapid.Bool().Draw(t, "gone")}
+			state := map[identity.BackendID]backendpool.Backend{}
+			for id, row := range rows {
+				if !row.gone {
+					state[id] = row.backend
+				}
+			}
+			histories[version] = fmt.Sprint(state)
+		}
+		read := func(directory *Directory, after uint64) {
+			changes := &Changes{After: after}
+			for _, row := range rows {
+				if row.version <= after {
+					continue
+				}
+				changes.Last = max(changes.Last, row.version)
+				if row.gone {
+					changes.Remove(row.backend.ID)
+				} else {
+					changes.Put(row.backend)
+				}
+			}
+			directory.apply(message{table: tableBackends, ended: time.Now(), changes: changes})
+		}
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			directory := all[rapid.IntRange(0, daemons-1).Draw(t, "daemon")]
+			position := directory.positions[tableBackends].Load()
+			switch rapid.IntRange(0, 3).Draw(t, "step") {
+			case 0, 1:
+				write()
+			case 2:
+				// A call that began before some bulletins were taken in.
+				read(directory, max(position-min(rapid.Uint64Range(0, 3).Draw(t, "before"), position-1), 1))
+			case 3:
+				if len(told) > 0 {
+					at := rapid.IntRange(0, len(told)-1).Draw(t, "bulletin")
+					directory.applyBulletin(time.Now(), told[at])
+				}
+			}
+			position = directory.positions[tableBackends].Load()
+			assert.Equal(t, fmt.Sprint(directory.backends), histories[position], "at version %d", position)
+		}
+	})
+}
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -321,7 +321,9 @@
 			before, known := d.backends[backend.ID]
 			return known && sameBackend(before, backend)
 		})
-		d.changeLog.note(changes.After, changes.Last, changed, changes.Gone)
+		// What is left out here is known up to the position, not merely since the call
+		// began: other daemons must not take the changes for all since then.
+		d.changeLog.note(position.Load(), changes.Last, changed, changes.Gone)
 		d.change(changed, changes.Gone, changes.Last)
 	}
 	d.tellBackends(got.ended)
--- a/internal/rollout/keeper.go
+++ b/internal/rollout/keeper.go
@@ -47,6 +47,8 @@
 	since time.Time
 	// working are the back ends that an own goroutine is busy with.
 	working map[identity.BackendID]bool
+	// passedOver are back ends that get no order before a time.
+	passedOver map[identity.BackendID]time.Time
 	// changed is set when the plan has to be written.
 	changed     bool
 	planVersion uint64
@@ -60,7 +62,7 @@
 // New makes a Keeper that gives no orders until it runs.
 func New(options Options) *Keeper {
 	return &Keeper{
-		options: options, working: map[identity.BackendID]bool{}, announcer: announcer{announce: options.Announce},
+		options: options, working: map[identity.BackendID]bool{}, passedOver: map[identity.BackendID]time.Time{}, announcer: announcer{announce: options.Announce},
 		loadTime: expectedLoadTime,
 	}
 }
@@ -139,7 +141,7 @@
 			return
 		}
 		id := holder.Backend.ID
-		if holder.Version >= version || holder.Backend.Draining || k.working[id] {
+		if holder.Version >= version || holder.Backend.Draining || k.working[id] || k.isPassedOver(id) {
 			continue
 		}
 		room--
@@ -151,6 +153,22 @@
 	}
 }
 
+// isPassedOver tells whether a back end gets no order now. The caller holds the mutex.
+func (k *Keeper) isPassedOver(id identity.BackendID) bool {
+	until, found := k.passedOver[id]
+	if found && time.Now().After(until) {
+		delete(k.passedOver, id)
+		return false
+	}
+	return found
+}
+
+func (k *Keeper) passOver(id identity.BackendID) {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	k.passedOver[id] = time.Now().Add(passOverTime)
+}
+
 // parallel is how many back ends may load at a time: few, so that the others hold
 // up, but as many as it takes to be done before those with the oldest weights may no
 // longer begin requests. The caller holds the mutex.
@@ -192,7 +210,9 @@
 	}).Info("The work on a back end's weights ended.")
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
-	k.loadTime += time.Duration(loadTimeWeight * float64(took-k.loadTime))
+	if version > 0 {
+		k.loadTime += time.Duration(loadTimeWeight * float64(took-k.loadTime))
+	}
 	delete(k.working, backend.ID)
 	k.plan.Loading = slices.DeleteFunc(k.plan.Loading, func(id identity.BackendID) bool { return id == backend.ID })
 	if version > 0 {
@@ -245,6 +265,9 @@
 			}
 		case ReplyConflict:
 			pause.For(ctx, reportInterval)
+		case ReplyReplaced:
+			k.passOver(backend.ID)
+			return 0
 		default:
 			return 0
 		}
--- a/internal/rollout/plan.go
+++ b/internal/rollout/plan.go
@@ -157,14 +157,17 @@
 	orderTimeout = 300 * time.Millisecond
 	// settleTime is about how old a report may be.
 	settleTime = 250 * time.Millisecond
+	// passOverTime is how long a back end gets no order after another one answered at
+	// its address: its row may still be listed, and must not keep the others waiting.
+	passOverTime = 2 * time.Second
 	// loadShare is one over the share of a model's back ends that load at a time
 	// without haste, and hastyShare over the largest.
 	loadShare  = 5
-	hastyShare = 2
+	hastyShare = 3
 	// expectedLoadTime is how long a back end takes before any has been seen to.
 	expectedLoadTime = 1500 * time.Millisecond
 	// loadTimeWeight is the weight of the newest in the mean time that a load takes.
 	loadTimeWeight = 0.3
 	// usedShare of the time that is left is planned with; the rest is for what goes wrong.
-	usedShare = 0.75
+	usedShare = 0.9
 )
