--- a/internal/rollout/plan.go
+++ b/internal/rollout/plan.go
@@ -163,7 +163,7 @@
 	// loadShare is one over the share of a model's back ends that load at a time
 	// without haste, and hastyShare over the largest.
 	loadShare  = 5
-	hastyShare = 3
+	hastyShare = 4
 	// expectedLoadTime is how long a back end takes before any has been seen to.
 	expectedLoadTime = 1500 * time.Millisecond
 	// loadTimeWeight is the weight of the newest in the mean time that a load takes.
