--- a/internal/cachewatch/watcher_test.go
+++ b/internal/cachewatch/watcher_test.go
@@ -1,10 +1,17 @@
 package cachewatch
 
 import (
+	"context"
+	"sync/atomic"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
 	"pgregory.net/rapid"
+
+	"github.com/lotusward/lotusward/internal/logging"
+	"github.com/lotusward/lotusward/internal/pause"
 )
 
 // TestCacheFollowsEvents applies pages to a cache and to a plain map.
@@ -46,3 +53,44 @@
 	_, known = cache.Tokens(Part{ID: "a"})
 	assert.Assert(t, !known)
 }
+
+// addressedSource has one event at each address: a part named like it.
+type addressedSource struct{}
+
+func (addressedSource) Events(ctx context.Context, address string, since uint64, wait time.Duration) (Page, error) {
+	if since > 0 {
+		pause.For(ctx, wait)
+		return Page{Epoch: 1, Next: since}, ctx.Err()
+	}
+	return Page{Epoch: 1, Next: 1, Events: []Event{{Part: Part{ID: address}, Tokens: 7}}}, nil
+}
+
+// TestEachCacheIsWatched keeps what each of several caches holds apart, and forgets a
+// cache that is there no longer.
+func TestEachCacheIsWatched(t *testing.T) {
+	var addresses atomic.Pointer[[]string]
+	addresses.Store(&[]string{"one", "two"})
+	watcher := NewWatcher(addressedSource{}, func() []string { return *addresses.Load() }, logging.Discard())
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go func() { _ = watcher.Run(ctx) }()
+	holds := func(address, part string) bool {
+		tokens, known := watcher.Cache(address).Tokens(Part{ID: part})
+		return known && tokens == 7
+	}
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if holds("one", "one") && holds("two", "two") {
+			return poll.Success()
+		}
+		return poll.Continue("not all caches are known")
+	})
+	assert.Assert(t, !holds("one", "two"))
+	addresses.Store(&[]string{"two"})
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if !holds("one", "one") {
+			return poll.Success()
+		}
+		return poll.Continue("the cache is still known")
+	})
+	assert.Assert(t, holds("two", "two"))
+}
--- a/internal/core/routing/table_test.go
+++ b/internal/core/routing/table_test.go
@@ -74,3 +74,24 @@
 	assert.Assert(t, table.Tenant("k3") == nil)
 	assert.Assert(t, table.RequiresKey())
 }
+
+// TestPartsAreSpreadOverStores finds the same store for a part whatever the order of
+// the configuration, and uses all of them.
+func TestPartsAreSpreadOverStores(t *testing.T) {
+	var services []Service
+	for _, address := range []string{"10.0.0.1:1", "10.0.0.2:1", "10.0.0.3:1"} {
+		services = append(services, Service{Name: identity.ServiceName(address), PromptStore: &PromptStore{Address: address}})
+	}
+	one := Compile(&Configuration{Services: services})
+	other := Compile(&Configuration{Services: []Service{services[2], services[0], services[1]}})
+	used := map[string]int{}
+	for part := range uint64(300) {
+		store := one.PromptStore(part)
+		assert.Equal(t, store.Address, other.PromptStore(part).Address)
+		used[store.Address]++
+	}
+	for _, service := range services {
+		assert.Assert(t, used[service.PromptStore.Address] > 50, "%v", used)
+	}
+	assert.Assert(t, Compile(&Configuration{}).PromptStore(1) == nil)
+}
--- a/internal/loadshare/loadshare_test.go
+++ b/internal/loadshare/loadshare_test.go
@@ -95,3 +95,23 @@
 	merged := sharer.merge(now)
 	assert.Equal(t, merged[1], backendpool.Load{Key: 1, InFlight: 3 * 4 * maximumTargets, Reading: 10 * 4 * maximumTargets})
 }
+
+// TestDoubtsReachOthers takes a back end out everywhere once one daemon finds another
+// at its address.
+func TestDoubtsReachOthers(t *testing.T) {
+	first, second := freeAddress(t), freeAddress(t)
+	one := startDaemon(t, first, second)
+	two := startDaemon(t, second, first)
+	taken := one.pool.Pick(time.Now(), heavy)
+	taken.Release(time.Now(), backendpool.ResultReplaced)
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		for range 8 {
+			ticket := two.pool.Pick(time.Now(), heavy)
+			ticket.Release(time.Now(), backendpool.ResultAbandoned)
+			if ticket.Backend.ID == taken.Backend.ID {
+				return poll.Continue("the doubt is not heard of")
+			}
+		}
+		return poll.Success()
+	})
+}
--- /dev/null
+++ b/internal/rollout/announcement_test.go
@@ -0,0 +1,76 @@
+package rollout
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"github.com/lotusward/lotusward/internal/core/backendpool"
+	"github.com/lotusward/lotusward/internal/core/identity"
+	"github.com/lotusward/lotusward/internal/logging"
+)
+
+// TestAnnouncementsSpareTheTable heeds what a holder announces without reading the
+// plan's row, and passes over a holder before the known one.
+func TestAnnouncementsSpareTheTable(t *testing.T) {
+	engines, table := newEngines(3), newTable()
+	table.failing = true
+	pool := engines.pool()
+	follower := &Follower{Table: table, Changes: plannedChanges{}, Pool: pool, Lease: &grantedLease{}, Log: logging.Discard()}
+	follower.Hear(Announcement{
+		Token: 5, Loading: keysOf([]identity.BackendID{"e00"}),
+		Loaded: []LoadedGroup{{Model: "m", Version: 2, Backends: keysOf([]identity.BackendID{"e01"})}},
+	})
+	follower.Hear(Announcement{Token: 4, Loading: keysOf([]identity.BackendID{"e01", "e02"})})
+	assert.Assert(t, follower.hears())
+	for home := range uint64(10) {
+		ticket := pool.Pick(time.Now(), backendpool.Query{Service: "s", Model: "m", Home: home + 1, BeginBy: beginByVersionTwo})
+		assert.Equal(t, ticket.Backend.ID, identity.BackendID("e01"))
+	}
+}
+
+// TestHolderAnnouncesEachLoad lets a daemon learn from announcements alone which back
+// ends load and which have loaded, while the plan's row is written rarely.
+func TestHolderAnnouncesEachLoad(t *testing.T) {
+	engines, table := newEngines(6), newTable()
+	loading, loaded := map[uint64]bool{}, map[uint64]bool{}
+	var mutex sync.Mutex
+	announced := 0
+	lease, named := &grantedLease{}, &namedVersion{}
+	lease.token.Store(1)
+	named.version.Store(2)
+	keeper := New(Options{
+		Holder: "h", Lease: lease, Table: table, Pool: engines.pool(), Named: named, Orders: engines, Log: logging.Discard(),
+		Announce: func(announcement Announcement) {
+			mutex.Lock()
+			defer mutex.Unlock()
+			announced++
+			for _, key := range announcement.Loading {
+				loading[key] = true
+			}
+			for _, group := range announcement.Loaded {
+				for _, key := range group.Backends {
+					loaded[key] = true
+				}
+			}
+		},
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go func() { _ = keeper.Run(ctx) }()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		mutex.Lock()
+		defer mutex.Unlock()
+		if len(loaded) == 6 && len(loading) > 0 {
+			return poll.Success()
+		}
+		return poll.Continue("%d loads were announced", len(loaded))
+	})
+	table.mutex.Lock()
+	defer table.mutex.Unlock()
+	assert.Assert(t, table.version <= 4, "the row was written %d times, announced %d times", table.version, announced)
+}
--- a/internal/rollout/keeper.go
+++ b/internal/rollout/keeper.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math"
 	"slices"
 	"sync"
 	"time"
@@ -13,7 +12,6 @@
 	"github.com/lotusward/lotusward/internal/core/identity"
 	"github.com/lotusward/lotusward/internal/pause"
 	"github.com/lotusward/lotusward/internal/port"
-	"github.com/lotusward/lotusward/internal/wire/platformwire"
 )
 
 // Options are what a Keeper works with.
@@ -153,46 +151,6 @@
 	}
 }
 
-// isPassedOver tells whether a back end gets no order now. The caller holds the mutex.
-func (k *Keeper) isPassedOver(id identity.BackendID) bool {
-	until, found := k.passedOver[id]
-	if found && time.Now().After(until) {
-		delete(k.passedOver, id)
-		return false
-	}
-	return found
-}
-
-func (k *Keeper) passOver(id identity.BackendID) {
-	k.mutex.Lock()
-	defer k.mutex.Unlock()
-	k.passedOver[id] = time.Now().Add(passOverTime)
-}
-
-// parallel is how many back ends may load at a time: few, so that the others hold
-// up, but as many as it takes to be done before those with the oldest weights may no
-// longer begin requests. The caller holds the mutex.
-func (k *Keeper) parallel(now time.Time, model identity.ModelName, version uint64, holders []backendpool.Holder) int {
-	least := max((len(holders)+loadShare-1)/loadShare, 1)
-	most := max((len(holders)+hastyShare-1)/hastyShare, 1)
-	behind := 0
-	for _, holder := range holders {
-		if holder.Version < version && !holder.Backend.Draining {
-			behind++
-		}
-	}
-	if behind == 0 || k.options.DueBy == nil {
-		return least
-	}
-	due := k.options.DueBy(model, holders[0].Version)
-	if due.IsZero() {
-		return least
-	}
-	left := max(time.Duration(usedShare*float64(due.Sub(now))), k.loadTime/2)
-	needed := int(math.Ceil(float64(behind) * float64(k.loadTime) / float64(left)))
-	return min(max(needed, least), most)
-}
-
 // bring brings one back end to the newest version, and gives its place up when
 // that is done or takes too long.
 func (k *Keeper) bring(ctx context.Context, backend backendpool.Backend, model identity.ModelName, token identity.FencingToken) {
@@ -313,75 +271,3 @@
 	}).Info("An order to load weights was given.")
 	return reply, err
 }
-
-// writePlan writes the plan if it changed. When that fails it is tried again at
-// the next tick; the plan only spares requests a rejection.
-func (k *Keeper) writePlan(ctx context.Context, now time.Time) {
-	value, condition, due := k.nextPlan(now)
-	if !due {
-		return
-	}
-	bounded, cancel := context.WithTimeout(ctx, planTimeout)
-	defer cancel()
-	if !condition.known {
-		k.learnPlanVersion(bounded)
-		return
-	}
-	rows, err := k.options.Table.Commit(bounded, platformwire.Transaction{
-		Conditions: []platformwire.Condition{{Key: KeyPlan, Version: condition.version}},
-		Writes:     []platformwire.Write{{Key: KeyPlan, Value: value}},
-	})
-	k.mutex.Lock()
-	defer k.mutex.Unlock()
-	if err != nil || len(rows) == 0 {
-		k.planKnown = false
-		k.changed = true
-		return
-	}
-	k.planVersion = rows[0].Version
-	k.writtenAt = now
-}
-
-// planCondition is the version of the plan's row that a write expects.
-type planCondition struct {
-	version uint64
-	known   bool
-}
-
-// nextPlan returns the plan to write, if one is due.
-func (k *Keeper) nextPlan(now time.Time) ([]byte, planCondition, bool) {
-	k.mutex.Lock()
-	defer k.mutex.Unlock()
-	announced := k.options.Announce != nil && now.Sub(k.writtenAt) < writeInterval
-	if !k.changed || announced {
-		return nil, planCondition{}, false
-	}
-	k.plan.Follow(k.options.Pool)
-	if seen := k.options.Named.SeenVersions(); len(seen) > 0 {
-		k.plan.Seen = seen
-	}
-	value, err := k.plan.Encode()
-	if err != nil {
-		k.options.Log.WithError(err).Error("The plan cannot be encoded.")
-		return nil, planCondition{}, false
-	}
-	if k.planKnown {
-		k.changed = false
-	}
-	return value, planCondition{version: k.planVersion, known: k.planKnown}, true
-}
-
-// learnPlanVersion reads which version the plan's row has.
-func (k *Keeper) learnPlanVersion(ctx context.Context) {
-	rows, err := k.options.Table.Read(ctx, KeyPlan)
-	if err != nil {
-		return
-	}
-	k.mutex.Lock()
-	defer k.mutex.Unlock()
-	k.planKnown = true
-	k.planVersion = 0
-	if len(rows) > 0 {
-		k.planVersion = rows[0].Version
-	}
-}
--- /dev/null
+++ b/internal/rollout/pace_test.go
@@ -0,0 +1,104 @@
+package rollout
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"github.com/lotusward/lotusward/internal/core/backendpool"
+	"github.com/lotusward/lotusward/internal/core/identity"
+	"github.com/lotusward/lotusward/internal/logging"
+)
+
+// TestHasteGrowsAsTimeRunsOut loads few back ends at a time while there is time, as
+// many as are needed to be done in time otherwise, and never more than a quarter.
+func TestHasteGrowsAsTimeRunsOut(t *testing.T) {
+	now := time.Now()
+	var holders []backendpool.Holder
+	for range 20 {
+		holders = append(holders, backendpool.Holder{Version: 1})
+	}
+	left := time.Duration(0)
+	keeper := New(Options{DueBy: func(identity.ModelName, uint64) time.Time { return now.Add(left) }})
+	parallel := func() int { return keeper.parallel(now, "m", 2, holders) }
+	keeper.loadTime = time.Second
+	left = time.Minute
+	assert.Equal(t, parallel(), 4)
+	left = 4 * time.Second
+	assert.Equal(t, parallel(), 5) // 20 loads in 3.6 s take six
+	left = time.Second
+	assert.Equal(t, parallel(), 5)
+	left = -time.Second
+	assert.Equal(t, parallel(), 5)
+	for index := range holders {
+		holders[index].Version = 2
+	}
+	assert.Equal(t, parallel(), 4)
+}
+
+// TestReplacedBackEndsKeepNobodyWaiting brings back ends to the newest version though
+// more rows than may load at a time are of back ends whose address another one has.
+func TestReplacedBackEndsKeepNobodyWaiting(t *testing.T) {
+	engines, table := newEngines(6), newTable()
+	named := &namedVersion{}
+	named.version.Store(2)
+	var gone []backendpool.Backend
+	for index := range 12 {
+		gone = append(gone, backendpool.Backend{
+			ID: identity.BackendID(fmt.Sprintf("a%02d", index)), Address: fmt.Sprintf("10.0.0.%d:80", index),
+			Service: "s", Weights: map[identity.ModelName]uint64{"m": 1},
+		})
+	}
+	pool := engines.pool()
+	pool.Update(append(pool.Backends(), gone...))
+	lease := &grantedLease{}
+	lease.token.Store(1)
+	keeper := New(Options{
+		Holder: "h", Lease: lease, Table: table, Pool: pool, Named: named, Orders: replacing{engines}, Log: logging.Discard(),
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go func() { _ = keeper.Run(ctx) }()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		loaded := 0
+		for _, holder := range pool.Holders("m") {
+			if holder.Backend.ID[0] == 'e' && holder.Version == 2 {
+				loaded++
+			}
+		}
+		if loaded == 6 {
+			return poll.Success()
+		}
+		return poll.Continue("%d back ends were brought to version 2", loaded)
+	}, poll.WithTimeout(passOverTime))
+}
+
+// replacing answers for back ends that do not exist as whoever has their address.
+type replacing struct{ *fakeEngines }
+
+func (r replacing) exists(backend backendpool.Backend) bool {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return r.engines[backend.ID] != nil
+}
+
+// Report implements Orders.
+func (r replacing) Report(ctx context.Context, backend backendpool.Backend) (Report, error) {
+	if !r.exists(backend) {
+		return Report{Versions: map[identity.ModelName]uint64{"m": 1}}, nil
+	}
+	return r.fakeEngines.Report(ctx, backend)
+}
+
+// Give implements Orders.
+func (r replacing) Give(ctx context.Context, order Order) (Reply, error) {
+	if !r.exists(order.Backend) {
+		time.Sleep(50 * time.Millisecond)
+		return ReplyReplaced, nil
+	}
+	return r.fakeEngines.Give(ctx, order)
+}
