Ask once a pick where a prompt's parts are

Found by reading the change: each pick asked for the holders of a prompt's parts up to three times a version (for the sample, the costs and the source), under the pool's mutex. A query now remembers what it was told, and two maps passed along for that are gone. The store of a part is looked up once, and a wrapper around dueBy is gone.

--- a/cmd/lotusward-platform/wire.go
+++ b/cmd/lotusward-platform/wire.go
@@ -164,7 +164,7 @@
 	w.rollout = rollout.New(rollout.Options{
 		Holder: w.settings.NodeName, Lease: w.keeper, Table: w.store, Pool: w.backends, Named: w.directory,
 		Orders: w.runners, Quiet: quiet(bounds), Log: w.part("rollout"),
-		DueBy:    func(model identity.ModelName, version uint64) time.Time { return w.dueBy(model, version) },
+		DueBy:    w.dueBy,
 		Announce: func(announced rollout.Announcement) { w.broadcast.Tell(peerlink.KindPlan, &announced) },
 	})
 	w.follower = &rollout.Follower{
--- a/internal/core/backendpool/cached.go
+++ b/internal/core/backendpool/cached.go
@@ -51,6 +51,33 @@
 // known tells whether any back end is known to have the deepest part, or to read it.
 func (c Cached) known() bool { return len(c) > 0 && len(c[0].Read)+len(c[0].Reading) > 0 }
 
+// remembered returns a query that asks where the parts are once for each version of
+// the weights: a pick needs it for the sample, the costs and the source.
+func (q Query) remembered() Query {
+	ask := q.Cached
+	if ask == nil {
+		return q
+	}
+	known := map[uint64]Cached{}
+	q.Cached = func(version uint64) Cached {
+		cached, found := known[version]
+		if !found {
+			cached = ask(version)
+			known[version] = cached
+		}
+		return cached
+	}
+	return q
+}
+
+// cached is where the parts are for a version; nil where nothing is known.
+func (q Query) cached(version uint64) Cached {
+	if q.Cached == nil {
+		return nil
+	}
+	return q.Cached(version)
+}
+
 // Source is where the cache of a prompt can be taken from.
 type Source struct {
 	// Holder is a back end, or nil when none will do.
@@ -66,10 +93,10 @@
 func (p *Pool) source(now time.Time, query Query, picked *entry) Source {
 	var found Source
 	version := picked.version(query.Model)
-	if query.Cached == nil || version == 0 {
+	if version == 0 {
 		return found
 	}
-	cached := query.Cached(version)
+	cached := query.cached(version)
 	held := cached.held(picked.key)
 	for index := range cached {
 		level := &cached[index]
--- a/internal/core/backendpool/choice.go
+++ b/internal/core/backendpool/choice.go
@@ -122,9 +122,8 @@
 		return sampled
 	}
 	home := highestRank(candidates, query.Home)
-	known := map[uint64]Cached{}
 	for _, candidate := range candidates {
-		cached := cachedAt(known, query, candidate.version(query.Model))
+		cached := query.cached(candidate.version(query.Model))
 		holds := len(cached) > 0 && cached[0].heldBy(candidate.key)
 		if (candidate == home || holds) && !slices.Contains(sampled, candidate) {
 			sampled = append(sampled, candidate)
@@ -133,19 +132,6 @@
 	return sampled
 }
 
-// cachedAt asks a query once for each version of the weights.
-func cachedAt(known map[uint64]Cached, query Query, version uint64) Cached {
-	if query.Cached == nil {
-		return nil
-	}
-	cached, found := known[version]
-	if !found {
-		cached = query.Cached(version)
-		known[version] = cached
-	}
-	return cached
-}
-
 // chooseSoonest takes the back end that should answer soonest: the work that waits
 // there, and what the prompt adds. Among those about as good, the one that ranks
 // highest for the prompt wins, so that daemons agree without talking.
@@ -172,11 +158,10 @@
 func missingCosts(candidates []*entry, query Query) []float64 {
 	home := highestRank(candidates, query.Home)
 	newest := newestVersion(candidates, query.Model)
-	known := map[uint64]Cached{}
 	costs := make([]float64, len(candidates))
 	for index, candidate := range candidates {
 		version := candidate.version(query.Model)
-		cached := cachedAt(known, query, version)
+		cached := query.cached(version)
 		costs[index] = missing(candidate, candidate == home && !cached.known(), cached, query.SharedTokens)
 		if version < newest {
 			costs[index] *= oldWeightsFactor
--- a/internal/core/backendpool/pool.go
+++ b/internal/core/backendpool/pool.go
@@ -169,6 +169,7 @@
 	if len(candidates) == 0 {
 		return nil
 	}
+	query = query.remembered()
 	picked, work := p.choose(candidates, query)
 	waiting := picked.waiting()
 	picked.inFlight++
--- a/internal/relay/caching.go
+++ b/internal/relay/caching.go
@@ -54,10 +54,13 @@
 func (r *Relay) cached(admitted *admission, version uint64) backendpool.Cached {
 	now := r.options.Now()
 	levels := r.levels(admitted, version)
+	if len(levels) == 0 {
+		return nil
+	}
+	store := admitted.state.Table.PromptStore(uint64(levels[0].key))
 	known := make(backendpool.Cached, 0, len(levels))
 	for _, shared := range levels {
 		holders := r.options.Memory.Holders(now, shared.key)
-		store := admitted.state.Table.PromptStore(uint64(levels[0].key))
 		known = append(known, backendpool.Level{
 			Tokens: shared.tokens, Read: holders.Read, Reading: holders.Reading,
 			Stored: store != nil && r.stored(store, shared, holders),
