Find out by a digest what changed and changed back between two readings

Cause, in the product and not in the test's model of the feed: a reader leaves rows out of its bulletins that say the same as at its reading before. A daemon that had read, or heard from another reader, at a moment between these two readings may have seen such a row changed (or gone), and was never told that it changed back. The bulletin's From could not show that, since both daemons were within it.

Ruled out: telling all rewritten rows (heartbeats rewrite all, 12 a second, 69 daemons); telling the positions of the teller's readings (two readers' positions hardly ever meet, so that every hearer would read itself); spans of own changes (hidden double changes before the first common position stay hidden).

Now a bulletin carries a digest of the teller's whole list, and changes are taken in only if they lead to it; otherwise the daemon reads. From is gone: a daemon that missed bulletins of mere heartbeats needs no reading any more.

The sister property now also checks that news which follows on is taken in, so that always reading is no way out.

--- a/internal/directory/bulletin.go
+++ b/internal/directory/bulletin.go
@@ -39,18 +39,20 @@
 	Versions []Seen
 }
 
-// BackendNews says how the list of back ends changed between two versions of the
-// store.
+// BackendNews says how the list of back ends changed up to a version of the store.
 type BackendNews struct {
-	// From and To are the versions before and after all the changes.
-	From, To uint64
-	Changed  []backendpool.Backend
-	Gone     []identity.BackendID
+	// To is the version after all the changes.
+	To      uint64
+	Changed []backendpool.Backend
+	Gone    []identity.BackendID
+	// Digest is of the whole list at that version. What changed and changed back
+	// between two readings of the teller is not among the changes, and a hearer that
+	// knows the list of a moment in between finds that out by the digest.
+	Digest listDigest
 }
 
 // batch is what one reading changed.
 type batch struct {
-	from    uint64
 	changed []backendpool.Backend
 	gone    []identity.BackendID
 }
@@ -72,7 +74,7 @@
 		l.batches = nil
 	}
 	l.last = to
-	l.batches = append(l.batches, batch{from: from, changed: changed, gone: gone})
+	l.batches = append(l.batches, batch{changed: changed, gone: gone})
 	for len(l.batches) > keptBatches || (len(l.batches) > 1 && l.size() > keptChanges) {
 		l.batches = l.batches[1:]
 	}
@@ -89,13 +91,10 @@
 	return total
 }
 
-// news is what the log tells others. Where it holds no batches it tells only up to
-// which version there is something to be read.
-func (l *changeLog) news() *BackendNews {
-	from := l.last
+// news is what the log tells others of a list with a digest.
+func (l *changeLog) news(digest listDigest) *BackendNews {
 	var merged Changes
 	for _, kept := range l.batches {
-		from = min(from, kept.from)
 		for _, backend := range kept.changed {
 			merged.Put(backend)
 		}
@@ -103,29 +102,7 @@
 			merged.Remove(id)
 		}
 	}
-	return &BackendNews{From: from, To: l.last, Changed: merged.Changed, Gone: merged.Gone}
-}
-
-// sameBackend tells whether two rows say the same of a back end.
-func sameBackend(left, right backendpool.Backend) bool {
-	weights := maps.Equal(left.Weights, right.Weights)
-	left.Weights, right.Weights = nil, nil
-	return weights && left.ID == right.ID && left.Service == right.Service && left.Address == right.Address &&
-		left.Zone == right.Zone && left.Slots == right.Slots && left.Draining == right.Draining
-}
-
-// difference returns what a whole list changes in the believed one.
-func difference(believed map[identity.BackendID]backendpool.Backend, listed []backendpool.Backend) ([]backendpool.Backend, []identity.BackendID) {
-	var changed []backendpool.Backend
-	missing := maps.Clone(believed)
-	for _, backend := range listed {
-		before, known := believed[backend.ID]
-		delete(missing, backend.ID)
-		if !known || !sameBackend(before, backend) {
-			changed = append(changed, backend)
-		}
-	}
-	return changed, slices.Sorted(maps.Keys(missing))
+	return &BackendNews{To: l.last, Changed: merged.Changed, Gone: merged.Gone, Digest: digest}
 }
 
 // Hear takes in what another daemon has read. It never blocks: a bulletin that
@@ -155,7 +132,7 @@
 // tellBackends tells the others how the list changed, if this daemon reads for all.
 func (d *Directory) tellBackends(now time.Time) {
 	if d.turns[tableBackends].readItself(now) {
-		d.options.Tell(Bulletin{Backends: d.changeLog.news()})
+		d.options.Tell(Bulletin{Backends: d.changeLog.news(d.backends.digest)})
 	}
 }
 
@@ -206,20 +183,20 @@
 	return changed
 }
 
-// takeBackends takes in how the list changed. Where the changes don't follow on
-// what this daemon knows, it must read itself. It returns false before it knows
-// any list.
+// takeBackends takes in how the list changed. Where the changes don't lead from what
+// this daemon knows to the teller's list, it must read itself. It returns false
+// before it knows any list.
 func (d *Directory) takeBackends(news *BackendNews) bool {
 	if !d.listed.Load() {
 		return false
 	}
-	position := d.positions[tableBackends].Load()
-	switch {
-	case position >= news.To:
-	case position < news.From:
+	if d.positions[tableBackends].Load() >= news.To {
+		return true
+	}
+	if d.backends.digestAfter(news.Changed, news.Gone) != news.Digest {
 		d.turns[tableBackends].want()
-	default:
-		d.change(news.Changed, news.Gone, news.To)
+		return true
 	}
+	d.change(news.Changed, news.Gone, news.To)
 	return true
 }
--- a/internal/directory/bulletin_test.go
+++ b/internal/directory/bulletin_test.go
@@ -18,7 +18,8 @@
 
 // TestBulletinsLeadToTheReadersList has a daemon hear the bulletins of a reader of
 // the list, some lost, some twice, some late: whenever it need not read itself, its
-// list is one that the reader had at the same version.
+// list is one that the reader had at the same version. One that missed nothing never
+// has to read.
 func TestBulletinsLeadToTheReadersList(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		reader := map[identity.BackendID]backendpool.Backend{}
@@ -48,24 +49,41 @@
 			}
 			log.note(from, version, changed, gone)
 			histories[version] = fmt.Sprint(reader)
-			news := log.news()
+			whole := newBackendList()
+			for _, backend := range reader {
+				whole.put(backend)
+			}
+			news := log.news(whole.digest)
 			switch rapid.IntRange(0, 3).Draw(t, "fate") {
 			case 0:
 			case 1:
 				late = append(late, news)
 			default:
+				upToDate := follower.positions[tableBackends].Load() == from
 				follower.takeBackends(news)
+				if upToDate {
+					assert.Equal(t, follower.positions[tableBackends].Load(), version, "news that follows on is taken in")
+				}
 			}
 			if len(late) > 0 && rapid.Bool().Draw(t, "late") {
 				follower.takeBackends(late[0])
 				late = late[1:]
 			}
 			position := follower.positions[tableBackends].Load()
-			assert.Equal(t, fmt.Sprint(follower.backends), histories[position], "at version %d", position)
+			assert.Equal(t, fmt.Sprint(believed(follower)), histories[position], "at version %d", position)
 		}
 	})
 }
 
+// believed is the list that a daemon believes in.
+func believed(directory *Directory) map[identity.BackendID]backendpool.Backend {
+	list := map[identity.BackendID]backendpool.Backend{}
+	for _, backend := range directory.backends.all() {
+		list[backend.ID] = backend
+	}
+	return list
+}
+
 func removeBackend(list []backendpool.Backend, id identity.BackendID) []backendpool.Backend {
 	var kept []backendpool.Backend
 	for _, backend := range list {
@@ -316,7 +334,7 @@
 				}
 			}
 			position = directory.positions[tableBackends].Load()
-			assert.Equal(t, fmt.Sprint(directory.backends), histories[position], "at version %d", position)
+			assert.Equal(t, fmt.Sprint(believed(directory)), histories[position], "at version %d", position)
 		}
 	})
 }
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -1,9 +1,7 @@
 package directory
 
 import (
-	"cmp"
 	"context"
-	"maps"
 	"slices"
 	"sync/atomic"
 	"time"
@@ -90,7 +88,7 @@
 
 	// What follows belongs to the goroutine of Run.
 	versions map[identity.ModelName][]relay.NamedVersion
-	backends map[identity.BackendID]backendpool.Backend
+	backends *backendList
 	// started is set after the first reading: a version that is found later was named
 	// since, also if it is a model's first.
 	started bool
@@ -141,7 +139,7 @@
 		turns:     map[table]*turn{tableDeclared: newTurn(options.Self, alone), tableBackends: newTurn(options.Self, alone)},
 		positions: map[table]*atomic.Uint64{tableDeclared: {}, tableBackends: {}},
 		versions:  map[identity.ModelName][]relay.NamedVersion{},
-		backends:  map[identity.BackendID]backendpool.Backend{},
+		backends:  newBackendList(),
 		told:      map[identity.ModelName][]Seen{},
 		freshness: map[table]*freshness{tableDeclared: {}, tableBackends: {}},
 		reachable: map[table]bool{},
@@ -296,12 +294,9 @@
 	if listed.Malformed != nil {
 		d.options.Log.WithError(listed.Malformed).Error("Some back ends cannot be read.")
 	}
-	changed, gone := difference(d.backends, listed.Backends)
+	changed, gone := d.backends.difference(listed.Backends)
 	d.changeLog.note(position.Load(), listed.Version, changed, gone)
-	clear(d.backends)
-	for _, backend := range listed.Backends {
-		d.backends[backend.ID] = backend
-	}
+	d.alter(changed, gone)
 	advance(position, listed.Version)
 	d.updatePool(listed.Version)
 	d.listed.Store(true)
@@ -317,10 +312,7 @@
 	}
 	position := d.positions[tableBackends]
 	if changes.Last > position.Load() {
-		changed := slices.DeleteFunc(changes.Changed, func(backend backendpool.Backend) bool {
-			before, known := d.backends[backend.ID]
-			return known && sameBackend(before, backend)
-		})
+		changed := slices.DeleteFunc(changes.Changed, d.backends.has)
 		// What is left out here is known up to the position, not merely since the call
 		// began: other daemons must not take the changes for all since then.
 		d.changeLog.note(position.Load(), changes.Last, changed, changes.Gone)
@@ -332,14 +324,19 @@
 // change applies changes up to a version of the store.
 func (d *Directory) change(changed []backendpool.Backend, gone []identity.BackendID, to uint64) {
 	advance(d.positions[tableBackends], to)
+	d.alter(changed, gone)
+	if len(changed)+len(gone) > 0 {
+		d.updatePool(to)
+	}
+}
+
+// alter changes the list.
+func (d *Directory) alter(changed []backendpool.Backend, gone []identity.BackendID) {
 	for _, backend := range changed {
-		d.backends[backend.ID] = backend
+		d.backends.put(backend)
 	}
 	for _, id := range gone {
-		delete(d.backends, id)
-	}
-	if len(changed)+len(gone) > 0 {
-		d.updatePool(to)
+		d.backends.remove(id)
 	}
 }
 
@@ -350,8 +347,7 @@
 
 // updatePool gives the pool the list as it is believed to be.
 func (d *Directory) updatePool(version uint64) {
-	byID := func(left, right backendpool.Backend) int { return cmp.Compare(left.ID, right.ID) }
-	change := d.options.Pool.Update(slices.SortedFunc(maps.Values(d.backends), byID))
+	change := d.options.Pool.Update(d.backends.all())
 	if len(change.Added)+len(change.Removed)+len(change.Draining) == 0 {
 		return
 	}
