Count a disturbance of the store from when the failed call began

Cause: a call of the store that got no answer counted as a disturbance at the moment at which it was given up, 1.9 s after it began and long after the store was well. So requests could begin on old weights some two seconds too long.

Ruled out: the daemons' clocks (the bound is of their own steady clock), the cut of waiting requests (both were admitted as in time).

--- a/cmd/lotusward-platform/wire.go
+++ b/cmd/lotusward-platform/wire.go
@@ -194,11 +194,11 @@
 }
 
 // StoreCall implements platform.CallObserver.
-func (o *storeObserver) StoreCall(call, result string, err error) {
+func (o *storeObserver) StoreCall(call, result string, began time.Time, err error) {
 	o.counters.StoreCall(call, result)
 	var limited *port.RateLimitedError
 	if err != nil && !errors.As(err, &limited) && !errors.Is(err, context.Canceled) {
-		o.wired.directory.Disturbed(time.Now())
+		o.wired.directory.Disturbed(began)
 	}
 }
 
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -82,7 +82,7 @@
 	confirmed atomic.Pointer[time.Time]
 	// steady is when the store had last been steady for SteadyTime since a failure.
 	steady atomic.Pointer[time.Time]
-	// failedAt is when a call of the store last failed.
+	// failedAt is when the call of the store that failed last began.
 	failedAt atomic.Pointer[time.Time]
 	listed   atomic.Bool
 
@@ -155,15 +155,21 @@
 // ConfirmedAt implements relay.Control.
 func (d *Directory) ConfirmedAt() time.Time { return *d.confirmed.Load() }
 
-// Disturbed notes that a call of the store failed, by whichever part of the daemon.
-// One failure alone may be a connection's; two within a short time are the store's.
-func (d *Directory) Disturbed(now time.Time) {
-	before := d.failedAt.Swap(&now)
-	if before == nil || now.Sub(*before) > disturbanceWindow {
+// Disturbed notes that a call of the store failed, by whichever part of the daemon,
+// with the time at which the call began: when it was given up the store may long have
+// been well again. One failure alone may be a connection's; two within a short time
+// are the store's.
+func (d *Directory) Disturbed(began time.Time) {
+	before := d.failedAt.Swap(&began)
+	if before == nil || began.Sub(*before).Abs() > disturbanceWindow {
 		return
 	}
-	steady := now.Add(d.options.SteadyTime)
-	d.steady.Store(&steady)
+	steady := began.Add(d.options.SteadyTime)
+	for known := d.steady.Load(); steady.After(*known); known = d.steady.Load() {
+		if d.steady.CompareAndSwap(known, &steady) {
+			return
+		}
+	}
 }
 
 // SteadySince implements relay.Control.
