--- /dev/null
+++ b/cmd/lotusward-platform/caches.go
@@ -0,0 +1,62 @@
+package main
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/lotusward/lotusward/internal/cachewatch"
+	"github.com/lotusward/lotusward/internal/core/promptcache"
+	"github.com/lotusward/lotusward/internal/core/rendezvous"
+)
+
+const (
+	// cacheWatchers is how many daemons watch the cache of a back end, and tell the
+	// others what it drops.
+	cacheWatchers = 2
+	// cacheRest lies between two calls for the events of a back end's cache.
+	cacheRest = 400 * time.Millisecond
+)
+
+// promptStores are the stores of prompt caches.
+func (w *wired) promptStores() []cachewatch.Target {
+	var targets []cachewatch.Target
+	for _, address := range w.directory.PromptStoreAddresses() {
+		targets = append(targets, cachewatch.Target{Name: address, Address: address})
+	}
+	return targets
+}
+
+// watchedBackends are the back ends whose caches this daemon watches: those for which
+// it ranks among the first of all daemons.
+func (w *wired) watchedBackends() []cachewatch.Target {
+	self := w.link.Address()
+	daemons := append(slices.Clone(w.members.Others()), self)
+	var targets []cachewatch.Target
+	for _, backend := range w.backends.Backends() {
+		if len(backend.Weights) == 0 || backend.Draining {
+			continue
+		}
+		watchers := rendezvous.Top(rendezvous.Key(string(backend.ID)), daemons, cacheWatchers)
+		if slices.Contains(watchers, self) {
+			targets = append(targets, cachewatch.Target{Name: string(backend.ID), Address: backend.Address})
+		}
+	}
+	slices.SortFunc(targets, func(left, right cachewatch.Target) int { return cmp.Compare(left.Name, right.Name) })
+	return targets
+}
+
+// observeCache takes in what the cache of a back end holds and what it dropped.
+func (w *wired) observeCache(target cachewatch.Target, page cachewatch.Page, _ bool) {
+	now := time.Now()
+	for _, event := range page.Events {
+		fact := promptcache.Fact{
+			Part: promptcache.KeyOf(event.Part.Salt, event.Part.ID), Backend: rendezvous.Key(target.Name), Tokens: event.Tokens,
+		}
+		if event.Fewer {
+			w.memory.HasDropped(now, fact)
+		} else {
+			w.memory.Holds(now, fact)
+		}
+	}
+}
--- a/cmd/lotusward-platform/wire.go
+++ b/cmd/lotusward-platform/wire.go
@@ -68,6 +68,7 @@
 	members    *members.List
 	directory  *directory.Directory
 	promptsIn  *cachewatch.Watcher
+	cachesIn   *cachewatch.Watcher
 	link       *peerlink.Link
 	broadcast  *peerlink.Broadcaster
 	loads      *loadshare.Sharer
@@ -127,7 +128,12 @@
 		VersionHeadStart: versionGrace(bounds) - platform.Milliseconds(bounds.ContactMs),
 	})
 	peerlink.HandleDecoded(w.link, peerlink.KindBulletin, w.directory.Hear)
-	w.promptsIn = cachewatch.NewWatcher(w.runners, w.directory.PromptStoreAddresses, w.part("promptstore"))
+	w.promptsIn = cachewatch.NewWatcher(cachewatch.Options{
+		Source: w.runners, Targets: w.promptStores, Log: w.part("promptstore"),
+	})
+	w.cachesIn = cachewatch.NewWatcher(cachewatch.Options{
+		Source: w.runners, Targets: w.watchedBackends, Rest: cacheRest, Observe: w.observeCache, Log: w.part("caches"),
+	})
 	w.loads = loadshare.New(loadshare.Options{
 		Link: w.link, Others: w.members.Others, Pool: w.backends, Memory: w.memory,
 	})
@@ -255,6 +261,7 @@
 	add(w.broadcast.Run)
 	add(w.loads.Run)
 	add(w.promptsIn.Run)
+	add(w.cachesIn.Run)
 	add(w.sweep)
 	add(w.keeper.Run)
 	w.metricsOut.addTo(group)
--- a/internal/cachewatch/watcher.go
+++ b/internal/cachewatch/watcher.go
@@ -42,6 +42,8 @@
 	Part Part
 	// Tokens is how many tokens of the part are held now; zero after a drop.
 	Tokens int
+	// Fewer is set when some of the part's tokens were dropped.
+	Fewer bool
 }
 
 // Page is an answer to a call for events.
@@ -55,6 +57,14 @@
 	Events []Event
 }
 
+// Target is a cache to watch.
+type Target struct {
+	// Name tells caches apart that have the same address one after the other.
+	Name string
+	// Address is IP:port.
+	Address string
+}
+
 // Source calls caches.
 type Source interface {
 	// Events waits up to a time for events after a position.
@@ -79,11 +89,12 @@
 	return c.held[part], c.current
 }
 
-// take applies a page of events.
-func (c *Cache) take(page Page) {
+// take applies a page of events. It returns true when the cache has started anew.
+func (c *Cache) take(page Page) bool {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	if page.Epoch != c.epoch || c.held == nil || len(c.held) > maximumHeld {
+	restarted := page.Epoch != c.epoch
+	if restarted || c.held == nil || len(c.held) > maximumHeld {
 		c.held = map[Part]int{}
 		c.epoch = page.Epoch
 	}
@@ -96,6 +107,7 @@
 		}
 		c.held[event.Part] = event.Tokens
 	}
+	return restarted
 }
 
 func (c *Cache) position() uint64 {
@@ -112,14 +124,25 @@
 	c.current = false
 }
 
-// Watcher watches the caches at several addresses.
-type Watcher struct {
-	source Source
-	log    logrus.FieldLogger
-	// addresses returns where the caches are at present.
-	addresses func() []string
+// Options are what a Watcher works with.
+type Options struct {
+	Source Source
+	// Targets returns the caches to watch at present.
+	Targets func() []Target
+	// Rest lies between two calls to a cache. Events that come meanwhile are kept for
+	// the next call.
+	Rest time.Duration
+	// Observe is told of each page, and whether the cache has started anew since the
+	// page before; nil when nobody asks.
+	Observe func(target Target, page Page, restarted bool)
+	Log     logrus.FieldLogger
+}
 
+// Watcher watches several caches.
+type Watcher struct {
+	options Options
 	mutex   sync.Mutex
+	// watched holds the watches by the caches' names.
 	watched map[string]*watched
 }
 
@@ -130,15 +153,15 @@
 }
 
 // NewWatcher makes a watcher that knows nothing until it runs.
-func NewWatcher(source Source, addresses func() []string, log logrus.FieldLogger) *Watcher {
-	return &Watcher{source: source, addresses: addresses, log: log, watched: map[string]*watched{}}
+func NewWatcher(options Options) *Watcher {
+	return &Watcher{options: options, watched: map[string]*watched{}}
 }
 
-// Cache returns what the cache at an address is believed to hold.
-func (w *Watcher) Cache(address string) *Cache {
+// Cache returns what the cache with a name is believed to hold.
+func (w *Watcher) Cache(name string) *Cache {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
-	if found := w.watched[address]; found != nil {
+	if found := w.watched[name]; found != nil {
 		return found.cache
 	}
 	return &Cache{}
@@ -147,50 +170,54 @@
 // Run watches until the context ends.
 func (w *Watcher) Run(ctx context.Context) error {
 	for ctx.Err() == nil {
-		w.update(ctx, w.addresses())
+		w.update(ctx, w.options.Targets())
 		pause.For(ctx, lookInterval)
 	}
 	return nil
 }
 
-// update begins and ends watches, so that there is one for each address.
-func (w *Watcher) update(ctx context.Context, addresses []string) {
+// update begins and ends watches, so that there is one for each target.
+func (w *Watcher) update(ctx context.Context, targets []Target) {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
-	for address, found := range w.watched {
-		if !slices.Contains(addresses, address) {
+	for name, found := range w.watched {
+		if !slices.ContainsFunc(targets, func(target Target) bool { return target.Name == name }) {
 			found.stop()
-			delete(w.watched, address)
+			delete(w.watched, name)
 		}
 	}
-	for _, address := range addresses {
-		if w.watched[address] != nil {
+	for _, target := range targets {
+		if w.watched[target.Name] != nil {
 			continue
 		}
 		watching, stop := context.WithCancel(ctx)
 		made := &watched{cache: &Cache{}, stop: stop}
-		w.watched[address] = made
-		go w.watch(watching, address, made.cache)
+		w.watched[target.Name] = made
+		go w.watch(watching, target, made.cache)
 	}
 }
 
 // watch follows one cache until the context ends.
-func (w *Watcher) watch(ctx context.Context, address string, cache *Cache) {
+func (w *Watcher) watch(ctx context.Context, target Target, cache *Cache) {
 	for ctx.Err() == nil {
-		w.follow(ctx, address, cache)
+		w.follow(ctx, target, cache)
+		if w.options.Rest > 0 {
+			pause.For(ctx, w.options.Rest)
+		}
 	}
 }
 
-// follow makes one call to the cache at an address.
-func (w *Watcher) follow(ctx context.Context, address string, cache *Cache) {
+// follow makes one call to a cache.
+func (w *Watcher) follow(ctx context.Context, target Target, cache *Cache) {
 	bounded, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	page, err := w.source.Events(bounded, address, cache.position(), holdTime)
+	page, err := w.options.Source.Events(bounded, target.Address, cache.position(), holdTime)
 	_, reached := cache.Tokens(Part{})
+	log := w.options.Log.WithFields(logrus.Fields{"cache": target.Name, "address": target.Address})
 	if err != nil {
 		cache.unreached()
 		if reached {
-			w.log.WithError(err).WithField("address", address).Warn("A prompt cache does not answer.")
+			log.WithError(err).Warn("A prompt cache does not answer.")
 		}
 		if errors.Is(err, ErrTooManyWatchers) {
 			pause.For(ctx, refusedPause)
@@ -199,7 +226,10 @@
 		return
 	}
 	if !reached {
-		w.log.WithField("address", address).Info("A prompt cache answers.")
+		log.Info("A prompt cache answers.")
+	}
+	restarted := cache.take(page)
+	if w.options.Observe != nil {
+		w.options.Observe(target, page, restarted)
 	}
-	cache.take(page)
 }
--- a/internal/core/backendpool/backend.go
+++ b/internal/core/backendpool/backend.go
@@ -71,6 +71,8 @@
 	inFlight int
 	// reading is the work of those whose answer has not begun, in tokens.
 	reading float64
+	// tokens is how long the prompts of the requests under way are together.
+	tokens int
 	// others is what other daemons told of their load here.
 	others Load
 	// failureRate is an exponentially weighted mean of failures.
--- a/internal/core/backendpool/cached.go
+++ b/internal/core/backendpool/cached.go
@@ -82,6 +82,8 @@
 type Source struct {
 	// Holder is a back end, or nil when none will do.
 	Holder *Backend
+	// HeldTokens is how much of the prompt the picked back end has itself.
+	HeldTokens int
 	// HolderTokens and StoredTokens are how much of the prompt the holder and the
 	// store have.
 	HolderTokens, StoredTokens int
@@ -98,6 +100,7 @@
 	}
 	cached := query.cached(version)
 	held := cached.held(picked.key)
+	found.HeldTokens = held
 	for index := range cached {
 		level := &cached[index]
 		if level.Tokens <= held {
--- a/internal/core/backendpool/choice.go
+++ b/internal/core/backendpool/choice.go
@@ -6,7 +6,6 @@
 	"slices"
 	"time"
 
-	"github.com/lotusward/lotusward/internal/core/identity"
 	"github.com/lotusward/lotusward/internal/core/rendezvous"
 )
 
@@ -26,6 +25,7 @@
 	// oldWeightsFactor raises the cost of parts that a back end with older weights
 	// would have to get: it will drop them soon.
 	oldWeightsFactor = 2
+	oldWeightsCost   = 6000
 	// requestCost is what a request under way adds beside the prompt that is read.
 	requestCost = 60
 	// otherZoneCost is the cost of a back end in another zone, for requests without
@@ -54,16 +54,21 @@
 	InFlight float64
 	// Reading is the work of the requests whose answer has not begun, in tokens.
 	Reading float64
+	// Tokens is how long the prompts of all these requests are together.
+	Tokens float64
 }
 
 // Plus adds two loads of one back end.
 func (l Load) Plus(other Load) Load {
-	return Load{Key: other.Key, InFlight: l.InFlight + other.InFlight, Reading: l.Reading + other.Reading}
+	return Load{
+		Key: other.Key, InFlight: l.InFlight + other.InFlight,
+		Reading: l.Reading + other.Reading, Tokens: l.Tokens + other.Tokens,
+	}
 }
 
 // Times scales a load.
 func (l Load) Times(factor float64) Load {
-	return Load{Key: l.Key, InFlight: l.InFlight * factor, Reading: l.Reading * factor}
+	return Load{Key: l.Key, InFlight: l.InFlight * factor, Reading: l.Reading * factor, Tokens: l.Tokens * factor}
 }
 
 // Loads returns what this daemon has under way, for at most a number of back ends,
@@ -76,7 +81,9 @@
 		if found.inFlight == 0 {
 			continue
 		}
-		loads = append(loads, Load{Key: found.key, InFlight: float64(found.inFlight), Reading: found.reading})
+		loads = append(loads, Load{
+			Key: found.key, InFlight: float64(found.inFlight), Reading: found.reading, Tokens: float64(found.tokens),
+		})
 	}
 	slices.SortFunc(loads, func(left, right Load) int { return cmp.Compare(left.Key, right.Key) })
 	return loads[:min(len(loads), most)]
@@ -84,6 +91,7 @@
 
 // SetOthersLoad replaces what all other daemons have under way, by key.
 func (p *Pool) SetOthersLoad(loads map[uint64]Load) {
+	defer p.freed()
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	for _, found := range p.byID {
@@ -157,23 +165,26 @@
 // missingCosts returns the cost of the prompt's shared parts at each candidate.
 func missingCosts(candidates []*entry, query Query) []float64 {
 	home := highestRank(candidates, query.Home)
-	newest := newestVersion(candidates, query.Model)
 	costs := make([]float64, len(candidates))
 	for index, candidate := range candidates {
 		version := candidate.version(query.Model)
 		cached := query.cached(version)
 		costs[index] = missing(candidate, candidate == home && !cached.known(), cached, query.SharedTokens)
-		if version < newest {
-			costs[index] *= oldWeightsFactor
+		if version < query.newest {
+			costs[index] = costs[index]*oldWeightsFactor + oldWeightsCost
 		}
 	}
 	return costs
 }
 
-func newestVersion(candidates []*entry, model identity.ModelName) uint64 {
+// newestVersion is the newest version of the query's model at a sound back end,
+// whether it is busy or not.
+func (p *Pool) newestVersion(now time.Time, query Query) uint64 {
 	newest := uint64(0)
-	for _, candidate := range candidates {
-		newest = max(newest, candidate.version(model))
+	for _, found := range p.services[query.Service] {
+		if !found.ejected(now) && !p.avoided[found.key] && !found.backend.Draining {
+			newest = max(newest, found.version(query.Model))
+		}
 	}
 	return newest
 }
--- a/internal/core/backendpool/pool.go
+++ b/internal/core/backendpool/pool.go
@@ -27,6 +27,10 @@
 	// Cached says where the shared parts are, as made under a version of the
 	// weights; nil knows nothing.
 	Cached func(version uint64) Cached
+	// Limits bound what a back end may have under way to take the request.
+	Limits Limits
+	// newest is the newest version that any back end which would do holds.
+	newest uint64
 }
 
 // Ticket is one request's place at a back end. Release ends it.
@@ -47,6 +51,8 @@
 	pool   *Pool
 	// work is what the request adds to the load until its first byte, in tokens.
 	work float64
+	// tokens is the length of the prompt.
+	tokens int
 	// reading is set until the first byte.
 	reading bool
 }
@@ -65,6 +71,9 @@
 	daemons int
 	// avoided holds hashes of IDs.
 	avoided map[uint64]bool
+	// freed is called, without the mutex, when a request that found all back ends busy
+	// may find one free.
+	freed func()
 }
 
 // New makes an empty pool for a daemon in a zone.
@@ -73,9 +82,14 @@
 		zone:     zone,
 		services: map[identity.ServiceName][]*entry{},
 		byID:     map[identity.BackendID]*entry{},
+		freed:    func() {},
 	}
 }
 
+// OnFreed sets what is called when a request that found all back ends busy may find
+// one free. It must be set before the pool is used, and must not block.
+func (p *Pool) OnFreed(freed func()) { p.freed = freed }
+
 // SetDaemons changes how many daemons choose among the same back ends.
 func (p *Pool) SetDaemons(count int) {
 	p.mutex.Lock()
@@ -165,39 +179,43 @@
 func (p *Pool) Pick(now time.Time, query Query) *Ticket {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	candidates := p.candidates(now, query)
+	candidates, _ := p.candidates(now, query)
 	if len(candidates) == 0 {
 		return nil
 	}
+	query.newest = p.newestVersion(now, query)
 	query = query.remembered()
 	picked, work := p.choose(candidates, query)
 	waiting := picked.waiting()
+	tokens := query.SharedTokens + query.OwnTokens
 	picked.inFlight++
 	picked.reading += work
+	picked.tokens += tokens
 	return &Ticket{
 		Backend: picked.backend, Version: picked.version(query.Model), Source: p.source(now, query, picked),
-		Key: picked.key, Candidates: len(candidates), Waiting: waiting, entry: picked, pool: p, work: work, reading: true,
+		Key: picked.key, Candidates: len(candidates), Waiting: waiting, entry: picked, pool: p, work: work, tokens: tokens, reading: true,
 	}
 }
 
 // candidates returns the back ends that will do, without the doubted and avoided
-// ones unless there are no others.
-func (p *Pool) candidates(now time.Time, query Query) []*entry {
-	var sound, doubted []*entry
+// ones unless there are no others, and how many others are only too busy now.
+func (p *Pool) candidates(now time.Time, query Query) (free []*entry, busy int) {
+	var doubted []*entry
 	for _, found := range p.services[query.Service] {
-		if !allowed(now, found, query) {
-			continue
-		}
-		if found.ejected(now) || p.avoided[found.key] {
+		switch {
+		case !allowed(now, found, query):
+		case found.ejected(now) || p.avoided[found.key]:
 			doubted = append(doubted, found)
-			continue
+		case found.busy(query):
+			busy++
+		default:
+			free = append(free, found)
 		}
-		sound = append(sound, found)
 	}
-	if len(sound) > 0 {
-		return sound
+	if len(free)+busy > 0 {
+		return free, busy
 	}
-	return doubted
+	return doubted, 0
 }
 
 // allowed tells whether a back end may get the request at all.
@@ -214,9 +232,10 @@
 
 // Shortage says why a query found no back end: how many its service has, and how
 // many of them would not do, each counted for the first reason that applies. One
-// whose address has gone to another back end counts as draining.
+// whose address has gone to another back end counts as draining. Busy ones would do
+// once they have less under way.
 type Shortage struct {
-	Listed, Draining, Failed, OldWeights int
+	Listed, Draining, Failed, OldWeights, Busy int
 }
 
 // Shortage tells why a query finds no back end now.
@@ -235,6 +254,7 @@
 			shortage.OldWeights++
 		}
 	}
+	_, shortage.Busy = p.candidates(now, query)
 	return shortage
 }
 
@@ -247,6 +267,7 @@
 
 // Begun notes that the answer's first byte arrived: the prompt was read.
 func (t *Ticket) Begun() {
+	defer t.pool.freed()
 	t.pool.mutex.Lock()
 	defer t.pool.mutex.Unlock()
 	t.endReading()
@@ -278,9 +299,11 @@
 // Release ends the request's place. It returns true when the back end is taken
 // out because of the result.
 func (t *Ticket) Release(now time.Time, result Result) bool {
+	defer t.pool.freed()
 	t.pool.mutex.Lock()
 	defer t.pool.mutex.Unlock()
 	t.entry.inFlight--
+	t.entry.tokens -= t.tokens
 	t.endReading()
 	ejected := t.entry.record(now, result)
 	if ejected {
@@ -310,21 +333,42 @@
 	}
 }
 
+// InFlight is how many requests of all daemons are under way at a back end.
+func (p *Pool) InFlight(id identity.BackendID) float64 {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	found := p.byID[id]
+	if found == nil {
+		return 0
+	}
+	return float64(found.inFlight) + found.others.InFlight
+}
+
 // Holder is a back end with the version of a model's weights that it holds.
 type Holder struct {
 	Backend Backend
 	Version uint64
+	// InFlight is how many requests of all daemons are under way there.
+	InFlight float64
+	// Reading is how much waits there to be read, in tokens.
+	Reading float64
+	// Doubted is set while the back end is taken out.
+	Doubted bool
 }
 
 // Holders returns the back ends that hold a model, those with the oldest version
 // first, without those whose address another one has.
-func (p *Pool) Holders(model identity.ModelName) []Holder {
+func (p *Pool) Holders(now time.Time, model identity.ModelName) []Holder {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	var holders []Holder
 	for _, found := range p.byID {
 		if version := found.version(model); version > 0 && !found.replaced {
-			holders = append(holders, Holder{Backend: found.backend, Version: version})
+			holders = append(holders, Holder{
+				Backend: found.backend, Version: version,
+				InFlight: float64(found.inFlight) + found.others.InFlight,
+				Reading:  found.reading + found.others.Reading, Doubted: found.ejected(now),
+			})
 		}
 	}
 	slices.SortFunc(holders, func(left, right Holder) int {
--- a/internal/core/promptcache/promptcache.go
+++ b/internal/core/promptcache/promptcache.go
@@ -33,6 +33,8 @@
 	largeTokens = 512
 	// retellAfter is after how long it is told again that a back end holds a part.
 	retellAfter = 8 * time.Second
+	// eventTime is how late it is told that a back end has dropped a part.
+	eventTime = 300 * time.Millisecond
 	// readingTime is how long a back end is believed to be about to read a part.
 	readingTime = 3 * time.Second
 )
@@ -50,12 +52,14 @@
 	Backend uint64
 	// Read is set once the back end has read the part.
 	Read bool
+	// Dropped is set when the back end holds the part no longer.
+	Dropped bool
 	// Tokens is how large the part is with all before it. It is not told to others.
 	Tokens int
 }
 
 // ForAll tells whether the fact is worth telling all daemons.
-func (f Fact) ForAll() bool { return f.Tokens >= largeTokens }
+func (f Fact) ForAll() bool { return f.Tokens >= largeTokens || f.Dropped }
 
 type holder struct {
 	backend uint64
@@ -158,6 +162,10 @@
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
 	for _, fact := range facts {
+		if fact.Dropped {
+			m.drop(now, fact)
+			continue
+		}
 		found := m.note(now, fact)
 		if fact.Read {
 			found.holders[0].toldAt = now
@@ -175,6 +183,40 @@
 	return facts
 }
 
+// HasDropped notes that a back end holds a part no longer, and leaves it to be told if
+// the part is known here, since others know it then too.
+func (m *Memory) HasDropped(now time.Time, fact Fact) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	fact.Dropped = true
+	if m.drop(now, fact) && len(m.untold) < maximumUntold {
+		m.untold = append(m.untold, fact)
+	}
+}
+
+// Holds notes that a back end holds a part, which need not be told.
+func (m *Memory) Holds(now time.Time, fact Fact) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	fact.Read = true
+	m.note(now, fact)
+}
+
+// drop forgets that a back end holds a part, unless a request has just brought it
+// there again. It returns true when the back end was known to hold it.
+func (m *Memory) drop(now time.Time, fact Fact) bool {
+	element := m.records[fact.Part]
+	if element == nil {
+		return false
+	}
+	found := element.Value.(*record)
+	before := len(found.holders)
+	found.holders = slices.DeleteFunc(found.holders, func(known holder) bool {
+		return known.backend == fact.Backend && now.Sub(known.at) > eventTime
+	})
+	return len(found.holders) < before
+}
+
 // note makes a back end the newest holder of a part. What it has read once it is
 // believed to hold.
 func (m *Memory) note(now time.Time, fact Fact) *record {
--- a/internal/loadshare/loadshare.go
+++ b/internal/loadshare/loadshare.go
@@ -49,21 +49,25 @@
 	Key      uint64
 	InFlight uint32
 	Reading  uint32
+	Tokens   uint32
 }
 
 type fact struct {
 	Part    promptcache.Key
 	Backend uint64
 	Read    bool
+	Dropped bool
 }
 
 func newMessage(loads []backendpool.Load, facts []promptcache.Fact, doubts []backendpool.Doubt) *message {
 	told := &message{Doubts: doubts}
 	for _, each := range loads {
-		told.Loads = append(told.Loads, load{Key: each.Key, InFlight: uint32(each.InFlight), Reading: uint32(each.Reading)})
+		told.Loads = append(told.Loads, load{
+			Key: each.Key, InFlight: uint32(each.InFlight), Reading: uint32(each.Reading), Tokens: uint32(each.Tokens),
+		})
 	}
 	for _, each := range facts {
-		told.Facts = append(told.Facts, fact{Part: each.Part, Backend: each.Backend, Read: each.Read})
+		told.Facts = append(told.Facts, fact{Part: each.Part, Backend: each.Backend, Read: each.Read, Dropped: each.Dropped})
 	}
 	return told
 }
@@ -71,7 +75,9 @@
 func (m *message) loads() []backendpool.Load {
 	loads := make([]backendpool.Load, len(m.Loads))
 	for index, each := range m.Loads {
-		loads[index] = backendpool.Load{Key: each.Key, InFlight: float64(each.InFlight), Reading: float64(each.Reading)}
+		loads[index] = backendpool.Load{
+			Key: each.Key, InFlight: float64(each.InFlight), Reading: float64(each.Reading), Tokens: float64(each.Tokens),
+		}
 	}
 	return loads
 }
@@ -79,7 +85,7 @@
 func (m *message) facts() []promptcache.Fact {
 	facts := make([]promptcache.Fact, len(m.Facts))
 	for index, each := range m.Facts {
-		facts[index] = promptcache.Fact{Part: each.Part, Backend: each.Backend, Read: each.Read}
+		facts[index] = promptcache.Fact{Part: each.Part, Backend: each.Backend, Read: each.Read, Dropped: each.Dropped}
 	}
 	return facts
 }
--- a/internal/relay/caching.go
+++ b/internal/relay/caching.go
@@ -3,11 +3,8 @@
 import (
 	"slices"
 	"strings"
-	"sync"
 	"time"
 
-	"golang.org/x/time/rate"
-
 	"github.com/lotusward/lotusward/internal/cachewatch"
 	"github.com/lotusward/lotusward/internal/core/backendpool"
 	"github.com/lotusward/lotusward/internal/core/promptcache"
@@ -20,11 +17,15 @@
 	// leastFetchedTokens is how many shared tokens a prompt must have for its cache
 	// to be fetched: fewer are read sooner than a move behind others ends.
 	leastFetchedTokens = 512
-	// saveShare of a store's link is the most for saves of all daemons together: saves hold up
-	// fetches.
-	saveShare = 1.0
-	// saveBurst is for how long of its part a daemon may save at once.
-	saveBurst = 10 * time.Second
+	// saveShare and fetchShare of a store's link are the most for saves and for fetches
+	// of all daemons together: what is asked for beyond the link waits, up to seconds,
+	// while prompts are read in tenths of one.
+	saveShare  = 0.4
+	fetchShare = 0.6
+	// saveBurst and fetchBurst are for how long of its part a daemon may use the link
+	// at once.
+	saveBurst  = 10 * time.Second
+	fetchBurst = time.Second
 )
 
 // level is a prompt up to the end of one of its shared parts.
@@ -58,12 +59,13 @@
 		return nil
 	}
 	store := admitted.state.Table.PromptStore(uint64(levels[0].key))
+	fetchable := store != nil && r.mayFetch(now, admitted, store, levels[0].tokens)
 	known := make(backendpool.Cached, 0, len(levels))
 	for _, shared := range levels {
 		holders := r.options.Memory.Holders(now, shared.key)
 		known = append(known, backendpool.Level{
 			Tokens: shared.tokens, Read: holders.Read, Reading: holders.Reading,
-			Stored: store != nil && r.stored(store, shared, holders),
+			Stored: fetchable && r.stored(store, shared, holders),
 		})
 	}
 	return known
@@ -97,7 +99,7 @@
 	store := admitted.state.Table.PromptStore(uint64(deepest.key))
 	total, _ := promptTokens(admitted.request.Prompt.Parts)
 	if deepest.tokens >= leastFetchedTokens {
-		dispatch.FetchFrom = fetchFrom(ticket, store)
+		dispatch.FetchFrom = r.fetchFrom(now, admitted, ticket, store)
 	}
 	fact := promptcache.Fact{Part: deepest.key, Backend: ticket.Key, Tokens: deepest.tokens}
 	worthSaving := r.options.Memory.Sent(now, fact, deepest.tokens, total)
@@ -109,53 +111,57 @@
 
 // fetchFrom chooses the source of a prompt's cache: whoever has more of it; of equals
 // a back end of the same zone, else the store. A store of which nothing is known is
-// asked too: that costs little, and it may have the first parts.
-func fetchFrom(ticket *backendpool.Ticket, store *routing.PromptStore) string {
+// asked too: that costs little, and it may have the first parts. A store whose link is
+// in use as much as it may be is not asked.
+func (r *Relay) fetchFrom(now time.Time, admitted *admission, ticket *backendpool.Ticket, store *routing.PromptStore) string {
 	source := ticket.Source
 	near := source.Holder != nil && source.Holder.Zone == ticket.Backend.Zone
+	moved := max(source.StoredTokens-source.HeldTokens, 0)
+	fetchable := store != nil && (moved == 0 || r.mayFetch(now, admitted, store, moved))
 	switch {
-	case source.Holder != nil && (store == nil || source.HolderTokens > source.StoredTokens):
+	case source.Holder != nil && (!fetchable || source.HolderTokens > source.StoredTokens):
 		return source.Holder.Address
 	case near && source.HolderTokens == source.StoredTokens:
 		return source.Holder.Address
-	case store != nil:
+	case fetchable:
+		r.links.take(now, r.fetches(admitted, store), moved)
 		return store.Address
 	default:
 		return ""
 	}
 }
 
+// mayFetch tells whether the link of a store has room for a prompt.
+func (r *Relay) mayFetch(now time.Time, admitted *admission, store *routing.PromptStore, tokens int) bool {
+	return r.links.allows(now, r.fetches(admitted, store), tokens)
+}
+
 // maySave takes a save of a prompt from this daemon's part of the store's link.
 func (r *Relay) maySave(now time.Time, admitted *admission, store *routing.PromptStore, tokens int) bool {
-	service := admitted.state.Table.Service(admitted.match.Service)
-	if service == nil || service.Engine == nil || service.Engine.TokenBytes == 0 || store.LinkBitsPerSecond == 0 {
-		return true
+	saves := r.linkUse(admitted, store, useSave, saveShare, saveBurst)
+	if !r.links.allows(now, saves, tokens) {
+		return false
 	}
-	const bitsPerByte = 8
-	tokensPerSecond := store.LinkBitsPerSecond / bitsPerByte / float64(service.Engine.TokenBytes)
-	return r.saves.allow(now, store.Address, saveShare*tokensPerSecond/float64(r.options.Daemons()), tokens)
+	r.links.take(now, saves, tokens)
+	return true
 }
 
-// saveBudgets bounds what is saved to each store. It is safe for use by several
-// goroutines.
-type saveBudgets struct {
-	mutex    sync.Mutex
-	limiters map[string]*rate.Limiter
+// fetches is this daemon's part of a store's link for fetches.
+func (r *Relay) fetches(admitted *admission, store *routing.PromptStore) linkUse {
+	return r.linkUse(admitted, store, useFetch, fetchShare, fetchBurst)
 }
 
-// allow takes tokens from a store's budget, which grows by a number a second.
-func (b *saveBudgets) allow(now time.Time, address string, tokensPerSecond float64, tokens int) bool {
-	b.mutex.Lock()
-	defer b.mutex.Unlock()
-	burst := int(tokensPerSecond * saveBurst.Seconds())
-	limiter := b.limiters[address]
-	if limiter == nil {
-		limiter = rate.NewLimiter(rate.Limit(tokensPerSecond), burst)
-		b.limiters[address] = limiter
+// linkUse is this daemon's part of a share of a store's link.
+func (r *Relay) linkUse(admitted *admission, store *routing.PromptStore, kind useKind, share float64, burst time.Duration) linkUse {
+	use := linkUse{address: store.Address, kind: kind, burst: burst}
+	service := admitted.state.Table.Service(admitted.match.Service)
+	if service == nil || service.Engine == nil || service.Engine.TokenBytes == 0 {
+		return use
 	}
-	limiter.SetLimitAt(now, rate.Limit(tokensPerSecond))
-	limiter.SetBurstAt(now, burst)
-	return limiter.AllowN(now, min(tokens, burst))
+	const bitsPerByte = 8
+	tokensPerSecond := store.LinkBitsPerSecond / bitsPerByte / float64(service.Engine.TokenBytes)
+	use.tokensPerSecond = share * tokensPerSecond / float64(r.options.Daemons())
+	return use
 }
 
 // hasRead notes that a ticket's back end has read a request's shared parts, and
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -4,8 +4,6 @@
 	"context"
 	"time"
 
-	"golang.org/x/time/rate"
-
 	"github.com/lotusward/lotusward/internal/cachewatch"
 	"github.com/lotusward/lotusward/internal/core/backendpool"
 	"github.com/lotusward/lotusward/internal/core/identity"
@@ -15,6 +13,22 @@
 	"github.com/lotusward/lotusward/internal/core/routing"
 )
 
+// What a back end may have under way before requests wait at the daemon.
+const (
+	// readingShare of the target latency is the most that may be read before a request.
+	readingShare = 0.5
+	// usualTokenTime is about how long a back end takes to read a token.
+	usualTokenTime = 25 * time.Microsecond
+	// shortShare of that is how long a prompt is that never waits: it holds nobody up.
+	shortShare = 0.1
+	// promptShare of a back end's memory is the most for prompts under way.
+	promptShare = 0.7
+	// waitShare of its time is the longest that a request waits at the daemon, and
+	// waitTargets its target latency times that.
+	waitShare   = 0.4
+	waitTargets = 2
+)
+
 // Options are what a Relay works with.
 type Options struct {
 	Control  Control
@@ -37,7 +51,8 @@
 // Relay serves requests. It is safe for use by several goroutines.
 type Relay struct {
 	options Options
-	saves   saveBudgets
+	links   *linkBudgets
+	waiting *waitingLists
 }
 
 // New makes a Relay.
@@ -45,7 +60,9 @@
 	if options.Now == nil {
 		options.Now = time.Now
 	}
-	return &Relay{options: options, saves: saveBudgets{limiters: map[string]*rate.Limiter{}}}
+	made := &Relay{options: options, links: newLinkBudgets(), waiting: newWaitingLists()}
+	options.Pool.OnFreed(made.waiting.wakeFirst)
+	return made
 }
 
 // Serve answers one request. The context ends when the caller has left.
@@ -159,9 +176,31 @@
 	total, own := promptTokens(prompt.Parts)
 	query.SharedTokens, query.OwnTokens = total-own, own
 	query.Cached = func(version uint64) backendpool.Cached { return r.cached(admitted, version) }
+	query.Limits = limits(admitted)
 	return query
 }
 
+// limits bound what the back end of a request may have under way.
+func limits(admitted *admission) backendpool.Limits {
+	var bound backendpool.Limits
+	if admitted.request.Prompt == nil {
+		return bound
+	}
+	target := admitted.match.Route.TargetLatency
+	total, _ := promptTokens(admitted.request.Prompt.Parts)
+	reading := readingShare * float64(target) / float64(usualTokenTime)
+	if target > 0 && float64(total) > shortShare*reading {
+		bound.Reading = reading
+	}
+	if bound.Reading == 0 {
+		return bound
+	}
+	if service := admitted.state.Table.Service(admitted.match.Service); service != nil && service.Engine != nil {
+		bound.Tokens = promptShare * float64(service.Engine.CapacityTokens)
+	}
+	return bound
+}
+
 // beginBy is until when a request may begin on a version of a model's weights. It
 // is taken from the present state, which may be newer than the request's own.
 func (r *Relay) beginBy(model identity.ModelName, version uint64) time.Time {
@@ -183,13 +222,21 @@
 	return max(rendezvous.Key(shared), 1)
 }
 
+// priority is the rank of an admitted request; 0 goes first.
+func (a *admission) priority() int {
+	if a.tenant != nil && a.tenant.Priority != nil {
+		return *a.tenant.Priority
+	}
+	return a.match.Route.Priority
+}
+
 // dispatch describes the sending of an admitted request to a ticket's back end.
 func (r *Relay) dispatch(admitted *admission, ticket *backendpool.Ticket, resumeAfter string) *Dispatch {
 	dispatch := &Dispatch{
 		Request:     admitted.request,
 		Backend:     ticket.Backend.ID,
 		Address:     ticket.Backend.Address,
-		Priority:    admitted.match.Route.Priority,
+		Priority:    admitted.priority(),
 		ResumeAfter: resumeAfter,
 	}
 	if !admitted.deadline.IsZero() {
@@ -197,9 +244,6 @@
 	}
 	if tenant := admitted.tenant; tenant != nil {
 		dispatch.Tenant = tenant.Name
-		if tenant.Priority != nil {
-			dispatch.Priority = *tenant.Priority
-		}
 	}
 	if admitted.request.Prompt != nil {
 		r.describeCache(admitted, ticket, dispatch)
--- a/internal/relay/run.go
+++ b/internal/relay/run.go
@@ -79,11 +79,9 @@
 func (r *run) serve(ctx context.Context) {
 	var last failure
 	for {
-		query := r.relay.query(r.admitted, r.excluded)
-		ticket := r.relay.options.Pool.Pick(r.now(), query)
+		ticket := r.pick(ctx)
 		if ticket == nil {
-			r.shortage = r.relay.options.Pool.Shortage(r.now(), query)
-			r.giveUp(ctx, last, "no_backend")
+			r.giveUp(ctx, last, r.shortageReason(ctx))
 			return
 		}
 		var next step
@@ -101,6 +99,65 @@
 
 func (r *run) now() time.Time { return r.relay.options.Now() }
 
+// pick takes a place at a back end. Where all that would do are busy, the request
+// waits for one, for as long as waiting may be worth it.
+func (r *run) pick(ctx context.Context) *backendpool.Ticket {
+	lists, service, priority := r.relay.waiting, r.admitted.match.Service, r.admitted.priority()
+	unlimited := limits(r.admitted) == (backendpool.Limits{})
+	if unlimited || lists.goesBefore(service, priority) {
+		if ticket := r.tryPick(); ticket != nil || r.shortage.Busy == 0 {
+			return ticket
+		}
+	}
+	waiting := lists.enter(service, priority, r.admitted.request.ArrivedAt)
+	defer lists.leave(service, waiting)
+	until := r.waitUntil()
+	for left := until.Sub(r.now()); left > 0 && ctx.Err() == nil; left = until.Sub(r.now()) {
+		waiting.await(ctx, left)
+		if !lists.isFirst(service, waiting) {
+			continue
+		}
+		if ticket := r.tryPick(); ticket != nil || r.shortage.Busy == 0 {
+			return ticket
+		}
+	}
+	return nil
+}
+
+// tryPick takes a place at a back end, or notes why there is none.
+func (r *run) tryPick() *backendpool.Ticket {
+	query := r.relay.query(r.admitted, r.excluded)
+	ticket := r.relay.options.Pool.Pick(r.now(), query)
+	if ticket == nil {
+		r.shortage = r.relay.options.Pool.Shortage(r.now(), query)
+	}
+	return ticket
+}
+
+// waitUntil is how long the request waits for a busy back end.
+func (r *run) waitUntil() time.Time {
+	arrived, longest := r.admitted.request.ArrivedAt, time.Duration(0)
+	if target := r.admitted.match.Route.TargetLatency; target > 0 {
+		longest = waitTargets * target
+	}
+	if deadline := r.admitted.deadline; !deadline.IsZero() {
+		longest = min(longest, time.Duration(waitShare*float64(deadline.Sub(arrived))))
+	}
+	return arrived.Add(longest)
+}
+
+// shortageReason names why there is no back end for the request.
+func (r *run) shortageReason(ctx context.Context) string {
+	switch {
+	case ctx.Err() != nil:
+		return reasonOf(ctx, "")
+	case r.shortage.Busy > 0:
+		return "busy"
+	default:
+		return "no_backend"
+	}
+}
+
 // send makes one sending and ends the ticket.
 func (r *run) send(ctx context.Context, ticket *backendpool.Ticket) (step, failure) {
 	started := r.now()
--- a/internal/rollout/keeper.go
+++ b/internal/rollout/keeper.go
@@ -1,6 +1,7 @@
 package rollout
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"sync"
@@ -43,8 +44,12 @@
 	// token and since are of the present grant.
 	token identity.FencingToken
 	since time.Time
-	// working are the back ends that an own goroutine is busy with.
-	working map[identity.BackendID]bool
+	// working are the back ends that an own goroutine is busy with: they get no new
+	// requests. Of these, loading counts those that are ordered to load now, and
+	// mostLoading is how many may be.
+	working     map[identity.BackendID]bool
+	loading     int
+	mostLoading int
 	// passedOver are back ends that get no order before a time.
 	passedOver map[identity.BackendID]time.Time
 	// changed is set when the plan has to be written.
@@ -130,16 +135,20 @@
 
 // start begins the work on the next back ends that are behind.
 func (k *Keeper) start(ctx context.Context, model identity.ModelName, version uint64) {
-	holders := k.options.Pool.Holders(model)
+	now := time.Now()
+	holders := k.options.Pool.Holders(now, model)
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
-	room := k.parallel(time.Now(), model, version, holders) - len(k.working)
+	pace := k.pace(now, model, version, holders)
+	k.mostLoading = pace.loading
+	room := pace.out - len(k.working)
+	slices.SortStableFunc(holders, func(left, right backendpool.Holder) int { return cmp.Compare(left.InFlight, right.InFlight) })
 	for _, holder := range holders {
 		if room <= 0 {
 			return
 		}
 		id := holder.Backend.ID
-		if holder.Version >= version || holder.Backend.Draining || k.working[id] || k.isPassedOver(id) {
+		if holder.Version >= version || holder.Backend.Draining || holder.Doubted || k.working[id] || k.isPassedOver(id) {
 			continue
 		}
 		room--
@@ -157,8 +166,11 @@
 	bounded, cancel := context.WithTimeout(ctx, orderTime)
 	defer cancel()
 	began := time.Now()
-	pause.For(bounded, spreadTime)
-	version := k.load(bounded, backend, model, token)
+	version := uint64(0)
+	if k.answers(bounded, backend) {
+		k.awaitDrained(bounded, backend.ID)
+		version = k.loadInTurn(bounded, backend, model, token)
+	}
 	took := time.Since(began)
 	if version > 0 {
 		k.options.Pool.LearnVersion(backend.ID, model, version)
@@ -182,6 +194,56 @@
 	k.announcer.changed = true
 }
 
+// answers tells whether a back end answers at all, once the other daemons may have
+// heard of the plan. One that doesn't is passed over for a while.
+func (k *Keeper) answers(ctx context.Context, backend backendpool.Backend) bool {
+	pause.For(ctx, spreadTime)
+	_, err := k.report(ctx, backend)
+	if err != nil {
+		k.passOver(backend.ID)
+	}
+	return err == nil
+}
+
+// awaitDrained waits until no request is under way at a back end, but not for long:
+// the back end itself ends what is under way before it loads.
+func (k *Keeper) awaitDrained(ctx context.Context, id identity.BackendID) {
+	bounded, cancel := context.WithTimeout(ctx, drainTime)
+	defer cancel()
+	for bounded.Err() == nil && k.options.Pool.InFlight(id) > 0 {
+		pause.For(bounded, drainCheckInterval)
+	}
+}
+
+// loadInTurn loads as soon as one more back end may load. It returns as load does.
+func (k *Keeper) loadInTurn(ctx context.Context, backend backendpool.Backend, model identity.ModelName, token identity.FencingToken) uint64 {
+	for !k.mayLoad() {
+		pause.For(ctx, drainCheckInterval)
+		if ctx.Err() != nil {
+			return 0
+		}
+	}
+	defer k.endLoad()
+	return k.load(ctx, backend, model, token)
+}
+
+func (k *Keeper) endLoad() {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	k.loading--
+}
+
+// mayLoad counts one more back end as loading, if there may be one.
+func (k *Keeper) mayLoad() bool {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	if k.loading >= k.mostLoading {
+		return false
+	}
+	k.loading++
+	return true
+}
+
 // note remembers what a back end holds, in place of what it held.
 func (p *Plan) note(loaded Loaded) {
 	p.Loaded = slices.DeleteFunc(p.Loaded, func(older Loaded) bool {
@@ -193,11 +255,16 @@
 // load orders until the back end holds the newest version. It returns the
 // version that it holds, or zero when that is not known.
 func (k *Keeper) load(ctx context.Context, backend backendpool.Backend, model identity.ModelName, token identity.FencingToken) uint64 {
+	unanswered := 0
 	for ctx.Err() == nil {
 		version := k.options.Named.Targets()[model]
 		report, err := k.report(ctx, backend)
 		switch {
+		case err != nil && unanswered >= toleratedSilence:
+			k.passOver(backend.ID)
+			return 0
 		case err != nil:
+			unanswered++
 			pause.For(ctx, reportInterval)
 			continue
 		case report.Versions[model] >= version:
@@ -251,7 +318,7 @@
 }
 
 func (k *Keeper) report(ctx context.Context, backend backendpool.Backend) (Report, error) {
-	bounded, cancel := context.WithTimeout(ctx, callTimeout)
+	bounded, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
 	return k.options.Orders.Report(bounded, backend)
 }
--- a/internal/rollout/pace.go
+++ b/internal/rollout/pace.go
@@ -24,26 +24,50 @@
 	k.passedOver[id] = time.Now().Add(passOverTime)
 }
 
-// parallel is how many back ends may load at a time: few, so that the others hold
-// up, but as many as it takes to be done before those with the oldest weights may no
-// longer begin requests. The caller holds the mutex.
-func (k *Keeper) parallel(now time.Time, model identity.ModelName, version uint64, holders []backendpool.Holder) int {
-	least := max((len(holders)+loadShare-1)/loadShare, 1)
-	most := max((len(holders)+hastyShare-1)/hastyShare, 1)
-	behind := 0
+// pace is how many back ends are brought to new weights at a time.
+type pace struct {
+	// loading is how many load, and out how many get no new requests since they load or
+	// are about to: what is under way at those ends while the others load.
+	loading, out int
+}
+
+// pace is slow, so that the others hold up, but fast enough to be done before those
+// with the oldest weights may no longer begin requests. Back ends that may not any more
+// are no loss. The caller holds the mutex.
+func (k *Keeper) pace(now time.Time, model identity.ModelName, version uint64, holders []backendpool.Holder) pace {
+	sound, reading := 0, 0.0
 	for _, holder := range holders {
-		if holder.Version < version && !holder.Backend.Draining {
-			behind++
+		if !holder.Doubted && !holder.Backend.Draining {
+			sound++
+			reading += holder.Reading
 		}
 	}
-	if behind == 0 || k.options.DueBy == nil {
-		return least
+	share := func(divisor int) int { return max((sound+divisor/2)/divisor, 1) }
+	usual := pace{loading: share(loadShare), out: share(loadShare)}
+	if reading < calmReading*float64(sound) {
+		usual.out = share(outShare)
 	}
-	due := k.options.DueBy(model, holders[0].Version)
-	if due.IsZero() {
-		return least
+	if k.options.DueBy == nil {
+		return usual
+	}
+	behind, useless := 0, 0
+	least := time.Duration(math.MaxInt64)
+	for _, holder := range holders {
+		if holder.Version >= version || holder.Backend.Draining || holder.Doubted {
+			continue
+		}
+		behind++
+		due := k.options.DueBy(model, holder.Version)
+		if due.IsZero() {
+			continue
+		}
+		least = min(least, due.Sub(now))
+		if due.Sub(now) < k.loadTime/2 {
+			useless++
+		}
 	}
-	left := max(time.Duration(usedShare*float64(due.Sub(now))), k.loadTime/2)
+	left := max(time.Duration(usedShare*float64(least)), k.loadTime/2)
 	needed := int(math.Ceil(float64(behind) * float64(k.loadTime) / float64(left)))
-	return min(max(needed, least), most)
+	loading := min(max(needed, usual.loading), share(hastyShare))
+	return pace{loading: loading, out: max(usual.out, loading, useless)}
 }
--- a/internal/rollout/plan.go
+++ b/internal/rollout/plan.go
@@ -145,7 +145,9 @@
 	tickInterval   = 60 * time.Millisecond
 	reportInterval = 150 * time.Millisecond
 	callTimeout    = 700 * time.Millisecond
-	planTimeout    = 400 * time.Millisecond
+	// reportTimeout bounds a call for a report, which takes no place at the back end.
+	reportTimeout = 400 * time.Millisecond
+	planTimeout   = 400 * time.Millisecond
 	// writeInterval is how often the plan's row is written where it is announced too.
 	writeInterval = time.Second
 	// spreadTime is how long the other daemons may take to follow a plan.
@@ -157,13 +159,27 @@
 	orderTimeout = 300 * time.Millisecond
 	// settleTime is about how old a report may be.
 	settleTime = 250 * time.Millisecond
-	// passOverTime is how long a back end gets no order after another one answered at
-	// its address: its row may still be listed, and must not keep the others waiting.
+	// toleratedSilence is how many calls in a row a back end may leave unanswered before
+	// its order.
+	toleratedSilence = 1
+	// passOverTime is how long a back end gets no order after it did not answer, or
+	// another one did at its address: its row may still be listed, and must not keep the
+	// others waiting.
 	passOverTime = 2 * time.Second
 	// loadShare is one over the share of a model's back ends that load at a time
 	// without haste, and hastyShare over the largest.
-	loadShare  = 5
+	loadShare  = 6
 	hastyShare = 4
+	// outShare is one over the share of a model's back ends that get no new requests
+	// since they load or are about to.
+	outShare = 3
+	// calmReading is up to how much waits to be read at a back end in the mean, in
+	// tokens, while the others can do without those that are about to load.
+	calmReading = 2000
+	// drainTime is how long it is waited for the requests under way at a back end, and
+	// drainCheckInterval how often it is looked.
+	drainTime          = time.Second
+	drainCheckInterval = 20 * time.Millisecond
 	// expectedLoadTime is how long a back end takes before any has been seen to.
 	expectedLoadTime = 1500 * time.Millisecond
 	// loadTimeWeight is the weight of the newest in the mean time that a load takes.
