Let the lease keep orders of two holders apart, with shorter waits

Now a holder orders only within half of the lease after a renewal, the row says whether it orders at all (one that was idle needs no wait), and the next one waits only for what is missing. The rule moved from the roll-out into core/lease, where a property holds it: TestActsOfHoldersLieApart. The row now says that its holder is still waiting. TestNewHolderWaitsAfterAnother now checks that no order comes before the lease allows any.

--- a/cmd/lotusward-platform/wire.go
+++ b/cmd/lotusward-platform/wire.go
@@ -47,6 +47,9 @@
 	// leaseShare of the time that must lie between two holders' orders: a new holder
 	// waits for that time anyway, so the lease itself may be shorter.
 	leaseShare = 0.7
+	// actShare of the lease's duration is how long after a renewal orders may be given. A
+	// renewal is due after a third.
+	actShare = 0.5
 	// maximumDrift bounds how much steady clocks differ in rate.
 	maximumDrift = 0.02
 	retryAfter   = 250 * time.Millisecond
@@ -163,13 +166,15 @@
 		Settings: lease.Settings{
 			Key: rollout.KeyLease, Holder: w.settings.NodeName, Incarnation: identity.Incarnation(rand.Uint64()),
 			SoleIncarnation: true, // a machine runs one process of a role
-			Duration:        time.Duration(leaseShare * float64(platform.Milliseconds(bounds.LeaseMs))),
+			Duration:        leaseDuration(bounds),
 			MaximumDrift:    maximumDrift,
+			ActWithin:       time.Duration(actShare * float64(leaseDuration(bounds))),
+			Rest:            rest(bounds),
 		},
 	})
 	w.rollout = rollout.New(rollout.Options{
 		Holder: w.settings.NodeName, Lease: w.keeper, Table: w.store, Pool: w.backends, Named: w.directory,
-		Orders: w.runners, Quiet: quiet(bounds), Log: w.part("rollout"),
+		Orders: w.runners, Log: w.part("rollout"),
 		DueBy:    w.dueBy,
 		Announce: func(announced rollout.Announcement) { w.broadcast.Tell(peerlink.KindPlan, &announced) },
 	})
@@ -215,15 +220,20 @@
 	return max(named-versionMargin, named/2)
 }
 
-// quiet is how long a new holder of the roll-out waits. Where back ends check
-// fencing tokens, orders of the holder before it cannot interleave with its own.
-func quiet(bounds platform.Bounds) time.Duration {
+// rest is the time that must lie between orders of two holders. Where back ends check
+// fencing tokens, orders of an earlier holder do no harm.
+func rest(bounds platform.Bounds) time.Duration {
 	if bounds.FencingRequired {
 		return 0
 	}
 	return platform.Milliseconds(bounds.LeaseMs)
 }
 
+// leaseDuration is how long a grant of the roll-out's lease lasts.
+func leaseDuration(bounds platform.Bounds) time.Duration {
+	return time.Duration(leaseShare * float64(platform.Milliseconds(bounds.LeaseMs)))
+}
+
 func policy(bounds platform.Bounds) relay.Policy {
 	share := func(share float64, milliseconds int) time.Duration {
 		return time.Duration(share * float64(platform.Milliseconds(milliseconds)))
--- /dev/null
+++ b/internal/core/lease/acting_test.go
@@ -0,0 +1,75 @@
+package lease
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/lotusward/lotusward/internal/core/identity"
+)
+
+const (
+	testActWithin = testDuration / 2
+	// testRest must lie between acts of different daemons.
+	testRest = testDuration * 14 / 10
+)
+
+// TestActsOfHoldersLieApart lets holders with clocks of different rates act under
+// pauses, cuts, restarts, releases and outages: between acts of two daemons there is
+// always a time, whether the one before lapsed, released or had been idle.
+func TestActsOfHoldersLieApart(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld(t)
+		for _, one := range w.participants {
+			one.machine.settings.ActWithin, one.machine.settings.Rest = testActWithin, testRest
+		}
+		var lastActor identity.DaemonID
+		lastAct := time.Duration(0)
+		eager := true
+		step := func(t *rapid.T, fates []fate) {
+			w.round(t, fates)
+			for index, one := range w.participants {
+				now := w.now(one)
+				if fates[index] == paused {
+					continue
+				}
+				one.machine.SetActing(now, eager)
+				if !eager || !one.machine.Grant().MayActAt(now) {
+					continue
+				}
+				name := one.machine.settings.Holder
+				if lastActor != "" && lastActor != name {
+					assert.Assert(t, w.elapsed-lastAct >= testRest, "acts of %s and %s lie %s apart", lastActor, name, w.elapsed-lastAct)
+				}
+				lastActor, lastAct = name, w.elapsed
+			}
+			w.elapsed += testDuration / 25
+		}
+		run := func(t *rapid.T, fates []fate, count int) {
+			for range count {
+				step(t, fates)
+			}
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"run":   func(t *rapid.T) { run(t, make([]fate, holders), rapid.IntRange(1, 40).Draw(t, "count")) },
+			"fates": func(t *rapid.T) { run(t, drawFates(t), rapid.IntRange(1, 60).Draw(t, "count")) },
+			"isolate": func(t *rapid.T) {
+				run(t, w.isolateHolder(fate(rapid.IntRange(1, int(fateCount)-1).Draw(t, "fate"))), 60)
+			},
+			"restart": func(t *rapid.T) {
+				one := w.participants[rapid.IntRange(0, holders-1).Draw(t, "participant")]
+				w.restart(one)
+				one.machine.settings.ActWithin, one.machine.settings.Rest = testActWithin, testRest
+			},
+			"want": func(t *rapid.T) {
+				one := w.participants[rapid.IntRange(0, holders-1).Draw(t, "participant")]
+				one.machine.Want(rapid.IntRange(0, 2).Draw(t, "want") > 0)
+			},
+			"idle":   func(*rapid.T) { eager = !eager },
+			"outage": func(*rapid.T) { w.outage = !w.outage },
+			"":       func(*rapid.T) {},
+		})
+	})
+}
--- a/internal/core/lease/machine.go
+++ b/internal/core/lease/machine.go
@@ -29,7 +29,12 @@
 	settings Settings
 	// wanted is false while the daemon doesn't want the lease.
 	wanted bool
-	grant  Grant
+	// acting is set while the holder wants to act, and wantedAt is when it last did.
+	acting   bool
+	wantedAt time.Time
+	// actFrom is when a new holder may act for the first time.
+	actFrom time.Time
+	grant   Grant
 	// renewAt is when the grant is to be renewed.
 	renewAt time.Time
 
@@ -74,6 +79,18 @@
 	m.wanted = wanted
 }
 
+// SetActing says whether the holder wants to act. It may from the next commit on, and
+// no longer once it doesn't want to.
+func (m *Machine) SetActing(now time.Time, acting bool) {
+	if m.acting {
+		m.wantedAt = now
+	}
+	m.acting = acting
+	if !acting {
+		m.grant.ActUntil = time.Time{}
+	}
+}
+
 // Settled tells whether a daemon that doesn't want the lease has nothing left to
 // release.
 func (m *Machine) Settled() bool {
@@ -101,7 +118,7 @@
 		return m.renew(now)
 	}
 	if m.free(now) {
-		return m.commit(now, m.newRecord(m.highestToken+1))
+		return m.takeOver(now)
 	}
 	if !now.Before(m.pollAt) {
 		return m.read(now)
@@ -127,13 +144,39 @@
 		m.record.Holder == m.settings.Holder && m.record.Incarnation == m.settings.Incarnation
 }
 
+// takeOver starts a commit that makes this daemon the holder.
+func (m *Machine) takeOver(now time.Time) Action {
+	m.actFrom = now.Add(m.wait())
+	return m.commit(now, m.newRecord(now, m.highestToken+1))
+}
+
+// wait is how long a new holder must not act because of the one before it. An earlier
+// life of this daemon acted as this daemon, but may have been waiting itself.
+func (m *Machine) wait() time.Duration {
+	own := m.record.Holder == m.settings.Holder
+	switch {
+	case m.version == 0, !m.record.Acting, own && !m.record.Waiting:
+		return 0
+	case m.record.Released, own:
+		return m.settings.rest()
+	default:
+		return m.settings.restAfterLapse()
+	}
+}
+
 // newRecord returns the record of a grant to this daemon.
-func (m *Machine) newRecord(token identity.FencingToken) Record {
+func (m *Machine) newRecord(now time.Time, token identity.FencingToken) Record {
+	waiting := now.Before(m.actFrom)
+	lately := !m.wantedAt.IsZero() && now.Sub(m.wantedAt) < m.settings.rest()
+	// What an earlier life or a holder before did counts for as long.
+	inherited := !m.actFrom.IsZero() && now.Sub(m.actFrom) < m.settings.rest()
 	return Record{
 		Holder:      m.settings.Holder,
 		Incarnation: m.settings.Incarnation,
 		Token:       token,
 		Duration:    m.settings.Duration,
+		Acting:      m.acting || lately || waiting || inherited,
+		Waiting:     waiting,
 	}
 }
 
@@ -146,10 +189,10 @@
 
 // renew starts a renewal when it is due.
 func (m *Machine) renew(now time.Time) Action {
-	if now.Before(m.renewAt) {
+	if now.Before(m.renewAt) && (m.record.Acting || !m.acting) {
 		return nil
 	}
-	return m.commit(now, m.newRecord(m.grant.Token))
+	return m.commit(now, m.newRecord(now, m.grant.Token))
 }
 
 // release starts a release when the row names this daemon.
@@ -157,7 +200,7 @@
 	if !m.heldByUs() {
 		return nil
 	}
-	released := m.record
+	released := m.newRecord(now, m.record.Token)
 	released.Released = true
 	return m.commit(now, released)
 }
@@ -227,7 +270,10 @@
 		return
 	}
 	// The time of sending counts: others may have seen the row any time since.
-	m.grant = Grant{Token: m.record.Token, Until: m.sentAt.Add(m.settings.usable())}
+	m.grant = Grant{Token: m.record.Token, Until: m.sentAt.Add(m.settings.usable()), ActFrom: m.actFrom}
+	if m.record.Acting && m.acting {
+		m.grant.ActUntil = m.sentAt.Add(m.settings.actWithin())
+	}
 	m.renewAt = m.sentAt.Add(m.settings.Duration / renewFraction)
 }
 
--- a/internal/core/lease/record.go
+++ b/internal/core/lease/record.go
@@ -18,6 +18,11 @@
 	// Duration is how long others wait after they first saw this version of the
 	// row, in nanoseconds.
 	Duration time.Duration `json:"duration"`
+	// Acting means that the holder may act, or that it or one before it may have acted so
+	// lately that the next one must wait.
+	Acting bool `json:"acting,omitempty"`
+	// Waiting means that the holder still waits because of the one before it.
+	Waiting bool `json:"waiting,omitempty"`
 	// Released means that nobody holds the lease and nobody has to wait.
 	Released bool `json:"released,omitempty"`
 }
--- a/internal/core/lease/settings.go
+++ b/internal/core/lease/settings.go
@@ -32,11 +32,37 @@
 	// MaximumDrift bounds by how much any daemon's clock runs too fast or too
 	// slow, as a fraction. A holder gives up twice that fraction of the duration.
 	MaximumDrift float64
+	// ActWithin is how long after a confirmed commit was sent the holder may act. Others
+	// wait for the whole duration before they take over, so that the shorter this is,
+	// the longer ago the last act was then. Zero is as long as the grant lasts.
+	ActWithin time.Duration
+	// Rest must lie between acts of different holders. Zero asks for no such time.
+	Rest time.Duration
 }
 
 // RetryInterval is the pause after a failed call, and how often Tick is due.
 func (s Settings) RetryInterval() time.Duration { return s.Duration / retryFraction }
 
+// actWithin is how long after a commit was sent the holder may act.
+func (s Settings) actWithin() time.Duration {
+	if s.ActWithin == 0 {
+		return s.usable()
+	}
+	return min(s.ActWithin, s.usable())
+}
+
+// rest is Rest by a clock that may run too fast, while the other one's runs too slow.
+func (s Settings) rest() time.Duration {
+	return time.Duration((1 + 2*s.MaximumDrift) * float64(s.Rest))
+}
+
+// restAfterLapse is what is left of the rest when a lease has just lapsed. Others count
+// the whole duration, but the holder acted in ActWithin of it at the most.
+func (s Settings) restAfterLapse() time.Duration {
+	passed := s.usable() - s.actWithin()
+	return max(s.rest()-passed, 0)
+}
+
 // usable is how long a holder relies on a confirmed commit.
 func (s Settings) usable() time.Duration {
 	return s.Duration - time.Duration(2*s.MaximumDrift*float64(s.Duration))
@@ -61,6 +87,13 @@
 	// Until is when the grant lapses, by the holder's own monotonic clock. The
 	// zero time is no grant.
 	Until time.Time
+	// ActFrom and ActUntil bound when the holder may act. The row says that it may.
+	ActFrom, ActUntil time.Time
+}
+
+// MayActAt tells whether the holder may act.
+func (g Grant) MayActAt(now time.Time) bool {
+	return g.ValidAt(now) && !now.Before(g.ActFrom) && now.Before(g.ActUntil)
 }
 
 // ValidAt tells whether the grant still holds.
--- a/internal/daemon/leasekeeper/keeper.go
+++ b/internal/daemon/leasekeeper/keeper.go
@@ -46,6 +46,9 @@
 	options Options
 	machine *lease.Machine
 	grant   atomic.Pointer[lease.Grant]
+	acting  atomic.Bool
+	// wake has a value when the row is to say at once that the holder acts.
+	wake chan struct{}
 }
 
 // New makes a keeper that holds nothing until it runs.
@@ -56,7 +59,7 @@
 	if options.Now == nil {
 		options.Now = time.Now
 	}
-	keeper := &Keeper{options: options, machine: lease.New(options.Settings)}
+	keeper := &Keeper{options: options, machine: lease.New(options.Settings), wake: make(chan struct{}, 1)}
 	keeper.grant.Store(&lease.Grant{})
 	return keeper
 }
@@ -69,6 +72,25 @@
 	return grant.Token, grant.ValidAt(k.options.Now())
 }
 
+// MayAct returns the fencing token and true while the holder may act: the row says so
+// and was written lately enough, and the holder before has not acted for long enough. It
+// is safe for any goroutine.
+func (k *Keeper) MayAct() (identity.FencingToken, bool) {
+	grant := k.grant.Load()
+	return grant.Token, grant.MayActAt(k.options.Now())
+}
+
+// SetActing says whether the holder wants to act. It is safe for any goroutine.
+func (k *Keeper) SetActing(acting bool) {
+	if k.acting.Swap(acting) || !acting {
+		return
+	}
+	select {
+	case k.wake <- struct{}{}:
+	default:
+	}
+}
+
 // Run tries for the lease until the context ends, and then releases it. It
 // always returns nil.
 func (k *Keeper) Run(ctx context.Context) error {
@@ -80,9 +102,11 @@
 			k.release()
 			return nil
 		case <-ticker.C:
-			k.machine.Want(k.options.Eligible())
-			k.step(ctx)
+		case <-k.wake:
 		}
+		k.machine.Want(k.options.Eligible())
+		k.machine.SetActing(k.options.Now(), k.acting.Load())
+		k.step(ctx)
 	}
 }
 
--- a/internal/rollout/keeper.go
+++ b/internal/rollout/keeper.go
@@ -23,9 +23,6 @@
 	Pool   *backendpool.Pool
 	Named  Named
 	Orders Orders
-	// Quiet is how long a new holder waits before its first order, so that its
-	// orders and those of the holder before it never interleave.
-	Quiet time.Duration
 	// Announce tells the other daemons of the plan at once; nil when there are none.
 	// It must not block.
 	Announce func(Announcement)
@@ -41,9 +38,8 @@
 
 	mutex sync.Mutex
 	plan  Plan
-	// token and since are of the present grant.
+	// token is of the present grant.
 	token identity.FencingToken
-	since time.Time
 	// working are the back ends that an own goroutine is busy with: they get no new
 	// requests. Of these, loading counts those that are ordered to load now, and
 	// mostLoading is how many may be.
@@ -89,8 +85,10 @@
 	if !k.mayOrder(now) {
 		return
 	}
-	for model, version := range k.options.Named.Targets() {
-		k.start(ctx, model, version)
+	if _, may := k.options.Lease.MayAct(); may {
+		for model, version := range k.options.Named.Targets() {
+			k.start(ctx, model, version)
+		}
 	}
 	k.announce(now)
 	k.writePlan(ctx, now)
@@ -106,7 +104,7 @@
 	}
 }
 
-// mayOrder tells whether the lease is held and the time after it was taken is over.
+// mayOrder tells whether the lease is held and allows orders.
 func (k *Keeper) mayOrder(now time.Time) bool {
 	token, held := k.options.Lease.Held()
 	k.mutex.Lock()
@@ -117,20 +115,28 @@
 	}
 	if token != k.token {
 		k.token = token
-		k.since = now
 		k.plan = Plan{Token: token}
 		k.planKnown = false
 		k.changed = true
 	}
-	return now.Sub(k.since) >= k.quiet()
+	k.options.Lease.SetActing(k.hasWork(now))
+	_, may := k.options.Lease.MayAct()
+	return may || len(k.working) > 0
 }
 
-// quiet is zero for the first holder ever: nobody gave orders before it.
-func (k *Keeper) quiet() time.Duration {
-	if k.token <= 1 {
-		return 0
+// hasWork tells whether orders are to be given. The caller holds the mutex.
+func (k *Keeper) hasWork(now time.Time) bool {
+	if len(k.working) > 0 {
+		return true
 	}
-	return k.options.Quiet
+	for model, version := range k.options.Named.Targets() {
+		for _, holder := range k.options.Pool.Holders(now, model) {
+			if holder.Version < version && !holder.Backend.Draining && !holder.Doubted {
+				return true
+			}
+		}
+	}
+	return false
 }
 
 // start begins the work on the next back ends that are behind.
@@ -323,10 +329,25 @@
 	return k.options.Orders.Report(bounded, backend)
 }
 
+// mayGive waits for a moment until an order under a token may be given. It returns
+// false if it may not.
+func (k *Keeper) mayGive(token identity.FencingToken) bool {
+	until := time.Now().Add(actWait)
+	for {
+		held, may := k.options.Lease.MayAct()
+		if held != token || (!may && time.Now().After(until)) {
+			return false
+		}
+		if may {
+			return true
+		}
+		time.Sleep(drainCheckInterval)
+	}
+}
+
 // order gives one order if the lease is still held under the same token.
 func (k *Keeper) order(ctx context.Context, order Order) (Reply, error) {
-	token, held := k.options.Lease.Held()
-	if !held || token != order.Token {
+	if !k.mayGive(order.Token) {
 		return ReplyFenced, nil
 	}
 	bounded, cancel := context.WithTimeout(ctx, orderTimeout)
--- a/internal/rollout/plan.go
+++ b/internal/rollout/plan.go
@@ -138,6 +138,10 @@
 type Lease interface {
 	// Held returns the fencing token and true while the lease is held.
 	Held() (identity.FencingToken, bool)
+	// SetActing says whether orders are to be given, and MayAct returns the fencing token
+	// and true while they may be.
+	SetActing(acting bool)
+	MayAct() (identity.FencingToken, bool)
 }
 
 // Times of a roll-out.
@@ -157,6 +161,8 @@
 	// orderTimeout bounds the wait for the answer to an order. An order that got none
 	// is given again with the same expected count, so that waiting longer gains nothing.
 	orderTimeout = 300 * time.Millisecond
+	// actWait is how long an order waits for the lease's row to say that orders are given.
+	actWait = time.Second
 	// settleTime is about how old a report may be.
 	settleTime = 250 * time.Millisecond
 	// toleratedSilence is how many calls in a row a back end may leave unanswered before
--- a/internal/rollout/rollout_test.go
+++ b/internal/rollout/rollout_test.go
@@ -198,22 +198,45 @@
 	return []directory.Seen{{Model: "m", Version: n.version.Load(), StoreClock: time.Second}}
 }
 
-// grantedLease is a lease that tests give and take.
-type grantedLease struct{ token atomic.Uint64 }
+// grantedLease is a lease that tests give and take. Where it must rest, orders may be
+// given only that long after it was asked for them first.
+type grantedLease struct {
+	token atomic.Uint64
+	rest  time.Duration
+	asked atomic.Pointer[time.Time]
+}
 
 func (l *grantedLease) Held() (identity.FencingToken, bool) {
 	token := l.token.Load()
 	return identity.FencingToken(token), token > 0
 }
 
+// SetActing implements Lease.
+func (l *grantedLease) SetActing(acting bool) {
+	now := time.Now()
+	if acting {
+		l.asked.CompareAndSwap(nil, &now)
+	}
+}
+
+// MayAct implements Lease.
+func (l *grantedLease) MayAct() (identity.FencingToken, bool) {
+	token, held := l.Held()
+	asked := l.asked.Load()
+	return token, held && asked != nil && time.Since(*asked) >= l.rest
+}
+
 // keep starts a Keeper that holds a lease under a token.
 func keep(t *testing.T, engines *fakeEngines, table port.TableService, named Named, holder string, token uint64) (*Keeper, *grantedLease) {
 	t.Helper()
 	lease := &grantedLease{}
+	if token > 1 {
+		lease.rest = 300 * time.Millisecond
+	}
 	lease.token.Store(token)
 	keeper := New(Options{
 		Holder: identity.DaemonID(holder), Lease: lease, Table: table, Pool: engines.pool(), Named: named,
-		Orders: engines, Quiet: 300 * time.Millisecond, Log: logging.Discard(),
+		Orders: engines, Log: logging.Discard(),
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
@@ -301,7 +324,7 @@
 	assert.Assert(t, len(engines.holders) <= given+2, "%d orders after the lease was lost", len(engines.holders)-given)
 }
 
-// TestNewHolderWaitsAfterAnother gives no order before the quiet time is over.
+// TestNewHolderWaitsAfterAnother gives no order before the lease allows any.
 func TestNewHolderWaitsAfterAnother(t *testing.T) {
 	engines, named := newEngines(3), &namedVersion{}
 	named.version.Store(2)
