--- a/internal/core/lease/acting_test.go
+++ b/internal/core/lease/acting_test.go
@@ -35,7 +35,7 @@
 				if fates[index] == paused {
 					continue
 				}
-				one.machine.SetActing(now, eager)
+				one.machine.SetActing(eager)
 				if !eager || !one.machine.Grant().MayActAt(now) {
 					continue
 				}
@@ -44,6 +44,7 @@
 					assert.Assert(t, w.elapsed-lastAct >= testRest, "acts of %s and %s lie %s apart", lastActor, name, w.elapsed-lastAct)
 				}
 				lastActor, lastAct = name, w.elapsed
+				one.machine.Acted(now)
 			}
 			w.elapsed += testDuration / 25
 		}
--- a/internal/core/lease/machine.go
+++ b/internal/core/lease/machine.go
@@ -29,12 +29,14 @@
 	settings Settings
 	// wanted is false while the daemon doesn't want the lease.
 	wanted bool
-	// acting is set while the holder wants to act, and wantedAt is when it last did.
-	acting   bool
-	wantedAt time.Time
-	// actFrom is when a new holder may act for the first time.
-	actFrom time.Time
-	grant   Grant
+	// acting is set while the holder wants to act, and actedAt is when it last did.
+	acting  bool
+	actedAt time.Time
+	// actFrom is when a new holder may act for the first time, and inherits is set when
+	// one before it may have acted lately.
+	actFrom  time.Time
+	inherits bool
+	grant    Grant
 	// renewAt is when the grant is to be renewed.
 	renewAt time.Time
 
@@ -81,16 +83,20 @@
 
 // SetActing says whether the holder wants to act. It may from the next commit on, and
 // no longer once it doesn't want to.
-func (m *Machine) SetActing(now time.Time, acting bool) {
-	if m.acting {
-		m.wantedAt = now
-	}
+func (m *Machine) SetActing(acting bool) {
 	m.acting = acting
 	if !acting {
 		m.grant.ActUntil = time.Time{}
 	}
 }
 
+// Acted notes when the holder last acted. It must be told before the row is released.
+func (m *Machine) Acted(at time.Time) {
+	if at.After(m.actedAt) {
+		m.actedAt = at
+	}
+}
+
 // Settled tells whether a daemon that doesn't want the lease has nothing left to
 // release.
 func (m *Machine) Settled() bool {
@@ -147,6 +153,7 @@
 // takeOver starts a commit that makes this daemon the holder.
 func (m *Machine) takeOver(now time.Time) Action {
 	m.actFrom = now.Add(m.wait())
+	m.inherits = m.record.Acting
 	return m.commit(now, m.newRecord(now, m.highestToken+1))
 }
 
@@ -157,7 +164,9 @@
 	switch {
 	case m.version == 0, !m.record.Acting, own && !m.record.Waiting:
 		return 0
-	case m.record.Released, own:
+	case m.record.Released:
+		return min(m.record.RestLeft+m.settings.margin(), m.settings.rest())
+	case own:
 		return m.settings.rest()
 	default:
 		return m.settings.restAfterLapse()
@@ -166,18 +175,27 @@
 
 // newRecord returns the record of a grant to this daemon.
 func (m *Machine) newRecord(now time.Time, token identity.FencingToken) Record {
-	waiting := now.Before(m.actFrom)
-	lately := !m.wantedAt.IsZero() && now.Sub(m.wantedAt) < m.settings.rest()
-	// What an earlier life or a holder before did counts for as long.
-	inherited := !m.actFrom.IsZero() && now.Sub(m.actFrom) < m.settings.rest()
 	return Record{
 		Holder:      m.settings.Holder,
 		Incarnation: m.settings.Incarnation,
 		Token:       token,
 		Duration:    m.settings.Duration,
-		Acting:      m.acting || lately || waiting || inherited,
-		Waiting:     waiting,
+		Acting:      m.acting || m.restLeft(now) > 0,
+		Waiting:     now.Before(m.actFrom),
+	}
+}
+
+// restLeft is how long a new holder would have to wait after the last act, of this one
+// or of one before it.
+func (m *Machine) restLeft(now time.Time) time.Duration {
+	left := time.Duration(0)
+	if !m.actedAt.IsZero() {
+		left = m.settings.rest() - now.Sub(m.actedAt)
+	}
+	if m.inherits {
+		left = max(left, m.settings.rest()-now.Sub(m.actFrom))
 	}
+	return max(left, 0)
 }
 
 // read starts a read of the row.
@@ -202,6 +220,8 @@
 	}
 	released := m.newRecord(now, m.record.Token)
 	released.Released = true
+	released.RestLeft = m.restLeft(now)
+	released.Acting = released.RestLeft > 0
 	return m.commit(now, released)
 }
 
--- a/internal/core/lease/settings.go
+++ b/internal/core/lease/settings.go
@@ -52,9 +52,10 @@
 }
 
 // rest is Rest by a clock that may run too fast, while the other one's runs too slow.
-func (s Settings) rest() time.Duration {
-	return time.Duration((1 + 2*s.MaximumDrift) * float64(s.Rest))
-}
+func (s Settings) rest() time.Duration { return s.Rest + s.margin() }
+
+// margin covers clocks of different rates over the rest.
+func (s Settings) margin() time.Duration { return time.Duration(2 * s.MaximumDrift * float64(s.Rest)) }
 
 // restAfterLapse is what is left of the rest when a lease has just lapsed. Others count
 // the whole duration, but the holder acted in ActWithin of it at the most.
--- a/internal/daemon/leasekeeper/keeper.go
+++ b/internal/daemon/leasekeeper/keeper.go
@@ -47,6 +47,7 @@
 	machine *lease.Machine
 	grant   atomic.Pointer[lease.Grant]
 	acting  atomic.Bool
+	actedAt atomic.Pointer[time.Time]
 	// wake has a value when the row is to say at once that the holder acts.
 	wake chan struct{}
 }
@@ -80,6 +81,18 @@
 	return grant.Token, grant.MayActAt(k.options.Now())
 }
 
+// TryAct is as MayAct, for a caller that acts at once: a next holder waits because of it.
+func (k *Keeper) TryAct() (identity.FencingToken, bool) {
+	token, may := k.MayAct()
+	if !may {
+		return token, false
+	}
+	now := k.options.Now()
+	k.actedAt.Store(&now)
+	// The lease may have been released before the act was noted.
+	return k.MayAct()
+}
+
 // SetActing says whether the holder wants to act. It is safe for any goroutine.
 func (k *Keeper) SetActing(acting bool) {
 	if k.acting.Swap(acting) || !acting {
@@ -105,7 +118,7 @@
 		case <-k.wake:
 		}
 		k.machine.Want(k.options.Eligible())
-		k.machine.SetActing(k.options.Now(), k.acting.Load())
+		k.machine.SetActing(k.acting.Load())
 		k.step(ctx)
 	}
 }
@@ -129,6 +142,9 @@
 func (k *Keeper) step(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, k.options.Settings.Duration/callFraction)
 	defer cancel()
+	if acted := k.actedAt.Load(); acted != nil {
+		k.machine.Acted(*acted)
+	}
 	var err error
 	switch action := k.machine.Tick(k.options.Now()).(type) {
 	case nil:
--- a/internal/rollout/keeper.go
+++ b/internal/rollout/keeper.go
@@ -82,7 +82,7 @@
 
 // tick starts the work on back ends that are behind, as many as may load at a time.
 func (k *Keeper) tick(ctx context.Context, now time.Time) {
-	if !k.mayOrder(now) {
+	if !k.holds(now) {
 		return
 	}
 	if _, may := k.options.Lease.MayAct(); may {
@@ -104,8 +104,9 @@
 	}
 }
 
-// mayOrder tells whether the lease is held and allows orders.
-func (k *Keeper) mayOrder(now time.Time) bool {
+// holds tells whether the lease is held, and tells the lease whether orders are to be
+// given. A holder without work announces its plan too, so that nobody reads the row.
+func (k *Keeper) holds(now time.Time) bool {
 	token, held := k.options.Lease.Held()
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
@@ -120,8 +121,7 @@
 		k.changed = true
 	}
 	k.options.Lease.SetActing(k.hasWork(now))
-	_, may := k.options.Lease.MayAct()
-	return may || len(k.working) > 0
+	return true
 }
 
 // hasWork tells whether orders are to be given. The caller holds the mutex.
@@ -334,7 +334,7 @@
 func (k *Keeper) mayGive(token identity.FencingToken) bool {
 	until := time.Now().Add(actWait)
 	for {
-		held, may := k.options.Lease.MayAct()
+		held, may := k.options.Lease.TryAct()
 		if held != token || (!may && time.Now().After(until)) {
 			return false
 		}
--- a/internal/rollout/plan.go
+++ b/internal/rollout/plan.go
@@ -139,9 +139,10 @@
 	// Held returns the fencing token and true while the lease is held.
 	Held() (identity.FencingToken, bool)
 	// SetActing says whether orders are to be given, and MayAct returns the fencing token
-	// and true while they may be.
+	// and true while they may be. TryAct is as MayAct, just before an order is given.
 	SetActing(acting bool)
 	MayAct() (identity.FencingToken, bool)
+	TryAct() (identity.FencingToken, bool)
 }
 
 // Times of a roll-out.
--- a/internal/rollout/rollout_test.go
+++ b/internal/rollout/rollout_test.go
@@ -226,6 +226,9 @@
 	return token, held && asked != nil && time.Since(*asked) >= l.rest
 }
 
+// TryAct implements Lease.
+func (l *grantedLease) TryAct() (identity.FencingToken, bool) { return l.MayAct() }
+
 // keep starts a Keeper that holds a lease under a token.
 func keep(t *testing.T, engines *fakeEngines, table port.TableService, named Named, holder string, token uint64) (*Keeper, *grantedLease) {
 	t.Helper()
