Begin on the newest weights while a back end with them has little to do

Hypothesis: with a fixed cost of 6,000 tokens prompts stay at back ends that hold their shared parts under replaced weights, since reading those anew costs 7,560. Now the newest weights are taken while a back end that has them has under 3,000 tokens under way; the cost decides beyond that.

--- a/internal/core/backendpool/choice.go
+++ b/internal/core/backendpool/choice.go
@@ -26,6 +26,8 @@
 	// would have to get: it will drop them soon.
 	oldWeightsFactor = 2
 	oldWeightsCost   = 6000
+	// idleWaiting is up to how much work is under way at a back end that has little.
+	idleWaiting = 3000
 	// requestCost is what a request under way adds beside the prompt that is read.
 	requestCost = 60
 	// otherZoneCost is the cost of a back end in another zone, for requests without
@@ -106,7 +108,23 @@
 	if query.Model == "" {
 		return p.chooseLeastLoaded(sampled), 0
 	}
-	return chooseSoonest(withKnown(sampled, candidates, query), query)
+	considered := withKnown(sampled, candidates, query)
+	if newest := idleNewest(considered, query); len(newest) > 0 {
+		considered = newest
+	}
+	return chooseSoonest(considered, query)
+}
+
+// idleNewest returns the candidates with the newest weights that have little under way:
+// while there are any, no request need begin on older ones.
+func idleNewest(candidates []*entry, query Query) []*entry {
+	var found []*entry
+	for _, candidate := range candidates {
+		if candidate.version(query.Model) == query.newest && candidate.waiting() <= idleWaiting {
+			found = append(found, candidate)
+		}
+	}
+	return found
 }
 
 // sample returns some of the candidates, the fewer the more daemons there are.
