--- a/internal/core/backendpool/choice.go
+++ b/internal/core/backendpool/choice.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/lotusward/lotusward/internal/core/identity"
 	"github.com/lotusward/lotusward/internal/core/rendezvous"
 )
 
@@ -25,9 +26,10 @@
 	// oldWeightsFactor raises the cost of parts that a back end with older weights
 	// would have to get: it will drop them soon.
 	oldWeightsFactor = 2
-	oldWeightsCost   = 6000
-	// idleWaiting is up to how much work is under way at a back end that has little.
-	idleWaiting = 3000
+	// calmWaiting is up to how much work is under way at the back ends in the mean while
+	// requests begin on the newest weights alone. Beyond it there is no time to read all
+	// prompts anew as soon as a version is named.
+	calmWaiting = 3000
 	// requestCost is what a request under way adds beside the prompt that is read.
 	requestCost = 60
 	// otherZoneCost is the cost of a back end in another zone, for requests without
@@ -109,18 +111,27 @@
 		return p.chooseLeastLoaded(sampled), 0
 	}
 	considered := withKnown(sampled, candidates, query)
-	if newest := idleNewest(considered, query); len(newest) > 0 {
+	if newest := withVersion(considered, query.Model, query.newest); len(newest) > 0 && calm(considered) {
 		considered = newest
 	}
 	return chooseSoonest(considered, query)
 }
 
-// idleNewest returns the candidates with the newest weights that have little under way:
-// while there are any, no request need begin on older ones.
-func idleNewest(candidates []*entry, query Query) []*entry {
+// calm tells whether little waits at back ends in the mean, so that they have time to
+// read prompts anew.
+func calm(candidates []*entry) bool {
+	total := 0.0
+	for _, candidate := range candidates {
+		total += candidate.waiting()
+	}
+	return total <= calmWaiting*float64(len(candidates))
+}
+
+// withVersion returns the candidates that hold a version of a model.
+func withVersion(candidates []*entry, model identity.ModelName, version uint64) []*entry {
 	var found []*entry
 	for _, candidate := range candidates {
-		if candidate.version(query.Model) == query.newest && candidate.waiting() <= idleWaiting {
+		if candidate.version(model) == version {
 			found = append(found, candidate)
 		}
 	}
@@ -189,7 +200,7 @@
 		cached := query.cached(version)
 		costs[index] = missing(candidate, candidate == home && !cached.known(), cached, query.SharedTokens)
 		if version < query.newest {
-			costs[index] = costs[index]*oldWeightsFactor + oldWeightsCost
+			costs[index] = costs[index] * oldWeightsFactor
 		}
 	}
 	return costs
--- a/internal/core/backendpool/pool.go
+++ b/internal/core/backendpool/pool.go
@@ -198,24 +198,31 @@
 }
 
 // candidates returns the back ends that will do, without the doubted and avoided
-// ones unless there are no others, and how many others are only too busy now.
-func (p *Pool) candidates(now time.Time, query Query) (free []*entry, busy int) {
-	var doubted []*entry
-	for _, found := range p.services[query.Service] {
+// ones unless there are no others. While all of them are busy it returns none, and how
+// many they are. As long as one is not, all are weighed: it may be dearer to read a
+// prompt anew there than to wait where it is held.
+func (p *Pool) candidates(now time.Time, query Query) (found []*entry, busy int) {
+	var sound, doubted []*entry
+	for _, candidate := range p.services[query.Service] {
 		switch {
-		case !allowed(now, found, query):
-		case found.ejected(now) || p.avoided[found.key]:
-			doubted = append(doubted, found)
-		case found.busy(query):
-			busy++
+		case !allowed(now, candidate, query):
+		case candidate.ejected(now) || p.avoided[candidate.key]:
+			doubted = append(doubted, candidate)
 		default:
-			free = append(free, found)
+			sound = append(sound, candidate)
+			if candidate.busy(query) {
+				busy++
+			}
 		}
 	}
-	if len(free)+busy > 0 {
-		return free, busy
+	switch {
+	case len(sound) == 0:
+		return doubted, 0
+	case busy == len(sound):
+		return nil, busy
+	default:
+		return sound, 0
 	}
-	return doubted, 0
 }
 
 // allowed tells whether a back end may get the request at all.
--- a/internal/core/promptcache/promptcache.go
+++ b/internal/core/promptcache/promptcache.go
@@ -59,7 +59,7 @@
 }
 
 // ForAll tells whether the fact is worth telling all daemons.
-func (f Fact) ForAll() bool { return f.Tokens >= largeTokens || f.Dropped }
+func (f Fact) ForAll() bool { return f.Tokens >= largeTokens && !f.Dropped }
 
 type holder struct {
 	backend uint64
--- a/internal/relay/caching.go
+++ b/internal/relay/caching.go
@@ -20,12 +20,12 @@
 	// saveShare and fetchShare of a store's link are the most for saves and for fetches
 	// of all daemons together: what is asked for beyond the link waits, up to seconds,
 	// while prompts are read in tenths of one.
-	saveShare  = 0.4
-	fetchShare = 0.6
+	saveShare  = 0.5
+	fetchShare = 0.9
 	// saveBurst and fetchBurst are for how long of its part a daemon may use the link
 	// at once.
 	saveBurst  = 10 * time.Second
-	fetchBurst = time.Second
+	fetchBurst = 2 * time.Second
 )
 
 // level is a prompt up to the end of one of its shared parts.
