Test both sides of the choice between old and new weights, and waiting for busy back ends

TestOldVersionKeepsItsPrompts asked that a prompt stays with its holder under replaced weights at any load. TestBusyBackEndsAreWaitedFor is new.

--- a/internal/core/backendpool/pool_test.go
+++ b/internal/core/backendpool/pool_test.go
@@ -177,31 +177,63 @@
 }
 
 // TestOldVersionKeepsItsPrompts sends a prompt to the back end that holds it under
-// the old version of the weights while one with the new version doesn't.
+// the old version of the weights while much waits everywhere, though one with the new
+// version doesn't hold it. While little waits all prompts go to the newest weights.
 func TestOldVersionKeepsItsPrompts(t *testing.T) {
 	pool := New("a")
 	list := engines(2)
 	list[1].Weights["m"] = 2
 	pool.Update(list)
-	old := pool.byID["engine-0"].key
+	old, renewed := pool.byID["engine-0"].key, pool.byID["engine-1"].key
 	query := Query{Service: "llm", Model: "m", SharedTokens: 5000, OwnTokens: 500, Cached: func(version uint64) Cached {
 		if version == 1 {
 			return Cached{{Tokens: 5000, Read: []uint64{old}}}
 		}
 		return Cached{}
 	}}
-	for home := range uint64(8) {
-		query.Home = home + 1
+	picked := func(home uint64) *Ticket {
+		query.Home = home
 		ticket := pool.Pick(start, query)
+		ticket.Release(start, ResultServed)
+		return ticket
+	}
+	for home := range uint64(8) {
+		assert.Equal(t, picked(home+1).Backend.ID, identity.BackendID("engine-1"))
+	}
+	waiting := Load{Reading: 2 * calmWaiting}
+	pool.SetOthersLoad(map[uint64]Load{old: waiting, renewed: waiting})
+	for home := range uint64(8) {
 		// The home of an unread prompt counts as holding it; the old holder must win
 		// or be that home's equal, so the new back end is only taken as the home.
-		if ticket.Backend.ID == "engine-1" {
+		if ticket := picked(home + 1); ticket.Backend.ID == "engine-1" {
 			assert.Assert(t, ticket.entry.rank(query.Home) > pool.byID["engine-0"].rank(query.Home))
 		}
-		ticket.Release(start, ResultServed)
 	}
 }
 
+// TestBusyBackEndsAreWaitedFor takes no back end while all have more under way than the
+// query allows, weighs all as soon as one has less, and never holds up a short prompt.
+func TestBusyBackEndsAreWaitedFor(t *testing.T) {
+	pool := New("a")
+	pool.Update(engines(2))
+	first, second := pool.byID["engine-0"].key, pool.byID["engine-1"].key
+	query := Query{
+		Service: "llm", Model: "m", Home: 1, SharedTokens: 5000, OwnTokens: 500, Limits: Limits{Reading: 4000, Tokens: 20000},
+		Cached: func(uint64) Cached { return Cached{{Tokens: 5000, Read: []uint64{first}}} },
+	}
+	pool.SetOthersLoad(map[uint64]Load{first: {Reading: 4500}, second: {Reading: 20000}})
+	assert.Assert(t, pool.Pick(start, query) == nil)
+	assert.Equal(t, pool.Shortage(start, query).Busy, 2)
+	pool.SetOthersLoad(map[uint64]Load{first: {Reading: 3000, Tokens: 15000}, second: {Reading: 20000}})
+	assert.Assert(t, pool.Pick(start, query) == nil, "the prompts under way leave no room")
+	pool.SetOthersLoad(map[uint64]Load{first: {Reading: 4500}, second: {Reading: 3900}})
+	ticket := pool.Pick(start, query)
+	assert.Equal(t, ticket.Backend.ID, identity.BackendID("engine-0"), "the busy holder is cheaper")
+	pool.SetOthersLoad(map[uint64]Load{first: {Reading: 90000}, second: {Reading: 90000}})
+	query.Limits = Limits{}
+	assert.Assert(t, pool.Pick(start, query) != nil)
+}
+
 // TestWaitCountsAgainstTheBound sends to a back end with old weights only while a
 // request would begin there in time, however slow it is.
 func TestWaitCountsAgainstTheBound(t *testing.T) {
