--- a/internal/core/backendpool/choice.go
+++ b/internal/core/backendpool/choice.go
@@ -93,11 +93,13 @@
 	return loads[:min(len(loads), most)]
 }
 
-// SetOthersLoad replaces what all other daemons have under way, by key.
-func (p *Pool) SetOthersLoad(loads map[uint64]Load) {
+// SetOthersLoad replaces what all other daemons have under way, by key. Where that is
+// scaled up from what some of them tell, it is not whole.
+func (p *Pool) SetOthersLoad(loads map[uint64]Load, whole bool) {
 	defer p.freed()
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
+	p.othersWhole = whole
 	for _, found := range p.byID {
 		found.others = loads[found.key]
 	}
--- a/internal/core/backendpool/pool.go
+++ b/internal/core/backendpool/pool.go
@@ -69,6 +69,9 @@
 	updates uint64
 	// daemons is how many daemons choose among the same back ends.
 	daemons int
+	// othersWhole is set while the loads of all other daemons are known. Guessed ones
+	// are good enough to compare back ends, but not to let requests wait for them.
+	othersWhole bool
 	// avoided holds hashes of IDs.
 	avoided map[uint64]bool
 	// freed is called, without the mutex, when a request that found all back ends busy
@@ -210,7 +213,7 @@
 			doubted = append(doubted, candidate)
 		default:
 			sound = append(sound, candidate)
-			if candidate.busy(query) {
+			if p.othersWhole && candidate.busy(query) {
 				busy++
 			}
 		}
--- a/internal/core/backendpool/pool_test.go
+++ b/internal/core/backendpool/pool_test.go
@@ -153,12 +153,12 @@
 	home := pool.Pick(start, query)
 	home.Release(start, ResultServed)
 	query.Cached = func(uint64) Cached { return Cached{{Tokens: 1000, Read: []uint64{home.Key}}} }
-	pool.SetOthersLoad(map[uint64]Load{home.entry.key: {Key: home.entry.key, InFlight: 2, Reading: 9000}})
+	pool.SetOthersLoad(map[uint64]Load{home.entry.key: {Key: home.entry.key, InFlight: 2, Reading: 9000}}, true)
 	elsewhere := pool.Pick(start, query)
 	elsewhere.Release(start, ResultServed)
 	assert.Assert(t, elsewhere.Backend.ID != home.Backend.ID)
 	assert.Equal(t, elsewhere.Source.Holder.Address, home.Backend.Address)
-	pool.SetOthersLoad(nil)
+	pool.SetOthersLoad(nil, true)
 	back := pool.Pick(start, query)
 	assert.Equal(t, back.Backend.ID, home.Backend.ID)
 }
@@ -201,7 +201,7 @@
 		assert.Equal(t, picked(home+1).Backend.ID, identity.BackendID("engine-1"))
 	}
 	waiting := Load{Reading: 2 * calmWaiting}
-	pool.SetOthersLoad(map[uint64]Load{old: waiting, renewed: waiting})
+	pool.SetOthersLoad(map[uint64]Load{old: waiting, renewed: waiting}, true)
 	for home := range uint64(8) {
 		// The home of an unread prompt counts as holding it; the old holder must win
 		// or be that home's equal, so the new back end is only taken as the home.
@@ -221,17 +221,21 @@
 		Service: "llm", Model: "m", Home: 1, SharedTokens: 5000, OwnTokens: 500, Limits: Limits{Reading: 4000, Tokens: 20000},
 		Cached: func(uint64) Cached { return Cached{{Tokens: 5000, Read: []uint64{first}}} },
 	}
-	pool.SetOthersLoad(map[uint64]Load{first: {Reading: 4500}, second: {Reading: 20000}})
+	pool.SetOthersLoad(map[uint64]Load{first: {Reading: 4500}, second: {Reading: 20000}}, true)
 	assert.Assert(t, pool.Pick(start, query) == nil)
 	assert.Equal(t, pool.Shortage(start, query).Busy, 2)
-	pool.SetOthersLoad(map[uint64]Load{first: {Reading: 3000, Tokens: 15000}, second: {Reading: 20000}})
+	pool.SetOthersLoad(map[uint64]Load{first: {Reading: 3000, Tokens: 15000}, second: {Reading: 20000}}, true)
 	assert.Assert(t, pool.Pick(start, query) == nil, "the prompts under way leave no room")
-	pool.SetOthersLoad(map[uint64]Load{first: {Reading: 4500}, second: {Reading: 3900}})
+	pool.SetOthersLoad(map[uint64]Load{first: {Reading: 4500}, second: {Reading: 3900}}, true)
 	ticket := pool.Pick(start, query)
 	assert.Equal(t, ticket.Backend.ID, identity.BackendID("engine-0"), "the busy holder is cheaper")
-	pool.SetOthersLoad(map[uint64]Load{first: {Reading: 90000}, second: {Reading: 90000}})
+	pool.SetOthersLoad(map[uint64]Load{first: {Reading: 90000}, second: {Reading: 90000}}, true)
 	query.Limits = Limits{}
 	assert.Assert(t, pool.Pick(start, query) != nil)
+	query.Limits = Limits{Reading: 4000}
+	assert.Assert(t, pool.Pick(start, query) == nil)
+	pool.SetOthersLoad(map[uint64]Load{first: {Reading: 90000}, second: {Reading: 90000}}, false)
+	assert.Assert(t, pool.Pick(start, query) != nil, "nothing waits because of a guess")
 }
 
 // TestWaitCountsAgainstTheBound sends to a back end with old weights only while a
@@ -244,7 +248,7 @@
 	assert.Assert(t, pool.Pick(start.Add(800*time.Millisecond), query) == nil)
 	first := pool.Pick(start, query)
 	assert.Assert(t, first != nil)
-	pool.SetOthersLoad(map[uint64]Load{first.Key: {Key: first.Key, Reading: 20000}})
+	pool.SetOthersLoad(map[uint64]Load{first.Key: {Key: first.Key, Reading: 20000}}, true)
 	assert.Assert(t, pool.Pick(start, query) == nil)
 }
 
--- a/internal/core/promptcache/promptcache_test.go
+++ b/internal/core/promptcache/promptcache_test.go
@@ -73,3 +73,26 @@
 		}
 	})
 }
+
+// TestDroppedPartsAreForgotten forgets that a back end holds what it told to have
+// dropped, tells others, and passes over drops of before a request that brought the part
+// there again.
+func TestDroppedPartsAreForgotten(t *testing.T) {
+	memory, now := New(), time.Now()
+	fact := Fact{Part: 7, Backend: 3, Tokens: 900}
+	memory.HasRead(now, fact)
+	memory.Untold()
+	memory.HasDropped(now.Add(eventTime/2), fact)
+	assert.Equal(t, len(memory.Holders(now, 7).Read), 1, "the drop was before the request")
+	memory.HasDropped(now.Add(2*eventTime), fact)
+	assert.Equal(t, len(memory.Holders(now, 7).Read), 0)
+	told := memory.Untold()
+	assert.Equal(t, len(told), 1)
+	assert.Assert(t, told[0].Dropped)
+	other := New()
+	other.HasRead(now, fact)
+	other.Heard(now.Add(2*eventTime), told)
+	assert.Equal(t, len(other.Holders(now, 7).Read), 0)
+	memory.HasDropped(now.Add(3*eventTime), fact)
+	assert.Equal(t, len(memory.Untold()), 0, "what is not known needs no telling")
+}
--- a/internal/loadshare/loadshare.go
+++ b/internal/loadshare/loadshare.go
@@ -178,8 +178,9 @@
 	s.heard[from] = heardLoads{at: now, loads: got.loads()}
 }
 
-// merge adds up what was heard lately, scaled up to all other daemons.
-func (s *Sharer) merge(now time.Time) map[uint64]backendpool.Load {
+// merge adds up what was heard lately, scaled up to all other daemons. It returns true
+// when all of them tell theirs, so that nothing had to be scaled.
+func (s *Sharer) merge(now time.Time) (map[uint64]backendpool.Load, bool) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	merged := map[uint64]backendpool.Load{}
@@ -194,11 +195,11 @@
 	}
 	others := len(s.options.Others())
 	if others <= maximumTargets || len(s.heard) == 0 {
-		return merged
+		return merged, others <= maximumTargets
 	}
 	scale := max(float64(others)/float64(len(s.heard)), 1)
 	for key, load := range merged {
 		merged[key] = load.Times(scale)
 	}
-	return merged
+	return merged, false
 }
--- a/internal/loadshare/loadshare_test.go
+++ b/internal/loadshare/loadshare_test.go
@@ -92,8 +92,9 @@
 		sharer.heard[name] = heardLoads{at: now, loads: []backendpool.Load{{Key: 1, InFlight: 3, Reading: 10}}}
 	}
 	sharer.heard["old"] = heardLoads{at: now.Add(-2 * forgetAfter), loads: []backendpool.Load{{Key: 1, InFlight: 99}}}
-	merged := sharer.merge(now)
+	merged, whole := sharer.merge(now)
 	assert.Equal(t, merged[1], backendpool.Load{Key: 1, InFlight: 3 * 4 * maximumTargets, Reading: 10 * 4 * maximumTargets})
+	assert.Assert(t, !whole)
 }
 
 // TestDoubtsReachOthers takes a back end out everywhere once one daemon finds another
--- a/internal/relay/caching.go
+++ b/internal/relay/caching.go
@@ -20,7 +20,7 @@
 	// saveShare and fetchShare of a store's link are the most for saves and for fetches
 	// of all daemons together: what is asked for beyond the link waits, up to seconds,
 	// while prompts are read in tenths of one.
-	saveShare  = 0.5
+	saveShare  = 1.0
 	fetchShare = 0.9
 	// saveBurst and fetchBurst are for how long of its part a daemon may use the link
 	// at once.
--- /dev/null
+++ b/internal/relay/waiting_test.go
@@ -0,0 +1,77 @@
+package relay
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+// TestMostUrgentGoesFirst lets requests enter and leave lists in any order: the first of
+// a service is always the most urgent, and of equals the oldest, and it is told when the
+// one before it leaves.
+func TestMostUrgentGoesFirst(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		lists := newWaitingLists()
+		var entered []*waiter
+		start := time.Now()
+		for range rapid.IntRange(1, 40).Draw(t, "steps") {
+			if len(entered) > 0 && rapid.Bool().Draw(t, "leave") {
+				at := rapid.IntRange(0, len(entered)-1).Draw(t, "who")
+				left := entered[at]
+				entered = slices.Delete(entered, at, at+1)
+				for _, other := range entered {
+					select {
+					case <-other.turn:
+					default:
+					}
+				}
+				lists.leave("s", left)
+				if len(entered) > 0 {
+					assert.Equal(t, len(expectedFirst(entered).turn), 1, "the first is told to look")
+				}
+			} else {
+				arrived := start.Add(time.Duration(rapid.IntRange(0, 5).Draw(t, "arrived")) * time.Second)
+				entered = append(entered, lists.enter("s", rapid.IntRange(0, 2).Draw(t, "priority"), arrived))
+			}
+			if len(entered) == 0 {
+				assert.Assert(t, lists.goesBefore("s", 9))
+				continue
+			}
+			first := expectedFirst(entered)
+			assert.Assert(t, lists.isFirst("s", first))
+			assert.Equal(t, lists.goesBefore("s", first.priority), false)
+			assert.Equal(t, lists.goesBefore("s", first.priority-1), true)
+			assert.Assert(t, lists.goesBefore("other", 9))
+		}
+	})
+}
+
+// expectedFirst is the oracle: who goes first, by a plain search.
+func expectedFirst(entered []*waiter) *waiter {
+	first := entered[0]
+	for _, other := range entered[1:] {
+		if other.priority < first.priority || (other.priority == first.priority && other.arrivedAt.Before(first.arrivedAt)) {
+			first = other
+		}
+	}
+	return first
+}
+
+// TestLinkIsUsedWithinItsShare lets moves over a store's link only while there is room,
+// and each kind of use by itself.
+func TestLinkIsUsedWithinItsShare(t *testing.T) {
+	budgets, now := newLinkBudgets(), time.Now()
+	fetch := linkUse{address: "store", kind: useFetch, tokensPerSecond: 1000, burst: time.Second}
+	save := fetch
+	save.kind = useSave
+	assert.Assert(t, budgets.allows(now, fetch, 800))
+	budgets.take(now, fetch, 800)
+	assert.Assert(t, !budgets.allows(now, fetch, 800))
+	assert.Assert(t, budgets.allows(now, save, 800), "saves have their own share")
+	assert.Assert(t, budgets.allows(now.Add(time.Second), fetch, 800))
+	assert.Assert(t, budgets.allows(now.Add(time.Second), fetch, 5000), "a prompt beyond the burst needs all of it")
+	assert.Assert(t, budgets.allows(now, linkUse{address: "store", kind: useFetch}, 1<<30), "no bound is known")
+}
