Never let a request that was sent before wait for busy back ends

What was let in once is sent again at once.

TestStreamGoesOnThoughAllAreBusy fails before. TestWaitingEndsWithATimeToComeBack is new: a request that finds all busy for too long is refused as not run, with a time to come back.

--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -176,7 +176,6 @@
 	total, own := promptTokens(prompt.Parts)
 	query.SharedTokens, query.OwnTokens = total-own, own
 	query.Cached = func(version uint64) backendpool.Cached { return r.cached(admitted, version) }
-	query.Limits = limits(admitted)
 	return query
 }
 
--- a/internal/relay/run.go
+++ b/internal/relay/run.go
@@ -100,11 +100,11 @@
 func (r *run) now() time.Time { return r.relay.options.Now() }
 
 // pick takes a place at a back end. Where all that would do are busy, the request
-// waits for one, for as long as waiting may be worth it.
+// waits for one, for as long as waiting may be worth it. One that was sent before has
+// been let in: it never waits, since its answer may be under way to the caller.
 func (r *run) pick(ctx context.Context) *backendpool.Ticket {
 	lists, service, priority := r.relay.waiting, r.admitted.match.Service, r.admitted.priority()
-	unlimited := limits(r.admitted) == (backendpool.Limits{})
-	if unlimited || lists.goesBefore(service, priority) {
+	if r.limits() == (backendpool.Limits{}) || lists.goesBefore(service, priority) {
 		if ticket := r.tryPick(); ticket != nil || r.shortage.Busy == 0 {
 			return ticket
 		}
@@ -124,9 +124,18 @@
 	return nil
 }
 
+// limits bound what a back end may have under way to take the request now.
+func (r *run) limits() backendpool.Limits {
+	if r.attempt.Number > 0 {
+		return backendpool.Limits{}
+	}
+	return limits(r.admitted)
+}
+
 // tryPick takes a place at a back end, or notes why there is none.
 func (r *run) tryPick() *backendpool.Ticket {
 	query := r.relay.query(r.admitted, r.excluded)
+	query.Limits = r.limits()
 	ticket := r.relay.options.Pool.Pick(r.now(), query)
 	if ticket == nil {
 		r.shortage = r.relay.options.Pool.Shortage(r.now(), query)
--- a/internal/relay/waiting_test.go
+++ b/internal/relay/waiting_test.go
@@ -1,12 +1,17 @@
 package relay
 
 import (
+	"context"
 	"slices"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
+
+	"github.com/lotusward/lotusward/internal/core/backendpool"
+	"github.com/lotusward/lotusward/internal/core/rendezvous"
+	"github.com/lotusward/lotusward/internal/core/routing"
 )
 
 // TestMostUrgentGoesFirst lets requests enter and leave lists in any order: the first of
@@ -75,3 +80,59 @@
 	assert.Assert(t, budgets.allows(now.Add(time.Second), fetch, 5000), "a prompt beyond the burst needs all of it")
 	assert.Assert(t, budgets.allows(now, linkUse{address: "store", kind: useFetch}, 1<<30), "no bound is known")
 }
+
+// crowd makes all back ends of a world busy with the requests of other daemons.
+func (w *world) crowd() {
+	loads := map[uint64]backendpool.Load{}
+	for _, backend := range w.pool.Backends() {
+		loads[rendezvous.Key(string(backend.ID))] = backendpool.Load{Reading: 1 << 20}
+	}
+	w.pool.SetOthersLoad(loads, true)
+}
+
+// crowding makes all back ends busy at the first sending.
+type crowding struct {
+	*scriptedBackends
+	world *world
+}
+
+// Send implements Backends.
+func (c crowding) Send(ctx context.Context, dispatch *Dispatch) (*Answer, error) {
+	c.world.crowd()
+	return c.scriptedBackends.Send(ctx, dispatch)
+}
+
+// longPrompt is a prompt that waits for busy back ends.
+func longPrompt(request *Request) {
+	request.Prompt = &Prompt{Model: "m", Parts: []Part{{ID: "a", Tokens: 9000}, {ID: "b", Tokens: 1000}}}
+}
+
+// TestStreamGoesOnThoughAllAreBusy resumes a cut stream at once: its request was let in
+// before.
+func TestStreamGoesOnThoughAllAreBusy(t *testing.T) {
+	route := routing.Route{Kind: routing.KindStreaming, Resumable: true, MaxAttempts: 2, TargetLatency: 100 * time.Millisecond}
+	world := newWorld(route, 3, 5)
+	world.backends.streaming, world.backends.events = true, 6
+	world.backends.script = []behaviour{behaveCutStream}
+	world.relay.options.Backends = crowding{world.backends, world}
+	caller := world.ask(longPrompt)
+	assert.Equal(t, caller.body.String(), eventsText(1, 6))
+	assert.Assert(t, !caller.aborted)
+}
+
+// TestWaitingEndsWithATimeToComeBack refuses a request that finds all back ends busy for
+// too long, as not run, and serves one as soon as a back end is free.
+func TestWaitingEndsWithATimeToComeBack(t *testing.T) {
+	route := routing.Route{Kind: routing.KindStreaming, MaxAttempts: 1, TargetLatency: 100 * time.Millisecond}
+	world := newWorld(route, 3, 5)
+	world.backends.streaming, world.backends.events = true, 3
+	world.crowd()
+	started := time.Now()
+	caller := world.ask(longPrompt)
+	assert.Equal(t, caller.refusal.Kind, RefusalNotRun)
+	assert.Equal(t, caller.refusal.Reason, "busy")
+	assert.Assert(t, caller.refusal.RetryAfter > 0)
+	assert.Assert(t, time.Since(started) < 2*waitTargets*route.TargetLatency)
+	time.AfterFunc(50*time.Millisecond, func() { world.pool.SetOthersLoad(nil, true) })
+	assert.Equal(t, world.ask(longPrompt).body.String(), eventsText(1, 3))
+}
