Publish that nobody may act before the lease's row says so

Found by reading the diff: the keeper made the grant's new state visible only after the commit, up to 0.4 s later with a slow store. An order that began in that time was allowed by the old state, while the row already told the next holder that it need not wait. The release did it in the right order already; the ordinary step now does too.

Ruled out: the machine itself, whose property models no delay between its state and what users of the keeper see. No test shows this race yet; the lease's and the keeper's tests pass with the race detector.

--- a/internal/daemon/leasekeeper/keeper.go
+++ b/internal/daemon/leasekeeper/keeper.go
@@ -119,6 +119,9 @@
 		}
 		k.machine.Want(k.options.Eligible())
 		k.machine.SetActing(k.acting.Load())
+		// Whoever acts after this sees that it may not any more; earlier acts are noted,
+		// and step tells the machine of them before the row says that nobody acts.
+		k.publish()
 		k.step(ctx)
 	}
 }
