Wait for the list too before the store fails in a test

The test let the store fail as soon as the configuration was in force. The list of back ends is read by another goroutine: when that reading came later, it was the first one, and it found the store that the test had emptied.

Ruled out: the product; it read the whole list since it had none yet.

The check is as strict as before: it now begins where it says that it begins.

--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -116,6 +116,17 @@
 	}
 }
 
+// complete waits until a configuration and the back ends are known: they are read
+// apart, in any order.
+func complete(directory *Directory) poll.Check {
+	return func(poll.LogT) poll.Result {
+		if directory.Complete() {
+			return poll.Success()
+		}
+		return poll.Continue("the configuration or the list is not known")
+	}
+}
+
 // TestOlderConfigurationIsNeverApplied keeps the newest version although later
 // readings of the store show an older one, and is confirmed by none of those.
 func TestOlderConfigurationIsNeverApplied(t *testing.T) {
@@ -286,7 +297,7 @@
 		listed:   Listed{Reading: Reading{Version: 10, Bytes: 100 * bytesPerSecond}, Backends: []backendpool.Backend{{ID: "a", Service: "s"}}},
 	}
 	directory := start(t, source)
-	poll.WaitOn(t, inForce(directory, 7))
+	poll.WaitOn(t, complete(directory))
 	source.set(func(s *memorySource) {
 		s.failure = errors.New("limited")
 		s.listed = Listed{Reading: Reading{Version: 10}} // a whole reading would lose all
