Send only short answers to back ends whose turn to load is next

The callers' own estimate of an answer's length is read now; back ends that are next in turn get answers of up to 100 expected tokens only, while others will do. And the holder of the lease followed its own plan only when it wrote the row, up to a second late; it follows it at each tick.

--- /dev/null
+++ b/internal/core/backendpool/leaving.go
@@ -0,0 +1,32 @@
+package backendpool
+
+import "slices"
+
+// shortOutput is the length in tokens of an answer that ends within about the time
+// that a back end takes to be asked for its state, to be ordered and to begin: at some
+// four milliseconds a token.
+const shortOutput = 100
+
+// Leaving says which back ends are taken out of use on purpose, by the hashes of their
+// IDs. Either is used while no other will do.
+type Leaving struct {
+	// Now get no new requests.
+	Now []uint64
+	// Soon are next: they get short requests only, so that nothing long is under way
+	// when their turn comes, while they still do their part of the reading.
+	Soon []uint64
+}
+
+func (l *Leaving) now(key uint64) bool { return slices.Contains(l.Now, key) }
+
+func (l *Leaving) soon(key uint64) bool { return slices.Contains(l.Soon, key) }
+
+// long tells whether the answer is expected to last. An answer of unknown length is not.
+func (q *Query) long() bool { return q.OutputTokens > shortOutput }
+
+// SetLeaving replaces which back ends are taken out of use.
+func (p *Pool) SetLeaving(leaving Leaving) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.leaving = leaving
+}
--- a/internal/core/backendpool/pool.go
+++ b/internal/core/backendpool/pool.go
@@ -24,6 +24,8 @@
 	Exclude []identity.BackendID
 	// SharedTokens of the prompt are shared with other requests, OwnTokens are not.
 	SharedTokens, OwnTokens int
+	// OutputTokens is how long the answer is expected to be; zero is unknown.
+	OutputTokens int
 	// Cached says where the shared parts are, as made under a version of the
 	// weights; nil knows nothing.
 	Cached func(version uint64) Cached
@@ -72,8 +74,9 @@
 	// othersWhole is set while the loads of all other daemons are known. Guessed ones
 	// are good enough to compare back ends, but not to let requests wait for them.
 	othersWhole bool
-	// avoided holds hashes of IDs.
-	avoided map[uint64]bool
+	// leaving says which back ends are taken out of use on purpose, by the hashes of
+	// their IDs.
+	leaving Leaving
 	// freed is called, without the mutex, when a request that found all back ends busy
 	// may find one free.
 	freed func()
@@ -142,18 +145,6 @@
 	return change
 }
 
-// Avoid replaces the set of back ends, by the hashes of their IDs, that get no new
-// requests while others will do.
-func (p *Pool) Avoid(keys []uint64) {
-	avoided := make(map[uint64]bool, len(keys))
-	for _, key := range keys {
-		avoided[key] = true
-	}
-	p.mutex.Lock()
-	defer p.mutex.Unlock()
-	p.avoided = avoided
-}
-
 // Backends returns a copy of the list.
 func (p *Pool) Backends() []Backend {
 	p.mutex.Lock()
@@ -200,17 +191,19 @@
 	}
 }
 
-// candidates returns the back ends that will do, without the doubted and avoided
+// candidates returns the back ends that will do, without the doubted and leaving
 // ones unless there are no others. While all of them are busy it returns none, and how
 // many they are. As long as one is not, all are weighed: it may be dearer to read a
 // prompt anew there than to wait where it is held.
 func (p *Pool) candidates(now time.Time, query Query) (found []*entry, busy int) {
-	var sound, doubted []*entry
+	var sound, soon, doubted []*entry
 	for _, candidate := range p.services[query.Service] {
 		switch {
 		case !allowed(now, candidate, query):
-		case candidate.ejected(now) || p.avoided[candidate.key]:
+		case candidate.ejected(now) || p.leaving.now(candidate.key):
 			doubted = append(doubted, candidate)
+		case query.long() && p.leaving.soon(candidate.key):
+			soon = append(soon, candidate)
 		default:
 			sound = append(sound, candidate)
 			if p.othersWhole && candidate.busy(query) {
@@ -219,6 +212,8 @@
 		}
 	}
 	switch {
+	case len(sound) == 0 && len(soon) > 0:
+		return soon, 0
 	case len(sound) == 0:
 		return doubted, 0
 	case busy == len(sound):
--- a/internal/core/backendpool/pool_test.go
+++ b/internal/core/backendpool/pool_test.go
@@ -97,7 +97,7 @@
 func TestAvoidedOnlyWithoutOthers(t *testing.T) {
 	pool := New("a")
 	pool.Update(engines(2))
-	pool.Avoid([]uint64{rendezvous.Key("engine-0")})
+	pool.SetLeaving(Leaving{Now: []uint64{rendezvous.Key("engine-0")}})
 	for home := range uint64(20) {
 		ticket := pool.Pick(start, Query{Service: "llm", Model: "m", Home: home + 1})
 		assert.Equal(t, ticket.Backend.ID, identity.BackendID("engine-1"))
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -175,6 +175,7 @@
 	query.BeginBy = func(version uint64) time.Time { return r.beginBy(prompt.Model, version) }
 	total, own := promptTokens(prompt.Parts)
 	query.SharedTokens, query.OwnTokens = total-own, own
+	query.OutputTokens = prompt.OutputTokens
 	query.Cached = func(version uint64) backendpool.Cached { return r.cached(admitted, version) }
 	return query
 }
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -26,6 +26,8 @@
 type Prompt struct {
 	Model identity.ModelName
 	Parts []Part
+	// OutputTokens is how long the answer is expected to be; zero is unknown.
+	OutputTokens int
 }
 
 // Request is one request of a caller, with its body read.
--- a/internal/rollout/announcement.go
+++ b/internal/rollout/announcement.go
@@ -26,6 +26,8 @@
 type Announcement struct {
 	Token   identity.FencingToken
 	Loading []uint64
+	// Next are those whose turn is next.
+	Next []uint64
 	// Loaded are the back ends that have taken new weights in the last moments.
 	Loaded []LoadedGroup
 }
@@ -39,7 +41,7 @@
 
 // follow makes the pool heed an announcement.
 func (a *Announcement) follow(pool *backendpool.Pool) {
-	pool.Avoid(a.Loading)
+	pool.SetLeaving(backendpool.Leaving{Now: a.Loading, Soon: a.Next})
 	for _, group := range a.Loaded {
 		pool.LearnVersions(group.Backends, group.Model, group.Version)
 	}
@@ -78,7 +80,7 @@
 	a.toldAt = now
 	a.changed = false
 	a.recent = slices.DeleteFunc(a.recent, func(load recentLoad) bool { return now.Sub(load.at) > announceTime })
-	return Announcement{Token: plan.Token, Loading: keysOf(plan.Loading), Loaded: a.groups()}, true
+	return Announcement{Token: plan.Token, Loading: keysOf(plan.Loading), Next: keysOf(plan.Next), Loaded: a.groups()}, true
 }
 
 // groups returns the recent loads by model and version.
--- a/internal/rollout/keeper.go
+++ b/internal/rollout/keeper.go
@@ -86,10 +86,13 @@
 		return
 	}
 	if _, may := k.options.Lease.MayAct(); may {
+		var next []identity.BackendID
 		for model, version := range k.options.Named.Targets() {
-			k.start(ctx, model, version)
+			next = append(next, k.start(ctx, model, version)...)
 		}
+		k.setNext(next)
 	}
+	k.followOwn()
 	k.announce(now)
 	k.writePlan(ctx, now)
 }
@@ -139,31 +142,71 @@
 	return false
 }
 
-// start begins the work on the next back ends that are behind.
-func (k *Keeper) start(ctx context.Context, model identity.ModelName, version uint64) {
+// followOwn makes this daemon heed its own plan.
+func (k *Keeper) followOwn() {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	k.plan.Follow(k.options.Pool)
+}
+
+// start begins the work on the back ends whose turn it is. It returns those that are
+// next.
+func (k *Keeper) start(ctx context.Context, model identity.ModelName, version uint64) []identity.BackendID {
 	now := time.Now()
 	holders := k.options.Pool.Holders(now, model)
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
 	pace := k.pace(now, model, version, holders)
 	k.mostLoading = pace.loading
-	room := pace.out - len(k.working)
-	slices.SortStableFunc(holders, func(left, right backendpool.Holder) int { return cmp.Compare(left.InFlight, right.InFlight) })
-	for _, holder := range holders {
-		if room <= 0 {
-			return
-		}
+	behind := slices.DeleteFunc(holders, func(holder backendpool.Holder) bool {
+		id := holder.Backend.ID
+		return holder.Version >= version || holder.Backend.Draining || holder.Doubted || k.working[id] || k.isPassedOver(id)
+	})
+	slices.SortStableFunc(behind, k.compareTurns)
+	room := min(max(pace.out-len(k.working), 0), len(behind))
+	for _, holder := range behind[:room] {
 		id := holder.Backend.ID
-		if holder.Version >= version || holder.Backend.Draining || holder.Doubted || k.working[id] || k.isPassedOver(id) {
-			continue
-		}
-		room--
 		k.working[id] = true
 		k.plan.Loading = append(k.plan.Loading, id)
 		k.changed = true
 		k.announcer.changed = true
 		go k.bring(ctx, holder.Backend, model, k.token)
 	}
+	waiting := behind[room:]
+	return idsOf(waiting[:min(pace.out, len(waiting))])
+}
+
+func idsOf(holders []backendpool.Holder) []identity.BackendID {
+	ids := make([]identity.BackendID, len(holders))
+	for index, holder := range holders {
+		ids[index] = holder.Backend.ID
+	}
+	return ids
+}
+
+// compareTurns puts those first that were told to be next, and of equals those with
+// the least under way.
+func (k *Keeper) compareTurns(left, right backendpool.Holder) int {
+	turn := func(holder backendpool.Holder) int {
+		if slices.Contains(k.plan.Next, holder.Backend.ID) {
+			return 0
+		}
+		return 1
+	}
+	return cmp.Or(cmp.Compare(turn(left), turn(right)), cmp.Compare(left.InFlight, right.InFlight))
+}
+
+// setNext says which back ends are next.
+func (k *Keeper) setNext(next []identity.BackendID) {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	slices.Sort(next)
+	if slices.Equal(next, k.plan.Next) {
+		return
+	}
+	k.plan.Next = next
+	k.changed = true
+	k.announcer.changed = true
 }
 
 // bring brings one back end to the newest version, and gives its place up when
--- a/internal/rollout/plan.go
+++ b/internal/rollout/plan.go
@@ -27,6 +27,8 @@
 	Token identity.FencingToken
 	// Loading back ends take new weights now or very soon; they get no requests.
 	Loading []identity.BackendID
+	// Next are those whose turn is next; they get short requests only.
+	Next []identity.BackendID
 	// Loaded are the versions that back ends hold, where the list may not yet say so.
 	Loaded []Loaded
 	// Seen says when the last versions were first seen, so that a daemon that starts
@@ -55,7 +57,7 @@
 
 // Follow makes the pool heed a plan.
 func (p *Plan) Follow(pool *backendpool.Pool) {
-	pool.Avoid(keysOf(p.Loading))
+	pool.SetLeaving(backendpool.Leaving{Now: keysOf(p.Loading), Soon: keysOf(p.Next)})
 	for _, loaded := range p.Loaded {
 		pool.LearnVersion(loaded.Backend, loaded.Model, loaded.Version)
 	}
--- a/internal/rollout/planrow.go
+++ b/internal/rollout/planrow.go
@@ -49,7 +49,6 @@
 	if !k.changed || announced {
 		return nil, planCondition{}, false
 	}
-	k.plan.Follow(k.options.Pool)
 	if seen := k.options.Named.SeenVersions(); len(seen) > 0 {
 		k.plan.Seen = seen
 	}
