--- a/internal/relay/caching.go
+++ b/internal/relay/caching.go
@@ -115,13 +115,10 @@
 // in use as much as it may be is not asked.
 func (r *Relay) fetchFrom(now time.Time, admitted *admission, ticket *backendpool.Ticket, store *routing.PromptStore) string {
 	source := ticket.Source
-	near := source.Holder != nil && source.Holder.Zone == ticket.Backend.Zone
 	moved := max(source.StoredTokens-source.HeldTokens, 0)
 	fetchable := store != nil && (moved == 0 || r.mayFetch(now, admitted, store, moved))
 	switch {
-	case source.Holder != nil && (!fetchable || source.HolderTokens > source.StoredTokens):
-		return source.Holder.Address
-	case near && source.HolderTokens == source.StoredTokens:
+	case source.Holder != nil && (!fetchable || source.HolderTokens >= source.StoredTokens):
 		return source.Holder.Address
 	case fetchable:
 		r.links.take(now, r.fetches(admitted, store), moved)
