Send long answers to new weights only once some back ends have them

Cause: a back end whose turn to load came still had long answers under way, placed there seconds before it was next in turn. Once as many back ends have the newest weights as leave at a time, all that are behind get short answers only (while others will do); they keep reading the long prompts that they have cached.

--- a/internal/rollout/keeper.go
+++ b/internal/rollout/keeper.go
@@ -158,6 +158,7 @@
 	defer k.mutex.Unlock()
 	pace := k.pace(now, model, version, holders)
 	k.mostLoading = pace.loading
+	newer := count(holders, func(holder backendpool.Holder) bool { return holder.Version >= version && !holder.Doubted })
 	behind := slices.DeleteFunc(holders, func(holder backendpool.Holder) bool {
 		id := holder.Backend.ID
 		return holder.Version >= version || holder.Backend.Draining || holder.Doubted || k.working[id] || k.isPassedOver(id)
@@ -172,8 +173,26 @@
 		k.announcer.changed = true
 		go k.bring(ctx, holder.Backend, model, k.token)
 	}
-	waiting := behind[room:]
-	return idsOf(waiting[:min(pace.out, len(waiting))])
+	return idsOf(next(behind[room:], pace.out, newer))
+}
+
+// next are those of the back ends behind that are to get short answers only: as many
+// as leave at a time, or all once as many have new weights and take the long ones.
+func next(behind []backendpool.Holder, leaving, newer int) []backendpool.Holder {
+	if newer >= leaving {
+		return behind
+	}
+	return behind[:min(leaving, len(behind))]
+}
+
+func count(holders []backendpool.Holder, counts func(backendpool.Holder) bool) int {
+	total := 0
+	for _, holder := range holders {
+		if counts(holder) {
+			total++
+		}
+	}
+	return total
 }
 
 func idsOf(holders []backendpool.Holder) []identity.BackendID {
