Log how much of a prompt was believed to be cached where

Cause: it could not be told from the logs whether a long prompt began late since it was read, or moved, or waited. Each line of a sending names the shared tokens, and those believed to be at the back end, at another one and in the store.

--- a/internal/relay/journal.go
+++ b/internal/relay/journal.go
@@ -32,6 +32,8 @@
 	// that was under way at this one.
 	Candidates    int
 	WaitingTokens float64
+	// Source says how much of the prompt was believed to be where.
+	Source backendpool.Source
 	// FetchFrom and SaveTo are where the prompt's cache was to be taken from and
 	// saved to; empty is none.
 	FetchFrom, SaveTo string
--- a/internal/relay/run.go
+++ b/internal/relay/run.go
@@ -176,6 +176,7 @@
 		Version:       ticket.Version,
 		Candidates:    ticket.Candidates,
 		WaitingTokens: ticket.Waiting,
+		Source:        ticket.Source,
 	}
 	sending, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
--- a/internal/requestlog/requestlog.go
+++ b/internal/requestlog/requestlog.go
@@ -107,6 +107,7 @@
 	fields["prompt_tokens"] = tokens
 	if count := len(prompt.Parts); count > 1 {
 		fields["shared_part"] = prompt.Parts[count-2].ID
+		fields["shared_tokens"] = tokens - prompt.Parts[count-1].Tokens
 	}
 }
 
@@ -150,6 +151,9 @@
 	if attempt.Version > 0 {
 		fields["waiting_tokens"] = int(attempt.WaitingTokens)
 		fields["weights"] = attempt.Version
+		fields["held_tokens"] = attempt.Source.HeldTokens
+		fields["holder_tokens"] = attempt.Source.HolderTokens
+		fields["stored_tokens"] = attempt.Source.StoredTokens
 	}
 	if attempt.FetchFrom != "" {
 		fields["fetch_from"] = attempt.FetchFrom
