Probe back ends that are silent or were not reached

Long prompts that are sent there are lost, since they may not be sent twice.

Now a back end from which nothing came for 300 ms with requests under way is probed by connecting (two attempts of 120 ms), so is one that another daemon accuses; one that fails is out until a probe reaches it, and requests there that may be repeated leave it.

--- a/cmd/lotusward-platform/wire.go
+++ b/cmd/lotusward-platform/wire.go
@@ -26,6 +26,7 @@
 	"github.com/lotusward/lotusward/internal/pause"
 	"github.com/lotusward/lotusward/internal/peerlink"
 	"github.com/lotusward/lotusward/internal/port"
+	"github.com/lotusward/lotusward/internal/prober"
 	"github.com/lotusward/lotusward/internal/relay"
 	"github.com/lotusward/lotusward/internal/requestlog"
 	"github.com/lotusward/lotusward/internal/rollout"
@@ -75,6 +76,7 @@
 	link       *peerlink.Link
 	broadcast  *peerlink.Broadcaster
 	loads      *loadshare.Sharer
+	prober     *prober.Prober
 	serving    *serving
 	keeper     *leasekeeper.Keeper
 	rollout    *rollout.Keeper
@@ -140,6 +142,7 @@
 	w.loads = loadshare.New(loadshare.Options{
 		Link: w.link, Others: w.members.Others, Pool: w.backends, Memory: w.memory,
 	})
+	w.prober = prober.New(prober.Options{Pool: w.backends, Reach: w.runners.Reach, Log: w.part("probe")})
 }
 
 // wireTraffic makes what serves callers.
@@ -270,6 +273,7 @@
 	add(w.link.Run)
 	add(w.broadcast.Run)
 	add(w.loads.Run)
+	add(w.prober.Run)
 	add(w.promptsIn.Run)
 	add(w.cachesIn.Run)
 	add(w.sweep)
--- a/internal/core/backendpool/backend.go
+++ b/internal/core/backendpool/backend.go
@@ -82,6 +82,10 @@
 	ejection     time.Duration
 	// heardAt is when anything last arrived from the back end.
 	heardAt time.Time
+	// suspicion is what makes the back end be probed.
+	suspicion suspicion
+	// tickets are the requests under way from this daemon.
+	tickets map[*Ticket]bool
 	// replaced is set when a back end that was listed later has the address.
 	replaced bool
 	// listedAt counts the updates of the list up to the one that brought the back end.
@@ -98,6 +102,7 @@
 		backend: backend,
 		key:     rendezvous.Key(string(backend.ID)),
 		learned: map[identity.ModelName]uint64{},
+		tickets: map[*Ticket]bool{},
 	}
 }
 
@@ -118,10 +123,12 @@
 func (e *entry) record(now time.Time, result Result) bool {
 	switch result {
 	case ResultServed:
+		e.suspicion.unreached = false
 		e.failureRate *= 1 - failureWeight
 		e.ejection = 0
 		return false
 	case ResultUnreached:
+		e.suspicion.unreached = true
 		return e.eject(now, shortestEjection)
 	case ResultReplaced:
 		e.ejection = 0
--- a/internal/core/backendpool/doubt.go
+++ b/internal/core/backendpool/doubt.go
@@ -61,7 +61,9 @@
 	}
 	second := e.accusedBy != "" && e.accusedBy != from && now.Sub(e.accusedAt) <= accusationTime
 	e.accusedBy, e.accusedAt = from, now
+	e.suspicion.accused = now.Sub(e.heardAt) > soundTime
 	if second && now.Sub(e.heardAt) > soundTime {
+		e.suspicion.unreached = true
 		e.eject(now, shortestEjection)
 	}
 }
--- a/internal/core/backendpool/pool.go
+++ b/internal/core/backendpool/pool.go
@@ -57,6 +57,8 @@
 	tokens int
 	// reading is set until the first byte.
 	reading bool
+	// onLost is called when the back end can no longer be reached; it may be nil.
+	onLost func()
 }
 
 // Pool is safe for use by several goroutines.
@@ -182,13 +184,18 @@
 	picked, work := p.choose(candidates, query)
 	waiting := picked.waiting()
 	tokens := query.SharedTokens + query.OwnTokens
+	if picked.inFlight == 0 {
+		picked.suspicion.quietSince = now
+	}
 	picked.inFlight++
 	picked.reading += work
 	picked.tokens += tokens
-	return &Ticket{
+	ticket := &Ticket{
 		Backend: picked.backend, Version: picked.version(query.Model), Source: p.source(now, query, picked),
 		Key: picked.key, Candidates: len(candidates), Waiting: waiting, entry: picked, pool: p, work: work, tokens: tokens, reading: true,
 	}
+	picked.tickets[ticket] = true
+	return ticket
 }
 
 // candidates returns the back ends that will do, without the doubted and leaving
@@ -268,6 +275,7 @@
 	t.pool.mutex.Lock()
 	defer t.pool.mutex.Unlock()
 	t.entry.heardAt = now
+	t.entry.suspicion.quietSince = now
 }
 
 // Begun notes that the answer's first byte arrived: the prompt was read.
@@ -308,6 +316,7 @@
 	t.pool.mutex.Lock()
 	defer t.pool.mutex.Unlock()
 	t.entry.inFlight--
+	delete(t.entry.tickets, t)
 	t.entry.tokens -= t.tokens
 	t.endReading()
 	ejected := t.entry.record(now, result)
--- /dev/null
+++ b/internal/core/backendpool/suspicion.go
@@ -0,0 +1,153 @@
+package backendpool
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/lotusward/lotusward/internal/core/identity"
+)
+
+// Times of suspicion.
+const (
+	// suspiciousSilence is how long nothing may come from a back end that has requests
+	// under way before it is probed.
+	suspiciousSilence = 300 * time.Millisecond
+	// probeInterval lies between two probes of a back end that answers them.
+	probeInterval = time.Second
+	// returnLead is how long before the end of its ejection an unreached back end is
+	// probed.
+	returnLead = 250 * time.Millisecond
+	// unreachedEjection is how long a back end is out after a failed probe. It is probed
+	// again before.
+	unreachedEjection = time.Second
+	// maximumSuspects bounds the probes that begin at a time: a daemon that is cut off
+	// itself may accuse many back ends.
+	maximumSuspects = 16
+)
+
+// suspicion is what makes a back end be probed.
+type suspicion struct {
+	// quietSince is since when nothing has come from the back end, though requests were
+	// under way all the time.
+	quietSince time.Time
+	// accused is set when another daemon did not reach the back end.
+	accused bool
+	// unreached is set since the back end could not be reached.
+	unreached bool
+	// probing is set while a probe is under way, and probedAt when the last one ended.
+	probing  bool
+	probedAt time.Time
+}
+
+// Suspect is a back end that is to be probed.
+type Suspect struct {
+	ID      identity.BackendID
+	Address string
+}
+
+// Suspects returns the back ends to be probed now, ordered by ID: those that have been
+// silent though requests are under way, those that another daemon did not reach, and
+// those that were not reached before they are tried again. Probed must follow for each.
+func (p *Pool) Suspects(now time.Time) []Suspect {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	var suspects []Suspect
+	for id, found := range p.byID {
+		if len(suspects) >= maximumSuspects {
+			break
+		}
+		if !found.suspect(now) {
+			continue
+		}
+		found.suspicion.probing = true
+		suspects = append(suspects, Suspect{ID: id, Address: found.backend.Address})
+	}
+	slices.SortFunc(suspects, func(left, right Suspect) int { return cmp.Compare(left.ID, right.ID) })
+	return suspects
+}
+
+// suspect tells whether the back end is to be probed.
+func (e *entry) suspect(now time.Time) bool {
+	doubt := &e.suspicion
+	switch {
+	case doubt.probing, e.replaced:
+		return false
+	case doubt.unreached:
+		return e.ejectedUntil.Sub(now) <= returnLead
+	case now.Sub(doubt.probedAt) < probeInterval:
+		return false
+	case doubt.accused:
+		return true
+	default:
+		return e.inFlight > 0 && now.Sub(doubt.quietSince) >= suspiciousSilence
+	}
+}
+
+// Probed notes whether a probe reached a back end. One that was not reached is out until
+// a probe reaches it, and its requests are told. It returns true when the back end is
+// taken out because of the probe.
+func (p *Pool) Probed(now time.Time, id identity.BackendID, reached bool) bool {
+	p.mutex.Lock()
+	found := p.byID[id]
+	if found == nil {
+		p.mutex.Unlock()
+		return false
+	}
+	takenOut := !reached && !found.ejected(now)
+	found.suspicion.probed(now)
+	var lost []func()
+	if reached {
+		found.returned(now)
+	} else {
+		found.suspicion.unreached = true
+		found.ejectedUntil = now.Add(unreachedEjection)
+		lost = found.lost()
+	}
+	if takenOut {
+		p.noteDoubt(found, ResultUnreached)
+	}
+	p.mutex.Unlock()
+	for _, tell := range lost {
+		tell()
+	}
+	if reached {
+		p.freed()
+	}
+	return takenOut
+}
+
+func (s *suspicion) probed(now time.Time) {
+	s.probing = false
+	s.accused = false
+	s.probedAt = now
+	s.quietSince = now
+}
+
+// returned lets the back end be used again if it was out since it could not be reached.
+func (e *entry) returned(now time.Time) {
+	if e.suspicion.unreached {
+		e.suspicion.unreached = false
+		e.ejectedUntil = now
+		e.ejection = 0
+	}
+}
+
+// lost returns what is to be told to the requests under way.
+func (e *entry) lost() []func() {
+	var tell []func()
+	for ticket := range e.tickets {
+		if ticket.onLost != nil {
+			tell = append(tell, ticket.onLost)
+		}
+	}
+	return tell
+}
+
+// OnLost sets what is called when the back end can no longer be reached. It must not
+// block.
+func (t *Ticket) OnLost(lost func()) {
+	t.pool.mutex.Lock()
+	defer t.pool.mutex.Unlock()
+	t.onLost = lost
+}
--- /dev/null
+++ b/internal/prober/prober.go
@@ -0,0 +1,80 @@
+// Package prober finds out whether suspicious back ends can be reached, so that they are
+// left before many requests are lost there, and are used again only once they can be.
+package prober
+
+import (
+	"context"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/lotusward/lotusward/internal/core/backendpool"
+)
+
+const (
+	// lookInterval is how often the pool is asked for suspects.
+	lookInterval = 50 * time.Millisecond
+	// reachTimeout bounds one attempt to connect. A back end's network answers within a
+	// few milliseconds, however busy it is.
+	reachTimeout = 120 * time.Millisecond
+	// attempts is how many in a row must fail: a single packet may be lost.
+	attempts = 2
+)
+
+// Options are what a Prober works with.
+type Options struct {
+	Pool *backendpool.Pool
+	// Reach tells whether a back end accepts a connection.
+	Reach func(ctx context.Context, address string) bool
+	Log   logrus.FieldLogger
+}
+
+// Prober probes the suspects of a pool.
+type Prober struct{ options Options }
+
+// New makes a Prober that does nothing until it runs.
+func New(options Options) *Prober { return &Prober{options: options} }
+
+// Run probes until the context ends.
+func (p *Prober) Run(ctx context.Context) error {
+	ticker := time.NewTicker(lookInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case now := <-ticker.C:
+			for _, suspect := range p.options.Pool.Suspects(now) {
+				go p.probe(ctx, suspect)
+			}
+		}
+	}
+}
+
+// probe tells the pool whether one back end can be reached.
+func (p *Prober) probe(ctx context.Context, suspect backendpool.Suspect) {
+	began := time.Now()
+	reached := p.reach(ctx, suspect.Address)
+	if ctx.Err() != nil {
+		return
+	}
+	if !p.options.Pool.Probed(time.Now(), suspect.ID, reached) {
+		return
+	}
+	p.options.Log.WithFields(logrus.Fields{
+		"backend": suspect.ID, "address": suspect.Address, "took_ms": time.Since(began).Milliseconds(),
+	}).Warn("A back end can't be reached and is taken out.")
+}
+
+// reach tells whether one of a few attempts in a row succeeds.
+func (p *Prober) reach(ctx context.Context, address string) bool {
+	for range attempts {
+		bounded, cancel := context.WithTimeout(ctx, reachTimeout)
+		reached := p.options.Reach(bounded, address)
+		cancel()
+		if reached {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/relay/watch.go
+++ b/internal/relay/watch.go
@@ -135,6 +135,7 @@
 	watch.mutex.Lock()
 	defer watch.mutex.Unlock()
 	watch.timer = time.AfterFunc(patient, watch.check)
+	ticket.OnLost(watch.cut)
 	return watch
 }
 
