Let a holder that takes its own lease back go on waiting where it was

A new holder waits 3 s since the one before it may have acted; its grant lapsed on the slow store; when it took its own row back it began to wait anew. A record of this incarnation of the daemon itself needs no new wait.

Test that failed first: TestOwnLapseDoesNotStartTheWaitAnew.

--- a/internal/core/lease/acting_test.go
+++ b/internal/core/lease/acting_test.go
@@ -8,6 +8,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/lotusward/lotusward/internal/core/identity"
+	"github.com/lotusward/lotusward/internal/wire/platformwire"
 )
 
 const (
@@ -74,3 +75,34 @@
 		})
 	})
 }
+
+// TestOwnLapseDoesNotStartTheWaitAnew lets a holder that waits because of the one before
+// it lose its grant to a slow table and take it back: what it has waited counts.
+func TestOwnLapseDoesNotStartTheWaitAnew(t *testing.T) {
+	settings := Settings{
+		Key: testKey, Holder: "two", Incarnation: 2, Duration: testDuration, SoleIncarnation: true,
+		ActWithin: testActWithin, Rest: testRest,
+	}
+	now := time.Unix(1_000_000, 0)
+	machine := New(settings)
+	machine.SetActing(true)
+	left := Record{Holder: "one", Incarnation: 1, Token: 5, Duration: testDuration, Acting: true, Released: true, RestLeft: testRest}
+	assert.Assert(t, machine.Tick(now) != nil)
+	assert.NilError(t, machine.ReadDone(now, []platformwire.Row{{Key: testKey, Value: left.encode(), Version: 7}}, nil))
+	take := func(version uint64) {
+		t.Helper()
+		_, commits := machine.Tick(now).(Commit)
+		assert.Assert(t, commits)
+		assert.NilError(t, machine.CommitDone(now, []platformwire.Row{{Key: testKey, Version: version}}, nil))
+	}
+	take(8)
+	first := machine.Grant()
+	assert.Equal(t, first.ActFrom, now.Add(settings.rest()))
+
+	now = now.Add(testDuration)
+	assert.Assert(t, !machine.Grant().ValidAt(now))
+	take(9)
+	again := machine.Grant()
+	assert.Assert(t, again.Token > first.Token)
+	assert.Equal(t, again.ActFrom, first.ActFrom)
+}
--- a/internal/core/lease/machine.go
+++ b/internal/core/lease/machine.go
@@ -150,10 +150,13 @@
 		m.record.Holder == m.settings.Holder && m.record.Incarnation == m.settings.Incarnation
 }
 
-// takeOver starts a commit that makes this daemon the holder.
+// takeOver starts a commit that makes this daemon the holder. Whoever takes back what it
+// held itself goes on waiting where it was: nobody else has acted since.
 func (m *Machine) takeOver(now time.Time) Action {
-	m.actFrom = now.Add(m.wait())
-	m.inherits = m.record.Acting
+	if !m.heldByUs() {
+		m.actFrom = now.Add(m.wait())
+		m.inherits = m.record.Acting
+	}
 	return m.commit(now, m.newRecord(now, m.highestToken+1))
 }
 
