--- a/internal/lab/hollow/events.go
+++ b/internal/core/membership/membershiptest/events.go
@@ -1,4 +1,4 @@
-package hollow
+package membershiptest
 
 import "time"
 
--- a/internal/lab/hollow/network.go
+++ b/internal/core/membership/membershiptest/network.go
@@ -1,4 +1,7 @@
-package hollow
+// Package membershiptest runs the membership of many daemons in one process and in
+// simulated time, on a simulated network that loses, repeats and delays messages, for
+// tests.
+package membershiptest
 
 import (
 	"container/heap"
@@ -9,7 +12,7 @@
 	"github.com/lotusward/lotusward/internal/core/membership"
 )
 
-// tickInterval is the time between two ticks of a hollow daemon.
+// tickInterval is the time between two ticks of a daemon.
 const tickInterval = 50 * time.Millisecond
 
 // socketBuffer is how many messages wait for a paused daemon; the rest is lost.
@@ -35,14 +38,7 @@
 	}
 }
 
-// Codec turns a message into what travels, so that its size and cost are real.
-type Codec interface {
-	// Carry returns the message as the receiver decodes it, and its size on the
-	// wire in bytes.
-	Carry(from identity.DaemonID, message membership.Message, reliable bool) (membership.Message, int)
-}
-
-// Network runs hollow daemons in simulated time, in one goroutine. The same seed
+// Network runs daemons in simulated time, in one goroutine. The same seed
 // gives the same run.
 type Network struct {
 	Conditions Conditions
@@ -50,8 +46,6 @@
 	Cut func(from, to *Host) bool
 	// Observe, when not nil, is told every action that is not a message.
 	Observe func(host *Host, action membership.Action)
-	// Codec, when not nil, carries every message.
-	Codec   Codec
 	Options membership.Options
 
 	now       time.Time
@@ -62,21 +56,12 @@
 	sequence  uint64
 }
 
-// Traffic counts what a host sent and received.
-type Traffic struct {
-	SentMessages     int
-	SentBytes        int
-	ReceivedMessages int
-	ReceivedBytes    int
-}
-
-// Host is one hollow daemon's machine.
+// Host is one daemon's machine.
 type Host struct {
 	Node    *membership.Node
 	ID      identity.DaemonID
 	Zone    identity.Zone
 	Address string
-	Traffic Traffic
 	// Running is false after a crash, until a restart.
 	Running bool
 
@@ -93,7 +78,6 @@
 	from    identity.DaemonID
 	address string
 	message membership.Message
-	size    int
 }
 
 // NewNetwork makes an empty network.
@@ -216,8 +200,6 @@
 }
 
 func (n *Network) deliver(host *Host, received delivery) {
-	host.Traffic.ReceivedMessages++
-	host.Traffic.ReceivedBytes += received.size
 	n.perform(host, host.Node.Handle(n.now, received.from, received.address, received.message))
 }
 
@@ -234,17 +216,11 @@
 }
 
 func (n *Network) send(from *Host, sending membership.Send) {
-	message, size := sending.Message, 0
-	if n.Codec != nil {
-		message, size = n.Codec.Carry(from.ID, message, sending.Reliable)
-	}
-	from.Traffic.SentMessages++
-	from.Traffic.SentBytes += size
 	to, found := n.addresses[sending.To]
 	if !found || n.Cut != nil && n.Cut(from, to) {
 		return
 	}
-	carried := delivery{from: from.ID, address: from.Address, message: message, size: size}
+	carried := delivery{from: from.ID, address: from.Address, message: sending.Message}
 	if sending.Reliable {
 		n.schedule(to, carried)
 		return
