Let requests that are late already wait behind those that can still be in time

Of equals in urgency those go first now that can still be in time: until the aim less what the route's streams take from their sending to their first event, as learnt here.

--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -53,6 +53,7 @@
 	options Options
 	links   *linkBudgets
 	waiting *waitingLists
+	begins  *beginTimes
 }
 
 // New makes a Relay.
@@ -60,7 +61,7 @@
 	if options.Now == nil {
 		options.Now = time.Now
 	}
-	made := &Relay{options: options, links: newLinkBudgets(), waiting: newWaitingLists()}
+	made := &Relay{options: options, links: newLinkBudgets(), waiting: newWaitingLists(options.Now), begins: newBeginTimes()}
 	options.Pool.OnFreed(made.waiting.wakeFirst)
 	return made
 }
--- a/internal/relay/run.go
+++ b/internal/relay/run.go
@@ -46,7 +46,9 @@
 	// lastEvent is the id of the last event sent to the caller.
 	lastEvent string
 	attempt   Attempt
-	shortage  backendpool.Shortage
+	// sentAt is when the present sending began.
+	sentAt   time.Time
+	shortage backendpool.Shortage
 	// begin watches for the present sending's begin.
 	begin *beginWatch
 }
@@ -103,13 +105,13 @@
 // waits for one, for as long as waiting may be worth it. One that was sent before has
 // been let in: it never waits, since its answer may be under way to the caller.
 func (r *run) pick(ctx context.Context) *backendpool.Ticket {
-	lists, service, priority := r.relay.waiting, r.admitted.match.Service, r.admitted.priority()
-	if r.limits() == (backendpool.Limits{}) || lists.goesBefore(service, priority) {
+	lists, service, place := r.relay.waiting, r.admitted.match.Service, r.place()
+	if r.limits() == (backendpool.Limits{}) || lists.goesBefore(service, place) {
 		if ticket := r.tryPick(); ticket != nil || r.shortage.Busy == 0 {
 			return ticket
 		}
 	}
-	waiting := lists.enter(service, priority, r.admitted.request.ArrivedAt)
+	waiting := lists.enter(service, place)
 	defer lists.leave(service, waiting)
 	until := r.waitUntil()
 	for left := until.Sub(r.now()); left > 0 && ctx.Err() == nil; left = until.Sub(r.now()) {
@@ -124,6 +126,16 @@
 	return nil
 }
 
+// place is where the request waits among others.
+func (r *run) place() place {
+	route, arrived := r.admitted.match.Route, r.admitted.request.ArrivedAt
+	waits := place{priority: r.admitted.priority(), arrivedAt: arrived}
+	if target := route.TargetLatency; target > 0 {
+		waits.lateFrom = arrived.Add(max(target-r.relay.begins.usual(route.Name), 0))
+	}
+	return waits
+}
+
 // limits bound what a back end may have under way to take the request now.
 func (r *run) limits() backendpool.Limits {
 	if r.attempt.Number > 0 {
@@ -170,6 +182,7 @@
 // send makes one sending and ends the ticket.
 func (r *run) send(ctx context.Context, ticket *backendpool.Ticket) (step, failure) {
 	started := r.now()
+	r.sentAt = started
 	r.attempt = Attempt{
 		Number:        r.attempt.Number + 1,
 		Backend:       ticket.Backend.ID,
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -91,6 +91,7 @@
 		if first {
 			ticket.Begun()
 			r.begin.stop()
+			r.relay.begins.note(r.admitted.match.Route.Name, r.now().Sub(r.sentAt))
 			r.relay.hasRead(r.admitted, ticket, r.attempt.SaveTo)
 		}
 		if err := r.passEvent(answer, got, events.more()); err != nil {
--- a/internal/relay/waiting.go
+++ b/internal/relay/waiting.go
@@ -14,27 +14,42 @@
 const waitCheckInterval = 50 * time.Millisecond
 
 // waitingLists holds the requests that wait at this daemon for a back end, by
-// service, the most urgent first and of equals the oldest. It is safe for use by
-// several goroutines.
+// service: the most urgent goes first; of equals those that can still be in time, and of
+// those the oldest. One that is late already has no haste, and would only make the others
+// late too. It is safe for use by several goroutines.
 type waitingLists struct {
 	mutex    sync.Mutex
 	services map[identity.ServiceName][]*waiter
+	now      func() time.Time
 }
 
 // waiter is one waiting request.
 type waiter struct {
-	priority  int
-	arrivedAt time.Time
+	place place
 	// turn gets a value when the request is to look for a back end.
 	turn chan struct{}
 }
 
+// place is what decides who goes first.
+type place struct {
+	priority  int
+	arrivedAt time.Time
+	// lateFrom is from when the request can no longer be in time; zero is never.
+	lateFrom time.Time
+}
+
+// late tells whether the request can no longer be in time.
+func (p place) late(now time.Time) bool { return !p.lateFrom.IsZero() && !now.Before(p.lateFrom) }
+
 // before tells whether a request goes before another one.
-func (w *waiter) before(other *waiter) bool {
-	if w.priority != other.priority {
-		return w.priority < other.priority
+func (p place) before(now time.Time, other place) bool {
+	if p.priority != other.priority {
+		return p.priority < other.priority
+	}
+	if late := p.late(now); late != other.late(now) {
+		return !late
 	}
-	return w.arrivedAt.Before(other.arrivedAt)
+	return p.arrivedAt.Before(other.arrivedAt)
 }
 
 func (w *waiter) wake() {
@@ -44,21 +59,16 @@
 	}
 }
 
-func newWaitingLists() *waitingLists {
-	return &waitingLists{services: map[identity.ServiceName][]*waiter{}}
+func newWaitingLists(now func() time.Time) *waitingLists {
+	return &waitingLists{services: map[identity.ServiceName][]*waiter{}, now: now}
 }
 
 // enter adds a waiting request.
-func (l *waitingLists) enter(service identity.ServiceName, priority int, arrivedAt time.Time) *waiter {
+func (l *waitingLists) enter(service identity.ServiceName, at place) *waiter {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	entered := &waiter{priority: priority, arrivedAt: arrivedAt, turn: make(chan struct{}, 1)}
-	list := l.services[service]
-	at := slices.IndexFunc(list, entered.before)
-	if at < 0 {
-		at = len(list)
-	}
-	l.services[service] = slices.Insert(list, at, entered)
+	entered := &waiter{place: at, turn: make(chan struct{}, 1)}
+	l.services[service] = append(l.services[service], entered)
 	return entered
 }
 
@@ -72,32 +82,43 @@
 		return
 	}
 	l.services[service] = list
-	list[0].wake()
+	l.first(service).wake()
 }
 
 // wakeFirst lets the first request of each service look for a back end.
 func (l *waitingLists) wakeFirst() {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	for _, list := range l.services {
-		list[0].wake()
+	for service := range l.services {
+		l.first(service).wake()
+	}
+}
+
+// first is who goes first now, or nil when none waits. The caller holds the mutex.
+func (l *waitingLists) first(service identity.ServiceName) *waiter {
+	now := l.now()
+	var first *waiter
+	for _, other := range l.services[service] {
+		if first == nil || other.place.before(now, first.place) {
+			first = other
+		}
 	}
+	return first
 }
 
 // isFirst tells whether no other request goes before one.
 func (l *waitingLists) isFirst(service identity.ServiceName, asking *waiter) bool {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	list := l.services[service]
-	return len(list) > 0 && list[0] == asking
+	return l.first(service) == asking
 }
 
-// goesBefore tells whether a request that has just come would go before all that wait.
-func (l *waitingLists) goesBefore(service identity.ServiceName, priority int) bool {
+// goesBefore tells whether a request that has just come goes before all that wait.
+func (l *waitingLists) goesBefore(service identity.ServiceName, at place) bool {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	list := l.services[service]
-	return len(list) == 0 || priority < list[0].priority
+	first := l.first(service)
+	return first == nil || at.before(l.now(), first.place)
 }
 
 // await waits for the turn to look, until a time.
--- a/internal/relay/waiting_test.go
+++ b/internal/relay/waiting_test.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"testing"
@@ -14,15 +15,17 @@
 	"github.com/lotusward/lotusward/internal/core/routing"
 )
 
-// TestMostUrgentGoesFirst lets requests enter and leave lists in any order: the first of
-// a service is always the most urgent, and of equals the oldest, and it is told when the
-// one before it leaves.
+// TestMostUrgentGoesFirst lets requests enter and leave lists in any order while time
+// passes: the first of a service is always the most urgent, of equals one that can still
+// be in time, and of those the oldest, and it is told when the one before it leaves.
 func TestMostUrgentGoesFirst(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		lists := newWaitingLists()
+		now := time.Now()
+		lists := newWaitingLists(func() time.Time { return now })
 		var entered []*waiter
-		start := time.Now()
+		start := now
 		for range rapid.IntRange(1, 40).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 2).Draw(t, "passed")) * time.Second)
 			if len(entered) > 0 && rapid.Bool().Draw(t, "leave") {
 				at := rapid.IntRange(0, len(entered)-1).Draw(t, "who")
 				left := entered[at]
@@ -35,34 +38,50 @@
 				}
 				lists.leave("s", left)
 				if len(entered) > 0 {
-					assert.Equal(t, len(expectedFirst(entered).turn), 1, "the first is told to look")
+					assert.Equal(t, len(expectedFirst(now, entered).turn), 1, "the first is told to look")
 				}
 			} else {
-				arrived := start.Add(time.Duration(rapid.IntRange(0, 5).Draw(t, "arrived")) * time.Second)
-				entered = append(entered, lists.enter("s", rapid.IntRange(0, 2).Draw(t, "priority"), arrived))
+				at := place{
+					priority:  rapid.IntRange(0, 2).Draw(t, "priority"),
+					arrivedAt: start.Add(time.Duration(rapid.IntRange(0, 5).Draw(t, "arrived")) * time.Second),
+				}
+				if rapid.Bool().Draw(t, "aims") {
+					at.lateFrom = at.arrivedAt.Add(time.Duration(rapid.IntRange(0, 20).Draw(t, "aim")) * time.Second)
+				}
+				entered = append(entered, lists.enter("s", at))
 			}
 			if len(entered) == 0 {
-				assert.Assert(t, lists.goesBefore("s", 9))
+				assert.Assert(t, lists.goesBefore("s", place{priority: 9}))
 				continue
 			}
-			first := expectedFirst(entered)
+			first := expectedFirst(now, entered)
 			assert.Assert(t, lists.isFirst("s", first))
-			assert.Equal(t, lists.goesBefore("s", first.priority), false)
-			assert.Equal(t, lists.goesBefore("s", first.priority-1), true)
-			assert.Assert(t, lists.goesBefore("other", 9))
+			assert.Equal(t, lists.goesBefore("s", first.place), false)
+			moreUrgent := first.place
+			moreUrgent.priority--
+			assert.Equal(t, lists.goesBefore("s", moreUrgent), true)
+			assert.Assert(t, lists.goesBefore("other", place{priority: 9}))
 		}
 	})
 }
 
-// expectedFirst is the oracle: who goes first, by a plain search.
-func expectedFirst(entered []*waiter) *waiter {
-	first := entered[0]
-	for _, other := range entered[1:] {
-		if other.priority < first.priority || (other.priority == first.priority && other.arrivedAt.Before(first.arrivedAt)) {
-			first = other
+// expectedFirst is the oracle: who goes first, by sorting.
+func expectedFirst(now time.Time, entered []*waiter) *waiter {
+	sorted := slices.Clone(entered)
+	late := func(one *waiter) int {
+		if !one.place.lateFrom.IsZero() && !one.place.lateFrom.After(now) {
+			return 1
 		}
+		return 0
 	}
-	return first
+	slices.SortStableFunc(sorted, func(left, right *waiter) int {
+		return cmp.Or(
+			cmp.Compare(left.place.priority, right.place.priority),
+			cmp.Compare(late(left), late(right)),
+			left.place.arrivedAt.Compare(right.place.arrivedAt),
+		)
+	})
+	return sorted[0]
 }
 
 // TestLinkIsUsedWithinItsShare lets moves over a store's link only while there is room,
