--- a/cmd/lotusward-platform/caches.go
+++ b/cmd/lotusward-platform/caches.go
@@ -47,7 +47,7 @@
 }
 
 // observeCache takes in what the cache of a back end holds and what it dropped.
-func (w *wired) observeCache(target cachewatch.Target, page cachewatch.Page, _ bool) {
+func (w *wired) observeCache(target cachewatch.Target, page cachewatch.Page) {
 	now := time.Now()
 	for _, event := range page.Events {
 		fact := promptcache.Fact{
--- a/internal/cachewatch/watcher.go
+++ b/internal/cachewatch/watcher.go
@@ -89,12 +89,11 @@
 	return c.held[part], c.current
 }
 
-// take applies a page of events. It returns true when the cache has started anew.
-func (c *Cache) take(page Page) bool {
+// take applies a page of events. A cache that has started anew is empty.
+func (c *Cache) take(page Page) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	restarted := page.Epoch != c.epoch
-	if restarted || c.held == nil || len(c.held) > maximumHeld {
+	if page.Epoch != c.epoch || c.held == nil || len(c.held) > maximumHeld {
 		c.held = map[Part]int{}
 		c.epoch = page.Epoch
 	}
@@ -107,7 +106,6 @@
 		}
 		c.held[event.Part] = event.Tokens
 	}
-	return restarted
 }
 
 func (c *Cache) position() uint64 {
@@ -132,9 +130,8 @@
 	// Rest lies between two calls to a cache. Events that come meanwhile are kept for
 	// the next call.
 	Rest time.Duration
-	// Observe is told of each page, and whether the cache has started anew since the
-	// page before; nil when nobody asks.
-	Observe func(target Target, page Page, restarted bool)
+	// Observe is told of each page; nil when nobody asks.
+	Observe func(target Target, page Page)
 	Log     logrus.FieldLogger
 }
 
@@ -228,8 +225,8 @@
 	if !reached {
 		log.Info("A prompt cache answers.")
 	}
-	restarted := cache.take(page)
+	cache.take(page)
 	if w.options.Observe != nil {
-		w.options.Observe(target, page, restarted)
+		w.options.Observe(target, page)
 	}
 }
--- /dev/null
+++ b/internal/core/backendpool/suspicion_test.go
@@ -0,0 +1,88 @@
+package backendpool
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/lotusward/lotusward/internal/core/identity"
+)
+
+// sent picks a place at a back end of three for one request.
+func sent(pool *Pool, now time.Time) *Ticket {
+	return pool.Pick(now, Query{Service: "llm", Model: "m", Home: 1})
+}
+
+func suspects(pool *Pool, now time.Time) []identity.BackendID {
+	var ids []identity.BackendID
+	for _, suspect := range pool.Suspects(now) {
+		ids = append(ids, suspect.ID)
+	}
+	return ids
+}
+
+// TestSilenceUnderRequestsIsProbed suspects a back end only while requests are under way
+// and nothing has come for a while, and not again at once after a good probe.
+func TestSilenceUnderRequestsIsProbed(t *testing.T) {
+	pool := New("a")
+	pool.Update(engines(3))
+	assert.Equal(t, len(suspects(pool, start.Add(time.Hour))), 0)
+	now := start.Add(2 * time.Hour)
+	ticket := sent(pool, now)
+	assert.Equal(t, len(suspects(pool, now.Add(suspiciousSilence-time.Millisecond))), 0)
+	ticket.Heard(now.Add(suspiciousSilence / 2))
+	assert.Equal(t, len(suspects(pool, now.Add(suspiciousSilence))), 0)
+	now = now.Add(2 * suspiciousSilence)
+	assert.DeepEqual(t, suspects(pool, now), []identity.BackendID{ticket.Backend.ID})
+	assert.Equal(t, len(suspects(pool, now)), 0, "one probe at a time")
+	assert.Assert(t, !pool.Probed(now, ticket.Backend.ID, true))
+	assert.Equal(t, len(suspects(pool, now.Add(probeInterval-time.Millisecond))), 0)
+	assert.Equal(t, len(suspects(pool, now.Add(probeInterval))), 1)
+	ticket.Release(now, ResultServed)
+}
+
+// TestUnreachedIsOutUntilAProbeReachesIt takes a back end out after a failed probe, tells
+// its requests and the other daemons, and uses it again only once a probe reaches it.
+func TestUnreachedIsOutUntilAProbeReachesIt(t *testing.T) {
+	pool := New("a")
+	pool.Update(engines(3))
+	ticket := sent(pool, start)
+	id := ticket.Backend.ID
+	lost := 0
+	ticket.OnLost(func() { lost++ })
+	ended := sent(pool, start)
+	ended.OnLost(func() { lost += 100 })
+	ended.Release(start, ResultServed)
+
+	now := start.Add(suspiciousSilence)
+	assert.DeepEqual(t, suspects(pool, now), []identity.BackendID{id})
+	assert.Assert(t, pool.Probed(now, id, false))
+	assert.Equal(t, lost, 1)
+	assert.Equal(t, len(pool.Doubts()), 1)
+	for range 5 {
+		assert.Assert(t, !pickedAll(pool, now)[string(id)])
+		now = now.Add(unreachedEjection - returnLead)
+		assert.DeepEqual(t, suspects(pool, now), []identity.BackendID{id})
+		assert.Assert(t, !pool.Probed(now, id, false), "it is out already")
+	}
+	now = now.Add(unreachedEjection - returnLead)
+	assert.DeepEqual(t, suspects(pool, now), []identity.BackendID{id})
+	pool.Probed(now, id, true)
+	assert.Assert(t, pickedAll(pool, now)[string(id)])
+}
+
+// TestAccusedIsProbed probes a back end that one other daemon did not reach, and does not
+// take it out for that alone.
+func TestAccusedIsProbed(t *testing.T) {
+	accuser, pool := New("a"), New("a")
+	accuser.Update(engines(3))
+	pool.Update(engines(3))
+	ticket := sent(accuser, start)
+	ticket.Release(start, ResultUnreached)
+	pool.HearDoubts(start, "one", accuser.Doubts())
+	assert.DeepEqual(t, suspects(pool, start), []identity.BackendID{ticket.Backend.ID})
+	assert.Assert(t, pickedAll(pool, start)[string(ticket.Backend.ID)])
+	pool.Probed(start, ticket.Backend.ID, true)
+	assert.Equal(t, len(suspects(pool, start.Add(time.Hour))), 0)
+}
--- a/internal/relay/run.go
+++ b/internal/relay/run.go
@@ -106,8 +106,9 @@
 // been let in: it never waits, since its answer may be under way to the caller.
 func (r *run) pick(ctx context.Context) *backendpool.Ticket {
 	lists, service, place := r.relay.waiting, r.admitted.match.Service, r.place()
-	if r.limits() == (backendpool.Limits{}) || lists.goesBefore(service, place) {
-		if ticket := r.tryPick(); ticket != nil || r.shortage.Busy == 0 {
+	limits := r.limits()
+	if limits == (backendpool.Limits{}) || lists.goesBefore(service, place) {
+		if ticket := r.tryPick(limits); ticket != nil || r.shortage.Busy == 0 {
 			return ticket
 		}
 	}
@@ -119,7 +120,7 @@
 		if !lists.isFirst(service, waiting) {
 			continue
 		}
-		if ticket := r.tryPick(); ticket != nil || r.shortage.Busy == 0 {
+		if ticket := r.tryPick(limits); ticket != nil || r.shortage.Busy == 0 {
 			return ticket
 		}
 	}
@@ -145,9 +146,9 @@
 }
 
 // tryPick takes a place at a back end, or notes why there is none.
-func (r *run) tryPick() *backendpool.Ticket {
+func (r *run) tryPick(limits backendpool.Limits) *backendpool.Ticket {
 	query := r.relay.query(r.admitted, r.excluded)
-	query.Limits = r.limits()
+	query.Limits = limits
 	ticket := r.relay.options.Pool.Pick(r.now(), query)
 	if ticket == nil {
 		r.shortage = r.relay.options.Pool.Shortage(r.now(), query)
--- a/internal/rollout/keeper.go
+++ b/internal/rollout/keeper.go
@@ -1,7 +1,6 @@
 package rollout
 
 import (
-	"cmp"
 	"context"
 	"slices"
 	"sync"
@@ -153,66 +152,31 @@
 // next.
 func (k *Keeper) start(ctx context.Context, model identity.ModelName, version uint64) []identity.BackendID {
 	now := time.Now()
-	holders := k.options.Pool.Holders(now, model)
+	sound := soundOf(k.options.Pool.Holders(now, model))
+	behind := behindOf(sound, version)
+	newer := len(sound) - len(behind)
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
-	pace := k.pace(now, model, version, holders)
+	pace := k.pace(now, model, sound, behind)
 	k.mostLoading = pace.loading
-	newer := count(holders, func(holder backendpool.Holder) bool { return holder.Version >= version && !holder.Doubted })
-	behind := slices.DeleteFunc(holders, func(holder backendpool.Holder) bool {
-		id := holder.Backend.ID
-		return holder.Version >= version || holder.Backend.Draining || holder.Doubted || k.working[id] || k.isPassedOver(id)
+	waiting := slices.DeleteFunc(behind, func(holder backendpool.Holder) bool {
+		return k.working[holder.Backend.ID] || k.isPassedOver(holder.Backend.ID)
 	})
-	slices.SortStableFunc(behind, k.compareTurns)
-	room := min(max(pace.out-len(k.working), 0), len(behind))
-	for _, holder := range behind[:room] {
-		id := holder.Backend.ID
-		k.working[id] = true
-		k.plan.Loading = append(k.plan.Loading, id)
-		k.changed = true
-		k.announcer.changed = true
-		go k.bring(ctx, holder.Backend, model, k.token)
-	}
-	return idsOf(next(behind[room:], pace.out, newer))
-}
-
-// next are those of the back ends behind that are to get short answers only: as many
-// as leave at a time, or all once as many have new weights and take the long ones.
-func next(behind []backendpool.Holder, leaving, newer int) []backendpool.Holder {
-	if newer >= leaving {
-		return behind
-	}
-	return behind[:min(leaving, len(behind))]
-}
-
-func count(holders []backendpool.Holder, counts func(backendpool.Holder) bool) int {
-	total := 0
-	for _, holder := range holders {
-		if counts(holder) {
-			total++
-		}
+	slices.SortStableFunc(waiting, k.compareTurns)
+	room := min(max(pace.out-len(k.working), 0), len(waiting))
+	for _, holder := range waiting[:room] {
+		k.begin(ctx, holder.Backend, model)
 	}
-	return total
+	return idsOf(next(waiting[room:], pace.out, newer))
 }
 
-func idsOf(holders []backendpool.Holder) []identity.BackendID {
-	ids := make([]identity.BackendID, len(holders))
-	for index, holder := range holders {
-		ids[index] = holder.Backend.ID
-	}
-	return ids
-}
-
-// compareTurns puts those first that were told to be next, and of equals those with
-// the least under way.
-func (k *Keeper) compareTurns(left, right backendpool.Holder) int {
-	turn := func(holder backendpool.Holder) int {
-		if slices.Contains(k.plan.Next, holder.Backend.ID) {
-			return 0
-		}
-		return 1
-	}
-	return cmp.Or(cmp.Compare(turn(left), turn(right)), cmp.Compare(left.InFlight, right.InFlight))
+// begin begins the work on one back end. The caller holds the mutex.
+func (k *Keeper) begin(ctx context.Context, backend backendpool.Backend, model identity.ModelName) {
+	k.working[backend.ID] = true
+	k.plan.Loading = append(k.plan.Loading, backend.ID)
+	k.changed = true
+	k.announcer.changed = true
+	go k.bring(ctx, backend, model, k.token)
 }
 
 // setNext says which back ends are next.
--- a/internal/rollout/pace.go
+++ b/internal/rollout/pace.go
@@ -33,30 +33,24 @@
 
 // pace is slow, so that the others hold up, but fast enough to be done before those
 // with the oldest weights may no longer begin requests. Back ends that may not any more
-// are no loss. The caller holds the mutex.
-func (k *Keeper) pace(now time.Time, model identity.ModelName, version uint64, holders []backendpool.Holder) pace {
-	sound, reading := 0, 0.0
-	for _, holder := range holders {
-		if !holder.Doubted && !holder.Backend.Draining {
-			sound++
-			reading += holder.Reading
-		}
+// are no loss. Sound are all back ends of the model that are neither doubted nor leaving,
+// and behind those of them with older weights. The caller holds the mutex.
+func (k *Keeper) pace(now time.Time, model identity.ModelName, sound, behind []backendpool.Holder) pace {
+	reading := 0.0
+	for _, holder := range sound {
+		reading += holder.Reading
 	}
-	share := func(divisor int) int { return max((sound+divisor/2)/divisor, 1) }
+	share := func(divisor int) int { return max((len(sound)+divisor/2)/divisor, 1) }
 	usual := pace{loading: share(loadShare), out: share(loadShare)}
-	if reading < calmReading*float64(sound) {
+	if reading < calmReading*float64(len(sound)) {
 		usual.out = share(outShare)
 	}
 	if k.options.DueBy == nil {
 		return usual
 	}
-	behind, useless := 0, 0
+	useless := 0
 	least := time.Duration(math.MaxInt64)
-	for _, holder := range holders {
-		if holder.Version >= version || holder.Backend.Draining || holder.Doubted {
-			continue
-		}
-		behind++
+	for _, holder := range behind {
 		due := k.options.DueBy(model, holder.Version)
 		if due.IsZero() {
 			continue
@@ -67,7 +61,7 @@
 		}
 	}
 	left := max(time.Duration(usedShare*float64(least)), k.loadTime/2)
-	needed := int(math.Ceil(float64(behind) * float64(k.loadTime) / float64(left)))
+	needed := int(math.Ceil(float64(len(behind)) * float64(k.loadTime) / float64(left)))
 	loading := min(max(needed, usual.loading), share(hastyShare))
 	return pace{loading: loading, out: max(usual.out, loading, useless)}
 }
--- a/internal/rollout/pace_test.go
+++ b/internal/rollout/pace_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -14,6 +15,12 @@
 	"github.com/lotusward/lotusward/internal/logging"
 )
 
+// measuredPace is the pace of a roll-out of version 2 over back ends.
+func measuredPace(keeper *Keeper, now time.Time, holders []backendpool.Holder) pace {
+	sound := soundOf(slices.Clone(holders))
+	return keeper.pace(now, "m", sound, behindOf(sound, 2))
+}
+
 // TestHasteGrowsAsTimeRunsOut loads few back ends at a time while there is time, as
 // many as are needed to be done in time otherwise, and never more than a quarter. Back
 // ends on which requests may begin no more are no loss and all get none.
@@ -25,7 +32,7 @@
 	}
 	left := time.Duration(0)
 	keeper := New(Options{DueBy: func(identity.ModelName, uint64) time.Time { return now.Add(left) }})
-	measured := func() pace { return keeper.pace(now, "m", 2, holders) }
+	measured := func() pace { return measuredPace(keeper, now, holders) }
 	keeper.loadTime = time.Second
 	left = time.Minute
 	assert.Equal(t, measured(), pace{loading: 3, out: 7})
@@ -50,7 +57,7 @@
 		holders = append(holders, backendpool.Holder{Version: 1})
 	}
 	keeper := New(Options{})
-	measured := func() pace { return keeper.pace(now, "m", 2, holders) }
+	measured := func() pace { return measuredPace(keeper, now, holders) }
 	assert.Equal(t, measured(), pace{loading: 2, out: 4})
 	for index := range 6 {
 		holders[index].Doubted = true
