Fetch from the store before a holder of another zone while the store's link is free

The store drops less, but its link is a 22nd of a back end's.

The store goes first now while its link is little used (half of it, half a second at once, moves between zones counted twice), and a holder of another zone otherwise.

--- a/internal/relay/caching.go
+++ b/internal/relay/caching.go
@@ -21,11 +21,13 @@
 	// of all daemons together: what is asked for beyond the link waits, up to seconds,
 	// while prompts are read in tenths of one.
 	saveShare  = 1.0
-	fetchShare = 0.9
+	fetchShare = 0.5
 	// saveBurst and fetchBurst are for how long of its part a daemon may use the link
 	// at once.
 	saveBurst  = 10 * time.Second
-	fetchBurst = 2 * time.Second
+	fetchBurst = 500 * time.Millisecond
+	// crossZoneFactor is how many times longer a move between zones takes the link.
+	crossZoneFactor = 2
 )
 
 // level is a prompt up to the end of one of its shared parts.
@@ -59,13 +61,12 @@
 		return nil
 	}
 	store := admitted.state.Table.PromptStore(uint64(levels[0].key))
-	fetchable := store != nil && r.mayFetch(now, admitted, store, levels[0].tokens)
 	known := make(backendpool.Cached, 0, len(levels))
 	for _, shared := range levels {
 		holders := r.options.Memory.Holders(now, shared.key)
 		known = append(known, backendpool.Level{
 			Tokens: shared.tokens, Read: holders.Read, Reading: holders.Reading,
-			Stored: fetchable && r.stored(store, shared, holders),
+			Stored: store != nil && r.stored(store, shared, holders),
 		})
 	}
 	return known
@@ -109,23 +110,37 @@
 	}
 }
 
-// fetchFrom chooses the source of a prompt's cache: whoever has more of it; of equals
-// a back end of the same zone, else the store. A store of which nothing is known is
-// asked too: that costs little, and it may have the first parts. A store whose link is
-// in use as much as it may be is not asked.
+// fetchFrom chooses the source of a prompt's cache: whoever has more of it; of equals a
+// back end of the same zone, then the store while its link is little used, since it drops
+// less than a back end does, then any back end. A store of which nothing is known is asked
+// too: that costs little, and it may have the first parts.
 func (r *Relay) fetchFrom(now time.Time, admitted *admission, ticket *backendpool.Ticket, store *routing.PromptStore) string {
 	source := ticket.Source
-	moved := max(source.StoredTokens-source.HeldTokens, 0)
-	fetchable := store != nil && (moved == 0 || r.mayFetch(now, admitted, store, moved))
+	holder := source.Holder
+	equal := source.HolderTokens == source.StoredTokens
 	switch {
-	case source.Holder != nil && (!fetchable || source.HolderTokens >= source.StoredTokens):
-		return source.Holder.Address
-	case fetchable:
-		r.links.take(now, r.fetches(admitted, store), moved)
-		return store.Address
-	default:
+	case holder != nil && (store == nil || source.HolderTokens > source.StoredTokens):
+		return holder.Address
+	case holder != nil && equal && holder.Zone == ticket.Backend.Zone:
+		return holder.Address
+	case store == nil:
 		return ""
 	}
+	moved := linkTokens(ticket, store, max(source.StoredTokens-source.HeldTokens, 0))
+	if holder != nil && equal && !r.mayFetch(now, admitted, store, moved) {
+		return holder.Address
+	}
+	r.links.take(now, r.fetches(admitted, store), moved)
+	return store.Address
+}
+
+// linkTokens is how many tokens a move between a ticket's back end and a store counts
+// for on the store's link.
+func linkTokens(ticket *backendpool.Ticket, store *routing.PromptStore, tokens int) int {
+	if ticket.Backend.Zone == store.Zone {
+		return tokens
+	}
+	return crossZoneFactor * tokens
 }
 
 // mayFetch tells whether the link of a store has room for a prompt.
