Bound the probes for silence alone

A daemon makes one such probe in two seconds now, four at once, of those that are silent for longest; daemons tell each other of what can't be reached, and that is probed without this bound.

Tried first: a silence that grows with each needless probe. Its own test showed that it bounds nothing once back ends are silent for two seconds; dropped.

--- a/internal/core/backendpool/pool.go
+++ b/internal/core/backendpool/pool.go
@@ -7,6 +7,8 @@
 	"sync"
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"github.com/lotusward/lotusward/internal/core/identity"
 )
 
@@ -67,6 +69,8 @@
 	zone     identity.Zone
 	services map[identity.ServiceName][]*entry
 	byID     map[identity.BackendID]*entry
+	// silenceProbes bounds the probes of silent back ends.
+	silenceProbes *rate.Limiter
 	// doubts wait to be told to other daemons.
 	doubts []Doubt
 	// updates counts the updates of the list.
@@ -91,6 +95,8 @@
 		services: map[identity.ServiceName][]*entry{},
 		byID:     map[identity.BackendID]*entry{},
 		freed:    func() {},
+
+		silenceProbes: rate.NewLimiter(silenceProbeRate, silenceProbeBurst),
 	}
 }
 
--- a/internal/core/backendpool/suspicion.go
+++ b/internal/core/backendpool/suspicion.go
@@ -24,6 +24,11 @@
 	// maximumSuspects bounds the probes that begin at a time: a daemon that is cut off
 	// itself may accuse many back ends.
 	maximumSuspects = 16
+	// silenceProbeRate and silenceProbeBurst bound a daemon's probes for silence alone.
+	// Where back ends are slow many are silent and well; the daemons together still find
+	// out soon about one that is not, and tell each other.
+	silenceProbeRate  = 0.5
+	silenceProbeBurst = 4
 )
 
 // suspicion is what makes a back end be probed.
@@ -46,41 +51,70 @@
 	Address string
 }
 
-// Suspects returns the back ends to be probed now, ordered by ID: those that have been
-// silent though requests are under way, those that another daemon did not reach, and
-// those that were not reached before they are tried again. Probed must follow for each.
+// Suspects returns the back ends to be probed now: those that were not reached before
+// they are tried again, those that another daemon did not reach, and within a rate those
+// that have been silent for longest though requests are under way. Probed must follow for
+// each.
 func (p *Pool) Suspects(now time.Time) []Suspect {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	var suspects []Suspect
-	for id, found := range p.byID {
-		if len(suspects) >= maximumSuspects {
-			break
+	var found, silent []*entry
+	for _, candidate := range p.byID {
+		switch candidate.suspect(now) {
+		case causeUnreached:
+			found = append(found, candidate)
+		case causeSilent:
+			silent = append(silent, candidate)
 		}
-		if !found.suspect(now) {
-			continue
+	}
+	slices.SortFunc(silent, func(left, right *entry) int {
+		return cmp.Or(left.suspicion.quietSince.Compare(right.suspicion.quietSince), cmp.Compare(left.key, right.key))
+	})
+	found = found[:min(len(found), maximumSuspects)]
+	for _, candidate := range silent {
+		if !p.silenceProbes.AllowN(now, 1) {
+			break
 		}
-		found.suspicion.probing = true
-		suspects = append(suspects, Suspect{ID: id, Address: found.backend.Address})
+		found = append(found, candidate)
+	}
+	var suspects []Suspect
+	for _, candidate := range found {
+		candidate.suspicion.probing = true
+		suspects = append(suspects, Suspect{ID: candidate.backend.ID, Address: candidate.backend.Address})
 	}
-	slices.SortFunc(suspects, func(left, right Suspect) int { return cmp.Compare(left.ID, right.ID) })
 	return suspects
 }
 
+// cause is why a back end is to be probed.
+type cause int
+
+const (
+	causeNone cause = iota
+	// causeUnreached: this daemon or another one did not reach it.
+	causeUnreached
+	// causeSilent: nothing has come from it though requests are under way.
+	causeSilent
+)
+
 // suspect tells whether the back end is to be probed.
-func (e *entry) suspect(now time.Time) bool {
+func (e *entry) suspect(now time.Time) cause {
 	doubt := &e.suspicion
 	switch {
 	case doubt.probing, e.replaced:
-		return false
+		return causeNone
 	case doubt.unreached:
-		return e.ejectedUntil.Sub(now) <= returnLead
+		if e.ejectedUntil.Sub(now) <= returnLead {
+			return causeUnreached
+		}
+		return causeNone
 	case now.Sub(doubt.probedAt) < probeInterval:
-		return false
+		return causeNone
 	case doubt.accused:
-		return true
+		return causeUnreached
+	case e.inFlight > 0 && now.Sub(doubt.quietSince) >= suspiciousSilence:
+		return causeSilent
 	default:
-		return e.inFlight > 0 && now.Sub(doubt.quietSince) >= suspiciousSilence
+		return causeNone
 	}
 }
 
--- a/internal/core/backendpool/suspicion_test.go
+++ b/internal/core/backendpool/suspicion_test.go
@@ -86,3 +86,32 @@
 	pool.Probed(start, ticket.Backend.ID, true)
 	assert.Equal(t, len(suspects(pool, start.Add(time.Hour))), 0)
 }
+
+// TestNeedlessProbesAreRare bounds the probes of back ends that are silent and well, and
+// probes those first that have been silent for longest.
+func TestNeedlessProbesAreRare(t *testing.T) {
+	const count = 40
+	pool := New("a")
+	pool.Update(engines(count))
+	for home := range uint64(400) {
+		pool.Pick(start.Add(time.Duration(home)*time.Millisecond), Query{Service: "llm", Model: "m", Home: home + 1})
+	}
+	now := start.Add(time.Second)
+	first := suspects(pool, now)
+	assert.Equal(t, len(first), silenceProbeBurst)
+	for _, found := range pool.byID {
+		for _, id := range first {
+			assert.Assert(t, !found.suspicion.quietSince.Before(pool.byID[id].suspicion.quietSince) || found.suspicion.probing)
+		}
+	}
+	probes := 0
+	const seconds = 60
+	for range seconds * 20 {
+		now = now.Add(50 * time.Millisecond)
+		for _, id := range suspects(pool, now) {
+			probes++
+			pool.Probed(now, id, true)
+		}
+	}
+	assert.Assert(t, probes > 0 && float64(probes) <= seconds*silenceProbeRate+1, "%d probes", probes)
+}
