--- a/internal/core/backendpool/choice.go
+++ b/internal/core/backendpool/choice.go
@@ -6,7 +6,6 @@
 	"slices"
 	"time"
 
-	"github.com/lotusward/lotusward/internal/core/identity"
 	"github.com/lotusward/lotusward/internal/core/rendezvous"
 )
 
@@ -26,10 +25,6 @@
 	// oldWeightsFactor raises the cost of parts that a back end with older weights
 	// would have to get: it will drop them soon.
 	oldWeightsFactor = 2
-	// calmWaiting is up to how much work is under way at the back ends in the mean while
-	// requests begin on the newest weights alone. Beyond it there is no time to read all
-	// prompts anew as soon as a version is named.
-	calmWaiting = 3000
 	// requestCost is what a request under way adds beside the prompt that is read.
 	requestCost = 60
 	// otherZoneCost is the cost of a back end in another zone, for requests without
@@ -112,32 +107,7 @@
 	if query.Model == "" {
 		return p.chooseLeastLoaded(sampled), 0
 	}
-	considered := withKnown(sampled, candidates, query)
-	if newest := withVersion(considered, query.Model, query.newest); len(newest) > 0 && calm(considered) {
-		considered = newest
-	}
-	return chooseSoonest(considered, query)
-}
-
-// calm tells whether little waits at back ends in the mean, so that they have time to
-// read prompts anew.
-func calm(candidates []*entry) bool {
-	total := 0.0
-	for _, candidate := range candidates {
-		total += candidate.waiting()
-	}
-	return total <= calmWaiting*float64(len(candidates))
-}
-
-// withVersion returns the candidates that hold a version of a model.
-func withVersion(candidates []*entry, model identity.ModelName, version uint64) []*entry {
-	var found []*entry
-	for _, candidate := range candidates {
-		if candidate.version(model) == version {
-			found = append(found, candidate)
-		}
-	}
-	return found
+	return chooseSoonest(withKnown(sampled, candidates, query), query)
 }
 
 // sample returns some of the candidates, the fewer the more daemons there are.
