Tell all of many daemons where large parts are, without the loads

Of 2,727 long prompts in the logs of which no holder was known, 1,178 had been sent before, half of them less than 4 s ago. With 69 daemons each datagram with a large part went to all 68 others together with the loads of all back ends, ten times a second; the bound of 36 kB a second was used up by some of them, and "where it isn't enough, some are left out".

Where there are more daemons than are told of loads at a time, large parts and doubts go in a datagram of their own, gathered over 0.3 s, with 0.7 of the bound for themselves. Small deployments are told as before.

--- a/internal/loadshare/loadshare.go
+++ b/internal/loadshare/loadshare.go
@@ -31,10 +31,15 @@
 	// up. Where large parts of prompts are is told to all, since it is told once.
 	maximumTargets = 12
 	// bytesPerSecond bounds what is sent. Where it isn't enough for all targets of a
-	// turn, some are left out.
+	// turn, some are left out. Where there are many daemons, factShare of it is for what
+	// is told to all, so that loads don't crowd it out.
 	bytesPerSecond = 36 << 10
 	burstBytes     = 48 << 10
+	factShare      = 0.7
 	maximumLoads   = 256
+	// gatherTime is for how long large parts are gathered where there are many daemons: a
+	// datagram's frame and name are as long as some facts.
+	gatherTime = 300 * time.Millisecond
 )
 
 // message is one datagram's body.
@@ -102,11 +107,16 @@
 // Sharer tells and hears loads.
 type Sharer struct {
 	options Options
-	limiter *rate.Limiter
-	mutex   sync.Mutex
-	heard   map[string]heardLoads
-	// next counts the daemons told; it belongs to the goroutine of Run.
-	next int
+	// limiter bounds all bytes where there are few daemons, and those of loads alone where
+	// there are many; factLimiter then bounds the others.
+	limiter, factLimiter *rate.Limiter
+	mutex                sync.Mutex
+	heard                map[string]heardLoads
+	// next counts the daemons told; gathered wait to be told to all, which was last done
+	// at toldAllAt. They belong to the goroutine of Run.
+	next      int
+	gathered  []promptcache.Fact
+	toldAllAt time.Time
 }
 
 // heardLoads is what one daemon told last.
@@ -117,8 +127,9 @@
 
 // New makes a Sharer that hears of loads, and tells of its own once it runs.
 func New(options Options) *Sharer {
-	made := &Sharer{options: options, limiter: rate.NewLimiter(bytesPerSecond, burstBytes), heard: map[string]heardLoads{}}
+	made := &Sharer{options: options, limiter: rate.NewLimiter(bytesPerSecond, burstBytes), factLimiter: rate.NewLimiter(factShare*bytesPerSecond, burstBytes), heard: map[string]heardLoads{}}
 	peerlink.HandleDecoded(options.Link, peerlink.KindLoads, made.receive)
+	peerlink.HandleDecoded(options.Link, peerlink.KindFacts, made.receiveFacts)
 	made.next = rand.IntN(math.MaxInt32)
 	return made
 }
@@ -136,31 +147,50 @@
 		case now := <-ticker.C:
 			s.options.Pool.SetOthersLoad(s.merge(now))
 			loads := s.options.Pool.Loads(maximumLoads)
-			facts := s.options.Memory.Untold()
-			doubts := s.options.Pool.Doubts()
+			facts, doubts := s.options.Memory.Untold(), s.options.Pool.Doubts()
+			s.limiter.SetLimit(bytesPerSecond)
+			if len(s.options.Others()) > maximumTargets {
+				s.limiter.SetLimit((1 - factShare) * bytesPerSecond)
+				facts, doubts = s.tellAll(now, facts, doubts), nil
+			}
 			if len(facts)+len(doubts) == 0 && slices.Equal(loads, last) && now.Sub(sentAt) < idleInterval {
 				continue
 			}
 			last, sentAt = loads, now
-			s.send(loads, facts, doubts)
+			s.send(s.limiter, peerlink.KindLoads, newMessage(loads, facts, doubts), maximumTargets)
 		}
 	}
 }
 
-// send tells the other daemons, within the bound on bytes: all of them of large parts and
-// of doubts, and the next ones of loads and small parts alone.
-func (s *Sharer) send(loads []backendpool.Load, facts []promptcache.Fact, doubts []backendpool.Doubt) {
-	datagram, fits := s.options.Link.Encode(peerlink.KindLoads, newMessage(loads, facts, doubts))
+// tellAll tells all of many daemons of doubts and of large parts, without the loads, which
+// are longer and told again soon. Parts are gathered for a moment. It returns the facts
+// that are for a few daemons only.
+func (s *Sharer) tellAll(now time.Time, facts []promptcache.Fact, doubts []backendpool.Doubt) (few []promptcache.Fact) {
+	for _, fact := range facts {
+		if fact.ForAll() {
+			s.gathered = append(s.gathered, fact)
+		} else {
+			few = append(few, fact)
+		}
+	}
+	early := now.Sub(s.toldAllAt) < gatherTime
+	if len(doubts) == 0 && (len(s.gathered) == 0 || early) {
+		return few
+	}
+	s.send(s.factLimiter, peerlink.KindFacts, newMessage(nil, s.gathered, doubts), len(s.options.Others()))
+	s.gathered, s.toldAllAt = nil, now
+	return few
+}
+
+// send tells the next ones of the other daemons, within the bound on bytes.
+func (s *Sharer) send(limiter *rate.Limiter, kind peerlink.Kind, told *message, count int) {
+	datagram, fits := s.options.Link.Encode(kind, told)
 	others := s.options.Others()
 	if !fits || len(others) == 0 {
 		return
 	}
-	count := len(others)
-	if len(doubts) == 0 && !slices.ContainsFunc(facts, promptcache.Fact.ForAll) {
-		count = min(count, maximumTargets)
-	}
-	for range count {
-		if !s.limiter.AllowN(time.Now(), len(datagram)) {
+	for range min(count, len(others)) {
+		if !limiter.AllowN(time.Now(), len(datagram)) {
 			return
 		}
 		s.options.Link.Send(others[s.next%len(others)], datagram)
@@ -168,14 +198,19 @@
 	}
 }
 
-// receive hears another daemon.
+// receive hears another daemon's loads, and what came with them.
 func (s *Sharer) receive(from string, got message) {
+	s.receiveFacts(from, got)
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.heard[from] = heardLoads{at: time.Now(), loads: got.loads()}
+}
+
+// receiveFacts hears of parts and doubts alone.
+func (s *Sharer) receiveFacts(from string, got message) {
 	now := time.Now()
 	s.options.Memory.Heard(now, got.facts())
 	s.options.Pool.HearDoubts(now, from, got.Doubts)
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	s.heard[from] = heardLoads{at: now, loads: got.loads()}
 }
 
 // merge adds up what was heard lately, scaled up to all other daemons. It returns true
--- a/internal/loadshare/loadshare_test.go
+++ b/internal/loadshare/loadshare_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"sync"
 	"testing"
@@ -116,3 +117,44 @@
 		return poll.Success()
 	})
 }
+
+// TestLargePartsReachAllOfManyDaemons tells each of many daemons where large parts are,
+// though what is under way at hundreds of back ends, which is told beside it, would alone
+// take more than the bound on bytes.
+func TestLargePartsReachAllOfManyDaemons(t *testing.T) {
+	const (
+		others = 60
+		parts  = 20
+	)
+	first, second := freeAddress(t), freeAddress(t)
+	addresses := []string{second}
+	for len(addresses) < others {
+		addresses = append(addresses, freeAddress(t))
+	}
+	one := startDaemon(t, first, addresses...)
+	two := startDaemon(t, second, first)
+	var backends []backendpool.Backend
+	for index := range 250 {
+		backends = append(backends, backendpool.Backend{ID: identity.BackendID(fmt.Sprint("b", index)), Service: "s"})
+	}
+	one.pool.Update(backends)
+	for range 500 {
+		one.pool.Pick(time.Now(), backendpool.Query{Service: "s"})
+	}
+	var keys []promptcache.Key
+	for index := range parts {
+		key := promptcache.KeyOf("v1", fmt.Sprint("part", index))
+		one.memory.HasRead(time.Now(), promptcache.Fact{Part: key, Backend: 7, Tokens: 4000})
+		one.pool.Pick(time.Now(), backendpool.Query{Service: "s"}) // a load that changes
+		keys = append(keys, key)
+		time.Sleep(50 * time.Millisecond)
+	}
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		for _, key := range keys {
+			if len(two.memory.Holders(time.Now(), key).Read) == 0 {
+				return poll.Continue("a part is not heard of")
+			}
+		}
+		return poll.Success()
+	}, poll.WithTimeout(3*time.Second))
+}
--- a/internal/peerlink/peerlink.go
+++ b/internal/peerlink/peerlink.go
@@ -27,6 +27,8 @@
 	KindBulletin
 	// KindPlan tells the plan of a roll-out.
 	KindPlan
+	// KindFacts tells where large parts of prompts are, and which back ends to doubt.
+	KindFacts
 	kindEnd
 )
 
