Look up who leaves in a map, and bound who is told to be next

Each pick searched the lists of leaving back ends for each candidate, the roll-out's order searched one in a sort (with 2,800 back ends some 28 million steps a tick), and a plan that names all of them as next does not fit into a datagram. Below 256 back ends behind nothing changes.

--- a/internal/core/backendpool/choice.go
+++ b/internal/core/backendpool/choice.go
@@ -183,7 +183,7 @@
 func (p *Pool) newestVersion(now time.Time, query Query) uint64 {
 	newest := uint64(0)
 	for _, found := range p.services[query.Service] {
-		if !found.ejected(now) && !p.leaving.now(found.key) && !found.backend.Draining {
+		if !found.ejected(now) && p.leaving[found.key] != leavesNow && !found.backend.Draining {
 			newest = max(newest, found.version(query.Model))
 		}
 	}
--- a/internal/core/backendpool/leaving.go
+++ b/internal/core/backendpool/leaving.go
@@ -1,7 +1,5 @@
 package backendpool
 
-import "slices"
-
 // shortOutput is the length in tokens of an answer that ends within about the time
 // that a back end takes to be asked for its state, to be ordered and to begin: at some
 // four milliseconds a token.
@@ -17,16 +15,28 @@
 	Soon []uint64
 }
 
-func (l *Leaving) now(key uint64) bool { return slices.Contains(l.Now, key) }
-
-func (l *Leaving) soon(key uint64) bool { return slices.Contains(l.Soon, key) }
+// leavingState is whether a back end is taken out of use.
+type leavingState int
 
-// long tells whether the answer is expected to last. An answer of unknown length is not.
-func (q *Query) long() bool { return q.OutputTokens > shortOutput }
+const (
+	stays leavingState = iota
+	leavesSoon
+	leavesNow
+)
 
 // SetLeaving replaces which back ends are taken out of use.
 func (p *Pool) SetLeaving(leaving Leaving) {
+	states := make(map[uint64]leavingState, len(leaving.Now)+len(leaving.Soon))
+	for _, key := range leaving.Soon {
+		states[key] = leavesSoon
+	}
+	for _, key := range leaving.Now {
+		states[key] = leavesNow
+	}
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	p.leaving = leaving
+	p.leaving = states
 }
+
+// long tells whether the answer is expected to last. An answer of unknown length is not.
+func (q *Query) long() bool { return q.OutputTokens > shortOutput }
--- a/internal/core/backendpool/pool.go
+++ b/internal/core/backendpool/pool.go
@@ -82,7 +82,7 @@
 	othersWhole bool
 	// leaving says which back ends are taken out of use on purpose, by the hashes of
 	// their IDs.
-	leaving Leaving
+	leaving map[uint64]leavingState
 	// freed is called, without the mutex, when a request that found all back ends busy
 	// may find one free.
 	freed func()
@@ -213,9 +213,9 @@
 	for _, candidate := range p.services[query.Service] {
 		switch {
 		case !allowed(now, candidate, query):
-		case candidate.ejected(now) || p.leaving.now(candidate.key):
+		case candidate.ejected(now) || p.leaving[candidate.key] == leavesNow:
 			doubted = append(doubted, candidate)
-		case query.long() && p.leaving.soon(candidate.key):
+		case query.long() && p.leaving[candidate.key] == leavesSoon:
 			soon = append(soon, candidate)
 		default:
 			sound = append(sound, candidate)
--- a/internal/rollout/keeper.go
+++ b/internal/rollout/keeper.go
@@ -162,7 +162,7 @@
 	waiting := slices.DeleteFunc(behind, func(holder backendpool.Holder) bool {
 		return k.working[holder.Backend.ID] || k.isPassedOver(holder.Backend.ID)
 	})
-	slices.SortStableFunc(waiting, k.compareTurns)
+	sortByTurn(waiting, k.plan.Next)
 	room := min(max(pace.out-len(k.working), 0), len(waiting))
 	for _, holder := range waiting[:room] {
 		k.begin(ctx, holder.Backend, model)
@@ -184,6 +184,7 @@
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
 	slices.Sort(next)
+	next = next[:min(len(next), maximumNext)]
 	if slices.Equal(next, k.plan.Next) {
 		return
 	}
--- a/internal/rollout/plan.go
+++ b/internal/rollout/plan.go
@@ -182,6 +182,9 @@
 	// outShare is one over the share of a model's back ends that get no new requests
 	// since they load or are about to.
 	outShare = 3
+	// maximumNext bounds the back ends that are told to be next: the plan has to fit into a
+	// datagram.
+	maximumNext = 256
 	// calmReading is up to how much waits to be read at a back end in the mean, in
 	// tokens, while the others can do without those that are about to load.
 	calmReading = 2000
--- a/internal/rollout/turns.go
+++ b/internal/rollout/turns.go
@@ -37,14 +37,17 @@
 	return ids
 }
 
-// compareTurns puts those first that were told to be next, and of equals those with
-// the least under way. The caller holds the mutex.
-func (k *Keeper) compareTurns(left, right backendpool.Holder) int {
-	turn := func(holder backendpool.Holder) int {
-		if slices.Contains(k.plan.Next, holder.Backend.ID) {
-			return 0
-		}
-		return 1
+// sortByTurn puts those first that were told to be next, and of equals those with the
+// least under way.
+func sortByTurn(holders []backendpool.Holder, told []identity.BackendID) {
+	turns := make(map[identity.BackendID]int, len(told))
+	for _, id := range told {
+		turns[id] = -1
 	}
-	return cmp.Or(cmp.Compare(turn(left), turn(right)), cmp.Compare(left.InFlight, right.InFlight))
+	slices.SortStableFunc(holders, func(left, right backendpool.Holder) int {
+		return cmp.Or(
+			cmp.Compare(turns[left.Backend.ID], turns[right.Backend.ID]),
+			cmp.Compare(left.InFlight, right.InFlight),
+		)
+	})
 }
--- a/internal/rollout/turns_test.go
+++ b/internal/rollout/turns_test.go
@@ -1,7 +1,6 @@
 package rollout
 
 import (
-	"slices"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -22,10 +21,8 @@
 // TestAnnouncedTurnsAreKept lets those load first that were told to be next, though
 // others have less under way meanwhile: nothing long was placed there for their sake.
 func TestAnnouncedTurnsAreKept(t *testing.T) {
-	keeper := New(Options{})
-	keeper.plan.Next = []identity.BackendID{"b", "d"}
 	holders := holdersOf(0, 9, 1, 5, 2)
-	slices.SortStableFunc(holders, keeper.compareTurns)
+	sortByTurn(holders, []identity.BackendID{"b", "d"})
 	assert.DeepEqual(t, idsOf(holders), []identity.BackendID{"d", "b", "a", "c", "e"})
 }
 
