--- a/internal/core/backendpool/suspicion.go
+++ b/internal/core/backendpool/suspicion.go
@@ -118,37 +118,66 @@
 	}
 }
 
+// ProbeOutcome is what a probe changed.
+type ProbeOutcome int
+
+// The outcomes of probes.
+const (
+	ProbeChangedNothing ProbeOutcome = iota
+	// ProbeTookOut: the back end is out until a probe reaches it.
+	ProbeTookOut
+	// ProbeBroughtBack: the back end was out since it could not be reached.
+	ProbeBroughtBack
+)
+
 // Probed notes whether a probe reached a back end. One that was not reached is out until
-// a probe reaches it, and its requests are told. It returns true when the back end is
-// taken out because of the probe.
-func (p *Pool) Probed(now time.Time, id identity.BackendID, reached bool) bool {
+// a probe reaches it, and its requests are told.
+func (p *Pool) Probed(now time.Time, id identity.BackendID, reached bool) ProbeOutcome {
+	if reached {
+		defer p.freed()
+		return p.probeReached(now, id)
+	}
+	outcome, lost := p.probeFailed(now, id)
+	for _, tell := range lost {
+		tell()
+	}
+	return outcome
+}
+
+func (p *Pool) probeReached(now time.Time, id identity.BackendID) ProbeOutcome {
 	p.mutex.Lock()
+	defer p.mutex.Unlock()
 	found := p.byID[id]
 	if found == nil {
-		p.mutex.Unlock()
-		return false
+		return ProbeChangedNothing
 	}
-	takenOut := !reached && !found.ejected(now)
 	found.suspicion.probed(now)
-	var lost []func()
-	if reached {
-		found.returned(now)
-	} else {
-		found.suspicion.unreached = true
-		found.ejectedUntil = now.Add(unreachedEjection)
-		lost = found.lost()
-	}
-	if takenOut {
-		p.noteDoubt(found, ResultUnreached)
+	if !found.suspicion.unreached {
+		return ProbeChangedNothing
 	}
-	p.mutex.Unlock()
-	for _, tell := range lost {
-		tell()
+	found.suspicion.unreached = false
+	found.ejectedUntil = now
+	found.ejection = 0
+	return ProbeBroughtBack
+}
+
+// probeFailed returns what is to be told to the requests under way.
+func (p *Pool) probeFailed(now time.Time, id identity.BackendID) (ProbeOutcome, []func()) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	found := p.byID[id]
+	if found == nil {
+		return ProbeChangedNothing, nil
 	}
-	if reached {
-		p.freed()
+	wasOut := found.ejected(now)
+	found.suspicion.probed(now)
+	found.suspicion.unreached = true
+	found.ejectedUntil = now.Add(unreachedEjection)
+	if wasOut {
+		return ProbeChangedNothing, found.lost()
 	}
-	return takenOut
+	p.noteDoubt(found, ResultUnreached)
+	return ProbeTookOut, found.lost()
 }
 
 func (s *suspicion) probed(now time.Time) {
@@ -158,15 +187,6 @@
 	s.quietSince = now
 }
 
-// returned lets the back end be used again if it was out since it could not be reached.
-func (e *entry) returned(now time.Time) {
-	if e.suspicion.unreached {
-		e.suspicion.unreached = false
-		e.ejectedUntil = now
-		e.ejection = 0
-	}
-}
-
 // lost returns what is to be told to the requests under way.
 func (e *entry) lost() []func() {
 	var tell []func()
--- a/internal/core/backendpool/suspicion_test.go
+++ b/internal/core/backendpool/suspicion_test.go
@@ -36,7 +36,7 @@
 	now = now.Add(2 * suspiciousSilence)
 	assert.DeepEqual(t, suspects(pool, now), []identity.BackendID{ticket.Backend.ID})
 	assert.Equal(t, len(suspects(pool, now)), 0, "one probe at a time")
-	assert.Assert(t, !pool.Probed(now, ticket.Backend.ID, true))
+	assert.Equal(t, pool.Probed(now, ticket.Backend.ID, true), ProbeChangedNothing)
 	assert.Equal(t, len(suspects(pool, now.Add(probeInterval-time.Millisecond))), 0)
 	assert.Equal(t, len(suspects(pool, now.Add(probeInterval))), 1)
 	ticket.Release(now, ResultServed)
@@ -57,18 +57,18 @@
 
 	now := start.Add(suspiciousSilence)
 	assert.DeepEqual(t, suspects(pool, now), []identity.BackendID{id})
-	assert.Assert(t, pool.Probed(now, id, false))
+	assert.Equal(t, pool.Probed(now, id, false), ProbeTookOut)
 	assert.Equal(t, lost, 1)
 	assert.Equal(t, len(pool.Doubts()), 1)
 	for range 5 {
 		assert.Assert(t, !pickedAll(pool, now)[string(id)])
 		now = now.Add(unreachedEjection - returnLead)
 		assert.DeepEqual(t, suspects(pool, now), []identity.BackendID{id})
-		assert.Assert(t, !pool.Probed(now, id, false), "it is out already")
+		assert.Equal(t, pool.Probed(now, id, false), ProbeChangedNothing, "it is out already")
 	}
 	now = now.Add(unreachedEjection - returnLead)
 	assert.DeepEqual(t, suspects(pool, now), []identity.BackendID{id})
-	pool.Probed(now, id, true)
+	assert.Equal(t, pool.Probed(now, id, true), ProbeBroughtBack)
 	assert.Assert(t, pickedAll(pool, now)[string(id)])
 }
 
--- a/internal/prober/prober.go
+++ b/internal/prober/prober.go
@@ -58,12 +58,15 @@
 	if ctx.Err() != nil {
 		return
 	}
-	if !p.options.Pool.Probed(time.Now(), suspect.ID, reached) {
-		return
-	}
-	p.options.Log.WithFields(logrus.Fields{
+	log := p.options.Log.WithFields(logrus.Fields{
 		"backend": suspect.ID, "address": suspect.Address, "took_ms": time.Since(began).Milliseconds(),
-	}).Warn("A back end can't be reached and is taken out.")
+	})
+	switch p.options.Pool.Probed(time.Now(), suspect.ID, reached) {
+	case backendpool.ProbeTookOut:
+		log.Warn("A back end can't be reached and is taken out.")
+	case backendpool.ProbeBroughtBack:
+		log.Info("A back end can be reached again.")
+	}
 }
 
 // reach tells whether one of a few attempts in a row succeeds.
