--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -200,6 +200,35 @@
 	assert.Assert(t, time.Since(started) >= time.Duration(aliveFactor*float64(route.TargetLatency)))
 }
 
+// TestLostBackEndIsLeftAtOnce sends a repeatable request elsewhere as soon as a probe
+// doesn't reach its back end, long before it would be silent for too long, and leaves one
+// that may run once alone.
+func TestLostBackEndIsLeftAtOnce(t *testing.T) {
+	route := routing.Route{Kind: routing.KindSafe, MaxAttempts: 2, TargetLatency: time.Minute}
+	world := newWorld(route, 2, 5)
+	world.backends.hang[0] = true
+	lose := func() {
+		world.backends.mutex.Lock()
+		id := world.backends.dispatches[0].Backend
+		world.backends.mutex.Unlock()
+		world.pool.Probed(time.Now(), id, false)
+	}
+	time.AfterFunc(50*time.Millisecond, lose)
+	started := time.Now()
+	caller := world.ask(nil)
+	assert.Equal(t, caller.body.String(), "whole body")
+	assert.Assert(t, time.Since(started) < 5*time.Second)
+	assert.Assert(t, world.backends.dispatches[0].Backend != world.backends.dispatches[1].Backend)
+
+	once := routing.Route{Kind: routing.KindUnsafe, MaxAttempts: 1, TargetLatency: time.Minute, Timeout: 300 * time.Millisecond}
+	world = newWorld(once, 2, 5)
+	world.backends.hang[0] = true
+	time.AfterFunc(50*time.Millisecond, lose)
+	caller = world.ask(nil)
+	assert.Equal(t, caller.refusal.Kind, RefusalTimeout)
+	assert.Equal(t, len(world.backends.dispatches), 1)
+}
+
 // TestDeadlineEndsAtOnce answers at the route's timeout, as unknown, when the
 // request was sent and nothing came.
 func TestDeadlineEndsAtOnce(t *testing.T) {
