--- a/internal/core/membership/membershiptest/network.go
+++ b/internal/core/membership/membershiptest/network.go
@@ -70,8 +70,6 @@
 	pausedUntil time.Time
 	buffered    []delivery
 	life        int
-	// returnAt is when a leaving daemon starts again.
-	returnAt time.Time
 }
 
 type delivery struct {
