Ask in one way which back ends are behind; say what the share for fetches does now

Read in the whole diff: hasWork went through the back ends by the same three conditions as soundOf and behindOf, which start uses; it calls them now. The comment on fetchShare still told of a bound, which it has not been since the store is only preferred while its link is free. No behaviour is changed.

--- a/internal/relay/caching.go
+++ b/internal/relay/caching.go
@@ -17,9 +17,9 @@
 	// leastFetchedTokens is how many shared tokens a prompt must have for its cache
 	// to be fetched: fewer are read sooner than a move behind others ends.
 	leastFetchedTokens = 512
-	// saveShare and fetchShare of a store's link are the most for saves and for fetches
-	// of all daemons together: what is asked for beyond the link waits, up to seconds,
-	// while prompts are read in tenths of one.
+	// saveShare of a store's link is the most for saves of all daemons together. Once
+	// fetches use fetchShare of it, a back end that holds a prompt goes before the store:
+	// what is asked for beyond the link waits, up to seconds.
 	saveShare  = 1.0
 	fetchShare = 0.5
 	// saveBurst and fetchBurst are for how long of its part a daemon may use the link
--- a/internal/rollout/keeper.go
+++ b/internal/rollout/keeper.go
@@ -132,10 +132,8 @@
 		return true
 	}
 	for model, version := range k.options.Named.Targets() {
-		for _, holder := range k.options.Pool.Holders(now, model) {
-			if holder.Version < version && !holder.Backend.Draining && !holder.Doubted {
-				return true
-			}
+		if len(behindOf(soundOf(k.options.Pool.Holders(now, model)), version)) > 0 {
+			return true
 		}
 	}
 	return false
