Find out in a few steps which caches a daemon watches

Now it stops at the second daemon that ranks higher; a property test holds it to the ranking. Whether there is work for the lease is looked up five times a second.

--- a/cmd/lotusward-platform/caches.go
+++ b/cmd/lotusward-platform/caches.go
@@ -31,14 +31,13 @@
 // it ranks among the first of all daemons.
 func (w *wired) watchedBackends() []cachewatch.Target {
 	self := w.link.Address()
-	daemons := append(slices.Clone(w.members.Others()), self)
+	others := w.members.Others()
 	var targets []cachewatch.Target
 	for _, backend := range w.backends.Backends() {
 		if len(backend.Weights) == 0 || backend.Draining {
 			continue
 		}
-		watchers := rendezvous.Top(rendezvous.Key(string(backend.ID)), daemons, cacheWatchers)
-		if slices.Contains(watchers, self) {
+		if rendezvous.AmongTop(rendezvous.Key(string(backend.ID)), self, others, cacheWatchers) {
 			targets = append(targets, cachewatch.Target{Name: string(backend.ID), Address: backend.Address})
 		}
 	}
--- a/cmd/lotusward-platform/wire.go
+++ b/cmd/lotusward-platform/wire.go
@@ -300,22 +300,21 @@
 			}()
 		})
 	}
-	add(w.directory.Run)
-	add(w.rollout.Run)
-	add(w.follower.Run)
-	add(w.link.Run)
-	add(w.snapshots.Run)
-	add(w.broadcast.Run)
-	add(w.loads.Run)
-	add(w.prober.Run)
-	add(w.promptsIn.Run)
-	add(w.cachesIn.Run)
-	add(w.sweep)
-	add(w.keeper.Run)
+	for _, part := range w.control() {
+		add(part)
+	}
 	w.metricsOut.addTo(group)
 	w.serving.addTo(group)
 }
 
+// control are the parts that keep what this daemon believes, and act on it.
+func (w *wired) control() []func(context.Context) error {
+	return []func(context.Context) error{
+		w.directory.Run, w.rollout.Run, w.follower.Run, w.link.Run, w.snapshots.Run, w.broadcast.Run, w.loads.Run,
+		w.prober.Run, w.promptsIn.Run, w.cachesIn.Run, w.sweep, w.keeper.Run,
+	}
+}
+
 // sweep closes connections that are unused for too long.
 func (w *wired) sweep(ctx context.Context) error {
 	for ctx.Err() == nil {
--- a/internal/core/rendezvous/rendezvous.go
+++ b/internal/core/rendezvous/rendezvous.go
@@ -27,6 +27,27 @@
 	return xxhash.Sum64String(name)
 }
 
+// AmongTop tells whether a member is among the count others and itself with the highest
+// scores for the key. It mostly looks at few of the members, since it is enough to know
+// count of them that score higher.
+func AmongTop[Member ~string](key uint64, member Member, members []Member, count int) bool {
+	own := Score(key, string(member))
+	higher := 0
+	for _, other := range members {
+		if other == member {
+			continue
+		}
+		score := Score(key, string(other))
+		if score > own || (score == own && other < member) {
+			higher++
+		}
+		if higher >= count {
+			return false
+		}
+	}
+	return count > 0
+}
+
 // Top returns the count members with the highest scores for the key, best first.
 func Top[Member ~string](key uint64, members []Member, count int) []Member {
 	type scored struct {
--- a/internal/core/rendezvous/rendezvous_test.go
+++ b/internal/core/rendezvous/rendezvous_test.go
@@ -36,3 +36,16 @@
 		assert.Assert(t, counts[member] > keys/len(members)*8/10, "%v", counts)
 	}
 }
+
+// TestAmongTopAgreesWithTop asks for single members what Top says of all.
+func TestAmongTopAgreesWithTop(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		members := rapid.SliceOfNDistinct(rapid.StringMatching("[a-z]{1,6}"), 1, 40, rapid.ID[string]).Draw(t, "members")
+		count := rapid.IntRange(0, 5).Draw(t, "count")
+		key := rapid.Uint64().Draw(t, "key")
+		top := Top(key, members, count)
+		for _, member := range members {
+			assert.Equal(t, AmongTop(key, member, members, count), slices.Contains(top, member))
+		}
+	})
+}
--- a/internal/daemon/leasekeeper/duty.go
+++ b/internal/daemon/leasekeeper/duty.go
@@ -5,6 +5,10 @@
 	"time"
 )
 
+// lookInterval is how often it is looked whether there is work: that goes through all back
+// ends.
+const lookInterval = 200 * time.Millisecond
+
 // candidatePatience is how long the daemon that is to take the lease first has for it
 // before others try.
 const candidatePatience = time.Second
@@ -23,6 +27,8 @@
 	Linger time.Duration
 
 	mutex sync.Mutex
+	// lookedAt is when it was looked last.
+	lookedAt time.Time
 	// since is when the present work was first seen, and last when there was any.
 	since, last time.Time
 }
@@ -43,9 +49,13 @@
 
 // note looks whether there is work.
 func (d *Duty) note(now time.Time) (since, last time.Time) {
-	pending := d.Pending()
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
+	if now.Sub(d.lookedAt) < lookInterval {
+		return d.since, d.last
+	}
+	d.lookedAt = now
+	pending := d.Pending()
 	switch {
 	case !pending:
 		d.since = time.Time{}
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -43,6 +43,9 @@
 	// longestRetryPause bounds the pause after calls that were refused for now.
 	longestRetryPause = 2 * time.Second
 	callTimeout       = 1500 * time.Millisecond
+	// checkTimeout bounds a call of a few bytes: it takes a few milliseconds, or some
+	// hundred while the store is slow.
+	checkTimeout = 600 * time.Millisecond
 	// listTimeout bounds a reading of the whole list of back ends, page by page.
 	listTimeout = 15 * time.Second
 	// disturbanceWindow is the time within which two failed calls are a disturbance.
--- a/internal/directory/reader.go
+++ b/internal/directory/reader.go
@@ -71,7 +71,7 @@
 			return
 		}
 		after = max(after, d.positions[following.table].Load())
-		bounded, cancel := context.WithTimeout(ctx, following.wait+callTimeout)
+		bounded, cancel := context.WithTimeout(ctx, following.timeout())
 		got, next, whole := following.next(bounded, after, following.hold(left, told))
 		cancel()
 		var lost *port.NotFoundError
@@ -110,6 +110,14 @@
 	return min(left, f.wait)
 }
 
+// timeout bounds a call: one that is not held is answered at once.
+func (f *follow) timeout() time.Duration {
+	if f.wait == 0 {
+		return checkTimeout
+	}
+	return f.wait + callTimeout
+}
+
 // awaitTurn waits until this daemon is to read a table.
 func (d *Directory) awaitTurn(ctx context.Context, which table) task {
 	for ctx.Err() == nil {
--- a/internal/members/members.go
+++ b/internal/members/members.go
@@ -31,7 +31,10 @@
 	// assumedCount is taken before the daemons are known: many, so that the part of a
 	// limit is small.
 	assumedCount = 64
-	callTimeout  = 1500 * time.Millisecond
+	// callTimeout bounds a call for a few rows, which takes a few milliseconds, or some
+	// hundred while the store is slow. One that a silent store leaves unanswered must not
+	// keep this daemon from asking again.
+	callTimeout = 600 * time.Millisecond
 	// contactRows is how many rows a starting daemon reads, its own among them.
 	contactRows = 10
 	// othersStartTime is how long daemons that start together take to write their rows.
