Start with one reader too: wait for a configuration, ask busy daemons again, send lists down a tree

Cause: with the store's calls logged by kind on a scratch site of 98 daemons (a third of the large one), 81 daemons read everything at the start: nobody had a configuration for the first 1.2 s; then each that had just asked another one began to read before its answer was taken in (a race, seen in the log as 'without news for 0 ms'); peers busy with eight others counted as of no help. Later, bulletins of long lists and plans used up the bound on bytes, so that confirmations were dropped and others took over needlessly.

Now a reader tells that there is nothing yet; a starter waits until what it was told is taken in, and asks others while those that know are busy; lists and plans go down a tree of daemons (peerlink.Tree); the lease's row is heard also when it is the known one, so that candidates read it no more; a daemon of a first start writes its row without looking for it.

--- a/cmd/lotusward-platform/wire.go
+++ b/cmd/lotusward-platform/wire.go
@@ -84,6 +84,7 @@
 	cachesIn   *cachewatch.Watcher
 	link       *peerlink.Link
 	broadcast  *peerlink.Broadcaster
+	tree       *peerlink.Tree
 	snapshots  *peersync.Server
 	loads      *loadshare.Sharer
 	prober     *prober.Prober
@@ -128,6 +129,7 @@
 	})
 	w.members = members.New(members.Options{
 		Self: w.settings.NodeName, Address: w.settings.InternalAddress(), Table: w.store, Log: w.part("members"),
+		New: w.settings.FirstStart,
 		Changed: func(count int) {
 			w.budgets.SetFloor(int(budgetShare * bounds.RetryBudgetSlack / float64(count)))
 			w.backends.SetDaemons(count)
@@ -135,9 +137,10 @@
 	})
 	w.link.Observe(w.hear)
 	w.broadcast = peerlink.NewBroadcaster(w.link, w.members.Others)
+	w.tree = peerlink.NewTree(w.link, w.members.Others)
 	w.directory = directory.New(directory.Options{
 		Source: w.store, Pool: w.backends, Log: w.part("directory"),
-		Self: w.link.Address(), Tell: func(bulletin directory.Bulletin) { w.broadcast.Tell(peerlink.KindBulletin, &bulletin) },
+		Self: w.link.Address(), Tell: w.tell,
 		Interval: checkInterval(bounds), Others: w.members.Others, OnMembers: w.members.Set,
 		Peers: peersync.NewClient(w.pool), Contacts: w.members,
 		SteadyTime:       platform.Milliseconds(bounds.ContactMs),
@@ -196,7 +199,7 @@
 		Holder: w.settings.NodeName, Lease: w.keeper, Table: w.store, Pool: w.backends, Named: w.directory,
 		Orders: w.runners, Log: w.part("rollout"),
 		DueBy:    w.dueBy,
-		Announce: func(announced rollout.Announcement) { w.broadcast.Tell(peerlink.KindPlan, &announced) },
+		Announce: func(announced rollout.Announcement) { w.tree.Tell(peerlink.KindPlan, &announced) },
 	})
 	w.follower = &rollout.Follower{
 		Table: w.store, Changes: w.store, Pool: w.backends, Lease: w.keeper, Learn: w.directory.LearnSeen, Log: w.part("rollout"),
@@ -235,6 +238,16 @@
 	}
 }
 
+// tell tells all other daemons what this one has read. Lists are long, and go down a tree;
+// the rest is short, and must not wait behind them.
+func (w *wired) tell(bulletin directory.Bulletin) {
+	if bulletin.Declared != nil {
+		w.broadcast.Tell(peerlink.KindBulletin, &bulletin)
+		return
+	}
+	w.tree.Tell(peerlink.KindBulletin, &bulletin)
+}
+
 // hear notes that a daemon is alive.
 func (w *wired) hear(address string) {
 	w.members.Heard(address)
@@ -310,7 +323,7 @@
 // control are the parts that keep what this daemon believes, and act on it.
 func (w *wired) control() []func(context.Context) error {
 	return []func(context.Context) error{
-		w.directory.Run, w.rollout.Run, w.follower.Run, w.link.Run, w.snapshots.Run, w.broadcast.Run, w.loads.Run,
+		w.directory.Run, w.rollout.Run, w.follower.Run, w.link.Run, w.snapshots.Run, w.broadcast.Run, w.tree.Run, w.loads.Run,
 		w.prober.Run, w.promptsIn.Run, w.cachesIn.Run, w.sweep, w.keeper.Run,
 	}
 }
--- a/internal/core/lease/machine.go
+++ b/internal/core/lease/machine.go
@@ -259,11 +259,13 @@
 // nothing older than what is known. It returns a *MalformedError when the row cannot be
 // understood.
 func (m *Machine) Heard(now time.Time, row platformwire.Row) error {
-	if m.calling || row.Version <= m.version {
+	if m.calling || row.Version < m.version {
 		return nil
 	}
-	if err := m.observe(now, row); err != nil {
-		return err
+	if row.Version > m.version {
+		if err := m.observe(now, row); err != nil {
+			return err
+		}
 	}
 	m.pollAt = now.Add(m.record.Duration)
 	return nil
--- a/internal/directory/bulletin.go
+++ b/internal/directory/bulletin.go
@@ -31,7 +31,8 @@
 	Clock time.Duration
 	// StoreVersion is the store's version then.
 	StoreVersion uint64
-	// RowVersion is the store's version of the configuration's row.
+	// RowVersion is the store's version of the configuration's row; zero tells that there
+	// is no configuration yet.
 	RowVersion uint64
 	// Versions are the remembered named versions of the models' weights, oldest first.
 	// Their times are zero where they were guessed.
@@ -125,6 +126,14 @@
 	}})
 }
 
+// tellNothing tells the others that this daemon reads the store, where operators have
+// declared nothing yet.
+func (d *Directory) tellNothing(now time.Time, clock time.Duration) {
+	if d.turn.readNews(now) {
+		d.options.Tell(Bulletin{Declared: &DeclaredNews{Clock: clock}})
+	}
+}
+
 // tellBackends tells the others how the list changed, if this daemon reads for all.
 func (d *Directory) tellBackends(now time.Time) {
 	if d.turn.readList(now, tableBackends) {
@@ -143,11 +152,17 @@
 
 // applyBulletin takes in what another daemon has read.
 func (d *Directory) applyBulletin(now time.Time, heard heardBulletin) {
+	news := heard.bulletin.Declared
+	if news != nil && news.RowVersion == 0 && d.state.Load() == nil {
+		d.turn.heard(now, heard.from)
+		d.waited.Store(&now)
+		return
+	}
 	if !d.Complete() {
 		d.fallBehind(lag{from: heard.from})
 		return
 	}
-	if news := heard.bulletin.Declared; news != nil && d.takeDeclared(now, heard.from, news) {
+	if news != nil && d.takeDeclared(now, heard.from, news) {
 		if d.turn.heard(now, heard.from) {
 			d.options.Log.WithField("reader", heard.from).Info("Another daemon reads the store for all.")
 		}
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -109,6 +109,8 @@
 	// lag says what this daemon lacks, and behind has a value when it changed.
 	lag    atomic.Pointer[lag]
 	behind chan struct{}
+	// waited is when another daemon last told that operators have declared nothing yet.
+	waited atomic.Pointer[time.Time]
 	// shown are the lists as other daemons may be given them.
 	shown atomic.Pointer[shownLists]
 
@@ -273,9 +275,13 @@
 
 // applyChecked notes that nothing has changed since what operators declared was read.
 func (d *Directory) applyChecked(got message) {
-	if d.state.Load() == nil || !maps.Equal(got.checked, d.rows) {
+	if !maps.Equal(got.checked, d.rows) {
 		return // what was checked is an outdated reading that was passed over
 	}
+	if d.state.Load() == nil {
+		d.tellNothing(got.ended, d.freshness[tableDeclared].storeTime(got.began))
+		return
+	}
 	d.confirm(got.began)
 	d.tellDeclared(got.ended, d.freshness[tableDeclared].storeTime(got.began))
 }
@@ -314,10 +320,11 @@
 	if declared.Malformed != nil {
 		d.options.Log.WithError(declared.Malformed).Error("What operators declared is malformed; the last good one stays in force.")
 	}
+	d.rows = declared.Rows
 	if !declared.Found {
+		d.tellNothing(got.ended, declared.Clock)
 		return
 	}
-	d.rows = declared.Rows
 	now := time.Now()
 	versionsChanged := d.nameVersions(now, declared.Clock, declared.Versions)
 	d.started = true
--- a/internal/directory/reader.go
+++ b/internal/directory/reader.go
@@ -122,6 +122,9 @@
 func (d *Directory) awaitTurn(ctx context.Context, which table) task {
 	for ctx.Err() == nil {
 		given := d.turn.due(time.Now(), which)
+		if given.begins {
+			d.options.Log.WithField("without_news_ms", given.overdue.Milliseconds()).Info("This daemon reads the store for all.")
+		}
 		if given.task != taskNone {
 			return given.task
 		}
--- a/internal/directory/snapshot.go
+++ b/internal/directory/snapshot.go
@@ -35,6 +35,8 @@
 	longestJoin   = 1500 * time.Millisecond
 	// joinExtension is how much longer it waits once it has heard of a daemon that reads.
 	joinExtension = time.Second
+	// otherAsks is how many other daemons are asked where those that surely know are busy.
+	otherAsks = 4
 	// treeWidth is how many daemons ask the same one for a new configuration, so that a
 	// slow link carries no more.
 	treeWidth = 8
@@ -156,11 +158,16 @@
 	from            string
 	asked, answered time.Time
 	snapshot        Snapshot
+	// done is closed once it has been taken in; nil tells nobody.
+	done chan struct{}
 }
 
 // adopt takes in what another daemon believes. Nothing that this daemon knows is
 // replaced by something older.
 func (d *Directory) adopt(got *adoption) {
+	if got.done != nil {
+		defer close(got.done)
+	}
 	snapshot := got.snapshot
 	d.freshness[tableDeclared].adopt(got.asked, got.answered, snapshot.ClockLeast, snapshot.ClockMost)
 	d.adoptDeclared(got)
@@ -268,15 +275,16 @@
 		case <-d.behind:
 		}
 		lacking := d.lag.Load()
-		if !d.askInTurn(ctx, lacking) && d.Complete() {
+		if !d.askInTurn(ctx, lacking) && d.Complete() && lacking.table != "" {
 			d.turn.want(lacking.table)
 		}
 		pause.For(ctx, askPause)
 	}
 }
 
-// askInTurn asks the daemon whose turn it is to tell this one, and then the one that is
-// known to have what is lacking. It returns true when one of them had it.
+// askInTurn asks the daemon whose turn it is to tell this one, then the one that is known
+// to have what is lacking, and then any others: the first ones may be busy with many. It
+// returns true when this daemon lacks it no longer.
 func (d *Directory) askInTurn(ctx context.Context, lacking *lag) bool {
 	if d.options.Peers == nil {
 		return false
@@ -285,14 +293,37 @@
 	if parent := d.treeParent(lacking.from); parent != lacking.from && d.Complete() {
 		asked = []string{parent, lacking.from}
 	}
-	for _, address := range asked {
-		if d.ask(ctx, address, lacking.need) {
+	if others := d.options.Others(); len(others) > 0 {
+		for range otherAsks {
+			asked = append(asked, others[rand.IntN(len(others))])
+		}
+	}
+	for round, address := range asked {
+		if round > 0 {
+			pause.For(ctx, rand.N(2*askPause))
+		}
+		if (round > 0 && d.caughtUp(lacking)) || d.ask(ctx, address, lacking.need) {
 			return true
 		}
 	}
 	return false
 }
 
+// caughtUp tells whether bulletins have told meanwhile what was lacking.
+func (d *Directory) caughtUp(lacking *lag) bool {
+	if !d.Complete() {
+		return false
+	}
+	switch lacking.table {
+	case tableDeclared:
+		return d.state.Load().RowVersion >= lacking.need.NeedRowVersion
+	case tableBackends:
+		return d.positions[tableBackends].Load() >= lacking.need.NeedBackendsTo
+	default:
+		return false
+	}
+}
+
 // treeParent is whom this daemon asks for news of a reader: the daemons form a tree below
 // it, so that each is asked by few.
 func (d *Directory) treeParent(reader string) string {
@@ -321,7 +352,13 @@
 	if need == (Have{}) && d.Complete() && have == (Have{}) {
 		return true // another one has answered before
 	}
-	d.post(ctx, message{adopted: &adoption{from: address, asked: asked, answered: time.Now(), snapshot: snapshot}})
+	done := make(chan struct{})
+	d.post(ctx, message{adopted: &adoption{from: address, asked: asked, answered: time.Now(), snapshot: snapshot, done: done}})
+	select {
+	case <-done:
+	case <-ctx.Done():
+		return false
+	}
 	return snapshot.RowVersion >= need.NeedRowVersion && snapshot.BackendsTo >= need.NeedBackendsTo
 }
 
@@ -370,6 +407,10 @@
 func (d *Directory) askUntil(ctx context.Context, contacts []string, until time.Time) {
 	extended := false
 	for ctx.Err() == nil && !d.Complete() {
+		if waited := d.waited.Load(); waited != nil && time.Since(*waited) < joinExtension+d.options.Interval {
+			pause.For(ctx, askPause) // there is nothing to ask for yet
+			continue
+		}
 		if told := d.lag.Load(); told != nil && told.from != "" && !extended {
 			extended = true
 			until = until.Add(joinExtension)
--- a/internal/directory/turn.go
+++ b/internal/directory/turn.go
@@ -187,7 +187,11 @@
 // decision is what a daemon is to do about a table now. Where that is nothing, it has to
 // look again after a time, or when changed is closed.
 type decision struct {
-	task    task
+	task task
+	// begins is set when this daemon begins to read for all now; overdue is how long it
+	// has had no news then, and zero if it never had any.
+	begins  bool
+	overdue time.Duration
 	look    time.Duration
 	changed <-chan struct{}
 }
@@ -202,13 +206,10 @@
 	}
 	if !t.reads && !t.options.alone {
 		left := t.patienceLeft(now)
-		if left > 0 {
-			waiting.look = min(max(left, shortestTurnCheck), longestTurnCheck)
-		} else {
-			t.reads = true
-			t.epoch++
-			t.wake()
+		if left <= 0 {
+			return t.begin(now)
 		}
+		waiting.look = min(max(left, shortestTurnCheck), longestTurnCheck)
 	}
 	switch {
 	case t.options.alone, t.reads, t.wanted[which]:
@@ -220,6 +221,18 @@
 	}
 }
 
+// begin lets this daemon read for all. The caller holds the mutex.
+func (t *turn) begin(now time.Time) decision {
+	t.reads = true
+	t.epoch++
+	t.wake()
+	begun := decision{task: taskRead, begins: true}
+	if !t.newsAt.IsZero() {
+		begun.overdue = now.Sub(t.newsAt)
+	}
+	return begun
+}
+
 // patienceLeft is how much longer this daemon waits for news. The caller holds the mutex.
 func (t *turn) patienceLeft(now time.Time) time.Duration {
 	if t.newsAt.IsZero() {
--- a/internal/members/members.go
+++ b/internal/members/members.go
@@ -47,6 +47,8 @@
 	// Address is where other daemons reach this one, IP:port.
 	Address string
 	Table   port.TableService
+	// New says that this daemon surely has no row yet.
+	New bool
 	// Changed is called with each new count, from 1.
 	Changed func(count int)
 	Log     logrus.FieldLogger
@@ -106,15 +108,17 @@
 // that has none writes it and reads again a little later, since others may have started
 // with it.
 func (l *List) Find(ctx context.Context) ([]string, int, error) {
-	rows, err := l.around(ctx)
-	if err != nil || slices.ContainsFunc(rows, l.isOwn) {
-		return l.contacts(rows), about(rows), err
+	if !l.options.New {
+		rows, err := l.around(ctx)
+		if err != nil || slices.ContainsFunc(rows, l.isOwn) {
+			return l.contacts(rows), about(rows), err
+		}
 	}
 	if err := l.announce(ctx); err != nil {
 		return nil, 0, err
 	}
 	pause.For(ctx, othersStartTime)
-	rows, err = l.around(ctx)
+	rows, err := l.around(ctx)
 	return l.contacts(rows), about(rows), err
 }
 
--- a/internal/peerlink/peerlink.go
+++ b/internal/peerlink/peerlink.go
@@ -29,6 +29,8 @@
 	KindPlan
 	// KindFacts tells where large parts of prompts are, and which back ends to doubt.
 	KindFacts
+	// KindForwarded is another datagram that its receiver forwards to others.
+	KindForwarded
 	kindEnd
 )
 
@@ -115,7 +117,7 @@
 }
 
 func (l *Link) receive(ctx context.Context, socket *net.UDPConn) {
-	buffer := make([]byte, maximumDatagram)
+	buffer := make([]byte, maximumDatagram+forwardedBytes)
 	for ctx.Err() == nil {
 		count, from, err := socket.ReadFromUDPAddrPort(buffer)
 		if err != nil {
@@ -129,16 +131,19 @@
 // deliver hands a datagram to its handler. What is of no known kind is passed over.
 // Daemons send from the socket that they listen on.
 func (l *Link) deliver(from netip.AddrPort, datagram []byte) {
-	if len(datagram) == 0 || Kind(datagram[0]) >= kindEnd {
-		return
-	}
-	handler := l.handlers[datagram[0]]
-	if handler == nil {
-		return
-	}
 	sender := netip.AddrPortFrom(from.Addr().Unmap(), from.Port()).String()
 	if l.observe != nil {
 		l.observe(sender)
 	}
-	handler(sender, datagram[1:])
+	l.handle(sender, datagram)
+}
+
+// handle hands the datagram of a daemon to its handler.
+func (l *Link) handle(sender string, datagram []byte) {
+	if len(datagram) == 0 || Kind(datagram[0]) >= kindEnd {
+		return
+	}
+	if handler := l.handlers[datagram[0]]; handler != nil {
+		handler(sender, datagram[1:])
+	}
 }
--- /dev/null
+++ b/internal/peerlink/tree_test.go
@@ -0,0 +1,97 @@
+package peerlink
+
+import (
+	"fmt"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+	"pgregory.net/rapid"
+)
+
+// TestTreeReachesEachDaemonOnce follows a datagram down its tree: each daemon gets it once,
+// in few steps, and none sends to more than a few.
+func TestTreeReachesEachDaemonOnce(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		count := rapid.IntRange(1, 400).Draw(t, "daemons")
+		number := rapid.Uint32().Draw(t, "number")
+		var daemons []string
+		for index := range count {
+			daemons = append(daemons, fmt.Sprintf("10.0.%d.%d:7340", index/250, index%250))
+		}
+		origin := rapid.SampledFrom(daemons).Draw(t, "origin")
+		steps := map[string]int{origin: 0}
+		for waiting := []string{origin}; len(waiting) > 0; waiting = waiting[1:] {
+			sent := below(origin, waiting[0], without(daemons, waiting[0]), number)
+			assert.Assert(t, len(sent) <= treeWidth)
+			for _, address := range sent {
+				_, again := steps[address]
+				assert.Assert(t, !again, "%s gets it twice", address)
+				steps[address] = steps[waiting[0]] + 1
+				waiting = append(waiting, address)
+			}
+		}
+		assert.Equal(t, len(steps), count)
+		for address, taken := range steps {
+			assert.Assert(t, taken <= 3, "%s after %d steps", address, taken)
+		}
+	})
+}
+
+func without(addresses []string, address string) []string {
+	var others []string
+	for _, each := range addresses {
+		if each != address {
+			others = append(others, each)
+		}
+	}
+	return others
+}
+
+// TestMalformedForwardsAreDropped takes any bytes as a datagram.
+func TestMalformedForwardsAreDropped(t *testing.T) {
+	link := New("127.0.0.1:1")
+	tree := NewTree(link, func() []string { return nil })
+	rapid.Check(t, func(t *rapid.T) {
+		tree.receive("127.0.0.1:2", rapid.SliceOfN(rapid.Byte(), 0, 40).Draw(t, "body"))
+		for len(tree.waiting) > 0 {
+			tree.forward(<-tree.waiting)
+		}
+	})
+}
+
+// TestForwardedComesFromItsOrigin sends a body over a daemon between.
+func TestForwardedComesFromItsOrigin(t *testing.T) {
+	addresses := make([]string, treeWidth+2)
+	for index := range addresses {
+		addresses[index] = freeAddress(t)
+	}
+	type heard struct{ at, from string }
+	got := make(chan heard, 4*len(addresses))
+	var trees []*Tree
+	for _, address := range addresses {
+		link := New(address)
+		HandleDecoded(link, KindPlan, func(from string, body greeting) {
+			if body.Text == "hello" {
+				got <- heard{at: address, from: from}
+			}
+		})
+		tree := NewTree(link, func() []string { return without(addresses, address) })
+		run(t, link)
+		go func() { _ = tree.Run(t.Context()) }()
+		trees = append(trees, tree)
+	}
+	reached := map[string]bool{}
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		trees[0].Tell(KindPlan, greeting{Text: "hello"})
+		for len(got) > 0 {
+			one := <-got
+			reached[one.at] = true
+			assert.Equal(t, one.from, addresses[0])
+		}
+		if len(reached) == len(addresses)-1 {
+			return poll.Success()
+		}
+		return poll.Continue("%d daemons heard it", len(reached))
+	})
+}
