--- a/cmd/lotusward-platform/caches.go
+++ b/cmd/internal/daemon/caches.go
@@ -1,4 +1,4 @@
-package main
+package daemon
 
 import (
 	"cmp"
@@ -19,7 +19,7 @@
 )
 
 // promptStores are the stores of prompt caches.
-func (w *wired) promptStores() []cachewatch.Target {
+func (w *Daemon) promptStores() []cachewatch.Target {
 	var targets []cachewatch.Target
 	for _, address := range w.directory.PromptStoreAddresses() {
 		targets = append(targets, cachewatch.Target{Name: address, Address: address})
@@ -29,7 +29,7 @@
 
 // watchedBackends are the back ends whose caches this daemon watches: those for which
 // it ranks among the first of all daemons.
-func (w *wired) watchedBackends() []cachewatch.Target {
+func (w *Daemon) watchedBackends() []cachewatch.Target {
 	self := w.link.Address()
 	others := w.members.Others()
 	var targets []cachewatch.Target
@@ -46,7 +46,7 @@
 }
 
 // observeCache takes in what the cache of a back end holds and what it dropped.
-func (w *wired) observeCache(target cachewatch.Target, page cachewatch.Page) {
+func (w *Daemon) observeCache(target cachewatch.Target, page cachewatch.Page) {
 	now := time.Now()
 	for _, event := range page.Events {
 		fact := promptcache.Fact{
--- a/cmd/lotusward-platform/disturbance_test.go
+++ b/cmd/internal/daemon/disturbance_test.go
@@ -1,4 +1,4 @@
-package main
+package daemon
 
 import (
 	"context"
@@ -14,7 +14,7 @@
 	"github.com/lotusward/lotusward/internal/logging"
 	"github.com/lotusward/lotusward/internal/requestlog"
 	"github.com/lotusward/lotusward/platform"
-	"github.com/lotusward/lotusward/platform/platformtest"
+	"github.com/lotusward/lotusward/platform/standin"
 )
 
 // TestSilentCallsDisturbFromTheirBegin lets calls without an answer show that the store
@@ -22,13 +22,13 @@
 // store being steady would wait too long.
 func TestSilentCallsDisturbFromTheirBegin(t *testing.T) {
 	const steadyTime, patience = time.Second, 400 * time.Millisecond
-	silent := platformtest.NewStore()
+	silent := standin.NewStore()
 	t.Cleanup(silent.Close)
-	silent.SetTrouble(platformtest.TroubleSilent)
+	silent.SetTrouble(standin.TroubleSilent)
 	belief := directory.New(directory.Options{
 		Pool: backendpool.New("a"), Log: logging.Discard(), SteadyTime: steadyTime,
 	})
-	observer := &storeObserver{counters: requestlog.NewCounters(prometheus.NewRegistry()), wired: &wired{directory: belief}}
+	observer := &storeObserver{counters: requestlog.NewCounters(prometheus.NewRegistry()), daemon: &Daemon{directory: belief}}
 	store := platform.NewStore(httpexchange.NewPool(httpexchange.Options{}), silent.Address(), observer)
 	for range 2 {
 		ctx, cancel := context.WithTimeout(context.Background(), patience)
--- a/cmd/lotusward-platform/load_test.go
+++ b/cmd/internal/daemon/load_test.go
@@ -1,4 +1,4 @@
-package main
+package daemon
 
 import (
 	"fmt"
@@ -14,7 +14,7 @@
 	"github.com/lotusward/lotusward/internal/core/identity"
 	"github.com/lotusward/lotusward/internal/eventlog"
 	"github.com/lotusward/lotusward/platform"
-	"github.com/lotusward/lotusward/platform/platformtest"
+	"github.com/lotusward/lotusward/platform/standin"
 )
 
 // BenchmarkControlAmongMany measures the processor time that one daemon's control takes
@@ -29,7 +29,7 @@
 const benchmarkTime = 3 * time.Second
 
 func benchmarkControl(b *testing.B, peers int) {
-	store := platformtest.NewStore()
+	store := standin.NewStore()
 	defer store.Close()
 	for number := range 240 {
 		store.Put("servers", fmt.Sprintf("i-%03d", number), map[string]any{
@@ -54,7 +54,7 @@
 	writer := eventlog.NewWriter(discard{})
 	logger, err := eventlog.NewLogger(writer)
 	assert.NilError(b, err)
-	made := wire(settings, 0, logger, writer)
+	made := New(settings, Options{Logger: logger, Writer: writer})
 	ctx := b.Context()
 	for _, part := range made.control() {
 		go func() { _ = part(ctx) }()
--- a/cmd/lotusward-platform/metrics.go
+++ b/cmd/internal/daemon/metrics.go
@@ -1,4 +1,4 @@
-package main
+package daemon
 
 import (
 	"net"
--- a/cmd/lotusward-platform/wire.go
+++ b/cmd/internal/daemon/wire.go
@@ -1,9 +1,14 @@
-package main
+// Package daemon connects the parts of one daemon: the adapter to the users' platform, what
+// the daemon believes, what serves callers and operators, and its duties. It is used by the
+// program and by the tools that run daemons in their own process.
+package daemon
 
 import (
 	"context"
 	"errors"
 	"math/rand/v2"
+	"net"
+	"strconv"
 	"time"
 
 	"github.com/oklog/run"
@@ -11,18 +16,20 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/lotusward/lotusward/internal/adapter/httpexchange"
+	"github.com/lotusward/lotusward/internal/administration"
 	"github.com/lotusward/lotusward/internal/cachewatch"
 	"github.com/lotusward/lotusward/internal/core/backendpool"
 	"github.com/lotusward/lotusward/internal/core/identity"
 	"github.com/lotusward/lotusward/internal/core/lease"
 	"github.com/lotusward/lotusward/internal/core/promptcache"
 	"github.com/lotusward/lotusward/internal/core/retry"
-	"github.com/lotusward/lotusward/internal/daemon/leasekeeper"
 	"github.com/lotusward/lotusward/internal/directory"
 	"github.com/lotusward/lotusward/internal/eventlog"
+	"github.com/lotusward/lotusward/internal/leasekeeper"
 	"github.com/lotusward/lotusward/internal/loadshare"
 	"github.com/lotusward/lotusward/internal/logging"
 	"github.com/lotusward/lotusward/internal/members"
+	"github.com/lotusward/lotusward/internal/openai"
 	"github.com/lotusward/lotusward/internal/pause"
 	"github.com/lotusward/lotusward/internal/peerlink"
 	"github.com/lotusward/lotusward/internal/peersync"
@@ -66,9 +73,10 @@
 	sweepTime    = time.Second
 )
 
-// wired is the daemon's parts.
-type wired struct {
+// Daemon is one daemon with its parts. Make it with New.
+type Daemon struct {
 	settings platform.Settings
+	options  Options
 	logger   *logrus.Logger
 
 	pool     *httpexchange.Pool
@@ -95,12 +103,28 @@
 	metricsOut *metrics
 }
 
-// wire connects the daemon's parts; nothing runs yet.
-func wire(settings platform.Settings, metricsPort int, logger *logrus.Logger, writer *eventlog.Writer) *wired {
+// Options are what a daemon is made with, beside its settings.
+type Options struct {
+	// MetricsPort, OpenAIPort and AdminPort are ports of the daemon's address; zero serves
+	// nothing.
+	MetricsPort, OpenAIPort, AdminPort int
+	// AdminToken authenticates operators.
+	AdminToken string
+	Logger     *logrus.Logger
+	// Writer is what Logger writes to.
+	Writer *eventlog.Writer
+	// Placement is how back ends are chosen; empty is the usual way.
+	Placement backendpool.Placement
+}
+
+// New connects the daemon's parts; nothing runs yet.
+func New(settings platform.Settings, options Options) *Daemon {
 	registry := prometheus.NewRegistry()
 	counters := requestlog.NewCounters(registry)
-	registerState(registry, writer)
-	made := &wired{settings: settings, logger: logger, metricsOut: newMetrics(settings, metricsPort, registry)}
+	registerState(registry, options.Writer)
+	made := &Daemon{
+		settings: settings, options: options, logger: options.Logger, metricsOut: newMetrics(settings, options.MetricsPort, registry),
+	}
 	made.wireOutside(counters)
 	made.wireBelief()
 	made.wireTraffic(counters)
@@ -108,20 +132,24 @@
 	return made
 }
 
-func (w *wired) part(name string) logrus.FieldLogger { return logging.Part(w.logger, name) }
+// Ready tells whether callers may come.
+func (w *Daemon) Ready() bool { return w.serving.isReady() }
+
+func (w *Daemon) part(name string) logrus.FieldLogger { return logging.Part(w.logger, name) }
 
 // wireOutside makes the clients of the store and the runners.
-func (w *wired) wireOutside(counters *requestlog.Counters) {
+func (w *Daemon) wireOutside(counters *requestlog.Counters) {
 	w.pool = httpexchange.NewPool(httpexchange.Options{LocalAddress: w.settings.IP})
-	w.store = platform.NewStore(w.pool, w.settings.Store.Address, &storeObserver{counters: counters, wired: w})
+	w.store = platform.NewStore(w.pool, w.settings.Store.Address, &storeObserver{counters: counters, daemon: w})
 	w.runners = platform.NewRunners(w.pool)
 }
 
 // wireBelief makes what knows back ends, configuration and other daemons.
-func (w *wired) wireBelief() {
+func (w *Daemon) wireBelief() {
 	bounds := w.settings.Bounds
 	w.link = peerlink.New(w.settings.InternalAddress())
 	w.backends = backendpool.New(w.settings.Zone)
+	w.backends.SetPlacement(w.options.Placement)
 	w.memory = promptcache.New()
 	w.budgets = relay.NewBudgets(retry.Limits{
 		Window: platform.Seconds(bounds.BudgetWindowS),
@@ -161,7 +189,7 @@
 }
 
 // wireTraffic makes what serves callers.
-func (w *wired) wireTraffic(counters *requestlog.Counters) {
+func (w *Daemon) wireTraffic(counters *requestlog.Counters) {
 	relaying := relay.New(relay.Options{
 		Control: w.directory, Pool: w.backends, Backends: w.runners, Budgets: w.budgets,
 		Policy: policy(w.settings.Bounds), Memory: w.memory, Stores: w.promptsIn.Cache,
@@ -169,10 +197,27 @@
 		Journal: requestlog.New(w.part("relay"), counters),
 	})
 	w.serving = newServing(w.settings, relaying, w.directory, w.part("front"))
+	w.addInterfaces(relaying)
 }
 
+// addInterfaces adds the listeners beside the platform's own, where they are asked for.
+func (w *Daemon) addInterfaces(relaying *relay.Relay) {
+	if port := w.options.OpenAIPort; port > 0 {
+		w.serving.addCallers(w.address(port), openai.New(openai.Options{
+			Relay: relaying, Control: w.directory, MaximumBody: w.serving.maximumBody, Stopping: w.serving.stopping.Load,
+		}))
+	}
+	if port := w.options.AdminPort; port > 0 {
+		tables := &administration.Snapshot{Control: w.directory, Pool: w.backends, Self: w.link.Address(), Others: w.members.Others}
+		w.serving.addOperators(w.address(port), administration.New(tables, w.options.AdminToken, w.part("administration")))
+	}
+}
+
+// address is a port of this daemon's address.
+func (w *Daemon) address(port int) string { return net.JoinHostPort(w.settings.IP, strconv.Itoa(port)) }
+
 // wireDuty makes the roll-out of weights and the lease that it is done under.
-func (w *wired) wireDuty() {
+func (w *Daemon) wireDuty() {
 	bounds := w.settings.Bounds
 	duty := &leasekeeper.Duty{
 		Pending: func() bool { return w.rollout.Pending() }, First: w.directory.ReadsForAll,
@@ -210,7 +255,7 @@
 }
 
 // dueBy is until when back ends with a version of a model's weights may begin requests.
-func (w *wired) dueBy(model identity.ModelName, version uint64) time.Time {
+func (w *Daemon) dueBy(model identity.ModelName, version uint64) time.Time {
 	state := w.directory.State()
 	if state == nil {
 		return time.Time{}
@@ -218,7 +263,7 @@
 	return state.BeginBy(model, version, w.directory.SteadySince(), versionGrace(w.settings.Bounds))
 }
 
-func (w *wired) holdsLease() bool {
+func (w *Daemon) holdsLease() bool {
 	_, held := w.keeper.Held()
 	return held
 }
@@ -226,7 +271,7 @@
 // storeObserver counts the store's calls and tells the directory of failed ones.
 type storeObserver struct {
 	counters *requestlog.Counters
-	wired    *wired
+	daemon   *Daemon
 }
 
 // StoreCall implements platform.CallObserver.
@@ -234,13 +279,13 @@
 	o.counters.StoreCall(call, result)
 	var limited *port.RateLimitedError
 	if err != nil && !errors.As(err, &limited) && !errors.Is(err, context.Canceled) {
-		o.wired.directory.Disturbed(began)
+		o.daemon.directory.Disturbed(began)
 	}
 }
 
 // tell tells all other daemons what this one has read. Lists are long, and go down a tree;
 // the rest is short, and must not wait behind them.
-func (w *wired) tell(bulletin directory.Bulletin) {
+func (w *Daemon) tell(bulletin directory.Bulletin) {
 	if bulletin.Declared != nil {
 		w.broadcast.Tell(peerlink.KindBulletin, &bulletin)
 		return
@@ -249,7 +294,7 @@
 }
 
 // hear notes that a daemon is alive.
-func (w *wired) hear(address string) {
+func (w *Daemon) hear(address string) {
 	w.members.Heard(address)
 	w.directory.Noticed(address)
 }
@@ -300,10 +345,10 @@
 	return chosen
 }
 
-// addTo adds the daemon's parts to a group. All but the listeners go on until the
+// AddTo adds the daemon's parts to a group. All but the listeners go on until the
 // last request has ended, since requests need a belief that is up to date, and the
 // roll-out's holder keeps its duty for as long as it can.
-func (w *wired) addTo(group *run.Group) {
+func (w *Daemon) AddTo(group *run.Group) {
 	add := func(part func(context.Context) error) {
 		ctx, cancel := context.WithCancel(context.Background())
 		group.Add(func() error { return part(ctx) }, func(error) {
@@ -321,7 +366,7 @@
 }
 
 // control are the parts that keep what this daemon believes, and act on it.
-func (w *wired) control() []func(context.Context) error {
+func (w *Daemon) control() []func(context.Context) error {
 	return []func(context.Context) error{
 		w.directory.Run, w.rollout.Run, w.follower.Run, w.link.Run, w.snapshots.Run, w.broadcast.Run, w.tree.Run, w.loads.Run,
 		w.prober.Run, w.promptsIn.Run, w.cachesIn.Run, w.sweep, w.keeper.Run,
@@ -329,7 +374,7 @@
 }
 
 // sweep closes connections that are unused for too long.
-func (w *wired) sweep(ctx context.Context) error {
+func (w *Daemon) sweep(ctx context.Context) error {
 	for ctx.Err() == nil {
 		pause.For(ctx, sweepTime)
 		w.pool.Sweep(time.Now())
--- a/cmd/lotuslab/main.go
+++ b/cmd/lotuslab/main.go
@@ -1,5 +1,5 @@
-// Command lotuslab runs the stand-ins of everything outside lotusward, load,
-// experiments and the demo.
+// Command lotuslab shows lotusward at work: it runs real daemons before stand-ins of
+// everything outside, and plays the load of events.
 package main
 
 import (
@@ -9,13 +9,8 @@
 
 	"github.com/jessevdk/go-flags"
 
+	"github.com/lotusward/lotusward/cmd/internal/lab"
 	"github.com/lotusward/lotusward/internal/exitcode"
-	"github.com/lotusward/lotusward/internal/lab/command"
-	"github.com/lotusward/lotusward/internal/lab/demo"
-	"github.com/lotusward/lotusward/internal/lab/experiment"
-	"github.com/lotusward/lotusward/internal/lab/fault"
-	"github.com/lotusward/lotusward/internal/lab/link"
-	"github.com/lotusward/lotusward/internal/lab/relaycost"
 )
 
 func main() {
@@ -24,7 +19,7 @@
 
 func run() int {
 	parser := flags.NewNamedParser("lotuslab", flags.HelpFlag|flags.PassDoubleDash)
-	parser.LongDescription = "Stand-ins, load, experiments and the demo of lotusward."
+	parser.LongDescription = "Runs real daemons of lotusward before stand-ins, and plays the load of events."
 	if err := addCommands(parser); err != nil {
 		fmt.Fprintln(os.Stderr, "lotuslab:", err)
 		return exitcode.Failure
@@ -51,15 +46,8 @@
 		name, short, long string
 		data              any
 	}{
-		{"platform", "Run the platform stand-in", "Serves the table service, object store, weight store and machine list in memory.", &command.Platform{}},
-		{"engine", "Run a stand-in model engine", "Serves the engine interface and enters the platform's machine list.", &command.Engine{}},
-		{"app", "Run a stand-in web-app runner", "Serves pages and enters the platform's machine list.", &command.App{}},
-		{"demo", "Show an event start on real daemons", "Runs stand-ins and daemons in this process, plays an event start under several policies and prints a table. Takes about a minute.", &demo.Command{}},
-		{"faults", "Run a deployment under random faults", "Starts separate processes, sends requests while daemons, back ends and the platform fail, and checks what must always hold.", &fault.Command{}},
-		{"forward", "Forward connections and datagrams", "Passes on whatever comes, as a bare hop to compare the relay with.", &link.Command{}},
-		{"relay-cost", "Measure what the relay adds", "Sends the same streams through a daemon and directly to paced engines and prints the added time and the daemon's processor time.", &relaycost.Command{}},
-		{"experiment", "Run scenarios in simulated time", "Runs named scenarios with the daemon's scheduler and with baselines, on the same arrivals, and prints a table.", &experiment.Command{}},
-		{"experiment-real", "Run a scenario on real daemons beside the simulation", "Plays one scaled scenario on stand-ins and daemons in this process and in simulated time, under several policies, and prints one row for each.", &experiment.RealCommand{}},
+		{"demo", "Show an event start on real daemons", "Starts stand-ins and daemons in this process, plays the start of an event of three deployments under random, least-loaded and lotusward's placement, and prints a table. Takes under a minute.", &lab.Demo{}},
+		{"experiment", "Compare placements with several seeds", "Plays scenarios on real daemons before stand-ins with the same load under each placement, and prints one row for each.", &lab.Experiment{}},
 	}
 	for _, added := range commands {
 		if _, err := parser.AddCommand(added.name, added.short, added.long, added.data); err != nil {
--- a/cmd/lotusward-platform/deployment_test.go
+++ b/cmd/lotusward/deployment_test.go
@@ -22,7 +22,7 @@
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 
-	"github.com/lotusward/lotusward/platform/platformtest"
+	"github.com/lotusward/lotusward/platform/standin"
 )
 
 // runAsDaemon makes the test binary run as the program itself.
@@ -41,6 +41,7 @@
 	testKey   = "key-of-open"
 	otherKey  = "key-to-revoke"
 	testModel = "m"
+	testToken = "token-of-operators"
 )
 
 // process is a daemon as a process of its own.
@@ -49,6 +50,8 @@
 	front   string
 	ready   string
 	metrics string
+	openAI  string
+	admin   string
 	mutex   sync.Mutex
 	output  bytes.Buffer
 	ended   chan struct{}
@@ -63,8 +66,8 @@
 // deployment is a store, runners and daemons.
 type deployment struct {
 	t       *testing.T
-	store   *platformtest.Store
-	runners []*platformtest.Runner
+	store   *standin.Store
+	runners []*standin.Runner
 	version int
 	bounds  string
 }
@@ -73,7 +76,7 @@
 func newDeployment(t *testing.T) *deployment {
 	t.Helper()
 	t.Parallel()
-	made := &deployment{t: t, store: platformtest.NewStore(), bounds: defaultBounds}
+	made := &deployment{t: t, store: standin.NewStore(), bounds: defaultBounds}
 	t.Cleanup(made.store.Close)
 	return made
 }
@@ -93,15 +96,15 @@
 `
 
 // page and engine start runners.
-func (d *deployment) page(id string) *platformtest.Runner {
-	return d.keep(platformtest.NewRunner(d.store, id, "pages", "", 0, 0))
+func (d *deployment) page(id string) *standin.Runner {
+	return d.keep(standin.NewRunner(d.store, id, "pages", "", 0, 0))
 }
 
-func (d *deployment) engine(id string, events int, pause time.Duration) *platformtest.Runner {
-	return d.keep(platformtest.NewRunner(d.store, id, "llm", testModel, events, pause))
+func (d *deployment) engine(id string, events int, pause time.Duration) *standin.Runner {
+	return d.keep(standin.NewRunner(d.store, id, "llm", testModel, events, pause))
 }
 
-func (d *deployment) keep(runner *platformtest.Runner) *platformtest.Runner {
+func (d *deployment) keep(runner *standin.Runner) *standin.Runner {
 	d.runners = append(d.runners, runner)
 	d.t.Cleanup(runner.Close)
 	return runner
@@ -124,6 +127,7 @@
 			route("/unsafe/", "unsafe", "pages", 1, false),
 			route("/stream/", "streaming", "llm", 2, true),
 			route("/once/", "streaming", "llm", 1, false),
+			openAIRoute(),
 		},
 		"services": []any{
 			map[string]any{"name": "pages", "healthPath": "/health", "maxConnections": 100},
@@ -141,6 +145,15 @@
 
 // nextPort counts up from below the range that the kernel gives to outgoing
 // connections, so that no port is taken between its choice and its use.
+// openAIRoute is of requests to the OpenAI interface, which name the daemon's address as
+// their host.
+func openAIRoute() map[string]any {
+	return map[string]any{
+		"name": "openai", "host": "127.0.0.1", "pathPrefix": "/v1/", "type": "streaming", "service": "llm",
+		"timeoutMs": 8000, "targetLatencyMs": 800, "gapTargetMs": 500, "maxAttempts": 2, "resumable": true,
+	}
+}
+
 var nextPort atomic.Int32
 
 func freePort(t *testing.T) string {
@@ -180,8 +193,10 @@
 	path := filepath.Join(d.t.TempDir(), "node.yaml")
 	assert.NilError(d.t, os.WriteFile(path, []byte(settings), 0o600))
 	made.metrics = freePort(d.t)
-	made.command = exec.Command(os.Args[0], "--metrics-port", portOf(made.metrics))
-	made.command.Env = append(os.Environ(), runAsDaemon+"=1", "LOTUSWARD_SETTINGS="+path)
+	made.openAI, made.admin = freePort(d.t), freePort(d.t)
+	made.command = exec.Command(os.Args[0], "--metrics-port", portOf(made.metrics),
+		"--openai-port", portOf(made.openAI), "--admin-port", portOf(made.admin))
+	made.command.Env = append(os.Environ(), runAsDaemon+"=1", "LOTUSWARD_SETTINGS="+path, adminTokenVariable+"="+testToken)
 	output, err := made.command.StdoutPipe()
 	assert.NilError(d.t, err)
 	made.command.Stderr = os.Stderr
@@ -244,7 +259,10 @@
 	header                      map[string]string
 }
 
-func (p *process) ask(sent call) reply {
+func (p *process) ask(sent call) reply { return p.askAt(p.front, testHost, sent) }
+
+// askAt sends a call to one of the daemon's listeners, under a host.
+func (p *process) askAt(address, host string, sent call) reply {
 	if sent.method == "" {
 		sent.method = http.MethodPost
 	}
@@ -253,11 +271,11 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), 15*time.Second)
 	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, sent.method, "http://"+p.front+sent.path, strings.NewReader(sent.body))
+	request, err := http.NewRequestWithContext(ctx, sent.method, "http://"+address+sent.path, strings.NewReader(sent.body))
 	if err != nil {
 		return reply{err: err}
 	}
-	request.Host = testHost
+	request.Host = host
 	request.Header.Set("Lotusward-Request-Id", sent.id)
 	request.Header.Set("Lotusward-Request-Deadline-Ms", "6000")
 	request.Header.Set("Authorization", "Bearer "+sent.key)
@@ -293,7 +311,7 @@
 func events(first, last int) string {
 	var text strings.Builder
 	for id := first; id <= last; id++ {
-		text.WriteString(platformtest.EventText(id))
+		text.WriteString(standin.EventText(id))
 	}
 	return text.String()
 }
--- a/cmd/lotusward-platform/explain_test.go
+++ b/cmd/lotusward/explain_test.go
@@ -10,7 +10,7 @@
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 
-	"github.com/lotusward/lotusward/platform/platformtest"
+	"github.com/lotusward/lotusward/platform/standin"
 )
 
 func containsText(text, part string) bool { return strings.Contains(text, part) }
@@ -39,7 +39,7 @@
 	deployed.configure(testKey)
 	deployed.name(1)
 	daemon := deployed.daemon("d1", true)
-	engine.Script(platformtest.BehaveReject)
+	engine.Script(standin.BehaveReject)
 	refused := daemon.ask(call{path: "/once/x", id: "rollout", header: prompt("aa:80,bb:20")})
 	assert.Equal(t, refused.status, http.StatusServiceUnavailable)
 	line := outcomeOf(t, daemon, "rollout")
@@ -59,7 +59,7 @@
 	deployed.configure(testKey)
 	deployed.name(1)
 	daemon := deployed.daemon("d1", true)
-	first.Script(platformtest.BehaveCut)
+	first.Script(standin.BehaveCut)
 	deployed.engine("e2", 8, time.Millisecond)
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
 		if containsText(daemon.log(), `"e2"`) {
@@ -93,7 +93,7 @@
 	runner := deployed.page("p1")
 	deployed.configure(testKey)
 	daemon := deployed.daemon("d1", true)
-	runner.Script(platformtest.BehaveLoseAnswer)
+	runner.Script(standin.BehaveLoseAnswer)
 	assert.Equal(t, daemon.ask(call{path: "/unsafe/x", id: "upload"}).status, http.StatusBadGateway)
 	line := outcomeOf(t, daemon, "upload")
 	assert.Equal(t, line["outcome"], "unknown")
--- a/cmd/lotusward/main.go
+++ b/cmd/lotusward/main.go
@@ -1,4 +1,4 @@
-// Command lotusward is the daemon between callers and model engines.
+// Command lotusward is the daemon between callers and back ends.
 package main
 
 import (
@@ -6,32 +6,37 @@
 	"errors"
 	"fmt"
 	"os"
+	"os/signal"
 	"syscall"
+	"time"
 
 	"github.com/jessevdk/go-flags"
 	"github.com/oklog/run"
 
-	"github.com/lotusward/lotusward/internal/config/static"
-	"github.com/lotusward/lotusward/internal/daemon"
+	"github.com/lotusward/lotusward/cmd/internal/daemon"
+	"github.com/lotusward/lotusward/internal/eventlog"
 	"github.com/lotusward/lotusward/internal/exitcode"
+	"github.com/lotusward/lotusward/internal/finding"
 	"github.com/lotusward/lotusward/internal/logging"
 	"github.com/lotusward/lotusward/internal/version"
+	"github.com/lotusward/lotusward/platform"
 )
 
-// options are the flags of the program without a subcommand.
+// logFlushTime bounds how long the end waits for log lines to be written.
+const logFlushTime = 200 * time.Millisecond
+
+// options are the flags of the program.
 type options struct {
 	Version  bool   `long:"version" description:"Print the version and exit"`
-	Settings string `long:"settings" short:"s" value-name:"FILE" description:"Settings file"`
-	static.Overrides
-	CheckSettings checkSettings `command:"check-settings" description:"Check a settings file and print all findings" long-description:"Reads a settings file as the daemon would, prints every finding with line and column, and exits with 0 or 3."`
+	Settings string `long:"settings" short:"s" value-name:"FILE" description:"Settings file; by default the one that the platform names in the environment"`
+	Metrics  int    `long:"metrics-port" value-name:"PORT" description:"Port on which counters and histograms are served under /metrics; none without it"`
+	OpenAI   int    `long:"openai-port" value-name:"PORT" description:"Port on which the OpenAI-compatible API is served under /v1; none without it"`
+	Admin    int    `long:"admin-port" value-name:"PORT" description:"Port on which operators' statements are answered, for those with the token in the environment variable LOTUSWARD_ADMIN_TOKEN; none without it"`
+	Check    bool   `long:"check" description:"Check the settings file, print all findings and exit"`
 }
 
-// checkSettings is the subcommand that only reads a settings file.
-type checkSettings struct {
-	Arguments struct {
-		File string `positional-arg-name:"FILE" required:"true"`
-	} `positional-args:"true" required:"true"`
-}
+// adminTokenVariable is the environment variable with the operators' token.
+const adminTokenVariable = "LOTUSWARD_ADMIN_TOKEN"
 
 func main() {
 	os.Exit(start())
@@ -39,11 +44,8 @@
 
 func start() int {
 	var given options
-	parser := flags.NewParser(&given, flags.HelpFlag|flags.PassDoubleDash)
-	parser.SubcommandsOptional = true
-	parser.LongDescription = "Routes language-model requests with long shared prompts to engines.\n\n" +
-		"Exit codes: 0 stopped in order, 1 failed while running, 2 wrong command line, 3 invalid settings."
-	_, err := parser.Parse()
+	given.Settings = os.Getenv(platform.SettingsVariable)
+	_, err := flags.NewParser(&given, flags.HelpFlag|flags.PassDoubleDash).Parse()
 	var flagError *flags.Error
 	switch {
 	case errors.As(err, &flagError) && flagError.Type == flags.ErrHelp:
@@ -55,37 +57,82 @@
 	case given.Version:
 		fmt.Println("lotusward", version.String())
 		return exitcode.OK
-	case parser.Active != nil:
-		return static.CheckFile(os.Stdout, given.CheckSettings.Arguments.File, given.Overrides)
 	case given.Settings == "":
 		fmt.Fprintln(os.Stderr, "lotusward: --settings is missing; see --help")
 		return exitcode.Usage
 	}
-	return serve(given)
-}
-
-// serve runs the daemon until a signal or a failure.
-func serve(given options) int {
-	settings, err := static.LoadFile(given.Settings, given.Overrides)
-	if err != nil {
-		return static.Report(os.Stderr, given.Settings, err)
-	}
-	logger, err := logging.New(os.Stderr, settings.Logging.Format, settings.Logging.Level)
+	settings, err := platform.LoadSettings(given.Settings)
 	if err != nil {
-		fmt.Fprintln(os.Stderr, "lotusward:", err)
+		fmt.Fprintln(os.Stderr, err)
 		return exitcode.InvalidSettings
 	}
-	wired, err := daemon.New(daemon.Options{Settings: settings, Logger: logger})
+	if given.Admin > 0 && os.Getenv(adminTokenVariable) == "" {
+		fmt.Fprintln(os.Stderr, "lotusward: --admin-port needs a token in the environment variable", adminTokenVariable)
+		return exitcode.Usage
+	}
+	if given.Check {
+		fmt.Println("no findings")
+		return exitcode.OK
+	}
+	return serve(settings, given)
+}
+
+// serve runs the daemon until a signal or a failure.
+func serve(settings platform.Settings, given options) int {
+	writer := eventlog.NewWriter(os.Stdout)
+	defer writer.Stop(logFlushTime)
+	logger, err := eventlog.NewLogger(writer)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "lotusward:", err)
 		return exitcode.Failure
 	}
+	log := logging.Part(logger, "daemon").WithField("node", settings.NodeName)
+	made := daemon.New(settings, daemon.Options{
+		MetricsPort: given.Metrics, OpenAIPort: given.OpenAI, AdminPort: given.Admin, AdminToken: os.Getenv(adminTokenVariable),
+		Logger: logger, Writer: writer,
+	})
+
 	var group run.Group
 	group.Add(run.SignalHandler(context.Background(), os.Interrupt, syscall.SIGTERM))
-	wired.AddTo(&group)
-	if err := group.Run(); err != nil && !errors.Is(err, run.ErrSignal) {
-		logging.Part(logger, "daemon").WithError(err).Error("The daemon failed.")
+	addReload(&group, given.Settings, logging.Part(logger, "settings"))
+	made.AddTo(&group)
+	log.WithField("version", version.String()).Info("The daemon starts.")
+	err = group.Run()
+	if err != nil && !errors.Is(err, run.ErrSignal) {
+		log.WithError(err).Error("The daemon failed.")
 		return exitcode.Failure
 	}
+	log.Info("The daemon has stopped.")
 	return exitcode.OK
 }
+
+// addReload checks the settings file again at SIGHUP. What a process has started
+// with stays; the check tells early of a file that the next start would refuse.
+func addReload(group *run.Group, path string, log interface{ Info(...any) }) {
+	ctx, cancel := context.WithCancel(context.Background())
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGHUP)
+	group.Add(func() error {
+		for {
+			select {
+			case <-ctx.Done():
+				return nil
+			case <-signals:
+				_, err := platform.LoadSettings(path)
+				log.Info(reloadSentence(err))
+			}
+		}
+	}, func(error) { cancel() })
+}
+
+func reloadSentence(err error) string {
+	var findings *finding.Error
+	switch {
+	case errors.As(err, &findings):
+		return "The settings file was read again and is invalid: " + findings.Error()
+	case err != nil:
+		return "The settings file cannot be read again: " + err.Error()
+	default:
+		return "The settings file was read again and is valid."
+	}
+}
--- a/cmd/lotusward-platform/platform_test.go
+++ b/cmd/lotusward/platform_test.go
@@ -10,7 +10,7 @@
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 
-	"github.com/lotusward/lotusward/platform/platformtest"
+	"github.com/lotusward/lotusward/platform/standin"
 )
 
 // TestWholePath serves a page and a stream through a daemon process and checks
@@ -24,7 +24,7 @@
 
 	got := daemon.ask(call{path: "/unsafe//a%2fb?c=d", id: "q1", body: "upload", header: map[string]string{"Lotusward-Tenant-Id": "forged", "X-Own": "kept"}})
 	assert.NilError(t, got.err)
-	assert.Equal(t, got.body, platformtest.PageBody)
+	assert.Equal(t, got.body, standin.PageBody)
 	assert.Equal(t, got.header.Get("Lotusward-Response-Stamp"), "stamp-of-p1")
 	arrival := page.Arrivals()[0]
 	assert.Equal(t, arrival.Target, "/unsafe//a%2fb?c=d")
@@ -59,20 +59,20 @@
 		}
 		return count
 	}
-	script := func(does ...platformtest.Behaviour) {
+	script := func(does ...standin.Behaviour) {
 		first.Script(does...)
 		second.Script(does...)
 	}
 
-	script(platformtest.BehaveLoseAnswer)
+	script(standin.BehaveLoseAnswer)
 	assert.Equal(t, daemon.ask(call{path: "/unsafe/x", id: "lost"}).status, http.StatusBadGateway)
 	assert.Equal(t, ran("lost"), 1)
-	first.Script(platformtest.BehaveLoseAnswer)
+	first.Script(standin.BehaveLoseAnswer)
 	second.Script()
-	assert.Equal(t, daemon.ask(call{path: "/safe/x", id: "again"}).body, platformtest.PageBody)
+	assert.Equal(t, daemon.ask(call{path: "/safe/x", id: "again"}).body, standin.PageBody)
 	assert.Equal(t, ran("again"), 2)
 
-	script(platformtest.BehaveReject)
+	script(standin.BehaveReject)
 	refused := daemon.ask(call{path: "/unsafe/x", id: "full"})
 	assert.Equal(t, refused.status, http.StatusServiceUnavailable)
 	assert.Assert(t, refused.header.Get("Retry-After") != "")
@@ -87,10 +87,10 @@
 	deployed.configure(testKey)
 	daemon := deployed.daemon("d1", true)
 	for number := range 10 {
-		runner.Script(platformtest.BehaveSurplus)
+		runner.Script(standin.BehaveSurplus)
 		got := daemon.ask(call{path: "/unsafe/x", id: fmt.Sprintf("q%d", number)})
 		assert.NilError(t, got.err)
-		assert.Equal(t, got.body, platformtest.PageBody)
+		assert.Equal(t, got.body, standin.PageBody)
 		assert.Equal(t, got.header.Get("Lotusward-Request-Id"), fmt.Sprintf("q%d", number))
 	}
 }
@@ -99,12 +99,12 @@
 // the cut where it doesn't.
 func TestCutStreams(t *testing.T) {
 	deployed := newDeployment(t)
-	engines := []*platformtest.Runner{deployed.engine("e1", 8, time.Millisecond), deployed.engine("e2", 8, time.Millisecond)}
+	engines := []*standin.Runner{deployed.engine("e1", 8, time.Millisecond), deployed.engine("e2", 8, time.Millisecond)}
 	deployed.configure(testKey)
 	deployed.name(1)
 	daemon := deployed.daemon("d1", true)
 	for _, engine := range engines {
-		engine.Script(platformtest.BehaveCut)
+		engine.Script(standin.BehaveCut)
 	}
 	resumed := daemon.ask(call{path: "/stream/x", id: "resumed", header: prompt("aa:80,bb:20")})
 	// The second runner cuts it as well; then two have run it and nobody else may.
@@ -114,7 +114,7 @@
 	assert.Equal(t, again.body, events(1, 8))
 
 	for _, engine := range engines {
-		engine.Script(platformtest.BehaveCut)
+		engine.Script(standin.BehaveCut)
 	}
 	cut := daemon.ask(call{path: "/once/x", id: "once", header: prompt("aa:80,bb:20")})
 	assert.Assert(t, cut.err != nil, "a cut answer looked whole: %q", cut.body)
@@ -132,7 +132,7 @@
 	time.Sleep(500 * time.Millisecond)
 	assert.Equal(t, daemon.ask(call{path: "/safe/x", id: "q2", key: otherKey}).status, http.StatusUnauthorized)
 
-	deployed.store.SetTrouble(platformtest.TroubleSilent)
+	deployed.store.SetTrouble(standin.TroubleSilent)
 	silent := time.Now()
 	time.Sleep(1500 * time.Millisecond) // revokeMs
 	assert.Equal(t, daemon.ask(call{path: "/safe/x", id: "q3"}).status, http.StatusServiceUnavailable)
@@ -140,7 +140,7 @@
 	for _, arrival := range runner.Arrivals() {
 		assert.Assert(t, arrival.At.Before(silent))
 	}
-	deployed.store.SetTrouble(platformtest.TroubleNone)
+	deployed.store.SetTrouble(standin.TroubleNone)
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
 		if daemon.ask(call{path: "/safe/x", id: "q5"}).status == http.StatusOK {
 			return poll.Success()
@@ -156,7 +156,7 @@
 	deployed.page("p1")
 	deployed.configure(testKey, otherKey)
 	daemon := deployed.daemon("d1", true)
-	deployed.store.SetTrouble(platformtest.TroubleStale)
+	deployed.store.SetTrouble(standin.TroubleStale)
 	deployed.configure(testKey)
 	time.Sleep(1500 * time.Millisecond)
 	assert.Assert(t, daemon.ask(call{path: "/safe/x", id: "q1", key: otherKey}).status != http.StatusOK)
@@ -168,7 +168,7 @@
 	deployed.page("p1")
 	deployed.configure(testKey)
 	daemon := deployed.daemon("d1", true)
-	deployed.store.SetTrouble(platformtest.TroubleForgotten)
+	deployed.store.SetTrouble(standin.TroubleForgotten)
 	deployed.configure(testKey, otherKey)
 	time.Sleep(1800 * time.Millisecond)
 	assert.Equal(t, daemon.ask(call{path: "/safe/x", id: "q1", key: otherKey}).status, http.StatusOK)
@@ -179,13 +179,13 @@
 	deployed := newDeployment(t)
 	deployed.page("p1")
 	deployed.configure(testKey)
-	deployed.store.SetTrouble(platformtest.TroubleBusy)
+	deployed.store.SetTrouble(standin.TroubleBusy)
 	daemon := deployed.daemon("d1", false)
 	time.Sleep(500 * time.Millisecond)
 	assert.Assert(t, !daemon.isReady())
 	assert.Equal(t, daemon.ask(call{path: "/safe/x", id: "q1"}).status, http.StatusServiceUnavailable)
 	assert.Equal(t, daemon.ask(call{path: "/nowhere/x", id: "q2"}).status, http.StatusServiceUnavailable)
-	deployed.store.SetTrouble(platformtest.TroubleNone)
+	deployed.store.SetTrouble(standin.TroubleNone)
 	poll.WaitOn(t, readyIs(daemon, true), poll.WithTimeout(10*time.Second))
 	assert.Equal(t, daemon.ask(call{path: "/safe/x", id: "q3"}).status, http.StatusOK)
 }
@@ -231,7 +231,7 @@
 // kills the holder in the middle.
 func TestVersionsAreRolledOutByOneHolder(t *testing.T) {
 	deployed := newDeployment(t)
-	var engines []*platformtest.Runner
+	var engines []*standin.Runner
 	for number := range 6 {
 		engines = append(engines, deployed.engine(fmt.Sprintf("e%d", number), 3, time.Millisecond))
 	}
@@ -330,7 +330,7 @@
 	runner := deployed.page("p1")
 	deployed.configure(testKey)
 	daemon := deployed.daemon("d1", true)
-	runner.Script(platformtest.BehaveMute)
+	runner.Script(standin.BehaveMute)
 	client := &http.Client{Timeout: 200 * time.Millisecond}
 	request, err := http.NewRequest(http.MethodGet, "http://"+daemon.front+"/safe/x", nil)
 	assert.NilError(t, err)
--- a/internal/core/backendpool/choice.go
+++ b/internal/core/backendpool/choice.go
@@ -100,9 +100,28 @@
 	}
 }
 
+// Placement is how a back end is chosen.
+type Placement string
+
+// The placements. All but the usual one are baselines to measure it against.
+const (
+	PlacementSoonest     Placement = ""
+	PlacementRandom      Placement = "random"
+	PlacementLeastLoaded Placement = "least-loaded"
+)
+
+// SetPlacement changes how back ends are chosen. It must be set before the pool is used.
+func (p *Pool) SetPlacement(placement Placement) { p.placement = placement }
+
 // choose picks one of at least one candidates, and returns the work that the
 // request brings there, in tokens.
 func (p *Pool) choose(candidates []*entry, query Query) (*entry, float64) {
+	switch p.placement {
+	case PlacementRandom:
+		return candidates[rand.IntN(len(candidates))], float64(query.OwnTokens)
+	case PlacementLeastLoaded:
+		return p.chooseLeastLoaded(candidates), float64(query.OwnTokens)
+	}
 	sampled := p.sample(candidates)
 	if query.Model == "" {
 		return p.chooseLeastLoaded(sampled), 0
--- a/internal/core/backendpool/pool.go
+++ b/internal/core/backendpool/pool.go
@@ -74,7 +74,8 @@
 	// doubts wait to be told to other daemons.
 	doubts []Doubt
 	// updates counts the updates of the list.
-	updates uint64
+	updates   uint64
+	placement Placement
 	// daemons is how many daemons choose among the same back ends.
 	daemons int
 	// othersWhole is set while the loads of all other daemons are known. Guessed ones
--- a/internal/core/lease/acting_test.go
+++ b/internal/core/lease/acting_test.go
@@ -8,7 +8,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/lotusward/lotusward/internal/core/identity"
-	"github.com/lotusward/lotusward/internal/wire/platformwire"
+	"github.com/lotusward/lotusward/internal/port"
 )
 
 const (
@@ -88,12 +88,12 @@
 	machine.SetActing(true)
 	left := Record{Holder: "one", Incarnation: 1, Token: 5, Duration: testDuration, Acting: true, Released: true, RestLeft: testRest}
 	assert.Assert(t, machine.Tick(now) != nil)
-	assert.NilError(t, machine.ReadDone(now, []platformwire.Row{{Key: testKey, Value: left.encode(), Version: 7}}, nil))
+	assert.NilError(t, machine.ReadDone(now, []port.Row{{Key: testKey, Value: left.encode(), Version: 7}}, nil))
 	take := func(version uint64) {
 		t.Helper()
 		_, commits := machine.Tick(now).(Commit)
 		assert.Assert(t, commits)
-		assert.NilError(t, machine.CommitDone(now, []platformwire.Row{{Key: testKey, Version: version}}, nil))
+		assert.NilError(t, machine.CommitDone(now, []port.Row{{Key: testKey, Version: version}}, nil))
 	}
 	take(8)
 	first := machine.Grant()
--- a/internal/core/lease/incarnation_test.go
+++ b/internal/core/lease/incarnation_test.go
@@ -7,16 +7,16 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/lotusward/lotusward/internal/core/identity"
-	"github.com/lotusward/lotusward/internal/wire/platformwire"
+	"github.com/lotusward/lotusward/internal/port"
 )
 
 // rowOf is a row that an incarnation of the daemon "one" left behind.
-func rowOf(incarnation identity.Incarnation, token identity.FencingToken) []platformwire.Row {
+func rowOf(incarnation identity.Incarnation, token identity.FencingToken) []port.Row {
 	record := Record{Holder: "one", Incarnation: incarnation, Token: token, Duration: testDuration}
-	return []platformwire.Row{{Key: testKey, Value: record.encode(), Version: 7}}
+	return []port.Row{{Key: testKey, Value: record.encode(), Version: 7}}
 }
 
-func afterRead(t *testing.T, settings Settings, rows []platformwire.Row) Action {
+func afterRead(t *testing.T, settings Settings, rows []port.Row) Action {
 	t.Helper()
 	now := time.Unix(1_000_000, 0)
 	machine := New(settings)
--- a/internal/core/lease/lease_test.go
+++ b/internal/core/lease/lease_test.go
@@ -11,8 +11,7 @@
 
 	"github.com/lotusward/lotusward/internal/core/identity"
 	"github.com/lotusward/lotusward/internal/port"
-	"github.com/lotusward/lotusward/internal/standin/platform"
-	"github.com/lotusward/lotusward/internal/wire/platformwire"
+	"github.com/lotusward/lotusward/internal/port/porttest"
 )
 
 const (
@@ -29,7 +28,7 @@
 	action Action
 	// applied is set once the table has answered; rows and err are the answer.
 	applied bool
-	rows    []platformwire.Row
+	rows    []port.Row
 	err     error
 }
 
@@ -45,7 +44,7 @@
 // world holds the true time, the table, the network and the oracle.
 type world struct {
 	elapsed      time.Duration
-	table        *platform.Table
+	table        *porttest.Table
 	outage       bool
 	participants []*participant
 	// strays are calls that nobody waits for and that may still reach the table.
@@ -58,7 +57,7 @@
 }
 
 func newWorld(t *rapid.T) *world {
-	w := &world{table: platform.NewTable(), grantedTo: map[identity.FencingToken]string{}}
+	w := &world{table: porttest.NewTable(), grantedTo: map[identity.FencingToken]string{}}
 	for index := range holders {
 		rate := 1 + testDrift*rapid.SampledFrom([]float64{-1, -0.5, 0, 1}).Draw(t, "drift")
 		one := &participant{index: index, rate: rate, incarnation: identity.Incarnation(index)}
@@ -94,7 +93,7 @@
 }
 
 // apply lets the table carry out a call.
-func (w *world) apply(action Action) ([]platformwire.Row, error) {
+func (w *world) apply(action Action) ([]port.Row, error) {
 	if w.outage {
 		return nil, &port.UnavailableError{Service: "table"}
 	}
@@ -112,7 +111,7 @@
 }
 
 // deliver gives a participant the result of its call.
-func (w *world) deliver(one *participant, rows []platformwire.Row, err error) error {
+func (w *world) deliver(one *participant, rows []port.Row, err error) error {
 	action := one.flight.action
 	one.flight = nil
 	if _, reads := action.(Read); reads {
--- a/internal/core/lease/machine.go
+++ b/internal/core/lease/machine.go
@@ -20,7 +20,6 @@
 
 	"github.com/lotusward/lotusward/internal/core/identity"
 	"github.com/lotusward/lotusward/internal/port"
-	"github.com/lotusward/lotusward/internal/wire/platformwire"
 )
 
 // Machine is one daemon's state for one lease. All times are of the daemon's own
@@ -234,22 +233,22 @@
 	m.involved = true
 	m.proposed = record
 	m.sentAt = now
-	return Commit{Transaction: platformwire.Transaction{
-		Conditions: []platformwire.Condition{{Key: m.settings.Key, Version: m.version}},
-		Writes:     []platformwire.Write{{Key: m.settings.Key, Value: record.encode()}},
+	return Commit{Transaction: port.Transaction{
+		Conditions: []port.Condition{{Key: m.settings.Key, Version: m.version}},
+		Writes:     []port.Write{{Key: m.settings.Key, Value: record.encode()}},
 	}}
 }
 
 // ReadDone takes the result of a read. It returns a *MalformedError when the row
 // cannot be understood.
-func (m *Machine) ReadDone(now time.Time, rows []platformwire.Row, err error) error {
+func (m *Machine) ReadDone(now time.Time, rows []port.Row, err error) error {
 	m.calling = false
 	if err != nil {
 		m.retryLater(now, err)
 		return nil
 	}
 	if len(rows) == 0 {
-		return m.observe(now, platformwire.Row{Key: m.settings.Key})
+		return m.observe(now, port.Row{Key: m.settings.Key})
 	}
 	return m.observe(now, rows[0])
 }
@@ -258,7 +257,7 @@
 // this moment: the holder counts from before. Nothing is taken in during a call, and
 // nothing older than what is known. It returns a *MalformedError when the row cannot be
 // understood.
-func (m *Machine) Heard(now time.Time, row platformwire.Row) error {
+func (m *Machine) Heard(now time.Time, row port.Row) error {
 	if m.calling || row.Version < m.version {
 		return nil
 	}
@@ -272,13 +271,13 @@
 }
 
 // Row is the newest known row; its version is zero without any.
-func (m *Machine) Row() platformwire.Row {
-	return platformwire.Row{Key: m.settings.Key, Value: m.record.encode(), Version: m.version}
+func (m *Machine) Row() port.Row {
+	return port.Row{Key: m.settings.Key, Value: m.record.encode(), Version: m.version}
 }
 
 // CommitDone takes the result of a commit. It returns a *MalformedError when the
 // row that caused a conflict cannot be understood.
-func (m *Machine) CommitDone(now time.Time, rows []platformwire.Row, err error) error {
+func (m *Machine) CommitDone(now time.Time, rows []port.Row, err error) error {
 	m.calling = false
 	if err == nil && len(rows) == 1 {
 		m.confirm(now, rows[0].Version)
@@ -323,7 +322,7 @@
 }
 
 // observe takes over the row as the table gave it.
-func (m *Machine) observe(now time.Time, row platformwire.Row) error {
+func (m *Machine) observe(now time.Time, row port.Row) error {
 	var record Record
 	if row.Version > 0 {
 		if err := json.Unmarshal(row.Value, &record); err != nil {
--- a/internal/core/lease/settings.go
+++ b/internal/core/lease/settings.go
@@ -4,7 +4,7 @@
 	"time"
 
 	"github.com/lotusward/lotusward/internal/core/identity"
-	"github.com/lotusward/lotusward/internal/wire/platformwire"
+	"github.com/lotusward/lotusward/internal/port"
 )
 
 // Fractions of the lease's duration.
@@ -77,7 +77,7 @@
 type Read struct{ Key string }
 
 // Commit asks for a conditional write of the row.
-type Commit struct{ Transaction platformwire.Transaction }
+type Commit struct{ Transaction port.Transaction }
 
 func (Read) isAction()   {}
 func (Commit) isAction() {}
--- a/internal/core/query/evaluate.go
+++ b/internal/core/query/evaluate.go
@@ -118,7 +118,7 @@
 func sortByKeys(columns []Column, rows []Row) {
 	slices.SortStableFunc(rows, func(a, b Row) int {
 		for index, column := range columns {
-			if column.Merge != MergeKey {
+			if !column.Key {
 				continue
 			}
 			if order := a[index].compare(b[index]); order != 0 {
--- a/internal/core/query/expect.go
+++ b/internal/core/query/expect.go
@@ -7,13 +7,8 @@
 
 // vocabulary lists the keywords of the language.
 var vocabulary = []string{
-	"show", "declare", "change", "cancel", "drain", "return", "load", "unload", "set",
-	"hot", "prefixes", "waiting", "requests", "leaving", "backends", "engines", "daemons",
-	"tenants", "events", "models", "revisions", "audit", "in-force",
+	"show", "leaving", "backends", "daemons", "models", "routes", "services", "tenants",
 	"where", "and", "order", "by", "asc", "desc", "limit",
-	"event", "from", "to", "not-repeatable", "at", "x",
-	"backend", "model", "adapter", "of", "on", "role", "limits", "version",
-	"tokens-per-second", "concurrent", "weight", "if", "revision", "as",
 }
 
 // sample is a token that stands for a class of tokens.
@@ -27,7 +22,6 @@
 	{`2000-01-01T00:00:00Z`, "a time such as 2026-05-01T17:00:00Z"},
 	{`7`, "a number"},
 	{`=`, `one of = != < <= > >= ~`},
-	{`a:/b`, "a route such as results-app:/finish"},
 	{`,`, `","`},
 	{`/`, `"/"`},
 	{`@`, `"@"`},
--- a/internal/core/query/lexer.go
+++ b/internal/core/query/lexer.go
@@ -45,26 +45,12 @@
 // plainWord matches a text that needs no quotes as a name.
 var plainWord = regexp.MustCompile(`^[A-Za-z0-9_][A-Za-z0-9_.+-]*(:[A-Za-z0-9][A-Za-z0-9_.+-]*)*$`)
 
-// plainRoute matches a route that needs no quotes.
-var plainRoute = regexp.MustCompile(`^[A-Za-z0-9_][A-Za-z0-9_.+-]*:/[^\s,"]*$`)
-
 // startsLikeTime matches a text whose start the lexer would take for a time.
 var startsLikeTime = regexp.MustCompile(`^\d{4}-\d{2}-\d{2}T\d{2}:\d{2}(:\d{2}(\.\d+)?)?(Z|[+-]\d{2}:\d{2})`)
 
 // Name is a name as an operator writes it: a word, or any text in quotes.
 type Name string
 
-// Parse implements participle.Parseable.
-func (n *Name) Parse(tokens *lexer.PeekingLexer) error {
-	text, ok := plainOrQuoted(tokens.Peek(), kindWord)
-	if !ok {
-		return participle.NextMatch
-	}
-	tokens.Next()
-	*n = Name(text)
-	return nil
-}
-
 // String writes the name with quotes if it needs them.
 func (n Name) String() string {
 	if plainWord.MatchString(string(n)) && !startsLikeTime.MatchString(string(n)) {
@@ -76,16 +62,6 @@
 // SlashedName is a name that may have slashes, such as that of a published model.
 type SlashedName string
 
-// Parse implements participle.Parseable.
-func (n *SlashedName) Parse(tokens *lexer.PeekingLexer) error {
-	text, ok := plainOrQuoted(tokens.Peek(), kindWord)
-	if !ok {
-		return participle.NextMatch
-	}
-	*n = SlashedName(takeSlashed(tokens, text))
-	return nil
-}
-
 // String writes the name with quotes if it needs them.
 func (n SlashedName) String() string {
 	for _, part := range strings.Split(string(n), slash) {
@@ -115,31 +91,6 @@
 	return text
 }
 
-// Route is SERVICE:/path as an operator writes it.
-type Route string
-
-// Parse implements participle.Parseable.
-func (r *Route) Parse(tokens *lexer.PeekingLexer) error {
-	text, ok := plainOrQuoted(tokens.Peek(), kindRoute)
-	if !ok || !routeParts.MatchString(text) {
-		return participle.NextMatch
-	}
-	tokens.Next()
-	*r = Route(text)
-	return nil
-}
-
-// String writes the route with quotes if it needs them.
-func (r Route) String() string {
-	if plainRoute.MatchString(string(r)) {
-		return string(r)
-	}
-	return strconv.Quote(string(r))
-}
-
-// routeParts splits a route into service and path prefix.
-var routeParts = regexp.MustCompile(`(?s)^([^:]+):(/.*)$`)
-
 // Operand is a field or a value in a condition, with its place in the input.
 type Operand struct {
 	Text   string
@@ -198,29 +149,6 @@
 	return nil
 }
 
-// Instant is a moment in time.
-type Instant struct{ Time time.Time }
-
-// Parse implements participle.Parseable.
-func (i *Instant) Parse(tokens *lexer.PeekingLexer) error {
-	token := tokens.Peek()
-	if token.Type != kindTime {
-		return participle.NextMatch
-	}
-	value, err := parseInstant(token.Value)
-	if err != nil {
-		return participle.NextMatch
-	}
-	tokens.Next()
-	i.Time = value
-	return nil
-}
-
-// String writes the moment in UTC as RFC 3339.
-func (i Instant) String() string {
-	return i.Time.UTC().Format(time.RFC3339Nano)
-}
-
 func parseInstant(text string) (time.Time, error) {
 	if value, err := time.Parse(time.RFC3339, text); err == nil {
 		return value.UTC(), nil
--- a/internal/core/query/parse.go
+++ b/internal/core/query/parse.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"slices"
 	"strings"
 	"sync"
 
@@ -17,8 +16,7 @@
 
 // sentence is the root of the grammar.
 type sentence struct {
-	Show    *Show    `parser:"@@"`
-	Command *Command `parser:"| @@"`
+	Show *Show `parser:"@@"`
 }
 
 // grammar builds the parser at its first use. Its tags are fixed, so that a
@@ -29,11 +27,6 @@
 		participle.Elide("Space"),
 		participle.CaseInsensitive(tokenWord),
 		participle.UseLookahead(lookahead),
-		participle.Union[Action](
-			DeclareEvent{}, ChangeEvent{}, CancelEvent{}, DrainBackend{}, ReturnBackend{},
-			LoadModel{}, UnloadModel{}, LoadAdapter{}, UnloadAdapter{},
-			SetRole{}, SetLimits{}, SetVersion{},
-		),
 	)
 })
 
@@ -57,16 +50,10 @@
 	if err != nil {
 		return nil, explain(text, err)
 	}
-	if parsed.Show != nil {
-		if failure := checkShow(text, parsed.Show); failure != nil {
-			return nil, failure
-		}
-		return parsed.Show, nil
-	}
-	if failure := checkCommand(text, parsed.Command); failure != nil {
+	if failure := checkShow(text, parsed.Show); failure != nil {
 		return nil, failure
 	}
-	return parsed.Command, nil
+	return parsed.Show, nil
 }
 
 // errorOffset returns where in the text a parse fails, and -1 if it doesn't.
@@ -85,31 +72,3 @@
 	}
 	return min(max(located.Position().Offset, 0), len(text))
 }
-
-// checkCommand finds what the grammar can't: clauses that must not all be missing.
-func checkCommand(text string, command *Command) *ParseError {
-	switch action := command.Action.(type) {
-	case DeclareEvent:
-		if !action.From.Time.Before(action.To.Time) {
-			return newParseError(text, len(text), "the event ends at %s, which is not after its start at %s", action.To, action.From)
-		}
-	case ChangeEvent:
-		if action.From == nil && action.To == nil && action.Tenants == nil && action.Models == nil &&
-			action.NotRepeatable == nil && action.Prefixes == nil {
-			return incomplete(text, "the command changes nothing")
-		}
-	case SetLimits:
-		if action.TokensPerSecond == nil && action.Concurrent == nil && action.Weight == nil {
-			return incomplete(text, "the command sets no limit")
-		}
-	}
-	return nil
-}
-
-func incomplete(text, message string) *ParseError {
-	failure := newParseError(text, len(text), "%s", message)
-	failure.Expected = slices.DeleteFunc(expectedAfter(text), func(word string) bool {
-		return word == "if" || word == "as" // they end the command, and it lacks its middle
-	})
-	return failure
-}
--- a/internal/core/query/rows.go
+++ b/internal/core/query/rows.go
@@ -6,144 +6,79 @@
 	"github.com/lotusward/lotusward/internal/core/identity"
 )
 
-// The row types below are the schemas of the sources. The column tag gives the
-// name and how the answers of several daemons merge; see MergeRule.
+// The row types below are the schemas of the sources. The column tag gives the name, and
+// "key" for the columns that identify a row.
 
-// HotPrefix is a prompt prefix with many requests.
-type HotPrefix struct {
-	// Prefix is the hash of the prefix, in hexadecimal.
-	Prefix  string                  `column:"prefix,key"`
-	Tenant  identity.TenantName     `column:"tenant,key"`
-	Model   identity.ModelName      `column:"model,key"`
-	Version identity.WeightsVersion `column:"version,key"`
-	// Tokens is the length of the prefix.
-	Tokens            int       `column:"tokens,max"`
-	RequestsPerSecond float64   `column:"requests_per_second,sum"`
-	Waiting           int       `column:"waiting,sum"`
-	Engines           int       `column:"engines,max"`
-	Observed          time.Time `column:"observed,order"`
-}
-
-// WaitingRequest is a request in a daemon's queue.
-type WaitingRequest struct {
-	Request      identity.RequestID   `column:"request,key"`
-	Daemon       identity.DaemonID    `column:"daemon,key"`
-	Tenant       identity.TenantName  `column:"tenant"`
-	Service      identity.ServiceName `column:"service"`
-	Model        identity.ModelName   `column:"model"`
-	Class        string               `column:"class"`
-	PromptTokens int                  `column:"prompt_tokens"`
-	Waited       time.Duration        `column:"waited,max"`
-	Deadline     time.Time            `column:"deadline"`
-}
-
-// Backend is an engine or a web-app runner.
+// Backend is a back end as the asked daemon believes it to be.
 type Backend struct {
-	Backend  identity.BackendID   `column:"backend,key"`
-	Kind     identity.BackendKind `column:"kind"`
-	Service  identity.ServiceName `column:"service"`
-	Zone     identity.Zone        `column:"zone"`
-	Address  string               `column:"address"`
-	Leaving  bool                 `column:"leaving,max"`
-	Reason   string               `column:"reason"`
-	Running  int                  `column:"running,sum"`
-	Observed time.Time            `column:"observed,order"`
-}
-
-// Engine is a model engine with its load.
-type Engine struct {
-	Engine      identity.BackendID   `column:"engine,key"`
-	Service     identity.ServiceName `column:"service"`
-	Zone        identity.Zone        `column:"zone"`
-	Incarnation identity.Incarnation `column:"incarnation"`
-	// Models lists what is loaded as MODEL@VERSION, with commas.
-	Models  string `column:"models"`
-	Role    string `column:"role"`
-	Leaving bool   `column:"leaving,max"`
-	// Running and Waiting are the engine's own report.
-	Running int `column:"running"`
-	Waiting int `column:"waiting"`
-	// Assigned counts requests that daemons have sent and that have not ended.
-	Assigned     int       `column:"assigned,sum"`
-	QueuedTokens int       `column:"queued_tokens"`
-	FreeBlocks   int       `column:"free_blocks"`
-	TotalBlocks  int       `column:"total_blocks"`
-	Observed     time.Time `column:"observed,order"`
+	Backend identity.BackendID   `column:"backend,key"`
+	Service identity.ServiceName `column:"service"`
+	Zone    identity.Zone        `column:"zone"`
+	Address string               `column:"address"`
+	// Models lists what it holds as MODEL@VERSION, with commas.
+	Models string `column:"models"`
+	// Leaving is set when it says so, and while it is taken out to load weights.
+	Leaving bool `column:"leaving"`
+	// Doubted is set while it gets no requests since it failed some.
+	Doubted bool `column:"doubted"`
+	// Running is how many requests are under way there, of all daemons as far as told.
+	Running float64 `column:"running"`
+	// Own is how many of them came from the asked daemon.
+	Own int `column:"own"`
+	// ReadingTokens is how much of prompts waits there to be read.
+	ReadingTokens float64 `column:"reading_tokens"`
 }
 
-// Daemon is a daemon as itself and others see it.
+// Daemon is a daemon that the asked one knows.
 type Daemon struct {
-	Daemon      identity.DaemonID    `column:"daemon,key"`
-	Zone        identity.Zone        `column:"zone"`
-	Address     string               `column:"address"`
-	State       string               `column:"state"`
-	Incarnation identity.Incarnation `column:"incarnation"`
-	Revision    identity.Revision    `column:"revision,max"`
-	Running     int                  `column:"running"`
-	Waiting     int                  `column:"waiting"`
-	Controller  bool                 `column:"controller"`
-	Observed    time.Time            `column:"observed,order"`
+	Address string `column:"address,key"`
+	// Self is set for the asked one.
+	Self bool `column:"self"`
 }
 
-// Tenant is a tenant with its limits and its present use.
-type Tenant struct {
-	Tenant               identity.TenantName `column:"tenant,key"`
-	TokensPerSecondLimit float64             `column:"tokens_per_second_limit"`
-	ConcurrentLimit      int                 `column:"concurrent_limit"`
-	Weight               float64             `column:"weight"`
-	TokensPerSecond      float64             `column:"tokens_per_second,sum"`
-	Running              int                 `column:"running,sum"`
-	Waiting              int                 `column:"waiting,sum"`
-	Revision             identity.Revision   `column:"revision,order"`
-}
-
-// Event is a declared event.
-type Event struct {
-	Event   string    `column:"event,key"`
-	State   string    `column:"state"`
-	Start   time.Time `column:"start"`
-	End     time.Time `column:"end"`
-	Tenants string    `column:"tenants"`
-	// Models lists SERVICE/MODEL@VERSION x ENGINES, with commas.
-	Models        string `column:"models"`
-	NotRepeatable string `column:"not_repeatable"`
-}
-
-// Model is a configured model.
+// Model is a model of a service, with the state of its roll-out.
 type Model struct {
-	Model         identity.ModelName      `column:"model,key"`
-	Version       identity.WeightsVersion `column:"version"`
-	Adapters      string                  `column:"adapters"`
-	ContextTokens int                     `column:"context_tokens"`
+	Service identity.ServiceName `column:"service,key"`
+	Model   identity.ModelName   `column:"model,key"`
+	// Version is the newest that is named; zero before the first one.
+	Version uint64 `column:"version"`
+	// Named is how long ago the asked daemon knows it to be named.
+	Named time.Duration `column:"named"`
+	// Backends hold the model, and Behind of them an older version.
+	Backends int `column:"backends"`
+	Behind   int `column:"behind"`
 }
 
-// Revision is one revision of the configuration.
-type Revision struct {
-	Revision identity.Revision `column:"revision,key"`
-	At       time.Time         `column:"at"`
-	Operator string            `column:"operator"`
-	Item     string            `column:"item"`
-	Change   string            `column:"change"`
+// Route is a route of the configuration in force.
+type Route struct {
+	Route    string `column:"route,key"`
+	Host     string `column:"host"`
+	Path     string `column:"path"`
+	Kind     string `column:"kind"`
+	Services string `column:"services"`
+	Priority int    `column:"priority"`
+	Attempts int    `column:"attempts"`
+	// Target is the time to the first byte within which an answer is worth most.
+	Target  time.Duration `column:"target"`
+	Timeout time.Duration `column:"timeout"`
 }
 
-// Audit is one accepted command.
-type Audit struct {
-	Revision  identity.Revision `column:"revision,key"`
-	At        time.Time         `column:"at"`
-	Operator  string            `column:"operator"`
-	Change    string            `column:"change"`
-	Statement string            `column:"statement"`
-	Operation string            `column:"operation"`
-	// Detail is the operation in JSON, without key hashes.
-	Detail string `column:"detail"`
+// Service is a service of the configuration in force.
+type Service struct {
+	Service        identity.ServiceName `column:"service,key"`
+	Models         string               `column:"models"`
+	Slots          int                  `column:"slots"`
+	CapacityTokens int                  `column:"capacity_tokens"`
+	PromptStore    string               `column:"prompt_store"`
+	Backends       int                  `column:"backends"`
+	Leaving        int                  `column:"leaving"`
+	Doubted        int                  `column:"doubted"`
+	Running        float64              `column:"running"`
 }
 
-// InForce is the revision that one daemon has in force.
-type InForce struct {
-	Daemon   identity.DaemonID `column:"daemon,key"`
-	Revision identity.Revision `column:"revision,max"`
-	// Behind is set when a newer revision is known.
-	Behind bool `column:"behind"`
-	// Reachable is cleared when the daemon did not answer.
-	Reachable bool `column:"reachable,max"`
+// Tenant is a tenant of the configuration in force. Keys are never shown.
+type Tenant struct {
+	Tenant   identity.TenantName `column:"tenant,key"`
+	Keys     int                 `column:"keys"`
+	Isolated bool                `column:"isolated"`
 }
--- a/internal/core/query/table.go
+++ b/internal/core/query/table.go
@@ -20,29 +20,12 @@
 	TypeDuration ColumnType = "duration"
 )
 
-// MergeRule says how a column of several daemons' rows with equal keys merges.
-type MergeRule string
-
-// The merge rules.
-const (
-	// MergeKey columns together identify a row.
-	MergeKey MergeRule = "key"
-	// MergeNewest takes the value of the row that is greatest in the MergeOrder
-	// column, and of the first row where there is no such column.
-	MergeNewest MergeRule = ""
-	// MergeOrder says which row is newest, and merges to the greatest.
-	MergeOrder MergeRule = "order"
-	// MergeSum adds the values up: each daemon knows its own part.
-	MergeSum MergeRule = "sum"
-	// MergeMaximum takes the greatest value; of booleans, true if any is.
-	MergeMaximum MergeRule = "max"
-)
-
 // Column describes one column of a table.
 type Column struct {
-	Name  string     `json:"name" msgpack:"name"`
-	Type  ColumnType `json:"type" msgpack:"type"`
-	Merge MergeRule  `json:"-" msgpack:"merge,omitempty"`
+	Name string     `json:"name"`
+	Type ColumnType `json:"type"`
+	// Key columns together identify a row.
+	Key bool `json:"-"`
 }
 
 // Row holds one value for each column of its table.
@@ -50,8 +33,8 @@
 
 // Table is the answer to a query.
 type Table struct {
-	Columns []Column `json:"columns" msgpack:"columns"`
-	Rows    []Row    `json:"rows" msgpack:"rows"`
+	Columns []Column `json:"columns"`
+	Rows    []Row    `json:"rows"`
 }
 
 var (
@@ -60,13 +43,13 @@
 )
 
 // columnsOf derives the columns from the tags of a row type. Each field needs a
-// tag `column:"name[,rule]"`; that it has one is checked by a test.
+// tag `column:"name[,key]"`; that it has one is checked by a test.
 func columnsOf(rowType reflect.Type) []Column {
 	columns := make([]Column, 0, rowType.NumField())
 	for index := range rowType.NumField() {
 		field := rowType.Field(index)
 		name, rule, _ := strings.Cut(field.Tag.Get("column"), ",")
-		columns = append(columns, Column{Name: name, Type: columnTypeOf(field.Type), Merge: MergeRule(rule)})
+		columns = append(columns, Column{Name: name, Type: columnTypeOf(field.Type), Key: rule == "key"})
 	}
 	return columns
 }
@@ -136,8 +119,7 @@
 	return fmt.Sprintf("table of %s: %s", e.Source, e.Reason)
 }
 
-// Verify checks a table against the schema of its source. Answers from other
-// daemons are verified before they are merged.
+// Verify checks a table against the schema of its source.
 func (t Table) Verify(source Source) error {
 	schema := schemas[source]
 	if len(t.Columns) != len(schema) {
--- a/internal/core/query/value.go
+++ b/internal/core/query/value.go
@@ -13,11 +13,11 @@
 
 // Value is one typed value of a table.
 type Value struct {
-	Type ColumnType `msgpack:"k"`
-	Text string     `msgpack:"s,omitempty"`
+	Type ColumnType
+	Text string
 	// Number is the value of a number, the seconds of a duration, the
 	// microseconds since the Unix epoch of a time, and 1 or 0 for a boolean.
-	Number float64 `msgpack:"n,omitempty"`
+	Number float64
 }
 
 // TextValue makes a text.
--- a/internal/eventlog/eventlog.go
+++ b/internal/eventlog/eventlog.go
@@ -24,12 +24,14 @@
 	lines   chan []byte
 	dropped atomic.Uint64
 	written atomic.Uint64
-	stopped chan struct{}
+	// stopping is closed when the writer is to end, and stopped when it has.
+	stopping chan struct{}
+	stopped  chan struct{}
 }
 
 // NewWriter starts a writer to an output. Stop ends it.
 func NewWriter(output io.Writer) *Writer {
-	writer := &Writer{output: output, lines: make(chan []byte, queueLines), stopped: make(chan struct{})}
+	writer := &Writer{output: output, lines: make(chan []byte, queueLines), stopping: make(chan struct{}), stopped: make(chan struct{})}
 	go writer.run()
 	return writer
 }
@@ -51,9 +53,10 @@
 // Written is how many lines were written so far.
 func (w *Writer) Written() uint64 { return w.written.Load() }
 
-// Stop writes what is waiting, for a time at most. Nothing may be written after it.
+// Stop writes what is waiting, for a time at most. What is written after it is dropped:
+// parts that end last may still log.
 func (w *Writer) Stop(patience time.Duration) {
-	close(w.lines)
+	close(w.stopping)
 	select {
 	case <-w.stopped:
 	case <-time.After(patience):
@@ -63,16 +66,36 @@
 func (w *Writer) run() {
 	defer close(w.stopped)
 	told := uint64(0)
-	for line := range w.lines {
-		if dropped := w.dropped.Load(); dropped != told {
-			told = dropped
-			_, _ = fmt.Fprintf(w.output, `{"level":"warning","msg":"[log] Lines were dropped.","dropped":%d}`+"\n", dropped)
+	for {
+		select {
+		case line := <-w.lines:
+			told = w.put(line, told)
+		case <-w.stopping:
+			w.putWaiting(told)
+			return
 		}
-		_, _ = w.output.Write(line)
-		w.written.Add(1)
 	}
 }
 
+// putWaiting writes the lines that wait now.
+func (w *Writer) putWaiting(told uint64) {
+	for range len(w.lines) {
+		told = w.put(<-w.lines, told)
+	}
+}
+
+// put writes a line, after one that tells of dropped ones if there are new ones. It returns
+// how many were told.
+func (w *Writer) put(line []byte, told uint64) uint64 {
+	if dropped := w.dropped.Load(); dropped != told {
+		told = dropped
+		_, _ = fmt.Fprintf(w.output, `{"level":"warning","msg":"[log] Lines were dropped.","dropped":%d}`+"\n", dropped)
+	}
+	_, _ = w.output.Write(line)
+	w.written.Add(1)
+	return told
+}
+
 // NewLogger makes a logger with one JSON object a line.
 func NewLogger(writer *Writer) (*logrus.Logger, error) {
 	return logging.New(writer, logging.FormatJSON, logrus.InfoLevel.String())
--- a/internal/eventlog/eventlog_test.go
+++ b/internal/eventlog/eventlog_test.go
@@ -43,3 +43,28 @@
 	writer.Stop(10 * time.Second)
 	assert.Assert(t, strings.Contains(output.taken.String(), "Lines were dropped"))
 }
+
+// TestLinesAfterTheEndAreDropped logs from other goroutines while the writer stops, as parts
+// of a daemon do that end last.
+func TestLinesAfterTheEndAreDropped(t *testing.T) {
+	var output bytes.Buffer
+	writer := NewWriter(&output)
+	_, _ = writer.Write([]byte("before\n"))
+	begun := make(chan struct{})
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		for number := range 1000 {
+			_, _ = writer.Write([]byte("late\n"))
+			if number == 10 {
+				close(begun)
+			}
+		}
+	}()
+	<-begun
+	writer.Stop(10 * time.Second)
+	_, _ = writer.Write([]byte("last\n"))
+	<-ended
+	assert.Assert(t, strings.HasPrefix(output.String(), "before\n"))
+	assert.Assert(t, !strings.Contains(output.String(), "last"))
+}
--- a/internal/daemon/leasekeeper/acting_test.go
+++ b/internal/leasekeeper/acting_test.go
@@ -11,7 +11,6 @@
 
 	"github.com/lotusward/lotusward/internal/core/lease"
 	"github.com/lotusward/lotusward/internal/port"
-	"github.com/lotusward/lotusward/internal/wire/platformwire"
 )
 
 // heldUpTable is a table of one row. It holds a commit up that says that nobody acts,
@@ -25,9 +24,9 @@
 	heldUp, let chan struct{}
 }
 
-func (t *heldUpTable) Read(context.Context, ...string) ([]platformwire.Row, error) { return nil, nil }
+func (t *heldUpTable) Read(context.Context, ...string) ([]port.Row, error) { return nil, nil }
 
-func (t *heldUpTable) Commit(_ context.Context, change platformwire.Transaction) ([]platformwire.Row, error) {
+func (t *heldUpTable) Commit(_ context.Context, change port.Transaction) ([]port.Row, error) {
 	var record lease.Record
 	if err := json.Unmarshal(change.Writes[0].Value, &record); err != nil {
 		return nil, err
@@ -41,7 +40,7 @@
 	}
 	t.acted = t.acted || record.Acting
 	t.version++
-	return []platformwire.Row{{Key: change.Writes[0].Key, Version: t.version}}, nil
+	return []port.Row{{Key: change.Writes[0].Key, Version: t.version}}, nil
 }
 
 // TestNobodyActsOnceTheRowMaySaySo lets the row say that the holder doesn't act while the
--- a/internal/daemon/leasekeeper/keeper.go
+++ b/internal/leasekeeper/keeper.go
@@ -15,7 +15,6 @@
 	"github.com/lotusward/lotusward/internal/core/lease"
 	"github.com/lotusward/lotusward/internal/pause"
 	"github.com/lotusward/lotusward/internal/port"
-	"github.com/lotusward/lotusward/internal/wire/platformwire"
 )
 
 // Defaults of the lease's times.
@@ -50,11 +49,11 @@
 	acting  atomic.Bool
 	actedAt atomic.Pointer[time.Time]
 	// row is the newest known row.
-	row atomic.Pointer[platformwire.Row]
+	row atomic.Pointer[port.Row]
 	// wake has a value when the row is to say at once that the holder acts.
 	wake chan struct{}
 	// heard has the newest row that a holder told.
-	heard chan platformwire.Row
+	heard chan port.Row
 }
 
 // New makes a keeper that holds nothing until it runs.
@@ -65,9 +64,9 @@
 	if options.Now == nil {
 		options.Now = time.Now
 	}
-	keeper := &Keeper{options: options, machine: lease.New(options.Settings), wake: make(chan struct{}, 1), heard: make(chan platformwire.Row, 1)}
+	keeper := &Keeper{options: options, machine: lease.New(options.Settings), wake: make(chan struct{}, 1), heard: make(chan port.Row, 1)}
 	keeper.grant.Store(&lease.Grant{})
-	keeper.row.Store(&platformwire.Row{})
+	keeper.row.Store(&port.Row{})
 	return keeper
 }
 
@@ -112,11 +111,11 @@
 
 // Row returns the lease's row as this daemon knows it, for others to hear. It is safe for
 // any goroutine.
-func (k *Keeper) Row() platformwire.Row { return *k.row.Load() }
+func (k *Keeper) Row() port.Row { return *k.row.Load() }
 
 // Hear takes in the row as its holder has told it, so that it need not be read. It is
 // safe for any goroutine and never blocks.
-func (k *Keeper) Hear(row platformwire.Row) {
+func (k *Keeper) Hear(row port.Row) {
 	select {
 	case k.heard <- row:
 	default:
--- a/internal/daemon/leasekeeper/keeper_test.go
+++ b/internal/leasekeeper/keeper_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -10,13 +9,12 @@
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 
-	"github.com/lotusward/lotusward/internal/adapter/tablehttp"
 	"github.com/lotusward/lotusward/internal/core/identity"
 	"github.com/lotusward/lotusward/internal/core/lease"
-	"github.com/lotusward/lotusward/internal/daemon/leasekeeper"
+	"github.com/lotusward/lotusward/internal/leasekeeper"
 	"github.com/lotusward/lotusward/internal/logging"
 	"github.com/lotusward/lotusward/internal/port"
-	"github.com/lotusward/lotusward/internal/standin/platform"
+	"github.com/lotusward/lotusward/internal/port/porttest"
 )
 
 // duration is long enough that a busy machine renews in time.
@@ -65,11 +63,7 @@
 // TestPauseOutageAndHandOver takes one lease through a holder's pause, an outage
 // of the table with lost answers, and an orderly stop of the holder.
 func TestPauseOutageAndHandOver(t *testing.T) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	server := platform.New(platform.Options{})
-	defer start(t, func(ctx context.Context) error { return server.Serve(ctx, listener) })()
-	table := tablehttp.New("http://"+listener.Addr().String(), nil)
+	table := porttest.NewService()
 
 	var clock clock
 	first := newKeeper(table, "first", &clock)
@@ -77,18 +71,19 @@
 	before := waitHeld(t, first)
 
 	// A holder that was paused past its lease sees at once that it lapsed.
-	server.SetFaults(platform.Faults{Table: platform.ServiceFaults{Outage: platform.OutageRefuse}})
+	table.Refuse(true)
 	clock.jump.Store(int64(duration))
 	_, held := first.Held()
 	assert.Assert(t, !held, "a paused holder must not act")
 
 	// Lost answers delay the next grant and don't repeat a token.
-	server.SetFaults(platform.Faults{Table: platform.ServiceFaults{LoseAnswerEvery: 2}})
+	table.Refuse(false)
+	table.LoseEvery(2)
 	after := waitHeld(t, first)
 	assert.Assert(t, after > before, "token %d after %d", after, before)
 
 	// A holder that stops hands over.
-	server.SetFaults(platform.Faults{})
+	table.LoseEvery(0)
 	second := newKeeper(table, "second", &clock)
 	defer start(t, second.Run)()
 	stopFirst()
--- a/internal/members/members.go
+++ b/internal/members/members.go
@@ -22,7 +22,6 @@
 	"github.com/lotusward/lotusward/internal/core/rendezvous"
 	"github.com/lotusward/lotusward/internal/pause"
 	"github.com/lotusward/lotusward/internal/port"
-	"github.com/lotusward/lotusward/internal/wire/platformwire"
 )
 
 const (
@@ -123,7 +122,7 @@
 }
 
 // around reads the own row and the next ones, or the first ones if there are none.
-func (l *List) around(ctx context.Context) ([]platformwire.Row, error) {
+func (l *List) around(ctx context.Context) ([]port.Row, error) {
 	bounded, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	own := rowKey(l.options.Self)
@@ -137,7 +136,7 @@
 }
 
 // contacts are the addresses of the other daemons among rows.
-func (l *List) contacts(rows []platformwire.Row) []string {
+func (l *List) contacts(rows []port.Row) []string {
 	var contacts []string
 	for _, row := range rows {
 		if row.Key != rowKey(l.options.Self) {
@@ -148,7 +147,7 @@
 }
 
 // isOwn tells whether a row tells this daemon's address.
-func (l *List) isOwn(row platformwire.Row) bool {
+func (l *List) isOwn(row port.Row) bool {
 	return row.Key == rowKey(l.options.Self) && string(row.Value) == l.options.Address
 }
 
@@ -156,8 +155,8 @@
 func (l *List) announce(ctx context.Context) error {
 	bounded, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	_, err := l.options.Table.Commit(bounded, platformwire.Transaction{
-		Writes: []platformwire.Write{{Key: rowKey(l.options.Self), Value: []byte(l.options.Address)}},
+	_, err := l.options.Table.Commit(bounded, port.Transaction{
+		Writes: []port.Write{{Key: rowKey(l.options.Self), Value: []byte(l.options.Address)}},
 	})
 	return err
 }
@@ -167,7 +166,7 @@
 }
 
 // about is how many rows there are about, if these follow on each other.
-func about(rows []platformwire.Row) int {
+func about(rows []port.Row) int {
 	if len(rows) < 2 {
 		return len(rows)
 	}
--- a/internal/members/members_test.go
+++ b/internal/members/members_test.go
@@ -15,19 +15,18 @@
 	"github.com/lotusward/lotusward/internal/core/identity"
 	"github.com/lotusward/lotusward/internal/logging"
 	"github.com/lotusward/lotusward/internal/port"
-	"github.com/lotusward/lotusward/internal/wire/platformwire"
 )
 
 // memoryTable is a table that fails for the first calls.
 type memoryTable struct {
 	port.TableService
 	mutex    sync.Mutex
-	rows     map[string]platformwire.Row
+	rows     map[string]port.Row
 	failures int
 	writes   int
 }
 
-func (m *memoryTable) Commit(_ context.Context, change platformwire.Transaction) ([]platformwire.Row, error) {
+func (m *memoryTable) Commit(_ context.Context, change port.Transaction) ([]port.Row, error) {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
 	if m.failures > 0 {
@@ -36,19 +35,19 @@
 	}
 	m.writes++
 	for _, write := range change.Writes {
-		m.rows[write.Key] = platformwire.Row{Key: write.Key, Value: write.Value, Version: 1}
+		m.rows[write.Key] = port.Row{Key: write.Key, Value: write.Value, Version: 1}
 	}
 	return nil, nil
 }
 
-func (m *memoryTable) Scan(_ context.Context, prefix, after string, limit int) ([]platformwire.Row, error) {
+func (m *memoryTable) Scan(_ context.Context, prefix, after string, limit int) ([]port.Row, error) {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
 	if m.failures > 0 {
 		m.failures--
 		return nil, errors.New("down")
 	}
-	var rows []platformwire.Row
+	var rows []port.Row
 	for _, key := range slices.Sorted(maps.Keys(m.rows)) {
 		if strings.HasPrefix(key, prefix) && key > after && len(rows) < limit {
 			rows = append(rows, m.rows[key])
@@ -65,7 +64,7 @@
 // finds others around it, wherever its row lies; it tells about how many there are.
 func TestDaemonsFindEachOther(t *testing.T) {
 	const daemons = 200
-	table := &memoryTable{failures: 1, rows: map[string]platformwire.Row{}}
+	table := &memoryTable{failures: 1, rows: map[string]port.Row{}}
 	var lists []*List
 	for number := range daemons {
 		lists = append(lists, newList(table, fmt.Sprint("daemon-", number), fmt.Sprintf("10.0.0.%d:7340", number), func(int) {}))
@@ -88,7 +87,7 @@
 
 // TestMovedDaemonIsAnnouncedAgain writes the row anew when the address is another one.
 func TestMovedDaemonIsAnnouncedAgain(t *testing.T) {
-	table := &memoryTable{rows: map[string]platformwire.Row{}}
+	table := &memoryTable{rows: map[string]port.Row{}}
 	for _, address := range []string{"10.0.0.1:7340", "10.0.0.2:7340"} {
 		_, _, err := newList(table, "a", address, func(int) {}).Find(context.Background())
 		assert.NilError(t, err)
--- a/internal/adapter/callerhttp/chunkidentity.go
+++ b/internal/openai/chunkidentity.go
@@ -1,6 +1,9 @@
-package callerhttp
+package openai
 
-import "bytes"
+import (
+	"bytes"
+	"encoding/json"
+)
 
 // chunkIdentity keeps the `id` and `created` of an answer's chunks the same over
 // all attempts: client libraries refuse an answer whose id changes. It copies
@@ -24,6 +27,9 @@
 	if len(c.head) > 0 && bytes.HasPrefix(data, c.head) {
 		return data
 	}
+	if !headFirst(data) {
+		return c.rewrite(data)
+	}
 	changed := c.replace(data, nameID, &c.id)
 	changed = c.replace(changed, nameCreated, &c.created)
 	if choices := bytes.Index(changed, nameChoices); choices >= 0 {
@@ -32,6 +38,37 @@
 	return changed
 }
 
+// headFirst tells whether a chunk's identity stands before its choices, as most engines
+// write it.
+func headFirst(data []byte) bool {
+	choices := bytes.Index(data, nameChoices)
+	return choices < 0 || bytes.Contains(data[:choices], nameID)
+}
+
+// rewrite gives a chunk with any order of its fields the identity of the first one. What is
+// no JSON object stays as it is.
+func (c *chunkIdentity) rewrite(data []byte) []byte {
+	var fields map[string]json.RawMessage
+	if json.Unmarshal(data, &fields) != nil {
+		return data
+	}
+	for name, kept := range map[string]*[]byte{"id": &c.id, "created": &c.created} {
+		value, found := fields[name]
+		switch {
+		case !found:
+		case *kept == nil:
+			*kept = bytes.Clone(value)
+		default:
+			fields[name] = *kept
+		}
+	}
+	changed, err := json.Marshal(fields)
+	if err != nil {
+		return data
+	}
+	return changed
+}
+
 func (c *chunkIdentity) replace(data, name []byte, kept *[]byte) []byte {
 	start, end := scalarAfter(data, name)
 	if start == end {
--- a/internal/adapter/callerhttp/completionrequest.go
+++ b/internal/openai/completion.go
@@ -1,16 +1,13 @@
-package callerhttp
+package openai
 
 import (
 	"bytes"
-	"strconv"
 
 	"github.com/lotusward/lotusward/internal/core/identity"
-	"github.com/lotusward/lotusward/internal/core/prefix"
-	"github.com/lotusward/lotusward/internal/core/stream"
 )
 
-// Names of the fields of a completion request that the router reads. All others
-// go to the engine as they stand.
+// Names of the fields of a completion request that are read here. All others go to the
+// back end as they stand.
 const (
 	fieldModel               = "model"
 	fieldMessages            = "messages"
@@ -22,7 +19,6 @@
 	fieldChoices             = "n"
 	fieldBestOf              = "best_of"
 	fieldResume              = "resume"
-	fieldLogprobs            = "logprobs"
 )
 
 // streamOptions is the stream_options field.
@@ -41,8 +37,8 @@
 	Prompt []byte
 	// MaxTokens is the caller's limit for the answer; zero when there is none.
 	MaxTokens int
-	// base is the engine's body without the fields that the router sets and
-	// without the closing brace.
+	// base is the back end's body without the fields that are set here and without the
+	// closing brace.
 	base []byte
 }
 
@@ -132,7 +128,7 @@
 			return failed
 		}
 		if len(messages) > 0 {
-			c.Prompt = prefix.RenderChat(messages)
+			c.Prompt = renderChat(messages)
 		}
 		return nil
 	}
@@ -163,7 +159,7 @@
 	return nil
 }
 
-// engineBase writes the fields that go to the engine as they stand.
+// engineBase writes the fields that go to the back end as they stand.
 func engineBase(fields []field, size int) []byte {
 	base := make([]byte, 0, size)
 	base = append(base, '{')
@@ -179,19 +175,14 @@
 	return base
 }
 
-// engineBody makes the body of one attempt. The engine always streams and always
-// counts tokens; a later attempt resumes where the answer stands.
-func (c *completionRequest) engineBody(answer *stream.Assembler) []byte {
-	const streaming = `"stream":true,"stream_options":{"include_usage":true}`
-	body := make([]byte, 0, len(c.base)+len(streaming)+len(answer.Text())+64)
-	body = append(body, c.base...)
-	body = append(body, streaming...)
-	if answer.Offset() > 0 {
-		body = append(body, `,"resume":{"offset":`...)
-		body = strconv.AppendInt(body, int64(answer.Offset()), 10)
-		body = append(body, `,"text":"`...)
-		body = append(body, answer.Text()...)
-		body = append(body, `"}`...)
+// engineBody is the body that goes to the back end. A back end always streams, so that an
+// answer can go on at another one; the counts are for whole answers.
+func (c *completionRequest) engineBody() []byte {
+	const streaming = `"stream":true`
+	const counted = `,"stream_options":{"include_usage":true}`
+	body := append(append([]byte(nil), c.base...), streaming...)
+	if !c.Stream || c.IncludeUsage {
+		body = append(body, counted...)
 	}
 	return append(body, '}')
 }
--- a/internal/adapter/callerhttp/jsonfields.go
+++ b/internal/openai/jsonfields.go
@@ -1,4 +1,4 @@
-package callerhttp
+package openai
 
 import (
 	"bytes"
--- a/internal/adapter/callerhttp/messages.go
+++ b/internal/openai/messages.go
@@ -1,12 +1,10 @@
-package callerhttp
+package openai
 
 import (
 	"bytes"
 	"encoding/json"
 	"strings"
 	"unicode/utf8"
-
-	"github.com/lotusward/lotusward/internal/core/prefix"
 )
 
 // Names of the fields of a chat message that make the prompt.
@@ -18,22 +16,22 @@
 // decodeMessages reads the messages field. Long prompts are the usual case, so
 // plain messages are read without encoding/json, which scans each text four
 // times. All others, and all errors, are left to it.
-func decodeMessages(member field, body []byte) ([]prefix.ChatMessage, *failure) {
+func decodeMessages(member field, body []byte) ([]chatMessage, *failure) {
 	if messages, plain := plainMessages(member.raw); plain {
 		return messages, nil
 	}
-	var messages []prefix.ChatMessage
+	var messages []chatMessage
 	failed := member.decode(body, &messages)
 	return messages, failed
 }
 
 // plainMessages reads an array of messages whose content is a string. The second
 // result is false for anything else. The JSON must be valid.
-func plainMessages(raw []byte) ([]prefix.ChatMessage, bool) {
+func plainMessages(raw []byte) ([]chatMessage, bool) {
 	if raw[0] != '[' {
 		return nil, false
 	}
-	var messages []prefix.ChatMessage
+	var messages []chatMessage
 	at := skipJSONSpace(raw, 1)
 	for raw[at] != ']' {
 		end := skipValue(raw, at)
@@ -50,8 +48,8 @@
 	return messages, true
 }
 
-func plainMessage(raw []byte) (prefix.ChatMessage, bool) {
-	var message prefix.ChatMessage
+func plainMessage(raw []byte) (chatMessage, bool) {
+	var message chatMessage
 	if raw[0] != '{' {
 		return message, false
 	}
@@ -67,7 +65,7 @@
 		case member.name == fieldContent:
 			var text string
 			text, plain = unquote(member.raw)
-			message.Content = prefix.ChatContent(text)
+			message.Content = chatContent(text)
 		case strings.EqualFold(member.name, fieldRole), strings.EqualFold(member.name, fieldContent):
 			plain = false // encoding/json takes these names as well
 		}
--- a/internal/core/prefix/render.go
+++ b/internal/openai/prompt.go
@@ -1,4 +1,4 @@
-package prefix
+package openai
 
 import (
 	"encoding/json"
@@ -9,15 +9,15 @@
 // assistantRole is the role of the answer that a chat prompt asks for.
 const assistantRole = "assistant"
 
-// ChatMessage is one message of a chat prompt.
-type ChatMessage struct {
+// chatMessage is one message of a chat prompt.
+type chatMessage struct {
 	Role    string      `json:"role"`
-	Content ChatContent `json:"content"`
+	Content chatContent `json:"content"`
 }
 
-// ChatContent is the text of a chat message. In JSON it is a string, or an array
+// chatContent is the text of a chat message. In JSON it is a string, or an array
 // of parts of type "text" whose texts are joined.
-type ChatContent string
+type chatContent string
 
 // chatContentPart is one part of a message's content.
 type chatContentPart struct {
@@ -26,10 +26,10 @@
 }
 
 // UnmarshalJSON implements json.Unmarshaler. It fails on parts that are not text.
-func (c *ChatContent) UnmarshalJSON(data []byte) error {
+func (c *chatContent) UnmarshalJSON(data []byte) error {
 	var text string
 	if err := json.Unmarshal(data, &text); err == nil {
-		*c = ChatContent(text)
+		*c = chatContent(text)
 		return nil
 	}
 	var parts []chatContentPart
@@ -43,20 +43,15 @@
 		}
 		joined.WriteString(part.Text)
 	}
-	*c = ChatContent(joined.String())
+	*c = chatContent(joined.String())
 	return nil
 }
 
-// RenderChat renders the messages of a chat into the prompt that the engine
-// computes. Each message is its role, a newline, its content and a newline. The
-// prompt ends with the role of the answer, so that the answer continues it and a
-// later turn of the same chat shares both.
-func RenderChat(messages []ChatMessage) []byte {
-	size := len(assistantRole) + 1
-	for _, message := range messages {
-		size += len(message.Role) + len(message.Content) + 2
-	}
-	rendered := make([]byte, 0, size)
+// renderChat renders the messages of a chat as one text. Each message is its role, a
+// newline, its content and a newline. The text ends with the role of the answer, so
+// that a later turn of the same chat begins with all of it.
+func renderChat(messages []chatMessage) []byte {
+	var rendered []byte
 	for _, message := range messages {
 		rendered = append(rendered, message.Role...)
 		rendered = append(rendered, '\n')
--- a/internal/operator/client.go
+++ b/internal/operator/client.go
@@ -1,162 +1,97 @@
-// Package operator is the operators' client of the administration API: it sends
-// statements, repeats what was lost, waits until changes are in force, and
-// prints answers. Command lotusctl is a thin shell around it.
+// Package operator is the operators' client of the daemons' administration interface: it
+// sends statements, tries another daemon where one doesn't answer, and prints tables.
+// Command lotusctl is a thin shell around it.
 package operator
 
 import (
 	"bytes"
 	"context"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"io"
 	"net/http"
-	"net/http/httptrace"
-	"net/url"
-	"strconv"
-	"sync/atomic"
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
-	"github.com/google/uuid"
 
-	"github.com/lotusward/lotusward/internal/config/dynamic"
-	"github.com/lotusward/lotusward/internal/core/identity"
+	"github.com/lotusward/lotusward/internal/administration"
 	"github.com/lotusward/lotusward/internal/core/query"
-	"github.com/lotusward/lotusward/internal/wire/adminwire"
 )
 
 const (
-	// defaultAttemptTimeout bounds one try. A try that takes longer is given up,
-	// and the next one, with the same change ID, finds out what came of it.
-	defaultAttemptTimeout = 10 * time.Second
+	// attemptTimeout bounds one try; the next one goes to another daemon.
+	attemptTimeout = 3 * time.Second
 	// firstPause and longestPause bound the growing pauses between tries.
 	firstPause   = 100 * time.Millisecond
 	longestPause = 2 * time.Second
-	// waitInterval is how often Wait asks.
-	waitInterval = 250 * time.Millisecond
 	// maximumAnswerBytes bounds the answers that are read.
 	maximumAnswerBytes = 64 << 20
 )
 
-// Client sends statements to any of several daemons. It is safe for use by one
-// goroutine.
+// Client sends statements to any of several daemons. It is for one goroutine.
 type Client struct {
 	// Addresses are base URLs, http://IP:port. Each try goes to the next one.
 	Addresses []string
 	Token     string
 	HTTP      *http.Client
-	// AttemptTimeout bounds one try; zero means ten seconds.
-	AttemptTimeout time.Duration
-	// NewBackOff makes the pauses between tries; nil means growing pauses.
-	NewBackOff func() backoff.BackOff
 
 	next int
 }
 
-// Execute runs one statement. It fails with *query.ParseError before anything is
-// sent, with *RejectedError when a daemon's answer is final, with
-// *UnreachableError when no daemon answered and nothing can have changed, and
-// with *OutcomeUnknownError when the command may have been accepted. The context
-// bounds all tries together.
-func (c *Client) Execute(ctx context.Context, statement string) (adminwire.Response, error) {
-	parsed, err := query.Parse(statement)
-	if err != nil {
-		return adminwire.Response{}, err
-	}
-	body := adminwire.StatementRequest{Statement: statement}
-	if command, isCommand := parsed.(*query.Command); isCommand {
-		body.ChangeID = string(command.ChangeID)
-		if body.ChangeID == "" {
-			body.ChangeID = uuid.NewString()
-		}
+// RejectedError is a daemon's final answer: the statement was not run.
+type RejectedError struct{ Failure *administration.Error }
+
+// Error implements error.
+func (e *RejectedError) Error() string {
+	if e.Failure.Statement != nil {
+		return e.Failure.Statement.Error()
 	}
-	return c.post(ctx, adminwire.PathStatements, body.ChangeID, body)
+	return e.Failure.Message
 }
 
-// Import replaces the whole configuration. It fails as Execute does.
-func (c *Client) Import(ctx context.Context, document *dynamic.Document, base *identity.Revision) (adminwire.Response, error) {
-	body := adminwire.ImportRequest{Document: *document, ChangeID: uuid.NewString(), Base: base}
-	return c.post(ctx, adminwire.PathConfiguration, body.ChangeID, body)
-}
+// Unwrap returns the daemon's error.
+func (e *RejectedError) Unwrap() error { return e.Failure }
 
-// InForce asks on how many daemons a revision is in force. It fails as Execute does.
-func (c *Client) InForce(ctx context.Context, revision identity.Revision) (adminwire.InForce, error) {
-	path := adminwire.PathInForce + "?" + url.Values{
-		adminwire.ParameterRevision: {strconv.FormatUint(uint64(revision), 10)},
-	}.Encode()
-	var answer adminwire.InForce
-	err := c.retry(ctx, &call{client: c, method: http.MethodGet, path: path, answer: &answer})
-	return answer, err
-}
+// UnreachableError says that no daemon answered in time.
+type UnreachableError struct{ Cause error }
 
-// Wait asks until a revision is in force on all daemons or the context ends. It
-// gives each answer that differs from the one before to progress.
-func (c *Client) Wait(ctx context.Context, revision identity.Revision, progress func(adminwire.InForce)) (adminwire.InForce, error) {
-	ticker := time.NewTicker(waitInterval)
-	defer ticker.Stop()
-	var last adminwire.InForce
-	for {
-		report, err := c.InForce(ctx, revision)
-		if err != nil {
-			return last, err
-		}
-		if report.Confirmed != last.Confirmed || report.Total != last.Total {
-			progress(report)
-		}
-		last = report
-		if report.Everywhere() {
-			return report, nil
-		}
-		select {
-		case <-ctx.Done():
-			return last, &NotInForceError{Report: last}
-		case <-ticker.C:
-		}
-	}
+// Error implements error.
+func (e *UnreachableError) Error() string {
+	return fmt.Sprintf("no daemon could answer in time: %v", e.Cause)
 }
 
-func (c *Client) post(ctx context.Context, path, changeID string, body any) (adminwire.Response, error) {
-	encoded, err := json.Marshal(body)
-	if err != nil {
-		return adminwire.Response{}, fmt.Errorf("encode the request: %w", err)
-	}
-	var answer adminwire.Response
-	err = c.retry(ctx, &call{
-		client: c, method: http.MethodPost, path: path, body: encoded, changeID: changeID, answer: &answer,
-	})
-	return answer, err
-}
+// Unwrap returns the cause.
+func (e *UnreachableError) Unwrap() error { return e.Cause }
 
-// retry tries a call until its answer is final.
-func (c *Client) retry(ctx context.Context, call *call) error {
-	_, err := backoff.Retry(ctx, func() (struct{}, error) { return struct{}{}, call.try(ctx) },
-		backoff.WithBackOff(c.newBackOff()), backoff.WithMaxElapsedTime(0))
-	if err == nil {
-		return nil
-	}
-	var rejected *RejectedError
-	if errors.As(err, &rejected) {
-		rejected.EarlierTryUnknown = call.unknown
-		return rejected
+// Execute runs one statement. It fails with *query.ParseError before anything is sent,
+// with *RejectedError when a daemon's answer is final, and with *UnreachableError when
+// none answered before the context ended.
+func (c *Client) Execute(ctx context.Context, statement string) (query.Table, error) {
+	if _, err := query.Parse(statement); err != nil {
+		return query.Table{}, err
 	}
-	if call.lastError != nil {
-		err = call.lastError
+	body, err := json.Marshal(administration.StatementRequest{Statement: statement})
+	if err != nil {
+		return query.Table{}, fmt.Errorf("encode the request: %w", err)
 	}
-	if call.unknown {
-		return &OutcomeUnknownError{ChangeID: call.changeID, Cause: err}
+	pauses := backoff.NewExponentialBackOff()
+	pauses.InitialInterval, pauses.MaxInterval = firstPause, longestPause
+	var last error
+	table, err := backoff.Retry(ctx, func() (query.Table, error) {
+		table, err := c.try(ctx, body)
+		last = err
+		if _, isFinal := err.(*RejectedError); isFinal {
+			return table, backoff.Permanent(err)
+		}
+		return table, err
+	}, backoff.WithBackOff(pauses), backoff.WithMaxElapsedTime(0))
+	if rejected, isFinal := last.(*RejectedError); isFinal {
+		return table, rejected
 	}
-	return &UnreachableError{Cause: err}
-}
-
-func (c *Client) newBackOff() backoff.BackOff {
-	if c.NewBackOff != nil {
-		return c.NewBackOff()
+	if err != nil {
+		return table, &UnreachableError{Cause: last}
 	}
-	pauses := backoff.NewExponentialBackOff()
-	pauses.InitialInterval = firstPause
-	pauses.MaxInterval = longestPause
-	return pauses
+	return table, nil
 }
 
 // address takes the next daemon in turn.
@@ -166,69 +101,43 @@
 	return address
 }
 
-func (c *Client) attemptTimeout() time.Duration {
-	if c.AttemptTimeout > 0 {
-		return c.AttemptTimeout
-	}
-	return defaultAttemptTimeout
-}
-
-// call is one request with its tries.
-type call struct {
-	client   *Client
-	method   string
-	path     string
-	body     []byte
-	changeID string
-	answer   any
-	// unknown is set once a try may have reached a daemon and had no answer.
-	unknown   bool
-	lastError error
-}
-
-func (c *call) try(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, c.client.attemptTimeout())
+func (c *Client) try(ctx context.Context, body []byte) (query.Table, error) {
+	bounded, cancel := context.WithTimeout(ctx, attemptTimeout)
 	defer cancel()
-	var connected atomic.Bool
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
-	request, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), c.method, c.client.address()+c.path, bytes.NewReader(c.body))
+	request, err := http.NewRequestWithContext(bounded, http.MethodPost, c.address()+administration.PathStatements, bytes.NewReader(body))
 	if err != nil {
-		return backoff.Permanent(err)
+		return query.Table{}, backoff.Permanent(err)
 	}
-	request.Header.Set("Authorization", "Bearer "+c.client.Token)
+	request.Header.Set("Authorization", "Bearer "+c.Token)
 	request.Header.Set("Content-Type", "application/json")
-	response, err := c.client.HTTP.Do(request)
+	response, err := c.HTTP.Do(request)
 	if err != nil {
-		return c.failed(err, connected.Load())
+		return query.Table{}, err
 	}
-	defer response.Body.Close()
+	defer func() { _ = response.Body.Close() }()
 	text, err := io.ReadAll(io.LimitReader(response.Body, maximumAnswerBytes))
 	if err != nil {
-		return c.failed(err, true)
+		return query.Table{}, err
 	}
-	return c.read(request.URL.Host, response.StatusCode, text)
-}
-
-// failed notes a try without a final answer.
-func (c *call) failed(err error, mayHaveTakenEffect bool) error {
-	c.unknown = c.unknown || mayHaveTakenEffect && c.changeID != ""
-	c.lastError = err
-	return err
+	return readAnswer(request.URL.Host, response.StatusCode, text)
 }
 
-func (c *call) read(host string, status int, text []byte) error {
+// readAnswer reads a daemon's answer. What another daemon may answer otherwise is no
+// final one.
+func readAnswer(host string, status int, text []byte) (query.Table, error) {
 	if status == http.StatusOK {
-		if err := json.Unmarshal(text, c.answer); err != nil {
-			return c.failed(fmt.Errorf("%s: the answer is cut or not understood: %w", host, err), true)
+		var answer administration.Response
+		if err := json.Unmarshal(text, &answer); err != nil || answer.Table == nil {
+			return query.Table{}, fmt.Errorf("%s: the answer is not understood: %w", host, err)
 		}
-		return nil
+		return *answer.Table, nil
 	}
-	var body adminwire.ErrorResponse
-	if err := json.Unmarshal(text, &body); err != nil || body.Error == nil {
-		return c.failed(fmt.Errorf("%s: status %d without an explanation", host, status), status >= http.StatusInternalServerError)
+	var failed administration.ErrorResponse
+	if err := json.Unmarshal(text, &failed); err != nil || failed.Error == nil {
+		return query.Table{}, fmt.Errorf("%s: status %d without an explanation", host, status)
 	}
-	if body.Error.Code == adminwire.CodeUnavailable {
-		return c.failed(fmt.Errorf("%s: %w", host, body.Error), body.Error.OutcomeUnknown)
+	if failed.Error.Code == administration.CodeUnavailable {
+		return query.Table{}, fmt.Errorf("%s: %w", host, failed.Error)
 	}
-	return backoff.Permanent(&RejectedError{Failure: body.Error})
+	return query.Table{}, &RejectedError{Failure: failed.Error}
 }
--- a/internal/operator/options.go
+++ b/internal/operator/options.go
@@ -15,26 +15,8 @@
 	Addresses []string      `long:"address" short:"a" value-name:"URL" env:"LOTUSCTL_ADDRESS" env-delim:"," description:"Administration address of a daemon, http://IP:port; several with commas or repeated, each try takes the next"`
 	TokenFile string        `long:"token-file" short:"t" value-name:"FILE" env:"LOTUSCTL_TOKEN_FILE" description:"File with the operator's bearer token; without it the token is read from the environment variable LOTUSCTL_TOKEN"`
 	Output    string        `long:"output" short:"o" choice:"table" choice:"json" default:"table" description:"How to print answers"`
-	Wait      bool          `long:"wait" short:"w" description:"After a command, wait until it is in force on all daemons"`
-	Timeout   time.Duration `long:"timeout" value-name:"DURATION" default:"30s" description:"Time for a statement with all its tries, and again for --wait"`
+	Timeout   time.Duration `long:"timeout" value-name:"DURATION" default:"10s" description:"Time for a statement with all its tries"`
 	Version   bool          `long:"version" description:"Print the version and exit"`
-
-	Import  ImportCommand  `command:"import-configuration" description:"Replace the whole configuration" long-description:"Checks a YAML or JSON file, prints all findings with line and column, and replaces the whole configuration by it if there are none."`
-	HashKey HashKeyCommand `command:"hash-key" description:"Print the hash of a key for settings or configuration" long-description:"Reads a bearer key or operator token from standard input and prints its SHA-256 hash as settings and configuration store it."`
-}
-
-// ImportCommand are the flags of import-configuration.
-type ImportCommand struct {
-	Base      *uint64 `long:"if-revision" value-name:"N" description:"Refuse if the configuration has changed since revision N"`
-	CheckOnly bool    `long:"check-only" description:"Only check the file; no daemon is asked"`
-	Arguments struct {
-		File string `positional-arg-name:"FILE" required:"true"`
-	} `positional-args:"true" required:"true"`
-}
-
-// HashKeyCommand are the flags of hash-key.
-type HashKeyCommand struct {
-	Generate bool `long:"generate" description:"Make a new random key and print it with its hash"`
 }
 
 // tokenVariable is the environment variable that holds a token.
--- a/internal/operator/print.go
+++ b/internal/operator/print.go
@@ -4,14 +4,11 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"strings"
 
 	"github.com/jedib0t/go-pretty/v6/table"
 	"github.com/jedib0t/go-pretty/v6/text"
 
-	"github.com/lotusward/lotusward/internal/core/identity"
 	"github.com/lotusward/lotusward/internal/core/query"
-	"github.com/lotusward/lotusward/internal/wire/adminwire"
 )
 
 // Format is how answers are printed.
@@ -23,27 +20,18 @@
 	FormatJSON  Format = "json"
 )
 
-// printer writes answers to output, and what is beside them to notes.
+// printer writes answers.
 type printer struct {
 	format Format
 	output io.Writer
-	notes  io.Writer
 }
 
-func (p printer) response(response adminwire.Response) {
+func (p printer) answer(answer query.Table) {
 	if p.format == FormatJSON {
-		p.json(response)
+		p.json(answer)
 		return
 	}
-	switch {
-	case response.Table != nil:
-		p.table(*response.Table)
-	case response.Accepted != nil:
-		fmt.Fprintln(p.output, describeAccepted(*response.Accepted))
-	}
-	if response.Partial != nil {
-		fmt.Fprintf(p.notes, "Partial answer: no answer from %s.\n", joined(response.Partial.Missing))
-	}
+	p.table(answer)
 }
 
 func (p printer) json(value any) {
@@ -83,27 +71,3 @@
 	}
 	return fmt.Sprintf("%d rows", count)
 }
-
-func describeAccepted(accepted adminwire.Accepted) string {
-	verb := "Accepted"
-	if accepted.Repeated {
-		verb = "Accepted before"
-	}
-	return fmt.Sprintf("%s as revision %d, change %s; %s.", verb, accepted.Revision, accepted.ChangeID, describeInForce(accepted.InForce))
-}
-
-func describeInForce(report adminwire.InForce) string {
-	description := fmt.Sprintf("in force on %d of %d daemons", report.Confirmed, report.Total)
-	if len(report.Behind) > 0 {
-		description += ", behind: " + joined(report.Behind)
-	}
-	return description
-}
-
-func joined(daemons []identity.DaemonID) string {
-	names := make([]string, 0, len(daemons))
-	for _, daemon := range daemons {
-		names = append(names, string(daemon))
-	}
-	return strings.Join(names, ", ")
-}
--- a/internal/operator/program.go
+++ b/internal/operator/program.go
@@ -13,7 +13,6 @@
 	"github.com/lotusward/lotusward/internal/core/query"
 	"github.com/lotusward/lotusward/internal/exitcode"
 	"github.com/lotusward/lotusward/internal/version"
-	"github.com/lotusward/lotusward/internal/wire/adminwire"
 )
 
 // programName is what the program calls itself.
@@ -21,17 +20,14 @@
 
 const usage = "[OPTIONS] ['STATEMENT']"
 
-const description = `Asks and commands a deployment of lotusward through the administration API of any of its daemons.
+const description = `Asks a deployment of lotusward through the administration interface of any of its daemons.
 
 With a statement, lotusctl runs it and exits. Without one it reads statements, with history, help and completion on a terminal.
 
-  lotusctl -a http://10.0.0.1:8081,http://10.0.0.2:8081 -t token 'show engines where leaving = false'
-  lotusctl ... --wait 'drain backend engine-7'
-  lotusctl ... import-configuration configuration.yaml
+  lotusctl -a http://10.0.0.1:8081,http://10.0.0.2:8081 -t token 'show backends where doubted = true'
+  lotusctl ... 'show models where behind > 0'
 
-A command whose answer is lost is repeated with the same change ID at another daemon and takes effect once.
-
-Exit codes: 0 done, 1 refused or failed (with --wait also: not in force everywhere in time), 2 wrong command line or statement, 3 invalid file.`
+Exit codes: 0 done, 1 refused or failed, 2 wrong command line or statement.`
 
 // Console is what a program reads and writes.
 type Console struct {
@@ -57,7 +53,6 @@
 	if _, err := parser.AddGroup("Options", "", &running.options); err != nil {
 		return running.fail(err, exitcode.Failure) // a programming error in the tags
 	}
-	parser.SubcommandsOptional = true
 	parser.Usage = usage
 	parser.LongDescription = description
 	words, err := parser.ParseArgs(arguments)
@@ -72,17 +67,11 @@
 		fmt.Fprintln(console.Output, programName, version.String())
 		return exitcode.OK
 	}
-	return running.dispatch(ctx, parser.Active, words)
+	return running.dispatch(ctx, words)
 }
 
-func (p *program) dispatch(ctx context.Context, active *flags.Command, words []string) int {
-	p.printer = printer{format: Format(p.options.Output), output: p.console.Output, notes: p.console.Errors}
-	if active != nil && active.Name == "hash-key" {
-		return p.hashKey()
-	}
-	if active != nil {
-		return p.importConfiguration(ctx)
-	}
+func (p *program) dispatch(ctx context.Context, words []string) int {
+	p.printer = printer{format: Format(p.options.Output), output: p.console.Output}
 	if err := p.connect(); err != nil {
 		return p.fail(err, exitcode.Usage)
 	}
@@ -110,31 +99,11 @@
 func (p *program) execute(ctx context.Context, statement string) int {
 	statementContext, cancel := context.WithTimeout(ctx, p.options.Timeout)
 	defer cancel()
-	response, err := p.client.Execute(statementContext, statement)
+	answer, err := p.client.Execute(statementContext, statement)
 	if err != nil {
 		return p.fail(err, exitCodeOf(err))
 	}
-	return p.finish(ctx, response)
-}
-
-// finish waits for the change to be in force if asked to, and prints the answer.
-func (p *program) finish(ctx context.Context, response adminwire.Response) int {
-	if !p.options.Wait || response.Accepted == nil {
-		p.printer.response(response)
-		return exitcode.OK
-	}
-	ctx, cancel := context.WithTimeout(ctx, p.options.Timeout)
-	defer cancel()
-	report, err := p.client.Wait(ctx, response.Accepted.Revision, func(report adminwire.InForce) {
-		fmt.Fprintf(p.console.Errors, "Revision %d is %s.\n", report.Revision, describeInForce(report))
-	})
-	if report.Total > 0 {
-		response.Accepted.InForce = report
-	}
-	p.printer.response(response)
-	if err != nil {
-		return p.fail(&NotInForceError{Report: response.Accepted.InForce}, exitcode.Failure)
-	}
+	p.printer.answer(answer)
 	return exitcode.OK
 }
 
--- a/internal/operator/session.go
+++ b/internal/operator/session.go
@@ -17,16 +17,7 @@
 const prompt = programName + "> "
 
 const sessionHelp = `Queries:   show SOURCE [where FIELD OP VALUE [and ...]] [order by FIELD [asc|desc]] [limit N]
-           sources: hot prefixes, waiting requests, leaving backends, engines, backends, daemons,
-                    tenants, events, models, revisions, audit, in-force
-Commands:  declare event NAME from TIME to TIME tenants T, ... models SERVICE/MODEL@VERSION x N, ...
-           change event NAME ... | cancel event NAME
-           drain backend B | return backend B
-           load model M@V on E | unload model M@V from E
-           load adapter A of M on E | unload adapter A of M from E
-           set role R on E | set version of M to V
-           set limits of T [tokens-per-second N] [concurrent N] [weight N]
-           each with [if revision N] [as CHANGE-ID]
+           sources: backends, leaving backends, daemons, models, routes, services, tenants
 Also:      help, help grammar, exit. The tab key completes words; the arrow keys recall earlier lines.
 `
 
--- a/internal/port/port.go
+++ b/internal/port/table.go
@@ -1,42 +1,28 @@
-// Package port declares the interfaces through which the daemon reaches the
-// outside, and the typed errors that their adapters return.
+// Package port declares the interface through which the daemon keeps rows of its own in
+// the platform's store, and the typed errors that calls of the store fail with.
 package port
 
 import (
 	"context"
 	"fmt"
 	"time"
-
-	"github.com/lotusward/lotusward/internal/wire/platformwire"
 )
 
 // TableService is the platform's transactional table.
 type TableService interface {
 	// Read returns the existing rows of keys, read at one moment.
-	Read(ctx context.Context, keys ...string) ([]platformwire.Row, error)
+	Read(ctx context.Context, keys ...string) ([]Row, error)
 	// Scan returns up to limit rows whose keys start with prefix and follow after.
-	Scan(ctx context.Context, prefix, after string, limit int) ([]platformwire.Row, error)
+	Scan(ctx context.Context, prefix, after string, limit int) ([]Row, error)
 	// Commit applies a transaction. It fails with *ConflictError when a condition
 	// does not hold, and with *OutcomeUnknownError when the answer was lost.
-	Commit(ctx context.Context, transaction platformwire.Transaction) ([]platformwire.Row, error)
-}
-
-// ObjectStore is the platform's store of large values.
-type ObjectStore interface {
-	Put(ctx context.Context, key string, body []byte) error
-	// Get fails with *NotFoundError when there is no such object.
-	Get(ctx context.Context, key string) ([]byte, error)
-}
-
-// MachineList is the platform's lagging list of live and leaving machines.
-type MachineList interface {
-	Machines(ctx context.Context) (platformwire.MachineList, error)
+	Commit(ctx context.Context, transaction Transaction) ([]Row, error)
 }
 
 // ConflictError says that a transaction's conditions did not hold; nothing was written.
 type ConflictError struct {
 	// Current holds the rows whose conditions failed, as they are.
-	Current []platformwire.Row
+	Current []Row
 }
 
 // Error implements error.
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -28,6 +28,9 @@
 	Parts []Part
 	// OutputTokens is how long the answer is expected to be; zero is unknown.
 	OutputTokens int
+	// Derived is set where the front end found the parts itself: they are told to the back
+	// end then, as callers that declare them do.
+	Derived bool
 }
 
 // Request is one request of a caller, with its body read.
--- a/internal/rollout/announcement.go
+++ b/internal/rollout/announcement.go
@@ -7,7 +7,7 @@
 	"github.com/lotusward/lotusward/internal/core/backendpool"
 	"github.com/lotusward/lotusward/internal/core/identity"
 	"github.com/lotusward/lotusward/internal/core/rendezvous"
-	"github.com/lotusward/lotusward/internal/wire/platformwire"
+	"github.com/lotusward/lotusward/internal/port"
 )
 
 const (
@@ -73,7 +73,7 @@
 }
 
 // due returns what is to be told now; false when it isn't time.
-func (a *announcer) due(now time.Time, plan *Plan, held platformwire.Row) (Announcement, bool) {
+func (a *announcer) due(now time.Time, plan *Plan, held port.Row) (Announcement, bool) {
 	interval := restInterval
 	if a.changed {
 		interval = announceInterval
--- a/internal/rollout/follower.go
+++ b/internal/rollout/follower.go
@@ -15,7 +15,6 @@
 	"github.com/lotusward/lotusward/internal/directory"
 	"github.com/lotusward/lotusward/internal/pause"
 	"github.com/lotusward/lotusward/internal/port"
-	"github.com/lotusward/lotusward/internal/wire/platformwire"
 )
 
 const (
@@ -71,7 +70,7 @@
 	f.mutex.Unlock()
 	announced.follow(f.Pool)
 	if announced.LeaseVersion > 0 {
-		f.Lease.Hear(platformwire.Row{Key: KeyLease, Version: announced.LeaseVersion, Value: announced.LeaseValue})
+		f.Lease.Hear(port.Row{Key: KeyLease, Version: announced.LeaseVersion, Value: announced.LeaseValue})
 	}
 }
 
--- a/internal/rollout/plan.go
+++ b/internal/rollout/plan.go
@@ -14,7 +14,7 @@
 	"github.com/lotusward/lotusward/internal/core/backendpool"
 	"github.com/lotusward/lotusward/internal/core/identity"
 	"github.com/lotusward/lotusward/internal/directory"
-	"github.com/lotusward/lotusward/internal/wire/platformwire"
+	"github.com/lotusward/lotusward/internal/port"
 )
 
 // Keys of the rows in the platform's table.
@@ -147,8 +147,8 @@
 	MayAct() (identity.FencingToken, bool)
 	TryAct() (identity.FencingToken, bool)
 	// Row returns the lease's row, and Hear takes it in as its holder has told it.
-	Row() platformwire.Row
-	Hear(row platformwire.Row)
+	Row() port.Row
+	Hear(row port.Row)
 }
 
 // Times of a roll-out.
--- a/internal/rollout/planrow.go
+++ b/internal/rollout/planrow.go
@@ -4,7 +4,7 @@
 	"context"
 	"time"
 
-	"github.com/lotusward/lotusward/internal/wire/platformwire"
+	"github.com/lotusward/lotusward/internal/port"
 )
 
 // writePlan writes the plan if it changed. When that fails it is tried again at
@@ -20,9 +20,9 @@
 		k.learnPlanVersion(bounded)
 		return
 	}
-	rows, err := k.options.Table.Commit(bounded, platformwire.Transaction{
-		Conditions: []platformwire.Condition{{Key: KeyPlan, Version: condition.version}},
-		Writes:     []platformwire.Write{{Key: KeyPlan, Value: value}},
+	rows, err := k.options.Table.Commit(bounded, port.Transaction{
+		Conditions: []port.Condition{{Key: KeyPlan, Version: condition.version}},
+		Writes:     []port.Write{{Key: KeyPlan, Value: value}},
 	})
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
--- a/internal/rollout/rollout_test.go
+++ b/internal/rollout/rollout_test.go
@@ -18,23 +18,22 @@
 	"github.com/lotusward/lotusward/internal/directory"
 	"github.com/lotusward/lotusward/internal/logging"
 	"github.com/lotusward/lotusward/internal/port"
-	"github.com/lotusward/lotusward/internal/wire/platformwire"
 )
 
 // memoryTable is a table whose calls can fail.
 type memoryTable struct {
 	mutex   sync.Mutex
-	rows    map[string]platformwire.Row
+	rows    map[string]port.Row
 	version uint64
 	failing bool
 }
 
-func newTable() *memoryTable { return &memoryTable{rows: map[string]platformwire.Row{}} }
+func newTable() *memoryTable { return &memoryTable{rows: map[string]port.Row{}} }
 
-func (m *memoryTable) Read(_ context.Context, keys ...string) ([]platformwire.Row, error) {
+func (m *memoryTable) Read(_ context.Context, keys ...string) ([]port.Row, error) {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
-	var rows []platformwire.Row
+	var rows []port.Row
 	for _, key := range keys {
 		if row, found := m.rows[key]; found {
 			rows = append(rows, row)
@@ -50,11 +49,11 @@
 	return nil
 }
 
-func (m *memoryTable) Scan(context.Context, string, string, int) ([]platformwire.Row, error) {
+func (m *memoryTable) Scan(context.Context, string, string, int) ([]port.Row, error) {
 	return nil, nil
 }
 
-func (m *memoryTable) Commit(_ context.Context, change platformwire.Transaction) ([]platformwire.Row, error) {
+func (m *memoryTable) Commit(_ context.Context, change port.Transaction) ([]port.Row, error) {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
 	if err := m.failure(); err != nil {
@@ -62,13 +61,13 @@
 	}
 	for _, condition := range change.Conditions {
 		if m.rows[condition.Key].Version != condition.Version {
-			return nil, &port.ConflictError{Current: []platformwire.Row{m.rows[condition.Key]}}
+			return nil, &port.ConflictError{Current: []port.Row{m.rows[condition.Key]}}
 		}
 	}
 	m.version++
-	var written []platformwire.Row
+	var written []port.Row
 	for _, write := range change.Writes {
-		row := platformwire.Row{Key: write.Key, Value: write.Value, Version: m.version}
+		row := port.Row{Key: write.Key, Value: write.Value, Version: m.version}
 		m.rows[write.Key] = row
 		written = append(written, row)
 	}
@@ -212,10 +211,10 @@
 }
 
 // Row implements Lease.
-func (l *grantedLease) Row() platformwire.Row { return platformwire.Row{} }
+func (l *grantedLease) Row() port.Row { return port.Row{} }
 
 // Hear implements Lease.
-func (l *grantedLease) Hear(platformwire.Row) {}
+func (l *grantedLease) Hear(port.Row) {}
 
 // SetActing implements Lease.
 func (l *grantedLease) SetActing(acting bool) {
@@ -379,7 +378,7 @@
 	plan := Plan{Token: 1, Seen: []directory.Seen{seen}, Loading: []identity.BackendID{"e00"}, Loaded: []Loaded{{Backend: "e01", Model: "m", Version: 2}}}
 	value, err := plan.Encode()
 	assert.NilError(t, err)
-	_, err = table.Commit(context.Background(), platformwire.Transaction{Writes: []platformwire.Write{{Key: KeyPlan, Value: value}}})
+	_, err = table.Commit(context.Background(), port.Transaction{Writes: []port.Write{{Key: KeyPlan, Value: value}}})
 	assert.NilError(t, err)
 	learned := make(chan []directory.Seen, 1)
 	learn := func(_ context.Context, told []directory.Seen) { learned <- told }
