Take late bulletins for news of their own moment

News counts from the moment that the store's clock names now, and one no newer than what is known is none. TestLateBulletinsAreNoNews failed first. Two readers in step tell of moments just before each other's: whether one stops doesn't depend on that (TestReadersInStepResolve).

--- a/internal/directory/bulletin.go
+++ b/internal/directory/bulletin.go
@@ -154,7 +154,7 @@
 func (d *Directory) applyBulletin(now time.Time, heard heardBulletin) {
 	news := heard.bulletin.Declared
 	if news != nil && news.RowVersion == 0 && d.state.Load() == nil {
-		d.turn.heard(now, heard.from)
+		d.turn.heard(now, now, heard.from)
 		d.waited.Store(&now)
 		return
 	}
@@ -162,10 +162,8 @@
 		d.fallBehind(lag{from: heard.from})
 		return
 	}
-	if news != nil && d.takeDeclared(now, heard.from, news) {
-		if d.turn.heard(now, heard.from) {
-			d.options.Log.WithField("reader", heard.from).Info("Another daemon reads the store for all.")
-		}
+	if news != nil {
+		d.takeDeclared(now, heard.from, news)
 	}
 	if news := heard.bulletin.Backends; news != nil {
 		d.takeBackends(heard.from, news)
@@ -175,22 +173,23 @@
 	}
 }
 
-// takeDeclared takes in what operators have declared. A configuration that this
-// daemon doesn't have it asks for. It returns false for what is no news.
-func (d *Directory) takeDeclared(now time.Time, from string, news *DeclaredNews) bool {
+// takeDeclared takes in what operators have declared. A configuration that this daemon
+// doesn't have it asks for.
+func (d *Directory) takeDeclared(now time.Time, from string, news *DeclaredNews) {
 	state := d.state.Load()
 	at, known := d.freshness[tableDeclared].localTime(news.Clock)
-	if !known || news.RowVersion < state.RowVersion {
-		return false
+	switch {
+	case !known || news.RowVersion < state.RowVersion:
+		return
+	case at.After(now):
+		// A time to come shows that the store's clock was last read from an outdated answer.
+		d.turn.want(tableDeclared)
+		return
 	}
+	d.noteNews(now, at, from)
 	if news.RowVersion > state.RowVersion {
 		d.fallBehind(lag{from: from, table: tableDeclared, need: Have{NeedRowVersion: news.RowVersion}})
-		return true
-	}
-	if at.After(now) {
-		// A time to come shows that the store's clock was last read from an outdated answer.
-		d.turn.want(tableDeclared)
-		return true
+		return
 	}
 	if d.takeVersions(now, news) {
 		changed := *state
@@ -199,7 +198,14 @@
 	}
 	advance(d.positions[tableDeclared], news.StoreVersion)
 	d.confirm(at)
-	return true
+}
+
+// noteNews notes that another daemon had read the store at a time. A bulletin that was held
+// up on the way is news of that time alone.
+func (d *Directory) noteNews(now, at time.Time, from string) {
+	if d.turn.heard(now, at, from) {
+		d.options.Log.WithField("reader", from).Info("Another daemon reads the store for all.")
+	}
 }
 
 // takeVersions remembers the versions that were told. It returns true when any was
--- a/internal/directory/bulletin_test.go
+++ b/internal/directory/bulletin_test.go
@@ -384,13 +384,6 @@
 	})
 }
 
-func later(left, right time.Time) time.Time {
-	if left.After(right) {
-		return left
-	}
-	return right
-}
-
 // clockedSource is a memorySource whose answers tell a clock that goes on.
 type clockedSource struct {
 	*memorySource
@@ -486,3 +479,31 @@
 		}
 	})
 }
+
+// TestLateBulletinsAreNoNews lets bulletins come that were held up on the way. One that
+// proves nothing newer than what is known is no news, and another one only as of its moment:
+// the hearer reads itself once that is too long ago.
+func TestLateBulletinsAreNoNews(t *testing.T) {
+	follower := readFollower(t)
+	follower.turn.open()
+	follower.turn.reads = false
+	known := follower.ConfirmedAt()
+	late := func(now time.Time, clock time.Duration) {
+		follower.applyBulletin(now, heardBulletin{from: "a", bulletin: Bulletin{Declared: &DeclaredNews{
+			Clock: clock, StoreVersion: 12, RowVersion: 10,
+		}}})
+	}
+	late(known.Add(5*time.Second), 51*time.Second)
+	assert.Equal(t, follower.ConfirmedAt().Sub(known), time.Second)
+	assert.Equal(t, follower.turn.due(known.Add(5*time.Second), tableDeclared).task, taskRead, "news of four seconds ago kept it from reading")
+
+	follower = readFollower(t)
+	follower.turn.open()
+	follower.turn.reads = false
+	known = follower.ConfirmedAt()
+	late(known.Add(100*time.Millisecond), 50050*time.Millisecond)
+	for step := range 40 {
+		late(known.Add(time.Duration(step)*100*time.Millisecond), 50050*time.Millisecond)
+	}
+	assert.Equal(t, follower.turn.due(known.Add(4*time.Second), tableDeclared).task, taskRead, "the same bulletin again and again kept it from reading")
+}
--- a/internal/directory/turn.go
+++ b/internal/directory/turn.go
@@ -111,15 +111,18 @@
 	t.changed = make(chan struct{})
 }
 
-// heard notes news from another daemon. It returns true when this daemon stops reading
-// for all because of it.
-func (t *turn) heard(now time.Time, from string) bool {
+// heard notes news from another daemon, which is of a time. It returns true when this daemon
+// stops reading for all because of it. What is no newer than the known news is none.
+func (t *turn) heard(now, at time.Time, from string) bool {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	t.newsAt = now
-	t.newsFrom = from
-	failing := now.Sub(t.ownAt[tableDeclared]) > 2*t.options.interval
-	stops := t.reads && (failing || from < t.options.self)
+	if at.After(t.newsAt) {
+		t.newsAt = at
+		t.newsFrom = from
+	}
+	lately := 2 * t.options.interval
+	failing := now.Sub(t.ownAt[tableDeclared]) > lately
+	stops := t.reads && now.Sub(at) <= lately && (failing || from < t.options.self)
 	if stops {
 		t.reads = false
 	}
@@ -141,7 +144,7 @@
 func (t *turn) readNews(now time.Time) bool {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	t.newsAt = now
+	t.newsAt = later(t.newsAt, now)
 	t.newsFrom = t.options.self
 	t.noteRead(now, tableDeclared)
 	return t.reads && !t.options.alone
@@ -156,6 +159,13 @@
 	return t.reads && !t.options.alone
 }
 
+func later(left, right time.Time) time.Time {
+	if left.After(right) {
+		return left
+	}
+	return right
+}
+
 // noteRead is for callers that hold the mutex.
 func (t *turn) noteRead(now time.Time, which table) {
 	t.ownAt[which] = now
--- a/internal/directory/turn_test.go
+++ b/internal/directory/turn_test.go
@@ -80,7 +80,7 @@
 			continue
 		}
 		w.newsAt[index] = w.now
-		turn.heard(w.now, turnAddress(from))
+		turn.heard(w.now, w.now, turnAddress(from))
 	}
 }
 
@@ -161,3 +161,16 @@
 		assert.Assert(t, world.calls < 30, "%d calls", world.calls)
 	})
 }
+
+// TestReadersInStepResolve has two daemons read at the same moments: the one with the
+// greater address stops.
+func TestReadersInStepResolve(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	made := newTurn(turnOptions{self: turnAddress(2), interval: time.Second})
+	made.open()
+	assert.Equal(t, made.due(now, tableDeclared).task, taskRead)
+	assert.Assert(t, made.readNews(now))
+	assert.Assert(t, !made.heard(now, now.Add(-5*time.Millisecond), turnAddress(3)))
+	assert.Assert(t, made.heard(now, now.Add(-5*time.Millisecond), turnAddress(1)))
+	assert.Assert(t, !made.readsForAll())
+}
