--- a/cmd/internal/daemon/wire.go
+++ b/cmd/internal/daemon/wire.go
@@ -286,7 +286,7 @@
 // tell tells all other daemons what this one has read. Lists are long, and go down a tree;
 // the rest is short, and must not wait behind them.
 func (w *Daemon) tell(bulletin directory.Bulletin) {
-	if bulletin.Declared != nil {
+	if bulletin.Declared != nil || bulletin.Trying {
 		w.broadcast.Tell(peerlink.KindBulletin, &bulletin)
 		return
 	}
--- a/internal/directory/bulletin.go
+++ b/internal/directory/bulletin.go
@@ -23,6 +23,8 @@
 	Declared *DeclaredNews
 	Backends *BackendNews
 	Members  *MemberNews
+	// Trying says that the sender's calls of the store fail.
+	Trying bool
 }
 
 // DeclaredNews says what operators had declared at a moment.
@@ -134,6 +136,15 @@
 	}
 }
 
+// tellTrying tells the others, now and then, that this daemon's calls of the store fail.
+func (d *Directory) tellTrying(now time.Time) {
+	if d.options.Tell == nil || !d.turn.readsForAll() || now.Sub(d.toldTryingAt) < d.options.Interval {
+		return
+	}
+	d.toldTryingAt = now
+	d.options.Tell(Bulletin{Trying: true})
+}
+
 // tellBackends tells the others how the list changed, if this daemon reads for all.
 func (d *Directory) tellBackends(now time.Time) {
 	if d.turn.readList(now, tableBackends) {
@@ -152,6 +163,10 @@
 
 // applyBulletin takes in what another daemon has read.
 func (d *Directory) applyBulletin(now time.Time, heard heardBulletin) {
+	if heard.bulletin.Trying {
+		d.turn.tried(now)
+		return
+	}
 	news := heard.bulletin.Declared
 	if news != nil && news.RowVersion == 0 && d.state.Load() == nil {
 		d.turn.heard(now, now, heard.from)
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -37,9 +37,13 @@
 	backendPause = 250 * time.Millisecond
 	memberPause  = 250 * time.Millisecond
 	failurePause = 150 * time.Millisecond
-	// failurePausePerDaemon spaces the calls of many daemons that all fail: together
-	// they make some 40 a second.
+	// failurePausePerDaemon spaces the calls of daemons that all fail, up to
+	// longestFailurePause: in large fleets only a few of them try.
 	failurePausePerDaemon = 25 * time.Millisecond
+	longestFailurePause   = 500 * time.Millisecond
+	// joinFailurePause is the same for daemons that start and know no others: hundreds may
+	// start together.
+	joinFailurePause = 600 * time.Millisecond
 	// longestRetryPause bounds the pause after calls that were refused for now.
 	longestRetryPause = 2 * time.Second
 	callTimeout       = 1500 * time.Millisecond
@@ -128,6 +132,8 @@
 	reachable map[table]bool
 	changeLog changeLog
 	members   *memberList
+	// toldTryingAt is when this daemon last told that its calls fail.
+	toldTryingAt time.Time
 	// repeats is how often the last changes of the list are still to be told again.
 	repeats int
 }
@@ -256,6 +262,7 @@
 	}
 	switch {
 	case got.err != nil:
+		d.tellTrying(got.ended)
 	case got.declared != nil:
 		d.applyDeclared(got)
 	case got.checked != nil:
--- a/internal/directory/reader.go
+++ b/internal/directory/reader.go
@@ -151,7 +151,7 @@
 	limited.InitialInterval = failurePause
 	limited.MaxInterval = longestRetryPause
 	spread := time.Duration(len(d.options.Others())+1) * failurePausePerDaemon
-	return &retrying{limited: limited, spread: max(spread, failurePause)}
+	return &retrying{limited: limited, spread: min(max(spread, failurePause), longestFailurePause)}
 }
 
 // after waits after a call that failed. A store that refuses calls for now is left
--- a/internal/directory/snapshot.go
+++ b/internal/directory/snapshot.go
@@ -381,6 +381,7 @@
 		return
 	}
 	retries := d.newRetrying()
+	retries.spread = joinFailurePause
 	for ctx.Err() == nil {
 		contacts, about, err := d.options.Contacts.Find(ctx)
 		if err == nil {
--- a/internal/directory/turn.go
+++ b/internal/directory/turn.go
@@ -25,6 +25,9 @@
 	othersPause     = 300 * time.Millisecond
 	othersSpread    = 300 * time.Millisecond
 	spreadPerDaemon = 4 * time.Millisecond
+	// triersPerInterval is how many more daemons try in the time between two news, while
+	// those that do fail: the store may serve others.
+	triersPerInterval = 2
 	// ownReadingInterval is how often a daemon reads though another one tells it, so
 	// that its idea of the store's clock stays true: steady clocks differ by less than
 	// 100 parts in a million, which is 60 ms in this time and within clockSlack.
@@ -79,6 +82,10 @@
 	// drawn for the news of patienceFor.
 	patience    time.Duration
 	patienceFor time.Time
+	// triedAt is when another daemon last told that its call of the store failed, and
+	// extended is set once this one has waited longer because of it.
+	triedAt  time.Time
+	extended bool
 	// ownAt is when this daemon last read a table, and wanted is set where what others
 	// told cannot be taken in without reading it.
 	ownAt  map[table]time.Time
@@ -139,6 +146,14 @@
 	}
 }
 
+// tried notes that another daemon's call of the store failed: the store may be away for all,
+// and not all need to find that out.
+func (t *turn) tried(now time.Time) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	t.triedAt = now
+}
+
 // readNews notes news that this daemon read itself. It returns true when it reads for
 // all, so that the others are to be told.
 func (t *turn) readNews(now time.Time) bool {
@@ -255,8 +270,15 @@
 	if t.patienceFor != t.newsAt {
 		t.patienceFor = t.newsAt
 		t.patience = least + t.delay()
+		t.extended = false
+	}
+	left := t.patience - now.Sub(t.newsAt)
+	if left <= 0 && !t.extended && now.Sub(t.triedAt) < 2*t.options.interval {
+		t.extended = true
+		t.patience += rand.N(time.Duration(len(t.options.others())+1) * t.options.interval / triersPerInterval)
+		left = t.patience - now.Sub(t.newsAt)
 	}
-	return t.patience - now.Sub(t.newsAt)
+	return left
 }
 
 // delay is how long after overdue news this daemon takes over from the reader before.
--- a/internal/directory/turn_test.go
+++ b/internal/directory/turn_test.go
@@ -62,6 +62,7 @@
 		w.calls++
 		w.nextCall[index] = w.now.Add(w.interval)
 		if w.refused[index] {
+			w.tellTrying(index)
 			continue
 		}
 		w.newsAt[index] = w.now
@@ -84,6 +85,15 @@
 	}
 }
 
+// tellTrying tells the others that a daemon's call failed.
+func (w *turnWorld) tellTrying(from int) {
+	for index, turn := range w.turns {
+		if index != from && !w.frozen[index] && !w.cut[index] && !w.cut[from] {
+			turn.tried(w.now)
+		}
+	}
+}
+
 func (w *turnWorld) readers() int {
 	count := 0
 	for _, turn := range w.turns {
@@ -174,3 +184,39 @@
 	assert.Assert(t, made.heard(now, now.Add(-5*time.Millisecond), turnAddress(1)))
 	assert.Assert(t, !made.readsForAll())
 }
+
+// TestFewTryWhileTheStoreIsAway lets the store refuse all daemons of a large fleet for some
+// time: a few of them try, not all. Where it serves some of them, news is back soon.
+func TestFewTryWhileTheStoreIsAway(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const daemons = 60
+		world := newTurnWorld(t, daemons)
+		for range 200 {
+			world.step()
+		}
+		served := rapid.IntRange(0, 2).Draw(t, "share served, in thirds")
+		for index := range daemons {
+			world.refused[index] = index%3 >= served
+		}
+		world.calls = 0
+		began := world.now
+		for world.now.Sub(began) < 6*time.Second {
+			world.step()
+		}
+		if served == 0 {
+			// Those that try call once an interval here; a real one waits longer after failures.
+			trying := 0
+			for _, turn := range world.turns {
+				if turn.readsForAll() {
+					trying++
+				}
+			}
+			assert.Assert(t, trying <= 30, "%d daemons try", trying)
+			return
+		}
+		for index := range daemons {
+			age := world.now.Sub(world.newsAt[index])
+			assert.Assert(t, age < 2*time.Second, "daemon %d had news %s ago", index, age)
+		}
+	})
+}
