Make a check of the store anew while the first waits

A check is one transaction that only expects; it takes 540 ms and more then, and ours gave up after 600 ms, so no reading was ever confirmed and all stood as outdated.

Now a check without an answer is made anew after 500 ms, at most three are open at a time and the first answer counts. The rows of the list of members have 1.2 s a call, for the same reason.

TestSlowStoreConfirms failed first (a reading confirmed 2.009 s before) and passes now.

Ruled out: a longer limit alone. A store that takes a call and never answers would then hold the next check for as long.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -47,9 +47,11 @@
 	// longestRetryPause bounds the pause after calls that were refused for now.
 	longestRetryPause = 2 * time.Second
 	callTimeout       = 1500 * time.Millisecond
-	// checkTimeout bounds a call of a few bytes: it takes a few milliseconds, or some
-	// hundred while the store is slow.
-	checkTimeout = 600 * time.Millisecond
+	// hedgeTime is after how long a check without an answer is made anew, and hedgedChecks
+	// how many there are at a time. One takes a few milliseconds, or half a second and more
+	// while the store is slow.
+	hedgeTime    = 500 * time.Millisecond
+	hedgedChecks = 3
 	// listTimeout bounds a reading of the whole list of back ends, page by page.
 	listTimeout = 15 * time.Second
 	// disturbanceWindow is the time within which two failed calls are a disturbance.
--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -457,3 +457,47 @@
 	directory.Disturbed(last)
 	assert.Equal(t, directory.SteadySince(), last.Add(time.Second))
 }
+
+// slowSource takes its time for each check, or leaves every second one unanswered.
+type slowSource struct {
+	*memorySource
+	takes  time.Duration
+	silent bool
+	checks atomic.Int64
+}
+
+// Unchanged implements Source.
+func (s *slowSource) Unchanged(ctx context.Context, rows map[string]uint64) (bool, error) {
+	takes := s.takes
+	if number := s.checks.Add(1); s.silent && number%2 == 1 {
+		takes = time.Hour
+	}
+	select {
+	case <-time.After(takes):
+		return s.memorySource.Unchanged(ctx, rows)
+	case <-ctx.Done():
+		return false, ctx.Err()
+	}
+}
+
+// TestSlowStoreConfirms keeps confirming while each check takes long, and while some get no
+// answer: keys would not be let in otherwise.
+func TestSlowStoreConfirms(t *testing.T) {
+	for name, source := range map[string]*slowSource{
+		"slow":   {takes: 900 * time.Millisecond},
+		"silent": {takes: 10 * time.Millisecond, silent: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			source.memorySource = &memorySource{declared: declaration(10, 7)}
+			directory := New(Options{Source: source, Pool: backendpool.New("a"), Log: logging.Discard(), SteadyTime: time.Second, Interval: testInterval})
+			go func() { _ = directory.Run(t.Context()) }()
+			poll.WaitOn(t, inForce(directory, 7))
+			for range 30 {
+				time.Sleep(100 * time.Millisecond)
+				age := time.Since(directory.ConfirmedAt())
+				assert.Assert(t, age < 2*time.Second, "confirmed %s ago", age)
+			}
+		})
+	}
+}
--- a/internal/directory/reader.go
+++ b/internal/directory/reader.go
@@ -71,7 +71,7 @@
 			return
 		}
 		after = max(after, d.positions[following.table].Load())
-		bounded, cancel := context.WithTimeout(ctx, following.timeout())
+		bounded, cancel := context.WithTimeout(ctx, following.wait+hedgedChecks*hedgeTime+callTimeout)
 		got, next, whole := following.next(bounded, after, following.hold(left, told))
 		cancel()
 		var lost *port.NotFoundError
@@ -110,14 +110,6 @@
 	return min(left, f.wait)
 }
 
-// timeout bounds a call: one that is not held is answered at once.
-func (f *follow) timeout() time.Duration {
-	if f.wait == 0 {
-		return checkTimeout
-	}
-	return f.wait + callTimeout
-}
-
 // awaitTurn waits until this daemon is to read a table.
 func (d *Directory) awaitTurn(ctx context.Context, which table) task {
 	for ctx.Err() == nil {
@@ -193,10 +185,40 @@
 // checkDeclared checks whether the operators' rows are as they were read. That confirms
 // the belief as of when the call began.
 func (d *Directory) checkDeclared(ctx context.Context, rows map[string]uint64) (message, uint64, bool) {
-	began := time.Now()
-	unchanged, err := d.options.Source.Unchanged(ctx, rows)
-	got := message{table: tableDeclared, began: began, ended: time.Now(), checked: rows, err: err}
-	return got, 0, err == nil && !unchanged
+	found := d.checkHedged(ctx, rows)
+	got := message{table: tableDeclared, began: found.began, ended: time.Now(), checked: rows, err: found.err}
+	return got, 0, found.err == nil && !found.unchanged
+}
+
+// check is one call with its answer.
+type check struct {
+	began     time.Time
+	unchanged bool
+	err       error
+}
+
+// checkHedged makes the call anew while it has no answer, and takes the first answer to any
+// of them: the store may be slow, or have lost that one.
+func (d *Directory) checkHedged(ctx context.Context, rows map[string]uint64) check {
+	bounded, cancel := context.WithTimeout(ctx, callTimeout+hedgedChecks*hedgeTime)
+	defer cancel()
+	answers := make(chan check, hedgedChecks)
+	call := func() {
+		began := time.Now()
+		unchanged, err := d.options.Source.Unchanged(bounded, rows)
+		answers <- check{began: began, unchanged: unchanged, err: err}
+	}
+	for range hedgedChecks {
+		go call()
+		timer := time.NewTimer(hedgeTime)
+		select {
+		case answer := <-answers:
+			timer.Stop()
+			return answer
+		case <-timer.C:
+		}
+	}
+	return <-answers
 }
 
 func (d *Directory) readBackends(ctx context.Context) (message, follow) {
--- a/internal/members/members.go
+++ b/internal/members/members.go
@@ -30,10 +30,9 @@
 	// assumedCount is taken before the daemons are known: many, so that the part of a
 	// limit is small.
 	assumedCount = 64
-	// callTimeout bounds a call for a few rows, which takes a few milliseconds, or some
-	// hundred while the store is slow. One that a silent store leaves unanswered must not
-	// keep this daemon from asking again.
-	callTimeout = 600 * time.Millisecond
+	// callTimeout bounds a call for a few rows. It takes a few milliseconds, or half a
+	// second and more while the store is slow.
+	callTimeout = 1200 * time.Millisecond
 	// contactRows is how many rows a starting daemon reads, its own among them.
 	contactRows = 10
 	// othersStartTime is how long daemons that start together take to write their rows.
