--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -20,88 +19,6 @@
 	"github.com/lotusward/lotusward/internal/relay"
 )
 
-// testInterval is how often daemons of tests check what operators declared.
-const testInterval = 100 * time.Millisecond
-
-// memorySource is a store that tests change and break.
-type memorySource struct {
-	mutex    sync.Mutex
-	declared Declared
-	listed   Listed
-	// second is the list's second page. The first call for it is refused for now.
-	second Listed
-	// silentOnce makes the next call for back ends get no answer.
-	silentOnce atomic.Bool
-	pages      int
-	changes    Changes
-	members    Members
-	failure    error
-	calls      int
-}
-
-func (s *memorySource) set(change func(*memorySource)) {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	change(s)
-}
-
-func (s *memorySource) Declared(context.Context) (Declared, error) {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	s.calls++
-	return s.declared, s.failure
-}
-
-func (s *memorySource) Backends(ctx context.Context, from string) (Listed, error) {
-	if s.silentOnce.CompareAndSwap(true, false) {
-		<-ctx.Done()
-		return Listed{}, ctx.Err()
-	}
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	if from == "" || s.failure != nil {
-		return s.listed, s.failure
-	}
-	s.pages++
-	if s.pages == 1 {
-		return Listed{}, &port.RateLimitedError{Service: "store"}
-	}
-	return s.second, nil
-}
-
-func (s *memorySource) Unchanged(_ context.Context, rows map[string]uint64) (bool, error) {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	s.calls++
-	return s.declared.RowVersion == rows["config"], s.failure
-}
-
-func (s *memorySource) Members(context.Context, string) (Members, error) {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	return s.members, s.failure
-}
-
-func (s *memorySource) MemberChanges(_ context.Context, after uint64, _ time.Duration) (Members, error) {
-	time.Sleep(5 * time.Millisecond)
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	if s.members.Last <= after {
-		return Members{}, s.failure
-	}
-	return Members{Last: s.members.Last, Addresses: s.members.Addresses}, s.failure
-}
-
-func (s *memorySource) BackendChanges(_ context.Context, after uint64, _ time.Duration) (Changes, error) {
-	time.Sleep(5 * time.Millisecond)
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	if s.changes.Last <= after {
-		return Changes{}, s.failure
-	}
-	return s.changes, s.failure
-}
-
 func declaration(store, version uint64) Declared {
 	return Declared{
 		Reading: Reading{Version: store}, Found: true, RowVersion: store,
