Say why daemons don't help each other; asking has a file of its own

Each has a log line now; an ask returns an error (LackingError where the other one doesn't know it).

--- a/cmd/internal/daemon/wire.go
+++ b/cmd/internal/daemon/wire.go
@@ -175,7 +175,7 @@
 		VersionHeadStart: versionGrace(bounds) - platform.Milliseconds(bounds.ContactMs),
 	})
 	peerlink.HandleDecoded(w.link, peerlink.KindBulletin, w.directory.Hear)
-	w.snapshots = peersync.NewServer(w.link.Address(), w.directory.Snapshot)
+	w.snapshots = peersync.NewServer(w.link.Address(), w.directory.Snapshot, w.part("peersync"))
 	w.promptsIn = cachewatch.NewWatcher(cachewatch.Options{
 		Source: w.runners, Targets: w.promptStores, Log: w.part("promptstore"),
 	})
--- /dev/null
+++ b/internal/directory/asking.go
@@ -0,0 +1,263 @@
+package directory
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/lotusward/lotusward/internal/core/rendezvous"
+	"github.com/lotusward/lotusward/internal/pause"
+)
+
+// Times and numbers of asking other daemons.
+const (
+	// askTimeout bounds one question: the answer of a few dozen kilobytes takes some
+	// 40 ms on the slowest links, and the asked daemon may wait for it itself.
+	askTimeout = 500 * time.Millisecond
+	// askedAtOnce is how many daemons a starting one asks at the same time.
+	askedAtOnce = 2
+	// askPause lies between two rounds of questions.
+	askPause = 60 * time.Millisecond
+	// A starting daemon reads the store itself after a drawn time of up to joinSpread and
+	// joinPerDaemon times the number of daemons, longestJoin at most: where all start at
+	// once, one of them is first, and the others hear of it and ask it.
+	joinSpread    = 50 * time.Millisecond
+	joinPerDaemon = 20 * time.Millisecond
+	longestJoin   = 1500 * time.Millisecond
+	// joinExtension is how much longer it waits once it has heard of a daemon that reads.
+	joinExtension = time.Second
+	// otherAsks is how many other daemons are asked where those that surely know are busy.
+	otherAsks = 4
+	// askersEach is how many daemons ask the same one for a new configuration, so that a
+	// slow link carries no more.
+	askersEach = 8
+)
+
+// lag is what this daemon lacks of a table, and who told so.
+type lag struct {
+	from  string
+	table table
+	need  Have
+}
+
+// fallBehind has another daemon asked for what this one lacks.
+func (d *Directory) fallBehind(lacking lag) {
+	d.lag.Store(&lacking)
+	select {
+	case d.behind <- struct{}{}:
+	default:
+	}
+}
+
+// Noticed tells of a daemon that is alive, which one that knows nothing yet can ask.
+func (d *Directory) Noticed(address string) {
+	if !d.Complete() {
+		d.fallBehind(lag{from: address})
+	}
+}
+
+// catchUp asks other daemons whenever this one has fallen behind, and reads the store
+// itself where none of them helps.
+func (d *Directory) catchUp(ctx context.Context) {
+	for ctx.Err() == nil {
+		select {
+		case <-ctx.Done():
+			return
+		case <-d.behind:
+		}
+		lacking := d.lag.Load()
+		if err := d.askInTurn(ctx, lacking); err != nil && d.Complete() && lacking.table != "" {
+			d.options.Log.WithError(err).WithField("table", lacking.table).Info("No daemon tells what this one lacks, which reads the store for it.")
+			d.turn.want(lacking.table)
+		}
+		pause.For(ctx, askPause)
+	}
+}
+
+// askInTurn asks the daemon whose turn it is to tell this one, then the one that is known
+// to have what is lacking, and then any others: the first ones may be busy with many. It
+// returns the last one's error where none helped.
+func (d *Directory) askInTurn(ctx context.Context, lacking *lag) error {
+	if d.options.Peers == nil {
+		return &LackingError{Address: lacking.from}
+	}
+	asked := []string{lacking.from}
+	if parent := d.askedFor(lacking.from); parent != lacking.from && d.Complete() {
+		asked = []string{parent, lacking.from}
+	}
+	if others := d.options.Others(); len(others) > 0 {
+		for range otherAsks {
+			asked = append(asked, others[rand.IntN(len(others))])
+		}
+	}
+	var err error
+	for round, address := range asked {
+		if round > 0 {
+			pause.For(ctx, rand.N(2*askPause))
+		}
+		if round > 0 && d.caughtUp(lacking) {
+			return nil
+		}
+		if err = d.ask(ctx, address, lacking.need); err == nil {
+			return nil
+		}
+	}
+	return err
+}
+
+// caughtUp tells whether bulletins have told meanwhile what was lacking.
+func (d *Directory) caughtUp(lacking *lag) bool {
+	if !d.Complete() {
+		return false
+	}
+	switch lacking.table {
+	case tableDeclared:
+		return d.state.Load().RowVersion >= lacking.need.NeedRowVersion
+	case tableBackends:
+		return d.positions[tableBackends].Load() >= lacking.need.NeedBackendsTo
+	default:
+		return false
+	}
+}
+
+// askedFor is whom this daemon asks for news of a reader: the daemons form a tree below
+// it, so that each is asked by few.
+func (d *Directory) askedFor(reader string) string {
+	others := slices.DeleteFunc(slices.Clone(d.options.Others()), func(address string) bool { return address == reader })
+	all := append(others, d.options.Self)
+	ranked := rendezvous.Top(rendezvous.Key(reader), all, len(all))
+	at := slices.Index(ranked, d.options.Self)
+	if at < askersEach {
+		return reader
+	}
+	return ranked[at/askersEach-1]
+}
+
+// errNobodyKnown is returned where there is no daemon to ask.
+var errNobodyKnown = errors.New("no other daemon is known")
+
+// LackingError says that another daemon doesn't know what this one needs.
+type LackingError struct {
+	// Address is the other daemon's.
+	Address string
+}
+
+func (e *LackingError) Error() string { return e.Address + " does not know it" }
+
+// ask takes in what one daemon believes. Without an error that is what this daemon needs;
+// otherwise the error is a LackingError, the context's, or that of the call.
+func (d *Directory) ask(ctx context.Context, address string, need Have) error {
+	bounded, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	have := d.have()
+	have.NeedRowVersion, have.NeedBackendsTo = need.NeedRowVersion, need.NeedBackendsTo
+	asked := time.Now()
+	snapshot, err := d.options.Peers.Snapshot(bounded, address, have)
+	if err != nil {
+		return err
+	}
+	if !snapshot.Complete {
+		return &LackingError{Address: address}
+	}
+	if need == (Have{}) && d.Complete() && have == (Have{}) {
+		return nil // another one has answered before
+	}
+	done := make(chan struct{})
+	d.post(ctx, message{adopted: &adoption{from: address, asked: asked, answered: time.Now(), snapshot: snapshot, done: done}})
+	select {
+	case <-done:
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	if snapshot.RowVersion < need.NeedRowVersion || snapshot.BackendsTo < need.NeedBackendsTo {
+		return &LackingError{Address: address}
+	}
+	return nil
+}
+
+func (d *Directory) have() Have {
+	var have Have
+	if state := d.state.Load(); state != nil {
+		have.RowVersion = state.RowVersion
+	}
+	if d.listed.Load() {
+		have.BackendsTo = d.positions[tableBackends].Load()
+	}
+	return have
+}
+
+// join finds other daemons at the start, and takes over what they believe. A daemon that
+// finds none that knows more reads the store itself.
+func (d *Directory) join(ctx context.Context) {
+	defer d.turn.open()
+	if d.options.Contacts == nil {
+		return
+	}
+	retries := d.newRetrying()
+	retries.spread = joinFailurePause
+	for ctx.Err() == nil {
+		contacts, about, err := d.options.Contacts.Find(ctx)
+		if err == nil {
+			d.askUntil(ctx, contacts, time.Now().Add(joinDelay(len(contacts), about)))
+			return
+		}
+		d.options.Log.WithError(err).Warn("No other daemons are found at the start.")
+		retries.after(ctx, err)
+		if d.Complete() {
+			d.turn.open()
+		}
+	}
+}
+
+// joinDelay is how long a starting daemon asks others before it reads the store.
+func joinDelay(contacts, about int) time.Duration {
+	if contacts == 0 {
+		return rand.N(joinSpread)
+	}
+	return rand.N(min(joinSpread+time.Duration(about)*joinPerDaemon, longestJoin))
+}
+
+// askUntil asks daemons, a few at a time, until this one knows what they believe, or
+// until a time. It waits longer once another daemon has told what it reads.
+func (d *Directory) askUntil(ctx context.Context, contacts []string, until time.Time) {
+	extended := false
+	var lastError error
+	for ctx.Err() == nil && !d.Complete() {
+		if waited := d.waited.Load(); waited != nil && time.Since(*waited) < joinExtension+d.options.Interval {
+			pause.For(ctx, askPause) // there is nothing to ask for yet
+			continue
+		}
+		if told := d.lag.Load(); told != nil && told.from != "" && !extended {
+			extended = true
+			until = until.Add(joinExtension)
+			contacts = append(contacts, told.from)
+		}
+		if !time.Now().Before(until) {
+			d.options.Log.WithError(lastError).WithField("asked", len(contacts)).Info("No daemon tells what it believes.")
+			return
+		}
+		rand.Shuffle(len(contacts), func(left, right int) { contacts[left], contacts[right] = contacts[right], contacts[left] })
+		if lastError = d.askAny(ctx, contacts[:min(askedAtOnce, len(contacts))]); lastError == nil {
+			return
+		}
+		pause.For(ctx, min(askPause, time.Until(until)))
+	}
+}
+
+// askAny asks daemons at the same time. It returns as soon as one told what it believes,
+// or the last error where none did.
+func (d *Directory) askAny(ctx context.Context, addresses []string) error {
+	told := make(chan error, len(addresses))
+	for _, address := range addresses {
+		go func() { told <- d.ask(ctx, address, Have{}) }()
+	}
+	err := errNobodyKnown
+	for range addresses {
+		if err = <-told; err == nil {
+			return nil
+		}
+	}
+	return err
+}
--- a/internal/directory/snapshot.go
+++ b/internal/directory/snapshot.go
@@ -2,44 +2,21 @@
 
 import (
 	"context"
-	"math/rand/v2"
-	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
 
 	"github.com/lotusward/lotusward/internal/core/backendpool"
-	"github.com/lotusward/lotusward/internal/core/rendezvous"
 	"github.com/lotusward/lotusward/internal/core/routing"
 	"github.com/lotusward/lotusward/internal/pause"
 	"github.com/lotusward/lotusward/internal/relay"
 )
 
-// Times and numbers of asking other daemons.
+// Times of answering other daemons.
 const (
-	// askTimeout bounds one question: the answer of a few dozen kilobytes takes some
-	// 40 ms on the slowest links, and the asked daemon may wait for it itself.
-	askTimeout = 500 * time.Millisecond
 	// serveWait is how long an asked daemon waits for what the asker lacks.
 	serveWait  = 250 * time.Millisecond
 	serveCheck = 10 * time.Millisecond
-	// askedAtOnce is how many daemons a starting one asks at the same time.
-	askedAtOnce = 2
-	// askPause lies between two rounds of questions.
-	askPause = 60 * time.Millisecond
-	// A starting daemon reads the store itself after a drawn time of up to joinSpread and
-	// joinPerDaemon times the number of daemons, longestJoin at most: where all start at
-	// once, one of them is first, and the others hear of it and ask it.
-	joinSpread    = 50 * time.Millisecond
-	joinPerDaemon = 20 * time.Millisecond
-	longestJoin   = 1500 * time.Millisecond
-	// joinExtension is how much longer it waits once it has heard of a daemon that reads.
-	joinExtension = time.Second
-	// otherAsks is how many other daemons are asked where those that surely know are busy.
-	otherAsks = 4
-	// treeWidth is how many daemons ask the same one for a new configuration, so that a
-	// slow link carries no more.
-	treeWidth = 8
 )
 
 // Have says what an asker has, and what it needs to be told at least.
@@ -241,204 +218,3 @@
 	d.updatePool(snapshot.BackendsTo)
 	d.listed.Store(true)
 }
-
-// lag is what this daemon lacks of a table, and who told so.
-type lag struct {
-	from  string
-	table table
-	need  Have
-}
-
-// fallBehind has another daemon asked for what this one lacks.
-func (d *Directory) fallBehind(lacking lag) {
-	d.lag.Store(&lacking)
-	select {
-	case d.behind <- struct{}{}:
-	default:
-	}
-}
-
-// Noticed tells of a daemon that is alive, which one that knows nothing yet can ask.
-func (d *Directory) Noticed(address string) {
-	if !d.Complete() {
-		d.fallBehind(lag{from: address})
-	}
-}
-
-// catchUp asks other daemons whenever this one has fallen behind, and reads the store
-// itself where none of them helps.
-func (d *Directory) catchUp(ctx context.Context) {
-	for ctx.Err() == nil {
-		select {
-		case <-ctx.Done():
-			return
-		case <-d.behind:
-		}
-		lacking := d.lag.Load()
-		if !d.askInTurn(ctx, lacking) && d.Complete() && lacking.table != "" {
-			d.turn.want(lacking.table)
-		}
-		pause.For(ctx, askPause)
-	}
-}
-
-// askInTurn asks the daemon whose turn it is to tell this one, then the one that is known
-// to have what is lacking, and then any others: the first ones may be busy with many. It
-// returns true when this daemon lacks it no longer.
-func (d *Directory) askInTurn(ctx context.Context, lacking *lag) bool {
-	if d.options.Peers == nil {
-		return false
-	}
-	asked := []string{lacking.from}
-	if parent := d.treeParent(lacking.from); parent != lacking.from && d.Complete() {
-		asked = []string{parent, lacking.from}
-	}
-	if others := d.options.Others(); len(others) > 0 {
-		for range otherAsks {
-			asked = append(asked, others[rand.IntN(len(others))])
-		}
-	}
-	for round, address := range asked {
-		if round > 0 {
-			pause.For(ctx, rand.N(2*askPause))
-		}
-		if (round > 0 && d.caughtUp(lacking)) || d.ask(ctx, address, lacking.need) {
-			return true
-		}
-	}
-	return false
-}
-
-// caughtUp tells whether bulletins have told meanwhile what was lacking.
-func (d *Directory) caughtUp(lacking *lag) bool {
-	if !d.Complete() {
-		return false
-	}
-	switch lacking.table {
-	case tableDeclared:
-		return d.state.Load().RowVersion >= lacking.need.NeedRowVersion
-	case tableBackends:
-		return d.positions[tableBackends].Load() >= lacking.need.NeedBackendsTo
-	default:
-		return false
-	}
-}
-
-// treeParent is whom this daemon asks for news of a reader: the daemons form a tree below
-// it, so that each is asked by few.
-func (d *Directory) treeParent(reader string) string {
-	others := slices.DeleteFunc(slices.Clone(d.options.Others()), func(address string) bool { return address == reader })
-	all := append(others, d.options.Self)
-	ranked := rendezvous.Top(rendezvous.Key(reader), all, len(all))
-	at := slices.Index(ranked, d.options.Self)
-	if at < treeWidth {
-		return reader
-	}
-	return ranked[at/treeWidth-1]
-}
-
-// ask takes in what one daemon believes. It returns true when that is what this daemon
-// needs.
-func (d *Directory) ask(ctx context.Context, address string, need Have) bool {
-	bounded, cancel := context.WithTimeout(ctx, askTimeout)
-	defer cancel()
-	have := d.have()
-	have.NeedRowVersion, have.NeedBackendsTo = need.NeedRowVersion, need.NeedBackendsTo
-	asked := time.Now()
-	snapshot, err := d.options.Peers.Snapshot(bounded, address, have)
-	if err != nil || !snapshot.Complete {
-		return false
-	}
-	if need == (Have{}) && d.Complete() && have == (Have{}) {
-		return true // another one has answered before
-	}
-	done := make(chan struct{})
-	d.post(ctx, message{adopted: &adoption{from: address, asked: asked, answered: time.Now(), snapshot: snapshot, done: done}})
-	select {
-	case <-done:
-	case <-ctx.Done():
-		return false
-	}
-	return snapshot.RowVersion >= need.NeedRowVersion && snapshot.BackendsTo >= need.NeedBackendsTo
-}
-
-func (d *Directory) have() Have {
-	var have Have
-	if state := d.state.Load(); state != nil {
-		have.RowVersion = state.RowVersion
-	}
-	if d.listed.Load() {
-		have.BackendsTo = d.positions[tableBackends].Load()
-	}
-	return have
-}
-
-// join finds other daemons at the start, and takes over what they believe. A daemon that
-// finds none that knows more reads the store itself.
-func (d *Directory) join(ctx context.Context) {
-	defer d.turn.open()
-	if d.options.Contacts == nil {
-		return
-	}
-	retries := d.newRetrying()
-	retries.spread = joinFailurePause
-	for ctx.Err() == nil {
-		contacts, about, err := d.options.Contacts.Find(ctx)
-		if err == nil {
-			d.askUntil(ctx, contacts, time.Now().Add(joinDelay(len(contacts), about)))
-			return
-		}
-		retries.after(ctx, err)
-		if d.Complete() {
-			d.turn.open()
-		}
-	}
-}
-
-// joinDelay is how long a starting daemon asks others before it reads the store.
-func joinDelay(contacts, about int) time.Duration {
-	if contacts == 0 {
-		return rand.N(joinSpread)
-	}
-	return rand.N(min(joinSpread+time.Duration(about)*joinPerDaemon, longestJoin))
-}
-
-// askUntil asks daemons, a few at a time, until this one knows what they believe, or
-// until a time. It waits longer once another daemon has told what it reads.
-func (d *Directory) askUntil(ctx context.Context, contacts []string, until time.Time) {
-	extended := false
-	for ctx.Err() == nil && !d.Complete() {
-		if waited := d.waited.Load(); waited != nil && time.Since(*waited) < joinExtension+d.options.Interval {
-			pause.For(ctx, askPause) // there is nothing to ask for yet
-			continue
-		}
-		if told := d.lag.Load(); told != nil && told.from != "" && !extended {
-			extended = true
-			until = until.Add(joinExtension)
-			contacts = append(contacts, told.from)
-		}
-		if !time.Now().Before(until) {
-			return
-		}
-		rand.Shuffle(len(contacts), func(left, right int) { contacts[left], contacts[right] = contacts[right], contacts[left] })
-		if d.askAny(ctx, contacts[:min(askedAtOnce, len(contacts))]) {
-			return
-		}
-		pause.For(ctx, min(askPause, time.Until(until)))
-	}
-}
-
-// askAny asks daemons at the same time. It returns true as soon as one told what it
-// believes.
-func (d *Directory) askAny(ctx context.Context, addresses []string) bool {
-	told := make(chan bool, len(addresses))
-	for _, address := range addresses {
-		go func() { told <- d.ask(ctx, address, Have{}) }()
-	}
-	for range addresses {
-		if <-told {
-			return true
-		}
-	}
-	return false
-}
--- a/internal/peersync/peersync.go
+++ b/internal/peersync/peersync.go
@@ -15,6 +15,7 @@
 	"strconv"
 	"time"
 
+	"github.com/sirupsen/logrus"
 	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/lotusward/lotusward/internal/adapter/httpexchange"
@@ -77,13 +78,14 @@
 	address  string
 	server   *http.Server
 	snapshot func(ctx context.Context, have directory.Have) directory.Snapshot
+	log      logrus.FieldLogger
 	// places has room for those that are answered now.
 	places chan struct{}
 }
 
 // NewServer makes a Server that listens on an address (IP:port) once it runs.
-func NewServer(address string, snapshot func(ctx context.Context, have directory.Have) directory.Snapshot) *Server {
-	made := &Server{address: address, snapshot: snapshot, places: make(chan struct{}, servedAtOnce)}
+func NewServer(address string, snapshot func(ctx context.Context, have directory.Have) directory.Snapshot, log logrus.FieldLogger) *Server {
+	made := &Server{address: address, snapshot: snapshot, log: log, places: make(chan struct{}, servedAtOnce)}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+snapshotPath, made.serve)
 	made.server = &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
@@ -95,17 +97,23 @@
 func (s *Server) Run(ctx context.Context) error {
 	listener, err := net.Listen("tcp4", s.address)
 	if err != nil {
-		<-ctx.Done()
-		return nil
+		return s.serveNobody(ctx, err)
 	}
 	stop := context.AfterFunc(ctx, func() { _ = s.server.Close() })
 	defer stop()
 	if err := s.server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
-		<-ctx.Done()
+		return s.serveNobody(ctx, err)
 	}
 	return nil
 }
 
+// serveNobody logs why other daemons can't ask this one, and waits for the end.
+func (s *Server) serveNobody(ctx context.Context, err error) error {
+	s.log.WithError(err).WithField("address", s.address).Error("Other daemons can't ask this one for a snapshot.")
+	<-ctx.Done()
+	return nil
+}
+
 func (s *Server) serve(writer http.ResponseWriter, request *http.Request) {
 	have, err := readHave(request.URL.Query())
 	if err != nil {
--- /dev/null
+++ b/internal/peersync/peersync_test.go
@@ -0,0 +1,116 @@
+package peersync
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	logtest "github.com/sirupsen/logrus/hooks/test"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"github.com/lotusward/lotusward/internal/adapter/httpexchange"
+	"github.com/lotusward/lotusward/internal/directory"
+	"github.com/lotusward/lotusward/internal/logging"
+)
+
+// freeAddress returns an address that nobody listens on.
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer listener.Close()
+	return listener.Addr().String()
+}
+
+// serve runs a Server and returns its address once it answers.
+func serve(t *testing.T, snapshot func(context.Context, directory.Have) directory.Snapshot) string {
+	t.Helper()
+	address := freeAddress(t)
+	server := NewServer(address, snapshot, logging.Discard())
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	go func() { _ = server.Run(ctx) }()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		connection, err := net.Dial("tcp4", address)
+		if err != nil {
+			return poll.Continue("%v", err)
+		}
+		_ = connection.Close()
+		return poll.Success()
+	}, poll.WithDelay(5*time.Millisecond))
+	return address
+}
+
+// TestSnapshotsAreCarriedWhole asks a server: it sees what the asker has and needs, and the
+// asker gets what the server told.
+func TestSnapshotsAreCarriedWhole(t *testing.T) {
+	asked := make(chan directory.Have, 1)
+	told := directory.Snapshot{
+		Complete: true, ClockLeast: time.Minute, ClockMost: time.Minute + time.Second, RowVersion: 9,
+		BackendsTo: 12, HasBackends: true, MembersTo: 4, Members: []string{"10.0.0.1:9", "10.0.0.2:9"},
+	}
+	address := serve(t, func(_ context.Context, have directory.Have) directory.Snapshot {
+		asked <- have
+		return told
+	})
+	client := NewClient(httpexchange.NewPool(httpexchange.Options{}))
+	have := directory.Have{RowVersion: 3, NeedRowVersion: 9, BackendsTo: 7, NeedBackendsTo: 11}
+	got, err := client.Snapshot(context.Background(), address, have)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, got, told)
+	assert.Equal(t, <-asked, have)
+}
+
+// TestMalformedQuestionsAreRefused sends a request without its parameters.
+func TestMalformedQuestionsAreRefused(t *testing.T) {
+	address := serve(t, func(context.Context, directory.Have) directory.Snapshot { return directory.Snapshot{} })
+	answer, err := http.Get("http://" + address + snapshotPath)
+	assert.NilError(t, err)
+	defer answer.Body.Close()
+	assert.Equal(t, answer.StatusCode, http.StatusBadRequest)
+}
+
+// TestBusyServerRefuses lets as many askers wait as are answered at once: one more is
+// refused and can ask elsewhere.
+func TestBusyServerRefuses(t *testing.T) {
+	entered, leave := make(chan struct{}), make(chan struct{})
+	address := serve(t, func(context.Context, directory.Have) directory.Snapshot {
+		entered <- struct{}{}
+		<-leave
+		return directory.Snapshot{}
+	})
+	client := NewClient(httpexchange.NewPool(httpexchange.Options{}))
+	for range servedAtOnce {
+		go func() { _, _ = client.Snapshot(context.Background(), address, directory.Have{}) }()
+		<-entered
+	}
+	defer close(leave)
+	_, err := client.Snapshot(context.Background(), address, directory.Have{})
+	assert.ErrorContains(t, err, "status 503")
+}
+
+// TestServerWithoutAddressSaysSo takes the server's address away: the daemon goes on, and
+// its log says why nobody can ask it.
+func TestServerWithoutAddressSaysSo(t *testing.T) {
+	taken, err := net.Listen("tcp4", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer taken.Close()
+	log, lines := logtest.NewNullLogger()
+	server := NewServer(taken.Addr().String(), nil, log)
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- server.Run(ctx) }()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if lines.LastEntry() == nil {
+			return poll.Continue("nothing is logged")
+		}
+		return poll.Success()
+	}, poll.WithDelay(5*time.Millisecond))
+	assert.Equal(t, lines.LastEntry().Data["address"], taken.Addr().String())
+	assert.Equal(t, len(ended), 0)
+	cancel()
+	assert.NilError(t, <-ended)
+}
