--- a/cmd/internal/daemon/wire.go
+++ b/cmd/internal/daemon/wire.go
@@ -147,7 +147,7 @@
 // wireBelief makes what knows back ends, configuration and other daemons.
 func (w *Daemon) wireBelief() {
 	bounds := w.settings.Bounds
-	w.link = peerlink.New(w.settings.InternalAddress())
+	w.link = peerlink.New(w.settings.InternalAddress(), w.part("peers"))
 	w.backends = backendpool.New(w.settings.Zone)
 	w.backends.SetPlacement(w.options.Placement)
 	w.memory = promptcache.New()
--- a/internal/loadshare/loadshare_test.go
+++ b/internal/loadshare/loadshare_test.go
@@ -14,6 +14,7 @@
 	"github.com/lotusward/lotusward/internal/core/backendpool"
 	"github.com/lotusward/lotusward/internal/core/identity"
 	"github.com/lotusward/lotusward/internal/core/promptcache"
+	"github.com/lotusward/lotusward/internal/logging"
 	"github.com/lotusward/lotusward/internal/peerlink"
 )
 
@@ -39,7 +40,7 @@
 		{ID: "one", Service: "s", Weights: map[identity.ModelName]uint64{"m": 1}},
 		{ID: "two", Service: "s", Weights: map[identity.ModelName]uint64{"m": 1}},
 	})
-	link := peerlink.New(address)
+	link := peerlink.New(address, logging.Discard())
 	sharer := New(Options{Link: link, Others: func() []string { return others }, Pool: made.pool, Memory: made.memory})
 	ctx, cancel := context.WithCancel(context.Background())
 	made.cancel = cancel
@@ -87,7 +88,7 @@
 // TestHeardLoadsAreScaledUp counts what some of many daemons told for all.
 func TestHeardLoadsAreScaledUp(t *testing.T) {
 	others := make([]string, 4*maximumTargets)
-	sharer := New(Options{Link: peerlink.New("127.0.0.1:1"), Others: func() []string { return others }})
+	sharer := New(Options{Link: peerlink.New("127.0.0.1:1", logging.Discard()), Others: func() []string { return others }})
 	now := time.Now()
 	for _, name := range []string{"a", "b"} {
 		sharer.heard[name] = heardLoads{at: now, loads: []backendpool.Load{{Key: 1, InFlight: 3, Reading: 10}}}
--- a/internal/peerlink/peerlink.go
+++ b/internal/peerlink/peerlink.go
@@ -11,6 +11,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/sirupsen/logrus"
 	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/lotusward/lotusward/internal/pause"
@@ -51,10 +52,11 @@
 	// observe is told of the sender of each datagram; nil is not.
 	observe func(from string)
 	socket  atomic.Pointer[net.UDPConn]
+	log     logrus.FieldLogger
 }
 
 // New makes a Link that listens on an address (IP:port) once it runs.
-func New(address string) *Link { return &Link{address: address} }
+func New(address string, log logrus.FieldLogger) *Link { return &Link{address: address, log: log} }
 
 // Address is where this daemon is reached, IP:port.
 func (l *Link) Address() string { return l.address }
@@ -99,13 +101,9 @@
 
 // Run receives until the context ends. Without a socket the daemon goes on alone.
 func (l *Link) Run(ctx context.Context) error {
-	address, err := net.ResolveUDPAddr("udp4", l.address)
-	if err != nil {
-		<-ctx.Done()
-		return nil
-	}
-	socket, err := net.ListenUDP("udp4", address)
+	socket, err := l.listen()
 	if err != nil {
+		l.log.WithError(err).WithField("address", l.address).Error("Other daemons can't be heard.")
 		<-ctx.Done()
 		return nil
 	}
@@ -116,6 +114,14 @@
 	return nil
 }
 
+func (l *Link) listen() (*net.UDPConn, error) {
+	address, err := net.ResolveUDPAddr("udp4", l.address)
+	if err != nil {
+		return nil, err
+	}
+	return net.ListenUDP("udp4", address)
+}
+
 func (l *Link) receive(ctx context.Context, socket *net.UDPConn) {
 	buffer := make([]byte, maximumDatagram+forwardedBytes)
 	for ctx.Err() == nil {
--- a/internal/peerlink/peerlink_test.go
+++ b/internal/peerlink/peerlink_test.go
@@ -4,9 +4,13 @@
 	"context"
 	"net"
 	"testing"
+	"time"
 
+	logtest "github.com/sirupsen/logrus/hooks/test"
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
+
+	"github.com/lotusward/lotusward/internal/logging"
 )
 
 func freeAddress(t *testing.T) string {
@@ -41,7 +45,7 @@
 
 // TestDatagramReachesItsHandlerAlone sends two kinds, and bytes that are no datagram.
 func TestDatagramReachesItsHandlerAlone(t *testing.T) {
-	sender, receiver := New(freeAddress(t)), New(freeAddress(t))
+	sender, receiver := New(freeAddress(t), logging.Discard()), New(freeAddress(t), logging.Discard())
 	got := make(chan greeting, 8)
 	from := make(chan string, 8)
 	HandleDecoded(receiver, KindPlan, func(address string, decoded greeting) {
@@ -68,12 +72,12 @@
 
 // TestBroadcastReachesAllOthers tells two daemons the same.
 func TestBroadcastReachesAllOthers(t *testing.T) {
-	sender := New(freeAddress(t))
+	sender := New(freeAddress(t), logging.Discard())
 	run(t, sender)
 	got := make(chan string, 8)
 	var others []string
 	for range 2 {
-		receiver := New(freeAddress(t))
+		receiver := New(freeAddress(t), logging.Discard())
 		HandleDecoded(receiver, KindBulletin, func(_ string, body greeting) { got <- body.Text })
 		run(t, receiver)
 		others = append(others, receiver.Address())
@@ -90,6 +94,28 @@
 
 // TestTooLargeIsNotSent tells that a body doesn't fit one datagram.
 func TestTooLargeIsNotSent(t *testing.T) {
-	_, fits := New(freeAddress(t)).Encode(KindPlan, greeting{Text: string(make([]byte, maximumDatagram))})
+	_, fits := New(freeAddress(t), logging.Discard()).Encode(KindPlan, greeting{Text: string(make([]byte, maximumDatagram))})
 	assert.Assert(t, !fits)
 }
+
+// TestLinkWithoutSocketSaysSo takes the link's address away: the daemon goes on alone, and
+// its log says why.
+func TestLinkWithoutSocketSaysSo(t *testing.T) {
+	taken, err := net.ListenPacket("udp4", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer taken.Close()
+	log, lines := logtest.NewNullLogger()
+	link := New(taken.LocalAddr().String(), log)
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- link.Run(ctx) }()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if lines.LastEntry() == nil {
+			return poll.Continue("nothing is logged")
+		}
+		return poll.Success()
+	}, poll.WithDelay(5*time.Millisecond))
+	assert.Equal(t, lines.LastEntry().Data["address"], taken.LocalAddr().String())
+	cancel()
+	assert.NilError(t, <-ended)
+}
--- a/internal/peerlink/tree_test.go
+++ b/internal/peerlink/tree_test.go
@@ -7,6 +7,8 @@
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 	"pgregory.net/rapid"
+
+	"github.com/lotusward/lotusward/internal/logging"
 )
 
 // TestTreeReachesEachDaemonOnce follows a datagram down its tree: each daemon gets it once,
@@ -50,7 +52,7 @@
 
 // TestMalformedForwardsAreDropped takes any bytes as a datagram.
 func TestMalformedForwardsAreDropped(t *testing.T) {
-	link := New("127.0.0.1:1")
+	link := New("127.0.0.1:1", logging.Discard())
 	tree := NewTree(link, func() []string { return nil })
 	rapid.Check(t, func(t *rapid.T) {
 		tree.receive("127.0.0.1:2", rapid.SliceOfN(rapid.Byte(), 0, 40).Draw(t, "body"))
@@ -70,7 +72,7 @@
 	got := make(chan heard, 4*len(addresses))
 	var trees []*Tree
 	for _, address := range addresses {
-		link := New(address)
+		link := New(address, logging.Discard())
 		HandleDecoded(link, KindPlan, func(from string, body greeting) {
 			if body.Text == "hello" {
 				got <- heard{at: address, from: from}
--- a/internal/rollout/planrow.go
+++ b/internal/rollout/planrow.go
@@ -67,6 +67,7 @@
 func (k *Keeper) learnPlanVersion(ctx context.Context) {
 	rows, err := k.options.Table.Read(ctx, KeyPlan)
 	if err != nil {
+		k.options.Log.WithError(err).Warn("The version of the plan's row cannot be read; it is tried again.")
 		return
 	}
 	k.mutex.Lock()
