Take the choice and its reason in one look

It wasn't the test: the relay asks the pool for a back end, and then in a second look why there is none. One that became free in between is in neither, so that the request was refused as "no back end" at the moment when one was free.

--- a/internal/core/backendpool/pool.go
+++ b/internal/core/backendpool/pool.go
@@ -182,6 +182,22 @@
 func (p *Pool) Pick(now time.Time, query Query) *Ticket {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
+	return p.pick(now, query)
+}
+
+// PickOrExplain takes a place at a back end, or returns nil and why none will do. Both are
+// of one moment: a back end that becomes free in between would be in neither.
+func (p *Pool) PickOrExplain(now time.Time, query Query) (*Ticket, Shortage) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if ticket := p.pick(now, query); ticket != nil {
+		return ticket, Shortage{}
+	}
+	return nil, p.shortage(now, query)
+}
+
+// pick is for callers that hold the mutex.
+func (p *Pool) pick(now time.Time, query Query) *Ticket {
 	candidates, _ := p.candidates(now, query)
 	if len(candidates) == 0 {
 		return nil
@@ -257,10 +273,8 @@
 	Listed, Draining, Failed, OldWeights, Busy int
 }
 
-// Shortage tells why a query finds no back end now.
-func (p *Pool) Shortage(now time.Time, query Query) Shortage {
-	p.mutex.Lock()
-	defer p.mutex.Unlock()
+// shortage tells why a query finds no back end now. The caller holds the mutex.
+func (p *Pool) shortage(now time.Time, query Query) Shortage {
 	var shortage Shortage
 	for _, found := range p.services[query.Service] {
 		shortage.Listed++
--- a/internal/relay/run.go
+++ b/internal/relay/run.go
@@ -149,9 +149,9 @@
 func (r *run) tryPick(limits backendpool.Limits) *backendpool.Ticket {
 	query := r.relay.query(r.admitted, r.excluded)
 	query.Limits = limits
-	ticket := r.relay.options.Pool.Pick(r.now(), query)
+	ticket, shortage := r.relay.options.Pool.PickOrExplain(r.now(), query)
 	if ticket == nil {
-		r.shortage = r.relay.options.Pool.Shortage(r.now(), query)
+		r.shortage = shortage
 	}
 	return ticket
 }
--- a/internal/relay/waiting_test.go
+++ b/internal/relay/waiting_test.go
@@ -155,3 +155,32 @@
 	time.AfterFunc(50*time.Millisecond, func() { world.pool.SetOthersLoad(nil, true) })
 	assert.Equal(t, world.ask(longPrompt).body.String(), eventsText(1, 3))
 }
+
+// TestBackEndThatIsFreeInTimeIsNotMissed frees back ends and makes them busy again all the
+// time: a request is served or told that all are busy, and never that there is none.
+func TestBackEndThatIsFreeInTimeIsNotMissed(t *testing.T) {
+	route := routing.Route{Kind: routing.KindStreaming, MaxAttempts: 1, TargetLatency: 100 * time.Millisecond}
+	world := newWorld(route, 3, 5)
+	world.backends.streaming, world.backends.events = true, 3
+	stop, stopped := make(chan struct{}), make(chan struct{})
+	go func() {
+		defer close(stopped)
+		for {
+			select {
+			case <-stop:
+				return
+			default:
+				world.crowd()
+				world.pool.SetOthersLoad(nil, true)
+			}
+		}
+	}()
+	for range 2000 {
+		caller := world.ask(longPrompt)
+		if caller.refusal != nil {
+			assert.Equal(t, caller.refusal.Reason, "busy")
+		}
+	}
+	close(stop)
+	<-stopped
+}
