--- a/internal/core/backendpool/pool_test.go
+++ b/internal/core/backendpool/pool_test.go
@@ -221,8 +221,8 @@
 		Cached: func(uint64) Cached { return Cached{{Tokens: 5000, Read: []uint64{first}}} },
 	}
 	pool.SetOthersLoad(map[uint64]Load{first: {Reading: 4500}, second: {Reading: 20000}}, true)
-	ticket, shortage := pool.PickOrExplain(start, query)
-	assert.Assert(t, ticket == nil)
+	refused, shortage := pool.PickOrExplain(start, query)
+	assert.Assert(t, refused == nil)
 	assert.Equal(t, shortage.Busy, 2)
 	pool.SetOthersLoad(map[uint64]Load{first: {Reading: 3000, Tokens: 15000}, second: {Reading: 20000}}, true)
 	assert.Assert(t, pool.Pick(start, query) == nil, "the prompts under way leave no room")
