Show why a daemon of the lab ended, and start anew where a port is taken

The lab chose free ports, closed them and gave them to its daemons; it swallowed the error of one that ended. With the error shown, one of eight runs at four at a time says "daemon-1: listen tcp4 127.0.0.1:32845: bind: address already in use".

No code of the daemon changes.

--- a/cmd/internal/lab/deployment.go
+++ b/cmd/internal/lab/deployment.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"syscall"
 	"time"
 
 	"github.com/oklog/run"
@@ -36,6 +37,8 @@
 	tokenTime = 4 * time.Millisecond
 	// readyTimeout bounds the wait for daemons that start.
 	readyTimeout = 15 * time.Second
+	// startAttempts is how often a deployment is started while ports are taken.
+	startAttempts = 5
 )
 
 // Deployment is some daemons before stand-ins, in this process.
@@ -47,14 +50,29 @@
 	openAI    string
 	admin     string
 	stop      []func()
+	// failures has the errors of daemons that ended by themselves, one each at most.
+	failures chan error
 }
 
 // AdminToken authenticates operators of the deployments here.
 const AdminToken = "demo-token"
 
-// Start starts a deployment of a scenario, with a placement.
+// Start starts a deployment of a scenario, with a placement. Ports that were free a moment
+// ago may be another program's by the time that a daemon listens: it is tried again then.
 func Start(scenario Scenario, placement backendpool.Placement) (*Deployment, error) {
-	made := &Deployment{fleet: standin.NewFleet(), store: standin.NewStore()}
+	var err error
+	for range startAttempts {
+		var made *Deployment
+		made, err = start(scenario, placement)
+		if !errors.Is(err, syscall.EADDRINUSE) {
+			return made, err
+		}
+	}
+	return nil, err
+}
+
+func start(scenario Scenario, placement backendpool.Placement) (*Deployment, error) {
+	made := &Deployment{fleet: standin.NewFleet(), store: standin.NewStore(), failures: make(chan error, daemons)}
 	made.declare(scenario)
 	for number := range scenario.engines {
 		runner := standin.NewRunner(made.store, fmt.Sprintf("engine-%d", number), "llm", model, 1, tokenTime)
@@ -75,7 +93,7 @@
 		}
 		all = append(all, started)
 	}
-	if err := awaitReady(all); err != nil {
+	if err := made.awaitReady(all); err != nil {
 		made.Stop()
 		return nil, err
 	}
@@ -135,7 +153,9 @@
 	made.AddTo(&group)
 	go func() {
 		defer close(ended)
-		_ = group.Run() // the daemon is only ever stopped
+		if err := group.Run(); err != nil {
+			d.failures <- fmt.Errorf("daemon-%d: %w", number, err)
+		}
 	}()
 	return made, nil
 }
@@ -169,14 +189,19 @@
 	return ports, nil
 }
 
-func awaitReady(all []*daemon.Daemon) error {
+// awaitReady waits until all daemons are ready, or one has ended by itself.
+func (d *Deployment) awaitReady(all []*daemon.Daemon) error {
 	until := time.Now().Add(readyTimeout)
 	for _, each := range all {
 		for !each.Ready() {
+			select {
+			case err := <-d.failures:
+				return err
+			case <-time.After(10 * time.Millisecond):
+			}
 			if time.Now().After(until) {
 				return errors.New("the daemons are not ready in time")
 			}
-			time.Sleep(10 * time.Millisecond)
 		}
 	}
 	return nil
