Take what stood twice in the directory, the roll-out and tickers once

From reading the whole change again; behaviour is as before, and no test changed.

- directory: the versions in force were renewed in four places in the same five lines (publishVersions), what others saw was replaced in two (takeTold), the newest news kept in two (turn.noteNews), "the store's clock is known" asked in three (knowsClock).
- rollout: hasWork copied, sorted and filtered all holders at each tick of the holder to learn what the pool's AnyBehind answers by a look; both have the same conditions (not replaced, draining or ejected, an older version).
- pause.Every in place of the ticker loops of the prober, the roll-out and loadshare, whose turn is a method now.
- openai: finish, not cut, sends what is left; a broken answer is made in one place.

--- a/internal/directory/bulletin.go
+++ b/internal/directory/bulletin.go
@@ -207,9 +207,7 @@
 		return
 	}
 	if d.takeVersions(now, news) {
-		changed := *state
-		changed.Versions = d.copyVersions()
-		d.state.Store(&changed)
+		d.publishVersions()
 	}
 	advance(d.positions[tableDeclared], news.StoreVersion)
 	d.confirm(at)
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -342,10 +342,8 @@
 	switch {
 	case newer:
 		d.publish(declared)
-	case state != nil && versionsChanged:
-		changed := *state
-		changed.Versions = d.copyVersions()
-		d.state.Store(&changed)
+	case versionsChanged:
+		d.publishVersions()
 	}
 	if d.state.Load() != nil {
 		d.confirm(got.began)
@@ -451,6 +449,18 @@
 	}).Info("The list of back ends changed.")
 }
 
+// publishVersions puts the remembered versions of weights in force, if there is a
+// configuration.
+func (d *Directory) publishVersions() {
+	state := d.state.Load()
+	if state == nil {
+		return
+	}
+	renewed := *state
+	renewed.Versions = d.copyVersions()
+	d.state.Store(&renewed)
+}
+
 // PromptStoreAddresses are where the stores of prompt caches are.
 func (d *Directory) PromptStoreAddresses() []string {
 	state := d.state.Load()
--- a/internal/directory/freshness.go
+++ b/internal/directory/freshness.go
@@ -44,10 +44,13 @@
 	f.clockAt = answered.Add(most - least)
 }
 
+// knowsClock tells whether the store's clock is known.
+func (f *freshness) knowsClock() bool { return !f.clockAt.IsZero() && f.clock != 0 }
+
 // most is what the store's clock can have reached at a time at most; zero when it is not
 // known.
 func (f *freshness) most(at time.Time) time.Duration {
-	if f.clockAt.IsZero() || f.clock == 0 {
+	if !f.knowsClock() {
 		return 0
 	}
 	return f.clock + at.Sub(f.clockFrom)
@@ -55,7 +58,7 @@
 
 // now is about what the store's clock shows at a time; false when it is not known.
 func (f *freshness) now(at time.Time) (time.Duration, bool) {
-	if f.clockAt.IsZero() || f.clock == 0 {
+	if !f.knowsClock() {
 		return 0, false
 	}
 	return f.clock + at.Sub(f.clockAt), true
@@ -64,7 +67,7 @@
 // localTime is the daemon's own time at which the store's clock showed a time, or
 // somewhat earlier; false when the store's clock is not known.
 func (f *freshness) localTime(clock time.Duration) (time.Time, bool) {
-	if f.clockAt.IsZero() || f.clock == 0 || clock <= 0 {
+	if !f.knowsClock() || clock <= 0 {
 		return time.Time{}, false
 	}
 	return f.clockFrom.Add(clock - f.clock), true
--- a/internal/directory/snapshot.go
+++ b/internal/directory/snapshot.go
@@ -190,10 +190,8 @@
 func (d *Directory) adoptVersions(got *adoption) {
 	news := &DeclaredNews{Clock: got.snapshot.ClockLeast, Versions: got.snapshot.Versions}
 	if d.started {
-		if d.takeVersions(got.answered, news) && d.state.Load() != nil {
-			renewed := *d.state.Load()
-			renewed.Versions = d.copyVersions()
-			d.state.Store(&renewed)
+		if d.takeVersions(got.answered, news) {
+			d.publishVersions()
 		}
 		return
 	}
--- a/internal/directory/turn.go
+++ b/internal/directory/turn.go
@@ -123,10 +123,7 @@
 func (t *turn) heard(now, at time.Time, from string) bool {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	if at.After(t.newsAt) {
-		t.newsAt = at
-		t.newsFrom = from
-	}
+	t.noteNews(at, from)
 	lately := 2 * t.options.interval
 	failing := now.Sub(t.ownAt[tableDeclared]) > lately
 	stops := t.reads && now.Sub(at) <= lately && (failing || from < t.options.self)
@@ -140,8 +137,13 @@
 func (t *turn) adopted(confirmed time.Time, from string) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	if confirmed.After(t.newsAt) {
-		t.newsAt = confirmed
+	t.noteNews(confirmed, from)
+}
+
+// noteNews keeps the newest news. The caller holds the mutex.
+func (t *turn) noteNews(at time.Time, from string) {
+	if at.After(t.newsAt) {
+		t.newsAt = at
 		t.newsFrom = from
 	}
 }
@@ -161,8 +163,7 @@
 	defer t.mutex.Unlock()
 	t.newsAt = later(t.newsAt, now)
 	t.newsFrom = t.options.self
-	t.noteRead(now, tableDeclared)
-	return t.reads && !t.options.alone
+	return t.noteRead(now, tableDeclared)
 }
 
 // readList notes that this daemon read a list. It returns true when the others are to be
@@ -170,8 +171,7 @@
 func (t *turn) readList(now time.Time, which table) bool {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	t.noteRead(now, which)
-	return t.reads && !t.options.alone
+	return t.noteRead(now, which)
 }
 
 func later(left, right time.Time) time.Time {
@@ -181,10 +181,11 @@
 	return right
 }
 
-// noteRead is for callers that hold the mutex.
-func (t *turn) noteRead(now time.Time, which table) {
+// noteRead returns true when the others are to be told. The caller holds the mutex.
+func (t *turn) noteRead(now time.Time, which table) bool {
 	t.ownAt[which] = now
 	t.wanted[which] = false
+	return t.reads && !t.options.alone
 }
 
 // want makes this daemon read a table now.
--- a/internal/directory/versions.go
+++ b/internal/directory/versions.go
@@ -65,19 +65,23 @@
 // applySeen remembers what another daemon saw; it may come before the versions are
 // read here.
 func (d *Directory) applySeen(seen []Seen) {
+	if d.takeTold(time.Now(), seen) {
+		d.publishVersions()
+	}
+}
+
+// takeTold replaces what other daemons saw last. It returns true when that changed what
+// is remembered of any model.
+func (d *Directory) takeTold(now time.Time, seen []Seen) bool {
 	clear(d.told)
 	for _, each := range seen {
 		d.told[each.Model] = append(d.told[each.Model], each)
 	}
 	changed := false
 	for model := range d.told {
-		changed = d.mergeTold(time.Now(), model) || changed
-	}
-	if state := d.state.Load(); changed && state != nil {
-		renewed := *state
-		renewed.Versions = d.copyVersions()
-		d.state.Store(&renewed)
+		changed = d.mergeTold(now, model) || changed
 	}
+	return changed
 }
 
 // replaceGuesses puts what another daemon saw in the place of this one's guesses. It
@@ -86,15 +90,7 @@
 	if !slices.ContainsFunc(seen, func(each Seen) bool { return each.StoreClock > 0 && d.guesses(each.Model) }) {
 		return false
 	}
-	clear(d.told)
-	for _, each := range seen {
-		d.told[each.Model] = append(d.told[each.Model], each)
-	}
-	changed := false
-	for model := range d.told {
-		changed = d.mergeTold(now, model) || changed
-	}
-	return changed
+	return d.takeTold(now, seen)
 }
 
 // guesses tells whether the time of a model's oldest remembered version is a guess.
--- a/internal/loadshare/loadshare.go
+++ b/internal/loadshare/loadshare.go
@@ -16,6 +16,7 @@
 
 	"github.com/lotusward/lotusward/internal/core/backendpool"
 	"github.com/lotusward/lotusward/internal/core/promptcache"
+	"github.com/lotusward/lotusward/internal/pause"
 	"github.com/lotusward/lotusward/internal/peerlink"
 )
 
@@ -112,8 +113,11 @@
 	limiter, factLimiter *rate.Limiter
 	mutex                sync.Mutex
 	heard                map[string]heardLoads
-	// next counts the daemons told; gathered wait to be told to all, which was last done
-	// at toldAllAt. They belong to the goroutine of Run.
+	// told are the loads that were told last, at toldAt; next counts the daemons told;
+	// gathered wait to be told to all, which was last done at toldAllAt. They belong to the
+	// goroutine of Run.
+	told      []backendpool.Load
+	toldAt    time.Time
 	next      int
 	gathered  []promptcache.Fact
 	toldAllAt time.Time
@@ -136,30 +140,25 @@
 
 // Run shares loads until the context ends.
 func (s *Sharer) Run(ctx context.Context) error {
-	ticker := time.NewTicker(sendInterval)
-	defer ticker.Stop()
-	var last []backendpool.Load
-	var sentAt time.Time
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case now := <-ticker.C:
-			s.options.Pool.SetOthersLoad(s.merge(now))
-			loads := s.options.Pool.Loads(maximumLoads)
-			facts, doubts := s.options.Memory.Untold(), s.options.Pool.Doubts()
-			s.limiter.SetLimit(bytesPerSecond)
-			if len(s.options.Others()) > maximumTargets {
-				s.limiter.SetLimit((1 - factShare) * bytesPerSecond)
-				facts, doubts = s.tellAll(now, facts, doubts), nil
-			}
-			if len(facts)+len(doubts) == 0 && slices.Equal(loads, last) && now.Sub(sentAt) < idleInterval {
-				continue
-			}
-			last, sentAt = loads, now
-			s.send(s.limiter, peerlink.KindLoads, newMessage(loads, facts, doubts), maximumTargets)
-		}
+	pause.Every(ctx, sendInterval, s.share)
+	return nil
+}
+
+// share takes in what was heard, and tells what this daemon has under way if that changed.
+func (s *Sharer) share(now time.Time) {
+	s.options.Pool.SetOthersLoad(s.merge(now))
+	loads := s.options.Pool.Loads(maximumLoads)
+	facts, doubts := s.options.Memory.Untold(), s.options.Pool.Doubts()
+	s.limiter.SetLimit(bytesPerSecond)
+	if len(s.options.Others()) > maximumTargets {
+		s.limiter.SetLimit((1 - factShare) * bytesPerSecond)
+		facts, doubts = s.tellAll(now, facts, doubts), nil
+	}
+	if len(facts)+len(doubts) == 0 && slices.Equal(loads, s.told) && now.Sub(s.toldAt) < idleInterval {
+		return
 	}
+	s.told, s.toldAt = loads, now
+	s.send(s.limiter, peerlink.KindLoads, newMessage(loads, facts, doubts), maximumTargets)
 }
 
 // tellAll tells all of many daemons of doubts and of large parts, without the loads, which
--- a/internal/openai/answer.go
+++ b/internal/openai/answer.go
@@ -11,12 +11,12 @@
 	"github.com/lotusward/lotusward/internal/relay"
 )
 
-// answering is a caller that the relay answers, with whether its answer was cut.
+// answering is a caller that the relay answers.
 type answering interface {
 	relay.Caller
-	// cut tells whether the connection has to be closed, so that nobody takes the answer
-	// for whole.
-	cut() bool
+	// finish sends what is left once the relay has returned. It returns true when the
+	// connection has to be closed, so that nobody takes the answer for whole.
+	finish() (cut bool)
 }
 
 var (
@@ -109,9 +109,8 @@
 // without the end marker.
 func (c *streamCaller) Abort() {
 	c.aborted = true
-	failed := failureOf(relay.Refusal{Kind: relay.RefusalUnknown, Reason: codeBackendFailed})
+	failed := brokenAnswer()
 	failed.Message = "the answer broke off and cannot go on"
-	failed.RunState = identity.RunStateRan
 	if c.send("error", failed.body()) == nil {
 		_ = c.controller.Flush() // the connection is closed next
 	}
@@ -120,7 +119,7 @@
 // Refuse implements relay.Caller.
 func (c *streamCaller) Refuse(refusal relay.Refusal) { failureOf(refusal).write(c.writer) }
 
-func (c *streamCaller) cut() bool { return c.aborted }
+func (c *streamCaller) finish() bool { return c.aborted }
 
 // wholeCaller gathers an answer and sends it as one JSON body.
 type wholeCaller struct {
@@ -168,7 +167,7 @@
 }
 
 // Flush implements relay.Caller. The relay flushes at the end of an answer too, but also
-// before; the answer is sent when Serve has returned, by cut.
+// before; the answer is sent by finish.
 func (c *wholeCaller) Flush() error { return nil }
 
 // Abort implements relay.Caller.
@@ -180,17 +179,15 @@
 	failureOf(refusal).write(c.writer)
 }
 
-// cut sends what was gathered. Nothing was sent before, so that nothing is ever cut.
-func (c *wholeCaller) cut() bool {
+// finish sends what was gathered. Nothing was sent before, so that nothing is ever cut.
+func (c *wholeCaller) finish() bool {
 	switch {
 	case c.sent:
 	case c.head.Status >= http.StatusMultipleChoices:
 		passFailure(c.writer, c.head)
 		_, _ = c.writer.Write(c.failed.Bytes())
 	case c.broken, !c.finished:
-		failed := failureOf(relay.Refusal{Kind: relay.RefusalUnknown, Reason: codeBackendFailed})
-		failed.RunState = identity.RunStateRan
-		failed.write(c.writer)
+		brokenAnswer().write(c.writer)
 	default:
 		c.sendWhole()
 	}
--- a/internal/openai/failure.go
+++ b/internal/openai/failure.go
@@ -107,6 +107,13 @@
 	return made
 }
 
+// brokenAnswer is a failure after the request ran: its answer cannot be passed on whole.
+func brokenAnswer() *failure {
+	made := failureOf(relay.Refusal{Kind: relay.RefusalUnknown, Reason: codeBackendFailed})
+	made.RunState = identity.RunStateRan
+	return made
+}
+
 func (f *failure) body() []byte {
 	detail := failureDetail{Message: f.Message, Type: f.Type, Code: f.Code, RunState: f.RunState}
 	if f.Param != "" {
--- a/internal/openai/handler.go
+++ b/internal/openai/handler.go
@@ -112,7 +112,7 @@
 		caller = newWholeCaller(writer, parsed.Chat)
 	}
 	h.options.Relay.Serve(incoming.Context(), request, caller)
-	if caller.cut() {
+	if caller.finish() {
 		panic(http.ErrAbortHandler)
 	}
 }
--- a/internal/pause/pause.go
+++ b/internal/pause/pause.go
@@ -1,4 +1,4 @@
-// Package pause waits for a time that the end of a context cuts short.
+// Package pause waits for times that the end of a context cuts short.
 package pause
 
 import (
@@ -15,3 +15,18 @@
 	case <-ctx.Done():
 	}
 }
+
+// Every calls a step once an interval until the context ends, in the caller's goroutine. A
+// step that takes longer leaves out others.
+func Every(ctx context.Context, interval time.Duration, step func(now time.Time)) {
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-ticker.C:
+			step(now)
+		}
+	}
+}
--- a/internal/prober/prober.go
+++ b/internal/prober/prober.go
@@ -9,6 +9,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/lotusward/lotusward/internal/core/backendpool"
+	"github.com/lotusward/lotusward/internal/pause"
 )
 
 const (
@@ -37,18 +38,12 @@
 
 // Run probes until the context ends.
 func (p *Prober) Run(ctx context.Context) error {
-	ticker := time.NewTicker(lookInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case now := <-ticker.C:
-			for _, suspect := range p.options.Pool.Suspects(now) {
-				go p.probe(ctx, suspect)
-			}
+	pause.Every(ctx, lookInterval, func(now time.Time) {
+		for _, suspect := range p.options.Pool.Suspects(now) {
+			go p.probe(ctx, suspect)
 		}
-	}
+	})
+	return nil
 }
 
 // probe tells the pool whether one back end can be reached.
--- a/internal/rollout/keeper.go
+++ b/internal/rollout/keeper.go
@@ -67,16 +67,8 @@
 
 // Run gives orders until the context ends.
 func (k *Keeper) Run(ctx context.Context) error {
-	ticker := time.NewTicker(tickInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case now := <-ticker.C:
-			k.tick(ctx, now)
-		}
-	}
+	pause.Every(ctx, tickInterval, func(now time.Time) { k.tick(ctx, now) })
+	return nil
 }
 
 // tick starts the work on back ends that are behind, as many as may load at a time.
@@ -128,8 +120,9 @@
 
 // Pending tells whether back ends hold weights older than the newest named ones, so that
 // somebody has to hold the lease.
-func (k *Keeper) Pending() bool {
-	now := time.Now()
+func (k *Keeper) Pending() bool { return k.pending(time.Now()) }
+
+func (k *Keeper) pending(now time.Time) bool {
 	for model, version := range k.options.Named.Targets() {
 		if k.options.Pool.AnyBehind(now, model, version) {
 			return true
@@ -140,15 +133,7 @@
 
 // hasWork tells whether orders are to be given. The caller holds the mutex.
 func (k *Keeper) hasWork(now time.Time) bool {
-	if len(k.working) > 0 {
-		return true
-	}
-	for model, version := range k.options.Named.Targets() {
-		if len(behindOf(soundOf(k.options.Pool.Holders(now, model)), version)) > 0 {
-			return true
-		}
-	}
-	return false
+	return len(k.working) > 0 || k.pending(now)
 }
 
 // followOwn makes this daemon heed its own plan.
