Read bearer tokens in one place

The OpenAI front end and the operators' interface parsed the same header in the same lines. Token says whether there is one, so that an empty token never passes for one.

--- a/internal/administration/administration.go
+++ b/internal/administration/administration.go
@@ -11,10 +11,10 @@
 	"fmt"
 	"io"
 	"net/http"
-	"strings"
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/lotusward/lotusward/internal/bearer"
 	"github.com/lotusward/lotusward/internal/core/query"
 )
 
@@ -124,9 +124,9 @@
 
 // authenticated compares hashes, so that the time taken tells nothing of the token.
 func (h *Handler) authenticated(request *http.Request) bool {
-	scheme, token, _ := strings.Cut(request.Header.Get("Authorization"), " ")
-	sent := sha256.Sum256([]byte(strings.TrimSpace(token)))
-	return strings.EqualFold(scheme, "bearer") && subtle.ConstantTimeCompare(sent[:], h.token[:]) == 1
+	token, found := bearer.Token(request.Header)
+	sent := sha256.Sum256([]byte(token))
+	return found && subtle.ConstantTimeCompare(sent[:], h.token[:]) == 1
 }
 
 func readStatement(request *http.Request) (string, *Error) {
--- a/internal/openai/handler.go
+++ b/internal/openai/handler.go
@@ -11,11 +11,11 @@
 	"net/http"
 	"slices"
 	"strconv"
-	"strings"
 	"time"
 
 	"github.com/google/uuid"
 
+	"github.com/lotusward/lotusward/internal/bearer"
 	"github.com/lotusward/lotusward/internal/core/identity"
 	"github.com/lotusward/lotusward/internal/core/routing"
 	"github.com/lotusward/lotusward/internal/relay"
@@ -183,10 +183,11 @@
 	return time.Duration(milliseconds) * time.Millisecond, nil
 }
 
+// bearerKey is the caller's key, empty without one.
 func bearerKey(header http.Header) string {
-	scheme, key, _ := strings.Cut(header.Get("Authorization"), " ")
-	if !strings.EqualFold(scheme, "bearer") {
+	key, found := bearer.Token(header)
+	if !found {
 		return ""
 	}
-	return strings.TrimSpace(key)
+	return key
 }
