--- a/cmd/internal/lab/deployment.go
+++ b/cmd/internal/lab/deployment.go
@@ -5,10 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
-	"strconv"
-	"syscall"
 	"time"
 
 	"github.com/oklog/run"
@@ -17,6 +14,7 @@
 	"github.com/lotusward/lotusward/internal/core/backendpool"
 	"github.com/lotusward/lotusward/internal/core/identity"
 	"github.com/lotusward/lotusward/internal/eventlog"
+	"github.com/lotusward/lotusward/internal/freeport"
 	"github.com/lotusward/lotusward/platform"
 	"github.com/lotusward/lotusward/platform/standin"
 )
@@ -37,8 +35,6 @@
 	tokenTime = 4 * time.Millisecond
 	// readyTimeout bounds the wait for daemons that start.
 	readyTimeout = 15 * time.Second
-	// startAttempts is how often a deployment is started while ports are taken.
-	startAttempts = 5
 )
 
 // Deployment is some daemons before stand-ins, in this process.
@@ -57,21 +53,8 @@
 // AdminToken authenticates operators of the deployments here.
 const AdminToken = "demo-token"
 
-// Start starts a deployment of a scenario, with a placement. Ports that were free a moment
-// ago may be another program's by the time that a daemon listens: it is tried again then.
+// Start starts a deployment of a scenario, with a placement.
 func Start(scenario Scenario, placement backendpool.Placement) (*Deployment, error) {
-	var err error
-	for range startAttempts {
-		var made *Deployment
-		made, err = start(scenario, placement)
-		if !errors.Is(err, syscall.EADDRINUSE) {
-			return made, err
-		}
-	}
-	return nil, err
-}
-
-func start(scenario Scenario, placement backendpool.Placement) (*Deployment, error) {
 	made := &Deployment{fleet: standin.NewFleet(), store: standin.NewStore(), failures: make(chan error, daemons)}
 	made.declare(scenario)
 	for number := range scenario.engines {
@@ -137,7 +120,7 @@
 	options := daemon.Options{Logger: logger, Writer: writer, Placement: placement, AdminToken: AdminToken}
 	if number == 0 {
 		options.OpenAIPort, options.AdminPort = ports[3], ports[4]
-		d.openAI, d.admin = addressOf(ports[3]), addressOf(ports[4])
+		d.openAI, d.admin = freeport.Address(ports[3]), freeport.Address(ports[4])
 	}
 	made := daemon.New(settings, options)
 	d.addresses = append(d.addresses, settings.Listen.Front)
@@ -163,7 +146,7 @@
 func settingsOf(store string, number int, ports []int) platform.Settings {
 	return platform.Settings{
 		NodeName: identity.DaemonID(fmt.Sprint("daemon-", number)), IP: host, Zone: "a", FirstStart: true,
-		Listen:        platform.Listen{Front: addressOf(ports[0]), Ready: addressOf(ports[1])},
+		Listen:        platform.Listen{Front: freeport.Address(ports[0]), Ready: freeport.Address(ports[1])},
 		InternalPorts: []int{ports[2]},
 		Store:         platform.StoreSettings{Address: store},
 		Bounds: platform.Bounds{
@@ -173,18 +156,15 @@
 	}
 }
 
-func addressOf(port int) string { return net.JoinHostPort(host, strconv.Itoa(port)) }
-
-// freePorts returns ports that were free a moment ago.
+// freePorts returns ports on which nobody listens.
 func freePorts(count int) ([]int, error) {
-	var ports []int
-	for range count {
-		listener, err := net.Listen("tcp4", host+":0")
+	ports := make([]int, count)
+	for index := range ports {
+		port, err := freeport.Choose()
 		if err != nil {
 			return nil, err
 		}
-		defer func() { _ = listener.Close() }()
-		ports = append(ports, listener.Addr().(*net.TCPAddr).Port)
+		ports[index] = port
 	}
 	return ports, nil
 }
--- a/cmd/lotusward/deployment_test.go
+++ b/cmd/lotusward/deployment_test.go
@@ -14,7 +14,6 @@
 	"path/filepath"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -22,6 +21,7 @@
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 
+	"github.com/lotusward/lotusward/internal/freeport/freeporttest"
 	"github.com/lotusward/lotusward/platform/standin"
 )
 
@@ -154,22 +154,6 @@
 	}
 }
 
-var nextPort atomic.Int32
-
-func freePort(t *testing.T) string {
-	t.Helper()
-	for range 1000 {
-		address := fmt.Sprintf("127.0.0.1:%d", 21000+nextPort.Add(1)%10000)
-		listener, err := net.Listen("tcp4", address)
-		if err == nil {
-			assert.NilError(t, listener.Close())
-			return address
-		}
-	}
-	t.Fatal("no port is free")
-	return ""
-}
-
 func portOf(address string) string {
 	_, port, _ := net.SplitHostPort(address)
 	return port
@@ -178,7 +162,7 @@
 // daemon starts a daemon and waits until it is ready, if it should become so.
 func (d *deployment) daemon(name string, untilReady bool) *process {
 	d.t.Helper()
-	made := &process{front: freePort(d.t), ready: freePort(d.t), ended: make(chan struct{})}
+	made := &process{front: freeporttest.Address(d.t), ready: freeporttest.Address(d.t), ended: make(chan struct{})}
 	settings := fmt.Sprintf(`
 nodeName: %q
 ip: "127.0.0.1"
@@ -189,11 +173,11 @@
 internalPorts: [%s]
 platform:
   address: %q
-bounds:%s`, name, made.front, made.ready, portOf(freePort(d.t)), d.store.Address(), d.bounds)
+bounds:%s`, name, made.front, made.ready, portOf(freeporttest.Address(d.t)), d.store.Address(), d.bounds)
 	path := filepath.Join(d.t.TempDir(), "node.yaml")
 	assert.NilError(d.t, os.WriteFile(path, []byte(settings), 0o600))
-	made.metrics = freePort(d.t)
-	made.openAI, made.admin = freePort(d.t), freePort(d.t)
+	made.metrics = freeporttest.Address(d.t)
+	made.openAI, made.admin = freeporttest.Address(d.t), freeporttest.Address(d.t)
 	made.command = exec.Command(os.Args[0], "--metrics-port", portOf(made.metrics),
 		"--openai-port", portOf(made.openAI), "--admin-port", portOf(made.admin))
 	made.command.Env = append(os.Environ(), runAsDaemon+"=1", "LOTUSWARD_SETTINGS="+path, adminTokenVariable+"="+testToken)
--- a/internal/loadshare/loadshare_test.go
+++ b/internal/loadshare/loadshare_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"net"
 	"sync"
 	"testing"
 	"time"
@@ -14,18 +13,11 @@
 	"github.com/lotusward/lotusward/internal/core/backendpool"
 	"github.com/lotusward/lotusward/internal/core/identity"
 	"github.com/lotusward/lotusward/internal/core/promptcache"
+	"github.com/lotusward/lotusward/internal/freeport/freeporttest"
 	"github.com/lotusward/lotusward/internal/logging"
 	"github.com/lotusward/lotusward/internal/peerlink"
 )
 
-func freeAddress(t *testing.T) string {
-	t.Helper()
-	socket, err := net.ListenPacket("udp4", "127.0.0.1:0")
-	assert.NilError(t, err)
-	defer func() { _ = socket.Close() }()
-	return socket.LocalAddr().String()
-}
-
 // daemon is a sharer with its pool and memory.
 type daemon struct {
 	pool   *backendpool.Pool
@@ -59,7 +51,7 @@
 // TestLoadsAndFactsReachOthers lets one daemon avoid what another has filled, learn
 // where shared parts went, and forget the load once the other is gone.
 func TestLoadsAndFactsReachOthers(t *testing.T) {
-	first, second := freeAddress(t), freeAddress(t)
+	first, second := freeporttest.Address(t), freeporttest.Address(t)
 	one := startDaemon(t, first, second)
 	two := startDaemon(t, second, first)
 	now := time.Now()
@@ -102,7 +94,7 @@
 // TestDoubtsReachOthers takes a back end out everywhere once one daemon finds another
 // at its address.
 func TestDoubtsReachOthers(t *testing.T) {
-	first, second := freeAddress(t), freeAddress(t)
+	first, second := freeporttest.Address(t), freeporttest.Address(t)
 	one := startDaemon(t, first, second)
 	two := startDaemon(t, second, first)
 	taken := one.pool.Pick(time.Now(), heavy)
@@ -127,10 +119,10 @@
 		others = 60
 		parts  = 20
 	)
-	first, second := freeAddress(t), freeAddress(t)
+	first, second := freeporttest.Address(t), freeporttest.Address(t)
 	addresses := []string{second}
 	for len(addresses) < others {
-		addresses = append(addresses, freeAddress(t))
+		addresses = append(addresses, freeporttest.Address(t))
 	}
 	one := startDaemon(t, first, addresses...)
 	two := startDaemon(t, second, first)
--- a/internal/peerlink/peerlink_test.go
+++ b/internal/peerlink/peerlink_test.go
@@ -10,17 +10,10 @@
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 
+	"github.com/lotusward/lotusward/internal/freeport/freeporttest"
 	"github.com/lotusward/lotusward/internal/logging"
 )
 
-func freeAddress(t *testing.T) string {
-	t.Helper()
-	socket, err := net.ListenPacket("udp4", "127.0.0.1:0")
-	assert.NilError(t, err)
-	defer func() { _ = socket.Close() }()
-	return socket.LocalAddr().String()
-}
-
 func run(t *testing.T, link *Link) {
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
@@ -45,7 +38,7 @@
 
 // TestDatagramReachesItsHandlerAlone sends two kinds, and bytes that are no datagram.
 func TestDatagramReachesItsHandlerAlone(t *testing.T) {
-	sender, receiver := New(freeAddress(t), logging.Discard()), New(freeAddress(t), logging.Discard())
+	sender, receiver := New(freeporttest.Address(t), logging.Discard()), New(freeporttest.Address(t), logging.Discard())
 	got := make(chan greeting, 8)
 	from := make(chan string, 8)
 	HandleDecoded(receiver, KindPlan, func(address string, decoded greeting) {
@@ -72,12 +65,12 @@
 
 // TestBroadcastReachesAllOthers tells two daemons the same.
 func TestBroadcastReachesAllOthers(t *testing.T) {
-	sender := New(freeAddress(t), logging.Discard())
+	sender := New(freeporttest.Address(t), logging.Discard())
 	run(t, sender)
 	got := make(chan string, 8)
 	var others []string
 	for range 2 {
-		receiver := New(freeAddress(t), logging.Discard())
+		receiver := New(freeporttest.Address(t), logging.Discard())
 		HandleDecoded(receiver, KindBulletin, func(_ string, body greeting) { got <- body.Text })
 		run(t, receiver)
 		others = append(others, receiver.Address())
@@ -94,7 +87,7 @@
 
 // TestTooLargeIsNotSent tells that a body doesn't fit one datagram.
 func TestTooLargeIsNotSent(t *testing.T) {
-	_, fits := New(freeAddress(t), logging.Discard()).Encode(KindPlan, greeting{Text: string(make([]byte, maximumDatagram))})
+	_, fits := New(freeporttest.Address(t), logging.Discard()).Encode(KindPlan, greeting{Text: string(make([]byte, maximumDatagram))})
 	assert.Assert(t, !fits)
 }
 
--- a/internal/peerlink/tree_test.go
+++ b/internal/peerlink/tree_test.go
@@ -8,6 +8,7 @@
 	"gotest.tools/v3/poll"
 	"pgregory.net/rapid"
 
+	"github.com/lotusward/lotusward/internal/freeport/freeporttest"
 	"github.com/lotusward/lotusward/internal/logging"
 )
 
@@ -66,7 +67,7 @@
 func TestForwardedComesFromItsOrigin(t *testing.T) {
 	addresses := make([]string, treeWidth+2)
 	for index := range addresses {
-		addresses[index] = freeAddress(t)
+		addresses[index] = freeporttest.Address(t)
 	}
 	type heard struct{ at, from string }
 	got := make(chan heard, 4*len(addresses))
--- a/internal/peersync/peersync_test.go
+++ b/internal/peersync/peersync_test.go
@@ -13,22 +13,14 @@
 
 	"github.com/lotusward/lotusward/internal/adapter/httpexchange"
 	"github.com/lotusward/lotusward/internal/directory"
+	"github.com/lotusward/lotusward/internal/freeport/freeporttest"
 	"github.com/lotusward/lotusward/internal/logging"
 )
 
-// freeAddress returns an address that nobody listens on.
-func freeAddress(t *testing.T) string {
-	t.Helper()
-	listener, err := net.Listen("tcp4", "127.0.0.1:0")
-	assert.NilError(t, err)
-	defer listener.Close()
-	return listener.Addr().String()
-}
-
 // serve runs a Server and returns its address once it answers.
 func serve(t *testing.T, snapshot func(context.Context, directory.Have) directory.Snapshot) string {
 	t.Helper()
-	address := freeAddress(t)
+	address := freeporttest.Address(t)
 	server := NewServer(address, snapshot, logging.Discard())
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
