Log a fingerprint of each request

What logs of the incident could not tell: whether two lines are of one request that came again. The fingerprint hashes tenant, method, host, target and body.

No decision depends on it yet.

--- a/internal/relay/journal.go
+++ b/internal/relay/journal.go
@@ -6,6 +6,7 @@
 
 	"github.com/lotusward/lotusward/internal/core/backendpool"
 	"github.com/lotusward/lotusward/internal/core/identity"
+	"github.com/lotusward/lotusward/internal/core/quarantine"
 	"github.com/lotusward/lotusward/internal/tenantlimit"
 )
 
@@ -63,6 +64,9 @@
 	Resumed int
 	// Cut is why an answer that had begun was broken off; empty when it is whole.
 	Cut string
+	// Fingerprint is the same for all tries of the request; zero if it was refused at its
+	// arrival.
+	Fingerprint quarantine.Fingerprint
 }
 
 func formatVersion(version uint64) string { return strconv.FormatUint(version, 10) }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -9,6 +9,7 @@
 	"github.com/lotusward/lotusward/internal/core/identity"
 	"github.com/lotusward/lotusward/internal/core/outcome"
 	"github.com/lotusward/lotusward/internal/core/promptcache"
+	"github.com/lotusward/lotusward/internal/core/quarantine"
 	"github.com/lotusward/lotusward/internal/core/rendezvous"
 	"github.com/lotusward/lotusward/internal/core/routing"
 )
@@ -110,6 +111,8 @@
 	// tenant is nil for anonymous requests.
 	tenant   *routing.Tenant
 	deadline time.Time
+	// fingerprint is the same for all tries of the request.
+	fingerprint quarantine.Fingerprint
 }
 
 // admit finds the request's route and tenant in the present state.
@@ -141,9 +144,20 @@
 		match:    match,
 		tenant:   tenant,
 		deadline: deadline(request, match.Route),
+
+		fingerprint: fingerprint(request, tenant),
 	}, nil
 }
 
+// fingerprint is of who asks for what.
+func fingerprint(request *Request, tenant *routing.Tenant) quarantine.Fingerprint {
+	name := ""
+	if tenant != nil {
+		name = string(tenant.Name)
+	}
+	return quarantine.FingerprintOf(name, request.Method, request.Host, request.Target, request.Body)
+}
+
 // denial refuses for good, or for now when the configuration may be outdated.
 func (r *Relay) denial(age time.Duration, kind RefusalKind) *Refusal {
 	if age > r.options.Policy.ConfirmationForDenials {
--- a/internal/relay/run.go
+++ b/internal/relay/run.go
@@ -308,6 +308,7 @@
 		Resumed:              r.resumed,
 		Cut:                  cut,
 		Grant:                r.grant,
+		Fingerprint:          r.admitted.fingerprint,
 	}
 	if r.admitted.tenant != nil {
 		ending.Tenant = r.admitted.tenant.Name
--- a/internal/requestlog/requestlog.go
+++ b/internal/requestlog/requestlog.go
@@ -127,6 +127,9 @@
 	if ended.Tenant != "" {
 		fields["tenant"] = ended.Tenant
 	}
+	if ended.Fingerprint != 0 {
+		fields["fingerprint"] = ended.Fingerprint.String()
+	}
 	if grant := ended.Grant; grant != nil {
 		fields["limit_cost"] = grant.Cost
 		fields["limit_per_second"] = grant.Limit.RatePerSecond
--- a/internal/requestlog/requestlog_test.go
+++ b/internal/requestlog/requestlog_test.go
@@ -41,7 +41,7 @@
 	return &relay.Ending{
 		Route: "r", Service: "s", ConfigurationVersion: 7, ConfirmationAge: 90 * time.Millisecond, Tenant: "t",
 		Attempt: relay.Attempt{Number: 2, Backend: "b", Version: 3, Reason: "sent", Elapsed: time.Second},
-		Elapsed: 2 * time.Second, Resumed: 1,
+		Elapsed: 2 * time.Second, Resumed: 1, Fingerprint: 0xbeef,
 	}
 }
 
@@ -56,7 +56,7 @@
 		"request": "q", "outcome": "unknown", "reason": "sent", "route": "r", "service": "s", "tenant": "t",
 		"configuration": 7.0, "configuration_age_ms": 90.0, "attempt": 2.0, "backend": "b", "weights": 3.0,
 		"attempt_reason": "sent", "attempt_ms": 1000.0, "elapsed_ms": 2000.0, "resumed": 1.0,
-		"prompt_tokens": 100.0, "shared_part": "a",
+		"prompt_tokens": 100.0, "shared_part": "a", "fingerprint": "beef",
 	}
 	for name, value := range want {
 		assert.Equal(t, line[name], value, name)
