--- a/cmd/lotusward/deployment_test.go
+++ b/cmd/lotusward/deployment_test.go
@@ -47,6 +47,7 @@
 
 // process is a daemon as a process of its own.
 type process struct {
+	name    string
 	command *exec.Cmd
 	front   string
 	ready   string
@@ -171,7 +172,7 @@
 // daemon starts a daemon and waits until it is ready, if it should become so.
 func (d *deployment) daemon(name string, untilReady bool) *process {
 	d.t.Helper()
-	made := &process{front: freeporttest.Address(d.t), ready: freeporttest.Address(d.t), ended: make(chan struct{})}
+	made := &process{name: name, front: freeporttest.Address(d.t), ready: freeporttest.Address(d.t), ended: make(chan struct{})}
 	settings := fmt.Sprintf(`
 nodeName: %q
 ip: "127.0.0.1"
