Judge spans by a clock that counts suspensions

Cause: all ages and deadlines were differences of Go's steady clock, which stands still while the machine is suspended: a lease, a confirmation of the configuration, the grace of old weights, a request's time, a tenant's home's belief to hear all others and the retry budget's window outlived a suspension.

Ways weighed: reading the boot clock at each judgement (625 ns for the pair of clocks that are compared; one system call at least), and noticing a jump at a tick and at guarding decisions, after which beliefs are void (two mechanisms, and each decision must be known to guard). Kept: the boot clock's effect at the price of Go's own reading. A suspension moves the time of day against the steady clock, both of which one reading gives; only then the clocks themselves are read, so that steps of the time of day change nothing. 95 ns a reading (Go's own: 63).

Tests: each span by both clocks, the one that stands still shows the fault; a look through the sources for Go's own clock (87 places in 26 files before); a property of the clock itself under suspensions and steps. A request whose time is over when its turn comes is not sent any more; before, one that had waited through a suspension would have been sent without a bound on its time.

Log line and counter for each suspension noticed.

--- a/cmd/internal/daemon/bounds.go
+++ b/cmd/internal/daemon/bounds.go
@@ -40,6 +40,8 @@
 	maximumDrift = 0.02
 	retryAfter   = 250 * time.Millisecond
 	sweepTime    = time.Second
+	// clockCheckInterval is how often it is looked for suspensions that the time of day hides.
+	clockCheckInterval = 250 * time.Millisecond
 )
 
 // checkInterval is how often the daemon that reads for all checks what operators declared.
--- a/cmd/internal/daemon/caches.go
+++ b/cmd/internal/daemon/caches.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/lotusward/lotusward/internal/cachewatch"
+	"github.com/lotusward/lotusward/internal/clock"
 	"github.com/lotusward/lotusward/internal/core/promptcache"
 	"github.com/lotusward/lotusward/internal/core/rendezvous"
 )
@@ -47,7 +48,7 @@
 
 // observeCache takes in what the cache of a back end holds and what it dropped.
 func (w *Daemon) observeCache(target cachewatch.Target, page cachewatch.Page) {
-	now := time.Now()
+	now := clock.Now()
 	for _, event := range page.Events {
 		fact := promptcache.Fact{
 			Part: promptcache.KeyOf(event.Part.Salt, event.Part.ID), Backend: rendezvous.Key(target.Name), Tokens: event.Tokens,
--- a/cmd/internal/daemon/metrics.go
+++ b/cmd/internal/daemon/metrics.go
@@ -9,6 +9,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
+	"github.com/lotusward/lotusward/internal/clock"
 	"github.com/lotusward/lotusward/internal/eventlog"
 	"github.com/lotusward/lotusward/platform"
 )
@@ -45,6 +46,9 @@
 // registerState adds the figures that are read when they are asked for.
 func registerState(registry *prometheus.Registry, writer *eventlog.Writer) {
 	registry.MustRegister(
+		prometheus.NewCounterFunc(prometheus.CounterOpts{
+			Namespace: "lotusward", Name: "suspended_seconds_total", Help: "Time in which the machine was suspended, since the start.",
+		}, func() float64 { return clock.Suspended().Seconds() }),
 		prometheus.NewCounterFunc(prometheus.CounterOpts{
 			Namespace: "lotusward", Name: "log_lines_written_total", Help: "Log lines that were written.",
 		}, func() float64 { return float64(writer.Written()) }),
--- a/cmd/internal/daemon/wire.go
+++ b/cmd/internal/daemon/wire.go
@@ -18,6 +18,7 @@
 	"github.com/lotusward/lotusward/internal/adapter/httpexchange"
 	"github.com/lotusward/lotusward/internal/administration"
 	"github.com/lotusward/lotusward/internal/cachewatch"
+	"github.com/lotusward/lotusward/internal/clock"
 	"github.com/lotusward/lotusward/internal/core/backendpool"
 	"github.com/lotusward/lotusward/internal/core/identity"
 	"github.com/lotusward/lotusward/internal/core/lease"
@@ -218,7 +219,7 @@
 		Eligible: func() bool {
 			leaves := w.serving.stopping.Load() && len(w.members.Others()) > 0
 			mayBecome := w.directory.Complete() && !leaves
-			return (mayBecome || w.holdsLease()) && duty.Eligible(time.Now())
+			return (mayBecome || w.holdsLease()) && duty.Eligible(clock.Now())
 		},
 		Settings: lease.Settings{
 			Key: rollout.KeyLease, Holder: w.settings.NodeName, Incarnation: identity.Incarnation(rand.Uint64()),
@@ -294,7 +295,7 @@
 // hear notes that a daemon is alive.
 func (w *Daemon) hear(address string) {
 	w.members.Heard(address)
-	w.presence.Heard(address, time.Now())
+	w.presence.Heard(address, clock.Now())
 	w.directory.Noticed(address)
 }
 
@@ -322,15 +323,30 @@
 func (w *Daemon) control() []func(context.Context) error {
 	return []func(context.Context) error{
 		w.directory.Run, w.rollout.Run, w.follower.Run, w.link.Run, w.snapshots.Run, w.broadcast.Run, w.tree.Run, w.loads.Run,
-		w.homes.Run, w.limits.Run, w.prober.Run, w.crashes.Run, w.crashes.KeepRow, w.promptsIn.Run, w.cachesIn.Run, w.sweep, w.keeper.Run,
+		w.homes.Run, w.limits.Run, w.prober.Run, w.crashes.Run, w.crashes.KeepRow, w.promptsIn.Run, w.cachesIn.Run, w.sweep, w.watchClock, w.keeper.Run,
 	}
 }
 
+// watchClock looks for suspensions of the machine that no decision has noticed.
+func (w *Daemon) watchClock(ctx context.Context) error {
+	log := w.part("clock")
+	if !clock.Readable() {
+		log.Error("Suspensions of the machine can't be noticed: spans that contain one look shorter than they are.")
+	}
+	clock.OnSuspension(func(suspended time.Duration) {
+		log.WithFields(logrus.Fields{
+			"suspended_ms": suspended.Milliseconds(), "total_ms": clock.Suspended().Milliseconds(),
+		}).Warn("The machine was suspended.")
+	})
+	pause.Every(ctx, clockCheckInterval, func(time.Time) { clock.Check() })
+	return nil
+}
+
 // sweep closes connections that are unused for too long.
 func (w *Daemon) sweep(ctx context.Context) error {
 	for ctx.Err() == nil {
 		pause.For(ctx, sweepTime)
-		w.pool.Sweep(time.Now())
+		w.pool.Sweep(clock.Now())
 	}
 	return nil
 }
--- a/internal/adapter/httpexchange/pool.go
+++ b/internal/adapter/httpexchange/pool.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"github.com/lotusward/lotusward/internal/clock"
 )
 
 // Defaults of Options.
@@ -161,7 +163,7 @@
 // sound tells whether an unused connection is open and nothing came on it since
 // its last answer.
 func (c *connection) sound() bool {
-	if time.Now().After(c.idleUntil) || c.reader.Buffered() > 0 {
+	if clock.Now().After(c.idleUntil) || c.reader.Buffered() > 0 {
 		return false
 	}
 	raw, err := c.socket.(syscall.Conn).SyscallConn()
@@ -198,7 +200,7 @@
 	if peerTime > 0 {
 		idleTime = min(idleTime, time.Duration(keepAliveShare*float64(peerTime)))
 	}
-	c.idleUntil = time.Now().Add(idleTime)
+	c.idleUntil = clock.Now().Add(idleTime)
 	if c.reader.Buffered() > 0 || !c.pool.push(c) {
 		c.close()
 	}
--- a/internal/administration/tables.go
+++ b/internal/administration/tables.go
@@ -6,8 +6,8 @@
 	"maps"
 	"slices"
 	"strings"
-	"time"
 
+	"github.com/lotusward/lotusward/internal/clock"
 	"github.com/lotusward/lotusward/internal/core/backendpool"
 	"github.com/lotusward/lotusward/internal/core/identity"
 	"github.com/lotusward/lotusward/internal/core/query"
@@ -57,7 +57,7 @@
 
 func (s *Snapshot) backends(onlyLeaving bool) []query.Backend {
 	var rows []query.Backend
-	for _, state := range s.Pool.States(time.Now()) {
+	for _, state := range s.Pool.States(clock.Now()) {
 		if onlyLeaving && !state.Leaving {
 			continue
 		}
@@ -87,7 +87,7 @@
 }
 
 func (s *Snapshot) models(state *relay.State) []query.Model {
-	states := s.Pool.States(time.Now())
+	states := s.Pool.States(clock.Now())
 	var rows []query.Model
 	for _, service := range state.Table.Configuration().Services {
 		if service.Engine == nil {
@@ -103,7 +103,7 @@
 func modelRow(state *relay.State, states []backendpool.State, service identity.ServiceName, model identity.ModelName) query.Model {
 	row := query.Model{Service: service, Model: model, Version: state.NewestVersion(model)}
 	if named := state.Versions[model]; len(named) > 0 {
-		row.Named = time.Since(named[len(named)-1].SeenAt)
+		row.Named = clock.Since(named[len(named)-1].SeenAt)
 	}
 	for _, backend := range states {
 		held := backend.Versions[model]
@@ -138,7 +138,7 @@
 }
 
 func (s *Snapshot) services(configuration *routing.Configuration) []query.Service {
-	states := s.Pool.States(time.Now())
+	states := s.Pool.States(clock.Now())
 	var rows []query.Service
 	for _, service := range configuration.Services {
 		row := query.Service{Service: service.Name}
--- a/internal/crashwatch/row.go
+++ b/internal/crashwatch/row.go
@@ -9,6 +9,7 @@
 
 	"github.com/vmihailenco/msgpack/v5"
 
+	"github.com/lotusward/lotusward/internal/clock"
 	"github.com/lotusward/lotusward/internal/core/quarantine"
 	"github.com/lotusward/lotusward/internal/pause"
 	"github.com/lotusward/lotusward/internal/port"
@@ -81,7 +82,7 @@
 	if !w.row.known {
 		return w.readRow(bounded)
 	}
-	held := w.quarantined(time.Now(), maximumRequests)
+	held := w.quarantined(clock.Now(), maximumRequests)
 	requests := map[quarantine.Fingerprint]bool{}
 	for _, each := range held {
 		requests[each.Fingerprint] = true
@@ -114,12 +115,12 @@
 }
 
 func (w *Watcher) adoptRow(held []rowEvidence) {
-	now := time.Now()
+	now := clock.Now()
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
 	for _, each := range held {
 		w.row.requests[quarantine.Fingerprint(each.Fingerprint)] = true
-		age := max(now.Sub(time.UnixMilli(each.AtMs)), 0)
+		age := max(time.Since(time.UnixMilli(each.AtMs)), 0)
 		crash := quarantine.Crash{Fingerprint: quarantine.Fingerprint(each.Fingerprint), Backend: each.Backend, At: now.Add(-age)}
 		if w.add(now, crash, RowKey) {
 			w.tellAll(news{crash: &crash})
@@ -129,11 +130,11 @@
 
 // writeRow replaces the row, if it is as it was read. Otherwise it is read anew.
 func (w *Watcher) writeRow(ctx context.Context, held []quarantine.Crash, requests map[quarantine.Fingerprint]bool) error {
-	now := time.Now()
+	now := clock.Now()
 	var kept []rowEvidence
 	for _, each := range held {
 		kept = append(kept, rowEvidence{
-			Fingerprint: uint64(each.Fingerprint), Backend: each.Backend, AtMs: now.Add(-now.Sub(each.At)).UnixMilli(),
+			Fingerprint: uint64(each.Fingerprint), Backend: each.Backend, AtMs: time.Now().Add(-now.Sub(each.At)).UnixMilli(),
 		})
 	}
 	value, err := msgpack.Marshal(kept)
--- a/internal/crashwatch/tell.go
+++ b/internal/crashwatch/tell.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/lotusward/lotusward/internal/clock"
 	"github.com/lotusward/lotusward/internal/core/quarantine"
 	"github.com/lotusward/lotusward/internal/pause"
 	"github.com/lotusward/lotusward/internal/peerlink"
@@ -153,7 +154,7 @@
 		start = rand.IntN(len(targets))
 	}
 	for offset := range targets {
-		if !w.limiter.AllowN(time.Now(), len(datagram)) {
+		if !w.limiter.AllowN(clock.Now(), len(datagram)) {
 			return
 		}
 		w.options.Link.Send(targets[(start+offset)%len(targets)], datagram)
@@ -162,7 +163,7 @@
 
 // hear takes in what another daemon tells.
 func (w *Watcher) hear(from string, told message) {
-	now := time.Now()
+	now := clock.Now()
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
 	for _, each := range told.Acquitted {
--- a/internal/crashwatch/watcher.go
+++ b/internal/crashwatch/watcher.go
@@ -16,6 +16,7 @@
 	"github.com/sirupsen/logrus"
 	"golang.org/x/time/rate"
 
+	"github.com/lotusward/lotusward/internal/clock"
 	"github.com/lotusward/lotusward/internal/core/identity"
 	"github.com/lotusward/lotusward/internal/core/quarantine"
 	"github.com/lotusward/lotusward/internal/core/rendezvous"
@@ -80,7 +81,7 @@
 // Verdict tells what is believed of a request. Back ends of this daemon's that may have ended
 // count before that is certain: the request may come again within milliseconds.
 func (w *Watcher) Verdict(fingerprint quarantine.Fingerprint) quarantine.Verdict {
-	now := time.Now()
+	now := clock.Now()
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
 	verdict := w.ledger.Verdict(now, fingerprint)
@@ -108,14 +109,14 @@
 	if w.count >= maximumCuts {
 		return
 	}
-	w.cuts[backend] = append(w.cuts[backend], cut{fingerprint: fingerprint, at: time.Now()})
+	w.cuts[backend] = append(w.cuts[backend], cut{fingerprint: fingerprint, at: clock.Now()})
 	w.count++
 }
 
 // Checked notes whether a back end can be reached. One that can't is taken to have ended, with
 // all requests that lost their connection to it.
 func (w *Watcher) Checked(backend identity.BackendID, reached bool) {
-	now := time.Now()
+	now := clock.Now()
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
 	lost := w.cuts[backend]
@@ -137,7 +138,7 @@
 
 // Served notes that a request had a whole answer.
 func (w *Watcher) Served(fingerprint quarantine.Fingerprint) {
-	now := time.Now()
+	now := clock.Now()
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
 	if w.acquit(now, quarantine.Crash{Fingerprint: fingerprint, At: now}) {
@@ -193,7 +194,7 @@
 
 // Quarantined returns the evidence against quarantined requests, for a daemon that starts.
 func (w *Watcher) Quarantined() []Evidence {
-	now := time.Now()
+	now := clock.Now()
 	return newEvidence(now, w.quarantined(now, maximumRequests))
 }
 
@@ -205,7 +206,7 @@
 
 // Adopt takes evidence in that another daemon or the store had.
 func (w *Watcher) Adopt(source string, told []Evidence) {
-	now := time.Now()
+	now := clock.Now()
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
 	for _, each := range told {
--- a/internal/directory/asking.go
+++ b/internal/directory/asking.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"github.com/lotusward/lotusward/internal/clock"
 	"github.com/lotusward/lotusward/internal/core/rendezvous"
 	"github.com/lotusward/lotusward/internal/pause"
 )
@@ -153,7 +154,7 @@
 	defer cancel()
 	have := d.have()
 	have.NeedRowVersion, have.NeedBackendsTo = need.NeedRowVersion, need.NeedBackendsTo
-	asked := time.Now()
+	asked := clock.Now()
 	snapshot, err := d.options.Peers.Snapshot(bounded, address, have)
 	if err != nil {
 		return err
@@ -165,7 +166,7 @@
 		return nil // another one has answered before
 	}
 	done := make(chan struct{})
-	d.post(ctx, message{adopted: &adoption{from: address, asked: asked, answered: time.Now(), snapshot: snapshot, done: done}})
+	d.post(ctx, message{adopted: &adoption{from: address, asked: asked, answered: clock.Now(), snapshot: snapshot, done: done}})
 	select {
 	case <-done:
 	case <-ctx.Done():
@@ -200,7 +201,7 @@
 	for ctx.Err() == nil {
 		contacts, about, err := d.options.Contacts.Find(ctx)
 		if err == nil {
-			d.askUntil(ctx, contacts, time.Now().Add(joinDelay(len(contacts), about)))
+			d.askUntil(ctx, contacts, clock.Now().Add(joinDelay(len(contacts), about)))
 			return
 		}
 		d.options.Log.WithError(err).Warn("No other daemons are found at the start.")
@@ -225,7 +226,7 @@
 	extended := false
 	var lastError error
 	for ctx.Err() == nil && !d.Complete() {
-		if waited := d.waited.Load(); waited != nil && time.Since(*waited) < joinExtension+d.options.Interval {
+		if waited := d.waited.Load(); waited != nil && clock.Since(*waited) < joinExtension+d.options.Interval {
 			pause.For(ctx, askPause) // there is nothing to ask for yet
 			continue
 		}
@@ -234,7 +235,7 @@
 			until = until.Add(joinExtension)
 			contacts = append(contacts, told.from)
 		}
-		if !time.Now().Before(until) {
+		if !clock.Now().Before(until) {
 			d.options.Log.WithError(lastError).WithField("asked", len(contacts)).Info("No daemon tells what it believes.")
 			return
 		}
@@ -242,7 +243,7 @@
 		if lastError = d.askAny(ctx, contacts[:min(askedAtOnce, len(contacts))]); lastError == nil {
 			return
 		}
-		pause.For(ctx, min(askPause, time.Until(until)))
+		pause.For(ctx, min(askPause, clock.Until(until)))
 	}
 }
 
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -9,6 +9,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/lotusward/lotusward/internal/clock"
 	"github.com/lotusward/lotusward/internal/core/backendpool"
 	"github.com/lotusward/lotusward/internal/core/identity"
 	"github.com/lotusward/lotusward/internal/core/routing"
@@ -252,7 +253,7 @@
 		case got := <-d.messages:
 			d.apply(got)
 		case heard := <-d.bulletins:
-			d.applyBulletin(time.Now(), heard)
+			d.applyBulletin(clock.Now(), heard)
 		case now := <-repeat.C:
 			d.tellAgain(now)
 		}
@@ -336,7 +337,7 @@
 		d.tellNothing(got.ended, declared.Clock)
 		return
 	}
-	now := time.Now()
+	now := clock.Now()
 	versionsChanged := d.nameVersions(now, declared.Clock, declared.Versions)
 	d.started = true
 	state := d.state.Load()
--- a/internal/directory/reader.go
+++ b/internal/directory/reader.go
@@ -8,6 +8,7 @@
 
 	"github.com/cenkalti/backoff/v5"
 
+	"github.com/lotusward/lotusward/internal/clock"
 	"github.com/lotusward/lotusward/internal/pause"
 	"github.com/lotusward/lotusward/internal/port"
 )
@@ -65,7 +66,7 @@
 	for ctx.Err() == nil {
 		pause.For(ctx, following.pause)
 		given := d.awaitTurn(ctx, following.table)
-		left := time.Until(following.until)
+		left := clock.Until(following.until)
 		told := !d.turn.readsForAll()
 		if given == taskReadWhole || d.outdated(following, left, told) {
 			return
@@ -113,7 +114,7 @@
 // awaitTurn waits until this daemon is to read a table.
 func (d *Directory) awaitTurn(ctx context.Context, which table) task {
 	for ctx.Err() == nil {
-		given := d.turn.due(time.Now(), which)
+		given := d.turn.due(clock.Now(), which)
 		if given.begins {
 			d.options.Log.WithField("without_news_ms", given.overdue.Milliseconds()).Info("This daemon reads the store for all.")
 		}
@@ -170,9 +171,9 @@
 func (d *Directory) readDeclared(ctx context.Context) (message, follow) {
 	bounded, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	began := time.Now()
+	began := clock.Now()
 	declared, err := d.options.Source.Declared(bounded)
-	got := message{table: tableDeclared, began: began, ended: time.Now(), declared: &declared, err: err}
+	got := message{table: tableDeclared, began: began, ended: clock.Now(), declared: &declared, err: err}
 	return got, follow{
 		after: declared.Version, until: untilNextReading(got.ended, declaredInterval, declared.Bytes),
 		pause: d.options.Interval,
@@ -186,7 +187,7 @@
 // the belief as of when the call began.
 func (d *Directory) checkDeclared(ctx context.Context, rows map[string]uint64) (message, uint64, bool) {
 	found := d.checkHedged(ctx, rows)
-	got := message{table: tableDeclared, began: found.began, ended: time.Now(), checked: rows, err: found.err}
+	got := message{table: tableDeclared, began: found.began, ended: clock.Now(), checked: rows, err: found.err}
 	return got, 0, found.err == nil && !found.unchanged
 }
 
@@ -204,7 +205,7 @@
 	defer cancel()
 	answers := make(chan check, hedgedChecks)
 	call := func() {
-		began := time.Now()
+		began := clock.Now()
 		unchanged, err := d.options.Source.Unchanged(bounded, rows)
 		answers <- check{began: began, unchanged: unchanged, err: err}
 	}
@@ -222,9 +223,9 @@
 }
 
 func (d *Directory) readBackends(ctx context.Context) (message, follow) {
-	began := time.Now()
+	began := clock.Now()
 	listed, err := d.readPages(ctx)
-	got := message{table: tableBackends, began: began, ended: time.Now(), listed: &listed, err: err}
+	got := message{table: tableBackends, began: began, ended: clock.Now(), listed: &listed, err: err}
 	return got, follow{
 		after: listed.Version, until: untilNextReading(got.ended, backendsInterval, listed.Bytes),
 		keep: true, pause: backendPause, wait: backendWait, next: d.backendChanges,
@@ -264,17 +265,17 @@
 }
 
 func (d *Directory) backendChanges(ctx context.Context, after uint64, wait time.Duration) (message, uint64, bool) {
-	began := time.Now()
+	began := clock.Now()
 	changes, err := d.options.Source.BackendChanges(ctx, after, wait)
 	changes.After = after
-	return message{table: tableBackends, began: began, ended: time.Now(), changes: &changes, err: err}, changes.Last, false
+	return message{table: tableBackends, began: began, ended: clock.Now(), changes: &changes, err: err}, changes.Last, false
 }
 
 // readMembers reads the rows of all daemons, as of the moment of the first page.
 func (d *Directory) readMembers(ctx context.Context) (message, follow) {
 	bounded, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
-	began := time.Now()
+	began := clock.Now()
 	read, err := d.options.Source.Members(bounded, "")
 	for next := read.Next; err == nil && next != ""; {
 		var page Members
@@ -283,7 +284,7 @@
 		read.Bytes += page.Bytes
 		next = page.Next
 	}
-	got := message{table: tableMembers, began: began, ended: time.Now(), members: &read, err: err}
+	got := message{table: tableMembers, began: began, ended: clock.Now(), members: &read, err: err}
 	return got, follow{
 		after: read.Version, until: untilNextReading(got.ended, longestReadInterval, read.Bytes),
 		keep: true, pause: memberPause, wait: memberWait, next: d.memberChanges,
@@ -291,7 +292,7 @@
 }
 
 func (d *Directory) memberChanges(ctx context.Context, after uint64, wait time.Duration) (message, uint64, bool) {
-	began := time.Now()
+	began := clock.Now()
 	changes, err := d.options.Source.MemberChanges(ctx, after, wait)
-	return message{table: tableMembers, began: began, ended: time.Now(), members: &changes, err: err}, changes.Last, false
+	return message{table: tableMembers, began: began, ended: clock.Now(), members: &changes, err: err}, changes.Last, false
 }
--- a/internal/directory/snapshot.go
+++ b/internal/directory/snapshot.go
@@ -6,6 +6,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/lotusward/lotusward/internal/clock"
 	"github.com/lotusward/lotusward/internal/core/backendpool"
 	"github.com/lotusward/lotusward/internal/core/routing"
 	"github.com/lotusward/lotusward/internal/crashwatch"
@@ -99,15 +100,15 @@
 // Snapshot returns what this daemon believes, as far as an asker lacks it. It waits a
 // moment for what the asker needs. It is safe for use by several goroutines.
 func (d *Directory) Snapshot(ctx context.Context, have Have) Snapshot {
-	until := time.Now().Add(serveWait)
-	for !d.satisfies(have) && time.Now().Before(until) && ctx.Err() == nil {
+	until := clock.Now().Add(serveWait)
+	for !d.satisfies(have) && clock.Now().Before(until) && ctx.Err() == nil {
 		pause.For(ctx, serveCheck)
 	}
 	state, shown := d.state.Load(), d.shown.Load()
 	if state == nil || !d.listed.Load() {
 		return Snapshot{}
 	}
-	now := time.Now()
+	now := clock.Now()
 	snapshot := Snapshot{
 		Complete:     true,
 		ClockLeast:   shown.clock.storeTime(now),
@@ -172,7 +173,7 @@
 	d.showRest()
 	d.options.Log.WithFields(logrus.Fields{
 		"from": got.from, "store_version": snapshot.StoreVersion, "back_ends": len(snapshot.Backends),
-		"daemons": len(snapshot.Members), "configuration_age_ms": time.Since(d.ConfirmedAt()).Milliseconds(),
+		"daemons": len(snapshot.Members), "configuration_age_ms": clock.Since(d.ConfirmedAt()).Milliseconds(),
 	}).Info("Another daemon's belief was taken in.")
 }
 
--- a/internal/directory/versions.go
+++ b/internal/directory/versions.go
@@ -8,6 +8,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/lotusward/lotusward/internal/clock"
 	"github.com/lotusward/lotusward/internal/core/identity"
 	"github.com/lotusward/lotusward/internal/relay"
 )
@@ -65,7 +66,7 @@
 // applySeen remembers what another daemon saw; it may come before the versions are
 // read here.
 func (d *Directory) applySeen(seen []Seen) {
-	if d.takeTold(time.Now(), seen) {
+	if d.takeTold(clock.Now(), seen) {
 		d.publishVersions()
 	}
 }
--- a/internal/leasekeeper/keeper.go
+++ b/internal/leasekeeper/keeper.go
@@ -11,6 +11,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/lotusward/lotusward/internal/clock"
 	"github.com/lotusward/lotusward/internal/core/identity"
 	"github.com/lotusward/lotusward/internal/core/lease"
 	"github.com/lotusward/lotusward/internal/pause"
@@ -37,7 +38,7 @@
 	// always. It is asked often and must not block. With hundreds of daemons
 	// only a few should be eligible, since each of them reads the row.
 	Eligible func() bool
-	// Now reads the daemon's monotonic clock; nil means time.Now.
+	// Now is the time by which the lease is judged; nil means clock.Now.
 	Now func() time.Time
 }
 
@@ -62,7 +63,7 @@
 		options.Eligible = func() bool { return true }
 	}
 	if options.Now == nil {
-		options.Now = time.Now
+		options.Now = clock.Now
 	}
 	keeper := &Keeper{options: options, machine: lease.New(options.Settings), wake: make(chan struct{}, 1), heard: make(chan port.Row, 1)}
 	keeper.grant.Store(&lease.Grant{})
--- a/internal/loadhome/loadhome.go
+++ b/internal/loadhome/loadhome.go
@@ -12,6 +12,7 @@
 	"sync"
 	"time"
 
+	"github.com/lotusward/lotusward/internal/clock"
 	"github.com/lotusward/lotusward/internal/core/backendpool"
 	"github.com/lotusward/lotusward/internal/core/rendezvous"
 	"github.com/lotusward/lotusward/internal/loadshare"
@@ -97,7 +98,7 @@
 	for _, load := range loads {
 		for _, home := range h.homes(load.Key) {
 			if home == h.self {
-				h.ledger.note(time.Now(), h.self, load)
+				h.ledger.note(clock.Now(), h.self, load)
 				continue
 			}
 			byHome[home] = append(byHome[home], loadshare.Compact(load))
@@ -133,7 +134,7 @@
 // have under way there, and tells the pool. It goes on with what is known after
 // answerTimeout.
 func (h *Homes) Refresh(ctx context.Context, keys []uint64) {
-	now := time.Now()
+	now := clock.Now()
 	byHome := map[string][]uint64{}
 	var loads []backendpool.Load
 	for _, key := range keys {
@@ -199,7 +200,7 @@
 }
 
 func (h *Homes) noteSilent(byHome map[string][]uint64) {
-	now := time.Now()
+	now := clock.Now()
 	for home := range byHome {
 		h.silence.Note(home, now)
 	}
@@ -207,7 +208,7 @@
 
 // hearNote takes in another daemon's loads.
 func (h *Homes) hearNote(from string, got noteMessage) {
-	now := time.Now()
+	now := clock.Now()
 	for _, load := range got.Loads {
 		h.ledger.note(now, from, load.Load())
 	}
@@ -215,7 +216,7 @@
 
 // hearQuestion answers another daemon.
 func (h *Homes) hearQuestion(from string, got questionMessage) {
-	now := time.Now()
+	now := clock.Now()
 	answer := &answerMessage{Number: got.Number}
 	for _, key := range got.Keys {
 		answer.Loads = append(answer.Loads, loadshare.Compact(h.ledger.sum(now, key, from)))
--- a/internal/loadshare/loadshare.go
+++ b/internal/loadshare/loadshare.go
@@ -14,6 +14,7 @@
 
 	"golang.org/x/time/rate"
 
+	"github.com/lotusward/lotusward/internal/clock"
 	"github.com/lotusward/lotusward/internal/core/backendpool"
 	"github.com/lotusward/lotusward/internal/core/promptcache"
 	"github.com/lotusward/lotusward/internal/pause"
@@ -204,7 +205,7 @@
 		return
 	}
 	for range min(count, len(others)) {
-		if !limiter.AllowN(time.Now(), len(datagram)) {
+		if !limiter.AllowN(clock.Now(), len(datagram)) {
 			return
 		}
 		s.options.Link.Send(others[s.next%len(others)], datagram)
@@ -217,12 +218,12 @@
 	s.receiveFacts(from, got)
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	s.heard[from] = heardLoads{at: time.Now(), loads: got.loads()}
+	s.heard[from] = heardLoads{at: clock.Now(), loads: got.loads()}
 }
 
 // receiveFacts hears of parts and doubts alone.
 func (s *Sharer) receiveFacts(from string, got message) {
-	now := time.Now()
+	now := clock.Now()
 	s.options.Memory.Heard(now, got.facts())
 	s.options.Pool.HearDoubts(now, from, got.Doubts)
 }
--- a/internal/openai/handler.go
+++ b/internal/openai/handler.go
@@ -16,6 +16,7 @@
 	"github.com/google/uuid"
 
 	"github.com/lotusward/lotusward/internal/bearer"
+	"github.com/lotusward/lotusward/internal/clock"
 	"github.com/lotusward/lotusward/internal/core/identity"
 	"github.com/lotusward/lotusward/internal/core/routing"
 	"github.com/lotusward/lotusward/internal/relay"
@@ -80,7 +81,7 @@
 
 // complete serves completions and chat completions.
 func (h *Handler) complete(writer http.ResponseWriter, incoming *http.Request) {
-	arrived := time.Now()
+	arrived := clock.Now()
 	id, err := uuid.NewV7()
 	if err != nil {
 		failureOf(relay.Refusal{Kind: relay.RefusalNotRun, Reason: "no_request_id"}).write(writer)
--- a/internal/pause/pause.go
+++ b/internal/pause/pause.go
@@ -4,6 +4,8 @@
 import (
 	"context"
 	"time"
+
+	"github.com/lotusward/lotusward/internal/clock"
 )
 
 // For waits for a duration, or less when the context ends.
@@ -25,8 +27,8 @@
 		select {
 		case <-ctx.Done():
 			return
-		case now := <-ticker.C:
-			step(now)
+		case <-ticker.C:
+			step(clock.Now())
 		}
 	}
 }
--- a/internal/peerlink/broadcast.go
+++ b/internal/peerlink/broadcast.go
@@ -3,9 +3,10 @@
 import (
 	"context"
 	"math/rand/v2"
-	"time"
 
 	"golang.org/x/time/rate"
+
+	"github.com/lotusward/lotusward/internal/clock"
 )
 
 // Bounds of what one daemon tells all others.
@@ -67,7 +68,7 @@
 	}
 	start := rand.IntN(len(others))
 	for offset := range others {
-		if !b.limiter.AllowN(time.Now(), len(datagram)) {
+		if !b.limiter.AllowN(clock.Now(), len(datagram)) {
 			return
 		}
 		b.link.Send(others[(start+offset)%len(others)], datagram)
--- a/internal/peerlink/tree.go
+++ b/internal/peerlink/tree.go
@@ -6,10 +6,10 @@
 	"encoding/binary"
 	"slices"
 	"sync/atomic"
-	"time"
 
 	"golang.org/x/time/rate"
 
+	"github.com/lotusward/lotusward/internal/clock"
 	"github.com/lotusward/lotusward/internal/core/rendezvous"
 )
 
@@ -126,7 +126,7 @@
 	}
 	number := binary.BigEndian.Uint32(datagram[numberAt:lengthAt])
 	for _, address := range below(origin, t.link.Address(), t.others(), number) {
-		if !t.limiter.AllowN(time.Now(), len(datagram)) {
+		if !t.limiter.AllowN(clock.Now(), len(datagram)) {
 			return
 		}
 		t.link.Send(address, datagram)
--- a/internal/prober/prober.go
+++ b/internal/prober/prober.go
@@ -8,6 +8,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/lotusward/lotusward/internal/clock"
 	"github.com/lotusward/lotusward/internal/core/backendpool"
 	"github.com/lotusward/lotusward/internal/pause"
 )
@@ -48,15 +49,15 @@
 
 // probe tells the pool whether one back end can be reached.
 func (p *Prober) probe(ctx context.Context, suspect backendpool.Suspect) {
-	began := time.Now()
+	began := clock.Now()
 	reached := p.reach(ctx, suspect.Address)
 	if ctx.Err() != nil {
 		return
 	}
 	log := p.options.Log.WithFields(logrus.Fields{
-		"backend": suspect.ID, "address": suspect.Address, "took_ms": time.Since(began).Milliseconds(),
+		"backend": suspect.ID, "address": suspect.Address, "took_ms": clock.Since(began).Milliseconds(),
 	})
-	switch p.options.Pool.Probed(time.Now(), suspect.ID, reached) {
+	switch p.options.Pool.Probed(clock.Now(), suspect.ID, reached) {
 	case backendpool.ProbeTookOut:
 		log.Warn("A back end can't be reached and is taken out.")
 	case backendpool.ProbeBroughtBack:
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/lotusward/lotusward/internal/cachewatch"
+	"github.com/lotusward/lotusward/internal/clock"
 	"github.com/lotusward/lotusward/internal/core/backendpool"
 	"github.com/lotusward/lotusward/internal/core/identity"
 	"github.com/lotusward/lotusward/internal/core/outcome"
@@ -51,7 +52,7 @@
 	Crashes Crashes
 	// Journal is told of each decision.
 	Journal Journal
-	// Now reads the steady clock; nil means time.Now.
+	// Now is the time by which spans are judged; nil means clock.Now.
 	Now func() time.Time
 }
 
@@ -66,7 +67,7 @@
 // New makes a Relay.
 func New(options Options) *Relay {
 	if options.Now == nil {
-		options.Now = time.Now
+		options.Now = clock.Now
 	}
 	if options.Crashes == nil {
 		options.Crashes = noCrashes{}
@@ -90,7 +91,7 @@
 		run.serveWithinLimit(ctx)
 		return
 	}
-	bounded, cancel := context.WithDeadlineCause(ctx, admitted.deadline, errDeadline)
+	bounded, cancel := context.WithTimeoutCause(ctx, admitted.deadline.Sub(r.options.Now()), errDeadline)
 	defer cancel()
 	run.serveWithinLimit(bounded)
 }
@@ -266,7 +267,8 @@
 		ResumeAfter: resumeAfter,
 	}
 	if !admitted.deadline.IsZero() {
-		dispatch.Patience = admitted.deadline.Sub(r.options.Now())
+		// Zero would be no bound: a millisecond at least.
+		dispatch.Patience = max(admitted.deadline.Sub(r.options.Now()), time.Millisecond)
 	}
 	if tenant := admitted.tenant; tenant != nil {
 		dispatch.Tenant = tenant.Name
--- a/internal/relay/run.go
+++ b/internal/relay/run.go
@@ -21,6 +21,9 @@
 // arrives there, so that only time is lost.
 const maximumUnreached = 8
 
+// reasonOfDeadline is the reason of requests whose time is over.
+const reasonOfDeadline = "deadline"
+
 // Why a sending was cut.
 var (
 	errDeadline = errors.New("the time for the request is over")
@@ -95,9 +98,9 @@
 			r.giveUp(ctx, last, r.shortageReason(ctx))
 			return
 		}
-		if r.quarantined() { // while it waited for a place
+		if reason := r.obsolete(); reason != "" { // while it waited for a place
 			ticket.Release(r.now(), backendpool.ResultAbandoned)
-			r.giveUp(ctx, last, reasonQuarantined)
+			r.giveUp(ctx, last, reason)
 			return
 		}
 		var next step
@@ -115,6 +118,19 @@
 
 func (r *run) now() time.Time { return r.relay.options.Now() }
 
+// obsolete tells why the request may not be sent any more; empty if it may. The context alone
+// doesn't tell that its time is over: its timer stands still while the machine is suspended.
+func (r *run) obsolete() string {
+	switch deadline := r.admitted.deadline; {
+	case r.quarantined():
+		return reasonQuarantined
+	case !deadline.IsZero() && !r.now().Before(deadline):
+		return reasonOfDeadline
+	default:
+		return ""
+	}
+}
+
 // send makes one sending and ends the ticket.
 func (r *run) send(ctx context.Context, ticket *backendpool.Ticket) (step, failure) {
 	started := r.now()
@@ -204,7 +220,7 @@
 	case errors.Is(cause, errSlow):
 		return "silent_backend"
 	case errors.Is(cause, errDeadline):
-		return "deadline"
+		return reasonOfDeadline
 	case errors.Is(cause, errOldWeights):
 		return "old_weights"
 	default:
@@ -278,7 +294,7 @@
 	case r.history.RunState() == identity.RunStateNotRun:
 		refusal.Kind = RefusalNotRun
 		refusal.RetryAfter = r.retryAfter()
-	case errors.Is(context.Cause(ctx), errDeadline):
+	case errors.Is(context.Cause(ctx), errDeadline), reason == reasonOfDeadline:
 		refusal.Kind = RefusalTimeout
 	}
 	r.refuse(refusal)
--- a/internal/rollout/follower.go
+++ b/internal/rollout/follower.go
@@ -10,6 +10,7 @@
 	"github.com/cenkalti/backoff/v5"
 	"github.com/sirupsen/logrus"
 
+	"github.com/lotusward/lotusward/internal/clock"
 	"github.com/lotusward/lotusward/internal/core/backendpool"
 	"github.com/lotusward/lotusward/internal/core/identity"
 	"github.com/lotusward/lotusward/internal/directory"
@@ -66,7 +67,7 @@
 		return
 	}
 	f.mutex.Lock()
-	f.heardAt = time.Now()
+	f.heardAt = clock.Now()
 	f.mutex.Unlock()
 	announced.follow(f.Pool)
 	if announced.LeaseVersion > 0 {
@@ -89,7 +90,7 @@
 func (f *Follower) Hears() bool {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	return time.Since(f.heardAt) < announcementTimeout
+	return clock.Since(f.heardAt) < announcementTimeout
 }
 
 // Run follows the plan until the context ends. The row is read only while nobody has
@@ -99,12 +100,12 @@
 	pauses.InitialInterval = shortestFollowPause
 	pauses.MaxInterval = longestFollowPause
 	var after, version uint64
-	calm := time.Now()
+	calm := clock.Now()
 	for ctx.Err() == nil {
 		if !f.needsRow() {
-			calm = time.Now()
+			calm = clock.Now()
 		}
-		if time.Since(calm) < announcementTimeout {
+		if clock.Since(calm) < announcementTimeout {
 			pause.For(ctx, pendingInterval)
 			continue
 		}
--- a/internal/rollout/keeper.go
+++ b/internal/rollout/keeper.go
@@ -8,6 +8,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/lotusward/lotusward/internal/clock"
 	"github.com/lotusward/lotusward/internal/core/backendpool"
 	"github.com/lotusward/lotusward/internal/core/identity"
 	"github.com/lotusward/lotusward/internal/pause"
@@ -123,7 +124,7 @@
 
 // Pending tells whether back ends hold weights older than the newest named ones, so that
 // somebody has to hold the lease.
-func (k *Keeper) Pending() bool { return k.pending(time.Now()) }
+func (k *Keeper) Pending() bool { return k.pending(clock.Now()) }
 
 func (k *Keeper) pending(now time.Time) bool {
 	for model, version := range k.options.Named.Targets() {
@@ -149,7 +150,7 @@
 // start begins the work on the back ends whose turn it is. It returns those that are
 // next.
 func (k *Keeper) start(ctx context.Context, model identity.ModelName, version uint64) []identity.BackendID {
-	now := time.Now()
+	now := clock.Now()
 	sound := soundOf(k.options.Pool.Holders(now, model))
 	behind := behindOf(sound, version)
 	newer := len(sound) - len(behind)
@@ -196,13 +197,13 @@
 func (k *Keeper) bring(ctx context.Context, backend backendpool.Backend, model identity.ModelName, token identity.FencingToken) {
 	bounded, cancel := context.WithTimeout(ctx, orderTime)
 	defer cancel()
-	began := time.Now()
+	began := clock.Now()
 	version := uint64(0)
 	if k.answers(bounded, backend) {
 		k.awaitDrained(bounded, backend.ID)
 		version = k.loadInTurn(bounded, backend, model, token)
 	}
-	took := time.Since(began)
+	took := clock.Since(began)
 	if version > 0 {
 		k.options.Pool.LearnVersion(backend.ID, model, version)
 	}
@@ -219,7 +220,7 @@
 	if version > 0 {
 		loaded := Loaded{Backend: backend.ID, Model: model, Version: version}
 		k.plan.note(loaded)
-		k.announcer.loaded(time.Now(), loaded)
+		k.announcer.loaded(clock.Now(), loaded)
 	}
 	k.changed = true
 	k.announcer.changed = true
@@ -363,10 +364,10 @@
 // mayGive waits for a moment until an order under a token may be given. It returns
 // false if it may not.
 func (k *Keeper) mayGive(token identity.FencingToken) bool {
-	until := time.Now().Add(actWait)
+	until := clock.Now().Add(actWait)
 	for {
 		held, may := k.options.Lease.TryAct()
-		if held != token || (!may && time.Now().After(until)) {
+		if held != token || (!may && clock.Now().After(until)) {
 			return false
 		}
 		if may {
--- a/internal/rollout/pace.go
+++ b/internal/rollout/pace.go
@@ -4,6 +4,7 @@
 	"math"
 	"time"
 
+	"github.com/lotusward/lotusward/internal/clock"
 	"github.com/lotusward/lotusward/internal/core/backendpool"
 	"github.com/lotusward/lotusward/internal/core/identity"
 )
@@ -11,7 +12,7 @@
 // isPassedOver tells whether a back end gets no order now. The caller holds the mutex.
 func (k *Keeper) isPassedOver(id identity.BackendID) bool {
 	until, found := k.passedOver[id]
-	if found && time.Now().After(until) {
+	if found && clock.Now().After(until) {
 		delete(k.passedOver, id)
 		return false
 	}
@@ -21,7 +22,7 @@
 func (k *Keeper) passOver(id identity.BackendID) {
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
-	k.passedOver[id] = time.Now().Add(passOverTime)
+	k.passedOver[id] = clock.Now().Add(passOverTime)
 }
 
 // pace is how many back ends are brought to new weights at a time.
--- a/internal/tenantlimit/limiter.go
+++ b/internal/tenantlimit/limiter.go
@@ -15,6 +15,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/lotusward/lotusward/internal/clock"
 	"github.com/lotusward/lotusward/internal/core/identity"
 	"github.com/lotusward/lotusward/internal/core/quota"
 	"github.com/lotusward/lotusward/internal/core/rendezvous"
@@ -74,7 +75,7 @@
 
 // New makes a Limiter, which other daemons can ask at once.
 func New(options Options) *Limiter {
-	now := time.Now()
+	now := clock.Now()
 	made := &Limiter{
 		options: options, self: options.Link.Address(),
 		questions: peerlink.NewQuestions[quota.Decision](), silence: presence.NewSilence(options.Presence),
@@ -104,7 +105,7 @@
 func (l *Limiter) abandon(number uint64) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	l.abandoned[number] = time.Now()
+	l.abandoned[number] = clock.Now()
 }
 
 // Grant is what a request was granted of its tenant's limit, or not.
@@ -132,7 +133,7 @@
 			decision := l.decide(request, ranking[0])
 			return Grant{Decision: decision, Grantor: address, Limit: limit, Cost: cost, number: number}
 		}
-		if l.silence.Is(address, time.Now()) {
+		if l.silence.Is(address, clock.Now()) {
 			continue
 		}
 		if decision, answered := l.ask(ctx, address, request); answered {
@@ -165,7 +166,7 @@
 func (l *Limiter) Uses() []quota.Use {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	return l.ledger.Uses(time.Now())
+	return l.ledger.Uses(clock.Now())
 }
 
 // ranking returns the daemons that may grant for a tenant, the home first.
@@ -181,12 +182,12 @@
 	request.Limit = request.Limit.Part(l.options.Count())
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	return l.parts.Take(time.Now(), request, quota.Standing{Share: 1})
+	return l.parts.Take(clock.Now(), request, quota.Standing{Share: 1})
 }
 
 // decide grants from this daemon's ledger, as a tenant's home or in the home's place.
 func (l *Limiter) decide(request quota.Request, home string) quota.Decision {
-	now := time.Now()
+	now := clock.Now()
 	standing := l.standing(now, home)
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
@@ -234,7 +235,7 @@
 
 // noteSilent notes that a daemon did not answer.
 func (l *Limiter) noteSilent(address string, tenant identity.TenantName) {
-	if l.silence.Note(address, time.Now()) {
+	if l.silence.Note(address, clock.Now()) {
 		l.options.Log.WithFields(logrus.Fields{"daemon": address, "tenant": tenant}).
 			Warn("A daemon doesn't answer for a tenant's limit. The next one is asked.")
 	}
