Test daemons of the quarantine's fleet without races of their own

The race detector showed the fleet of the test, not the product: its list of daemons grew while the first ones ran, the reader's number was plain, and a row was synced by the test beside the daemon's own goroutine.

--- a/internal/crashwatch/fleet_test.go
+++ b/internal/crashwatch/fleet_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -36,7 +37,7 @@
 	network *peerlinktest.Network
 	table   *porttest.Service
 	daemons []*member
-	reader  int
+	reader  atomic.Int64
 	// ended counts the back ends that ended, and endsAt when each did.
 	ended  int
 	endsAt []time.Time
@@ -64,7 +65,9 @@
 	for index := range count {
 		joined := &member{fleet: made, index: index, Node: made.network.Add(fmt.Sprintf("10.0.0.%d:1", index))}
 		made.daemons = append(made.daemons, joined)
-		joined.start()
+	}
+	for _, each := range made.daemons {
+		each.start()
 	}
 	return made
 }
@@ -76,7 +79,7 @@
 	log.SetOutput(io.Discard)
 	m.watcher = New(Options{
 		Link: m, Others: m.others, Table: m.fleet.table, Log: log,
-		Reads: func() bool { return m.fleet.reader == m.index && m.Working() },
+		Reads: func() bool { return int(m.fleet.reader.Load()) == m.index && m.Working() },
 	})
 	m.stop = make(chan struct{})
 	m.disturbedAt = time.Now()
@@ -179,7 +182,7 @@
 		f.refusedAt = time.Now()
 		f.table.Refuse(f.refusing)
 	case faultReader:
-		f.reader = m.index
+		f.reader.Store(int64(m.index))
 		return
 	}
 	m.disturbedAt = time.Now()
@@ -192,10 +195,18 @@
 		m.Thaw()
 		m.frozen = false
 	}
-	close(m.stop)
+	m.halt()
 	m.start()
 }
 
+// halt ends what the daemon does by itself.
+func (m *member) halt() {
+	if m.stop != nil {
+		close(m.stop)
+	}
+	m.stop = nil
+}
+
 // takeOver gives a daemon what another one has, as the snapshot of a start does.
 func (f *fleet) takeOver(m *member) {
 	for _, other := range f.daemons {
@@ -244,7 +255,7 @@
 		if each.frozen {
 			each.Thaw()
 		}
-		close(each.stop)
+		each.halt()
 	}
 	time.Sleep(time.Second)
 	synctest.Wait()
@@ -365,6 +376,8 @@
 		time.Sleep(time.Second)
 		for _, each := range fleet.daemons {
 			each.SetSide(1 + each.index)
+			each.halt()
+			synctest.Wait()
 			assert.NilError(t, each.watcher.syncRow(t.Context()))
 			for _, backend := range []identity.BackendID{"b1", "b2"} {
 				each.watcher.Lost(quarantine.Fingerprint(each.index+1), backend)
@@ -377,6 +390,8 @@
 			}
 		}
 		fleet.daemons[0].restart()
+		fleet.daemons[0].halt()
+		synctest.Wait()
 		assert.NilError(t, fleet.daemons[0].watcher.syncRow(t.Context()))
 		for _, fingerprint := range []quarantine.Fingerprint{1, 2} {
 			assert.Assert(t, fleet.daemons[0].watcher.Verdict(fingerprint).Quarantined)
