--- a/cmd/lotusward/deployment_test.go
+++ b/cmd/lotusward/deployment_test.go
@@ -257,6 +257,27 @@
 
 // askAt sends a call to one of the daemon's listeners, under a host.
 func (p *process) askAt(address, host string, sent call) reply {
+	return p.askWith(http.DefaultClient, address, host, sent)
+}
+
+// askWith sends a call with a client of its own.
+func (p *process) askWith(client *http.Client, address, host string, sent call) reply {
+	request, cancel, err := p.newRequest(address, host, sent)
+	if err != nil {
+		return reply{err: err}
+	}
+	defer cancel()
+	response, err := client.Do(request)
+	if err != nil {
+		return reply{err: err}
+	}
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(response.Body)
+	return reply{status: response.StatusCode, header: response.Header, body: string(body), err: err}
+}
+
+// newRequest makes the request of a call, which ends with its patience. Cancel must be called.
+func (p *process) newRequest(address, host string, sent call) (*http.Request, context.CancelFunc, error) {
 	if sent.method == "" {
 		sent.method = http.MethodPost
 	}
@@ -264,10 +285,10 @@
 		sent.key = testKey
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), 15*time.Second)
-	defer cancel()
 	request, err := http.NewRequestWithContext(ctx, sent.method, "http://"+address+sent.path, strings.NewReader(sent.body))
 	if err != nil {
-		return reply{err: err}
+		cancel()
+		return nil, nil, err
 	}
 	request.Host = host
 	request.Header.Set("Lotusward-Request-Id", sent.id)
@@ -276,13 +297,7 @@
 	for name, value := range sent.header {
 		request.Header.Set(name, value)
 	}
-	response, err := http.DefaultClient.Do(request)
-	if err != nil {
-		return reply{err: err}
-	}
-	defer func() { _ = response.Body.Close() }()
-	body, err := io.ReadAll(response.Body)
-	return reply{status: response.StatusCode, header: response.Header, body: string(body), err: err}
+	return request, cancel, nil
 }
 
 // prompt declares a prompt.
