--- a/internal/tenantlimit/fleet_test.go
+++ b/internal/tenantlimit/fleet_test.go
@@ -28,7 +28,10 @@
 	daemons []*member
 	granted map[identity.TenantName][]grantedUse
 	refused map[identity.TenantName]float64
-	asked   map[identity.TenantName]float64
+	// standsStill makes the machines' clocks stand still while they are suspended, as Go's
+	// own clock does.
+	standsStill bool
+	asked       map[identity.TenantName]float64
 }
 
 type grantedUse struct {
@@ -41,6 +44,44 @@
 	*peerlinktest.Node
 	fleet   *fleet
 	limiter *Limiter
+	// suspendedAt is when the machine was suspended, zero while it isn't, and suspended how
+	// long it was before.
+	suspendedAt time.Time
+	suspended   time.Duration
+}
+
+// now is the machine's clock.
+func (m *member) now() time.Time {
+	m.fleet.mutex.Lock()
+	defer m.fleet.mutex.Unlock()
+	now := time.Now()
+	if !m.fleet.standsStill {
+		return now
+	}
+	if !m.suspendedAt.IsZero() {
+		now = m.suspendedAt
+	}
+	return now.Add(-m.suspended)
+}
+
+// suspend suspends the machine, and resume ends that.
+func (m *member) suspend() {
+	m.fleet.mutex.Lock()
+	if m.suspendedAt.IsZero() {
+		m.suspendedAt = time.Now()
+	}
+	m.fleet.mutex.Unlock()
+	m.Freeze()
+}
+
+func (m *member) resume() {
+	m.fleet.mutex.Lock()
+	if !m.suspendedAt.IsZero() {
+		m.suspended += time.Since(m.suspendedAt)
+	}
+	m.suspendedAt = time.Time{}
+	m.fleet.mutex.Unlock()
+	m.Thaw()
 }
 
 func newFleet(seed uint64, count int) *fleet {
@@ -68,9 +109,9 @@
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	heard := presence.New()
-	m.Observe(func(from string) { heard.Heard(from, time.Now()) })
+	m.Observe(func(from string) { heard.Heard(from, m.now()) })
 	limiter := New(Options{
-		Link: m, Others: m.others, Count: func() int { return len(m.others()) + 1 }, Presence: heard, Margin: testMargin, Log: log,
+		Link: m, Others: m.others, Count: func() int { return len(m.others()) + 1 }, Presence: heard, Margin: testMargin, Log: log, Now: m.now,
 	})
 	m.fleet.mutex.Lock()
 	defer m.fleet.mutex.Unlock()
--- a/internal/tenantlimit/limiter.go
+++ b/internal/tenantlimit/limiter.go
@@ -52,7 +52,9 @@
 	Presence *presence.List
 	// Margin is what a tenant may exceed its limit by, in tokens.
 	Margin float64
-	Log    logrus.FieldLogger
+	// Now is the time by which grants are judged; nil means clock.Now.
+	Now func() time.Time
+	Log logrus.FieldLogger
 }
 
 // Limiter grants parts of limits, and asks for them. It is safe for use by several
@@ -75,7 +77,10 @@
 
 // New makes a Limiter, which other daemons can ask at once.
 func New(options Options) *Limiter {
-	now := clock.Now()
+	if options.Now == nil {
+		options.Now = clock.Now
+	}
+	now := options.Now()
 	made := &Limiter{
 		options: options, self: options.Link.Address(),
 		questions: peerlink.NewQuestions[quota.Decision](), silence: presence.NewSilence(options.Presence),
@@ -90,7 +95,7 @@
 
 // Run forgets what is no longer needed until the context ends.
 func (l *Limiter) Run(ctx context.Context) error {
-	pause.Every(ctx, sweepInterval, l.sweep)
+	pause.Every(ctx, sweepInterval, func(time.Time) { l.sweep(l.options.Now()) })
 	return nil
 }
 
@@ -105,7 +110,7 @@
 func (l *Limiter) abandon(number uint64) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	l.abandoned[number] = clock.Now()
+	l.abandoned[number] = l.options.Now()
 }
 
 // Grant is what a request was granted of its tenant's limit, or not.
@@ -133,7 +138,7 @@
 			decision := l.decide(request, ranking[0])
 			return Grant{Decision: decision, Grantor: address, Limit: limit, Cost: cost, number: number}
 		}
-		if l.silence.Is(address, clock.Now()) {
+		if l.silence.Is(address, l.options.Now()) {
 			continue
 		}
 		if decision, answered := l.ask(ctx, address, request); answered {
@@ -166,7 +171,7 @@
 func (l *Limiter) Uses() []quota.Use {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	return l.ledger.Uses(clock.Now())
+	return l.ledger.Uses(l.options.Now())
 }
 
 // ranking returns the daemons that may grant for a tenant, the home first.
@@ -182,12 +187,12 @@
 	request.Limit = request.Limit.Part(l.options.Count())
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	return l.parts.Take(clock.Now(), request, quota.Standing{Share: 1})
+	return l.parts.Take(l.options.Now(), request, quota.Standing{Share: 1})
 }
 
 // decide grants from this daemon's ledger, as a tenant's home or in the home's place.
 func (l *Limiter) decide(request quota.Request, home string) quota.Decision {
-	now := clock.Now()
+	now := l.options.Now()
 	standing := l.standing(now, home)
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
@@ -235,7 +240,7 @@
 
 // noteSilent notes that a daemon did not answer.
 func (l *Limiter) noteSilent(address string, tenant identity.TenantName) {
-	if l.silence.Note(address, clock.Now()) {
+	if l.silence.Note(address, l.options.Now()) {
 		l.options.Log.WithFields(logrus.Fields{"daemon": address, "tenant": tenant}).
 			Warn("A daemon doesn't answer for a tenant's limit. The next one is asked.")
 	}
--- a/internal/tenantlimit/limiter_test.go
+++ b/internal/tenantlimit/limiter_test.go
@@ -81,7 +81,7 @@
 func drawFaults(t *rapid.T) []fault {
 	return rapid.SliceOfN(rapid.Custom(func(t *rapid.T) fault {
 		return fault{
-			kind:   rapid.SampledFrom([]string{"kill", "freeze", "cut", "herd", "add", "loss"}).Draw(t, "kind"),
+			kind:   rapid.SampledFrom([]string{"kill", "freeze", "suspend", "cut", "herd", "add", "loss"}).Draw(t, "kind"),
 			at:     time.Duration(rapid.IntRange(0, 12000).Draw(t, "at")) * time.Millisecond,
 			length: time.Duration(rapid.IntRange(100, 5500).Draw(t, "length")) * time.Millisecond,
 			share:  rapid.Float64Range(0.05, 0.2).Draw(t, "share"),
@@ -125,6 +125,8 @@
 		daemon.SetDown(true)
 	case "freeze":
 		daemon.Freeze()
+	case "suspend":
+		daemon.suspend()
 	case "cut":
 		daemon.SetSide(1)
 	}
@@ -137,22 +139,26 @@
 		daemon.SetDown(false)
 	case "freeze":
 		daemon.Thaw()
+	case "suspend":
+		daemon.resume()
 	case "cut":
 		daemon.SetSide(0)
 	}
 }
 
 // TestLimitHoldsUnderFaults sends three times a tenant's limit while daemons are killed,
-// frozen, cut off from the others, started in herds and added: in no window more is granted
+// frozen, suspended, cut off from the others, started in herds and added: in no window more is granted
 // than the bound allows.
 func TestLimitHoldsUnderFaults(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		count := rapid.IntRange(3, 20).Draw(rt, "daemons")
 		faults, seed := drawFaults(rt), rapid.Uint64().Draw(rt, "seed")
 		tenant := identity.TenantName(fmt.Sprint("t", rapid.IntRange(0, 9).Draw(rt, "tenant")))
+		standsStill := rapid.Bool().Draw(rt, "clocks stand still")
 		most := 0.0
 		synctest.Test(t, func(*testing.T) {
 			fleet := newFleet(seed, count)
+			fleet.standsStill = standsStill
 			type ending struct {
 				at  time.Duration
 				end func()
