Stay ready where a daemon comes to read for all; compare the row when it changed

A daemon that came to read for all later, as when the store is away, was not ready until it had tried the row, up to 1.2 s (test first: TestDaemonThatComesToReadStaysInformed). It was informed by others when it started, and stays so.

--- a/internal/crashwatch/fleet_test.go
+++ b/internal/crashwatch/fleet_test.go
@@ -416,3 +416,16 @@
 		fleet.stopAll()
 	})
 }
+
+// TestDaemonThatComesToReadStaysInformed lets a daemon that took over what another one knows read
+// for all later, while the store is away: callers must go on coming to it.
+func TestDaemonThatComesToReadStaysInformed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fleet := newFleet(3, 2)
+		fleet.takeOver(fleet.daemons[1])
+		fleet.table.Refuse(true)
+		fleet.reader.Store(1)
+		assert.Assert(t, fleet.daemons[1].watcher.Informed())
+		fleet.stopAll()
+	})
+}
--- a/internal/crashwatch/row.go
+++ b/internal/crashwatch/row.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"maps"
-	"sync/atomic"
 	"time"
 
 	"github.com/vmihailenco/msgpack/v5"
@@ -20,6 +19,9 @@
 	RowKey = "quarantine/requests"
 	// rowInterval is how often it is looked whether the row lacks something.
 	rowInterval = 50 * time.Millisecond
+	// expiryInterval is how often it is looked whether a quarantine in the row has ended, which
+	// takes a look at all that is remembered.
+	expiryInterval = 10 * time.Second
 	// rowTimeout bounds a call for the row, and rowRest lies after one that failed.
 	rowTimeout = 1200 * time.Millisecond
 	rowRest    = time.Second
@@ -31,10 +33,10 @@
 	known    bool
 	version  uint64
 	requests map[quarantine.Fingerprint]bool
+	// comparedAt is when it was last compared with what this daemon knows.
+	comparedAt time.Time
 	// failing is set while calls for it fail.
 	failing bool
-	// read is set once the row was read for the first time, or could not be.
-	read atomic.Bool
 }
 
 // rowEvidence is evidence as the row has it. Times of day are steady enough: a step of seconds
@@ -45,9 +47,9 @@
 	AtMs        int64
 }
 
-// Informed tells whether this daemon knows what its predecessors found out, as far as it can:
-// the daemon that reads for all must have tried the row; the others are told.
-func (w *Watcher) Informed() bool { return w.row.read.Load() || !w.options.Reads() }
+// Informed tells whether this daemon knows what its predecessors found out, as far as it can: one
+// that starts is told by another daemon, or reads for all and must have tried the row.
+func (w *Watcher) Informed() bool { return w.informed.Load() || !w.options.Reads() }
 
 // KeepRow reads the row when this daemon comes to read the store for all, and writes what it
 // lacks, until the context ends.
@@ -72,7 +74,7 @@
 		w.options.Log.WithError(err).Warn("The row of quarantined requests can't be read or written; it is tried again.")
 	}
 	w.row.failing = true
-	w.row.read.Store(true)
+	w.informed.Store(true)
 }
 
 // syncRow makes the row and this daemon know the same.
@@ -82,7 +84,12 @@
 	if !w.row.known {
 		return w.readRow(bounded)
 	}
-	held := w.quarantined(clock.Now(), maximumRequests)
+	now := clock.Now()
+	if !w.changed.Swap(false) && now.Sub(w.row.comparedAt) < expiryInterval {
+		return nil
+	}
+	w.row.comparedAt = now
+	held := w.quarantined(now, maximumRequests)
 	requests := map[quarantine.Fingerprint]bool{}
 	for _, each := range held {
 		requests[each.Fingerprint] = true
@@ -100,7 +107,8 @@
 		return err
 	}
 	w.row.known, w.row.version, w.row.requests = true, 0, map[quarantine.Fingerprint]bool{}
-	defer w.row.read.Store(true)
+	w.changed.Store(true)
+	defer w.informed.Store(true)
 	if len(rows) == 0 {
 		return nil
 	}
@@ -148,6 +156,7 @@
 	var conflict *port.ConflictError
 	if err != nil || len(rows) == 0 {
 		w.row.known = false
+		w.changed.Store(true)
 	}
 	if errors.As(err, &conflict) {
 		return nil // another daemon read for all in between
--- a/internal/crashwatch/watcher.go
+++ b/internal/crashwatch/watcher.go
@@ -12,6 +12,7 @@
 import (
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -49,6 +50,10 @@
 	options Options
 	limiter *rate.Limiter
 	row     row
+	// informed is set once another daemon told what it knows, or the row was tried.
+	informed atomic.Bool
+	// changed is set when a quarantine began or ended since the row was last compared.
+	changed atomic.Bool
 
 	mutex  sync.Mutex
 	ledger *quarantine.Ledger
@@ -159,6 +164,7 @@
 		"age_ms": now.Sub(crash.At).Milliseconds(), "left_ms": after.Left.Milliseconds(),
 	})
 	if after.Quarantined && !before.Quarantined {
+		w.changed.Store(true)
 		log.Warn("A request is quarantined: back ends ended while they ran it.")
 	} else if after.Crashes > 1 {
 		log.Info("A back end ended under a request that is quarantined already.")
@@ -173,6 +179,7 @@
 		return false
 	}
 	if before.Quarantined {
+		w.changed.Store(true)
 		w.options.Log.WithField("fingerprint", acquittal.Fingerprint.String()).
 			Info("A request is quarantined no longer: it had a whole answer.")
 	}
@@ -206,6 +213,7 @@
 
 // Adopt takes evidence in that another daemon or the store had.
 func (w *Watcher) Adopt(source string, told []Evidence) {
+	w.informed.Store(true)
 	now := clock.Now()
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
