--- a/internal/clock/clock_test.go
+++ b/internal/clock/clock_test.go
@@ -15,7 +15,6 @@
 	real      time.Duration
 	suspended time.Duration
 	stepped   time.Duration
-	start     time.Time
 }
 
 // clockOf is a clock that reads a machine's. The two readings are given apart, since a
