--- a/internal/members/members.go
+++ b/internal/members/members.go
@@ -164,23 +164,23 @@
 	return fmt.Sprintf("%s%016x", KeyPrefix, rendezvous.Key(string(daemon)))
 }
 
-// about is how many rows there are about, if these follow on each other.
+// about is how many rows there are about, if these follow on each other. A malformed key tells no
+// distance: there are these rows then.
 func about(rows []port.Row) int {
 	if len(rows) < 2 {
 		return len(rows)
 	}
-	first, last := place(rows[0].Key), place(rows[len(rows)-1].Key)
-	if last <= first {
+	first, firstKnown := place(rows[0].Key)
+	last, lastKnown := place(rows[len(rows)-1].Key)
+	if !firstKnown || !lastKnown || last <= first {
 		return len(rows)
 	}
 	return int(math.Round(float64(len(rows)-1) / (last - first)))
 }
 
-// place is where a key lies between the first possible key, 0, and the last, 1.
-func place(key string) float64 {
+// place is where a key lies between the first possible key, 0, and the last, 1. It returns false
+// for a malformed one.
+func place(key string) (float64, bool) {
 	hash, err := strconv.ParseUint(strings.TrimPrefix(key, KeyPrefix), 16, 64)
-	if err != nil {
-		return 0
-	}
-	return float64(hash) / math.MaxUint64
+	return float64(hash) / math.MaxUint64, err == nil
 }
--- a/internal/members/members_test.go
+++ b/internal/members/members_test.go
@@ -109,3 +109,10 @@
 	assert.DeepEqual(t, list.Others(), []string{"10.0.0.2:7340", "10.0.0.3:7340"})
 	assert.Equal(t, list.Count(), 3)
 }
+
+// TestMalformedKeyTellsNoDistance counts the rows themselves where one of their keys can't be read.
+func TestMalformedKeyTellsNoDistance(t *testing.T) {
+	rows := []port.Row{{Key: KeyPrefix + "no hash"}, {Key: rowKey("a")}, {Key: rowKey("b")}}
+	assert.Equal(t, about(rows), 3)
+	assert.Equal(t, about([]port.Row{{Key: KeyPrefix + "0000000000000000"}, {Key: KeyPrefix + "1000000000000000"}}), 16)
+}
