--- a/internal/core/lease/lease_test.go
+++ b/internal/core/lease/lease_test.go
@@ -39,6 +39,10 @@
 	incarnation identity.Incarnation
 	machine     *Machine
 	flight      *flight
+	// paused is set since a round in which the participant did nothing, and stood is for how
+	// long its clock stood still meanwhile, if it does.
+	paused bool
+	stood  time.Duration
 }
 
 // world holds the true time, the table, the network and the oracle.
@@ -54,6 +58,10 @@
 	// grantedTo is the oracle: who first believed to hold which token.
 	grantedTo map[identity.FencingToken]string
 	fence     Fence
+	// standsStill makes clocks stand still while their participants are paused, as Go's own
+	// does while the machine is suspended; roundAt is when the last round was.
+	standsStill bool
+	roundAt     time.Duration
 }
 
 func newWorld(t *rapid.T) *world {
@@ -70,7 +78,7 @@
 // now is the participant's own clock.
 func (w *world) now(one *participant) time.Time {
 	base := time.Unix(int64(one.index)*1_000_000, 0)
-	return base.Add(time.Duration(float64(w.elapsed) * one.rate))
+	return base.Add(time.Duration(float64(w.elapsed-one.stood) * one.rate))
 }
 
 // restart begins a new life; what the old one had sent may still arrive. The
@@ -167,6 +175,14 @@
 
 // round lets each participant make one call, each with its fate.
 func (w *world) round(t *rapid.T, fates []fate) {
+	passed := w.elapsed - w.roundAt
+	w.roundAt = w.elapsed
+	for index, one := range w.participants {
+		if one.paused && w.standsStill {
+			one.stood += passed
+		}
+		one.paused = fates[index] == paused
+	}
 	for index, one := range w.participants {
 		if fates[index] == paused {
 			continue
