Date an end by when it was first heard of

Found by reading: evidence carries its age, so that its time at the receiver is later by its way. An end keeps the first time now; one that counts no longer is forgotten.

--- a/internal/core/quarantine/ledger.go
+++ b/internal/core/quarantine/ledger.go
@@ -75,31 +75,21 @@
 		found = &record{}
 		l.records[crash.Fingerprint] = found
 	}
-	return found.add(crash)
+	return found.add(now, crash)
 }
 
-// add takes evidence in. Daemons notice one end at different moments: the latest counts, so
-// that they agree whatever the order in which they tell each other.
-func (r *record) add(crash Crash) bool {
-	if !crash.At.After(r.acquittedAt) {
+// add takes evidence in. An end keeps the time at which it was first heard of: what daemons send
+// each other again and again is older by its way each time, and would never end otherwise.
+func (r *record) add(now time.Time, crash Crash) bool {
+	r.crashes = slices.DeleteFunc(r.crashes, func(each Crash) bool { return now.Sub(each.At) >= HoldTime })
+	known := slices.ContainsFunc(r.crashes, func(each Crash) bool { return each.Backend == crash.Backend })
+	if known || !crash.At.After(r.acquittedAt) {
 		return false
 	}
-	known := slices.IndexFunc(r.crashes, func(each Crash) bool { return each.Backend == crash.Backend })
-	if known >= 0 {
-		r.crashes[known].At = later(r.crashes[known].At, crash.At)
-	} else {
-		r.crashes = append(r.crashes, crash)
-	}
+	r.crashes = append(r.crashes, crash)
 	slices.SortStableFunc(r.crashes, byTime)
 	r.crashes = r.crashes[max(0, len(r.crashes)-maximumCrashes):]
-	return known < 0
-}
-
-func later(left, right time.Time) time.Time {
-	if left.After(right) {
-		return left
-	}
-	return right
+	return true
 }
 
 func byTime(left, right Crash) int { return left.At.Compare(right.At) }
