--- a/cmd/lotusward/deployment_test.go
+++ b/cmd/lotusward/deployment_test.go
@@ -153,8 +153,6 @@
 	d.store.Put("op", "version/"+testModel, map[string]any{"model": testModel, "version": version})
 }
 
-// nextPort counts up from below the range that the kernel gives to outgoing
-// connections, so that no port is taken between its choice and its use.
 // openAIRoute is of requests to the OpenAI interface, which name the daemon's address as
 // their host.
 func openAIRoute() map[string]any {
--- a/cmd/lotusward/soak_test.go
+++ b/cmd/lotusward/soak_test.go
@@ -54,12 +54,15 @@
 	asked   []exchange
 	// revokedAt is when otherKey was taken away; zero while it holds.
 	revokedAt time.Time
-	// stops are the times from which a daemon was in a planned stop alone, and faults the
-	// moments of all other faults.
+	// faults are the moments of all faults but planned stops, and stops when a daemon was asked
+	// to stop.
 	faults []time.Time
 	stops  map[*process]time.Time
+	// ending is closed when clients are to end.
 	ending chan struct{}
-	log    []string
+	// log has a line for each fault.
+	log []string
+	// named is the newest version of the weights, and runner counts the back ends.
 	named  int
 	runner int
 }
@@ -271,13 +274,13 @@
 	s.runners[s.luck.IntN(len(s.runners))].Script(script...)
 }
 
-// rekey takes a key away, or gives it back.
+// rekey takes a key away, once: a request's key is judged by when it was sent.
 func (s *soak) rekey() {
 	s.mutex.Lock()
 	revoke := s.revokedAt.IsZero()
 	s.mutex.Unlock()
 	if !revoke {
-		return // once is enough: a request's key is judged by when it was sent
+		return
 	}
 	s.configure(testKey)
 	s.mutex.Lock()
