Send to many within a bound in one place

Found on reading the whole change: the quarantine's announcements had a loop of their own beside that of Broadcaster (begin at a drawn daemon, stop at the bound on bytes). Both call peerlink.SendWithin now. Behaviour as before; vet, linter and, with the race detector, the tests of both packages pass.

--- a/internal/crashwatch/announce.go
+++ b/internal/crashwatch/announce.go
@@ -149,16 +149,7 @@
 		w.options.Log.WithField("evidence", len(body.Crashes)).Error("Evidence doesn't fit one datagram.")
 		return
 	}
-	start := 0
-	if len(targets) > 0 {
-		start = rand.IntN(len(targets))
-	}
-	for offset := range targets {
-		if !w.limiter.AllowN(clock.Now(), len(datagram)) {
-			return
-		}
-		w.options.Link.Send(targets[(start+offset)%len(targets)], datagram)
-	}
+	peerlink.SendWithin(w.options.Link, w.limiter, targets, datagram)
 }
 
 // receive takes in what another daemon sends.
--- a/internal/peerlink/broadcast.go
+++ b/internal/peerlink/broadcast.go
@@ -59,18 +59,21 @@
 	}
 }
 
-// send sends a datagram to as many daemons as the bound on bytes allows, beginning
-// with another one each time.
 func (b *Broadcaster) send(datagram []byte) {
-	others := b.others()
-	if len(others) == 0 {
+	SendWithin(b.link, b.limiter, b.others(), datagram)
+}
+
+// SendWithin sends a datagram to as many daemons as a bound on bytes allows, beginning with
+// another one each time.
+func SendWithin(carrier Carrier, limiter *rate.Limiter, targets []string, datagram []byte) {
+	if len(targets) == 0 {
 		return
 	}
-	start := rand.IntN(len(others))
-	for offset := range others {
-		if !b.limiter.AllowN(clock.Now(), len(datagram)) {
+	start := rand.IntN(len(targets))
+	for offset := range targets {
+		if !limiter.AllowN(clock.Now(), len(datagram)) {
 			return
 		}
-		b.link.Send(others[(start+offset)%len(others)], datagram)
+		carrier.Send(targets[(start+offset)%len(targets)], datagram)
 	}
 }
