Name the update of weights by what it updates

Cause: internal/rollout was about weights of models. Operators are to move a service to back ends of another software version, which the field calls a roll-out, and the name is needed for that. Ruled out: new names for the rows of the lease and the plan, since daemons of two releases would hold two leases while one replaces the other.

--- a/cmd/internal/daemon/bounds.go
+++ b/cmd/internal/daemon/bounds.go
@@ -69,7 +69,7 @@
 	return platform.Milliseconds(bounds.LeaseMs)
 }
 
-// leaseDuration is how long a grant of the roll-out's lease lasts.
+// leaseDuration is how long a grant of the lease of weight updates lasts.
 func leaseDuration(bounds platform.Bounds) time.Duration {
 	return time.Duration(leaseShare * float64(platform.Milliseconds(bounds.LeaseMs)))
 }
--- a/cmd/internal/daemon/control.go
+++ b/cmd/internal/daemon/control.go
@@ -13,7 +13,7 @@
 
 // AddTo adds the daemon's parts to a group. All but the listeners go on until the
 // last request has ended, since requests need a belief that is up to date, and the
-// roll-out's holder keeps its duty for as long as it can.
+// holder of the lease of weight updates keeps its duty for as long as it can.
 func (w *Daemon) AddTo(group *run.Group) {
 	add := func(part func(context.Context) error) {
 		ctx, cancel := context.WithCancel(context.Background())
@@ -34,7 +34,7 @@
 // control are the parts that keep what this daemon believes, and act on it.
 func (w *Daemon) control() []func(context.Context) error {
 	return []func(context.Context) error{
-		w.directory.Run, w.rollout.Run, w.follower.Run, w.link.Run, w.snapshots.Run, w.broadcast.Run, w.tree.Run, w.loads.Run,
+		w.directory.Run, w.weights.Run, w.follower.Run, w.link.Run, w.snapshots.Run, w.broadcast.Run, w.tree.Run, w.loads.Run,
 		w.homes.Run, w.limits.Run, w.prober.Run, w.crashes.Run, w.crashes.KeepRow, w.promptsIn.Run, w.cachesIn.Run, w.sweep, w.watchClock, w.keeper.Run,
 	}
 }
--- a/cmd/internal/daemon/wire.go
+++ b/cmd/internal/daemon/wire.go
@@ -40,8 +40,8 @@
 	"github.com/lotusward/lotusward/internal/prober"
 	"github.com/lotusward/lotusward/internal/relay"
 	"github.com/lotusward/lotusward/internal/requestlog"
-	"github.com/lotusward/lotusward/internal/rollout"
 	"github.com/lotusward/lotusward/internal/tenantlimit"
+	"github.com/lotusward/lotusward/internal/weightupdate"
 	"github.com/lotusward/lotusward/platform"
 )
 
@@ -74,8 +74,8 @@
 	crashes    *crashwatch.Watcher
 	serving    *serving
 	keeper     *leasekeeper.Keeper
-	rollout    *rollout.Keeper
-	follower   *rollout.Follower
+	weights    *weightupdate.Keeper
+	follower   *weightupdate.Follower
 	metricsOut *metrics
 }
 
@@ -204,11 +204,11 @@
 // address is a port of this daemon's address.
 func (w *Daemon) address(port int) string { return net.JoinHostPort(w.settings.IP, strconv.Itoa(port)) }
 
-// wireDuty makes the roll-out of weights and the lease that it is done under.
+// wireDuty makes the update of weights and the lease that it is done under.
 func (w *Daemon) wireDuty() {
 	bounds := w.settings.Bounds
 	duty := &leasekeeper.Duty{
-		Pending: func() bool { return w.rollout.Pending() }, First: w.directory.ReadsForAll,
+		Pending: func() bool { return w.weights.Pending() }, First: w.directory.ReadsForAll,
 		Candidate: &leasekeeper.Candidate{Count: w.members.Count, Held: w.holdsLease},
 		Linger:    rest(bounds) + leaseLinger,
 	}
@@ -220,7 +220,7 @@
 			return (mayBecome || w.holdsLease()) && duty.Eligible(clock.Now())
 		},
 		Settings: lease.Settings{
-			Key: rollout.KeyLease, Holder: w.settings.NodeName, Incarnation: identity.Incarnation(rand.Uint64()),
+			Key: weightupdate.KeyLease, Holder: w.settings.NodeName, Incarnation: identity.Incarnation(rand.Uint64()),
 			SoleIncarnation: true, // a machine runs one process of a role
 			Duration:        leaseDuration(bounds),
 			MaximumDrift:    maximumDrift,
@@ -228,19 +228,19 @@
 			Rest:            rest(bounds),
 		},
 	})
-	w.rollout = rollout.New(rollout.Options{
+	w.weights = weightupdate.New(weightupdate.Options{
 		Holder: w.settings.NodeName, Lease: w.keeper, Table: w.store, Pool: w.backends, Named: w.directory,
-		Orders: w.runners, Log: w.part("rollout"),
+		Orders: w.runners, Log: w.part("weights"),
 		DueBy:    w.dueBy,
 		Refresh:  w.refreshLoad,
-		Announce: func(announced rollout.Announcement) { w.tree.Tell(peerlink.KindPlan, &announced) },
+		Announce: func(announced weightupdate.Announcement) { w.tree.Tell(peerlink.KindPlan, &announced) },
 	})
-	w.follower = &rollout.Follower{
-		Table: w.store, Changes: w.store, Pool: w.backends, Lease: w.keeper, Learn: w.directory.LearnSeen, Log: w.part("rollout"),
-		Pending: w.rollout.Pending,
+	w.follower = &weightupdate.Follower{
+		Table: w.store, Changes: w.store, Pool: w.backends, Lease: w.keeper, Learn: w.directory.LearnSeen, Log: w.part("weights"),
+		Pending: w.weights.Pending,
 		Guesses: func() bool { return w.directory.ReadsForAll() && w.directory.GuessesVersions() },
 	}
-	peerlink.HandleDecoded(w.link, peerlink.KindPlan, func(_ string, announced rollout.Announcement) { w.follower.Hear(announced) })
+	peerlink.HandleDecoded(w.link, peerlink.KindPlan, func(_ string, announced weightupdate.Announcement) { w.follower.Hear(announced) })
 }
 
 // dueBy is until when back ends with a version of a model's weights may begin requests.
--- a/cmd/lotusward/explain_test.go
+++ b/cmd/lotusward/explain_test.go
@@ -31,9 +31,9 @@
 	return found
 }
 
-// TestLogsExplainARefusalDuringARollOut finds, from the id alone, that no back end
+// TestLogsExplainARefusalDuringAWeightUpdate finds, from the id alone, that no back end
 // held the version that had to be in use.
-func TestLogsExplainARefusalDuringARollOut(t *testing.T) {
+func TestLogsExplainARefusalDuringAWeightUpdate(t *testing.T) {
 	deployed := newDeployment(t)
 	engine := deployed.engine("e1", 3, time.Millisecond)
 	deployed.configure(testKey)
--- a/internal/core/query/rows.go
+++ b/internal/core/query/rows.go
@@ -36,7 +36,7 @@
 	Self bool `column:"self"`
 }
 
-// Model is a model of a service, with the state of its roll-out.
+// Model is a model of a service, with how many back ends hold older weights than the newest.
 type Model struct {
 	Service identity.ServiceName `column:"service,key"`
 	Model   identity.ModelName   `column:"model,key"`
--- a/internal/directory/versions.go
+++ b/internal/directory/versions.go
@@ -147,7 +147,7 @@
 	return true
 }
 
-// Targets returns the newest named version of each model, for the roll-out.
+// Targets returns the newest named version of each model, for weight updates.
 func (d *Directory) Targets() map[identity.ModelName]uint64 {
 	targets := map[identity.ModelName]uint64{}
 	state := d.state.Load()
--- a/internal/peerlink/peerlink.go
+++ b/internal/peerlink/peerlink.go
@@ -26,7 +26,7 @@
 	KindLoads Kind = iota + 1
 	// KindBulletin tells what a daemon has read from the platform's store.
 	KindBulletin
-	// KindPlan tells the plan of a roll-out.
+	// KindPlan tells the plan of an update of weights.
 	KindPlan
 	// KindFacts tells where large parts of prompts are, and which back ends to doubt.
 	KindFacts
--- a/internal/rollout/follower.go
+++ b/internal/weightupdate/follower.go
@@ -1,4 +1,4 @@
-package rollout
+package weightupdate
 
 import (
 	"context"
@@ -151,7 +151,7 @@
 	}
 	plan, err := DecodePlan(rows[0].Value)
 	if err != nil {
-		f.Log.WithError(err).Error("The plan of the roll-out cannot be read.")
+		f.Log.WithError(err).Error("The plan of the weight update cannot be read.")
 		return rows[0].Version
 	}
 	f.Learn(ctx, plan.Seen)
@@ -159,6 +159,6 @@
 		return rows[0].Version
 	}
 	plan.Follow(f.Pool)
-	f.Log.WithFields(logrus.Fields{"token": plan.Token, "loading": plan.Loading}).Debug("The plan of the roll-out changed.")
+	f.Log.WithFields(logrus.Fields{"token": plan.Token, "loading": plan.Loading}).Debug("The plan of the weight update changed.")
 	return rows[0].Version
 }
--- a/internal/rollout/pace_test.go
+++ b/internal/weightupdate/pace_test.go
@@ -1,4 +1,4 @@
-package rollout
+package weightupdate
 
 import (
 	"context"
@@ -15,7 +15,7 @@
 	"github.com/lotusward/lotusward/internal/logging"
 )
 
-// measuredPace is the pace of a roll-out of version 2 over back ends.
+// measuredPace is the pace of an update to version 2 over back ends.
 func measuredPace(keeper *Keeper, now time.Time, holders []backendpool.Holder) pace {
 	sound := soundOf(slices.Clone(holders))
 	return keeper.pace(now, "m", sound, behindOf(sound, 2))
--- a/internal/rollout/plan.go
+++ b/internal/weightupdate/plan.go
@@ -1,9 +1,9 @@
-// Package rollout brings the back ends of a model to its newest named version of
+// Package weightupdate brings the back ends of a model to its newest named version of
 // weights, a few at a time. One daemon at a time gives the orders: the holder of
 // a lease. Each order carries the lease's fencing token and the back end's count
 // of orders, so that one that is carried out late changes nothing. All daemons
 // follow the holder's plan, a row of the platform's table.
-package rollout
+package weightupdate
 
 import (
 	"context"
@@ -17,7 +17,8 @@
 	"github.com/lotusward/lotusward/internal/port"
 )
 
-// Keys of the rows in the platform's table.
+// Keys of the rows in the platform's table. They are part of what daemons of different
+// releases share while one replaces the other: with two names there would be two holders.
 const (
 	KeyLease = "lease/rollout"
 	KeyPlan  = "plan/rollout"
@@ -151,7 +152,7 @@
 	Hear(row port.Row)
 }
 
-// Times of a roll-out.
+// Times of an update.
 const (
 	tickInterval   = 60 * time.Millisecond
 	reportInterval = 150 * time.Millisecond
--- a/internal/rollout/turns_test.go
+++ b/internal/weightupdate/turns_test.go
@@ -1,4 +1,4 @@
-package rollout
+package weightupdate
 
 import (
 	"testing"
--- a/internal/rollout/rollout_test.go
+++ b/internal/weightupdate/update_test.go
@@ -1,4 +1,4 @@
-package rollout
+package weightupdate
 
 import (
 	"context"
@@ -342,8 +342,8 @@
 	assert.Assert(t, time.Since(started) >= 300*time.Millisecond)
 }
 
-// TestTableDownStopsNoRollout goes on with orders while the plan cannot be written.
-func TestTableDownStopsNoRollout(t *testing.T) {
+// TestTableDownStopsNoUpdate goes on with orders while the plan cannot be written.
+func TestTableDownStopsNoUpdate(t *testing.T) {
 	engines, named, table := newEngines(3), &namedVersion{}, newTable()
 	table.failing = true
 	named.version.Store(2)
