--- a/internal/core/identity/identity.go
+++ b/internal/core/identity/identity.go
@@ -13,6 +13,10 @@
 // Zone names a failure domain inside a region.
 type Zone string
 
+// Region names a group of zones that are near each other: zones of different regions are tens
+// of milliseconds apart.
+type Region string
+
 // ServiceName names a group of back ends that serve the same work.
 type ServiceName string
 
@@ -25,6 +29,10 @@
 // WeightsVersion names one version of a model's weights.
 type WeightsVersion string
 
+// SoftwareVersion names a version of a service's software, which all back ends of one release
+// have in common. It says nothing of the weights that they hold.
+type SoftwareVersion string
+
 // AdapterName names an adapter (LoRA) of a model.
 type AdapterName string
 
