Declare the interfaces of roll-outs in relay, pool and directory

The pool heeds the software version and the named back ends of a query; the relay declares Versions, the directory its fields. Nothing uses them yet. Own counts back ends that are no longer listed too: the list drops entries while the store is away, and requests there go on.

--- a/internal/core/backendpool/backend.go
+++ b/internal/core/backendpool/backend.go
@@ -20,6 +20,8 @@
 	Address string
 	Zone    identity.Zone
 	Slots   int
+	// Software is the version of the service's software that it runs; empty is not told.
+	Software identity.SoftwareVersion `msgpack:",omitempty"`
 	// Draining back ends get no new requests.
 	Draining bool
 	// Weights are the versions of the models that it holds.
--- a/internal/core/backendpool/choice.go
+++ b/internal/core/backendpool/choice.go
@@ -109,12 +109,12 @@
 	return costs
 }
 
-// newestVersion is the newest version of the query's model at a sound back end,
-// whether it is busy or not.
+// newestVersion is the newest version of the query's model at a sound back end that the query
+// may go to, whether it is busy or not.
 func (p *Pool) newestVersion(now time.Time, query Query) uint64 {
 	newest := uint64(0)
 	for _, found := range p.services[query.Service] {
-		if !found.ejected(now) && p.leaving[found.key] != leavesNow && !found.backend.Draining {
+		if query.admits(found) && !found.ejected(now) && p.leaving[found.key] != leavesNow && !found.backend.Draining {
 			newest = max(newest, found.version(query.Model))
 		}
 	}
--- a/internal/core/backendpool/pool.go
+++ b/internal/core/backendpool/pool.go
@@ -34,6 +34,11 @@
 	Limits Limits
 	// Among are the hashes of the IDs of the back ends to choose from; nil is all.
 	Among []uint64
+	// Software is the version of the service's software that a back end must run; empty is
+	// any.
+	Software identity.SoftwareVersion
+	// Only are the hashes of the IDs of the back ends that the request may go to; nil is all.
+	Only []uint64
 	// newest is the newest version that any back end which would do holds.
 	newest uint64
 }
@@ -46,6 +51,8 @@
 	byID     map[identity.BackendID]*entry
 	// byKey are the same by the hashes of their IDs.
 	byKey map[uint64]*entry
+	// departed are those that are no longer listed and have requests of this daemon under way.
+	departed map[*entry]bool
 	// touched are the back ends at which what this daemon has under way has changed, and
 	// changed gets a value at each change.
 	touched map[*entry]bool
@@ -85,6 +92,7 @@
 
 		suspected: func() {},
 		byKey:     map[uint64]*entry{},
+		departed:  map[*entry]bool{},
 		touched:   map[*entry]bool{},
 		changed:   make(chan struct{}, 1),
 
@@ -147,9 +155,13 @@
 			replaced = append(replaced, found.backend.ID)
 		}
 	}
-	for id := range p.byID {
-		if byID[id] == nil {
-			change.Removed = append(change.Removed, id)
+	for id, found := range p.byID {
+		if byID[id] != nil {
+			continue
+		}
+		change.Removed = append(change.Removed, id)
+		if found.inFlight > 0 {
+			p.departed[found] = true
 		}
 	}
 	p.byID = byID
@@ -274,6 +286,9 @@
 	if found.backend.Draining || found.replaced || slices.Contains(query.Exclude, found.backend.ID) {
 		return false
 	}
+	if !query.admits(found) {
+		return false
+	}
 	if query.Among != nil && !slices.Contains(query.Among, found.key) {
 		return false
 	}
@@ -287,9 +302,10 @@
 // Shortage says why a query found no back end: how many its service has, and how
 // many of them would not do, each counted for the first reason that applies. One
 // whose address has gone to another back end counts as draining. Busy ones would do
-// once they have less under way.
+// once they have less under way. OtherVersion are those that run another version of the
+// service's software than the query asks for, or that it doesn't name.
 type Shortage struct {
-	Listed, Draining, Failed, OldWeights, Busy int
+	Listed, Draining, Failed, OtherVersion, OldWeights, Busy int
 }
 
 // shortage tells why a query finds no back end now. The caller holds the mutex.
@@ -302,6 +318,8 @@
 			shortage.Draining++
 		case slices.Contains(query.Exclude, found.backend.ID):
 			shortage.Failed++
+		case !query.admits(found):
+			shortage.OtherVersion++
 		case !allowed(now, found, query):
 			shortage.OldWeights++
 		}
--- a/internal/core/backendpool/ticket.go
+++ b/internal/core/backendpool/ticket.go
@@ -85,6 +85,9 @@
 	t.pool.mutex.Lock()
 	defer t.pool.mutex.Unlock()
 	t.entry.inFlight--
+	if t.entry.inFlight == 0 {
+		delete(t.pool.departed, t.entry)
+	}
 	delete(t.entry.tickets, t)
 	t.entry.tokens -= t.tokens
 	t.pool.touch(t.entry)
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -12,6 +12,7 @@
 	"github.com/lotusward/lotusward/internal/clock"
 	"github.com/lotusward/lotusward/internal/core/backendpool"
 	"github.com/lotusward/lotusward/internal/core/identity"
+	"github.com/lotusward/lotusward/internal/core/rollout"
 	"github.com/lotusward/lotusward/internal/core/routing"
 	"github.com/lotusward/lotusward/internal/relay"
 )
@@ -96,6 +97,8 @@
 	Peers Peers
 	// Contacts finds daemons at the start; nil lets this daemon read the store at once.
 	Contacts Contacts
+	// Software makes the daemon know orders and standings of services' software versions.
+	Software bool
 	// Quarantine is given to daemons that start, and taken over from others; nil is none.
 	Quarantine Quarantine
 }
@@ -172,7 +175,9 @@
 	checked map[string]uint64
 	adopted *adoption
 	seen    []Seen
-	err     error
+	// standing was written by a daemon.
+	standing *rollout.Standing
+	err      error
 }
 
 // New makes a Directory that knows nothing until it runs.
@@ -282,6 +287,8 @@
 		d.adopt(got.adopted)
 	case got.seen != nil:
 		d.applySeen(got.seen)
+	case got.standing != nil:
+		d.applyStanding(*got.standing)
 	}
 }
 
--- a/internal/directory/source.go
+++ b/internal/directory/source.go
@@ -13,6 +13,7 @@
 
 	"github.com/lotusward/lotusward/internal/core/backendpool"
 	"github.com/lotusward/lotusward/internal/core/identity"
+	"github.com/lotusward/lotusward/internal/core/rollout"
 	"github.com/lotusward/lotusward/internal/core/routing"
 )
 
@@ -40,6 +41,11 @@
 	Configuration *routing.Configuration
 	// Versions are the named versions of the models' weights.
 	Versions map[identity.ModelName]uint64
+	// Orders are the operators' orders to move services to back ends of other versions of
+	// their software, and Standings what daemons have kept of that. Both are empty where
+	// roll-outs are off. A row that could not be read is left out.
+	Orders    []rollout.Order
+	Standings []rollout.Standing
 	// Malformed holds the findings on rows that could not be read.
 	Malformed error
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -50,6 +50,8 @@
 	Limits TenantLimits
 	// Crashes knows under which requests back ends ended; nil is never.
 	Crashes Crashes
+	// Versions decides which versions of a service's software requests go to; nil is any.
+	Versions Versions
 	// Journal is told of each decision.
 	Journal Journal
 	// Now is the time by which spans are judged; nil means clock.Now.
--- a/internal/relay/state.go
+++ b/internal/relay/state.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/lotusward/lotusward/internal/core/identity"
+	"github.com/lotusward/lotusward/internal/core/rollout"
 	"github.com/lotusward/lotusward/internal/core/routing"
 )
 
@@ -15,6 +16,9 @@
 	RowVersion uint64
 	// Versions are the named versions of the models' weights, oldest first.
 	Versions map[identity.ModelName][]NamedVersion
+	// Software is what is believed of the software versions of services, of those that have
+	// an order or a standing; nil where roll-outs are off.
+	Software map[identity.ServiceName]rollout.Service
 }
 
 // BeginBy is until when requests may begin on a version of a model's weights: some
