--- a/internal/peerlink/peerlink.go
+++ b/internal/peerlink/peerlink.go
@@ -44,6 +44,13 @@
 	KindLoadAnswer
 	// KindCrashes tells under which requests back ends ended.
 	KindCrashes
+	// KindVersionReport reports how a daemon's requests end at the versions of a service's
+	// software, KindVersionGrant answers, KindVersionStop tells that a version is bad, and
+	// KindVersionStanding what was written of a service's versions.
+	KindVersionReport
+	KindVersionGrant
+	KindVersionStop
+	KindVersionStanding
 	kindEnd
 )
 
--- /dev/null
+++ b/internal/rollout/reporter.go
@@ -0,0 +1,187 @@
+package rollout
+
+import (
+	"context"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/lotusward/lotusward/internal/core/identity"
+	"github.com/lotusward/lotusward/internal/core/rendezvous"
+	"github.com/lotusward/lotusward/internal/core/rollout"
+	"github.com/lotusward/lotusward/internal/peerlink"
+)
+
+const (
+	// collectorCount is how many daemons pool the evidence of an order: two of five may be gone.
+	collectorCount = 5
+	// reportInterval is how often collectors are told. A bad version stops within a few of these;
+	// four reports in a row may be lost before grants run out.
+	reportInterval = 200 * time.Millisecond
+	// grantTime is how long a grant holds, from when the report that it answers was sent: a
+	// daemon that hears of no stop exposes nothing after it.
+	grantTime = time.Second
+	// Bounds of one report, which must fit a datagram of 8 KB: an entry takes 25 bytes at most.
+	reportedBackends = 200
+	reportedRoutes   = 40
+)
+
+// reporter is how this daemon reports on an order, and what it was granted.
+type reporter struct {
+	order, number uint64
+	dueAt         time.Time
+	said          said
+	// sentAt are when the reports of the last grantTime were sent, by number.
+	sentAt map[uint64]time.Time
+	// grants are until when collectors have granted requests to the target.
+	grants  map[string]time.Time
+	granted bool
+}
+
+// said is what is reported at once when it changes.
+type said struct {
+	row     uint64
+	idle    bool
+	stopped bool
+}
+
+// collectorsOf are the daemons that pool the evidence of an order, best first.
+func (c *Coordinator) collectorsOf(service identity.ServiceName, order uint64) []string {
+	key := rendezvous.Key(string(service) + "/" + strconv.FormatUint(order, 10))
+	return rendezvous.Top(key, c.daemons(), collectorCount)
+}
+
+// report tells the collectors of the order under way what this daemon does, when that is due.
+func (c *Coordinator) report(ctx context.Context, now time.Time, believed rollout.Service, service identity.ServiceName, order uint64) {
+	reporter := c.reporterOf(service, order)
+	c.noteGranted(now, service, believed, reporter)
+	// What is under way is counted after the row was read: a request of before is counted.
+	underWay := c.options.Backends.Own(service, targetOf(believed))
+	message := reportMessage{
+		Service: service, Order: order, Incarnation: c.incarnation,
+		Row: believed.Standing.Row, UnderWay: underWay, Reads: c.options.Belief.Reads(),
+	}
+	if stop := c.stops[service]; stop != nil && stop.order == order {
+		message.Stopped, message.Reason = true, stop.reason
+	}
+	saying := said{row: message.Row, idle: underWay == 0, stopped: message.Stopped}
+	if now.Before(reporter.dueAt) && saying == reporter.said {
+		return
+	}
+	reporter.dueAt, reporter.said = now.Add(reportInterval), saying
+	reporter.forget(now)
+	for _, part := range split(c.traffic(service).counted(order)) {
+		reporter.number++
+		reporter.sentAt[reporter.number] = now
+		message.Number, message.Routes, message.Sample = reporter.number, part.Routes, part.StableSample
+		c.sendReport(ctx, now, message)
+	}
+}
+
+// reporterOf returns how this daemon reports on an order.
+func (c *Coordinator) reporterOf(service identity.ServiceName, order uint64) *reporter {
+	found := c.reporters[service]
+	if found == nil || found.order != order {
+		found = &reporter{order: order, sentAt: map[uint64]time.Time{}, grants: map[string]time.Time{}}
+		c.reporters[service] = found
+	}
+	return found
+}
+
+// sendReport sends a report to the collectors, of which this daemon may be one.
+func (c *Coordinator) sendReport(ctx context.Context, now time.Time, message reportMessage) {
+	datagram, fits := c.options.Link.Encode(peerlink.KindVersionReport, &message)
+	if !fits {
+		c.options.Log.WithFields(logrus.Fields{"service": message.Service, "routes": len(message.Routes)}).Error("A report doesn't fit one datagram.")
+		return
+	}
+	for _, address := range c.collectorsOf(message.Service, message.Order) {
+		if address == c.self {
+			c.takeGrant(ctx, now, c.self, c.collect(now, c.self, message))
+			continue
+		}
+		c.options.Link.Send(address, datagram)
+	}
+}
+
+// split divides evidence into parts that fit a datagram. There is one at least.
+func split(whole rollout.Evidence) []rollout.Evidence {
+	parts := []rollout.Evidence{{StableSample: whole.StableSample}}
+	backends := 0
+	for _, route := range whole.Routes {
+		last := &parts[len(parts)-1]
+		full := len(last.Routes) >= reportedRoutes || backends+len(route.Target) > reportedBackends
+		if full && len(last.Routes) > 0 {
+			parts = append(parts, rollout.Evidence{StableSample: whole.StableSample})
+			last, backends = &parts[len(parts)-1], 0
+		}
+		last.Routes = append(last.Routes, route)
+		backends += len(route.Target)
+	}
+	return parts
+}
+
+// forget forgets reports to which an answer would be worth nothing.
+func (r *reporter) forget(now time.Time) {
+	for number, at := range r.sentAt {
+		if now.Sub(at) > grantTime {
+			delete(r.sentAt, number)
+		}
+	}
+}
+
+// hearGrant takes in a collector's answer.
+func (c *Coordinator) hearGrant(ctx context.Context, now time.Time, from string, got grantMessage) {
+	c.takeGrant(ctx, now, from, got)
+}
+
+func (c *Coordinator) takeGrant(ctx context.Context, now time.Time, from string, got grantMessage) {
+	if got.Standing != nil {
+		c.learn(ctx, *got.Standing)
+	}
+	if got.Stopped {
+		c.noteStop(now, got.Service, got.Order, got.Reason, from)
+	}
+	reporter := c.reporters[got.Service]
+	if reporter == nil || reporter.order != got.Order || !got.Granted || !c.membersKnown() {
+		return
+	}
+	sentAt, known := reporter.sentAt[got.Number]
+	collectors := c.collectorsOf(got.Service, got.Order)
+	if !known || !slices.Contains(collectors, from) {
+		return
+	}
+	if until := sentAt.Add(grantTime); until.After(reporter.grants[from]) {
+		reporter.grants[from] = until
+	}
+	c.traffic(got.Service).allowUntil(got.Order, reporter.until(collectors))
+}
+
+// until is until when more than half of the collectors have granted.
+func (r *reporter) until(collectors []string) time.Time {
+	granted := make([]time.Time, 0, len(collectors))
+	for _, address := range collectors {
+		granted = append(granted, r.grants[address])
+	}
+	slices.SortFunc(granted, func(left, right time.Time) int { return right.Compare(left) })
+	return granted[len(collectors)/2]
+}
+
+// noteGranted logs when the grants of enough collectors are had or lost, in a trial.
+func (c *Coordinator) noteGranted(now time.Time, service identity.ServiceName, believed rollout.Service, reporter *reporter) {
+	collectors := c.collectorsOf(service, reporter.order)
+	until := reporter.until(collectors)
+	granted := until.After(now)
+	if granted == reporter.granted || believed.Standing.Stage != rollout.StageTrial {
+		return
+	}
+	reporter.granted = granted
+	log := c.options.Log.WithFields(logrus.Fields{"service": service, "order": reporter.order, "collectors": len(collectors), "until_ms": until.Sub(now).Milliseconds()})
+	if granted {
+		log.Info("Enough daemons grant requests to the version under trial.")
+		return
+	}
+	log.Warn("Too few daemons grant requests to the version under trial. It gets none.")
+}
--- /dev/null
+++ b/internal/rollout/table.go
@@ -0,0 +1,74 @@
+package rollout
+
+import (
+	"time"
+
+	"github.com/lotusward/lotusward/internal/core/identity"
+	"github.com/lotusward/lotusward/internal/core/rollout"
+)
+
+// Status is the state of a service's versions at this daemon, for operators.
+type Status struct {
+	Service identity.ServiceName
+	// Stable and Target are versions; Target is of the newest order that was begun.
+	Stable, Target identity.SoftwareVersion
+	Order          uint64
+	Stage          rollout.Stage
+	Reason         string
+	// Exposing is set while requests may go to a target under trial.
+	Exposing bool
+	// ShareNow and ShareTotal are the target's shares (0 to 1) of this daemon's sendings, of the
+	// last seconds and since the order began.
+	ShareNow, ShareTotal float64
+	// Routes are the answers by route: those of all daemons at a collector, elsewhere its own.
+	Routes []RouteStatus
+	Pooled bool
+}
+
+// RouteStatus is how requests on a route ended at both versions. Slow ones count as bad.
+type RouteStatus struct {
+	Route                                        string
+	StableGood, StableBad, TargetGood, TargetBad int
+}
+
+// Table returns the state of all services.
+func (c *Coordinator) Table() []Status {
+	now := c.options.Now()
+	var table []Status
+	for _, service := range c.options.Belief.Services() {
+		table = append(table, c.status(now, service))
+	}
+	return table
+}
+
+func (c *Coordinator) status(now time.Time, service identity.ServiceName) Status {
+	believed := c.options.Belief.Software(service)
+	standing, shared := believed.Standing, c.traffic(service)
+	stable := c.stable(service, believed, shared)
+	shared.mutex.Lock()
+	defer shared.mutex.Unlock()
+	status := Status{
+		Service: service, Stable: stable, Target: standing.Target, Order: standing.Order, Stage: standing.Stage, Reason: standing.Reason,
+		Exposing: standing.Stage == rollout.StageTrial && shared.exposing(now, standing.Order),
+		ShareNow: shared.sent.share(shared.marks[0].sent), ShareTotal: shared.sent.share(tally{}), Pooled: shared.pooled != nil,
+	}
+	evidence := shared.evidence
+	if shared.pooled != nil {
+		evidence = *shared.pooled
+	}
+	for _, route := range evidence.Routes {
+		status.Routes = append(status.Routes, routeStatus(route))
+	}
+	return status
+}
+
+func routeStatus(evidence rollout.RouteEvidence) RouteStatus {
+	status := RouteStatus{
+		Route: evidence.Route, StableGood: int(evidence.Stable.Good), StableBad: int(evidence.Stable.Bad + evidence.Stable.Slow),
+	}
+	for _, backend := range evidence.Target {
+		status.TargetGood += int(backend.Counts.Good)
+		status.TargetBad += int(backend.Counts.Bad + backend.Counts.Slow)
+	}
+	return status
+}
--- /dev/null
+++ b/internal/rollout/traffic.go
@@ -0,0 +1,198 @@
+package rollout
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/lotusward/lotusward/internal/core/identity"
+	"github.com/lotusward/lotusward/internal/core/rollout"
+)
+
+// shareInterval is the least time over which the present share of requests is told.
+const shareInterval = 5 * time.Second
+
+// traffic is what the goroutines of a service's requests share with the goroutine of Run.
+type traffic struct {
+	mutex sync.Mutex
+	// order is the order under way, and row the standing's, that the rest is of.
+	order, row uint64
+	// fallback is the stable version while there is no standing, given that the order named by
+	// fallbackOrder targets another one.
+	fallback      identity.SoftwareVersion
+	fallbackOrder uint64
+	fallbackKnown bool
+	exposure      *rollout.Exposure
+	evidence      rollout.Evidence
+	pace          *rollout.Pace
+	// backends are those of the target that the trial uses.
+	backends []uint64
+	// exposeUntil is until when enough collectors have granted requests to the target.
+	exposeUntil time.Time
+	stopped     bool
+	exposed     bool
+	// restating is set where the order targets the stable version: there is nothing to judge.
+	restating bool
+	sent      tally
+	marks     [2]mark
+	// pooled is the evidence of all daemons, where this one is a collector.
+	pooled *rollout.Evidence
+}
+
+// tally counts sendings of an order.
+type tally struct{ stable, target int }
+
+// mark is a tally at a time.
+type mark struct {
+	at   time.Time
+	sent tally
+}
+
+// share is the target's part of the sendings since an earlier tally.
+func (t tally) share(since tally) float64 {
+	stable, target := t.stable-since.stable, t.target-since.target
+	if stable+target == 0 {
+		return 0
+	}
+	return float64(target) / float64(stable+target)
+}
+
+// traffic returns what is shared of a service.
+func (c *Coordinator) traffic(service identity.ServiceName) *traffic {
+	c.mutex.RLock()
+	found := c.traffics[service]
+	c.mutex.RUnlock()
+	if found != nil {
+		return found
+	}
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if c.traffics[service] == nil {
+		c.traffics[service] = &traffic{}
+	}
+	return c.traffics[service]
+}
+
+// current tells whether the traffic is that of what is believed.
+func (t *traffic) current(believed rollout.Service) bool {
+	order, _ := underWay(believed)
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	return t.order == order && t.row == believed.Standing.Row
+}
+
+// synchronize makes a service's traffic that of what is believed now.
+func (c *Coordinator) synchronize(now time.Time, service identity.ServiceName, believed rollout.Service) {
+	order, active := underWay(believed)
+	var listed []uint64
+	if believed.Standing.Stage == rollout.StageTrial {
+		listed = c.options.Backends.KeysOf(service, believed.Standing.Target)
+	}
+	shared := c.traffic(service)
+	if changed := shared.follow(order, believed); changed {
+		c.metrics.noteStage(service, believed.Standing)
+		c.logStanding(service, believed)
+	}
+	shared.mutex.Lock()
+	defer shared.mutex.Unlock()
+	if believed.Standing.Row == 0 {
+		shared.learnFallback(believed, c.options.Backends.SoftwareVersions(service))
+	}
+	if !active {
+		return
+	}
+	if shared.exposure == nil {
+		shared.exposure = rollout.NewExposure(c.options.ExposureShare, rand.Float64())
+	}
+	if stop := c.stops[service]; stop != nil && stop.order == order {
+		shared.stopped = true
+	}
+	shared.backends = nil
+	if len(listed) > 0 {
+		named := rollout.Order{Service: service, Target: believed.Standing.Target, Number: order}
+		shared.backends = rollout.TrialBackends(named, listed, c.options.ExposureShare)
+	}
+	shared.remember(now)
+	c.metrics.noteShare(service, shared.sent.share(shared.marks[0].sent))
+}
+
+// follow begins anew where the order is another one. It tells whether the standing is.
+func (t *traffic) follow(order uint64, believed rollout.Service) (changed bool) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	changed = t.row != believed.Standing.Row
+	t.row = believed.Standing.Row
+	t.restating = believed.Standing.Target == believed.Standing.Stable
+	if t.order == order || order == 0 {
+		t.order = order
+		return changed
+	}
+	t.order = order
+	t.exposure, t.evidence, t.pace, t.pooled = nil, rollout.Evidence{}, rollout.NewPace(), nil
+	t.exposeUntil, t.stopped, t.exposed, t.backends = time.Time{}, false, false, nil
+	t.sent, t.marks = tally{}, [2]mark{}
+	return changed
+}
+
+// learnFallback finds the stable version of a service without a standing. The caller holds the
+// mutex.
+func (t *traffic) learnFallback(believed rollout.Service, listed map[identity.SoftwareVersion]int) {
+	var targets []identity.SoftwareVersion
+	t.fallbackOrder = 0
+	if believed.Order != nil {
+		targets = append(targets, believed.Order.Target)
+		t.fallbackOrder = believed.Order.Number
+	}
+	t.fallback, t.fallbackKnown = rollout.StableOf(listed, targets), true
+}
+
+// remember keeps two earlier tallies, for the present share. The caller holds the mutex.
+func (t *traffic) remember(now time.Time) {
+	if now.Sub(t.marks[1].at) < shareInterval {
+		return
+	}
+	t.marks[0] = t.marks[1]
+	t.marks[1] = mark{at: now, sent: t.sent}
+}
+
+// exposing tells whether a request of an order may go to its target under trial. The caller
+// holds the mutex.
+func (t *traffic) exposing(now time.Time, order uint64) bool {
+	return t.order == order && !t.stopped && now.Before(t.exposeUntil) && len(t.backends) > 0
+}
+
+// stop ends the exposure to an order's target.
+func (t *traffic) stop(order uint64) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	if t.order == order {
+		t.stopped = true
+	}
+}
+
+// stoppedFor tells whether an order's target was found bad.
+func (t *traffic) stoppedFor(order uint64) bool {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	return t.order == order && t.stopped
+}
+
+// allowUntil sets until when requests may go to the target of an order.
+func (t *traffic) allowUntil(order uint64, until time.Time) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	if t.order == order {
+		t.exposeUntil = until
+	}
+}
+
+// counted is a copy of this daemon's evidence of an order.
+func (t *traffic) counted(order uint64) rollout.Evidence {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	var counted rollout.Evidence
+	if t.order == order {
+		counted.Merge(t.evidence)
+	}
+	return counted
+}
