--- a/internal/core/rollout/backends.go
+++ b/internal/core/rollout/backends.go
@@ -47,11 +47,12 @@
 	return mostListed(listed)
 }
 
+// mostListed is the version with the most back ends. Those that name no version are of none.
 func mostListed(listed map[identity.SoftwareVersion]int) identity.SoftwareVersion {
-	most := identity.SoftwareVersion("")
+	most, count := identity.SoftwareVersion(""), 0
 	for _, version := range slices.Sorted(maps.Keys(listed)) {
-		if listed[version] > listed[most] {
-			most = version
+		if version != "" && listed[version] > count {
+			most, count = version, listed[version]
 		}
 	}
 	return most
--- a/internal/core/rollout/next.go
+++ b/internal/core/rollout/next.go
@@ -1,6 +1,7 @@
 package rollout
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/lotusward/lotusward/internal/core/identity"
@@ -13,7 +14,7 @@
 	Service Service
 	// Listed is the number of listed back ends of each version.
 	Listed map[identity.SoftwareVersion]int
-	// Verdict and Stopped are of the order of the standing. Stopped: somebody found its target bad.
+	// Verdict and Stopped are of the standing's order. Stopped: somebody found its target bad.
 	Verdict Verdict
 	Stopped bool
 	// Acknowledged: every daemon that is heard has said that it sends to the target alone and has
@@ -28,7 +29,123 @@
 	PromotionTime time.Duration
 }
 
-// Next decides the next standing of a service. It returns false where nothing is to be written.
+// Reasons of stages, as operators read them.
+const (
+	reasonBegun    = "the target gets a small share of the requests"
+	reasonIsStable = "the target is the stable version"
+	reasonEnough   = "the target's answers are as good as the stable version's"
+	reasonDone     = "all requests go to the target, nothing is under way at other back ends"
+	reasonStopped  = "a daemon found the target's answers worse than the stable version's"
+	reasonTooLate  = "the time was over before the order was seen"
+	reasonNoTime   = "the time is over and the target has not shown enough"
+	reasonNobody   = "the time is over and no back end of the target is listed"
+)
+
+// Next decides the next standing of a service: the stable version where there is no row yet, else
+// the next stage of the newest order. It returns false where nothing is to be written.
 func Next(facts Facts) (Standing, bool) {
-	return Standing{}, false
+	standing := facts.Service.Standing
+	if standing.Row == 0 {
+		return firstStanding(facts)
+	}
+	if order := facts.Service.Order; order != nil && order.Number > standing.Order && replaceable(standing) {
+		return begin(facts, *order), true
+	}
+	switch standing.Stage {
+	case StageTrial:
+		return nextOfTrial(facts, standing)
+	case StageShift:
+		return nextOfShift(facts, standing)
+	default:
+		return standing, false
+	}
+}
+
+// firstStanding is the standing of a service that has none, so that its stable version stays the
+// same from then on, whatever is listed.
+func firstStanding(facts Facts) (Standing, bool) {
+	first := Standing{Service: facts.Service.Standing.Service, Stable: facts.Service.Standing.Stable}
+	var targets []identity.SoftwareVersion
+	if order := facts.Service.Order; order != nil {
+		first.Service = cmp.Or(first.Service, order.Service)
+		targets = append(targets, order.Target)
+	}
+	first.Stable = cmp.Or(first.Stable, StableOf(facts.Listed, targets))
+	return first, first.Stable != "" && first.Service != ""
+}
+
+// replaceable tells whether a newer order may take the place of the standing's. During a shift it
+// waits for the end: requests are under way at both versions. A shift to the stable version
+// changes nothing that a newer order would have to wait for.
+func replaceable(standing Standing) bool {
+	return standing.Stage != StageShift || standing.Target == standing.Stable
+}
+
+// begin is the standing at the begin of an order.
+func begin(facts Facts, order Order) Standing {
+	begun := facts.Service.Standing
+	begun.Target, begun.Order = order.Target, order.Number
+	begun.BeganAt = facts.Service.OrderSince
+	begun.Deadline = begun.BeganAt + order.Duration
+	switch {
+	case order.Target == begun.Stable:
+		return enter(begun, StageShift, reasonIsStable)
+	case facts.Now >= begun.Deadline:
+		return enter(begun, StageRolledBack, reasonTooLate)
+	default:
+		return enter(begun, StageTrial, reasonBegun)
+	}
+}
+
+func enter(standing Standing, stage Stage, reason string) Standing {
+	standing.Stage, standing.Reason = stage, reason
+	return standing
+}
+
+// nextOfTrial rolls back a target that is bad, or has not shown enough by the deadline. It shifts
+// as late as the promotion allows: a version that turns bad later has had few requests till then.
+func nextOfTrial(facts Facts, standing Standing) (Standing, bool) {
+	if reason, bad := badReason(facts); bad {
+		return enter(standing, StageRolledBack, reason), true
+	}
+	listed := facts.Listed[standing.Target] > 0
+	left := standing.Deadline - facts.Now
+	switch {
+	case left <= 0 && !listed:
+		return enter(standing, StageRolledBack, reasonNobody), true
+	case left <= 0:
+		return enter(standing, StageRolledBack, reasonNoTime), true
+	case left <= facts.PromotionTime && listed && facts.Verdict.Enough:
+		return enter(standing, StageShift, reasonEnough), true
+	default:
+		return standing, false
+	}
+}
+
+// nextOfShift completes the order, or rolls it back if its target turns out to be bad or nobody
+// runs it at the deadline. Otherwise it goes on beyond the deadline: requests may be under way at
+// the stable version's back ends, which end as soon as the order is completed.
+func nextOfShift(facts Facts, standing Standing) (Standing, bool) {
+	listed := facts.Listed[standing.Target] > 0
+	if standing.Target != standing.Stable {
+		if reason, bad := badReason(facts); bad {
+			return enter(standing, StageRolledBack, reason), true
+		}
+		if !listed && facts.Now >= standing.Deadline {
+			return enter(standing, StageRolledBack, reasonNobody), true
+		}
+	}
+	if !listed || !facts.Acknowledged || !facts.Idle || !facts.Quorum {
+		return standing, false
+	}
+	standing.Stable = standing.Target
+	return enter(standing, StageCompleted, reasonDone), true
+}
+
+// badReason tells whether the target was found bad, and why.
+func badReason(facts Facts) (string, bool) {
+	if facts.Verdict.Bad {
+		return facts.Verdict.Reason, true
+	}
+	return reasonStopped, facts.Stopped
 }
