--- /dev/null
+++ b/internal/rollout/fault_test.go
@@ -0,0 +1,384 @@
+package rollout
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/lotusward/lotusward/internal/core/identity"
+	"github.com/lotusward/lotusward/internal/core/rollout"
+	"github.com/lotusward/lotusward/internal/peerlink"
+)
+
+const (
+	// faultTime is how long a fault lasts: longer than the confirmation limit.
+	faultTime = 6 * time.Second
+	// testDuration is the time of an order.
+	testDuration = 12 * time.Second
+	// patience is within which an order must have ended after its deadline, with a fault.
+	patience = 15 * time.Second
+)
+
+// newQuietFleet makes a fleet that has worked for a moment.
+func newQuietFleet(seed uint64, count int, services ...identity.ServiceName) *fleet {
+	made := newFleet(seed, count, services...)
+	made.badness["bad"] = 0.9
+	made.longest = time.Second
+	made.run(2 * time.Second)
+	return made
+}
+
+func (f *fleet) check(t *testing.T) {
+	t.Helper()
+	f.settle()
+	assert.DeepEqual(t, f.violations, []string(nil))
+}
+
+// TestDriverFails kills, pauses and cuts off the daemon that writes a stage, before the write and
+// between the write and its answer, at each stage.
+func TestDriverFails(t *testing.T) {
+	faults := map[string]func(*member, bool){
+		"killed": func(m *member, begins bool) {
+			if begins {
+				m.kill()
+			} else {
+				m.start()
+			}
+		},
+		"paused": (*member).pause,
+		"cut off": func(m *member, begins bool) {
+			if begins {
+				m.cut(1, true)
+			} else {
+				m.cut(0, false)
+			}
+		},
+	}
+	for name, fault := range faults {
+		for _, stage := range []rollout.Stage{rollout.StageNone, rollout.StageTrial, rollout.StageShift, rollout.StageCompleted} {
+			for _, written := range []bool{false, true} {
+				t.Run(fmt.Sprintf("%s at %s %t", name, stage, written), func(t *testing.T) {
+					inBubble(t, func(t *testing.T) { failDriver(t, stage, written, fault) })
+				})
+			}
+		}
+	}
+}
+
+func failDriver(t *testing.T, stage rollout.Stage, written bool, fault func(*member, bool)) {
+	fleet := newFleet(4, 7, testService)
+	fleet.longest = time.Second
+	hit := false
+	strike := func(standing rollout.Standing, writer *member) {
+		if hit || standing.Stage != stage {
+			return
+		}
+		hit = true
+		writer.Freeze()
+		fleet.later(func() { writer.Thaw(); fault(writer, true) })
+		time.AfterFunc(faultTime, func() { fleet.later(func() { fault(writer, false) }) })
+	}
+	if written {
+		fleet.store.after = strike
+	} else {
+		fleet.store.before = strike
+	}
+	fleet.run(2 * time.Second)
+	fleet.order(testService, newVersion, testDuration)
+	assert.Assert(t, fleet.until(testDuration+patience, fleet.at(testService, rollout.StageCompleted)))
+	assert.Assert(t, hit)
+	fleet.run(faultTime)
+	fleet.check(t)
+}
+
+// TestStoreDown keeps the store away from within the trial. The trial goes on, a bad version is
+// stopped, and after the confirmation limit requests are refused until the store is back.
+func TestStoreDown(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		fleet := newQuietFleet(5, 8, testService, "apps")
+		fleet.badness[newVersion] = 0
+		order := fleet.order(testService, newVersion, testDuration)
+		fleet.run(1200 * time.Millisecond)
+		bad := fleet.order("apps", "bad", testDuration)
+		assert.Assert(t, fleet.until(3*time.Second, fleet.at("apps", rollout.StageTrial)))
+		fleet.store.setDown(true)
+		exposed := fleet.trials[order]
+		stopped := func() bool {
+			for _, each := range fleet.members {
+				if stop := each.coordinator.stops["apps"]; stop == nil || stop.order != bad {
+					return false
+				}
+			}
+			return true
+		}
+		assert.Assert(t, fleet.until(3500*time.Millisecond, stopped))
+		assert.Assert(t, fleet.trials[order] > exposed)
+		assert.Equal(t, fleet.stage("apps"), rollout.StageTrial)
+		fleet.run(5 * time.Second)
+		refused, served := fleet.members[0].refused, fleet.members[0].served
+		fleet.run(time.Second)
+		assert.Assert(t, fleet.members[0].refused > refused)
+		assert.Equal(t, fleet.members[0].served, served)
+		fleet.store.setDown(false)
+		assert.Assert(t, fleet.until(time.Second, fleet.at("apps", rollout.StageRolledBack)))
+		assert.Assert(t, fleet.until(patience, fleet.at(testService, rollout.StageCompleted)))
+		fleet.check(t)
+	})
+}
+
+// TestStoreTroubles lets the store be slow, lose answers after writes, and turn daemons away.
+func TestStoreTroubles(t *testing.T) {
+	troubles := map[string]func(*fleet){
+		"slow":         func(f *fleet) { f.store.setDelay(800 * time.Millisecond) },
+		"very slow":    func(f *fleet) { f.store.setDelay(1600 * time.Millisecond) },
+		"lost answers": func(f *fleet) { f.store.loseAnswers = 100 },
+		"turns all but two away": func(f *fleet) {
+			for _, each := range f.members[:len(f.members)-2] {
+				each.storeless.Store(true)
+			}
+			// Daemons are told what the others read.
+			f.relayChecks = true
+		},
+	}
+	for name, trouble := range troubles {
+		t.Run(name, func(t *testing.T) {
+			inBubble(t, func(t *testing.T) {
+				fleet := newQuietFleet(6, 7, testService)
+				trouble(fleet)
+				fleet.order(testService, newVersion, testDuration)
+				assert.Assert(t, fleet.until(testDuration+patience, fleet.at(testService, rollout.StageCompleted)))
+				assert.Assert(t, fleet.store.writes <= 8, "%d writes", fleet.store.writes)
+				fleet.run(time.Second)
+				fleet.check(t)
+			})
+		})
+	}
+}
+
+// TestOrdersInARow replaces an order within its trial and within its shift, by another version and
+// by the old one.
+func TestOrdersInARow(t *testing.T) {
+	for _, at := range []rollout.Stage{rollout.StageTrial, rollout.StageShift} {
+		for _, second := range []identity.SoftwareVersion{"v3", oldVersion} {
+			t.Run(fmt.Sprintf("%s at %s", second, at), func(t *testing.T) {
+				inBubble(t, func(t *testing.T) {
+					fleet := newQuietFleet(7, 7, testService)
+					fleet.order(testService, newVersion, testDuration)
+					assert.Assert(t, fleet.until(testDuration, fleet.at(testService, at)))
+					number := fleet.order(testService, second, testDuration)
+					done := func() bool {
+						standing := fleet.store.standing(testService)
+						return standing.Order == number && standing.Stage == rollout.StageCompleted
+					}
+					assert.Assert(t, fleet.until(testDuration+patience, done), "%+v", fleet.store.standing(testService))
+					assert.Equal(t, fleet.store.standing(testService).Stable, second)
+					fleet.check(t)
+				})
+			})
+		}
+	}
+}
+
+// TestNothingToTry orders a version that no back end runs, and one whose time is over at once.
+func TestNothingToTry(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		fleet := newQuietFleet(8, 5, testService, "apps")
+		fleet.store.order(testService, "nobody", 4*time.Second)
+		fleet.order("apps", newVersion, time.Millisecond)
+		assert.Assert(t, fleet.until(3*time.Second, fleet.at("apps", rollout.StageRolledBack)))
+		assert.Assert(t, fleet.until(5*time.Second, fleet.at(testService, rollout.StageRolledBack)))
+		assert.Equal(t, fleet.sent["apps"][newVersion], 0)
+		fleet.check(t)
+	})
+}
+
+// TestAllDaemonsKilled kills all daemons in a stage, and starts them anew.
+func TestAllDaemonsKilled(t *testing.T) {
+	for _, at := range []rollout.Stage{rollout.StageTrial, rollout.StageShift} {
+		t.Run(string(at), func(t *testing.T) {
+			inBubble(t, func(t *testing.T) {
+				fleet := newQuietFleet(9, 7, testService)
+				fleet.order(testService, newVersion, testDuration)
+				assert.Assert(t, fleet.until(testDuration, fleet.at(testService, at)))
+				for _, each := range fleet.members {
+					each.kill()
+				}
+				fleet.run(500 * time.Millisecond)
+				for _, each := range fleet.members {
+					each.start()
+				}
+				assert.Assert(t, fleet.until(testDuration+patience, fleet.at(testService, rollout.StageCompleted)))
+				fleet.check(t)
+			})
+		})
+	}
+}
+
+// TestDaemonIsCutOff cuts a daemon off from everybody in the trial. It exposes nothing after a
+// second, and the order is completed once it must have refused for longer than requests last.
+func TestDaemonIsCutOff(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		fleet := newQuietFleet(10, 7, testService)
+		fleet.order(testService, newVersion, testDuration)
+		assert.Assert(t, fleet.until(testDuration, func() bool { return len(fleet.trials) > 0 }))
+		cut := fleet.members[2]
+		// It is cut off just before the shift, so that it goes on as in the trial.
+		fleet.store.before = func(standing rollout.Standing, writer *member) {
+			if standing.Stage == rollout.StageShift && writer != cut {
+				cut.cut(1, true)
+			}
+		}
+		assert.Assert(t, fleet.until(testDuration, fleet.at(testService, rollout.StageShift)))
+		began, served := time.Now(), cut.served
+		fleet.run(time.Second)
+		assert.Assert(t, cut.served > served)
+		assert.Assert(t, fleet.until(patience, fleet.at(testService, rollout.StageCompleted)))
+		took := time.Since(began)
+		assert.Assert(t, took >= testLimit && took < testLimit+3*time.Second, "%v", took)
+		fleet.run(time.Second)
+		fleet.check(t)
+	})
+}
+
+// TestUnreportedRequestsAreWaitedFor is the same where back ends don't report what is under way.
+func TestUnreportedRequestsAreWaitedFor(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		fleet := newQuietFleet(11, 7, testService)
+		for _, each := range fleet.members {
+			each.reportless.Store(true)
+		}
+		fleet.order(testService, newVersion, testDuration)
+		assert.Assert(t, fleet.until(testDuration, fleet.at(testService, rollout.StageTrial)))
+		fleet.members[2].cut(1, true)
+		assert.Assert(t, fleet.until(testDuration, fleet.at(testService, rollout.StageShift)))
+		began := time.Now()
+		assert.Assert(t, fleet.until(patience, fleet.at(testService, rollout.StageCompleted)))
+		assert.Assert(t, time.Since(began) >= testLimit+longestRequest, "%v", time.Since(began))
+		fleet.check(t)
+	})
+}
+
+// TestPausedDaemonWakes pauses a daemon with requests that are chosen for and not yet sent, until
+// after the order is completed.
+func TestPausedDaemonWakes(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		fleet := newQuietFleet(12, 7, testService)
+		fleet.order(testService, newVersion, testDuration)
+		assert.Assert(t, fleet.until(testDuration, fleet.at(testService, rollout.StageTrial)))
+		fleet.run(2 * time.Second)
+		paused := fleet.members[3]
+		choices := paused.coordinator.Choose(testService, "/a", false)
+		paused.pause(true)
+		assert.Assert(t, fleet.until(testDuration+patience, fleet.at(testService, rollout.StageCompleted)))
+		paused.pause(false)
+		assert.Assert(t, !paused.coordinator.Stands(choices))
+		assert.Assert(t, paused.coordinator.Choose(testService, "/a", false).Refused)
+		fleet.run(2 * time.Second)
+		assert.Equal(t, paused.coordinator.Choose(testService, "/a", false).Version, newVersion)
+		fleet.check(t)
+	})
+}
+
+// TestStopIsNotHeard keeps stops from a daemon. It gets no grants, and exposes nothing after a
+// second.
+func TestStopIsNotHeard(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		fleet := newQuietFleet(13, 9, testService)
+		fleet.badness["bad"] = 0
+		fleet.order(testService, "bad", testDuration)
+		assert.Assert(t, fleet.until(testDuration, func() bool { return len(fleet.trials) > 0 }))
+		number := fleet.store.standing(testService).Order
+		deaf := fleet.members[0]
+		for _, each := range fleet.members {
+			if !slices.Contains(deaf.coordinator.collectorsOf(testService, number), each.Address()) {
+				deaf = each
+			}
+		}
+		deaf.Handle(peerlink.KindVersionStop, func(string, []byte) {})
+		deaf.Handle(peerlink.KindVersionStanding, func(string, []byte) {})
+		peerlink.HandleDecoded(deaf, peerlink.KindVersionGrant, func(from string, got grantMessage) {
+			got.Stopped, got.Standing = false, nil
+			deaf.coordinator.enqueue(func(ctx context.Context, now time.Time) { deaf.coordinator.takeGrant(ctx, now, from, got) })
+		})
+		fleet.store.setDown(true)
+		fleet.badness["bad"] = 0.9
+		assert.Assert(t, fleet.until(5*time.Second, func() bool { return fleet.members[1].coordinator.stops[testService] != nil }))
+		fleet.run(time.Second)
+		exposed := fleet.trials[number]
+		assert.Assert(t, deaf.coordinator.stops[testService] == nil)
+		fleet.run(2 * time.Second)
+		assert.Equal(t, fleet.trials[number], exposed)
+		fleet.settle()
+	})
+}
+
+// cutOff cuts some daemons off from the rest and the store, first those that will be no collectors
+// of the next order.
+func (f *fleet) cutOff(count int) {
+	collectors := f.members[0].coordinator.collectorsOf(testService, f.store.version+1)
+	ranked := slices.Clone(f.members)
+	slices.SortStableFunc(ranked, func(left, right *member) int {
+		return slices.Index(collectors, left.Address()) - slices.Index(collectors, right.Address())
+	})
+	for _, each := range ranked[:count] {
+		each.cut(1, true)
+	}
+}
+
+// TestUnseenOrder cuts some daemons off before an order. Where they are fewer than half the others
+// complete it, and they refuse requests by then; two halves don't complete it.
+func TestUnseenOrder(t *testing.T) {
+	for cutOff, completes := range map[int]bool{3: true, 4: false} {
+		t.Run(fmt.Sprint(cutOff), func(t *testing.T) {
+			inBubble(t, func(t *testing.T) {
+				fleet := newQuietFleet(14, 8, testService)
+				fleet.cutOff(cutOff)
+				fleet.order(testService, newVersion, testDuration)
+				assert.Equal(t, fleet.until(testDuration+patience, fleet.at(testService, rollout.StageCompleted)), completes)
+				fleet.run(time.Second)
+				for _, each := range fleet.members {
+					each.cut(0, false)
+				}
+				assert.Assert(t, fleet.until(patience, func() bool { return fleet.stage(testService).Ended() }))
+				fleet.check(t)
+			})
+		})
+	}
+}
+
+// TestCompletionIsQuick measures the time from the shift to the completion where nobody is missing.
+func TestCompletionIsQuick(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		fleet := newQuietFleet(15, 10, testService)
+		fleet.longest = 100 * time.Millisecond
+		fleet.order(testService, newVersion, testDuration)
+		assert.Assert(t, fleet.until(testDuration, fleet.at(testService, rollout.StageShift)))
+		began := time.Now()
+		assert.Assert(t, fleet.until(time.Second, fleet.at(testService, rollout.StageCompleted)))
+		t.Logf("completed %v after the shift", time.Since(began))
+		assert.Assert(t, time.Since(began) < 700*time.Millisecond)
+		fleet.check(t)
+	})
+}
+
+// TestVersionTurnsBadInShift lets a version turn bad within the shift.
+func TestVersionTurnsBadInShift(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		fleet := newQuietFleet(16, 8, testService)
+		fleet.longest = longestRequest
+		fleet.order(testService, newVersion, testDuration)
+		cut := fleet.members[5]
+		assert.Assert(t, fleet.until(testDuration, fleet.at(testService, rollout.StageTrial)))
+		fleet.run(2 * time.Second)
+		cut.cut(1, true)
+		assert.Assert(t, fleet.until(testDuration, fleet.at(testService, rollout.StageShift)))
+		fleet.badness[newVersion] = 0.9
+		assert.Assert(t, fleet.until(2*time.Second, fleet.at(testService, rollout.StageRolledBack)))
+		fleet.run(time.Second)
+		fleet.check(t)
+	})
+}
