--- a/internal/rollout/driver.go
+++ b/internal/rollout/driver.go
@@ -61,7 +61,7 @@
 	if !known || !c.membersKnown() {
 		return
 	}
-	believed.Standing.Service = service
+	believed.Standing.Service, believed.Standing.Stable = service, c.stable(service, believed, c.traffic(service))
 	facts, counted := c.facts(ctx, now, storeTime, believed)
 	next, due := rollout.Next(facts)
 	if !due || (next.Stage == rollout.StageShift && believed.Standing.Stage == rollout.StageTrial && !facts.Quorum) {
--- a/internal/rollout/traffic.go
+++ b/internal/rollout/traffic.go
@@ -134,8 +134,9 @@
 	return changed
 }
 
-// learnFallback finds the stable version of a service without a standing. The caller holds the
-// mutex.
+// learnFallback finds the stable version of a service without a standing. One that was found
+// stays while it is listed: orders that come before the standing is written don't change which
+// version served till then. The caller holds the mutex.
 func (t *traffic) learnFallback(believed rollout.Service, listed map[identity.SoftwareVersion]int) {
 	var targets []identity.SoftwareVersion
 	t.fallbackOrder = 0
@@ -143,6 +144,9 @@
 		targets = append(targets, believed.Order.Target)
 		t.fallbackOrder = believed.Order.Number
 	}
+	if t.fallback != "" && listed[t.fallback] > 0 {
+		return
+	}
 	t.fallback, t.fallbackKnown = rollout.StableOf(listed, targets), true
 }
 
