Know orders and standings of services' software versions

Where it is asked for, the store adapter reads the operators' orders and the daemons' own table of standings, and its check expects the rows of both unchanged, absent ones included.

Weighed: telling changes alone with a digest, and asking for the rest; a confirmation would then hang on another answer. A daemon without roll-outs confirms nothing for one with them: it does not notice an order.

--- a/internal/directory/bulletin.go
+++ b/internal/directory/bulletin.go
@@ -39,6 +39,8 @@
 	// Versions are the remembered named versions of the models' weights, oldest first.
 	// Their times are zero where they were guessed.
 	Versions []Seen
+	// Software is nil where the teller doesn't know of software versions.
+	Software *SoftwareNews `msgpack:",omitempty"`
 }
 
 // BackendNews says how the list of back ends changed up to a version of the store.
@@ -125,6 +127,7 @@
 	state := d.state.Load()
 	d.options.Tell(Bulletin{Declared: &DeclaredNews{
 		Clock: clock, StoreVersion: d.positions[tableDeclared].Load(), RowVersion: state.RowVersion, Versions: allSeen(state),
+		Software: d.softwareNews(),
 	}})
 }
 
@@ -189,12 +192,13 @@
 }
 
 // takeDeclared takes in what operators have declared. A configuration that this daemon
-// doesn't have it asks for.
+// doesn't have it asks for. Orders and standings are taken in before anything is confirmed.
 func (d *Directory) takeDeclared(now time.Time, from string, news *DeclaredNews) {
+	d.takeSoftware(news.Software)
 	state := d.state.Load()
 	at, known := d.freshness[tableDeclared].localTime(news.Clock)
 	switch {
-	case !known || news.RowVersion < state.RowVersion:
+	case !known || news.RowVersion < state.RowVersion || !d.tellsSoftware(news.Software):
 		return
 	case at.After(now):
 		// A time to come shows that the store's clock was last read from an outdated answer.
--- /dev/null
+++ b/internal/directory/declared.go
@@ -0,0 +1,88 @@
+package directory
+
+import (
+	"maps"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/lotusward/lotusward/internal/clock"
+	"github.com/lotusward/lotusward/internal/core/routing"
+	"github.com/lotusward/lotusward/internal/relay"
+)
+
+// applyChecked notes that nothing has changed since what operators declared was read.
+func (d *Directory) applyChecked(got message) {
+	if !maps.Equal(got.checked, d.rows) {
+		return // what was checked is an outdated reading that was passed over
+	}
+	if d.state.Load() == nil {
+		d.tellNothing(got.ended, d.freshness[tableDeclared].storeTime(got.began))
+		return
+	}
+	d.confirm(got.began)
+	d.tellDeclared(got.ended, d.freshness[tableDeclared].storeTime(got.began))
+}
+
+// applyDeclared takes in what operators declared. A reading of an earlier moment
+// than one before it confirms nothing, and no older configuration is ever applied.
+func (d *Directory) applyDeclared(got message) {
+	declared := got.declared
+	if !d.freshness[tableDeclared].admit(got.began, got.ended, declared.Reading) {
+		d.options.Log.WithField("store_version", declared.Version).Warn("An outdated reading is passed over.")
+		return
+	}
+	if declared.Malformed != nil {
+		d.options.Log.WithError(declared.Malformed).Error("What operators declared is malformed; the last good one stays in force.")
+	}
+	d.rows = declared.Rows
+	if !declared.Found {
+		d.tellNothing(got.ended, declared.Clock)
+		return
+	}
+	d.readSoftware(declared)
+	now := clock.Now()
+	versionsChanged := d.nameVersions(now, declared.Clock, declared.Versions)
+	d.started = true
+	state := d.state.Load()
+	newer := declared.Configuration != nil && (state == nil || declared.Configuration.Version > state.Table.Version())
+	switch {
+	case newer:
+		d.publish(declared)
+	case versionsChanged:
+		d.publishVersions()
+	}
+	if d.state.Load() != nil {
+		d.confirm(got.began)
+		advance(d.positions[tableDeclared], declared.Version)
+		d.showRest()
+		d.tellDeclared(got.ended, declared.Clock)
+	}
+}
+
+// publish puts a configuration in force.
+func (d *Directory) publish(declared *Declared) {
+	d.state.Store(&relay.State{
+		Table:      routing.Compile(declared.Configuration),
+		RowVersion: declared.RowVersion,
+		Versions:   d.copyVersions(),
+		Software:   d.softwareInForce(),
+	})
+	d.options.Log.WithFields(logrus.Fields{
+		"configuration": declared.Configuration.Version,
+		"store_version": declared.Version,
+		"routes":        len(declared.Configuration.Routes),
+		"tenants":       len(declared.Configuration.Tenants),
+	}).Info("A configuration is in force.")
+}
+
+// publishVersions puts the remembered versions of weights in force, if there is a
+// configuration.
+func (d *Directory) publishVersions() {
+	state := d.state.Load()
+	if state == nil {
+		return
+	}
+	renewed := *state
+	renewed.Versions = d.copyVersions()
+	d.state.Store(&renewed)
+}
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"maps"
-	"slices"
 	"sync/atomic"
 	"time"
 
@@ -13,7 +11,6 @@
 	"github.com/lotusward/lotusward/internal/core/backendpool"
 	"github.com/lotusward/lotusward/internal/core/identity"
 	"github.com/lotusward/lotusward/internal/core/rollout"
-	"github.com/lotusward/lotusward/internal/core/routing"
 	"github.com/lotusward/lotusward/internal/relay"
 )
 
@@ -140,6 +137,7 @@
 	reachable map[table]bool
 	changeLog changeLog
 	members   *memberList
+	software  *softwareBelief
 	// toldTryingAt is when this daemon last told that its calls fail.
 	toldTryingAt time.Time
 	// repeats is how often the last changes of the list are still to be told again.
@@ -200,13 +198,14 @@
 		versions:  map[identity.ModelName][]relay.NamedVersion{},
 		backends:  newBackendList(),
 		members:   newMemberList(),
+		software:  newSoftwareBelief(),
 		told:      map[identity.ModelName][]Seen{},
 		freshness: map[table]*freshness{tableDeclared: {}, tableBackends: {}},
 		reachable: map[table]bool{},
 	}
 	directory.confirmed.Store(&time.Time{})
 	directory.steady.Store(&time.Time{})
-	directory.shown.Store(&shownLists{})
+	directory.shown.Store(&shownLists{software: directory.softwareNews()})
 	return directory
 }
 
@@ -292,19 +291,6 @@
 	}
 }
 
-// applyChecked notes that nothing has changed since what operators declared was read.
-func (d *Directory) applyChecked(got message) {
-	if !maps.Equal(got.checked, d.rows) {
-		return // what was checked is an outdated reading that was passed over
-	}
-	if d.state.Load() == nil {
-		d.tellNothing(got.ended, d.freshness[tableDeclared].storeTime(got.began))
-		return
-	}
-	d.confirm(got.began)
-	d.tellDeclared(got.ended, d.freshness[tableDeclared].storeTime(got.began))
-}
-
 // confirm notes that a call which began at a time showed the belief to be the
 // newest.
 func (d *Directory) confirm(began time.Time) {
@@ -328,149 +314,11 @@
 	log.WithError(got.err).Warn("The store does not answer.")
 }
 
-// applyDeclared takes in what operators declared. A reading of an earlier moment
-// than one before it confirms nothing, and no older configuration is ever applied.
-func (d *Directory) applyDeclared(got message) {
-	declared := got.declared
-	if !d.freshness[tableDeclared].admit(got.began, got.ended, declared.Reading) {
-		d.options.Log.WithField("store_version", declared.Version).Warn("An outdated reading is passed over.")
-		return
-	}
-	if declared.Malformed != nil {
-		d.options.Log.WithError(declared.Malformed).Error("What operators declared is malformed; the last good one stays in force.")
-	}
-	d.rows = declared.Rows
-	if !declared.Found {
-		d.tellNothing(got.ended, declared.Clock)
-		return
-	}
-	now := clock.Now()
-	versionsChanged := d.nameVersions(now, declared.Clock, declared.Versions)
-	d.started = true
-	state := d.state.Load()
-	newer := declared.Configuration != nil && (state == nil || declared.Configuration.Version > state.Table.Version())
-	switch {
-	case newer:
-		d.publish(declared)
-	case versionsChanged:
-		d.publishVersions()
-	}
-	if d.state.Load() != nil {
-		d.confirm(got.began)
-		advance(d.positions[tableDeclared], declared.Version)
-		d.showRest()
-		d.tellDeclared(got.ended, declared.Clock)
-	}
-}
-
-// publish puts a configuration in force.
-func (d *Directory) publish(declared *Declared) {
-	d.state.Store(&relay.State{
-		Table:      routing.Compile(declared.Configuration),
-		RowVersion: declared.RowVersion,
-		Versions:   d.copyVersions(),
-	})
-	d.options.Log.WithFields(logrus.Fields{
-		"configuration": declared.Configuration.Version,
-		"store_version": declared.Version,
-		"routes":        len(declared.Configuration.Routes),
-		"tenants":       len(declared.Configuration.Tenants),
-	}).Info("A configuration is in force.")
-}
-
-// applyListed takes in the list of back ends. A list of before what is known from
-// changes is passed over: those would be forgotten for a moment.
-func (d *Directory) applyListed(got message) {
-	listed := got.listed
-	position := d.positions[tableBackends]
-	fresh := d.freshness[tableBackends].admit(got.began, got.ended, listed.Reading)
-	if !fresh || listed.Version < position.Load() {
-		d.options.Log.WithField("store_version", listed.Version).Warn("An outdated list of back ends is passed over.")
-		return
-	}
-	if listed.Malformed != nil {
-		d.options.Log.WithError(listed.Malformed).Error("Some back ends cannot be read.")
-	}
-	changed, gone := d.backends.difference(listed.Backends)
-	d.changeLog.note(position.Load(), listed.Version, changed, gone)
-	d.alter(changed, gone)
-	advance(position, listed.Version)
-	d.updatePool(listed.Version)
-	d.listed.Store(true)
-	d.repeats = repeatedBulletins
-	d.tellBackends(got.ended)
-}
-
-// applyChanges takes in changes of the list since it was read. Changes of before
-// what is known were told by another daemon meanwhile.
-func (d *Directory) applyChanges(got message) {
-	changes := got.changes
-	if changes.Malformed != nil {
-		d.options.Log.WithError(changes.Malformed).Error("Some back ends cannot be read.")
-	}
-	position := d.positions[tableBackends]
-	if changes.Last > position.Load() {
-		changed := slices.DeleteFunc(changes.Changed, d.backends.has)
-		// What is left out here is known up to the position, not merely since the call
-		// began: other daemons must not take the changes for all since then.
-		d.changeLog.note(position.Load(), changes.Last, changed, changes.Gone)
-		d.change(changed, changes.Gone, changes.Last)
-		d.repeats = repeatedBulletins
-	}
-	d.tellBackends(got.ended)
-}
-
-// change applies changes up to a version of the store.
-func (d *Directory) change(changed []backendpool.Backend, gone []identity.BackendID, to uint64) {
-	advance(d.positions[tableBackends], to)
-	d.alter(changed, gone)
-	if len(changed)+len(gone) > 0 {
-		d.updatePool(to)
-	} else {
-		d.showBackends(nil)
-	}
-}
-
-// alter changes the list.
-func (d *Directory) alter(changed []backendpool.Backend, gone []identity.BackendID) {
-	for _, backend := range changed {
-		d.backends.put(backend)
-	}
-	for _, id := range gone {
-		d.backends.remove(id)
-	}
-}
-
 // advance raises a position; it never falls.
 func advance(position *atomic.Uint64, to uint64) {
 	position.Store(max(position.Load(), to))
 }
 
-// updatePool gives the pool the list as it is believed to be.
-func (d *Directory) updatePool(version uint64) {
-	all := d.backends.all()
-	d.showBackends(all)
-	change := d.options.Pool.Update(all)
-	if len(change.Added)+len(change.Removed)+len(change.Draining) == 0 {
-		return
-	}
-	d.options.Log.WithFields(logrus.Fields{
-		"added": change.Added, "removed": change.Removed, "draining": change.Draining, "store_version": version,
-	}).Info("The list of back ends changed.")
-}
-
-// publishVersions puts the remembered versions of weights in force, if there is a
-// configuration.
-func (d *Directory) publishVersions() {
-	state := d.state.Load()
-	if state == nil {
-		return
-	}
-	renewed := *state
-	renewed.Versions = d.copyVersions()
-	d.state.Store(&renewed)
-}
-
 // PromptStoreAddresses are where the stores of prompt caches are.
 func (d *Directory) PromptStoreAddresses() []string {
 	state := d.state.Load()
--- /dev/null
+++ b/internal/directory/listing.go
@@ -0,0 +1,86 @@
+package directory
+
+import (
+	"slices"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/lotusward/lotusward/internal/core/backendpool"
+	"github.com/lotusward/lotusward/internal/core/identity"
+)
+
+// applyListed takes in the list of back ends. A list of before what is known from
+// changes is passed over: those would be forgotten for a moment.
+func (d *Directory) applyListed(got message) {
+	listed := got.listed
+	position := d.positions[tableBackends]
+	fresh := d.freshness[tableBackends].admit(got.began, got.ended, listed.Reading)
+	if !fresh || listed.Version < position.Load() {
+		d.options.Log.WithField("store_version", listed.Version).Warn("An outdated list of back ends is passed over.")
+		return
+	}
+	if listed.Malformed != nil {
+		d.options.Log.WithError(listed.Malformed).Error("Some back ends cannot be read.")
+	}
+	changed, gone := d.backends.difference(listed.Backends)
+	d.changeLog.note(position.Load(), listed.Version, changed, gone)
+	d.alter(changed, gone)
+	advance(position, listed.Version)
+	d.updatePool(listed.Version)
+	d.listed.Store(true)
+	d.repeats = repeatedBulletins
+	d.tellBackends(got.ended)
+}
+
+// applyChanges takes in changes of the list since it was read. Changes of before
+// what is known were told by another daemon meanwhile.
+func (d *Directory) applyChanges(got message) {
+	changes := got.changes
+	if changes.Malformed != nil {
+		d.options.Log.WithError(changes.Malformed).Error("Some back ends cannot be read.")
+	}
+	position := d.positions[tableBackends]
+	if changes.Last > position.Load() {
+		changed := slices.DeleteFunc(changes.Changed, d.backends.has)
+		// What is left out here is known up to the position, not merely since the call
+		// began: other daemons must not take the changes for all since then.
+		d.changeLog.note(position.Load(), changes.Last, changed, changes.Gone)
+		d.change(changed, changes.Gone, changes.Last)
+		d.repeats = repeatedBulletins
+	}
+	d.tellBackends(got.ended)
+}
+
+// change applies changes up to a version of the store.
+func (d *Directory) change(changed []backendpool.Backend, gone []identity.BackendID, to uint64) {
+	advance(d.positions[tableBackends], to)
+	d.alter(changed, gone)
+	if len(changed)+len(gone) > 0 {
+		d.updatePool(to)
+	} else {
+		d.showBackends(nil)
+	}
+}
+
+// alter changes the list.
+func (d *Directory) alter(changed []backendpool.Backend, gone []identity.BackendID) {
+	for _, backend := range changed {
+		d.backends.put(backend)
+	}
+	for _, id := range gone {
+		d.backends.remove(id)
+	}
+}
+
+// updatePool gives the pool the list as it is believed to be.
+func (d *Directory) updatePool(version uint64) {
+	all := d.backends.all()
+	d.showBackends(all)
+	change := d.options.Pool.Update(all)
+	if len(change.Added)+len(change.Removed)+len(change.Draining) == 0 {
+		return
+	}
+	d.options.Log.WithFields(logrus.Fields{
+		"added": change.Added, "removed": change.Removed, "draining": change.Draining, "store_version": version,
+	}).Info("The list of back ends changed.")
+}
--- a/internal/directory/snapshot.go
+++ b/internal/directory/snapshot.go
@@ -46,6 +46,8 @@
 	// Configuration is nil where the asker has it.
 	Configuration *routing.Configuration
 	Versions      []Seen
+	// Software is nil where the daemon doesn't know of software versions.
+	Software *SoftwareNews `msgpack:",omitempty"`
 	// BackendsTo is up to where the list is known; without a change for the asker,
 	// Backends is left out.
 	BackendsTo   uint64
@@ -72,6 +74,7 @@
 	membersTo  uint64
 	members    []string
 	digest     listDigest
+	software   *SoftwareNews
 	// clock is of the goroutine of Run.
 	clock freshness
 }
@@ -104,6 +107,7 @@
 	for !d.satisfies(have) && clock.Now().Before(until) && ctx.Err() == nil {
 		pause.For(ctx, serveCheck)
 	}
+	confirmed := d.ConfirmedAt() // before what it confirms is looked up
 	state, shown := d.state.Load(), d.shown.Load()
 	if state == nil || !d.listed.Load() {
 		return Snapshot{}
@@ -113,7 +117,7 @@
 		Complete:     true,
 		ClockLeast:   shown.clock.storeTime(now),
 		ClockMost:    shown.clock.most(now),
-		Confirmed:    shown.clock.storeTime(d.ConfirmedAt()),
+		Confirmed:    shown.clock.storeTime(confirmed),
 		StoreVersion: d.positions[tableDeclared].Load(),
 		RowVersion:   state.RowVersion,
 		Versions:     allSeen(state),
@@ -121,6 +125,7 @@
 		MembersTo:    shown.membersTo,
 		Members:      shown.members,
 		MemberDigest: shown.digest,
+		Software:     shown.software,
 	}
 	if d.options.Quarantine != nil {
 		snapshot.Crashes = d.options.Quarantine.Quarantined()
@@ -164,6 +169,7 @@
 		d.options.Quarantine.Adopt(got.from, snapshot.Crashes)
 	}
 	d.freshness[tableDeclared].adopt(got.asked, got.answered, snapshot.ClockLeast, snapshot.ClockMost)
+	d.takeSoftware(snapshot.Software)
 	d.adoptDeclared(got)
 	d.adoptBackends(&snapshot)
 	d.learnMembers(snapshot.Members)
@@ -196,6 +202,9 @@
 	}
 	d.started = true
 	advance(d.positions[tableDeclared], snapshot.StoreVersion)
+	if !d.tellsSoftware(snapshot.Software) {
+		return
+	}
 	if at, clear := d.freshness[tableDeclared].localTime(snapshot.Confirmed); clear && !at.After(got.answered) {
 		d.confirm(at)
 		d.turn.adopted(at, got.from)
