Send requests to the versions that are chosen for them

The relay asks for a choice of versions before it looks for a back end, again whenever the choice no longer stands, and for the last time just before the sending: a request that waited for a place must not go by what held before it. A choice for a trial does not wait, and takes no doubted or leaving back end for want of others: it falls back to the stable version at once. Second sendings and streams that are gone on with are never chosen for a trial.

Weighed: one choice at the arrival, checked at the sending alone; a request in the queue would then look for places of a version that it may no longer go to until its time is over.

Lines of requests tell version, stage, trial, order and standing. The pool's counts by version are compared with plain lists; requests at back ends that are no longer listed count until they end.

--- a/internal/core/backendpool/pool.go
+++ b/internal/core/backendpool/pool.go
@@ -39,6 +39,8 @@
 	Software identity.SoftwareVersion
 	// Only are the hashes of the IDs of the back ends that the request may go to; nil is all.
 	Only []uint64
+	// Sound leaves out back ends that are doubted or leaving even while no other will do.
+	Sound bool
 	// newest is the newest version that any back end which would do holds.
 	newest uint64
 }
@@ -272,6 +274,8 @@
 		return nil, full
 	case len(sound) == 0 && len(soon) > 0:
 		return soon, 0
+	case len(sound) == 0 && query.Sound:
+		return nil, 0
 	case len(sound) == 0:
 		return doubted, 0
 	case busy == len(sound):
--- /dev/null
+++ b/internal/core/backendpool/software_test.go
@@ -0,0 +1,206 @@
+package backendpool
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/lotusward/lotusward/internal/core/identity"
+	"github.com/lotusward/lotusward/internal/core/rendezvous"
+)
+
+// versionsOracle keeps which back ends are listed and what is under way, in plain lists.
+type versionsOracle struct {
+	listed   []Backend
+	underWay []*Ticket
+}
+
+func (o *versionsOracle) counts() map[identity.SoftwareVersion]int {
+	counts := map[identity.SoftwareVersion]int{}
+	for _, backend := range o.listed {
+		if !backend.Draining {
+			counts[backend.Software]++
+		}
+	}
+	return counts
+}
+
+func (o *versionsOracle) own(except identity.SoftwareVersion) int {
+	count := 0
+	for _, ticket := range o.underWay {
+		if ticket.Backend.Software != except {
+			count++
+		}
+	}
+	return count
+}
+
+// TestVersionsMatchASimpleOracle draws lists that change while requests are under way: what a
+// query asks for is kept, and the counts by version are those of plain lists. A request counts
+// until it ends, whatever becomes of its back end's entry.
+func TestVersionsMatchASimpleOracle(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		pool, oracle := New("a"), &versionsOracle{}
+		versions := rapid.SampledFrom([]identity.SoftwareVersion{"", "v1", "v2"})
+		for range rapid.IntRange(1, 30).Draw(t, "steps") {
+			switch rapid.IntRange(0, 3).Draw(t, "step") {
+			case 0:
+				oracle.listed = drawVersions(t)
+				pool.Update(oracle.listed)
+			case 1, 2:
+				query := Query{Service: "llm", Software: versions.Draw(t, "asked for")}
+				if rapid.Bool().Draw(t, "only") {
+					query.Only = []uint64{keyOf("engine-0"), keyOf("engine-3")}
+				}
+				if ticket := pool.Pick(start, query); ticket != nil {
+					assert.Assert(t, query.Software == "" || ticket.Backend.Software == query.Software)
+					assert.Assert(t, query.Only == nil || slices.Contains(query.Only, ticket.Key))
+					oracle.underWay = append(oracle.underWay, ticket)
+				} else {
+					assert.Equal(t, oracle.possible(query), 0)
+				}
+			case 3:
+				if len(oracle.underWay) > 0 {
+					at := rapid.IntRange(0, len(oracle.underWay)-1).Draw(t, "ended")
+					oracle.underWay[at].Release(start, ResultServed)
+					oracle.underWay = slices.Delete(oracle.underWay, at, at+1)
+				}
+			}
+			assert.DeepEqual(t, pool.SoftwareVersions("llm"), oracle.counts())
+			for _, version := range []identity.SoftwareVersion{"", "v1", "v2"} {
+				assert.Equal(t, pool.Own("llm", version), oracle.own(version))
+				assert.Equal(t, pool.Own("other", version), 0)
+				assert.Equal(t, len(pool.KeysOf("llm", version)), oracle.counts()[version])
+			}
+		}
+		for _, ticket := range oracle.underWay {
+			ticket.Release(start, ResultServed)
+		}
+		assert.Equal(t, len(pool.departed), 0)
+	})
+}
+
+// possible counts the back ends that will do for a query.
+func (o *versionsOracle) possible(query Query) int {
+	count := 0
+	for _, backend := range o.listed {
+		runs := query.Software == "" || backend.Software == query.Software
+		named := query.Only == nil || slices.Contains(query.Only, keyOf(backend.ID))
+		if !backend.Draining && runs && named {
+			count++
+		}
+	}
+	return count
+}
+
+// drawVersions draws a list. A back end keeps its version.
+func drawVersions(t *rapid.T) []Backend {
+	var list []Backend
+	for index := range 5 {
+		if !rapid.Bool().Draw(t, "listed") {
+			continue
+		}
+		list = append(list, Backend{
+			ID: identity.BackendID(fmt.Sprintf("engine-%d", index)), Service: "llm", Address: fmt.Sprintf("10.0.0.%d:80", index),
+			Software: []identity.SoftwareVersion{"v1", "v2", ""}[index%3], Draining: rapid.Bool().Draw(t, "draining"),
+		})
+	}
+	return list
+}
+
+func keyOf(id identity.BackendID) uint64 { return rendezvous.Key(string(id)) }
+
+// versioned is a list whose back ends run v1, but for those from an index on, which run v2.
+func versioned(count, from int) []Backend {
+	list := engines(count)
+	for index := range list {
+		list[index].Software = "v1"
+		if index >= from {
+			list[index].Software = "v2"
+		}
+	}
+	return list
+}
+
+// TestReplacedBackEndsCountInNoVersion gives the address of a back end to another one.
+func TestReplacedBackEndsCountInNoVersion(t *testing.T) {
+	pool := New("a")
+	pool.Update(versioned(2, 1))
+	list := versioned(3, 1)
+	list[2].Address = list[0].Address
+	pool.Update(list)
+	assert.DeepEqual(t, pool.SoftwareVersions("llm"), map[identity.SoftwareVersion]int{"v2": 2})
+	assert.Equal(t, len(pool.KeysOf("llm", "v1")), 0)
+}
+
+// TestShortageNamesOtherVersions tells back ends of another version apart from others that won't
+// do.
+func TestShortageNamesOtherVersions(t *testing.T) {
+	pool := New("a")
+	list := versioned(5, 2)
+	list[2].Draining = true
+	pool.Update(list)
+	query := Query{Service: "llm", Software: "v2", Exclude: []identity.BackendID{"engine-3", "engine-4"}}
+	_, shortage := pool.PickOrExplain(start, query)
+	assert.Equal(t, shortage, Shortage{Listed: 5, Draining: 1, Failed: 2, OtherVersion: 2})
+	query.Exclude, query.Only = nil, []uint64{}
+	_, shortage = pool.PickOrExplain(start, query)
+	assert.Equal(t, shortage, Shortage{Listed: 5, Draining: 1, OtherVersion: 4})
+}
+
+// TestSamplesKeepToTheVersion samples back ends, the prompt's holder and home included, of the
+// version that is asked for alone.
+func TestSamplesKeepToTheVersion(t *testing.T) {
+	pool := New("a")
+	pool.SetDaemons(100)
+	pool.Update(versioned(12, 6))
+	query := Query{Service: "llm", Model: "m", Home: 7, SharedTokens: 1000, Software: "v2", Only: []uint64{keyOf("engine-8"), keyOf("engine-9"), keyOf("engine-1")}}
+	query.Cached = func(uint64) Cached { return Cached{{Tokens: 1000, Read: []uint64{keyOf("engine-0")}}} }
+	for range 50 {
+		sampled := pool.Sample(start, query, nil)
+		assert.Equal(t, len(sampled), 2)
+		assert.Assert(t, !slices.Contains(sampled, keyOf("engine-0")) && !slices.Contains(sampled, keyOf("engine-1")))
+		query.Among = sampled
+		ticket := pool.Pick(start, query)
+		assert.Equal(t, ticket.Backend.Software, identity.SoftwareVersion("v2"))
+		// Where the prompt is taken from may run any version: the weights are the same.
+		assert.Equal(t, ticket.Source.Holder.ID, identity.BackendID("engine-0"))
+		ticket.Release(start, ResultServed)
+		query.Among = nil
+	}
+}
+
+// TestNewestWeightsAreOfUsableBackEnds has back ends of another version hold newer weights: that
+// makes the parts at usable ones no dearer.
+func TestNewestWeightsAreOfUsableBackEnds(t *testing.T) {
+	pool := New("a")
+	list := versioned(4, 2)
+	list[2].Weights = map[identity.ModelName]uint64{"m": 2}
+	pool.Update(list)
+	assert.Equal(t, pool.newestVersion(start, Query{Service: "llm", Model: "m"}), uint64(2))
+	assert.Equal(t, pool.newestVersion(start, Query{Service: "llm", Model: "m", Software: "v1"}), uint64(1))
+	assert.Equal(t, pool.newestVersion(start, Query{Service: "llm", Model: "m", Only: []uint64{keyOf("engine-3")}}), uint64(1))
+}
+
+// TestSoundQueriesTakeNoDoubtedBackEnd asks while the only one is doubted, and while it is
+// leaving: others take it for want of a better one.
+func TestSoundQueriesTakeNoDoubtedBackEnd(t *testing.T) {
+	pool := New("a")
+	pool.Update(versioned(1, 0))
+	query := Query{Service: "llm"}
+	pool.Pick(start, query).Release(start, ResultUnreached)
+	now := start.Add(100 * time.Millisecond)
+	sound := query
+	sound.Sound = true
+	assert.Assert(t, pool.Pick(now, sound) == nil)
+	assert.Assert(t, pool.Pick(now, query) != nil)
+	later := start.Add(time.Minute)
+	assert.Assert(t, pool.Pick(later, sound) != nil)
+	pool.SetLeaving(Leaving{Now: []uint64{keyOf("engine-0")}})
+	assert.Assert(t, pool.Pick(later, sound) == nil)
+	assert.Assert(t, pool.Pick(later, query) != nil)
+}
--- a/internal/core/backendpool/ticket.go
+++ b/internal/core/backendpool/ticket.go
@@ -32,6 +32,10 @@
 	onLost func()
 }
 
+// WorkTokens is what the back end has to do before the answer's first byte, in tokens to be
+// read: what is taken from elsewhere counts for less.
+func (t *Ticket) WorkTokens() int { return int(t.work) }
+
 // Heard notes that something arrived from the ticket's back end.
 func (t *Ticket) Heard(now time.Time) {
 	t.pool.mutex.Lock()
--- a/internal/relay/journal.go
+++ b/internal/relay/journal.go
@@ -7,6 +7,7 @@
 	"github.com/lotusward/lotusward/internal/core/backendpool"
 	"github.com/lotusward/lotusward/internal/core/identity"
 	"github.com/lotusward/lotusward/internal/core/quarantine"
+	"github.com/lotusward/lotusward/internal/core/rollout"
 	"github.com/lotusward/lotusward/internal/tenantlimit"
 )
 
@@ -36,6 +37,8 @@
 	WaitingTokens float64
 	// Source says how much of the prompt was believed to be where.
 	Source backendpool.Source
+	// Software is of the version of the service's software; nil where roll-outs are off.
+	Software *SoftwareAttempt
 	// FetchFrom and SaveTo are where the prompt's cache was to be taken from and
 	// saved to; empty is none.
 	FetchFrom, SaveTo string
@@ -44,6 +47,17 @@
 	Reason            string
 }
 
+// SoftwareAttempt says to which version of its service's software a request was sent, and why.
+type SoftwareAttempt struct {
+	// Version is the back end's.
+	Version identity.SoftwareVersion
+	// Trial is set where the version was under trial.
+	Trial bool
+	// Stage, Order and Row are of the standing that it was decided on.
+	Stage      rollout.Stage
+	Order, Row uint64
+}
+
 // Ending is how a request ended.
 type Ending struct {
 	Route                string
--- a/internal/relay/pick.go
+++ b/internal/relay/pick.go
@@ -12,6 +12,27 @@
 // cases of ten.
 const mostSamples = 3
 
+// pickChosen takes a place at a back end that the request may be sent to now, or returns why
+// it may not be sent.
+func (r *run) pickChosen(ctx context.Context) (*backendpool.Ticket, string) {
+	for range maximumChoices {
+		ticket := r.pick(ctx)
+		if ticket == nil {
+			return nil, r.shortageReason(ctx)
+		}
+		reason := r.obsolete(ctx) // while it waited for a place
+		if reason == "" && r.stillChosen() {
+			return ticket, ""
+		}
+		ticket.Release(r.now(), backendpool.ResultAbandoned)
+		if reason != "" {
+			return nil, reason
+		}
+	}
+	r.unconfirmed = true
+	return nil, reasonUnconfirmedVersions
+}
+
 // pick takes a place at a back end. Where all that would do are busy, the request
 // waits for one, for as long as waiting may be worth it. One that was sent before has
 // been let in: it never waits, since its answer may be under way to the caller.
@@ -65,10 +86,11 @@
 	return limits(r.admitted)
 }
 
-// tryPick takes a place at a back end, or notes why there is none.
-func (r *run) tryPick(ctx context.Context, limits backendpool.Limits) *backendpool.Ticket {
+// tryChosen takes a place at a back end of the chosen version, or notes why there is none.
+func (r *run) tryChosen(ctx context.Context, limits backendpool.Limits) *backendpool.Ticket {
 	query := r.relay.query(r.admitted, r.excluded)
 	query.Limits = limits
+	r.limitQuery(&query)
 	if loads := r.relay.options.Loads; loads != nil && loads.Needed() {
 		return r.tryAsked(ctx, loads, query)
 	}
@@ -124,6 +146,8 @@
 	switch {
 	case ctx.Err() != nil:
 		return reasonOf(ctx, "")
+	case r.unconfirmed:
+		return reasonUnconfirmedVersions
 	case r.overloaded, r.shortage.Busy > 0:
 		return reasonBusy
 	default:
--- a/internal/relay/run.go
+++ b/internal/relay/run.go
@@ -57,6 +57,12 @@
 	// overloaded is set if the request was refused a place that it waited for, or was not
 	// let wait for one.
 	overloaded bool
+	// choice is the versions that the next sending may go to, and unconfirmed is set where it
+	// may go to none.
+	choice      choice
+	unconfirmed bool
+	// answered is of the present sending.
+	answered answered
 	// begin watches for the present sending's begin.
 	begin *beginWatch
 	// grant is what the request was granted of its tenant's limit, where there is one.
@@ -91,15 +97,11 @@
 
 // serve sends the request until an answer is passed on or nothing is left to do.
 func (r *run) serve(ctx context.Context) {
+	defer r.dropChoice()
 	var last failure
 	for {
-		ticket := r.pick(ctx)
+		ticket, reason := r.pickChosen(ctx)
 		if ticket == nil {
-			r.giveUp(ctx, last, r.shortageReason(ctx))
-			return
-		}
-		if reason := r.obsolete(ctx); reason != "" { // while it waited for a place
-			ticket.Release(r.now(), backendpool.ResultAbandoned)
 			r.giveUp(ctx, last, reason)
 			return
 		}
@@ -142,6 +144,7 @@
 		Candidates:    ticket.Candidates,
 		WaitingTokens: ticket.Waiting,
 		Source:        ticket.Source,
+		Software:      r.softwareAttempt(ticket),
 	}
 	sending, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
@@ -150,6 +153,7 @@
 	watch := r.watchFirst(ticket, cancel)
 	dispatch := r.relay.dispatch(r.admitted, ticket, r.lastEvent)
 	r.attempt.FetchFrom, r.attempt.SaveTo = dispatch.FetchFrom, dispatch.SaveTo
+	ended := r.sentChoice(ticket)
 	answer, err := r.relay.options.Backends.Send(sending, dispatch)
 	watch.stop()
 
@@ -159,6 +163,7 @@
 		failed = r.sendFailure(sending, err)
 	default:
 		ticket.Heard(r.now())
+		r.noteHead(answer)
 		if !answer.Stream {
 			ticket.Begun()
 		}
@@ -168,6 +173,7 @@
 	r.attempt.Result = failed.result
 	r.attempt.Reason = failed.reason
 	r.noteCrash(ticket, failed)
+	ended(failed)
 	if ticket.Release(r.now(), failed.result) {
 		r.relay.options.Journal.Ejected(ticket.Backend.ID, failed.result)
 	}
@@ -305,7 +311,7 @@
 	if r.verdict.Quarantined {
 		return r.verdict.Left
 	}
-	if r.overloaded {
+	if r.overloaded && !r.unconfirmed {
 		return r.relay.waiting.retryAfter(r.admitted.match.Service)
 	}
 	return r.relay.options.Policy.RetryAfter
--- a/internal/requestlog/requestlog.go
+++ b/internal/requestlog/requestlog.go
@@ -152,6 +152,9 @@
 		fields["draining"] = shortage.Draining
 		fields["failed"] = shortage.Failed
 		fields["old_weights"] = shortage.OldWeights
+		if shortage.OtherVersion > 0 {
+			fields["other_version"] = shortage.OtherVersion
+		}
 	}
 	addAttempt(fields, ended.Attempt)
 }
@@ -171,6 +174,13 @@
 		fields["holder_tokens"] = attempt.Source.HolderTokens
 		fields["stored_tokens"] = attempt.Source.StoredTokens
 	}
+	if software := attempt.Software; software != nil {
+		fields["software"] = software.Version
+		fields["stage"] = software.Stage
+		fields["trial"] = software.Trial
+		fields["order"] = software.Order
+		fields["standing"] = software.Row
+	}
 	if attempt.FetchFrom != "" {
 		fields["fetch_from"] = attempt.FetchFrom
 	}
