--- a/cmd/internal/daemon/wire.go
+++ b/cmd/internal/daemon/wire.go
@@ -117,6 +117,9 @@
 func (w *Daemon) wireOutside(counters *requestlog.Counters) {
 	w.pool = httpexchange.NewPool(httpexchange.Options{LocalAddress: w.settings.IP})
 	w.store = platform.NewStore(w.pool, w.settings.Store.Address, &storeObserver{counters: counters, daemon: w})
+	if w.settings.Bounds.OffersRollouts() {
+		w.store.FollowRollouts()
+	}
 	w.runners = platform.NewRunners(w.pool)
 }
 
@@ -148,7 +151,7 @@
 	})
 	w.backends.OnChecked(w.crashes.Checked)
 	w.directory = directory.New(directory.Options{
-		Quarantine: w.crashes,
+		Quarantine: w.crashes, Software: bounds.OffersRollouts(),
 		Source:     w.store, Pool: w.backends, Log: w.part("directory"),
 		Self: w.link.Address(), Tell: w.tell,
 		Interval: checkInterval(bounds), Others: w.members.Others, OnMembers: w.members.Set,
--- a/internal/administration/tables.go
+++ b/internal/administration/tables.go
@@ -26,6 +26,8 @@
 	// Self is this daemon's address, and Others returns those of the others.
 	Self   string
 	Others func() []string
+	// Rollouts returns the state of services' software versions; nil where roll-outs are off.
+	Rollouts func() []query.Rollout
 	// Limits returns what this daemon grants of tenants' limits.
 	Limits func() []quota.Use
 }
@@ -40,6 +42,8 @@
 		return query.TableOf(s.backends(true)), nil
 	case source == query.SourceDaemons:
 		return query.TableOf(s.daemons()), nil
+	case source == query.SourceRollouts:
+		return query.TableOf(s.rollouts()), nil
 	case state == nil:
 		return query.Table{}, errNoConfiguration
 	case source == query.SourceModels:
@@ -63,13 +67,21 @@
 		}
 		rows = append(rows, query.Backend{
 			Backend: state.Backend.ID, Service: state.Backend.Service, Zone: state.Backend.Zone, Address: state.Backend.Address,
-			Models: versionsText(state.Versions), Leaving: state.Leaving, Doubted: state.Doubted,
+			Software: state.Backend.Software,
+			Models:   versionsText(state.Versions), Leaving: state.Leaving, Doubted: state.Doubted,
 			Running: state.InFlight, Own: state.Own, ReadingTokens: state.Reading,
 		})
 	}
 	return rows
 }
 
+func (s *Snapshot) rollouts() []query.Rollout {
+	if s.Rollouts == nil {
+		return nil
+	}
+	return s.Rollouts()
+}
+
 func versionsText(versions map[identity.ModelName]uint64) string {
 	var texts []string
 	for _, model := range slices.Sorted(maps.Keys(versions)) {
--- a/internal/core/query/rows.go
+++ b/internal/core/query/rows.go
@@ -15,6 +15,8 @@
 	Service identity.ServiceName `column:"service"`
 	Zone    identity.Zone        `column:"zone"`
 	Address string               `column:"address"`
+	// Software is the version of the service's software that it runs; empty is not told.
+	Software identity.SoftwareVersion `column:"software"`
 	// Models lists what it holds as MODEL@VERSION, with commas.
 	Models string `column:"models"`
 	// Leaving is set when it says so, and while it is taken out to load weights.
@@ -49,6 +51,32 @@
 	Behind   int `column:"behind"`
 }
 
+// Rollout is how a service moves to back ends of another version of its software, on one route.
+type Rollout struct {
+	Service identity.ServiceName `column:"service,key"`
+	// Route is empty in the only row of a service of which no answers are counted.
+	Route string `column:"route,key"`
+	// Version is the one that was ordered last; empty without an order.
+	Version identity.SoftwareVersion `column:"version"`
+	// Stable is the version that gets the requests outside of a roll-out.
+	Stable identity.SoftwareVersion `column:"stable"`
+	// State is trial, shift, completed or rolled_back; empty without an order.
+	State string `column:"state"`
+	// Exposing is set while the asked daemon may send requests to a version under trial.
+	Exposing bool `column:"exposing"`
+	// Share (0 to 1) of the asked daemon's sendings since the order went to the version.
+	Share float64 `column:"share"`
+	// StableGood to VersionBad are answers on the route since the order. Slow ones are bad.
+	StableGood  int `column:"stable_good"`
+	StableBad   int `column:"stable_bad"`
+	VersionGood int `column:"version_good"`
+	VersionBad  int `column:"version_bad"`
+	// AllDaemons is set if the answers are of all daemons; else they are of the asked one.
+	AllDaemons bool `column:"all_daemons"`
+	// Reason says why the state was reached.
+	Reason string `column:"reason"`
+}
+
 // Route is a route of the configuration in force.
 type Route struct {
 	Route    string `column:"route,key"`
--- a/internal/core/query/source.go
+++ b/internal/core/query/source.go
@@ -15,6 +15,7 @@
 	SourceLeavingBackends Source = "leaving backends"
 	SourceDaemons         Source = "daemons"
 	SourceModels          Source = "models"
+	SourceRollouts        Source = "rollouts"
 	SourceRoutes          Source = "routes"
 	SourceServices        Source = "services"
 	SourceTenants         Source = "tenants"
@@ -32,6 +33,7 @@
 	SourceLeavingBackends: columnsOf(reflect.TypeFor[Backend]()),
 	SourceDaemons:         columnsOf(reflect.TypeFor[Daemon]()),
 	SourceModels:          columnsOf(reflect.TypeFor[Model]()),
+	SourceRollouts:        columnsOf(reflect.TypeFor[Rollout]()),
 	SourceRoutes:          columnsOf(reflect.TypeFor[Route]()),
 	SourceServices:        columnsOf(reflect.TypeFor[Service]()),
 	SourceTenants:         columnsOf(reflect.TypeFor[Tenant]()),
--- a/internal/core/query/table_test.go
+++ b/internal/core/query/table_test.go
@@ -14,7 +14,7 @@
 )
 
 var sources = []query.Source{
-	query.SourceBackends, query.SourceLeavingBackends, query.SourceDaemons, query.SourceModels, query.SourceRoutes,
+	query.SourceBackends, query.SourceLeavingBackends, query.SourceDaemons, query.SourceModels, query.SourceRollouts, query.SourceRoutes,
 	query.SourceServices, query.SourceTenants,
 }
 
