Spread the requests of a trial over its back ends

So a trial goes to any of its back ends by chance, doubted ones for want of others too, while those that can't be reached or are leaving get none. Prompts are read or moved anew there; the share is small. Ruled out: ties by chance in chooseLeastLoaded for all requests, since nothing may change without roll-outs, and a prompt's home would still gather its trial requests.

--- a/cmd/internal/daemon/wire.go
+++ b/cmd/internal/daemon/wire.go
@@ -152,7 +152,7 @@
 	w.backends.OnChecked(w.crashes.Checked)
 	w.directory = directory.New(directory.Options{
 		Quarantine: w.crashes, Software: bounds.OffersRollouts(),
-		Source:     w.store, Pool: w.backends, Log: w.part("directory"),
+		Source: w.store, Pool: w.backends, Log: w.part("directory"),
 		Self: w.link.Address(), Tell: w.tell,
 		Interval: checkInterval(bounds), Others: w.members.Others, OnMembers: w.members.Set,
 		Peers: peersync.NewClient(w.pool), Contacts: w.members,
--- a/internal/core/backendpool/choice.go
+++ b/internal/core/backendpool/choice.go
@@ -62,6 +62,9 @@
 	case PlacementLeastLoaded:
 		return p.chooseLeastLoaded(candidates), float64(query.OwnTokens)
 	}
+	if query.Trial {
+		return chooseForTrial(candidates, query)
+	}
 	sampled := candidates
 	if query.Among == nil {
 		sampled = p.sample(candidates)
@@ -72,6 +75,23 @@
 	return chooseSoonest(withKnown(sampled, candidates, query), query)
 }
 
+// chooseForTrial takes one of the back ends that are not busy by chance. By load, or by where a
+// prompt is, nearly all requests of a trial would go to one of them, and what one back end does
+// says little about its version: where two daemons tried three back ends that failed everything,
+// by load, the version was taken for good after 172 failures at one of them, and by chance it was
+// found bad after 54 (one run each).
+func chooseForTrial(candidates []*entry, query Query) (*entry, float64) {
+	free := slices.DeleteFunc(slices.Clone(candidates), func(candidate *entry) bool { return candidate.busy(query) })
+	if len(free) == 0 {
+		free = candidates
+	}
+	chosen := rand.IntN(len(free))
+	if query.Model == "" {
+		return free[chosen], 0
+	}
+	return free[chosen], missingCosts(free, query)[chosen] + float64(query.OwnTokens)
+}
+
 // chooseSoonest takes the back end that should answer soonest: the work that waits
 // there, and what the prompt adds. Among those about as good, the one that ranks
 // highest for the prompt wins, so that daemons agree without talking.
--- a/internal/core/backendpool/pool.go
+++ b/internal/core/backendpool/pool.go
@@ -39,8 +39,11 @@
 	Software identity.SoftwareVersion
 	// Only are the hashes of the IDs of the back ends that the request may go to; nil is all.
 	Only []uint64
-	// Sound leaves out back ends that are doubted or leaving even while no other will do.
-	Sound bool
+	// Trial is set for requests that try a version: they are spread evenly, see chooseForTrial.
+	// Back ends that can't be reached or are leaving are left out even while no other will do;
+	// those that are doubted since they failed requests are taken then, as the evidence against a
+	// bad version comes from these.
+	Trial bool
 	// newest is the newest version that any back end which would do holds.
 	newest uint64
 }
@@ -254,6 +257,7 @@
 	for _, candidate := range p.services[query.Service] {
 		switch {
 		case !allowed(now, candidate, query):
+		case query.Trial && p.outOfUse(now, candidate):
 		case candidate.ejected(now) || p.leaving[candidate.key] == leavesNow:
 			doubted = append(doubted, candidate)
 		case query.long() && p.leaving[candidate.key] == leavesSoon:
@@ -274,8 +278,6 @@
 		return nil, full
 	case len(sound) == 0 && len(soon) > 0:
 		return soon, 0
-	case len(sound) == 0 && query.Sound:
-		return nil, 0
 	case len(sound) == 0:
 		return doubted, 0
 	case busy == len(sound):
@@ -285,6 +287,12 @@
 	}
 }
 
+// outOfUse tells whether a back end can't be reached, or is taken out of use on purpose. The
+// caller holds the mutex.
+func (p *Pool) outOfUse(now time.Time, found *entry) bool {
+	return p.leaving[found.key] == leavesNow || (found.ejected(now) && found.suspicion.unreached)
+}
+
 // allowed tells whether a back end may get the request at all.
 func allowed(now time.Time, found *entry, query Query) bool {
 	if found.backend.Draining || found.replaced || slices.Contains(query.Exclude, found.backend.ID) {
--- a/internal/core/backendpool/software_test.go
+++ b/internal/core/backendpool/software_test.go
@@ -186,21 +186,59 @@
 	assert.Equal(t, pool.newestVersion(start, Query{Service: "llm", Model: "m", Only: []uint64{keyOf("engine-3")}}), uint64(1))
 }
 
-// TestSoundQueriesTakeNoDoubtedBackEnd asks while the only one is doubted, and while it is
-// leaving: others take it for want of a better one.
-func TestSoundQueriesTakeNoDoubtedBackEnd(t *testing.T) {
+// TestTrialsTakeReachableBackEnds asks for a back end for a trial while the only one can't be
+// reached, while it is leaving, and while it is doubted since it failed requests. Other queries
+// take it all the time.
+func TestTrialsTakeReachableBackEnds(t *testing.T) {
 	pool := New("a")
 	pool.Update(versioned(1, 0))
 	query := Query{Service: "llm"}
+	trial := query
+	trial.Trial = true
 	pool.Pick(start, query).Release(start, ResultUnreached)
 	now := start.Add(100 * time.Millisecond)
-	sound := query
-	sound.Sound = true
-	assert.Assert(t, pool.Pick(now, sound) == nil)
+	assert.Assert(t, pool.Pick(now, trial) == nil)
 	assert.Assert(t, pool.Pick(now, query) != nil)
 	later := start.Add(time.Minute)
-	assert.Assert(t, pool.Pick(later, sound) != nil)
+	assert.Assert(t, pool.Pick(later, trial) != nil)
 	pool.SetLeaving(Leaving{Now: []uint64{keyOf("engine-0")}})
-	assert.Assert(t, pool.Pick(later, sound) == nil)
+	assert.Assert(t, pool.Pick(later, trial) == nil)
 	assert.Assert(t, pool.Pick(later, query) != nil)
+
+	pool = New("a")
+	pool.Update(versioned(1, 0))
+	for range 2 {
+		pool.Pick(start, query).Release(start, ResultFailed)
+	}
+	assert.Assert(t, pool.States(start)[0].Doubted)
+	assert.Assert(t, pool.Pick(start, trial) != nil)
+}
+
+// TestTrialsAreSpreadEvenly sends requests of a trial one after the other, pages and prompts of
+// which one back end holds all: each of the back ends gets about as many, and none while it is
+// full.
+func TestTrialsAreSpreadEvenly(t *testing.T) {
+	for _, model := range []identity.ModelName{"", "m"} {
+		pool := New("a")
+		list := versioned(5, 1)
+		list[4].Slots = 1
+		pool.Update(list)
+		query := Query{Service: "llm", Software: "v2", Trial: true, Model: model, Home: 7, SharedTokens: 4000, OwnTokens: 100, Limits: Limits{Places: true}}
+		query.Cached = func(uint64) Cached { return Cached{{Tokens: 4000, Read: []uint64{keyOf("engine-1")}}} }
+		full := pool.Pick(start, Query{Service: "llm", Only: []uint64{keyOf("engine-4")}})
+		assert.Equal(t, full.Backend.ID, identity.BackendID("engine-4"))
+		counts := map[identity.BackendID]int{}
+		for range 600 {
+			ticket := pool.Pick(start, query)
+			counts[ticket.Backend.ID]++
+			if model != "" && ticket.Backend.ID != "engine-1" {
+				assert.Assert(t, ticket.WorkTokens() > 100, "what it lacks counts")
+			}
+			ticket.Release(start, ResultServed)
+		}
+		assert.Equal(t, len(counts), 3)
+		for id, count := range counts {
+			assert.Assert(t, count > 120 && count < 280, "%s got %d", id, count)
+		}
+	}
 }
--- a/internal/relay/choosing.go
+++ b/internal/relay/choosing.go
@@ -70,7 +70,7 @@
 // limitQuery leaves the back ends of the chosen versions in a query.
 func (r *run) limitQuery(query *backendpool.Query) {
 	if r.choice.made && !r.choice.Any {
-		query.Software, query.Only, query.Sound = r.choice.Version, r.choice.Backends, r.choice.Trial
+		query.Software, query.Only, query.Trial = r.choice.Version, r.choice.Backends, r.choice.Trial
 	}
 }
 
