--- a/cmd/internal/daemon/bounds.go
+++ b/cmd/internal/daemon/bounds.go
@@ -12,6 +12,12 @@
 	// confirmationShare of the time in which a revoked key must stop working: later,
 	// callers earn nothing for requests that this daemon lets in.
 	confirmationShare = 0.8
+	// softwareConfirmationShare of the time in which a bad version must stop getting requests is how
+	// old the confirmation of what was declared may be while a service moves to another version:
+	// the rest is for the way from the choice to the back end, and for clocks.
+	softwareConfirmationShare = 0.8
+	// assumedTimeout is how long requests of routes without a timeout are taken to last at most.
+	assumedTimeout = time.Minute
 	// denialShare of the time in which a configuration must be in force.
 	denialShare = 0.6
 	// versionMargin is taken off the time in which a named version must be in use:
@@ -74,6 +80,12 @@
 	return time.Duration(leaseShare * float64(platform.Milliseconds(bounds.LeaseMs)))
 }
 
+// softwareConfirmationLimit is how old the confirmation of what was declared may be while requests
+// of a service that moves to another version are sent.
+func softwareConfirmationLimit(bounds platform.Bounds) time.Duration {
+	return time.Duration(softwareConfirmationShare * float64(platform.Milliseconds(bounds.RollbackMs)))
+}
+
 func policy(bounds platform.Bounds) relay.Policy {
 	share := func(share float64, milliseconds int) time.Duration {
 		return time.Duration(share * float64(platform.Milliseconds(milliseconds)))
--- a/cmd/internal/daemon/control.go
+++ b/cmd/internal/daemon/control.go
@@ -33,10 +33,14 @@
 
 // control are the parts that keep what this daemon believes, and act on it.
 func (w *Daemon) control() []func(context.Context) error {
-	return []func(context.Context) error{
+	parts := []func(context.Context) error{
 		w.directory.Run, w.weights.Run, w.follower.Run, w.link.Run, w.snapshots.Run, w.broadcast.Run, w.tree.Run, w.loads.Run,
 		w.homes.Run, w.limits.Run, w.prober.Run, w.crashes.Run, w.crashes.KeepRow, w.promptsIn.Run, w.cachesIn.Run, w.sweep, w.watchClock, w.keeper.Run,
 	}
+	if w.rollouts != nil {
+		parts = append(parts, w.rollouts.Run)
+	}
+	return parts
 }
 
 // watchClock looks for suspensions of the machine that no decision has noticed.
--- a/cmd/internal/daemon/wire.go
+++ b/cmd/internal/daemon/wire.go
@@ -40,6 +40,7 @@
 	"github.com/lotusward/lotusward/internal/prober"
 	"github.com/lotusward/lotusward/internal/relay"
 	"github.com/lotusward/lotusward/internal/requestlog"
+	"github.com/lotusward/lotusward/internal/rollout"
 	"github.com/lotusward/lotusward/internal/tenantlimit"
 	"github.com/lotusward/lotusward/internal/weightupdate"
 	"github.com/lotusward/lotusward/platform"
@@ -58,22 +59,24 @@
 	memory   *promptcache.Memory
 	budgets  *relay.Budgets
 
-	members    *members.List
-	directory  *directory.Directory
-	promptsIn  *cachewatch.Watcher
-	cachesIn   *cachewatch.Watcher
-	link       *peerlink.Link
-	broadcast  *peerlink.Broadcaster
-	tree       *peerlink.Tree
-	snapshots  *peersync.Server
-	loads      *loadshare.Sharer
-	presence   *presence.List
-	homes      *loadhome.Homes
-	limits     *tenantlimit.Limiter
-	prober     *prober.Prober
-	crashes    *crashwatch.Watcher
-	serving    *serving
-	keeper     *leasekeeper.Keeper
+	members   *members.List
+	directory *directory.Directory
+	promptsIn *cachewatch.Watcher
+	cachesIn  *cachewatch.Watcher
+	link      *peerlink.Link
+	broadcast *peerlink.Broadcaster
+	tree      *peerlink.Tree
+	snapshots *peersync.Server
+	loads     *loadshare.Sharer
+	presence  *presence.List
+	homes     *loadhome.Homes
+	limits    *tenantlimit.Limiter
+	prober    *prober.Prober
+	crashes   *crashwatch.Watcher
+	serving   *serving
+	keeper    *leasekeeper.Keeper
+	// rollouts is nil where the settings offer none.
+	rollouts   *rollout.Coordinator
 	weights    *weightupdate.Keeper
 	follower   *weightupdate.Follower
 	metricsOut *metrics
@@ -103,6 +106,7 @@
 	}
 	made.wireOutside(counters)
 	made.wireBelief()
+	made.wireRollouts(registry)
 	made.wireTraffic(counters)
 	made.wireDuty()
 	return made
@@ -184,7 +188,7 @@
 	relaying := relay.New(relay.Options{
 		Control: w.directory, Pool: w.backends, Backends: w.runners, Budgets: w.budgets,
 		Policy: policy(w.settings.Bounds), Memory: w.memory, Stores: w.promptsIn.Cache,
-		Daemons: w.members.Count, Limits: w.limits, Loads: w.homes, Crashes: w.crashes,
+		Daemons: w.members.Count, Limits: w.limits, Loads: w.homes, Crashes: w.crashes, Versions: w.versions(),
 		Journal: requestlog.New(w.part("relay"), counters),
 	})
 	w.serving = newServing(w.settings, relaying, w.directory, w.crashes.Informed, w.part("front"))
@@ -199,7 +203,7 @@
 		}))
 	}
 	if port := w.options.AdminPort; port > 0 {
-		tables := &administration.Snapshot{Control: w.directory, Pool: w.backends, Self: w.link.Address(), Others: w.members.Others, Limits: w.limits.Uses}
+		tables := &administration.Snapshot{Control: w.directory, Pool: w.backends, Self: w.link.Address(), Others: w.members.Others, Limits: w.limits.Uses, Rollouts: w.rolloutTable()}
 		w.serving.addOperators(w.address(port), administration.New(tables, w.options.AdminToken, w.part("administration")))
 	}
 }
--- a/internal/rollout/standing.go
+++ b/internal/rollout/standing.go
@@ -4,9 +4,6 @@
 	"context"
 	"time"
 
-	"github.com/sirupsen/logrus"
-
-	"github.com/lotusward/lotusward/internal/core/identity"
 	"github.com/lotusward/lotusward/internal/core/rollout"
 	"github.com/lotusward/lotusward/internal/peerlink"
 )
@@ -34,13 +31,3 @@
 	case <-ctx.Done():
 	}
 }
-
-// logStanding logs by which standing this daemon's requests are sent from now on.
-func (c *Coordinator) logStanding(service identity.ServiceName, believed rollout.Service) {
-	standing := believed.Standing
-	c.options.Log.WithFields(logrus.Fields{
-		"service": service, "stage": standing.Stage, "stable": standing.Stable, "target": standing.Target,
-		"order": standing.Order, "row": standing.Row, "reason": standing.Reason,
-		"confirmed_ms": c.options.Now().Sub(c.options.Belief.ConfirmedAt()).Milliseconds(),
-	}).Info("Requests go to versions by another standing.")
-}
--- a/internal/rollout/traffic.go
+++ b/internal/rollout/traffic.go
@@ -91,7 +91,6 @@
 	shared := c.traffic(service)
 	if changed := shared.follow(order, believed); changed {
 		c.metrics.noteStage(service, believed.Standing)
-		c.logStanding(service, believed)
 	}
 	shared.mutex.Lock()
 	defer shared.mutex.Unlock()
