--- a/internal/core/rollout/comparison.go
+++ b/internal/core/rollout/comparison.go
@@ -11,14 +11,18 @@
 	// together and however often they are made. A good version that is rolled back costs as much
 	// as a bad one that stays; a lower share costs a bad version's callers more bad answers, about
 	// one for each factor of ten.
-	falseAlarms = 0.005
+	falseAlarms = 0.05
 	// excessLimit is the number of bad answers beyond what is expected after which the target is
 	// bad in any case. The rule bounds them by 50; ten more come while all are told.
-	excessLimit = 40
+	excessLimit = 25
 	// loneExcessLimit is the same where fewer than three back ends have answered.
 	loneExcessLimit = 25
 	// doubt is the likelihood ratio from which a target is not promoted, though it isn't found bad.
-	doubt = 20
+	doubt = 8
+	// windowAnswers is the number of the target's answers that the last ones are looked at by: at
+	// least as many, and twice as many at most. Of 40, a version of which 30 in 100 fail shows 12
+	// bad ones.
+	windowAnswers = 40
 	// enoughAnswers is the number of the target's answers after which more say little: of those of
 	// a version of which 5 in 100 fail, 7 are bad.
 	enoughAnswers = 150
@@ -27,8 +31,10 @@
 	// a tenth. More can't be waited for: after the promotion such a service sends fewer requests
 	// until the deadline than the bound on exposure leaves as slack.
 	enoughShare = 0.02
-	// fewAnswers is the number of the stable version's answers below which the target owes none.
-	fewAnswers = 25
+	// fewAnswers and fewRouteAnswers are the numbers of the stable version's answers, over all and on
+	// a route, below which the target owes none: beside them it has 4 and 9 on average, and less
+	// than what it owes by chance in 1 of 100 and 1 of 500 orders.
+	fewAnswers, fewRouteAnswers = 50, 100
 )
 
 // Verdict is what the evidence says of the target.
@@ -68,23 +74,46 @@
 }
 
 // Compare judges the target by the evidence of all daemons. It tests failed and slow answers, on
-// each route and over all of them. It keeps no state: as counts are cumulative and the tests are
-// sequential, it can be called as often as there is news. One call takes some 10 us for 4 routes
-// and 11 back ends.
-func Compare(pooled Evidence) Verdict {
-	verdict := Verdict{}
-	for _, each := range pooled.Routes {
-		for _, backend := range each.Target {
-			verdict.Answers += backend.Counts.Total()
-			verdict.BadAnswers += int(backend.Counts.Bad) + int(backend.Counts.Slow)
-		}
+// each route and over all of them. As counts are cumulative and the tests are sequential, it can be
+// called as often as there is news.
+func Compare(pooled Evidence) Verdict { return judge(&pooled, comparisonsOf(&pooled, &pooled)) }
+
+// Monitor compares as Compare does, and also looks at the last answers alone: a version that turns
+// bad after many good answers shows it sooner in these. The zero value has seen nothing; it isn't
+// safe for use by several goroutines.
+type Monitor struct {
+	// older and newer are the evidence of two earlier looks, windowAnswers or more apart.
+	older, newer Evidence
+}
+
+// Compare judges the target by the evidence of all daemons, each call by what is known by then.
+func (m *Monitor) Compare(pooled Evidence) Verdict {
+	comparisons := comparisonsOf(&pooled, &pooled)
+	if len(m.older.Routes) > 0 {
+		recent := pooled.since(&m.older)
+		comparisons = append(comparisons, comparisonsOf(&pooled, &recent)...)
+	}
+	m.remember(&pooled)
+	return judge(&pooled, comparisons)
+}
+
+// remember keeps a copy of the evidence where enough has come since the last one.
+func (m *Monitor) remember(pooled *Evidence) {
+	if pooled.targetAnswers()-m.newer.targetAnswers() < windowAnswers {
+		return
 	}
-	comparisons := comparisonsOf(pooled)
-	limit := float64(len(comparisons)) / falseAlarms
+	m.older, m.newer = m.newer, Evidence{}
+	m.newer.Merge(*pooled)
+}
+
+// judge makes the verdict of the tests.
+func judge(pooled *Evidence, comparisons []comparison) Verdict {
+	verdict := Verdict{Answers: pooled.targetAnswers(), BadAnswers: pooled.badAnswers()}
+	limit := math.Log(float64(len(comparisons)) / falseAlarms)
 	doubted := false
 	for _, each := range comparisons {
-		ratio := each.logRatio(math.Log(limit))
-		if ratio >= math.Log(limit) || each.excessive() {
+		ratio := each.logRatio()
+		if ratio >= limit || each.excessive() {
 			verdict.Bad, verdict.Reason = true, each.describe()
 			return verdict
 		}
@@ -94,61 +123,70 @@
 	return verdict
 }
 
-// comparisonsOf makes the tests of all kinds and scopes.
-func comparisonsOf(pooled Evidence) []comparison {
+// comparisonsOf makes the tests of all kinds and scopes of what is part of the pooled evidence.
+func comparisonsOf(pooled, part *Evidence) []comparison {
 	var made []comparison
 	for _, kind := range kinds {
-		sound := soundPart(talliesOf(pooled.StableSample, kind))
-		overall := comparison{scope: "all routes", kind: kind}
-		expectedBad, answers := 0.0, 0
-		for _, route := range pooled.Routes {
-			each := comparison{scope: "route " + route.Route, kind: kind, backends: talliesOf(route.Target, kind)}
-			each.expected = expectedRate(tallyOf(route.Stable, kind), sound, kind.tolerated)
-			made = append(made, each)
-			expectedBad += each.expected * float64(totalOf(each.backends))
-			answers += totalOf(each.backends)
-		}
-		overall.expected = expectedBad / float64(max(answers, 1))
-		overall.backends = talliesOf(overRoutes(pooled), kind)
-		made = append(made, overall)
+		made = append(made, comparisonsOfKind(part, kind, soundPart(pooled, kind))...)
 	}
 	return made
 }
 
+func comparisonsOfKind(part *Evidence, kind kind, sound float64) []comparison {
+	var made []comparison
+	expectedBad, answers := 0.0, 0
+	for _, route := range part.Routes {
+		each := comparison{scope: "route " + route.Route, kind: kind, backends: talliesOf(route.Target, kind)}
+		each.expected = expectedRate(tallyOf(route.Stable, kind), sound, kind.tolerated)
+		made = append(made, each)
+		answered := total(each.backends).answers
+		expectedBad += each.expected * float64(answered)
+		answers += answered
+	}
+	return append(made, comparison{
+		scope: "all routes", kind: kind, backends: talliesOf(overRoutes(part), kind),
+		expected: expectedBad / float64(max(answers, 1)),
+	})
+}
+
 // overRoutes adds up the target's answers on all routes.
-func overRoutes(pooled Evidence) []BackendCounts {
+func overRoutes(part *Evidence) []BackendCounts {
 	var sum []BackendCounts
-	for _, route := range pooled.Routes {
+	for _, route := range part.Routes {
 		mergeBackends(&sum, route.Target)
 	}
 	return sum
 }
 
+// soundPart is the rate of bad answers of the stable version's sound back ends, as a part of the
+// rate of all of them.
+func soundPart(pooled *Evidence, kind kind) float64 {
+	stable := Counts{}
+	for _, route := range pooled.Routes {
+		stable.merge(route.Stable)
+	}
+	return min(soundRate(talliesOf(pooled.StableSample, kind))/rateOf(tallyOf(stable, kind)), 1)
+}
+
 // expectedRate is the highest share of bad answers that the stable version's make likely for a
-// back end of the target that is sound: a quarter more than theirs, one standard error, and what
-// is tolerated. A rate of which little is known counts as higher.
+// sound back end of the target: a quarter more than that of its own sound ones, one standard
+// error, and what is tolerated.
 func expectedRate(stable tally, sound, tolerated float64) float64 {
-	rate := (float64(stable.bad) + 0.5) / (float64(stable.answers) + 1)
-	deviation := math.Sqrt(rate * (1 - rate) / float64(stable.answers+1))
-	return min(1.25*rate*sound+deviation+tolerated, 0.95)
+	rate := rateOf(stable)
+	return min((1.25*rate+standardError(rate, stable.answers))*sound+tolerated, 0.95)
 }
 
-// logRatio is the logarithm of the test's likelihood ratio.
-func (c comparison) logRatio(limit float64) float64 {
+// logRatio is the logarithm of the higher likelihood ratio of both tests.
+func (c comparison) logRatio() float64 {
 	if !c.suspicious() {
 		return 0
 	}
-	return logLikelihoodRatio(c.backends, c.expected, faultyShare(len(c.backends), limit))
+	remaining := withoutWorst(c.backends, c.expected)
+	return max(logLikelihoodRatio(c.backends, c.expected), logRatioOf(remaining, c.expected))
 }
 
 // suspicious tells whether there are more bad answers than expected at all.
-func (c comparison) suspicious() bool {
-	bad := 0
-	for _, each := range c.backends {
-		bad += each.bad
-	}
-	return float64(bad) > c.expected*float64(totalOf(c.backends))
-}
+func (c comparison) suspicious() bool { return total(c.backends).excess(c.expected) > 0 }
 
 // excessive tells whether there are so many bad answers beyond the expected ones that the target
 // is bad whatever the likelihoods are. Of the worst half of the back ends each counts as much as
@@ -159,7 +197,7 @@
 	}
 	excesses := make([]float64, len(c.backends))
 	for index, each := range c.backends {
-		excesses[index] = float64(each.bad) - c.expected*float64(each.answers)
+		excesses[index] = each.excess(c.expected)
 	}
 	if len(excesses) < minimumTrialBackends {
 		return sum(excesses) >= loneExcessLimit
@@ -182,35 +220,28 @@
 }
 
 func (c comparison) describe() string {
-	bad := 0
-	for _, each := range c.backends {
-		bad += each.bad
-	}
+	all := total(c.backends)
 	return fmt.Sprintf("%d of %d answers of the target %s on %s, %.1f%% are expected",
-		bad, totalOf(c.backends), c.kind.name, c.scope, 100*c.expected)
+		all.bad, all.answers, c.kind.name, c.scope, 100*c.expected)
 }
 
 // shownEnough tells whether the target has answered enough on each route, and over all.
-func shownEnough(pooled Evidence) bool {
+func shownEnough(pooled *Evidence) bool {
 	stable, target := 0, 0
 	for _, route := range pooled.Routes {
-		answers := 0
-		for _, backend := range route.Target {
-			answers += backend.Counts.Total()
-		}
-		if answers < owed(route.Stable.Total()) {
+		if route.targetAnswers() < owed(route.Stable.Total(), fewRouteAnswers) {
 			return false
 		}
 		stable += route.Stable.Total()
-		target += answers
+		target += route.targetAnswers()
 	}
-	return target >= owed(stable)
+	return target >= owed(stable, fewAnswers)
 }
 
 // owed is the number of answers of the target that are enough beside so many of the stable
-// version's.
-func owed(stable int) int {
-	if stable < fewAnswers {
+// version's; few of these call for none.
+func owed(stable, few int) int {
+	if stable < few {
 		return 0
 	}
 	return min(int(math.Ceil(enoughShare*float64(stable))), enoughAnswers)
--- /dev/null
+++ b/internal/core/rollout/comparison_test.go
@@ -0,0 +1,274 @@
+package rollout
+
+import (
+	"flag"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+var draws = flag.Int("rollout.draws", 40, "how often each trial is drawn")
+
+// answersPerLook is the number of all answers between two looks: a fifth of a second at 700 a second.
+const answersPerLook = 140
+
+// world draws the answers of a service during a trial, as a collector sees them.
+type world struct {
+	random        *rand.Rand
+	stable, trial []backend
+	// failed and slow are shares of the answers of sound back ends.
+	failed, slow float64
+	// version gives the target's own shares, by route and how much of the trial is past.
+	version func(route int, past float64) (failed, slow float64)
+	// disturb changes the world before an answer.
+	disturb func(w *world, past float64)
+}
+
+// backend is a back end with its own faults, as shares of its answers; the next lost ones fail.
+type backend struct {
+	key          uint64
+	failed, slow float64
+	lost         int
+}
+
+// newWorld draws a service with so many back ends in the trial, of which a share is faulty.
+func newWorld(seed uint64, trial int, faulty float64) *world {
+	random := rand.New(rand.NewPCG(seed, uint64(trial)))
+	return &world{
+		random: random, stable: drawBackends(random, 10*trial, faulty), trial: drawBackends(random, trial, faulty),
+		failed: 0.004, slow: 0.01,
+		version: after(0, 0, 0), disturb: func(*world, float64) {},
+	}
+}
+
+func drawBackends(random *rand.Rand, count int, faulty float64) []backend {
+	drawn := make([]backend, count)
+	for index := range drawn {
+		drawn[index].key = random.Uint64()
+		switch {
+		case random.Float64() >= faulty:
+		case random.IntN(2) == 0:
+			drawn[index].failed = 0.4
+		default:
+			drawn[index].slow = 0.95
+		}
+	}
+	return drawn
+}
+
+// result draws an answer's result, and whether the version made it bad.
+func (w *world) result(on *backend, failed, slow float64) (result Result, own bool) {
+	happens := func(share float64) bool { return w.random.Float64() < share }
+	on.lost--
+	switch {
+	case happens(failed):
+		return ResultBad, true
+	case on.lost >= 0 || happens(w.failed) || happens(on.failed):
+		return ResultBad, false
+	case happens(slow):
+		return ResultSlow, true
+	case happens(w.slow) || happens(on.slow):
+		return ResultSlow, false
+	default:
+		return ResultGood, false
+	}
+}
+
+// run plays a trial of a number of the target's answers, and returns the last verdict and the
+// number of answers that the version itself had made bad by then.
+func (w *world) run(answers int) (verdict Verdict, bad int) {
+	daemons, monitor := make([]Evidence, 20), &Monitor{}
+	for sent, all := 0, 0; sent < answers; all++ {
+		past := float64(sent) / float64(answers)
+		w.disturb(w, past)
+		route := []int{0, 0, 0, 1, 1, 2}[w.random.IntN(6)]
+		target, on, failed, slow := w.random.Float64() < 0.08, pick(w.random, w.stable), 0.0, 0.0
+		if target {
+			on = pick(w.random, w.trial)
+			failed, slow = w.version(route, past)
+			sent++
+		}
+		result, own := w.result(on, failed, slow)
+		if own {
+			bad++
+		}
+		daemons[w.random.IntN(len(daemons))].Note(target, Answer{Route: fmt.Sprint(route), Backend: on.key, Result: result})
+		if all%answersPerLook == 0 || sent == answers {
+			var pooled Evidence
+			for _, each := range daemons {
+				pooled.Merge(each)
+			}
+			if verdict = monitor.Compare(pooled); verdict.Bad {
+				break
+			}
+		}
+	}
+	return verdict, bad
+}
+
+func pick(random *rand.Rand, from []backend) *backend { return &from[random.IntN(len(from))] }
+
+func after(begin, failed, slow float64) func(int, float64) (float64, float64) {
+	return func(_ int, past float64) (float64, float64) {
+		if past < begin {
+			return 0, 0
+		}
+		return failed, slow
+	}
+}
+
+func onRoute(bad int, begin, failed, slow float64) func(int, float64) (float64, float64) {
+	whole := after(begin, failed, slow)
+	return func(route int, past float64) (float64, float64) {
+		if route != bad {
+			return 0, 0
+		}
+		return whole(route, past)
+	}
+}
+
+// TestBadVersionsAreFound draws versions of each kind, with sound back ends and with faulty ones
+// on both sides. Bad answers count up to the look that found the version; between two looks a
+// version at which most are slow gives nine.
+func TestBadVersionsAreFound(t *testing.T) {
+	type bars struct {
+		answers, median int
+		// by50 is how many in 100 are found at 50 bad answers at the latest.
+		by50 int
+	}
+	for name, each := range map[string]struct {
+		version func(route int, past float64) (failed, slow float64)
+		bars
+	}{
+		"5 in 100 fail":                        {after(0, 0.05, 0), bars{1500, 25, 95}},
+		"30 in 100 fail":                       {after(0, 0.3, 0), bars{300, 25, 98}},
+		"three times slower":                   {after(0, 0, 0.8), bars{300, 25, 98}},
+		"5 in 100 fail after a third":          {after(0.34, 0.05, 0), bars{1500, 35, 80}},
+		"30 in 100 fail after a third":         {after(0.34, 0.3, 0), bars{1500, 25, 98}},
+		"30 in 100 fail after a third, few":    {after(0.34, 0.3, 0), bars{300, 25, 95}},
+		"slower after a third":                 {after(0.34, 0, 0.8), bars{1500, 30, 98}},
+		"30 in 100 fail from half load":        {after(0.5, 0.3, 0), bars{1500, 25, 98}},
+		"slower from half load":                {after(0.5, 0, 0.8), bars{1500, 30, 98}},
+		"30 in 100 fail on a small route":      {onRoute(2, 0, 0.3, 0), bars{1500, 25, 98}},
+		"slower on one route":                  {onRoute(1, 0, 0, 0.8), bars{300, 25, 98}},
+		"30 in 100 fail on one route, a third": {onRoute(1, 0.34, 0.3, 0), bars{1500, 25, 98}},
+	} {
+		for _, trial := range []int{3, 11} {
+			for _, faulty := range []float64{0, 0.14} {
+				t.Run(fmt.Sprint(name, ", back ends ", trial, ", faulty ", faulty), func(t *testing.T) {
+					t.Parallel()
+					var found []int
+					for seed := range uint64(*draws) {
+						drawn := newWorld(seed, trial, faulty)
+						drawn.version = each.version
+						verdict, bad := drawn.run(each.answers)
+						if !verdict.Bad {
+							bad = math.MaxInt
+						}
+						found = append(found, bad)
+					}
+					slices.Sort(found)
+					late, _ := slices.BinarySearch(found, 51)
+					t.Logf("median %d, nine in ten %d, by 50 %d of %d", found[len(found)/2], found[len(found)*9/10], late, len(found))
+					assert.Check(t, found[len(found)/2] <= each.median)
+					assert.Check(t, late*100 >= each.by50**draws)
+				})
+			}
+		}
+	}
+}
+
+// TestGoodVersionsPass draws versions that are as good as the stable one, with all that may happen
+// to either, or by chance only to the target.
+func TestGoodVersionsPass(t *testing.T) {
+	for name, each := range map[string]struct {
+		faulty  float64
+		disturb func(w *world, past float64)
+	}{
+		"calm":                {0, func(*world, float64) {}},
+		"faulty back ends":    {0.14, func(*world, float64) {}},
+		"faulty in the trial": {0, faultyInTrial},
+		"crashes":             {0.05, crashes},
+		"hot key":             {0.05, hotKey},
+		"empty caches":        {0.05, emptyCaches},
+		"weights are loaded":  {0.05, weightsAreLoaded},
+	} {
+		for _, trial := range []int{3, 4, 5, 11} {
+			for _, answers := range []int{8, 60, 300, 1500} {
+				t.Run(fmt.Sprint(name, ", back ends ", trial, ", answers ", answers), func(t *testing.T) {
+					t.Parallel()
+					bad, passed := 0, 0
+					for seed := range uint64(2 * *draws) {
+						drawn := newWorld(seed, trial, each.faulty)
+						drawn.disturb = each.disturb
+						verdict, _ := drawn.run(answers)
+						if verdict.Bad {
+							bad++
+							t.Log(verdict.Reason)
+						}
+						if verdict.Enough {
+							passed++
+						}
+					}
+					t.Logf("passed %d, bad %d of %d", passed, bad, 2**draws)
+					assert.Check(t, passed*100 >= 2**draws*97)
+				})
+			}
+		}
+	}
+}
+
+// faultyInTrial makes one trial back end of three faulty, or two of eleven, and none of the others.
+func faultyInTrial(w *world, past float64) {
+	if past > 0 {
+		return
+	}
+	w.trial[0].failed = 0.4
+	if len(w.trial) > 5 {
+		w.trial[1].slow = 0.95
+	}
+}
+
+// crashes ends each back end once in 100,000 answers with five requests under way; another begins.
+func crashes(w *world, _ float64) {
+	for _, all := range [][]backend{w.stable, w.trial} {
+		if w.random.Float64() < float64(len(all))/100_000 {
+			*pick(w.random, all) = backend{key: w.random.Uint64(), lost: 5}
+		}
+	}
+}
+
+// hotKey makes a third of all answers slow for a while.
+func hotKey(w *world, past float64) {
+	w.slow = 0.01
+	if past > 0.3 && past < 0.5 {
+		w.slow = 0.3
+	}
+}
+
+// emptyCaches makes some of the target's first answers slow.
+func emptyCaches(w *world, past float64) {
+	if past < 0.1 {
+		w.version = after(0, 0, 0.03)
+		return
+	}
+	w.version = after(0, 0, 0)
+}
+
+// weightsAreLoaded makes half of the answers of one back end in ten slow, one after the other.
+func weightsAreLoaded(w *world, past float64) {
+	for _, all := range [][]backend{w.stable, w.trial} {
+		for index := range all {
+			if all[index].slow < 0.9 {
+				all[index].slow = 0
+			}
+			if all[index].key%10 == uint64(past*10) {
+				all[index].slow = max(all[index].slow, 0.5)
+			}
+		}
+	}
+}
--- a/internal/core/rollout/evidence.go
+++ b/internal/core/rollout/evidence.go
@@ -52,6 +52,16 @@
 	c.Slow += other.Slow
 }
 
+// since is what was counted after an earlier time. Of a daemon that has started again since then
+// some of it is missing.
+func (c Counts) since(earlier Counts) Counts {
+	return Counts{
+		Good: c.Good - min(earlier.Good, c.Good),
+		Bad:  c.Bad - min(earlier.Bad, c.Bad),
+		Slow: c.Slow - min(earlier.Slow, c.Slow),
+	}
+}
+
 // BackendCounts are the answers of one back end.
 type BackendCounts struct {
 	_msgpack struct{} `msgpack:",as_array"`
@@ -90,13 +100,12 @@
 // Note counts an answer of the target or else of the stable version.
 func (e *Evidence) Note(target bool, answer Answer) {
 	route := e.route(answer.Route)
-	if target {
-		counts := countsOf(&route.Target, answer.Backend)
-		counts.note(answer.Result)
+	if !target {
+		route.Stable.note(answer.Result)
+		e.sample(answer)
 		return
 	}
-	route.Stable.note(answer.Result)
-	e.sample(answer)
+	backendOf(&route.Target, answer.Backend).Counts.note(answer.Result)
 }
 
 // sample counts an answer of the stable version if its back end is among those of the sample.
@@ -105,7 +114,7 @@
 	if full && answer.Backend > e.StableSample[stableSampleSize-1].Backend {
 		return
 	}
-	countsOf(&e.StableSample, answer.Backend).note(answer.Result)
+	backendOf(&e.StableSample, answer.Backend).Counts.note(answer.Result)
 	e.trimSample()
 }
 
@@ -124,6 +133,51 @@
 	e.trimSample()
 }
 
+// since is what was counted on each route after an earlier time.
+func (e *Evidence) since(earlier *Evidence) Evidence {
+	var newer Evidence
+	for _, now := range e.Routes {
+		then := earlier.route(now.Route)
+		route := newer.route(now.Route)
+		route.Stable = now.Stable.since(then.Stable)
+		for _, backend := range now.Target {
+			before := backendOf(&then.Target, backend.Backend).Counts
+			if counts := backend.Counts.since(before); counts.Total() > 0 {
+				route.Target = append(route.Target, BackendCounts{Backend: backend.Backend, Counts: counts})
+			}
+		}
+	}
+	return newer
+}
+
+// targetAnswers is the number of the target's answers.
+func (e *Evidence) targetAnswers() int {
+	answers := 0
+	for _, route := range e.Routes {
+		answers += route.targetAnswers()
+	}
+	return answers
+}
+
+// badAnswers is the number of those that are bad or slow.
+func (e *Evidence) badAnswers() int {
+	bad := 0
+	for _, route := range e.Routes {
+		for _, backend := range route.Target {
+			bad += int(backend.Counts.Bad) + int(backend.Counts.Slow)
+		}
+	}
+	return bad
+}
+
+func (r *RouteEvidence) targetAnswers() int {
+	answers := 0
+	for _, backend := range r.Target {
+		answers += backend.Counts.Total()
+	}
+	return answers
+}
+
 // route finds or adds a route. There are few, so that a search costs less than a map.
 func (e *Evidence) route(name string) *RouteEvidence {
 	for index := range e.Routes {
@@ -137,17 +191,17 @@
 
 func mergeBackends(into *[]BackendCounts, other []BackendCounts) {
 	for _, theirs := range other {
-		countsOf(into, theirs.Backend).merge(theirs.Counts)
+		backendOf(into, theirs.Backend).Counts.merge(theirs.Counts)
 	}
 }
 
-// countsOf finds or adds a back end in an ordered list.
-func countsOf(list *[]BackendCounts, backend uint64) *Counts {
+// backendOf finds or adds a back end in an ordered list.
+func backendOf(list *[]BackendCounts, backend uint64) *BackendCounts {
 	index, found := slices.BinarySearchFunc(*list, backend, func(each BackendCounts, wanted uint64) int {
 		return cmp.Compare(each.Backend, wanted)
 	})
 	if !found {
 		*list = slices.Insert(*list, index, BackendCounts{Backend: backend})
 	}
-	return &(*list)[index].Counts
+	return &(*list)[index]
 }
--- a/internal/core/rollout/likelihood.go
+++ b/internal/core/rollout/likelihood.go
@@ -1,19 +1,29 @@
 package rollout
 
-import "math"
+import (
+	"cmp"
+	"math"
+	"slices"
+)
 
-// A back end may be faulty by itself, whichever version it runs: its answers are bad at any rate.
-// The likelihoods here are of a mixture: a back end is faulty with some probability, and else has
-// the rate of its version. So one back end can't say more against the version than that
-// probability allows, however many bad answers it gives, and what most of them do decides.
+// A back end may be faulty by itself, whichever version it runs. So the version is tested in two
+// ways, each with what remains of the evidence if that is so:
+//   - by a mixture: each back end is faulty with some probability, and else has the rate of its
+//     version. However many bad answers one gives, it says no more than that probability allows.
+//   - without the worst back ends, as many as are hardly ever faulty at once. With few back ends
+//     that finds a version at which all fail often with less answers.
 
 const (
-	// faultyBackends is the highest share of back ends that are taken to be faulty by themselves:
-	// 14 in 100 were seen.
-	faultyBackends = 0.14
-	// soundMargin is how much further the back ends' evidence may go than a test's limit, as a
-	// logarithm, if all say the same.
-	soundMargin = 1.0
+	// faultyShare is the share of back ends that are taken to be faulty by themselves: 14 in 100
+	// were seen, of whose answers 40 in 100 failed or nearly all were slow.
+	faultyShare = 0.14
+	// faultyRate is the share of bad answers of such a back end at least.
+	faultyRate = 0.2
+	// disturbedShare is the share of back ends that have any other rate of bad answers, as after a
+	// crash that ended some requests.
+	disturbedShare = 0.01
+	// allFaulty is the probability that more back ends are faulty than are left out.
+	allFaulty = 0.003
 )
 
 // excessRates are the rates of bad answers, beyond the expected one, that a bad version is tested
@@ -35,54 +45,100 @@
 	return tallies
 }
 
-func totalOf(tallies []tally) int {
-	total := 0
+func total(tallies []tally) tally {
+	sum := tally{}
 	for _, each := range tallies {
-		total += each.answers
+		sum.answers += each.answers
+		sum.bad += each.bad
 	}
-	return total
-}
-
-// faultyShare is the share of back ends that may be faulty by themselves in a test with a limit
-// on the logarithm of its ratio. Where there are few back ends it is lower: if all of them are
-// bad, the limit has to be reached.
-func faultyShare(backends int, limit float64) float64 {
-	counted := max(backends, minimumTrialBackends)
-	return min(faultyBackends, math.Exp(-(limit+soundMargin)/float64(counted)))
+	return sum
 }
 
 // logLikelihoodRatio is the logarithm of the likelihood of the back ends' answers if the version
 // is bad, over that if it isn't and has the expected rate at most. It is a sequential test (a
 // mixture of Wald's): of versions that aren't bad no more than one in r ever reaches a ratio of r,
 // however often it is looked at.
-func logLikelihoodRatio(backends []tally, expected, faulty float64) float64 {
+func logLikelihoodRatio(backends []tally, expected float64) float64 {
 	logs := make([]float64, len(excessRates))
-	for index, excess := range excessRates {
-		rate := expected + excess*(1-expected)
-		for _, each := range backends {
-			bad := logSum(each.logAt(rate), each.logAtAny(), faulty)
-			good := logSum(each.logAt(expected), each.logAtBest(expected), faulty)
-			logs[index] += bad - good
+	for _, each := range backends {
+		good := each.logIfGood(expected)
+		for index, excess := range excessRates {
+			logs[index] += each.logIfBad(expected+excess*(1-expected)) - good
 		}
 	}
 	return logMean(logs)
 }
 
+// logIfGood is the logarithm of the likelihood of a back end's answers if its version has a rate
+// up to the highest one, for the rates that fit best.
+func (t tally) logIfGood(highest float64) float64 {
+	sound := math.Log(1-faultyShare-disturbedShare) + t.logAtMost(highest)
+	faulty := math.Log(faultyShare) + t.logAtLeast(faultyRate)
+	disturbed := math.Log(disturbedShare) + t.logAtBest()
+	return logSum(sound, faulty, disturbed)
+}
+
+// logIfBad is that if its version has a rate. Nothing is known of the rate of faulty back ends.
+func (t tally) logIfBad(rate float64) float64 {
+	return logSum(math.Log(1-faultyShare)+t.logAt(rate), math.Log(faultyShare)+t.logAtAny())
+}
+
+// withoutWorst adds up the back ends without the worst ones: so many that more are faulty at once
+// with the probability of allFaulty at most. It is empty where no back end remains.
+func withoutWorst(backends []tally, expected float64) tally {
+	ordered := slices.SortedFunc(slices.Values(backends), func(left, right tally) int {
+		return cmp.Compare(left.excess(expected), right.excess(expected))
+	})
+	return total(ordered[:len(ordered)-faultyAtOnce(len(ordered))])
+}
+
+// faultyAtOnce is how many of a number of back ends are faulty at once at most, but for a
+// probability of allFaulty.
+func faultyAtOnce(backends int) int {
+	probability := math.Pow(1-faultyShare, float64(backends))
+	more := 1 - probability
+	count := 0
+	for more > allFaulty && count < backends {
+		probability *= float64(backends-count) / float64(count+1) * faultyShare / (1 - faultyShare)
+		more -= probability
+		count++
+	}
+	return count
+}
+
+// logRatioOf is the logarithm of the likelihood ratio of a sequential test of answers of which
+// none are of faulty back ends.
+func logRatioOf(answers tally, expected float64) float64 {
+	logs := make([]float64, len(excessRates))
+	good := answers.logAtMost(expected)
+	for index, excess := range excessRates {
+		logs[index] = answers.logAt(expected+excess*(1-expected)) - good
+	}
+	return logMean(logs)
+}
+
+// excess is the number of bad answers beyond the expected ones.
+func (t tally) excess(expected float64) float64 { return float64(t.bad) - expected*float64(t.answers) }
+
 // logAt is the logarithm of the likelihood at a rate.
 func (t tally) logAt(rate float64) float64 {
 	return float64(t.bad)*math.Log(rate) + float64(t.answers-t.bad)*math.Log1p(-rate)
 }
 
-// logAtBest is that at the rate, not below the lowest one, that fits best.
-func (t tally) logAtBest(lowest float64) float64 {
-	observed := float64(t.bad) / float64(max(t.answers, 1))
-	if observed <= lowest {
-		return t.logAt(lowest)
+// logAtMost is that at the rate that fits best of those that aren't above one.
+func (t tally) logAtMost(highest float64) float64 {
+	if float64(t.bad) < highest*float64(t.answers) {
+		return t.logAtBest()
 	}
-	if t.bad == t.answers {
+	return t.logAt(highest)
+}
+
+// logAtBest is that at the rate that fits best.
+func (t tally) logAtBest() float64 {
+	if t.bad == 0 || t.bad == t.answers {
 		return 0
 	}
-	return t.logAt(observed)
+	return t.logAt(float64(t.bad) / float64(t.answers))
 }
 
 // logAtAny is that of a rate of which nothing is known: the mean over all rates.
@@ -93,52 +149,55 @@
 	return bad + good - all
 }
 
-// logSum is the logarithm of a mixture of two likelihoods, the second with a weight.
-func logSum(first, second, weight float64) float64 {
-	first += math.Log1p(-weight)
-	second += math.Log(weight)
-	larger := max(first, second)
-	return larger + math.Log1p(math.Exp(min(first, second)-larger))
+// logAtLeast is that at the rate that fits best of those that aren't below one.
+func (t tally) logAtLeast(lowest float64) float64 {
+	if float64(t.bad) > lowest*float64(t.answers) {
+		return t.logAtBest()
+	}
+	return t.logAt(lowest)
 }
 
-// logMean is the logarithm of the mean of numbers that are given by their logarithms.
-func logMean(logs []float64) float64 {
-	largest := math.Inf(-1)
-	for _, each := range logs {
-		largest = max(largest, each)
-	}
+// logSum is the logarithm of the sum of numbers that are given by their logarithms.
+func logSum(logs ...float64) float64 {
+	largest := slices.Max(logs)
 	total := 0.0
 	for _, each := range logs {
 		total += math.Exp(each - largest)
 	}
-	return largest + math.Log(total/float64(len(logs)))
+	return largest + math.Log(total)
 }
 
-// soundParts are the values that soundPart chooses from.
+// logMean is that of their mean.
+func logMean(logs []float64) float64 { return logSum(logs...) - math.Log(float64(len(logs))) }
+
+// soundParts are the parts of the rate of all back ends that soundRate chooses from.
 var soundParts = []float64{1, 0.7, 0.5, 0.35, 0.25, 0.17, 0.12, 0.08, 0.05, 0.02}
 
-// soundPart estimates the rate of bad answers of the stable version's sound back ends, as a part
-// of the rate of all of them, from a sample. Without it, faulty back ends of the stable version
-// would hide that the target's sound ones are worse.
-func soundPart(sample []tally) float64 {
-	all := tally{}
-	for _, each := range sample {
-		all.answers += each.answers
-		all.bad += each.bad
-	}
-	if all.bad == 0 {
-		return 1
-	}
-	best, highest := 1.0, math.Inf(-1)
+// soundRate estimates the rate of bad answers of the stable version's sound back ends from a
+// sample of its back ends, one standard error above the likeliest. Without it, faulty back ends of
+// the stable version would hide that the target's sound ones are worse.
+func soundRate(sample []tally) float64 {
+	all := total(sample)
+	highestRate := rateOf(all)
+	best, highest := highestRate, math.Inf(-1)
 	for _, part := range soundParts {
-		rate := min(part*float64(all.bad)/float64(all.answers), 0.99)
 		likelihood := 0.0
 		for _, each := range sample {
-			likelihood += logSum(each.logAt(rate), each.logAtAny(), faultyBackends)
+			likelihood += each.logIfBad(part * highestRate)
 		}
 		if likelihood > highest {
-			best, highest = part, likelihood
+			best, highest = part*highestRate, likelihood
 		}
 	}
-	return best
+	return best + standardError(best, all.answers)
+}
+
+// rateOf is the share of bad answers, and a half where there are none.
+func rateOf(counted tally) float64 {
+	return (float64(counted.bad) + 0.5) / (float64(counted.answers) + 1)
+}
+
+// standardError of a rate that was found among a number of answers.
+func standardError(rate float64, answers int) float64 {
+	return math.Sqrt(rate * (1 - rate) / float64(answers+1))
 }
--- a/internal/core/rollout/pace.go
+++ b/internal/core/rollout/pace.go
@@ -1,17 +1,130 @@
 package rollout
 
-import "time"
+import (
+	"cmp"
+	"slices"
+	"time"
+)
 
-// Pace tells slow first bytes by comparison with those of the stable version on the same route
-// for as many tokens. Make it with NewPace; it isn't safe for use by several goroutines.
-type Pace struct{}
+const (
+	// paceSamples is the number of a route's last answers that are remembered, 16 bytes each.
+	paceSamples = 64
+	// minimumPaceSamples is the number without which no answer is called slow.
+	minimumPaceSamples = 8
+	// refitInterval is the number of answers between two fits; each sorts the samples.
+	refitInterval = 16
+	// slowFactor is how many times the expected time makes an answer slow. Back ends differ by a
+	// factor of 1.3 either way, so that a version that is three times slower takes 2.3 times as
+	// long on its fastest ones.
+	slowFactor = 2.0
+	// slowFactorOfFew is what is added to slowFactor, divided by the number of samples.
+	slowFactorOfFew = 6.0
+	// usualQuantile of the stable version's answers are not slow in any case, with usualMargin as
+	// a factor: a queue at all back ends is no version's fault. Back ends that are faulty by
+	// themselves, 14 in 100, are beyond it.
+	usualQuantile, usualMargin = 0.8, 1.25
+	// quickestQuantile of the stable version's answers is the least that is ever expected.
+	quickestQuantile = 0.1
+	// minimumDelay is the time by which an answer is late at least, beyond what is expected:
+	// scheduling on a busy machine takes some milliseconds.
+	minimumDelay = 5 * time.Millisecond
+)
+
+// Pace tells slow first bytes by comparison with those of the stable version on the same route:
+// the time is expected to be linear in the tokens that the back end has to read. Make it with
+// NewPace; it isn't safe for use by several goroutines. It is to be told of the stable version's
+// answers also where there is no order: with few requests it takes long to know enough.
+type Pace struct{ routes map[string]*routePace }
 
 // NewPace makes a Pace that has seen no answers, and calls none slow.
-func NewPace() *Pace { return &Pace{} }
+func NewPace() *Pace { return &Pace{routes: map[string]*routePace{}} }
 
-// Note takes in when the first byte of an answer of the stable version came, after the sending,
-// and the tokens that the back end had to read.
-func (p *Pace) Note(route string, took time.Duration, tokens int) {}
+// Note takes in when the first byte of an answer of the stable version came, counted from the
+// sending, and the number of tokens that the back end had to read.
+func (p *Pace) Note(route string, took time.Duration, tokens int) {
+	found := p.routes[route]
+	if found == nil {
+		found = &routePace{}
+		p.routes[route] = found
+	}
+	found.note(sample{took: took.Seconds(), tokens: float64(tokens)})
+}
 
 // Slow tells whether a first byte came late.
-func (p *Pace) Slow(route string, took time.Duration, tokens int) bool { return false }
+func (p *Pace) Slow(route string, took time.Duration, tokens int) bool {
+	found := p.routes[route]
+	if found == nil || found.fitted == 0 {
+		return false
+	}
+	expected := found.line.at(float64(tokens))
+	return took.Seconds() > max(expected*found.factor, expected+minimumDelay.Seconds())
+}
+
+// sample is one answer: seconds until the first byte, and tokens.
+type sample struct{ took, tokens float64 }
+
+// routePace is what is known of a route.
+type routePace struct {
+	samples []sample
+	noted   int
+	// fitted is the number of samples noted at the last fit, zero before the first.
+	fitted int
+	line   line
+	factor float64
+}
+
+func (r *routePace) note(noted sample) {
+	if len(r.samples) < paceSamples {
+		r.samples = append(r.samples, noted)
+	} else {
+		r.samples[r.noted%paceSamples] = noted
+	}
+	r.noted++
+	first := r.fitted == 0 && r.noted >= minimumPaceSamples
+	if first || r.fitted > 0 && r.noted-r.fitted >= refitInterval {
+		r.fit()
+	}
+}
+
+// fit estimates the line, and from which multiple of it an answer is slow.
+func (r *routePace) fit() {
+	r.fitted = r.noted
+	r.line = fitLine(r.samples)
+	count := float64(len(r.samples))
+	usual := quantile(r.samples, usualQuantile, func(each sample) float64 { return each.took / r.line.at(each.tokens) })
+	r.factor = max(slowFactor+slowFactorOfFew/count, usual*usualMargin)
+}
+
+// line is an expected time in seconds, linear in tokens, and never below the least one.
+type line struct{ base, perToken, least float64 }
+
+func (l line) at(tokens float64) float64 { return max(l.base+l.perToken*tokens, l.least) }
+
+// fitLine fits Tukey's resistant line: its slope is that between the medians of the third with the
+// fewest and the third with the most tokens. Less than a third of outliers among them does little.
+func fitLine(samples []sample) line {
+	ordered := slices.SortedFunc(slices.Values(samples), func(left, right sample) int {
+		return cmp.Compare(left.tokens, right.tokens)
+	})
+	third := (len(ordered) + 2) / 3
+	few, many := ordered[:third], ordered[len(ordered)-third:]
+	fitted := line{least: max(quantile(ordered, quickestQuantile, tookOf), time.Microsecond.Seconds())}
+	if tokens := quantile(many, 0.5, tokensOf) - quantile(few, 0.5, tokensOf); tokens > 0 {
+		fitted.perToken = max((quantile(many, 0.5, tookOf)-quantile(few, 0.5, tookOf))/tokens, 0)
+	}
+	fitted.base = quantile(ordered, 0.5, func(each sample) float64 { return each.took - fitted.perToken*each.tokens })
+	return fitted
+}
+
+func tookOf(each sample) float64   { return each.took }
+func tokensOf(each sample) float64 { return each.tokens }
+
+// quantile of what a function says of the samples, 0 to 1.
+func quantile(samples []sample, part float64, of func(sample) float64) float64 {
+	values := make([]float64, len(samples))
+	for index, each := range samples {
+		values[index] = of(each)
+	}
+	slices.Sort(values)
+	return values[min(int(part*float64(len(values))), len(values)-1)]
+}
