Tell zone and capacity of daemons beside their addresses

A daemon knew of others only where they are reached, so that nothing could go by their region or their room. A daemon that starts again at the same address as another machine replaces what was known, by the store's version, so that late news never brings the old description back.

Weighed: a second row or table for zones (one more reading and feed); a struct in msgpack (names or positions on the wire that old rows don't have).

rendezvous.WeightedTop ranks as Top where weights are equal (property test).

--- a/cmd/internal/daemon/wire.go
+++ b/cmd/internal/daemon/wire.go
@@ -132,7 +132,7 @@
 		Ratio:  bounds.RetryBudgetRatio * budgetShare,
 	})
 	w.members = members.New(members.Options{
-		Self: w.settings.NodeName, Address: w.settings.InternalAddress(), Table: w.store, Log: w.part("members"),
+		Self: w.settings.NodeName, Own: w.settings.Descriptor(), Table: w.store, Log: w.part("members"),
 		New: w.settings.FirstStart,
 		Changed: func(count int) {
 			w.budgets.SetFloor(int(budgetShare * bounds.RetryBudgetSlack / float64(count)))
--- a/internal/core/rendezvous/rendezvous.go
+++ b/internal/core/rendezvous/rendezvous.go
@@ -6,6 +6,7 @@
 import (
 	"cmp"
 	"encoding/binary"
+	"math"
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
@@ -71,3 +72,57 @@
 	}
 	return best
 }
+
+// WeightedTop returns the count members that rank first for the key, best first, where each
+// member is first for a share of all keys that goes by its weight, above zero. With equal
+// weights it ranks as Top does. A member whose weight changes moves only its own keys.
+func WeightedTop[Member ~string](key uint64, members []Member, weight func(Member) float64, count int) []Member {
+	ranking := make([]weighted[Member], 0, len(members))
+	for _, member := range members {
+		ranking = append(ranking, weigh(key, member, weight(member)))
+	}
+	slices.SortFunc(ranking, weighted[Member].compare)
+	best := make([]Member, min(count, len(ranking)))
+	for index := range best {
+		best[index] = ranking[index].member
+	}
+	return best
+}
+
+// AmongWeightedTop tells whether WeightedTop of members and this one has it among the first.
+func AmongWeightedTop[Member ~string](key uint64, member Member, members []Member, weight func(Member) float64, count int) bool {
+	own := weigh(key, member, weight(member))
+	higher := 0
+	for _, other := range members {
+		if other == member {
+			continue
+		}
+		if weigh(key, other, weight(other)).compare(own) < 0 {
+			higher++
+		}
+		if higher >= count {
+			return false
+		}
+	}
+	return count > 0
+}
+
+// weighted is a member with its place in a ranking.
+type weighted[Member ~string] struct {
+	member Member
+	score  uint64
+	// height is the score of weighted rendezvous hashing: the weight over the negative
+	// logarithm of the score as a number between 0 and 1.
+	height float64
+}
+
+func weigh[Member ~string](key uint64, member Member, weight float64) weighted[Member] {
+	score := Score(key, string(member))
+	fraction := (float64(score>>11) + 0.5) / (1 << 53) // neither 0 nor 1
+	return weighted[Member]{member: member, score: score, height: weight / -math.Log(fraction)}
+}
+
+// compare is negative when the member goes before another one.
+func (w weighted[Member]) compare(other weighted[Member]) int {
+	return cmp.Or(cmp.Compare(other.height, w.height), cmp.Compare(other.score, w.score), cmp.Compare(w.member, other.member))
+}
--- a/internal/core/rendezvous/rendezvous_test.go
+++ b/internal/core/rendezvous/rendezvous_test.go
@@ -49,3 +49,66 @@
 		}
 	})
 }
+
+// TestWeightedTopOfEqualsIsTop ranks members of one weight as Top does.
+func TestWeightedTopOfEqualsIsTop(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		members := rapid.SliceOfNDistinct(rapid.StringMatching("[a-z]{1,6}"), 0, 40, rapid.ID[string]).Draw(t, "members")
+		count := rapid.IntRange(0, 5).Draw(t, "count")
+		weight := rapid.Float64Range(0.01, 100).Draw(t, "weight")
+		key := rapid.Uint64().Draw(t, "key")
+		weighted := WeightedTop(key, members, func(string) float64 { return weight }, count)
+		assert.DeepEqual(t, weighted, Top(key, members, count))
+	})
+}
+
+// TestWeightsShareKeys gives each member its part of the keys by its weight.
+func TestWeightsShareKeys(t *testing.T) {
+	weights := map[string]float64{"a": 9, "b": 9, "c": 1, "d": 1}
+	counts := map[string]int{}
+	const keys = 20000
+	for key := range uint64(keys) {
+		counts[WeightedTop(key, []string{"a", "b", "c", "d"}, func(member string) float64 { return weights[member] }, 1)[0]]++
+	}
+	for member, weight := range weights {
+		share := float64(counts[member]) / keys / (weight / 20)
+		assert.Assert(t, share > 0.9 && share < 1.1, "%v", counts)
+	}
+}
+
+// TestChangedWeightMovesOnlyOwnKeys gives a member that has become weaker no key, and takes none
+// from one of the others for another one.
+func TestChangedWeightMovesOnlyOwnKeys(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		members := rapid.SliceOfNDistinct(rapid.StringMatching("[a-z]{1,6}"), 2, 20, rapid.ID[string]).Draw(t, "members")
+		changed := rapid.SampledFrom(members).Draw(t, "changed")
+		key := rapid.Uint64().Draw(t, "key")
+		weight := func(of float64) func(string) float64 {
+			return func(member string) float64 {
+				if member == changed {
+					return of
+				}
+				return 1
+			}
+		}
+		before := WeightedTop(key, members, weight(1), 1)[0]
+		after := WeightedTop(key, members, weight(0.2), 1)[0]
+		if before != changed {
+			assert.Equal(t, before, after)
+		}
+	})
+}
+
+// TestAmongWeightedTopAgreesWithWeightedTop asks for single members what WeightedTop says of all.
+func TestAmongWeightedTopAgreesWithWeightedTop(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		members := rapid.SliceOfNDistinct(rapid.StringMatching("[a-z]{1,6}"), 1, 40, rapid.ID[string]).Draw(t, "members")
+		count := rapid.IntRange(0, 5).Draw(t, "count")
+		key := rapid.Uint64().Draw(t, "key")
+		weight := func(member string) float64 { return float64(len(member)) }
+		top := WeightedTop(key, members, weight, count)
+		for _, member := range members {
+			assert.Equal(t, AmongWeightedTop(key, member, members, weight, count), slices.Contains(top, member))
+		}
+	})
+}
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -12,6 +12,7 @@
 	"github.com/lotusward/lotusward/internal/clock"
 	"github.com/lotusward/lotusward/internal/core/backendpool"
 	"github.com/lotusward/lotusward/internal/core/identity"
+	"github.com/lotusward/lotusward/internal/core/member"
 	"github.com/lotusward/lotusward/internal/core/routing"
 	"github.com/lotusward/lotusward/internal/relay"
 )
@@ -89,9 +90,9 @@
 	Tell func(Bulletin)
 	// Others returns the addresses of the other daemons; nil when there are none.
 	Others func() []string
-	// OnMembers is called with the addresses of all daemons when there are new ones; it
-	// may be nil and must not block.
-	OnMembers func(addresses []string)
+	// OnMembers is called with all daemons when there are new ones or some are described
+	// anew; it may be nil and must not block.
+	OnMembers func([]member.Descriptor)
 	// Peers are asked for what this daemon lacks; nil when there are none.
 	Peers Peers
 	// Contacts finds daemons at the start; nil lets this daemon read the store at once.
--- a/internal/directory/memberlist.go
+++ b/internal/directory/memberlist.go
@@ -1,49 +1,67 @@
 package directory
 
 import (
+	"cmp"
 	"slices"
 
+	"github.com/lotusward/lotusward/internal/core/member"
 	"github.com/lotusward/lotusward/internal/core/rendezvous"
 )
 
-// keptMembers bounds how many new daemons a bulletin names: some 20 bytes each.
+// keptMembers bounds how many new daemons a bulletin names: some 40 bytes each.
 const keptMembers = 96
 
 // memberList is the set of daemons as this one believes it to be. Rows of daemons are
 // never removed, so that the set only grows.
 type memberList struct {
-	known  map[string]bool
+	known  map[string]member.Descriptor
 	digest listDigest
-	// newest are the daemons that were added last, oldest first.
-	newest []string
+	// newest are the daemons that were added or described anew last, oldest first.
+	newest []member.Descriptor
 }
 
-func newMemberList() *memberList { return &memberList{known: map[string]bool{}} }
+func newMemberList() *memberList { return &memberList{known: map[string]member.Descriptor{}} }
 
-// add adds daemons. It returns true when any was not known.
-func (l *memberList) add(addresses []string) bool {
+// add adds daemons. Those that are known at the same address are described anew only where
+// what is told is not older than what is known. It returns true when anything changed.
+func (l *memberList) add(told []member.Descriptor, older bool) bool {
 	changed := false
-	for _, address := range addresses {
-		if l.known[address] {
+	for _, described := range told {
+		before, known := l.known[described.Address]
+		if known && (older || before.String() == described.String()) {
 			continue
 		}
-		l.known[address] = true
-		l.digest ^= listDigest(rendezvous.Key(address))
-		l.newest = append(l.newest, address)
+		if known {
+			l.forget(before)
+		}
+		l.known[described.Address] = described
+		l.digest ^= memberDigest(described)
+		l.newest = append(l.newest, described)
 		changed = true
 	}
 	l.newest = l.newest[max(len(l.newest)-keptMembers, 0):]
 	return changed
 }
 
-// all returns the addresses in order.
-func (l *memberList) all() []string {
-	addresses := make([]string, 0, len(l.known))
-	for address := range l.known {
-		addresses = append(addresses, address)
+// forget drops what was known of a daemon.
+func (l *memberList) forget(described member.Descriptor) {
+	l.digest ^= memberDigest(described)
+	l.newest = slices.DeleteFunc(l.newest, func(other member.Descriptor) bool { return other.Address == described.Address })
+}
+
+// memberDigest is the part of one daemon in the digest of the list.
+func memberDigest(described member.Descriptor) listDigest {
+	return listDigest(rendezvous.Key(described.String()))
+}
+
+// all returns the daemons by address.
+func (l *memberList) all() []member.Descriptor {
+	list := make([]member.Descriptor, 0, len(l.known))
+	for _, described := range l.known {
+		list = append(list, described)
 	}
-	slices.Sort(addresses)
-	return addresses
+	slices.SortFunc(list, func(left, right member.Descriptor) int { return cmp.Compare(left.Address, right.Address) })
+	return list
 }
 
 // MemberNews says which daemons there are up to a version of the store.
@@ -51,7 +69,7 @@
 	// To is the version.
 	To uint64
 	// Newest are the daemons that came last; Digest is of all of them.
-	Newest []string
+	Newest []member.Descriptor
 	Digest listDigest
 }
 
@@ -60,7 +78,7 @@
 	if d.positions[tableMembers].Load() >= news.To {
 		return
 	}
-	d.learnMembers(news.Newest)
+	d.learnMembers(news.Newest, news.To)
 	if d.members.digest != news.Digest {
 		d.fallBehind(lag{from: from, table: tableMembers})
 		return
@@ -68,17 +86,21 @@
 	advance(d.positions[tableMembers], news.To)
 }
 
-// learnMembers adds daemons and tells who wants to know.
-func (d *Directory) learnMembers(addresses []string) {
-	if d.members.add(addresses) && d.options.OnMembers != nil {
+// learnMembers adds daemons, as told up to a version of the store, and tells who wants to know.
+func (d *Directory) learnMembers(told []member.Descriptor, to uint64) {
+	if d.members.add(told, to < d.positions[tableMembers].Load()) && d.options.OnMembers != nil {
 		d.options.OnMembers(d.members.all())
 	}
 }
 
 // applyMembers takes in daemons' rows that were read.
 func (d *Directory) applyMembers(got message) {
-	d.learnMembers(got.members.Addresses)
-	advance(d.positions[tableMembers], max(got.members.Last, got.members.Version))
+	to := max(got.members.Last, got.members.Version)
+	if got.members.Malformed != nil {
+		d.options.Log.WithError(got.members.Malformed).Error("Some daemons' rows cannot be read.")
+	}
+	d.learnMembers(got.members.InOrder(), to)
+	advance(d.positions[tableMembers], to)
 	d.showRest()
 	if d.turn.readList(got.ended, tableMembers) {
 		d.tellMembers()
--- /dev/null
+++ b/internal/directory/memberlist_test.go
@@ -0,0 +1,57 @@
+package directory
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/lotusward/lotusward/internal/core/member"
+)
+
+func described(address, zone string) member.Descriptor {
+	parsed, err := member.Parse(address + " " + zone + " 2")
+	if err != nil {
+		panic(err)
+	}
+	return parsed
+}
+
+// TestDaemonDescribedAnewReplacesTheOld takes a newer description of the same address, in
+// bulletins too, and never an older one.
+func TestDaemonDescribedAnewReplacesTheOld(t *testing.T) {
+	list := newMemberList()
+	assert.Assert(t, list.add([]member.Descriptor{described("10.0.0.1:1", "a"), described("10.0.0.2:1", "a")}, false))
+	assert.Assert(t, list.add([]member.Descriptor{described("10.0.0.1:1", "b")}, false))
+	assert.Assert(t, !list.add([]member.Descriptor{described("10.0.0.1:1", "a")}, true))
+	assert.DeepEqual(t, list.all(), []member.Descriptor{described("10.0.0.1:1", "b"), described("10.0.0.2:1", "a")})
+	assert.DeepEqual(t, list.newest, []member.Descriptor{described("10.0.0.2:1", "a"), described("10.0.0.1:1", "b")})
+}
+
+// TestMemberDigestGoesByContent gives lists that hold the same the same digest, however they
+// came to it.
+func TestMemberDigestGoesByContent(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		addresses := rapid.SampledFrom([]string{"10.0.0.1:1", "10.0.0.2:1", "10.0.0.3:1"})
+		told := rapid.SliceOf(rapid.Custom(func(t *rapid.T) member.Descriptor {
+			return described(addresses.Draw(t, "address"), rapid.SampledFrom([]string{"a", "b"}).Draw(t, "zone"))
+		})).Draw(t, "told")
+		list, anew := newMemberList(), newMemberList()
+		for _, each := range told {
+			list.add([]member.Descriptor{each}, false)
+		}
+		anew.add(list.all(), false)
+		assert.Equal(t, list.digest, anew.digest)
+	})
+}
+
+// TestNewerRowOfAnAddressHolds keeps of two rows with the same address the newer one, in whatever
+// order they are read.
+func TestNewerRowOfAnAddressHolds(t *testing.T) {
+	older := MemberRow{Descriptor: described("10.0.0.1:1", "a"), Version: 4}
+	newer := MemberRow{Descriptor: described("10.0.0.1:1", "b"), Version: 9}
+	for _, rows := range [][]MemberRow{{older, newer}, {newer, older}} {
+		read := Members{Rows: rows}
+		assert.DeepEqual(t, read.InOrder(), []member.Descriptor{newer.Descriptor})
+	}
+}
--- a/internal/directory/memorysource_test.go
+++ b/internal/directory/memorysource_test.go
@@ -78,7 +78,7 @@
 	if s.members.Last <= after {
 		return Members{}, s.failure
 	}
-	return Members{Last: s.members.Last, Addresses: s.members.Addresses}, s.failure
+	return Members{Last: s.members.Last, Rows: s.members.Rows}, s.failure
 }
 
 func (s *memorySource) BackendChanges(_ context.Context, after uint64, _ time.Duration) (Changes, error) {
--- a/internal/directory/reader.go
+++ b/internal/directory/reader.go
@@ -280,7 +280,8 @@
 	for next := read.Next; err == nil && next != ""; {
 		var page Members
 		page, err = d.options.Source.Members(bounded, next)
-		read.Addresses = append(read.Addresses, page.Addresses...)
+		read.Rows = append(read.Rows, page.Rows...)
+		read.Malformed = errors.Join(read.Malformed, page.Malformed)
 		read.Bytes += page.Bytes
 		next = page.Next
 	}
--- a/internal/directory/snapshot.go
+++ b/internal/directory/snapshot.go
@@ -8,6 +8,7 @@
 
 	"github.com/lotusward/lotusward/internal/clock"
 	"github.com/lotusward/lotusward/internal/core/backendpool"
+	"github.com/lotusward/lotusward/internal/core/member"
 	"github.com/lotusward/lotusward/internal/core/routing"
 	"github.com/lotusward/lotusward/internal/crashwatch"
 	"github.com/lotusward/lotusward/internal/pause"
@@ -52,7 +53,7 @@
 	HasBackends  bool
 	Backends     []backendpool.Backend
 	MembersTo    uint64
-	Members      []string
+	Members      []member.Descriptor
 	MemberDigest listDigest
 	// Crashes are the evidence against quarantined requests.
 	Crashes []crashwatch.Evidence
@@ -70,7 +71,7 @@
 	backendsTo uint64
 	backends   []backendpool.Backend
 	membersTo  uint64
-	members    []string
+	members    []member.Descriptor
 	digest     listDigest
 	// clock is of the goroutine of Run.
 	clock freshness
@@ -166,7 +167,7 @@
 	d.freshness[tableDeclared].adopt(got.asked, got.answered, snapshot.ClockLeast, snapshot.ClockMost)
 	d.adoptDeclared(got)
 	d.adoptBackends(&snapshot)
-	d.learnMembers(snapshot.Members)
+	d.learnMembers(snapshot.Members, snapshot.MembersTo)
 	if d.members.digest == snapshot.MemberDigest {
 		advance(d.positions[tableMembers], snapshot.MembersTo)
 	}
--- a/internal/directory/source.go
+++ b/internal/directory/source.go
@@ -7,12 +7,14 @@
 package directory
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"time"
 
 	"github.com/lotusward/lotusward/internal/core/backendpool"
 	"github.com/lotusward/lotusward/internal/core/identity"
+	"github.com/lotusward/lotusward/internal/core/member"
 	"github.com/lotusward/lotusward/internal/core/routing"
 )
 
@@ -83,14 +85,38 @@
 	c.Gone = slices.DeleteFunc(c.Gone, func(gone identity.BackendID) bool { return gone == id })
 }
 
-// Members are daemons with their addresses, IP:port, as rows of the store tell them.
+// Members are daemons as rows of the store tell them.
 type Members struct {
 	Reading
 	// Next is where the next page begins; empty after the last one.
-	Next      string
-	Addresses []string
+	Next string
+	Rows []MemberRow
 	// Last is the store's version of the newest of these rows, or zero without any.
 	Last uint64
+	// Malformed holds the findings on rows that could not be read.
+	Malformed error
+}
+
+// MemberRow is one daemon with its row's version.
+type MemberRow struct {
+	member.Descriptor
+	Version uint64
+}
+
+// InOrder returns the daemons by the age of their rows, oldest first: of two rows with the same
+// address the newer one holds.
+func (m *Members) InOrder() []member.Descriptor {
+	newest := map[string]uint64{}
+	for _, row := range m.Rows {
+		newest[row.Address] = max(newest[row.Address], row.Version)
+	}
+	rows := slices.DeleteFunc(slices.Clone(m.Rows), func(row MemberRow) bool { return row.Version < newest[row.Address] })
+	slices.SortFunc(rows, func(left, right MemberRow) int { return cmp.Compare(left.Version, right.Version) })
+	list := make([]member.Descriptor, 0, len(rows))
+	for _, row := range rows {
+		list = append(list, row.Descriptor)
+	}
+	return list
 }
 
 // Source reads the platform's store. Its calls about changes return when there is
--- a/internal/members/members.go
+++ b/internal/members/members.go
@@ -9,6 +9,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"math"
 	"slices"
 	"strconv"
@@ -19,6 +20,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/lotusward/lotusward/internal/core/identity"
+	"github.com/lotusward/lotusward/internal/core/member"
 	"github.com/lotusward/lotusward/internal/core/rendezvous"
 	"github.com/lotusward/lotusward/internal/pause"
 	"github.com/lotusward/lotusward/internal/port"
@@ -42,9 +44,9 @@
 // Options are what a List works with.
 type Options struct {
 	Self identity.DaemonID
-	// Address is where other daemons reach this one, IP:port.
-	Address string
-	Table   port.TableService
+	// Own describes this daemon to the others.
+	Own   member.Descriptor
+	Table port.TableService
 	// New says that this daemon surely has no row yet.
 	New bool
 	// Changed is called with each new count, from 1.
@@ -56,6 +58,8 @@
 type List struct {
 	options   Options
 	addresses atomic.Pointer[[]string]
+	// described are the daemons of which more is known than where they are reached, by address.
+	described atomic.Pointer[map[string]member.Descriptor]
 	known     atomic.Bool
 }
 
@@ -64,6 +68,7 @@
 	options.Changed(assumedCount)
 	list := &List{options: options}
 	list.addresses.Store(&[]string{})
+	list.described.Store(&map[string]member.Descriptor{})
 	return list
 }
 
@@ -79,9 +84,47 @@
 // Others returns the addresses of the other daemons.
 func (l *List) Others() []string { return *l.addresses.Load() }
 
-// Set replaces the list by the addresses of all daemons that have rows.
-func (l *List) Set(addresses []string) {
-	others := slices.DeleteFunc(slices.Clone(addresses), func(address string) bool { return address == l.options.Address })
+// Zone returns the zone of the daemon at an address; empty where it is not known.
+func (l *List) Zone(address string) identity.Zone {
+	if address == l.options.Own.Address {
+		return l.options.Own.Zone
+	}
+	return (*l.described.Load())[address].Zone
+}
+
+// Capacity returns the room of the machine of the daemon at an address relative to that of
+// others, by processor and link; member.UnknownCapacity where it is not known.
+func (l *List) Capacity(address string) float64 {
+	if address == l.options.Own.Address {
+		return l.options.Own.Capacity
+	}
+	if described, known := (*l.described.Load())[address]; known {
+		return described.Capacity
+	}
+	return member.UnknownCapacity
+}
+
+// describe notes daemons in place of what was known of them.
+func (l *List) describe(list []member.Descriptor) {
+	for stored := false; !stored; {
+		before := l.described.Load()
+		extended := maps.Clone(*before)
+		for _, described := range list {
+			extended[described.Address] = described
+		}
+		stored = l.described.CompareAndSwap(before, &extended)
+	}
+}
+
+// Set replaces the list by all daemons that have rows.
+func (l *List) Set(list []member.Descriptor) {
+	l.describe(list)
+	var others []string
+	for _, described := range list {
+		if described.Address != l.options.Own.Address {
+			others = append(others, described.Address)
+		}
+	}
 	before := l.Count()
 	l.addresses.Store(&others)
 	l.known.Store(true)
@@ -95,7 +138,7 @@
 // just started is known before its row is told.
 func (l *List) Heard(address string) {
 	others := *l.addresses.Load()
-	if !l.known.Load() || address == l.options.Address || slices.Contains(others, address) {
+	if !l.known.Load() || address == l.options.Own.Address || slices.Contains(others, address) {
 		return
 	}
 	extended := append(slices.Clone(others), address)
@@ -109,7 +152,7 @@
 	if !l.options.New {
 		rows, err := l.around(ctx)
 		if err != nil || slices.ContainsFunc(rows, l.isOwn) {
-			return l.contacts(rows), about(rows), err
+			return l.meet(rows), about(rows), err
 		}
 	}
 	if err := l.announce(ctx); err != nil {
@@ -117,7 +160,7 @@
 	}
 	pause.For(ctx, othersStartTime)
 	rows, err := l.around(ctx)
-	return l.contacts(rows), about(rows), err
+	return l.meet(rows), about(rows), err
 }
 
 // around reads the own row and the next ones, or the first ones if there are none.
@@ -127,27 +170,39 @@
 	own := rowKey(l.options.Self)
 	before := own[:len(own)-1] // sorts before the own key, and after nearly all others before it
 	rows, err := l.options.Table.Scan(bounded, KeyPrefix, before, contactRows)
-	if err != nil || len(l.contacts(rows)) > 0 || !slices.ContainsFunc(rows, l.isOwn) {
+	if err != nil || slices.ContainsFunc(rows, l.isOther) || !slices.ContainsFunc(rows, l.isOwn) {
 		return rows, err
 	}
 	first, err := l.options.Table.Scan(bounded, KeyPrefix, "", contactRows)
 	return append(rows, first...), err
 }
 
-// contacts are the addresses of the other daemons among rows.
-func (l *List) contacts(rows []port.Row) []string {
+// meet notes how the other daemons among rows are described, and returns their addresses.
+func (l *List) meet(rows []port.Row) []string {
 	var contacts []string
-	for _, row := range rows {
-		if row.Key != rowKey(l.options.Self) {
-			contacts = append(contacts, string(row.Value))
+	var unknown []member.Descriptor
+	for _, row := range slices.DeleteFunc(slices.Clone(rows), l.isOwnKey) {
+		described, err := member.Parse(string(row.Value))
+		if err != nil {
+			l.options.Log.WithError(err).WithField("key", row.Key).Error("A daemon's row cannot be read.")
+			continue
+		}
+		contacts = append(contacts, described.Address)
+		if _, known := (*l.described.Load())[described.Address]; !known {
+			unknown = append(unknown, described)
 		}
 	}
+	l.describe(unknown)
 	return contacts
 }
 
-// isOwn tells whether a row tells this daemon's address.
+func (l *List) isOwnKey(row port.Row) bool { return row.Key == rowKey(l.options.Self) }
+
+func (l *List) isOther(row port.Row) bool { return !l.isOwnKey(row) }
+
+// isOwn tells whether a row describes this daemon as it is.
 func (l *List) isOwn(row port.Row) bool {
-	return row.Key == rowKey(l.options.Self) && string(row.Value) == l.options.Address
+	return l.isOwnKey(row) && string(row.Value) == l.options.Own.String()
 }
 
 // announce writes the own row.
@@ -155,7 +210,7 @@
 	bounded, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	_, err := l.options.Table.Commit(bounded, port.Transaction{
-		Writes: []port.Write{{Key: rowKey(l.options.Self), Value: []byte(l.options.Address)}},
+		Writes: []port.Write{{Key: rowKey(l.options.Self), Value: []byte(l.options.Own.String())}},
 	})
 	return err
 }
--- a/internal/members/members_test.go
+++ b/internal/members/members_test.go
@@ -13,6 +13,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/lotusward/lotusward/internal/core/identity"
+	"github.com/lotusward/lotusward/internal/core/member"
 	"github.com/lotusward/lotusward/internal/logging"
 	"github.com/lotusward/lotusward/internal/port"
 )
@@ -56,8 +57,13 @@
 	return rows, nil
 }
 
+// describe describes a daemon by its address alone.
+func describe(address string) member.Descriptor {
+	return member.Descriptor{Address: address, Capacity: member.UnknownCapacity}
+}
+
 func newList(table *memoryTable, self, address string, changed func(int)) *List {
-	return New(Options{Self: identity.DaemonID(self), Address: address, Table: table, Log: logging.Discard(), Changed: changed})
+	return New(Options{Self: identity.DaemonID(self), Own: describe(address), Table: table, Log: logging.Discard(), Changed: changed})
 }
 
 // TestDaemonsFindEachOther announces a daemon once, although the table fails at first, and
@@ -79,7 +85,7 @@
 		contacts, about, err := list.Find(context.Background())
 		assert.NilError(t, err)
 		assert.Assert(t, len(contacts) > 0 && len(contacts) <= contactRows, "%d contacts", len(contacts))
-		assert.Assert(t, !slices.Contains(contacts, list.options.Address))
+		assert.Assert(t, !slices.Contains(contacts, list.options.Own.Address))
 		assert.Assert(t, about >= 1 && about < 20*daemons, "about %d", about)
 	}
 	assert.Equal(t, table.writes, 0, "rows that were there were written again")
@@ -92,7 +98,7 @@
 		_, _, err := newList(table, "a", address, func(int) {}).Find(context.Background())
 		assert.NilError(t, err)
 	}
-	assert.Equal(t, string(table.rows[rowKey("a")].Value), "10.0.0.2:7340")
+	assert.Equal(t, string(table.rows[rowKey("a")].Value), "10.0.0.2:7340 - 1")
 	assert.Equal(t, len(table.rows), 1)
 }
 
@@ -102,8 +108,8 @@
 	list := newList(&memoryTable{}, "self", "10.0.0.1:7340", func(count int) { counts = append(counts, count) })
 	list.Heard("10.0.0.7:7340")
 	assert.Equal(t, list.Count(), assumedCount)
-	list.Set([]string{"10.0.0.1:7340", "10.0.0.2:7340"})
-	list.Set([]string{"10.0.0.1:7340", "10.0.0.2:7340"})
+	list.Set([]member.Descriptor{describe("10.0.0.1:7340"), describe("10.0.0.2:7340")})
+	list.Set([]member.Descriptor{describe("10.0.0.1:7340"), describe("10.0.0.2:7340")})
 	list.Heard("10.0.0.3:7340")
 	assert.DeepEqual(t, counts, []int{assumedCount, 2})
 	assert.DeepEqual(t, list.Others(), []string{"10.0.0.2:7340", "10.0.0.3:7340"})
@@ -116,3 +122,43 @@
 	assert.Equal(t, about(rows), 3)
 	assert.Equal(t, about([]port.Row{{Key: KeyPrefix + "0000000000000000"}, {Key: KeyPrefix + "1000000000000000"}}), 16)
 }
+
+// TestDaemonIsDescribed tells zone and room of daemons, those that a starter meets too, and
+// describes one anew that has started again at the same address as another machine.
+func TestDaemonIsDescribed(t *testing.T) {
+	table := &memoryTable{rows: map[string]port.Row{}}
+	first := member.Descriptor{Address: "10.0.0.1:7340", Zone: "north-a", Capacity: 9}
+	newDescribed(t, table, "a", first)
+	list := newDescribed(t, table, "b", member.Descriptor{Address: "10.0.0.2:7340", Zone: "south-a", Capacity: 2})
+	assert.Equal(t, list.Zone("10.0.0.1:7340"), identity.Zone("north-a"))
+	assert.Equal(t, list.Capacity("10.0.0.1:7340"), 9.0)
+	assert.Equal(t, list.Zone("10.0.0.2:7340"), identity.Zone("south-a"))
+	assert.Equal(t, list.Capacity("10.0.0.2:7340"), 2.0)
+	assert.Equal(t, list.Zone("10.0.0.3:7340"), identity.Zone(""))
+	assert.Equal(t, list.Capacity("10.0.0.3:7340"), member.UnknownCapacity)
+	second := member.Descriptor{Address: "10.0.0.1:7340", Zone: "north-b", Capacity: 1}
+	newDescribed(t, table, "a", second)
+	assert.Equal(t, string(table.rows[rowKey("a")].Value), second.String())
+	list.Set([]member.Descriptor{second})
+	assert.Equal(t, list.Zone("10.0.0.1:7340"), identity.Zone("north-b"))
+	assert.Equal(t, list.Capacity("10.0.0.1:7340"), 1.0)
+}
+
+// newDescribed makes a list of a daemon that has found the others.
+func newDescribed(t *testing.T, table *memoryTable, self string, own member.Descriptor) *List {
+	t.Helper()
+	list := New(Options{Self: identity.DaemonID(self), Own: own, Table: table, Log: logging.Discard(), Changed: func(int) {}})
+	_, _, err := list.Find(context.Background())
+	assert.NilError(t, err)
+	return list
+}
+
+// TestRowOfAddressAloneIsRead takes what a daemon wrote that told its address alone.
+func TestRowOfAddressAloneIsRead(t *testing.T) {
+	key := rowKey("old")
+	table := &memoryTable{rows: map[string]port.Row{key: {Key: key, Value: []byte("10.0.0.1:7340")}}}
+	list := newList(table, "self", "10.0.0.2:7340", func(int) {})
+	contacts, _, err := list.Find(context.Background())
+	assert.NilError(t, err)
+	assert.DeepEqual(t, contacts, []string{"10.0.0.1:7340"})
+}
--- a/internal/peersync/peersync_test.go
+++ b/internal/peersync/peersync_test.go
@@ -12,6 +12,7 @@
 	"gotest.tools/v3/poll"
 
 	"github.com/lotusward/lotusward/internal/adapter/httpexchange"
+	"github.com/lotusward/lotusward/internal/core/member"
 	"github.com/lotusward/lotusward/internal/directory"
 	"github.com/lotusward/lotusward/internal/freeport/freeporttest"
 	"github.com/lotusward/lotusward/internal/logging"
@@ -42,7 +43,9 @@
 	asked := make(chan directory.Have, 1)
 	told := directory.Snapshot{
 		Complete: true, ClockLeast: time.Minute, ClockMost: time.Minute + time.Second, RowVersion: 9,
-		BackendsTo: 12, HasBackends: true, MembersTo: 4, Members: []string{"10.0.0.1:9", "10.0.0.2:9"},
+		BackendsTo: 12, HasBackends: true, MembersTo: 4, Members: []member.Descriptor{
+			{Address: "10.0.0.1:9", Zone: "a", Capacity: 2}, {Address: "10.0.0.2:9", Capacity: 1},
+		},
 	}
 	address := serve(t, func(_ context.Context, have directory.Have) directory.Snapshot {
 		asked <- have
