--- a/internal/directory/snapshot.go
+++ b/internal/directory/snapshot.go
@@ -8,6 +8,7 @@
 
 	"github.com/lotusward/lotusward/internal/clock"
 	"github.com/lotusward/lotusward/internal/core/backendpool"
+	"github.com/lotusward/lotusward/internal/core/member"
 	"github.com/lotusward/lotusward/internal/core/routing"
 	"github.com/lotusward/lotusward/internal/crashwatch"
 	"github.com/lotusward/lotusward/internal/pause"
@@ -52,7 +53,7 @@
 	HasBackends  bool
 	Backends     []backendpool.Backend
 	MembersTo    uint64
-	Members      []string
+	Members      []member.Descriptor
 	MemberDigest listDigest
 	// Crashes are the evidence against quarantined requests.
 	Crashes []crashwatch.Evidence
@@ -70,7 +71,7 @@
 	backendsTo uint64
 	backends   []backendpool.Backend
 	membersTo  uint64
-	members    []string
+	members    []member.Descriptor
 	digest     listDigest
 	// clock is of the goroutine of Run.
 	clock freshness
@@ -166,7 +167,7 @@
 	d.freshness[tableDeclared].adopt(got.asked, got.answered, snapshot.ClockLeast, snapshot.ClockMost)
 	d.adoptDeclared(got)
 	d.adoptBackends(&snapshot)
-	d.learnMembers(snapshot.Members)
+	d.learnMembers(snapshot.Members, snapshot.MembersTo)
 	if d.members.digest == snapshot.MemberDigest {
 		advance(d.positions[tableMembers], snapshot.MembersTo)
 	}
@@ -203,7 +204,7 @@
 }
 
 // adoptVersions takes in the named versions of weights, all with the times at which they
-// were first seen where this daemon knows none.
+// were last known not to be named where this daemon knows none.
 func (d *Directory) adoptVersions(got *adoption) {
 	news := &DeclaredNews{Clock: got.snapshot.ClockLeast, Versions: got.snapshot.Versions}
 	if d.started {
@@ -213,9 +214,9 @@
 		return
 	}
 	for _, seen := range news.Versions {
-		found := relay.NamedVersion{Version: seen.Version, SeenAt: got.asked.Add(-d.options.VersionHeadStart), Guessed: true}
+		found := relay.NamedVersion{Version: seen.Version, NamedAfter: got.asked.Add(-d.options.VersionHeadStart), Guessed: true}
 		if at, known := d.freshness[tableDeclared].localTime(seen.StoreClock); known {
-			found = relay.NamedVersion{Version: seen.Version, SeenAt: at, StoreClock: seen.StoreClock}
+			found = relay.NamedVersion{Version: seen.Version, NamedAfter: at, StoreClock: seen.StoreClock}
 		}
 		d.nameVersion(got.answered, seen.Model, found)
 	}
