--- a/internal/rollout/collector.go
+++ b/internal/rollout/collector.go
@@ -31,6 +31,7 @@
 	evidence map[countedBy]*routes
 	changed  bool
 	judgedAt time.Time
+	monitor  rollout.Monitor
 	verdict  rollout.Verdict
 	// shiftRow is the standing of the shift, and shiftSince when this collector learned of it.
 	shiftRow   uint64
@@ -161,7 +162,7 @@
 	}
 	found.changed, found.judgedAt = false, now
 	pooled := found.pool()
-	found.verdict = rollout.Compare(pooled)
+	found.verdict = found.monitor.Compare(pooled)
 	c.traffic(service).notePooled(order, pooled)
 	if found.verdict.Bad {
 		c.noteStop(now, service, order, found.verdict.Reason, c.self)
