--- a/internal/rollout/driver.go
+++ b/internal/rollout/driver.go
@@ -33,7 +33,10 @@
 	due      stageDue
 	dueSince time.Time
 	writing  bool
+	// restTill is until when nothing is written, or until wrote is believed: the row that was
+	// written last, zero after a call that failed.
 	restTill time.Time
+	wrote    uint64
 	failing  bool
 	idleness idleness
 }
@@ -54,7 +57,7 @@
 func (c *Coordinator) drive(ctx context.Context, now time.Time, service identity.ServiceName, believed rollout.Service) {
 	driver := c.driver(service)
 	turn, mayDrive := c.turn(now, service, believed)
-	if !mayDrive || driver.writing || now.Before(driver.restTill) {
+	if !mayDrive || driver.writing || driver.rests(now, believed.Standing.Row) {
 		return
 	}
 	storeTime, known := c.options.Belief.StoreClock(now)
@@ -79,6 +82,12 @@
 	go c.write(ctx, next, facts, counted)
 }
 
+// rests tells whether nothing is to be written yet: a call has failed just now, or what was written
+// is not believed yet.
+func (d *driver) rests(now time.Time, believed uint64) bool {
+	return now.Before(d.restTill) && (d.wrote == 0 || believed < d.wrote)
+}
+
 // turn is after how long this daemon writes a stage that is due; false is never. The reader goes
 // first, since its calls of the store are known to succeed; then collectors by rank.
 func (c *Coordinator) turn(now time.Time, service identity.ServiceName, believed rollout.Service) (time.Duration, bool) {
@@ -170,8 +179,7 @@
 			log.WithError(err).Warn("A stage can't be written. It is tried again.")
 		}
 		driver.failing = err != nil
-		// The belief follows a moment later.
-		driver.restTill = now.Add(writeRest)
+		driver.restTill, driver.wrote = now.Add(writeRest), written.Row
 	})
 }
 
