Prove what a version under trial may get, and what shows it to be bad

Cause: the comparison was a trial without tests; two mechanisms of it were wrong.

- The rate of the stable version's sound back ends is that of a sample without its worst quarter.
- Slow answers show a version only by 12 in 100 or more: the lower rates are those of empty caches and busy moments.
Where all of the target's back ends give more bad answers than good ones, it isn't promoted, however few answers there are.
- The line of first bytes is chosen among five by its distance in logarithms.

--- a/internal/core/rollout/comparison.go
+++ b/internal/core/rollout/comparison.go
@@ -7,16 +7,19 @@
 )
 
 const (
-	// falseAlarms is the share of good versions that may be found bad, in all tests of an order
-	// together and however often they are made. A good version that is rolled back costs as much
-	// as a bad one that stays; a lower share costs a bad version's callers more bad answers, about
-	// one for each factor of ten.
-	falseAlarms = 0.05
-	// excessLimit is the number of bad answers beyond what is expected after which the target is
-	// bad in any case. The rule bounds them by 50; ten more come while all are told.
+	// falseAlarms is the share of good versions that may be found bad by all tests of one look
+	// together, however often one looks, if the expected rates are exact. They are taken rather
+	// high, so that the measured share is lower: at most 2 of 300 good versions in each kind of
+	// trial that the tests of this package draw. With 0.05 a version of which 5 in 100 fail is found
+	// after one bad answer less in the median, 17 of 18.
+	falseAlarms = 0.03
+	// excessLimit is the number of bad answers beyond the expected ones at which the target is bad
+	// in any case. Since the worst half of the back ends count less than they have, it is reached
+	// at some 35 of all, and 50 are the most that a version may give.
 	excessLimit = 25
-	// loneExcessLimit is the same where fewer than three back ends have answered.
-	loneExcessLimit = 25
+	// loneAnswers is the number of the target's answers after which it has no more back ends than
+	// those that have answered: of three, one is without any after 20 answers in 1 of 1,000 trials.
+	loneAnswers = 20
 	// doubt is the likelihood ratio from which a target is not promoted, though it isn't found bad.
 	doubt = 8
 	// windowAnswers is the number of the target's answers that the last ones are looked at by: at
@@ -49,20 +52,34 @@
 	Answers, BadAnswers int
 }
 
-// kind is what answers are counted as bad for. Each has its own test, since the rates of one kind
+// kind is what answers are counted as bad for. Each has its own tests, since the rates of one kind
 // would hide the other.
 type kind struct {
 	name string
 	of   func(Counts) int
 	// tolerated is the share of bad answers that the target may have beyond the stable version's.
 	tolerated float64
+	// excessRates are the shares of bad answers, beyond the expected one, that a bad version is
+	// tested for.
+	excessRates []float64
+	// excessShare is the share of all answers that an excess of bad ones has to be to show anything.
+	excessShare float64
 }
 
-// kinds are failed and slow answers. Of a new version's first answers some more are slow: its
-// prompt caches are empty, and what is measured is coarse.
+// kinds are failed and slow answers. Bad versions fail in 5 of 100 answers or more; the lower rates
+// are those of one that has turned bad after many good answers. A version that is slower is so in
+// most of its answers, while of a good one's first answers some more are slow: its prompt caches
+// are empty, and what is measured is coarse. And once the target gets all requests, a busy moment
+// makes more of its answers slow than the stable version's had been before.
 var kinds = []kind{
-	{name: "failed", of: func(counts Counts) int { return int(counts.Bad) }, tolerated: 0.005},
-	{name: "slow", of: func(counts Counts) int { return int(counts.Slow) }, tolerated: 0.01},
+	{
+		name: "failed", of: func(counts Counts) int { return int(counts.Bad) },
+		tolerated: 0.005, excessRates: []float64{0.015, 0.04, 0.12, 0.35, 0.7}, excessShare: 0.01,
+	},
+	{
+		name: "slow", of: func(counts Counts) int { return int(counts.Slow) },
+		tolerated: 0.01, excessRates: []float64{0.12, 0.35, 0.7}, excessShare: 0.03,
+	},
 }
 
 // comparison is one test: the target's answers by back end against a rate that is expected.
@@ -70,6 +87,7 @@
 	scope    string
 	kind     kind
 	expected float64
+	// backends are all those of the target, also those without answers in this scope.
 	backends []tally
 }
 
@@ -112,6 +130,9 @@
 	limit := math.Log(float64(len(comparisons)) / falseAlarms)
 	doubted := false
 	for _, each := range comparisons {
+		if each.lone() && verdict.Answers < loneAnswers {
+			continue
+		}
 		ratio := each.logRatio()
 		if ratio >= limit || each.excessive() {
 			verdict.Bad, verdict.Reason = true, each.describe()
@@ -119,24 +140,25 @@
 		}
 		doubted = doubted || ratio >= math.Log(doubt)
 	}
-	verdict.Enough = !doubted && shownEnough(pooled)
+	verdict.Enough = !doubted && shownEnough(pooled) && anySound(pooled)
 	return verdict
 }
 
 // comparisonsOf makes the tests of all kinds and scopes of what is part of the pooled evidence.
 func comparisonsOf(pooled, part *Evidence) []comparison {
 	var made []comparison
+	backends := len(overRoutes(pooled))
 	for _, kind := range kinds {
-		made = append(made, comparisonsOfKind(part, kind, soundPart(pooled, kind))...)
+		made = append(made, comparisonsOfKind(part, kind, soundPart(pooled, kind), backends)...)
 	}
 	return made
 }
 
-func comparisonsOfKind(part *Evidence, kind kind, sound float64) []comparison {
+func comparisonsOfKind(part *Evidence, kind kind, sound float64, backends int) []comparison {
 	var made []comparison
 	expectedBad, answers := 0.0, 0
 	for _, route := range part.Routes {
-		each := comparison{scope: "route " + route.Route, kind: kind, backends: talliesOf(route.Target, kind)}
+		each := comparison{scope: "route " + route.Route, kind: kind, backends: talliesOfAll(route.Target, kind, backends)}
 		each.expected = expectedRate(tallyOf(route.Stable, kind), sound, kind.tolerated)
 		made = append(made, each)
 		answered := total(each.backends).answers
@@ -144,7 +166,7 @@
 		answers += answered
 	}
 	return append(made, comparison{
-		scope: "all routes", kind: kind, backends: talliesOf(overRoutes(part), kind),
+		scope: "all routes", kind: kind, backends: talliesOfAll(overRoutes(part), kind, backends),
 		expected: expectedBad / float64(max(answers, 1)),
 	})
 }
@@ -182,9 +204,19 @@
 		return 0
 	}
 	remaining := withoutWorst(c.backends, c.expected)
-	return max(logLikelihoodRatio(c.backends, c.expected), logRatioOf(remaining, c.expected))
+	if c.lone() {
+		remaining = total(c.backends)
+	}
+	return max(
+		logLikelihoodRatio(c.backends, c.expected, c.kind.excessRates),
+		logRatioOf(remaining, c.expected, c.kind.excessRates),
+	)
 }
 
+// lone tells whether so few back ends have answered that what one of them does is what the version
+// does: with one or two, nothing is left without the faulty ones.
+func (c comparison) lone() bool { return len(c.backends) < minimumTrialBackends }
+
 // suspicious tells whether there are more bad answers than expected at all.
 func (c comparison) suspicious() bool { return total(c.backends).excess(c.expected) > 0 }
 
@@ -199,8 +231,9 @@
 	for index, each := range c.backends {
 		excesses[index] = each.excess(c.expected)
 	}
-	if len(excesses) < minimumTrialBackends {
-		return sum(excesses) >= loneExcessLimit
+	enough := max(excessLimit, c.kind.excessShare*float64(total(c.backends).answers))
+	if c.lone() {
+		return sum(excesses) >= enough
 	}
 	slices.Sort(excesses)
 	ordinary := len(excesses) / 2
@@ -208,7 +241,7 @@
 	for index := ordinary; index < len(excesses); index++ {
 		excesses[index] = most
 	}
-	return sum(excesses) >= excessLimit
+	return sum(excesses) >= enough
 }
 
 func sum(numbers []float64) float64 {
@@ -238,6 +271,15 @@
 	return target >= owed(stable, fewAnswers)
 }
 
+// anySound tells whether any of the target's back ends gives more good answers than bad ones. Of
+// a few answers that are all bad, the tests can't tell faulty back ends from a faulty version.
+func anySound(pooled *Evidence) bool {
+	backends := overRoutes(pooled)
+	return len(backends) == 0 || slices.ContainsFunc(backends, func(each BackendCounts) bool {
+		return each.Counts.Good > each.Counts.Bad+each.Counts.Slow
+	})
+}
+
 // owed is the number of answers of the target that are enough beside so many of the stable
 // version's; few of these call for none.
 func owed(stable, few int) int {
--- a/internal/core/rollout/evidence.go
+++ b/internal/core/rollout/evidence.go
@@ -27,8 +27,6 @@
 
 // Counts are numbers of answers.
 type Counts struct {
-	_msgpack struct{} `msgpack:",as_array"`
-
 	Good, Bad, Slow uint32
 }
 
@@ -64,8 +62,6 @@
 
 // BackendCounts are the answers of one back end.
 type BackendCounts struct {
-	_msgpack struct{} `msgpack:",as_array"`
-
 	// Backend is the hash of the back end's ID.
 	Backend uint64
 	Counts  Counts
@@ -73,8 +69,6 @@
 
 // RouteEvidence is what was seen on one route.
 type RouteEvidence struct {
-	_msgpack struct{} `msgpack:",as_array"`
-
 	Route  string
 	Stable Counts
 	// Target holds the target's back ends, ordered by Backend.
@@ -89,8 +83,6 @@
 // Evidence is what one daemon has counted since its start for one order, or the sum over several
 // daemons. The zero value is empty. It isn't safe for use by several goroutines.
 type Evidence struct {
-	_msgpack struct{} `msgpack:",as_array"`
-
 	Routes []RouteEvidence
 	// StableSample counts the answers of few of the stable version's back ends over all routes:
 	// those with the lowest hashes, so that all daemons count the same ones. Ordered by Backend.
--- a/internal/core/rollout/likelihood.go
+++ b/internal/core/rollout/likelihood.go
@@ -26,10 +26,6 @@
 	allFaulty = 0.003
 )
 
-// excessRates are the rates of bad answers, beyond the expected one, that a bad version is tested
-// for. The low ones are those of a version that has turned bad after many good answers.
-var excessRates = []float64{0.015, 0.04, 0.12, 0.35, 0.7}
-
 // tally is how many of a number of answers are bad.
 type tally struct{ answers, bad int }
 
@@ -45,6 +41,11 @@
 	return tallies
 }
 
+// talliesOfAll adds those that have no answers to a number of back ends.
+func talliesOfAll(backends []BackendCounts, kind kind, count int) []tally {
+	return append(talliesOf(backends, kind), make([]tally, count-len(backends))...)
+}
+
 func total(tallies []tally) tally {
 	sum := tally{}
 	for _, each := range tallies {
@@ -58,7 +59,7 @@
 // is bad, over that if it isn't and has the expected rate at most. It is a sequential test (a
 // mixture of Wald's): of versions that aren't bad no more than one in r ever reaches a ratio of r,
 // however often it is looked at.
-func logLikelihoodRatio(backends []tally, expected float64) float64 {
+func logLikelihoodRatio(backends []tally, expected float64, excessRates []float64) float64 {
 	logs := make([]float64, len(excessRates))
 	for _, each := range backends {
 		good := each.logIfGood(expected)
@@ -108,7 +109,7 @@
 
 // logRatioOf is the logarithm of the likelihood ratio of a sequential test of answers of which
 // none are of faulty back ends.
-func logRatioOf(answers tally, expected float64) float64 {
+func logRatioOf(answers tally, expected float64, excessRates []float64) float64 {
 	logs := make([]float64, len(excessRates))
 	good := answers.logAtMost(expected)
 	for index, excess := range excessRates {
@@ -170,26 +171,15 @@
 // logMean is that of their mean.
 func logMean(logs []float64) float64 { return logSum(logs...) - math.Log(float64(len(logs))) }
 
-// soundParts are the parts of the rate of all back ends that soundRate chooses from.
-var soundParts = []float64{1, 0.7, 0.5, 0.35, 0.25, 0.17, 0.12, 0.08, 0.05, 0.02}
-
-// soundRate estimates the rate of bad answers of the stable version's sound back ends from a
-// sample of its back ends, one standard error above the likeliest. Without it, faulty back ends of
-// the stable version would hide that the target's sound ones are worse.
+// soundRate estimates the rate of bad answers of the stable version's sound back ends from a sample
+// of its back ends, as that of all but the worst quarter, one standard error higher. Without it,
+// faulty back ends of the stable version would hide that the target's sound ones are worse.
 func soundRate(sample []tally) float64 {
-	all := total(sample)
-	highestRate := rateOf(all)
-	best, highest := highestRate, math.Inf(-1)
-	for _, part := range soundParts {
-		likelihood := 0.0
-		for _, each := range sample {
-			likelihood += each.logIfBad(part * highestRate)
-		}
-		if likelihood > highest {
-			best, highest = part*highestRate, likelihood
-		}
-	}
-	return best + standardError(best, all.answers)
+	ordered := slices.SortedFunc(slices.Values(sample), func(left, right tally) int {
+		return cmp.Compare(rateOf(left), rateOf(right))
+	})
+	sound := total(ordered[:len(ordered)-len(ordered)/4])
+	return rateOf(sound) + standardError(rateOf(sound), sound.answers)
 }
 
 // rateOf is the share of bad answers, and a half where there are none.
--- /dev/null
+++ b/internal/core/rollout/next_test.go
@@ -0,0 +1,186 @@
+package rollout
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/lotusward/lotusward/internal/core/identity"
+)
+
+// rank orders the stages of one order.
+var rank = map[Stage]int{StageTrial: 1, StageShift: 2, StageCompleted: 3, StageRolledBack: 3}
+
+// checkStep compares two standings that follow each other, by what must hold whatever happens.
+func checkStep(t assert.TestingT, facts Facts, before, after Standing) {
+	same := before.Order == after.Order
+	assert.Assert(t, after.Order >= before.Order, "an older order")
+	assert.Assert(t, after.Stable != "")
+	if same && before.Row > 0 {
+		assert.Assert(t, rank[after.Stage] > rank[before.Stage], "%s after %s", after.Stage, before.Stage)
+		assert.Assert(t, before.Target == after.Target && before.Deadline == after.Deadline && before.BeganAt == after.BeganAt)
+	}
+	if !same {
+		assert.Assert(t, before.Stage != StageShift || before.Target == before.Stable, "replaced during a shift")
+		assert.Assert(t, after.Stage != StageCompleted && after.Stable == before.Stable)
+	}
+	changes := after.Target != before.Stable
+	switch after.Stage {
+	case StageCompleted:
+		assert.Assert(t, before.Stage == StageShift && after.Stable == after.Target)
+		assert.Assert(t, facts.Acknowledged && facts.Idle && facts.Quorum && facts.Listed[after.Target] > 0)
+		assert.Assert(t, !changes || !facts.Stopped && !facts.Verdict.Bad)
+	case StageShift:
+		if changes {
+			assert.Assert(t, facts.Verdict.Enough && !facts.Verdict.Bad && !facts.Stopped && before.Stage == StageTrial)
+			assert.Assert(t, facts.Now < after.Deadline && after.Deadline-facts.Now <= facts.PromotionTime)
+		}
+	case StageRolledBack:
+		assert.Assert(t, changes && after.Stable == before.Stable && after.Reason != "")
+		assert.Assert(t, facts.Stopped || facts.Verdict.Bad || facts.Now >= after.Deadline)
+	}
+}
+
+// TestStagesOnlyGoForward draws orders, facts and readers that know an older order: what is
+// written keeps to the stages, and ended orders stay ended.
+func TestStagesOnlyGoForward(t *testing.T) {
+	versions := rapid.SampledFrom([]identity.SoftwareVersion{"v1", "v2", "v3"})
+	rapid.Check(t, func(t *rapid.T) {
+		service := Service{Standing: Standing{Service: "chat"}}
+		now, stopped := time.Duration(0), map[uint64]bool{}
+		for step := range rapid.IntRange(1, 80).Draw(t, "steps") {
+			now += time.Duration(rapid.IntRange(0, 5).Draw(t, "pause")) * time.Second
+			if rapid.IntRange(0, 5).Draw(t, "order") == 0 {
+				number := uint64(rapid.IntRange(max(step-3, 1), step+1).Draw(t, "number"))
+				length := time.Duration(rapid.IntRange(0, 30).Draw(t, "duration")) * time.Second
+				service.Order = &Order{Service: "chat", Target: versions.Draw(t, "target"), Number: number, Duration: length}
+				service.OrderSince = now - time.Duration(rapid.IntRange(0, 10).Draw(t, "late"))*time.Second
+			}
+			flag := func(name string) bool { return rapid.Bool().Draw(t, name) }
+			stopped[service.Standing.Order] = stopped[service.Standing.Order] || rapid.IntRange(0, 9).Draw(t, "stop") == 0
+			facts := Facts{
+				Now: now, Service: service, PromotionTime: 4 * time.Second,
+				Listed:  map[identity.SoftwareVersion]int{"v1": rapid.IntRange(0, 2).Draw(t, "v1"), "v2": rapid.IntRange(0, 2).Draw(t, "v2")},
+				Verdict: Verdict{Enough: flag("enough"), Bad: rapid.IntRange(0, 9).Draw(t, "bad") == 0, Reason: "bad"},
+				Stopped: stopped[service.Standing.Order], Acknowledged: flag("acknowledged"), Quorum: flag("quorum"), Idle: flag("idle"),
+			}
+			next, write := Next(facts)
+			if !write {
+				continue
+			}
+			checkStep(t, facts, service.Standing, next)
+			service.Standing = next
+			service.Standing.Row++
+		}
+	})
+}
+
+// scenario is a service under an order of 30 seconds, with what is found about it.
+func scenario() Facts {
+	return Facts{
+		Service: Service{
+			Order:    &Order{Service: "chat", Target: "v2", Number: 7, Duration: 30 * time.Second},
+			Standing: Standing{Service: "chat", Stable: "v1", Row: 1}, OrderSince: 100 * time.Second,
+		},
+		Now: 101 * time.Second, Listed: map[identity.SoftwareVersion]int{"v1": 10, "v2": 10},
+		Verdict: Verdict{Enough: true}, Acknowledged: true, Quorum: true, Idle: true, PromotionTime: 5 * time.Second,
+	}
+}
+
+// write plays one step, which is to be written with a stage.
+func write(t *testing.T, facts *Facts, want Stage) {
+	t.Helper()
+	next, written := Next(*facts)
+	assert.Assert(t, written)
+	assert.Equal(t, next.Stage, want)
+	facts.Service.Standing = next
+	facts.Service.Standing.Row++
+}
+
+func keeps(t *testing.T, facts Facts) {
+	t.Helper()
+	next, written := Next(facts)
+	assert.Assert(t, !written, "%v", next)
+}
+
+// TestGoodVersionIsPromotedLate plays an order from its begin to its end.
+func TestGoodVersionIsPromotedLate(t *testing.T) {
+	facts := scenario()
+	facts.Service.Standing = Standing{Service: "chat"}
+	write(t, &facts, StageNone)
+	assert.Equal(t, facts.Service.Standing.Stable, identity.SoftwareVersion("v1"))
+	write(t, &facts, StageTrial)
+	assert.Equal(t, facts.Service.Standing.Deadline, 130*time.Second)
+	facts.Now = 125*time.Second - 1
+	keeps(t, facts)
+	facts.Now = 125 * time.Second
+	write(t, &facts, StageShift)
+	facts.Now = 140 * time.Second
+	for _, missing := range []*bool{&facts.Acknowledged, &facts.Idle, &facts.Quorum} {
+		*missing = false
+		keeps(t, facts)
+		*missing = true
+	}
+	write(t, &facts, StageCompleted)
+	assert.Equal(t, facts.Service.Standing.Stable, identity.SoftwareVersion("v2"))
+	facts.Stopped = true
+	keeps(t, facts)
+}
+
+// TestRollbacks plays what ends an order early, or at its deadline.
+func TestRollbacks(t *testing.T) {
+	for name, change := range map[string]func(*Facts){
+		"stopped":        func(facts *Facts) { facts.Stopped = true },
+		"bad":            func(facts *Facts) { facts.Verdict = Verdict{Bad: true, Reason: "bad"} },
+		"not enough":     func(facts *Facts) { facts.Verdict.Enough, facts.Now = false, 130*time.Second },
+		"nobody runs it": func(facts *Facts) { facts.Listed, facts.Now = nil, 130*time.Second },
+	} {
+		t.Run(name, func(t *testing.T) {
+			facts := scenario()
+			write(t, &facts, StageTrial)
+			change(&facts)
+			write(t, &facts, StageRolledBack)
+			assert.Equal(t, facts.Service.Standing.Stable, identity.SoftwareVersion("v1"))
+			keeps(t, facts)
+		})
+	}
+	facts := scenario()
+	facts.Now = 130 * time.Second
+	write(t, &facts, StageRolledBack)
+	facts = scenario()
+	write(t, &facts, StageTrial)
+	facts.Now = 126 * time.Second
+	write(t, &facts, StageShift)
+	facts.Stopped = true
+	write(t, &facts, StageRolledBack)
+}
+
+// TestNewerOrders replaces an order in each of its stages.
+func TestNewerOrders(t *testing.T) {
+	order := func(facts *Facts, number uint64, target identity.SoftwareVersion) {
+		facts.Service.Order = &Order{Service: "chat", Target: target, Number: number, Duration: 30 * time.Second}
+		facts.Service.OrderSince = facts.Now
+	}
+	facts := scenario()
+	write(t, &facts, StageTrial)
+	order(&facts, 8, "v3")
+	write(t, &facts, StageTrial)
+	assert.Equal(t, facts.Service.Standing.Target, identity.SoftwareVersion("v3"))
+	order(&facts, 9, "v1") // back
+	write(t, &facts, StageShift)
+	write(t, &facts, StageCompleted)
+	order(&facts, 10, "v2")
+	write(t, &facts, StageTrial)
+	facts.Now += 26 * time.Second
+	write(t, &facts, StageShift)
+	order(&facts, 11, "v1") // waits
+	facts.Idle = false
+	keeps(t, facts)
+	facts.Idle = true
+	write(t, &facts, StageCompleted)
+	assert.Equal(t, facts.Service.Standing.Order, uint64(10))
+	write(t, &facts, StageTrial)
+	assert.Equal(t, facts.Service.Standing.Target, identity.SoftwareVersion("v1"))
+}
--- a/internal/core/rollout/pace.go
+++ b/internal/core/rollout/pace.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 )
@@ -11,8 +12,9 @@
 	paceSamples = 64
 	// minimumPaceSamples is the number without which no answer is called slow.
 	minimumPaceSamples = 8
-	// refitInterval is the number of answers between two fits; each sorts the samples.
-	refitInterval = 16
+	// refitInterval is the number of answers between two fits at most. Before, each fit follows
+	// when their number has doubled.
+	refitInterval = 32
 	// slowFactor is how many times the expected time makes an answer slow. Back ends differ by a
 	// factor of 1.3 either way, so that a version that is three times slower takes 2.3 times as
 	// long on its fastest ones.
@@ -21,8 +23,11 @@
 	slowFactorOfFew = 6.0
 	// usualQuantile of the stable version's answers are not slow in any case, with usualMargin as
 	// a factor: a queue at all back ends is no version's fault. Back ends that are faulty by
-	// themselves, 14 in 100, are beyond it.
-	usualQuantile, usualMargin = 0.8, 1.25
+	// themselves, 14 in 100, are beyond it, also where chance gives them twice their part.
+	usualQuantile, usualMargin = 0.7, 1.4
+	// maximumSlowFactor is the highest factor that follows from these. Where more of the stable
+	// version's answers take longer, some of them are called slow, as are the target's.
+	maximumSlowFactor = 2.4
 	// quickestQuantile of the stable version's answers is the least that is ever expected.
 	quickestQuantile = 0.1
 	// minimumDelay is the time by which an answer is late at least, beyond what is expected:
@@ -80,8 +85,7 @@
 		r.samples[r.noted%paceSamples] = noted
 	}
 	r.noted++
-	first := r.fitted == 0 && r.noted >= minimumPaceSamples
-	if first || r.fitted > 0 && r.noted-r.fitted >= refitInterval {
+	if r.noted-r.fitted >= min(max(r.fitted, minimumPaceSamples), refitInterval) {
 		r.fit()
 	}
 }
@@ -91,8 +95,8 @@
 	r.fitted = r.noted
 	r.line = fitLine(r.samples)
 	count := float64(len(r.samples))
-	usual := quantile(r.samples, usualQuantile, func(each sample) float64 { return each.took / r.line.at(each.tokens) })
-	r.factor = max(slowFactor+slowFactorOfFew/count, usual*usualMargin)
+	usual := quantile(r.samples, usualQuantile, r.line.ratio)
+	r.factor = max(slowFactor+slowFactorOfFew/count, min(usual*usualMargin, maximumSlowFactor))
 }
 
 // line is an expected time in seconds, linear in tokens, and never below the least one.
@@ -100,20 +104,58 @@
 
 func (l line) at(tokens float64) float64 { return max(l.base+l.perToken*tokens, l.least) }
 
-// fitLine fits Tukey's resistant line: its slope is that between the medians of the third with the
-// fewest and the third with the most tokens. Less than a third of outliers among them does little.
+func (l line) ratio(of sample) float64 { return of.took / l.at(of.tokens) }
+
+// fitLine chooses the line that is nearest to the samples by the mean of their ratios' logarithms:
+// among a level one, a proportional one, and those through the medians of the thirds with the
+// fewest, the middle and the most tokens. Less than a third of outliers do little to it.
 func fitLine(samples []sample) line {
 	ordered := slices.SortedFunc(slices.Values(samples), func(left, right sample) int {
 		return cmp.Compare(left.tokens, right.tokens)
 	})
 	third := (len(ordered) + 2) / 3
-	few, many := ordered[:third], ordered[len(ordered)-third:]
-	fitted := line{least: max(quantile(ordered, quickestQuantile, tookOf), time.Microsecond.Seconds())}
-	if tokens := quantile(many, 0.5, tokensOf) - quantile(few, 0.5, tokensOf); tokens > 0 {
-		fitted.perToken = max((quantile(many, 0.5, tookOf)-quantile(few, 0.5, tookOf))/tokens, 0)
+	few, middle, many := medianOf(ordered[:third]), medianOf(ordered[third:len(ordered)-third]), medianOf(ordered[len(ordered)-third:])
+	best, nearest := line{}, math.Inf(1)
+	for _, candidate := range []line{
+		{base: 1}, {perToken: 1}, through(few, many), through(few, middle), through(middle, many),
+	} {
+		candidate.least = max(quantile(ordered, quickestQuantile, tookOf), time.Microsecond.Seconds())
+		candidate = candidate.scaled(ordered)
+		if distance := candidate.distance(ordered); distance < nearest {
+			best, nearest = candidate, distance
+		}
+	}
+	return best
+}
+
+// medianOf is a sample of the median of tokens and of times.
+func medianOf(samples []sample) sample {
+	return sample{took: quantile(samples, 0.5, tookOf), tokens: quantile(samples, 0.5, tokensOf)}
+}
+
+// through is the line through two samples, or a level one if it were to fall.
+func through(left, right sample) line {
+	if right.tokens <= left.tokens || right.took <= left.took {
+		return line{base: left.took}
+	}
+	perToken := (right.took - left.took) / (right.tokens - left.tokens)
+	return line{base: left.took - perToken*left.tokens, perToken: perToken}
+}
+
+// scaled is the line with half of the samples above it.
+func (l line) scaled(samples []sample) line {
+	unbounded := line{base: l.base, perToken: l.perToken, least: time.Nanosecond.Seconds()}
+	factor := quantile(samples, 0.5, unbounded.ratio)
+	return line{base: l.base * factor, perToken: l.perToken * factor, least: l.least}
+}
+
+// distance is the mean of the absolute logarithms of the samples' ratios.
+func (l line) distance(samples []sample) float64 {
+	total := 0.0
+	for _, each := range samples {
+		total += math.Abs(math.Log(l.ratio(each)))
 	}
-	fitted.base = quantile(ordered, 0.5, func(each sample) float64 { return each.took - fitted.perToken*each.tokens })
-	return fitted
+	return total / float64(len(samples))
 }
 
 func tookOf(each sample) float64   { return each.took }
