--- a/internal/core/backendpool/ticket.go
+++ b/internal/core/backendpool/ticket.go
@@ -32,6 +32,10 @@
 	onLost func()
 }
 
+// WorkTokens is what the back end has to do before the answer's first byte, in tokens to be
+// read: what is taken from elsewhere counts for less.
+func (t *Ticket) WorkTokens() int { return int(t.work) }
+
 // Heard notes that something arrived from the ticket's back end.
 func (t *Ticket) Heard(now time.Time) {
 	t.pool.mutex.Lock()
@@ -85,6 +89,9 @@
 	t.pool.mutex.Lock()
 	defer t.pool.mutex.Unlock()
 	t.entry.inFlight--
+	if t.entry.inFlight == 0 {
+		delete(t.pool.departed, t.entry)
+	}
 	delete(t.entry.tickets, t)
 	t.entry.tokens -= t.tokens
 	t.pool.touch(t.entry)
