Count a daemon that moved to another address once

A daemon's description now names it, and a newer one at another address takes the place of the former. Ruled out: a quorum of those heard lately, which two sides of a cut would both have. Rows of daemons under new names still stay (an open finding).

--- a/internal/core/member/member.go
+++ b/internal/core/member/member.go
@@ -26,6 +26,9 @@
 // UnknownCapacity is taken for a daemon that tells none: as little as a small machine has.
 const UnknownCapacity = 1.0
 
+// nameBase is the base in which the text form writes the hash of a name.
+const nameBase = 16
+
 // unknownZone stands in the text form for a zone that is not known.
 const unknownZone = "-"
 
@@ -37,6 +40,9 @@
 	Zone identity.Zone
 	// Capacity is its machine's room relative to other machines', above zero.
 	Capacity float64
+	// Name is the hash of the daemon's name, which stays the same where its address changes; zero
+	// where it is not known.
+	Name uint64
 }
 
 // Capacity is a machine's room for roles that cost, from its processor, in cores of usual
@@ -66,12 +72,18 @@
 var (
 	errNoAddress  = errors.New("has no address")
 	errNoCapacity = errors.New("has a capacity that is no number above zero")
+	errNoName     = errors.New("has a name that is no hash")
 )
 
-// String is the text form: the address, the zone and the capacity, parted by blanks.
+// String is the text form: the address, the zone, the capacity and, where it is known, the name,
+// parted by blanks.
 func (d Descriptor) String() string {
 	zone := cmp.Or(string(d.Zone), unknownZone)
-	return d.Address + " " + zone + " " + strconv.FormatFloat(d.Capacity, 'g', 3, 64)
+	text := d.Address + " " + zone + " " + strconv.FormatFloat(d.Capacity, 'g', 3, 64)
+	if d.Name == 0 {
+		return text
+	}
+	return text + " " + strconv.FormatUint(d.Name, nameBase)
 }
 
 // Parse reads the text form. What follows the address may be missing. The error is a
@@ -92,6 +104,13 @@
 		}
 		described.Capacity = capacity
 	}
+	if len(fields) > 3 {
+		name, err := strconv.ParseUint(fields[3], nameBase, 64)
+		if err != nil {
+			return Descriptor{}, &MalformedError{Text: text, Err: errNoName}
+		}
+		described.Name = name
+	}
 	return described, nil
 }
 
--- a/internal/directory/memberlist.go
+++ b/internal/directory/memberlist.go
@@ -12,15 +12,20 @@
 const keptMembers = 96
 
 // memberList is the set of daemons as this one believes it to be. Rows of daemons are
-// never removed, so that the set only grows.
+// never removed, so that the set only grows, but for the former address of a daemon that has
+// moved: who counts the daemons that may be there must not count it twice.
 type memberList struct {
-	known  map[string]member.Descriptor
-	digest listDigest
+	known map[string]member.Descriptor
+	// addresses are of the daemons whose names are known, by name.
+	addresses map[uint64]string
+	digest    listDigest
 	// newest are the daemons that were added or described anew last, oldest first.
 	newest []member.Descriptor
 }
 
-func newMemberList() *memberList { return &memberList{known: map[string]member.Descriptor{}} }
+func newMemberList() *memberList {
+	return &memberList{known: map[string]member.Descriptor{}, addresses: map[uint64]string{}}
+}
 
 // add adds daemons. Those that are known at the same address are described anew only where
 // what is told is not older than what is known. It returns true when anything changed.
@@ -31,10 +36,18 @@
 		if known && (older || before.String() == described.String()) {
 			continue
 		}
+		former, moved := l.former(described)
+		if moved && older {
+			continue
+		}
 		if known {
 			l.forget(before)
 		}
+		if moved {
+			l.forget(former)
+		}
 		l.known[described.Address] = described
+		l.addresses[described.Name] = described.Address
 		l.digest ^= memberDigest(described)
 		l.newest = append(l.newest, described)
 		changed = true
@@ -43,9 +56,20 @@
 	return changed
 }
 
+// former is what was known of a daemon at another address; false where nothing was.
+func (l *memberList) former(described member.Descriptor) (member.Descriptor, bool) {
+	address, named := l.addresses[described.Name]
+	if !named || described.Name == 0 || address == described.Address {
+		return member.Descriptor{}, false
+	}
+	former, known := l.known[address]
+	return former, known && former.Name == described.Name
+}
+
 // forget drops what was known of a daemon.
 func (l *memberList) forget(described member.Descriptor) {
 	l.digest ^= memberDigest(described)
+	delete(l.known, described.Address)
 	l.newest = slices.DeleteFunc(l.newest, func(other member.Descriptor) bool { return other.Address == described.Address })
 }
 
--- a/internal/directory/memberlist_test.go
+++ b/internal/directory/memberlist_test.go
@@ -55,3 +55,26 @@
 		assert.DeepEqual(t, read.InOrder(), []member.Descriptor{newer.Descriptor})
 	}
 }
+
+// TestDaemonThatMovedCountsOnce starts a daemon again at another address: the former one is
+// forgotten, in bulletins too, unless another daemon has it by now, and what is told late of
+// the former one changes nothing.
+func TestDaemonThatMovedCountsOnce(t *testing.T) {
+	named := func(address string, name uint64) member.Descriptor {
+		made := described(address, "a")
+		made.Name = name
+		return made
+	}
+	list := newMemberList()
+	list.add([]member.Descriptor{named("10.0.0.1:1", 7), named("10.0.0.2:1", 8)}, false)
+	assert.Assert(t, list.add([]member.Descriptor{named("10.0.0.3:1", 7)}, false))
+	moved := []member.Descriptor{named("10.0.0.2:1", 8), named("10.0.0.3:1", 7)}
+	assert.DeepEqual(t, list.all(), moved)
+	assert.DeepEqual(t, list.newest, moved)
+	assert.Assert(t, !list.add([]member.Descriptor{named("10.0.0.1:1", 7)}, true))
+	assert.Assert(t, list.add([]member.Descriptor{named("10.0.0.1:1", 9), named("10.0.0.4:1", 7)}, false))
+	assert.DeepEqual(t, list.all(), []member.Descriptor{named("10.0.0.1:1", 9), named("10.0.0.2:1", 8), named("10.0.0.4:1", 7)})
+	anew := newMemberList()
+	anew.add(list.all(), false)
+	assert.Equal(t, list.digest, anew.digest)
+}
