Try among processes which version gets the requests

Back ends of a second version without an order get nothing, also of a daemon that restarts while the store is away; nor do they while the order can't be read.

--- a/cmd/lotusward/versions_test.go
+++ b/cmd/lotusward/versions_test.go
@@ -159,3 +159,84 @@
 	assert.Equal(t, arrivals(other), 5)
 	assert.Assert(t, !strings.Contains(daemon.log(), "software"))
 }
+
+// TestVersionWithoutAnOrderGetsNothing lists back ends of a second version after those of a
+// first one, without an order: it gets no request, also of a daemon that starts while the store
+// is away and is told by the other one.
+func TestVersionWithoutAnOrderGetsNothing(t *testing.T) {
+	deployed := newDeployment(t)
+	deployed.bounds = rolloutBounds
+	stable := deployed.versioned(1, 2)
+	deployed.configure(testKey)
+	first, second := deployed.daemon("d1", true), deployed.daemon("d2", true)
+	first.askPages(t, 5)
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		for _, daemon := range []*process{first, second} {
+			if !strings.Contains(daemon.log(), "The versions of a service's software are decided.") {
+				return poll.Continue("%s knows no standing", daemon.name)
+			}
+		}
+		return poll.Success()
+	}, poll.WithTimeout(5*time.Second))
+
+	unordered := deployed.versioned(2, 5) // more than of the stable version
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if strings.Contains(second.log(), "p7-4") && strings.Contains(first.log(), "p7-4") {
+			return poll.Success()
+		}
+		return poll.Continue("the new back ends are not known")
+	}, poll.WithTimeout(5*time.Second))
+	first.askPages(t, 40)
+	second.askPages(t, 40)
+	assert.Equal(t, arrivals(unordered), 0)
+	assert.Equal(t, arrivals(stable), 85)
+
+	deployed.store.SetTrouble(standin.TroubleBusy)
+	second = deployed.startAgain(second)
+	second.ask(call{path: "/safe/x", id: "store away"})
+	assert.Equal(t, arrivals(unordered), 0)
+	time.Sleep(time.Second) // past its start
+	second.ask(call{path: "/safe/x", id: "store away for longer"})
+	assert.Equal(t, arrivals(unordered), 0)
+	deployed.store.SetTrouble(standin.TroubleNone)
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if got := second.ask(call{path: "/safe/x", id: "store back"}); got.status != http.StatusOK {
+			return poll.Continue("status %d: %s", got.status, got.body)
+		}
+		return poll.Success()
+	}, poll.WithTimeout(5*time.Second))
+	second.askPages(t, 20)
+	assert.Equal(t, arrivals(unordered), 0)
+	_, told := deployed.store.Value("status", "rollout/pages")
+	assert.Assert(t, !told, "there is no order to tell of")
+}
+
+// TestMalformedOrderIsPassedOver writes an order that can't be read: the stable version goes on
+// getting the requests, a line says so, and an order without any time that follows it is rolled
+// back.
+func TestMalformedOrderIsPassedOver(t *testing.T) {
+	deployed := newDeployment(t)
+	deployed.bounds = rolloutBounds
+	deployed.versioned(1, 2)
+	unordered := deployed.versioned(2, 1)
+	deployed.configure(testKey)
+	daemon := deployed.daemon("d1", true)
+	deployed.store.PutRaw("op", "rollout/pages", []byte(`{"service":"pages","targetVersion":7}`))
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if strings.Contains(daemon.log(), "op/rollout/pages") {
+			return poll.Success()
+		}
+		return poll.Continue("no line tells of it")
+	}, poll.WithTimeout(5*time.Second))
+	daemon.askPages(t, 20)
+	assert.Equal(t, arrivals(unordered), 0)
+	deployed.order("v2", 0)
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		value, _ := deployed.store.Value("status", "rollout/pages")
+		var status map[string]string
+		if json.Unmarshal(value, &status) == nil && status["state"] == "rolled_back" && status["targetVersion"] == "v2" {
+			return poll.Success()
+		}
+		return poll.Continue("status is %s", value)
+	}, poll.WithTimeout(5*time.Second))
+}
