Cross a region's border once with what goes to all daemons

Bulletins, lists, plans and evidence went to each daemon of other regions from the teller or down a tree that took no heed of regions. Now one daemon of each other region gets a datagram, says so and spreads it there; without its answer another one is tried, three in all, with a patience that is observed. Relays and the upper parts of trees are drawn by rendezvous hashing weighted by capacity, anew for each datagram. Daemons that start ask their own region for three rounds; a new configuration is asked for over each border by one daemon. With one region nothing crosses; the order in trees is a ranking in place of a rotation.

Weighed: one relay without an answer (each fifth bulletin lost with a fifth of the daemons gone), two relays (twice the bytes).

The metric lotusward_peer_bytes_total counts bytes by kind and distance.

A cut region reads for itself within moments, keeps the list, and the heal asks nothing: tests over the directory's fleet. Seen failing: one try in place of three, no answer, no weights, no regions, askers not by region. TestTreeReachesEachDaemonOnce takes any weights now.

--- /dev/null
+++ b/cmd/internal/daemon/regions.go
@@ -0,0 +1,44 @@
+package daemon
+
+import (
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/lotusward/lotusward/internal/core/distance"
+	"github.com/lotusward/lotusward/internal/core/identity"
+	"github.com/lotusward/lotusward/internal/members"
+	"github.com/lotusward/lotusward/internal/peerlink"
+)
+
+// kindSnapshot names snapshots in the metrics, beside the kinds of datagrams.
+const kindSnapshot = "snapshot"
+
+// newTopology is where the other daemons are. Where all zones are of one region it knows none.
+func newTopology(regions distance.Map, list *members.List) peerlink.Topology {
+	topology := peerlink.Topology{Others: list.Others, Capacity: list.Capacity}
+	if regions.Several() {
+		topology.Region = func(address string) identity.Region { return regions.Region(list.Zone(address)) }
+	}
+	return topology
+}
+
+// distanceTo is how far away the daemon at an address is.
+func (w *Daemon) distanceTo(address string) distance.Distance {
+	return w.regions.Between(w.settings.Zone, w.members.Zone(address))
+}
+
+// peerTraffic counts what daemons send each other.
+type peerTraffic struct{ bytes *prometheus.CounterVec }
+
+func newPeerTraffic(registry prometheus.Registerer) *peerTraffic {
+	made := &peerTraffic{bytes: prometheus.NewCounterVec(prometheus.CounterOpts{
+		Namespace: "lotusward", Name: "peer_bytes_total",
+		Help: "Bytes between daemons by kind of message and distance (zone, region, other_region): datagrams that this daemon sent, and snapshots that it was sent.",
+	}, []string{"kind", "distance"})}
+	registry.MustRegister(made.bytes)
+	return made
+}
+
+// sent counts some bytes.
+func (p *peerTraffic) sent(kind string, far distance.Distance, bytes int) {
+	p.bytes.WithLabelValues(kind, far.String()).Add(float64(bytes))
+}
--- a/cmd/internal/daemon/wire.go
+++ b/cmd/internal/daemon/wire.go
@@ -19,6 +19,7 @@
 	"github.com/lotusward/lotusward/internal/cachewatch"
 	"github.com/lotusward/lotusward/internal/clock"
 	"github.com/lotusward/lotusward/internal/core/backendpool"
+	"github.com/lotusward/lotusward/internal/core/distance"
 	"github.com/lotusward/lotusward/internal/core/identity"
 	"github.com/lotusward/lotusward/internal/core/lease"
 	"github.com/lotusward/lotusward/internal/core/promptcache"
@@ -63,6 +64,8 @@
 	promptsIn  *cachewatch.Watcher
 	cachesIn   *cachewatch.Watcher
 	link       *peerlink.Link
+	regions    distance.Map
+	topology   peerlink.Topology
 	broadcast  *peerlink.Broadcaster
 	tree       *peerlink.Tree
 	snapshots  *peersync.Server
@@ -98,11 +101,13 @@
 	registry := prometheus.NewRegistry()
 	counters := requestlog.NewCounters(registry)
 	registerState(registry, options.Writer)
+	traffic := newPeerTraffic(registry)
 	made := &Daemon{
-		settings: settings, options: options, logger: options.Logger, metricsOut: newMetrics(settings, options.MetricsPort, registry),
+		settings: settings, options: options, logger: options.Logger, regions: distance.NewMap(settings.Zones),
+		metricsOut: newMetrics(settings, options.MetricsPort, registry),
 	}
 	made.wireOutside(counters)
-	made.wireBelief()
+	made.wireBelief(traffic)
 	made.wireTraffic(counters)
 	made.wireDuty()
 	return made
@@ -121,7 +126,7 @@
 }
 
 // wireBelief makes what knows back ends, configuration and other daemons.
-func (w *Daemon) wireBelief() {
+func (w *Daemon) wireBelief(traffic *peerTraffic) {
 	bounds := w.settings.Bounds
 	w.link = peerlink.New(w.settings.InternalAddress(), w.part("peers"))
 	w.backends = backendpool.New(w.settings.Zone)
@@ -140,10 +145,16 @@
 		},
 	})
 	w.link.Observe(w.hear)
-	w.broadcast = peerlink.NewBroadcaster(w.link, w.members.Others)
-	w.tree = peerlink.NewTree(w.link, w.members.Others)
+	w.presence = presence.New()
+	w.topology = newTopology(w.regions, w.members)
+	w.link.ObserveSent(func(to string, datagram []byte) {
+		traffic.sent(peerlink.KindOf(datagram).String(), w.distanceTo(to), len(datagram))
+	})
+	crossing := peerlink.NewCrossing(w.link, w.topology, presence.NewSilence(w.presence))
+	w.broadcast = peerlink.NewBroadcaster(w.link, w.topology, crossing)
+	w.tree = peerlink.NewTree(w.link, w.topology, crossing)
 	w.crashes = crashwatch.New(crashwatch.Options{
-		Link: w.link, Others: w.members.Others, Table: w.store, Log: w.part("quarantine"),
+		Link: w.link, Topology: w.topology, Crossing: crossing, Table: w.store, Log: w.part("quarantine"),
 		Reads: func() bool { return w.directory.ReadsForAll() },
 	})
 	w.backends.OnChecked(w.crashes.Checked)
@@ -152,7 +163,11 @@
 		Source:     w.store, Pool: w.backends, Log: w.part("directory"),
 		Self: w.link.Address(), Tell: w.tell,
 		Interval: checkInterval(bounds), Others: w.members.Others, OnMembers: w.members.Set,
-		Peers: peersync.NewClient(w.pool), Contacts: w.members,
+		Peers: peersync.NewClient(w.pool, func(address string, bytes int) {
+			traffic.sent(kindSnapshot, w.distanceTo(address), bytes)
+		}),
+		Contacts:         w.members,
+		Topology:         w.topology,
 		SteadyTime:       platform.Milliseconds(bounds.ContactMs),
 		VersionHeadStart: versionGrace(bounds) - platform.Milliseconds(bounds.ContactMs),
 	})
@@ -167,7 +182,6 @@
 	w.loads = loadshare.New(loadshare.Options{
 		Link: w.link, Others: w.members.Others, Pool: w.backends, Memory: w.memory,
 	})
-	w.presence = presence.New()
 	w.homes = loadhome.New(loadhome.Options{Link: w.link, Others: w.members.Others, Pool: w.backends, Presence: w.presence})
 	w.limits = tenantlimit.New(tenantlimit.Options{
 		Link: w.link, Others: w.members.Others, Count: w.members.Count, Presence: w.presence,
--- a/internal/crashwatch/announce.go
+++ b/internal/crashwatch/announce.go
@@ -20,7 +20,8 @@
 	repeatInterval = 400 * time.Millisecond
 	// gossipInterval is how often evidence against quarantined requests is sent to
 	// gossipTargets daemons: each gets it some four times a second, so that one in 160,000
-	// that missed all else has not got it after 3 s.
+	// that missed all else has not got it after 3 s. Of a region about one daemon in each
+	// interval sends it to one of each other region.
 	gossipInterval = 500 * time.Millisecond
 	gossipTargets  = 2
 	// maximumEvidence bounds the evidence in one datagram, of 24 bytes each, and
@@ -99,7 +100,7 @@
 // announce sends all others what is due.
 func (w *Watcher) announce(now time.Time) {
 	for due := w.due(now); len(due.Crashes)+len(due.Acquitted) > 0; due = w.due(now) {
-		w.send(&due, w.options.Others())
+		w.tell(&due)
 	}
 }
 
@@ -131,25 +132,51 @@
 
 // gossip sends the evidence against quarantined requests to some others, drawn at random.
 func (w *Watcher) gossip(now time.Time) {
-	held, others := w.quarantined(now, maximumGossip), w.options.Others()
-	if len(held) == 0 || len(others) == 0 {
+	held := w.quarantined(now, maximumGossip)
+	if len(held) == 0 {
 		return
 	}
+	if datagram, fits := w.encode(&message{Crashes: newEvidence(now, held)}); fits {
+		peerlink.SendWithin(w.options.Link, w.limiter, w.gossipTargets(), datagram)
+	}
+}
+
+// gossipTargets are some daemons that are near and, of each other region, one from time to time: of
+// all the daemons of this region about one in each interval.
+func (w *Watcher) gossipTargets() []string {
+	self := w.options.Link.Address()
+	near := w.options.Topology.Near(self)
 	var targets []string
-	for range min(gossipTargets, len(others)) {
-		targets = append(targets, others[rand.IntN(len(others))])
+	for range min(gossipTargets, len(near)) {
+		targets = append(targets, near[rand.IntN(len(near))])
+	}
+	for _, there := range w.options.Topology.Far(self) {
+		if rand.IntN(len(near)+1) == 0 {
+			targets = append(targets, there[rand.IntN(len(there))])
+		}
+	}
+	return targets
+}
+
+// tell tells all other daemons a message, within the bound on bytes.
+func (w *Watcher) tell(body *message) {
+	datagram, fits := w.encode(body)
+	if !fits {
+		return
+	}
+	if w.options.Crossing != nil {
+		w.options.Crossing.SendToEach(datagram)
 	}
-	w.send(&message{Crashes: newEvidence(now, held)}, targets)
+	peerlink.SendWithin(w.options.Link, w.limiter, w.options.Topology.Near(w.options.Link.Address()), datagram)
 }
 
-// send sends a message within the bound on bytes.
-func (w *Watcher) send(body *message, targets []string) {
+// encode returns a message's datagram; false when it doesn't fit one, which is an error here.
+func (w *Watcher) encode(body *message) ([]byte, bool) {
 	datagram, fits := w.options.Link.Encode(peerlink.KindCrashes, body)
 	if !fits {
 		w.options.Log.WithField("evidence", len(body.Crashes)).Error("Evidence doesn't fit one datagram.")
-		return
 	}
-	peerlink.SendWithin(w.options.Link, w.limiter, targets, datagram)
+	return datagram, fits
 }
 
 // receive takes in what another daemon sends.
--- a/internal/crashwatch/fleet_test.go
+++ b/internal/crashwatch/fleet_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/lotusward/lotusward/internal/core/identity"
 	"github.com/lotusward/lotusward/internal/core/quarantine"
+	"github.com/lotusward/lotusward/internal/peerlink"
 	"github.com/lotusward/lotusward/internal/peerlink/peerlinktest"
 	"github.com/lotusward/lotusward/internal/port"
 	"github.com/lotusward/lotusward/internal/port/porttest"
@@ -78,7 +79,7 @@
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	m.watcher = New(Options{
-		Link: m, Others: m.others, Table: m.fleet.table, Log: log,
+		Link: m, Topology: peerlink.Topology{Others: m.others}, Table: m.fleet.table, Log: log,
 		Reads: func() bool { return int(m.fleet.reader.Load()) == m.index && m.Working() },
 	})
 	m.stop = make(chan struct{})
--- a/internal/crashwatch/watcher.go
+++ b/internal/crashwatch/watcher.go
@@ -38,9 +38,10 @@
 // Options are what a Watcher works with.
 type Options struct {
 	Link peerlink.Carrier
-	// Others returns the addresses of the other daemons.
-	Others func() []string
-	Table  port.TableService
+	// Topology is where the other daemons are, and Crossing tells other regions; nil tells none.
+	Topology peerlink.Topology
+	Crossing *peerlink.Crossing
+	Table    port.TableService
 	// Reads tells whether this daemon reads the store for all.
 	Reads func() bool
 	Log   logrus.FieldLogger
--- a/internal/directory/asking.go
+++ b/internal/directory/asking.go
@@ -4,11 +4,9 @@
 	"context"
 	"errors"
 	"math/rand/v2"
-	"slices"
 	"time"
 
 	"github.com/lotusward/lotusward/internal/clock"
-	"github.com/lotusward/lotusward/internal/core/rendezvous"
 	"github.com/lotusward/lotusward/internal/pause"
 )
 
@@ -88,11 +86,7 @@
 	if parent := d.askedFor(lacking.from); parent != lacking.from && d.Complete() {
 		asked = []string{parent, lacking.from}
 	}
-	if others := d.options.Others(); len(others) > 0 {
-		for range otherAsks {
-			asked = append(asked, others[rand.IntN(len(others))])
-		}
-	}
+	asked = append(asked, d.anyOthers()...)
 	var err error
 	for round, address := range asked {
 		if round > 0 {
@@ -123,19 +117,6 @@
 	}
 }
 
-// askedFor is whom this daemon asks for news of a reader: the daemons form a tree below
-// it, so that each is asked by few.
-func (d *Directory) askedFor(reader string) string {
-	others := slices.DeleteFunc(slices.Clone(d.options.Others()), func(address string) bool { return address == reader })
-	all := append(others, d.options.Self)
-	ranked := rendezvous.Top(rendezvous.Key(reader), all, len(all))
-	at := slices.Index(ranked, d.options.Self)
-	if at < askersEach {
-		return reader
-	}
-	return ranked[at/askersEach-1]
-}
-
 // errNobodyKnown is returned where there is no daemon to ask.
 var errNobodyKnown = errors.New("no other daemon is known")
 
@@ -223,7 +204,7 @@
 // askUntil asks daemons, a few at a time, until this one knows what they believe, or
 // until a time. It waits longer once another daemon has told what it reads.
 func (d *Directory) askUntil(ctx context.Context, contacts []string, until time.Time) {
-	extended := false
+	extended, round := false, 0
 	var lastError error
 	for ctx.Err() == nil && !d.Complete() {
 		if waited := d.waited.Load(); waited != nil && clock.Since(*waited) < joinExtension+d.options.Interval {
@@ -240,6 +221,10 @@
 			return
 		}
 		rand.Shuffle(len(contacts), func(left, right int) { contacts[left], contacts[right] = contacts[right], contacts[left] })
+		if round < nearRounds {
+			d.nearFirst(contacts)
+		}
+		round++
 		if lastError = d.askAny(ctx, contacts[:min(askedAtOnce, len(contacts))]); lastError == nil {
 			return
 		}
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -14,6 +14,7 @@
 	"github.com/lotusward/lotusward/internal/core/identity"
 	"github.com/lotusward/lotusward/internal/core/member"
 	"github.com/lotusward/lotusward/internal/core/routing"
+	"github.com/lotusward/lotusward/internal/peerlink"
 	"github.com/lotusward/lotusward/internal/relay"
 )
 
@@ -90,6 +91,8 @@
 	Tell func(Bulletin)
 	// Others returns the addresses of the other daemons; nil when there are none.
 	Others func() []string
+	// Topology is where the other daemons are; without its Others it is made of the above.
+	Topology peerlink.Topology
 	// OnMembers is called with all daemons when there are new ones or some are described
 	// anew; it may be nil and must not block.
 	OnMembers func([]member.Descriptor)
@@ -184,6 +187,9 @@
 	if options.Others == nil {
 		options.Others = func() []string { return nil }
 	}
+	if options.Topology.Others == nil {
+		options.Topology.Others = options.Others
+	}
 	directory := &Directory{
 		options:   options,
 		messages:  make(chan message),
--- a/internal/directory/fleet_test.go
+++ b/internal/directory/fleet_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"maps"
 	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -13,7 +14,9 @@
 	"gotest.tools/v3/poll"
 
 	"github.com/lotusward/lotusward/internal/core/backendpool"
+	"github.com/lotusward/lotusward/internal/core/identity"
 	"github.com/lotusward/lotusward/internal/logging"
+	"github.com/lotusward/lotusward/internal/peerlink"
 )
 
 // fleet is a few daemons over one store, that tell and ask each other in memory.
@@ -22,12 +25,30 @@
 	running map[string]*Directory
 	stops   map[string]context.CancelFunc
 	told    map[string]int
-	source  Source
+	// asked is how often daemons asked others, of their region ("region") and over a border
+	// ("border").
+	asked  map[string]int
+	source Source
+	// blocks tells whether what one daemon tells or asks another one is lost; nil is nothing.
+	blocks func(from, to string) bool
 }
 
+// block sets what is lost between daemons; nil is nothing.
+func (f *fleet) block(blocks func(from, to string) bool) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.blocks = blocks
+}
+
+// blocked tells whether something is lost. The caller holds the mutex.
+func (f *fleet) blocked(from, to string) bool { return f.blocks != nil && f.blocks(from, to) }
+
+// regionOf is the region of a daemon: the second number of its address.
+func regionOf(address string) identity.Region { return identity.Region(strings.Split(address, ".")[1]) }
+
 func newFleet(t *testing.T, source Source, count int) *fleet {
 	t.Helper()
-	made := &fleet{running: map[string]*Directory{}, stops: map[string]context.CancelFunc{}, told: map[string]int{}, source: source}
+	made := &fleet{running: map[string]*Directory{}, stops: map[string]context.CancelFunc{}, told: map[string]int{}, asked: map[string]int{}, source: source}
 	for index := range count {
 		made.add(fmt.Sprintf("10.0.0.%02d", index))
 	}
@@ -43,9 +64,12 @@
 	defer f.mutex.Unlock()
 	f.running[address] = New(Options{
 		Source: f.source, Pool: backendpool.New("a"), Log: logging.Discard(), Self: address, Interval: testInterval,
-		Tell:     func(bulletin Bulletin) { f.tell(address, bulletin) },
-		Others:   func() []string { return removeAddress(f.addresses(), address) },
-		Peers:    f,
+		Tell:   func(bulletin Bulletin) { f.tell(address, bulletin) },
+		Others: func() []string { return removeAddress(f.addresses(), address) },
+		Topology: peerlink.Topology{
+			Others: func() []string { return removeAddress(f.addresses(), address) }, Region: regionOf,
+		},
+		Peers:    &fleetPeers{fleet: f, self: address},
 		Contacts: &fleetContacts{fleet: f, self: address},
 	})
 }
@@ -72,7 +96,7 @@
 	defer f.mutex.Unlock()
 	f.told[from]++
 	for address, directory := range f.running {
-		if address != from {
+		if address != from && !f.blocked(from, address) {
 			directory.Hear(from, bulletin)
 		}
 	}
@@ -90,13 +114,46 @@
 	return f.running[address]
 }
 
+// fleetPeers lets one daemon ask the others.
+type fleetPeers struct {
+	fleet *fleet
+	self  string
+}
+
 // Snapshot implements Peers.
-func (f *fleet) Snapshot(ctx context.Context, address string, have Have) (Snapshot, error) {
-	asked := f.daemon(address)
-	if asked == nil {
+func (p *fleetPeers) Snapshot(ctx context.Context, address string, have Have) (Snapshot, error) {
+	asked, blocked := p.fleet.noteAsked(p.self, address)
+	switch {
+	case blocked:
+		<-ctx.Done()
+		return Snapshot{}, ctx.Err()
+	case asked == nil:
 		return Snapshot{}, errors.New("gone")
+	default:
+		return asked.Snapshot(ctx, have), nil
 	}
-	return asked.Snapshot(ctx, have), nil
+}
+
+// noteAsked counts a question, and returns who is asked and whether the question or its answer is lost.
+func (f *fleet) noteAsked(from, to string) (*Directory, bool) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	if regionOf(from) != regionOf(to) {
+		f.asked["border"]++
+	} else {
+		f.asked["region"]++
+	}
+	return f.running[to], f.blocked(from, to) || f.blocked(to, from)
+}
+
+// questions returns how often daemons asked others of their region and over a border since the last
+// call.
+func (f *fleet) questions() (near, far int) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	near, far = f.asked["region"], f.asked["border"]
+	clear(f.asked)
+	return near, far
 }
 
 // fleetContacts knows two daemons, of which one may be gone.
--- /dev/null
+++ b/internal/directory/region.go
@@ -0,0 +1,73 @@
+package directory
+
+import (
+	"math/rand/v2"
+	"slices"
+
+	"github.com/lotusward/lotusward/internal/core/rendezvous"
+)
+
+const (
+	// nearRounds is how many rounds a starting daemon asks those of its own region first: these
+	// may be starting too, or gone.
+	nearRounds = 3
+	// nearAsks is how many of the otherAsks daemons that are asked after those that surely know
+	// are near ones.
+	nearAsks = 3
+)
+
+// nearFirst puts the daemons of this one's region before the others, and keeps their order
+// otherwise.
+func (d *Directory) nearFirst(addresses []string) {
+	near := d.options.Topology.Near(d.options.Self)
+	slices.SortStableFunc(addresses, func(left, right string) int {
+		switch isNear := slices.Contains(near, left); {
+		case isNear == slices.Contains(near, right):
+			return 0
+		case isNear:
+			return -1
+		default:
+			return 1
+		}
+	})
+}
+
+// anyOthers are some daemons, drawn at random, of which most are near ones.
+func (d *Directory) anyOthers() []string {
+	drawn := draw(d.options.Topology.Near(d.options.Self), nearAsks)
+	return append(drawn, draw(d.options.Others(), otherAsks-len(drawn))...)
+}
+
+// draw draws some of a list, none where it is empty.
+func draw(addresses []string, count int) []string {
+	var drawn []string
+	for len(addresses) > 0 && len(drawn) < count {
+		drawn = append(drawn, addresses[rand.IntN(len(addresses))])
+	}
+	return drawn
+}
+
+// askedFor is whom this daemon asks for news of a reader: the daemons of the reader's region form a
+// tree below it, so that each is asked by few, and those of another region one below the one that
+// asks the reader. Those with room are mostly high in it.
+func (d *Directory) askedFor(reader string) string {
+	near := d.options.Topology.Near(d.options.Self)
+	all := slices.DeleteFunc(append(slices.Clone(near), d.options.Self), func(address string) bool { return address == reader })
+	ranked := d.options.Topology.Rank(rendezvous.Key(reader), all)
+	at := slices.Index(ranked, d.options.Self)
+	if !slices.Contains(d.options.Others(), reader) || slices.Contains(near, reader) {
+		return parent(reader, ranked, at)
+	}
+	if at == 0 {
+		return reader
+	}
+	return parent(ranked[0], ranked[1:], at-1)
+}
+
+// parent is the daemon above the one at a place of a ranking, in a tree below a root.
+func parent(root string, ranked []string, at int) string {
+	if at < askersEach {
+		return root
+	}
+	return ranked[at/askersEach-1]
+}
--- a/internal/peerlink/broadcast.go
+++ b/internal/peerlink/broadcast.go
@@ -16,19 +16,19 @@
 	waitingBroadcasts       = 16
 )
 
-// Broadcaster tells all other daemons the same, one datagram each.
+// Broadcaster tells all other daemons the same, one datagram each, and one for each other region.
 type Broadcaster struct {
-	link    *Link
-	others  func() []string
-	limiter *rate.Limiter
-	waiting chan []byte
+	carrier  Carrier
+	topology Topology
+	crossing *Crossing
+	limiter  *rate.Limiter
+	waiting  chan []byte
 }
 
-// NewBroadcaster makes a Broadcaster that tells nothing until it runs. Others
-// returns the addresses of the other daemons.
-func NewBroadcaster(link *Link, others func() []string) *Broadcaster {
+// NewBroadcaster makes a Broadcaster that tells nothing until it runs.
+func NewBroadcaster(carrier Carrier, topology Topology, crossing *Crossing) *Broadcaster {
 	return &Broadcaster{
-		link: link, others: others,
+		carrier: carrier, topology: topology, crossing: crossing,
 		limiter: rate.NewLimiter(broadcastBytesPerSecond, broadcastBurst),
 		waiting: make(chan []byte, waitingBroadcasts),
 	}
@@ -37,7 +37,7 @@
 // Tell sends a body soon. It never blocks: what is too large or finds no room is as
 // good as lost.
 func (b *Broadcaster) Tell(kind Kind, body any) {
-	datagram, fits := b.link.Encode(kind, body)
+	datagram, fits := b.carrier.Encode(kind, body)
 	if !fits {
 		return
 	}
@@ -60,7 +60,8 @@
 }
 
 func (b *Broadcaster) send(datagram []byte) {
-	SendWithin(b.link, b.limiter, b.others(), datagram)
+	b.crossing.SendToEach(datagram)
+	SendWithin(b.carrier, b.limiter, b.topology.Near(b.carrier.Address()), datagram)
 }
 
 // SendWithin sends a datagram to as many daemons as a bound on bytes allows, beginning with
--- a/internal/peerlink/peerlink.go
+++ b/internal/peerlink/peerlink.go
@@ -44,9 +44,42 @@
 	KindLoadAnswer
 	// KindCrashes tells under which requests back ends ended.
 	KindCrashes
+	// KindTaken says that a daemon spreads a forwarded datagram in its region.
+	KindTaken
 	kindEnd
 )
 
+// kindNames name the kinds in metrics.
+var kindNames = [kindEnd]string{
+	KindLoads: "loads", KindBulletin: "bulletin", KindPlan: "plan", KindFacts: "facts", KindForwarded: "forwarded",
+	KindLimitAsk: "limit_ask", KindLimitAnswer: "limit_answer", KindLimitReturn: "limit_return",
+	KindLoadNote: "load_note", KindLoadQuestion: "load_question", KindLoadAnswer: "load_answer",
+	KindCrashes: "crashes", KindTaken: "taken",
+}
+
+// String names the kind for logs and metrics.
+func (k Kind) String() string {
+	if k < kindEnd && kindNames[k] != "" {
+		return kindNames[k]
+	}
+	return "unknown"
+}
+
+// KindOf is what a datagram is about: one that is forwarded is about what it carries.
+func KindOf(datagram []byte) Kind {
+	if len(datagram) == 0 {
+		return kindEnd
+	}
+	kind := Kind(datagram[0])
+	if kind != KindForwarded {
+		return kind
+	}
+	if passed, whole := decodeForwarded(datagram[1:]); whole {
+		return Kind(passed.carried[0])
+	}
+	return kind
+}
+
 const (
 	// maximumDatagram bounds a datagram in bytes.
 	maximumDatagram  = 8 << 10
@@ -67,6 +100,8 @@
 	Send(to string, datagram []byte)
 	// Handle sets the handler of a kind.
 	Handle(kind Kind, handler Handler)
+	// Deliver hands a datagram to its handler here, as from the daemon at an address.
+	Deliver(from string, datagram []byte)
 }
 
 var _ Carrier = (*Link)(nil)
@@ -84,8 +119,10 @@
 	handlers [kindEnd]Handler
 	// observe is told of the sender of each datagram; nil is not.
 	observe func(from string)
-	socket  atomic.Pointer[net.UDPConn]
-	log     logrus.FieldLogger
+	// observeSent is told of each datagram that is sent; nil is not.
+	observeSent func(to string, datagram []byte)
+	socket      atomic.Pointer[net.UDPConn]
+	log         logrus.FieldLogger
 }
 
 // New makes a Link that listens on an address (IP:port) once it runs.
@@ -100,6 +137,9 @@
 // Observe sets who is told of the sender of each datagram. It must not block.
 func (l *Link) Observe(observe func(from string)) { l.observe = observe }
 
+// ObserveSent sets who is told of each datagram that is sent. It must not block.
+func (l *Link) ObserveSent(observe func(to string, datagram []byte)) { l.observeSent = observe }
+
 // HandleDecoded sets a handler that takes decoded bodies. What cannot be decoded is
 // passed over.
 func HandleDecoded[Body any](link Carrier, kind Kind, take func(from string, body Body)) {
@@ -130,6 +170,9 @@
 		return
 	}
 	_, _ = socket.WriteToUDPAddrPort(datagram, address)
+	if l.observeSent != nil {
+		l.observeSent(to, datagram)
+	}
 }
 
 // Run receives until the context ends. Without a socket the daemon goes on alone.
@@ -174,11 +217,11 @@
 	if l.observe != nil {
 		l.observe(sender)
 	}
-	l.handle(sender, datagram)
+	l.Deliver(sender, datagram)
 }
 
-// handle hands the datagram of a daemon to its handler.
-func (l *Link) handle(sender string, datagram []byte) {
+// Deliver implements Carrier.
+func (l *Link) Deliver(sender string, datagram []byte) {
 	if len(datagram) == 0 || Kind(datagram[0]) >= kindEnd {
 		return
 	}
--- a/internal/peerlink/peerlink_test.go
+++ b/internal/peerlink/peerlink_test.go
@@ -75,7 +75,7 @@
 		run(t, receiver)
 		others = append(others, receiver.Address())
 	}
-	broadcaster := NewBroadcaster(sender, func() []string { return others })
+	broadcaster := NewBroadcaster(sender, Topology{Others: func() []string { return others }}, newCrossing(sender))
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	go func() { _ = broadcaster.Run(ctx) }()
--- a/internal/peerlink/peerlinktest/network.go
+++ b/internal/peerlink/peerlinktest/network.go
@@ -21,6 +21,32 @@
 	luck  *rand.Rand
 	lossy float64
 	nodes map[string]*Node
+	// blocks tells whether datagrams from one address to another are lost, way is how long one
+	// takes, and observe is told of each that is sent. Nil are none, Delay and nobody.
+	blocks  func(from, to string) bool
+	way     func(from, to string) time.Duration
+	observe func(from, to string, datagram []byte)
+}
+
+// Block sets which datagrams are lost, by sender and receiver; nil is none.
+func (n *Network) Block(blocks func(from, to string) bool) {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	n.blocks = blocks
+}
+
+// SetWay sets how long datagrams take, by sender and receiver.
+func (n *Network) SetWay(way func(from, to string) time.Duration) {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	n.way = way
+}
+
+// Observe sets who is told of each datagram that is sent, also of lost ones. It must not send.
+func (n *Network) Observe(observe func(from, to string, datagram []byte)) {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	n.observe = observe
 }
 
 // NewNetwork makes a network without nodes.
@@ -87,15 +113,25 @@
 	n.network.mutex.Lock()
 	defer n.network.mutex.Unlock()
 	receiver := n.network.nodes[to]
+	if n.network.observe != nil && !n.down {
+		n.network.observe(n.address, to, datagram)
+	}
 	if receiver == nil || n.down || receiver.down || receiver.side != n.side || n.network.luck.Float64() < n.network.lossy {
 		return
 	}
-	time.AfterFunc(Delay, func() { receiver.WhenAwake(func() { receiver.receive(n.address, datagram) }) })
+	if n.network.blocks != nil && n.network.blocks(n.address, to) {
+		return
+	}
+	way := Delay
+	if n.network.way != nil {
+		way = n.network.way(n.address, to)
+	}
+	time.AfterFunc(way, func() { receiver.WhenAwake(func() { receiver.receive(n.address, datagram) }) })
 }
 
 func (n *Node) receive(from string, datagram []byte) {
 	n.network.mutex.Lock()
-	handler, observe, down := n.handlers[peerlink.Kind(datagram[0])], n.observe, n.down
+	observe, down := n.observe, n.down
 	n.network.mutex.Unlock()
 	if down {
 		return
@@ -103,6 +139,14 @@
 	if observe != nil {
 		observe(from)
 	}
+	n.Deliver(from, datagram)
+}
+
+// Deliver implements peerlink.Carrier.
+func (n *Node) Deliver(from string, datagram []byte) {
+	n.network.mutex.Lock()
+	handler := n.handlers[peerlink.Kind(datagram[0])]
+	n.network.mutex.Unlock()
 	if handler != nil {
 		handler(from, datagram[1:])
 	}
--- a/internal/peerlink/tree.go
+++ b/internal/peerlink/tree.go
@@ -1,11 +1,8 @@
 package peerlink
 
 import (
-	"bytes"
 	"context"
-	"encoding/binary"
 	"slices"
-	"sync/atomic"
 
 	"golang.org/x/time/rate"
 
@@ -26,84 +23,60 @@
 	waitingForwards    = 16
 )
 
-// Tree tells all other daemons the same by a tree of daemons: each sends to a few, which
-// send on. It is for datagrams that are too large to be sent to all by one daemon. Each
-// datagram goes down another tree, so that a daemon that is gone keeps it from the same
-// others only once.
+// Tree tells all other daemons the same by a tree of daemons in each region: each sends to a few,
+// which send on. It is for datagrams that are too large to be sent to all by one daemon. Each
+// datagram goes down another tree, with daemons that have room mostly at its top, so that a daemon
+// that is gone keeps it from the same others only once.
 type Tree struct {
-	link    *Link
-	others  func() []string
-	limiter *rate.Limiter
-	waiting chan []byte
-	sent    atomic.Uint32
+	carrier  Carrier
+	topology Topology
+	crossing *Crossing
+	limiter  *rate.Limiter
+	waiting  chan forwarded
 }
 
-// NewTree makes a Tree that tells and forwards nothing until it runs. Others returns the
-// addresses of the other daemons.
-func NewTree(link *Link, others func() []string) *Tree {
+// NewTree makes a Tree that tells and forwards nothing until it runs.
+func NewTree(carrier Carrier, topology Topology, crossing *Crossing) *Tree {
 	tree := &Tree{
-		link: link, others: others, limiter: rate.NewLimiter(treeBytesPerSecond, treeBurst),
-		waiting: make(chan []byte, waitingForwards),
+		carrier: carrier, topology: topology, crossing: crossing,
+		limiter: rate.NewLimiter(treeBytesPerSecond, treeBurst), waiting: make(chan forwarded, waitingForwards),
 	}
-	link.Handle(KindForwarded, tree.receive)
+	carrier.Handle(KindForwarded, tree.receive)
 	return tree
 }
 
-// A forwarded datagram begins with its kind, a number that its tree is drawn from, and the
-// length of its origin's address, the address, and then the datagram that it carries.
-const (
-	numberAt = 1
-	lengthAt = numberAt + 4
-	originAt = lengthAt + 1
-)
-
 // Tell sends a body soon. It never blocks: what is too large or finds no room is as good
 // as lost.
 func (t *Tree) Tell(kind Kind, body any) {
-	carried, fits := t.link.Encode(kind, body)
+	carried, fits := t.carrier.Encode(kind, body)
 	if !fits {
 		return
 	}
-	number := t.sent.Add(1)
-	origin := t.link.Address()
-	var datagram bytes.Buffer
-	datagram.WriteByte(byte(KindForwarded))
-	_ = binary.Write(&datagram, binary.BigEndian, number)
-	datagram.WriteByte(byte(len(origin)))
-	datagram.WriteString(origin)
-	datagram.Write(carried)
-	t.enqueue(datagram.Bytes())
+	self := t.carrier.Address()
+	t.enqueue(forwarded{number: t.crossing.questions.Next(), shape: shapeTree, origin: self, root: self, carried: carried})
 }
 
-func (t *Tree) enqueue(datagram []byte) {
+// enqueue returns false where there is no room.
+func (t *Tree) enqueue(datagram forwarded) bool {
 	select {
 	case t.waiting <- datagram:
+		return true
 	default:
+		return false
 	}
 }
 
 // receive hands on what a datagram carries, as from its origin, and sends it on.
 func (t *Tree) receive(_ string, body []byte) {
-	datagram := append([]byte{byte(KindForwarded)}, body...)
-	origin, carried, whole := readForwarded(datagram)
-	if !whole || origin == t.link.Address() || Kind(carried[0]) == KindForwarded {
+	datagram, whole := decodeForwarded(slices.Clone(body))
+	self := t.carrier.Address()
+	if !whole || datagram.origin == self {
 		return
 	}
-	t.enqueue(datagram)
-	t.link.handle(origin, carried)
-}
-
-// readForwarded returns the origin of a datagram and what it carries; false when it is
-// malformed.
-func readForwarded(datagram []byte) (origin string, carried []byte, whole bool) {
-	if len(datagram) < originAt {
-		return "", nil, false
-	}
-	end := originAt + int(datagram[lengthAt])
-	if len(datagram) <= end {
-		return "", nil, false
+	if t.enqueue(datagram) && datagram.root == self {
+		t.crossing.take(datagram)
 	}
-	return string(datagram[originAt:end]), datagram[end:], true
+	t.carrier.Deliver(datagram.origin, datagram.carried)
 }
 
 // Run tells and forwards until the context ends.
@@ -118,36 +91,45 @@
 	}
 }
 
-// forward sends a datagram to those below this daemon, as far as the bound allows.
-func (t *Tree) forward(datagram []byte) {
-	origin, _, whole := readForwarded(datagram)
-	if !whole {
-		return
+// forward sends a datagram to those below this daemon, as far as the bound allows, and over the
+// borders where it is this daemon's own.
+func (t *Tree) forward(datagram forwarded) {
+	self := t.carrier.Address()
+	if datagram.origin == self {
+		t.crossing.send(datagram.shape, datagram.carried)
 	}
-	number := binary.BigEndian.Uint32(datagram[numberAt:lengthAt])
-	for _, address := range below(origin, t.link.Address(), t.others(), number) {
-		if !t.limiter.AllowN(clock.Now(), len(datagram)) {
+	encoded := datagram.encode()
+	for _, address := range t.below(datagram) {
+		if !t.limiter.AllowN(clock.Now(), len(encoded)) {
 			return
 		}
-		t.link.Send(address, datagram)
+		t.carrier.Send(address, encoded)
 	}
 }
 
-// below are the daemons below one in the tree of an origin and a number.
-func below(origin, self string, others []string, number uint32) []string {
-	all := slices.DeleteFunc(append(slices.Clone(others), self), func(address string) bool { return address == origin })
-	if len(all) == 0 {
-		return nil
-	}
-	slices.Sort(all)
-	start := int(rendezvous.Score(uint64(number), origin) % uint64(len(all)))
-	at := -1 // the origin's
-	if self != origin {
-		at = (slices.Index(all, self) - start + len(all)) % len(all)
+// below are the daemons that this one sends a datagram to.
+func (t *Tree) below(datagram forwarded) []string {
+	self := t.carrier.Address()
+	near := t.topology.Near(self)
+	if datagram.shape == shapeFlat {
+		if self != datagram.root {
+			return nil
+		}
+		return near
 	}
-	var children []string
-	for child := (at + 1) * treeWidth; child < min((at+2)*treeWidth, len(all)); child++ {
-		children = append(children, all[(child+start)%len(all)])
+	below := slices.DeleteFunc(append(slices.Clone(near), self), func(address string) bool { return address == datagram.root })
+	return children(t.topology.Rank(rendezvous.Score(datagram.number, datagram.root), below), datagram.root, self)
+}
+
+// children are the daemons below one in a tree whose root sends to the first of a ranking.
+func children(ranked []string, root, self string) []string {
+	at := -1 // the root's
+	if self != root {
+		at = slices.Index(ranked, self)
+		if at < 0 {
+			return nil
+		}
 	}
-	return children
+	first := min((at+1)*treeWidth, len(ranked))
+	return ranked[first:min(first+treeWidth, len(ranked))]
 }
--- a/internal/peerlink/tree_test.go
+++ b/internal/peerlink/tree_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -10,6 +11,7 @@
 
 	"github.com/lotusward/lotusward/internal/freeport/freeporttest"
 	"github.com/lotusward/lotusward/internal/logging"
+	"github.com/lotusward/lotusward/internal/presence"
 )
 
 // TestTreeReachesEachDaemonOnce follows a datagram down its tree: each daemon gets it once,
@@ -17,15 +19,19 @@
 func TestTreeReachesEachDaemonOnce(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		count := rapid.IntRange(1, 400).Draw(t, "daemons")
-		number := rapid.Uint32().Draw(t, "number")
+		number := rapid.Uint64().Draw(t, "number")
 		var daemons []string
 		for index := range count {
 			daemons = append(daemons, fmt.Sprintf("10.0.%d.%d:7340", index/250, index%250))
 		}
 		origin := rapid.SampledFrom(daemons).Draw(t, "origin")
+		weights := rapid.SliceOfN(rapid.Float64Range(0.1, 10), count, count).Draw(t, "weights")
+		capacity := func(address string) float64 { return weights[slices.Index(daemons, address)] }
 		steps := map[string]int{origin: 0}
 		for waiting := []string{origin}; len(waiting) > 0; waiting = waiting[1:] {
-			sent := below(origin, waiting[0], without(daemons, waiting[0]), number)
+			others := without(daemons, waiting[0])
+			tree := NewTree(New(waiting[0], logging.Discard()), Topology{Others: func() []string { return others }, Capacity: capacity}, nil)
+			sent := tree.below(forwarded{number: number, origin: origin, root: origin})
 			assert.Assert(t, len(sent) <= treeWidth)
 			for _, address := range sent {
 				_, again := steps[address]
@@ -41,6 +47,11 @@
 	})
 }
 
+// newCrossing makes a crossing of a daemon that knows one region.
+func newCrossing(carrier Carrier) *Crossing {
+	return NewCrossing(carrier, Topology{Others: func() []string { return nil }}, presence.NewSilence(presence.New()))
+}
+
 func without(addresses []string, address string) []string {
 	var others []string
 	for _, each := range addresses {
@@ -54,7 +65,7 @@
 // TestMalformedForwardsAreDropped takes any bytes as a datagram.
 func TestMalformedForwardsAreDropped(t *testing.T) {
 	link := New("127.0.0.1:1", logging.Discard())
-	tree := NewTree(link, func() []string { return nil })
+	tree := NewTree(link, Topology{Others: func() []string { return nil }}, newCrossing(link))
 	rapid.Check(t, func(t *rapid.T) {
 		tree.receive("127.0.0.1:2", rapid.SliceOfN(rapid.Byte(), 0, 40).Draw(t, "body"))
 		for len(tree.waiting) > 0 {
@@ -79,7 +90,7 @@
 				got <- heard{at: address, from: from}
 			}
 		})
-		tree := NewTree(link, func() []string { return without(addresses, address) })
+		tree := NewTree(link, Topology{Others: func() []string { return without(addresses, address) }}, newCrossing(link))
 		run(t, link)
 		go func() { _ = tree.Run(t.Context()) }()
 		trees = append(trees, tree)
--- a/internal/peersync/peersync.go
+++ b/internal/peersync/peersync.go
@@ -39,10 +39,17 @@
 )
 
 // Client asks other daemons. It implements directory.Peers.
-type Client struct{ pool *httpexchange.Pool }
+type Client struct {
+	pool *httpexchange.Pool
+	// observe is told how many bytes a daemon has sent; it may be nil.
+	observe func(address string, bytes int)
+}
 
-// NewClient makes a Client.
-func NewClient(pool *httpexchange.Pool) *Client { return &Client{pool: pool} }
+// NewClient makes a Client. Observe is told how many bytes the daemon at an address has sent; nil is
+// not.
+func NewClient(pool *httpexchange.Pool, observe func(address string, bytes int)) *Client {
+	return &Client{pool: pool, observe: observe}
+}
 
 var _ directory.Peers = (*Client)(nil)
 
@@ -65,6 +72,9 @@
 	if err != nil {
 		return directory.Snapshot{}, err
 	}
+	if c.observe != nil {
+		c.observe(address, len(content))
+	}
 	if answer.Status != http.StatusOK {
 		return directory.Snapshot{}, fmt.Errorf("snapshot of %s: status %d", address, answer.Status)
 	}
--- a/internal/peersync/peersync_test.go
+++ b/internal/peersync/peersync_test.go
@@ -51,7 +51,7 @@
 		asked <- have
 		return told
 	})
-	client := NewClient(httpexchange.NewPool(httpexchange.Options{}))
+	client := NewClient(httpexchange.NewPool(httpexchange.Options{}), nil)
 	have := directory.Have{RowVersion: 3, NeedRowVersion: 9, BackendsTo: 7, NeedBackendsTo: 11}
 	got, err := client.Snapshot(context.Background(), address, have)
 	assert.NilError(t, err)
@@ -77,7 +77,7 @@
 		<-leave
 		return directory.Snapshot{}
 	})
-	client := NewClient(httpexchange.NewPool(httpexchange.Options{}))
+	client := NewClient(httpexchange.NewPool(httpexchange.Options{}), nil)
 	for range servedAtOnce {
 		go func() { _, _ = client.Snapshot(context.Background(), address, directory.Have{}) }()
 		<-entered
