--- a/internal/peerlink/peerlink.go
+++ b/internal/peerlink/peerlink.go
@@ -62,6 +62,7 @@
 	KindLimitAsk: "limit_ask", KindLimitAnswer: "limit_answer", KindLimitReturn: "limit_return",
 	KindLoadNote: "load_note", KindLoadQuestion: "load_question", KindLoadAnswer: "load_answer",
 	KindCrashes: "crashes", KindTaken: "taken",
+	KindVersionReport: "version_report", KindVersionGrant: "version_grant", KindVersionStop: "version_stop", KindVersionStanding: "version_standing",
 }
 
 // String names the kind for logs and metrics.
