--- a/cmd/internal/daemon/bounds.go
+++ b/cmd/internal/daemon/bounds.go
@@ -12,11 +12,21 @@
 	// confirmationShare of the time in which a revoked key must stop working: later,
 	// callers earn nothing for requests that this daemon lets in.
 	confirmationShare = 0.8
+	// softwareConfirmationShare of the time in which a bad version must stop getting requests is how
+	// old the confirmation of what was declared may be while a service moves to another version:
+	// the rest is for the way from the choice to the back end, and for clocks.
+	softwareConfirmationShare = 0.8
+	// assumedTimeout is how long requests of routes without a timeout are taken to last at most.
+	assumedTimeout = time.Minute
 	// denialShare of the time in which a configuration must be in force.
 	denialShare = 0.6
-	// versionMargin is taken off the time in which a named version must be in use:
-	// this daemon may have heard of the version that much later.
-	versionMargin = time.Second
+	// versionMargin is taken off the time in which a named version must be in use, which counts
+	// from when the version was surely not named yet: requests that wait at a back end are cut
+	// relay.LastBegin later, and endOfCut is how long the cut takes to get there.
+	versionMargin = relay.LastBegin + endOfCut
+	// endOfCut covers the way to another region (20 ms), a busy daemon's timers, and readings of
+	// the store that are of 100 ms earlier than they seem at most.
+	endOfCut = 300 * time.Millisecond
 	// budgetShare of the retries that all daemons may make together.
 	budgetShare = 0.7
 	// limitMarginShare of what a tenant may exceed its limit by in a window is what it may use
@@ -74,6 +84,12 @@
 	return time.Duration(leaseShare * float64(platform.Milliseconds(bounds.LeaseMs)))
 }
 
+// softwareConfirmationLimit is how old the confirmation of what was declared may be while requests
+// of a service that moves to another version are sent.
+func softwareConfirmationLimit(bounds platform.Bounds) time.Duration {
+	return time.Duration(softwareConfirmationShare * float64(platform.Milliseconds(bounds.RollbackMs)))
+}
+
 func policy(bounds platform.Bounds) relay.Policy {
 	share := func(share float64, milliseconds int) time.Duration {
 		return time.Duration(share * float64(platform.Milliseconds(milliseconds)))
--- a/cmd/internal/daemon/wire.go
+++ b/cmd/internal/daemon/wire.go
@@ -19,6 +19,7 @@
 	"github.com/lotusward/lotusward/internal/cachewatch"
 	"github.com/lotusward/lotusward/internal/clock"
 	"github.com/lotusward/lotusward/internal/core/backendpool"
+	"github.com/lotusward/lotusward/internal/core/distance"
 	"github.com/lotusward/lotusward/internal/core/identity"
 	"github.com/lotusward/lotusward/internal/core/lease"
 	"github.com/lotusward/lotusward/internal/core/promptcache"
@@ -40,6 +41,7 @@
 	"github.com/lotusward/lotusward/internal/prober"
 	"github.com/lotusward/lotusward/internal/relay"
 	"github.com/lotusward/lotusward/internal/requestlog"
+	"github.com/lotusward/lotusward/internal/rollout"
 	"github.com/lotusward/lotusward/internal/tenantlimit"
 	"github.com/lotusward/lotusward/internal/weightupdate"
 	"github.com/lotusward/lotusward/platform"
@@ -58,22 +60,26 @@
 	memory   *promptcache.Memory
 	budgets  *relay.Budgets
 
-	members    *members.List
-	directory  *directory.Directory
-	promptsIn  *cachewatch.Watcher
-	cachesIn   *cachewatch.Watcher
-	link       *peerlink.Link
-	broadcast  *peerlink.Broadcaster
-	tree       *peerlink.Tree
-	snapshots  *peersync.Server
-	loads      *loadshare.Sharer
-	presence   *presence.List
-	homes      *loadhome.Homes
-	limits     *tenantlimit.Limiter
-	prober     *prober.Prober
-	crashes    *crashwatch.Watcher
-	serving    *serving
-	keeper     *leasekeeper.Keeper
+	members   *members.List
+	directory *directory.Directory
+	promptsIn *cachewatch.Watcher
+	cachesIn  *cachewatch.Watcher
+	link      *peerlink.Link
+	regions   distance.Map
+	topology  peerlink.Topology
+	broadcast *peerlink.Broadcaster
+	tree      *peerlink.Tree
+	snapshots *peersync.Server
+	loads     *loadshare.Sharer
+	presence  *presence.List
+	homes     *loadhome.Homes
+	limits    *tenantlimit.Limiter
+	prober    *prober.Prober
+	crashes   *crashwatch.Watcher
+	serving   *serving
+	keeper    *leasekeeper.Keeper
+	// rollouts is nil where the settings offer none.
+	rollouts   *rollout.Coordinator
 	weights    *weightupdate.Keeper
 	follower   *weightupdate.Follower
 	metricsOut *metrics
@@ -98,11 +104,14 @@
 	registry := prometheus.NewRegistry()
 	counters := requestlog.NewCounters(registry)
 	registerState(registry, options.Writer)
+	traffic := newPeerTraffic(registry)
 	made := &Daemon{
-		settings: settings, options: options, logger: options.Logger, metricsOut: newMetrics(settings, options.MetricsPort, registry),
+		settings: settings, options: options, logger: options.Logger, regions: distance.NewMap(settings.Zones),
+		metricsOut: newMetrics(settings, options.MetricsPort, registry),
 	}
 	made.wireOutside(counters)
-	made.wireBelief()
+	made.wireBelief(traffic)
+	made.wireRollouts(registry)
 	made.wireTraffic(counters)
 	made.wireDuty()
 	return made
@@ -117,11 +126,14 @@
 func (w *Daemon) wireOutside(counters *requestlog.Counters) {
 	w.pool = httpexchange.NewPool(httpexchange.Options{LocalAddress: w.settings.IP})
 	w.store = platform.NewStore(w.pool, w.settings.Store.Address, &storeObserver{counters: counters, daemon: w})
+	if w.settings.Bounds.OffersRollouts() {
+		w.store.FollowRollouts()
+	}
 	w.runners = platform.NewRunners(w.pool)
 }
 
 // wireBelief makes what knows back ends, configuration and other daemons.
-func (w *Daemon) wireBelief() {
+func (w *Daemon) wireBelief(traffic *peerTraffic) {
 	bounds := w.settings.Bounds
 	w.link = peerlink.New(w.settings.InternalAddress(), w.part("peers"))
 	w.backends = backendpool.New(w.settings.Zone)
@@ -132,7 +144,7 @@
 		Ratio:  bounds.RetryBudgetRatio * budgetShare,
 	})
 	w.members = members.New(members.Options{
-		Self: w.settings.NodeName, Address: w.settings.InternalAddress(), Table: w.store, Log: w.part("members"),
+		Self: w.settings.NodeName, Own: w.settings.Descriptor(), Table: w.store, Log: w.part("members"),
 		New: w.settings.FirstStart,
 		Changed: func(count int) {
 			w.budgets.SetFloor(int(budgetShare * bounds.RetryBudgetSlack / float64(count)))
@@ -140,19 +152,29 @@
 		},
 	})
 	w.link.Observe(w.hear)
-	w.broadcast = peerlink.NewBroadcaster(w.link, w.members.Others)
-	w.tree = peerlink.NewTree(w.link, w.members.Others)
+	w.presence = presence.New()
+	w.topology = newTopology(w.regions, w.members)
+	w.link.ObserveSent(func(to string, datagram []byte) {
+		traffic.sent(peerlink.KindOf(datagram).String(), w.distanceTo(to), len(datagram))
+	})
+	crossing := peerlink.NewCrossing(w.link, w.topology, presence.NewSilence(w.presence))
+	w.broadcast = peerlink.NewBroadcaster(w.link, w.topology, crossing)
+	w.tree = peerlink.NewTree(w.link, w.topology, crossing)
 	w.crashes = crashwatch.New(crashwatch.Options{
-		Link: w.link, Others: w.members.Others, Table: w.store, Log: w.part("quarantine"),
+		Link: w.link, Topology: w.topology, Crossing: crossing, Table: w.store, Log: w.part("quarantine"),
 		Reads: func() bool { return w.directory.ReadsForAll() },
 	})
 	w.backends.OnChecked(w.crashes.Checked)
 	w.directory = directory.New(directory.Options{
-		Quarantine: w.crashes,
-		Source:     w.store, Pool: w.backends, Log: w.part("directory"),
+		Quarantine: w.crashes, Software: bounds.OffersRollouts(),
+		Source: w.store, Pool: w.backends, Log: w.part("directory"),
 		Self: w.link.Address(), Tell: w.tell,
 		Interval: checkInterval(bounds), Others: w.members.Others, OnMembers: w.members.Set,
-		Peers: peersync.NewClient(w.pool), Contacts: w.members,
+		Peers: peersync.NewClient(w.pool, func(address string, bytes int) {
+			traffic.sent(kindSnapshot, w.distanceTo(address), bytes)
+		}),
+		Contacts:         w.members,
+		Topology:         w.topology,
 		SteadyTime:       platform.Milliseconds(bounds.ContactMs),
 		VersionHeadStart: versionGrace(bounds) - platform.Milliseconds(bounds.ContactMs),
 	})
@@ -167,7 +189,6 @@
 	w.loads = loadshare.New(loadshare.Options{
 		Link: w.link, Others: w.members.Others, Pool: w.backends, Memory: w.memory,
 	})
-	w.presence = presence.New()
 	w.homes = loadhome.New(loadhome.Options{Link: w.link, Others: w.members.Others, Pool: w.backends, Presence: w.presence})
 	w.limits = tenantlimit.New(tenantlimit.Options{
 		Link: w.link, Others: w.members.Others, Count: w.members.Count, Presence: w.presence,
@@ -181,7 +202,7 @@
 	relaying := relay.New(relay.Options{
 		Control: w.directory, Pool: w.backends, Backends: w.runners, Budgets: w.budgets,
 		Policy: policy(w.settings.Bounds), Memory: w.memory, Stores: w.promptsIn.Cache,
-		Daemons: w.members.Count, Limits: w.limits, Loads: w.homes, Crashes: w.crashes,
+		Daemons: w.members.Count, Limits: w.limits, Loads: w.homes, Crashes: w.crashes, Versions: w.versions(),
 		Journal: requestlog.New(w.part("relay"), counters),
 	})
 	w.serving = newServing(w.settings, relaying, w.directory, w.crashes.Informed, w.part("front"))
@@ -196,7 +217,7 @@
 		}))
 	}
 	if port := w.options.AdminPort; port > 0 {
-		tables := &administration.Snapshot{Control: w.directory, Pool: w.backends, Self: w.link.Address(), Others: w.members.Others, Limits: w.limits.Uses}
+		tables := &administration.Snapshot{Control: w.directory, Pool: w.backends, Self: w.link.Address(), Others: w.members.Others, Limits: w.limits.Uses, Rollouts: w.rolloutTable()}
 		w.serving.addOperators(w.address(port), administration.New(tables, w.options.AdminToken, w.part("administration")))
 	}
 }
--- a/internal/peersync/peersync_test.go
+++ b/internal/peersync/peersync_test.go
@@ -12,6 +12,7 @@
 	"gotest.tools/v3/poll"
 
 	"github.com/lotusward/lotusward/internal/adapter/httpexchange"
+	"github.com/lotusward/lotusward/internal/core/member"
 	"github.com/lotusward/lotusward/internal/directory"
 	"github.com/lotusward/lotusward/internal/freeport/freeporttest"
 	"github.com/lotusward/lotusward/internal/logging"
@@ -42,13 +43,15 @@
 	asked := make(chan directory.Have, 1)
 	told := directory.Snapshot{
 		Complete: true, ClockLeast: time.Minute, ClockMost: time.Minute + time.Second, RowVersion: 9,
-		BackendsTo: 12, HasBackends: true, MembersTo: 4, Members: []string{"10.0.0.1:9", "10.0.0.2:9"},
+		BackendsTo: 12, HasBackends: true, MembersTo: 4, Members: []member.Descriptor{
+			{Address: "10.0.0.1:9", Zone: "a", Capacity: 2}, {Address: "10.0.0.2:9", Capacity: 1},
+		},
 	}
 	address := serve(t, func(_ context.Context, have directory.Have) directory.Snapshot {
 		asked <- have
 		return told
 	})
-	client := NewClient(httpexchange.NewPool(httpexchange.Options{}))
+	client := NewClient(httpexchange.NewPool(httpexchange.Options{}), nil)
 	have := directory.Have{RowVersion: 3, NeedRowVersion: 9, BackendsTo: 7, NeedBackendsTo: 11}
 	got, err := client.Snapshot(context.Background(), address, have)
 	assert.NilError(t, err)
@@ -74,7 +77,7 @@
 		<-leave
 		return directory.Snapshot{}
 	})
-	client := NewClient(httpexchange.NewPool(httpexchange.Options{}))
+	client := NewClient(httpexchange.NewPool(httpexchange.Options{}), nil)
 	for range servedAtOnce {
 		go func() { _, _ = client.Snapshot(context.Background(), address, directory.Have{}) }()
 		<-entered
