Ask who is there where daemons have nothing to tell each other

A daemon without a confirmation refuses requests where it hears fewer than half of the others: an order may have come that it doesn't know. In fleets of more than a dozen daemons most pairs have nothing to tell each other, so that all would refuse in an outage of the store. TestStoreDownWithoutOrder fails without the questions (all nine daemons refuse) and passes with them; tests' daemons no longer tell each other of loads. Ruled out: counting the bulletins' forwarders (one in twenty), telling all others all the time (340 datagrams each round for a case that never comes).

What operators declared is checked at least every fifth of the time in which a bad version must be rolled back: with the usual quarter of the time of a configuration (2.5 s of 10) one lost check had refused the requests of a service with an order after 4 s.

--- a/cmd/internal/daemon/bounds.go
+++ b/cmd/internal/daemon/bounds.go
@@ -16,6 +16,9 @@
 	// old the confirmation of what was declared may be while a service moves to another version:
 	// the rest is for the way from the choice to the back end, and for clocks.
 	softwareConfirmationShare = 0.8
+	// softwareCheckShare of the same time is how often what was declared is checked at least: two
+	// checks in a row may fail before requests are refused.
+	softwareCheckShare = 0.2
 	// assumedTimeout is how long requests of routes without a timeout are taken to last at most.
 	assumedTimeout = time.Minute
 	// denialShare of the time in which a configuration must be in force.
@@ -60,6 +63,9 @@
 	if bounds.RevokeFailClosed && bounds.RevokeMs > 0 {
 		interval = min(interval, time.Duration(keyCheckShare*float64(platform.Milliseconds(bounds.RevokeMs))))
 	}
+	if bounds.OffersRollouts() && bounds.RollbackMs > 0 {
+		interval = min(interval, time.Duration(softwareCheckShare*float64(platform.Milliseconds(bounds.RollbackMs))))
+	}
 	return interval
 }
 
--- a/internal/peerlink/peerlink.go
+++ b/internal/peerlink/peerlink.go
@@ -51,6 +51,9 @@
 	KindVersionGrant
 	KindVersionStop
 	KindVersionStanding
+	// KindPresenceQuestion asks whether a daemon is there, and KindPresenceAnswer answers.
+	KindPresenceQuestion
+	KindPresenceAnswer
 	// KindTaken says that a daemon spreads a forwarded datagram in its region.
 	KindTaken
 	kindEnd
@@ -63,6 +66,7 @@
 	KindLoadNote: "load_note", KindLoadQuestion: "load_question", KindLoadAnswer: "load_answer",
 	KindCrashes: "crashes", KindTaken: "taken",
 	KindVersionReport: "version_report", KindVersionGrant: "version_grant", KindVersionStop: "version_stop", KindVersionStanding: "version_standing",
+	KindPresenceQuestion: "presence_question", KindPresenceAnswer: "presence_answer",
 }
 
 // String names the kind for logs and metrics.
--- a/internal/rollout/coordinator.go
+++ b/internal/rollout/coordinator.go
@@ -32,8 +32,6 @@
 	tickGap = 500 * time.Millisecond
 	// idleInterval is how often services without an order are looked at.
 	idleInterval = time.Second
-	// presentTime is within which another daemon was heard to count as present.
-	presentTime = 3 * time.Second
 	// waitingEvents bounds what waits for the control goroutine: two seconds of the reports of
 	// 340 daemons. What finds no room is as good as lost.
 	waitingEvents = 4096
@@ -135,6 +133,8 @@
 	stops      map[identity.ServiceName]*stop
 	tickedAt   time.Time
 	idleAt     time.Time
+	// askedPresenceAt is when daemons that are not heard were last asked.
+	askedPresenceAt time.Time
 }
 
 var _ relay.Versions = (*Coordinator)(nil)
@@ -160,6 +160,7 @@
 	handle(made, peerlink.KindVersionGrant, made.hearGrant)
 	handle(made, peerlink.KindVersionStop, made.hearStop)
 	handle(made, peerlink.KindVersionStanding, made.hearStanding)
+	handle(made, peerlink.KindPresenceQuestion, made.hearPresenceQuestion)
 	return made
 }
 
@@ -232,19 +233,6 @@
 	}
 }
 
-// noteHeard notes whether half of the known daemons are heard, this one among them.
-func (c *Coordinator) noteHeard(now time.Time) {
-	others, heard := c.options.Others(), 1
-	for _, address := range others {
-		if c.options.Presence.HeardSince(address, now.Add(-presentTime)) {
-			heard++
-		}
-	}
-	if 2*heard >= len(others)+1 {
-		c.enoughHeard.set(now.Add(tickGap))
-	}
-}
-
 // underWay is the number of the order that a service is under way with: that of the standing
 // until it has ended, then a newer one.
 func underWay(believed rollout.Service) (uint64, bool) {
--- a/internal/rollout/fault_test.go
+++ b/internal/rollout/fault_test.go
@@ -130,6 +130,22 @@
 	})
 }
 
+// TestStoreDownWithoutOrder keeps the store away from daemons that have nothing to tell each other.
+// None refuses; one that is cut off from them does.
+func TestStoreDownWithoutOrder(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		fleet := newQuietFleet(24, 9, testService)
+		cut := fleet.members[8]
+		cut.cut(1, true)
+		fleet.store.setDown(true)
+		fleet.run(2 * testLimit)
+		for _, each := range fleet.members {
+			assert.Equal(t, each.refused > 0, each == cut, "%d", each.index)
+		}
+		fleet.check(t)
+	})
+}
+
 // TestStoreTroubles lets the store be slow, lose answers after writes, and turn daemons away.
 func TestStoreTroubles(t *testing.T) {
 	troubles := map[string]func(*fleet){
--- a/internal/rollout/member_test.go
+++ b/internal/rollout/member_test.go
@@ -11,7 +11,6 @@
 	"github.com/lotusward/lotusward/internal/core/backendpool"
 	"github.com/lotusward/lotusward/internal/core/identity"
 	"github.com/lotusward/lotusward/internal/core/rollout"
-	"github.com/lotusward/lotusward/internal/peerlink"
 	"github.com/lotusward/lotusward/internal/peerlink/peerlinktest"
 	"github.com/lotusward/lotusward/internal/port"
 	"github.com/lotusward/lotusward/internal/relay"
@@ -32,7 +31,6 @@
 	side        int
 	tickedAt    time.Time
 	checkedAt   time.Time
-	toldAt      time.Time
 	// storeless and reportless daemons reach neither the store nor the back ends' reports.
 	storeless, reportless atomic.Bool
 	requests              []*request
@@ -126,10 +124,6 @@
 		m.tickedAt = now
 		m.coordinator.tick(m.ctx, now)
 	}
-	if now.Sub(m.toldAt) >= 300*time.Millisecond {
-		m.toldAt = now
-		m.tell(peerlink.KindLoads, nil) // makes daemons hear each other
-	}
 	m.serve(now)
 }
 
