--- a/cmd/lotusward/rollout_test.go
+++ b/cmd/lotusward/rollout_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -115,3 +116,26 @@
 	assert.Equal(t, arrivals(target), reached)
 	t.Logf("rolled back after %v, %d requests, %d to the new version, %d failed", took, asked, reached, failed)
 }
+
+// TestRollOutOutlivesADaemon kills one of three daemons within the roll-out. The order is completed
+// once the killed one must refuse, if it lived, and the runners have reported that nothing is under
+// way.
+func TestRollOutOutlivesADaemon(t *testing.T) {
+	deployed, daemons, _, _ := newRollout(t, standin.BehaveServe)
+	for deadline := time.Now().Add(5 * time.Second); deployed.rolloutState() == "" && time.Now().Before(deadline); {
+		time.Sleep(10 * time.Millisecond)
+	}
+	assert.Equal(t, deployed.rolloutState(), "running")
+	killed := daemons[2]
+	assert.NilError(t, killed.command.Process.Kill())
+	<-killed.ended
+	began := time.Now()
+	asked, failed := deployed.askUntil(daemons[:2], "completed")
+	took := time.Since(began)
+	assert.Equal(t, deployed.rolloutState(), "completed")
+	assert.Equal(t, failed, 0, "of %d", asked)
+	assert.Assert(t, took < rolloutSeconds*time.Second, "%v", took)
+	logs := daemons[0].log() + daemons[1].log()
+	assert.Assert(t, strings.Contains(logs, "Back ends of other versions were asked for what is under way."))
+	t.Logf("completed %v after a daemon was killed, %d requests", took, asked)
+}
