Tell from feeds when a version was not named yet

Old weights may begin requests until a time after a version's naming, which counts from the last moment that is known to lie before it. Checks come once a second; answers about back ends name the store's newest version and its clock too, and one of before the row's version is such a moment.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -138,6 +138,7 @@
 	// told are what other daemons saw last, by model.
 	told      map[identity.ModelName][]Seen
 	freshness map[table]*freshness
+	moments   moments
 	reachable map[table]bool
 	changeLog changeLog
 	members   *memberList
@@ -345,7 +346,7 @@
 		return
 	}
 	now := clock.Now()
-	versionsChanged := d.nameVersions(now, declared.Versions)
+	versionsChanged := d.nameVersions(now, declared)
 	d.started = true
 	state := d.state.Load()
 	newer := declared.Configuration != nil && (state == nil || declared.Configuration.Version > state.Table.Version())
@@ -405,6 +406,7 @@
 // what is known were told by another daemon meanwhile.
 func (d *Directory) applyChanges(got message) {
 	changes := got.changes
+	d.moments.note(changes.Reading)
 	if changes.Malformed != nil {
 		d.options.Log.WithError(changes.Malformed).Error("Some back ends cannot be read.")
 	}
--- /dev/null
+++ b/internal/directory/moments.go
@@ -0,0 +1,44 @@
+package directory
+
+import (
+	"slices"
+	"time"
+)
+
+// keptMoments is how many moments of the store are remembered: with some four changes of back
+// ends a second they are of the last four seconds, and a check comes each second or so.
+const keptMoments = 16
+
+// moment is a moment of the store: its newest version, and what its clock showed.
+type moment struct {
+	version uint64
+	clock   time.Duration
+}
+
+// moments are the last moments of the store that its answers told, oldest first. The zero value
+// knows none.
+type moments struct{ known []moment }
+
+// note remembers an answer's moment. One that tells no clock, or no later moment, is passed over.
+func (m *moments) note(reading Reading) {
+	if reading.Clock <= 0 || reading.Version == 0 {
+		return
+	}
+	if last := len(m.known) - 1; last >= 0 && m.known[last].clock >= reading.Clock {
+		return
+	}
+	m.known = append(m.known, moment{version: reading.Version, clock: reading.Clock})
+	m.known = m.known[max(len(m.known)-keptMoments, 0):]
+}
+
+// before is what the store's clock showed at the last known moment before a version came to be;
+// zero where none is known. Answers are of moments of their calls, and versions only rise, so that
+// the version came later.
+func (m *moments) before(version uint64) time.Duration {
+	for _, each := range slices.Backward(m.known) {
+		if each.version < version {
+			return each.clock
+		}
+	}
+	return 0
+}
--- a/internal/directory/source.go
+++ b/internal/directory/source.go
@@ -40,8 +40,10 @@
 	Rows map[string]uint64
 	// Configuration is nil when the row is malformed.
 	Configuration *routing.Configuration
-	// Versions are the named versions of the models' weights.
-	Versions map[identity.ModelName]uint64
+	// Versions are the named versions of the models' weights, and VersionRows the store's
+	// versions of the rows that name them, where they are known.
+	Versions    map[identity.ModelName]uint64
+	VersionRows map[identity.ModelName]uint64
 	// Malformed holds the findings on rows that could not be read.
 	Malformed error
 }
@@ -58,6 +60,8 @@
 
 // Changes are back ends that changed since a version of the store.
 type Changes struct {
+	// Reading is of the moment of the answer.
+	Reading
 	Changed []backendpool.Backend
 	Gone    []identity.BackendID
 	// After is the version since which these are all the changes.
--- a/internal/directory/versions.go
+++ b/internal/directory/versions.go
@@ -45,14 +45,25 @@
 	return copied
 }
 
+// laterOf is what holds of a version where the store's clock showed a time when it was not named:
+// the checks come seldom, and answers of the feeds tell later moments.
+func (d *Directory) laterOf(found relay.NamedVersion, clock time.Duration) relay.NamedVersion {
+	at, known := d.freshness[tableDeclared].localTime(clock)
+	if !known || found.Guessed || !at.After(found.NamedAfter) {
+		return found
+	}
+	return relay.NamedVersion{Version: found.Version, NamedAfter: at, StoreClock: clock}
+}
+
 // nameVersions remembers versions that were not known, as read at a time. It returns true when
 // there were any.
-func (d *Directory) nameVersions(now time.Time, versions map[identity.ModelName]uint64) bool {
+func (d *Directory) nameVersions(now time.Time, declared *Declared) bool {
 	changed := false
-	for _, model := range slices.Sorted(maps.Keys(versions)) {
-		found := d.unnamed(now, versions[model])
+	for _, model := range slices.Sorted(maps.Keys(declared.Versions)) {
+		version := declared.Versions[model]
+		found := d.laterOf(d.unnamed(now, version), d.moments.before(declared.VersionRows[model]))
 		if !d.started {
-			found = relay.NamedVersion{Version: versions[model], NamedAfter: now.Add(-d.options.VersionHeadStart), Guessed: true}
+			found = relay.NamedVersion{Version: version, NamedAfter: now.Add(-d.options.VersionHeadStart), Guessed: true}
 		}
 		changed = d.nameVersion(now, model, found) || changed
 	}
@@ -69,7 +80,9 @@
 	named = append(named, found)
 	d.versions[model] = named[max(len(named)-keptVersions, 0):]
 	d.mergeTold(now, model)
-	d.options.Log.WithFields(logrus.Fields{"model": model, "version": found.Version}).Info("A version of weights is named.")
+	d.options.Log.WithFields(logrus.Fields{
+		"model": model, "version": found.Version, "not_named_ms_ago": now.Sub(found.NamedAfter).Milliseconds(), "guessed": found.Guessed,
+	}).Info("A version of weights is named.")
 	return true
 }
 
