Keep limits while a region is cut off one way

A home grants for the share of daemons that it hears. Cut one way, a region is heard that doesn't hear: the home granted the whole rate and the daemon in its place beside it, 46,971 tokens in a window in which 38,720 are allowed (own property, six daemons of two regions). Askers now say that they hear others but none of the home's region, and the home leaves their region out for 3 s; the one in a home's place that still hears the home grants no more than the part of its region; on a time-out the question's number is given back, since the answer may be lost. One region: as before.

Ruled out: counting who doesn't answer (few daemons of a region ask for one tenant, while all of it may grant), a datagram to each other daemon that says who hears whom (the square of the daemons over borders).

Homes are drawn by rendezvous hashing weighted by capacity.

--- a/cmd/internal/daemon/wire.go
+++ b/cmd/internal/daemon/wire.go
@@ -184,7 +184,7 @@
 	})
 	w.homes = loadhome.New(loadhome.Options{Link: w.link, Others: w.members.Others, Pool: w.backends, Presence: w.presence})
 	w.limits = tenantlimit.New(tenantlimit.Options{
-		Link: w.link, Others: w.members.Others, Count: w.members.Count, Presence: w.presence,
+		Link: w.link, Topology: w.topology, Count: w.members.Count, Presence: w.presence,
 		Margin: limitMarginShare * bounds.QuotaSlack, Log: w.part("limits"),
 	})
 	w.prober = prober.New(prober.Options{Pool: w.backends, Reach: w.runners.Reach, Log: w.part("probe")})
--- a/internal/peerlink/crossing.go
+++ b/internal/peerlink/crossing.go
@@ -1,7 +1,6 @@
 package peerlink
 
 import (
-	"sync"
 	"time"
 
 	"github.com/lotusward/lotusward/internal/clock"
@@ -24,8 +23,6 @@
 	crossingTimeFactor   = 3
 	shortestCrossingTime = 40 * time.Millisecond
 	longestCrossingTime  = 400 * time.Millisecond
-	// crossingTimeWeight is the weight of the newest answer in the mean.
-	crossingTimeWeight = 0.2
 	// crossingsAtOnce bounds those under way: some ten datagrams a second go to all, and each
 	// takes a second at most.
 	crossingsAtOnce = 64
@@ -40,11 +37,8 @@
 	silence   *presence.Silence
 	questions *Questions[struct{}]
 	// places has room for those that are under way.
-	places chan struct{}
-
-	mutex sync.Mutex
-	// answerTimes are the mean times until a daemon of a region answered.
-	answerTimes map[identity.Region]time.Duration
+	places     chan struct{}
+	roundTrips RoundTrips
 }
 
 // taken says that a daemon has got a datagram to spread.
@@ -54,7 +48,7 @@
 func NewCrossing(carrier Carrier, topology Topology, silence *presence.Silence) *Crossing {
 	made := &Crossing{
 		carrier: carrier, topology: topology, silence: silence, questions: NewQuestions[struct{}](),
-		places: make(chan struct{}, crossingsAtOnce), answerTimes: map[identity.Region]time.Duration{},
+		places: make(chan struct{}, crossingsAtOnce),
 	}
 	HandleDecoded(carrier, KindTaken, func(_ string, answer taken) { made.questions.Answer(answer.Number, struct{}{}) })
 	return made
@@ -87,7 +81,7 @@
 		datagram := forwarded{number: number, shape: spread, origin: self, root: root, carried: carried}
 		sent := clock.Now()
 		if c.answered(datagram, c.patience(region)) {
-			c.noteAnswer(region, clock.Since(sent))
+			c.roundTrips.Note(region, clock.Since(sent))
 			return
 		}
 		c.silence.Note(root, clock.Now())
@@ -136,22 +130,9 @@
 
 // patience is how long an answer from a region is waited for.
 func (c *Crossing) patience(region identity.Region) time.Duration {
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	mean, known := c.answerTimes[region]
+	mean, known := c.roundTrips.Mean(region)
 	if !known {
 		return firstCrossingTime
 	}
 	return min(max(crossingTimeFactor*mean, shortestCrossingTime), longestCrossingTime)
 }
-
-// noteAnswer takes in how long an answer took.
-func (c *Crossing) noteAnswer(region identity.Region, took time.Duration) {
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	mean, known := c.answerTimes[region]
-	if !known {
-		mean = took
-	}
-	c.answerTimes[region] = mean + time.Duration(crossingTimeWeight*float64(took-mean))
-}
--- a/internal/peerlink/topology.go
+++ b/internal/peerlink/topology.go
@@ -23,13 +23,13 @@
 // Near returns the others that a daemon need cross no border to reach, those of no known region
 // among them.
 func (t *Topology) Near(self string) []string {
-	own := t.region(self)
+	own := t.RegionOf(self)
 	if own == "" {
 		return t.Others()
 	}
 	var near []string
 	for _, address := range t.Others() {
-		if region := t.region(address); region == own || region == "" {
+		if region := t.RegionOf(address); region == own || region == "" {
 			near = append(near, address)
 		}
 	}
@@ -38,27 +38,29 @@
 
 // Far returns the daemons of each other region.
 func (t *Topology) Far(self string) map[identity.Region][]string {
-	own := t.region(self)
+	own := t.RegionOf(self)
 	if own == "" {
 		return nil
 	}
 	far := map[identity.Region][]string{}
 	for _, address := range t.Others() {
-		if region := t.region(address); region != own && region != "" {
+		if region := t.RegionOf(address); region != own && region != "" {
 			far[region] = append(far[region], address)
 		}
 	}
 	return far
 }
 
-func (t *Topology) region(address string) identity.Region {
+// RegionOf is the region of the daemon at an address; empty where it is not known.
+func (t *Topology) RegionOf(address string) identity.Region {
 	if t.Region == nil {
 		return ""
 	}
 	return t.Region(address)
 }
 
-func (t *Topology) capacity(address string) float64 {
+// CapacityOf is the room of the daemon at an address relative to others', above zero.
+func (t *Topology) CapacityOf(address string) float64 {
 	if t.Capacity == nil {
 		return 1
 	}
@@ -68,7 +70,7 @@
 // Rank orders daemons for a key, those with room mostly first. All who know the same daemons
 // agree on it.
 func (t *Topology) Rank(key uint64, addresses []string) []string {
-	return rendezvous.WeightedTop(key, addresses, t.capacity, len(addresses))
+	return rendezvous.WeightedTop(key, addresses, t.CapacityOf, len(addresses))
 }
 
 // sortedRegions are the keys of Far's result in order.
--- a/internal/presence/presence.go
+++ b/internal/presence/presence.go
@@ -47,36 +47,53 @@
 	return p.heardAt[address].After(since)
 }
 
-// presenceTime is within which a daemon among some must have been heard to be present.
-func presenceTime(daemons int) time.Duration {
+// Time is within which a daemon among some must have been heard to be present.
+func Time(daemons int) time.Duration {
 	return min(max(time.Duration(daemons)*presencePerDaemon, leastPresence), mostPresence)
 }
 
+// Present tells whether a daemon among some was heard lately.
+func (p *List) Present(now time.Time, daemons int, address string) bool {
+	return p.HeardSince(address, now.Add(-Time(daemons)))
+}
+
 // HomeShare is the share of a limit's rate that a tenant's home grants among some daemons:
 // the part of those that are present, and all of it while nearly all are. The parts of
-// homes that a cut keeps apart so add up to little more than the rate.
-func (p *List) HomeShare(now time.Time, daemons int) float64 {
-	present := float64(p.present(now.Add(-presenceTime(daemons)))+1) / float64(max(daemons, 1))
-	return min(present/enoughPresent, 1)
+// homes that a cut keeps apart so add up to little more than the rate. Those that are apart
+// don't count: they are heard and don't hear; nil is none.
+func (p *List) HomeShare(now time.Time, daemons int, apart func(address string) bool) float64 {
+	return ShareOf(p.present(now.Add(-Time(daemons)), apart)+1, daemons)
+}
+
+// ShareOf is the share of a limit's rate that some of all daemons may have together: their part, and
+// all of it while they are nearly all.
+func ShareOf(some, daemons int) float64 {
+	return min(float64(some)/float64(max(daemons, 1))/enoughPresent, 1)
 }
 
-// SubstituteShare is the share of the rate that a daemon grants in the place of a home.
-func (p *List) SubstituteShare(now time.Time, daemons int, home string) float64 {
-	share := p.HomeShare(now, daemons)
-	if p.HeardSince(home, now.Add(-presenceTime(daemons))) {
-		share *= substituteShare
+// SubstituteShare is the share of the rate that a daemon grants in the place of a home. While the
+// home is heard, it may hear and grant to all others: then the share is most at most.
+func (p *List) SubstituteShare(now time.Time, daemons int, home string, most float64) float64 {
+	share := p.HomeShare(now, daemons, nil)
+	if p.Present(now, daemons, home) {
+		share = min(share*substituteShare, most)
 	}
 	return share
 }
 
-// present counts the daemons that were heard since a time, and forgets the others.
-func (p *List) present(since time.Time) int {
+// present counts the daemons that were heard since a time but for those that are apart, and forgets
+// those that were not heard.
+func (p *List) present(since time.Time, apart func(address string) bool) int {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
+	count := 0
 	for address, at := range p.heardAt {
-		if at.Before(since) {
+		switch {
+		case at.Before(since):
 			delete(p.heardAt, address)
+		case apart == nil || !apart(address):
+			count++
 		}
 	}
-	return len(p.heardAt)
+	return count
 }
--- a/internal/presence/suspension_test.go
+++ b/internal/presence/suspension_test.go
@@ -19,8 +19,8 @@
 	for index := range daemons - 1 {
 		list.Heard(fmt.Sprint("d", index), machine.Now())
 	}
-	assert.Equal(t, list.HomeShare(machine.Now(), daemons), 1.0)
+	assert.Equal(t, list.HomeShare(machine.Now(), daemons, nil), 1.0)
 	machine.Suspend(5 * time.Second)
-	assert.Equal(t, list.HomeShare(machine.Steady(), daemons), 1.0)
-	assert.Assert(t, list.HomeShare(machine.Now(), daemons) <= 1.0/daemons/enoughPresent)
+	assert.Equal(t, list.HomeShare(machine.Steady(), daemons, nil), 1.0)
+	assert.Assert(t, list.HomeShare(machine.Now(), daemons, nil) <= 1.0/daemons/enoughPresent)
 }
--- a/internal/tenantlimit/fleet_test.go
+++ b/internal/tenantlimit/fleet_test.go
@@ -26,6 +26,8 @@
 	luck    *rand.Rand
 	mutex   sync.Mutex
 	daemons []*member
+	// region is the region of a daemon; nil is one for all.
+	region  func(address string) identity.Region
 	granted map[identity.TenantName][]grantedUse
 	refused map[identity.TenantName]float64
 	// standsStill makes the machines' clocks stand still while they are suspended, as Go's
@@ -111,7 +113,7 @@
 	heard := presence.New()
 	m.Observe(func(from string) { heard.Heard(from, m.now()) })
 	limiter := New(Options{
-		Link: m, Others: m.others, Count: func() int { return len(m.others()) + 1 }, Presence: heard, Margin: testMargin, Log: log, Now: m.now,
+		Link: m, Topology: peerlink.Topology{Others: m.others, Region: m.fleet.region}, Count: func() int { return len(m.others()) + 1 }, Presence: heard, Margin: testMargin, Log: log, Now: m.now,
 	})
 	m.fleet.mutex.Lock()
 	defer m.fleet.mutex.Unlock()
--- a/internal/tenantlimit/limiter.go
+++ b/internal/tenantlimit/limiter.go
@@ -32,6 +32,10 @@
 	// and with each daemon that takes a lost answer for a silent home two would grant at
 	// once. An answer takes two milliseconds between zones.
 	repeatInterval = 12 * time.Millisecond
+	// repeatFactor and answerFactor times the mean time of a region's answers are the least for
+	// the two below: regions are tens of milliseconds apart.
+	repeatFactor = 1.5
+	answerFactor = 3
 	// answerTimeout is how long an answer is waited for. A daemon whose processor is a
 	// quota may stand still for a tenth of a second; asking the next one costs less.
 	answerTimeout = 60 * time.Millisecond
@@ -44,10 +48,9 @@
 // Options are what a Limiter works with.
 type Options struct {
 	Link peerlink.Carrier
-	// Others returns the addresses of the other daemons, and Count how many daemons there
-	// may be.
-	Others func() []string
-	Count  func() int
+	// Topology is where the other daemons are, and Count how many daemons there may be.
+	Topology peerlink.Topology
+	Count    func() int
 	// Presence tells how many daemons were heard lately.
 	Presence *presence.List
 	// Margin is what a tenant may exceed its limit by, in tokens.
@@ -64,12 +67,19 @@
 	self      string
 	questions *peerlink.Questions[quota.Decision]
 	silence   *presence.Silence
+	// roundTrips are observed by the questions.
+	roundTrips peerlink.RoundTrips
 
 	mutex sync.Mutex
 	// ledger has the buckets that this daemon grants from, and parts the buckets of its own
 	// equal parts.
 	ledger *quota.Ledger
 	parts  *quota.Ledger
+	// heard are the regions of which a daemon was ever heard, startedAt is when this daemon
+	// began, and apart is when a daemon of a region last asked that hears none of this one's region.
+	heard     map[identity.Region]bool
+	startedAt time.Time
+	apart     map[identity.Region]time.Time
 	// abandoned are questions that are no longer waited for, with when that ended: what is
 	// granted to them is given back. An answer to any other is a repeated one.
 	abandoned map[uint64]time.Time
@@ -85,7 +95,7 @@
 		options: options, self: options.Link.Address(),
 		questions: peerlink.NewQuestions[quota.Decision](), silence: presence.NewSilence(options.Presence),
 		ledger: quota.NewLedger(now, options.Margin), parts: quota.NewLedger(now, 0),
-		abandoned: map[uint64]time.Time{},
+		abandoned: map[uint64]time.Time{}, apart: map[identity.Region]time.Time{}, heard: map[identity.Region]bool{}, startedAt: now,
 	}
 	peerlink.HandleDecoded(options.Link, peerlink.KindLimitAsk, made.hearQuestion)
 	peerlink.HandleDecoded(options.Link, peerlink.KindLimitAnswer, made.hearAnswer)
@@ -176,10 +186,10 @@
 
 // ranking returns the daemons that may grant for a tenant, the home first.
 func (l *Limiter) ranking(tenant identity.TenantName) []string {
-	others := l.options.Others()
+	others := l.options.Topology.Others()
 	daemons := make([]string, 0, len(others)+1)
 	daemons = append(append(daemons, others...), l.self)
-	return rendezvous.Top(rendezvous.Key(string(tenant)), daemons, grantors)
+	return rendezvous.WeightedTop(rendezvous.Key(string(tenant)), daemons, l.options.Topology.CapacityOf, grantors)
 }
 
 // takePart decides by this daemon's equal part of the limit.
@@ -199,37 +209,35 @@
 	return l.ledger.Take(now, request, standing)
 }
 
-func (l *Limiter) standing(now time.Time, home string) quota.Standing {
-	daemons := l.options.Count()
-	if home == l.self {
-		return quota.Standing{Home: true, Share: l.options.Presence.HomeShare(now, daemons)}
-	}
-	return quota.Standing{Share: l.options.Presence.SubstituteShare(now, daemons, home)}
-}
-
 // ask asks another daemon. It returns false without an answer, and the daemon is not asked
 // again for a moment.
 func (l *Limiter) ask(ctx context.Context, address string, request quota.Request) (quota.Decision, bool) {
 	number := request.Key.Number
+	sent, asked := l.options.Now(), l.options.Topology.RegionOf(address)
 	answered := l.questions.Await(number, 1)
 	defer l.questions.Forget(number)
 	question := &askMessage{
 		Number: number, Tenant: string(request.Tenant), Version: request.Limit.Version,
 		RatePerSecond: request.Limit.RatePerSecond, Burst: request.Limit.Burst, Cost: request.Cost,
+		Apart: l.isApart(sent, asked),
 	}
 	peerlink.Tell(l.options.Link, address, peerlink.KindLimitAsk, question)
-	repeat, timeout := time.NewTicker(repeatInterval), time.NewTimer(answerTimeout)
+	pause, patience := l.patience(asked)
+	repeat, timeout := time.NewTicker(pause), time.NewTimer(patience)
 	defer repeat.Stop()
 	defer timeout.Stop()
 	for {
 		select {
 		case decision := <-answered:
+			l.roundTrips.Note(asked, l.options.Now().Sub(sent))
 			return decision, true
 		case <-repeat.C:
 			peerlink.Tell(l.options.Link, address, peerlink.KindLimitAsk, question)
 		case <-timeout.C:
 			l.abandon(number)
 			l.noteSilent(address, request.Tenant)
+			// What was granted is given back even if the answer can't come here.
+			peerlink.Tell(l.options.Link, address, peerlink.KindLimitReturn, &returnMessage{Number: number})
 			return quota.Decision{}, false
 		case <-ctx.Done():
 			l.abandon(number)
@@ -248,6 +256,7 @@
 
 // hearQuestion answers another daemon's question.
 func (l *Limiter) hearQuestion(from string, asked askMessage) {
+	l.noteApart(from, asked.Apart)
 	request := asked.request(from)
 	decision := l.decide(request, l.ranking(request.Tenant)[0])
 	peerlink.Tell(l.options.Link, from, peerlink.KindLimitAnswer, newAnswer(asked.Number, decision))
--- a/internal/tenantlimit/message.go
+++ b/internal/tenantlimit/message.go
@@ -16,6 +16,9 @@
 	RatePerSecond float64
 	Burst         float64
 	Cost          float64
+	// Apart says that the asker hears daemons of its own region and none of the asked one's:
+	// it won't hear an answer either.
+	Apart bool
 }
 
 func (m *askMessage) request(from string) quota.Request {
