Give roles to daemons with room and near the store

Ranks and lots now go by capacity; of two readers the one with twice the room stays, else the lesser address; a daemon waits before it reads by four times what its calls of the store take, so that the reader, and the lease that it takes first, are near the store.

Ruled out: a threshold of room (where all with room are gone none would be left), telling the time of the store's calls to others (a rank that changes with each). Half an equal lot stays for those with little room.

Quarantine over regions, cut and lossy, is tested over crossings.

--- a/cmd/internal/daemon/regions.go
+++ b/cmd/internal/daemon/regions.go
@@ -42,3 +42,13 @@
 func (p *peerTraffic) sent(kind string, far distance.Distance, bytes int) {
 	p.bytes.WithLabelValues(kind, far.String()).Add(float64(bytes))
 }
+
+// shareOfRoom is this daemon's part of the room that all daemons' machines have.
+func (w *Daemon) shareOfRoom() float64 {
+	own := w.topology.CapacityOf(w.link.Address())
+	all := own
+	for _, address := range w.members.Others() {
+		all += w.topology.CapacityOf(address)
+	}
+	return own / all
+}
--- a/cmd/internal/daemon/wire.go
+++ b/cmd/internal/daemon/wire.go
@@ -168,6 +168,7 @@
 		}),
 		Contacts:         w.members,
 		Topology:         w.topology,
+		StoreTime:        w.members.StoreTime,
 		SteadyTime:       platform.Milliseconds(bounds.ContactMs),
 		VersionHeadStart: versionGrace(bounds) - platform.Milliseconds(bounds.ContactMs),
 	})
@@ -223,7 +224,7 @@
 	bounds := w.settings.Bounds
 	duty := &leasekeeper.Duty{
 		Pending: func() bool { return w.weights.Pending() }, First: w.directory.ReadsForAll,
-		Candidate: &leasekeeper.Candidate{Count: w.members.Count, Held: w.holdsLease},
+		Candidate: &leasekeeper.Candidate{Count: w.members.Count, Share: w.shareOfRoom, Held: w.holdsLease},
 		Linger:    rest(bounds) + leaseLinger,
 	}
 	w.keeper = leasekeeper.New(leasekeeper.Options{
--- a/internal/crashwatch/fleet_test.go
+++ b/internal/crashwatch/fleet_test.go
@@ -19,6 +19,7 @@
 	"github.com/lotusward/lotusward/internal/peerlink/peerlinktest"
 	"github.com/lotusward/lotusward/internal/port"
 	"github.com/lotusward/lotusward/internal/port/porttest"
+	"github.com/lotusward/lotusward/internal/presence"
 )
 
 const (
@@ -39,6 +40,8 @@
 	table   *porttest.Service
 	daemons []*member
 	reader  atomic.Int64
+	// region is the region of a daemon; nil is one for all.
+	region func(address string) identity.Region
 	// ended counts the back ends that ended, and endsAt when each did.
 	ended  int
 	endsAt []time.Time
@@ -56,13 +59,18 @@
 	index   int
 	watcher *Watcher
 	stop    chan struct{}
+	// cancel ends what passes on what others tell.
+	cancel context.CancelFunc
 	// disturbedAt is when a fault on it last began or ended.
 	disturbedAt time.Time
 	frozen, cut bool
 }
 
-func newFleet(seed uint64, count int) *fleet {
-	made := &fleet{network: peerlinktest.NewNetwork(seed), table: porttest.NewService()}
+func newFleet(seed uint64, count int) *fleet { return newRegionFleet(seed, count, nil) }
+
+// newRegionFleet is a fleet whose daemons are of regions.
+func newRegionFleet(seed uint64, count int, region func(address string) identity.Region) *fleet {
+	made := &fleet{network: peerlinktest.NewNetwork(seed), table: porttest.NewService(), region: region}
 	for index := range count {
 		joined := &member{fleet: made, index: index, Node: made.network.Add(fmt.Sprintf("10.0.0.%d:1", index))}
 		made.daemons = append(made.daemons, joined)
@@ -78,8 +86,14 @@
 func (m *member) start() {
 	log := logrus.New()
 	log.SetOutput(io.Discard)
+	ctx, cancel := context.WithCancel(context.Background())
+	m.cancel = cancel
+	topology := peerlink.Topology{Others: m.others, Region: m.fleet.region}
+	crossing := peerlink.NewCrossing(m, topology, presence.NewSilence(presence.New()))
+	tree := peerlink.NewTree(m, topology, crossing)
+	go func() { _ = tree.Run(ctx) }()
 	m.watcher = New(Options{
-		Link: m, Topology: peerlink.Topology{Others: m.others}, Table: m.fleet.table, Log: log,
+		Link: m, Topology: topology, Crossing: crossing, Table: m.fleet.table, Log: log,
 		Reads: func() bool { return int(m.fleet.reader.Load()) == m.index && m.Working() },
 	})
 	m.stop = make(chan struct{})
@@ -204,6 +218,7 @@
 func (m *member) halt() {
 	if m.stop != nil {
 		close(m.stop)
+		m.cancel()
 	}
 	m.stop = nil
 }
--- a/internal/directory/asking.go
+++ b/internal/directory/asking.go
@@ -182,7 +182,7 @@
 	for ctx.Err() == nil {
 		contacts, about, err := d.options.Contacts.Find(ctx)
 		if err == nil {
-			d.askUntil(ctx, contacts, clock.Now().Add(joinDelay(len(contacts), about)))
+			d.askUntil(ctx, contacts, clock.Now().Add(joinDelay(len(contacts), about)+d.joinHandicap(contacts)))
 			return
 		}
 		d.options.Log.WithError(err).Warn("No other daemons are found at the start.")
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -93,6 +93,9 @@
 	Others func() []string
 	// Topology is where the other daemons are; without its Others it is made of the above.
 	Topology peerlink.Topology
+	// StoreTime returns how long this daemon's calls of the store take, zero while it isn't known;
+	// nil is never known.
+	StoreTime func() time.Duration
 	// OnMembers is called with all daemons when there are new ones or some are described
 	// anew; it may be nil and must not block.
 	OnMembers func([]member.Descriptor)
@@ -197,6 +200,7 @@
 		bulletins: make(chan heardBulletin, waitingBulletins),
 		turn: newTurn(turnOptions{
 			self: options.Self, alone: options.Tell == nil, interval: options.Interval, others: options.Others,
+			capacity: options.Topology.CapacityOf, storeTime: options.StoreTime,
 		}),
 		positions: map[table]*atomic.Uint64{tableDeclared: {}, tableBackends: {}, tableMembers: {}},
 		behind:    make(chan struct{}, 1),
--- a/internal/directory/region.go
+++ b/internal/directory/region.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"slices"
+	"time"
 
 	"github.com/lotusward/lotusward/internal/core/rendezvous"
 )
@@ -14,6 +15,9 @@
 	// nearAsks is how many of the otherAsks daemons that are asked after those that surely know
 	// are near ones.
 	nearAsks = 3
+	// smallHandicap is how much longer daemons wait at a start that know of one with clearly more
+	// room: where all start at once, one of those is first.
+	smallHandicap = 150 * time.Millisecond
 )
 
 // nearFirst puts the daemons of this one's region before the others, and keeps their order
@@ -71,3 +75,14 @@
 	}
 	return ranked[at/askersEach-1]
 }
+
+// joinHandicap is how much longer a starting daemon asks others before it reads the store, where its
+// calls take long, or one of them has clearly more room.
+func (d *Directory) joinHandicap(contacts []string) time.Duration {
+	handicap := d.turn.handicap()
+	own := d.options.Topology.CapacityOf(d.options.Self)
+	if slices.ContainsFunc(contacts, func(address string) bool { return d.options.Topology.CapacityOf(address) >= clearlyMore*own }) {
+		handicap += smallHandicap
+	}
+	return handicap
+}
--- a/internal/directory/turn.go
+++ b/internal/directory/turn.go
@@ -36,6 +36,14 @@
 	// longestTurnCheck bounds how long a daemon that isn't reading waits until it looks
 	// again.
 	longestTurnCheck = time.Second
+	// clearlyMore is how many times as much room one of two readers has that stays whatever their
+	// addresses are: daemons that don't know each other's room yet take it for a small machine's.
+	clearlyMore = 2
+	// storeTimeFactor times the time of its calls of the store, longestHandicap at most, is how much
+	// longer a daemon waits before it reads for all. Between regions that is some 0.2 s, so that
+	// one near the store is first; the store may also be slow for all.
+	storeTimeFactor = 4
+	longestHandicap = 300 * time.Millisecond
 	// shortestTurnCheck bounds how often it looks.
 	shortestTurnCheck = 10 * time.Millisecond
 )
@@ -59,13 +67,18 @@
 	alone bool
 	// interval is how often the reader tells news at least.
 	interval time.Duration
-	// others returns the addresses of the other daemons.
-	others func() []string
+	// others returns the addresses of the other daemons, and capacity the room of one's machine
+	// relative to others'; nil takes all for equal.
+	others   func() []string
+	capacity func(address string) float64
+	// storeTime returns how long this daemon's calls of the store take; nil is no time.
+	storeTime func() time.Duration
 }
 
 // turn decides whether this daemon reads the store, or leaves that to another one that
 // tells what it reads. There is no election: a daemon without news reads and tells, and
-// of two that do the one with the greater address stops, or the one whose calls fail. It
+// of two that do the one with clearly less room stops, else the one with the greater address, or the
+// one whose calls fail. It
 // is safe for use by several goroutines.
 type turn struct {
 	options turnOptions
@@ -99,6 +112,12 @@
 	if options.others == nil {
 		options.others = func() []string { return nil }
 	}
+	if options.capacity == nil {
+		options.capacity = func(string) float64 { return 1 }
+	}
+	if options.storeTime == nil {
+		options.storeTime = func() time.Duration { return 0 }
+	}
 	return &turn{
 		options: options, opened: options.alone,
 		ownAt: map[table]time.Time{}, wanted: map[table]bool{}, changed: make(chan struct{}),
@@ -127,13 +146,27 @@
 	t.noteNews(at, from)
 	lately := 2 * t.options.interval
 	failing := now.Sub(t.ownAt[tableDeclared]) > lately
-	stops := t.reads && now.Sub(at) <= lately && (failing || from < t.options.self)
+	stops := t.reads && now.Sub(at) <= lately && (failing || t.precedes(from))
 	if stops {
 		t.reads = false
 	}
 	return stops
 }
 
+// precedes tells whether of two readers another one stays: the one with clearly more room, else the
+// one with the lesser address.
+func (t *turn) precedes(other string) bool {
+	own, others := t.options.capacity(t.options.self), t.options.capacity(other)
+	switch {
+	case others >= clearlyMore*own:
+		return true
+	case own >= clearlyMore*others:
+		return false
+	default:
+		return other < t.options.self
+	}
+}
+
 // adopted notes that another daemon's belief was taken in, which was the newest at a time.
 func (t *turn) adopted(confirmed time.Time, from string) {
 	t.mutex.Lock()
@@ -297,14 +330,19 @@
 // is none of them.
 func (t *turn) rank() int {
 	others := slices.DeleteFunc(slices.Clone(t.options.others()), func(address string) bool { return address == t.newsFrom })
-	first := rendezvous.Top(rendezvous.Key(t.newsFrom), append(others, t.options.self), successors)
+	first := rendezvous.WeightedTop(rendezvous.Key(t.newsFrom), append(others, t.options.self), t.options.capacity, successors)
 	return slices.Index(first, t.options.self)
 }
 
+// handicap is how much longer this daemon waits since its calls of the store take long.
+func (t *turn) handicap() time.Duration {
+	return min(storeTimeFactor*t.options.storeTime(), longestHandicap)
+}
+
 // delay is how long after overdue news this daemon takes over from the reader before.
 func (t *turn) delay() time.Duration {
 	if rank := t.rank(); rank >= 0 {
-		return time.Duration(rank) * successorPause
+		return time.Duration(rank)*successorPause + t.handicap()
 	}
-	return othersPause + rand.N(othersSpread+time.Duration(len(t.options.others()))*spreadPerDaemon)
+	return othersPause + t.handicap() + rand.N(othersSpread+time.Duration(len(t.options.others()))*spreadPerDaemon)
 }
--- a/internal/directory/turn_test.go
+++ b/internal/directory/turn_test.go
@@ -23,6 +23,9 @@
 	nextCall []time.Time
 	newsAt   []time.Time
 	calls    int
+	// capacities are the rooms of the daemons' machines, and storeTimes how long their calls take.
+	capacities []float64
+	storeTimes []time.Duration
 }
 
 const turnStep = 20 * time.Millisecond
@@ -34,17 +37,25 @@
 		t: t, now: time.Unix(1_000_000, 0), interval: 500 * time.Millisecond,
 		cut: map[int]bool{}, refused: map[int]bool{}, frozen: map[int]bool{},
 		nextCall: make([]time.Time, daemons), newsAt: make([]time.Time, daemons),
+		storeTimes: make([]time.Duration, daemons),
+	}
+	for range daemons {
+		world.capacities = append(world.capacities, 1)
 	}
 	for index := range daemons {
-		made := newTurn(turnOptions{self: turnAddress(index), interval: world.interval, others: func() []string {
-			var others []string
-			for other := range daemons {
-				if other != index {
-					others = append(others, turnAddress(other))
+		made := newTurn(turnOptions{
+			self: turnAddress(index), interval: world.interval, capacity: world.capacity,
+			storeTime: func() time.Duration { return world.storeTimes[index] },
+			others: func() []string {
+				var others []string
+				for other := range daemons {
+					if other != index {
+						others = append(others, turnAddress(other))
+					}
 				}
-			}
-			return others
-		}})
+				return others
+			},
+		})
 		made.open()
 		world.turns = append(world.turns, made)
 		world.newsAt[index] = world.now
@@ -53,6 +64,13 @@
 	return world
 }
 
+// capacity is the room of the machine of the daemon at an address.
+func (w *turnWorld) capacity(address string) float64 {
+	var index int
+	_, _ = fmt.Sscanf(address, "10.0.0.%d", &index) // addresses are of this form
+	return w.capacities[index]
+}
+
 // step lets all daemons do what is due.
 func (w *turnWorld) step() {
 	w.now = w.now.Add(turnStep)
@@ -113,6 +131,10 @@
 	rapid.Check(t, func(t *rapid.T) {
 		daemons := rapid.IntRange(2, 12).Draw(t, "daemons")
 		world := newTurnWorld(t, daemons)
+		for index := range daemons {
+			world.capacities[index] = rapid.SampledFrom([]float64{1, 1, 9}).Draw(t, "capacity")
+			world.storeTimes[index] = rapid.SampledFrom([]time.Duration{0, 5 * time.Millisecond, 45 * time.Millisecond}).Draw(t, "store time")
+		}
 		for range rapid.IntRange(1, 3).Draw(t, "troubles") {
 			world.loss = rapid.SampledFrom([]int{0, 0, 3, 20}).Draw(t, "loss")
 			for index := range daemons {
--- a/internal/leasekeeper/candidate.go
+++ b/internal/leasekeeper/candidate.go
@@ -12,6 +12,9 @@
 	expectedCandidates = 5
 	// candidateTime is how long a daemon stays, or doesn't stay, a candidate.
 	candidateTime = 5 * time.Second
+	// leastShare of an equal lot is what daemons with little room get: those with much may all be
+	// gone.
+	leastShare = 0.5
 )
 
 // Candidate decides whether a daemon tries for a lease, so that with hundreds of
@@ -20,6 +23,9 @@
 type Candidate struct {
 	// Count returns how many daemons there may be.
 	Count func() int
+	// Share returns this daemon's part of the room that all daemons' machines have; nil takes all
+	// for equal.
+	Share func() float64
 	// Held tells whether this daemon holds the lease; a holder stays a candidate.
 	Held func() bool
 
@@ -38,7 +44,16 @@
 	defer c.mutex.Unlock()
 	if now.After(c.redraw) {
 		c.redraw = now.Add(candidateTime/2 + rand.N(candidateTime))
-		c.drawn = rand.Float64() < expectedCandidates/float64(count)
+		c.drawn = rand.Float64() < expectedCandidates*c.share(count)
 	}
 	return c.drawn
 }
+
+// share is the chance of one candidate's lot.
+func (c *Candidate) share(count int) float64 {
+	equal := 1 / float64(count)
+	if c.Share == nil {
+		return equal
+	}
+	return max(c.Share(), leastShare*equal)
+}
--- a/internal/leasekeeper/candidate_test.go
+++ b/internal/leasekeeper/candidate_test.go
@@ -37,3 +37,51 @@
 	candidate := &Candidate{Count: func() int { return expectedCandidates }, Held: func() bool { return false }}
 	assert.Assert(t, candidate.Eligible(time.Now()))
 }
+
+// TestCandidatesHaveRoom draws those with nine times the room more often, about as many at a time, and
+// still some of the others where all with room are gone.
+func TestCandidatesHaveRoom(t *testing.T) {
+	const daemons, large = 76, 12
+	const all = large*9 + (daemons - large)
+	candidates := make([]*Candidate, daemons)
+	for index := range candidates {
+		share := 1.0 / all
+		if index < large {
+			share *= 9
+		}
+		candidates[index] = &Candidate{
+			Count: func() int { return daemons }, Share: func() float64 { return share }, Held: func() bool { return false },
+		}
+	}
+	now := time.Unix(1_000_000, 0)
+	const rounds = 400
+	withRoom, without := 0, 0
+	for range rounds {
+		now = now.Add(2 * candidateTime)
+		for index, candidate := range candidates {
+			switch drawn := candidate.Eligible(now); {
+			case drawn && index < large:
+				withRoom++
+			case drawn:
+				without++
+			}
+		}
+	}
+	perRound := float64(withRoom+without) / rounds
+	assert.Assert(t, perRound > expectedCandidates*0.8 && perRound < expectedCandidates*1.3, "%v candidates", perRound)
+	assert.Assert(t, float64(withRoom)/rounds > 2.5, "%d with room", withRoom)
+	assert.Assert(t, float64(without)/rounds > 1.5, "%d without", without)
+}
+
+// TestLittleRoomIsSomeRoom draws a daemon of hardly any room too, for when the others are gone.
+func TestLittleRoomIsSomeRoom(t *testing.T) {
+	candidate := &Candidate{Count: func() int { return 76 }, Share: func() float64 { return 0 }, Held: func() bool { return false }}
+	now, drawn := time.Unix(1_000_000, 0), 0
+	for range 2000 {
+		now = now.Add(2 * candidateTime)
+		if candidate.Eligible(now) {
+			drawn++
+		}
+	}
+	assert.Assert(t, drawn > 20, "drawn %d times", drawn)
+}
--- a/internal/members/members.go
+++ b/internal/members/members.go
@@ -19,6 +19,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/lotusward/lotusward/internal/clock"
 	"github.com/lotusward/lotusward/internal/core/identity"
 	"github.com/lotusward/lotusward/internal/core/member"
 	"github.com/lotusward/lotusward/internal/core/rendezvous"
@@ -61,6 +62,8 @@
 	// described are the daemons of which more is known than where they are reached, by address.
 	described atomic.Pointer[map[string]member.Descriptor]
 	known     atomic.Bool
+	// storeTime is how long the quickest reading call took, in nanoseconds; zero before any.
+	storeTime atomic.Int64
 }
 
 // New makes a List, and reports a large count until the daemons are known.
@@ -169,14 +172,27 @@
 	defer cancel()
 	own := rowKey(l.options.Self)
 	before := own[:len(own)-1] // sorts before the own key, and after nearly all others before it
-	rows, err := l.options.Table.Scan(bounded, KeyPrefix, before, contactRows)
+	rows, err := l.scan(bounded, before)
 	if err != nil || slices.ContainsFunc(rows, l.isOther) || !slices.ContainsFunc(rows, l.isOwn) {
 		return rows, err
 	}
-	first, err := l.options.Table.Scan(bounded, KeyPrefix, "", contactRows)
+	first, err := l.scan(bounded, "")
 	return append(rows, first...), err
 }
 
+// scan makes one reading call, and notes how long it took.
+func (l *List) scan(ctx context.Context, after string) ([]port.Row, error) {
+	began := clock.Now()
+	rows, err := l.options.Table.Scan(ctx, KeyPrefix, after, contactRows)
+	if took, before := int64(clock.Since(began)), l.storeTime.Load(); err == nil && (before == 0 || took < before) {
+		l.storeTime.Store(took)
+	}
+	return rows, err
+}
+
+// StoreTime returns how long the quickest reading call at the start took; zero before any.
+func (l *List) StoreTime() time.Duration { return time.Duration(l.storeTime.Load()) }
+
 // meet notes how the other daemons among rows are described, and returns their addresses.
 func (l *List) meet(rows []port.Row) []string {
 	var contacts []string
