--- a/cmd/internal/daemon/wire.go
+++ b/cmd/internal/daemon/wire.go
@@ -41,6 +41,7 @@
 	"github.com/lotusward/lotusward/internal/prober"
 	"github.com/lotusward/lotusward/internal/relay"
 	"github.com/lotusward/lotusward/internal/requestlog"
+	"github.com/lotusward/lotusward/internal/rollout"
 	"github.com/lotusward/lotusward/internal/tenantlimit"
 	"github.com/lotusward/lotusward/internal/weightupdate"
 	"github.com/lotusward/lotusward/platform"
@@ -59,24 +60,26 @@
 	memory   *promptcache.Memory
 	budgets  *relay.Budgets
 
-	members    *members.List
-	directory  *directory.Directory
-	promptsIn  *cachewatch.Watcher
-	cachesIn   *cachewatch.Watcher
-	link       *peerlink.Link
-	regions    distance.Map
-	topology   peerlink.Topology
-	broadcast  *peerlink.Broadcaster
-	tree       *peerlink.Tree
-	snapshots  *peersync.Server
-	loads      *loadshare.Sharer
-	presence   *presence.List
-	homes      *loadhome.Homes
-	limits     *tenantlimit.Limiter
-	prober     *prober.Prober
-	crashes    *crashwatch.Watcher
-	serving    *serving
-	keeper     *leasekeeper.Keeper
+	members   *members.List
+	directory *directory.Directory
+	promptsIn *cachewatch.Watcher
+	cachesIn  *cachewatch.Watcher
+	link      *peerlink.Link
+	regions   distance.Map
+	topology  peerlink.Topology
+	broadcast *peerlink.Broadcaster
+	tree      *peerlink.Tree
+	snapshots *peersync.Server
+	loads     *loadshare.Sharer
+	presence  *presence.List
+	homes     *loadhome.Homes
+	limits    *tenantlimit.Limiter
+	prober    *prober.Prober
+	crashes   *crashwatch.Watcher
+	serving   *serving
+	keeper    *leasekeeper.Keeper
+	// rollouts is nil where the settings offer none.
+	rollouts   *rollout.Coordinator
 	weights    *weightupdate.Keeper
 	follower   *weightupdate.Follower
 	metricsOut *metrics
@@ -108,6 +111,7 @@
 	}
 	made.wireOutside(counters)
 	made.wireBelief(traffic)
+	made.wireRollouts(registry)
 	made.wireTraffic(counters)
 	made.wireDuty()
 	return made
@@ -122,6 +126,9 @@
 func (w *Daemon) wireOutside(counters *requestlog.Counters) {
 	w.pool = httpexchange.NewPool(httpexchange.Options{LocalAddress: w.settings.IP})
 	w.store = platform.NewStore(w.pool, w.settings.Store.Address, &storeObserver{counters: counters, daemon: w})
+	if w.settings.Bounds.OffersRollouts() {
+		w.store.FollowRollouts()
+	}
 	w.runners = platform.NewRunners(w.pool)
 }
 
@@ -159,8 +166,8 @@
 	})
 	w.backends.OnChecked(w.crashes.Checked)
 	w.directory = directory.New(directory.Options{
-		Quarantine: w.crashes,
-		Source:     w.store, Pool: w.backends, Log: w.part("directory"),
+		Quarantine: w.crashes, Software: bounds.OffersRollouts(),
+		Source: w.store, Pool: w.backends, Log: w.part("directory"),
 		Self: w.link.Address(), Tell: w.tell,
 		Interval: checkInterval(bounds), Others: w.members.Others, OnMembers: w.members.Set,
 		Peers: peersync.NewClient(w.pool, func(address string, bytes int) {
@@ -196,7 +203,7 @@
 	relaying := relay.New(relay.Options{
 		Control: w.directory, Pool: w.backends, Backends: w.runners, Budgets: w.budgets,
 		Policy: policy(w.settings.Bounds), Memory: w.memory, Stores: w.promptsIn.Cache,
-		Daemons: w.members.Count, Limits: w.limits, Loads: w.homes, Crashes: w.crashes,
+		Daemons: w.members.Count, Limits: w.limits, Loads: w.homes, Crashes: w.crashes, Versions: w.versions(),
 		Journal: requestlog.New(w.part("relay"), counters),
 	})
 	w.serving = newServing(w.settings, relaying, w.directory, w.crashes.Informed, w.part("front"))
@@ -211,7 +218,7 @@
 		}))
 	}
 	if port := w.options.AdminPort; port > 0 {
-		tables := &administration.Snapshot{Control: w.directory, Pool: w.backends, Self: w.link.Address(), Others: w.members.Others, Limits: w.limits.Uses}
+		tables := &administration.Snapshot{Control: w.directory, Pool: w.backends, Self: w.link.Address(), Others: w.members.Others, Limits: w.limits.Uses, Rollouts: w.rolloutTable()}
 		w.serving.addOperators(w.address(port), administration.New(tables, w.options.AdminToken, w.part("administration")))
 	}
 }
--- a/internal/directory/snapshot.go
+++ b/internal/directory/snapshot.go
@@ -47,6 +47,8 @@
 	// Configuration is nil where the asker has it.
 	Configuration *routing.Configuration
 	Versions      []Seen
+	// Software is nil where the daemon doesn't know of software versions.
+	Software *SoftwareNews `msgpack:",omitempty"`
 	// BackendsTo is up to where the list is known; without a change for the asker,
 	// Backends is left out.
 	BackendsTo   uint64
@@ -73,6 +75,7 @@
 	membersTo  uint64
 	members    []member.Descriptor
 	digest     listDigest
+	software   *SoftwareNews
 	// clock is of the goroutine of Run.
 	clock freshness
 }
@@ -105,6 +108,7 @@
 	for !d.satisfies(have) && clock.Now().Before(until) && ctx.Err() == nil {
 		pause.For(ctx, serveCheck)
 	}
+	confirmed := d.ConfirmedAt() // before what it confirms is looked up
 	state, shown := d.state.Load(), d.shown.Load()
 	if state == nil || !d.listed.Load() {
 		return Snapshot{}
@@ -114,7 +118,7 @@
 		Complete:     true,
 		ClockLeast:   shown.clock.storeTime(now),
 		ClockMost:    shown.clock.most(now),
-		Confirmed:    shown.clock.storeTime(d.ConfirmedAt()),
+		Confirmed:    shown.clock.storeTime(confirmed),
 		StoreVersion: d.positions[tableDeclared].Load(),
 		RowVersion:   state.RowVersion,
 		Versions:     allSeen(state),
@@ -122,6 +126,7 @@
 		MembersTo:    shown.membersTo,
 		Members:      shown.members,
 		MemberDigest: shown.digest,
+		Software:     shown.software,
 	}
 	if d.options.Quarantine != nil {
 		snapshot.Crashes = d.options.Quarantine.Quarantined()
@@ -165,6 +170,7 @@
 		d.options.Quarantine.Adopt(got.from, snapshot.Crashes)
 	}
 	d.freshness[tableDeclared].adopt(got.asked, got.answered, snapshot.ClockLeast, snapshot.ClockMost)
+	d.takeSoftware(snapshot.Software)
 	d.adoptDeclared(got)
 	d.adoptBackends(&snapshot)
 	d.learnMembers(snapshot.Members, snapshot.MembersTo)
@@ -197,6 +203,9 @@
 	}
 	d.started = true
 	advance(d.positions[tableDeclared], snapshot.StoreVersion)
+	if !d.tellsSoftware(snapshot.Software) {
+		return
+	}
 	if at, clear := d.freshness[tableDeclared].localTime(snapshot.Confirmed); clear && !at.After(got.answered) {
 		d.confirm(at)
 		d.turn.adopted(at, got.from)
--- a/internal/peerlink/peerlink.go
+++ b/internal/peerlink/peerlink.go
@@ -44,6 +44,13 @@
 	KindLoadAnswer
 	// KindCrashes tells under which requests back ends ended.
 	KindCrashes
+	// KindVersionReport reports how a daemon's requests end at the versions of a service's
+	// software, KindVersionGrant answers, KindVersionStop tells that a version is bad, and
+	// KindVersionStanding what was written of a service's versions.
+	KindVersionReport
+	KindVersionGrant
+	KindVersionStop
+	KindVersionStanding
 	// KindTaken says that a daemon spreads a forwarded datagram in its region.
 	KindTaken
 	kindEnd
@@ -55,6 +62,7 @@
 	KindLimitAsk: "limit_ask", KindLimitAnswer: "limit_answer", KindLimitReturn: "limit_return",
 	KindLoadNote: "load_note", KindLoadQuestion: "load_question", KindLoadAnswer: "load_answer",
 	KindCrashes: "crashes", KindTaken: "taken",
+	KindVersionReport: "version_report", KindVersionGrant: "version_grant", KindVersionStop: "version_stop", KindVersionStanding: "version_standing",
 }
 
 // String names the kind for logs and metrics.
