--- a/cmd/internal/daemon/wire.go
+++ b/cmd/internal/daemon/wire.go
@@ -175,6 +175,7 @@
 		}),
 		Contacts:         w.members,
 		Topology:         w.topology,
+		StoreTime:        w.members.StoreTime,
 		SteadyTime:       platform.Milliseconds(bounds.ContactMs),
 		VersionHeadStart: versionGrace(bounds) - platform.Milliseconds(bounds.ContactMs),
 	})
@@ -191,7 +192,7 @@
 	})
 	w.homes = loadhome.New(loadhome.Options{Link: w.link, Others: w.members.Others, Pool: w.backends, Presence: w.presence})
 	w.limits = tenantlimit.New(tenantlimit.Options{
-		Link: w.link, Others: w.members.Others, Count: w.members.Count, Presence: w.presence,
+		Link: w.link, Topology: w.topology, Count: w.members.Count, Presence: w.presence,
 		Margin: limitMarginShare * bounds.QuotaSlack, Log: w.part("limits"),
 	})
 	w.prober = prober.New(prober.Options{Pool: w.backends, Reach: w.runners.Reach, Log: w.part("probe")})
@@ -230,7 +231,7 @@
 	bounds := w.settings.Bounds
 	duty := &leasekeeper.Duty{
 		Pending: func() bool { return w.weights.Pending() }, First: w.directory.ReadsForAll,
-		Candidate: &leasekeeper.Candidate{Count: w.members.Count, Held: w.holdsLease},
+		Candidate: &leasekeeper.Candidate{Count: w.members.Count, Share: w.shareOfRoom, Held: w.holdsLease},
 		Linger:    rest(bounds) + leaseLinger,
 	}
 	w.keeper = leasekeeper.New(leasekeeper.Options{
--- a/internal/directory/source.go
+++ b/internal/directory/source.go
@@ -41,8 +41,10 @@
 	Rows map[string]uint64
 	// Configuration is nil when the row is malformed.
 	Configuration *routing.Configuration
-	// Versions are the named versions of the models' weights.
-	Versions map[identity.ModelName]uint64
+	// Versions are the named versions of the models' weights, and VersionRows the store's
+	// versions of the rows that name them, where they are known.
+	Versions    map[identity.ModelName]uint64
+	VersionRows map[identity.ModelName]uint64
 	// Orders are the operators' orders to move services to back ends of other versions of
 	// their software, and Standings what daemons have kept of that. Both are empty where
 	// roll-outs are off. A row that could not be read is left out.
@@ -52,6 +54,13 @@
 	Malformed error
 }
 
+// DeclaredChange tells whether rows of the operators changed after a version.
+type DeclaredChange struct {
+	// Reading is of the moment of the answer.
+	Reading
+	Changed bool
+}
+
 // Listed is a page of the list of back ends.
 type Listed struct {
 	Reading
@@ -64,6 +73,8 @@
 
 // Changes are back ends that changed since a version of the store.
 type Changes struct {
+	// Reading is of the moment of the answer.
+	Reading
 	Changed []backendpool.Backend
 	Gone    []identity.BackendID
 	// After is the version since which these are all the changes.
@@ -134,6 +145,8 @@
 	// Unchanged tells whether rows of the operators, by key, still have the versions
 	// given. It is never answered from an earlier moment than the call's.
 	Unchanged(ctx context.Context, rows map[string]uint64) (bool, error)
+	// DeclaredChanges returns when a row of the operators changed after a version, or after a time.
+	DeclaredChanges(ctx context.Context, after uint64, wait time.Duration) (DeclaredChange, error)
 	// Backends reads the page of the list that begins at a place; empty is the first.
 	Backends(ctx context.Context, from string) (Listed, error)
 	BackendChanges(ctx context.Context, after uint64, wait time.Duration) (Changes, error)
