Choose the region of a request by what it lacks, waits and costs to reach

Requests went to any back end anywhere. Now the own region is first, and another one is better where it holds parts that the own one lacks (a token read again counts twice), where less waits, or where the own one has no place; the way costs 3,200 tokens (80 ms). A daemon sends at most its part of the told room, so that no herd forms. A request that its own region can't serve in time tries others before it is refused. Stores and moves: of the own region only, unless the store's link makes a token's move between regions quicker than its reading.

--- a/cmd/internal/daemon/wire.go
+++ b/cmd/internal/daemon/wire.go
@@ -41,6 +41,7 @@
 	"github.com/lotusward/lotusward/internal/prober"
 	"github.com/lotusward/lotusward/internal/relay"
 	"github.com/lotusward/lotusward/internal/requestlog"
+	"github.com/lotusward/lotusward/internal/roomshare"
 	"github.com/lotusward/lotusward/internal/tenantlimit"
 	"github.com/lotusward/lotusward/internal/weightupdate"
 	"github.com/lotusward/lotusward/platform"
@@ -70,6 +71,7 @@
 	loads      *loadshare.Sharer
 	presence   *presence.List
 	homes      *loadhome.Homes
+	rooms      *roomshare.Sharer
 	limits     *tenantlimit.Limiter
 	prober     *prober.Prober
 	crashes    *crashwatch.Watcher
@@ -175,6 +177,10 @@
 		Link: w.link, Others: w.members.Others, Pool: w.backends, Presence: w.presence,
 		Zone: w.members.Zone, Own: w.settings.Zone, Distances: distances,
 	})
+	w.rooms = roomshare.New(roomshare.Options{
+		Link: w.link, Others: w.members.Others, Zone: w.members.Zone, Capacity: w.members.Capacity, Own: w.settings.Zone,
+		Distances: distances, Pool: w.backends, Refresh: w.refreshLoads,
+	})
 	w.limits = tenantlimit.New(tenantlimit.Options{
 		Link: w.link, Others: w.members.Others, Count: w.members.Count, Presence: w.presence,
 		Margin: limitMarginShare * bounds.QuotaSlack, Log: w.part("limits"),
@@ -187,7 +193,7 @@
 	relaying := relay.New(relay.Options{
 		Control: w.directory, Pool: w.backends, Backends: w.runners, Budgets: w.budgets,
 		Policy: policy(w.settings.Bounds), Memory: w.memory, Stores: w.promptsIn.Cache,
-		Daemons: w.members.Count, Limits: w.limits, Loads: w.homes, Crashes: w.crashes,
+		Daemons: w.members.Count, Limits: w.limits, Loads: w.homes, Rooms: w.rooms, Crashes: w.crashes,
 		Journal: requestlog.New(w.part("relay"), counters),
 	})
 	w.serving = newServing(w.settings, relaying, w.directory, w.crashes.Informed, w.part("front"))
@@ -261,8 +267,13 @@
 // refreshLoad asks what other daemons have under way at a back end, where there are too many
 // daemons to tell all.
 func (w *Daemon) refreshLoad(ctx context.Context, id identity.BackendID) {
+	w.refreshLoads(ctx, []uint64{rendezvous.Key(string(id))})
+}
+
+// refreshLoads does so for some back ends, by the hashes of their IDs.
+func (w *Daemon) refreshLoads(ctx context.Context, keys []uint64) {
 	if w.homes.Needed() {
-		w.homes.Refresh(ctx, []uint64{rendezvous.Key(string(id))})
+		w.homes.Refresh(ctx, keys)
 	}
 }
 
--- /dev/null
+++ b/internal/core/regionchoice/choice.go
@@ -0,0 +1,99 @@
+// Package regionchoice decides to which region a request goes: it compares what reading and
+// waiting cost in each, and what the way costs. It is pure.
+package regionchoice
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/lotusward/lotusward/internal/core/backendpool"
+)
+
+// Costs. The unit is the time that a back end takes to read one token of a prompt.
+const (
+	// wayCost is of the way to another region and back, 80 ms, with the question what is under
+	// way there.
+	wayCost = 3200
+	// readAgainFactor is of a token that is read though a region holds it: the back end could
+	// have read another one.
+	readAgainFactor = 2
+	// requestCost is of a request under way beside its prompt.
+	requestCost = 60
+)
+
+// Region is what is known of a region.
+type Region struct {
+	backendpool.Room
+	// Own is set for the daemon's own region.
+	Own bool
+	// Known is set where the region's room is known.
+	Known bool
+	// ToldAt is when the room was told, and Outside how many daemons are outside the region.
+	ToldAt  time.Time
+	Outside int
+	// Lacking is how many of the request's shared tokens no back end there holds.
+	Lacking int
+	// Free is for how many such requests there is room.
+	Free float64
+}
+
+// least is what a request costs in the region at least: if nothing is under way there.
+func (r Region) least() float64 {
+	cost := readAgainFactor * float64(r.Lacking)
+	if !r.Own {
+		cost += wayCost
+	}
+	return cost
+}
+
+// cost is what a request costs in the region: at least, and what is under way at a back end in
+// the middle.
+func (r Region) cost() float64 {
+	if r.Backends == 0 {
+		return r.least()
+	}
+	return r.least() + (r.Reading+requestCost*r.InFlight)/r.Backends
+}
+
+// OwnIsLeast tells whether no other region can cost less than the own one, however little is
+// under way there.
+func OwnIsLeast(regions []Region) bool {
+	at := slices.IndexFunc(regions, func(region Region) bool { return region.Own })
+	return at >= 0 && !slices.ContainsFunc(regions, func(other Region) bool { return other.least() < regions[at].cost() })
+}
+
+// Order returns the regions to which a request may go, the best first. Another region is among
+// them only if it is known to have room; where there is no own one, all are. An own one without
+// room for a request that no limits hold back is the last.
+func Order(regions []Region, limited bool) []Region {
+	hasOwn := slices.ContainsFunc(regions, func(region Region) bool { return region.Own })
+	var found []Region
+	for _, region := range regions {
+		if region.Own || !hasOwn || (region.Known && region.Free > 0) {
+			found = append(found, region)
+		}
+	}
+	slices.SortStableFunc(found, func(left, right Region) int {
+		if !limited && left.isFull() != right.isFull() {
+			return boolCompare(left.isFull(), right.isFull())
+		}
+		return cmp.Or(cmp.Compare(left.cost(), right.cost()), cmp.Compare(right.Free, left.Free), cmp.Compare(left.Region, right.Region))
+	})
+	return found
+}
+
+// isFull tells whether the region is known to have no room.
+func (r Region) isFull() bool { return r.Known && r.Free == 0 }
+
+// boolCompare puts false first.
+func boolCompare(left, right bool) int {
+	switch {
+	case left == right:
+		return 0
+	case right:
+		return -1
+	default:
+		return 1
+	}
+}
--- /dev/null
+++ b/internal/core/regionchoice/choice_test.go
@@ -0,0 +1,166 @@
+package regionchoice
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/lotusward/lotusward/internal/core/backendpool"
+	"github.com/lotusward/lotusward/internal/core/identity"
+)
+
+var start = time.Unix(1_000_000, 0)
+
+// drawRegions draws 1, 2 or 6 regions; the first is the own one, if there is one.
+func drawRegions(t *rapid.T) []Region {
+	count := rapid.SampledFrom([]int{1, 2, 6}).Draw(t, "regions")
+	own := rapid.IntRange(0, 9).Draw(t, "own") > 0
+	var regions []Region
+	for number := range count {
+		region := Region{
+			Room:    backendpool.Room{Region: identity.Region(fmt.Sprint("r", number)), Backends: float64(rapid.IntRange(0, 30).Draw(t, "back ends"))},
+			Own:     own && number == 0,
+			Known:   rapid.Bool().Draw(t, "known"),
+			Lacking: rapid.IntRange(0, 8000).Draw(t, "lacking"),
+		}
+		region.Reading = float64(rapid.IntRange(0, 24000).Draw(t, "reading")) * region.Backends
+		region.InFlight = float64(rapid.IntRange(0, 24).Draw(t, "in flight")) * region.Backends
+		region.Free = float64(rapid.IntRange(0, 50).Draw(t, "free"))
+		regions = append(regions, region)
+	}
+	return regions
+}
+
+// TestOrderKeepsToRoomAndCost compares the order with an oracle: other regions are in it only
+// with known room or where there is no own one, and each next one costs as much or more.
+func TestOrderKeepsToRoomAndCost(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		regions := drawRegions(t)
+		hasOwn := regions[0].Own
+		found := Order(regions, true)
+		expected := 0
+		for _, region := range regions {
+			may := region.Own || !hasOwn || (region.Known && region.Free > 0)
+			if may {
+				expected++
+			}
+			assert.Equal(t, may, slices.Contains(found, region))
+		}
+		assert.Equal(t, len(found), expected)
+		for index := 1; index < len(found); index++ {
+			assert.Assert(t, oracleCost(found[index-1]) <= oracleCost(found[index]))
+		}
+	})
+}
+
+// oracleCost is what a request costs in a region, written out.
+func oracleCost(region Region) float64 {
+	cost := 2 * float64(region.Lacking)
+	if region.Backends > 0 {
+		cost += region.Reading/region.Backends + 60*region.InFlight/region.Backends
+	}
+	if !region.Own {
+		cost += 3200
+	}
+	return cost
+}
+
+// TestOwnIsLeastIsRight lets what is under way elsewhere be anything: where the own region is
+// said to be the least it is the first.
+func TestOwnIsLeastIsRight(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		regions := drawRegions(t)
+		if OwnIsLeast(regions) {
+			assert.Assert(t, Order(regions, true)[0].Own)
+		}
+	})
+}
+
+// TestOneRegionIsAlwaysFirst goes nowhere where there is nowhere to go.
+func TestOneRegionIsAlwaysFirst(t *testing.T) {
+	only := []Region{{Own: true, Lacking: 9000}}
+	assert.Assert(t, OwnIsLeast(only))
+	assert.Equal(t, len(Order(only, false)), 1)
+}
+
+// TestRequestLeavesWhenWaitingCostsMoreThanTheWay goes to the other region from that on, with
+// equal prompts held in both.
+func TestRequestLeavesWhenWaitingCostsMoreThanTheWay(t *testing.T) {
+	for _, example := range []struct {
+		waiting float64
+		first   identity.Region
+	}{{0, "own"}, {wayCost - 1, "own"}, {wayCost + 1, "other"}} {
+		regions := []Region{
+			{Room: backendpool.Room{Region: "own", Backends: 1, Reading: example.waiting}, Own: true, Known: true},
+			{Room: backendpool.Room{Region: "other", Backends: 1}, Known: true, Free: 1},
+		}
+		assert.Equal(t, Order(regions, true)[0].Region, example.first, "%v tokens wait", example.waiting)
+	}
+}
+
+// TestUnlimitedRequestLeavesAFullRegion goes elsewhere where all places of the own region are
+// taken, though the way costs more than waiting would.
+func TestUnlimitedRequestLeavesAFullRegion(t *testing.T) {
+	regions := []Region{
+		{Room: backendpool.Room{Region: "own", Backends: 2, Slots: 12, InFlight: 12}, Own: true, Known: true},
+		{Room: backendpool.Room{Region: "other", Backends: 2, Slots: 12}, Known: true, Free: 12},
+	}
+	assert.Equal(t, Order(regions, false)[0].Region, identity.Region("other"))
+	assert.Equal(t, Order(regions, true)[0].Region, identity.Region("own"))
+}
+
+// TestDaemonsTogetherSendNoMoreThanTheRoom lets all daemons outside a region send what they may
+// on each telling: no herd, and in the mean no more than the room.
+func TestDaemonsTogetherSendNoMoreThanTheRoom(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		outside := rapid.IntRange(1, 80).Draw(t, "outside")
+		free := rapid.Float64Range(0, 200).Draw(t, "free")
+		luck := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1))
+		var credits []*Credit
+		for range outside {
+			credits = append(credits, NewCredit(luck.Float64))
+		}
+		const tellings = 200
+		total := 0
+		for telling := range tellings {
+			toldAt, sent := start.Add(time.Duration(telling)*renewInterval), 0
+			for _, credit := range credits {
+				for credit.Take("s", "r", toldAt, free, outside) {
+					sent++
+				}
+				assert.Assert(t, !credit.Take("s", "r", toldAt.Add(renewInterval/2), free, outside), "told again at once")
+			}
+			assert.Assert(t, float64(sent) <= free+float64(outside))
+			total += sent
+		}
+		assert.Assert(t, float64(total) <= tellings*free*1.1+3*float64(outside), "%d sent on %v", total, tellings*free)
+	})
+}
+
+// TestNoRoomIsNoCredit sends nothing to a region that is full.
+func TestNoRoomIsNoCredit(t *testing.T) {
+	credit := NewCredit(func() float64 { return 0 })
+	assert.Assert(t, !credit.Take("s", "r", start, 0, 1))
+	assert.Assert(t, !credit.Take("s", "r", start, 0, 0))
+}
+
+func benchmarkOrder(b *testing.B, count int) {
+	regions := make([]Region, count)
+	for index := range regions {
+		regions[index] = Region{Room: backendpool.Room{Region: identity.Region(fmt.Sprint("r", index)), Backends: 30, Slots: 720, Reading: float64(index * 1000)}, Own: index == 0, Known: true, Free: 100, Lacking: 3780}
+	}
+	credit := NewCredit(rand.Float64)
+	for number := range b.N {
+		ordered := Order(regions, true)
+		credit.Take("s", ordered[len(ordered)-1].Region, start.Add(time.Duration(number)*time.Millisecond), 100, 50)
+	}
+}
+
+// BenchmarkOrder3 and BenchmarkOrder6 measure the choice among 3 and 6 regions.
+func BenchmarkOrder3(b *testing.B) { benchmarkOrder(b, 3) }
+func BenchmarkOrder6(b *testing.B) { benchmarkOrder(b, 6) }
--- /dev/null
+++ b/internal/core/regionchoice/credit.go
@@ -0,0 +1,64 @@
+package regionchoice
+
+import (
+	"math"
+	"sync"
+	"time"
+
+	"github.com/lotusward/lotusward/internal/core/identity"
+)
+
+// renewInterval is the least time between two tellings of a region's room that count: two
+// daemons tell it, each some times a second.
+const renewInterval = 200 * time.Millisecond
+
+// Credit bounds what one daemon sends to other regions: of the room that a region tells, its
+// part among all daemons outside that region, anew each time the region tells. It is safe for
+// use by several goroutines. Make it with NewCredit.
+type Credit struct {
+	// luck is a random number from 0 to 1: a part of less than one request is now and then a
+	// whole one.
+	luck  func() float64
+	mutex sync.Mutex
+	left  map[account]*credit
+}
+
+// account is of a service in a region.
+type account struct {
+	service identity.ServiceName
+	region  identity.Region
+}
+
+// credit is how many requests may go on what was told at a time.
+type credit struct {
+	toldAt time.Time
+	left   float64
+}
+
+// NewCredit makes a Credit of a source of random numbers from 0 to 1.
+func NewCredit(luck func() float64) *Credit {
+	return &Credit{luck: luck, left: map[account]*credit{}}
+}
+
+// Take takes one request's room. Free is for how many requests a region told at a time that it
+// has room, and outside how many daemons are outside it.
+func (c *Credit) Take(service identity.ServiceName, region identity.Region, toldAt time.Time, free float64, outside int) bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	key := account{service, region}
+	found := c.left[key]
+	if found == nil || toldAt.Sub(found.toldAt) >= renewInterval {
+		part := free / float64(max(outside, 1))
+		whole := math.Floor(part)
+		if c.luck() < part-whole {
+			whole++
+		}
+		found = &credit{toldAt: toldAt, left: whole}
+		c.left[key] = found
+	}
+	if found.left < 1 {
+		return false
+	}
+	found.left--
+	return true
+}
--- a/internal/peerlink/peerlink.go
+++ b/internal/peerlink/peerlink.go
@@ -44,6 +44,11 @@
 	KindLoadAnswer
 	// KindCrashes tells under which requests back ends ended.
 	KindCrashes
+	// KindRoom tells another region what room the sender's has, KindRoomQuestion asks in the
+	// own region what others told, and KindRoomAnswer answers.
+	KindRoom
+	KindRoomQuestion
+	KindRoomAnswer
 	kindEnd
 )
 
--- a/internal/relay/caching.go
+++ b/internal/relay/caching.go
@@ -7,6 +7,8 @@
 
 	"github.com/lotusward/lotusward/internal/cachewatch"
 	"github.com/lotusward/lotusward/internal/core/backendpool"
+	"github.com/lotusward/lotusward/internal/core/distance"
+	"github.com/lotusward/lotusward/internal/core/identity"
 	"github.com/lotusward/lotusward/internal/core/promptcache"
 	"github.com/lotusward/lotusward/internal/core/rendezvous"
 	"github.com/lotusward/lotusward/internal/core/routing"
@@ -33,8 +35,10 @@
 	// at once.
 	saveBurst  = 10 * time.Second
 	fetchBurst = 500 * time.Millisecond
-	// crossZoneFactor is how many times longer a move between zones takes the link.
-	crossZoneFactor = 2
+	// crossZoneFactor is how many times longer a move between zones takes the link, and
+	// crossRegionFactor one between regions.
+	crossZoneFactor   = 2
+	crossRegionFactor = 10
 )
 
 // level is a prompt up to the end of one of its shared parts.
@@ -60,14 +64,15 @@
 	return found
 }
 
-// cached says where a request's shared parts are for a version of the weights.
-func (r *Relay) cached(admitted *admission, version uint64) backendpool.Cached {
+// cached says where a request's shared parts are for a version of the weights, as seen from
+// a region; an empty one is of no matter.
+func (r *Relay) cached(admitted *admission, version uint64, region identity.Region) backendpool.Cached {
 	now := r.options.Now()
 	levels := r.levels(admitted, version)
 	if len(levels) == 0 {
 		return nil
 	}
-	store := admitted.state.Table.PromptStore(uint64(levels[0].key))
+	store := r.storeNear(admitted, levels[0], region)
 	known := make(backendpool.Cached, 0, len(levels))
 	for _, shared := range levels {
 		holders := r.options.Memory.Holders(now, shared.key)
@@ -104,7 +109,7 @@
 	}
 	now := r.options.Now()
 	deepest := levels[0]
-	store := admitted.state.Table.PromptStore(uint64(deepest.key))
+	store := r.storeNear(admitted, deepest, r.options.Pool.RegionOf(ticket.Backend.Zone))
 	total, _ := promptTokens(admitted.request.Prompt.Parts)
 	if deepest.tokens >= leastFetchedTokens {
 		dispatch.FetchFrom = r.fetchFrom(now, admitted, ticket, store)
@@ -133,7 +138,7 @@
 	case store == nil:
 		return ""
 	}
-	moved := linkTokens(ticket, store, max(source.StoredTokens-source.HeldTokens, 0))
+	moved := linkTokens(r.options.Pool.Distances(), ticket, store, max(source.StoredTokens-source.HeldTokens, 0))
 	if holder != nil && equal && !r.mayFetch(now, admitted, store, moved) {
 		return holder.Address
 	}
@@ -159,11 +164,15 @@
 
 // linkTokens is how many tokens a move between a ticket's back end and a store counts
 // for on the store's link.
-func linkTokens(ticket *backendpool.Ticket, store *routing.PromptStore, tokens int) int {
-	if ticket.Backend.Zone == store.Zone {
+func linkTokens(distances distance.Map, ticket *backendpool.Ticket, store *routing.PromptStore, tokens int) int {
+	switch distances.Between(ticket.Backend.Zone, store.Zone) {
+	case distance.SameZone:
 		return tokens
+	case distance.SameRegion:
+		return crossZoneFactor * tokens
+	default:
+		return crossRegionFactor * tokens
 	}
-	return crossZoneFactor * tokens
 }
 
 // mayFetch tells whether the link of a store has room for a prompt.
--- a/internal/relay/pick.go
+++ b/internal/relay/pick.go
@@ -25,6 +25,9 @@
 	}
 	until := r.waitUntil(place)
 	if r.now().Add(lists.expectedWait(service, place)).After(until) {
+		if ticket := r.tryOtherRegions(ctx, limits); ticket != nil {
+			return ticket
+		}
 		r.overloaded = true
 		return nil
 	}
@@ -69,6 +72,14 @@
 func (r *run) tryPick(ctx context.Context, limits backendpool.Limits) *backendpool.Ticket {
 	query := r.relay.query(r.admitted, r.excluded)
 	query.Limits = limits
+	if r.relay.options.Pool.Several() {
+		return r.tryRegions(ctx, query)
+	}
+	return r.tryNear(ctx, query)
+}
+
+// tryNear takes a place at one of the back ends that a query allows.
+func (r *run) tryNear(ctx context.Context, query backendpool.Query) *backendpool.Ticket {
 	if loads := r.relay.options.Loads; loads != nil && loads.Needed() {
 		return r.tryAsked(ctx, loads, query)
 	}
--- /dev/null
+++ b/internal/relay/regions.go
@@ -0,0 +1,166 @@
+package relay
+
+import (
+	"context"
+	"time"
+
+	"github.com/lotusward/lotusward/internal/core/backendpool"
+	"github.com/lotusward/lotusward/internal/core/identity"
+	"github.com/lotusward/lotusward/internal/core/regionchoice"
+	"github.com/lotusward/lotusward/internal/core/routing"
+	"github.com/lotusward/lotusward/internal/roomshare"
+)
+
+// Rooms knows what room other regions have.
+type Rooms interface {
+	// Rooms returns the rooms that a service has in other regions, of those within reach. It
+	// may ask other daemons.
+	Rooms(ctx context.Context, service identity.ServiceName) []roomshare.Told
+}
+
+// tryRegions takes a place at a back end of the region where it costs least. Where that can
+// only be the own one, others are looked at once it has no place.
+func (r *run) tryRegions(ctx context.Context, query backendpool.Query) *backendpool.Ticket {
+	regions := r.regions(query)
+	if len(regions) == 0 { // a doubted back end is better than none
+		return r.tryNear(ctx, query)
+	}
+	limited := query.Limits != (backendpool.Limits{})
+	triedOwn := limited && regionchoice.OwnIsLeast(regions)
+	if triedOwn {
+		if ticket := r.tryNear(ctx, r.within(query, r.relay.options.Pool.Region())); ticket != nil {
+			return ticket
+		}
+	}
+	shortage := r.shortage
+	for _, region := range regionchoice.Order(r.withRooms(ctx, query, regions), limited) {
+		if (triedOwn && region.Own) || !r.relay.maySend(query, region) {
+			continue
+		}
+		if ticket := r.tryNear(ctx, r.within(query, region.Region)); ticket != nil {
+			return ticket
+		}
+		if region.Own {
+			shortage = r.shortage
+		}
+	}
+	r.shortage = shortage
+	return nil
+}
+
+// tryOtherRegions takes a place in another region for a request that its own can't serve in
+// time.
+func (r *run) tryOtherRegions(ctx context.Context, limits backendpool.Limits) *backendpool.Ticket {
+	if !r.relay.options.Pool.Several() {
+		return nil
+	}
+	query := r.relay.query(r.admitted, r.excluded)
+	query.Limits = limits
+	for _, region := range regionchoice.Order(r.withRooms(ctx, query, r.regions(query)), true) {
+		if region.Own || !r.relay.maySend(query, region) {
+			continue
+		}
+		if ticket := r.tryNear(ctx, r.within(query, region.Region)); ticket != nil {
+			return ticket
+		}
+	}
+	return nil
+}
+
+// maySend takes this daemon's part of another region's room.
+func (r *Relay) maySend(query backendpool.Query, region regionchoice.Region) bool {
+	return region.Own || !region.Known || r.credit.Take(query.Service, region.Region, region.ToldAt, region.Free, region.Outside)
+}
+
+// regions are the regions whose back ends may get a query's request, without the rooms of
+// others.
+func (r *run) regions(query backendpool.Query) []regionchoice.Region {
+	pool := r.relay.options.Pool
+	var found []regionchoice.Region
+	rooms := pool.Rooms(r.now(), query.Service)
+	for _, lacking := range pool.Lacking(r.now(), query) {
+		region := regionchoice.Region{Room: backendpool.Room{Region: lacking.Region}, Own: lacking.Region == pool.Region(), Lacking: lacking.Tokens}
+		for _, room := range rooms {
+			if room.Region == region.Region && region.Own {
+				region.Room, region.Known = room, true
+				region.Free = room.Free(query.Limits, query.SharedTokens+query.OwnTokens)
+			}
+		}
+		found = append(found, region)
+	}
+	return found
+}
+
+// withRooms adds the rooms of other regions.
+func (r *run) withRooms(ctx context.Context, query backendpool.Query, regions []regionchoice.Region) []regionchoice.Region {
+	if len(regions) < 2 {
+		return regions
+	}
+	told := r.toldRooms(ctx, query)
+	for index := range regions {
+		region := &regions[index]
+		for _, room := range told {
+			if room.Region == region.Region && !region.Own {
+				region.Room, region.Known, region.ToldAt, region.Outside = room.Room, true, room.At, room.Outside
+				region.Free = room.Free(query.Limits, query.SharedTokens+query.OwnTokens)
+			}
+		}
+	}
+	return regions
+}
+
+// toldRooms are the rooms of other regions: as told, or as this daemon knows where all tell all
+// of their loads.
+func (r *run) toldRooms(ctx context.Context, query backendpool.Query) []roomshare.Told {
+	options := r.relay.options
+	if options.Rooms != nil && options.Loads != nil && options.Loads.Needed() {
+		return options.Rooms.Rooms(ctx, query.Service)
+	}
+	var told []roomshare.Told
+	for _, room := range options.Pool.Rooms(r.now(), query.Service) {
+		told = append(told, roomshare.Told{Room: room, At: r.now(), Outside: options.Daemons()})
+	}
+	return told
+}
+
+// within returns a query for the back ends of a region.
+func (r *run) within(query backendpool.Query, region identity.Region) backendpool.Query {
+	query.Region = region
+	query.FarMoves = r.relay.farMoves(r.admitted)
+	if query.Cached != nil {
+		query.Cached = func(version uint64) backendpool.Cached { return r.relay.cached(r.admitted, version, region) }
+	}
+	return query
+}
+
+// storeNear is the store in which a part belongs, or nil where there is none, or where a move
+// from there takes longer than reading.
+func (r *Relay) storeNear(admitted *admission, shared level, region identity.Region) *routing.PromptStore {
+	store := admitted.state.Table.PromptStore(uint64(shared.key))
+	if store == nil || region == "" || !r.options.Pool.Several() || r.options.Pool.RegionOf(store.Zone) == region {
+		return store
+	}
+	if !r.farMoves(admitted) {
+		return nil
+	}
+	return store
+}
+
+// farMoves tells whether the cache of a token takes less time from another region than reading
+// it, by the link of a store: those of back ends are not told.
+func (r *Relay) farMoves(admitted *admission) bool {
+	for _, store := range admitted.state.Table.PromptStores() {
+		took := moveTime(admitted, store)
+		return took > 0 && crossRegionFactor*took < usualTokenTime
+	}
+	return false
+}
+
+// moveTime is how long the cache of a token takes on a store's link; zero is unknown.
+func moveTime(admitted *admission, store *routing.PromptStore) time.Duration {
+	rate := linkRate(admitted, store)
+	if rate == 0 {
+		return 0
+	}
+	return time.Duration(float64(time.Second) / rate)
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"github.com/lotusward/lotusward/internal/cachewatch"
@@ -11,6 +12,7 @@
 	"github.com/lotusward/lotusward/internal/core/outcome"
 	"github.com/lotusward/lotusward/internal/core/promptcache"
 	"github.com/lotusward/lotusward/internal/core/quarantine"
+	"github.com/lotusward/lotusward/internal/core/regionchoice"
 	"github.com/lotusward/lotusward/internal/core/rendezvous"
 	"github.com/lotusward/lotusward/internal/core/routing"
 )
@@ -46,6 +48,8 @@
 	// Loads knows what is under way at back ends where there are too many daemons to tell
 	// all; nil is never.
 	Loads Loads
+	// Rooms knows what room other regions have; nil where all daemons tell all of their loads.
+	Rooms Rooms
 	// Limits keeps tenants within their limits; nil where there are none.
 	Limits TenantLimits
 	// Crashes knows under which requests back ends ended; nil is never.
@@ -62,6 +66,8 @@
 	links   *linkBudgets
 	waiting *waitingLists
 	begins  *beginTimes
+	// credit bounds what is sent to other regions.
+	credit *regionchoice.Credit
 }
 
 // New makes a Relay.
@@ -72,7 +78,7 @@
 	if options.Crashes == nil {
 		options.Crashes = noCrashes{}
 	}
-	made := &Relay{options: options, links: newLinkBudgets(), waiting: newWaitingLists(options.Now), begins: newBeginTimes()}
+	made := &Relay{options: options, links: newLinkBudgets(), waiting: newWaitingLists(options.Now), begins: newBeginTimes(), credit: regionchoice.NewCredit(rand.Float64)}
 	options.Pool.OnFreed(made.waiting.wakeFirst)
 	return made
 }
@@ -202,7 +208,7 @@
 	total, own := promptTokens(prompt.Parts)
 	query.SharedTokens, query.OwnTokens = total-own, own
 	query.OutputTokens = prompt.OutputTokens
-	query.Cached = func(version uint64) backendpool.Cached { return r.cached(admitted, version) }
+	query.Cached = func(version uint64) backendpool.Cached { return r.cached(admitted, version, "") }
 	return query
 }
 
