Tell all daemons of large parts that were dropped

That a back end had read a large part was told to all daemons, that it had dropped it to four of them: among many daemons the others went on for up to 25 s to count on what was gone, and read anew what another one still held. A drop is now told to all if the part was known to be large; the watcher of the cache knows.

--- a/internal/core/promptcache/promptcache.go
+++ b/internal/core/promptcache/promptcache.go
@@ -59,7 +59,7 @@
 }
 
 // ForAll tells whether the fact is worth telling all daemons.
-func (f Fact) ForAll() bool { return f.Tokens >= largeTokens && !f.Dropped }
+func (f Fact) ForAll() bool { return f.Tokens >= largeTokens }
 
 type holder struct {
 	backend uint64
@@ -74,6 +74,8 @@
 	// holders are the back ends of the last requests, newest first.
 	holders []holder
 	savedAt time.Time
+	// tokens is how large the part is known to be.
+	tokens int
 }
 
 // Memory is safe for use by several goroutines.
@@ -189,6 +191,9 @@
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
 	fact.Dropped = true
+	if element := m.records[fact.Part]; element != nil {
+		fact.Tokens = element.Value.(*record).tokens
+	}
 	if m.drop(now, fact) && len(m.untold) < maximumUntold {
 		m.untold = append(m.untold, fact)
 	}
@@ -221,6 +226,7 @@
 // believed to hold.
 func (m *Memory) note(now time.Time, fact Fact) *record {
 	found := m.touch(fact.Part)
+	found.tokens = max(found.tokens, fact.Tokens)
 	newest := holder{backend: fact.Backend, at: now, read: fact.Read}
 	found.holders = slices.DeleteFunc(found.holders, func(known holder) bool {
 		if known.backend != fact.Backend {
--- a/internal/core/promptcache/promptcache_test.go
+++ b/internal/core/promptcache/promptcache_test.go
@@ -96,3 +96,17 @@
 	memory.HasDropped(now.Add(3*eventTime), fact)
 	assert.Equal(t, len(memory.Untold()), 0, "what is not known needs no telling")
 }
+
+// TestDropsOfLargePartsAreForAll tells all daemons that a large part was dropped, as they were
+// told that it was read, and a few of a small one.
+func TestDropsOfLargePartsAreForAll(t *testing.T) {
+	for tokens, forAll := range map[int]bool{largeTokens: true, largeTokens - 1: false} {
+		memory, now := New(), time.Unix(1000, 0)
+		memory.Holds(now, Fact{Part: 1, Backend: 2, Tokens: tokens})
+		memory.HasDropped(now.Add(2*eventTime), Fact{Part: 1, Backend: 2, Tokens: 16})
+		told := memory.Untold()
+		assert.Equal(t, len(told), 1)
+		assert.Assert(t, told[0].Dropped)
+		assert.Equal(t, told[0].ForAll(), forAll)
+	}
+}
