--- a/internal/peerlink/peerlink.go
+++ b/internal/peerlink/peerlink.go
@@ -56,6 +56,11 @@
 	KindPresenceAnswer
 	// KindTaken says that a daemon spreads a forwarded datagram in its region.
 	KindTaken
+	// KindRoom tells another region what room the sender's has, KindRoomQuestion asks in the
+	// own region what others told, and KindRoomAnswer answers.
+	KindRoom
+	KindRoomQuestion
+	KindRoomAnswer
 	kindEnd
 )
 
@@ -65,6 +70,7 @@
 	KindLimitAsk: "limit_ask", KindLimitAnswer: "limit_answer", KindLimitReturn: "limit_return",
 	KindLoadNote: "load_note", KindLoadQuestion: "load_question", KindLoadAnswer: "load_answer",
 	KindCrashes: "crashes", KindTaken: "taken",
+	KindRoom: "room", KindRoomQuestion: "room_question", KindRoomAnswer: "room_answer",
 	KindVersionReport: "version_report", KindVersionGrant: "version_grant", KindVersionStop: "version_stop", KindVersionStanding: "version_standing",
 	KindPresenceQuestion: "presence_question", KindPresenceAnswer: "presence_answer",
 }
