--- a/cmd/internal/daemon/wire.go
+++ b/cmd/internal/daemon/wire.go
@@ -42,6 +42,7 @@
 	"github.com/lotusward/lotusward/internal/relay"
 	"github.com/lotusward/lotusward/internal/requestlog"
 	"github.com/lotusward/lotusward/internal/rollout"
+	"github.com/lotusward/lotusward/internal/roomshare"
 	"github.com/lotusward/lotusward/internal/tenantlimit"
 	"github.com/lotusward/lotusward/internal/weightupdate"
 	"github.com/lotusward/lotusward/platform"
@@ -73,6 +74,7 @@
 	loads     *loadshare.Sharer
 	presence  *presence.List
 	homes     *loadhome.Homes
+	rooms     *roomshare.Sharer
 	limits    *tenantlimit.Limiter
 	prober    *prober.Prober
 	crashes   *crashwatch.Watcher
@@ -138,6 +140,7 @@
 	w.link = peerlink.New(w.settings.InternalAddress(), w.part("peers"))
 	w.backends = backendpool.New(w.settings.Zone)
 	w.backends.SetPlacement(w.options.Placement)
+	w.backends.SetDistances(w.regions)
 	w.memory = promptcache.New()
 	w.budgets = relay.NewBudgets(retry.Limits{
 		Window: platform.Seconds(bounds.BudgetWindowS),
@@ -175,6 +178,7 @@
 		}),
 		Contacts:         w.members,
 		Topology:         w.topology,
+		StoreTime:        w.members.StoreTime,
 		SteadyTime:       platform.Milliseconds(bounds.ContactMs),
 		VersionHeadStart: versionGrace(bounds) - platform.Milliseconds(bounds.ContactMs),
 	})
@@ -189,9 +193,16 @@
 	w.loads = loadshare.New(loadshare.Options{
 		Link: w.link, Others: w.members.Others, Pool: w.backends, Memory: w.memory,
 	})
-	w.homes = loadhome.New(loadhome.Options{Link: w.link, Others: w.members.Others, Pool: w.backends, Presence: w.presence})
+	w.homes = loadhome.New(loadhome.Options{
+		Link: w.link, Others: w.members.Others, Pool: w.backends, Presence: w.presence,
+		Zone: w.members.Zone, Own: w.settings.Zone, Distances: w.regions,
+	})
+	w.rooms = roomshare.New(roomshare.Options{
+		Link: w.link, Others: w.members.Others, Zone: w.members.Zone, Capacity: w.members.Capacity, Own: w.settings.Zone,
+		Distances: w.regions, Pool: w.backends, Refresh: w.refreshLoads,
+	})
 	w.limits = tenantlimit.New(tenantlimit.Options{
-		Link: w.link, Others: w.members.Others, Count: w.members.Count, Presence: w.presence,
+		Link: w.link, Topology: w.topology, Count: w.members.Count, Presence: w.presence,
 		Margin: limitMarginShare * bounds.QuotaSlack, Log: w.part("limits"),
 	})
 	w.prober = prober.New(prober.Options{Pool: w.backends, Reach: w.runners.Reach, Log: w.part("probe")})
@@ -202,8 +213,9 @@
 	relaying := relay.New(relay.Options{
 		Control: w.directory, Pool: w.backends, Backends: w.runners, Budgets: w.budgets,
 		Policy: policy(w.settings.Bounds), Memory: w.memory, Stores: w.promptsIn.Cache,
-		Daemons: w.members.Count, Limits: w.limits, Loads: w.homes, Crashes: w.crashes, Versions: w.versions(),
-		Journal: requestlog.New(w.part("relay"), counters),
+		Daemons: w.members.Count, Limits: w.limits, Loads: w.homes, Rooms: w.rooms, Crashes: w.crashes,
+		Versions: w.versions(),
+		Journal:  requestlog.New(w.part("relay"), counters),
 	})
 	w.serving = newServing(w.settings, relaying, w.directory, w.crashes.Informed, w.part("front"))
 	w.addInterfaces(relaying)
@@ -230,7 +242,7 @@
 	bounds := w.settings.Bounds
 	duty := &leasekeeper.Duty{
 		Pending: func() bool { return w.weights.Pending() }, First: w.directory.ReadsForAll,
-		Candidate: &leasekeeper.Candidate{Count: w.members.Count, Held: w.holdsLease},
+		Candidate: &leasekeeper.Candidate{Count: w.members.Count, Share: w.shareOfRoom, Held: w.holdsLease},
 		Linger:    rest(bounds) + leaseLinger,
 	}
 	w.keeper = leasekeeper.New(leasekeeper.Options{
@@ -276,8 +288,13 @@
 // refreshLoad asks what other daemons have under way at a back end, where there are too many
 // daemons to tell all.
 func (w *Daemon) refreshLoad(ctx context.Context, id identity.BackendID) {
+	w.refreshLoads(ctx, []uint64{rendezvous.Key(string(id))})
+}
+
+// refreshLoads does so for some back ends, by the hashes of their IDs.
+func (w *Daemon) refreshLoads(ctx context.Context, keys []uint64) {
 	if w.homes.Needed() {
-		w.homes.Refresh(ctx, []uint64{rendezvous.Key(string(id))})
+		w.homes.Refresh(ctx, keys)
 	}
 }
 
--- a/internal/core/backendpool/pool.go
+++ b/internal/core/backendpool/pool.go
@@ -8,6 +8,7 @@
 
 	"golang.org/x/time/rate"
 
+	"github.com/lotusward/lotusward/internal/core/distance"
 	"github.com/lotusward/lotusward/internal/core/identity"
 )
 
@@ -44,6 +45,12 @@
 	// those that are doubted since they failed requests are taken then, as the evidence against a
 	// bad version comes from these.
 	Trial bool
+	// Region is where the back end must be; empty is anywhere.
+	Region identity.Region
+	// FarMoves is set where taking a token's cache from another region is quicker than reading.
+	FarMoves bool
+	// farCached says where the parts are in all regions.
+	farCached func(version uint64) Cached
 	// newest is the newest version that any back end which would do holds.
 	newest uint64
 }
@@ -53,7 +60,11 @@
 	mutex    sync.Mutex
 	zone     identity.Zone
 	services map[identity.ServiceName][]*entry
-	byID     map[identity.BackendID]*entry
+	// byRegion are the same by their regions; region is the daemon's own.
+	byRegion  map[regional][]*entry
+	region    identity.Region
+	distances distance.Map
+	byID      map[identity.BackendID]*entry
 	// byKey are the same by the hashes of their IDs.
 	byKey map[uint64]*entry
 	// departed are those that are no longer listed and have requests of this daemon under way.
@@ -137,7 +148,7 @@
 	p.updates++
 	byAddress := map[string]uint64{}
 	byID := make(map[identity.BackendID]*entry, len(backends))
-	services := map[identity.ServiceName][]*entry{}
+	services, byRegion := map[identity.ServiceName][]*entry{}, map[regional][]*entry{}
 	for _, backend := range backends {
 		found := p.byID[backend.ID]
 		switch {
@@ -149,8 +160,11 @@
 			change.Draining = append(change.Draining, backend.ID)
 		}
 		found.backend = backend
+		found.far = p.distances.Between(p.zone, backend.Zone) == distance.OtherRegion
 		byID[backend.ID] = found
 		services[backend.Service] = append(services[backend.Service], found)
+		place := regional{backend.Service, p.distances.Region(backend.Zone)}
+		byRegion[place] = append(byRegion[place], found)
 		byAddress[backend.Address] = max(byAddress[backend.Address], found.listedAt)
 	}
 	for _, found := range byID {
@@ -170,7 +184,7 @@
 		}
 	}
 	p.byID = byID
-	p.services = services
+	p.services, p.byRegion = services, byRegion
 	clear(p.byKey)
 	for _, found := range byID {
 		p.byKey[found.key] = found
@@ -227,7 +241,7 @@
 		return nil
 	}
 	query.newest = p.newestVersion(now, query)
-	query = query.remembered()
+	query = p.near(query).remembered()
 	picked, work := p.choose(candidates, query)
 	waiting := picked.waiting()
 	tokens := query.SharedTokens + query.OwnTokens
@@ -254,7 +268,7 @@
 func (p *Pool) candidates(now time.Time, query Query) (found []*entry, busy int) {
 	var sound, soon, doubted []*entry
 	full := 0
-	for _, candidate := range p.services[query.Service] {
+	for _, candidate := range p.listed(query) {
 		switch {
 		case !allowed(now, candidate, query):
 		case query.Trial && p.outOfUse(now, candidate):
@@ -320,10 +334,18 @@
 	Listed, Draining, Failed, OtherVersion, OldWeights, Busy int
 }
 
+// Plus adds up what was found in two regions.
+func (s Shortage) Plus(other Shortage) Shortage {
+	return Shortage{
+		Listed: s.Listed + other.Listed, Draining: s.Draining + other.Draining, Failed: s.Failed + other.Failed,
+		OtherVersion: s.OtherVersion + other.OtherVersion, OldWeights: s.OldWeights + other.OldWeights, Busy: s.Busy + other.Busy,
+	}
+}
+
 // shortage tells why a query finds no back end now. The caller holds the mutex.
 func (p *Pool) shortage(now time.Time, query Query) Shortage {
 	var shortage Shortage
-	for _, found := range p.services[query.Service] {
+	for _, found := range p.listed(query) {
 		shortage.Listed++
 		switch {
 		case found.backend.Draining, found.replaced:
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -91,6 +91,9 @@
 	Others func() []string
 	// Topology is where the other daemons are; without its Others it is made of the above.
 	Topology peerlink.Topology
+	// StoreTime returns how long this daemon's calls of the store take, zero while it isn't known;
+	// nil is never known.
+	StoreTime func() time.Duration
 	// OnMembers is called with all daemons when there are new ones or some are described
 	// anew; it may be nil and must not block.
 	OnMembers func([]member.Descriptor)
@@ -122,6 +125,8 @@
 	// lag says what this daemon lacks, and behind has a value when it changed.
 	lag    atomic.Pointer[lag]
 	behind chan struct{}
+	// declaredChanged has a value when what operators declared is known to have changed.
+	declaredChanged signal
 	// waited is when another daemon last told that operators have declared nothing yet.
 	waited atomic.Pointer[time.Time]
 	// shown are the lists as other daemons may be given them.
@@ -138,6 +143,8 @@
 	// told are what other daemons saw last, by model.
 	told      map[identity.ModelName][]Seen
 	freshness map[table]*freshness
+	moments   moments
+	held      held
 	reachable map[table]bool
 	changeLog changeLog
 	members   *memberList
@@ -177,6 +184,7 @@
 	checked map[string]uint64
 	adopted *adoption
 	seen    []Seen
+	told    *toldChange
 	// standing was written by a daemon.
 	standing *rollout.Standing
 	err      error
@@ -199,9 +207,10 @@
 		bulletins: make(chan heardBulletin, waitingBulletins),
 		turn: newTurn(turnOptions{
 			self: options.Self, alone: options.Tell == nil, interval: options.Interval, others: options.Others,
+			capacity: options.Topology.CapacityOf, storeTime: options.StoreTime,
 		}),
 		positions: map[table]*atomic.Uint64{tableDeclared: {}, tableBackends: {}, tableMembers: {}},
-		behind:    make(chan struct{}, 1),
+		behind:    make(chan struct{}, 1), declaredChanged: newSignal(),
 		versions:  map[identity.ModelName][]relay.NamedVersion{},
 		backends:  newBackendList(),
 		members:   newMemberList(),
@@ -253,6 +262,7 @@
 	go d.join(ctx)
 	go d.catchUp(ctx)
 	go d.read(ctx, tableDeclared, d.readDeclared)
+	go d.watchDeclared(ctx)
 	go d.read(ctx, tableBackends, d.readBackends)
 	go d.read(ctx, tableMembers, d.readMembers)
 	repeat := time.NewTicker(repeatInterval)
@@ -291,6 +301,8 @@
 		d.applyMembers(got)
 	case got.adopted != nil:
 		d.adopt(got.adopted)
+	case got.told != nil:
+		d.applyTold(got)
 	case got.seen != nil:
 		d.applySeen(got.seen)
 	case got.standing != nil:
--- a/internal/directory/listing.go
+++ b/internal/directory/listing.go
@@ -36,6 +36,7 @@
 // what is known were told by another daemon meanwhile.
 func (d *Directory) applyChanges(got message) {
 	changes := got.changes
+	d.moments.note(changes.Reading)
 	if changes.Malformed != nil {
 		d.options.Log.WithError(changes.Malformed).Error("Some back ends cannot be read.")
 	}
