--- a/internal/rollout/coordinator.go
+++ b/internal/rollout/coordinator.go
@@ -157,7 +157,7 @@
 		stops:      map[identity.ServiceName]*stop{},
 	}
 	handle(made, peerlink.KindVersionReport, made.hearReport)
-	handle(made, peerlink.KindVersionGrant, made.hearGrant)
+	handle(made, peerlink.KindVersionGrant, made.takeGrant)
 	handle(made, peerlink.KindVersionStop, made.hearStop)
 	handle(made, peerlink.KindVersionStanding, made.hearStanding)
 	handle(made, peerlink.KindPresenceQuestion, made.hearPresenceQuestion)
--- a/internal/rollout/fleet_test.go
+++ b/internal/rollout/fleet_test.go
@@ -20,7 +20,6 @@
 	"github.com/lotusward/lotusward/internal/peerlink"
 	"github.com/lotusward/lotusward/internal/peerlink/peerlinktest"
 	"github.com/lotusward/lotusward/internal/presence"
-	"github.com/lotusward/lotusward/internal/relay"
 )
 
 const (
@@ -393,5 +392,3 @@
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) { play(t) })
 }
-
-var _ relay.Versions = (*Coordinator)(nil)
--- a/internal/rollout/reporter.go
+++ b/internal/rollout/reporter.go
@@ -176,11 +176,7 @@
 	}
 }
 
-// hearGrant takes in a collector's answer.
-func (c *Coordinator) hearGrant(ctx context.Context, now time.Time, from string, got grantMessage) {
-	c.takeGrant(ctx, now, from, got)
-}
-
+// takeGrant takes in a collector's answer.
 func (c *Coordinator) takeGrant(ctx context.Context, now time.Time, from string, got grantMessage) {
 	if got.Standing != nil {
 		c.learn(ctx, *got.Standing)
--- a/internal/rollout/traffic.go
+++ b/internal/rollout/traffic.go
@@ -97,22 +97,26 @@
 	if believed.Standing.Row == 0 {
 		shared.learnFallback(believed, c.options.Backends.SoftwareVersions(service))
 	}
-	if !active {
-		return
+	if active {
+		c.prepare(now, shared, rollout.Order{Service: service, Target: believed.Standing.Target, Number: order}, listed)
 	}
+}
+
+// prepare makes the traffic ready for the order under way, with the listed back ends of its target
+// while it is under trial. The caller holds the traffic's mutex.
+func (c *Coordinator) prepare(now time.Time, shared *traffic, order rollout.Order, listed []uint64) {
 	if shared.exposure == nil {
 		shared.exposure = rollout.NewExposure(c.options.ExposureShare, rand.Float64())
 	}
-	if stop := c.stops[service]; stop != nil && stop.order == order {
+	if stop := c.stops[order.Service]; stop != nil && stop.order == order.Number {
 		shared.stopped = true
 	}
 	shared.backends = nil
 	if len(listed) > 0 {
-		named := rollout.Order{Service: service, Target: believed.Standing.Target, Number: order}
-		shared.backends = rollout.TrialBackends(named, listed, c.options.ExposureShare)
+		shared.backends = rollout.TrialBackends(order, listed, c.options.ExposureShare)
 	}
 	shared.remember(now)
-	c.metrics.noteShare(service, shared.sent.share(shared.marks[0].sent))
+	c.metrics.noteShare(order.Service, shared.sent.share(shared.marks[0].sent))
 }
 
 // follow begins anew where the order is another one. It tells whether the standing is.
