--- a/internal/rollout/collector_test.go
+++ b/internal/rollout/collector_test.go
@@ -41,6 +41,7 @@
 func TestCollectorTellsNewerStanding(t *testing.T) {
 	lone, _ := newLone(rollout.StageShift)
 	answer := lone.collect(clock.Now(), "10.0.0.2:1", reportMessage{Service: testService, Order: 5, Row: 4})
+	assert.Assert(t, answer.Standing != nil)
 	assert.Equal(t, answer.Standing.Row, uint64(6))
 	assert.Assert(t, lone.collect(clock.Now(), "10.0.0.2:1", reportMessage{Service: testService, Order: 5, Row: 6}).Standing == nil)
 }
--- a/internal/rollout/fault_test.go
+++ b/internal/rollout/fault_test.go
@@ -312,12 +312,7 @@
 		fleet.order(testService, "bad", testDuration)
 		assert.Assert(t, fleet.until(testDuration, func() bool { return len(fleet.trials) > 0 }))
 		number := fleet.store.standing(testService).Order
-		deaf := fleet.members[0]
-		for _, each := range fleet.members {
-			if !slices.Contains(deaf.coordinator.collectorsOf(testService, number), each.Address()) {
-				deaf = each
-			}
-		}
+		deaf := fleet.outsider(number)
 		deaf.Handle(peerlink.KindVersionStop, func(string, []byte) {})
 		deaf.Handle(peerlink.KindVersionStanding, func(string, []byte) {})
 		peerlink.HandleDecoded(deaf, peerlink.KindVersionGrant, func(from string, got grantMessage) {
@@ -326,7 +321,7 @@
 		})
 		fleet.store.setDown(true)
 		fleet.badness["bad"] = 0.9
-		assert.Assert(t, fleet.until(5*time.Second, func() bool { return fleet.members[1].coordinator.stops[testService] != nil }))
+		assert.Assert(t, fleet.until(5*time.Second, func() bool { return fleet.members[0].coordinator.stops[testService] != nil }))
 		fleet.run(time.Second)
 		exposed := fleet.trials[number]
 		assert.Assert(t, deaf.coordinator.stops[testService] == nil)
@@ -349,6 +344,15 @@
 	}
 }
 
+// outsider is a daemon that is no collector of an order, and doesn't read for all.
+func (f *fleet) outsider(order uint64) *member {
+	collectors := f.members[0].coordinator.collectorsOf(testService, order)
+	index := slices.IndexFunc(f.members, func(each *member) bool {
+		return each.index > 0 && !slices.Contains(collectors, each.Address())
+	})
+	return f.members[index]
+}
+
 // TestUnseenOrder cuts some daemons off before an order. Where they are fewer than half the others
 // complete it, and they refuse requests by then; two halves don't complete it.
 func TestUnseenOrder(t *testing.T) {
@@ -542,13 +546,13 @@
 	inBubble(t, func(t *testing.T) {
 		fleet := newQuietFleet(19, 7, testService)
 		fleet.longest = 100 * time.Millisecond
-		fleet.order(testService, newVersion, testDuration)
+		number := fleet.order(testService, newVersion, testDuration)
 		assert.Assert(t, fleet.until(testDuration, fleet.at(testService, rollout.StageTrial)))
 		fleet.run(3 * time.Second)
-		missing := fleet.members[4]
+		missing := fleet.outsider(number)
 		missing.Handle(peerlink.KindVersionStanding, func(string, []byte) {})
 		fleet.store.before = func(standing rollout.Standing, writer *member) {
-			if standing.Stage == rollout.StageShift && writer != missing {
+			if standing.Stage == rollout.StageShift && writer != missing && !missing.storeless.Load() {
 				missing.storeless.Store(true)
 			}
 		}
