Hear at once of what operators change

The reader found changes at its next check, up to a second later, and the time of old weights counted from the check before. Beside the checks it now has one call for changes of the operators' rows held; an answer has them read at once, and tells within 0.1 s when a version was not named yet, if the call had reached the store before. The store answers held calls promptly or is disturbed, and then the time for a version doesn't count. Checks confirm as before: an answer of the feed never does.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -125,6 +125,8 @@
 	// lag says what this daemon lacks, and behind has a value when it changed.
 	lag    atomic.Pointer[lag]
 	behind chan struct{}
+	// declaredChanged has a value when what operators declared is known to have changed.
+	declaredChanged signal
 	// waited is when another daemon last told that operators have declared nothing yet.
 	waited atomic.Pointer[time.Time]
 	// shown are the lists as other daemons may be given them.
@@ -142,6 +144,7 @@
 	told      map[identity.ModelName][]Seen
 	freshness map[table]*freshness
 	moments   moments
+	held      held
 	reachable map[table]bool
 	changeLog changeLog
 	members   *memberList
@@ -181,6 +184,7 @@
 	checked map[string]uint64
 	adopted *adoption
 	seen    []Seen
+	told    *toldChange
 	// standing was written by a daemon.
 	standing *rollout.Standing
 	err      error
@@ -206,7 +210,7 @@
 			capacity: options.Topology.CapacityOf, storeTime: options.StoreTime,
 		}),
 		positions: map[table]*atomic.Uint64{tableDeclared: {}, tableBackends: {}, tableMembers: {}},
-		behind:    make(chan struct{}, 1),
+		behind:    make(chan struct{}, 1), declaredChanged: newSignal(),
 		versions:  map[identity.ModelName][]relay.NamedVersion{},
 		backends:  newBackendList(),
 		members:   newMemberList(),
@@ -258,6 +262,7 @@
 	go d.join(ctx)
 	go d.catchUp(ctx)
 	go d.read(ctx, tableDeclared, d.readDeclared)
+	go d.watchDeclared(ctx)
 	go d.read(ctx, tableBackends, d.readBackends)
 	go d.read(ctx, tableMembers, d.readMembers)
 	repeat := time.NewTicker(repeatInterval)
@@ -296,6 +301,8 @@
 		d.applyMembers(got)
 	case got.adopted != nil:
 		d.adopt(got.adopted)
+	case got.told != nil:
+		d.applyTold(got)
 	case got.seen != nil:
 		d.applySeen(got.seen)
 	case got.standing != nil:
--- a/internal/directory/memorysource_test.go
+++ b/internal/directory/memorysource_test.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/lotusward/lotusward/internal/pause"
 	"github.com/lotusward/lotusward/internal/port"
 )
 
@@ -65,6 +66,12 @@
 	return s.declared.RowVersion == rows["config"], s.failure
 }
 
+// DeclaredChanges tells nothing: checks find changes.
+func (s *memorySource) DeclaredChanges(ctx context.Context, _ uint64, wait time.Duration) (DeclaredChange, error) {
+	pause.For(ctx, wait)
+	return DeclaredChange{}, ctx.Err()
+}
+
 func (s *memorySource) Members(context.Context, string) (Members, error) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
--- a/internal/directory/reader.go
+++ b/internal/directory/reader.go
@@ -56,6 +56,8 @@
 	// next makes one call. It returns the version to go on after, and true when
 	// the table has to be read as a whole now.
 	next func(ctx context.Context, after uint64, wait time.Duration) (message, uint64, bool)
+	// changed has a value once the table is known to have changed; nil never has.
+	changed signal
 }
 
 // follow follows changes until the table is to be read as a whole. After a failed
@@ -64,7 +66,9 @@
 	after := following.after
 	retries := d.newRetrying()
 	for ctx.Err() == nil {
-		pause.For(ctx, following.pause)
+		if d.awaitNext(ctx, following) {
+			return
+		}
 		given := d.awaitTurn(ctx, following.table)
 		left := clock.Until(following.until)
 		told := !d.turn.readsForAll()
@@ -176,7 +180,7 @@
 	got := message{table: tableDeclared, began: began, ended: clock.Now(), declared: &declared, err: err}
 	return got, follow{
 		after: declared.Version, until: untilNextReading(got.ended, declaredInterval, declared.Bytes),
-		pause: d.options.Interval,
+		pause: d.options.Interval, changed: d.declaredChanged,
 		next: func(ctx context.Context, _ uint64, _ time.Duration) (message, uint64, bool) {
 			return d.checkDeclared(ctx, declared.Rows)
 		},
--- a/internal/directory/source.go
+++ b/internal/directory/source.go
@@ -54,6 +54,13 @@
 	Malformed error
 }
 
+// DeclaredChange tells whether rows of the operators changed after a version.
+type DeclaredChange struct {
+	// Reading is of the moment of the answer.
+	Reading
+	Changed bool
+}
+
 // Listed is a page of the list of back ends.
 type Listed struct {
 	Reading
@@ -138,6 +145,8 @@
 	// Unchanged tells whether rows of the operators, by key, still have the versions
 	// given. It is never answered from an earlier moment than the call's.
 	Unchanged(ctx context.Context, rows map[string]uint64) (bool, error)
+	// DeclaredChanges returns when a row of the operators changed after a version, or after a time.
+	DeclaredChanges(ctx context.Context, after uint64, wait time.Duration) (DeclaredChange, error)
 	// Backends reads the page of the list that begins at a place; empty is the first.
 	Backends(ctx context.Context, from string) (Listed, error)
 	BackendChanges(ctx context.Context, after uint64, wait time.Duration) (Changes, error)
--- a/internal/directory/versions.go
+++ b/internal/directory/versions.go
@@ -61,7 +61,8 @@
 	changed := false
 	for _, model := range slices.Sorted(maps.Keys(declared.Versions)) {
 		version := declared.Versions[model]
-		found := d.laterOf(d.unnamed(now, version), d.moments.before(declared.VersionRows[model]))
+		row := declared.VersionRows[model]
+		found := d.laterOf(d.laterOf(d.unnamed(now, version), d.moments.before(row)), d.held.before(row))
 		if !d.started {
 			found = relay.NamedVersion{Version: version, NamedAfter: now.Add(-d.options.VersionHeadStart), Guessed: true}
 		}
