--- a/internal/peerlink/peerlink.go
+++ b/internal/peerlink/peerlink.go
@@ -51,8 +51,16 @@
 	KindVersionGrant
 	KindVersionStop
 	KindVersionStanding
+	// KindPresenceQuestion asks whether a daemon is there, and KindPresenceAnswer answers.
+	KindPresenceQuestion
+	KindPresenceAnswer
 	// KindTaken says that a daemon spreads a forwarded datagram in its region.
 	KindTaken
+	// KindRoom tells another region what room the sender's has, KindRoomQuestion asks in the
+	// own region what others told, and KindRoomAnswer answers.
+	KindRoom
+	KindRoomQuestion
+	KindRoomAnswer
 	kindEnd
 )
 
@@ -62,7 +70,9 @@
 	KindLimitAsk: "limit_ask", KindLimitAnswer: "limit_answer", KindLimitReturn: "limit_return",
 	KindLoadNote: "load_note", KindLoadQuestion: "load_question", KindLoadAnswer: "load_answer",
 	KindCrashes: "crashes", KindTaken: "taken",
+	KindRoom: "room", KindRoomQuestion: "room_question", KindRoomAnswer: "room_answer",
 	KindVersionReport: "version_report", KindVersionGrant: "version_grant", KindVersionStop: "version_stop", KindVersionStanding: "version_standing",
+	KindPresenceQuestion: "presence_question", KindPresenceAnswer: "presence_answer",
 }
 
 // String names the kind for logs and metrics.
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"github.com/lotusward/lotusward/internal/cachewatch"
@@ -11,6 +12,7 @@
 	"github.com/lotusward/lotusward/internal/core/outcome"
 	"github.com/lotusward/lotusward/internal/core/promptcache"
 	"github.com/lotusward/lotusward/internal/core/quarantine"
+	"github.com/lotusward/lotusward/internal/core/regionchoice"
 	"github.com/lotusward/lotusward/internal/core/rendezvous"
 	"github.com/lotusward/lotusward/internal/core/routing"
 )
@@ -23,8 +25,11 @@
 	usualTokenTime = 25 * time.Microsecond
 	// shortShare of that is how long a prompt is that never waits: it holds nobody up.
 	shortShare = 0.1
-	// promptShare of a back end's memory is the most for prompts under way.
-	promptShare = 0.7
+	// promptShare of a back end's memory is the most for prompts under way: it keeps parts that
+	// others share in the rest. With 0.7 fewer requests were refused and more parts dropped: on
+	// three days of an overload in three regions answers were worth 0.466, 0.463 and 0.535, with
+	// a half 0.521, 0.512 and 0.541; where one region has quick moves there was no difference.
+	promptShare = 0.5
 	// waitShare of its time is the longest that a request without a target latency waits at
 	// the daemon.
 	waitShare = 0.4
@@ -46,6 +51,8 @@
 	// Loads knows what is under way at back ends where there are too many daemons to tell
 	// all; nil is never.
 	Loads Loads
+	// Rooms knows what room other regions have; nil where all daemons tell all of their loads.
+	Rooms Rooms
 	// Limits keeps tenants within their limits; nil where there are none.
 	Limits TenantLimits
 	// Crashes knows under which requests back ends ended; nil is never.
@@ -64,6 +71,8 @@
 	links   *linkBudgets
 	waiting *waitingLists
 	begins  *beginTimes
+	// credit bounds what is sent to other regions.
+	credit *regionchoice.Credit
 }
 
 // New makes a Relay.
@@ -74,7 +83,7 @@
 	if options.Crashes == nil {
 		options.Crashes = noCrashes{}
 	}
-	made := &Relay{options: options, links: newLinkBudgets(), waiting: newWaitingLists(options.Now), begins: newBeginTimes()}
+	made := &Relay{options: options, links: newLinkBudgets(), waiting: newWaitingLists(options.Now), begins: newBeginTimes(), credit: regionchoice.NewCredit(rand.Float64)}
 	options.Pool.OnFreed(made.waiting.wakeFirst)
 	return made
 }
@@ -204,7 +213,7 @@
 	total, own := promptTokens(prompt.Parts)
 	query.SharedTokens, query.OwnTokens = total-own, own
 	query.OutputTokens = prompt.OutputTokens
-	query.Cached = func(version uint64) backendpool.Cached { return r.cached(admitted, version) }
+	query.Cached = func(version uint64) backendpool.Cached { return r.cached(admitted, version, "") }
 	return query
 }
 
--- a/internal/rollout/collector.go
+++ b/internal/rollout/collector.go
@@ -31,6 +31,7 @@
 	evidence map[countedBy]*routes
 	changed  bool
 	judgedAt time.Time
+	monitor  rollout.Monitor
 	verdict  rollout.Verdict
 	// shiftRow is the standing of the shift, and shiftSince when this collector learned of it.
 	shiftRow   uint64
@@ -55,7 +56,7 @@
 
 // routes is the evidence of one life of a daemon.
 type routes struct {
-	// number is of the newest report.
+	// number is of the report that told the sample.
 	number uint64
 	byName map[string]numbered
 	sample []rollout.BackendCounts
@@ -133,10 +134,10 @@
 			counted.byName[route.Route] = numbered{number: got.Number, evidence: route}
 		}
 	}
-	if got.Number >= counted.number {
+	if got.Number >= counted.number && len(got.Sample) > 0 {
 		counted.number, counted.sample = got.Number, got.Sample
 	}
-	c.changed = true
+	c.changed = c.changed || len(got.Routes) > 0
 }
 
 // pool adds up the evidence of all daemons.
@@ -161,7 +162,7 @@
 	}
 	found.changed, found.judgedAt = false, now
 	pooled := found.pool()
-	found.verdict = rollout.Compare(pooled)
+	found.verdict = found.monitor.Compare(pooled)
 	c.traffic(service).notePooled(order, pooled)
 	if found.verdict.Bad {
 		c.noteStop(now, service, order, found.verdict.Reason, c.self)
--- a/internal/rollout/fault_test.go
+++ b/internal/rollout/fault_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"slices"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -72,12 +73,11 @@
 func failDriver(t *testing.T, stage rollout.Stage, written bool, fault func(*member, bool)) {
 	fleet := newFleet(4, 7, testService)
 	fleet.longest = time.Second
-	hit := false
+	var hit atomic.Bool
 	strike := func(standing rollout.Standing, writer *member) {
-		if hit || standing.Stage != stage {
+		if standing.Stage != stage || hit.Swap(true) {
 			return
 		}
-		hit = true
 		writer.Freeze()
 		fleet.later(func() { writer.Thaw(); fault(writer, true) })
 		time.AfterFunc(faultTime, func() { fleet.later(func() { fault(writer, false) }) })
@@ -90,7 +90,7 @@
 	fleet.run(2 * time.Second)
 	fleet.order(testService, newVersion, testDuration)
 	assert.Assert(t, fleet.until(testDuration+patience, fleet.at(testService, rollout.StageCompleted)))
-	assert.Assert(t, hit)
+	assert.Assert(t, hit.Load())
 	fleet.run(faultTime)
 	fleet.check(t)
 }
@@ -99,7 +99,7 @@
 // stopped, and after the confirmation limit requests are refused until the store is back.
 func TestStoreDown(t *testing.T) {
 	inBubble(t, func(t *testing.T) {
-		fleet := newQuietFleet(5, 8, testService, "apps")
+		fleet := newQuietFleet(5, 12, testService, "apps")
 		fleet.badness[newVersion] = 0
 		order := fleet.order(testService, newVersion, testDuration)
 		fleet.run(1200 * time.Millisecond)
@@ -130,6 +130,22 @@
 	})
 }
 
+// TestStoreDownWithoutOrder keeps the store away from daemons that have nothing to tell each other.
+// None refuses; one that is cut off from them does.
+func TestStoreDownWithoutOrder(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		fleet := newQuietFleet(24, 9, testService)
+		cut := fleet.members[8]
+		cut.cut(1, true)
+		fleet.store.setDown(true)
+		fleet.run(2 * testLimit)
+		for _, each := range fleet.members {
+			assert.Equal(t, each.refused > 0, each == cut, "%d", each.index)
+		}
+		fleet.check(t)
+	})
+}
+
 // TestStoreTroubles lets the store be slow, lose answers after writes, and turn daemons away.
 func TestStoreTroubles(t *testing.T) {
 	troubles := map[string]func(*fleet){
@@ -236,6 +252,10 @@
 		began, served := time.Now(), cut.served
 		fleet.run(time.Second)
 		assert.Assert(t, cut.served > served)
+		// Nothing under way says nothing of what it may send a moment later.
+		cut.rate = 0
+		fleet.run(1500 * time.Millisecond)
+		cut.rate = 0.3
 		assert.Assert(t, fleet.until(patience, fleet.at(testService, rollout.StageCompleted)))
 		took := time.Since(began)
 		assert.Assert(t, took >= testLimit && took < testLimit+3*time.Second, "%v", took)
@@ -337,6 +357,11 @@
 			inBubble(t, func(t *testing.T) {
 				fleet := newQuietFleet(14, 8, testService)
 				fleet.cutOff(cutOff)
+				for _, each := range fleet.members {
+					if each.side != 0 && !completes {
+						each.rate = 0 // back ends don't show that it may send
+					}
+				}
 				fleet.order(testService, newVersion, testDuration)
 				assert.Equal(t, fleet.until(testDuration+patience, fleet.at(testService, rollout.StageCompleted)), completes)
 				fleet.run(time.Second)
@@ -360,7 +385,7 @@
 		began := time.Now()
 		assert.Assert(t, fleet.until(time.Second, fleet.at(testService, rollout.StageCompleted)))
 		t.Logf("completed %v after the shift", time.Since(began))
-		assert.Assert(t, time.Since(began) < 700*time.Millisecond)
+		assert.Assert(t, time.Since(began) < 250*time.Millisecond)
 		fleet.check(t)
 	})
 }
@@ -382,3 +407,155 @@
 		fleet.check(t)
 	})
 }
+
+// TestOrdersBeforeTheFirstStanding gives two orders before the store takes the first standing: the
+// second names the version that serves.
+func TestOrdersBeforeTheFirstStanding(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		fleet := newFleet(17, 7, testService)
+		fleet.store.readOnly = true
+		fleet.run(time.Second)
+		fleet.order(testService, newVersion, testDuration)
+		fleet.run(time.Second)
+		fleet.order(testService, oldVersion, testDuration)
+		fleet.run(time.Second)
+		fleet.store.readOnly = false
+		assert.Assert(t, fleet.until(patience, func() bool { return fleet.stage(testService).Ended() && fleet.store.standing(testService).Order > 0 }))
+		assert.Equal(t, fleet.store.standing(testService).Stable, oldVersion)
+		fleet.check(t)
+	})
+}
+
+// TestLostAnswerIsReadBack loses the answer to the writing of the shift, while nobody else reads the
+// store.
+func TestLostAnswerIsReadBack(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		fleet := newQuietFleet(20, 7, testService)
+		fleet.longest = 100 * time.Millisecond
+		fleet.order(testService, newVersion, testDuration)
+		fleet.store.before = func(standing rollout.Standing, _ *member) {
+			if standing.Stage == rollout.StageShift {
+				fleet.unchecked.Store(true)
+				fleet.store.loseAnswers = 1
+			}
+		}
+		assert.Assert(t, fleet.until(testDuration, fleet.at(testService, rollout.StageShift)))
+		assert.Assert(t, fleet.until(time.Second, fleet.at(testService, rollout.StageCompleted)))
+		fleet.unchecked.Store(false)
+		fleet.check(t)
+	})
+}
+
+// TestCollectorsStandIn has no daemon that reads for all, and kills the first two collectors.
+func TestCollectorsStandIn(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		fleet := newQuietFleet(21, 9, testService)
+		number := fleet.order(testService, newVersion, testDuration)
+		assert.Assert(t, fleet.until(testDuration, fleet.at(testService, rollout.StageTrial)))
+		fleet.run(3 * time.Second)
+		fleet.readerless = true
+		killed := fleet.members[0].coordinator.collectorsOf(testService, number)[:2]
+		for _, each := range fleet.members {
+			if slices.Contains(killed, each.Address()) {
+				each.kill()
+			}
+		}
+		assert.Assert(t, fleet.until(testDuration, fleet.at(testService, rollout.StageShift)))
+		assert.Assert(t, fleet.until(patience, fleet.at(testService, rollout.StageCompleted)))
+		fleet.check(t)
+	})
+}
+
+// TestUnawareDaemonHoldsCompletion lets a daemon report and hear nothing of the shift, with nothing
+// under way. The order isn't completed while it is heard.
+func TestUnawareDaemonHoldsCompletion(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		fleet := newQuietFleet(22, 7, testService)
+		fleet.longest = 100 * time.Millisecond
+		fleet.order(testService, newVersion, testDuration)
+		assert.Assert(t, fleet.until(testDuration, fleet.at(testService, rollout.StageTrial)))
+		fleet.run(3 * time.Second)
+		unaware := fleet.members[4]
+		unaware.rate = 0
+		unaware.Handle(peerlink.KindVersionStanding, func(string, []byte) {})
+		unaware.Handle(peerlink.KindVersionGrant, func(string, []byte) {})
+		fleet.store.before = func(standing rollout.Standing, writer *member) {
+			if standing.Stage == rollout.StageShift && writer != unaware {
+				unaware.storeless.Store(true)
+			}
+		}
+		assert.Assert(t, fleet.until(testDuration, fleet.at(testService, rollout.StageShift)))
+		assert.Assert(t, !fleet.until(testLimit-time.Second, fleet.at(testService, rollout.StageCompleted)))
+		unaware.rate = 1
+		fleet.run(200 * time.Millisecond)
+		unaware.storeless.Store(false)
+		assert.Assert(t, fleet.until(patience, fleet.at(testService, rollout.StageCompleted)))
+		fleet.check(t)
+	})
+}
+
+// TestStopIsRepeated counts what a daemon that knows of a stop tells others, while the order lasts.
+func TestStopIsRepeated(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		fleet := newQuietFleet(23, 7, testService)
+		number := fleet.order(testService, newVersion, testDuration)
+		assert.Assert(t, fleet.until(testDuration, fleet.at(testService, rollout.StageTrial)))
+		fleet.store.setDown(true)
+		var heard atomic.Int64
+		listens := fleet.members[6]
+		listens.Handle(peerlink.KindVersionStop, func(string, []byte) { heard.Add(1) })
+		fleet.members[2].coordinator.noteStop(time.Now(), testService, number, "bad", listens.Address())
+		fleet.run(time.Second)
+		assert.Assert(t, heard.Load() >= 5, "%d", heard.Load())
+		fleet.settle()
+	})
+}
+
+// TestDriverHearsNobody cuts a collector that reaches the store off from all daemons, with evidence
+// that looks good by then. It doesn't shift the service.
+func TestDriverHearsNobody(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		fleet := newQuietFleet(18, 7, testService)
+		number := fleet.order(testService, newVersion, testDuration)
+		assert.Assert(t, fleet.until(testDuration, fleet.at(testService, rollout.StageTrial)))
+		fleet.run(4 * time.Second)
+		alone := fleet.members[0]
+		for _, each := range fleet.members {
+			if each.Address() == alone.coordinator.collectorsOf(testService, number)[0] {
+				alone = each
+			}
+		}
+		for _, each := range fleet.members {
+			if each != alone {
+				each.cut(1, true)
+			}
+		}
+		assert.Assert(t, !fleet.until(testDuration, fleet.at(testService, rollout.StageShift)))
+		assert.Assert(t, fleet.until(patience, fleet.at(testService, rollout.StageRolledBack)))
+		fleet.check(t)
+	})
+}
+
+// TestMissedStandingIsTold keeps the news of the shift from a daemon that doesn't reach the store.
+// The collectors' answers tell it.
+func TestMissedStandingIsTold(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		fleet := newQuietFleet(19, 7, testService)
+		fleet.longest = 100 * time.Millisecond
+		fleet.order(testService, newVersion, testDuration)
+		assert.Assert(t, fleet.until(testDuration, fleet.at(testService, rollout.StageTrial)))
+		fleet.run(3 * time.Second)
+		missing := fleet.members[4]
+		missing.Handle(peerlink.KindVersionStanding, func(string, []byte) {})
+		fleet.store.before = func(standing rollout.Standing, writer *member) {
+			if standing.Stage == rollout.StageShift && writer != missing {
+				missing.storeless.Store(true)
+			}
+		}
+		assert.Assert(t, fleet.until(testDuration, fleet.at(testService, rollout.StageShift)))
+		began := time.Now()
+		assert.Assert(t, fleet.until(patience, fleet.at(testService, rollout.StageCompleted)))
+		assert.Assert(t, time.Since(began) < time.Second, "%v", time.Since(began))
+		fleet.check(t)
+	})
+}
