Keep to the stable version where the list comes after requests

A daemon that had requests before its list of back ends took it that the service has no versions, and its next look, up to 50 ms later, found the stable one: until then requests went to back ends of any version. A choice without a restriction also held for requests that waited, when a stable version or an order had come meanwhile. An empty list is no longer remembered, and such a choice is looked at again before the sending. Ruled out: refusing such requests, since services without versions and those with nothing listed get the same answer as before.

--- a/internal/rollout/choice.go
+++ b/internal/rollout/choice.go
@@ -87,12 +87,17 @@
 	if believed.Standing.Row != choice.Row || c.refuses(now, believed, shared) {
 		return false
 	}
-	if !choice.Trial {
+	switch {
+	case choice.Any:
+		_, active := underWay(believed)
+		return !active && c.stable(choice.Service, believed, shared) == ""
+	case choice.Trial:
+		shared.mutex.Lock()
+		defer shared.mutex.Unlock()
+		return shared.exposing(now, choice.Order)
+	default:
 		return true
 	}
-	shared.mutex.Lock()
-	defer shared.mutex.Unlock()
-	return shared.exposing(now, choice.Order)
 }
 
 // Sent implements relay.Versions.
--- a/internal/rollout/choice_test.go
+++ b/internal/rollout/choice_test.go
@@ -24,6 +24,7 @@
 type steadyBelief struct {
 	service   rollout.Service
 	confirmed time.Time
+	listed    map[identity.SoftwareVersion]int
 }
 
 func (b *steadyBelief) Services() []identity.ServiceName {
@@ -36,7 +37,7 @@
 func (b *steadyBelief) Reads() bool                                       { return false }
 func (b *steadyBelief) LongestTimeout(identity.ServiceName) time.Duration { return time.Minute }
 func (b *steadyBelief) SoftwareVersions(identity.ServiceName) map[identity.SoftwareVersion]int {
-	return map[identity.SoftwareVersion]int{oldVersion: 3, newVersion: 3}
+	return b.listed
 }
 func (b *steadyBelief) KeysOf(identity.ServiceName, identity.SoftwareVersion) []uint64 {
 	return []uint64{1, 2, 3}
@@ -46,7 +47,8 @@
 
 // newLone makes a Coordinator without other daemons, at a stage of an order.
 func newLone(stage rollout.Stage) (*Coordinator, *steadyBelief) {
-	belief := &steadyBelief{confirmed: clock.Now(), service: rollout.Service{Standing: rollout.Standing{
+	listed := map[identity.SoftwareVersion]int{oldVersion: 3, newVersion: 3}
+	belief := &steadyBelief{confirmed: clock.Now(), listed: listed, service: rollout.Service{Standing: rollout.Standing{
 		Service: testService, Stable: oldVersion, Target: newVersion, Order: 5, Row: 6, Stage: stage, Deadline: 2 * time.Hour,
 	}}}
 	lone := New(Options{
@@ -128,6 +130,22 @@
 	}
 }
 
+// TestListThatComesAfterRequests has requests before the list of back ends is read, and no standing:
+// from the list on they go to the stable version alone, also those that were chosen for before.
+func TestListThatComesAfterRequests(t *testing.T) {
+	lone, belief := newLone(rollout.StageNone)
+	belief.service, belief.listed = rollout.Service{}, nil
+	before := lone.Choose(testService, "/chat", true)
+	assert.Assert(t, before.Any)
+	assert.Assert(t, lone.Stands(before))
+	belief.service.Order = &rollout.Order{Service: testService, Target: newVersion, Number: 5}
+	assert.Assert(t, !lone.Stands(before))
+	belief.service.Order = nil
+	belief.listed = map[identity.SoftwareVersion]int{oldVersion: 3, newVersion: 1}
+	assert.Assert(t, !lone.Stands(before))
+	assert.Equal(t, lone.Choose(testService, "/chat", true).Version, oldVersion)
+}
+
 // TestChoiceDoesNotOutliveItsStanding changes what a choice was made on.
 func TestChoiceDoesNotOutliveItsStanding(t *testing.T) {
 	lone, belief := newLone(rollout.StageTrial)
--- a/internal/rollout/traffic.go
+++ b/internal/rollout/traffic.go
@@ -147,7 +147,7 @@
 	if t.fallback != "" && listed[t.fallback] > 0 {
 		return
 	}
-	t.fallback, t.fallbackKnown = rollout.StableOf(listed, targets), true
+	t.fallback, t.fallbackKnown = rollout.StableOf(listed, targets), len(listed) > 0
 }
 
 // remember keeps two earlier tallies, for the present share. The caller holds the mutex.
