Look at the confirmation before the versions that it confirms

A request looked at its service's versions first and then at the time of their confirmation. What was confirmed in between, with a new stage, let it go by the old one: to back ends that are about to end, or to a version that was rolled back, if its goroutine or the daemon stood still between both looks. Ruled out: that the look just before the sending catches it: it had the same order.

--- a/internal/rollout/choice.go
+++ b/internal/rollout/choice.go
@@ -13,13 +13,14 @@
 
 // Choose implements relay.Versions.
 func (c *Coordinator) Choose(service identity.ServiceName, route string, first bool) relay.VersionChoice {
+	confirmed := c.options.Belief.ConfirmedAt() // before what it confirms is looked up
 	believed := c.options.Belief.Software(service)
 	standing := believed.Standing
 	choice := relay.VersionChoice{
 		Service: service, Route: route, Order: standing.Order, Row: standing.Row, Stage: standing.Stage,
 	}
 	now, shared := c.options.Now(), c.traffic(service)
-	if c.refuses(now, believed, shared) {
+	if c.refuses(now, confirmed, believed, shared) {
 		choice.Refused = true
 		return choice
 	}
@@ -42,10 +43,10 @@
 // refuses tells whether no request of a service may be sent now. While an order is under way, the
 // versions that may get requests can change without this daemon's knowing, and once it is completed
 // the old back ends end without a drain. The same can begin unseen for who is cut off from
-// most others.
-func (c *Coordinator) refuses(now time.Time, believed rollout.Service, shared *traffic) bool {
+// most others. What is believed must have been looked up after the time of its confirmation.
+func (c *Coordinator) refuses(now, confirmed time.Time, believed rollout.Service, shared *traffic) bool {
 	number, active := underWay(believed)
-	if now.Sub(c.options.Belief.ConfirmedAt()) <= c.options.ConfirmationLimit {
+	if now.Sub(confirmed) <= c.options.ConfirmationLimit {
 		// A bad version to which all requests go is replaced with the next row.
 		return believed.Standing.Stage == rollout.StageShift && shared.stoppedFor(number)
 	}
@@ -82,9 +83,10 @@
 
 // Stands implements relay.Versions.
 func (c *Coordinator) Stands(choice relay.VersionChoice) bool {
+	confirmed := c.options.Belief.ConfirmedAt() // before what it confirms is looked up
 	believed := c.options.Belief.Software(choice.Service)
 	now, shared := c.options.Now(), c.traffic(choice.Service)
-	if believed.Standing.Row != choice.Row || c.refuses(now, believed, shared) {
+	if believed.Standing.Row != choice.Row || c.refuses(now, confirmed, believed, shared) {
 		return false
 	}
 	switch {
--- a/internal/rollout/choice_test.go
+++ b/internal/rollout/choice_test.go
@@ -25,17 +25,25 @@
 	service   rollout.Service
 	confirmed time.Time
 	listed    map[identity.SoftwareVersion]int
+	// looked is called after each look at the versions.
+	looked func()
 }
 
 func (b *steadyBelief) Services() []identity.ServiceName {
 	return []identity.ServiceName{testService}
 }
-func (b *steadyBelief) Software(identity.ServiceName) rollout.Service     { return b.service }
 func (b *steadyBelief) ConfirmedAt() time.Time                            { return b.confirmed }
 func (b *steadyBelief) StoreClock(time.Time) (time.Duration, bool)        { return time.Hour, true }
 func (b *steadyBelief) Learn(context.Context, rollout.Standing)           {}
 func (b *steadyBelief) Reads() bool                                       { return false }
 func (b *steadyBelief) LongestTimeout(identity.ServiceName) time.Duration { return time.Minute }
+func (b *steadyBelief) Software(identity.ServiceName) rollout.Service {
+	believed := b.service
+	if b.looked != nil {
+		b.looked()
+	}
+	return believed
+}
 func (b *steadyBelief) SoftwareVersions(identity.ServiceName) map[identity.SoftwareVersion]int {
 	return b.listed
 }
@@ -164,6 +172,18 @@
 	assert.Assert(t, !lone.Stands(choice))
 }
 
+// TestBeliefIsAsOldAsItsConfirmation learns of a shift, and has it confirmed, right after the
+// versions were looked at: what was seen before must not count as confirmed.
+func TestBeliefIsAsOldAsItsConfirmation(t *testing.T) {
+	lone, belief := newLone(rollout.StageTrial)
+	choice := lone.Choose(testService, "/chat", false)
+	belief.confirmed = clock.Now().Add(-2 * time.Hour)
+	belief.looked = func() { belief.confirmed = clock.Now() }
+	assert.Assert(t, !lone.Stands(choice))
+	belief.confirmed = clock.Now().Add(-2 * time.Hour)
+	assert.Assert(t, lone.Choose(testService, "/chat", false).Refused)
+}
+
 // TestReportFitsADatagram sends the evidence of 8 routes and 30 back ends through a link's encoding.
 func TestReportFitsADatagram(t *testing.T) {
 	var evidence rollout.Evidence
