Look less where there is no order

Each daemon looked 20 times a second which others it hears, though that only counts without a confirmation, and counted the back ends of services without a standing as often, under the lock of all requests' choices: where no back end names a version that lasts for good. A daemon that thaws looks who is heard at its next tick.

--- a/internal/rollout/choice_test.go
+++ b/internal/rollout/choice_test.go
@@ -25,8 +25,10 @@
 	service   rollout.Service
 	confirmed time.Time
 	listed    map[identity.SoftwareVersion]int
-	// looked is called after each look at the versions.
-	looked func()
+	// counted is how often back ends were counted, and looked is called after each look at the
+	// versions.
+	counted int
+	looked  func()
 }
 
 func (b *steadyBelief) Services() []identity.ServiceName {
@@ -45,6 +47,7 @@
 	return believed
 }
 func (b *steadyBelief) SoftwareVersions(identity.ServiceName) map[identity.SoftwareVersion]int {
+	b.counted++
 	return b.listed
 }
 func (b *steadyBelief) KeysOf(identity.ServiceName, identity.SoftwareVersion) []uint64 {
@@ -184,6 +187,34 @@
 	assert.Assert(t, lone.Choose(testService, "/chat", false).Refused)
 }
 
+// TestServiceWithoutVersionsIsLeftAlone looks for ten seconds at a service that has no standing,
+// since its back ends name no version: they are counted once a second.
+func TestServiceWithoutVersionsIsLeftAlone(t *testing.T) {
+	lone, belief := newLone(rollout.StageNone)
+	belief.service, belief.listed, belief.counted = rollout.Service{}, map[identity.SoftwareVersion]int{"": 3}, 0
+	began := clock.Now()
+	for passed := time.Duration(0); passed < 10*time.Second; passed += tickInterval {
+		lone.tick(t.Context(), began.Add(passed))
+	}
+	assert.Assert(t, belief.counted <= 11, "%d", belief.counted)
+}
+
+// BenchmarkIdleTick is a look at a service without an order, one of 20 a second, with 339 other
+// daemons: 0.1 us, and 9.6 us where it is looked each time which of them are heard.
+func BenchmarkIdleTick(b *testing.B) {
+	lone, belief := newLone(rollout.StageCompleted)
+	others := make([]string, 339)
+	for index := range others {
+		others[index] = fmt.Sprintf("10.0.1.%d:1", index)
+		lone.options.Presence.Heard(others[index], clock.Now())
+	}
+	lone.options.Others, lone.options.Count = func() []string { return others }, func() int { return 340 }
+	for now := clock.Now(); b.Loop(); now = now.Add(tickInterval) {
+		belief.confirmed = now
+		lone.tick(b.Context(), now)
+	}
+}
+
 // TestReportFitsADatagram sends the evidence of 8 routes and 30 back ends through a link's encoding.
 func TestReportFitsADatagram(t *testing.T) {
 	var evidence rollout.Evidence
--- a/internal/rollout/heard.go
+++ b/internal/rollout/heard.go
@@ -10,8 +10,8 @@
 const (
 	// presentTime is within which another daemon was heard to count as present.
 	presentTime = 3 * time.Second
-	// askPresenceShare of the confirmation limit is from when on daemons that are not heard
-	// are asked whether they are there: in large fleets few daemons have anything to tell each
+	// askPresenceShare of the confirmation limit is from when on it is looked who is heard, and
+	// daemons that aren't are asked whether they are there: in large fleets few daemons have anything to tell each
 	// other. askPresenceInterval lies between two rounds, and who was heard within
 	// askPresenceAfter isn't asked: 340 daemons so send each other 170 questions or answers of
 	// 20 bytes a second, and none while what was declared is confirmed.
@@ -24,8 +24,12 @@
 type presenceMessage struct{}
 
 // noteHeard notes whether half of the known daemons are heard, this one among them, and asks those
-// that aren't while there is no confirmation.
+// that aren't. Nobody needs to know while what was declared is confirmed.
 func (c *Coordinator) noteHeard(now time.Time) {
+	from := time.Duration(askPresenceShare * float64(c.options.ConfirmationLimit))
+	if now.Sub(c.options.Belief.ConfirmedAt()) < from {
+		return
+	}
 	others, heard := c.options.Others(), 1
 	for _, address := range others {
 		if c.options.Presence.HeardSince(address, now.Add(-presentTime)) {
@@ -35,11 +39,14 @@
 	if 2*heard >= len(others)+1 {
 		c.enoughHeard.set(now.Add(tickGap))
 	}
-	askFrom := time.Duration(askPresenceShare * float64(c.options.ConfirmationLimit))
-	if now.Sub(c.options.Belief.ConfirmedAt()) < askFrom || now.Sub(c.askedPresenceAt) < askPresenceInterval {
-		return
+	if now.Sub(c.askedPresenceAt) >= askPresenceInterval {
+		c.askedPresenceAt = now
+		c.askPresence(now, others)
 	}
-	c.askedPresenceAt = now
+}
+
+// askPresence asks daemons that were not heard lately whether they are there.
+func (c *Coordinator) askPresence(now time.Time, others []string) {
 	for _, address := range others {
 		if !c.options.Presence.HeardSince(address, now.Add(-askPresenceAfter)) {
 			peerlink.Tell(c.options.Link, address, peerlink.KindPresenceQuestion, &presenceMessage{})
