Complete an order only on what daemons have just acknowledged

A daemon's word that it sends to the target alone counted for as long as the order lasts, also after the daemon had been killed. Its next life can take the belief of another one that was paused since before the shift, with its confirmation, and is cut off from the collectors then: it went on sending to the stable version up to the confirmation limit after the order was completed, when the last daemon had acknowledged. An acknowledgement now counts within heardTime (1 s, five reports); afterwards the daemon is waited for as any silent one, for which promotionTime has room. TestAcknowledgementEndsWithItsDaemon had 2 requests cut at old back ends, and sendings to ended ones. Ruled out: asking back ends always, since the new life sends after they answered. What is left: all of this within 1 s of the last report.

--- a/internal/rollout/fault_test.go
+++ b/internal/rollout/fault_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"slices"
 	"sync/atomic"
 	"testing"
@@ -559,3 +560,33 @@
 		fleet.check(t)
 	})
 }
+
+// TestAcknowledgementEndsWithItsDaemon kills a daemon that has acknowledged a shift. It begins
+// anew by what another one tells that was paused and knows of no shift yet, and is cut off: until its
+// confirmation is too old it sends to the stable version, whose back ends must be there.
+func TestAcknowledgementEndsWithItsDaemon(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		fleet := newQuietFleet(11, 7, testService)
+		paused, killed := fleet.members[5], fleet.members[6]
+		fleet.store.after = func(standing rollout.Standing, _ *member) {
+			if standing.Stage == rollout.StageShift {
+				paused.Freeze()
+			}
+		}
+		fleet.order(testService, newVersion, testDuration)
+		assert.Assert(t, fleet.until(testDuration, fleet.at(testService, rollout.StageShift)))
+		fleet.run(200 * time.Millisecond)
+		killed.kill()
+		fleet.run(heardTime + 100*time.Millisecond)
+		assert.Equal(t, fleet.stage(testService), rollout.StageShift)
+		told := paused.belief
+		killed.start()
+		killed.belief.adopt(told.confirmed, maps.Clone(told.software))
+		assert.Equal(t, killed.belief.Software(testService).Standing.Stage, rollout.StageTrial)
+		killed.cut(1, true)
+		paused.Thaw()
+		assert.Assert(t, fleet.until(patience, fleet.at(testService, rollout.StageCompleted)))
+		fleet.run(faultTime)
+		fleet.check(t)
+	})
+}
--- a/internal/rollout/progress.go
+++ b/internal/rollout/progress.go
@@ -16,8 +16,9 @@
 	// Daemons is how many are known; Heard have reported within heardTime, and Knowing have
 	// ever reported on the order.
 	daemons, heard, knowing int
-	// acknowledged have said that they send to the target alone, with nothing under way at
-	// others. silent are those of the rest that must refuse the service's requests by now, and
+	// acknowledged have just said that they send to the target alone, with nothing under way
+	// at others. An earlier word may be that of an earlier life: a daemon that has begun anew can
+	// believe another one that doesn't know of the shift yet. silent are those of the rest that must refuse the service's requests by now, and
 	// missing the others.
 	acknowledged, silent, missing int
 }
@@ -32,11 +33,12 @@
 		if last != nil {
 			counted.knowing++
 		}
-		if last != nil && now.Sub(last.heardAt) <= heardTime {
+		heard := last != nil && now.Sub(last.heardAt) <= heardTime
+		if heard {
 			counted.heard++
 		}
 		switch {
-		case last != nil && last.row >= believed.Standing.Row && last.underWay == 0:
+		case heard && last.row >= believed.Standing.Row && last.underWay == 0:
 			counted.acknowledged++
 		case c.refusesByNow(now, found, last):
 			counted.silent++
