--- a/cmd/internal/daemon/bounds.go
+++ b/cmd/internal/daemon/bounds.go
@@ -12,11 +12,24 @@
 	// confirmationShare of the time in which a revoked key must stop working: later,
 	// callers earn nothing for requests that this daemon lets in.
 	confirmationShare = 0.8
+	// softwareConfirmationShare of the time in which a bad version must stop getting requests is how
+	// old the confirmation of what was declared may be while a service moves to another version:
+	// the rest is for the way from the choice to the back end, and for clocks.
+	softwareConfirmationShare = 0.8
+	// softwareCheckShare of the same time is how often what was declared is checked at least: two
+	// checks in a row may fail before requests are refused.
+	softwareCheckShare = 0.2
+	// assumedTimeout is how long requests of routes without a timeout are taken to last at most.
+	assumedTimeout = time.Minute
 	// denialShare of the time in which a configuration must be in force.
 	denialShare = 0.6
-	// versionMargin is taken off the time in which a named version must be in use:
-	// this daemon may have heard of the version that much later.
-	versionMargin = time.Second
+	// versionMargin is taken off the time in which a named version must be in use, which counts
+	// from when the version was surely not named yet: requests that wait at a back end are cut
+	// relay.LastBegin later, and endOfCut is how long the cut takes to get there.
+	versionMargin = relay.LastBegin + endOfCut
+	// endOfCut covers the way to another region (20 ms), a busy daemon's timers, and readings of
+	// the store that are of 100 ms earlier than they seem at most.
+	endOfCut = 300 * time.Millisecond
 	// budgetShare of the retries that all daemons may make together.
 	budgetShare = 0.7
 	// limitMarginShare of what a tenant may exceed its limit by in a window is what it may use
@@ -50,6 +63,9 @@
 	if bounds.RevokeFailClosed && bounds.RevokeMs > 0 {
 		interval = min(interval, time.Duration(keyCheckShare*float64(platform.Milliseconds(bounds.RevokeMs))))
 	}
+	if bounds.OffersRollouts() && bounds.RollbackMs > 0 {
+		interval = min(interval, time.Duration(softwareCheckShare*float64(platform.Milliseconds(bounds.RollbackMs))))
+	}
 	return interval
 }
 
@@ -74,6 +90,12 @@
 	return time.Duration(leaseShare * float64(platform.Milliseconds(bounds.LeaseMs)))
 }
 
+// softwareConfirmationLimit is how old the confirmation of what was declared may be while requests
+// of a service that moves to another version are sent.
+func softwareConfirmationLimit(bounds platform.Bounds) time.Duration {
+	return time.Duration(softwareConfirmationShare * float64(platform.Milliseconds(bounds.RollbackMs)))
+}
+
 func policy(bounds platform.Bounds) relay.Policy {
 	share := func(share float64, milliseconds int) time.Duration {
 		return time.Duration(share * float64(platform.Milliseconds(milliseconds)))
--- a/cmd/internal/daemon/wire.go
+++ b/cmd/internal/daemon/wire.go
@@ -41,6 +41,7 @@
 	"github.com/lotusward/lotusward/internal/prober"
 	"github.com/lotusward/lotusward/internal/relay"
 	"github.com/lotusward/lotusward/internal/requestlog"
+	"github.com/lotusward/lotusward/internal/rollout"
 	"github.com/lotusward/lotusward/internal/roomshare"
 	"github.com/lotusward/lotusward/internal/tenantlimit"
 	"github.com/lotusward/lotusward/internal/weightupdate"
@@ -60,23 +61,27 @@
 	memory   *promptcache.Memory
 	budgets  *relay.Budgets
 
-	members    *members.List
-	directory  *directory.Directory
-	promptsIn  *cachewatch.Watcher
-	cachesIn   *cachewatch.Watcher
-	link       *peerlink.Link
-	broadcast  *peerlink.Broadcaster
-	tree       *peerlink.Tree
-	snapshots  *peersync.Server
-	loads      *loadshare.Sharer
-	presence   *presence.List
-	homes      *loadhome.Homes
-	rooms      *roomshare.Sharer
-	limits     *tenantlimit.Limiter
-	prober     *prober.Prober
-	crashes    *crashwatch.Watcher
-	serving    *serving
-	keeper     *leasekeeper.Keeper
+	members   *members.List
+	directory *directory.Directory
+	promptsIn *cachewatch.Watcher
+	cachesIn  *cachewatch.Watcher
+	link      *peerlink.Link
+	regions   distance.Map
+	topology  peerlink.Topology
+	broadcast *peerlink.Broadcaster
+	tree      *peerlink.Tree
+	snapshots *peersync.Server
+	loads     *loadshare.Sharer
+	presence  *presence.List
+	homes     *loadhome.Homes
+	rooms     *roomshare.Sharer
+	limits    *tenantlimit.Limiter
+	prober    *prober.Prober
+	crashes   *crashwatch.Watcher
+	serving   *serving
+	keeper    *leasekeeper.Keeper
+	// rollouts is nil where the settings offer none.
+	rollouts   *rollout.Coordinator
 	weights    *weightupdate.Keeper
 	follower   *weightupdate.Follower
 	metricsOut *metrics
@@ -101,11 +106,14 @@
 	registry := prometheus.NewRegistry()
 	counters := requestlog.NewCounters(registry)
 	registerState(registry, options.Writer)
+	traffic := newPeerTraffic(registry)
 	made := &Daemon{
-		settings: settings, options: options, logger: options.Logger, metricsOut: newMetrics(settings, options.MetricsPort, registry),
+		settings: settings, options: options, logger: options.Logger, regions: distance.NewMap(settings.Zones),
+		metricsOut: newMetrics(settings, options.MetricsPort, registry),
 	}
 	made.wireOutside(counters)
-	made.wireBelief()
+	made.wireBelief(traffic)
+	made.wireRollouts(registry)
 	made.wireTraffic(counters)
 	made.wireDuty()
 	return made
@@ -120,17 +128,19 @@
 func (w *Daemon) wireOutside(counters *requestlog.Counters) {
 	w.pool = httpexchange.NewPool(httpexchange.Options{LocalAddress: w.settings.IP})
 	w.store = platform.NewStore(w.pool, w.settings.Store.Address, &storeObserver{counters: counters, daemon: w})
+	if w.settings.Bounds.OffersRollouts() {
+		w.store.FollowRollouts()
+	}
 	w.runners = platform.NewRunners(w.pool)
 }
 
 // wireBelief makes what knows back ends, configuration and other daemons.
-func (w *Daemon) wireBelief() {
+func (w *Daemon) wireBelief(traffic *peerTraffic) {
 	bounds := w.settings.Bounds
 	w.link = peerlink.New(w.settings.InternalAddress(), w.part("peers"))
 	w.backends = backendpool.New(w.settings.Zone)
 	w.backends.SetPlacement(w.options.Placement)
-	distances := distance.NewMap(w.settings.Zones)
-	w.backends.SetDistances(distances)
+	w.backends.SetDistances(w.regions)
 	w.memory = promptcache.New()
 	w.budgets = relay.NewBudgets(retry.Limits{
 		Window: platform.Seconds(bounds.BudgetWindowS),
@@ -145,19 +155,30 @@
 		},
 	})
 	w.link.Observe(w.hear)
-	w.broadcast = peerlink.NewBroadcaster(w.link, w.members.Others)
-	w.tree = peerlink.NewTree(w.link, w.members.Others)
+	w.presence = presence.New()
+	w.topology = newTopology(w.regions, w.members)
+	w.link.ObserveSent(func(to string, datagram []byte) {
+		traffic.sent(peerlink.KindOf(datagram).String(), w.distanceTo(to), len(datagram))
+	})
+	crossing := peerlink.NewCrossing(w.link, w.topology, presence.NewSilence(w.presence))
+	w.broadcast = peerlink.NewBroadcaster(w.link, w.topology, crossing)
+	w.tree = peerlink.NewTree(w.link, w.topology, crossing)
 	w.crashes = crashwatch.New(crashwatch.Options{
-		Link: w.link, Others: w.members.Others, Table: w.store, Log: w.part("quarantine"),
+		Link: w.link, Topology: w.topology, Crossing: crossing, Table: w.store, Log: w.part("quarantine"),
 		Reads: func() bool { return w.directory.ReadsForAll() },
 	})
 	w.backends.OnChecked(w.crashes.Checked)
 	w.directory = directory.New(directory.Options{
-		Quarantine: w.crashes,
-		Source:     w.store, Pool: w.backends, Log: w.part("directory"),
+		Quarantine: w.crashes, Software: bounds.OffersRollouts(),
+		Source: w.store, Pool: w.backends, Log: w.part("directory"),
 		Self: w.link.Address(), Tell: w.tell,
 		Interval: checkInterval(bounds), Others: w.members.Others, OnMembers: w.members.Set,
-		Peers: peersync.NewClient(w.pool), Contacts: w.members,
+		Peers: peersync.NewClient(w.pool, func(address string, bytes int) {
+			traffic.sent(kindSnapshot, w.distanceTo(address), bytes)
+		}),
+		Contacts:         w.members,
+		Topology:         w.topology,
+		StoreTime:        w.members.StoreTime,
 		SteadyTime:       platform.Milliseconds(bounds.ContactMs),
 		VersionHeadStart: versionGrace(bounds) - platform.Milliseconds(bounds.ContactMs),
 	})
@@ -172,17 +193,16 @@
 	w.loads = loadshare.New(loadshare.Options{
 		Link: w.link, Others: w.members.Others, Pool: w.backends, Memory: w.memory,
 	})
-	w.presence = presence.New()
 	w.homes = loadhome.New(loadhome.Options{
 		Link: w.link, Others: w.members.Others, Pool: w.backends, Presence: w.presence,
-		Zone: w.members.Zone, Own: w.settings.Zone, Distances: distances,
+		Zone: w.members.Zone, Own: w.settings.Zone, Distances: w.regions,
 	})
 	w.rooms = roomshare.New(roomshare.Options{
 		Link: w.link, Others: w.members.Others, Zone: w.members.Zone, Capacity: w.members.Capacity, Own: w.settings.Zone,
-		Distances: distances, Pool: w.backends, Refresh: w.refreshLoads,
+		Distances: w.regions, Pool: w.backends, Refresh: w.refreshLoads,
 	})
 	w.limits = tenantlimit.New(tenantlimit.Options{
-		Link: w.link, Others: w.members.Others, Count: w.members.Count, Presence: w.presence,
+		Link: w.link, Topology: w.topology, Count: w.members.Count, Presence: w.presence,
 		Margin: limitMarginShare * bounds.QuotaSlack, Log: w.part("limits"),
 	})
 	w.prober = prober.New(prober.Options{Pool: w.backends, Reach: w.runners.Reach, Log: w.part("probe")})
@@ -194,7 +214,8 @@
 		Control: w.directory, Pool: w.backends, Backends: w.runners, Budgets: w.budgets,
 		Policy: policy(w.settings.Bounds), Memory: w.memory, Stores: w.promptsIn.Cache,
 		Daemons: w.members.Count, Limits: w.limits, Loads: w.homes, Rooms: w.rooms, Crashes: w.crashes,
-		Journal: requestlog.New(w.part("relay"), counters),
+		Versions: w.versions(),
+		Journal:  requestlog.New(w.part("relay"), counters),
 	})
 	w.serving = newServing(w.settings, relaying, w.directory, w.crashes.Informed, w.part("front"))
 	w.addInterfaces(relaying)
@@ -208,7 +229,7 @@
 		}))
 	}
 	if port := w.options.AdminPort; port > 0 {
-		tables := &administration.Snapshot{Control: w.directory, Pool: w.backends, Self: w.link.Address(), Others: w.members.Others, Limits: w.limits.Uses}
+		tables := &administration.Snapshot{Control: w.directory, Pool: w.backends, Self: w.link.Address(), Others: w.members.Others, Limits: w.limits.Uses, Rollouts: w.rolloutTable()}
 		w.serving.addOperators(w.address(port), administration.New(tables, w.options.AdminToken, w.part("administration")))
 	}
 }
@@ -221,7 +242,7 @@
 	bounds := w.settings.Bounds
 	duty := &leasekeeper.Duty{
 		Pending: func() bool { return w.weights.Pending() }, First: w.directory.ReadsForAll,
-		Candidate: &leasekeeper.Candidate{Count: w.members.Count, Held: w.holdsLease},
+		Candidate: &leasekeeper.Candidate{Count: w.members.Count, Share: w.shareOfRoom, Held: w.holdsLease},
 		Linger:    rest(bounds) + leaseLinger,
 	}
 	w.keeper = leasekeeper.New(leasekeeper.Options{
--- a/internal/relay/regions.go
+++ b/internal/relay/regions.go
@@ -51,11 +51,12 @@
 // tryOtherRegions takes a place in another region for a request that its own can't serve in
 // time.
 func (r *run) tryOtherRegions(ctx context.Context, limits backendpool.Limits) *backendpool.Ticket {
-	if !r.relay.options.Pool.Several() {
+	if !r.relay.options.Pool.Several() || !r.chooseVersion() {
 		return nil
 	}
 	query := r.relay.query(r.admitted, r.excluded)
 	query.Limits = limits
+	r.limitQuery(&query)
 	for _, region := range regionchoice.Order(r.withRooms(ctx, query, r.regions(query)), true) {
 		if region.Own || !r.relay.maySend(query, region) {
 			continue
