--- a/internal/relay/regions_test.go
+++ b/internal/relay/regions_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"testing"
 	"time"
 
@@ -18,12 +19,22 @@
 
 // toldRooms tells rooms as a test says, and that loads have to be asked for.
 type toldRooms struct {
+	mutex sync.Mutex
 	told  []roomshare.Told
 	asked int
 }
 
+// tell changes what is told from now on.
+func (f *toldRooms) tell(told ...roomshare.Told) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.told = told
+}
+
 // Rooms implements Rooms.
 func (f *toldRooms) Rooms(context.Context, identity.ServiceName) []roomshare.Told {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
 	f.asked++
 	return f.told
 }
@@ -132,7 +143,7 @@
 	waited := make(chan *recordingCaller)
 	go func() { waited <- world.ask(longPrompt) }()
 	time.Sleep(170 * time.Millisecond) // no place became free for that long
-	rooms.told = []roomshare.Told{told("region-b", 4)}
+	rooms.tell(told("region-b", 4))
 	assert.Equal(t, world.ask(longPrompt).body.String(), eventsText(1, 3))
 	<-waited
 }
