Write at once which version of a service is stable

Since services without a standing are looked at once a second only, the first one was written up to a second late. A store that went away within it left the fleet without one during the next order, and daemons that began then and had not read that order took its target, listed beside the stable version, for the stable one: TestRollOutsHoldUnderFaults found it, now that its daemons begin with what another one believes, as the real ones do.

--- a/internal/rollout/coordinator.go
+++ b/internal/rollout/coordinator.go
@@ -209,7 +209,7 @@
 	for _, service := range c.options.Belief.Services() {
 		believed := c.options.Belief.Software(service)
 		number, active := underWay(believed)
-		settled := !active && c.traffic(service).current(believed)
+		settled := !active && c.traffic(service).settled(believed)
 		if settled && !idle {
 			continue
 		}
--- a/internal/rollout/fault_test.go
+++ b/internal/rollout/fault_test.go
@@ -561,6 +561,20 @@
 	})
 }
 
+// TestFirstStandingIsWrittenAtOnce has a store that goes away soon after the daemons have begun: by
+// then it is written which version is stable, so that daemons that begin during the next order
+// know it.
+func TestFirstStandingIsWrittenAtOnce(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		fleet := newFleet(12, 7, testService, "apps")
+		fleet.run(200 * time.Millisecond)
+		for _, service := range fleet.services {
+			assert.Equal(t, fleet.store.standing(service).Stable, oldVersion)
+		}
+		fleet.check(t)
+	})
+}
+
 // TestAcknowledgementEndsWithItsDaemon kills a daemon that has acknowledged a shift. It begins
 // anew by what another one tells that was paused and knows of no shift yet, and is cut off: until its
 // confirmation is too old it sends to the stable version, whose back ends must be there.
@@ -579,9 +593,8 @@
 		killed.kill()
 		fleet.run(heardTime + 100*time.Millisecond)
 		assert.Equal(t, fleet.stage(testService), rollout.StageShift)
-		told := paused.belief
 		killed.start()
-		killed.belief.adopt(told.confirmed, maps.Clone(told.software))
+		killed.belief.software, killed.belief.confirmed = maps.Clone(paused.belief.software), paused.belief.confirmed
 		assert.Equal(t, killed.belief.Software(testService).Standing.Stage, rollout.StageTrial)
 		killed.cut(1, true)
 		paused.Thaw()
--- a/internal/rollout/member_test.go
+++ b/internal/rollout/member_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -75,6 +76,23 @@
 	m.reachedAt = map[string]time.Time{}
 	m.fleet.lives++
 	m.SetDown(false)
+	m.join()
+}
+
+// join takes over what another daemon believes, as long as it has a confirmation of it, whether or
+// not it knows the newest.
+func (m *member) join() {
+	for offset := range m.fleet.members {
+		other := m.fleet.members[(m.index+offset)%len(m.fleet.members)]
+		if other == m || other.dead || !other.Working() || other.side != m.side || other.belief == nil || !other.belief.ready() {
+			continue
+		}
+		other.belief.mutex.Lock()
+		confirmed, software := other.belief.confirmed, maps.Clone(other.belief.software)
+		other.belief.mutex.Unlock()
+		m.belief.adopt(confirmed, software)
+		return
+	}
 }
 
 // kill ends the daemon. The connections of its requests close, and back ends end them.
--- a/internal/rollout/traffic.go
+++ b/internal/rollout/traffic.go
@@ -74,12 +74,13 @@
 	return c.traffics[service]
 }
 
-// current tells whether the traffic is that of what is believed.
-func (t *traffic) current(believed rollout.Service) bool {
-	order, _ := underWay(believed)
+// settled tells whether a service without an order needs no look: the traffic is that of what is
+// believed, and there is a standing, or no version of which one could be written.
+func (t *traffic) settled(believed rollout.Service) bool {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	return t.order == order && t.row == believed.Standing.Row
+	unversioned := t.fallbackKnown && t.fallback == ""
+	return t.order == 0 && t.row == believed.Standing.Row && (t.row > 0 || unversioned)
 }
 
 // synchronize makes a service's traffic that of what is believed now.
