Hear a daemon whose clock was set back

A collector passed over the reports of a lower incarnation for the whole order. Ruled out: drawing incarnations, since late reports of an earlier life would be taken for newer ones. TestClockThatWasSetBack failed before.

--- a/internal/rollout/collector.go
+++ b/internal/rollout/collector.go
@@ -48,6 +48,15 @@
 	reads       bool
 }
 
+// isNewerThan tells whether a report that comes now was sent before this one. Incarnations are times
+// of day, which may be set back: once nothing was heard for a while, a lower one is a new life.
+func (r *reported) isNewerThan(now time.Time, got reportMessage) bool {
+	if got.Incarnation == r.incarnation {
+		return got.Number < r.number
+	}
+	return got.Incarnation < r.incarnation && now.Sub(r.heardAt) <= heardTime
+}
+
 // countedBy names one life of a daemon.
 type countedBy struct {
 	address     string
@@ -97,8 +106,7 @@
 // note takes in a report. Reports may come late or twice.
 func (c *collector) note(now time.Time, from string, got reportMessage) {
 	c.count(from, got)
-	last := c.daemons[from]
-	if last != nil && (got.Incarnation < last.incarnation || (got.Incarnation == last.incarnation && got.Number < last.number)) {
+	if last := c.daemons[from]; last != nil && last.isNewerThan(now, got) {
 		return
 	}
 	c.daemons[from] = &reported{
--- a/internal/rollout/collector_test.go
+++ b/internal/rollout/collector_test.go
@@ -100,3 +100,20 @@
 	assert.Equal(t, pool.pool().Routes[0].Target[0].Counts.Bad, uint32(10))
 	assert.Equal(t, pool.daemons["10.0.0.2:1"].row, uint64(1))
 }
+
+// TestClockThatWasSetBack restarts a daemon after its time of day was set back: its reports count
+// once nothing was heard of its earlier life for a moment, and late ones of that life don't.
+func TestClockThatWasSetBack(t *testing.T) {
+	lone, _ := newLone(rollout.StageShift)
+	now, report := clock.Now(), func(incarnation identity.Incarnation, number, row uint64) reportMessage {
+		return reportMessage{Service: testService, Order: 5, Incarnation: incarnation, Number: number, Row: row}
+	}
+	row := func() uint64 { return lone.collectors[testService].daemons["10.0.0.2:1"].row }
+	lone.collect(now, "10.0.0.2:1", report(900, 50, 6))
+	lone.collect(now.Add(heardTime/2), "10.0.0.2:1", report(100, 1, 4))
+	assert.Equal(t, row(), uint64(6))
+	lone.collect(now.Add(2*heardTime), "10.0.0.2:1", report(100, 2, 5))
+	assert.Equal(t, row(), uint64(5))
+	lone.collect(now.Add(2*heardTime), "10.0.0.2:1", report(100, 1, 4))
+	assert.Equal(t, row(), uint64(5))
+}
