Keep a bad version bad in the soak

The soak's fault that makes one back end misbehave replaced what it was scripted to do: a back end of a bad version answered well from then on. Such a fault now comes before the rest of the script, as strict as before. Ruled out: a fault of the comparison: what the last of three back ends gave was good.

--- a/cmd/lotusward/soak_test.go
+++ b/cmd/lotusward/soak_test.go
@@ -300,7 +300,8 @@
 	for range 1 + s.luck.IntN(4) {
 		script = append(script, kinds[s.luck.IntN(len(kinds))])
 	}
-	s.runners[s.luck.IntN(len(s.runners))].Script(script...)
+	// One of a bad version goes on as before then.
+	s.runners[s.luck.IntN(len(s.runners))].ScriptFirst(script...)
 }
 
 // rekey takes a key away, once: a request's key is judged by when it was sent.
