--- a/internal/rollout/fault_test.go
+++ b/internal/rollout/fault_test.go
@@ -502,12 +502,12 @@
 		number := fleet.order(testService, newVersion, testDuration)
 		assert.Assert(t, fleet.until(testDuration, fleet.at(testService, rollout.StageTrial)))
 		fleet.store.setDown(true)
-		heard := 0
+		var heard atomic.Int64
 		listens := fleet.members[6]
-		listens.Handle(peerlink.KindVersionStop, func(string, []byte) { heard++ })
+		listens.Handle(peerlink.KindVersionStop, func(string, []byte) { heard.Add(1) })
 		fleet.members[2].coordinator.noteStop(time.Now(), testService, number, "bad", listens.Address())
 		fleet.run(time.Second)
-		assert.Assert(t, heard >= 5, "%d", heard)
+		assert.Assert(t, heard.Load() >= 5, "%d", heard.Load())
 		fleet.settle()
 	})
 }
