Try other regions whatever they told where the own one has no back end

Cause: without a back end in the own region, a request was sent only to regions of whose told room this daemon had a part left. Where they told none, or its part was used up, it was refused at once with no_backend though back ends had places; and what the pool said of them was thrown away, so that a request whose back ends were all busy didn't wait. Regions with a part left still come first.

Ruled out: no parts at all without a back end at home, which would lose the order by room; waiting for the next telling, since a daemon that takes more than its part of the callers would never catch up.

--- a/internal/relay/regions.go
+++ b/internal/relay/regions.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/lotusward/lotusward/internal/core/backendpool"
@@ -32,8 +33,12 @@
 			return ticket
 		}
 	}
+	ordered := regionchoice.Order(r.withRooms(ctx, query, regions), limited)
+	if !slices.ContainsFunc(ordered, func(region regionchoice.Region) bool { return region.Own }) {
+		return r.tryAway(ctx, query, ordered)
+	}
 	shortage := r.shortage
-	for _, region := range regionchoice.Order(r.withRooms(ctx, query, regions), limited) {
+	for _, region := range ordered {
 		if (triedOwn && region.Own) || !r.relay.maySend(query, region) {
 			continue
 		}
@@ -48,6 +53,37 @@
 	return nil
 }
 
+// tryAway takes a place in another region for a request for which the own one has no back end.
+// Regions of whose told room this daemon has a part left come first. Then the others are tried all
+// the same: what they told may be old, and there is nothing at home to wait for.
+func (r *run) tryAway(ctx context.Context, query backendpool.Query, regions []regionchoice.Region) *backendpool.Ticket {
+	var withoutPart []regionchoice.Region
+	var shortage backendpool.Shortage
+	try := func(region regionchoice.Region) *backendpool.Ticket {
+		ticket := r.tryNear(ctx, r.within(query, region.Region))
+		if ticket == nil {
+			shortage = shortage.Plus(r.shortage)
+		}
+		return ticket
+	}
+	for _, region := range regions {
+		if !r.relay.maySend(query, region) {
+			withoutPart = append(withoutPart, region)
+			continue
+		}
+		if ticket := try(region); ticket != nil {
+			return ticket
+		}
+	}
+	for _, region := range withoutPart {
+		if ticket := try(region); ticket != nil {
+			return ticket
+		}
+	}
+	r.shortage = shortage
+	return nil
+}
+
 // tryOtherRegions takes a place in another region for a request that its own can't serve in
 // time.
 func (r *run) tryOtherRegions(ctx context.Context, limits backendpool.Limits) *backendpool.Ticket {
--- a/internal/relay/regions_test.go
+++ b/internal/relay/regions_test.go
@@ -174,6 +174,53 @@
 	assert.Equal(t, world.ask(nil).body.String(), eventsText(1, 3))
 }
 
+// TestRequestWithoutBackEndAtHomeGoesWhereOneIs has no back end at home that may get requests. What
+// other regions told is no reason to refuse: it may be old, or this daemon's part of it used up.
+func TestRequestWithoutBackEndAtHomeGoesWhereOneIs(t *testing.T) {
+	for _, route := range []routing.Route{streamingRoute, {Kind: routing.KindStreaming, MaxAttempts: 1}} {
+		for _, free := range []float64{0, 1} {
+			world, rooms := newRegions(route, "a", "b", "c")
+			world.drainFirst()
+			rooms.tell(told("region-b", free), told("region-c", free))
+			for range 4 {
+				assert.Equal(t, world.ask(nil).body.String(), eventsText(1, 3))
+				assert.Assert(t, world.sentTo() != "b0")
+			}
+		}
+	}
+}
+
+// TestRequestWithoutBackEndAtHomeWaitsWhereOneIs has no back end at home that may get requests, and
+// full ones elsewhere: the request is refused as busy, whether room is told or not.
+func TestRequestWithoutBackEndAtHomeWaitsWhereOneIs(t *testing.T) {
+	for _, heard := range [][]roomshare.Told{nil, {told("region-b", 0)}} {
+		world, rooms := newRegions(streamingRoute, "a", "b", "c")
+		world.fillFirst(3)
+		world.drainFirst()
+		rooms.tell(heard...)
+		caller := world.ask(longPrompt)
+		assert.Equal(t, caller.refusal.Kind, RefusalNotRun)
+		assert.Equal(t, caller.refusal.Reason, reasonBusy)
+	}
+}
+
+// TestRoomElsewhereIsTriedFirstWithoutBackEndAtHome takes the region that told room before one that
+// told none.
+func TestRoomElsewhereIsTriedFirstWithoutBackEndAtHome(t *testing.T) {
+	world, rooms := newRegions(streamingRoute, "a", "b", "c")
+	world.drainFirst()
+	rooms.tell(told("region-b", 0), told("region-c", 1))
+	assert.Equal(t, world.ask(nil).body.String(), eventsText(1, 3))
+	assert.Equal(t, world.sentTo(), identity.BackendID("b2"))
+}
+
+// drainFirst lets the first back end get no more requests.
+func (w *world) drainFirst() {
+	list := w.pool.Backends()
+	list[0].Draining = true
+	w.pool.Update(list)
+}
+
 // TestStoreIsUsedInItsRegion gives a back end in another region than the store's no store, unless
 // a move from there is quicker than reading.
 func TestStoreIsUsedInItsRegion(t *testing.T) {
