Count no region for zones that name none

Cause: a zone that is listed with an empty region was taken for another region or for none by the order in which the map was walked, so that of the daemons of one region some told rooms and asked by region, and others didn't. Distances take such a zone for one of the same region already.

Ruled out: leaving empty regions out in NewMap; Region answers the same for them either way.

--- a/internal/core/distance/distance.go
+++ b/internal/core/distance/distance.go
@@ -58,14 +58,15 @@
 	}
 }
 
-// Several tells whether there is more than one region.
+// Several tells whether there is more than one region. Zones without a region make none.
 func (m Map) Several() bool {
 	var first identity.Region
 	for _, region := range m.regions {
-		if first == "" {
+		switch {
+		case region == "":
+		case first == "":
 			first = region
-		}
-		if region != first {
+		case region != first:
 			return true
 		}
 	}
--- a/internal/core/distance/distance_test.go
+++ b/internal/core/distance/distance_test.go
@@ -39,3 +39,12 @@
 		}
 	})
 }
+
+// TestZoneWithoutRegionMakesNoSeveral names a zone without a region beside others of one region: all
+// are of one region, in whatever order they are looked at.
+func TestZoneWithoutRegionMakesNoSeveral(t *testing.T) {
+	for range 100 { // the order differs from look to look
+		assert.Assert(t, !NewMap(map[identity.Zone]identity.Region{"a": "r", "b": ""}).Several())
+		assert.Assert(t, NewMap(map[identity.Zone]identity.Region{"a": "r", "b": "", "c": "s"}).Several())
+	}
+}
