Place daemons in their region once their zone is told

Cause: the daemons by region were kept while the list of addresses was the same. A daemon that is heard of before its row counts as of no region; the row brings its zone and mostly the same list, so that it stayed without a region, and this daemon asked and told other daemons than the rest of its region until the next one came.

Ruled out: asking for each daemon's zone on each look, which each request to another region would do for all daemons.

--- a/internal/roomshare/roomshare.go
+++ b/internal/roomshare/roomshare.go
@@ -40,8 +40,8 @@
 // Options are what a Sharer works with.
 type Options struct {
 	Link peerlink.Carrier
-	// Others returns the addresses of the other daemons, and Zone the zone of one of them;
-	// empty is unknown.
+	// Others returns the addresses of the other daemons, in another slice whenever any of them
+	// is described anew, and Zone the zone of one of them; empty is unknown.
 	Others func() []string
 	Zone   func(address string) identity.Zone
 	// Capacity returns the room of a daemon's machine relative to others'.
@@ -143,12 +143,18 @@
 	others := s.options.Others()
 	s.grouping.Lock()
 	defer s.grouping.Unlock()
-	if s.grouped == nil || !slices.Equal(others, s.groupedOf) {
+	if s.grouped == nil || !sameSlice(others, s.groupedOf) {
 		s.grouped, s.groupedOf = s.group(others), others
 	}
 	return s.grouped
 }
 
+// sameSlice tells whether two lists are one: a list is replaced when daemons come, or are told to be
+// in another zone.
+func sameSlice(left, right []string) bool {
+	return len(left) == len(right) && (len(left) == 0 || &left[0] == &right[0])
+}
+
 // group sorts the other daemons and this one by their regions.
 func (s *Sharer) group(others []string) map[identity.Region][]string {
 	found := map[identity.Region][]string{s.own: {s.options.Link.Address()}}
--- a/internal/roomshare/roomshare_test.go
+++ b/internal/roomshare/roomshare_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -190,6 +191,21 @@
 	})
 }
 
+// TestDaemonWhoseZoneIsToldLaterIsPlaced lets a daemon be heard of before its zone: once the list of
+// daemons is told anew with the zone, it is counted in its region.
+func TestDaemonWhoseZoneIsToldLaterIsPlaced(t *testing.T) {
+	fleet := newFleet(1, 2, 8)
+	sharer := fleet.daemons[0].sharer
+	late := fleet.daemons[7].Address()
+	zone := fleet.zones[late]
+	delete(fleet.zones, late)
+	assert.Equal(t, len(sharer.byRegion()[regionOf(1)]), 3)
+	fleet.zones[late] = zone
+	told := slices.Clone(sharer.options.Others())
+	sharer.options.Others = func() []string { return told }
+	assert.Equal(t, len(sharer.byRegion()[regionOf(1)]), 4)
+}
+
 // TestLittleCrossesBorders counts what 60 daemons of 3 regions tell while all ask all the time: that
 // grows neither with the daemons, nor with what they ask.
 func TestLittleCrossesBorders(t *testing.T) {
