Wait for answers about limits by observation only where they are far

Cause: how long an answer was waited for went by the mean of all answers, without a bound and in the own region too, where it was 60 ms before: slow daemons of one region raised it for each other, as each answer within three times the mean counts. A request waits for two daemons in turn.

Ruled out: a bound alone, which would leave the wait in one region at six times what it was.

--- a/internal/tenantlimit/limiter.go
+++ b/internal/tenantlimit/limiter.go
@@ -138,7 +138,7 @@
 }
 
 // Take asks for a cost of a tenant's limit. It waits for the answer of another daemon for
-// two times answerTimeout at most.
+// two times answerTimeout at most, or mostAnswerTime where that is in another region.
 func (l *Limiter) Take(ctx context.Context, tenant identity.TenantName, limit quota.Limit, cost float64) Grant {
 	number := l.questions.Next()
 	request := quota.Request{Key: quota.RequestKey{From: l.self, Number: number}, Tenant: tenant, Limit: limit, Cost: cost}
--- a/internal/tenantlimit/region.go
+++ b/internal/tenantlimit/region.go
@@ -12,13 +12,19 @@
 // nobody here. Each asks a silent home again within a second.
 const apartTime = 3 * time.Second
 
+// mostAnswerTime bounds how long an answer from another region is waited for: a request that waits for
+// a home and for the one in its place must have time left to be answered. Answers from 20 ms away take
+// a tenth of it.
+const mostAnswerTime = 400 * time.Millisecond
+
 // patience is how long lies between two sendings of a question to a daemon of a region, and how long
-// its answer is waited for, by how long answers from there take.
+// its answer is waited for, by how long answers from there take, where that is another region.
 func (l *Limiter) patience(region identity.Region) (repeat, answer time.Duration) {
 	mean, known := l.roundTrips.Mean(region)
-	if !known {
+	if !known || region == l.options.Topology.RegionOf(l.self) {
 		return repeatInterval, answerTimeout
 	}
+	mean = min(mean, mostAnswerTime/answerFactor)
 	return max(time.Duration(repeatFactor*float64(mean)), repeatInterval), max(answerFactor*mean, answerTimeout)
 }
 
--- a/internal/tenantlimit/region_test.go
+++ b/internal/tenantlimit/region_test.go
@@ -155,3 +155,31 @@
 	}
 	assert.Assert(t, checked > 0)
 }
+
+// TestPatienceIsOfTheDistance observes slow answers: those of the own region are waited for as ever,
+// and those of another one for longer, but no longer than a request can bear.
+func TestPatienceIsOfTheDistance(t *testing.T) {
+	for _, regions := range []int{1, 3} {
+		fleet := newFleet(1, 6)
+		if regions > 1 {
+			fleet.split(regions)
+		}
+		limiter := fleet.daemons[0].limiter
+		own, far := limiter.options.Topology.RegionOf(limiter.self), identity.Region("1")
+		limiter.roundTrips.Note(own, time.Second)
+		repeat, answer := limiter.patience(own)
+		assert.Equal(t, repeat, repeatInterval)
+		assert.Equal(t, answer, answerTimeout)
+		if regions == 1 {
+			continue
+		}
+		limiter.roundTrips.Note(far, 40*time.Millisecond)
+		repeat, answer = limiter.patience(far)
+		assert.Assert(t, repeat > 40*time.Millisecond && answer > repeat, "%v, %v", repeat, answer)
+		for range 100 {
+			limiter.roundTrips.Note(far, time.Second)
+		}
+		repeat, answer = limiter.patience(far)
+		assert.Assert(t, repeat < answer && answer <= 400*time.Millisecond, "%v, %v", repeat, answer)
+	}
+}
