Number the questions about a limit by the daemon that is asked

Cause: the home and the daemon in its place were asked under one number. A home's answer that came while the other was waited for was taken for the other's, though the home had been told that its grant is not used; then the other's answer, or a repeated one of it, was given back as of a question that nobody waits for. The request was counted at neither. Regions that are 40 ms apart there and back make such answers usual, and questions are repeated.

Ruled out: giving nothing back after the wait, which leaves what a lost answer granted taken.

--- a/internal/tenantlimit/limiter.go
+++ b/internal/tenantlimit/limiter.go
@@ -140,22 +140,24 @@
 // Take asks for a cost of a tenant's limit. It waits for the answer of another daemon for
 // two times answerTimeout at most, or mostAnswerTime where that is in another region.
 func (l *Limiter) Take(ctx context.Context, tenant identity.TenantName, limit quota.Limit, cost float64) Grant {
-	number := l.questions.Next()
-	request := quota.Request{Key: quota.RequestKey{From: l.self, Number: number}, Tenant: tenant, Limit: limit, Cost: cost}
+	request := quota.Request{Key: quota.RequestKey{From: l.self}, Tenant: tenant, Limit: limit, Cost: cost}
 	ranking := l.ranking(tenant)
 	for _, address := range ranking[:min(len(ranking), grantors)] {
+		// Each daemon gets its own number: a late answer of one must not be taken for the next one's.
+		request.Key.Number = l.questions.Next()
 		if address == l.self {
 			decision := l.decide(request, ranking[0])
-			return Grant{Decision: decision, Grantor: address, Limit: limit, Cost: cost, number: number}
+			return Grant{Decision: decision, Grantor: address, Limit: limit, Cost: cost, number: request.Key.Number}
 		}
 		if l.silence.Is(address, l.options.Now()) {
 			continue
 		}
 		if decision, answered := l.ask(ctx, address, request); answered {
-			return Grant{Decision: decision, Grantor: address, Limit: limit, Cost: cost, number: number}
+			return Grant{Decision: decision, Grantor: address, Limit: limit, Cost: cost, number: request.Key.Number}
 		}
 	}
-	return Grant{Decision: l.takePart(request), Grantor: l.self, Own: true, Limit: limit, Cost: cost, number: number}
+	request.Key.Number = l.questions.Next()
+	return Grant{Decision: l.takePart(request), Grantor: l.self, Own: true, Limit: limit, Cost: cost, number: request.Key.Number}
 }
 
 // Return gives back what was granted for a request that did not run.
--- a/internal/tenantlimit/limiter_test.go
+++ b/internal/tenantlimit/limiter_test.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -12,6 +14,7 @@
 
 	"github.com/lotusward/lotusward/internal/core/identity"
 	"github.com/lotusward/lotusward/internal/core/quota"
+	"github.com/lotusward/lotusward/internal/peerlink"
 	"github.com/lotusward/lotusward/internal/peerlink/peerlinktest"
 )
 
@@ -256,3 +259,44 @@
 		assert.Assert(t, !asking.limiter.Take(t.Context(), tenant, testLimit(1), testRate).Granted)
 	})
 }
+
+// TestLateAnswerIsNotTakenForAnothers lets a home answer once the next daemon is asked: what the
+// home granted is given back, and what the request uses stays taken at the daemon that is named for it.
+func TestLateAnswerIsNotTakenForAnothers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fleet := newFleet(5, 8)
+		time.Sleep(time.Minute)
+		fleet.tellAll()
+		settle()
+		asking := fleet.daemons[0]
+		tenant := identity.TenantName("t")
+		for slices.Contains(asking.limiter.ranking(tenant)[:grantors], asking.Address()) {
+			tenant += "t"
+		}
+		home, next := asking.limiter.ranking(tenant)[0], asking.limiter.ranking(tenant)[1]
+		fleet.network.SetWay(func(from, _ string) time.Duration {
+			if from == home {
+				return answerTimeout - peerlinktest.Delay/2
+			}
+			return peerlinktest.Delay
+		})
+		var mutex sync.Mutex
+		returned := map[string]int{}
+		fleet.network.Observe(func(_, to string, datagram []byte) {
+			if peerlink.Kind(datagram[0]) == peerlink.KindLimitReturn {
+				mutex.Lock()
+				defer mutex.Unlock()
+				returned[to]++
+			}
+		})
+		grant := asking.limiter.Take(t.Context(), tenant, testLimit(1), 10)
+		assert.Assert(t, grant.Granted)
+		assert.Equal(t, grant.Grantor, next)
+		asking.limiter.hearAnswer(next, answerMessage{Number: grant.number, Granted: true}) // repeated
+		settle()
+		mutex.Lock()
+		defer mutex.Unlock()
+		assert.Assert(t, returned[home] > 0)
+		assert.Equal(t, returned[next], 0)
+	})
+}
