Take back ends of zones that the settings don't name for near ones

Cause: a daemon knows the regions of zones from the settings that it has started with. A back end in a zone that was added since was of the empty region, which no daemon tells room of: while any back end of the daemon's own region might get requests, it got none, also when those were full. Distances take such a zone for one of the same region already.

Ruled out: trying the empty region as another one without told room; that costs a way that is not known to be far.

--- a/internal/core/backendpool/cached.go
+++ b/internal/core/backendpool/cached.go
@@ -140,7 +140,7 @@
 func (p *Pool) holder(now time.Time, query Query, picked *entry, keys []uint64) *entry {
 	version := picked.version(query.Model)
 	var found *entry
-	region := p.distances.Region(picked.backend.Zone)
+	region := p.RegionOf(picked.backend.Zone)
 	for _, candidate := range p.services[query.Service] {
 		if candidate.version(query.Model) != version || candidate.ejected(now) || !slices.Contains(keys, candidate.key) {
 			continue
@@ -148,7 +148,7 @@
 		if candidate.backend.Zone == picked.backend.Zone {
 			return candidate
 		}
-		if found == nil || (p.distances.Region(found.backend.Zone) != region && p.distances.Region(candidate.backend.Zone) == region) {
+		if found == nil || (p.RegionOf(found.backend.Zone) != region && p.RegionOf(candidate.backend.Zone) == region) {
 			found = candidate
 		}
 	}
--- a/internal/core/backendpool/pool.go
+++ b/internal/core/backendpool/pool.go
@@ -163,7 +163,7 @@
 		found.far = p.distances.Between(p.zone, backend.Zone) == distance.OtherRegion
 		byID[backend.ID] = found
 		services[backend.Service] = append(services[backend.Service], found)
-		place := regional{backend.Service, p.distances.Region(backend.Zone)}
+		place := regional{backend.Service, p.RegionOf(backend.Zone)}
 		byRegion[place] = append(byRegion[place], found)
 		byAddress[backend.Address] = max(byAddress[backend.Address], found.listedAt)
 	}
--- a/internal/core/backendpool/region.go
+++ b/internal/core/backendpool/region.go
@@ -1,6 +1,7 @@
 package backendpool
 
 import (
+	"cmp"
 	"maps"
 	"math"
 	"slices"
@@ -51,8 +52,10 @@
 // Region is the daemon's own region; empty where it is not known.
 func (p *Pool) Region() identity.Region { return p.region }
 
-// RegionOf is the region of a zone; empty where it is not known.
-func (p *Pool) RegionOf(zone identity.Zone) identity.Region { return p.distances.Region(zone) }
+// RegionOf is the region of a zone; the daemon's own where it is not known, as distances take it.
+func (p *Pool) RegionOf(zone identity.Zone) identity.Region {
+	return cmp.Or(p.distances.Region(zone), p.region)
+}
 
 // Zone is the zone of a back end, by the hash of its ID; false where it is not listed.
 func (p *Pool) Zone(key uint64) (identity.Zone, bool) {
@@ -74,7 +77,7 @@
 		if found.backend.Draining || found.replaced || found.ejected(now) || p.leaving[found.key] == leavesNow {
 			continue
 		}
-		region := p.distances.Region(found.backend.Zone)
+		region := p.RegionOf(found.backend.Zone)
 		at := slices.IndexFunc(rooms, func(room Room) bool { return room.Region == region })
 		if at < 0 {
 			at, rooms = len(rooms), append(rooms, Room{Region: region})
@@ -126,7 +129,7 @@
 func (p *Pool) nearOnly(cached Cached, region identity.Region) Cached {
 	elsewhere := func(key uint64) bool {
 		found := p.byKey[key]
-		return found == nil || p.distances.Region(found.backend.Zone) != region
+		return found == nil || p.RegionOf(found.backend.Zone) != region
 	}
 	found := slices.Clone(cached)
 	for index := range found {
--- a/internal/core/backendpool/region_test.go
+++ b/internal/core/backendpool/region_test.go
@@ -258,3 +258,24 @@
 		pool.Rooms(start, "llm")
 	}
 }
+
+// TestBackEndOfAnUnknownZoneCountsAsNear lists a back end in a zone that the settings don't name yet: it
+// is taken for one of the daemon's own region in all that goes by region.
+func TestBackEndOfAnUnknownZoneCountsAsNear(t *testing.T) {
+	pool := New("a")
+	pool.SetDistances(distance.NewMap(map[identity.Zone]identity.Region{"a": "r1", "b": "r2"}))
+	pool.Update([]Backend{
+		{ID: "near", Service: "s", Zone: "a", Address: "1", Slots: 1}, {ID: "far", Service: "s", Zone: "b", Address: "2", Slots: 1},
+		{ID: "new", Service: "s", Zone: "c", Address: "3", Slots: 1},
+	})
+	now := time.Now()
+	assert.Equal(t, len(pool.Lacking(now, Query{Service: "s"})), 2)
+	assert.Equal(t, len(pool.SampleRegion("r1", 10)), 2)
+	for _, room := range pool.Rooms(now, "s") {
+		assert.Equal(t, room.Slots, map[identity.Region]float64{"r1": 2, "r2": 1}[room.Region])
+	}
+	assert.Equal(t, pool.RegionOf("c"), identity.Region("r1"))
+	for range 2 {
+		assert.Assert(t, pool.Pick(now, Query{Service: "s", Region: "r1", Limits: Limits{Tokens: 100}}) != nil)
+	}
+}
