Forget daemons that did not answer where they are noted

Cause: the crossings to other regions note daemons that did not answer, and nobody pruned their list: it kept each address that was ever gone. Homes and limits pruned theirs from timers of their own, one of them with the time of Go's clock.

Ruled out: another timer in crossings, which have no loop of their own.

--- a/internal/loadhome/loadhome.go
+++ b/internal/loadhome/loadhome.go
@@ -91,10 +91,9 @@
 			return nil
 		case <-h.options.Pool.Changed():
 			h.noteAll(h.options.Pool.ChangedLoads())
-		case now := <-repeat.C:
+		case <-repeat.C:
 			h.noteAll(h.options.Pool.Loads(loadshare.MaximumLoads))
 			h.ledger.prune()
-			h.silence.Sweep(now)
 		}
 	}
 }
--- a/internal/presence/silence.go
+++ b/internal/presence/silence.go
@@ -1,6 +1,7 @@
 package presence
 
 import (
+	"maps"
 	"sync"
 	"time"
 )
@@ -24,13 +25,15 @@
 // NewSilence makes a Silence of daemons that a list knows of.
 func NewSilence(list *List) *Silence { return &Silence{list: list, since: map[string]time.Time{}} }
 
-// Note notes that a daemon did not answer. It returns true if it had answered before.
+// Note notes that a daemon did not answer, and forgets what is past. It returns true if it had
+// answered before.
 func (s *Silence) Note(address string, now time.Time) bool {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	since, found := s.since[address]
+	maps.DeleteFunc(s.since, func(_ string, since time.Time) bool { return now.Sub(since) > 2*silentTime })
+	_, found := s.since[address]
 	s.since[address] = now
-	return !found || now.Sub(since) > 2*silentTime
+	return !found
 }
 
 // Is tells whether a daemon is not to be asked.
@@ -43,14 +46,3 @@
 	}
 	return !s.list.HeardSince(address, since.Add(leastSilentTime))
 }
-
-// Sweep forgets what is past.
-func (s *Silence) Sweep(now time.Time) {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	for address, since := range s.since {
-		if now.Sub(since) > 2*silentTime {
-			delete(s.since, address)
-		}
-	}
-}
--- a/internal/tenantlimit/limiter.go
+++ b/internal/tenantlimit/limiter.go
@@ -110,7 +110,6 @@
 }
 
 func (l *Limiter) sweep(now time.Time) {
-	l.silence.Sweep(now)
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	maps.DeleteFunc(l.abandoned, func(_ uint64, at time.Time) bool { return now.Sub(at) > abandonedTime })
