--- /dev/null
+++ b/cmd/internal/daemon/duty.go
@@ -0,0 +1,66 @@
+package daemon
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/lotusward/lotusward/internal/clock"
+	"github.com/lotusward/lotusward/internal/core/identity"
+	"github.com/lotusward/lotusward/internal/core/lease"
+	"github.com/lotusward/lotusward/internal/leasekeeper"
+	"github.com/lotusward/lotusward/internal/peerlink"
+	"github.com/lotusward/lotusward/internal/weightupdate"
+)
+
+// wireDuty makes the update of weights and the lease that it is done under.
+func (w *Daemon) wireDuty() {
+	bounds := w.settings.Bounds
+	duty := &leasekeeper.Duty{
+		Pending: func() bool { return w.weights.Pending() }, First: w.directory.ReadsForAll,
+		Candidate: &leasekeeper.Candidate{Count: w.members.Count, Share: w.shareOfRoom, Held: w.holdsLease},
+		Linger:    rest(bounds) + leaseLinger,
+	}
+	w.keeper = leasekeeper.New(leasekeeper.Options{
+		Table: w.store, Log: w.part("lease"),
+		Eligible: func() bool {
+			leaves := w.serving.stopping.Load() && len(w.members.Others()) > 0
+			mayBecome := w.directory.Complete() && !leaves
+			return (mayBecome || w.holdsLease()) && duty.Eligible(clock.Now())
+		},
+		Settings: lease.Settings{
+			Key: weightupdate.KeyLease, Holder: w.settings.NodeName, Incarnation: identity.Incarnation(rand.Uint64()),
+			SoleIncarnation: true, // a machine runs one process of a role
+			Duration:        leaseDuration(bounds),
+			MaximumDrift:    maximumDrift,
+			ActWithin:       time.Duration(actShare * float64(leaseDuration(bounds))),
+			Rest:            rest(bounds),
+		},
+	})
+	w.weights = weightupdate.New(weightupdate.Options{
+		Holder: w.settings.NodeName, Lease: w.keeper, Table: w.store, Pool: w.backends, Named: w.directory,
+		Orders: w.runners, Log: w.part("weights"),
+		DueBy:    w.dueBy,
+		Refresh:  w.refreshLoad,
+		Announce: func(announced weightupdate.Announcement) { w.tree.Tell(peerlink.KindPlan, &announced) },
+	})
+	w.follower = &weightupdate.Follower{
+		Table: w.store, Changes: w.store, Pool: w.backends, Lease: w.keeper, Learn: w.directory.LearnSeen, Log: w.part("weights"),
+		Pending: w.weights.Pending,
+		Guesses: func() bool { return w.directory.ReadsForAll() && w.directory.GuessesVersions() },
+	}
+	peerlink.HandleDecoded(w.link, peerlink.KindPlan, func(_ string, announced weightupdate.Announcement) { w.follower.Hear(announced) })
+}
+
+// dueBy is until when back ends with a version of a model's weights may begin requests.
+func (w *Daemon) dueBy(model identity.ModelName, version uint64) time.Time {
+	state := w.directory.State()
+	if state == nil {
+		return time.Time{}
+	}
+	return state.BeginBy(model, version, w.directory.SteadySince(), versionGrace(w.settings.Bounds))
+}
+
+func (w *Daemon) holdsLease() bool {
+	_, held := w.keeper.Held()
+	return held
+}
--- a/cmd/internal/daemon/wire.go
+++ b/cmd/internal/daemon/wire.go
@@ -6,7 +6,6 @@
 import (
 	"context"
 	"errors"
-	"math/rand/v2"
 	"net"
 	"strconv"
 	"time"
@@ -17,13 +16,9 @@
 	"github.com/lotusward/lotusward/internal/adapter/httpexchange"
 	"github.com/lotusward/lotusward/internal/administration"
 	"github.com/lotusward/lotusward/internal/cachewatch"
-	"github.com/lotusward/lotusward/internal/clock"
 	"github.com/lotusward/lotusward/internal/core/backendpool"
 	"github.com/lotusward/lotusward/internal/core/distance"
-	"github.com/lotusward/lotusward/internal/core/identity"
-	"github.com/lotusward/lotusward/internal/core/lease"
 	"github.com/lotusward/lotusward/internal/core/promptcache"
-	"github.com/lotusward/lotusward/internal/core/rendezvous"
 	"github.com/lotusward/lotusward/internal/core/retry"
 	"github.com/lotusward/lotusward/internal/crashwatch"
 	"github.com/lotusward/lotusward/internal/directory"
@@ -154,6 +149,19 @@
 			w.backends.SetDaemons(count)
 		},
 	})
+	crossing := w.wirePeers(traffic)
+	w.crashes = crashwatch.New(crashwatch.Options{
+		Link: w.link, Topology: w.topology, Crossing: crossing, Table: w.store, Log: w.part("quarantine"),
+		Reads: func() bool { return w.directory.ReadsForAll() },
+	})
+	w.backends.OnChecked(w.crashes.Checked)
+	w.wireDirectory(traffic)
+	w.wireCaches()
+	w.wireLoads()
+}
+
+// wirePeers makes what carries datagrams to other daemons.
+func (w *Daemon) wirePeers(traffic *peerTraffic) *peerlink.Crossing {
 	w.link.Observe(w.hear)
 	w.presence = presence.New()
 	w.topology = newTopology(w.regions, w.members)
@@ -163,11 +171,12 @@
 	crossing := peerlink.NewCrossing(w.link, w.topology, presence.NewSilence(w.presence))
 	w.broadcast = peerlink.NewBroadcaster(w.link, w.topology, crossing)
 	w.tree = peerlink.NewTree(w.link, w.topology, crossing)
-	w.crashes = crashwatch.New(crashwatch.Options{
-		Link: w.link, Topology: w.topology, Crossing: crossing, Table: w.store, Log: w.part("quarantine"),
-		Reads: func() bool { return w.directory.ReadsForAll() },
-	})
-	w.backends.OnChecked(w.crashes.Checked)
+	return crossing
+}
+
+// wireDirectory makes what reads the store, or hears who does.
+func (w *Daemon) wireDirectory(traffic *peerTraffic) {
+	bounds := w.settings.Bounds
 	w.directory = directory.New(directory.Options{
 		Quarantine: w.crashes, Software: bounds.OffersRollouts(),
 		Source: w.store, Pool: w.backends, Log: w.part("directory"),
@@ -184,12 +193,20 @@
 	})
 	peerlink.HandleDecoded(w.link, peerlink.KindBulletin, w.directory.Hear)
 	w.snapshots = peersync.NewServer(w.link.Address(), w.directory.Snapshot, w.part("peersync"))
+}
+
+// wireCaches makes what follows the caches of back ends and stores.
+func (w *Daemon) wireCaches() {
 	w.promptsIn = cachewatch.NewWatcher(cachewatch.Options{
 		Source: w.runners, Targets: w.promptStores, Log: w.part("promptstore"),
 	})
 	w.cachesIn = cachewatch.NewWatcher(cachewatch.Options{
 		Source: w.runners, Targets: w.watchedBackends, Rest: cacheRest, Observe: w.observeCache, Log: w.part("caches"),
 	})
+}
+
+// wireLoads makes what daemons tell and ask each other of loads, room and limits.
+func (w *Daemon) wireLoads() {
 	w.loads = loadshare.New(loadshare.Options{
 		Link: w.link, Others: w.members.Others, Pool: w.backends, Memory: w.memory,
 	})
@@ -203,7 +220,7 @@
 	})
 	w.limits = tenantlimit.New(tenantlimit.Options{
 		Link: w.link, Topology: w.topology, Count: w.members.Count, Presence: w.presence,
-		Margin: limitMarginShare * bounds.QuotaSlack, Log: w.part("limits"),
+		Margin: limitMarginShare * w.settings.Bounds.QuotaSlack, Log: w.part("limits"),
 	})
 	w.prober = prober.New(prober.Options{Pool: w.backends, Reach: w.runners.Reach, Log: w.part("probe")})
 }
@@ -237,72 +254,6 @@
 // address is a port of this daemon's address.
 func (w *Daemon) address(port int) string { return net.JoinHostPort(w.settings.IP, strconv.Itoa(port)) }
 
-// wireDuty makes the update of weights and the lease that it is done under.
-func (w *Daemon) wireDuty() {
-	bounds := w.settings.Bounds
-	duty := &leasekeeper.Duty{
-		Pending: func() bool { return w.weights.Pending() }, First: w.directory.ReadsForAll,
-		Candidate: &leasekeeper.Candidate{Count: w.members.Count, Share: w.shareOfRoom, Held: w.holdsLease},
-		Linger:    rest(bounds) + leaseLinger,
-	}
-	w.keeper = leasekeeper.New(leasekeeper.Options{
-		Table: w.store, Log: w.part("lease"),
-		Eligible: func() bool {
-			leaves := w.serving.stopping.Load() && len(w.members.Others()) > 0
-			mayBecome := w.directory.Complete() && !leaves
-			return (mayBecome || w.holdsLease()) && duty.Eligible(clock.Now())
-		},
-		Settings: lease.Settings{
-			Key: weightupdate.KeyLease, Holder: w.settings.NodeName, Incarnation: identity.Incarnation(rand.Uint64()),
-			SoleIncarnation: true, // a machine runs one process of a role
-			Duration:        leaseDuration(bounds),
-			MaximumDrift:    maximumDrift,
-			ActWithin:       time.Duration(actShare * float64(leaseDuration(bounds))),
-			Rest:            rest(bounds),
-		},
-	})
-	w.weights = weightupdate.New(weightupdate.Options{
-		Holder: w.settings.NodeName, Lease: w.keeper, Table: w.store, Pool: w.backends, Named: w.directory,
-		Orders: w.runners, Log: w.part("weights"),
-		DueBy:    w.dueBy,
-		Refresh:  w.refreshLoad,
-		Announce: func(announced weightupdate.Announcement) { w.tree.Tell(peerlink.KindPlan, &announced) },
-	})
-	w.follower = &weightupdate.Follower{
-		Table: w.store, Changes: w.store, Pool: w.backends, Lease: w.keeper, Learn: w.directory.LearnSeen, Log: w.part("weights"),
-		Pending: w.weights.Pending,
-		Guesses: func() bool { return w.directory.ReadsForAll() && w.directory.GuessesVersions() },
-	}
-	peerlink.HandleDecoded(w.link, peerlink.KindPlan, func(_ string, announced weightupdate.Announcement) { w.follower.Hear(announced) })
-}
-
-// dueBy is until when back ends with a version of a model's weights may begin requests.
-func (w *Daemon) dueBy(model identity.ModelName, version uint64) time.Time {
-	state := w.directory.State()
-	if state == nil {
-		return time.Time{}
-	}
-	return state.BeginBy(model, version, w.directory.SteadySince(), versionGrace(w.settings.Bounds))
-}
-
-// refreshLoad asks what other daemons have under way at a back end, where there are too many
-// daemons to tell all.
-func (w *Daemon) refreshLoad(ctx context.Context, id identity.BackendID) {
-	w.refreshLoads(ctx, []uint64{rendezvous.Key(string(id))})
-}
-
-// refreshLoads does so for some back ends, by the hashes of their IDs.
-func (w *Daemon) refreshLoads(ctx context.Context, keys []uint64) {
-	if w.homes.Needed() {
-		w.homes.Refresh(ctx, keys)
-	}
-}
-
-func (w *Daemon) holdsLease() bool {
-	_, held := w.keeper.Held()
-	return held
-}
-
 // storeObserver counts the store's calls and tells the directory of failed ones.
 type storeObserver struct {
 	counters *requestlog.Counters
@@ -317,20 +268,3 @@
 		o.daemon.directory.Disturbed(began)
 	}
 }
-
-// tell tells all other daemons what this one has read. Lists are long, and go down a tree;
-// the rest is short, and must not wait behind them.
-func (w *Daemon) tell(bulletin directory.Bulletin) {
-	if bulletin.Declared != nil || bulletin.Trying {
-		w.broadcast.Tell(peerlink.KindBulletin, &bulletin)
-		return
-	}
-	w.tree.Tell(peerlink.KindBulletin, &bulletin)
-}
-
-// hear notes that a daemon is alive.
-func (w *Daemon) hear(address string) {
-	w.members.Heard(address)
-	w.presence.Heard(address, clock.Now())
-	w.directory.Noticed(address)
-}
