Learn that the way to another region has become longer

Cause: only answers in time were noted, and after steady ones the wait ends 5 ms after their mean. When the way became longer by more, as after another route, each answer was late, none was noted, and each choice there waited for nothing and went by old loads, for good.

Ruled out: noting late answers, whose question is forgotten with its time; a longer wait at all times, which homes that are gone would cost.

--- a/internal/loadhome/loadhome.go
+++ b/internal/loadhome/loadhome.go
@@ -214,9 +214,13 @@
 }
 
 func (h *Homes) noteSilent(byHome map[string][]uint64) {
-	now := clock.Now()
+	now, far := clock.Now(), false
 	for home := range byHome {
 		h.silence.Note(home, now)
+		far = far || h.isFar(home)
+	}
+	if far {
+		h.farTimeout.late()
 	}
 }
 
--- a/internal/loadhome/roundtrip.go
+++ b/internal/loadhome/roundtrip.go
@@ -18,6 +18,9 @@
 	newestWeight    = 0.125
 	deviationWeight = 0.25
 	deviations      = 4
+	// lateFactor raises the mean deviation where no answer came in time: five in a row reach
+	// mostFarTimeout.
+	lateFactor = 2
 	// leastMargin is the least time beyond the mean.
 	leastMargin = 5 * time.Millisecond
 )
@@ -41,6 +44,16 @@
 	r.mean += time.Duration(newestWeight * float64(took-r.mean))
 }
 
+// late takes in that no answer came in time. A longer way would never be learned otherwise, since
+// answers that nobody waits for are dropped.
+func (r *roundTrip) late() {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	if r.mean > 0 {
+		r.deviation = min(lateFactor*max(r.deviation, leastMargin/deviations), mostFarTimeout/deviations)
+	}
+}
+
 // timeout is how long an answer is waited for.
 func (r *roundTrip) timeout() time.Duration {
 	r.mutex.Lock()
