Wait for the second answer about rooms where the first knows none

Cause: the first of two answers ended the wait. A daemon that hears for its region and has just started, or doesn't hear the others, answers as quickly as any, and with nothing: daemons then sent nothing to other regions, though the second one knew their room.

Ruled out: asking the second one only after the first, which costs another way.

--- a/internal/roomshare/roomshare.go
+++ b/internal/roomshare/roomshare.go
@@ -222,7 +222,8 @@
 	return true
 }
 
-// ask asks the daemons that hear for the own region.
+// ask asks the daemons that hear for the own region. One that has heard nothing may have just
+// started: the other's answer is waited for too.
 func (s *Sharer) ask(ctx context.Context) {
 	asked := s.tellers(s.own)
 	if slices.Contains(asked, s.options.Link.Address()) {
@@ -236,11 +237,18 @@
 	}
 	timeout := time.NewTimer(answerTimeout)
 	defer timeout.Stop()
-	select {
-	case got := <-answers:
-		s.take(got)
-	case <-timeout.C:
-	case <-ctx.Done():
+	for range asked {
+		select {
+		case got := <-answers:
+			s.take(got)
+			if len(got.Told) > 0 {
+				return
+			}
+		case <-timeout.C:
+			return
+		case <-ctx.Done():
+			return
+		}
 	}
 }
 
--- a/internal/roomshare/roomshare_test.go
+++ b/internal/roomshare/roomshare_test.go
@@ -191,6 +191,38 @@
 	})
 }
 
+// TestAnswerWithoutRoomsIsNotTheLast asks two daemons of which the quicker one has heard nothing, as
+// one that has just started: the other one's answer counts.
+func TestAnswerWithoutRoomsIsNotTheLast(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fleet := newFleet(1, 2, 12)
+		fleet.run(t.Context())
+		time.Sleep(time.Second + tellInterval/2)
+		tellers := fleet.daemons[0].sharer.tellers(regionOf(0))
+		for _, each := range fleet.daemons {
+			if each.Address() == tellers[0] {
+				each.sharer.mutex.Lock()
+				clear(each.sharer.heard)
+				each.sharer.mutex.Unlock()
+			}
+		}
+		fleet.network.SetWay(func(from, _ string) time.Duration {
+			if from == tellers[1] {
+				return 2 * peerlinktest.Delay
+			}
+			return peerlinktest.Delay
+		})
+		asked := 0
+		for _, each := range fleet.daemons {
+			if each.sharer.own == regionOf(0) && !slices.Contains(tellers, each.Address()) {
+				asked++
+				assert.Equal(t, len(each.sharer.Rooms(t.Context(), "s")), 1)
+			}
+		}
+		assert.Assert(t, asked > 0)
+	})
+}
+
 // TestDaemonWhoseZoneIsToldLaterIsPlaced lets a daemon be heard of before its zone: once the list of
 // daemons is told anew with the zone, it is counted in its region.
 func TestDaemonWhoseZoneIsToldLaterIsPlaced(t *testing.T) {
