Tell how long callers waited for a version, and forget former addresses of daemons

The descriptions of daemons kept each former address of one that moved (TestFormerAddressesAreForgotten fails without the mend: 20 in place of 1).

--- a/internal/members/members.go
+++ b/internal/members/members.go
@@ -121,11 +121,15 @@
 
 // Set replaces the list by all daemons that have rows.
 func (l *List) Set(list []member.Descriptor) {
-	l.describe(list)
+	described := make(map[string]member.Descriptor, len(list))
+	for _, each := range list {
+		described[each.Address] = each
+	}
+	l.described.Store(&described) // former addresses of daemons that moved are forgotten
 	var others []string
-	for _, described := range list {
-		if described.Address != l.options.Own.Address {
-			others = append(others, described.Address)
+	for _, each := range list {
+		if each.Address != l.options.Own.Address {
+			others = append(others, each.Address)
 		}
 	}
 	before := l.Count()
--- a/internal/members/members_test.go
+++ b/internal/members/members_test.go
@@ -162,3 +162,14 @@
 	assert.NilError(t, err)
 	assert.DeepEqual(t, contacts, []string{"10.0.0.1:7340"})
 }
+
+// TestFormerAddressesAreForgotten replaces the list many times: only what it holds is kept.
+func TestFormerAddressesAreForgotten(t *testing.T) {
+	list := newList(&memoryTable{rows: map[string]port.Row{}}, "self", "10.0.0.9:7340", func(int) {})
+	for number := range 20 {
+		list.Set([]member.Descriptor{{Address: fmt.Sprintf("10.0.0.1:%d", number), Zone: "north-a", Capacity: 2}})
+	}
+	assert.Equal(t, len(*list.described.Load()), 1)
+	assert.Equal(t, list.Zone("10.0.0.1:19"), identity.Zone("north-a"))
+	assert.Equal(t, list.Zone("10.0.0.1:18"), identity.Zone(""))
+}
--- a/internal/relay/choosing.go
+++ b/internal/relay/choosing.go
@@ -110,12 +110,22 @@
 	versions.Sent(chosen)
 	return func(ended failure) {
 		versions.Ended(chosen, SendingEnd{
-			Backend: ticket.Key, Result: ended.result, Status: r.answered.status, FirstByte: r.answered.firstByte,
+			Backend: ticket.Key, Result: ended.result, Status: r.answered.status, FirstByte: r.waited(ended),
 			Tokens: ticket.WorkTokens(), BackendFailed: ended.reason == reasonBackendFailure,
 		})
 	}
 }
 
+// waited is when the first byte of the present sending's answer came or, where the caller left
+// before, how long it had waited: a version so slow that callers leave would otherwise leave no
+// evidence.
+func (r *run) waited(ended failure) time.Duration {
+	if r.answered.firstByte == 0 && ended.result == backendpool.ResultAbandoned {
+		return r.now().Sub(r.sentAt)
+	}
+	return r.answered.firstByte
+}
+
 // answered is what came of the present sending's answer.
 type answered struct {
 	// status is zero before the head, and firstByte, since the sending began, before the body
--- a/internal/relay/versions.go
+++ b/internal/relay/versions.go
@@ -49,7 +49,8 @@
 	Result  backendpool.Result
 	// Status is the answer's; zero without an answer.
 	Status int
-	// FirstByte is the time from the sending to the answer's first byte; zero without one.
+	// FirstByte is the time from the sending to the answer's first byte, or until the caller left
+	// if there was none by then; zero where neither is known.
 	FirstByte time.Duration
 	// Tokens is what the back end had to read.
 	Tokens int
