Choose the trial's back ends when their list changes

Each daemon ranked all listed back ends of the target 20 times a second during a trial, with the lock held that requests take for their choice: 474 us each time with 2,800 of them, 1.1 us with this (BenchmarkSynchronize). They depend on the order and the list alone. Ruled out: ranking them outside of the lock, which costs as much processor time. TestTrialFollowsTheList holds before and after.

--- a/internal/rollout/choice_test.go
+++ b/internal/rollout/choice_test.go
@@ -26,6 +26,7 @@
 	service   rollout.Service
 	confirmed time.Time
 	listed    map[identity.SoftwareVersion]int
+	keys      []uint64
 	// counted is how often back ends were counted, and looked is called after each look at the
 	// versions.
 	counted int
@@ -52,7 +53,7 @@
 	return b.listed
 }
 func (b *steadyBelief) KeysOf(identity.ServiceName, identity.SoftwareVersion) []uint64 {
-	return []uint64{1, 2, 3}
+	return b.keys
 }
 func (b *steadyBelief) Own(identity.ServiceName, identity.SoftwareVersion) int { return 0 }
 func (b *steadyBelief) Backends() []backendpool.Backend                        { return nil }
@@ -60,7 +61,7 @@
 // newLone makes a Coordinator without other daemons, at a stage of an order.
 func newLone(stage rollout.Stage) (*Coordinator, *steadyBelief) {
 	listed := map[identity.SoftwareVersion]int{oldVersion: 3, newVersion: 3}
-	belief := &steadyBelief{confirmed: clock.Now(), listed: listed, service: rollout.Service{Standing: rollout.Standing{
+	belief := &steadyBelief{confirmed: clock.Now(), listed: listed, keys: []uint64{1, 2, 3}, service: rollout.Service{Standing: rollout.Standing{
 		Service: testService, Stable: oldVersion, Target: newVersion, Order: 5, Row: 6, Stage: stage, Deadline: 2 * time.Hour,
 	}}}
 	lone := New(Options{
@@ -216,6 +217,35 @@
 	}
 }
 
+// BenchmarkSynchronize is what a look does, 20 times a second, under the lock of the requests'
+// choices while a target with 2,800 back ends is under trial: 1.1 us, and 474 us where those of the
+// trial are chosen each time.
+func BenchmarkSynchronize(b *testing.B) {
+	lone, belief := newLone(rollout.StageTrial)
+	belief.keys = make([]uint64, 2800)
+	for index := range belief.keys {
+		belief.keys[index] = uint64(index) << 40
+	}
+	for b.Loop() {
+		lone.synchronize(clock.Now(), testService, belief.service)
+	}
+	assert.Equal(b, len(lone.traffic(testService).backends), 280)
+}
+
+// TestTrialFollowsTheList changes the list of the target's back ends.
+func TestTrialFollowsTheList(t *testing.T) {
+	lone, belief := newLone(rollout.StageTrial)
+	for _, keys := range [][]uint64{{1, 2, 3, 4, 5, 6}, {7, 8, 9}, {7, 8, 9, 10}, nil, {4, 5, 6}} {
+		belief.keys = keys
+		lone.synchronize(clock.Now(), testService, belief.service)
+		got := lone.traffic(testService).backends
+		assert.Equal(t, len(got), min(len(keys), 3))
+		for _, key := range got {
+			assert.Assert(t, slices.Contains(keys, key))
+		}
+	}
+}
+
 // TestReportFitsADatagram sends the evidence of 8 routes and 30 back ends through a link's encoding.
 func TestReportFitsADatagram(t *testing.T) {
 	var evidence rollout.Evidence
--- a/internal/rollout/traffic.go
+++ b/internal/rollout/traffic.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -26,8 +27,9 @@
 	evidence      rollout.Evidence
 	// pace is of the stable version's answers, with an order or without one.
 	pace *rollout.Pace
-	// backends are those of the target that the trial uses.
-	backends []uint64
+	// backends are those of the target's listed ones that the trial uses. They are only chosen
+	// anew when the list has changed: of 2,800 that takes 0.5 ms, in which requests wait.
+	listed, backends []uint64
 	// exposeUntil is until when enough collectors have granted requests to the target.
 	exposeUntil time.Time
 	stopped     bool
@@ -113,9 +115,11 @@
 	if stop := c.stops[order.Service]; stop != nil && stop.order == order.Number {
 		shared.stopped = true
 	}
-	shared.backends = nil
-	if len(listed) > 0 {
-		shared.backends = rollout.TrialBackends(order, listed, c.options.ExposureShare)
+	if !slices.Equal(shared.listed, listed) {
+		shared.listed, shared.backends = listed, nil
+		if len(listed) > 0 {
+			shared.backends = rollout.TrialBackends(order, listed, c.options.ExposureShare)
+		}
 	}
 	shared.remember(now)
 	c.metrics.noteShare(order.Service, shared.sent.share(shared.marks[0].sent))
@@ -134,7 +138,8 @@
 	}
 	t.order = order
 	t.exposure, t.evidence, t.pooled = nil, rollout.Evidence{}, nil
-	t.exposeUntil, t.stopped, t.exposed, t.backends = time.Time{}, false, false, nil
+	t.exposeUntil, t.stopped, t.exposed = time.Time{}, false, false
+	t.listed, t.backends = nil, nil
 	t.sent, t.marks = tally{}, [2]mark{}
 	return changed
 }
