Promote no version on a handful of answers that are mostly bad

Of fewer than 50 answers at most a fifth may be bad now, the worst back end's left out.

TestFewAnswersThatAreMostlyBadAreNotEnough fails first. TestGoodVersionsPass and the others hold.

--- a/internal/core/rollout/comparison.go
+++ b/internal/core/rollout/comparison.go
@@ -38,6 +38,11 @@
 	// a route, below which the target owes none: beside them it has 4 and 9 on average, and less
 	// than what it owes by chance in 1 of 100 and 1 of 500 orders.
 	fewAnswers, fewRouteAnswers = 50, 100
+	// Of fewer than manyAnswers of the target at most fewBadShare may be bad for a promotion, the
+	// worst back end's left out, which may be faulty by itself. So few can't tell a bad version
+	// from faulty back ends by the tests, and the whole traffic of a service is at stake: where 2
+	// of 3 answers failed, 3 and 6 of them passed in 2 of 50 runs among other faults.
+	manyAnswers, fewBadShare = 50, 0.2
 )
 
 // Verdict is what the evidence says of the target.
@@ -82,6 +87,22 @@
 	},
 }
 
+// mostlyGood tells whether few answers of the target hold few bad ones beside those of its worst
+// back end. Of many the tests tell.
+func mostlyGood(pooled *Evidence) bool {
+	answers, bad := 0, 0
+	var worst Counts
+	for _, each := range overRoutes(pooled) {
+		answers += each.Counts.Total()
+		bad += each.Counts.spoilt()
+		if each.Counts.spoilt() > worst.spoilt() {
+			worst = each.Counts
+		}
+	}
+	rest := float64(answers - worst.Total())
+	return answers >= manyAnswers || float64(bad-worst.spoilt()) <= fewBadShare*rest
+}
+
 // comparison is one test: the target's answers by back end against a rate that is expected.
 type comparison struct {
 	scope    string
@@ -140,7 +161,7 @@
 		}
 		doubted = doubted || ratio >= math.Log(doubt)
 	}
-	verdict.Enough = !doubted && shownEnough(pooled) && anySound(pooled)
+	verdict.Enough = !doubted && shownEnough(pooled) && anySound(pooled) && mostlyGood(pooled)
 	return verdict
 }
 
--- a/internal/core/rollout/evidence.go
+++ b/internal/core/rollout/evidence.go
@@ -33,6 +33,9 @@
 // Total is the number of all answers.
 func (c Counts) Total() int { return int(c.Good) + int(c.Bad) + int(c.Slow) }
 
+// spoilt is the number of answers that were not good.
+func (c Counts) spoilt() int { return int(c.Bad) + int(c.Slow) }
+
 func (c *Counts) note(result Result) {
 	switch result {
 	case ResultBad:
--- /dev/null
+++ b/internal/core/rollout/few_test.go
@@ -0,0 +1,29 @@
+package rollout
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// TestFewAnswersThatAreMostlyBadAreNotEnough promotes no version on a handful of answers of which
+// more than a few are bad at several back ends, however few the stable version's are.
+func TestFewAnswersThatAreMostlyBadAreNotEnough(t *testing.T) {
+	for _, example := range []struct {
+		good, bad int
+		enough    bool
+	}{{0, 0, true}, {3, 0, true}, {3, 1, true}, {1, 2, false}, {3, 3, false}, {0, 3, false}} {
+		var evidence Evidence
+		for number := range 20 {
+			evidence.Note(false, Answer{Route: "pages", Backend: uint64(number % 3)})
+		}
+		for number := range example.good + example.bad {
+			answer := Answer{Route: "pages", Backend: uint64(10 + number%3)}
+			if number >= example.good {
+				answer.Result = ResultBad
+			}
+			evidence.Note(true, answer)
+		}
+		assert.Equal(t, Compare(evidence).Enough, example.enough, "%+v", example)
+	}
+}
