Say what values hold and why, where a newcomer had to read twice

What stopped a first reading of roll-outs, regions and what carries them: comments whose subject was "that" or "those" of another comment (likelihood, progress, reporter), constants of which only the effect was told and not the value, two types named tally with other contents in packages of one name, "luck" for a source of random numbers, "owed" for required answers, "room" for a machine's capacity, functions that did more than their name (idle, tryRegions), and a writer's turn that was told for one of its two cases.

No behaviour changes. Split: idle, tryRegions. Renamed, unexported: tally to sentCounts, owed to requiredAnswers, luck to random.

--- a/internal/core/backendpool/choice.go
+++ b/internal/core/backendpool/choice.go
@@ -79,11 +79,11 @@
 	return chooseSoonest(withKnown(sampled, candidates, query), query)
 }
 
-// chooseForTrial takes one of the back ends that are not busy by chance. By load, or by where a
-// prompt is, nearly all requests of a trial would go to one of them, and what one back end does
-// says little about its version: where two daemons tried three back ends that failed everything,
-// by load, the version was taken for good after 172 failures at one of them, and by chance it was
-// found bad after 54 (one run each).
+// chooseForTrial takes a random one of the back ends that are not busy. Chosen by load, or by where
+// a prompt is cached, nearly all requests of a trial would go to one of them, and what one back end
+// does says little about its version. With two daemons and three back ends that fail everything,
+// a choice by load took the version for good after 172 failures at one back end; a random choice
+// found it bad after 54 (one run each).
 func chooseForTrial(candidates []*entry, query Query) (*entry, float64) {
 	free := slices.DeleteFunc(slices.Clone(candidates), func(candidate *entry) bool { return candidate.busy(query) })
 	if len(free) == 0 {
--- a/internal/core/regionchoice/choice.go
+++ b/internal/core/regionchoice/choice.go
@@ -10,15 +10,15 @@
 	"github.com/lotusward/lotusward/internal/core/backendpool"
 )
 
-// Costs. The unit is the time that a back end takes to read one token of a prompt.
+// Costs. The unit is the time that a back end takes to read one token of a prompt, 25 us.
 const (
-	// wayCost is of the way to another region and back, 80 ms, with the question what is under
-	// way there.
+	// wayCost is the cost of the way to another region and back, with the question what is under
+	// way there: 80 ms.
 	wayCost = 3200
-	// readAgainFactor is of a token that is read though a region holds it: the back end could
-	// have read another one.
+	// readAgainFactor is the cost of reading a token that another region holds: it takes time
+	// from a token that no region holds.
 	readAgainFactor = 2
-	// requestCost is of a request under way beside its prompt.
+	// requestCost is the cost of a request under way, beside that of its prompt.
 	requestCost = 60
 )
 
@@ -34,7 +34,7 @@
 	Outside int
 	// Lacking is how many of the request's shared tokens no back end there holds.
 	Lacking int
-	// Free is for how many such requests there is room.
+	// Free is how many more requests of this size there is room for.
 	Free float64
 }
 
@@ -47,8 +47,8 @@
 	return cost
 }
 
-// cost is what a request costs in the region: at least, and what is under way at a back end in
-// the middle.
+// cost is what a request costs in the region: the least, and the mean of what is under way at a
+// back end.
 func (r Region) cost() float64 {
 	if r.Backends == 0 {
 		return r.least()
--- a/internal/core/regionchoice/credit.go
+++ b/internal/core/regionchoice/credit.go
@@ -16,14 +16,14 @@
 // part among all daemons outside that region, anew each time the region tells. It is safe for
 // use by several goroutines. Make it with NewCredit.
 type Credit struct {
-	// luck is a random number from 0 to 1, with which each account begins: daemons whose part is
-	// less than one request don't all have a whole one at the same time.
-	luck  func() float64
-	mutex sync.Mutex
-	left  map[account]*credit
+	// random returns a number from 0 to 1, the fraction with which each account begins: daemons
+	// whose part is less than one request don't all have a whole one at the same time.
+	random func() float64
+	mutex  sync.Mutex
+	left   map[account]*credit
 }
 
-// account is of a service in a region.
+// account names the credit for a service in a region.
 type account struct {
 	service identity.ServiceName
 	region  identity.Region
@@ -44,20 +44,21 @@
 	c.toldAt, c.left, c.fraction = toldAt, whole, fraction
 }
 
-// NewCredit makes a Credit of a source of random numbers from 0 to 1.
-func NewCredit(luck func() float64) *Credit {
-	return &Credit{luck: luck, left: map[account]*credit{}}
+// NewCredit makes a Credit with a source of random numbers from 0 to 1.
+func NewCredit(random func() float64) *Credit {
+	return &Credit{random: random, left: map[account]*credit{}}
 }
 
-// Take takes one request's room. Free is for how many requests a region told at a time that it
-// has room, and outside how many daemons are outside it.
+// Take takes one request's room; it returns false, and takes nothing, where none is left. At
+// toldAt the region told that it has room for free requests; outside is how many daemons are
+// outside it.
 func (c *Credit) Take(service identity.ServiceName, region identity.Region, toldAt time.Time, free float64, outside int) bool {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	key := account{service, region}
 	found := c.left[key]
 	if found == nil {
-		found = &credit{fraction: c.luck()}
+		found = &credit{fraction: c.random()}
 		c.left[key] = found
 	}
 	if toldAt.Sub(found.toldAt) >= renewInterval {
--- a/internal/core/rollout/comparison.go
+++ b/internal/core/rollout/comparison.go
@@ -7,36 +7,37 @@
 )
 
 const (
-	// falseAlarms is the share of good versions that may be found bad by all tests of one look
-	// together, however often one looks, if the expected rates are exact. They are taken rather
-	// high, so that the measured share is lower: at most 2 of 300 good versions in each kind of
-	// trial that the tests of this package draw. With 0.05 a version of which 5 in 100 fail is found
-	// after one bad answer less in the median, 17 of 18.
+	// falseAlarms is the share of good versions that all tests together may find bad, however
+	// often they are made, if the expected rates are exact. The expected rates are rather high, so
+	// that the measured share is lower: at most 2 of 300 good versions in each kind of trial that
+	// the tests of this package draw. A higher bound gains little: with 0.05 a version that fails
+	// 5 in 100 answers is found after 17 bad answers in the median instead of 18.
 	falseAlarms = 0.03
 	// excessLimit is the number of bad answers beyond the expected ones at which the target is bad
-	// in any case. Since the worst half of the back ends count less than they have, it is reached
-	// at some 35 of all, and 50 are the most that a version may give.
+	// in any case, since a version may give 50 bad answers at most. The worst half of the back ends
+	// count for less than they gave, so that the limit is reached at some 35 bad answers.
 	excessLimit = 25
 	// loneAnswers is the number of the target's answers after which it has no more back ends than
 	// those that have answered: of three, one is without any after 20 answers in 1 of 1,000 trials.
 	loneAnswers = 20
 	// doubt is the likelihood ratio from which a target is not promoted, though it isn't found bad.
 	doubt = 8
-	// windowAnswers is the number of the target's answers that the last ones are looked at by: at
-	// least as many, and twice as many at most. Of 40, a version of which 30 in 100 fail shows 12
-	// bad ones.
+	// windowAnswers is the number of the target's last answers that are also compared by
+	// themselves: at least so many, and at most twice as many. A version that fails 30 in 100
+	// answers shows 12 bad ones of 40.
 	windowAnswers = 40
-	// enoughAnswers is the number of the target's answers after which more say little: of those of
-	// a version of which 5 in 100 fail, 7 are bad.
+	// enoughAnswers is the number of the target's answers after which more say little: a version
+	// that fails 5 in 100 has given 7 bad ones by then.
 	enoughAnswers = 150
 	// enoughShare is the number of the target's answers for each of the stable version's that is
 	// enough where a service has few requests: a quarter of what it may get at a usual exposure of
 	// a tenth. More can't be waited for: after the promotion such a service sends fewer requests
 	// until the deadline than the bound on exposure leaves as slack.
 	enoughShare = 0.02
-	// fewAnswers and fewRouteAnswers are the numbers of the stable version's answers, over all and on
-	// a route, below which the target owes none: beside them it has 4 and 9 on average, and less
-	// than what it owes by chance in 1 of 100 and 1 of 500 orders.
+	// fewAnswers (over all routes) and fewRouteAnswers (on one route) are the numbers of the stable
+	// version's answers below which none of the target are required. At these numbers the target
+	// has 4 and 9 answers on average; by chance it has fewer than required in 1 of 100 and 1 of 500
+	// orders.
 	fewAnswers, fewRouteAnswers = 50, 100
 )
 
@@ -144,7 +145,7 @@
 	return verdict
 }
 
-// comparisonsOf makes the tests of all kinds and scopes of what is part of the pooled evidence.
+// comparisonsOf makes the tests of all kinds and scopes for a part of the pooled evidence.
 func comparisonsOf(pooled, part *Evidence) []comparison {
 	var made []comparison
 	backends := len(overRoutes(pooled))
@@ -262,13 +263,13 @@
 func shownEnough(pooled *Evidence) bool {
 	stable, target := 0, 0
 	for _, route := range pooled.Routes {
-		if route.targetAnswers() < owed(route.Stable.Total(), fewRouteAnswers) {
+		if route.targetAnswers() < requiredAnswers(route.Stable.Total(), fewRouteAnswers) {
 			return false
 		}
 		stable += route.Stable.Total()
 		target += route.targetAnswers()
 	}
-	return target >= owed(stable, fewAnswers)
+	return target >= requiredAnswers(stable, fewAnswers)
 }
 
 // anySound tells whether any of the target's back ends gives more good answers than bad ones. Of
@@ -280,9 +281,9 @@
 	})
 }
 
-// owed is the number of answers of the target that are enough beside so many of the stable
-// version's; few of these call for none.
-func owed(stable, few int) int {
+// requiredAnswers is the number of the target's answers that are enough beside a number of the
+// stable version's: none where that number is below few.
+func requiredAnswers(stable, few int) int {
 	if stable < few {
 		return 0
 	}
--- a/internal/core/rollout/likelihood.go
+++ b/internal/core/rollout/likelihood.go
@@ -7,11 +7,12 @@
 )
 
 // A back end may be faulty by itself, whichever version it runs. So the version is tested in two
-// ways, each with what remains of the evidence if that is so:
+// ways that allow for it:
 //   - by a mixture: each back end is faulty with some probability, and else has the rate of its
-//     version. However many bad answers one gives, it says no more than that probability allows.
-//   - without the worst back ends, as many as are hardly ever faulty at once. With few back ends
-//     that finds a version at which all fail often with less answers.
+//     version. However many bad answers one back end gives, they weigh no more than that
+//     probability allows.
+//   - without the worst back ends: as many are left out as are hardly ever faulty at once. Where
+//     there are few back ends and all fail often, that takes fewer answers.
 
 const (
 	// faultyShare is the share of back ends that are taken to be faulty by themselves: 14 in 100
@@ -79,7 +80,8 @@
 	return logSum(sound, faulty, disturbed)
 }
 
-// logIfBad is that if its version has a rate. Nothing is known of the rate of faulty back ends.
+// logIfBad is the logarithm of the likelihood of a back end's answers if its version has a rate.
+// The rate of faulty back ends is not known.
 func (t tally) logIfBad(rate float64) float64 {
 	return logSum(math.Log(1-faultyShare)+t.logAt(rate), math.Log(faultyShare)+t.logAtAny())
 }
@@ -126,7 +128,7 @@
 	return float64(t.bad)*math.Log(rate) + float64(t.answers-t.bad)*math.Log1p(-rate)
 }
 
-// logAtMost is that at the rate that fits best of those that aren't above one.
+// logAtMost is the logarithm of the likelihood at the best fitting rate up to the highest.
 func (t tally) logAtMost(highest float64) float64 {
 	if float64(t.bad) < highest*float64(t.answers) {
 		return t.logAtBest()
@@ -134,7 +136,7 @@
 	return t.logAt(highest)
 }
 
-// logAtBest is that at the rate that fits best.
+// logAtBest is the logarithm of the likelihood at the best fitting rate.
 func (t tally) logAtBest() float64 {
 	if t.bad == 0 || t.bad == t.answers {
 		return 0
@@ -142,7 +144,7 @@
 	return t.logAt(float64(t.bad) / float64(t.answers))
 }
 
-// logAtAny is that of a rate of which nothing is known: the mean over all rates.
+// logAtAny is the logarithm of the mean likelihood over all rates, for a rate that is not known.
 func (t tally) logAtAny() float64 {
 	bad, _ := math.Lgamma(float64(t.bad + 1))
 	good, _ := math.Lgamma(float64(t.answers - t.bad + 1))
@@ -150,7 +152,7 @@
 	return bad + good - all
 }
 
-// logAtLeast is that at the rate that fits best of those that aren't below one.
+// logAtLeast is the logarithm of the likelihood at the best fitting rate from the lowest up.
 func (t tally) logAtLeast(lowest float64) float64 {
 	if float64(t.bad) > lowest*float64(t.answers) {
 		return t.logAtBest()
@@ -168,7 +170,7 @@
 	return largest + math.Log(total)
 }
 
-// logMean is that of their mean.
+// logMean is the logarithm of the mean of numbers that are given by their logarithms.
 func logMean(logs []float64) float64 { return logSum(logs...) - math.Log(float64(len(logs))) }
 
 // soundRate estimates the rate of bad answers of the stable version's sound back ends from a sample
@@ -182,7 +184,7 @@
 	return rateOf(sound) + standardError(rateOf(sound), sound.answers)
 }
 
-// rateOf is the share of bad answers, and a half where there are none.
+// rateOf estimates the share of bad answers; it is a half where there are no answers.
 func rateOf(counted tally) float64 {
 	return (float64(counted.bad) + 0.5) / (float64(counted.answers) + 1)
 }
--- a/internal/directory/software.go
+++ b/internal/directory/software.go
@@ -21,8 +21,8 @@
 	Guessed bool
 }
 
-// SoftwareNews tells what is known of the software versions of services, whole: 851
-// bytes for eight services with an order each (TestNewsOfSoftwareIsSmall).
+// SoftwareNews tells all that is known of the software versions of services: 851 bytes for eight
+// services with an order each (TestNewsOfSoftwareIsSmall).
 type SoftwareNews struct {
 	Orders    []OrderNews
 	Standings []rollout.Standing
@@ -148,8 +148,8 @@
 	return since, since > 0
 }
 
-// takeSoftware takes in what was read, or told by another daemon, and publishes it. Nothing
-// told is told by a daemon that doesn't know of software versions.
+// takeSoftware takes in what was read, or told by another daemon, and publishes it. Nil is what a
+// daemon tells that doesn't know of software versions.
 func (d *Directory) takeSoftware(told *SoftwareNews) {
 	if told == nil || !d.options.Software {
 		return
--- a/internal/directory/turn.go
+++ b/internal/directory/turn.go
@@ -36,12 +36,13 @@
 	// longestTurnCheck bounds how long a daemon that isn't reading waits until it looks
 	// again.
 	longestTurnCheck = time.Second
-	// clearlyMore is how many times as much room one of two readers has that stays whatever their
-	// addresses are: daemons that don't know each other's room yet take it for a small machine's.
+	// clearlyMore is how many times the other's capacity a reader must have to stay whatever
+	// their addresses are. Daemons that don't know another's capacity yet take it for a small
+	// machine's.
 	clearlyMore = 2
-	// storeTimeFactor times the time of its calls of the store, longestHandicap at most, is how much
-	// longer a daemon waits before it reads for all. Between regions that is some 0.2 s, so that
-	// one near the store is first; the store may also be slow for all.
+	// storeTimeFactor times the time of its calls of the store is how much longer a daemon waits
+	// before it reads for all, so that one near the store is first: some 0.2 s from another region.
+	// longestHandicap bounds it, since the store may be slow for all.
 	storeTimeFactor = 4
 	longestHandicap = 300 * time.Millisecond
 	// shortestTurnCheck bounds how often it looks.
@@ -76,10 +77,9 @@
 }
 
 // turn decides whether this daemon reads the store, or leaves that to another one that
-// tells what it reads. There is no election: a daemon without news reads and tells, and
-// of two that do the one with clearly less room stops, else the one with the greater address, or the
-// one whose calls fail. It
-// is safe for use by several goroutines.
+// tells what it reads. There is no election: a daemon without news reads and tells. Of two that
+// do, one stops: the one whose calls fail, or that with clearly less capacity, or else that with
+// the greater address. It is safe for use by several goroutines.
 type turn struct {
 	options turnOptions
 
--- a/internal/peerlink/crossing.go
+++ b/internal/peerlink/crossing.go
@@ -11,8 +11,8 @@
 
 // Times and numbers of crossings.
 const (
-	// crossingTries is how often it is tried, with different daemons of the region, one after the other: with a
-	// fifth of them gone, all three are in one of 125 crossings.
+	// crossingTries is how many daemons of a region are tried, one after the other: where a fifth
+	// of them is gone, 1 of 125 datagrams finds none that answers.
 	crossingTries = 3
 	// firstCrossingTime is how long an answer is waited for before any has come: regions are
 	// some 20 ms apart, one way.
@@ -36,7 +36,7 @@
 	topology  Topology
 	silence   *presence.Silence
 	questions *Questions[struct{}]
-	// places has room for those that are under way.
+	// places is a semaphore with a place for each crossing that is under way.
 	places     chan struct{}
 	roundTrips RoundTrips
 }
@@ -88,8 +88,8 @@
 	}
 }
 
-// candidates are the daemons to try, of at least one: those with room mostly first, and those that
-// did not answer lately last. Fewer than crossingTries are tried again.
+// candidates are the crossingTries daemons to try of some, at least one: those of greater capacity
+// mostly first, those that did not answer lately last. Where there are fewer, they are repeated.
 func (c *Crossing) candidates(number uint64, there []string) []string {
 	now := clock.Now()
 	var answering, silent []string
--- a/internal/peerlink/tree.go
+++ b/internal/peerlink/tree.go
@@ -25,8 +25,8 @@
 
 // Tree tells all other daemons the same by a tree of daemons in each region: each sends to a few,
 // which send on. It is for datagrams that are too large to be sent to all by one daemon. Each
-// datagram goes down another tree, with daemons that have room mostly at its top, so that a daemon
-// that is gone keeps it from the same others only once.
+// datagram goes down another tree, with daemons of greater capacity mostly at its top, so that a
+// daemon that is gone doesn't cut off the same others each time.
 type Tree struct {
 	carrier  Carrier
 	topology Topology
--- a/internal/relay/choosing.go
+++ b/internal/relay/choosing.go
@@ -59,7 +59,7 @@
 	return true
 }
 
-// dropChoice gives a choice up that was not sent.
+// dropChoice gives up a choice on which nothing was sent.
 func (r *run) dropChoice() {
 	if r.choice.made {
 		r.choice.made = false
@@ -67,7 +67,7 @@
 	}
 }
 
-// limitQuery leaves the back ends of the chosen versions in a query.
+// limitQuery restricts a query to the back ends of the choice.
 func (r *run) limitQuery(query *backendpool.Query) {
 	if r.choice.made && !r.choice.Any {
 		query.Software, query.Only, query.Trial = r.choice.Version, r.choice.Backends, r.choice.Trial
--- a/internal/relay/regions.go
+++ b/internal/relay/regions.go
@@ -37,6 +37,12 @@
 	if !slices.ContainsFunc(ordered, func(region regionchoice.Region) bool { return region.Own }) {
 		return r.tryAway(ctx, query, ordered)
 	}
+	return r.tryInOrder(ctx, query, ordered, triedOwn)
+}
+
+// tryInOrder takes a place in the first of some regions that has one; the own region is among them,
+// and triedOwn is set where it had none just now. Where none has, the own region's shortage stays.
+func (r *run) tryInOrder(ctx context.Context, query backendpool.Query, ordered []regionchoice.Region, triedOwn bool) *backendpool.Ticket {
 	shortage := r.shortage
 	for _, region := range ordered {
 		if (triedOwn && region.Own) || !r.relay.maySend(query, region) {
@@ -146,8 +152,8 @@
 	return regions
 }
 
-// toldRooms are the rooms of other regions: as told, or as this daemon knows where all tell all
-// of their loads.
+// toldRooms are the rooms of other regions: as those told them or, where each daemon knows all
+// loads, as this one sums them up.
 func (r *run) toldRooms(ctx context.Context, query backendpool.Query) []roomshare.Told {
 	options := r.relay.options
 	if options.Rooms != nil && options.Loads != nil && options.Loads.Needed() {
@@ -170,8 +176,8 @@
 	return query
 }
 
-// storeNear is the store in which a part belongs, or nil where there is none, or where a move
-// from there takes longer than reading.
+// storeNear is the store in which a part belongs; nil where there is none, or where moving the part
+// from there to the region takes longer than reading it.
 func (r *Relay) storeNear(admitted *admission, shared level, region identity.Region) *routing.PromptStore {
 	store := admitted.state.Table.PromptStore(uint64(shared.key))
 	if store == nil || region == "" || !r.options.Pool.Several() || r.options.Pool.RegionOf(store.Zone) == region {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -25,8 +25,8 @@
 	usualTokenTime = 25 * time.Microsecond
 	// shortShare of that is how long a prompt is that never waits: it holds nobody up.
 	shortShare = 0.1
-	// promptShare of a back end's memory is the most for prompts under way: it keeps parts that
-	// others share in the rest. With 0.7 fewer requests were refused and more parts dropped: on
+	// promptShare of a back end's memory is the most for prompts under way: the rest keeps parts
+	// that others share. With 0.7 fewer requests were refused and more parts dropped: on
 	// three days of an overload in three regions answers were worth 0.466, 0.463 and 0.535, with
 	// a half 0.521, 0.512 and 0.541; where one region has quick moves there was no difference.
 	promptShare = 0.5
--- a/internal/relay/versions.go
+++ b/internal/relay/versions.go
@@ -29,7 +29,8 @@
 type VersionChoice struct {
 	Service identity.ServiceName
 	Route   string
-	// Any is no restriction. Refused: it may go to none now.
+	// Any is set where the request may go to back ends of any version, and Refused where it may
+	// go to none now; else it may go to those of Version.
 	Any, Refused bool
 	Version      identity.SoftwareVersion
 	// Trial is set where the version is under trial.
@@ -52,7 +53,7 @@
 	// FirstByte is the time from the sending to the answer's first byte, or until the caller left
 	// if there was none by then; zero where neither is known.
 	FirstByte time.Duration
-	// Tokens is what the back end had to read.
+	// Tokens is how many the back end had to read before the first byte.
 	Tokens int
 	// BackendFailed is set if the back end answered that it failed: its own 5xx.
 	BackendFailed bool
--- a/internal/rollout/collector.go
+++ b/internal/rollout/collector.go
@@ -11,12 +11,13 @@
 )
 
 const (
-	// learningTime is how long a collector grants nothing after it began or was paused: five
-	// reports of each daemon have come by then, with all evidence and any stop.
+	// learningTime is how long a collector grants nothing after it began or was paused: each
+	// daemon has sent five reports by then, with all its evidence and any stop.
 	learningTime = time.Second
 	// judgeInterval is how often evidence is compared. For 340 daemons that takes a millisecond.
 	judgeInterval = 100 * time.Millisecond
-	// heardTime is within which a report counts as just heard: five were sent.
+	// heardTime is how old a daemon's last report may be for it to count as heard: it has sent
+	// five in that time.
 	heardTime = time.Second
 )
 
@@ -25,20 +26,21 @@
 	order uint64
 	// trustedFrom is from when on this collector has heard enough to decide.
 	trustedFrom time.Time
-	// daemons are the last reports by address, and evidence all counts by incarnation: those of
-	// an earlier life of a daemon still tell about the version.
+	// daemons are the last reports by address, and evidence is all counts by incarnation: those
+	// of a daemon's earlier incarnation still tell about the version.
 	daemons  map[string]*reported
 	evidence map[countedBy]*rollout.Evidence
 	changed  bool
 	judgedAt time.Time
 	monitor  rollout.Monitor
 	verdict  rollout.Verdict
-	// shiftRow is the standing of the shift, and shiftSince when this collector learned of it.
+	// shiftRow is the row version of the shift's standing, and shiftSince when this collector
+	// learned of it.
 	shiftRow   uint64
 	shiftSince time.Time
 }
 
-// reported is the last report of a daemon.
+// reported is the last report of a daemon; see reportMessage.
 type reported struct {
 	incarnation identity.Incarnation
 	number      uint64
@@ -49,7 +51,7 @@
 }
 
 // isNewerThan tells whether a report that comes now was sent before this one. Incarnations are times
-// of day, which may be set back: once nothing was heard for a while, a lower one is a new life.
+// of day, which may be set back: once nothing was heard for heardTime, a lower one is a restart.
 func (r *reported) isNewerThan(now time.Time, got reportMessage) bool {
 	if got.Incarnation == r.incarnation {
 		return got.Number < r.number
@@ -57,7 +59,7 @@
 	return got.Incarnation < r.incarnation && now.Sub(r.heardAt) <= heardTime
 }
 
-// countedBy names one life of a daemon.
+// countedBy names one incarnation of a daemon.
 type countedBy struct {
 	address     string
 	incarnation identity.Incarnation
--- a/internal/rollout/coordinator.go
+++ b/internal/rollout/coordinator.go
@@ -24,16 +24,16 @@
 )
 
 const (
-	// tickInterval is how often it is looked what is due. All steps of a promotion take a few
+	// tickInterval lies between two checks of what is due. Each step of a promotion takes a few
 	// of these.
 	tickInterval = 50 * time.Millisecond
-	// tickGap is the time without a look after which this daemon was paused: what it knows
-	// of others may be outdated then.
+	// tickGap is the time between two ticks after which this daemon counts as paused: what it
+	// knows of others may be outdated then.
 	tickGap = 500 * time.Millisecond
 	// idleInterval is how often services without an order are looked at.
 	idleInterval = time.Second
-	// waitingEvents bounds what waits for the control goroutine: two seconds of the reports of
-	// 340 daemons. What finds no room is as good as lost.
+	// waitingEvents bounds the events that wait for the goroutine of Run: two seconds of the
+	// reports of 340 daemons. Datagrams beyond it are dropped, as the network may drop them.
 	waitingEvents = 4096
 )
 
@@ -226,7 +226,8 @@
 // paused tells whether this daemon stood still until a moment ago.
 func (c *Coordinator) paused(now time.Time) bool { return now.Sub(c.tickedAt) > tickGap }
 
-// distrust makes this daemon's collectors begin anew: others may have gone on without it.
+// distrust makes this daemon's collectors learn again before they decide: others may have gone on
+// without it.
 func (c *Coordinator) distrust(now time.Time) {
 	for _, each := range c.collectors {
 		each.trustedFrom = now.Add(learningTime)
@@ -234,7 +235,7 @@
 }
 
 // underWay is the number of the order that a service is under way with: that of the standing
-// until it has ended, then a newer one.
+// until it has ended, then a newer one; false where there is none.
 func underWay(believed rollout.Service) (uint64, bool) {
 	if !believed.Standing.Stage.Ended() {
 		return believed.Standing.Order, true
--- a/internal/rollout/driver.go
+++ b/internal/rollout/driver.go
@@ -14,16 +14,18 @@
 )
 
 const (
-	// standInTime is after how long the next daemon in rank writes a stage that is due: a call
-	// of the store takes a few milliseconds, or half a second and more while it is slow.
+	// standInTime is how much later than the daemon before it each daemon of the ranking writes a
+	// stage that is due: a call of the store takes a few milliseconds, or half a second and more
+	// while it is slow.
 	standInTime = time.Second
-	// writeTimeout bounds a call for a standing, and writeRest lies after one that failed.
+	// writeTimeout bounds the calls that write one standing, and writeRest is how long nothing is
+	// written after them.
 	writeTimeout = 1200 * time.Millisecond
 	writeRest    = 250 * time.Millisecond
-	// writingTime is reckoned for the calls of a promotion.
+	// writingTime is how much of a promotion's time is kept for calls of the store.
 	writingTime = 2 * time.Second
-	// promotionShare of an order's time is the most that is kept for the promotion: the rest
-	// shows the version under a small part of the load.
+	// promotionShare of an order's time is the most that is kept for the promotion. With long
+	// timeouts of routes it would else leave no time for the trial.
 	promotionShare = 0.5
 )
 
@@ -33,8 +35,8 @@
 	due      stageDue
 	dueSince time.Time
 	writing  bool
-	// restTill is until when nothing is written, or until wrote is believed: the row that was
-	// written last, zero after a call that failed.
+	// wrote is the version of the row that was written last, zero after a call that failed.
+	// Nothing more is written until this daemon believes that row, or until restTill.
 	restTill time.Time
 	wrote    uint64
 	failing  bool
@@ -67,7 +69,9 @@
 	believed.Standing.Service, believed.Standing.Stable = service, c.stable(service, believed, c.traffic(service))
 	facts, counted := c.facts(ctx, now, storeTime, believed)
 	next, due := rollout.Next(facts)
-	if !due || (next.Stage == rollout.StageShift && believed.Standing.Stage == rollout.StageTrial && !facts.Quorum) {
+	// Without a quorum the order can't be completed: the trial goes on.
+	lacksQuorum := next.Stage == rollout.StageShift && believed.Standing.Stage == rollout.StageTrial && !facts.Quorum
+	if !due || lacksQuorum {
 		driver.due = stageDue{}
 		return
 	}
@@ -88,8 +92,9 @@
 	return now.Before(d.restTill) && (d.wrote == 0 || believed < d.wrote)
 }
 
-// turn is after how long this daemon writes a stage that is due; false is never. The reader goes
-// first, since its calls of the store are known to succeed; then collectors by rank.
+// turn is after how long this daemon writes a stage that is due; false is never. While an order is
+// under way the collectors write: first the one that reads the store for all, since its calls are
+// known to succeed, then the others by rank. Without one only the reader writes.
 func (c *Coordinator) turn(now time.Time, service identity.ServiceName, believed rollout.Service) (time.Duration, bool) {
 	number, active := underWay(believed)
 	reads := c.options.Belief.Reads()
@@ -120,7 +125,8 @@
 	})
 }
 
-// facts are what the next standing follows from.
+// facts returns what the next standing follows from, and how far the daemons have come. During a
+// shift it may begin to ask back ends, see idle.
 func (c *Coordinator) facts(ctx context.Context, now time.Time, storeTime time.Duration, believed rollout.Service) (rollout.Facts, progress) {
 	service := believed.Standing.Service
 	facts := rollout.Facts{
--- a/internal/rollout/heard.go
+++ b/internal/rollout/heard.go
@@ -8,14 +8,15 @@
 )
 
 const (
-	// presentTime is within which another daemon was heard to count as present.
+	// presentTime is how lately another daemon must have been heard to count as present.
 	presentTime = 3 * time.Second
-	// askPresenceShare of the confirmation limit is from when on it is looked who is heard, and
-	// daemons that aren't are asked whether they are there: in large fleets few daemons have
-	// anything to tell each other. askPresenceInterval lies between two rounds, and who was heard
-	// within askPresenceAfter isn't asked: 340 daemons so send each other 170 questions or
-	// answers of 20 bytes a second, and none while what was declared is confirmed.
-	askPresenceShare    = 0.6
+	// askPresenceShare of the confirmation limit is the age of the confirmation from which on
+	// daemons that were not heard are asked whether they are there: in large fleets few daemons
+	// send each other anything else.
+	askPresenceShare = 0.6
+	// askPresenceInterval lies between two rounds of questions, and a daemon that was heard within
+	// askPresenceAfter isn't asked: 340 daemons so send each other 170 questions or answers of 20
+	// bytes a second, and none while what was declared is confirmed.
 	askPresenceInterval = 500 * time.Millisecond
 	askPresenceAfter    = 1500 * time.Millisecond
 )
--- a/internal/rollout/idle.go
+++ b/internal/rollout/idle.go
@@ -15,7 +15,7 @@
 
 const (
 	// askInterval is how often back ends are asked for what is under way there, askTimeout
-	// bounds a question, and askedTogether how many there are at a time.
+	// bounds one call, and askedTogether is how many calls run at a time.
 	askInterval   = 500 * time.Millisecond
 	askTimeout    = time.Second
 	askedTogether = 16
@@ -31,29 +31,41 @@
 }
 
 // idle tells whether nothing is under way at back ends of other versions. Where all daemons have
-// said so of themselves they need not be asked.
+// reported that themselves, back ends need not be asked; else it asks them in the background, and
+// returns what they answered last.
 func (c *Coordinator) idle(ctx context.Context, now time.Time, believed rollout.Service, found *collector, counted progress) bool {
 	if counted.silent == 0 && counted.missing == 0 {
 		return true
 	}
-	standing := believed.Standing
+	asked := c.idlenessOf(believed.Standing)
+	if counted.missing > 0 { // an answer holds for good only once nobody may send there any more
+		return false
+	}
+	if !asked.idle && !asked.asking && now.Sub(asked.askedAt) >= askInterval {
+		asked.asking, asked.askedAt = true, now
+		go c.askBackends(ctx, believed.Standing, c.timeoutsPassed(now, believed.Standing.Service, found))
+	}
+	return asked.idle
+}
+
+// idlenessOf returns what is known for a shift, nothing where its standing is a new one.
+func (c *Coordinator) idlenessOf(standing rollout.Standing) *idleness {
 	driver := c.driver(standing.Service)
 	if driver.idleness.row != standing.Row {
 		driver.idleness = idleness{row: standing.Row}
 	}
-	asked := &driver.idleness
-	// Only once nobody may send there any more an answer holds for good.
-	if counted.missing == 0 && !asked.idle && !asked.asking && now.Sub(asked.askedAt) >= askInterval {
-		asked.asking, asked.askedAt = true, now
-		// What can't be asked has ended once the longest timeout has passed since the last
-		// daemon refused.
-		waited := now.Sub(found.shiftSince) > c.options.ConfirmationLimit+silenceMargin+c.options.Belief.LongestTimeout(standing.Service)
-		go c.askBackends(ctx, standing, waited)
-	}
-	return counted.missing == 0 && asked.idle
+	return &driver.idleness
+}
+
+// timeoutsPassed tells whether the longest timeout has passed since the last daemon must have
+// refused requests: what was sent before to a back end that doesn't answer has ended then.
+func (c *Coordinator) timeoutsPassed(now time.Time, service identity.ServiceName, found *collector) bool {
+	longest := c.options.ConfirmationLimit + silenceMargin + c.options.Belief.LongestTimeout(service)
+	return now.Sub(found.shiftSince) > longest
 }
 
 // askBackends asks the back ends of other versions than the target for what is under way there.
+// waited is set where back ends that don't answer count as idle.
 func (c *Coordinator) askBackends(ctx context.Context, standing rollout.Standing, waited bool) {
 	asked := c.olderBackends(standing.Service, standing.Target)
 	busy, failed := c.countUnderWay(ctx, asked)
--- a/internal/rollout/progress.go
+++ b/internal/rollout/progress.go
@@ -7,20 +7,22 @@
 )
 
 // silenceMargin is added to the confirmation limit before a silent daemon counts as one that
-// refuses: steady clocks differ by two in a hundred, and a request that was let in is sent
-// within moments.
+// refuses requests. It covers steady clocks that differ by 2 %, and the time from the choice of a
+// version to the sending.
 const silenceMargin = 250 * time.Millisecond
 
 // progress is how far the daemons have come with a shift, as a collector knows.
 type progress struct {
-	// Daemons is how many are known; Heard have reported within heardTime, and Knowing have
-	// ever reported on the order.
+	// daemons is how many are known, heard how many of them have reported within heardTime, and
+	// knowing how many have ever reported on the order.
 	daemons, heard, knowing int
-	// acknowledged have just said that they send to the target alone, with nothing under way
-	// at others. An earlier word may be that of an earlier life: a daemon that has begun anew can
-	// believe another one that doesn't know of the shift yet. silent are those of the rest that must refuse the service's requests by now, and
-	// missing the others.
-	acknowledged, silent, missing int
+	// acknowledged is how many have reported within heardTime that they send to the target alone
+	// and have nothing under way at others. An older report doesn't count: the daemon may have
+	// restarted since, and have learned an outdated standing from another one.
+	acknowledged int
+	// silent is how many of the rest must refuse the service's requests by now, and missing how
+	// many remain.
+	silent, missing int
 }
 
 // progress counts how far the daemons have come with the order under way.
--- a/internal/rollout/reporter.go
+++ b/internal/rollout/reporter.go
@@ -23,14 +23,15 @@
 	// grantTime is how long a grant holds, from when the report that it answers was sent: a
 	// daemon that hears of no stop exposes nothing after it.
 	grantTime = time.Second
-	// refreshInterval is how often all evidence is told. Between that a report has only routes on
-	// which the target has answered since, each twice, as reports may be lost. A collector that
-	// begins has all within learningTime.
+	// refreshInterval is how often all evidence is reported: a collector that begins has it all
+	// within learningTime. The reports in between have only the routes on which the target has
+	// answered since, each newsRepeats times, as reports may be lost.
 	refreshInterval = 600 * time.Millisecond
 	newsRepeats     = 2
-	// reportedBytes bounds the routes of one report, which must fit a datagram of 8 KB with 300
-	// bytes of the sample, a reason and what else it tells. A route takes routeBytes and its name,
-	// each of its back ends backendBytes, at most; reportedBackends are told together.
+	// reportedBytes bounds the routes of one report. The rest of a datagram of 8 KB is for the
+	// sample (300 bytes), a reason, and the other fields. A route takes at most routeBytes and its
+	// name, and each of its back ends backendBytes. reportedBackends is how many back ends of a
+	// route go into one report.
 	reportedBytes    = 6500
 	routeBytes       = 50
 	backendBytes     = 25
@@ -47,15 +48,16 @@
 	// grants are until when collectors have granted requests to the target.
 	grants  map[string]time.Time
 	granted bool
-	// told are the routes as they were told, and sampledAt is when the sample was.
+	// told are the routes as they were last reported, and sampledAt is when the sample was.
 	told      map[string]toldRoute
 	sampledAt time.Time
 }
 
-// toldRoute is how a route was told.
+// toldRoute is how a route was last reported.
 type toldRoute struct {
 	at time.Time
-	// answers are the target's that were told, and repeats how often.
+	// answers is the number of the target's answers then, and repeats how often that number was
+	// reported.
 	answers, repeats int
 }
 
@@ -76,7 +78,7 @@
 func (c *Coordinator) report(ctx context.Context, now time.Time, believed rollout.Service, service identity.ServiceName, order uint64) {
 	reporter := c.reporterOf(service, order)
 	c.noteGranted(now, service, believed, reporter)
-	// What is under way is counted after the row was read: a request of before is counted.
+	// Counted after the row was read, so that a request that was sent by an older row is included.
 	underWay := c.options.Backends.Own(service, targetOf(believed))
 	message := reportMessage{
 		Service: service, Order: order, Incarnation: c.incarnation,
@@ -214,7 +216,7 @@
 	c.traffic(got.Service).allowUntil(got.Order, reporter.until(collectors))
 }
 
-// until is until when more than half of the collectors have granted.
+// until is until when grants of more than half of the collectors hold.
 func (r *reporter) until(collectors []string) time.Time {
 	granted := make([]time.Time, 0, len(collectors))
 	for _, address := range collectors {
@@ -224,7 +226,7 @@
 	return granted[len(collectors)/2]
 }
 
-// noteGranted logs when the grants of enough collectors are had or lost, in a trial.
+// noteGranted logs when a trial gains or loses the grants of enough collectors.
 func (c *Coordinator) noteGranted(now time.Time, service identity.ServiceName, believed rollout.Service, reporter *reporter) {
 	collectors := c.collectorsOf(service, reporter.order)
 	until := reporter.until(collectors)
--- a/internal/rollout/table.go
+++ b/internal/rollout/table.go
@@ -50,7 +50,7 @@
 	status := Status{
 		Service: service, Stable: stable, Target: standing.Target, Order: standing.Order, Stage: standing.Stage, Reason: standing.Reason,
 		Exposing: standing.Stage == rollout.StageTrial && shared.exposing(now, standing.Order),
-		ShareNow: shared.sent.share(shared.marks[0].sent), ShareTotal: shared.sent.share(tally{}), Pooled: shared.pooled != nil,
+		ShareNow: shared.sent.share(shared.marks[0].sent), ShareTotal: shared.sent.share(sentCounts{}), Pooled: shared.pooled != nil,
 	}
 	evidence := shared.evidence
 	if shared.pooled != nil {
--- a/internal/rollout/traffic.go
+++ b/internal/rollout/traffic.go
@@ -32,28 +32,30 @@
 	listed, backends []uint64
 	// exposeUntil is until when enough collectors have granted requests to the target.
 	exposeUntil time.Time
-	stopped     bool
-	exposed     bool
+	// stopped is set once the target was found bad, and exposed once it got a request under trial.
+	stopped bool
+	exposed bool
 	// restating is set where the order targets the stable version: there is nothing to judge.
 	restating bool
-	sent      tally
-	marks     [2]mark
+	// sent counts the sendings of the order, and marks are its last two earlier values.
+	sent  sentCounts
+	marks [2]mark
 	// pooled is the evidence of all daemons, where this one is a collector.
 	pooled *rollout.Evidence
 }
 
-// tally counts sendings of an order.
-type tally struct{ stable, target int }
+// sentCounts are the numbers of sendings to both versions.
+type sentCounts struct{ stable, target int }
 
-// mark is a tally at a time.
+// mark is what was counted up to a time.
 type mark struct {
 	at   time.Time
-	sent tally
+	sent sentCounts
 }
 
-// share is the target's part of the sendings since an earlier tally.
-func (t tally) share(since tally) float64 {
-	stable, target := t.stable-since.stable, t.target-since.target
+// share is the target's part (0 to 1) of the sendings since earlier counts.
+func (s sentCounts) share(since sentCounts) float64 {
+	stable, target := s.stable-since.stable, s.target-since.target
 	if stable+target == 0 {
 		return 0
 	}
@@ -140,7 +142,7 @@
 	t.exposure, t.evidence, t.pooled = nil, rollout.Evidence{}, nil
 	t.exposeUntil, t.stopped, t.exposed = time.Time{}, false, false
 	t.listed, t.backends = nil, nil
-	t.sent, t.marks = tally{}, [2]mark{}
+	t.sent, t.marks = sentCounts{}, [2]mark{}
 	return changed
 }
 
@@ -160,7 +162,7 @@
 	t.fallback, t.fallbackKnown = rollout.StableOf(listed, targets), len(listed) > 0
 }
 
-// remember keeps two earlier tallies, for the present share. The caller holds the mutex.
+// remember keeps two earlier counts, for the present share. The caller holds the mutex.
 func (t *traffic) remember(now time.Time) {
 	if now.Sub(t.marks[1].at) < shareInterval {
 		return
--- a/internal/roomshare/roomshare.go
+++ b/internal/roomshare/roomshare.go
@@ -22,16 +22,16 @@
 const (
 	// tellersEach is how many daemons of a region tell and hear for it: one may be gone.
 	tellersEach = 2
-	// tellInterval is how often a region's room is told: a place is taken for half a second and
-	// more.
+	// tellInterval is how often a region's room is told: requests last half a second and more,
+	// so that it changes little in between.
 	tellInterval = 250 * time.Millisecond
 	// sampledBackends is how many back ends are asked for what is under way there before a
 	// region's room is told: 30 are all asked within a second.
 	sampledBackends = 8
 	// askAgainAfter is how old an answer may be to be used again.
 	askAgainAfter = 200 * time.Millisecond
-	// answerTimeout is how long an answer from the own region is waited for. It takes two
-	// milliseconds between zones.
+	// answerTimeout is how long an answer from the own region is waited for; the way between zones
+	// takes two milliseconds.
 	answerTimeout = 10 * time.Millisecond
 	// forgetAfter is how long a region that told its room counts as within reach.
 	forgetAfter = 1500 * time.Millisecond
@@ -44,7 +44,7 @@
 	// is described anew, and Zone the zone of one of them; empty is unknown.
 	Others func() []string
 	Zone   func(address string) identity.Zone
-	// Capacity returns the room of a daemon's machine relative to others'.
+	// Capacity returns the capacity of a daemon's machine relative to others', above zero.
 	Capacity func(address string) float64
 	// Own is this daemon's zone.
 	Own       identity.Zone
@@ -149,8 +149,8 @@
 	return s.grouped
 }
 
-// sameSlice tells whether two lists are one: a list is replaced when daemons come, or are told to be
-// in another zone.
+// sameSlice tells whether two slices share their memory: the list of daemons is replaced when it
+// changes.
 func sameSlice(left, right []string) bool {
 	return len(left) == len(right) && (len(left) == 0 || &left[0] == &right[0])
 }
@@ -165,7 +165,7 @@
 	return found
 }
 
-// tellers are the daemons of a region that tell and hear for it: rather those on large machines.
+// tellers are the daemons of a region that tell and hear for it, mostly those of great capacity.
 func (s *Sharer) tellers(region identity.Region) []string {
 	return rendezvous.WeightedTop(rendezvous.Key("room/"+string(region)), s.byRegion()[region], s.options.Capacity, tellersEach)
 }
