--- a/cmd/internal/daemon/regions.go
+++ b/cmd/internal/daemon/regions.go
@@ -15,7 +15,7 @@
 // newTopology is where the other daemons are. Where all zones are of one region it knows none.
 func newTopology(regions distance.Map, list *members.List) peerlink.Topology {
 	topology := peerlink.Topology{Others: list.Others, Capacity: list.Capacity}
-	if regions.Several() {
+	if regions.HasSeveralRegions() {
 		topology.Region = func(address string) identity.Region { return regions.Region(list.Zone(address)) }
 	}
 	return topology
--- a/internal/core/backendpool/cached.go
+++ b/internal/core/backendpool/cached.go
@@ -102,11 +102,8 @@
 	held := cached.held(picked.key)
 	if query.farCached != nil && query.farPays(version, held, cached.movable()) {
 		// A move from another region takes three times as long as reading, but it takes only the
-		// link, while reading keeps other requests waiting. The choice of a back end doesn't
-		// count on it.
-		// On six days of a deployment of three regions a tenth to a third less was read
-		// again, and answers were worth 0.02 to 0.07 more; another 0.01 where a deeper part is
-		// taken though the region holds the first.
+		// link, while reading keeps other requests waiting: a tenth to a third less is read again
+		// (six plays of a full load in three regions). The choice of a back end doesn't count on it.
 		cached = query.farCached(version)
 	}
 	found.HeldTokens = held
--- a/internal/core/backendpool/choice.go
+++ b/internal/core/backendpool/choice.go
@@ -27,8 +27,9 @@
 	// oldWeightsFactor raises the cost of parts that a back end with older weights
 	// would have to get: it will drop them soon.
 	oldWeightsFactor = 2
-	// requestCost is what a request under way adds beside the prompt that is read.
-	requestCost = 60
+	// RequestCost is what a request under way adds beside the prompt that is read: its answer
+	// takes a part of each step.
+	RequestCost = 60
 	// otherZoneCost is the cost of a back end in another zone, for requests without
 	// a prompt: in requests under way.
 	otherZoneCost = 1.5
@@ -148,7 +149,7 @@
 // waiting is the cost of what is under way at a back end.
 func (e *entry) waiting() float64 {
 	reading := e.reading + e.others.Reading
-	return reading + requestCost*(float64(e.inFlight)+e.others.InFlight)
+	return reading + RequestCost*(float64(e.inFlight)+e.others.InFlight)
 }
 
 // slowestBegin is how long a request may take to begin at a back end that is slow,
--- a/internal/core/backendpool/pool_test.go
+++ b/internal/core/backendpool/pool_test.go
@@ -122,7 +122,7 @@
 		least, most = min(least, found.waiting()), max(most, found.waiting())
 	}
 	spill := unknownElsewhereCost * float64(query.SharedTokens)
-	request := float64(query.OwnTokens+requestCost) + spill
+	request := float64(query.OwnTokens+RequestCost) + spill
 	assert.Assert(t, most <= (least+spill)*(1+equalShare)+equalSlack+request, "%f and %f", least, most)
 }
 
--- a/internal/core/backendpool/region.go
+++ b/internal/core/backendpool/region.go
@@ -46,8 +46,8 @@
 // Distances tells how far apart zones are.
 func (p *Pool) Distances() distance.Map { return p.distances }
 
-// Several tells whether there is more than one region.
-func (p *Pool) Several() bool { return p.distances.Several() }
+// HasSeveralRegions tells whether there is more than one region.
+func (p *Pool) HasSeveralRegions() bool { return p.distances.HasSeveralRegions() }
 
 // Region is the daemon's own region; empty where it is not known.
 func (p *Pool) Region() identity.Region { return p.region }
--- a/internal/core/backendpool/software.go
+++ b/internal/core/backendpool/software.go
@@ -47,9 +47,9 @@
 // listed tells whether the back end is there to serve new requests.
 func (e *entry) listed() bool { return !e.backend.Draining && !e.replaced }
 
-// Own is how many requests of this daemon are under way at back ends of a service that run
+// InFlightAtOthers is how many requests of this daemon are under way at back ends of a service that run
 // another version of its software than the given one. Those that are no longer listed count.
-func (p *Pool) Own(service identity.ServiceName, except identity.SoftwareVersion) int {
+func (p *Pool) InFlightAtOthers(service identity.ServiceName, except identity.SoftwareVersion) int {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	count := 0
--- a/internal/core/backendpool/software_test.go
+++ b/internal/core/backendpool/software_test.go
@@ -72,8 +72,8 @@
 			}
 			assert.DeepEqual(t, pool.SoftwareVersions("llm"), oracle.counts())
 			for _, version := range []identity.SoftwareVersion{"", "v1", "v2"} {
-				assert.Equal(t, pool.Own("llm", version), oracle.own(version))
-				assert.Equal(t, pool.Own("other", version), 0)
+				assert.Equal(t, pool.InFlightAtOthers("llm", version), oracle.own(version))
+				assert.Equal(t, pool.InFlightAtOthers("other", version), 0)
 				assert.Equal(t, len(pool.KeysOf("llm", version)), oracle.counts()[version])
 			}
 		}
--- a/internal/core/distance/distance.go
+++ b/internal/core/distance/distance.go
@@ -58,8 +58,8 @@
 	}
 }
 
-// Several tells whether there is more than one region. Zones without a region make none.
-func (m Map) Several() bool {
+// HasSeveralRegions tells whether there is more than one region. Zones without a region make none.
+func (m Map) HasSeveralRegions() bool {
 	var first identity.Region
 	for _, region := range m.regions {
 		switch {
--- a/internal/core/distance/distance_test.go
+++ b/internal/core/distance/distance_test.go
@@ -27,7 +27,7 @@
 		for _, region := range regions {
 			used[region] = true
 		}
-		assert.Equal(t, made.Several(), len(used) > 1)
+		assert.Equal(t, made.HasSeveralRegions(), len(used) > 1)
 		for _, left := range zones {
 			assert.Equal(t, made.Between(left, left), SameZone)
 			for _, right := range zones {
@@ -44,7 +44,7 @@
 // are of one region, in whatever order they are looked at.
 func TestZoneWithoutRegionMakesNoSeveral(t *testing.T) {
 	for range 100 { // the order differs from look to look
-		assert.Assert(t, !NewMap(map[identity.Zone]identity.Region{"a": "r", "b": ""}).Several())
-		assert.Assert(t, NewMap(map[identity.Zone]identity.Region{"a": "r", "b": "", "c": "s"}).Several())
+		assert.Assert(t, !NewMap(map[identity.Zone]identity.Region{"a": "r", "b": ""}).HasSeveralRegions())
+		assert.Assert(t, NewMap(map[identity.Zone]identity.Region{"a": "r", "b": "", "c": "s"}).HasSeveralRegions())
 	}
 }
--- a/internal/core/regionchoice/choice.go
+++ b/internal/core/regionchoice/choice.go
@@ -18,8 +18,6 @@
 	// readAgainFactor is the cost of reading a token that another region holds: it takes time
 	// from a token that no region holds.
 	readAgainFactor = 2
-	// requestCost is the cost of a request under way, beside that of its prompt.
-	requestCost = 60
 )
 
 // Region is what is known of a region.
@@ -53,7 +51,7 @@
 	if r.Backends == 0 {
 		return r.least()
 	}
-	return r.least() + (r.Reading+requestCost*r.InFlight)/r.Backends
+	return r.least() + (r.Reading+backendpool.RequestCost*r.InFlight)/r.Backends
 }
 
 // OwnIsLeast tells whether no other region can cost less than the own one, however little is
--- a/internal/directory/bulletin.go
+++ b/internal/directory/bulletin.go
@@ -110,7 +110,7 @@
 }
 
 // Hear takes in what another daemon has read. It never blocks: a bulletin that
-// finds no room is as good as lost.
+// finds no room is dropped.
 func (d *Directory) Hear(from string, bulletin Bulletin) {
 	select {
 	case d.bulletins <- heardBulletin{from: from, bulletin: bulletin}:
--- a/internal/directory/turn.go
+++ b/internal/directory/turn.go
@@ -30,7 +30,7 @@
 	// two news, while those that do fail: the store may serve others.
 	triersPerInterval = 1
 	// ownReadingInterval is how often a daemon reads though another one tells it, so
-	// that its idea of the store's clock stays true: steady clocks differ by less than
+	// that its idea of the store's clock stays true: usual steady clocks differ by less than
 	// 100 parts in a million, which is 60 ms in this time and within clockSlack.
 	ownReadingInterval = 10 * time.Minute
 	// longestTurnCheck bounds how long a daemon that isn't reading waits until it looks
--- a/internal/loadhome/regions.go
+++ b/internal/loadhome/regions.go
@@ -23,7 +23,7 @@
 		others: others, all: append(slices.Clone(others), h.self), distances: h.options.Distances,
 		byRegion: map[identity.Region][]string{},
 	}
-	if !made.distances.Several() {
+	if !made.distances.HasSeveralRegions() {
 		return made
 	}
 	for _, address := range made.all {
@@ -48,7 +48,7 @@
 // near are the daemons among which a back end of a zone has its homes: those of its region, or
 // all where there are none. It returns false where that may change with the list of back ends.
 func (r *regions) near(zone identity.Zone, listed bool) ([]string, bool) {
-	if !r.distances.Several() {
+	if !r.distances.HasSeveralRegions() {
 		return r.all, true
 	}
 	if found := r.byRegion[r.distances.Region(zone)]; listed && len(found) > 0 {
--- a/internal/peerlink/crossing.go
+++ b/internal/peerlink/crossing.go
@@ -30,7 +30,7 @@
 
 // Crossing carries datagrams to other regions: each crosses a border once, to one daemon there
 // that says so and spreads it in its region. Where none does, another one is tried. What fails
-// after all is as good as lost.
+// after all is dropped.
 type Crossing struct {
 	carrier   Carrier
 	topology  Topology
@@ -68,7 +68,7 @@
 				defer func() { <-c.places }()
 				c.cross(region, far[region], spread, carried)
 			}()
-		default: // as good as lost
+		default: // dropped
 		}
 	}
 }
--- a/internal/peerlink/peerlink.go
+++ b/internal/peerlink/peerlink.go
@@ -124,7 +124,7 @@
 
 var _ Carrier = (*Link)(nil)
 
-// Tell sends a body to a daemon once; what is too large is as good as lost.
+// Tell sends a body to a daemon once; what is too large is dropped.
 func Tell(link Carrier, to string, kind Kind, body any) {
 	if datagram, fits := link.Encode(kind, body); fits {
 		link.Send(to, datagram)
--- a/internal/peerlink/tree.go
+++ b/internal/peerlink/tree.go
@@ -19,8 +19,10 @@
 	// treeBytesPerSecond bounds what one daemon sends, its own and others' together. A
 	// link of 20 Mbit/s carries 2.5 MB a second.
 	treeBytesPerSecond = 160 << 10
-	treeBurst          = 96 << 10
-	waitingForwards    = 16
+	// treeBurst is what it sends at once: a datagram of 5 kB to each of treeWidth daemons.
+	treeBurst = 96 << 10
+	// waitingForwards bounds the datagrams that wait to be sent: more are dropped.
+	waitingForwards = 16
 )
 
 // Tree tells all other daemons the same by a tree of daemons in each region: each sends to a few,
--- a/internal/relay/choosing.go
+++ b/internal/relay/choosing.go
@@ -13,7 +13,7 @@
 const reasonUnconfirmedVersions = "unconfirmed_versions"
 
 // maximumChoices bounds how often a request takes a place that it then may not use: each time a
-// standing has changed in between.
+// standing has changed in between. One order changes it three times in its course.
 const maximumChoices = 4
 
 // choice is the versions that the next sending may go to.
--- a/internal/relay/pick.go
+++ b/internal/relay/pick.go
@@ -94,7 +94,7 @@
 	query := r.relay.query(r.admitted, r.excluded)
 	query.Limits = limits
 	r.limitQuery(&query)
-	if r.relay.options.Pool.Several() {
+	if r.relay.options.Pool.HasSeveralRegions() {
 		return r.tryRegions(ctx, query)
 	}
 	return r.tryNear(ctx, query)
--- a/internal/relay/regions.go
+++ b/internal/relay/regions.go
@@ -16,7 +16,7 @@
 type Rooms interface {
 	// Rooms returns the rooms that a service has in other regions, of those within reach. It
 	// may ask other daemons.
-	Rooms(ctx context.Context, service identity.ServiceName) []roomshare.Told
+	Rooms(ctx context.Context, service identity.ServiceName) []roomshare.RoomReport
 }
 
 // tryRegions takes a place at a back end of the region where it costs least. Where that can
@@ -93,7 +93,7 @@
 // tryOtherRegions takes a place in another region for a request that its own can't serve in
 // time.
 func (r *run) tryOtherRegions(ctx context.Context, limits backendpool.Limits) *backendpool.Ticket {
-	if !r.relay.options.Pool.Several() || !r.chooseVersion() {
+	if !r.relay.options.Pool.HasSeveralRegions() || !r.chooseVersion() {
 		return nil
 	}
 	query := r.relay.query(r.admitted, r.excluded)
@@ -154,14 +154,14 @@
 
 // toldRooms are the rooms of other regions: as those told them or, where each daemon knows all
 // loads, as this one sums them up.
-func (r *run) toldRooms(ctx context.Context, query backendpool.Query) []roomshare.Told {
+func (r *run) toldRooms(ctx context.Context, query backendpool.Query) []roomshare.RoomReport {
 	options := r.relay.options
 	if options.Rooms != nil && options.Loads != nil && options.Loads.Needed() {
 		return options.Rooms.Rooms(ctx, query.Service)
 	}
-	var told []roomshare.Told
+	var told []roomshare.RoomReport
 	for _, room := range options.Pool.Rooms(r.now(), query.Service) {
-		told = append(told, roomshare.Told{Room: room, At: r.now(), Outside: options.Daemons()})
+		told = append(told, roomshare.RoomReport{Room: room, At: r.now(), Outside: options.Daemons()})
 	}
 	return told
 }
@@ -180,7 +180,7 @@
 // from there to the region takes longer than reading it.
 func (r *Relay) storeNear(admitted *admission, shared level, region identity.Region) *routing.PromptStore {
 	store := admitted.state.Table.PromptStore(uint64(shared.key))
-	if store == nil || region == "" || !r.options.Pool.Several() || r.options.Pool.RegionOf(store.Zone) == region {
+	if store == nil || region == "" || !r.options.Pool.HasSeveralRegions() || r.options.Pool.RegionOf(store.Zone) == region {
 		return store
 	}
 	if !r.farMoves(admitted) {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -26,9 +26,9 @@
 	// shortShare of that is how long a prompt is that never waits: it holds nobody up.
 	shortShare = 0.1
 	// promptShare of a back end's memory is the most for prompts under way: the rest keeps parts
-	// that others share. With 0.7 fewer requests were refused and more parts dropped: on
-	// three days of an overload in three regions answers were worth 0.466, 0.463 and 0.535, with
-	// a half 0.521, 0.512 and 0.541; where one region has quick moves there was no difference.
+	// that others share. With 0.7 fewer requests are refused in an overload, and more shared parts
+	// are dropped and read again, so that more answers come late. Where moves between back ends are
+	// quick there is no difference.
 	promptShare = 0.5
 	// waitShare of its time is the longest that a request without a target latency waits at
 	// the daemon.
--- a/internal/rollout/heard.go
+++ b/internal/rollout/heard.go
@@ -8,9 +8,13 @@
 )
 
 const (
-	// presentTime is how lately another daemon must have been heard to count as present.
+	// presentTime is how lately another daemon must have been heard to count as present: six
+	// questions of askPresenceInterval may be lost.
 	presentTime = 3 * time.Second
-	// askPresenceShare of the confirmation limit is the age of the confirmation from which on
+	// enoughHeardTime is for how long it holds that enough daemons were heard: some ticks.
+	enoughHeardTime = 500 * time.Millisecond
+	// askPresenceShare of the confirmation limit is the age of the confirmation from which on,
+	// with time for three rounds of questions before the limit,
 	// daemons that were not heard are asked whether they are there: in large fleets few daemons
 	// send each other anything else.
 	askPresenceShare = 0.6
@@ -38,7 +42,7 @@
 		}
 	}
 	if 2*heard >= len(others)+1 {
-		c.enoughHeard.set(now.Add(tickGap))
+		c.enoughHeard.set(now.Add(enoughHeardTime))
 	}
 	if now.Sub(c.askedPresenceAt) >= askPresenceInterval {
 		c.askedPresenceAt = now
--- a/internal/roomshare/message.go
+++ b/internal/roomshare/message.go
@@ -40,12 +40,12 @@
 
 // answerMessage answers a questionMessage.
 type answerMessage struct {
-	Number uint64
-	Told   []agedMessage
+	Number     uint64
+	RoomReport []agedMessage
 }
 
 // agedMessage is what a region told, and how long ago it was heard, in milliseconds.
 type agedMessage struct {
-	Told            toldMessage
+	RoomReport      toldMessage
 	AgeMilliseconds uint32
 }
--- a/internal/roomshare/roomshare.go
+++ b/internal/roomshare/roomshare.go
@@ -93,7 +93,7 @@
 
 // Run tells the own region's room until the context ends.
 func (s *Sharer) Run(ctx context.Context) error {
-	if !s.options.Distances.Several() {
+	if !s.options.Distances.HasSeveralRegions() {
 		<-ctx.Done()
 		return nil
 	}
@@ -172,29 +172,29 @@
 
 // Rooms returns the rooms that a service has in other regions, of those that told lately, and
 // when each was told. It asks in the own region if what is known is old.
-func (s *Sharer) Rooms(ctx context.Context, service identity.ServiceName) []Told {
+func (s *Sharer) Rooms(ctx context.Context, service identity.ServiceName) []RoomReport {
 	now := clock.Now()
 	if s.isOld(now) {
 		s.ask(ctx)
 	}
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	var rooms []Told
+	var rooms []RoomReport
 	for region, heard := range s.heard {
 		if now.Sub(heard.at) > forgetAfter {
 			continue
 		}
 		for _, room := range heard.told.Services {
 			if room.Service == service {
-				rooms = append(rooms, Told{Room: room.room(region), At: heard.at, Outside: s.outside(region)})
+				rooms = append(rooms, RoomReport{Room: room.room(region), At: heard.at, Outside: s.outside(region)})
 			}
 		}
 	}
 	return rooms
 }
 
-// Told is the room of a region with when it was heard, and how many daemons are outside it.
-type Told struct {
+// RoomReport is the room of a region with when it was heard, and how many daemons are outside it.
+type RoomReport struct {
 	backendpool.Room
 	At      time.Time
 	Outside int
@@ -241,7 +241,7 @@
 		select {
 		case got := <-answers:
 			s.take(got)
-			if len(got.Told) > 0 {
+			if len(got.RoomReport) > 0 {
 				return
 			}
 		case <-timeout.C:
@@ -255,8 +255,8 @@
 // take takes in an answer, unless newer is known.
 func (s *Sharer) take(got answerMessage) {
 	now := clock.Now()
-	for _, aged := range got.Told {
-		s.note(aged.Told, now.Add(-time.Duration(aged.AgeMilliseconds)*time.Millisecond))
+	for _, aged := range got.RoomReport {
+		s.note(aged.RoomReport, now.Add(-time.Duration(aged.AgeMilliseconds)*time.Millisecond))
 	}
 }
 
@@ -282,7 +282,7 @@
 	s.mutex.Lock()
 	for _, heard := range s.heard {
 		if age := now.Sub(heard.at); age <= forgetAfter {
-			answer.Told = append(answer.Told, agedMessage{Told: heard.told, AgeMilliseconds: uint32(age.Milliseconds())})
+			answer.RoomReport = append(answer.RoomReport, agedMessage{RoomReport: heard.told, AgeMilliseconds: uint32(age.Milliseconds())})
 		}
 	}
 	s.mutex.Unlock()
--- a/internal/roomshare/roomshare_test.go
+++ b/internal/roomshare/roomshare_test.go
@@ -117,7 +117,7 @@
 	rapid.Check(t, func(rt *rapid.T) {
 		seed, regions := rapid.Uint64().Draw(rt, "seed"), rapid.SampledFrom([]int{1, 2, 6}).Draw(rt, "regions")
 		loss := rapid.Float64Range(0, 0.05).Draw(rt, "loss")
-		found := map[int][]Told{}
+		found := map[int][]RoomReport{}
 		synctest.Test(t, func(t *testing.T) {
 			fleet := newFleet(seed, regions, 4*regions)
 			ctx, cancel := context.WithCancel(context.Background())
