Wait for a new confirmation in the test of versions without an order

By the log a request was served 1,194 ms after the last confirmation, of before the store's trouble, and the next ones at 1,200 ms were refused, as they must be: the test took the first answer for the store's return. It waits now until no confirmation of before holds any more; what it asks is the same.

--- a/cmd/lotusward/versions_test.go
+++ b/cmd/lotusward/versions_test.go
@@ -23,6 +23,10 @@
   rollbackMs: 1500
 `
 
+// confirmationHolds is longer than a daemon serves with a key without a new confirmation, with
+// these bounds.
+const confirmationHolds = 1300 * time.Millisecond
+
 // versioned starts runners of pages with a version of their software. Of idle runners the one
 // whose id comes first is chosen: newer versions have earlier ids, so that they would get all
 // requests if versions were not looked at.
@@ -199,6 +203,7 @@
 	second.ask(call{path: "/safe/x", id: "store away for longer"})
 	assert.Equal(t, arrivals(unordered), 0)
 	deployed.store.SetTrouble(standin.TroubleNone)
+	time.Sleep(confirmationHolds) // so that what is served then was confirmed since
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
 		if got := second.ask(call{path: "/safe/x", id: "store back"}); got.status != http.StatusOK {
 			return poll.Continue("status %d: %s", got.status, got.body)
