--- a/internal/rollout/fault_test.go
+++ b/internal/rollout/fault_test.go
@@ -363,7 +363,7 @@
 				fleet := newQuietFleet(14, 8, testService)
 				fleet.cutOff(cutOff)
 				for _, each := range fleet.members {
-					if each.side != 0 && !completes {
+					if each.side.Load() != 0 && !completes {
 						each.rate = 0 // back ends don't show that it may send
 					}
 				}
--- a/internal/rollout/member_test.go
+++ b/internal/rollout/member_test.go
@@ -29,7 +29,7 @@
 	cancel      context.CancelFunc
 	ctx         context.Context
 	dead        bool
-	side        int
+	side        atomic.Int64
 	tickedAt    time.Time
 	checkedAt   time.Time
 	// storeless and reportless daemons reach neither the store nor the back ends' reports.
@@ -84,7 +84,7 @@
 func (m *member) join() {
 	for offset := range m.fleet.members {
 		other := m.fleet.members[(m.index+offset)%len(m.fleet.members)]
-		if other == m || other.dead || !other.Working() || other.side != m.side || other.belief == nil || !other.belief.ready() {
+		if other == m || other.dead || !other.Working() || other.side.Load() != m.side.Load() || other.belief == nil || !other.belief.ready() {
 			continue
 		}
 		other.belief.mutex.Lock()
@@ -121,7 +121,7 @@
 
 // cut puts the daemon on a side of a cut, with or without the store.
 func (m *member) cut(side int, storeless bool) {
-	m.side = side
+	m.side.Store(int64(side))
 	m.SetSide(side)
 	m.storeless.Store(storeless)
 }
@@ -166,7 +166,7 @@
 		return
 	}
 	for _, each := range m.fleet.members {
-		if told := each.belief; each.side == m.side && each.storeless.Load() {
+		if told := each.belief; each.side.Load() == m.side.Load() && each.storeless.Load() {
 			time.AfterFunc(delay+peerlinktest.Delay, func() { told.member.WhenAwake(func() { told.adopt(now, read) }) })
 		}
 	}
@@ -437,7 +437,7 @@
 	}
 	heard := false
 	for _, each := range m.fleet.members {
-		if !m.Working() || !each.Working() || each.dead || each.side != m.side {
+		if !m.Working() || !each.Working() || each.dead || each.side.Load() != m.side.Load() {
 			continue
 		}
 		m.reachedAt[each.Address()] = now
