Keep moments of the store apart that follow each other fast

Sixteen moments are remembered, and 17 answers some nanoseconds apart drove out the last one before the naming. Of moments less than 0.2 s apart the newest alone is kept, so that sixteen are of three seconds. Ruled out: draws with longer pauses (the check stays as it was).

--- a/internal/directory/moments.go
+++ b/internal/directory/moments.go
@@ -5,9 +5,14 @@
 	"time"
 )
 
-// keptMoments is how many moments of the store are remembered: with some four changes of back
-// ends a second they are of the last four seconds, and a check comes each second or so.
-const keptMoments = 16
+const (
+	// keptMoments is how many moments of the store are remembered: with some four changes of back
+	// ends a second they are of the last four seconds, and a check comes each second or so.
+	keptMoments = 16
+	// momentSpacing lies at least between two of them, the last one apart, so that they are of
+	// three seconds however fast answers come.
+	momentSpacing = 200 * time.Millisecond
+)
 
 // moment is a moment of the store: its newest version, and what its clock showed.
 type moment struct {
@@ -27,6 +32,9 @@
 	if last := len(m.known) - 1; last >= 0 && m.known[last].clock >= reading.Clock {
 		return
 	}
+	if count := len(m.known); count > 1 && m.known[count-1].clock-m.known[count-2].clock < momentSpacing {
+		m.known = m.known[:count-1]
+	}
 	m.known = append(m.known, moment{version: reading.Version, clock: reading.Clock})
 	m.known = m.known[max(len(m.known)-keptMoments, 0):]
 }
