Decide in one place that a trial needs a quorum to become a shift

The carrier left a due stage out by a condition of its own, beside the decision that has the same fact for completed. It stands in core/rollout.Next now, for each way from a trial to a shift, as before. TestGoodVersionIsPromotedLate asks for it too; the carrier's tests and property pass unchanged.

--- a/internal/core/rollout/next.go
+++ b/internal/core/rollout/next.go
@@ -21,7 +21,7 @@
 	// nothing under way at others, and those that aren't have been silent for so long that they
 	// send nothing.
 	Acknowledged bool
-	// Quorum: enough daemons are heard to complete an order.
+	// Quorum: enough daemons are heard to shift requests, and to complete an order.
 	Quorum bool
 	// Idle: back ends of other versions report nothing under way.
 	Idle bool
@@ -42,9 +42,19 @@
 )
 
 // Next decides the next standing of a service: the stable version where there is no row yet, else
-// the next stage of the newest order. It returns false where nothing is to be written.
+// the next stage of the newest order. It returns false where nothing is to be written. Without a
+// quorum no trial becomes a shift: the order could not be completed.
 func Next(facts Facts) (Standing, bool) {
 	standing := facts.Service.Standing
+	next, due := step(facts, standing)
+	if standing.Stage == StageTrial && next.Stage == StageShift && !facts.Quorum {
+		return standing, false
+	}
+	return next, due
+}
+
+// step is the next standing as if there were a quorum.
+func step(facts Facts, standing Standing) (Standing, bool) {
 	if standing.Row == 0 {
 		return firstStanding(facts)
 	}
--- a/internal/core/rollout/next_test.go
+++ b/internal/core/rollout/next_test.go
@@ -116,6 +116,9 @@
 	facts.Now = 125*time.Second - 1
 	keeps(t, facts)
 	facts.Now = 125 * time.Second
+	facts.Quorum = false
+	keeps(t, facts)
+	facts.Quorum = true
 	write(t, &facts, StageShift)
 	facts.Now = 140 * time.Second
 	for _, missing := range []*bool{&facts.Acknowledged, &facts.Idle, &facts.Quorum} {
--- a/internal/rollout/driver.go
+++ b/internal/rollout/driver.go
@@ -69,9 +69,7 @@
 	believed.Standing.Service, believed.Standing.Stable = service, c.stable(service, believed, c.traffic(service))
 	facts, counted := c.facts(ctx, now, storeTime, believed)
 	next, due := rollout.Next(facts)
-	// Without a quorum the order can't be completed: the trial goes on.
-	lacksQuorum := next.Stage == rollout.StageShift && believed.Standing.Stage == rollout.StageTrial && !facts.Quorum
-	if !due || lacksQuorum {
+	if !due {
 		driver.due = stageDue{}
 		return
 	}
