Count the target's answers of a route in one place

Cause: the answers of a route's back ends were added up by the evidence, by the reporter and by the table of the coordinator, bad and slow ones together in four places, and the check of few answers counted again what the verdict already held.

RouteEvidence.TargetCounts and Counts.Spoilt serve all of them now; the check of few answers reads the verdict. No behaviour changes: the tests of core/rollout and rollout pass with their assertions as they were.

--- a/internal/core/rollout/comparison.go
+++ b/internal/core/rollout/comparison.go
@@ -90,18 +90,15 @@
 
 // mostlyGood tells whether few answers of the target hold few bad ones beside those of its worst
 // back end. Of many the tests tell.
-func mostlyGood(pooled *Evidence) bool {
-	answers, bad := 0, 0
+func (v Verdict) mostlyGood(pooled *Evidence) bool {
 	var worst Counts
 	for _, each := range overRoutes(pooled) {
-		answers += each.Counts.Total()
-		bad += each.Counts.spoilt()
-		if each.Counts.spoilt() > worst.spoilt() {
+		if each.Counts.Spoilt() > worst.Spoilt() {
 			worst = each.Counts
 		}
 	}
-	rest := float64(answers - worst.Total())
-	return answers >= manyAnswers || float64(bad-worst.spoilt()) <= fewBadShare*rest
+	rest := float64(v.Answers - worst.Total())
+	return v.Answers >= manyAnswers || float64(v.BadAnswers-worst.Spoilt()) <= fewBadShare*rest
 }
 
 // comparison is one test: the target's answers by back end against a rate that is expected.
@@ -162,7 +159,7 @@
 		}
 		doubted = doubted || ratio >= math.Log(doubt)
 	}
-	verdict.Enough = !doubted && shownEnough(pooled) && anySound(pooled) && mostlyGood(pooled)
+	verdict.Enough = !doubted && shownEnough(pooled) && anySound(pooled) && verdict.mostlyGood(pooled)
 	return verdict
 }
 
@@ -284,11 +281,12 @@
 func shownEnough(pooled *Evidence) bool {
 	stable, target := 0, 0
 	for _, route := range pooled.Routes {
-		if route.targetAnswers() < requiredAnswers(route.Stable.Total(), fewRouteAnswers) {
+		answers := route.TargetCounts().Total()
+		if answers < requiredAnswers(route.Stable.Total(), fewRouteAnswers) {
 			return false
 		}
 		stable += route.Stable.Total()
-		target += route.targetAnswers()
+		target += answers
 	}
 	return target >= requiredAnswers(stable, fewAnswers)
 }
@@ -298,7 +296,7 @@
 func anySound(pooled *Evidence) bool {
 	backends := overRoutes(pooled)
 	return len(backends) == 0 || slices.ContainsFunc(backends, func(each BackendCounts) bool {
-		return each.Counts.Good > each.Counts.Bad+each.Counts.Slow
+		return int(each.Counts.Good) > each.Counts.Spoilt()
 	})
 }
 
--- a/internal/core/rollout/evidence.go
+++ b/internal/core/rollout/evidence.go
@@ -33,8 +33,8 @@
 // Total is the number of all answers.
 func (c Counts) Total() int { return int(c.Good) + int(c.Bad) + int(c.Slow) }
 
-// spoilt is the number of answers that were not good.
-func (c Counts) spoilt() int { return int(c.Bad) + int(c.Slow) }
+// Spoilt is the number of answers that were bad or slow.
+func (c Counts) Spoilt() int { return int(c.Bad) + int(c.Slow) }
 
 func (c *Counts) note(result Result) {
 	switch result {
@@ -165,7 +165,7 @@
 func (e *Evidence) targetAnswers() int {
 	answers := 0
 	for _, route := range e.Routes {
-		answers += route.targetAnswers()
+		answers += route.TargetCounts().Total()
 	}
 	return answers
 }
@@ -174,19 +174,18 @@
 func (e *Evidence) badAnswers() int {
 	bad := 0
 	for _, route := range e.Routes {
-		for _, backend := range route.Target {
-			bad += int(backend.Counts.Bad) + int(backend.Counts.Slow)
-		}
+		bad += route.TargetCounts().Spoilt()
 	}
 	return bad
 }
 
-func (r *RouteEvidence) targetAnswers() int {
-	answers := 0
+// TargetCounts are the answers of all the target's back ends on the route.
+func (r *RouteEvidence) TargetCounts() Counts {
+	var sum Counts
 	for _, backend := range r.Target {
-		answers += backend.Counts.Total()
+		sum.merge(backend.Counts)
 	}
-	return answers
+	return sum
 }
 
 // route finds or adds a route. There are few, so that a search costs less than a map.
--- a/internal/rollout/reporter.go
+++ b/internal/rollout/reporter.go
@@ -118,7 +118,7 @@
 		news.StableSample, r.sampledAt = counted.StableSample, now
 	}
 	for _, route := range counted.Routes {
-		answers, told := answersOf(route), r.told[route.Route]
+		answers, told := route.TargetCounts().Total(), r.told[route.Route]
 		if answers == told.answers && told.repeats >= newsRepeats && now.Sub(told.at) < refreshInterval {
 			continue
 		}
@@ -131,15 +131,6 @@
 	return news
 }
 
-// answersOf counts the target's answers on a route.
-func answersOf(route rollout.RouteEvidence) int {
-	count := 0
-	for _, backend := range route.Target {
-		count += backend.Counts.Total()
-	}
-	return count
-}
-
 // sendReport sends a report to the collectors, of which this daemon may be one.
 func (c *Coordinator) sendReport(ctx context.Context, now time.Time, message reportMessage) {
 	datagram, fits := c.options.Link.Encode(peerlink.KindVersionReport, &message)
--- a/internal/rollout/table.go
+++ b/internal/rollout/table.go
@@ -63,12 +63,10 @@
 }
 
 func routeStatus(evidence rollout.RouteEvidence) RouteStatus {
-	status := RouteStatus{
-		Route: evidence.Route, StableGood: int(evidence.Stable.Good), StableBad: int(evidence.Stable.Bad + evidence.Stable.Slow),
+	target := evidence.TargetCounts()
+	return RouteStatus{
+		Route:      evidence.Route,
+		StableGood: int(evidence.Stable.Good), StableBad: evidence.Stable.Spoilt(),
+		TargetGood: int(target.Good), TargetBad: target.Spoilt(),
 	}
-	for _, backend := range evidence.Target {
-		status.TargetGood += int(backend.Counts.Good)
-		status.TargetBad += int(backend.Counts.Bad + backend.Counts.Slow)
-	}
-	return status
 }
