Sort daemons by their regions in one place

Cause: the homes of loads and the sharing of room each sorted the daemons by their regions, with the same test of whether the list was replaced.

peerlink.Groups does it for both. The order within a region differs for one of them, which no ranking sees: it goes by hash and name. Topology.Near and Far stay: they leave out this daemon and know no region of their own as all.

--- a/internal/loadhome/loadhome.go
+++ b/internal/loadhome/loadhome.go
@@ -37,7 +37,8 @@
 // Options are what a Homes works with.
 type Options struct {
 	Link peerlink.Carrier
-	// Others returns the addresses of the other daemons.
+	// Others returns the addresses of the other daemons, in another slice whenever any of them
+	// is described anew.
 	Others   func() []string
 	Pool     *backendpool.Pool
 	Presence *presence.List
@@ -57,11 +58,12 @@
 	ledger    *ledger
 	questions *peerlink.Questions[answer]
 	silence   *presence.Silence
+	groups    *peerlink.Groups
 
 	mutex sync.Mutex
 	// known are the homes of back ends among the daemons of knownOf.
 	known   map[uint64][]string
-	knownOf regions
+	knownOf *peerlink.Grouping
 	// farTimeout is how long answers from other regions are waited for.
 	farTimeout roundTrip
 }
@@ -72,6 +74,7 @@
 		options: options, self: options.Link.Address(), ledger: newLedger(),
 		questions: peerlink.NewQuestions[answer](), silence: presence.NewSilence(options.Presence),
 	}
+	made.groups = peerlink.NewGroups(made.self, made.region)
 	peerlink.HandleDecoded(options.Link, peerlink.KindLoadNote, made.hearNote)
 	peerlink.HandleDecoded(options.Link, peerlink.KindLoadQuestion, made.hearQuestion)
 	peerlink.HandleDecoded(options.Link, peerlink.KindLoadAnswer, made.hearAnswer)
@@ -120,15 +123,15 @@
 
 // homes are the homes of a back end, by the hash of its ID.
 func (h *Homes) homes(key uint64) []string {
-	others := h.options.Others()
+	grouped := h.groups.Of(h.options.Others())
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
-	if h.known == nil || !sameSlice(others, h.knownOf.others) {
-		h.known, h.knownOf = map[uint64][]string{}, h.regionsOf(others)
+	if grouped != h.knownOf {
+		h.known, h.knownOf = map[uint64][]string{}, grouped
 	}
 	found, known := h.known[key]
 	if !known {
-		daemons, sure := h.knownOf.near(h.options.Pool.Zone(key))
+		daemons, sure := h.near(grouped, key)
 		found = rendezvous.Top(key, daemons, homesEach)
 		if sure {
 			h.known[key] = found
@@ -137,11 +140,6 @@
 	return found
 }
 
-// sameSlice tells whether two lists are one: a list is replaced when it changes.
-func sameSlice(left, right []string) bool {
-	return len(left) == len(right) && (len(left) == 0 || &left[0] == &right[0])
-}
-
 // Refresh asks the homes of back ends, by the hashes of their IDs, for what other daemons
 // have under way there, and tells the pool. It goes on with what is known after
 // answerTimeout.
--- a/internal/loadhome/regions.go
+++ b/internal/loadhome/regions.go
@@ -1,38 +1,13 @@
 package loadhome
 
 import (
-	"slices"
 	"time"
 
 	"github.com/lotusward/lotusward/internal/core/distance"
 	"github.com/lotusward/lotusward/internal/core/identity"
+	"github.com/lotusward/lotusward/internal/peerlink"
 )
 
-// regions are the daemons by their regions.
-type regions struct {
-	// others are the daemons that these were made of.
-	others    []string
-	all       []string
-	byRegion  map[identity.Region][]string
-	distances distance.Map
-}
-
-// regionsOf sorts the other daemons and this one by their regions.
-func (h *Homes) regionsOf(others []string) regions {
-	made := regions{
-		others: others, all: append(slices.Clone(others), h.self), distances: h.options.Distances,
-		byRegion: map[identity.Region][]string{},
-	}
-	if !made.distances.HasSeveralRegions() {
-		return made
-	}
-	for _, address := range made.all {
-		region := made.distances.Region(h.zone(address))
-		made.byRegion[region] = append(made.byRegion[region], address)
-	}
-	return made
-}
-
 // zone is a daemon's zone; empty is unknown.
 func (h *Homes) zone(address string) identity.Zone {
 	switch {
@@ -45,16 +20,23 @@
 	}
 }
 
-// near are the daemons among which a back end of a zone has its homes: those of its region, or
-// all where there are none. It returns false where that may change with the list of back ends.
-func (r *regions) near(zone identity.Zone, listed bool) ([]string, bool) {
-	if !r.distances.HasSeveralRegions() {
-		return r.all, true
+// region is a daemon's region; empty is unknown.
+func (h *Homes) region(address string) identity.Region {
+	return h.options.Distances.Region(h.zone(address))
+}
+
+// near are the daemons among which a back end has its homes, by the hash of its ID: those of its
+// region, or all where there are none. It returns false where that may change with the list of
+// back ends.
+func (h *Homes) near(grouped *peerlink.Grouping, key uint64) ([]string, bool) {
+	if !h.options.Distances.HasSeveralRegions() {
+		return grouped.All, true
 	}
-	if found := r.byRegion[r.distances.Region(zone)]; listed && len(found) > 0 {
+	zone, listed := h.options.Pool.Zone(key)
+	if found := grouped.ByRegion[h.options.Distances.Region(zone)]; listed && len(found) > 0 {
 		return found, true
 	}
-	return r.all, listed
+	return grouped.All, listed
 }
 
 // isFar tells whether a daemon is in another region.
--- a/internal/roomshare/roomshare.go
+++ b/internal/roomshare/roomshare.go
@@ -61,16 +61,12 @@
 	options   Options
 	own       identity.Region
 	questions *peerlink.Questions[answerMessage]
+	groups    *peerlink.Groups
 
 	mutex sync.Mutex
 	heard map[identity.Region]heardRoom
 	// askedAt is when the last question was asked.
 	askedAt time.Time
-
-	// grouped are the daemons of groupedOf and this one by their regions.
-	grouping  sync.Mutex
-	grouped   map[identity.Region][]string
-	groupedOf []string
 }
 
 // heardRoom is what a region told last, and when that was heard first.
@@ -85,6 +81,7 @@
 		options: options, own: options.Distances.Region(options.Own),
 		questions: peerlink.NewQuestions[answerMessage](), heard: map[identity.Region]heardRoom{},
 	}
+	made.groups = peerlink.NewGroups(options.Link.Address(), made.region)
 	peerlink.HandleDecoded(options.Link, peerlink.KindRoom, made.hearTold)
 	peerlink.HandleDecoded(options.Link, peerlink.KindRoomQuestion, made.hearQuestion)
 	peerlink.HandleDecoded(options.Link, peerlink.KindRoomAnswer, made.hearAnswer)
@@ -140,29 +137,15 @@
 
 // byRegion are the daemons by their regions. The result must not be changed.
 func (s *Sharer) byRegion() map[identity.Region][]string {
-	others := s.options.Others()
-	s.grouping.Lock()
-	defer s.grouping.Unlock()
-	if s.grouped == nil || !sameSlice(others, s.groupedOf) {
-		s.grouped, s.groupedOf = s.group(others), others
-	}
-	return s.grouped
+	return s.groups.Of(s.options.Others()).ByRegion
 }
 
-// sameSlice tells whether two slices share their memory: the list of daemons is replaced when it
-// changes.
-func sameSlice(left, right []string) bool {
-	return len(left) == len(right) && (len(left) == 0 || &left[0] == &right[0])
-}
-
-// group sorts the other daemons and this one by their regions.
-func (s *Sharer) group(others []string) map[identity.Region][]string {
-	found := map[identity.Region][]string{s.own: {s.options.Link.Address()}}
-	for _, address := range others {
-		region := s.options.Distances.Region(s.options.Zone(address))
-		found[region] = append(found[region], address)
+// region is a daemon's region; empty is unknown.
+func (s *Sharer) region(address string) identity.Region {
+	if address == s.options.Link.Address() {
+		return s.own
 	}
-	return found
+	return s.options.Distances.Region(s.options.Zone(address))
 }
 
 // tellers are the daemons of a region that tell and hear for it, mostly those of great capacity.
