Name the fields of the rooms' messages by what they hold

Cause: a rename of a type had also renamed two fields, so that an answer's list of regions and the message in it were both called RoomReport. The datagrams are arrays, so that nothing changes between daemons. A comment in rollout is wrapped anew.

--- a/internal/rollout/progress.go
+++ b/internal/rollout/progress.go
@@ -8,8 +8,7 @@
 
 // silenceMargin is added to the confirmation limit before a silent daemon counts as one that
 // refuses requests. It covers steady clocks that differ by 2 % (daemon.maximumDrift, far more than
-// usual ones do), and the time from the choice of a
-// version to the sending.
+// usual ones do), and the time from the choice of a version to the sending.
 const silenceMargin = 250 * time.Millisecond
 
 // progress is how far the daemons have come with a shift, as a collector knows.
--- a/internal/roomshare/message.go
+++ b/internal/roomshare/message.go
@@ -40,12 +40,12 @@
 
 // answerMessage answers a questionMessage.
 type answerMessage struct {
-	Number     uint64
-	RoomReport []agedMessage
+	Number  uint64
+	Regions []agedMessage
 }
 
 // agedMessage is what a region told, and how long ago it was heard, in milliseconds.
 type agedMessage struct {
-	RoomReport      toldMessage
+	Told            toldMessage
 	AgeMilliseconds uint32
 }
--- a/internal/roomshare/roomshare.go
+++ b/internal/roomshare/roomshare.go
@@ -224,7 +224,7 @@
 		select {
 		case got := <-answers:
 			s.take(got)
-			if len(got.RoomReport) > 0 {
+			if len(got.Regions) > 0 {
 				return
 			}
 		case <-timeout.C:
@@ -238,8 +238,8 @@
 // take takes in an answer, unless newer is known.
 func (s *Sharer) take(got answerMessage) {
 	now := clock.Now()
-	for _, aged := range got.RoomReport {
-		s.note(aged.RoomReport, now.Add(-time.Duration(aged.AgeMilliseconds)*time.Millisecond))
+	for _, aged := range got.Regions {
+		s.note(aged.Told, now.Add(-time.Duration(aged.AgeMilliseconds)*time.Millisecond))
 	}
 }
 
@@ -265,7 +265,7 @@
 	s.mutex.Lock()
 	for _, heard := range s.heard {
 		if age := now.Sub(heard.at); age <= forgetAfter {
-			answer.RoomReport = append(answer.RoomReport, agedMessage{RoomReport: heard.told, AgeMilliseconds: uint32(age.Milliseconds())})
+			answer.Regions = append(answer.Regions, agedMessage{Told: heard.told, AgeMilliseconds: uint32(age.Milliseconds())})
 		}
 	}
 	s.mutex.Unlock()
