Rank the collectors of an order once for each list of daemons

Cause: a look at a service under trial, one of 20 a second, ranked all daemons by hash three times and more, and each grant once more: 30 us with 340 daemons.

They are kept with the list that they were ranked among, as the homes of loads are.

--- a/internal/peerlink/groups.go
+++ b/internal/peerlink/groups.go
@@ -36,7 +36,7 @@
 func (g *Groups) Of(others []string) *Grouping {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
-	if g.current == nil || !sameSlice(others, g.of) {
+	if g.current == nil || !SameList(others, g.of) {
 		g.current, g.of = g.group(others), others
 	}
 	return g.current
@@ -51,7 +51,7 @@
 	return made
 }
 
-// sameSlice tells whether two lists are one: a list is replaced when it changes.
-func sameSlice(left, right []string) bool {
+// SameList tells whether two lists of daemons are one: a list is replaced when it changes.
+func SameList(left, right []string) bool {
 	return len(left) == len(right) && (len(left) == 0 || &left[0] == &right[0])
 }
--- a/internal/rollout/choice_test.go
+++ b/internal/rollout/choice_test.go
@@ -217,6 +217,21 @@
 	}
 }
 
+// BenchmarkActiveTick is a look at a service with a version under trial, one of 20 a second, with
+// 339 other daemons: 0.7 us, and 30 us where the collectors are ranked each time.
+func BenchmarkActiveTick(b *testing.B) {
+	lone, belief := newLone(rollout.StageTrial)
+	others := make([]string, 339)
+	for index := range others {
+		others[index] = fmt.Sprintf("10.0.1.%d:1", index)
+	}
+	lone.options.Others, lone.options.Count = func() []string { return others }, func() int { return 340 }
+	for now := clock.Now(); b.Loop(); now = now.Add(tickInterval) {
+		belief.confirmed = now
+		lone.tick(b.Context(), now)
+	}
+}
+
 // BenchmarkSynchronize is what a look does, 20 times a second, under the lock of the requests'
 // choices while a target with 2,800 back ends is under trial: 1.1 us, and 474 us where those of the
 // trial are chosen each time.
--- a/internal/rollout/coordinator.go
+++ b/internal/rollout/coordinator.go
@@ -89,8 +89,9 @@
 // Options are what a Coordinator works with.
 type Options struct {
 	Link peerlink.Carrier
-	// Others returns the addresses of the other daemons, and Count how many daemons there may
-	// be: more than Others and this one until they are known.
+	// Others returns the addresses of the other daemons, in another slice whenever any of them
+	// comes, goes or is described anew, and Count how many daemons there may be: more than Others
+	// and this one until they are known.
 	Others func() []string
 	Count  func() int
 	// Tell tells all other daemons; it must not block.
@@ -125,6 +126,7 @@
 	traffics map[identity.ServiceName]*traffic
 	// enoughHeard is until when this daemon counts as in touch with half of the others.
 	enoughHeard instant
+	rankings    rankings
 
 	// What follows belongs to the goroutine of Run.
 	reporters  map[identity.ServiceName]*reporter
@@ -151,6 +153,7 @@
 		inbox:   make(chan func(context.Context, time.Time), waitingEvents),
 
 		traffics:   map[identity.ServiceName]*traffic{},
+		rankings:   rankings{byService: map[identity.ServiceName]ranking{}},
 		reporters:  map[identity.ServiceName]*reporter{},
 		collectors: map[identity.ServiceName]*collector{},
 		drivers:    map[identity.ServiceName]*driver{},
@@ -258,8 +261,10 @@
 func (c *Coordinator) membersKnown() bool { return c.options.Count() == len(c.options.Others())+1 }
 
 // daemons are the addresses of all known daemons.
-func (c *Coordinator) daemons() []string {
-	others := c.options.Others()
+func (c *Coordinator) daemons() []string { return c.withSelf(c.options.Others()) }
+
+// withSelf are the others and this daemon.
+func (c *Coordinator) withSelf(others []string) []string {
 	all := make([]string, 0, len(others)+1)
 	return append(append(all, others...), c.self)
 }
--- a/internal/rollout/reporter.go
+++ b/internal/rollout/reporter.go
@@ -4,6 +4,7 @@
 	"context"
 	"slices"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -68,10 +69,36 @@
 	stopped bool
 }
 
-// collectorsOf are the daemons that pool the evidence of an order, best first.
+// rankings keep the collectors of each service's last order. They are safe for use by several
+// goroutines.
+type rankings struct {
+	mutex     sync.Mutex
+	byService map[identity.ServiceName]ranking
+}
+
+// ranking holds the collectors of an order among this daemon and the others of a list.
+type ranking struct {
+	order              uint64
+	others, collectors []string
+}
+
+// collectorsOf are the daemons that pool the evidence of an order, best first. They are ranked once
+// for each list of the others. The result must not be changed.
 func (c *Coordinator) collectorsOf(service identity.ServiceName, order uint64) []string {
+	others := c.options.Others()
+	c.rankings.mutex.Lock()
+	defer c.rankings.mutex.Unlock()
+	last := c.rankings.byService[service]
+	if last.collectors == nil || last.order != order || !peerlink.SameList(last.others, others) {
+		last = ranking{order: order, others: others, collectors: c.rank(service, order, others)}
+		c.rankings.byService[service] = last
+	}
+	return last.collectors
+}
+
+func (c *Coordinator) rank(service identity.ServiceName, order uint64, others []string) []string {
 	key := rendezvous.Key(string(service) + "/" + strconv.FormatUint(order, 10))
-	return rendezvous.Top(key, c.daemons(), collectorCount)
+	return rendezvous.Top(key, c.withSelf(others), collectorCount)
 }
 
 // report tells the collectors of the order under way what this daemon does, when that is due.
