Tell what bounds a request's begin on replaced weights

Cause: of a request that began on replaced weights no line told by which time it was bound, nor whether that time was known, guessed or moved by a disturbance of the store; that a daemon took the store for disturbed was told by no line at all, and nothing related a naming to the process's start. The three hypotheses could not be told apart.

Added: the bound's basis, what was left of it at the begin or the cut, on each request to a back end whose weights are replaced (late begins are always logged, a counter has all); a line at the begin of each disturbance; the time since the start on the line of a naming. No decision changes. TestBeginsOnReplacedWeightsAreTold holds the line and the counter.

--- a/cmd/internal/daemon/wire.go
+++ b/cmd/internal/daemon/wire.go
@@ -92,6 +92,8 @@
 	Logger     *logrus.Logger
 	// Writer is what Logger writes to.
 	Writer *eventlog.Writer
+	// Started is when the process started; zero is when the daemon is made.
+	Started time.Time
 	// Placement is how back ends are chosen; empty is the usual way.
 	Placement backendpool.Placement
 }
@@ -188,6 +190,7 @@
 		Contacts:         w.members,
 		Topology:         w.topology,
 		StoreTime:        w.members.StoreTime,
+		Started:          w.options.Started,
 		SteadyTime:       platform.Milliseconds(bounds.ContactMs),
 		VersionHeadStart: versionGrace(bounds) - platform.Milliseconds(bounds.ContactMs),
 	})
--- a/cmd/lotusward/main.go
+++ b/cmd/lotusward/main.go
@@ -14,6 +14,7 @@
 	"github.com/oklog/run"
 
 	"github.com/lotusward/lotusward/cmd/internal/daemon"
+	"github.com/lotusward/lotusward/internal/clock"
 	"github.com/lotusward/lotusward/internal/eventlog"
 	"github.com/lotusward/lotusward/internal/exitcode"
 	"github.com/lotusward/lotusward/internal/finding"
@@ -43,6 +44,7 @@
 }
 
 func start() int {
+	started := clock.Now()
 	var given options
 	given.Settings = os.Getenv(platform.SettingsVariable)
 	_, err := flags.NewParser(&given, flags.HelpFlag|flags.PassDoubleDash).Parse()
@@ -74,11 +76,11 @@
 		fmt.Println("no findings")
 		return exitcode.OK
 	}
-	return serve(settings, given)
+	return serve(settings, given, started)
 }
 
 // serve runs the daemon until a signal or a failure.
-func serve(settings platform.Settings, given options) int {
+func serve(settings platform.Settings, given options, started time.Time) int {
 	writer := eventlog.NewWriter(os.Stdout)
 	defer writer.Stop(logFlushTime)
 	logger, err := eventlog.NewLogger(writer)
@@ -89,7 +91,7 @@
 	log := logging.Part(logger, "daemon").WithField("node", settings.NodeName)
 	made := daemon.New(settings, daemon.Options{
 		MetricsPort: given.Metrics, OpenAIPort: given.OpenAI, AdminPort: given.Admin, AdminToken: os.Getenv(adminTokenVariable),
-		Logger: logger, Writer: writer,
+		Logger: logger, Writer: writer, Started: started,
 	})
 
 	var group run.Group
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -80,6 +80,8 @@
 	// VersionHeadStart is how long ago versions count as named that this daemon
 	// finds at its start.
 	VersionHeadStart time.Duration
+	// Started is when this process started; zero is now.
+	Started time.Time
 	// SteadyTime is how long after a failed call the store counts as disturbed.
 	SteadyTime time.Duration
 	// Self is this daemon's address, as other daemons know it.
@@ -195,6 +197,9 @@
 	if options.Interval == 0 {
 		options.Interval = defaultInterval
 	}
+	if options.Started.IsZero() {
+		options.Started = clock.Now()
+	}
 	if options.Others == nil {
 		options.Others = func() []string { return nil }
 	}
@@ -243,11 +248,24 @@
 	steady := began.Add(d.options.SteadyTime)
 	for known := d.steady.Load(); steady.After(*known); known = d.steady.Load() {
 		if d.steady.CompareAndSwap(known, &steady) {
+			d.logDisturbance(began, *known, steady)
 			return
 		}
 	}
 }
 
+// logDisturbance tells of the first failed call of a disturbance.
+func (d *Directory) logDisturbance(began, steadyBefore, steady time.Time) {
+	now := clock.Now()
+	if now.Before(steadyBefore) {
+		return
+	}
+	d.options.Log.WithFields(logrus.Fields{
+		"call_began_ms_ago": now.Sub(began).Milliseconds(), "confirmed_ms_ago": now.Sub(d.ConfirmedAt()).Milliseconds(),
+		"steady_in_ms": steady.Sub(now).Milliseconds(), "since_start_ms": now.Sub(d.options.Started).Milliseconds(),
+	}).Warn("The store counts as disturbed.")
+}
+
 // SteadySince implements relay.Control.
 func (d *Directory) SteadySince() time.Time { return *d.steady.Load() }
 
--- a/internal/directory/versions.go
+++ b/internal/directory/versions.go
@@ -83,6 +83,7 @@
 	d.mergeTold(now, model)
 	d.options.Log.WithFields(logrus.Fields{
 		"model": model, "version": found.Version, "not_named_ms_ago": now.Sub(found.NamedAfter).Milliseconds(), "guessed": found.Guessed,
+		"since_start_ms": now.Sub(d.options.Started).Milliseconds(),
 	}).Info("A version of weights is named.")
 	return true
 }
--- a/internal/relay/journal.go
+++ b/internal/relay/journal.go
@@ -35,6 +35,8 @@
 	// that was under way at this one.
 	Candidates    int
 	WaitingTokens float64
+	// Replaced is set where a newer version of the weights was named by the sending's end.
+	Replaced *ReplacedWeights
 	// Source says how much of the prompt was believed to be where.
 	Source backendpool.Source
 	// Software is of the version of the service's software; nil where roll-outs are off.
@@ -47,6 +49,20 @@
 	Reason            string
 }
 
+// ReplacedWeights says by which time a request had to begin at a back end whose weights were
+// replaced by a newer version, and how long before that it began or was cut; less than zero is
+// after it.
+type ReplacedWeights struct {
+	Bound BeginBound
+	Left  time.Duration
+	// Begun is set if the request began, and not if it ended before.
+	Begun bool
+}
+
+// BegunLate tells whether the request began later than allowed, the time that is left to those that
+// wait at the back end included. It is false of nil.
+func (r *ReplacedWeights) BegunLate() bool { return r != nil && r.Begun && r.Left < -LastBegin }
+
 // SoftwareAttempt says to which version of its service's software a request was sent, and why.
 type SoftwareAttempt struct {
 	// Version is the back end's.
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -209,7 +209,7 @@
 	}
 	query.Model = prompt.Model
 	query.Home = home(admitted)
-	query.BeginBy = func(version uint64) time.Time { return r.beginBy(prompt.Model, version) }
+	query.BeginBy = func(version uint64) time.Time { return r.beginBound(prompt.Model, version).At }
 	total, own := promptTokens(prompt.Parts)
 	query.SharedTokens, query.OwnTokens = total-own, own
 	query.OutputTokens = prompt.OutputTokens
@@ -239,11 +239,11 @@
 	return bound
 }
 
-// beginBy is until when a request may begin on a version of a model's weights. It
+// beginBound is until when a request may begin on a version of a model's weights. It
 // is taken from the present state, which may be newer than the request's own.
-func (r *Relay) beginBy(model identity.ModelName, version uint64) time.Time {
+func (r *Relay) beginBound(model identity.ModelName, version uint64) BeginBound {
 	control := r.options.Control
-	return control.State().BeginBy(model, version, control.SteadySince(), r.options.Policy.VersionGrace)
+	return control.State().BeginBound(model, version, control.SteadySince(), r.options.Policy.VersionGrace)
 }
 
 // home is the hash of the deepest part that other requests share, or zero when
--- a/internal/relay/run.go
+++ b/internal/relay/run.go
@@ -51,6 +51,9 @@
 	// lastEvent is the id of the last event sent to the caller.
 	lastEvent string
 	attempt   Attempt
+	// beginNoted is set once the present sending has begun: versions that are named later are not
+	// held against it.
+	beginNoted bool
 	// sentAt is when the present sending began.
 	sentAt   time.Time
 	shortage backendpool.Shortage
@@ -137,6 +140,7 @@
 func (r *run) send(ctx context.Context, ticket *backendpool.Ticket) (step, failure) {
 	started := r.now()
 	r.sentAt = started
+	r.beginNoted = false
 	r.attempt = Attempt{
 		Number:        r.attempt.Number + 1,
 		Backend:       ticket.Backend.ID,
@@ -169,6 +173,7 @@
 		}
 		next, failed = r.take(sending, cancel, ticket, answer)
 	}
+	r.noteReplaced(false)
 	r.attempt.Elapsed = r.now().Sub(started)
 	r.attempt.Result = failed.result
 	r.attempt.Reason = failed.reason
--- a/internal/relay/state.go
+++ b/internal/relay/state.go
@@ -21,20 +21,51 @@
 	Software map[identity.ServiceName]rollout.Service
 }
 
-// BeginBy is until when requests may begin on a version of a model's weights: some
+// BeginBound is until when requests may begin on a version of a model's weights. The zero value
+// is no bound.
+type BeginBound struct {
+	At    time.Time
+	Basis BoundBasis
+	// Newer is the version whose naming bounds the older one.
+	Newer uint64
+}
+
+// BoundBasis is what a BeginBound counts from.
+type BoundBasis string
+
+// The bases.
+const (
+	// BasisNamed is a time at which the newer version was known not to be named yet.
+	BasisNamed BoundBasis = "named"
+	// BasisGuessed is a guess of that: the daemon found the newer version at its start.
+	BasisGuessed BoundBasis = "guessed"
+	// BasisDisturbed is the end of a disturbance of the platform's store.
+	BasisDisturbed BoundBasis = "disturbed"
+)
+
+// BeginBound is until when requests may begin on a version of a model's weights: some
 // time after the first newer version was named, or after the platform's store was
-// last disturbed. Zero is no bound.
-func (s *State) BeginBy(model identity.ModelName, version uint64, steady time.Time, grace time.Duration) time.Time {
+// last disturbed.
+func (s *State) BeginBound(model identity.ModelName, version uint64, steady time.Time, grace time.Duration) BeginBound {
 	for _, named := range s.Versions[model] {
 		if named.Version <= version {
 			continue
 		}
-		if steady.After(named.NamedAfter) {
-			return steady.Add(grace)
+		bound := BeginBound{At: named.NamedAfter.Add(grace), Basis: BasisNamed, Newer: named.Version}
+		switch {
+		case steady.After(named.NamedAfter):
+			bound.At, bound.Basis = steady.Add(grace), BasisDisturbed
+		case named.Guessed:
+			bound.Basis = BasisGuessed
 		}
-		return named.NamedAfter.Add(grace)
+		return bound
 	}
-	return time.Time{}
+	return BeginBound{}
+}
+
+// BeginBy is the time of the BeginBound; zero is no bound.
+func (s *State) BeginBy(model identity.ModelName, version uint64, steady time.Time, grace time.Duration) time.Time {
+	return s.BeginBound(model, version, steady, grace).At
 }
 
 // NewestVersion is the newest named version of a model's weights, or zero.
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -90,6 +90,7 @@
 		ticket.Heard(r.now())
 		if first {
 			ticket.Begun()
+			r.noteReplaced(true)
 			r.noteFirstByte()
 			r.begin.stop()
 			r.relay.begins.note(r.admitted.match.Route.Name, r.now().Sub(r.sentAt))
--- a/internal/relay/watch.go
+++ b/internal/relay/watch.go
@@ -88,7 +88,7 @@
 	if w.stopped {
 		return
 	}
-	bound := w.run.relay.beginBy(w.model, w.version)
+	bound := w.run.relay.beginBound(w.model, w.version).At
 	left := bound.Add(LastBegin).Sub(w.run.now())
 	switch {
 	case bound.IsZero():
@@ -111,6 +111,20 @@
 	}
 }
 
+// noteReplaced notes for the journal how a sending stood to the time by which requests had to begin
+// on its weights, when it began or, if it never did, at its end.
+func (r *run) noteReplaced(begun bool) {
+	prompt := r.admitted.request.Prompt
+	if prompt == nil || r.beginNoted {
+		return
+	}
+	r.beginNoted = begun
+	bound := r.relay.beginBound(prompt.Model, r.attempt.Version)
+	if !bound.At.IsZero() {
+		r.attempt.Replaced = &ReplacedWeights{Bound: bound, Left: bound.At.Sub(r.now()), Begun: begun}
+	}
+}
+
 // watchStall watches for the next event of a stream.
 func (r *run) watchStall(ticket *backendpool.Ticket, cancel context.CancelCauseFunc) *watchdog {
 	if !r.couldRepeat() {
--- a/internal/requestlog/counters.go
+++ b/internal/requestlog/counters.go
@@ -15,6 +15,7 @@
 	attempts   *prometheus.CounterVec
 	storeCalls *prometheus.CounterVec
 	limits     *prometheus.CounterVec
+	weights    *prometheus.CounterVec
 	resumed    prometheus.Counter
 	unloggedN  prometheus.Counter
 	firstByte  prometheus.Histogram
@@ -36,6 +37,10 @@
 		limits: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Namespace: namespace, Name: "limit_decisions_total", Help: "Requests of tenants with a limit, by who decided (grantor, own_part) and the outcome.",
 		}, []string{"by", "outcome"}),
+		weights: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Namespace: namespace, Name: "replaced_weights_total",
+			Help: "Sendings to back ends whose weights were replaced, by what bounds their begin (named, guessed, disturbed) and whether they began (in_time, late, not_begun).",
+		}, []string{"bound", "begun"}),
 		resumed: prometheus.NewCounter(prometheus.CounterOpts{
 			Namespace: namespace, Name: "streams_resumed_total", Help: "Streams that went on at another back end.",
 		}),
@@ -49,7 +54,7 @@
 			Namespace: namespace, Name: "request_seconds", Help: "Time from a request's arrival to its end.", Buckets: bucketBounds,
 		}),
 	}
-	registerer.MustRegister(counters.requests, counters.attempts, counters.storeCalls, counters.limits, counters.resumed,
+	registerer.MustRegister(counters.requests, counters.attempts, counters.storeCalls, counters.limits, counters.weights, counters.resumed,
 		counters.unloggedN, counters.firstByte, counters.elapsed)
 	return counters
 }
@@ -89,6 +94,21 @@
 	c.elapsed.Observe(seconds(ended.Elapsed))
 }
 
+// replaced counts a sending to a back end whose weights were replaced; nil is none.
+func (c *Counters) replaced(replaced *relay.ReplacedWeights) {
+	if replaced == nil {
+		return
+	}
+	begun := "in_time"
+	switch {
+	case !replaced.Begun:
+		begun = "not_begun"
+	case replaced.BegunLate():
+		begun = "late"
+	}
+	c.weights.WithLabelValues(string(replaced.Bound.Basis), begun).Inc()
+}
+
 func (c *Counters) retried(attempt relay.Attempt) { c.attempts.WithLabelValues(attempt.Reason).Inc() }
 
 func (c *Counters) unlogged() { c.unloggedN.Inc() }
--- a/internal/requestlog/requestlog.go
+++ b/internal/requestlog/requestlog.go
@@ -44,6 +44,9 @@
 func (j *Journal) Refused(request *relay.Request, ended *relay.Ending, refusal relay.Refusal) {
 	j.counters.refused(refusal)
 	j.counters.limited(ended)
+	if ended != nil {
+		j.counters.replaced(ended.Attempt.Replaced)
+	}
 	if !j.failures.Allow() {
 		j.counters.unlogged()
 		return
@@ -58,8 +61,9 @@
 func (j *Journal) Served(request *relay.Request, ended *relay.Ending) {
 	j.counters.served(ended)
 	j.counters.limited(ended)
+	j.counters.replaced(ended.Attempt.Replaced)
 	limiter := j.served
-	if ended.Cut != "" {
+	if ended.Cut != "" || ended.Attempt.Replaced.BegunLate() {
 		limiter = j.failures
 	}
 	if !limiter.Allow() {
@@ -82,6 +86,7 @@
 // Retried implements relay.Journal.
 func (j *Journal) Retried(request *relay.Request, attempt relay.Attempt) {
 	j.counters.retried(attempt)
+	j.counters.replaced(attempt.Replaced)
 	if !j.failures.Allow() {
 		j.counters.unlogged()
 		return
@@ -174,6 +179,12 @@
 		fields["holder_tokens"] = attempt.Source.HolderTokens
 		fields["stored_tokens"] = attempt.Source.StoredTokens
 	}
+	if replaced := attempt.Replaced; replaced != nil {
+		fields["weights_named"] = replaced.Bound.Newer
+		fields["begin_bound"] = replaced.Bound.Basis
+		fields["begin_left_ms"] = replaced.Left.Milliseconds()
+		fields["begun"] = replaced.Begun
+	}
 	if software := attempt.Software; software != nil {
 		fields["software"] = software.Version
 		fields["stage"] = software.Stage
--- a/internal/requestlog/requestlog_test.go
+++ b/internal/requestlog/requestlog_test.go
@@ -111,14 +111,42 @@
 	} {
 		assert.Equal(t, line[name], value, name)
 	}
+	assert.Equal(t, onlyCounter(t, registry, "lotusward_limit_decisions_total"), 1.0)
+}
+
+// onlyCounter returns the value of a family of counters that has one.
+func onlyCounter(t *testing.T, registry *prometheus.Registry, name string) float64 {
+	t.Helper()
 	families, err := registry.Gather()
 	assert.NilError(t, err)
 	for _, family := range families {
-		if family.GetName() == "lotusward_limit_decisions_total" {
+		if family.GetName() == name {
 			assert.Equal(t, len(family.GetMetric()), 1)
-			assert.Equal(t, family.GetMetric()[0].GetCounter().GetValue(), 1.0)
-			return
+			return family.GetMetric()[0].GetCounter().GetValue()
 		}
 	}
-	t.Fatal("the decision was not counted")
+	t.Fatalf("nothing was counted as %s", name)
+	return 0
+}
+
+// TestBeginsOnReplacedWeightsAreTold logs each request that began too late on replaced weights, by
+// which time it was bound and what that counts from, and counts all.
+func TestBeginsOnReplacedWeightsAreTold(t *testing.T) {
+	var output bytes.Buffer
+	journal, registry := journalTo(&output)
+	const requests = 3 * servedRate
+	for range requests {
+		ended := ending()
+		ended.Attempt.Replaced = &relay.ReplacedWeights{
+			Bound: relay.BeginBound{At: time.Now(), Basis: relay.BasisGuessed, Newer: 9}, Left: -time.Second, Begun: true,
+		}
+		journal.Served(&relay.Request{ID: "q"}, ended)
+	}
+	found := lines(t, &output)
+	assert.Equal(t, len(found), requests)
+	want := map[string]any{"weights": 3.0, "weights_named": 9.0, "begin_bound": "guessed", "begin_left_ms": -1000.0, "begun": true}
+	for name, value := range want {
+		assert.Equal(t, found[0][name], value, name)
+	}
+	assert.Equal(t, onlyCounter(t, registry, "lotusward_replaced_weights_total"), float64(requests))
 }
