Reproduce requests on replaced weights after a restart and after lost calls

The property over daemons that start, read, tell each other and lose calls fails at its first draw.

Disturbed takes the end of the call, for its line; no decision changes.

--- a/cmd/internal/daemon/wire.go
+++ b/cmd/internal/daemon/wire.go
@@ -16,6 +16,7 @@
 	"github.com/lotusward/lotusward/internal/adapter/httpexchange"
 	"github.com/lotusward/lotusward/internal/administration"
 	"github.com/lotusward/lotusward/internal/cachewatch"
+	"github.com/lotusward/lotusward/internal/clock"
 	"github.com/lotusward/lotusward/internal/core/backendpool"
 	"github.com/lotusward/lotusward/internal/core/distance"
 	"github.com/lotusward/lotusward/internal/core/promptcache"
@@ -268,6 +269,6 @@
 	o.counters.StoreCall(call, result)
 	var limited *port.RateLimitedError
 	if err != nil && !errors.As(err, &limited) && !errors.Is(err, context.Canceled) {
-		o.daemon.directory.Disturbed(began)
+		o.daemon.directory.Disturbed(began, clock.Now())
 	}
 }
--- a/cmd/lotusward/deployment_test.go
+++ b/cmd/lotusward/deployment_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -54,9 +55,11 @@
 	metrics string
 	openAI  string
 	admin   string
-	mutex   sync.Mutex
-	output  bytes.Buffer
-	ended   chan struct{}
+	// startedAt is just before the process was started.
+	startedAt time.Time
+	mutex     sync.Mutex
+	output    bytes.Buffer
+	ended     chan struct{}
 }
 
 func (p *process) log() string {
@@ -74,6 +77,8 @@
 	bounds  string
 	// limit are fields of the tenant that bound its use.
 	limit map[string]any
+	// storeAddress is where daemons that start find the store; empty is where it listens.
+	storeAddress string
 }
 
 // newDeployment starts a store. The tests of deployments run beside each other.
@@ -181,7 +186,7 @@
 internalPorts: [%s]
 platform:
   address: %q
-bounds:%s`, name, made.front, made.ready, portOf(freeporttest.Address(d.t)), d.store.Address(), d.bounds)
+bounds:%s`, name, made.front, made.ready, portOf(freeporttest.Address(d.t)), cmp.Or(d.storeAddress, d.store.Address()), d.bounds)
 	path := filepath.Join(d.t.TempDir(), "node.yaml")
 	assert.NilError(d.t, os.WriteFile(path, []byte(settings), 0o600))
 	made.metrics = freeporttest.Address(d.t)
@@ -192,6 +197,7 @@
 	output, err := made.command.StdoutPipe()
 	assert.NilError(d.t, err)
 	made.command.Stderr = os.Stderr
+	made.startedAt = time.Now()
 	assert.NilError(d.t, made.command.Start())
 	go made.collect(output)
 	d.t.Cleanup(func() {
--- /dev/null
+++ b/internal/directory/beginbound_test.go
@@ -0,0 +1,225 @@
+package directory
+
+import (
+	"maps"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/lotusward/lotusward/internal/core/backendpool"
+	"github.com/lotusward/lotusward/internal/core/identity"
+	"github.com/lotusward/lotusward/internal/logging"
+)
+
+// Times of the bounds' world.
+const (
+	boundsGrace   = 10 * time.Second
+	boundsContact = 3 * time.Second
+	// boundsStep is at most how long nothing happens.
+	boundsStep = 2 * time.Second
+)
+
+// naming is the naming of a version: when, and the store's version of the row.
+type naming struct {
+	version, row uint64
+	at           time.Time
+}
+
+// boundsWorld is daemons that start, end, read the store and tell each other, over a store that is well
+// all the time, where versions of a model's weights are named. Its time is its own.
+type boundsWorld struct {
+	t     *rapid.T
+	began time.Time
+	now   time.Time
+	// storeVersion counts the store's transactions.
+	storeVersion uint64
+	namings      []naming
+	daemons      map[string]*boundsDaemon
+	// kept is what daemons left in the store of when versions were named.
+	kept []Seen
+}
+
+// boundsDaemon is a daemon with what it read last.
+type boundsDaemon struct {
+	*Directory
+	started time.Time
+	read    bool
+}
+
+func newBoundsWorld(t *rapid.T) *boundsWorld {
+	began := time.Now().Add(-time.Hour)
+	world := &boundsWorld{t: t, began: began, now: began, storeVersion: 10, daemons: map[string]*boundsDaemon{}}
+	world.name()
+	for _, name := range []string{"a", "b", "c"} {
+		world.start(name)
+	}
+	return world
+}
+
+func (w *boundsWorld) clockAt(at time.Time) time.Duration {
+	return 50*time.Second + at.Sub(w.began)
+}
+
+func (w *boundsWorld) draw(most time.Duration, what string) time.Duration {
+	return time.Duration(rapid.Int64Range(0, int64(most)).Draw(w.t, what))
+}
+
+func (w *boundsWorld) pick() *boundsDaemon {
+	return w.daemons[rapid.SampledFrom(slices.Sorted(maps.Keys(w.daemons))).Draw(w.t, "daemon")]
+}
+
+// start starts a daemon, in the place of one that has ended.
+func (w *boundsWorld) start(name string) {
+	w.daemons[name] = &boundsDaemon{started: w.now, Directory: New(Options{
+		Pool: backendpool.New("a"), Log: logging.Discard(), Self: name, Started: w.now,
+		VersionHeadStart: boundsGrace - boundsContact, SteadyTime: boundsContact,
+	})}
+	w.daemons[name].listed.Store(true)
+}
+
+// name names the next version.
+func (w *boundsWorld) name() {
+	w.storeVersion++
+	w.namings = append(w.namings, naming{version: uint64(len(w.namings) + 1), row: w.storeVersion, at: w.now})
+}
+
+func (w *boundsWorld) newest() naming { return w.namings[len(w.namings)-1] }
+
+// takes lets a call pass, and returns when it began, when the store answered it, and when it ended.
+func (w *boundsWorld) takes() (began, answered time.Time) {
+	began = w.now
+	w.now = w.now.Add(w.draw(100*time.Millisecond, "way there"))
+	answered = w.now
+	w.now = w.now.Add(w.draw(100*time.Millisecond, "way back"))
+	return began, answered
+}
+
+// read has a daemon read what is declared as a whole.
+func (w *boundsWorld) read(daemon *boundsDaemon) {
+	began, answered := w.takes()
+	declared := declaration(w.storeVersion, 7)
+	declared.RowVersion, declared.Clock = 10, w.clockAt(answered)
+	declared.Versions["m"] = w.newest().version
+	declared.VersionRows = map[identity.ModelName]uint64{"m": w.newest().row}
+	declared.Rows = map[string]uint64{"config": 10, "m": w.newest().row}
+	daemon.apply(message{table: tableDeclared, began: began, ended: w.now, declared: &declared})
+	daemon.read = true
+}
+
+// confirm has a daemon check whether what it read is still the newest.
+func (w *boundsWorld) confirm(daemon *boundsDaemon) {
+	if !daemon.read {
+		return
+	}
+	if daemon.rows["m"] != w.newest().row {
+		w.read(daemon)
+		return
+	}
+	began, _ := w.takes()
+	daemon.apply(message{table: tableDeclared, began: began, ended: w.now, checked: daemon.rows})
+}
+
+// change has a daemon hear of a change of the list.
+func (w *boundsWorld) change(daemon *boundsDaemon) {
+	w.storeVersion++
+	began, answered := w.takes()
+	told := Changes{Reading: Reading{Version: w.storeVersion, Clock: w.clockAt(answered)}}
+	daemon.apply(message{table: tableBackends, began: began, ended: w.now, changes: &told})
+}
+
+// tell has a daemon tell another one by a bulletin, or as an answer to its question.
+func (w *boundsWorld) tell(teller, hearer *boundsDaemon) {
+	state := teller.State()
+	if state == nil || teller == hearer {
+		return
+	}
+	known, confirmed := teller.freshness[tableDeclared], teller.ConfirmedAt()
+	asked, _ := w.takes()
+	if hearer.State() != nil {
+		hearer.applyBulletin(w.now, heardBulletin{from: "teller", bulletin: Bulletin{Declared: &DeclaredNews{
+			Clock: known.storeTime(confirmed), StoreVersion: 12, RowVersion: 10, Versions: allSeen(state),
+		}}})
+		return
+	}
+	hearer.apply(message{adopted: &adoption{from: "teller", asked: asked, answered: w.now, snapshot: Snapshot{
+		Complete: true, ClockLeast: known.storeTime(asked), ClockMost: known.most(w.now), Confirmed: known.storeTime(confirmed),
+		StoreVersion: 12, RowVersion: 10, Configuration: state.Table.Configuration(), Versions: allSeen(state),
+	}}})
+}
+
+// failedCalls has two calls of a daemon fail though the store is well, and another daemon's check
+// confirm that meanwhile.
+func (w *boundsWorld) failedCalls(daemon, other *boundsDaemon) {
+	began := w.now
+	w.read(other)
+	w.tell(other, daemon)
+	w.now = w.now.Add(w.draw(boundsStep, "time-out"))
+	daemon.Disturbed(began, w.now)
+	daemon.Disturbed(began.Add(time.Millisecond), w.now)
+}
+
+// check holds the bounds of all daemons to the first naming after each version. A daemon is in touch some
+// time after its start: before that it may take any guess.
+func (w *boundsWorld) check() {
+	for name, daemon := range w.daemons {
+		state := daemon.State()
+		if state == nil {
+			continue
+		}
+		for _, naming := range w.namings {
+			if naming.version > state.NewestVersion("m") {
+				break
+			}
+			latest := naming.at.Add(boundsGrace)
+			if inTouch := daemon.started.Add(boundsContact); inTouch.After(latest) {
+				latest = inTouch
+			}
+			bound := state.BeginBy("m", naming.version-1, daemon.SteadySince(), boundsGrace)
+			assert.Assert(w.t, !bound.IsZero(), "%s sets no bound on versions before %d", name, naming.version)
+			assert.Assert(w.t, !bound.After(latest), "%s bounds versions before %d by %s too late", name, naming.version, bound.Sub(latest))
+		}
+	}
+}
+
+// TestBeginsAreBoundByTheFirstNaming lets daemons start, read, tell each other and lose calls in any
+// order: while the store is well none of them lets requests begin on a version later than the grace after
+// the first newer one was named.
+func TestBeginsAreBoundByTheFirstNaming(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		world := newBoundsWorld(t)
+		for range rapid.IntRange(1, 25).Draw(t, "steps") {
+			world.now = world.now.Add(world.draw(boundsStep, "pause"))
+			switch rapid.IntRange(0, 8).Draw(t, "step") {
+			case 0:
+				world.name()
+			case 1, 2:
+				world.read(world.pick())
+			case 3:
+				world.confirm(world.pick())
+			case 4:
+				world.change(world.pick())
+			case 5:
+				world.tell(world.pick(), world.pick())
+			case 6:
+				world.start(rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "starts"))
+			case 7:
+				world.keepOrLearn(world.pick())
+			case 8:
+				world.failedCalls(world.pick(), world.pick())
+			}
+			world.check()
+		}
+	})
+}
+
+// keepOrLearn has a daemon leave in the store what it knows of namings, or take over what is there.
+func (w *boundsWorld) keepOrLearn(daemon *boundsDaemon) {
+	if rapid.Bool().Draw(w.t, "keeps") {
+		w.kept = daemon.SeenVersions()
+		return
+	}
+	daemon.apply(message{seen: w.kept})
+}
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -237,10 +237,10 @@
 func (d *Directory) ConfirmedAt() time.Time { return *d.confirmed.Load() }
 
 // Disturbed notes that a call of the store failed, by whichever part of the daemon,
-// with the time at which the call began: when it was given up the store may long have
-// been well again. One failure alone may be a connection's; two within a short time
+// with the times at which the call began and ended: when it was given up the store may long
+// have been well again. One failure alone may be a connection's; two within a short time
 // are the store's.
-func (d *Directory) Disturbed(began time.Time) {
+func (d *Directory) Disturbed(began, ended time.Time) {
 	before := d.failedAt.Swap(&began)
 	if before == nil || began.Sub(*before).Abs() > disturbanceWindow {
 		return
@@ -248,21 +248,20 @@
 	steady := began.Add(d.options.SteadyTime)
 	for known := d.steady.Load(); steady.After(*known); known = d.steady.Load() {
 		if d.steady.CompareAndSwap(known, &steady) {
-			d.logDisturbance(began, *known, steady)
+			d.logDisturbance(began, ended, *known, steady)
 			return
 		}
 	}
 }
 
 // logDisturbance tells of the first failed call of a disturbance.
-func (d *Directory) logDisturbance(began, steadyBefore, steady time.Time) {
-	now := clock.Now()
-	if now.Before(steadyBefore) {
+func (d *Directory) logDisturbance(began, ended, steadyBefore, steady time.Time) {
+	if ended.Before(steadyBefore) {
 		return
 	}
 	d.options.Log.WithFields(logrus.Fields{
-		"call_began_ms_ago": now.Sub(began).Milliseconds(), "confirmed_ms_ago": now.Sub(d.ConfirmedAt()).Milliseconds(),
-		"steady_in_ms": steady.Sub(now).Milliseconds(), "since_start_ms": now.Sub(d.options.Started).Milliseconds(),
+		"call_took_ms": ended.Sub(began).Milliseconds(), "confirmed_ms_ago": ended.Sub(d.ConfirmedAt()).Milliseconds(),
+		"steady_in_ms": steady.Sub(ended).Milliseconds(), "since_start_ms": ended.Sub(d.options.Started).Milliseconds(),
 	}).Warn("The store counts as disturbed.")
 }
 
--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -368,11 +368,12 @@
 func TestOneFailedCallIsNoDisturbance(t *testing.T) {
 	directory := New(Options{Source: &memorySource{}, Pool: backendpool.New("a"), Log: logging.Discard(), SteadyTime: time.Second})
 	now := time.Now()
-	directory.Disturbed(now)
-	directory.Disturbed(now.Add(2 * disturbanceWindow))
+	directory.Disturbed(now, now)
+	later := now.Add(2 * disturbanceWindow)
+	directory.Disturbed(later, later)
 	assert.Assert(t, directory.SteadySince().IsZero())
-	last := now.Add(2*disturbanceWindow + time.Second)
-	directory.Disturbed(last)
+	last := later.Add(time.Second)
+	directory.Disturbed(last, last)
 	assert.Equal(t, directory.SteadySince(), last.Add(time.Second))
 }
 
