Let connections go silent in series in the test of replaced weights

Cause: with one silence the test failed on two of four runs: two calls have to fail within 3 s, and only some of those that wait are the kind that is given up soon. Connections that go silent one after the other, four times in 1.6 s, fail it on six of six runs beside each other: 88 or 89 of some 340 requests begin up to 3.58 s too late. Nothing is checked less strictly.

--- a/cmd/lotusward/replacedweights_test.go
+++ b/cmd/lotusward/replacedweights_test.go
@@ -174,7 +174,10 @@
 	deployed.replace()
 	deployed.askAll(reader, other)
 	time.Sleep(2 * time.Second)
-	link.SilenceOpen()
+	for range 4 {
+		link.SilenceOpen()
+		time.Sleep(400 * time.Millisecond)
+	}
 	time.Sleep(time.Until(deployed.namedAt.Add(versionTime + 3*time.Second)))
 	deployed.stopAsking()
 	deployed.check(t)
