Count a guessed naming from the process's start, and keep the place of unknown ones

Cause: a daemon that finds a version at its start, and is told by nobody when that was named, took it to be named a while before its first reading. Now the guess counts from the start, and the margin of every version's time is taken off as well.

Of the same class, by reading: where another daemon or a row told of versions of which one's naming was a guess, that version was left out, so that back ends before it were bound by the next one; and where two versions were named between two readings, the moment before the second's row counted for the first. A guess keeps its place now, and moments count only for a version that follows the last known one.

--- a/cmd/internal/daemon/bounds.go
+++ b/cmd/internal/daemon/bounds.go
@@ -30,6 +30,8 @@
 	// endOfCut covers the way to another region (20 ms), a busy daemon's timers, and readings of
 	// the store that are of 100 ms earlier than they seem at most.
 	endOfCut = 300 * time.Millisecond
+	// startMargin covers the time from a process's start to its first reading of a clock.
+	startMargin = 200 * time.Millisecond
 	// budgetShare of the retries that all daemons may make together.
 	budgetShare = 0.7
 	// limitMarginShare of what a tenant may exceed its limit by in a window is what it may use
@@ -76,6 +78,13 @@
 	return max(named-versionMargin, named/2)
 }
 
+// guessedNaming is when versions count as named that a daemon finds at its start and of which nobody
+// tells: so long ago that their time is over when the daemon is held to it, which it is from the contact
+// time after its start on. The same margin is taken off as from every version's time.
+func guessedNaming(started time.Time, bounds platform.Bounds) time.Time {
+	return started.Add(platform.Milliseconds(bounds.ContactMs-bounds.VersionMs) - startMargin)
+}
+
 // rest is the time that must lie between orders of two holders. Where back ends check
 // fencing tokens, orders of an earlier holder do no harm.
 func rest(bounds platform.Bounds) time.Duration {
--- a/cmd/internal/daemon/wire.go
+++ b/cmd/internal/daemon/wire.go
@@ -101,6 +101,9 @@
 
 // New connects the daemon's parts; nothing runs yet.
 func New(settings platform.Settings, options Options) *Daemon {
+	if options.Started.IsZero() {
+		options.Started = clock.Now()
+	}
 	registry := prometheus.NewRegistry()
 	counters := requestlog.NewCounters(registry)
 	registerState(registry, options.Writer)
@@ -188,12 +191,12 @@
 		Peers: peersync.NewClient(w.pool, func(address string, bytes int) {
 			traffic.sent(kindSnapshot, w.distanceTo(address), bytes)
 		}),
-		Contacts:         w.members,
-		Topology:         w.topology,
-		StoreTime:        w.members.StoreTime,
-		Started:          w.options.Started,
-		SteadyTime:       platform.Milliseconds(bounds.ContactMs),
-		VersionHeadStart: versionGrace(bounds) - platform.Milliseconds(bounds.ContactMs),
+		Contacts:      w.members,
+		Topology:      w.topology,
+		StoreTime:     w.members.StoreTime,
+		Started:       w.options.Started,
+		SteadyTime:    platform.Milliseconds(bounds.ContactMs),
+		GuessedNaming: guessedNaming(w.options.Started, bounds),
 	})
 	peerlink.HandleDecoded(w.link, peerlink.KindBulletin, w.directory.Hear)
 	w.snapshots = peersync.NewServer(w.link.Address(), w.directory.Snapshot, w.part("peersync"))
--- a/internal/directory/beginbound_test.go
+++ b/internal/directory/beginbound_test.go
@@ -75,7 +75,7 @@
 func (w *boundsWorld) start(name string) {
 	w.daemons[name] = &boundsDaemon{started: w.now, Directory: New(Options{
 		Pool: backendpool.New("a"), Log: logging.Discard(), Self: name, Started: w.now,
-		VersionHeadStart: boundsGrace - boundsContact, SteadyTime: boundsContact,
+		GuessedNaming: w.now.Add(boundsContact - boundsGrace), SteadyTime: boundsContact,
 	})}
 	w.daemons[name].listed.Store(true)
 }
--- a/internal/directory/bulletin.go
+++ b/internal/directory/bulletin.go
@@ -5,7 +5,6 @@
 
 	"github.com/lotusward/lotusward/internal/core/backendpool"
 	"github.com/lotusward/lotusward/internal/core/identity"
-	"github.com/lotusward/lotusward/internal/relay"
 )
 
 // Bounds of what one bulletin tells of back ends.
@@ -230,11 +229,7 @@
 func (d *Directory) takeVersions(now time.Time, news *DeclaredNews) bool {
 	changed := false
 	for _, seen := range news.Versions {
-		found := d.unnamed(now, seen.Version)
-		if at, known := d.freshness[tableDeclared].localTime(seen.StoreClock); known {
-			found = relay.NamedVersion{Version: seen.Version, NamedAfter: at, StoreClock: seen.StoreClock}
-		}
-		changed = d.nameVersion(now, seen.Model, found) || changed
+		changed = d.nameVersion(now, seen.Model, d.toldOr(seen, d.unnamed(seen.Version))) || changed
 	}
 	return d.replaceGuesses(now, news.Versions) || changed
 }
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -57,6 +57,8 @@
 	listTimeout = 15 * time.Second
 	// disturbanceWindow is the time within which two failed calls are a disturbance.
 	disturbanceWindow = 3 * time.Second
+	// longAgo is when versions count as named where the options don't say: no grace is as long.
+	longAgo = 24 * time.Hour
 	// clockSlack covers steady clocks that run at different rates.
 	clockSlack = 100 * time.Millisecond
 	// keptVersions is how many named versions of a model are remembered.
@@ -77,9 +79,10 @@
 	// Interval is how often the daemon that reads for all checks that what operators
 	// declared is still the newest; zero is a default.
 	Interval time.Duration
-	// VersionHeadStart is how long ago versions count as named that this daemon
-	// finds at its start.
-	VersionHeadStart time.Duration
+	// GuessedNaming is when versions count as named that this daemon finds at its start and of
+	// which nobody tells. It must be so early that requests on older weights have ended by the time
+	// that this daemon is held to the true naming, which may be long before. Zero is longAgo.
+	GuessedNaming time.Time
 	// Started is when this process started; zero is now.
 	Started time.Time
 	// SteadyTime is how long after a failed call the store counts as disturbed.
@@ -200,6 +203,9 @@
 	if options.Started.IsZero() {
 		options.Started = clock.Now()
 	}
+	if options.GuessedNaming.IsZero() {
+		options.GuessedNaming = options.Started.Add(-longAgo)
+	}
 	if options.Others == nil {
 		options.Others = func() []string { return nil }
 	}
--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -121,8 +121,8 @@
 // TestVersionsAreRememberedWithTheirTime keeps each named version with when it
 // was last known not to be named.
 func TestVersionsAreRememberedWithTheirTime(t *testing.T) {
-	directory := New(Options{Source: &memorySource{}, Pool: backendpool.New("a"), Log: logging.Discard(), VersionHeadStart: 2 * time.Second})
 	now := time.Now()
+	directory := New(Options{Source: &memorySource{}, Pool: backendpool.New("a"), Log: logging.Discard(), GuessedNaming: now.Add(-2 * time.Second)})
 	name := func(at time.Time, version uint64) {
 		directory.nameVersions(at, &Declared{Versions: map[identity.ModelName]uint64{"m": version}})
 	}
@@ -276,7 +276,7 @@
 	source := &memorySource{declared: declaration(10, 7)}
 	source.declared.Clock = 50 * time.Second
 	source.declared.Versions["m"] = 2
-	directory := New(Options{Source: source, Pool: backendpool.New("a"), Log: logging.Discard(), VersionHeadStart: 4 * time.Second})
+	directory := New(Options{Source: source, Pool: backendpool.New("a"), Log: logging.Discard(), GuessedNaming: time.Now().Add(-4 * time.Second)})
 	began := time.Now()
 	directory.apply(message{table: tableDeclared, began: began, ended: began, declared: &source.declared})
 	named := func() relay.NamedVersion { return directory.State().Versions["m"][0] }
@@ -297,7 +297,7 @@
 	source := &memorySource{declared: declaration(10, 7)}
 	source.declared.Clock = 50 * time.Second
 	source.declared.Versions["m"] = 2
-	directory := New(Options{Source: source, Pool: backendpool.New("a"), Log: logging.Discard(), VersionHeadStart: 4 * time.Second})
+	directory := New(Options{Source: source, Pool: backendpool.New("a"), Log: logging.Discard(), GuessedNaming: time.Now().Add(-4 * time.Second)})
 	directory.apply(message{seen: []Seen{{Model: "m", Version: 2, StoreClock: 49 * time.Second}}})
 	began := time.Now()
 	directory.apply(message{table: tableDeclared, began: began, ended: began, declared: &source.declared})
@@ -308,7 +308,7 @@
 // that was not there at the start, though it is its model's first.
 func TestFirstNamedVersionIsNoGuess(t *testing.T) {
 	source := &memorySource{declared: declaration(10, 7)}
-	directory := New(Options{Source: source, Pool: backendpool.New("a"), Log: logging.Discard(), VersionHeadStart: 4 * time.Second})
+	directory := New(Options{Source: source, Pool: backendpool.New("a"), Log: logging.Discard(), GuessedNaming: time.Now().Add(-4 * time.Second)})
 	read := func() {
 		began := time.Now()
 		directory.apply(message{table: tableDeclared, began: began, ended: began, declared: &source.declared})
@@ -346,7 +346,7 @@
 	source := &memorySource{declared: declaration(10, 7)}
 	source.declared.Clock = 50 * time.Second
 	source.declared.Versions["m"] = 4
-	directory := New(Options{Source: source, Pool: backendpool.New("a"), Log: logging.Discard(), VersionHeadStart: 4 * time.Second})
+	directory := New(Options{Source: source, Pool: backendpool.New("a"), Log: logging.Discard(), GuessedNaming: time.Now().Add(-4 * time.Second)})
 	began := time.Now()
 	directory.apply(message{table: tableDeclared, began: began, ended: began, declared: &source.declared})
 	directory.apply(message{seen: []Seen{
--- a/internal/directory/snapshot.go
+++ b/internal/directory/snapshot.go
@@ -12,7 +12,6 @@
 	"github.com/lotusward/lotusward/internal/core/routing"
 	"github.com/lotusward/lotusward/internal/crashwatch"
 	"github.com/lotusward/lotusward/internal/pause"
-	"github.com/lotusward/lotusward/internal/relay"
 )
 
 // Times of answering other daemons.
@@ -223,11 +222,7 @@
 		return
 	}
 	for _, seen := range news.Versions {
-		found := relay.NamedVersion{Version: seen.Version, NamedAfter: got.asked.Add(-d.options.VersionHeadStart), Guessed: true}
-		if at, known := d.freshness[tableDeclared].localTime(seen.StoreClock); known {
-			found = relay.NamedVersion{Version: seen.Version, NamedAfter: at, StoreClock: seen.StoreClock}
-		}
-		d.nameVersion(got.answered, seen.Model, found)
+		d.nameVersion(got.answered, seen.Model, d.toldOr(seen, d.guess(seen.Version)))
 	}
 }
 
--- a/internal/directory/versionbound_test.go
+++ b/internal/directory/versionbound_test.go
@@ -29,7 +29,7 @@
 
 // daemon is one that has read the store, where the first version is named.
 func (w *versionWorld) daemon() *Directory {
-	made := New(Options{Pool: backendpool.New("a"), Log: logging.Discard(), VersionHeadStart: 4 * time.Second})
+	made := New(Options{Pool: backendpool.New("a"), Log: logging.Discard(), GuessedNaming: w.began.Add(-4 * time.Second)})
 	made.apply(w.reading(w.began, 1))
 	made.listed.Store(true)
 	return made
--- a/internal/directory/versions.go
+++ b/internal/directory/versions.go
@@ -1,6 +1,7 @@
 package directory
 
 import (
+	"cmp"
 	"context"
 	"maps"
 	"slices"
@@ -25,18 +26,34 @@
 // that it is not known.
 const leastStoreClock = time.Nanosecond
 
+// guess is what holds of a version of which nobody tells when it was named: this daemon found it at
+// its start. It counts from the start of the process, not from the reading that found it, since that is
+// from when the others judge this daemon, however long the reading took.
+func (d *Directory) guess(version uint64) relay.NamedVersion {
+	return relay.NamedVersion{Version: version, NamedAfter: d.options.GuessedNaming, Guessed: true}
+}
+
 // unnamed is what holds of a version that this daemon has just learnt to be named, unless it was
 // told more: at its last confirmation the version was not. A daemon without any takes a guess.
-func (d *Directory) unnamed(now time.Time, version uint64) relay.NamedVersion {
+func (d *Directory) unnamed(version uint64) relay.NamedVersion {
 	confirmed := d.ConfirmedAt()
 	if confirmed.IsZero() {
-		return relay.NamedVersion{Version: version, NamedAfter: now.Add(-d.options.VersionHeadStart), Guessed: true}
+		return d.guess(version)
 	}
 	return relay.NamedVersion{
 		Version: version, NamedAfter: confirmed, StoreClock: max(d.freshness[tableDeclared].storeTime(confirmed), leastStoreClock),
 	}
 }
 
+// toldOr is what holds of a version by what another daemon tells, or otherwise where that is a guess.
+func (d *Directory) toldOr(seen Seen, otherwise relay.NamedVersion) relay.NamedVersion {
+	at, known := d.freshness[tableDeclared].localTime(seen.StoreClock)
+	if !known {
+		return otherwise
+	}
+	return relay.NamedVersion{Version: seen.Version, NamedAfter: at, StoreClock: seen.StoreClock}
+}
+
 func (d *Directory) copyVersions() map[identity.ModelName][]relay.NamedVersion {
 	copied := make(map[identity.ModelName][]relay.NamedVersion, len(d.versions))
 	for model, named := range d.versions {
@@ -61,16 +78,30 @@
 	changed := false
 	for _, model := range slices.Sorted(maps.Keys(declared.Versions)) {
 		version := declared.Versions[model]
-		row := declared.VersionRows[model]
-		found := d.laterOf(d.laterOf(d.unnamed(now, version), d.moments.before(row)), d.held.before(row))
-		if !d.started {
-			found = relay.NamedVersion{Version: version, NamedAfter: now.Add(-d.options.VersionHeadStart), Guessed: true}
+		found := d.guess(version)
+		if d.started {
+			found = d.unnamed(version)
+		}
+		if d.follows(model, version) {
+			row := declared.VersionRows[model]
+			found = d.laterOf(d.laterOf(found, d.moments.before(row)), d.held.before(row))
 		}
 		changed = d.nameVersion(now, model, found) || changed
 	}
 	return changed
 }
 
+// follows tells whether a version is the next one after the newest known one of its model. Others may
+// have been named, and replaced, between two readings: moments before the row of the last one may lie after
+// the naming of the first.
+func (d *Directory) follows(model identity.ModelName, version uint64) bool {
+	newest := uint64(0) // versions begin with 1
+	if named := d.versions[model]; len(named) > 0 {
+		newest = named[len(named)-1].Version
+	}
+	return newest+1 == version
+}
+
 // nameVersion remembers a version if it is newer than the known ones. It returns
 // true when it is.
 func (d *Directory) nameVersion(now time.Time, model identity.ModelName, found relay.NamedVersion) bool {
@@ -119,16 +150,17 @@
 // replaceGuesses puts what another daemon saw in the place of this one's guesses. It
 // returns true when anything changed.
 func (d *Directory) replaceGuesses(now time.Time, seen []Seen) bool {
-	if !slices.ContainsFunc(seen, func(each Seen) bool { return each.StoreClock > 0 && d.guesses(each.Model) }) {
+	if !slices.ContainsFunc(seen, func(each Seen) bool { return each.StoreClock > 0 && d.guesses(each) }) {
 		return false
 	}
 	return d.takeTold(now, seen)
 }
 
-// guesses tells whether the time of a model's oldest remembered version is a guess.
-func (d *Directory) guesses(model identity.ModelName) bool {
-	named := d.versions[model]
-	return len(named) > 0 && named[0].Guessed
+// guesses tells whether it is a guess when a version was named that another daemon saw.
+func (d *Directory) guesses(seen Seen) bool {
+	return slices.ContainsFunc(d.versions[seen.Model], func(named relay.NamedVersion) bool {
+		return named.Guessed && named.Version == seen.Version
+	})
 }
 
 // GuessesVersions tells whether this daemon found named versions of which nobody told it
@@ -139,42 +171,47 @@
 		return false
 	}
 	for _, named := range state.Versions {
-		if len(named) > 0 && named[0].Guessed {
+		if slices.ContainsFunc(named, func(each relay.NamedVersion) bool { return each.Guessed }) {
 			return true
 		}
 	}
 	return false
 }
 
-// mergeTold adds the versions that were named before this daemon started, and
-// replaces its guess of the last of them. All matter: what a back end with old
-// weights may still begin depends on the first version after its own. It returns
-// true when anything changed.
+// mergeTold adds the versions that other daemons know, up to the newest that is known here, and replaces
+// guesses by what they saw. All matter: what a back end with old weights may still begin depends on the
+// first version after its own, and where nobody knows when that one was named, its place is kept by a
+// guess. It returns true when anything changed.
 func (d *Directory) mergeTold(now time.Time, model identity.ModelName) bool {
-	known := d.freshness[tableDeclared]
-	clock, knows := known.now(now)
+	clock, knows := d.freshness[tableDeclared].now(now)
 	named := d.versions[model]
 	if !knows || len(named) == 0 {
 		return false
 	}
-	merged := make([]relay.NamedVersion, 0, len(d.told[model])+len(named))
+	newest := named[len(named)-1].Version
+	changed := false
 	for _, seen := range d.told[model] {
-		replaces := named[0].Guessed && named[0].Version == seen.Version
-		if seen.StoreClock <= 0 || seen.StoreClock > clock || (seen.Version >= named[0].Version && !replaces) {
+		if seen.Version > newest || seen.StoreClock > clock {
 			continue
 		}
-		at, _ := known.localTime(seen.StoreClock)
-		merged = append(merged, relay.NamedVersion{Version: seen.Version, NamedAfter: at, StoreClock: seen.StoreClock})
+		found := d.toldOr(seen, d.guess(seen.Version))
+		place, known := slices.BinarySearchFunc(named, seen.Version, func(each relay.NamedVersion, version uint64) int {
+			return cmp.Compare(each.Version, version)
+		})
+		switch {
+		case !known:
+			named = slices.Insert(named, place, found)
+			changed = true
+		case named[place].Guessed && !found.Guessed:
+			named[place] = found
+			changed = true
+		}
 	}
-	if len(merged) == 0 {
+	if !changed {
 		return false
 	}
-	if merged[len(merged)-1].Version == named[0].Version {
-		named = named[1:]
-	}
-	merged = append(merged, named...)
-	d.versions[model] = merged[max(len(merged)-keptVersions, 0):]
-	d.options.Log.WithFields(logrus.Fields{"model": model, "versions": len(merged)}).Info("Another daemon told when versions were named.")
+	d.versions[model] = named[max(len(named)-keptVersions, 0):]
+	d.options.Log.WithFields(logrus.Fields{"model": model, "versions": len(named)}).Info("Another daemon told when versions were named.")
 	return true
 }
 
