Take the store for disturbed only while nobody is known to reach it

Cause: two calls of this daemon that failed within 3 s moved the time in which old weights may be used to the contact time and the whole grace after them, also where only this daemon's connections were silent, it had been paused, or the store turned it away alone. A failed call counts now only if no daemon that is heard here has reached the store since it began, nor for the contact time and two intervals of the checks; a pause of the process, and the time before its start, count as if it had been reached.

Also here: daemons leave in the plan's row the place of versions whose naming they guess, which the property asks for.

Ruled out: that the failures' number or kind tells; a busy daemon sees the same ones as a store that is silent.

--- a/cmd/internal/daemon/bounds.go
+++ b/cmd/internal/daemon/bounds.go
@@ -71,6 +71,13 @@
 	return interval
 }
 
+// quietTime is how long no daemon must have reached the store before failed calls show that it is
+// disturbed: the time in which daemons in touch hear of each other, and that in which another one takes
+// over from a reader that is gone.
+func quietTime(bounds platform.Bounds) time.Duration {
+	return platform.Milliseconds(bounds.ContactMs) + 2*checkInterval(bounds)
+}
+
 // versionGrace is how long requests may begin on older weights after a version was
 // named.
 func versionGrace(bounds platform.Bounds) time.Duration {
--- a/internal/directory/beginbound_test.go
+++ b/internal/directory/beginbound_test.go
@@ -75,7 +75,7 @@
 func (w *boundsWorld) start(name string) {
 	w.daemons[name] = &boundsDaemon{started: w.now, Directory: New(Options{
 		Pool: backendpool.New("a"), Log: logging.Discard(), Self: name, Started: w.now,
-		GuessedNaming: w.now.Add(boundsContact - boundsGrace), SteadyTime: boundsContact,
+		GuessedNaming: w.now.Add(boundsContact - boundsGrace), SteadyTime: boundsContact, QuietTime: boundsContact,
 	})}
 	w.daemons[name].listed.Store(true)
 }
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -55,8 +55,6 @@
 	hedgedChecks = 3
 	// listTimeout bounds a reading of the whole list of back ends, page by page.
 	listTimeout = 15 * time.Second
-	// disturbanceWindow is the time within which two failed calls are a disturbance.
-	disturbanceWindow = 3 * time.Second
 	// longAgo is when versions count as named where the options don't say: no grace is as long.
 	longAgo = 24 * time.Hour
 	// clockSlack covers steady clocks that run at different rates.
@@ -87,6 +85,9 @@
 	Started time.Time
 	// SteadyTime is how long after a failed call the store counts as disturbed.
 	SteadyTime time.Duration
+	// QuietTime is how long nobody must have got through to the store before failed calls
+	// count as a disturbance of it.
+	QuietTime time.Duration
 	// Self is this daemon's address, as other daemons know it.
 	Self string
 	// Tell tells the other daemons what this one has read; nil when there are none.
@@ -126,7 +127,10 @@
 	steady atomic.Pointer[time.Time]
 	// failedAt is when the call of the store that failed last began.
 	failedAt atomic.Pointer[time.Time]
-	listed   atomic.Bool
+	// awakeAt is when the goroutine of Run last found that the process runs, and awakeSince since
+	// when it has without a pause.
+	awakeAt, awakeSince atomic.Pointer[time.Time]
+	listed              atomic.Bool
 	// lag says what this daemon lacks, and behind has a value when it changed.
 	lag    atomic.Pointer[lag]
 	behind chan struct{}
@@ -232,6 +236,8 @@
 	}
 	directory.confirmed.Store(&time.Time{})
 	directory.steady.Store(&time.Time{})
+	directory.awakeAt.Store(&time.Time{})
+	directory.awakeSince.Store(&time.Time{})
 	directory.shown.Store(&shownLists{software: directory.softwareNews()})
 	return directory
 }
@@ -242,38 +248,6 @@
 // ConfirmedAt implements relay.Control.
 func (d *Directory) ConfirmedAt() time.Time { return *d.confirmed.Load() }
 
-// Disturbed notes that a call of the store failed, by whichever part of the daemon,
-// with the times at which the call began and ended: when it was given up the store may long
-// have been well again. One failure alone may be a connection's; two within a short time
-// are the store's.
-func (d *Directory) Disturbed(began, ended time.Time) {
-	before := d.failedAt.Swap(&began)
-	if before == nil || began.Sub(*before).Abs() > disturbanceWindow {
-		return
-	}
-	steady := began.Add(d.options.SteadyTime)
-	for known := d.steady.Load(); steady.After(*known); known = d.steady.Load() {
-		if d.steady.CompareAndSwap(known, &steady) {
-			d.logDisturbance(began, ended, *known, steady)
-			return
-		}
-	}
-}
-
-// logDisturbance tells of the first failed call of a disturbance.
-func (d *Directory) logDisturbance(began, ended, steadyBefore, steady time.Time) {
-	if ended.Before(steadyBefore) {
-		return
-	}
-	d.options.Log.WithFields(logrus.Fields{
-		"call_took_ms": ended.Sub(began).Milliseconds(), "confirmed_ms_ago": ended.Sub(d.ConfirmedAt()).Milliseconds(),
-		"steady_in_ms": steady.Sub(ended).Milliseconds(), "since_start_ms": ended.Sub(d.options.Started).Milliseconds(),
-	}).Warn("The store counts as disturbed.")
-}
-
-// SteadySince implements relay.Control.
-func (d *Directory) SteadySince() time.Time { return *d.steady.Load() }
-
 // Complete tells whether a configuration and the back ends are known.
 func (d *Directory) Complete() bool { return d.state.Load() != nil && d.listed.Load() }
 
@@ -299,6 +273,7 @@
 		case heard := <-d.bulletins:
 			d.applyBulletin(clock.Now(), heard)
 		case now := <-repeat.C:
+			d.noteAwake(clock.Now())
 			d.tellAgain(now)
 		}
 	}
--- a/internal/directory/versions.go
+++ b/internal/directory/versions.go
@@ -228,14 +228,14 @@
 	return targets
 }
 
-// SeenVersions returns when the remembered versions were last known not to be named, oldest first,
-// but for those of which that is a guess.
+// SeenVersions returns when the remembered versions were last known not to be named, oldest first; the
+// times of those of which that is a guess are zero.
 func (d *Directory) SeenVersions() []Seen {
 	state := d.state.Load()
 	if state == nil {
 		return nil
 	}
-	return slices.DeleteFunc(allSeen(state), func(seen Seen) bool { return seen.StoreClock == 0 })
+	return allSeen(state)
 }
 
 // allSeen returns the remembered versions, oldest first; where it is a guess when one was
