Show that a restarted fleet forgets when a version was named

Cause: the row of the weight update's plan has it, but a new holder of the lease writes its own plan over it before a daemon that guesses has read it, and it is read after 2.5 s only. Since guesses count from the start, a restart of all costs the time that is left for old weights: 3 of 3 daemons refuse requests 3 s after the naming, where 6 s are allowed and no back end has loaded.

--- a/cmd/lotusward/replacedweights_test.go
+++ b/cmd/lotusward/replacedweights_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/http"
 	"strings"
 	"sync"
 	"testing"
@@ -182,3 +183,31 @@
 	deployed.stopAsking()
 	deployed.check(t)
 }
+
+// TestRestartedFleetKnowsWhenVersionsWereNamed ends all daemons soon after they learnt of a version, and
+// starts them again: they go on using the old weights for as long as operators allow, and no longer. A
+// guess would refuse callers while no back end has the new weights.
+func TestRestartedFleetKnowsWhenVersionsWereNamed(t *testing.T) {
+	deployed := newReplacement(t)
+	before := []*process{deployed.daemon("d1", true), deployed.daemon("d2", true), deployed.daemon("d3", true)}
+	deployed.replace()
+	time.Sleep(500 * time.Millisecond)
+	for _, daemon := range before {
+		assert.NilError(t, daemon.command.Process.Kill())
+	}
+	daemons := []*process{deployed.daemon("d1", false), deployed.daemon("d2", false), deployed.daemon("d3", false)}
+	for _, daemon := range daemons {
+		poll.WaitOn(t, readyIs(daemon, true), poll.WithTimeout(5*time.Second))
+	}
+	time.Sleep(time.Until(deployed.namedAt.Add(versionTime / 2)))
+	for _, daemon := range daemons {
+		id := daemon.name + "-late"
+		deployed.sentBy[id] = daemon
+		got := daemon.ask(call{path: "/once/" + id, id: id, header: prompt("p:80," + id + ":20")})
+		assert.Check(t, got.status == http.StatusOK, "%s: status %d", daemon.name, got.status)
+	}
+	deployed.askAll(daemons...)
+	time.Sleep(time.Until(deployed.namedAt.Add(versionTime + time.Second)))
+	deployed.stopAsking()
+	deployed.check(t)
+}
