--- a/cmd/internal/daemon/wire.go
+++ b/cmd/internal/daemon/wire.go
@@ -196,6 +196,7 @@
 		StoreTime:     w.members.StoreTime,
 		Started:       w.options.Started,
 		SteadyTime:    platform.Milliseconds(bounds.ContactMs),
+		QuietTime:     quietTime(bounds),
 		GuessedNaming: guessedNaming(w.options.Started, bounds),
 	})
 	peerlink.HandleDecoded(w.link, peerlink.KindBulletin, w.directory.Hear)
