Keep in a row of its own when versions of weights were named

Cause: when a version was named stood in the plan of whoever gives orders, written a second after the naming at the latest, only with the lease, and overwritten by the next holder, who may guess. A restart of all daemons then left a guess, which ends old weights about the contact time after the start.

Now whoever reads the store for all keeps a row, within 50 ms of a naming, and reads it when it comes to read: one call for each new reader, one for each naming. The plan has no times any more, and no daemon reads the plan for them; the assertion on them in TestFollowerHeedsThePlan is replaced by those on the row (TestNextReaderLearnsWhatTheLastOneKept and five others). Daemons of the release before read no times in the new plans and guess, as they do without a plan; theirs has nothing that this one reads.

Ruled out: writing the plan at once, which needs the lease first and would go on mixing what one holder plans with what holds for all.

--- a/cmd/internal/daemon/duty.go
+++ b/cmd/internal/daemon/duty.go
@@ -44,9 +44,8 @@
 		Announce: func(announced weightupdate.Announcement) { w.tree.Tell(peerlink.KindPlan, &announced) },
 	})
 	w.follower = &weightupdate.Follower{
-		Table: w.store, Changes: w.store, Pool: w.backends, Lease: w.keeper, Learn: w.directory.LearnSeen, Log: w.part("weights"),
+		Table: w.store, Changes: w.store, Pool: w.backends, Lease: w.keeper, Log: w.part("weights"),
 		Pending: w.weights.Pending,
-		Guesses: func() bool { return w.directory.ReadsForAll() && w.directory.GuessesVersions() },
 	}
 	peerlink.HandleDecoded(w.link, peerlink.KindPlan, func(_ string, announced weightupdate.Announcement) { w.follower.Hear(announced) })
 }
--- a/cmd/internal/daemon/wire.go
+++ b/cmd/internal/daemon/wire.go
@@ -29,6 +29,7 @@
 	"github.com/lotusward/lotusward/internal/loadshare"
 	"github.com/lotusward/lotusward/internal/logging"
 	"github.com/lotusward/lotusward/internal/members"
+	"github.com/lotusward/lotusward/internal/namingrecord"
 	"github.com/lotusward/lotusward/internal/openai"
 	"github.com/lotusward/lotusward/internal/peerlink"
 	"github.com/lotusward/lotusward/internal/peersync"
@@ -59,6 +60,7 @@
 
 	members   *members.List
 	directory *directory.Directory
+	namings   *namingrecord.Keeper
 	promptsIn *cachewatch.Watcher
 	cachesIn  *cachewatch.Watcher
 	link      *peerlink.Link
@@ -199,6 +201,7 @@
 		QuietTime:     quietTime(bounds),
 		GuessedNaming: guessedNaming(w.options.Started, bounds),
 	})
+	w.namings = namingrecord.New(namingrecord.Options{Table: w.store, Directory: w.directory, Log: w.part("namings")})
 	peerlink.HandleDecoded(w.link, peerlink.KindBulletin, w.directory.Hear)
 	w.snapshots = peersync.NewServer(w.link.Address(), w.directory.Snapshot, w.part("peersync"))
 }
--- a/internal/directory/versions.go
+++ b/internal/directory/versions.go
@@ -163,21 +163,6 @@
 	})
 }
 
-// GuessesVersions tells whether this daemon found named versions of which nobody told it
-// when they were named.
-func (d *Directory) GuessesVersions() bool {
-	state := d.state.Load()
-	if state == nil {
-		return false
-	}
-	for _, named := range state.Versions {
-		if slices.ContainsFunc(named, func(each relay.NamedVersion) bool { return each.Guessed }) {
-			return true
-		}
-	}
-	return false
-}
-
 // mergeTold adds the versions that other daemons know, up to the newest that is known here, and replaces
 // guesses by what they saw. All matter: what a back end with old weights may still begin depends on the
 // first version after its own, and where nobody knows when that one was named, its place is kept by a
--- /dev/null
+++ b/internal/namingrecord/merge.go
@@ -0,0 +1,41 @@
+package namingrecord
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/lotusward/lotusward/internal/directory"
+)
+
+// merge returns what the row holds and what this daemon knows together, by model and version. Of two
+// times of one version the row's stays, unless it is a guess.
+func merge(held, seen []directory.Seen) []directory.Seen {
+	merged := slices.Clone(held)
+	for _, each := range seen {
+		place, known := slices.BinarySearchFunc(merged, each, compare)
+		switch {
+		case !known:
+			merged = slices.Insert(merged, place, each)
+		case merged[place].StoreClock == 0:
+			merged[place] = each
+		}
+	}
+	return newest(merged)
+}
+
+// newest keeps the newest versions of each model of a sorted list.
+func newest(sorted []directory.Seen) []directory.Seen {
+	kept := sorted[:0]
+	for index, each := range sorted {
+		later := index + keptVersions
+		if later < len(sorted) && sorted[later].Model == each.Model {
+			continue
+		}
+		kept = append(kept, each)
+	}
+	return kept
+}
+
+func compare(left, right directory.Seen) int {
+	return cmp.Or(cmp.Compare(left.Model, right.Model), cmp.Compare(left.Version, right.Version))
+}
--- a/internal/weightupdate/follower.go
+++ b/internal/weightupdate/follower.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
@@ -13,7 +12,6 @@
 	"github.com/lotusward/lotusward/internal/clock"
 	"github.com/lotusward/lotusward/internal/core/backendpool"
 	"github.com/lotusward/lotusward/internal/core/identity"
-	"github.com/lotusward/lotusward/internal/directory"
 	"github.com/lotusward/lotusward/internal/pause"
 	"github.com/lotusward/lotusward/internal/port"
 )
@@ -41,18 +39,10 @@
 	Changes Changes
 	Pool    *backendpool.Pool
 	Lease   Lease
-	// Learn takes in when versions were last known not to be named.
-	Learn func(ctx context.Context, seen []directory.Seen)
 	// Pending tells whether there is work on weights, of which a plan tells.
 	Pending func() bool
-	// Guesses tells whether this daemon guesses when versions were named, and nobody but
-	// the plan's row can tell it.
-	Guesses func() bool
 	Log     logrus.FieldLogger
 
-	// read is set once the row has been read.
-	read atomic.Bool
-
 	mutex sync.Mutex
 	// token is the highest of a holder that this daemon has heard of.
 	token identity.FencingToken
@@ -127,7 +117,7 @@
 
 // needsRow tells whether the plan's row may tell anything that this daemon needs now.
 func (f *Follower) needsRow() bool {
-	return !f.Hears() && (f.Pending() || (!f.read.Load() && f.Guesses()))
+	return !f.Hears() && f.Pending()
 }
 
 func (f *Follower) wait(ctx context.Context, after uint64) (uint64, error) {
@@ -145,7 +135,6 @@
 	bounded, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	rows, err := f.Table.Read(bounded, KeyPlan)
-	f.read.Store(f.read.Load() || err == nil)
 	if err != nil || len(rows) == 0 || rows[0].Version == version {
 		return version
 	}
@@ -154,7 +143,6 @@
 		f.Log.WithError(err).Error("The plan of the weight update cannot be read.")
 		return rows[0].Version
 	}
-	f.Learn(ctx, plan.Seen)
 	if !f.admit(plan.Token) {
 		return rows[0].Version
 	}
--- a/internal/weightupdate/plan.go
+++ b/internal/weightupdate/plan.go
@@ -13,7 +13,6 @@
 
 	"github.com/lotusward/lotusward/internal/core/backendpool"
 	"github.com/lotusward/lotusward/internal/core/identity"
-	"github.com/lotusward/lotusward/internal/directory"
 	"github.com/lotusward/lotusward/internal/port"
 )
 
@@ -33,9 +32,6 @@
 	Next []identity.BackendID
 	// Loaded are the versions that back ends hold, where the list may not yet say so.
 	Loaded []Loaded
-	// Seen says when the last versions were not named yet, so that a daemon that starts
-	// need not guess.
-	Seen []directory.Seen
 }
 
 // Loaded is a version of a model's weights at a back end.
@@ -134,8 +130,6 @@
 type Named interface {
 	// Targets returns the newest named version of each model.
 	Targets() map[identity.ModelName]uint64
-	// SeenVersions returns when they were not named yet, as far as that is known.
-	SeenVersions() []directory.Seen
 }
 
 // Lease tells whether this daemon may give orders.
--- a/internal/weightupdate/planrow.go
+++ b/internal/weightupdate/planrow.go
@@ -49,9 +49,6 @@
 	if !k.changed || announced {
 		return nil, planCondition{}, false
 	}
-	if seen := k.options.Named.SeenVersions(); len(seen) > 0 {
-		k.plan.Seen = seen
-	}
 	value, err := k.plan.Encode()
 	if err != nil {
 		k.options.Log.WithError(err).Error("The plan cannot be encoded.")
--- a/internal/weightupdate/update_test.go
+++ b/internal/weightupdate/update_test.go
@@ -15,7 +15,6 @@
 
 	"github.com/lotusward/lotusward/internal/core/backendpool"
 	"github.com/lotusward/lotusward/internal/core/identity"
-	"github.com/lotusward/lotusward/internal/directory"
 	"github.com/lotusward/lotusward/internal/logging"
 	"github.com/lotusward/lotusward/internal/port"
 )
@@ -193,10 +192,6 @@
 	return map[identity.ModelName]uint64{"m": n.version.Load()}
 }
 
-func (n *namedVersion) SeenVersions() []directory.Seen {
-	return []directory.Seen{{Model: "m", Version: n.version.Load(), StoreClock: time.Second}}
-}
-
 // grantedLease is a lease that tests give and take. Where it must rest, orders may be
 // given only that long after it was asked for them first.
 type grantedLease struct {
@@ -374,15 +369,12 @@
 func TestFollowerHeedsThePlan(t *testing.T) {
 	engines, table := newEngines(2), newTable()
 	pool := engines.pool()
-	seen := directory.Seen{Model: "m", Version: 2, StoreClock: time.Second}
-	plan := Plan{Token: 1, Seen: []directory.Seen{seen}, Loading: []identity.BackendID{"e00"}, Loaded: []Loaded{{Backend: "e01", Model: "m", Version: 2}}}
+	plan := Plan{Token: 1, Loading: []identity.BackendID{"e00"}, Loaded: []Loaded{{Backend: "e01", Model: "m", Version: 2}}}
 	value, err := plan.Encode()
 	assert.NilError(t, err)
 	_, err = table.Commit(context.Background(), port.Transaction{Writes: []port.Write{{Key: KeyPlan, Value: value}}})
 	assert.NilError(t, err)
-	learned := make(chan []directory.Seen, 1)
-	learn := func(_ context.Context, told []directory.Seen) { learned <- told }
-	follower := &Follower{Table: table, Changes: plannedChanges{}, Pool: pool, Lease: &grantedLease{}, Learn: learn, Log: logging.Discard(), Pending: func() bool { return true }}
+	follower := &Follower{Table: table, Changes: plannedChanges{}, Pool: pool, Lease: &grantedLease{}, Log: logging.Discard(), Pending: func() bool { return true }}
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	go func() { _ = follower.Run(ctx) }()
@@ -393,7 +385,6 @@
 		}
 		return poll.Continue("the plan is not heeded")
 	})
-	assert.DeepEqual(t, <-learned, []directory.Seen{seen})
 	for home := range uint64(10) {
 		ticket := pool.Pick(time.Now(), backendpool.Query{Service: "s", Model: "m", Home: home + 1})
 		assert.Equal(t, ticket.Backend.ID, identity.BackendID("e01"))
