Watch the begin of requests at back ends of unknown weights as well

TestWaitingAtUnknownWeightsIsCut: before, the request waited until its deadline after 10 s; after, it is cut in time. Where a version is named already such a back end is not chosen (its bound is the first naming's), so that the case needs a model's first version.

--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -274,6 +274,27 @@
 	assert.Equal(t, world.backends.dispatches[1].Version, uint64(2))
 }
 
+// TestWaitingAtUnknownWeightsIsCut cuts a request that waits at a back end of which nobody has told the
+// version of its weights, once the first version that is named has been for so long.
+func TestWaitingAtUnknownWeightsIsCut(t *testing.T) {
+	world := newWorld(routing.Route{Kind: routing.KindStreaming, MaxAttempts: 1}, 1, 0)
+	unknown := backendList(1)
+	unknown[0].Weights = nil
+	world.pool.Update(unknown)
+	world.backends.streaming = true
+	world.backends.hang[0] = true
+	time.AfterFunc(100*time.Millisecond, func() {
+		renewed := *world.control.state
+		named := NamedVersion{Version: 1, NamedAfter: time.Now().Add(-5 * time.Second)}
+		renewed.Versions = map[identity.ModelName][]NamedVersion{"m": {named}}
+		world.control.publish(&renewed)
+	})
+	began := time.Now()
+	caller := world.ask(promptRequest)
+	assert.Equal(t, caller.refusal.Reason, "old_weights")
+	assert.Assert(t, time.Since(began) < 2*time.Second)
+}
+
 // TestUnreachedBackEndsCostNoSending finds the one back end that can be reached among
 // many, without the budget for second sendings, and gives up among too many.
 func TestUnreachedBackEndsCostNoSending(t *testing.T) {
--- a/internal/relay/watch.go
+++ b/internal/relay/watch.go
@@ -57,7 +57,7 @@
 }
 
 // beginWatch cuts a sending that has not begun when requests may no longer begin on
-// the version of the weights that it was sent to. The zero value watches nothing.
+// the version of the weights that it was sent to, which is zero where nobody has told it.
 type beginWatch struct {
 	mutex   sync.Mutex
 	run     *run
@@ -71,7 +71,7 @@
 // watchBegin starts the watch for a sending.
 func (r *run) watchBegin(ticket *backendpool.Ticket, cancel context.CancelCauseFunc) *beginWatch {
 	prompt := r.admitted.request.Prompt
-	if prompt == nil || ticket.Version == 0 {
+	if prompt == nil {
 		return &beginWatch{stopped: true}
 	}
 	watch := &beginWatch{run: r, model: prompt.Model, version: ticket.Version, cancel: cancel}
--- a/internal/relay/world_test.go
+++ b/internal/relay/world_test.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/lotusward/lotusward/internal/cachewatch"
@@ -23,11 +24,21 @@
 // fixedControl is a Control whose belief tests set.
 type fixedControl struct {
 	state     *State
+	published atomic.Pointer[State]
 	confirmed time.Time
 	steady    time.Time
 }
 
-func (c *fixedControl) State() *State          { return c.state }
+func (c *fixedControl) State() *State {
+	if published := c.published.Load(); published != nil {
+		return published
+	}
+	return c.state
+}
+
+// publish replaces the state while requests are under way.
+func (c *fixedControl) publish(state *State) { c.published.Store(state) }
+
 func (c *fixedControl) ConfirmedAt() time.Time { return c.confirmed }
 func (c *fixedControl) SteadySince() time.Time { return c.steady }
 
