Say what the margin of a process's start covers

Measured: whole runs of the program that print its version. 4 ms in the middle and 6 at most of 30 on an idle machine; 45 and 78 of 20 beside 64 busy processes on 8 cores; 174 ms the longest of 70 at once beside these.

--- a/cmd/internal/daemon/bounds.go
+++ b/cmd/internal/daemon/bounds.go
@@ -30,7 +30,8 @@
 	// endOfCut covers the way to another region (20 ms), a busy daemon's timers, and readings of
 	// the store that are of 100 ms earlier than they seem at most.
 	endOfCut = 300 * time.Millisecond
-	// startMargin covers the time from a process's start to its first reading of a clock.
+	// startMargin covers the time from a process's start to its first reading of a clock: 4 ms on an
+	// idle machine, 78 ms beside eight busy processes a core, 174 ms where 70 more start at once.
 	startMargin = 200 * time.Millisecond
 	// budgetShare of the retries that all daemons may make together.
 	budgetShare = 0.7
