Name each life of a back end, and keep all that is believed by it

Cause: a back end's life was told by its id, which it now keeps when it starts again. identity.BackendID names a life: the name at the platform, and the incarnation where the back end tells when it was started. Everything is kept by that already, so that a restart is what it was before: one back end is gone, another one is there.

Homes of prompts go by the name, so that a restart moves no other home; unused connections to an ended back end's address are closed; logs and operators' tables tell the name, and the incarnation beside it.

TestReadersNeverHideLivesFromOthers draws lives beside the property as it was.

--- a/cmd/internal/daemon/caches.go
+++ b/cmd/internal/daemon/caches.go
@@ -7,6 +7,7 @@
 
 	"github.com/lotusward/lotusward/internal/cachewatch"
 	"github.com/lotusward/lotusward/internal/clock"
+	"github.com/lotusward/lotusward/internal/core/identity"
 	"github.com/lotusward/lotusward/internal/core/promptcache"
 	"github.com/lotusward/lotusward/internal/core/rendezvous"
 )
@@ -49,6 +50,10 @@
 // observeCache takes in what the cache of a back end holds and what it dropped.
 func (w *Daemon) observeCache(target cachewatch.Target, page cachewatch.Page) {
 	now := clock.Now()
+	if id := identity.BackendID(target.Name); !id.IsLifeOf(page.Incarnation) {
+		w.backends.Ended(id) // the events are of its next life
+		return
+	}
 	for _, event := range page.Events {
 		fact := promptcache.Fact{
 			Part: promptcache.KeyOf(event.Part.Salt, event.Part.ID), Backend: rendezvous.Key(target.Name), Tokens: event.Tokens,
--- a/cmd/internal/daemon/wire.go
+++ b/cmd/internal/daemon/wire.go
@@ -163,6 +163,7 @@
 		Reads: func() bool { return w.directory.ReadsForAll() },
 	})
 	w.backends.OnChecked(w.crashes.Checked)
+	w.backends.OnEnded(w.pool.Forget)
 	w.wireDirectory(traffic)
 	w.wireCaches()
 	w.wireLoads()
--- a/cmd/lotusward/explain_test.go
+++ b/cmd/lotusward/explain_test.go
@@ -62,7 +62,7 @@
 	first.Script(standin.BehaveCut)
 	deployed.engine("e2", 8, time.Millisecond)
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
-		if containsText(daemon.log(), `"e2"`) {
+		if containsText(daemon.log(), `"e2@`) {
 			return poll.Success()
 		}
 		return poll.Continue("the second engine is not known")
--- a/internal/adapter/httpexchange/exchange_test.go
+++ b/internal/adapter/httpexchange/exchange_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -288,3 +289,20 @@
 	pool.Sweep(time.Now().Add(2 * DefaultIdleTime))
 	assert.Equal(t, len(pool.idle), 0)
 }
+
+// TestForgottenConnectionsAreNotUsed opens a new connection where the unused ones were forgotten.
+func TestForgottenConnectionsAreNotUsed(t *testing.T) {
+	server := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+	t.Cleanup(server.Close)
+	address := server.Listener.Addr().String()
+	pool := NewPool(Options{})
+	for range 2 {
+		assert.Assert(t, pool.Reach(context.Background(), address))
+	}
+	pool.Forget(address)
+	assert.Assert(t, pool.pop(address) == nil)
+	answer, err := pool.Do(context.Background(), address, &Request{Method: http.MethodGet, Target: "/", Host: address, Header: http.Header{}})
+	assert.NilError(t, err)
+	answer.Close()
+	assert.Equal(t, pool.Opened(), uint64(3))
+}
--- a/internal/adapter/httpexchange/pool.go
+++ b/internal/adapter/httpexchange/pool.go
@@ -216,6 +216,18 @@
 	return true
 }
 
+// Forget closes the unused connections to an address, at which another process may be now. One whose peer
+// ended behind a cut looks sound, and the request on it would be lost.
+func (p *Pool) Forget(address string) {
+	p.mutex.Lock()
+	list := p.idle[address]
+	delete(p.idle, address)
+	p.mutex.Unlock()
+	for _, kept := range list {
+		kept.close()
+	}
+}
+
 // Sweep closes connections that have been unused for too long.
 func (p *Pool) Sweep(now time.Time) {
 	for _, old := range p.expired(now) {
--- a/internal/administration/tables.go
+++ b/internal/administration/tables.go
@@ -66,7 +66,8 @@
 			continue
 		}
 		rows = append(rows, query.Backend{
-			Backend: state.Backend.ID, Service: state.Backend.Service, Zone: state.Backend.Zone, Address: state.Backend.Address,
+			Backend: state.Backend.ID.Name(), Incarnation: int(state.Backend.ID.Incarnation()),
+			Service: state.Backend.Service, Zone: state.Backend.Zone, Address: state.Backend.Address,
 			Software: state.Backend.Software,
 			Models:   versionsText(state.Versions), Leaving: state.Leaving, Doubted: state.Doubted,
 			Running: state.InFlight, Own: state.Own, ReadingTokens: state.Reading,
--- a/internal/cachewatch/watcher.go
+++ b/internal/cachewatch/watcher.go
@@ -11,6 +11,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/lotusward/lotusward/internal/core/identity"
 	"github.com/lotusward/lotusward/internal/pause"
 )
 
@@ -48,6 +49,8 @@
 
 // Page is an answer to a call for events.
 type Page struct {
+	// Incarnation is of the back end's life that answers; zero where it doesn't tell.
+	Incarnation identity.Incarnation
 	// Epoch changes when the cache starts anew, empty.
 	Epoch uint64
 	// Next is the position to go on from.
--- a/internal/core/backendpool/backend.go
+++ b/internal/core/backendpool/backend.go
@@ -12,7 +12,7 @@
 
 // Backend is what the list of back ends says of one of them.
 type Backend struct {
-	// ID is new at each start of a back end.
+	// ID is of one life of the back end.
 	ID      identity.BackendID
 	Service identity.ServiceName
 	// Address is IP:port. After a back end has ended, its address may be given
@@ -70,8 +70,9 @@
 // entry is one back end with what this daemon knows of it.
 type entry struct {
 	backend Backend
-	// key is the hash of the ID, for rendezvous ranking.
-	key uint64
+	// key is the hash of the ID, and name the back end's, for rendezvous ranking.
+	key  uint64
+	name string
 	// far is set for a back end in another region than the daemon's.
 	far bool
 	// inFlight is the number of requests under way from this daemon.
@@ -93,8 +94,9 @@
 	suspicion suspicion
 	// tickets are the requests under way from this daemon.
 	tickets map[*Ticket]bool
-	// replaced is set when a back end that was listed later has the address.
-	replaced bool
+	// replaced is set when a back end that was listed later has the address, and ended once the back end
+	// itself has told of a later life.
+	replaced, ended bool
 	// listedAt counts the updates of the list up to the one that brought the back end.
 	listedAt uint64
 	// accusedBy and accusedAt are of the last other daemon that did not reach it.
@@ -108,6 +110,7 @@
 	return &entry{
 		backend: backend,
 		key:     rendezvous.Key(string(backend.ID)),
+		name:    string(backend.ID.Name()),
 		learned: map[identity.ModelName]uint64{},
 		tickets: map[*Ticket]bool{},
 	}
--- a/internal/core/backendpool/choice.go
+++ b/internal/core/backendpool/choice.go
@@ -163,8 +163,9 @@
 	return least + time.Duration(tokens*float64(SlowTokenTime))
 }
 
-// rank is the back end's weight for a prompt in rendezvous hashing.
-func (e *entry) rank(home uint64) uint64 { return rendezvous.Score(home, string(e.backend.ID)) }
+// rank is the back end's weight for a prompt in rendezvous hashing. It goes by the name: a back end that
+// starts again stays the home of its prompts, so that no other home changes.
+func (e *entry) rank(home uint64) uint64 { return rendezvous.Score(home, e.name) }
 
 // missing is the cost of the prompt's shared parts at a candidate: of what can be
 // moved there, and of what must be read. Parts that are only being read elsewhere
--- /dev/null
+++ b/internal/core/backendpool/ended_test.go
@@ -0,0 +1,73 @@
+package backendpool
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/lotusward/lotusward/internal/core/identity"
+)
+
+// livesOf is a list with one life of the back end b at its address, and another back end.
+func livesOf(incarnation identity.Incarnation) []Backend {
+	return []Backend{
+		{ID: identity.NewBackendID("b", incarnation), Service: "s", Address: "10.0.0.1:80", Zone: "a", Weights: map[identity.ModelName]uint64{"m": 1}},
+		{ID: "other", Service: "s", Address: "10.0.0.2:80", Zone: "a", Weights: map[identity.ModelName]uint64{"m": 1}, Draining: true},
+	}
+}
+
+// TestNothingIsBelievedOfTheNextLife lets a back end load weights, be taken out and have a request under way,
+// and start again: the next life holds what its row says, is not doubted and has nothing under way.
+func TestNothingIsBelievedOfTheNextLife(t *testing.T) {
+	pool := New("a")
+	now := time.Now()
+	pool.Update(livesOf(1))
+	first, second := identity.NewBackendID("b", 1), identity.NewBackendID("b", 2)
+	pool.LearnVersion(first, "m", 5)
+	ticket := pool.Pick(now, Query{Service: "s", Model: "m"})
+	assert.Equal(t, ticket.Backend.ID, first)
+	pool.Probed(now, first, false)
+	var ended []identity.BackendID
+	pool.OnChecked(func(id identity.BackendID, reached bool) {
+		assert.Assert(t, !reached)
+		ended = append(ended, id)
+	})
+	change := pool.Update(livesOf(2))
+	assert.DeepEqual(t, change.Added, []identity.BackendID{second})
+	assert.DeepEqual(t, change.Removed, []identity.BackendID{first})
+	assert.DeepEqual(t, ended, []identity.BackendID{first})
+	again := pool.Pick(now, Query{Service: "s", Model: "m"})
+	assert.Equal(t, again.Backend.ID, second)
+	assert.Equal(t, again.Version, uint64(1))
+	assert.Equal(t, pool.InFlight(second), 1.0)
+	pool.LearnVersion(first, "m", 9)
+	ticket.LearnVersion("m", 9)
+	ticket.Release(now, ResultCut)
+	assert.Equal(t, pool.InFlight(second), 1.0)
+	assert.Equal(t, pool.Holders(now, "m")[0].Version, uint64(1))
+}
+
+// TestEndedLifeGetsNothingUntilTheNextIsListed hears of a later life before the list tells of it: the requests
+// under way are told, the address's connections are dropped, and later updates of the list change nothing.
+func TestEndedLifeGetsNothingUntilTheNextIsListed(t *testing.T) {
+	pool := New("a")
+	now := time.Now()
+	pool.Update(livesOf(1))
+	var dropped []string
+	pool.OnEnded(func(address string) { dropped = append(dropped, address) })
+	ticket := pool.Pick(now, Query{Service: "s"})
+	lost := 0
+	ticket.OnLost(func() { lost++ })
+	for range 2 {
+		pool.Ended(identity.NewBackendID("b", 1))
+	}
+	assert.Equal(t, lost, 1)
+	assert.DeepEqual(t, dropped, []string{"10.0.0.1:80"})
+	assert.Assert(t, pool.Pick(now, Query{Service: "s"}) == nil)
+	pool.Update(livesOf(1))
+	assert.Assert(t, pool.Pick(now, Query{Service: "s"}) == nil)
+	assert.Assert(t, !pool.AnyBehind(now, "m", 2), "an ended back end is waited for")
+	pool.Update(livesOf(2))
+	assert.Equal(t, pool.Pick(now, Query{Service: "s"}).Backend.ID, identity.NewBackendID("b", 2))
+}
--- a/internal/core/backendpool/pool.go
+++ b/internal/core/backendpool/pool.go
@@ -95,6 +95,8 @@
 	checked func(id identity.BackendID, reached bool)
 	// suspected is called, without the mutex, when a back end is to be probed at once.
 	suspected func()
+	// ended is called, without the mutex, with the address of a back end that has ended.
+	ended func(address string)
 }
 
 // New makes an empty pool for a daemon in a zone.
@@ -107,6 +109,7 @@
 		checked:  func(identity.BackendID, bool) {},
 
 		suspected: func() {},
+		ended:     func(string) {},
 		byKey:     map[uint64]*entry{},
 		departed:  map[*entry]bool{},
 		touched:   map[*entry]bool{},
@@ -134,15 +137,17 @@
 
 // Update replaces the list of back ends. What is known of those that stay is kept.
 func (p *Pool) Update(backends []Backend) Change {
-	change, replaced := p.update(backends)
-	for _, gone := range append(replaced, change.Removed...) {
-		p.checked(gone, false)
+	change, gone := p.update(backends)
+	for _, each := range gone {
+		p.checked(each.ID, false)
+		p.ended(each.Address)
 	}
 	return change
 }
 
-// update returns what changed, and the back ends whose address another one has now.
-func (p *Pool) update(backends []Backend) (change Change, replaced []identity.BackendID) {
+// update returns what changed, and the back ends that are no longer listed or whose address another one
+// has now.
+func (p *Pool) update(backends []Backend) (change Change, gone []Backend) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	p.updates++
@@ -171,7 +176,7 @@
 		wasReplaced := found.replaced
 		found.replaced = byAddress[found.backend.Address] > found.listedAt
 		if found.replaced && !wasReplaced {
-			replaced = append(replaced, found.backend.ID)
+			gone = append(gone, found.backend)
 		}
 	}
 	for id, found := range p.byID {
@@ -179,6 +184,7 @@
 			continue
 		}
 		change.Removed = append(change.Removed, id)
+		gone = append(gone, found.backend)
 		if found.inFlight > 0 {
 			p.departed[found] = true
 		}
@@ -189,7 +195,7 @@
 	for _, found := range byID {
 		p.byKey[found.key] = found
 	}
-	return change, replaced
+	return change, gone
 }
 
 // Backends returns a copy of the list.
@@ -309,7 +315,7 @@
 
 // allowed tells whether a back end may get the request at all.
 func allowed(now time.Time, found *entry, query Query) bool {
-	if found.backend.Draining || found.replaced || slices.Contains(query.Exclude, found.backend.ID) {
+	if found.backend.Draining || found.isOver() || slices.Contains(query.Exclude, found.backend.ID) {
 		return false
 	}
 	if !query.admits(found) {
@@ -327,7 +333,7 @@
 
 // Shortage says why a query found no back end: how many its service has, and how
 // many of them would not do, each counted for the first reason that applies. One
-// whose address has gone to another back end counts as draining. Busy ones would do
+// whose address has gone to another back end, or that has ended, counts as draining. Busy ones would do
 // once they have less under way. OtherVersion are those that run another version of the
 // service's software than the query asks for, or that it doesn't name.
 type Shortage struct {
@@ -348,7 +354,7 @@
 	for _, found := range p.listed(query) {
 		shortage.Listed++
 		switch {
-		case found.backend.Draining, found.replaced:
+		case found.backend.Draining, found.isOver():
 			shortage.Draining++
 		case slices.Contains(query.Exclude, found.backend.ID):
 			shortage.Failed++
--- a/internal/core/backendpool/suspicion.go
+++ b/internal/core/backendpool/suspicion.go
@@ -110,7 +110,7 @@
 func (e *entry) suspect(now time.Time) cause {
 	doubt := &e.suspicion
 	switch {
-	case doubt.probing, e.replaced:
+	case doubt.probing, e.isOver():
 		return causeNone
 	case doubt.unreached:
 		if e.ejectedUntil.Sub(now) <= returnLead {
--- a/internal/core/backendpool/weights.go
+++ b/internal/core/backendpool/weights.go
@@ -48,7 +48,7 @@
 	defer p.mutex.Unlock()
 	for _, found := range p.byID {
 		held := found.version(model)
-		if held > 0 && held < version && !found.replaced && !found.backend.Draining && !found.ejected(now) {
+		if held > 0 && held < version && !found.isOver() && !found.backend.Draining && !found.ejected(now) {
 			return true
 		}
 	}
@@ -56,13 +56,13 @@
 }
 
 // Holders returns the back ends that hold a model, those with the oldest version
-// first, without those whose address another one has.
+// first, without those whose address another one has and those that have ended.
 func (p *Pool) Holders(now time.Time, model identity.ModelName) []Holder {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	var holders []Holder
 	for _, found := range p.byID {
-		if version := found.version(model); version > 0 && !found.replaced {
+		if version := found.version(model); version > 0 && !found.isOver() {
 			holders = append(holders, Holder{
 				Backend: found.backend, Version: version,
 				InFlight: float64(found.inFlight) + found.others.InFlight,
--- a/internal/core/identity/identity.go
+++ b/internal/core/identity/identity.go
@@ -7,9 +7,6 @@
 // across restarts of the same machine.
 type DaemonID string
 
-// BackendID names one back end (a model engine or a web-app runner).
-type BackendID string
-
 // Zone names a failure domain inside a region.
 type Zone string
 
@@ -39,9 +36,9 @@
 // RequestID names one request of a caller for its whole life, over all attempts.
 type RequestID string
 
-// Incarnation counts the lives of a process: a restart always has a larger one.
-// A back end or daemon derives it from its start time in microseconds since the
-// Unix epoch.
+// Incarnation tells the lives of a process apart. That of a back end is its start time in
+// milliseconds since the Unix epoch, by its machine's clock, which may step: only equality tells
+// something. Zero is not known.
 type Incarnation uint64
 
 // Revision counts accepted configuration changes. It only ever grows.
--- a/internal/core/query/rows.go
+++ b/internal/core/query/rows.go
@@ -11,10 +11,12 @@
 
 // Backend is a back end as the asked daemon believes it to be.
 type Backend struct {
-	Backend identity.BackendID   `column:"backend,key"`
-	Service identity.ServiceName `column:"service"`
-	Zone    identity.Zone        `column:"zone"`
-	Address string               `column:"address"`
+	Backend identity.BackendName `column:"backend,key"`
+	// Incarnation is of its life; zero is not told.
+	Incarnation int                  `column:"incarnation"`
+	Service     identity.ServiceName `column:"service"`
+	Zone        identity.Zone        `column:"zone"`
+	Address     string               `column:"address"`
 	// Software is the version of the service's software that it runs; empty is not told.
 	Software identity.SoftwareVersion `column:"software"`
 	// Models lists what it holds as MODEL@VERSION, with commas.
--- a/internal/core/query/table_test.go
+++ b/internal/core/query/table_test.go
@@ -32,7 +32,7 @@
 	var backends []query.Backend
 	for number := range rapid.IntRange(0, 6).Draw(t, "back ends") {
 		backends = append(backends, query.Backend{
-			Backend: identity.BackendID(rune('a' + number)), Zone: identity.Zone(rapid.SampledFrom([]string{"x", "y"}).Draw(t, "zone")),
+			Backend: identity.BackendName(rune('a' + number)), Zone: identity.Zone(rapid.SampledFrom([]string{"x", "y"}).Draw(t, "zone")),
 			Running: float64(rapid.IntRange(0, 4).Draw(t, "running")), Leaving: rapid.Bool().Draw(t, "leaving"),
 		})
 	}
--- a/internal/directory/backendlist.go
+++ b/internal/directory/backendlist.go
@@ -30,9 +30,11 @@
 	return listDigest(rendezvous.Key(encoded.String()))
 }
 
-// backendList is the list of back ends as a daemon believes it to be.
+// backendList is the list of back ends as a daemon believes it to be. Of each one it has one life, the one
+// that the store's newest row tells of: rows come in the store's order, also where a machine's clock has
+// stepped back between two lives.
 type backendList struct {
-	byID map[identity.BackendID]listedBackend
+	byName map[identity.BackendName]listedBackend
 	// digest is of all of them.
 	digest listDigest
 }
@@ -43,49 +45,50 @@
 }
 
 func newBackendList() *backendList {
-	return &backendList{byID: map[identity.BackendID]listedBackend{}}
+	return &backendList{byName: map[identity.BackendName]listedBackend{}}
 }
 
-// put adds a back end, in place of what was known of it.
+// put adds a back end, in place of what was known of it and of its lives before.
 func (l *backendList) put(backend backendpool.Backend) {
 	digest := digestOf(backend)
-	l.digest ^= l.byID[backend.ID].digest ^ digest
-	l.byID[backend.ID] = listedBackend{backend: backend, digest: digest}
+	name := backend.ID.Name()
+	l.digest ^= l.byName[name].digest ^ digest
+	l.byName[name] = listedBackend{backend: backend, digest: digest}
 }
 
 // remove drops a back end; one that is not listed is passed over.
-func (l *backendList) remove(id identity.BackendID) {
-	l.digest ^= l.byID[id].digest
-	delete(l.byID, id)
+func (l *backendList) remove(name identity.BackendName) {
+	l.digest ^= l.byName[name].digest
+	delete(l.byName, name)
 }
 
 // digestAfter is what the digest would be after changes.
-func (l *backendList) digestAfter(changed []backendpool.Backend, gone []identity.BackendID) listDigest {
+func (l *backendList) digestAfter(changed []backendpool.Backend, gone []identity.BackendName) listDigest {
 	digest := l.digest
 	for _, backend := range changed {
-		digest ^= l.byID[backend.ID].digest ^ digestOf(backend)
+		digest ^= l.byName[backend.ID.Name()].digest ^ digestOf(backend)
 	}
-	for _, id := range gone {
-		digest ^= l.byID[id].digest
+	for _, name := range gone {
+		digest ^= l.byName[name].digest
 	}
 	return digest
 }
 
 // has tells whether the list says the same of a back end.
 func (l *backendList) has(backend backendpool.Backend) bool {
-	known, found := l.byID[backend.ID]
+	known, found := l.byName[backend.ID.Name()]
 	return found && known.digest == digestOf(backend)
 }
 
 // difference returns what a whole list changes in this one.
-func (l *backendList) difference(listed []backendpool.Backend) ([]backendpool.Backend, []identity.BackendID) {
+func (l *backendList) difference(listed []backendpool.Backend) ([]backendpool.Backend, []identity.BackendName) {
 	var changed []backendpool.Backend
-	missing := map[identity.BackendID]bool{}
-	for id := range l.byID {
-		missing[id] = true
+	missing := map[identity.BackendName]bool{}
+	for name := range l.byName {
+		missing[name] = true
 	}
 	for _, backend := range listed {
-		delete(missing, backend.ID)
+		delete(missing, backend.ID.Name())
 		if !l.has(backend) {
 			changed = append(changed, backend)
 		}
@@ -95,8 +98,8 @@
 
 // all returns the back ends, ordered by ID.
 func (l *backendList) all() []backendpool.Backend {
-	list := make([]backendpool.Backend, 0, len(l.byID))
-	for _, listed := range l.byID {
+	list := make([]backendpool.Backend, 0, len(l.byName))
+	for _, listed := range l.byName {
 		list = append(list, listed.backend)
 	}
 	slices.SortFunc(list, func(left, right backendpool.Backend) int { return cmp.Compare(left.ID, right.ID) })
--- a/internal/directory/bulletin.go
+++ b/internal/directory/bulletin.go
@@ -47,7 +47,7 @@
 	// To is the version after all the changes.
 	To      uint64
 	Changed []backendpool.Backend
-	Gone    []identity.BackendID
+	Gone    []identity.BackendName
 	// Digest is of the whole list at that version. What changed and changed back
 	// between two readings of the teller is not among the changes, and a hearer that
 	// knows the list of a moment in between finds that out by the digest.
@@ -57,7 +57,7 @@
 // batch is what one reading changed.
 type batch struct {
 	changed []backendpool.Backend
-	gone    []identity.BackendID
+	gone    []identity.BackendName
 }
 
 func (b *batch) size() int { return len(b.changed) + len(b.gone) }
@@ -72,7 +72,7 @@
 
 // note adds what a reading changed between two versions. A reading that doesn't
 // follow on the one before it starts the log anew.
-func (l *changeLog) note(from, to uint64, changed []backendpool.Backend, gone []identity.BackendID) {
+func (l *changeLog) note(from, to uint64, changed []backendpool.Backend, gone []identity.BackendName) {
 	if from != l.last || l.last == 0 {
 		l.batches = nil
 	}
@@ -101,8 +101,8 @@
 		for _, backend := range kept.changed {
 			merged.Put(backend)
 		}
-		for _, id := range kept.gone {
-			merged.Remove(id)
+		for _, name := range kept.gone {
+			merged.Remove(name)
 		}
 	}
 	return &BackendNews{To: l.last, Changed: merged.Changed, Gone: merged.Gone, Digest: digest}
--- a/internal/directory/bulletin_test.go
+++ b/internal/directory/bulletin_test.go
@@ -23,7 +23,7 @@
 // has to read.
 func TestBulletinsLeadToTheReadersList(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		reader := map[identity.BackendID]backendpool.Backend{}
+		reader := map[identity.BackendName]backendpool.Backend{}
 		log := &changeLog{last: 1}
 		follower := New(Options{Pool: backendpool.New("a"), Log: logging.Discard()})
 		follower.listed.Store(true)
@@ -34,16 +34,16 @@
 			from := version
 			version += rapid.Uint64Range(1, 3).Draw(t, "step")
 			var changed []backendpool.Backend
-			var gone []identity.BackendID
+			var gone []identity.BackendName
 			for range rapid.IntRange(0, 25).Draw(t, "changes") {
-				id := identity.BackendID(rapid.SampledFrom([]string{"a", "b", "c", "d"}).Draw(t, "id"))
+				id := identity.BackendName(rapid.SampledFrom([]string{"a", "b", "c", "d"}).Draw(t, "id"))
 				if _, known := reader[id]; known && rapid.Bool().Draw(t, "gone") {
 					gone = append(gone, id)
 					changed = removeBackend(changed, id)
 					delete(reader, id)
 					continue
 				}
-				backend := backendpool.Backend{ID: id, Slots: int(version)}
+				backend := backendpool.Backend{ID: identity.NewBackendID(id, 0), Slots: int(version)}
 				changed = append(removeBackend(changed, id), backend)
 				gone = removeID(gone, id)
 				reader[id] = backend
@@ -77,26 +77,26 @@
 }
 
 // believed is the list that a daemon believes in.
-func believed(directory *Directory) map[identity.BackendID]backendpool.Backend {
-	list := map[identity.BackendID]backendpool.Backend{}
+func believed(directory *Directory) map[identity.BackendName]backendpool.Backend {
+	list := map[identity.BackendName]backendpool.Backend{}
 	for _, backend := range directory.backends.all() {
-		list[backend.ID] = backend
+		list[backend.ID.Name()] = backend
 	}
 	return list
 }
 
-func removeBackend(list []backendpool.Backend, id identity.BackendID) []backendpool.Backend {
+func removeBackend(list []backendpool.Backend, id identity.BackendName) []backendpool.Backend {
 	var kept []backendpool.Backend
 	for _, backend := range list {
-		if backend.ID != id {
+		if backend.ID.Name() != id {
 			kept = append(kept, backend)
 		}
 	}
 	return kept
 }
 
-func removeID(list []identity.BackendID, id identity.BackendID) []identity.BackendID {
-	var kept []identity.BackendID
+func removeID(list []identity.BackendName, id identity.BackendName) []identity.BackendName {
+	var kept []identity.BackendName
 	for _, each := range list {
 		if each != id {
 			kept = append(kept, each)
@@ -283,15 +283,28 @@
 // and tell each other, with bulletins lost and late: the list of each is always the
 // one that the store had at the version up to which the daemon believes to know all.
 func TestReadersNeverHideChangesFromOthers(t *testing.T) {
+	rapid.Check(t, readersNeverHideChanges(func(*rapid.T) identity.Incarnation { return 0 }))
+}
+
+// TestReadersNeverHideLivesFromOthers is the same with back ends that start again under their names, at
+// clocks that step back too, some of which don't tell when.
+func TestReadersNeverHideLivesFromOthers(t *testing.T) {
+	rapid.Check(t, readersNeverHideChanges(func(t *rapid.T) identity.Incarnation {
+		return identity.Incarnation(rapid.Uint64Range(0, 3).Draw(t, "incarnation"))
+	}))
+}
+
+// readersNeverHideChanges is the property of the tests above, given the incarnation of each row's life.
+func readersNeverHideChanges(incarnation func(*rapid.T) identity.Incarnation) func(*rapid.T) {
 	type row struct {
 		version uint64
 		backend backendpool.Backend
 		gone    bool
 	}
-	rapid.Check(t, func(t *rapid.T) {
+	return func(t *rapid.T) {
 		const daemons = 3
-		rows := map[identity.BackendID]row{}
-		histories := map[uint64]string{1: fmt.Sprint(map[identity.BackendID]backendpool.Backend{})}
+		rows := map[identity.BackendName]row{}
+		histories := map[uint64]string{1: fmt.Sprint(map[identity.BackendName]backendpool.Backend{})}
 		version := uint64(1)
 		var all [daemons]*Directory
 		var told []heardBulletin
@@ -306,10 +319,10 @@
 		}
 		write := func() {
 			version++
-			id := identity.BackendID(rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "id"))
+			id := identity.BackendName(rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "id"))
 			slots := rapid.IntRange(1, 2).Draw(t, "slots") // often a heartbeat that changes nothing
-			rows[id] = row{version: version, backend: backendpool.Backend{ID: id, Slots: slots}, gone: rapid.Bool().Draw(t, "gone")}
-			state := map[identity.BackendID]backendpool.Backend{}
+			rows[id] = row{version: version, backend: backendpool.Backend{ID: identity.NewBackendID(id, incarnation(t)), Slots: slots}, gone: rapid.Bool().Draw(t, "gone")}
+			state := map[identity.BackendName]backendpool.Backend{}
 			for id, row := range rows {
 				if !row.gone {
 					state[id] = row.backend
@@ -325,7 +338,7 @@
 				}
 				changes.Last = max(changes.Last, row.version)
 				if row.gone {
-					changes.Remove(row.backend.ID)
+					changes.Remove(row.backend.ID.Name())
 				} else {
 					changes.Put(row.backend)
 				}
@@ -350,7 +363,7 @@
 			position = directory.positions[tableBackends].Load()
 			assert.Equal(t, fmt.Sprint(believed(directory)), histories[position], "at version %d", position)
 		}
-	})
+	}
 }
 
 // TestLateBulletinsAreNoNews lets bulletins come that were held up on the way. One that
--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -196,7 +196,7 @@
 		s.listed = Listed{Reading: Reading{Version: 10}} // a whole reading would lose all
 		s.changes = Changes{
 			Last: 12, Changed: []backendpool.Backend{backend("b", true), backend("c", false)},
-			Gone: []identity.BackendID{"a"},
+			Gone: []identity.BackendName{"a"},
 		}
 	})
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
--- a/internal/directory/listing.go
+++ b/internal/directory/listing.go
@@ -53,7 +53,7 @@
 }
 
 // change applies changes up to a version of the store.
-func (d *Directory) change(changed []backendpool.Backend, gone []identity.BackendID, to uint64) {
+func (d *Directory) change(changed []backendpool.Backend, gone []identity.BackendName, to uint64) {
 	advance(d.positions[tableBackends], to)
 	d.alter(changed, gone)
 	if len(changed)+len(gone) > 0 {
@@ -64,12 +64,12 @@
 }
 
 // alter changes the list.
-func (d *Directory) alter(changed []backendpool.Backend, gone []identity.BackendID) {
+func (d *Directory) alter(changed []backendpool.Backend, gone []identity.BackendName) {
 	for _, backend := range changed {
 		d.backends.put(backend)
 	}
-	for _, id := range gone {
-		d.backends.remove(id)
+	for _, name := range gone {
+		d.backends.remove(name)
 	}
 }
 
--- a/internal/directory/source.go
+++ b/internal/directory/source.go
@@ -76,7 +76,7 @@
 	// Reading is of the moment of the answer.
 	Reading
 	Changed []backendpool.Backend
-	Gone    []identity.BackendID
+	Gone    []identity.BackendName
 	// After is the version since which these are all the changes.
 	After uint64
 	// Last is the store's version of the newest change, or zero without any.
@@ -87,19 +87,19 @@
 
 // Put notes that a back end is there as given, whatever was noted of it before.
 func (c *Changes) Put(backend backendpool.Backend) {
-	c.forget(backend.ID)
+	c.forget(backend.ID.Name())
 	c.Changed = append(c.Changed, backend)
 }
 
 // Remove notes that a back end is gone, whatever was noted of it before.
-func (c *Changes) Remove(id identity.BackendID) {
-	c.forget(id)
-	c.Gone = append(c.Gone, id)
+func (c *Changes) Remove(name identity.BackendName) {
+	c.forget(name)
+	c.Gone = append(c.Gone, name)
 }
 
-func (c *Changes) forget(id identity.BackendID) {
-	c.Changed = slices.DeleteFunc(c.Changed, func(backend backendpool.Backend) bool { return backend.ID == id })
-	c.Gone = slices.DeleteFunc(c.Gone, func(gone identity.BackendID) bool { return gone == id })
+func (c *Changes) forget(name identity.BackendName) {
+	c.Changed = slices.DeleteFunc(c.Changed, func(backend backendpool.Backend) bool { return backend.ID.Name() == name })
+	c.Gone = slices.DeleteFunc(c.Gone, func(gone identity.BackendName) bool { return gone == name })
 }
 
 // Members are daemons as rows of the store tell them.
--- a/internal/requestlog/requestlog.go
+++ b/internal/requestlog/requestlog.go
@@ -98,7 +98,17 @@
 
 // Ejected implements relay.Journal.
 func (j *Journal) Ejected(backend identity.BackendID, result backendpool.Result) {
-	j.log.WithFields(logrus.Fields{"backend": backend, "result": result.String()}).Warn("A back end is taken out.")
+	fields := logrus.Fields{"result": result.String()}
+	addBackend(fields, backend)
+	j.log.WithFields(fields).Warn("A back end is taken out.")
+}
+
+// addBackend tells a back end, and which of its lives it was where that is known.
+func addBackend(fields logrus.Fields, backend identity.BackendID) {
+	fields["backend"] = backend.Name()
+	if incarnation := backend.Incarnation(); incarnation > 0 {
+		fields["incarnation"] = incarnation
+	}
 }
 
 // addPrompt tells the deepest part of a prompt that is shared with other requests,
@@ -169,7 +179,7 @@
 		return
 	}
 	fields["attempt"] = attempt.Number
-	fields["backend"] = attempt.Backend
+	addBackend(fields, attempt.Backend)
 	fields["attempt_ms"] = attempt.Elapsed.Milliseconds()
 	fields["candidates"] = attempt.Candidates
 	if attempt.Version > 0 {
--- a/internal/weightupdate/keeper.go
+++ b/internal/weightupdate/keeper.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
 	"sync"
 	"time"
@@ -297,7 +298,11 @@
 	for ctx.Err() == nil {
 		version := k.options.Named.Targets()[model]
 		report, err := k.report(ctx, backend)
+		var ended *EndedError
 		switch {
+		case errors.As(err, &ended):
+			k.options.Log.WithError(err).Info("A back end has started again: its new life gets its own order.")
+			return 0
 		case err != nil && unanswered >= toleratedSilence:
 			k.passOver(backend.ID)
 			return 0
@@ -344,21 +349,32 @@
 	for ctx.Err() == nil {
 		pause.For(ctx, reportInterval)
 		report, err := k.report(ctx, backend)
+		var ended *EndedError
+		if errors.As(err, &ended) {
+			return 0
+		}
 		if err != nil {
 			continue
 		}
-		ended := report.Sequence > before && !report.Busy
-		if ended || report.Versions[model] >= version {
+		done := report.Sequence > before && !report.Busy
+		if done || report.Versions[model] >= version {
 			return report.Versions[model]
 		}
 	}
 	return 0
 }
 
+// report asks a back end for its report. The error is an EndedError where a later life of it answers,
+// whose count of orders began anew.
 func (k *Keeper) report(ctx context.Context, backend backendpool.Backend) (Report, error) {
 	bounded, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
-	return k.options.Orders.Report(bounded, backend)
+	report, err := k.options.Orders.Report(bounded, backend)
+	if err == nil && !backend.ID.IsLifeOf(report.Incarnation) {
+		k.options.Pool.Ended(backend.ID)
+		return Report{}, &EndedError{Backend: backend.ID, Later: report.Incarnation}
+	}
+	return report, err
 }
 
 // mayGive waits for a moment until an order under a token may be given. It returns
--- a/internal/weightupdate/plan.go
+++ b/internal/weightupdate/plan.go
@@ -7,6 +7,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"github.com/vmihailenco/msgpack/v5"
@@ -63,6 +64,8 @@
 
 // Report is what a back end says of itself; it may be some hundred milliseconds old.
 type Report struct {
+	// Incarnation is of the life that reports; zero where it doesn't tell.
+	Incarnation identity.Incarnation
 	// Busy is set while an order is under way.
 	Busy bool
 	// Sequence counts the orders that the back end took since its start.
@@ -70,6 +73,18 @@
 	Versions map[identity.ModelName]uint64
 }
 
+// EndedError says that a back end has started again since it was listed.
+type EndedError struct {
+	Backend identity.BackendID
+	// Later is of the life that answered.
+	Later identity.Incarnation
+}
+
+// Error implements error.
+func (e *EndedError) Error() string {
+	return fmt.Sprintf("%s has ended: %d answers", e.Backend, e.Later)
+}
+
 // Order asks a back end to load a version of a model's weights.
 type Order struct {
 	Backend backendpool.Backend
