Believe the store's own word on its disturbance at once

Cause: since only a store that nobody reaches counts as disturbed, daemons that it turned away with a 503 refused what may run on old weights though the store itself had told them that it does nothing for now. That is no private experience: no paused process or silent connection answers 503.

--- a/cmd/internal/daemon/wire.go
+++ b/cmd/internal/daemon/wire.go
@@ -276,7 +276,10 @@
 func (o *storeObserver) StoreCall(call, result string, began time.Time, err error) {
 	o.counters.StoreCall(call, result)
 	var limited *port.RateLimitedError
-	if err != nil && !errors.As(err, &limited) && !errors.Is(err, context.Canceled) {
-		o.daemon.directory.Disturbed(began, clock.Now())
+	if err == nil || errors.As(err, &limited) || errors.Is(err, context.Canceled) {
+		return
 	}
+	var unavailable *port.UnavailableError
+	refused := errors.As(err, &unavailable) && unavailable.Refused
+	o.daemon.directory.Disturbed(directory.FailedCall{Began: began, Ended: clock.Now(), Refused: refused})
 }
--- a/internal/directory/beginbound_test.go
+++ b/internal/directory/beginbound_test.go
@@ -157,8 +157,8 @@
 	w.read(other)
 	w.tell(other, daemon)
 	w.now = w.now.Add(w.draw(boundsStep, "time-out"))
-	daemon.Disturbed(began, w.now)
-	daemon.Disturbed(began.Add(time.Millisecond), w.now)
+	daemon.Disturbed(FailedCall{Began: began, Ended: w.now})
+	daemon.Disturbed(FailedCall{Began: began.Add(time.Millisecond), Ended: w.now})
 }
 
 // check holds the bounds of all daemons to the first naming after each version. A daemon is in touch some
--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -368,12 +368,12 @@
 func TestOneFailedCallIsNoDisturbance(t *testing.T) {
 	directory := New(Options{Source: &memorySource{}, Pool: backendpool.New("a"), Log: logging.Discard(), SteadyTime: time.Second})
 	now := time.Now()
-	directory.Disturbed(now, now)
+	directory.Disturbed(FailedCall{Began: now, Ended: now})
 	later := now.Add(2 * disturbanceWindow)
-	directory.Disturbed(later, later)
+	directory.Disturbed(FailedCall{Began: later, Ended: later})
 	assert.Assert(t, directory.SteadySince().IsZero())
 	last := later.Add(time.Second)
-	directory.Disturbed(last, last)
+	directory.Disturbed(FailedCall{Began: last, Ended: last})
 	assert.Equal(t, directory.SteadySince(), last.Add(time.Second))
 }
 
--- a/internal/directory/disturbance.go
+++ b/internal/directory/disturbance.go
@@ -14,32 +14,44 @@
 	leastPause = time.Second
 )
 
-// Disturbed notes that a call of the store failed, by whichever part of the daemon,
-// with the times at which the call began and ended: when it was given up the store may long
-// have been well again. One failure alone may be a connection's, and two within a short time may
-// still be this daemon's own: it was paused, its connections went silent, or the store turns it
-// away alone. They are the store's if no daemon that is heard here got through to it for a while. The
-// time in which old weights may be used is judged by the store's disturbances, so that a daemon that
-// took its own for those let requests begin on old weights for up to 3.6 s too long, where connections went
-// silent four times in 1.6 s.
-func (d *Directory) Disturbed(began, ended time.Time) {
-	before := d.failedAt.Swap(&began)
-	if before == nil || began.Sub(*before).Abs() > disturbanceWindow {
+// FailedCall is a call of the store that failed.
+type FailedCall struct {
+	// Began and Ended bound the call: when it was given up the store may long have been well again.
+	Began, Ended time.Time
+	// Refused is set where the store itself said that it does nothing for now.
+	Refused bool
+}
+
+// Disturbed notes that a call of the store failed, by whichever part of the daemon. One failure alone may be
+// a connection's, and two within a short time may still be this daemon's own: it was paused, or its
+// connections went silent. They are the store's if it said so, or if no daemon that is heard here got through
+// to it for a while. The time in which old weights may be used is judged by the store's disturbances, so that
+// a daemon that took its own for those let requests begin on old weights for up to 3.6 s too long, where
+// connections went silent four times in 1.6 s.
+func (d *Directory) Disturbed(failed FailedCall) {
+	before := d.failedAt.Swap(&failed.Began)
+	if before == nil || failed.Began.Sub(*before).Abs() > disturbanceWindow {
 		return
 	}
-	reached := d.reachedAt(ended)
-	if !reached.Before(began) || ended.Sub(reached) < d.options.QuietTime {
+	if !failed.Refused && !d.unreached(failed) {
 		return
 	}
-	steady := began.Add(d.options.SteadyTime)
+	steady := failed.Began.Add(d.options.SteadyTime)
 	for known := d.steady.Load(); steady.After(*known); known = d.steady.Load() {
 		if d.steady.CompareAndSwap(known, &steady) {
-			d.logDisturbance(began, ended, *known, steady)
+			d.logDisturbance(failed, *known, steady)
 			return
 		}
 	}
 }
 
+// unreached tells whether nobody is known to have reached the store since a failed call began, nor for a
+// while before its end.
+func (d *Directory) unreached(failed FailedCall) bool {
+	reached := d.reachedAt(failed.Ended)
+	return reached.Before(failed.Began) && failed.Ended.Sub(reached) >= d.options.QuietTime
+}
+
 // reachedAt is the last time at which a daemon is known to have reached the store, or could not
 // have been noticed to reach it: before this process started, or while it was paused.
 func (d *Directory) reachedAt(now time.Time) time.Time {
@@ -65,13 +77,15 @@
 }
 
 // logDisturbance tells of the first failed call of a disturbance.
-func (d *Directory) logDisturbance(began, ended, steadyBefore, steady time.Time) {
+func (d *Directory) logDisturbance(failed FailedCall, steadyBefore, steady time.Time) {
+	ended := failed.Ended
 	if ended.Before(steadyBefore) {
 		return
 	}
 	d.options.Log.WithFields(logrus.Fields{
-		"call_took_ms": ended.Sub(began).Milliseconds(), "confirmed_ms_ago": ended.Sub(d.ConfirmedAt()).Milliseconds(),
-		"steady_in_ms": steady.Sub(ended).Milliseconds(), "since_start_ms": ended.Sub(d.options.Started).Milliseconds(),
+		"call_took_ms": ended.Sub(failed.Began).Milliseconds(), "refused": failed.Refused,
+		"confirmed_ms_ago": ended.Sub(d.ConfirmedAt()).Milliseconds(),
+		"steady_in_ms":     steady.Sub(ended).Milliseconds(), "since_start_ms": ended.Sub(d.options.Started).Milliseconds(),
 	}).Warn("The store counts as disturbed.")
 }
 
--- a/internal/directory/disturbance_test.go
+++ b/internal/directory/disturbance_test.go
@@ -27,8 +27,8 @@
 
 // failCalls lets two calls fail that began one after the other and ended at a time.
 func failCalls(daemon *Directory, began, ended time.Time) {
-	daemon.Disturbed(began, ended)
-	daemon.Disturbed(began.Add(time.Millisecond), ended)
+	daemon.Disturbed(FailedCall{Began: began, Ended: ended})
+	daemon.Disturbed(FailedCall{Began: began.Add(time.Millisecond), Ended: ended})
 }
 
 // TestFailedCallsOfOneDaemonAreNoDisturbance lets calls fail that began before another daemon reached
@@ -52,6 +52,16 @@
 	assert.Equal(t, daemon.SteadySince(), last.Add(testSteady))
 }
 
+// TestStoreThatSaysSoIsDisturbed believes the store's own word at once, also where it serves other daemons.
+func TestStoreThatSaysSoIsDisturbed(t *testing.T) {
+	confirmed := time.Now()
+	daemon := confirmedDaemon(confirmed)
+	for range 2 {
+		daemon.Disturbed(FailedCall{Began: confirmed.Add(-time.Millisecond), Ended: confirmed, Refused: true})
+	}
+	assert.Equal(t, daemon.SteadySince(), confirmed.Add(testSteady-time.Millisecond))
+}
+
 // TestStarterKnowsNoDisturbanceOfBefore doesn't take the time before its start for one in which nobody
 // reached the store.
 func TestStarterKnowsNoDisturbanceOfBefore(t *testing.T) {
--- a/internal/port/table.go
+++ b/internal/port/table.go
@@ -41,9 +41,12 @@
 	return fmt.Sprintf("%s: rate limited, retry after %s", e.Service, e.RetryAfter)
 }
 
-// UnavailableError says that the call had no effect since the service was not reached.
+// UnavailableError says that the call had no effect since the service was not reached, or said that it
+// does nothing for now.
 type UnavailableError struct {
 	Service string
+	// Refused is set where the service itself said so.
+	Refused bool
 	Cause   error
 }
 
