--- a/internal/directory/bulletin.go
+++ b/internal/directory/bulletin.go
@@ -229,7 +229,7 @@
 func (d *Directory) takeVersions(now time.Time, news *DeclaredNews) bool {
 	changed := false
 	for _, seen := range news.Versions {
-		changed = d.nameVersion(now, seen.Model, d.toldOr(seen, d.unnamed(seen.Version))) || changed
+		changed = d.nameVersion(now, seen.Model, d.asTold(seen, d.unnamed(seen.Version))) || changed
 	}
 	return d.replaceGuesses(now, news.Versions) || changed
 }
--- a/internal/directory/snapshot.go
+++ b/internal/directory/snapshot.go
@@ -222,7 +222,7 @@
 		return
 	}
 	for _, seen := range news.Versions {
-		d.nameVersion(got.answered, seen.Model, d.toldOr(seen, d.guess(seen.Version)))
+		d.nameVersion(got.answered, seen.Model, d.asTold(seen, d.guess(seen.Version)))
 	}
 }
 
--- a/internal/directory/versions.go
+++ b/internal/directory/versions.go
@@ -45,8 +45,9 @@
 	}
 }
 
-// toldOr is what holds of a version by what another daemon tells, or otherwise where that is a guess.
-func (d *Directory) toldOr(seen Seen, otherwise relay.NamedVersion) relay.NamedVersion {
+// asTold is what holds of a version as another daemon tells it; where that one guesses too, it is what
+// this daemon would take otherwise.
+func (d *Directory) asTold(seen Seen, otherwise relay.NamedVersion) relay.NamedVersion {
 	at, known := d.freshness[tableDeclared].localTime(seen.StoreClock)
 	if !known {
 		return otherwise
@@ -82,7 +83,7 @@
 		if d.started {
 			found = d.unnamed(version)
 		}
-		if d.follows(model, version) {
+		if d.followsNewest(model, version) {
 			row := declared.VersionRows[model]
 			found = d.laterOf(d.laterOf(found, d.moments.before(row)), d.held.before(row))
 		}
@@ -91,10 +92,10 @@
 	return changed
 }
 
-// follows tells whether a version is the next one after the newest known one of its model. Others may
+// followsNewest tells whether a version is the next one after the newest known one of its model. Others may
 // have been named, and replaced, between two readings: moments before the row of the last one may lie after
 // the naming of the first.
-func (d *Directory) follows(model identity.ModelName, version uint64) bool {
+func (d *Directory) followsNewest(model identity.ModelName, version uint64) bool {
 	newest := uint64(0) // versions begin with 1
 	if named := d.versions[model]; len(named) > 0 {
 		newest = named[len(named)-1].Version
@@ -179,7 +180,7 @@
 		if seen.Version > newest || seen.StoreClock > clock {
 			continue
 		}
-		found := d.toldOr(seen, d.guess(seen.Version))
+		found := d.asTold(seen, d.guess(seen.Version))
 		place, known := slices.BinarySearchFunc(named, seen.Version, func(each relay.NamedVersion, version uint64) int {
 			return cmp.Compare(each.Version, version)
 		})
