--- a/internal/core/backendpool/codec_test.go
+++ b/internal/core/backendpool/codec_test.go
@@ -1,6 +1,7 @@
 package backendpool
 
 import (
+	"bytes"
 	"testing"
 
 	"github.com/vmihailenco/msgpack/v5"
@@ -25,6 +26,12 @@
 		var got []Backend
 		assert.NilError(t, msgpack.Unmarshal(encoded, &got))
 		assert.DeepEqual(t, got, []Backend{sent})
+		var datagram bytes.Buffer
+		encoder := msgpack.NewEncoder(&datagram)
+		encoder.UseArrayEncodedStructs(true) // as daemons' datagrams have it
+		assert.NilError(t, encoder.Encode([]Backend{sent, sent}))
+		assert.NilError(t, msgpack.Unmarshal(datagram.Bytes(), &got))
+		assert.DeepEqual(t, got, []Backend{sent, sent})
 		var plain []plainBackend
 		assert.NilError(t, msgpack.Unmarshal(encoded, &plain))
 		assert.Equal(t, plain[0].ID, identity.BackendID(name))
