Tell of an ended back end without a race with the list

Cause, found by reading the change again: Ended read the back end's address after it had let the mutex go, while an update of the list may write it. No test had both at once. What an update and Ended tell of an ended back end is told in one place.

--- a/internal/core/backendpool/ended.go
+++ b/internal/core/backendpool/ended.go
@@ -9,28 +9,33 @@
 // Ended notes that a back end has ended though it is still listed: it was found to have started again. It
 // gets no requests any more, and those under way there are told. The next life is used once it is listed.
 func (p *Pool) Ended(id identity.BackendID) {
-	found, lost := p.end(id)
-	if found == nil {
+	gone, lost, known := p.end(id)
+	if !known {
 		return
 	}
-	p.checked(id, false)
-	p.ended(found.backend.Address)
+	p.tellEnded(gone)
 	for _, tell := range lost {
 		tell()
 	}
 }
 
-// end returns the back end with what is to be told to the requests under way there; nil where it was known
-// to have ended, or isn't listed.
-func (p *Pool) end(id identity.BackendID) (*entry, []func()) {
+// tellEnded tells whoever wants to know that a back end has ended. The caller doesn't hold the mutex.
+func (p *Pool) tellEnded(gone Backend) {
+	p.checked(gone.ID, false)
+	p.ended(gone.Address)
+}
+
+// end marks a back end as ended, and returns it with what is to be told to the requests under way there;
+// false where it was known to have ended, or isn't listed.
+func (p *Pool) end(id identity.BackendID) (gone Backend, lost []func(), known bool) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	found := p.byID[id]
 	if found == nil || found.ended {
-		return nil, nil
+		return Backend{}, nil, false
 	}
 	found.ended = true
-	return found, found.lost()
+	return found.backend, found.lost(), true
 }
 
 // OnEnded sets what is told the address of each back end that has ended: connections to it are of no use. It
--- a/internal/core/backendpool/ended_test.go
+++ b/internal/core/backendpool/ended_test.go
@@ -1,6 +1,7 @@
 package backendpool
 
 import (
+	"sync"
 	"testing"
 	"time"
 
@@ -71,3 +72,33 @@
 	pool.Update(livesOf(2))
 	assert.Equal(t, pool.Pick(now, Query{Service: "s"}).Backend.ID, identity.NewBackendID("b", 2))
 }
+
+// TestEndedWhileTheListIsUpdated hears of the ends of back ends beside updates of the list, for the race
+// detector to look at, and tells the addresses that they were listed with.
+func TestEndedWhileTheListIsUpdated(t *testing.T) {
+	const lives = 2000
+	pool := New("a")
+	told := 0
+	pool.OnEnded(func(address string) {
+		assert.Check(t, address == "10.0.0.1:80")
+		told++
+	})
+	var list []Backend
+	for incarnation := range identity.Incarnation(lives) {
+		id := identity.NewBackendID("b", incarnation+1)
+		list = append(list, Backend{ID: id, Service: "s", Address: "10.0.0.1:80", Zone: "a"})
+	}
+	pool.Update(list)
+	var updates sync.WaitGroup
+	updates.Go(func() {
+		for range 20 {
+			pool.Update(list)
+		}
+	})
+	for _, backend := range list {
+		pool.Ended(backend.ID)
+	}
+	updates.Wait()
+	assert.Equal(t, told, lives)
+	assert.Assert(t, pool.Pick(time.Now(), Query{Service: "s"}) == nil)
+}
--- a/internal/core/backendpool/pool.go
+++ b/internal/core/backendpool/pool.go
@@ -139,8 +139,7 @@
 func (p *Pool) Update(backends []Backend) Change {
 	change, gone := p.update(backends)
 	for _, each := range gone {
-		p.checked(each.ID, false)
-		p.ended(each.Address)
+		p.tellEnded(each)
 	}
 	return change
 }
