Say once that a failed write leaves the row of namings unknown

Three branches set the same flag and returned; one place does now. The time of a page of cache events is read where it is used. Behaviour is as it was: tests of namingrecord and of the daemon, with the race detector, and the linter.

--- a/cmd/internal/daemon/caches.go
+++ b/cmd/internal/daemon/caches.go
@@ -49,11 +49,11 @@
 
 // observeCache takes in what the cache of a back end holds and what it dropped.
 func (w *Daemon) observeCache(target cachewatch.Target, page cachewatch.Page) {
-	now := clock.Now()
 	if id := identity.BackendID(target.Name); !id.IsLifeOf(page.Incarnation) {
 		w.backends.Ended(id) // the events are of its next life
 		return
 	}
+	now := clock.Now()
 	for _, event := range page.Events {
 		fact := promptcache.Fact{
 			Part: promptcache.KeyOf(event.Part.Salt, event.Part.ID), Backend: rendezvous.Key(target.Name), Tokens: event.Tokens,
--- a/internal/namingrecord/namingrecord.go
+++ b/internal/namingrecord/namingrecord.go
@@ -141,18 +141,14 @@
 		Conditions: []port.Condition{{Key: RowKey, Version: k.version}},
 		Writes:     []port.Write{{Key: RowKey, Value: value}},
 	})
-	var conflict *port.ConflictError
-	switch {
-	case errors.As(err, &conflict):
-		k.known = false // another daemon read for all in between
-		return nil
-	case err != nil:
-		k.known = false
-		return err
-	case len(rows) == 0:
-		k.known = false
+	if err == nil && len(rows) > 0 {
+		k.version, k.held = rows[0].Version, merged
 		return nil
 	}
-	k.version, k.held = rows[0].Version, merged
-	return nil
+	k.known = false
+	var conflict *port.ConflictError
+	if errors.As(err, &conflict) {
+		return nil // another daemon read for all in between
+	}
+	return err
 }
