Log and count what back ends say of themselves in their answers

No line told that an answer said its back end drains, or for how long a refusal asked for no requests, so that an ignored word could not be told from a belief that was lost. What is sent where is as before.

--- a/internal/relay/journal.go
+++ b/internal/relay/journal.go
@@ -23,6 +23,8 @@
 	Retried(request *Request, attempt Attempt)
 	// Ejected: a back end was taken out.
 	Ejected(backend identity.BackendID, result backendpool.Result)
+	// Noticed: a back end said something of itself in the answer to a request.
+	Noticed(request *Request, backend identity.BackendID, notice backendpool.Notice)
 }
 
 // Attempt is one ended sending.
@@ -44,9 +46,11 @@
 	// FetchFrom and SaveTo are where the prompt's cache was to be taken from and
 	// saved to; empty is none.
 	FetchFrom, SaveTo string
-	Elapsed           time.Duration
-	Result            backendpool.Result
-	Reason            string
+	// Notice is what the back end said of itself in its answer.
+	Notice  backendpool.Notice
+	Elapsed time.Duration
+	Result  backendpool.Result
+	Reason  string
 }
 
 // ReplacedWeights says by which time a request had to begin at a back end whose weights were
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"time"
 
+	"github.com/lotusward/lotusward/internal/core/backendpool"
 	"github.com/lotusward/lotusward/internal/core/identity"
 	"github.com/lotusward/lotusward/internal/core/outcome"
 )
@@ -160,7 +161,9 @@
 	Delimited bool
 	// WeightsVersion is the version that the answer tells, or zero.
 	WeightsVersion uint64
-	Body           io.ReadCloser
+	// Notice is what the back end says of itself in the answer's head.
+	Notice backendpool.Notice
+	Body   io.ReadCloser
 }
 
 // SendError is a sending without an answer.
--- a/internal/relay/run.go
+++ b/internal/relay/run.go
@@ -167,6 +167,7 @@
 		failed = r.sendFailure(sending, err)
 	default:
 		ticket.Heard(r.now())
+		r.noteNotice(ticket, answer)
 		r.noteHead(answer)
 		if !answer.Stream {
 			ticket.Begun()
@@ -197,6 +198,14 @@
 	return next, failed
 }
 
+// noteNotice takes in what the back end says of itself in an answer's head.
+func (r *run) noteNotice(ticket *backendpool.Ticket, answer *Answer) {
+	r.attempt.Notice = answer.Notice
+	if !answer.Notice.IsEmpty() {
+		r.relay.options.Journal.Noticed(r.admitted.request, ticket.Backend.ID, answer.Notice)
+	}
+}
+
 // sendFailure reads a sending without an answer.
 func (r *run) sendFailure(ctx context.Context, err error) failure {
 	evidence := outcome.Sent
--- a/internal/relay/world_test.go
+++ b/internal/relay/world_test.go
@@ -222,6 +222,8 @@
 func (*lastJournal) Served(*Request, *Ending)                       {}
 func (*lastJournal) Retried(*Request, Attempt)                      {}
 func (*lastJournal) Ejected(identity.BackendID, backendpool.Result) {}
+func (*lastJournal) Noticed(*Request, identity.BackendID, backendpool.Notice) {
+}
 
 // world is a relay among scripted back ends.
 type world struct {
--- a/internal/requestlog/counters.go
+++ b/internal/requestlog/counters.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/prometheus/client_golang/prometheus"
 
+	"github.com/lotusward/lotusward/internal/core/backendpool"
 	"github.com/lotusward/lotusward/internal/relay"
 )
 
@@ -16,6 +17,7 @@
 	storeCalls *prometheus.CounterVec
 	limits     *prometheus.CounterVec
 	weights    *prometheus.CounterVec
+	notices    *prometheus.CounterVec
 	resumed    prometheus.Counter
 	unloggedN  prometheus.Counter
 	firstByte  prometheus.Histogram
@@ -41,6 +43,10 @@
 			Namespace: namespace, Name: "replaced_weights_total",
 			Help: "Sendings to back ends whose weights were replaced, by what bounds their begin (named, guessed, disturbed) and whether they began (in_time, late, not_begun).",
 		}, []string{"bound", "begun"}),
+		notices: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Namespace: namespace, Name: "backend_notices_total",
+			Help: "Answers in which a back end said that it drains (draining) or asked for no requests for a time (retry_after).",
+		}, []string{"notice"}),
 		resumed: prometheus.NewCounter(prometheus.CounterOpts{
 			Namespace: namespace, Name: "streams_resumed_total", Help: "Streams that went on at another back end.",
 		}),
@@ -54,7 +60,7 @@
 			Namespace: namespace, Name: "request_seconds", Help: "Time from a request's arrival to its end.", Buckets: bucketBounds,
 		}),
 	}
-	registerer.MustRegister(counters.requests, counters.attempts, counters.storeCalls, counters.limits, counters.weights, counters.resumed,
+	registerer.MustRegister(counters.requests, counters.attempts, counters.storeCalls, counters.limits, counters.weights, counters.notices, counters.resumed,
 		counters.unloggedN, counters.firstByte, counters.elapsed)
 	return counters
 }
@@ -109,6 +115,16 @@
 	c.weights.WithLabelValues(string(replaced.Bound.Basis), begun).Inc()
 }
 
+// noticed counts what a back end said of itself.
+func (c *Counters) noticed(notice backendpool.Notice) {
+	if notice.Draining {
+		c.notices.WithLabelValues("draining").Inc()
+	}
+	if notice.RetryAfter > 0 {
+		c.notices.WithLabelValues("retry_after").Inc()
+	}
+}
+
 func (c *Counters) retried(attempt relay.Attempt) { c.attempts.WithLabelValues(attempt.Reason).Inc() }
 
 func (c *Counters) unlogged() { c.unloggedN.Inc() }
--- a/internal/requestlog/requestlog.go
+++ b/internal/requestlog/requestlog.go
@@ -103,6 +103,29 @@
 	j.log.WithFields(fields).Warn("A back end is taken out.")
 }
 
+// Noticed implements relay.Journal.
+func (j *Journal) Noticed(request *relay.Request, backend identity.BackendID, notice backendpool.Notice) {
+	j.counters.noticed(notice)
+	if !j.failures.Allow() {
+		j.counters.unlogged()
+		return
+	}
+	fields := logrus.Fields{"request": request.ID}
+	addBackend(fields, backend)
+	addNotice(fields, notice)
+	j.log.WithFields(fields).Warn("A back end drains, or asks for no requests.")
+}
+
+// addNotice tells what a back end said of itself in an answer.
+func addNotice(fields logrus.Fields, notice backendpool.Notice) {
+	if notice.Draining {
+		fields["backend_draining"] = true
+	}
+	if notice.RetryAfter > 0 {
+		fields["backend_retry_after_ms"] = notice.RetryAfter.Milliseconds()
+	}
+}
+
 // addBackend tells a back end, and which of its lives it was where that is known.
 func addBackend(fields logrus.Fields, backend identity.BackendID) {
 	fields["backend"] = backend.Name()
@@ -189,6 +212,7 @@
 		fields["holder_tokens"] = attempt.Source.HolderTokens
 		fields["stored_tokens"] = attempt.Source.StoredTokens
 	}
+	addNotice(fields, attempt.Notice)
 	if replaced := attempt.Replaced; replaced != nil {
 		fields["weights_named"] = replaced.Bound.Newer
 		fields["begin_bound"] = replaced.Bound.Basis
