Send nothing more to back ends that have said in an answer that they drain

Callers' requests reached a back end 12 s after its answers had said that it drains: its row still had it as ready, since the store was silent, and answers were read for their outcome alone. It would have been the same with a sound store whose row comes late, or never says so.

What a life of a back end says is kept by the life and beside the list, which may be silent, old, or lack the row for a while; it is never taken back, and ends with the life. All that asks whether a back end drains goes by the row or by that word: choices, also those that fall back on doubted ones, what waits at the daemon, second sendings, rooms of regions, weights and roll-outs.

Ruled out: a shared word between daemons. Each hears at its first answer, which is a whole one, so that others' word would save one request a daemon and back end.

--- a/cmd/internal/daemon/caches.go
+++ b/cmd/internal/daemon/caches.go
@@ -7,6 +7,7 @@
 
 	"github.com/lotusward/lotusward/internal/cachewatch"
 	"github.com/lotusward/lotusward/internal/clock"
+	"github.com/lotusward/lotusward/internal/core/backendpool"
 	"github.com/lotusward/lotusward/internal/core/identity"
 	"github.com/lotusward/lotusward/internal/core/promptcache"
 	"github.com/lotusward/lotusward/internal/core/rendezvous"
@@ -53,6 +54,7 @@
 		w.backends.Ended(id) // the events are of its next life
 		return
 	}
+	w.noteBackend(identity.BackendID(target.Name), page.Notice)
 	now := clock.Now()
 	for _, event := range page.Events {
 		fact := promptcache.Fact{
@@ -65,3 +67,10 @@
 		}
 	}
 }
+
+// noteBackend takes in what a back end says of itself in an answer that is to no request of a caller.
+func (w *Daemon) noteBackend(id identity.BackendID, notice backendpool.Notice) {
+	if w.backends.Note(clock.Now(), id, notice) {
+		w.part("backends").WithField("backend", id).Warn("A back end drains, or asks for no requests.")
+	}
+}
--- a/cmd/internal/daemon/wire.go
+++ b/cmd/internal/daemon/wire.go
@@ -134,7 +134,7 @@
 	if w.settings.Bounds.OffersRollouts() {
 		w.store.FollowRollouts()
 	}
-	w.runners = platform.NewRunners(w.pool)
+	w.runners = platform.NewRunners(w.pool, w.noteBackend)
 }
 
 // wireBelief makes what knows back ends, configuration and other daemons.
--- a/internal/cachewatch/watcher.go
+++ b/internal/cachewatch/watcher.go
@@ -11,6 +11,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/lotusward/lotusward/internal/core/backendpool"
 	"github.com/lotusward/lotusward/internal/core/identity"
 	"github.com/lotusward/lotusward/internal/pause"
 )
@@ -58,6 +59,8 @@
 	// Lost is set when events between the asked position and the first are gone.
 	Lost   bool
 	Events []Event
+	// Notice is what the back end says of itself in the answer.
+	Notice backendpool.Notice
 }
 
 // Target is a cache to watch.
--- a/internal/core/backendpool/backend.go
+++ b/internal/core/backendpool/backend.go
@@ -22,7 +22,7 @@
 	Slots   int
 	// Software is the version of the service's software that it runs; empty is not told.
 	Software identity.SoftwareVersion `msgpack:",omitempty"`
-	// Draining back ends get no new requests.
+	// Draining back ends get no new requests. In the list it is what the row says.
 	Draining bool
 	// Weights are the versions of the models that it holds.
 	Weights map[identity.ModelName]uint64
@@ -97,6 +97,8 @@
 	// replaced is set when a back end that was listed later has the address, and ended once the back end
 	// itself has told of a later life.
 	replaced, ended bool
+	// said is what the back end has said of itself in answers; nil is nothing.
+	said *said
 	// listedAt counts the updates of the list up to the one that brought the back end.
 	listedAt uint64
 	// accusedBy and accusedAt are of the last other daemon that did not reach it.
--- a/internal/core/backendpool/notice.go
+++ b/internal/core/backendpool/notice.go
@@ -1,6 +1,10 @@
 package backendpool
 
-import "time"
+import (
+	"time"
+
+	"github.com/lotusward/lotusward/internal/core/identity"
+)
 
 // Notice is what a back end says of itself in an answer, beside the answer. The zero value says nothing.
 type Notice struct {
@@ -12,3 +16,83 @@
 
 // IsEmpty tells whether nothing is said.
 func (n Notice) IsEmpty() bool { return n == Notice{} }
+
+// maximumUnlistedSaid bounds the lives of which something is remembered though they are not listed: a
+// megabyte at some hundred bytes each, and as many as end in a day of 1,200 replaced back ends three times over.
+const maximumUnlistedSaid = 4096
+
+// said is what one life of a back end has said of itself to this daemon.
+//
+// It is kept beside the list and by the life, since rows lie: they are silent while the store is, late, and gone for
+// a while where a heartbeat is lost. A back end that its row had as ready got requests 12 s after it had said that
+// it drains.
+type said struct {
+	// draining is never taken back: a life that drains ends.
+	draining bool
+	// noticedAt is when something was last said.
+	noticedAt time.Time
+}
+
+// Note takes in what a back end says of itself. It returns true where that is news.
+func (p *Pool) Note(now time.Time, id identity.BackendID, notice Notice) bool {
+	if notice.IsEmpty() {
+		return false
+	}
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return p.saidBy(id, now).take(notice)
+}
+
+// Note takes in what the ticket's back end says of itself in the head of its answer. It returns true where that
+// is news.
+func (t *Ticket) Note(now time.Time, notice Notice) bool {
+	return t.pool.Note(now, t.Backend.ID, notice)
+}
+
+// take returns true where a notice is news.
+func (s *said) take(notice Notice) bool {
+	news := notice.Draining && !s.draining
+	s.draining = s.draining || notice.Draining
+	return news
+}
+
+// saidBy returns what a life has said, to be added to. The caller holds the mutex.
+func (p *Pool) saidBy(id identity.BackendID, now time.Time) *said {
+	known := p.said[id]
+	if known == nil {
+		known = &said{}
+		p.said[id] = known
+		if found := p.byID[id]; found != nil {
+			found.said = known
+		}
+	}
+	known.noticedAt = now
+	p.forgetSaid()
+	return known
+}
+
+// forgetSaid forgets the lives that said something longest ago, where there are too many that are not listed. The
+// caller holds the mutex.
+func (p *Pool) forgetSaid() {
+	for len(p.said) > len(p.byID)+maximumUnlistedSaid {
+		var oldest identity.BackendID
+		for id, known := range p.said {
+			if p.byID[id] == nil && (oldest == "" || known.noticedAt.Before(p.said[oldest].noticedAt)) {
+				oldest = id
+			}
+		}
+		delete(p.said, oldest)
+	}
+}
+
+// isDraining tells whether the back end drains, by its row or its own word.
+func (e *entry) isDraining() bool {
+	return e.backend.Draining || (e.said != nil && e.said.draining)
+}
+
+// described is the back end as its row describes it, and as draining where it says so itself.
+func (e *entry) described() Backend {
+	described := e.backend
+	described.Draining = e.isDraining()
+	return described
+}
--- /dev/null
+++ b/internal/core/backendpool/notice_test.go
@@ -0,0 +1,154 @@
+package backendpool
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/lotusward/lotusward/internal/core/identity"
+	"github.com/lotusward/lotusward/internal/core/rendezvous"
+)
+
+// noticeMachine plays a pool whose rows come, go and lie, and back ends that say themselves what they want. Its
+// model is what each life has said, whatever became of its row.
+type noticeMachine struct {
+	pool    *Pool
+	now     time.Time
+	listed  []Backend
+	drains  map[identity.BackendID]bool
+	tickets []*Ticket
+}
+
+// lifeOf draws one of some lives of some back ends.
+func lifeOf(t *rapid.T) identity.BackendID {
+	name := rapid.SampledFrom([]identity.BackendName{"a", "b", "c", "d"}).Draw(t, "name")
+	return identity.NewBackendID(name, identity.Incarnation(rapid.IntRange(0, 2).Draw(t, "life")))
+}
+
+// List replaces the list by rows of which none, or one in four, says that its back end drains.
+func (m *noticeMachine) List(t *rapid.T) {
+	m.listed = nil
+	for _, name := range []identity.BackendName{"a", "b", "c", "d"} {
+		if rapid.IntRange(0, 4).Draw(t, "gone") == 0 {
+			continue
+		}
+		id := identity.NewBackendID(name, identity.Incarnation(rapid.IntRange(0, 2).Draw(t, "life")))
+		m.listed = append(m.listed, Backend{
+			ID: id, Service: "llm", Address: string(name) + ":80", Zone: "a", Slots: 4,
+			Draining: rapid.IntRange(0, 3).Draw(t, "row drains") == 0, Weights: map[identity.ModelName]uint64{"m": 1},
+		})
+	}
+	m.pool.Update(m.listed)
+}
+
+// Drains lets a life say that it drains, in the answer to a request or in another one.
+func (m *noticeMachine) Drains(t *rapid.T) {
+	notice := Notice{Draining: true}
+	if len(m.tickets) > 0 && rapid.Bool().Draw(t, "in an answer to a request") {
+		ticket := rapid.SampledFrom(m.tickets).Draw(t, "ticket")
+		news := ticket.Note(m.now, notice)
+		assert.Equal(t, news, !m.drains[ticket.Backend.ID])
+		m.drains[ticket.Backend.ID] = true
+		return
+	}
+	id := lifeOf(t)
+	news := m.pool.Note(m.now, id, notice)
+	assert.Equal(t, news, !m.drains[id])
+	m.drains[id] = true
+}
+
+// SaysNothing is an answer in which a life says nothing: that takes nothing back.
+func (m *noticeMachine) SaysNothing(t *rapid.T) {
+	assert.Assert(t, !m.pool.Note(m.now, lifeOf(t), Notice{}))
+}
+
+// TakeOut takes back ends out of use on purpose, which is given up where no others are left.
+func (m *noticeMachine) TakeOut(t *rapid.T) {
+	var keys []uint64
+	for _, backend := range m.listed {
+		if rapid.Bool().Draw(t, "out") {
+			keys = append(keys, rendezvous.Key(string(backend.ID)))
+		}
+	}
+	m.pool.SetLeaving(Leaving{Now: keys})
+}
+
+// mayServe are the listed back ends that may get requests.
+func (m *noticeMachine) mayServe() []identity.BackendID {
+	var ids []identity.BackendID
+	for _, backend := range m.listed {
+		if !backend.Draining && !m.drains[backend.ID] {
+			ids = append(ids, backend.ID)
+		}
+	}
+	return ids
+}
+
+// Pick takes a place for a request.
+func (m *noticeMachine) Pick(t *rapid.T) {
+	m.now = m.now.Add(time.Duration(rapid.IntRange(0, 900).Draw(t, "milliseconds")) * time.Millisecond)
+	query := Query{Service: "llm", Trial: rapid.IntRange(0, 5).Draw(t, "trial") == 0}
+	if rapid.Bool().Draw(t, "prompt") {
+		query.Model, query.Home = "m", uint64(rapid.IntRange(1, 5).Draw(t, "home"))
+	}
+	ticket, shortage := m.pool.PickOrExplain(m.now, query)
+	may := m.mayServe()
+	if ticket == nil {
+		assert.Assert(t, len(may) == 0 || query.Trial, "none of %v will do: %+v", may, shortage)
+		return
+	}
+	assert.Assert(t, slices.Contains(may, ticket.Backend.ID), "%s is picked of %v", ticket.Backend.ID, may)
+	m.tickets = append(m.tickets, ticket)
+}
+
+// Release ends a request.
+func (m *noticeMachine) Release(t *rapid.T) {
+	if len(m.tickets) == 0 {
+		t.Skip("nothing is under way")
+	}
+	index := rapid.IntRange(0, len(m.tickets)-1).Draw(t, "ticket")
+	m.tickets[index].Release(m.now, Result(rapid.IntRange(int(ResultServed), int(ResultAbandoned)).Draw(t, "result")))
+	m.tickets = slices.Delete(m.tickets, index, index+1)
+}
+
+// Check compares what others are told of the back ends.
+func (m *noticeMachine) Check(t *rapid.T) {
+	var sound []identity.BackendID
+	for _, backend := range m.pool.Backends() {
+		if !backend.Draining {
+			sound = append(sound, backend.ID)
+		}
+	}
+	may := m.mayServe()
+	assert.Equal(t, len(sound), len(may))
+	for _, id := range may {
+		assert.Assert(t, slices.Contains(sound, id))
+	}
+	assert.Equal(t, len(m.pool.KeysOf("llm", "")), len(may))
+}
+
+// TestWhatLivesSayHolds draws lists and answers in any order: a life that has said that it drains gets no request,
+// through new readings of the list, rows that lapse and come back, and where no others are left.
+func TestWhatLivesSayHolds(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		machine := &noticeMachine{pool: New("a"), now: start, drains: map[identity.BackendID]bool{}}
+		machine.List(t)
+		t.Repeat(rapid.StateMachineActions(machine))
+	})
+}
+
+// TestUnlistedLivesAreForgotten bounds what is remembered of lives that are not listed; the listed ones stay.
+func TestUnlistedLivesAreForgotten(t *testing.T) {
+	pool := New("a")
+	pool.Update(engines(1))
+	pool.Note(start, "engine-0", Notice{Draining: true})
+	for number := range maximumUnlistedSaid + 10 {
+		pool.Note(start.Add(time.Duration(number+1)*time.Second), identity.BackendID(fmt.Sprint("gone-", number)), Notice{Draining: true})
+	}
+	assert.Equal(t, len(pool.said), 1+maximumUnlistedSaid)
+	assert.Assert(t, pool.Pick(start, Query{Service: "llm"}) == nil)
+}
--- a/internal/core/backendpool/pool.go
+++ b/internal/core/backendpool/pool.go
@@ -65,6 +65,8 @@
 	region    identity.Region
 	distances distance.Map
 	byID      map[identity.BackendID]*entry
+	// said is what lives have said of themselves in answers, listed or not.
+	said map[identity.BackendID]*said
 	// byKey are the same by the hashes of their IDs.
 	byKey map[uint64]*entry
 	// departed are those that are no longer listed and have requests of this daemon under way.
@@ -105,6 +107,7 @@
 		zone:     zone,
 		services: map[identity.ServiceName][]*entry{},
 		byID:     map[identity.BackendID]*entry{},
+		said:     map[identity.BackendID]*said{},
 		freed:    func() {},
 		checked:  func(identity.BackendID, bool) {},
 
@@ -158,6 +161,7 @@
 		switch {
 		case found == nil:
 			found = newEntry(backend)
+			found.said = p.said[backend.ID]
 			found.listedAt = p.updates
 			change.Added = append(change.Added, backend.ID)
 		case backend.Draining && !found.backend.Draining:
@@ -197,13 +201,13 @@
 	return change, gone
 }
 
-// Backends returns a copy of the list.
+// Backends returns a copy of the list. Those that say themselves that they drain are draining.
 func (p *Pool) Backends() []Backend {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	list := make([]Backend, 0, len(p.byID))
 	for _, id := range slices.Sorted(maps.Keys(p.byID)) {
-		list = append(list, p.byID[id].backend)
+		list = append(list, p.byID[id].described())
 	}
 	return list
 }
@@ -214,7 +218,7 @@
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	for _, found := range p.byID {
-		if found.backend.Draining || found.ejected(now) {
+		if found.isDraining() || found.ejected(now) {
 			out++
 		}
 	}
@@ -314,7 +318,7 @@
 
 // allowed tells whether a back end may get the request at all.
 func allowed(now time.Time, found *entry, query Query) bool {
-	if found.backend.Draining || found.isOver() || slices.Contains(query.Exclude, found.backend.ID) {
+	if found.isDraining() || found.isOver() || slices.Contains(query.Exclude, found.backend.ID) {
 		return false
 	}
 	if !query.admits(found) {
@@ -353,7 +357,7 @@
 	for _, found := range p.listed(query) {
 		shortage.Listed++
 		switch {
-		case found.backend.Draining, found.isOver():
+		case found.isDraining(), found.isOver():
 			shortage.Draining++
 		case slices.Contains(query.Exclude, found.backend.ID):
 			shortage.Failed++
--- a/internal/core/backendpool/software.go
+++ b/internal/core/backendpool/software.go
@@ -45,7 +45,7 @@
 }
 
 // listed tells whether the back end is there to serve new requests.
-func (e *entry) listed() bool { return !e.backend.Draining && !e.isOver() }
+func (e *entry) listed() bool { return !e.isDraining() && !e.isOver() }
 
 // InFlightAtOthers is how many requests of this daemon are under way at back ends of a service that run
 // another version of its software than the given one. Those that are no longer listed count.
--- a/internal/core/backendpool/states.go
+++ b/internal/core/backendpool/states.go
@@ -32,8 +32,8 @@
 	for _, id := range slices.Sorted(maps.Keys(p.byID)) {
 		found := p.byID[id]
 		state := State{
-			Backend: found.backend, Versions: map[identity.ModelName]uint64{},
-			Leaving: found.backend.Draining || p.leaving[found.key] == leavesNow, Doubted: found.ejected(now),
+			Backend: found.described(), Versions: map[identity.ModelName]uint64{},
+			Leaving: found.isDraining() || p.leaving[found.key] == leavesNow, Doubted: found.ejected(now),
 			Own: found.inFlight, InFlight: float64(found.inFlight) + found.others.InFlight,
 			Reading: found.reading + found.others.Reading,
 		}
--- a/internal/core/backendpool/weights.go
+++ b/internal/core/backendpool/weights.go
@@ -48,7 +48,7 @@
 	defer p.mutex.Unlock()
 	for _, found := range p.byID {
 		held := found.version(model)
-		if held > 0 && held < version && !found.isOver() && !found.backend.Draining && !found.ejected(now) {
+		if held > 0 && held < version && found.listed() && !found.ejected(now) {
 			return true
 		}
 	}
@@ -64,7 +64,7 @@
 	for _, found := range p.byID {
 		if version := found.version(model); version > 0 && !found.isOver() {
 			holders = append(holders, Holder{
-				Backend: found.backend, Version: version,
+				Backend: found.described(), Version: version,
 				InFlight: float64(found.inFlight) + found.others.InFlight,
 				Reading:  found.reading + found.others.Reading, Doubted: found.ejected(now),
 			})
--- a/internal/relay/journal.go
+++ b/internal/relay/journal.go
@@ -23,7 +23,7 @@
 	Retried(request *Request, attempt Attempt)
 	// Ejected: a back end was taken out.
 	Ejected(backend identity.BackendID, result backendpool.Result)
-	// Noticed: a back end said something of itself in the answer to a request.
+	// Noticed: a back end said something new of itself in the answer to a request.
 	Noticed(request *Request, backend identity.BackendID, notice backendpool.Notice)
 }
 
--- a/internal/relay/run.go
+++ b/internal/relay/run.go
@@ -201,7 +201,7 @@
 // noteNotice takes in what the back end says of itself in an answer's head.
 func (r *run) noteNotice(ticket *backendpool.Ticket, answer *Answer) {
 	r.attempt.Notice = answer.Notice
-	if !answer.Notice.IsEmpty() {
+	if ticket.Note(r.now(), answer.Notice) {
 		r.relay.options.Journal.Noticed(r.admitted.request, ticket.Backend.ID, answer.Notice)
 	}
 }
