Send nothing to back ends while they ask for no requests

Back ends that refused with a time got up to 61 requests of one daemon in the 3 s for which they had asked for none, and while half of them did so 98 of 292 requests were served, though the other half was free. The time was not read, and a refusal changes nothing that is believed: a back end that refuses all has nothing under way, looks free and draws the load, and the budget of second sendings is spent within a second.

The time is kept with what a life says of itself. Until it is over the back end gets nothing, whoever else is left; of several times the last end counts. After it one request finds out whether requests are taken again, others wait for its answer as for a place, so that no herd is refused together. Where all back off, a request is refused at once, told the time of the first one and up to half as long again.

Ruled out: counting a refusal as load that decays, which keeps sending within the time.

--- a/internal/core/backendpool/notice.go
+++ b/internal/core/backendpool/notice.go
@@ -29,6 +29,8 @@
 type said struct {
 	// draining is never taken back: a life that drains ends.
 	draining bool
+	// backoff is of the times for which it wants no requests.
+	backoff backoff
 	// noticedAt is when something was last said.
 	noticedAt time.Time
 }
@@ -40,19 +42,16 @@
 	}
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	return p.saidBy(id, now).take(notice)
-}
-
-// Note takes in what the ticket's back end says of itself in the head of its answer. It returns true where that
-// is news.
-func (t *Ticket) Note(now time.Time, notice Notice) bool {
-	return t.pool.Note(now, t.Backend.ID, notice)
+	return p.saidBy(id, now).take(now, notice)
 }
 
 // take returns true where a notice is news.
-func (s *said) take(notice Notice) bool {
+func (s *said) take(now time.Time, notice Notice) bool {
 	news := notice.Draining && !s.draining
 	s.draining = s.draining || notice.Draining
+	if notice.RetryAfter > 0 {
+		news = s.backoff.extend(now, notice.RetryAfter) || news
+	}
 	return news
 }
 
--- a/internal/core/backendpool/notice_test.go
+++ b/internal/core/backendpool/notice_test.go
@@ -16,11 +16,16 @@
 // noticeMachine plays a pool whose rows come, go and lie, and back ends that say themselves what they want. Its
 // model is what each life has said, whatever became of its row.
 type noticeMachine struct {
-	pool    *Pool
-	now     time.Time
-	listed  []Backend
-	drains  map[identity.BackendID]bool
-	tickets []*Ticket
+	pool   *Pool
+	now    time.Time
+	listed []Backend
+	drains map[identity.BackendID]bool
+	// backsOff is until when lives want no requests, and tried the request that finds out after it, where one is under
+	// way that has not been answered.
+	backsOff   map[identity.BackendID]time.Time
+	recovering map[identity.BackendID]bool
+	tried      map[identity.BackendID]*Ticket
+	tickets    []*Ticket
 }
 
 // lifeOf draws one of some lives of some back ends.
@@ -48,19 +53,43 @@
 // Drains lets a life say that it drains, in the answer to a request or in another one.
 func (m *noticeMachine) Drains(t *rapid.T) {
 	notice := Notice{Draining: true}
-	if len(m.tickets) > 0 && rapid.Bool().Draw(t, "in an answer to a request") {
-		ticket := rapid.SampledFrom(m.tickets).Draw(t, "ticket")
-		news := ticket.Note(m.now, notice)
-		assert.Equal(t, news, !m.drains[ticket.Backend.ID])
-		m.drains[ticket.Backend.ID] = true
-		return
-	}
 	id := lifeOf(t)
 	news := m.pool.Note(m.now, id, notice)
 	assert.Equal(t, news, !m.drains[id])
 	m.drains[id] = true
 }
 
+// Answer is the head of an answer to a request under way, in which the back end may say that it drains or for how
+// long it wants no requests.
+func (m *noticeMachine) Answer(t *rapid.T) {
+	if len(m.tickets) == 0 {
+		t.Skip("nothing is under way")
+	}
+	ticket := rapid.SampledFrom(m.tickets).Draw(t, "ticket")
+	id := ticket.Backend.ID
+	notice := Notice{Draining: rapid.IntRange(0, 4).Draw(t, "drains") == 0}
+	took := rapid.Bool().Draw(t, "took")
+	if !took && rapid.Bool().Draw(t, "asks for none") {
+		notice.RetryAfter = time.Duration(rapid.IntRange(1, 3000).Draw(t, "retry after")) * time.Millisecond
+	}
+	wanted := !m.now.Before(m.backsOff[id])
+	news := ticket.Answered(m.now, notice, took)
+	assert.Equal(t, news, (notice.Draining && !m.drains[id]) || (notice.RetryAfter > 0 && wanted))
+	m.drains[id] = m.drains[id] || notice.Draining
+	if until := m.now.Add(notice.RetryAfter); notice.RetryAfter > 0 {
+		m.recovering[id] = true
+		if until.After(m.backsOff[id]) {
+			m.backsOff[id] = until
+		}
+	}
+	if m.tried[id] == ticket {
+		delete(m.tried, id)
+		if took && !m.now.Before(m.backsOff[id]) {
+			delete(m.recovering, id)
+		}
+	}
+}
+
 // SaysNothing is an answer in which a life says nothing: that takes nothing back.
 func (m *noticeMachine) SaysNothing(t *rapid.T) {
 	assert.Assert(t, !m.pool.Note(m.now, lifeOf(t), Notice{}))
@@ -81,7 +110,7 @@
 func (m *noticeMachine) mayServe() []identity.BackendID {
 	var ids []identity.BackendID
 	for _, backend := range m.listed {
-		if !backend.Draining && !m.drains[backend.ID] {
+		if !backend.Draining && !m.drains[backend.ID] && !m.now.Before(m.backsOff[backend.ID]) {
 			ids = append(ids, backend.ID)
 		}
 	}
@@ -97,11 +126,17 @@
 	}
 	ticket, shortage := m.pool.PickOrExplain(m.now, query)
 	may := m.mayServe()
+	free := slices.DeleteFunc(slices.Clone(may), func(id identity.BackendID) bool { return m.tried[id] != nil })
 	if ticket == nil {
-		assert.Assert(t, len(may) == 0 || query.Trial, "none of %v will do: %+v", may, shortage)
+		assert.Assert(t, len(free) == 0 || query.Trial, "none of %v will do: %+v", free, shortage)
+		assert.Assert(t, query.Trial || (shortage.Busy > 0) == (len(may) > 0), "%+v, though %v may serve", shortage, may)
 		return
 	}
-	assert.Assert(t, slices.Contains(may, ticket.Backend.ID), "%s is picked of %v", ticket.Backend.ID, may)
+	id := ticket.Backend.ID
+	assert.Assert(t, slices.Contains(free, id), "%s is picked of %v", id, free)
+	if m.recovering[id] {
+		m.tried[id] = ticket
+	}
 	m.tickets = append(m.tickets, ticket)
 }
 
@@ -111,31 +146,45 @@
 		t.Skip("nothing is under way")
 	}
 	index := rapid.IntRange(0, len(m.tickets)-1).Draw(t, "ticket")
+	if id := m.tickets[index].Backend.ID; m.tried[id] == m.tickets[index] {
+		delete(m.tried, id)
+	}
 	m.tickets[index].Release(m.now, Result(rapid.IntRange(int(ResultServed), int(ResultAbandoned)).Draw(t, "result")))
 	m.tickets = slices.Delete(m.tickets, index, index+1)
 }
 
-// Check compares what others are told of the back ends.
+// Check compares what others are told of the back ends, and when the first is back where all back off.
 func (m *noticeMachine) Check(t *rapid.T) {
-	var sound []identity.BackendID
+	stay, first, anyFree := 0, time.Time{}, false
 	for _, backend := range m.pool.Backends() {
-		if !backend.Draining {
-			sound = append(sound, backend.ID)
+		row := m.listed[slices.IndexFunc(m.listed, func(listed Backend) bool { return listed.ID == backend.ID })]
+		assert.Equal(t, backend.Draining, row.Draining || m.drains[backend.ID])
+		if backend.Draining {
+			continue
+		}
+		stay++
+		until := m.backsOff[backend.ID]
+		anyFree = anyFree || !m.now.Before(until)
+		if first.IsZero() || until.Before(first) {
+			first = until
 		}
 	}
-	may := m.mayServe()
-	assert.Equal(t, len(sound), len(may))
-	for _, id := range may {
-		assert.Assert(t, slices.Contains(sound, id))
+	assert.Equal(t, len(m.pool.KeysOf("llm", "")), stay)
+	if anyFree {
+		first = time.Time{}
 	}
-	assert.Equal(t, len(m.pool.KeysOf("llm", "")), len(may))
+	assert.Equal(t, m.pool.BackAt(m.now, "llm"), first)
 }
 
 // TestWhatLivesSayHolds draws lists and answers in any order: a life that has said that it drains gets no request,
-// through new readings of the list, rows that lapse and come back, and where no others are left.
+// one that has asked for none gets none until then and one at a time until it takes one, through new readings of the
+// list, rows that lapse and come back, and where no others are left.
 func TestWhatLivesSayHolds(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		machine := &noticeMachine{pool: New("a"), now: start, drains: map[identity.BackendID]bool{}}
+		machine := &noticeMachine{
+			pool: New("a"), now: start, drains: map[identity.BackendID]bool{}, backsOff: map[identity.BackendID]time.Time{},
+			recovering: map[identity.BackendID]bool{}, tried: map[identity.BackendID]*Ticket{},
+		}
 		machine.List(t)
 		t.Repeat(rapid.StateMachineActions(machine))
 	})
--- a/internal/core/backendpool/pool.go
+++ b/internal/core/backendpool/pool.go
@@ -265,21 +265,24 @@
 		Key: picked.key, Candidates: len(candidates), Waiting: waiting, entry: picked, pool: p, work: work, tokens: tokens, reading: true,
 	}
 	picked.tickets[ticket] = true
+	picked.picked(ticket)
 	p.touch(picked)
 	return ticket
 }
 
 // candidates returns the back ends that will do, without the doubted and leaving
 // ones unless there are no others, and without those whose places are all taken. While all
-// of them are busy or full it returns none, and how many they are. As long as one is not
-// busy, all are weighed: it may be dearer to read a prompt anew there than to wait where it
-// is held.
+// of them are busy or full, or the only ones left are on trial after a backoff, it returns
+// none, and how many they are. As long as one is not busy, all are weighed: it may be dearer to
+// read a prompt anew there than to wait where it is held.
 func (p *Pool) candidates(now time.Time, query Query) (found []*entry, busy int) {
 	var sound, soon, doubted []*entry
-	full := 0
+	full, onTrial := 0, 0
 	for _, candidate := range p.listed(query) {
 		switch {
 		case !allowed(now, candidate, query):
+		case candidate.onTrial(now):
+			onTrial++
 		case query.Trial && p.outOfUse(now, candidate):
 		case candidate.ejected(now) || p.leaving[candidate.key] == leavesNow:
 			doubted = append(doubted, candidate)
@@ -301,6 +304,8 @@
 		return nil, full
 	case len(sound) == 0 && len(soon) > 0:
 		return soon, 0
+	case len(sound) == 0 && len(doubted) == 0:
+		return nil, onTrial
 	case len(sound) == 0:
 		return doubted, 0
 	case busy == len(sound):
@@ -318,7 +323,7 @@
 
 // allowed tells whether a back end may get the request at all.
 func allowed(now time.Time, found *entry, query Query) bool {
-	if found.isDraining() || found.isOver() || slices.Contains(query.Exclude, found.backend.ID) {
+	if found.isDraining() || found.isOver() || found.backsOff(now) || slices.Contains(query.Exclude, found.backend.ID) {
 		return false
 	}
 	if !query.admits(found) {
@@ -337,16 +342,16 @@
 // Shortage says why a query found no back end: how many its service has, and how
 // many of them would not do, each counted for the first reason that applies. One
 // whose address has gone to another back end, or that has ended, counts as draining. Busy ones would do
-// once they have less under way. OtherVersion are those that run another version of the
+// once they have less under way. BackingOff are those that have asked this daemon for no requests. OtherVersion are those that run another version of the
 // service's software than the query asks for, or that it doesn't name.
 type Shortage struct {
-	Listed, Draining, Failed, OtherVersion, OldWeights, Busy int
+	Listed, Draining, BackingOff, Failed, OtherVersion, OldWeights, Busy int
 }
 
 // Plus adds up what was found in two regions.
 func (s Shortage) Plus(other Shortage) Shortage {
 	return Shortage{
-		Listed: s.Listed + other.Listed, Draining: s.Draining + other.Draining, Failed: s.Failed + other.Failed,
+		Listed: s.Listed + other.Listed, Draining: s.Draining + other.Draining, BackingOff: s.BackingOff + other.BackingOff, Failed: s.Failed + other.Failed,
 		OtherVersion: s.OtherVersion + other.OtherVersion, OldWeights: s.OldWeights + other.OldWeights, Busy: s.Busy + other.Busy,
 	}
 }
@@ -359,6 +364,8 @@
 		switch {
 		case found.isDraining(), found.isOver():
 			shortage.Draining++
+		case found.backsOff(now):
+			shortage.BackingOff++
 		case slices.Contains(query.Exclude, found.backend.ID):
 			shortage.Failed++
 		case !query.admits(found):
--- a/internal/core/backendpool/states.go
+++ b/internal/core/backendpool/states.go
@@ -15,6 +15,8 @@
 	Versions map[identity.ModelName]uint64
 	// Leaving is set when it says so, and while it is taken out of use on purpose.
 	Leaving bool
+	// Backoff is for how long it still wants no requests from this daemon.
+	Backoff time.Duration
 	// Doubted is set while it gets no requests because of failed ones.
 	Doubted bool
 	// Own is how many requests of this daemon are under way there, InFlight of all
@@ -37,6 +39,9 @@
 			Own: found.inFlight, InFlight: float64(found.inFlight) + found.others.InFlight,
 			Reading: found.reading + found.others.Reading,
 		}
+		if found.backsOff(now) {
+			state.Backoff = found.said.backoff.until.Sub(now)
+		}
 		for model := range found.backend.Weights {
 			state.Versions[model] = found.version(model)
 		}
--- a/internal/core/backendpool/ticket.go
+++ b/internal/core/backendpool/ticket.go
@@ -93,6 +93,7 @@
 		delete(t.pool.departed, t.entry)
 	}
 	delete(t.entry.tickets, t)
+	t.endTrial(now, false)
 	t.entry.tokens -= t.tokens
 	t.pool.touch(t.entry)
 	t.endReading()
--- a/internal/core/query/rows.go
+++ b/internal/core/query/rows.go
@@ -23,6 +23,8 @@
 	Models string `column:"models"`
 	// Leaving is set when it says so, and while it is taken out to load weights.
 	Leaving bool `column:"leaving"`
+	// Backoff is for how long it still wants no requests from the asked daemon.
+	Backoff time.Duration `column:"backoff"`
 	// Doubted is set while it gets no requests since it failed some.
 	Doubted bool `column:"doubted"`
 	// Running is how many requests are under way there, of all daemons as far as told.
--- /dev/null
+++ b/internal/relay/notices_test.go
@@ -0,0 +1,97 @@
+package relay
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"github.com/lotusward/lotusward/internal/core/backendpool"
+	"github.com/lotusward/lotusward/internal/core/routing"
+)
+
+// TestAllBackingOffRefusesAtOnce refuses without a sending while all back ends have asked for none, and lets callers
+// come back over a while from when the first takes requests again. Where one is free, nobody is refused.
+func TestAllBackingOffRefusesAtOnce(t *testing.T) {
+	made := newWorld(routing.Route{Kind: routing.KindSafe, MaxAttempts: 2, TargetLatency: time.Second}, 3, 10)
+	began := time.Now()
+	made.pool.Note(began, "b0", backendpool.Notice{RetryAfter: 2 * time.Second})
+	made.pool.Note(began, "b1", backendpool.Notice{RetryAfter: 8 * time.Second})
+	assert.Equal(t, made.ask(nil).head.Status, http.StatusOK)
+	assert.Equal(t, string(made.backends.dispatches[0].Backend), "b2")
+
+	made.pool.Note(time.Now(), "b2", backendpool.Notice{RetryAfter: 8 * time.Second})
+	least, most := time.Hour, time.Duration(0)
+	for range 200 {
+		refusal := made.ask(nil).refusal
+		assert.Assert(t, refusal != nil && refusal.Kind == RefusalNotRun)
+		least, most = min(least, refusal.RetryAfter), max(most, refusal.RetryAfter)
+	}
+	left := time.Until(began.Add(2 * time.Second))
+	assert.Equal(t, len(made.backends.dispatches), 1)
+	assert.Assert(t, least >= left, "a caller is told to come back %s too early", left-least)
+	assert.Assert(t, most <= 3*time.Second, "a caller is told to come back after %s", most)
+	assert.Assert(t, most-least > left/4, "all come back within %s", most-least)
+	assert.Equal(t, made.journal.last.Shortage.BackingOff, 3)
+}
+
+// trialBackends answer nothing until they are released.
+type trialBackends struct {
+	*scriptedBackends
+	mutex    sync.Mutex
+	sent     int
+	released chan struct{}
+}
+
+func (b *trialBackends) Send(ctx context.Context, dispatch *Dispatch) (*Answer, error) {
+	b.mutex.Lock()
+	b.sent++
+	b.mutex.Unlock()
+	<-b.released
+	return b.scriptedBackends.Send(ctx, dispatch)
+}
+
+func (b *trialBackends) count() int {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return b.sent
+}
+
+// TestOneRequestFindsOutWhetherABackoffIsOver lets callers come together once the only back end may take requests
+// again: one request is sent, the others wait for its answer and are all served after it.
+func TestOneRequestFindsOutWhetherABackoffIsOver(t *testing.T) {
+	made := newWorld(routing.Route{Kind: routing.KindSafe, MaxAttempts: 2, TargetLatency: 5 * time.Second}, 1, 10)
+	backends := &trialBackends{scriptedBackends: made.backends, released: make(chan struct{})}
+	made.relay.options.Backends = backends
+	made.pool.Note(time.Now(), "b0", backendpool.Notice{RetryAfter: 10 * time.Millisecond})
+	time.Sleep(20 * time.Millisecond)
+
+	const callers = 20
+	statuses := make([]int, callers)
+	var asking sync.WaitGroup
+	for number := range callers {
+		asking.Go(func() {
+			if head := made.ask(nil).head; head != nil {
+				statuses[number] = head.Status
+			}
+		})
+	}
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if backends.count() > 0 {
+			return poll.Success()
+		}
+		return poll.Continue("nothing is sent")
+	})
+	time.Sleep(200 * time.Millisecond)
+	assert.Equal(t, backends.count(), 1)
+	close(backends.released)
+	asking.Wait()
+	for number, status := range statuses {
+		assert.Equal(t, status, http.StatusOK, "caller %d", number)
+	}
+	assert.Equal(t, backends.count(), callers)
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -187,6 +187,23 @@
 	return &Refusal{Kind: RefusalNotRun, Reason: reason, RetryAfter: r.options.Policy.RetryAfter}
 }
 
+// returnSpread is over which share of its wait a caller's return is drawn beyond it. Callers that are refused while
+// all back ends back off would otherwise all come back in the moment in which the first one takes requests again:
+// at 50 a second, 150 of them after 3 s.
+const returnSpread = 0.5
+
+// returnAfter is after how long callers are to come back, where all back ends of a service have asked for no
+// requests; zero where not.
+func (r *Relay) returnAfter(service identity.ServiceName) time.Duration {
+	now := r.options.Now()
+	backAt := r.options.Pool.BackAt(now, service)
+	if backAt.IsZero() {
+		return 0
+	}
+	wait := float64(backAt.Sub(now))
+	return time.Duration(wait + rand.Float64()*returnSpread*wait)
+}
+
 // deadline is when the caller's patience or the route's timeout ends, whichever
 // comes first; zero when neither is known.
 func deadline(request *Request, route *routing.Route) time.Time {
--- a/internal/relay/run.go
+++ b/internal/relay/run.go
@@ -201,7 +201,7 @@
 // noteNotice takes in what the back end says of itself in an answer's head.
 func (r *run) noteNotice(ticket *backendpool.Ticket, answer *Answer) {
 	r.attempt.Notice = answer.Notice
-	if ticket.Note(r.now(), answer.Notice) {
+	if ticket.Answered(r.now(), answer.Notice, answer.Verdict == VerdictAnswer) {
 		r.relay.options.Journal.Noticed(r.admitted.request, ticket.Backend.ID, answer.Notice)
 	}
 }
@@ -328,6 +328,9 @@
 	if r.overloaded && !r.unconfirmed {
 		return r.relay.waiting.retryAfter(r.admitted.match.Service)
 	}
+	if wait := r.relay.returnAfter(r.admitted.match.Service); wait > 0 {
+		return wait
+	}
 	return r.relay.options.Policy.RetryAfter
 }
 
--- a/internal/requestlog/requestlog.go
+++ b/internal/requestlog/requestlog.go
@@ -189,6 +189,9 @@
 		fields["back_ends"] = shortage.Listed
 		fields["draining"] = shortage.Draining
 		fields["failed"] = shortage.Failed
+		if shortage.BackingOff > 0 {
+			fields["backing_off"] = shortage.BackingOff
+		}
 		fields["old_weights"] = shortage.OldWeights
 		if shortage.OtherVersion > 0 {
 			fields["other_version"] = shortage.OtherVersion
