Ask once more, before the first byte, whether a back end wants a request

A sending is decided before its connection is made, which may take 0.6 s: those that queue for a connection arrive after the back end has asked for none, up to twelve in the test where none may. The exchange asks once it has a connection; what no longer stands goes to another back end, costs no budget, and the connection is kept.

--- a/internal/adapter/httpexchange/exchange.go
+++ b/internal/adapter/httpexchange/exchange.go
@@ -75,6 +75,9 @@
 	Host   string
 	Header http.Header
 	Body   []byte
+	// Stands is asked once there is a connection, which may take as long as a dial: an error ends the exchange
+	// before a byte is sent. Nil is none.
+	Stands func() error
 	// Belongs tells whether an answer is this request's; nil means any is.
 	Belongs func(http.Header) bool
 }
@@ -136,6 +139,10 @@
 	if err != nil {
 		return nil, &Error{Address: address, Stage: StageUnreached, Cause: err}
 	}
+	if err := request.stands(); err != nil {
+		taken.keep(0)
+		return nil, &Error{Address: address, Stage: StageUnreached, Reused: taken.reused, Cause: err}
+	}
 	stop := context.AfterFunc(ctx, taken.close)
 	answer, err := taken.exchange(request)
 	if err != nil {
@@ -150,6 +157,14 @@
 	return answer, nil
 }
 
+// stands tells why the request is not to be sent any more; nil if it is.
+func (r *Request) stands() error {
+	if r.Stands == nil {
+		return nil
+	}
+	return r.Stands()
+}
+
 // exchange writes the request and reads the head of its answer. A long body is
 // written while the answer is awaited, since the other side may answer early.
 func (c *connection) exchange(request *Request) (*Answer, error) {
--- a/internal/adapter/httpexchange/exchange_test.go
+++ b/internal/adapter/httpexchange/exchange_test.go
@@ -306,3 +306,31 @@
 	answer.Close()
 	assert.Equal(t, pool.Opened(), uint64(3))
 }
+
+// TestNothingIsSentThatNoLongerStands sends no byte of a request that is given up once there is a connection, and
+// keeps the connection for the next one.
+func TestNothingIsSentThatNoLongerStands(t *testing.T) {
+	var arrived atomic.Int32
+	server := httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) {
+		arrived.Add(1)
+		writer.Header().Set("Id", "1")
+		_, _ = io.WriteString(writer, "one")
+	}))
+	t.Cleanup(server.Close)
+	pool := NewPool(Options{})
+	t.Cleanup(pool.Close)
+	address := server.Listener.Addr().String()
+
+	given := errors.New("given up")
+	asked := request("1")
+	asked.Stands = func() error { return given }
+	_, err := pool.Do(t.Context(), address, asked)
+	var failed *Error
+	assert.Assert(t, errors.As(err, &failed) && errors.Is(err, given))
+	assert.Equal(t, failed.Stage, StageUnreached)
+	body, err := exchange(t, pool, address, "1")
+	assert.NilError(t, err)
+	assert.Equal(t, body, "one")
+	assert.Equal(t, arrived.Load(), int32(1))
+	assert.Equal(t, pool.Opened(), uint64(1))
+}
--- a/internal/core/backendpool/backoff.go
+++ b/internal/core/backendpool/backoff.go
@@ -66,6 +66,15 @@
 	return news
 }
 
+// Stands tells whether the back end still may get the request that was sent for: while a connection was made it may
+// have said that it drains or wants none.
+func (t *Ticket) Stands(now time.Time) bool {
+	t.pool.mutex.Lock()
+	defer t.pool.mutex.Unlock()
+	said := t.pool.said[t.Backend.ID]
+	return said == nil || (!said.draining && !said.backoff.active(now))
+}
+
 // endTrial ends the trial that the request was, if it was one. The caller holds the mutex.
 func (t *Ticket) endTrial(now time.Time, took bool) {
 	if t.entry.said == nil || t.entry.said.backoff.trial != t {
--- a/internal/relay/notices_test.go
+++ b/internal/relay/notices_test.go
@@ -11,6 +11,7 @@
 	"gotest.tools/v3/poll"
 
 	"github.com/lotusward/lotusward/internal/core/backendpool"
+	"github.com/lotusward/lotusward/internal/core/outcome"
 	"github.com/lotusward/lotusward/internal/core/routing"
 )
 
@@ -95,3 +96,36 @@
 	}
 	assert.Equal(t, backends.count(), callers)
 }
+
+// slowBackends take a moment to connect, and ask then whether the request still stands.
+type slowBackends struct{ *scriptedBackends }
+
+func (b slowBackends) Send(ctx context.Context, dispatch *Dispatch) (*Answer, error) {
+	time.Sleep(100 * time.Millisecond)
+	if err := dispatch.Stands(); err != nil {
+		return nil, &SendError{Evidence: outcome.Unreached, Cause: err}
+	}
+	return b.scriptedBackends.Send(ctx, dispatch)
+}
+
+// TestNothingIsSentToWhomWantsNoneSinceItWasChosen lets the back ends of requests ask for none, or say that they
+// drain, while connections to them are made: the requests go to the one that is left, and cost no budget.
+func TestNothingIsSentToWhomWantsNoneSinceItWasChosen(t *testing.T) {
+	made := newWorld(routing.Route{Kind: routing.KindUnsafe, MaxAttempts: 1}, 3, 0)
+	made.relay.options.Backends = slowBackends{made.backends}
+	callers := make([]*recordingCaller, 12)
+	var asking sync.WaitGroup
+	for number := range callers {
+		asking.Go(func() { callers[number] = made.ask(nil) })
+	}
+	time.Sleep(50 * time.Millisecond)
+	made.pool.Note(time.Now(), "b0", backendpool.Notice{RetryAfter: time.Minute})
+	made.pool.Note(time.Now(), "b1", backendpool.Notice{Draining: true})
+	asking.Wait()
+	for number, caller := range callers {
+		assert.Equal(t, caller.body.String(), "whole body", "caller %d", number)
+	}
+	for _, sent := range made.backends.dispatches {
+		assert.Equal(t, string(sent.Backend), "b2")
+	}
+}
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -131,6 +131,9 @@
 	FetchFrom, SaveTo string
 	// ResumeAfter is the id of the last event of the stream that is not wanted again.
 	ResumeAfter string
+	// Stands is to be asked just before the request is sent, where connecting has taken time; an error ends the
+	// sending. Nil is none.
+	Stands func() error
 }
 
 // Verdict says what a back end's answer means.
--- a/internal/relay/run.go
+++ b/internal/relay/run.go
@@ -31,6 +31,8 @@
 	// errOldWeights cuts a request that waits at a back end with weights on which
 	// requests may no longer begin.
 	errOldWeights = errors.New("the back end has old weights and has not begun")
+	// errUnwanted ends a sending before a byte of it left.
+	errUnwanted = errors.New("the back end drains or wants no requests since it was chosen")
 )
 
 // run is one admitted request on its way through back ends.
@@ -156,6 +158,7 @@
 	defer r.begin.stop()
 	watch := r.watchFirst(ticket, cancel)
 	dispatch := r.relay.dispatch(r.admitted, ticket, r.lastEvent)
+	dispatch.Stands = func() error { return r.stillWanted(ticket) }
 	r.attempt.FetchFrom, r.attempt.SaveTo = dispatch.FetchFrom, dispatch.SaveTo
 	ended := r.sentChoice(ticket)
 	answer, err := r.relay.options.Backends.Send(sending, dispatch)
@@ -198,6 +201,15 @@
 	return next, failed
 }
 
+// stillWanted returns an error where the back end has said that it wants no requests since it was chosen. A connection
+// may take 0.6 s to be made: a queue of sendings that wait for theirs would arrive long after the first refusal.
+func (r *run) stillWanted(ticket *backendpool.Ticket) error {
+	if ticket.Stands(r.now()) {
+		return nil
+	}
+	return errUnwanted
+}
+
 // noteNotice takes in what the back end says of itself in an answer's head.
 func (r *run) noteNotice(ticket *backendpool.Ticket, answer *Answer) {
 	r.attempt.Notice = answer.Notice
@@ -208,6 +220,9 @@
 
 // sendFailure reads a sending without an answer.
 func (r *run) sendFailure(ctx context.Context, err error) failure {
+	if errors.Is(err, errUnwanted) {
+		return failure{evidence: outcome.Unreached, result: backendpool.ResultAbandoned, reason: "unwanted"}
+	}
 	evidence := outcome.Sent
 	var sendError *SendError
 	if errors.As(err, &sendError) {
