--- a/cmd/lotusward/soak_test.go
+++ b/cmd/lotusward/soak_test.go
@@ -71,6 +71,9 @@
 	addPage func(id string)
 	// lives draws what soaklives_test.go adds to the faults.
 	lives *rand.Rand
+	// notices draws what soaknotices_test.go adds, and frozen are the daemons that were frozen at any time.
+	notices *rand.Rand
+	frozen  map[*process]bool
 	// namings are when versions of the weights were named, the first one's first, and troubles
 	// when the store began to misbehave.
 	namings, troubles []time.Time
@@ -117,7 +120,7 @@
 	t.Cleanup(made.store.Close)
 	s := &soak{
 		deployment: made, luck: rand.New(rand.NewPCG(seed, 1)), stops: map[*process]time.Time{}, ending: make(chan struct{}), named: 1,
-		lives: rand.New(rand.NewPCG(seed, livesStream)),
+		lives: rand.New(rand.NewPCG(seed, livesStream)), notices: rand.New(rand.NewPCG(seed, noticesStream)), frozen: map[*process]bool{},
 	}
 	s.addPage = func(id string) { s.page(id) }
 	extra.begin(s)
@@ -138,6 +141,7 @@
 		time.Sleep(time.Duration(50+s.luck.IntN(500)) * time.Millisecond)
 		s.disturb()
 		s.disturbLives()
+		s.disturbNotices()
 		extra.step()
 	}
 	s.quiet()
@@ -147,6 +151,7 @@
 	clients.Wait()
 	s.check()
 	s.checkBegins()
+	s.checkNotices()
 	extra.check()
 	if t.Failed() {
 		t.Logf("seed %d:\n%s", seed, strings.Join(s.log, "\n"))
@@ -237,6 +242,7 @@
 		}
 	case 2: // frozen
 		s.freezes = append(s.freezes, time.Now())
+		s.frozen[s.daemons[at]] = true
 		frozen := s.daemons[at].command.Process
 		_ = frozen.Signal(syscall.SIGSTOP)
 		time.AfterFunc(time.Duration(100+s.luck.IntN(1500))*time.Millisecond, func() { _ = frozen.Signal(syscall.SIGCONT) })
