Say once per sender and kind that another daemon's messages can't be read, and count them

A message that can't be decoded was dropped without a word: daemons of two builds would each believe that the other has nothing to tell. None of it is taken, it is counted by kind, and a line names sender, kind and the own build; the metric build_info tells each daemon's build.

--- a/cmd/internal/daemon/metrics.go
+++ b/cmd/internal/daemon/metrics.go
@@ -11,6 +11,7 @@
 
 	"github.com/lotusward/lotusward/internal/clock"
 	"github.com/lotusward/lotusward/internal/eventlog"
+	"github.com/lotusward/lotusward/internal/version"
 	"github.com/lotusward/lotusward/platform"
 )
 
@@ -45,7 +46,13 @@
 
 // registerState adds the figures that are read when they are asked for.
 func registerState(registry *prometheus.Registry, writer *eventlog.Writer) {
+	build := prometheus.NewGauge(prometheus.GaugeOpts{
+		Namespace: "lotusward", Name: "build_info", Help: "Always 1; its label tells which build the daemon is.",
+		ConstLabels: prometheus.Labels{"version": version.String()},
+	})
+	build.Set(1)
 	registry.MustRegister(
+		build,
 		prometheus.NewCounterFunc(prometheus.CounterOpts{
 			Namespace: "lotusward", Name: "suspended_seconds_total", Help: "Time in which the machine was suspended, since the start.",
 		}, func() float64 { return clock.Suspended().Seconds() }),
--- a/cmd/internal/daemon/regions.go
+++ b/cmd/internal/daemon/regions.go
@@ -27,14 +27,17 @@
 }
 
 // peerTraffic counts what daemons send each other.
-type peerTraffic struct{ bytes *prometheus.CounterVec }
+type peerTraffic struct{ bytes, malformed *prometheus.CounterVec }
 
 func newPeerTraffic(registry prometheus.Registerer) *peerTraffic {
 	made := &peerTraffic{bytes: prometheus.NewCounterVec(prometheus.CounterOpts{
 		Namespace: "lotusward", Name: "peer_bytes_total",
 		Help: "Bytes between daemons by kind of message and distance (zone, region, other_region): datagrams that this daemon sent, and snapshots that it was sent.",
-	}, []string{"kind", "distance"})}
-	registry.MustRegister(made.bytes)
+	}, []string{"kind", "distance"}), malformed: prometheus.NewCounterVec(prometheus.CounterOpts{
+		Namespace: "lotusward", Name: "peer_malformed_total",
+		Help: "Datagrams of other daemons that this build can't read, by kind of message.",
+	}, []string{"kind"})}
+	registry.MustRegister(made.bytes, made.malformed)
 	return made
 }
 
--- a/cmd/internal/daemon/wire.go
+++ b/cmd/internal/daemon/wire.go
@@ -177,6 +177,7 @@
 	w.link.ObserveSent(func(to string, datagram []byte) {
 		traffic.sent(peerlink.KindOf(datagram).String(), w.distanceTo(to), len(datagram))
 	})
+	w.link.ObserveMalformed(func(kind peerlink.Kind) { traffic.malformed.WithLabelValues(kind.String()).Inc() })
 	crossing := peerlink.NewCrossing(w.link, w.topology, presence.NewSilence(w.presence))
 	w.broadcast = peerlink.NewBroadcaster(w.link, w.topology, crossing)
 	w.tree = peerlink.NewTree(w.link, w.topology, crossing)
--- a/internal/peerlink/peerlink.go
+++ b/internal/peerlink/peerlink.go
@@ -6,6 +6,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"net"
 	"net/netip"
 	"sync/atomic"
@@ -105,6 +106,9 @@
 	receiveErrorWait = 50 * time.Millisecond
 )
 
+// errUnknownKind is of a datagram of a kind that this build doesn't know.
+var errUnknownKind = errors.New("a message of an unknown kind")
+
 // Handler takes the body of one datagram. The address is where its sender is reached, IP:port;
 // the body is valid until the handler returns. A handler must not block.
 type Handler func(from string, body []byte)
@@ -121,6 +125,8 @@
 	Handle(kind Kind, handler Handler)
 	// Deliver hands a datagram to its handler here, as from the daemon at an address.
 	Deliver(from string, datagram []byte)
+	// Malformed notes that a datagram of a daemon can't be read.
+	Malformed(from string, kind Kind, err error)
 }
 
 var _ Carrier = (*Link)(nil)
@@ -140,8 +146,12 @@
 	observe func(from string)
 	// observeSent is told of each datagram that is sent; nil is not.
 	observeSent func(to string, datagram []byte)
-	socket      atomic.Pointer[net.UDPConn]
-	log         logrus.FieldLogger
+	// observeMalformed is told of each datagram that can't be read; nil is not.
+	observeMalformed func(kind Kind)
+	complaints       complaints
+
+	socket atomic.Pointer[net.UDPConn]
+	log    logrus.FieldLogger
 }
 
 // New makes a Link that listens on an address (IP:port) once it runs.
@@ -160,13 +170,15 @@
 func (l *Link) ObserveSent(observe func(to string, datagram []byte)) { l.observeSent = observe }
 
 // HandleDecoded sets a handler that takes decoded bodies. What cannot be decoded is
-// passed over.
+// noted as malformed, and none of it is taken.
 func HandleDecoded[Body any](link Carrier, kind Kind, take func(from string, body Body)) {
 	link.Handle(kind, func(from string, encoded []byte) {
 		var body Body
-		if codec.Unmarshal(encoded, &body) == nil {
-			take(from, body)
+		if err := codec.Unmarshal(encoded, &body); err != nil {
+			link.Malformed(from, kind, err)
+			return
 		}
+		take(from, body)
 	})
 }
 
@@ -242,6 +254,7 @@
 // Deliver implements Carrier.
 func (l *Link) Deliver(sender string, datagram []byte) {
 	if len(datagram) == 0 || Kind(datagram[0]) >= kindEnd {
+		l.Malformed(sender, KindOf(datagram), errUnknownKind)
 		return
 	}
 	if handler := l.handlers[datagram[0]]; handler != nil {
--- a/internal/peerlink/peerlinktest/network.go
+++ b/internal/peerlink/peerlinktest/network.go
@@ -3,6 +3,7 @@
 package peerlinktest
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -76,6 +77,11 @@
 
 var _ peerlink.Carrier = (*Node)(nil)
 
+// Malformed implements peerlink.Carrier: in tests all daemons are of one build.
+func (n *Node) Malformed(from string, kind peerlink.Kind, err error) {
+	panic(fmt.Sprintf("%s can't read %s of %s: %v", n.address, kind, from, err))
+}
+
 // Add adds a node.
 func (n *Network) Add(address string) *Node {
 	n.mutex.Lock()
