--- a/cmd/lotusward/notices_test.go
+++ b/cmd/lotusward/notices_test.go
@@ -88,6 +88,14 @@
 
 func (n *noticed) askOnce(daemon *process, count int) {
 	id := fmt.Sprintf("%s-%d", daemon.name, count)
+	one := askByTurns(daemon, id, count)
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	n.asked = append(n.asked, one)
+}
+
+// askByTurns sends a request of one of the four kinds, by a count, and returns what its caller saw.
+func askByTurns(daemon *process, id string, count int) exchange {
 	sent := call{id: id, body: "body of " + id}
 	switch count % 4 {
 	case 0:
@@ -102,9 +110,7 @@
 	one := exchange{call: sent, at: daemon, from: time.Now()}
 	one.got = daemon.ask(sent)
 	one.to = time.Now()
-	n.mutex.Lock()
-	defer n.mutex.Unlock()
-	n.asked = append(n.asked, one)
+	return one
 }
 
 func (n *noticed) stopAsking() {
--- a/cmd/lotusward/upgrade_test.go
+++ b/cmd/lotusward/upgrade_test.go
@@ -139,20 +139,7 @@
 }
 
 func (u *upgrade) askOnce(daemon *process, id string, count int) {
-	sent := call{id: id, body: "body of " + id}
-	switch count % 4 {
-	case 0:
-		sent.path = "/safe/" + id
-	case 1:
-		sent.path = "/unsafe/" + id
-	case 2:
-		sent.path, sent.header = "/stream/"+id, prompt(fmt.Sprintf("p%d:80,%s:20", count%7, id))
-	default:
-		sent.path, sent.header = "/once/"+id, prompt(fmt.Sprintf("p%d:80,%s:20", count%7, id))
-	}
-	one := exchange{call: sent, at: daemon, from: time.Now()}
-	one.got = daemon.ask(sent)
-	one.to = time.Now()
+	one := askByTurns(daemon, id, count)
 	u.mutex.Lock()
 	defer u.mutex.Unlock()
 	u.asked = append(u.asked, one)
--- /dev/null
+++ b/internal/core/backendpool/shortage.go
@@ -0,0 +1,45 @@
+package backendpool
+
+import (
+	"slices"
+	"time"
+)
+
+// Shortage says why a query found no back end: how many its service has, and how
+// many of them would not do, each counted for the first reason that applies. One
+// whose address has gone to another back end, or that has ended, counts as draining. Busy ones would do
+// once they have less under way. BackingOff are those that have asked this daemon for no requests. OtherVersion are those that run another version of the
+// service's software than the query asks for, or that it doesn't name.
+type Shortage struct {
+	Listed, Draining, BackingOff, Failed, OtherVersion, OldWeights, Busy int
+}
+
+// Plus adds up what was found in two regions.
+func (s Shortage) Plus(other Shortage) Shortage {
+	return Shortage{
+		Listed: s.Listed + other.Listed, Draining: s.Draining + other.Draining, BackingOff: s.BackingOff + other.BackingOff, Failed: s.Failed + other.Failed,
+		OtherVersion: s.OtherVersion + other.OtherVersion, OldWeights: s.OldWeights + other.OldWeights, Busy: s.Busy + other.Busy,
+	}
+}
+
+// shortage tells why a query finds no back end now. The caller holds the mutex.
+func (p *Pool) shortage(now time.Time, query Query) Shortage {
+	var shortage Shortage
+	for _, found := range p.listed(query) {
+		shortage.Listed++
+		switch {
+		case found.isDraining(), found.isOver():
+			shortage.Draining++
+		case found.backsOff(now):
+			shortage.BackingOff++
+		case slices.Contains(query.Exclude, found.backend.ID):
+			shortage.Failed++
+		case !query.admits(found):
+			shortage.OtherVersion++
+		case !allowed(now, found, query):
+			shortage.OldWeights++
+		}
+	}
+	_, shortage.Busy = p.candidates(now, query)
+	return shortage
+}
