--- a/cmd/lotusward/notices_test.go
+++ b/cmd/lotusward/notices_test.go
@@ -166,6 +166,9 @@
 	for _, runner := range runners {
 		arrivals := runner.Arrivals()
 		for _, refused := range arrivals {
+			if sentBy[refused.ID] == nil {
+				continue // of a daemon that isn't judged
+			}
 			from, to := refused.At.Add(backoffGrace), refused.At.Add(refused.RetryAfter)
 			count := 0
 			for _, arrival := range arrivals {
