--- a/internal/core/backendpool/notice.go
+++ b/internal/core/backendpool/notice.go
@@ -17,15 +17,15 @@
 // IsEmpty tells whether nothing is said.
 func (n Notice) IsEmpty() bool { return n == Notice{} }
 
-// maximumUnlistedSaid bounds the lives of which something is remembered though they are not listed: a
-// megabyte at some hundred bytes each, and as many as end in a day of 1,200 replaced back ends three times over.
+// maximumUnlistedSaid bounds the lives of which something is remembered though they are not listed: half a megabyte at
+// some hundred bytes each, and more than end in three days of 1,200 replaced back ends.
 const maximumUnlistedSaid = 4096
 
 // said is what one life of a back end has said of itself to this daemon.
 //
-// It is kept beside the list and by the life, since rows lie: they are silent while the store is, late, and gone for
-// a while where a heartbeat is lost. A back end that its row had as ready got requests 12 s after it had said that
-// it drains.
+// It is kept beside the list and by the life, since a row can be outdated: it stays as it was while the store is silent,
+// comes late, and is gone for a while where a heartbeat is lost. A back end whose row was still ready got requests 12 s
+// after it had said that it drains.
 type said struct {
 	// draining is never taken back: a life that drains ends.
 	draining bool
--- a/internal/core/backendpool/pool.go
+++ b/internal/core/backendpool/pool.go
@@ -77,8 +77,8 @@
 	// changed gets a value at each change.
 	touched map[*entry]bool
 	changed chan struct{}
-	// trials is how many more requests may be refused at refusing back ends.
-	trials float64
+	// refusalAllowance is how many more requests may be refused at refusing back ends that are tried again.
+	refusalAllowance float64
 	// silenceProbes bounds the probes of silent back ends.
 	silenceProbes *rate.Limiter
 	// doubts wait to be told to other daemons.
@@ -123,7 +123,7 @@
 		touched:   map[*entry]bool{},
 		changed:   make(chan struct{}, 1),
 
-		trials: trialBurst,
+		refusalAllowance: trialBurst,
 
 		silenceProbes: rate.NewLimiter(silenceProbeRate, silenceProbeBurst),
 	}
--- a/internal/core/backendpool/refusal.go
+++ b/internal/core/backendpool/refusal.go
@@ -52,15 +52,15 @@
 	if again {
 		return found.refusals.inARow > 0
 	}
-	return found.refusals.refusing() && (p.trials < 1 || !found.refusals.mayTry(now))
+	return found.refusals.refusing() && (p.refusalAllowance < 1 || !found.refusals.mayTry(now))
 }
 
 // noteTrial counts a picked request, and notes whether it tries a refusing back end. The caller holds the mutex.
 func (p *Pool) noteTrial(picked *entry, ticket *Ticket) {
-	p.trials = min(p.trials+trialShare, trialBurst)
+	p.refusalAllowance = min(p.refusalAllowance+trialShare, trialBurst)
 	if picked.refusals.refusing() && picked.refusals.trial == nil {
 		picked.refusals.trial = ticket
-		p.trials = max(p.trials-1, 0)
+		p.refusalAllowance = max(p.refusalAllowance-1, 0)
 	}
 }
 
@@ -68,7 +68,7 @@
 func (t *Ticket) took() {
 	refused := &t.entry.refusals
 	if refused.trial == t {
-		t.pool.trials = min(t.pool.trials+1, trialBurst) // only those that are refused cost
+		t.pool.refusalAllowance = min(t.pool.refusalAllowance+1, trialBurst) // only those that are refused cost
 		refused.trial = nil
 	}
 	refused.inARow = 0
