Keep on a back end's entry whether it is taken out of use; look told names up once

Read again: each choice looked every candidate up in two maps, once or twice, for whether it is taken out of use, since names of builds without lives were understood; SetLeaving and the list set it on the entry now.

Back ends that others name were searched for by going through the whole list, beside a look-up that does it: doubts and learnt versions take the look-up. Whether a life drains follows from when it said so. A condition that can't hold is gone, and what the entry knows of its name isn't hashed again. The lease gives up its grant in one place.

As before, but for names with an @ in them, which no platform gives: these were told to builds without lives by a hash that they don't use.

--- a/internal/core/backendpool/answer.go
+++ b/internal/core/backendpool/answer.go
@@ -48,5 +48,5 @@
 	t.pool.mutex.Lock()
 	defer t.pool.mutex.Unlock()
 	said := t.pool.said[t.Backend.ID]
-	return said == nil || (!said.draining && !said.backoff.active(now))
+	return !said.drains() && !said.backsOff(now)
 }
--- a/internal/core/backendpool/backend.go
+++ b/internal/core/backendpool/backend.go
@@ -76,6 +76,8 @@
 	name         string
 	// far is set for a back end in another region than the daemon's.
 	far bool
+	// leaving is whether the back end is taken out of use on purpose.
+	leaving leavingState
 	// inFlight is the number of requests under way from this daemon.
 	inFlight int
 	// reading is the work of those whose answer has not begun, in tokens.
--- a/internal/core/backendpool/backoff.go
+++ b/internal/core/backendpool/backoff.go
@@ -43,7 +43,7 @@
 }
 
 // backsOff tells whether the back end has asked for no requests now.
-func (e *entry) backsOff(now time.Time) bool { return e.said != nil && e.said.backoff.active(now) }
+func (e *entry) backsOff(now time.Time) bool { return e.said.backsOff(now) }
 
 // onTrial tells whether other requests have to wait for one that is under way there.
 func (e *entry) onTrial(now time.Time) bool { return e.said != nil && e.said.backoff.onTrial(now) }
--- a/internal/core/backendpool/candidates.go
+++ b/internal/core/backendpool/candidates.go
@@ -19,9 +19,9 @@
 		case candidate.onTrial(now):
 			onTrial++
 		case query.Trial && p.outOfUse(now, candidate):
-		case candidate.ejected(now) || p.leavingOf(candidate) == leavesNow:
+		case candidate.ejected(now) || candidate.leaving == leavesNow:
 			doubted = append(doubted, candidate)
-		case query.long() && p.leavingOf(candidate) == leavesSoon:
+		case query.long() && candidate.leaving == leavesSoon:
 			soon = append(soon, candidate)
 		case p.refuses(now, candidate, len(query.Exclude) > 0):
 			refusing = append(refusing, candidate)
@@ -57,7 +57,7 @@
 // outOfUse tells whether a back end can't be reached, or is taken out of use on purpose. The
 // caller holds the mutex.
 func (p *Pool) outOfUse(now time.Time, found *entry) bool {
-	return p.leavingOf(found) == leavesNow || (found.ejected(now) && found.suspicion.unreached)
+	return found.leaving == leavesNow || (found.ejected(now) && found.suspicion.unreached)
 }
 
 // allowed tells whether a back end may get the request at all.
--- a/internal/core/backendpool/choice.go
+++ b/internal/core/backendpool/choice.go
@@ -139,7 +139,7 @@
 func (p *Pool) newestVersion(now time.Time, query Query) uint64 {
 	newest := uint64(0)
 	for _, found := range p.services[query.Service] {
-		if query.admits(found) && !found.ejected(now) && p.leavingOf(found) != leavesNow && !found.isDraining() {
+		if query.admits(found) && !found.ejected(now) && found.leaving != leavesNow && !found.isDraining() {
 			newest = max(newest, found.version(query.Model))
 		}
 	}
--- a/internal/core/backendpool/doubt.go
+++ b/internal/core/backendpool/doubt.go
@@ -46,10 +46,8 @@
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	for _, doubt := range doubts {
-		for _, found := range p.byID {
-			if found.isKey(doubt.Key) {
-				found.hear(now, from, doubt)
-			}
+		if found := p.byToldKey(doubt.Key); found != nil {
+			found.hear(now, from, doubt)
 		}
 	}
 }
--- a/internal/core/backendpool/keys.go
+++ b/internal/core/backendpool/keys.go
@@ -5,9 +5,6 @@
 // a sending demands the back end and its weights by itself. Not understood, it cost 13 to 66 of some 2,000 requests
 // in an upgrade from such a build to this one or back, while new weights were loaded (four runs).
 
-// isKey tells whether a hash that another daemon told names the back end.
-func (e *entry) isKey(key uint64) bool { return key == e.key || key == e.nameKey }
-
 // byToldKey is the back end that another daemon named by a hash; nil where it isn't listed. The caller holds the mutex.
 func (p *Pool) byToldKey(key uint64) *entry {
 	if found := p.byKey[key]; found != nil {
--- a/internal/core/backendpool/leaving.go
+++ b/internal/core/backendpool/leaving.go
@@ -36,12 +36,16 @@
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	p.leaving = states
+	for _, found := range p.byID {
+		found.leaving = p.leavingOf(found)
+	}
 }
 
-// long tells whether the answer is expected to last. An answer of unknown length is not.
-func (q *Query) long() bool { return q.OutputTokens > shortOutput }
-
-// leavingOf tells whether a back end is taken out of use. The caller holds the mutex.
+// leavingOf looks up whether a back end is taken out of use, which its entry keeps: choices look at it for each of
+// their candidates. The caller holds the mutex.
 func (p *Pool) leavingOf(found *entry) leavingState {
 	return max(p.leaving[found.key], p.leaving[found.nameKey])
 }
+
+// long tells whether the answer is expected to last. An answer of unknown length is not.
+func (q *Query) long() bool { return q.OutputTokens > shortOutput }
--- a/internal/core/backendpool/notice.go
+++ b/internal/core/backendpool/notice.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"github.com/lotusward/lotusward/internal/core/identity"
-	"github.com/lotusward/lotusward/internal/core/rendezvous"
 )
 
 // Notice is what a back end says of itself in an answer, beside the answer. The zero value says nothing.
@@ -28,8 +27,7 @@
 // comes late, and is gone for a while where a heartbeat is lost. A back end whose row was still ready got requests 12 s
 // after it had said that it drains.
 type said struct {
-	// draining is never taken back: a life that drains ends. It was first said at drainingFrom.
-	draining     bool
+	// drainingFrom is when it first said that it drains; zero is never. It is never taken back: a life that drains ends.
 	drainingFrom time.Time
 	// backoff is of the times for which it wants no requests.
 	backoff backoff
@@ -49,9 +47,9 @@
 
 // take returns true where a notice is news.
 func (s *said) take(now time.Time, notice Notice) bool {
-	news := notice.Draining && !s.draining
+	news := notice.Draining && !s.drains()
 	if news {
-		s.draining, s.drainingFrom = true, now
+		s.drainingFrom = now
 	}
 	if notice.RetryAfter > 0 {
 		news = s.backoff.extend(now, notice.RetryAfter) || news
@@ -59,6 +57,12 @@
 	return news
 }
 
+// drains tells whether the life has said that it drains. It is false of nil.
+func (s *said) drains() bool { return s != nil && !s.drainingFrom.IsZero() }
+
+// backsOff tells whether the life has asked for no requests now. It is false of nil.
+func (s *said) backsOff(now time.Time) bool { return s != nil && s.backoff.active(now) }
+
 // saidBy returns what a life has said, to be added to. The caller holds the mutex.
 func (p *Pool) saidBy(id identity.BackendID, now time.Time) *said {
 	known := p.said[id]
@@ -78,12 +82,13 @@
 // once and isn't now, or the other way round, it may be the same life under another ID: daemons of builds that know no
 // lives tell lists without starts. What was said goes on holding then, unless the life started after it. The caller
 // holds the mutex.
-func (p *Pool) saidByNew(backend Backend) *said {
+func (p *Pool) saidByNew(added *entry) *said {
+	backend := added.backend
 	unknown := identity.NewBackendID(backend.ID.Name(), 0)
-	before := p.byNameKey[rendezvous.Key(string(unknown))] // in the list before this one
+	before := p.byNameKey[added.nameKey] // in the list before this one, where it had another ID
 	found := p.said[backend.ID]
 	switch {
-	case before == nil, before.backend.ID == backend.ID, before.backend.Address != backend.Address:
+	case before == nil, before.backend.Address != backend.Address:
 		if found == nil && p.said[unknown].mayBeOf(backend.ID) {
 			found = p.said[unknown]
 		}
@@ -114,13 +119,13 @@
 	}
 	startedAt := int64(id.Incarnation())
 	heard := &said{noticedAt: s.noticedAt}
-	if s.draining && startedAt <= s.drainingFrom.UnixMilli() {
-		heard.draining, heard.drainingFrom = true, s.drainingFrom
+	if s.drains() && startedAt <= s.drainingFrom.UnixMilli() {
+		heard.drainingFrom = s.drainingFrom
 	}
 	if s.backoff.recovering && startedAt <= s.backoff.askedAt.UnixMilli() {
 		heard.backoff = backoff{until: s.backoff.until, askedAt: s.backoff.askedAt, recovering: true}
 	}
-	if !heard.draining && !heard.backoff.recovering {
+	if !heard.drains() && !heard.backoff.recovering {
 		return nil
 	}
 	return heard
@@ -147,7 +152,7 @@
 
 // isDraining tells whether the back end drains, by its row or its own word.
 func (e *entry) isDraining() bool {
-	return e.backend.Draining || (e.said != nil && e.said.draining)
+	return e.backend.Draining || e.said.drains()
 }
 
 // described is the back end as its row describes it, and as draining where it says so itself.
--- a/internal/core/backendpool/pool.go
+++ b/internal/core/backendpool/pool.go
@@ -168,7 +168,8 @@
 		switch {
 		case found == nil:
 			found = newEntry(backend)
-			found.said = p.saidByNew(backend)
+			found.said = p.saidByNew(found)
+			found.leaving = p.leavingOf(found)
 			found.listedAt = p.updates
 			change.Added = append(change.Added, backend.ID)
 		case backend.Draining && !found.backend.Draining:
--- a/internal/core/backendpool/pool_test.go
+++ b/internal/core/backendpool/pool_test.go
@@ -376,3 +376,15 @@
 		assert.Equal(t, shortage.Busy, len(list))
 	})
 }
+
+// BenchmarkPick picks among 90 back ends for a prompt: 15.3 us where each candidate is looked up in two
+// maps, 12.7 and 14.0 us where its entry knows whether it is taken out of use (medians of five runs, one and two plays).
+func BenchmarkPick(b *testing.B) {
+	pool := New("a")
+	pool.Update(engines(90))
+	pool.SetLeaving(Leaving{Now: []uint64{rendezvous.Key("engine-1")}, Soon: []uint64{rendezvous.Key("engine-2")}})
+	query := Query{Service: "llm", Model: "m", Home: 7, SharedTokens: 500, OwnTokens: 100, OutputTokens: 200}
+	for b.Loop() {
+		pool.Pick(start, query).Release(start, ResultServed)
+	}
+}
--- a/internal/core/backendpool/region.go
+++ b/internal/core/backendpool/region.go
@@ -74,7 +74,7 @@
 	defer p.mutex.Unlock()
 	var rooms []Room
 	for _, found := range p.services[service] {
-		if !found.listed() || found.backsOff(now) || p.refuses(now, found, false) || found.ejected(now) || p.leavingOf(found) == leavesNow {
+		if !found.listed() || found.backsOff(now) || p.refuses(now, found, false) || found.ejected(now) || found.leaving == leavesNow {
 			continue
 		}
 		region := p.RegionOf(found.backend.Zone)
@@ -168,7 +168,7 @@
 func (p *Pool) lacking(now time.Time, query Query, list []*entry) (int, bool) {
 	least, some := query.SharedTokens, false
 	for _, candidate := range list {
-		if !allowed(now, candidate, query) || candidate.ejected(now) || p.leavingOf(candidate) == leavesNow {
+		if !allowed(now, candidate, query) || candidate.ejected(now) || candidate.leaving == leavesNow {
 			continue
 		}
 		some = true
--- a/internal/core/backendpool/states.go
+++ b/internal/core/backendpool/states.go
@@ -37,7 +37,7 @@
 		found := p.byID[id]
 		state := State{
 			Refusing: found.refusals.refusing(), Backend: found.described(), Versions: map[identity.ModelName]uint64{},
-			Leaving: found.isDraining() || p.leavingOf(found) == leavesNow, Doubted: found.ejected(now),
+			Leaving: found.isDraining() || found.leaving == leavesNow, Doubted: found.ejected(now),
 			Own: found.inFlight, InFlight: float64(found.inFlight) + found.others.InFlight,
 			Reading: found.reading + found.others.Reading,
 		}
--- a/internal/core/backendpool/weights.go
+++ b/internal/core/backendpool/weights.go
@@ -13,11 +13,7 @@
 func (p *Pool) LearnVersion(id identity.BackendID, model identity.ModelName, version uint64) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	found := p.byID[id]
-	if found == nil { // by its name alone, as builds tell it that know no lives
-		found = p.byToldKey(rendezvous.Key(string(id)))
-	}
-	if found != nil {
+	if found := p.byToldKey(rendezvous.Key(string(id))); found != nil {
 		found.learn(model, version)
 	}
 }
@@ -27,8 +23,8 @@
 func (p *Pool) LearnVersions(keys []uint64, model identity.ModelName, version uint64) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	for _, found := range p.byID {
-		if slices.ContainsFunc(keys, found.isKey) {
+	for _, key := range keys {
+		if found := p.byToldKey(key); found != nil {
 			found.learn(model, version)
 		}
 	}
--- a/internal/core/lease/machine.go
+++ b/internal/core/lease/machine.go
@@ -327,18 +327,14 @@
 // observe takes over the row as the table gave it.
 func (m *Machine) observe(now time.Time, row port.Row) error {
 	m.stale = false
-	if m.seen && row.Version == m.version {
-		if !m.heldByUs() {
-			m.grant = Grant{}
-		}
-		return nil
+	var err error
+	if !m.seen || row.Version != m.version {
+		m.seen = true
+		m.version = row.Version
+		m.record, err = m.recordOf(row)
+		m.seenAt = now
+		m.highestToken = max(m.highestToken, m.record.Token)
 	}
-	record, err := m.recordOf(row)
-	m.seen = true
-	m.version = row.Version
-	m.record = record
-	m.seenAt = now
-	m.highestToken = max(m.highestToken, record.Token)
 	if !m.heldByUs() {
 		m.grant = Grant{}
 	}
--- a/internal/weightupdate/announcement.go
+++ b/internal/weightupdate/announcement.go
@@ -122,8 +122,8 @@
 func toldKeysOf(ids ...identity.BackendID) []uint64 {
 	keys := keysOf(ids)
 	for _, id := range ids {
-		if name := identity.NewBackendID(id.Name(), 0); name != id {
-			keys = append(keys, rendezvous.Key(string(name)))
+		if id.Incarnation() > 0 {
+			keys = append(keys, rendezvous.Key(string(id.Name())))
 		}
 	}
 	return keys
