--- a/internal/codec/codec.go
+++ b/internal/codec/codec.go
@@ -1,4 +1,5 @@
-// Package codec decodes msgpack that others have written, and that may be anything.
+// Package codec encodes messages between daemons as msgpack, and decodes msgpack that others have written, which may
+// be anything.
 package codec
 
 import (
@@ -7,6 +8,15 @@
 	"github.com/vmihailenco/msgpack/v5"
 )
 
+// Marshal encodes structs without the names of their fields, which would be most of the bytes between daemons.
+func Marshal(value any) ([]byte, error) {
+	var encoded bytes.Buffer
+	encoder := msgpack.NewEncoder(&encoded)
+	encoder.UseArrayEncodedStructs(true)
+	err := encoder.Encode(value)
+	return encoded.Bytes(), err
+}
+
 // Unmarshal decodes a value as msgpack.Unmarshal does, once it is sure that it is whole. The library takes
 // memory for as many elements as a list says it has: five bytes that say four thousand million ended the
 // process for want of memory. Elements take a byte at least, so that a list with more than there are bytes
--- a/internal/core/backendpool/codec_test.go
+++ b/internal/core/backendpool/codec_test.go
@@ -8,6 +8,7 @@
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
+	"github.com/lotusward/lotusward/internal/codec"
 	"github.com/lotusward/lotusward/internal/core/identity"
 )
 
@@ -26,11 +27,9 @@
 		var got []Backend
 		assert.NilError(t, msgpack.Unmarshal(encoded, &got))
 		assert.DeepEqual(t, got, []Backend{sent})
-		var datagram bytes.Buffer
-		encoder := msgpack.NewEncoder(&datagram)
-		encoder.UseArrayEncodedStructs(true) // as daemons' datagrams have it
-		assert.NilError(t, encoder.Encode([]Backend{sent, sent}))
-		assert.NilError(t, msgpack.Unmarshal(datagram.Bytes(), &got))
+		datagram, err := codec.Marshal([]Backend{sent, sent}) // as daemons' datagrams have it
+		assert.NilError(t, err)
+		assert.NilError(t, msgpack.Unmarshal(datagram, &got))
 		assert.DeepEqual(t, got, []Backend{sent, sent})
 		var plain []plainBackend
 		assert.NilError(t, msgpack.Unmarshal(encoded, &plain))
@@ -68,16 +67,12 @@
 
 // BenchmarkDecodeBackend reads a back end as daemons tell it: 1.42 us before fields were read one by one, 1.36 us now.
 func BenchmarkDecodeBackend(b *testing.B) {
-	var encoded bytes.Buffer
-	encoder := msgpack.NewEncoder(&encoded)
-	encoder.UseArrayEncodedStructs(true)
 	sent := Backend{ID: identity.NewBackendID("i-7f3a91c2", 1796262243000), Service: "coach-llm", Address: "10.1.64.32:8320", Zone: "rosehill", Slots: 16, Weights: map[identity.ModelName]uint64{"m": 3}}
-	if err := encoder.Encode(sent); err != nil {
-		b.Fatal(err)
-	}
+	encoded, err := codec.Marshal(sent)
+	assert.NilError(b, err)
 	for b.Loop() {
 		var got Backend
-		if err := msgpack.Unmarshal(encoded.Bytes(), &got); err != nil {
+		if err := msgpack.Unmarshal(encoded, &got); err != nil {
 			b.Fatal(err)
 		}
 	}
--- a/internal/directory/software_test.go
+++ b/internal/directory/software_test.go
@@ -1,7 +1,6 @@
 package directory
 
 import (
-	"bytes"
 	"context"
 	"fmt"
 	"strings"
@@ -15,6 +14,7 @@
 	"gotest.tools/v3/poll"
 	"pgregory.net/rapid"
 
+	"github.com/lotusward/lotusward/internal/codec"
 	"github.com/lotusward/lotusward/internal/core/backendpool"
 	"github.com/lotusward/lotusward/internal/core/identity"
 	"github.com/lotusward/lotusward/internal/core/rollout"
@@ -142,11 +142,9 @@
 // encode encodes as datagrams and snapshots do.
 func encode(t *testing.T, told any) []byte {
 	t.Helper()
-	var encoded bytes.Buffer
-	encoder := msgpack.NewEncoder(&encoded)
-	encoder.UseArrayEncodedStructs(true)
-	assert.NilError(t, encoder.Encode(told))
-	return encoded.Bytes()
+	encoded, err := codec.Marshal(told)
+	assert.NilError(t, err)
+	return encoded
 }
 
 // carried is news as it is after its way between two processes.
--- a/internal/peersync/peersync.go
+++ b/internal/peersync/peersync.go
@@ -4,7 +4,6 @@
 package peersync
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -16,7 +15,6 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
-	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/lotusward/lotusward/internal/adapter/httpexchange"
 	"github.com/lotusward/lotusward/internal/codec"
@@ -138,7 +136,8 @@
 		writer.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
-	encoded, err := encode(s.snapshot(request.Context(), have))
+	snapshot := s.snapshot(request.Context(), have)
+	encoded, err := codec.Marshal(&snapshot)
 	if err != nil {
 		http.Error(writer, err.Error(), http.StatusInternalServerError)
 		return
@@ -148,15 +147,6 @@
 	_, _ = writer.Write(encoded) // an asker that has left needs no answer
 }
 
-// encode writes structs without the names of their fields, which would be most of it.
-func encode(snapshot directory.Snapshot) ([]byte, error) {
-	var encoded bytes.Buffer
-	encoder := msgpack.NewEncoder(&encoded)
-	encoder.UseArrayEncodedStructs(true)
-	err := encoder.Encode(&snapshot)
-	return encoded.Bytes(), err
-}
-
 func readHave(values url.Values) (directory.Have, error) {
 	var have directory.Have
 	for name, into := range map[string]*uint64{
--- a/internal/wiretest/wiretest.go
+++ b/internal/wiretest/wiretest.go
@@ -38,20 +38,21 @@
 // that a build's bytes don't have yet, by its commit.
 func Datagram[Message any](t *testing.T, name string, lacks map[string][]string) {
 	t.Helper()
-	check[Message](t, name, lacks, true)
+	check[Message](t, name, lacks, codec.Marshal)
 }
 
 // Row holds a row in the store to the bytes of earlier builds.
 func Row[Value any](t *testing.T, name string, lacks map[string][]string) {
 	t.Helper()
-	check[Value](t, name, lacks, false)
+	check[Value](t, name, lacks, msgpack.Marshal)
 }
 
-func check[Value any](t *testing.T, name string, lacks map[string][]string, byPosition bool) {
+func check[Value any](t *testing.T, name string, lacks map[string][]string, marshal func(any) ([]byte, error)) {
 	t.Helper()
 	var filled Value
 	fill(reflect.ValueOf(&filled).Elem(), "")
-	present := encode(t, &filled, byPosition)
+	present, err := marshal(&filled)
+	assert.NilError(t, err)
 	if *writeAs != "" {
 		write(t, name, present)
 		return
@@ -71,15 +72,6 @@
 	assert.Check(t, same, "the shape of %s differs from that of every kept build. Daemons of other builds run beside this one: add fields at the end only, never reuse one, and see docs/design/upgrades.md. If it is meant, keep its bytes with -wiretest.write COMMIT once it has landed, and name it in lacks", name)
 }
 
-func encode(t *testing.T, value any, byPosition bool) []byte {
-	t.Helper()
-	var encoded bytes.Buffer
-	encoder := msgpack.NewEncoder(&encoded)
-	encoder.UseArrayEncodedStructs(byPosition)
-	assert.NilError(t, encoder.Encode(value))
-	return encoded.Bytes()
-}
-
 func write(t *testing.T, name string, content []byte) {
 	t.Helper()
 	assert.NilError(t, os.MkdirAll(directory, 0o755))
