Let the tests of answers and of upgrades share their callers and back ends

Both sent the same four kinds of requests at the same pace, kept what callers saw, and set the same back ends up; callers_test.go does it for both. Their checks are as they were. A doc comment of a shortage is wrapped and puts its counts in order.

--- /dev/null
+++ b/cmd/lotusward/callers_test.go
@@ -0,0 +1,78 @@
+package main
+
+import (
+	"fmt"
+	"sync"
+	"time"
+)
+
+// askInterval lies between two requests of one caller.
+const askInterval = 20 * time.Millisecond
+
+// callers send requests of all kinds at an even pace, whatever becomes of those before, and keep what they saw.
+type callers struct {
+	mutex  sync.Mutex
+	asked  []exchange
+	ending chan struct{}
+	asking sync.WaitGroup
+}
+
+func newCallers() callers { return callers{ending: make(chan struct{})} }
+
+// askEvenly has requests sent to whichever daemon is told, until stopAsking. Their ids begin with a name.
+func (c *callers) askEvenly(name string, daemon func() *process) {
+	c.asking.Go(func() {
+		for count := 0; ; count++ {
+			select {
+			case <-c.ending:
+				return
+			case <-time.After(askInterval):
+			}
+			at := daemon()
+			c.asking.Go(func() { c.askOnce(at, fmt.Sprintf("%s-%d", name, count), count) })
+		}
+	})
+}
+
+func (c *callers) askOnce(daemon *process, id string, count int) {
+	one := askByTurns(daemon, id, count)
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.asked = append(c.asked, one)
+}
+
+// stopAsking waits for the answers that are under way.
+func (c *callers) stopAsking() {
+	close(c.ending)
+	c.asking.Wait()
+}
+
+// askByTurns sends a request of one of the four kinds, by a count, and returns what its caller saw.
+func askByTurns(daemon *process, id string, count int) exchange {
+	sent := call{id: id, body: "body of " + id}
+	switch count % 4 {
+	case 0:
+		sent.path = "/safe/" + id
+	case 1:
+		sent.path = "/unsafe/" + id
+	case 2:
+		sent.path, sent.header = "/stream/"+id, prompt(fmt.Sprintf("p%d:80,%s:20", count%7, id))
+	default:
+		sent.path, sent.header = "/once/"+id, prompt(fmt.Sprintf("p%d:80,%s:20", count%7, id))
+	}
+	one := exchange{call: sent, at: daemon, from: time.Now()}
+	one.got = daemon.ask(sent)
+	one.to = time.Now()
+	return one
+}
+
+// bothKinds starts a number of back ends of each kind, which come by turns, and declares them with the first version
+// of the weights.
+func (d *deployment) bothKinds(count int) {
+	for number := range count {
+		d.page(fmt.Sprint("p", number))
+		d.engine(fmt.Sprint("e", number), 2, time.Millisecond)
+	}
+	d.configure(testKey)
+	d.name(1)
+}
--- a/cmd/lotusward/notices_test.go
+++ b/cmd/lotusward/notices_test.go
@@ -6,7 +6,6 @@
 	"net/http"
 	"strconv"
 	"strings"
-	"sync"
 	"testing"
 	"time"
 
@@ -42,25 +41,17 @@
 // noticed is a deployment whose back ends say something of themselves in their answers.
 type noticed struct {
 	*deployment
-	mutex  sync.Mutex
-	asked  []exchange
-	ending chan struct{}
-	asking sync.WaitGroup
+	callers
 }
 
 // noticedBackends is how many back ends there are of each kind.
 const noticedBackends = 4
 
 func newNoticed(t *testing.T) *noticed {
-	made := &noticed{deployment: newDeployment(t), ending: make(chan struct{})}
+	made := &noticed{deployment: newDeployment(t), callers: newCallers()}
 	// Keys hold for as long as the test runs, however long the store is silent.
 	made.bounds = strings.Replace(defaultBounds, "revokeMs: 1500", "revokeMs: 60000", 1)
-	for number := range noticedBackends {
-		made.page(fmt.Sprint("p", number))
-		made.engine(fmt.Sprint("e", number), 2, time.Millisecond)
-	}
-	made.configure(testKey)
-	made.name(1)
+	made.bothKinds(noticedBackends)
 	return made
 }
 
@@ -69,55 +60,13 @@
 	return n.runners[:2*count] // the two kinds come by turns
 }
 
-// askAll has requests of all kinds sent to daemons until stopAsking, 50 a second to each, whatever becomes of
-// those before.
+// askAll has requests sent to daemons until stopAsking, 50 a second to each.
 func (n *noticed) askAll(daemons ...*process) {
 	for _, daemon := range daemons {
-		n.asking.Go(func() {
-			for count := 0; ; count++ {
-				select {
-				case <-n.ending:
-					return
-				case <-time.After(20 * time.Millisecond):
-				}
-				n.asking.Go(func() { n.askOnce(daemon, count) })
-			}
-		})
+		n.askEvenly(daemon.name, func() *process { return daemon })
 	}
 }
 
-func (n *noticed) askOnce(daemon *process, count int) {
-	id := fmt.Sprintf("%s-%d", daemon.name, count)
-	one := askByTurns(daemon, id, count)
-	n.mutex.Lock()
-	defer n.mutex.Unlock()
-	n.asked = append(n.asked, one)
-}
-
-// askByTurns sends a request of one of the four kinds, by a count, and returns what its caller saw.
-func askByTurns(daemon *process, id string, count int) exchange {
-	sent := call{id: id, body: "body of " + id}
-	switch count % 4 {
-	case 0:
-		sent.path = "/safe/" + id
-	case 1:
-		sent.path = "/unsafe/" + id
-	case 2:
-		sent.path, sent.header = "/stream/"+id, prompt(fmt.Sprintf("p%d:80,%s:20", count%7, id))
-	default:
-		sent.path, sent.header = "/once/"+id, prompt(fmt.Sprintf("p%d:80,%s:20", count%7, id))
-	}
-	one := exchange{call: sent, at: daemon, from: time.Now()}
-	one.got = daemon.ask(sent)
-	one.to = time.Now()
-	return one
-}
-
-func (n *noticed) stopAsking() {
-	close(n.ending)
-	n.asking.Wait()
-}
-
 // lateAtDraining are the requests that reached a back end though its daemon had passed on an answer in which it
 // said that it drains, longer than the allowed time before their callers sent them.
 func lateAtDraining(asked []exchange, runners []*standin.Runner) []string {
--- a/cmd/lotusward/upgrade_test.go
+++ b/cmd/lotusward/upgrade_test.go
@@ -116,28 +116,22 @@
 // upgrade is a deployment whose daemons are replaced while callers ask.
 type upgrade struct {
 	*deployment
-	mutex   sync.Mutex
-	daemons []*process
-	asked   []exchange
+	callers
 	started int
-	ending  chan struct{}
-	asking  sync.WaitGroup
+	// replacing guards daemons.
+	replacing sync.Mutex
+	daemons   []*process
 }
 
 // newUpgrade starts daemons of a build before back ends, and has callers ask each 50 times a second.
 func newUpgrade(t *testing.T, commit string) *upgrade {
-	made := &upgrade{deployment: newDeployment(t), ending: make(chan struct{})}
-	for number := range upgradeBackends {
-		made.page(fmt.Sprint("p", number))
-		made.engine(fmt.Sprint("e", number), 2, time.Millisecond)
-	}
-	made.configure(testKey)
-	made.name(1)
+	made := &upgrade{deployment: newDeployment(t), callers: newCallers()}
+	made.bothKinds(upgradeBackends)
 	for range upgradeDaemons {
 		made.daemons = append(made.daemons, made.start(commit))
 	}
 	for slot := range upgradeDaemons {
-		made.asking.Go(func() { made.ask(slot) })
+		made.askEvenly(fmt.Sprint("s", slot), func() *process { return made.at(slot) })
 	}
 	return made
 }
@@ -149,26 +143,11 @@
 	return u.daemonOf(programOf(u.t, commit), fmt.Sprint("d", u.started), true)
 }
 
-// ask sends requests to whichever daemon has a slot.
-func (u *upgrade) ask(slot int) {
-	for count := 0; ; count++ {
-		select {
-		case <-u.ending:
-			return
-		case <-time.After(20 * time.Millisecond):
-		}
-		u.mutex.Lock()
-		daemon := u.daemons[slot]
-		u.mutex.Unlock()
-		u.asking.Go(func() { u.askOnce(daemon, fmt.Sprintf("s%d-%d", slot, count), count) })
-	}
-}
-
-func (u *upgrade) askOnce(daemon *process, id string, count int) {
-	one := askByTurns(daemon, id, count)
-	u.mutex.Lock()
-	defer u.mutex.Unlock()
-	u.asked = append(u.asked, one)
+// at is the daemon that has a slot now.
+func (u *upgrade) at(slot int) *process {
+	u.replacing.Lock()
+	defer u.replacing.Unlock()
+	return u.daemons[slot]
 }
 
 // replaceAll replaces the daemons one after the other by ones of a build. Step is called before each.
@@ -177,10 +156,10 @@
 		step(slot)
 		started := u.start(commit)
 		time.Sleep(upgradeOverlap)
-		u.mutex.Lock()
+		u.replacing.Lock()
 		ended := u.daemons[slot]
 		u.daemons[slot] = started
-		u.mutex.Unlock()
+		u.replacing.Unlock()
 		ended.stop(u.t)
 	}
 }
@@ -200,8 +179,7 @@
 // check holds that every request was served whole, and the promises on back ends that drain.
 func (u *upgrade) check(t *testing.T) {
 	t.Helper()
-	close(u.ending)
-	u.asking.Wait()
+	u.stopAsking()
 	var lost []string
 	for _, one := range u.asked {
 		if one.got.err != nil || one.got.status != http.StatusOK {
--- a/internal/core/backendpool/shortage.go
+++ b/internal/core/backendpool/shortage.go
@@ -6,10 +6,11 @@
 )
 
 // Shortage says why a query found no back end: how many its service has, and how
-// many of them would not do, each counted for the first reason that applies. One
-// whose address has gone to another back end, or that has ended, counts as draining. Busy ones would do
-// once they have less under way. BackingOff are those that have asked this daemon for no requests. OtherVersion are those that run another version of the
-// service's software than the query asks for, or that it doesn't name.
+// many of them would not do, each counted for the first reason that applies. One whose
+// address has gone to another back end, or that has ended, counts as draining. BackingOff have
+// asked this daemon for no requests. Busy ones would do once they have less under way.
+// OtherVersion are those that run another version of the service's software than the query
+// asks for, or that it doesn't name.
 type Shortage struct {
 	Listed, Draining, BackingOff, Failed, OtherVersion, OldWeights, Busy int
 }
