Bound what is held for callers that read or send slowly

Cause: nothing counted what a daemon holds for others. A caller that announces a body got all of it allocated before a byte came; one that reads nothing held its answer, the kernel's buffers of both connections (up to megabytes each) and its goroutines without an end, also after its deadline; a back end whose answer nobody read was taken for silent, and the stream sent elsewhere.

Change: one ledger (core/buffers) accounts for bodies, answers, what is read ahead and connections, bounded for the daemon (a quarter of the machine's memory), a tenant and an exchange. At a bound the slowest are ended, at 2 s of waiting and under 16 kB/s at the earliest; where nobody may be ended, new bodies are refused as not run with a time. Small requests keep a part of each bound. Metrics, log lines, a column of the tenants' table.

Ruled out: a goroutine for each stream that writes apart from reading (a wake-up for each event of every healthy stream); write deadlines (a slow caller that does read would be ended though there is room).

--- a/cmd/internal/daemon/metrics.go
+++ b/cmd/internal/daemon/metrics.go
@@ -41,7 +41,7 @@
 	if m == nil {
 		return
 	}
-	group.Add(func() error { return listenAndServe(m.server, m.address) }, func(error) { _ = m.server.Close() })
+	group.Add(func() error { return listenAndServe(m.server, m.address, nil) }, func(error) { _ = m.server.Close() })
 }
 
 // registerState adds the figures that are read when they are asked for.
--- a/cmd/internal/daemon/serving.go
+++ b/cmd/internal/daemon/serving.go
@@ -12,6 +12,8 @@
 	"github.com/oklog/run"
 	"github.com/sirupsen/logrus"
 
+	"github.com/lotusward/lotusward/internal/callerio"
+	"github.com/lotusward/lotusward/internal/core/buffers"
 	"github.com/lotusward/lotusward/internal/directory"
 	"github.com/lotusward/lotusward/internal/relay"
 	"github.com/lotusward/lotusward/platform"
@@ -41,12 +43,14 @@
 	// the last request has ended.
 	stopping atomic.Bool
 	stopped  chan struct{}
-	log      logrus.FieldLogger
+	// ledger accounts for what is held for callers.
+	ledger *buffers.Ledger
+	log    logrus.FieldLogger
 }
 
-func newServing(settings platform.Settings, relaying *relay.Relay, known *directory.Directory, informed func() bool, log logrus.FieldLogger) *serving {
-	made := &serving{settings: settings, directory: known, informed: informed, log: log, stopped: make(chan struct{})}
-	made.addCallers(settings.Listen.Front, platform.NewFront(relaying, made.maximumBody, made.stopping.Load))
+func newServing(settings platform.Settings, relaying *relay.Relay, known *directory.Directory, informed func() bool, ledger *buffers.Ledger, log logrus.FieldLogger) *serving {
+	made := &serving{settings: settings, directory: known, informed: informed, ledger: ledger, log: log, stopped: make(chan struct{})}
+	made.addCallers(settings.Listen.Front, platform.NewFront(relaying, made.maximumBody, made.stopping.Load, ledger))
 	made.addOperators(settings.Listen.Ready, platform.ReadyHandler(made.isReady))
 	return made
 }
@@ -60,7 +64,7 @@
 // addCallers adds a listener for callers. It must be called before the daemon runs.
 func (s *serving) addCallers(address string, handler http.Handler) {
 	s.callers = append(s.callers, listening{address: address, server: &http.Server{
-		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: headerBytes,
+		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: headerBytes, ConnState: callerio.NoteState,
 	}})
 }
 
@@ -86,7 +90,7 @@
 // ended.
 func (s *serving) addTo(group *run.Group) {
 	for _, other := range s.others {
-		group.Add(func() error { return listenAndServe(other.server, other.address) }, func(error) {
+		group.Add(func() error { return listenAndServe(other.server, other.address, nil) }, func(error) {
 			go func() {
 				<-s.stopped
 				_ = other.server.Close()
@@ -95,7 +99,7 @@
 	}
 	for _, caller := range s.callers {
 		group.Add(func() error {
-			if err := listenAndServe(caller.server, caller.address); err != nil {
+			if err := listenAndServe(caller.server, caller.address, s.accounted); err != nil {
 				return err
 			}
 			<-s.stopped
@@ -104,12 +108,20 @@
 	}
 }
 
-// listenAndServe serves until the server is closed.
-func listenAndServe(server *http.Server, address string) error {
+// accounted accounts for a listener's connections.
+func (s *serving) accounted(listener net.Listener) net.Listener {
+	return callerio.NewListener(listener, s.ledger, s.log)
+}
+
+// listenAndServe serves until the server is closed. Wrap is applied to the listener; nil is not.
+func listenAndServe(server *http.Server, address string, wrap func(net.Listener) net.Listener) error {
 	listener, err := net.Listen("tcp4", address)
 	if err != nil {
 		return err
 	}
+	if wrap != nil {
+		listener = wrap(listener)
+	}
 	err = server.Serve(listener)
 	if errors.Is(err, http.ErrServerClosed) {
 		return nil
--- a/cmd/internal/daemon/wire.go
+++ b/cmd/internal/daemon/wire.go
@@ -18,6 +18,7 @@
 	"github.com/lotusward/lotusward/internal/cachewatch"
 	"github.com/lotusward/lotusward/internal/clock"
 	"github.com/lotusward/lotusward/internal/core/backendpool"
+	"github.com/lotusward/lotusward/internal/core/buffers"
 	"github.com/lotusward/lotusward/internal/core/distance"
 	"github.com/lotusward/lotusward/internal/core/promptcache"
 	"github.com/lotusward/lotusward/internal/core/retry"
@@ -76,6 +77,7 @@
 	limits    *tenantlimit.Limiter
 	prober    *prober.Prober
 	crashes   *crashwatch.Watcher
+	ledger    *buffers.Ledger
 	serving   *serving
 	keeper    *leasekeeper.Keeper
 	// rollouts is nil where the settings offer none.
@@ -114,6 +116,7 @@
 		settings: settings, options: options, logger: options.Logger, regions: distance.NewMap(settings.Zones),
 		metricsOut: newMetrics(settings, options.MetricsPort, registry),
 	}
+	made.wireLedger(registry)
 	made.wireOutside(counters)
 	made.wireBelief(traffic)
 	made.wireRollouts(registry)
@@ -247,7 +250,7 @@
 		Versions: w.versions(),
 		Journal:  requestlog.New(w.part("relay"), counters),
 	})
-	w.serving = newServing(w.settings, relaying, w.directory, w.crashes.Informed, w.part("front"))
+	w.serving = newServing(w.settings, relaying, w.directory, w.crashes.Informed, w.ledger, w.part("front"))
 	w.addInterfaces(relaying)
 }
 
@@ -255,11 +258,11 @@
 func (w *Daemon) addInterfaces(relaying *relay.Relay) {
 	if port := w.options.OpenAIPort; port > 0 {
 		w.serving.addCallers(w.address(port), openai.New(openai.Options{
-			Relay: relaying, Control: w.directory, MaximumBody: w.serving.maximumBody, Stopping: w.serving.stopping.Load,
+			Relay: relaying, Control: w.directory, MaximumBody: w.serving.maximumBody, Stopping: w.serving.stopping.Load, Ledger: w.ledger,
 		}))
 	}
 	if port := w.options.AdminPort; port > 0 {
-		tables := &administration.Snapshot{Control: w.directory, Pool: w.backends, Self: w.link.Address(), Others: w.members.Others, Limits: w.limits.Uses, Rollouts: w.rolloutTable()}
+		tables := &administration.Snapshot{Control: w.directory, Pool: w.backends, Self: w.link.Address(), Others: w.members.Others, Limits: w.limits.Uses, Rollouts: w.rolloutTable(), Held: w.ledger.Usage}
 		w.serving.addOperators(w.address(port), administration.New(tables, w.options.AdminToken, w.part("administration")))
 	}
 }
--- a/cmd/lotusward/deployment_test.go
+++ b/cmd/lotusward/deployment_test.go
@@ -79,6 +79,8 @@
 	limit map[string]any
 	// storeAddress is where daemons that start find the store; empty is where it listens.
 	storeAddress string
+	// memoryMegabytes is the memory that daemons are told they have; zero is not told.
+	memoryMegabytes int
 }
 
 // newDeployment starts a store. The tests of deployments run beside each other.
@@ -190,9 +192,11 @@
   front: %q
   ready: %q
 internalPorts: [%s]
+limits:
+  memoryMb: %d
 platform:
   address: %q
-bounds:%s`, name, made.front, made.ready, portOf(freeporttest.Address(d.t)), cmp.Or(d.storeAddress, d.store.Address()), d.bounds)
+bounds:%s`, name, made.front, made.ready, portOf(freeporttest.Address(d.t)), d.memoryMegabytes, cmp.Or(d.storeAddress, d.store.Address()), d.bounds)
 	path := filepath.Join(d.t.TempDir(), "node.yaml")
 	assert.NilError(d.t, os.WriteFile(path, []byte(settings), 0o600))
 	made.metrics = freeporttest.Address(d.t)
--- a/internal/adapter/httpexchange/pool.go
+++ b/internal/adapter/httpexchange/pool.go
@@ -25,6 +25,8 @@
 	// unacknowledgedTime is after how long the kernel gives up a connection whose
 	// sent bytes nobody acknowledges.
 	unacknowledgedTime = 3 * time.Second
+	// socketBytes bounds what the kernel holds of an answer that isn't read. It would go up to megabytes by itself.
+	socketBytes = 128 << 10
 	// keepAliveShare is the share of the peer's idle time that is used.
 	keepAliveShare = 0.6
 )
@@ -154,6 +156,9 @@
 		return nil, err
 	}
 	p.opened.Add(1)
+	if connected, known := socket.(*net.TCPConn); known {
+		_ = connected.SetReadBuffer(socketBytes) // where that fails it is as large as the kernel makes it
+	}
 	made := &connection{pool: p, address: address, socket: socket}
 	made.reader = bufio.NewReaderSize(socket, readBufferBytes)
 	made.writer = bufio.NewWriterSize(&countingConn{Conn: socket, written: &made.written}, readBufferBytes)
--- a/internal/administration/tables.go
+++ b/internal/administration/tables.go
@@ -9,6 +9,7 @@
 
 	"github.com/lotusward/lotusward/internal/clock"
 	"github.com/lotusward/lotusward/internal/core/backendpool"
+	"github.com/lotusward/lotusward/internal/core/buffers"
 	"github.com/lotusward/lotusward/internal/core/identity"
 	"github.com/lotusward/lotusward/internal/core/query"
 	"github.com/lotusward/lotusward/internal/core/quota"
@@ -30,6 +31,8 @@
 	Rollouts func() []query.Rollout
 	// Limits returns what this daemon grants of tenants' limits.
 	Limits func() []quota.Use
+	// Held returns what this daemon holds for callers; nil is not known.
+	Held func() buffers.Usage
 }
 
 // Table implements Tables.
@@ -53,7 +56,7 @@
 	case source == query.SourceServices:
 		return query.TableOf(s.services(state.Table.Configuration())), nil
 	case source == query.SourceTenants:
-		return query.TableOf(tenantsOf(state.Table.Configuration(), s.Limits())), nil
+		return query.TableOf(s.tenants(state.Table.Configuration())), nil
 	default:
 		return query.Table{}, fmt.Errorf("there is no table of %s", source)
 	}
@@ -184,10 +187,11 @@
 	}
 }
 
-func tenantsOf(configuration *routing.Configuration, uses []quota.Use) []query.Tenant {
+func (s *Snapshot) tenants(configuration *routing.Configuration) []query.Tenant {
 	var rows []query.Tenant
+	uses, held := s.Limits(), s.heldByTenant()
 	for _, tenant := range configuration.Tenants {
-		row := query.Tenant{Tenant: tenant.Name, Keys: len(tenant.Keys), Isolated: tenant.Isolated}
+		row := query.Tenant{Tenant: tenant.Name, Keys: len(tenant.Keys), Isolated: tenant.Isolated, HeldBytes: held[tenant.Name]}
 		if limit := tenant.Limit; limit != nil {
 			row.LimitUnit, row.LimitPerSecond, row.LimitBurst = string(limit.Unit), limit.RatePerSecond, limit.Burst
 		}
@@ -201,6 +205,18 @@
 	return rows
 }
 
+// heldByTenant is what this daemon holds for callers, in bytes.
+func (s *Snapshot) heldByTenant() map[identity.TenantName]int {
+	held := map[identity.TenantName]int{}
+	if s.Held == nil {
+		return held
+	}
+	for _, tenant := range s.Held().Tenants {
+		held[tenant.Tenant] = int(tenant.Held)
+	}
+	return held
+}
+
 func joined[N ~string](names []N) string {
 	texts := make([]string, len(names))
 	for index, name := range names {
--- /dev/null
+++ b/internal/core/buffers/buffers_test.go
@@ -0,0 +1,240 @@
+package buffers_test
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/lotusward/lotusward/internal/core/buffers"
+	"github.com/lotusward/lotusward/internal/core/identity"
+)
+
+const kilobyte = 1 << 10
+
+var start = time.Unix(1_000_000, 0)
+
+// world is a ledger with what was ended.
+type world struct {
+	ledger *buffers.Ledger
+	ended  []buffers.Ended
+	broken map[string]bool
+}
+
+func newWorld(limits buffers.Limits) *world {
+	made := &world{broken: map[string]bool{}}
+	made.ledger = buffers.NewLedger(limits, func(ended buffers.Ended) { made.ended = append(made.ended, ended) })
+	return made
+}
+
+func (w *world) open(name string, tenant identity.TenantName) *buffers.Exchange {
+	exchange := w.ledger.Open(func() { w.broken[name] = true })
+	exchange.SetTenant(tenant)
+	return exchange
+}
+
+func TestSlowestIsEndedFirst(t *testing.T) {
+	w := newWorld(buffers.Limits{Total: 100 * kilobyte})
+	silent, trickling, healthy := w.open("silent", "a"), w.open("trickling", "a"), w.open("healthy", "b")
+	for _, exchange := range []*buffers.Exchange{silent, trickling, healthy} {
+		assert.NilError(t, exchange.Hold(start, 30*kilobyte))
+		exchange.Waits(start)
+	}
+	now := start.Add(10 * time.Second)
+	trickling.Moved(kilobyte)
+	healthy.Moved(400 * kilobyte)
+
+	late := w.open("late", "c")
+	assert.NilError(t, late.Hold(now, 30*kilobyte))
+	assert.DeepEqual(t, w.broken, map[string]bool{"silent": true})
+	assert.Assert(t, silent.Evicted())
+	assert.NilError(t, late.Hold(now, 30*kilobyte))
+	assert.DeepEqual(t, w.broken, map[string]bool{"silent": true, "trickling": true})
+
+	var full *buffers.FullError
+	err := late.Hold(now, 30*kilobyte)
+	assert.Assert(t, errors.As(err, &full) && full.Scope == buffers.ScopeTotal, "%v", err)
+	assert.Assert(t, !w.broken["healthy"])
+}
+
+// TestLargeBodiesLeaveRoomForSmallRequests has uploads hold all they may before any of them is known to be slow.
+func TestLargeBodiesLeaveRoomForSmallRequests(t *testing.T) {
+	w := newWorld(buffers.Limits{Total: 1000 * kilobyte})
+	var err error
+	for count := 0; err == nil; count++ {
+		upload := w.open("upload", "a")
+		upload.Waits(start)
+		err = upload.Hold(start, 100*kilobyte)
+		assert.Assert(t, count < 10)
+	}
+	for range 50 {
+		assert.NilError(t, w.open("small", "a").Hold(start, 4*kilobyte))
+	}
+}
+
+func TestTenantsSlowCallersCostNoOtherTenant(t *testing.T) {
+	w := newWorld(buffers.Limits{Total: 100 * kilobyte, PerTenant: 40 * kilobyte})
+	other := w.open("other", "b")
+	assert.NilError(t, other.Hold(start, 20*kilobyte))
+	other.Waits(start)
+	now := start.Add(time.Minute)
+	first := w.open("first", "a")
+	assert.NilError(t, first.Hold(now, 40*kilobyte))
+
+	second := w.open("second", "a")
+	var full *buffers.FullError
+	err := second.Hold(now, kilobyte)
+	assert.Assert(t, errors.As(err, &full) && full.Scope == buffers.ScopeTenant, "%v", err)
+	assert.Equal(t, len(w.broken), 0)
+
+	first.Waits(now)
+	assert.NilError(t, second.Hold(now.Add(3*time.Second), kilobyte))
+	assert.DeepEqual(t, w.broken, map[string]bool{"first": true})
+	assert.Equal(t, w.ended[0].Scope, buffers.ScopeTenant)
+}
+
+func TestExpiredStalledExchangeIsEnded(t *testing.T) {
+	w := newWorld(buffers.Limits{})
+	exchange := w.open("gone", "a")
+	exchange.SetDeadline(start.Add(10 * time.Second))
+	exchange.Waits(start)
+	stalls := 0
+	exchange.OnStall(func() { stalls++ })
+	for second := range 10 {
+		w.ledger.Check(start.Add(time.Duration(second) * time.Second))
+	}
+	assert.Equal(t, stalls, 1)
+	assert.Equal(t, len(w.ended), 0)
+	exchange.Moved(1 << 20) // enough for a while
+	w.ledger.Check(start.Add(12 * time.Second))
+	assert.Equal(t, len(w.ended), 0)
+	w.ledger.Check(start.Add(2 * time.Minute))
+	assert.Equal(t, len(w.ended), 1)
+	assert.Equal(t, w.ended[0].Scope, buffers.ScopeExpired)
+}
+
+// account is an exchange as the oracle knows it.
+type account struct {
+	exchange *buffers.Exchange
+	name     string
+	tenant   identity.TenantName
+	held     int64
+	waiting  time.Time
+	moved    int64
+}
+
+// slow tells whether the oracle lets it be ended.
+func (a *account) slow(now time.Time) bool {
+	waited := now.Sub(a.waiting)
+	return !a.waiting.IsZero() && waited >= 2*time.Second && float64(a.moved)/waited.Seconds() < 16*kilobyte
+}
+
+// TestLedgerNeverHoldsMoreThanItsBounds draws exchanges that hold, release, wait and move. What the ledger says is held
+// is what the oracle adds up, no bound is ever passed, nobody is ended who moved, and nothing is refused while slow
+// ones are left to be ended.
+func TestLedgerNeverHoldsMoreThanItsBounds(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		limits := buffers.Limits{
+			Total:     rapid.Int64Range(50, 400).Draw(t, "total") * kilobyte,
+			PerTenant: rapid.Int64Range(20, 400).Draw(t, "tenant") * kilobyte, PerExchange: rapid.Int64Range(10, 100).Draw(t, "exchange") * kilobyte,
+		}
+		w, now := newWorld(limits), start
+		var accounts []*account
+		live := func() (all []*account) {
+			for _, each := range accounts {
+				if !each.exchange.Evicted() {
+					all = append(all, each)
+				}
+			}
+			return all
+		}
+		drawn := func() *account {
+			if all := live(); len(all) > 0 {
+				return rapid.SampledFrom(all).Draw(t, "account")
+			}
+			return nil
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"open": func(t *rapid.T) {
+				made := &account{name: rapid.StringN(6, 6, -1).Draw(t, "name"), tenant: rapid.SampledFrom([]identity.TenantName{"a", "b", "c"}).Draw(t, "tenant")}
+				made.exchange = w.open(made.name, made.tenant)
+				accounts = append(accounts, made)
+			},
+			"hold": func(t *rapid.T) {
+				asked := drawn()
+				if asked == nil {
+					return
+				}
+				bytes := rapid.Int64Range(1, 60).Draw(t, "bytes") * kilobyte
+				before := live()
+				err := asked.exchange.Hold(now, bytes)
+				for _, each := range before {
+					if each.exchange.Evicted() && (each == asked || !each.slow(now)) {
+						t.Fatalf("%s was ended and isn't slow", each.name)
+					}
+				}
+				if err == nil {
+					asked.held += bytes
+					return
+				}
+				var full *buffers.FullError
+				assert.Assert(t, errors.As(err, &full))
+				for _, each := range live() {
+					inScope := full.Scope == buffers.ScopeTotal || (full.Scope == buffers.ScopeTenant && each.tenant == asked.tenant)
+					if each != asked && inScope && each.held > 0 && each.slow(now) {
+						t.Fatalf("refused (%v) though %s could be ended", err, each.name)
+					}
+				}
+			},
+			"release": func(t *rapid.T) {
+				if asked := drawn(); asked != nil {
+					bytes := rapid.Int64Range(0, asked.held).Draw(t, "bytes")
+					asked.exchange.Release(bytes)
+					asked.held -= bytes
+				}
+			},
+			"wait": func(*rapid.T) {
+				if asked := drawn(); asked != nil {
+					asked.exchange.Waits(now)
+					if asked.waiting.IsZero() {
+						asked.waiting, asked.moved = now, 0
+					}
+				}
+			},
+			"move": func(t *rapid.T) {
+				if asked := drawn(); asked != nil {
+					bytes := rapid.Int64Range(1, 100*kilobyte).Draw(t, "bytes")
+					asked.exchange.Moved(bytes)
+					asked.moved += bytes
+				}
+			},
+			"ready": func(*rapid.T) {
+				if asked := drawn(); asked != nil {
+					asked.exchange.Ready()
+					asked.waiting = time.Time{}
+				}
+			},
+			"pass": func(t *rapid.T) {
+				now = now.Add(time.Duration(rapid.IntRange(1, 5000).Draw(t, "ms")) * time.Millisecond)
+			},
+			"": func(t *rapid.T) {
+				var total int64
+				tenants := map[identity.TenantName]int64{}
+				for _, each := range live() {
+					total += each.held
+					tenants[each.tenant] += each.held
+					assert.Assert(t, each.held <= limits.PerExchange)
+				}
+				usage := w.ledger.Usage()
+				assert.Equal(t, usage.Held, total)
+				assert.Assert(t, total <= limits.Total)
+				for _, each := range usage.Tenants {
+					assert.Equal(t, each.Held, tenants[each.Tenant])
+					assert.Assert(t, each.Held <= limits.PerTenant)
+				}
+			},
+		})
+	})
+}
--- a/internal/core/query/rows.go
+++ b/internal/core/query/rows.go
@@ -124,4 +124,6 @@
 	// is what it would grant at once then.
 	GrantedHere bool    `column:"granted_here"`
 	LimitLeft   float64 `column:"limit_left"`
+	// HeldBytes is what the asked daemon holds for the tenant's callers: bodies, answers that wait to be read.
+	HeldBytes int `column:"held_bytes"`
 }
--- a/internal/openai/handler.go
+++ b/internal/openai/handler.go
@@ -6,7 +6,6 @@
 
 import (
 	"errors"
-	"io"
 	"mime"
 	"net/http"
 	"slices"
@@ -16,7 +15,9 @@
 	"github.com/google/uuid"
 
 	"github.com/lotusward/lotusward/internal/bearer"
+	"github.com/lotusward/lotusward/internal/callerio"
 	"github.com/lotusward/lotusward/internal/clock"
+	"github.com/lotusward/lotusward/internal/core/buffers"
 	"github.com/lotusward/lotusward/internal/core/identity"
 	"github.com/lotusward/lotusward/internal/core/routing"
 	"github.com/lotusward/lotusward/internal/relay"
@@ -40,6 +41,8 @@
 	MaximumBody func() int64
 	// Stopping tells whether callers are to use another connection next time.
 	Stopping func() bool
+	// Ledger accounts for what is held for callers; nil is none.
+	Ledger *buffers.Ledger
 }
 
 // Handler serves callers. It is safe for use by several goroutines.
@@ -88,12 +91,15 @@
 		return
 	}
 	writer.Header().Set(headerRequestID, id.String())
-	parsed, failed := h.read(writer, incoming)
+	patience, failed := readPatience(incoming.Header)
 	if failed != nil {
 		failed.write(writer)
 		return
 	}
-	patience, failed := readPatience(incoming.Header)
+	exchange := callerio.Open(h.options.Ledger, writer)
+	defer exchange.Close()
+	exchange.Account.SetTenant(h.options.Relay.TenantOf(bearerKey(incoming.Header)))
+	parsed, failed := h.read(exchange, writer, incoming, patience)
 	if failed != nil {
 		failed.write(writer)
 		return
@@ -107,7 +113,7 @@
 			Model: parsed.Model, Parts: h.splitter.split(string(parsed.Model), parsed.Prompt),
 			OutputTokens: parsed.MaxTokens, Derived: true,
 		},
-		DeclaredTokens: tokens(len(parsed.Prompt)) + parsed.MaxTokens,
+		DeclaredTokens: tokens(len(parsed.Prompt)) + parsed.MaxTokens, Account: exchange.Account,
 	}
 	var caller answering = newStreamCaller(writer)
 	if !parsed.Stream {
@@ -120,18 +126,23 @@
 }
 
 // read reads and checks a body against what operators declared.
-func (h *Handler) read(writer http.ResponseWriter, incoming *http.Request) (*completionRequest, *failure) {
+func (h *Handler) read(exchange *callerio.Exchange, writer http.ResponseWriter, incoming *http.Request, patience time.Duration) (*completionRequest, *failure) {
 	mediaType, _, err := mime.ParseMediaType(incoming.Header.Get("Content-Type"))
 	if err != nil || mediaType != "application/json" {
 		return nil, invalid(codeContentType, "", "the content type %q is not application/json", incoming.Header.Get("Content-Type")).
 			withStatus(http.StatusUnsupportedMediaType)
 	}
 	limit := h.options.MaximumBody()
-	body, err := io.ReadAll(http.MaxBytesReader(writer, incoming.Body, limit))
+	body, err := exchange.ReadBody(writer, incoming, limit, patience)
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
 		return nil, invalid(codeBodyTooLarge, "", "the body is larger than %d bytes", limit).withStatus(http.StatusRequestEntityTooLarge)
 	}
+	var full *buffers.FullError
+	if errors.As(err, &full) {
+		writer.Header().Set("Connection", "close") // the body is not read
+		return nil, failureOf(relay.Refusal{Kind: relay.RefusalNotRun, Reason: relay.ReasonNoMemory, RetryAfter: relay.MemoryRetryAfter})
+	}
 	if err != nil {
 		return nil, invalid(codeInvalidJSON, "", "the body cannot be read: %v", err)
 	}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -97,6 +97,7 @@
 		return
 	}
 	r.options.Budgets.Request(admitted.match.Service, r.options.Now())
+	request.Account.SetDeadline(admitted.deadline)
 	run := newRun(r, admitted, caller)
 	if admitted.deadline.IsZero() {
 		run.serveWithinLimit(ctx)
@@ -107,6 +108,32 @@
 	run.serveWithinLimit(bounded)
 }
 
+// ReasonNoMemory is the reason of refusals of requests whose bodies can't be held now.
+const ReasonNoMemory = "no_memory"
+
+// MemoryRetryAfter is when a request comes back whose body can't be held now: slow callers are ended within that time.
+const MemoryRetryAfter = 2 * time.Second
+
+// RefuseUnread answers a request whose body could not be held: it has not run.
+func (r *Relay) RefuseUnread(request *Request, caller Caller) {
+	refusal := Refusal{Kind: RefusalNotRun, Reason: ReasonNoMemory, RetryAfter: MemoryRetryAfter}
+	r.options.Journal.Refused(request, r.arrival(request), refusal)
+	caller.Refuse(refusal)
+}
+
+// TenantOf is the tenant that a key authenticates; empty where none is known to.
+func (r *Relay) TenantOf(key string) identity.TenantName {
+	state := r.options.Control.State()
+	if state == nil {
+		return ""
+	}
+	tenant := state.Table.Tenant(key)
+	if tenant == nil {
+		return ""
+	}
+	return tenant.Name
+}
+
 // arrival describes a request that was refused at its arrival.
 func (r *Relay) arrival(request *Request) *Ending {
 	state := r.options.Control.State()
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/lotusward/lotusward/internal/core/backendpool"
+	"github.com/lotusward/lotusward/internal/core/buffers"
 	"github.com/lotusward/lotusward/internal/core/identity"
 	"github.com/lotusward/lotusward/internal/core/outcome"
 )
@@ -58,6 +59,8 @@
 	// ResumeAfter is the id of the last event that the caller has; empty for a
 	// stream from its start.
 	ResumeAfter string
+	// Account accounts for what the daemon holds for the request and its answer; nil is none.
+	Account *buffers.Exchange
 }
 
 // RefusalKind says what a caller is told about a request without an answer.
--- a/internal/relay/sending.go
+++ b/internal/relay/sending.go
@@ -81,6 +81,9 @@
 	return errUnwanted
 }
 
+// reasonCallerLeft is the reason of requests whose caller has gone.
+const reasonCallerLeft = "caller_left"
+
 // sendFailure reads a sending without an answer.
 func (r *run) sendFailure(ctx context.Context, err error) failure {
 	if errors.Is(err, errUnwanted) {
@@ -122,6 +125,6 @@
 	case errors.Is(cause, errOldWeights):
 		return "old_weights"
 	default:
-		return "caller_left"
+		return reasonCallerLeft
 	}
 }
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -75,7 +75,9 @@
 // passStream passes the events of a stream on as they arrive. When the stream
 // breaks, the request may go on elsewhere after the last event that was passed on.
 func (r *run) passStream(ctx context.Context, cancel context.CancelCauseFunc, ticket *backendpool.Ticket, answer *Answer) (step, failure) {
-	events := newEventReader(answer.Body)
+	body := r.newReadAhead(answer.Body, cancel)
+	answer.Body = body
+	events := newEventReader(body)
 	watch := r.watchStall(ticket, cancel)
 	defer watch.stop()
 	for first := true; ; first = false {
@@ -96,8 +98,11 @@
 			r.relay.begins.note(r.admitted.match.Route.Name, r.now().Sub(r.sentAt))
 			r.relay.hasRead(r.admitted, ticket, r.attempt.SaveTo)
 		}
-		if err := r.passEvent(answer, got, events.more()); err != nil {
-			return stepEnd, failure{result: backendpool.ResultAbandoned, reason: "caller_left"}
+		watch.pause() // while the caller is written to, the back end is not waited for
+		err = r.passEvent(answer, got, events.more())
+		watch.heard()
+		if err != nil {
+			return stepEnd, failure{result: backendpool.ResultAbandoned, reason: r.left()}
 		}
 	}
 }
@@ -107,7 +112,7 @@
 	if err := r.beginStream(answer); err != nil {
 		return err
 	}
-	if err := r.caller.Write(got.bytes); err != nil {
+	if err := r.write(got.bytes); err != nil {
 		return err
 	}
 	if got.id != "" {
@@ -116,7 +121,7 @@
 	if more {
 		return nil
 	}
-	return r.caller.Flush()
+	return r.flush()
 }
 
 // beginStream sends the head once. A resumed stream keeps the first one's.
@@ -136,12 +141,12 @@
 		return r.brokenStream(ctx, "cut_stream")
 	}
 	if err := r.beginStream(answer); err != nil {
-		return stepEnd, failure{result: backendpool.ResultAbandoned, reason: "caller_left"}
+		return stepEnd, failure{result: backendpool.ResultAbandoned, reason: r.left()}
 	}
 	if len(rest) > 0 {
-		_ = r.caller.Write(rest)
+		_ = r.write(rest)
 	}
-	_ = r.caller.Flush()
+	_ = r.flush()
 	return stepEnd, failure{result: backendpool.ResultServed}
 }
 
--- a/internal/relay/watch.go
+++ b/internal/relay/watch.go
@@ -41,6 +41,8 @@
 	// reachedAt is when the back end last accepted a connection.
 	reachedAt time.Time
 	stopped   bool
+	// paused is set while nothing is read from the back end.
+	paused bool
 }
 
 // watchFirst watches for the first byte of an answer.
@@ -163,6 +165,10 @@
 	}
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
+	if w.paused && !w.stopped {
+		w.timer.Reset(w.patient)
+		return
+	}
 	silent := w.run.now().Sub(w.since)
 	if silent < w.alive && !w.stopped {
 		w.timer.Reset(max(min(w.alive-silent, w.patient), time.Millisecond))
@@ -180,7 +186,7 @@
 	if w.reachedAt.After(since) {
 		since = w.reachedAt
 	}
-	return !w.stopped && w.run.now().Sub(since) >= w.patient && w.ticket.SilentSince(since)
+	return !w.stopped && !w.paused && w.run.now().Sub(since) >= w.patient && w.ticket.SilentSince(since)
 }
 
 // reach tells whether the back end accepts a connection.
@@ -211,6 +217,17 @@
 	w.cancel(errSlow)
 }
 
+// pause stops the watch until the back end is heard of: while a slow caller is written to, it is not the back end that is
+// silent.
+func (w *watchdog) pause() {
+	if w.timer == nil {
+		return
+	}
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	w.paused = true
+}
+
 // heard starts the watch anew.
 func (w *watchdog) heard() {
 	if w.timer == nil {
@@ -219,6 +236,7 @@
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
 	w.since = w.run.now()
+	w.paused = false
 }
 
 // stop ends the watch.
--- a/internal/relay/whole.go
+++ b/internal/relay/whole.go
@@ -3,10 +3,12 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"io"
 	"net/http"
 
 	"github.com/lotusward/lotusward/internal/core/backendpool"
+	"github.com/lotusward/lotusward/internal/core/buffers"
 	"github.com/lotusward/lotusward/internal/core/outcome"
 )
 
@@ -28,8 +30,9 @@
 	if answer.Head.Length > 0 && answer.Head.Length <= maximumBufferedAnswer {
 		body.Grow(int(answer.Head.Length) + bytes.MinRead)
 	}
-	_, err := io.CopyN(&body, answer.Body, maximumBufferedAnswer)
-	if err == nil && success {
+	_, err := io.CopyN(accountedWriter{r, &body}, answer.Body, maximumBufferedAnswer)
+	var full *buffers.FullError
+	if success && (err == nil || errors.As(err, &full)) {
 		return r.passLong(ctx, answer, body.Bytes())
 	}
 	if err != io.EOF {
@@ -60,10 +63,10 @@
 	if err := r.caller.Begin(whole.head); err != nil {
 		return
 	}
-	if err := r.caller.Write(whole.body); err != nil {
+	if err := r.write(whole.body); err != nil {
 		return
 	}
-	_ = r.caller.Flush()
+	_ = r.flush()
 }
 
 // passLong passes on an answer that is too long to be held.
@@ -71,25 +74,37 @@
 	r.firstByte = r.now().Sub(r.admitted.request.ArrivedAt)
 	r.begun = true
 	if err := r.caller.Begin(answer.Head); err != nil {
-		return stepEnd, failure{result: backendpool.ResultAbandoned, reason: "caller_left"}
+		return stepEnd, failure{result: backendpool.ResultAbandoned, reason: r.left()}
 	}
-	if err := r.caller.Write(first); err != nil {
-		return stepEnd, failure{result: backendpool.ResultAbandoned, reason: "caller_left"}
+	if err := r.write(first); err != nil {
+		return stepEnd, failure{result: backendpool.ResultAbandoned, reason: r.left()}
 	}
-	if _, err := io.Copy(callerWriter{r.caller}, answer.Body); err != nil {
+	if _, err := io.Copy(callerWriter{r}, answer.Body); err != nil {
 		r.caller.Abort()
 		return stepEnd, r.interrupted(ctx, failure{result: backendpool.ResultCut, reason: reasonOf(ctx, "cut_answer")})
 	}
-	_ = r.caller.Flush()
+	_ = r.flush()
 	return stepEnd, failure{result: backendpool.ResultServed}
 }
 
+// accountedWriter writes to a buffer within what may be held for a request.
+type accountedWriter struct {
+	run    *run
+	buffer *bytes.Buffer
+}
+
+// Write implements io.Writer. A piece for which there is no room is written, as it has been read, and fails.
+func (w accountedWriter) Write(piece []byte) (int, error) {
+	w.buffer.Write(piece)
+	return len(piece), w.run.admitted.request.Account.Hold(w.run.now(), int64(len(piece)))
+}
+
 // callerWriter writes to a caller as an io.Writer.
-type callerWriter struct{ caller Caller }
+type callerWriter struct{ run *run }
 
 // Write implements io.Writer.
 func (w callerWriter) Write(piece []byte) (int, error) {
-	if err := w.caller.Write(piece); err != nil {
+	if err := w.run.write(piece); err != nil {
 		return 0, err
 	}
 	return len(piece), nil
