Tell what a daemon missed of the list, and the whole list packed

Cause: whoever missed a change, and whoever starts, was sent the whole list: 1 to 1.5 MB at 10,000 back ends, encoded anew for each asker, within a question that may take 0.5 s, from two daemons at a time. On links of 20 Mbit/s that can't end in time for one, let alone eight at once. A list that changed in one back end was copied, sorted and shown whole.

An answer is waited for as long as bytes come, the next daemon is asked only where no answer begins within 0.1 s. Daemons' rows are left out where the asker has them; the log names 16 back ends of a change. Builds that know no updates are asked, and answered, as before.

--- a/cmd/internal/daemon/wire.go
+++ b/cmd/internal/daemon/wire.go
@@ -208,7 +208,7 @@
 	})
 	w.namings = namingrecord.New(namingrecord.Options{Table: w.store, Directory: w.directory, Log: w.part("namings")})
 	peerlink.HandleDecoded(w.link, peerlink.KindBulletin, w.directory.Hear)
-	w.snapshots = peersync.NewServer(w.link.Address(), w.directory.Snapshot, w.part("peersync"))
+	w.snapshots = peersync.NewServer(w.link.Address(), w.directory, w.part("peersync"))
 }
 
 // wireCaches makes what follows the caches of back ends and stores.
--- a/internal/directory/asking.go
+++ b/internal/directory/asking.go
@@ -12,11 +12,10 @@
 
 // Times and numbers of asking other daemons.
 const (
-	// askTimeout bounds one question: the answer of a few dozen kilobytes takes some
-	// 40 ms on the slowest links, and the asked daemon may wait for it itself.
-	askTimeout = 500 * time.Millisecond
-	// askedAtOnce is how many daemons a starting one asks at the same time.
+	// askedAtOnce is how many daemons a starting one asks in a round, and askStagger after how long it asks the next one
+	// while no answer has begun: two whole answers at a time would take its link twice.
 	askedAtOnce = 2
+	askStagger  = 100 * time.Millisecond
 	// askPause lies between two rounds of questions.
 	askPause = 60 * time.Millisecond
 	// A starting daemon reads the store itself after a drawn time of up to joinSpread and
@@ -95,7 +94,7 @@
 		if round > 0 && d.caughtUp(lacking) {
 			return nil
 		}
-		if err = d.ask(ctx, address, lacking.need); err == nil {
+		if err = d.ask(ctx, address, lacking.need, nil); err == nil {
 			return nil
 		}
 	}
@@ -128,31 +127,37 @@
 
 func (e *LackingError) Error() string { return e.Address + " does not know it" }
 
-// ask takes in what one daemon believes. Without an error that is what this daemon needs;
+// ask takes in what one daemon believes. Begun is called once its answer has begun; it may be nil. Without an error that is what this daemon needs;
 // otherwise the error is a LackingError, the context's, or that of the call.
-func (d *Directory) ask(ctx context.Context, address string, need Have) error {
-	bounded, cancel := context.WithTimeout(ctx, askTimeout)
-	defer cancel()
+func (d *Directory) ask(ctx context.Context, address string, need Have, begun func()) error {
 	have := d.have()
 	have.NeedRowVersion, have.NeedBackendsTo = need.NeedRowVersion, need.NeedBackendsTo
 	asked := clock.Now()
-	snapshot, err := d.options.Peers.Snapshot(bounded, address, have)
+	update, err := d.options.Peers.Update(ctx, address, have, begun)
+	if err != nil {
+		return err
+	}
+	snapshot := update.Snapshot
+	list, err := newsOf(&update)
 	if err != nil {
 		return err
 	}
 	if !snapshot.Complete {
 		return &LackingError{Address: address}
 	}
-	if need == (Have{}) && d.Complete() && have == (Have{}) {
+	if need == (Have{}) && d.Complete() && have.BackendsTo == 0 && have.RowVersion == 0 {
 		return nil // another one has answered before
 	}
 	done := make(chan struct{})
-	d.post(ctx, message{adopted: &adoption{from: address, asked: asked, answered: clock.Now(), snapshot: snapshot, done: done}})
+	d.post(ctx, message{adopted: &adoption{from: address, asked: asked, answered: clock.Now(), snapshot: snapshot, list: list, done: done}})
 	select {
 	case <-done:
 	case <-ctx.Done():
 		return ctx.Err()
 	}
+	if have.BackendsTo > 0 && d.wantsWhole.Load() {
+		return d.ask(ctx, address, need, begun)
+	}
 	if snapshot.RowVersion < need.NeedRowVersion || snapshot.BackendsTo < need.NeedBackendsTo {
 		return &LackingError{Address: address}
 	}
@@ -164,9 +169,10 @@
 	if state := d.state.Load(); state != nil {
 		have.RowVersion = state.RowVersion
 	}
-	if d.listed.Load() {
+	if d.listed.Load() && !d.wantsWhole.Load() {
 		have.BackendsTo = d.positions[tableBackends].Load()
 	}
+	have.MembersTo = d.positions[tableMembers].Load()
 	return have
 }
 
@@ -232,16 +238,31 @@
 	}
 }
 
-// askAny asks daemons at the same time. It returns as soon as one told what it believes,
-// or the last error where none did.
+// askAny asks daemons, the next one where the one before has failed or is slow to begin its answer. It returns as soon as
+// one told what it believes, or the last error where none did.
 func (d *Directory) askAny(ctx context.Context, addresses []string) error {
 	told := make(chan error, len(addresses))
-	for _, address := range addresses {
-		go func() { told <- d.ask(ctx, address, Have{}) }()
-	}
+	begun := make(chan struct{}, len(addresses))
 	err := errNobodyKnown
-	for range addresses {
-		if err = <-told; err == nil {
+	asked, answered := 0, 0
+	for answered < asked || asked < len(addresses) {
+		var stagger <-chan time.Time
+		if asked < len(addresses) {
+			address := addresses[asked]
+			go func() { told <- d.ask(ctx, address, Have{}, func() { begun <- struct{}{} }) }()
+			asked++
+			stagger = time.After(askStagger)
+		}
+		select {
+		case err = <-told:
+			answered++
+		case <-begun:
+			err = <-told
+			answered++
+		case <-stagger:
+			continue
+		}
+		if err == nil {
 			return nil
 		}
 	}
--- a/internal/directory/asking_test.go
+++ b/internal/directory/asking_test.go
@@ -15,8 +15,8 @@
 // lackingPeers know nothing that one could ask them for.
 type lackingPeers struct{}
 
-func (lackingPeers) Snapshot(context.Context, string, Have) (Snapshot, error) {
-	return Snapshot{}, nil
+func (lackingPeers) Update(context.Context, string, Have, func()) (Update, error) {
+	return Update{}, nil
 }
 
 // TestLogSaysWhyNobodyHelped lets all other daemons lack what one has heard of: its log
@@ -41,5 +41,5 @@
 		}
 		return poll.Continue("nobody says why")
 	}, poll.WithDelay(5*time.Millisecond))
-	assert.ErrorType(t, follower.ask(ctx, "a", Have{NeedRowVersion: 12}), &LackingError{})
+	assert.ErrorType(t, follower.ask(ctx, "a", Have{NeedRowVersion: 12}, nil), &LackingError{})
 }
--- a/internal/directory/backendlist.go
+++ b/internal/directory/backendlist.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"cmp"
-	"maps"
 	"slices"
 
 	"github.com/vmihailenco/msgpack/v5"
@@ -36,7 +35,8 @@
 type backendList struct {
 	byName map[identity.BackendName]listedBackend
 	// digest is of all of them.
-	digest listDigest
+	digest  listDigest
+	history listHistory
 }
 
 type listedBackend struct {
@@ -48,12 +48,67 @@
 	return &backendList{byName: map[identity.BackendName]listedBackend{}}
 }
 
+// alter takes in changes up to a version of the store. It returns the IDs of those that are no longer listed: of back ends
+// that are gone, and of lives before.
+func (l *backendList) alter(changed []listedBackend, gone []identity.BackendName, to uint64) (ended []identity.BackendID) {
+	for _, each := range changed {
+		name := each.backend.ID.Name()
+		if known, listed := l.byName[name]; listed && known.backend.ID != each.backend.ID {
+			ended = append(ended, known.backend.ID)
+		}
+		l.putListed(each)
+		l.history.note(to, name)
+	}
+	for _, name := range gone {
+		if known, listed := l.byName[name]; listed {
+			ended = append(ended, known.backend.ID)
+		}
+		l.remove(name)
+		l.history.note(to, name)
+	}
+	return ended
+}
+
+// digested adds the digests of back ends.
+func digested(backends []backendpool.Backend) []listedBackend {
+	listed := make([]listedBackend, len(backends))
+	for index, backend := range backends {
+		listed[index] = listedBackend{backend: backend, digest: digestOf(backend)}
+	}
+	return listed
+}
+
+// backendsOf are the back ends without their digests.
+func backendsOf(listed []listedBackend) []backendpool.Backend {
+	backends := make([]backendpool.Backend, len(listed))
+	for index := range listed {
+		backends[index] = listed[index].backend
+	}
+	return backends
+}
+
+// since returns what has changed since a version of the store; false where that is no longer known.
+func (l *backendList) since(version uint64) (changed []backendpool.Backend, gone []identity.BackendName, known bool) {
+	names, known := l.history.since(version)
+	for _, name := range names {
+		if listed, found := l.byName[name]; found {
+			changed = append(changed, listed.backend)
+		} else {
+			gone = append(gone, name)
+		}
+	}
+	return changed, gone, known
+}
+
 // put adds a back end, in place of what was known of it and of its lives before.
 func (l *backendList) put(backend backendpool.Backend) {
-	digest := digestOf(backend)
-	name := backend.ID.Name()
-	l.digest ^= l.byName[name].digest ^ digest
-	l.byName[name] = listedBackend{backend: backend, digest: digest}
+	l.putListed(listedBackend{backend: backend, digest: digestOf(backend)})
+}
+
+func (l *backendList) putListed(listed listedBackend) {
+	name := listed.backend.ID.Name()
+	l.digest ^= l.byName[name].digest ^ listed.digest
+	l.byName[name] = listed
 }
 
 // remove drops a back end; one that is not listed is passed over.
@@ -80,28 +135,44 @@
 	return found && known.digest == digestOf(backend)
 }
 
-// difference returns what a whole list changes in this one.
-func (l *backendList) difference(listed []backendpool.Backend) ([]backendpool.Backend, []identity.BackendName) {
-	var changed []backendpool.Backend
-	missing := map[identity.BackendName]bool{}
-	for name := range l.byName {
-		missing[name] = true
+// listOfAll makes a list of back ends.
+func listOfAll(backends []backendpool.Backend) *backendList {
+	made := newBackendList()
+	for _, backend := range backends {
+		made.put(backend)
+	}
+	return made
+}
+
+// difference returns what another list changes in this one.
+func (l *backendList) difference(other *backendList) (changed []listedBackend, gone []identity.BackendName) {
+	for name, listed := range other.byName {
+		if known, found := l.byName[name]; !found || known.digest != listed.digest {
+			changed = append(changed, listed)
+		}
 	}
-	for _, backend := range listed {
-		delete(missing, backend.ID.Name())
-		if !l.has(backend) {
-			changed = append(changed, backend)
+	for name := range l.byName {
+		if _, found := other.byName[name]; !found {
+			gone = append(gone, name)
 		}
 	}
-	return changed, slices.Sorted(maps.Keys(missing))
+	slices.SortFunc(changed, func(left, right listedBackend) int { return cmp.Compare(left.backend.ID, right.backend.ID) })
+	slices.Sort(gone)
+	return changed, gone
 }
 
-// all returns the back ends, ordered by ID.
-func (l *backendList) all() []backendpool.Backend {
+// unordered returns the back ends.
+func (l *backendList) unordered() []backendpool.Backend {
 	list := make([]backendpool.Backend, 0, len(l.byName))
 	for _, listed := range l.byName {
 		list = append(list, listed.backend)
 	}
+	return list
+}
+
+// all returns the back ends, ordered by ID.
+func (l *backendList) all() []backendpool.Backend {
+	list := l.unordered()
 	slices.SortFunc(list, func(left, right backendpool.Backend) int { return cmp.Compare(left.ID, right.ID) })
 	return list
 }
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -138,6 +138,10 @@
 	declaredChanged signal
 	// waited is when another daemon last told that operators have declared nothing yet.
 	waited atomic.Pointer[time.Time]
+	// packer has the list packed for daemons that ask, and wantsWhole is set where the changes that others told don't lead
+	// to their list.
+	packer     packer
+	wantsWhole atomic.Bool
 	// shown are the lists as other daemons may be given them.
 	shown atomic.Pointer[shownLists]
 
@@ -196,6 +200,7 @@
 	told    *toldChange
 	// standing was written by a daemon.
 	standing *rollout.Standing
+	question *listQuestion
 	err      error
 }
 
@@ -303,6 +308,8 @@
 		d.applyTold(got)
 	case got.seen != nil:
 		d.applySeen(got.seen)
+	case got.question != nil:
+		d.answerList(got.question)
 	case got.standing != nil:
 		d.applyStanding(*got.standing)
 	}
--- a/internal/directory/fleet_test.go
+++ b/internal/directory/fleet_test.go
@@ -115,23 +115,28 @@
 	return f.running[address]
 }
 
+// silentAnswer is how long an answer is waited for that is lost.
+const silentAnswer = 500 * time.Millisecond
+
 // fleetPeers lets one daemon ask the others.
 type fleetPeers struct {
 	fleet *fleet
 	self  string
 }
 
-// Snapshot implements Peers.
-func (p *fleetPeers) Snapshot(ctx context.Context, address string, have Have) (Snapshot, error) {
+// Update implements Peers.
+func (p *fleetPeers) Update(ctx context.Context, address string, have Have, _ func()) (Update, error) {
 	asked, blocked := p.fleet.noteAsked(p.self, address)
 	switch {
 	case blocked:
-		<-ctx.Done()
-		return Snapshot{}, ctx.Err()
+		bounded, cancel := context.WithTimeout(ctx, silentAnswer)
+		defer cancel()
+		<-bounded.Done()
+		return Update{}, bounded.Err()
 	case asked == nil:
-		return Snapshot{}, errors.New("gone")
+		return Update{}, errors.New("gone")
 	default:
-		return asked.Snapshot(ctx, have), nil
+		return asked.Update(ctx, have), nil
 	}
 }
 
--- a/internal/directory/listing.go
+++ b/internal/directory/listing.go
@@ -22,11 +22,10 @@
 	if listed.Malformed != nil {
 		d.options.Log.WithError(listed.Malformed).Error("Some back ends cannot be read.")
 	}
-	changed, gone := d.backends.difference(listed.Backends)
-	d.changeLog.note(position.Load(), listed.Version, changed, gone)
-	d.alter(changed, gone)
+	changed, gone := d.backends.difference(listOfAll(listed.Backends))
+	d.changeLog.note(position.Load(), listed.Version, backendsOf(changed), gone)
 	advance(position, listed.Version)
-	d.updatePool(listed.Version)
+	d.alter(changed, gone, listed.Version)
 	d.listed.Store(true)
 	d.repeats = repeatedBulletins
 	d.tellBackends(got.ended)
@@ -55,33 +54,28 @@
 // change applies changes up to a version of the store.
 func (d *Directory) change(changed []backendpool.Backend, gone []identity.BackendName, to uint64) {
 	advance(d.positions[tableBackends], to)
-	d.alter(changed, gone)
-	if len(changed)+len(gone) > 0 {
-		d.updatePool(to)
-	} else {
-		d.showBackends(nil)
-	}
+	d.alter(digested(changed), gone, to)
 }
 
-// alter changes the list.
-func (d *Directory) alter(changed []backendpool.Backend, gone []identity.BackendName) {
-	for _, backend := range changed {
-		d.backends.put(backend)
-	}
-	for _, name := range gone {
-		d.backends.remove(name)
-	}
-}
+// loggedIDs is how many back ends a line of the log names.
+const loggedIDs = 16
 
-// updatePool gives the pool the list as it is believed to be.
-func (d *Directory) updatePool(version uint64) {
-	all := d.backends.all()
-	d.showBackends(all)
-	change := d.options.Pool.Update(all)
+// alter changes the list as it is believed to be, and gives the pool what changed.
+func (d *Directory) alter(changed []listedBackend, gone []identity.BackendName, to uint64) {
+	ended := d.backends.alter(changed, gone, to)
+	if !d.listed.Load() {
+		d.backends.history.begin(to)
+	}
+	d.showBackends()
+	change := d.options.Pool.Apply(backendsOf(changed), ended)
 	if len(change.Added)+len(change.Removed)+len(change.Draining) == 0 {
 		return
 	}
 	d.options.Log.WithFields(logrus.Fields{
-		"added": change.Added, "removed": change.Removed, "draining": change.Draining, "store_version": version,
+		"added": firstOf(change.Added), "added_count": len(change.Added),
+		"removed": firstOf(change.Removed), "removed_count": len(change.Removed),
+		"draining": firstOf(change.Draining), "draining_count": len(change.Draining), "store_version": to,
 	}).Info("The list of back ends changed.")
 }
+
+func firstOf(ids []identity.BackendID) []identity.BackendID { return ids[:min(len(ids), loggedIDs)] }
--- a/internal/directory/snapshot.go
+++ b/internal/directory/snapshot.go
@@ -1,6 +1,7 @@
 package directory
 
 import (
+	"cmp"
 	"context"
 	"time"
 
@@ -29,6 +30,8 @@
 	// BackendsTo is up to where the asker knows the list of back ends, and NeedBackendsTo
 	// up to where it has heard of changes.
 	BackendsTo, NeedBackendsTo uint64
+	// MembersTo is up to where the asker knows which daemons there are. Those that ask for a Snapshot don't tell it.
+	MembersTo uint64
 }
 
 // Snapshot is what a daemon believes.
@@ -70,7 +73,6 @@
 // shownLists are the lists that other daemons may be given.
 type shownLists struct {
 	backendsTo uint64
-	backends   []backendpool.Backend
 	membersTo  uint64
 	members    []member.Descriptor
 	digest     listDigest
@@ -79,14 +81,10 @@
 	clock freshness
 }
 
-// showBackends lets other daemons see the list as it is now, given as a whole if it
-// changed.
-func (d *Directory) showBackends(changed []backendpool.Backend) {
+// showBackends lets other daemons see up to where the list is known.
+func (d *Directory) showBackends() {
 	shown := *d.shown.Load()
 	shown.backendsTo = d.positions[tableBackends].Load()
-	if changed != nil {
-		shown.backends = changed
-	}
 	d.shown.Store(&shown)
 }
 
@@ -101,8 +99,23 @@
 }
 
 // Snapshot returns what this daemon believes, as far as an asker lacks it. It waits a
-// moment for what the asker needs. It is safe for use by several goroutines.
+// moment for what the asker needs. It is safe for use by several goroutines. It is for daemons of builds that don't
+// ask for an Update.
 func (d *Directory) Snapshot(ctx context.Context, have Have) Snapshot {
+	snapshot, complete := d.snapshot(ctx, have)
+	if !complete || (snapshot.BackendsTo == have.BackendsTo && have.NeedBackendsTo == 0) {
+		return snapshot
+	}
+	list, answered := d.askList(ctx, nil)
+	if !answered {
+		return Snapshot{}
+	}
+	snapshot.HasBackends, snapshot.Backends, snapshot.BackendsTo = true, list.changed, list.to
+	return snapshot
+}
+
+// snapshot returns what this daemon believes but for the list of back ends; false before it is complete.
+func (d *Directory) snapshot(ctx context.Context, have Have) (Snapshot, bool) {
 	until := clock.Now().Add(serveWait)
 	for !d.satisfies(have) && clock.Now().Before(until) && ctx.Err() == nil {
 		pause.For(ctx, serveCheck)
@@ -110,7 +123,7 @@
 	confirmed := d.ConfirmedAt() // before what it confirms is looked up
 	state, shown := d.state.Load(), d.shown.Load()
 	if state == nil || !d.listed.Load() {
-		return Snapshot{}
+		return Snapshot{}, false
 	}
 	now := clock.Now()
 	snapshot := Snapshot{
@@ -123,21 +136,19 @@
 		Versions:     allSeen(state),
 		BackendsTo:   shown.backendsTo,
 		MembersTo:    shown.membersTo,
-		Members:      shown.members,
 		MemberDigest: shown.digest,
 		Software:     shown.software,
 	}
+	if have.MembersTo == 0 || have.MembersTo != shown.membersTo {
+		snapshot.Members = shown.members
+	}
 	if d.options.Quarantine != nil {
 		snapshot.Crashes = d.options.Quarantine.Quarantined()
 	}
 	if state.RowVersion != have.RowVersion {
 		snapshot.Configuration = state.Table.Configuration()
 	}
-	if shown.backendsTo != have.BackendsTo || have.NeedBackendsTo > 0 {
-		snapshot.HasBackends = true
-		snapshot.Backends = shown.backends
-	}
-	return snapshot
+	return snapshot, true
 }
 
 // satisfies tells whether this daemon has what an asker needs.
@@ -154,6 +165,8 @@
 	from            string
 	asked, answered time.Time
 	snapshot        Snapshot
+	// list is what was told of the back ends in an update; nil is nothing.
+	list *listNews
 	// done is closed once it has been taken in; nil tells nobody.
 	done chan struct{}
 }
@@ -171,14 +184,15 @@
 	d.freshness[tableDeclared].adopt(got.asked, got.answered, snapshot.ClockLeast, snapshot.ClockMost)
 	d.takeSoftware(snapshot.Software)
 	d.adoptDeclared(got)
-	d.adoptBackends(&snapshot)
+	list := cmp.Or(got.list, newsOfSnapshot(&snapshot))
+	d.adoptBackends(list)
 	d.learnMembers(snapshot.Members, snapshot.MembersTo)
 	if d.members.digest == snapshot.MemberDigest {
 		advance(d.positions[tableMembers], snapshot.MembersTo)
 	}
 	d.showRest()
 	d.options.Log.WithFields(logrus.Fields{
-		"from": got.from, "store_version": snapshot.StoreVersion, "back_ends": len(snapshot.Backends),
+		"from": got.from, "store_version": snapshot.StoreVersion, "back_ends": list.size(),
 		"daemons": len(snapshot.Members), "configuration_age_ms": clock.Since(d.ConfirmedAt()).Milliseconds(),
 	}).Info("Another daemon's belief was taken in.")
 }
@@ -225,16 +239,3 @@
 		d.nameVersion(got.answered, seen.Model, d.asTold(seen, d.guess(seen.Version)))
 	}
 }
-
-// adoptBackends takes in the list of back ends.
-func (d *Directory) adoptBackends(snapshot *Snapshot) {
-	position := d.positions[tableBackends]
-	if !snapshot.HasBackends || (d.listed.Load() && snapshot.BackendsTo < position.Load()) {
-		return
-	}
-	changed, gone := d.backends.difference(snapshot.Backends)
-	d.alter(changed, gone)
-	advance(position, snapshot.BackendsTo)
-	d.updatePool(snapshot.BackendsTo)
-	d.listed.Store(true)
-}
--- a/internal/directory/source.go
+++ b/internal/directory/source.go
@@ -165,8 +165,9 @@
 
 // Peers asks other daemons.
 type Peers interface {
-	// Snapshot asks the daemon at an address for what it believes, as far as that
+	// Update asks the daemon at an address for what it believes, as far as that
 	// differs from what the asker has. A daemon that isn't as far as the asker needs
-	// answers after a moment with what it has.
-	Snapshot(ctx context.Context, address string, have Have) (Snapshot, error)
+	// answers after a moment with what it has. It fails where nothing comes for too long. Begun is called once the
+	// answer has begun; it may be nil.
+	Update(ctx context.Context, address string, have Have, begun func()) (Update, error)
 }
--- /dev/null
+++ b/internal/directory/update_test.go
@@ -0,0 +1,170 @@
+package directory
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/lotusward/lotusward/internal/core/backendpool"
+	"github.com/lotusward/lotusward/internal/core/identity"
+	"github.com/lotusward/lotusward/internal/logging"
+)
+
+// update asks a daemon that doesn't run for what it believes.
+func update(asked *Directory, have Have) Update {
+	answer := make(chan Update, 1)
+	go func() { answer <- asked.Update(context.Background(), have) }()
+	for {
+		select {
+		case got := <-asked.messages:
+			asked.apply(got)
+		case update := <-answer:
+			return update
+		}
+	}
+}
+
+// catchUpWith has a daemon ask another one as ask does, and take in what it is told. It returns how many back ends were
+// told.
+func catchUpWith(t assert.TestingT, asker, asked *Directory) int {
+	told := 0
+	for range 2 {
+		now := time.Now()
+		have := asker.have()
+		have.NeedBackendsTo = asked.positions[tableBackends].Load() // as a bulletin told
+		update := update(asked, have)
+		list, err := newsOf(&update)
+		assert.NilError(t, err)
+		told += list.size()
+		asker.apply(message{adopted: &adoption{from: "reader", asked: now, answered: now, snapshot: update.Snapshot, list: list}})
+		if !asker.wantsWhole.Load() {
+			break
+		}
+	}
+	return told
+}
+
+// TestAskersGetTheSameList changes a list, and has daemons ask for it that start, that have missed some changes, and that
+// believe in another list by mistake: all come to believe the same as the asked one.
+func TestAskersGetTheSameList(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		world := newLivesWorld(t)
+		world.reader.backends.history.begin(world.version)
+		askers := make([]*Directory, 3)
+		for index := range askers {
+			askers[index] = New(Options{Pool: backendpool.New("a"), Log: logging.Discard(), Self: fmt.Sprint("asker", index)})
+		}
+		for range rapid.IntRange(1, 30).Draw(t, "steps") {
+			asker := askers[rapid.IntRange(0, len(askers)-1).Draw(t, "asker")]
+			switch rapid.IntRange(0, 5).Draw(t, "step") {
+			case 0, 1, 2:
+				world.change()
+			case 3:
+				if asker.Complete() && rapid.Bool().Draw(t, "mistaken") {
+					asker.backends.put(backendpool.Backend{ID: "nobody", Service: "s"})
+				}
+			default:
+				catchUpWith(t, asker, world.reader)
+				assert.DeepEqual(t, believed(asker), believed(world.reader))
+				assert.Equal(t, asker.backends.digest, world.reader.backends.digest)
+			}
+		}
+		for _, asker := range askers {
+			catchUpWith(t, asker, world.reader)
+			assert.DeepEqual(t, believed(asker), believed(world.reader))
+			assert.DeepEqual(t, asker.options.Pool.Backends(), world.reader.backends.all())
+		}
+	})
+}
+
+// listOf makes a list of a number of back ends as they are told in a fleet.
+func listOf(count int) []backendpool.Backend {
+	list := make([]backendpool.Backend, count)
+	for number := range list {
+		list[number] = backendpool.Backend{
+			ID:      identity.NewBackendID(identity.BackendName(fmt.Sprintf("i-%08x%04d", uint32(number)*2654435761, number)), identity.Incarnation(1796262243000+number*17)),
+			Service: "assistant", Address: fmt.Sprintf("10.%d.%d.%d:8000", number%5, number/250, number%250), Zone: identity.Zone(fmt.Sprintf("zone-%d", number%5)),
+			Slots: 16, Software: "v1", Weights: map[identity.ModelName]uint64{"m0": 3},
+		}
+	}
+	return list
+}
+
+// readerOf is a daemon that has read a list.
+func readerOf(list []backendpool.Backend) *Directory {
+	reader := New(Options{Pool: backendpool.New("a"), Log: logging.Discard(), Self: "reader"})
+	declared := declaration(10, 7)
+	now := time.Now()
+	reader.apply(message{table: tableDeclared, began: now, ended: now, declared: &declared})
+	reader.apply(message{table: tableBackends, began: now, ended: now, listed: &Listed{Reading: Reading{Version: 1000}, Backends: list}})
+	return reader
+}
+
+// TestMissedChangesCostNoWholeList has a daemon miss changes of a large list: it is told these alone, as many of 1,000 as
+// of 20,000.
+func TestMissedChangesCostNoWholeList(t *testing.T) {
+	for _, count := range []int{1_000, 10_000, 20_000} {
+		list := listOf(count)
+		reader := readerOf(list)
+		asker := New(Options{Pool: backendpool.New("a"), Log: logging.Discard(), Self: "asker"})
+		assert.Equal(t, catchUpWith(t, asker, reader), count)
+		for number := range 300 {
+			changed := list[number]
+			changed.Draining = true
+			reader.change([]backendpool.Backend{changed}, nil, uint64(1001+number))
+		}
+		assert.Equal(t, catchUpWith(t, asker, reader), 300)
+		assert.Equal(t, asker.backends.digest, reader.backends.digest)
+	}
+}
+
+// TestListsArePackedOnce has many daemons start at once: each is told the whole list in a third of a second on a link
+// of 20 Mbit a second at 20,000 back ends, and the asked one packs it once.
+func TestListsArePackedOnce(t *testing.T) {
+	const linkBytesPerSecond = 20_000_000 / 8
+	reader := readerOf(listOf(20_000))
+	first := update(reader, Have{})
+	assert.Assert(t, len(first.List.Packed) < linkBytesPerSecond/3, "%d bytes", len(first.List.Packed))
+	for range 10 {
+		next := update(reader, Have{})
+		assert.Assert(t, &next.List.Packed[0] == &first.List.Packed[0])
+	}
+	t.Logf("%d bytes for 20,000 back ends", len(first.List.Packed))
+}
+
+// BenchmarkAdopt takes in a whole list as a daemon that starts does.
+func BenchmarkAdopt(b *testing.B) {
+	for _, count := range []int{1_000, 10_000, 20_000} {
+		b.Run(fmt.Sprint(count), func(b *testing.B) {
+			reader := readerOf(listOf(count))
+			told := update(reader, Have{})
+			for b.Loop() {
+				starter := New(Options{Pool: backendpool.New("a"), Log: logging.Discard(), Self: "starter"})
+				list, err := newsOf(&told)
+				assert.NilError(b, err)
+				starter.apply(message{adopted: &adoption{from: "reader", asked: time.Now(), answered: time.Now(), snapshot: told.Snapshot, list: list}})
+			}
+		})
+	}
+}
+
+// BenchmarkChange takes in a change of one back end.
+func BenchmarkChange(b *testing.B) {
+	for _, count := range []int{1_000, 10_000, 20_000} {
+		b.Run(fmt.Sprint(count), func(b *testing.B) {
+			list := listOf(count)
+			reader := readerOf(list)
+			version, number := uint64(1000), 0
+			for b.Loop() {
+				version, number = version+1, (number+7)%count
+				changed := list[number]
+				changed.Draining = version%2 == 0
+				reader.change([]backendpool.Backend{changed}, nil, version)
+			}
+		})
+	}
+}
--- a/internal/peersync/peersync.go
+++ b/internal/peersync/peersync.go
@@ -18,20 +18,30 @@
 
 	"github.com/lotusward/lotusward/internal/adapter/httpexchange"
 	"github.com/lotusward/lotusward/internal/codec"
+	"github.com/lotusward/lotusward/internal/deflate"
 	"github.com/lotusward/lotusward/internal/directory"
 )
 
 const (
+	// snapshotPath answers builds that know no updates.
 	snapshotPath = "/snapshot"
+	updatePath   = "/update"
 	// Parameters of a request: what the asker has, and what it needs.
 	hasRow       = "has_row"
 	needsRow     = "needs_row"
 	hasBackends  = "has_back_ends"
 	needBackends = "needs_back_ends"
+	// hasMembers is zero where it lacks.
+	hasMembers = "has_daemons"
 	// maximumBytes bounds an answer: 2,800 back ends of 150 bytes each and a
 	// configuration of a megabyte fit.
 	maximumBytes  = 8 << 20
 	headerTimeout = 2 * time.Second
+	// silenceTime is how long nothing may come of an answer: the asked daemon waits for half of it for what the asker
+	// needs.
+	silenceTime = 500 * time.Millisecond
+	// longestAnswer bounds an answer that comes byte by byte.
+	longestAnswer = 10 * time.Second
 	// servedAtOnce is how many askers are answered at a time: more would all wait long on
 	// a slow link, while others have the answer soon too.
 	servedAtOnce = 8
@@ -52,51 +62,157 @@
 
 var _ directory.Peers = (*Client)(nil)
 
-// Snapshot implements directory.Peers.
-func (c *Client) Snapshot(ctx context.Context, address string, have directory.Have) (directory.Snapshot, error) {
+// sentUpdate is a directory.Update as it is sent: what is made for each asker is deflated for it, and the packed list
+// comes as the teller keeps it.
+type sentUpdate struct {
+	// Rest is the update without the packed list, encoded and deflated.
+	Rest   []byte
+	Packed []byte
+}
+
+// Update implements directory.Peers. Daemons of builds that know no updates are asked for a snapshot.
+func (c *Client) Update(ctx context.Context, address string, have directory.Have, begun func()) (directory.Update, error) {
+	content, status, err := c.get(ctx, address, updatePath, have, begun)
+	if err == nil && status == http.StatusNotFound {
+		return c.snapshot(ctx, address, have, begun)
+	}
+	if err != nil || status != http.StatusOK {
+		return directory.Update{}, failed(address, status, err)
+	}
+	return decode(content)
+}
+
+// snapshot asks for what daemons of earlier builds tell.
+func (c *Client) snapshot(ctx context.Context, address string, have directory.Have, begun func()) (directory.Update, error) {
+	content, status, err := c.get(ctx, address, snapshotPath, have, begun)
+	if err != nil || status != http.StatusOK {
+		return directory.Update{}, failed(address, status, err)
+	}
+	var update directory.Update
+	err = codec.Unmarshal(content, &update.Snapshot)
+	return update, err
+}
+
+func failed(address string, status int, err error) error {
+	if err != nil {
+		return err
+	}
+	return fmt.Errorf("what %s believes: status %d", address, status)
+}
+
+// get makes one request, and returns the answer's body. It waits for as long as bytes keep coming: how long a whole list
+// takes goes by its length and the slower link.
+func (c *Client) get(ctx context.Context, address, path string, have directory.Have, begun func()) ([]byte, int, error) {
 	values := url.Values{}
 	for name, value := range map[string]uint64{
-		hasRow: have.RowVersion, needsRow: have.NeedRowVersion, hasBackends: have.BackendsTo, needBackends: have.NeedBackendsTo,
+		hasRow: have.RowVersion, needsRow: have.NeedRowVersion, hasBackends: have.BackendsTo, needBackends: have.NeedBackendsTo, hasMembers: have.MembersTo,
 	} {
 		values.Set(name, strconv.FormatUint(value, 10))
 	}
-	answer, err := c.pool.Do(ctx, address, &httpexchange.Request{
-		Method: http.MethodGet, Target: snapshotPath + "?" + values.Encode(), Host: address, Header: http.Header{},
+	bounded, cancel := context.WithTimeoutCause(ctx, longestAnswer, errSilent)
+	defer cancel()
+	silent, stop := context.WithCancelCause(bounded)
+	defer stop(nil)
+	quiet := time.AfterFunc(silenceTime, func() { stop(errSilent) })
+	defer quiet.Stop()
+	answer, err := c.pool.Do(silent, address, &httpexchange.Request{
+		Method: http.MethodGet, Target: path + "?" + values.Encode(), Host: address, Header: http.Header{},
 	})
 	if err != nil {
-		return directory.Snapshot{}, err
+		return nil, 0, err
 	}
 	defer answer.Close()
-	content, err := io.ReadAll(io.LimitReader(answer, maximumBytes))
-	if err != nil {
-		return directory.Snapshot{}, err
+	if begun != nil && answer.Status == http.StatusOK {
+		begun()
 	}
-	if c.observe != nil {
+	content, err := io.ReadAll(io.LimitReader(progressReader{answer, quiet}, maximumBytes))
+	if err == nil && c.observe != nil {
 		c.observe(address, len(content))
 	}
-	if answer.Status != http.StatusOK {
-		return directory.Snapshot{}, fmt.Errorf("snapshot of %s: status %d", address, answer.Status)
+	return content, answer.Status, err
+}
+
+// errSilent ends a question of which nothing came for too long.
+var errSilent = errors.New("the asked daemon is silent for too long")
+
+// progressReader puts a timer off whenever bytes come.
+type progressReader struct {
+	reader io.Reader
+	quiet  *time.Timer
+}
+
+// Read implements io.Reader.
+func (r progressReader) Read(into []byte) (int, error) {
+	count, err := r.reader.Read(into)
+	if count > 0 {
+		r.quiet.Reset(silenceTime)
+	}
+	return count, err
+}
+
+func encode(update directory.Update) ([]byte, error) {
+	var sent sentUpdate
+	if update.List != nil {
+		list := *update.List
+		sent.Packed, list.Packed = list.Packed, nil
+		update.List = &list
+	}
+	rest, err := codec.Marshal(&update)
+	if err != nil {
+		return nil, err
+	}
+	if sent.Rest, err = deflate.Pack(rest); err != nil {
+		return nil, err
 	}
-	var snapshot directory.Snapshot
-	err = codec.Unmarshal(content, &snapshot)
-	return snapshot, err
+	return codec.Marshal(&sent)
+}
+
+func decode(content []byte) (directory.Update, error) {
+	var sent sentUpdate
+	var update directory.Update
+	if err := codec.Unmarshal(content, &sent); err != nil {
+		return update, err
+	}
+	rest, err := deflate.Unpack(sent.Rest, maximumBytes)
+	if err != nil {
+		return update, err
+	}
+	if err := codec.Unmarshal(rest, &update); err != nil {
+		return update, err
+	}
+	if update.List != nil {
+		update.List.Packed = sent.Packed
+	}
+	return update, nil
 }
 
 // Server answers other daemons.
 type Server struct {
-	address  string
-	server   *http.Server
-	snapshot func(ctx context.Context, have directory.Have) directory.Snapshot
-	log      logrus.FieldLogger
+	address string
+	server  *http.Server
+	teller  Teller
+	log     logrus.FieldLogger
 	// places has room for those that are answered now.
 	places chan struct{}
 }
 
+// Teller tells what a daemon believes. It is a directory.Directory, or a test's.
+type Teller interface {
+	Update(ctx context.Context, have directory.Have) directory.Update
+	Snapshot(ctx context.Context, have directory.Have) directory.Snapshot
+}
+
 // NewServer makes a Server that listens on an address (IP:port) once it runs.
-func NewServer(address string, snapshot func(ctx context.Context, have directory.Have) directory.Snapshot, log logrus.FieldLogger) *Server {
-	made := &Server{address: address, snapshot: snapshot, log: log, places: make(chan struct{}, servedAtOnce)}
+func NewServer(address string, teller Teller, log logrus.FieldLogger) *Server {
+	made := &Server{address: address, teller: teller, log: log, places: make(chan struct{}, servedAtOnce)}
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET "+snapshotPath, made.serve)
+	mux.HandleFunc("GET "+updatePath, made.serve(func(ctx context.Context, have directory.Have) ([]byte, error) {
+		return encode(teller.Update(ctx, have))
+	}))
+	mux.HandleFunc("GET "+snapshotPath, made.serve(func(ctx context.Context, have directory.Have) ([]byte, error) {
+		snapshot := teller.Snapshot(ctx, have)
+		return codec.Marshal(&snapshot)
+	}))
 	made.server = &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
 	return made
 }
@@ -123,28 +239,30 @@
 	return nil
 }
 
-func (s *Server) serve(writer http.ResponseWriter, request *http.Request) {
-	have, err := readHave(request.URL.Query())
-	if err != nil {
-		http.Error(writer, err.Error(), http.StatusBadRequest)
-		return
-	}
-	select {
-	case s.places <- struct{}{}:
-		defer func() { <-s.places }()
-	default:
-		writer.WriteHeader(http.StatusServiceUnavailable)
-		return
-	}
-	snapshot := s.snapshot(request.Context(), have)
-	encoded, err := codec.Marshal(&snapshot)
-	if err != nil {
-		http.Error(writer, err.Error(), http.StatusInternalServerError)
-		return
+// serve answers questions by what tell returns for them, encoded.
+func (s *Server) serve(tell func(ctx context.Context, have directory.Have) ([]byte, error)) http.HandlerFunc {
+	return func(writer http.ResponseWriter, request *http.Request) {
+		have, err := readHave(request.URL.Query())
+		if err != nil {
+			http.Error(writer, err.Error(), http.StatusBadRequest)
+			return
+		}
+		select {
+		case s.places <- struct{}{}:
+			defer func() { <-s.places }()
+		default:
+			writer.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		encoded, err := tell(request.Context(), have)
+		if err != nil {
+			http.Error(writer, err.Error(), http.StatusInternalServerError)
+			return
+		}
+		writer.Header().Set("Content-Type", "application/msgpack")
+		writer.Header().Set("Content-Length", strconv.Itoa(len(encoded)))
+		_, _ = writer.Write(encoded) // an asker that has left needs no answer
 	}
-	writer.Header().Set("Content-Type", "application/msgpack")
-	writer.Header().Set("Content-Length", strconv.Itoa(len(encoded)))
-	_, _ = writer.Write(encoded) // an asker that has left needs no answer
 }
 
 func readHave(values url.Values) (directory.Have, error) {
@@ -158,5 +276,12 @@
 		}
 		*into = value
 	}
+	if text := values.Get(hasMembers); text != "" { // askers of earlier builds don't say
+		value, err := strconv.ParseUint(text, 10, 64)
+		if err != nil {
+			return have, fmt.Errorf("parameter %s is no number: %q", hasMembers, text)
+		}
+		have.MembersTo = value
+	}
 	return have, nil
 }
--- a/internal/peersync/peersync_test.go
+++ b/internal/peersync/peersync_test.go
@@ -18,11 +18,27 @@
 	"github.com/lotusward/lotusward/internal/logging"
 )
 
+// teller tells what a test wants.
+type teller func(context.Context, directory.Have) directory.Snapshot
+
+func (t teller) Snapshot(ctx context.Context, have directory.Have) directory.Snapshot {
+	return t(ctx, have)
+}
+
+func (t teller) Update(ctx context.Context, have directory.Have) directory.Update {
+	return directory.Update{Snapshot: t(ctx, have)}
+}
+
 // serve runs a Server and returns its address once it answers.
-func serve(t *testing.T, snapshot func(context.Context, directory.Have) directory.Snapshot) string {
+func serve(t *testing.T, told teller) string {
+	t.Helper()
+	return serveTeller(t, told)
+}
+
+func serveTeller(t *testing.T, told Teller) string {
 	t.Helper()
 	address := freeporttest.Address(t)
-	server := NewServer(address, snapshot, logging.Discard())
+	server := NewServer(address, told, logging.Discard())
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
 	go func() { _ = server.Run(ctx) }()
@@ -53,9 +69,9 @@
 	})
 	client := NewClient(httpexchange.NewPool(httpexchange.Options{}), nil)
 	have := directory.Have{RowVersion: 3, NeedRowVersion: 9, BackendsTo: 7, NeedBackendsTo: 11}
-	got, err := client.Snapshot(context.Background(), address, have)
+	got, err := client.Update(context.Background(), address, have, nil)
 	assert.NilError(t, err)
-	assert.DeepEqual(t, got, told)
+	assert.DeepEqual(t, got.Snapshot, told)
 	assert.Equal(t, <-asked, have)
 }
 
@@ -79,11 +95,11 @@
 	})
 	client := NewClient(httpexchange.NewPool(httpexchange.Options{}), nil)
 	for range servedAtOnce {
-		go func() { _, _ = client.Snapshot(context.Background(), address, directory.Have{}) }()
+		go func() { _, _ = client.Update(context.Background(), address, directory.Have{}, nil) }()
 		<-entered
 	}
 	defer close(leave)
-	_, err := client.Snapshot(context.Background(), address, directory.Have{})
+	_, err := client.Update(context.Background(), address, directory.Have{}, nil)
 	assert.ErrorContains(t, err, "status 503")
 }
 
