Watch the caches of the own part alone, once the daemons are known

Cause: every 0.4 s each daemon asked for each back end whether it is among the first two daemons that it knows. One that starts knows few others, takes itself for one of the first for nearly all, opens a call to each, and drops them as it learns: 228,241 connections to 9,675 back ends before the first request (23 each, 232 a daemon, where 20 are its part). The look itself took 5.5 ms of a core among 985 daemons before 9,675 back ends, for an answer that changes only with them; and all daemons called each store of prompt caches, which holds the calls of some ten and refuses the others.

Change: an Assignment takes in changes of the list one by one, waits at first until the known daemons have stayed the same for 1.5 s (6 s at most), and looks at its own caches alone where a daemon has come. At most 16 watches begin at a look. Eight daemons watch a store.

--- a/cmd/internal/daemon/caches.go
+++ b/cmd/internal/daemon/caches.go
@@ -1,8 +1,6 @@
 package daemon
 
 import (
-	"cmp"
-	"slices"
 	"time"
 
 	"github.com/lotusward/lotusward/internal/cachewatch"
@@ -17,35 +15,27 @@
 	// cacheWatchers is how many daemons watch the cache of a back end, and tell the
 	// others what it drops.
 	cacheWatchers = 2
+	// storeWatchers is how many daemons watch a store of prompt caches, which holds the calls of some ten: hundreds more
+	// would be refused again and again, on new connections.
+	storeWatchers = 8
 	// cacheRest lies between two calls for the events of a back end's cache.
 	cacheRest = 400 * time.Millisecond
 )
 
-// promptStores are the stores of prompt caches.
+// promptStores are the stores of prompt caches that this daemon watches. The others go by what daemons tell of saves.
 func (w *Daemon) promptStores() []cachewatch.Target {
 	var targets []cachewatch.Target
 	for _, address := range w.directory.PromptStoreAddresses() {
-		targets = append(targets, cachewatch.Target{Name: address, Address: address})
+		if rendezvous.AmongTop(rendezvous.Key(address), w.link.Address(), w.members.Others(), storeWatchers) {
+			targets = append(targets, cachewatch.Target{Name: address, Address: address})
+		}
 	}
 	return targets
 }
 
-// watchedBackends are the back ends whose caches this daemon watches: those for which
-// it ranks among the first of all daemons.
+// watchedBackends are the back ends whose caches this daemon watches.
 func (w *Daemon) watchedBackends() []cachewatch.Target {
-	self := w.link.Address()
-	others := w.members.Others()
-	var targets []cachewatch.Target
-	for _, backend := range w.backends.Backends() {
-		if len(backend.Weights) == 0 || backend.Draining {
-			continue
-		}
-		if rendezvous.AmongTop(rendezvous.Key(string(backend.ID)), self, others, cacheWatchers) {
-			targets = append(targets, cachewatch.Target{Name: string(backend.ID), Address: backend.Address})
-		}
-	}
-	slices.SortFunc(targets, func(left, right cachewatch.Target) int { return cmp.Compare(left.Name, right.Name) })
-	return targets
+	return w.cacheTargets.Targets(clock.Now(), w.members.Others())
 }
 
 // observeCache takes in what the cache of a back end holds and what it dropped.
--- a/cmd/internal/daemon/wire.go
+++ b/cmd/internal/daemon/wire.go
@@ -64,22 +64,24 @@
 	namings   *namingrecord.Keeper
 	promptsIn *cachewatch.Watcher
 	cachesIn  *cachewatch.Watcher
-	link      *peerlink.Link
-	regions   distance.Map
-	topology  peerlink.Topology
-	broadcast *peerlink.Broadcaster
-	tree      *peerlink.Tree
-	snapshots *peersync.Server
-	loads     *loadshare.Sharer
-	presence  *presence.List
-	homes     *loadhome.Homes
-	rooms     *roomshare.Sharer
-	limits    *tenantlimit.Limiter
-	prober    *prober.Prober
-	crashes   *crashwatch.Watcher
-	ledger    *buffers.Ledger
-	serving   *serving
-	keeper    *leasekeeper.Keeper
+	// cacheTargets says which back ends' caches are watched.
+	cacheTargets *cachewatch.Assignment
+	link         *peerlink.Link
+	regions      distance.Map
+	topology     peerlink.Topology
+	broadcast    *peerlink.Broadcaster
+	tree         *peerlink.Tree
+	snapshots    *peersync.Server
+	loads        *loadshare.Sharer
+	presence     *presence.List
+	homes        *loadhome.Homes
+	rooms        *roomshare.Sharer
+	limits       *tenantlimit.Limiter
+	prober       *prober.Prober
+	crashes      *crashwatch.Watcher
+	ledger       *buffers.Ledger
+	serving      *serving
+	keeper       *leasekeeper.Keeper
 	// rollouts is nil where the settings offer none.
 	rollouts   *rollout.Coordinator
 	weights    *weightupdate.Keeper
@@ -213,6 +215,8 @@
 
 // wireCaches makes what follows the caches of back ends and stores.
 func (w *Daemon) wireCaches() {
+	w.cacheTargets = cachewatch.NewAssignment(w.link.Address(), cacheWatchers, w.backends.Backends)
+	w.backends.OnListed(w.cacheTargets.Listed)
 	w.promptsIn = cachewatch.NewWatcher(cachewatch.Options{
 		Source: w.runners, Targets: w.promptStores, Log: w.part("promptstore"),
 	})
--- /dev/null
+++ b/internal/cachewatch/assignment.go
@@ -0,0 +1,147 @@
+package cachewatch
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/lotusward/lotusward/internal/core/backendpool"
+	"github.com/lotusward/lotusward/internal/core/identity"
+	"github.com/lotusward/lotusward/internal/core/rendezvous"
+)
+
+// settleTime is how long the daemons that are known must have stayed the same at first. One that starts knows few others
+// for a moment, and would take itself for one of the first for nearly all caches.
+const settleTime = 1500 * time.Millisecond
+
+// longestSettle bounds the wait for it in a fleet in which daemons come all the time.
+const longestSettle = 6 * time.Second
+
+// Assignment says whose caches this daemon watches: those of back ends for which it ranks among the first of all
+// daemons. What it costs goes by what changes: one back end, or the daemon's own caches where a daemon has come. It is
+// safe for use by several goroutines.
+type Assignment struct {
+	self string
+	// watchers is how many daemons watch each cache.
+	watchers int
+	// all returns the listed back ends.
+	all func() []backendpool.Backend
+
+	mutex   sync.Mutex
+	targets map[identity.BackendID]Target
+	// others are the other daemons for whom the targets were found, since changedAt, and beganAt is when the first were
+	// told, zero before; settled is set once they had stayed the same for settleTime.
+	others             []string
+	beganAt, changedAt time.Time
+	settled            bool
+	// checks counts how often it was looked whether the daemon is among the first.
+	checks int
+}
+
+// NewAssignment makes an Assignment of no caches, of which a number of daemons watch each one.
+func NewAssignment(self string, watchers int, all func() []backendpool.Backend) *Assignment {
+	return &Assignment{self: self, watchers: watchers, all: all, targets: map[identity.BackendID]Target{}}
+}
+
+// Listed takes in how the list of back ends changed.
+func (a *Assignment) Listed(changed []backendpool.Backend, gone []identity.BackendID) {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	for _, id := range gone {
+		delete(a.targets, id)
+	}
+	if !a.settled {
+		return // all are looked at then
+	}
+	for _, backend := range changed {
+		a.check(backend)
+	}
+}
+
+// check looks whether this daemon watches a back end. The caller holds the mutex.
+func (a *Assignment) check(backend backendpool.Backend) {
+	if len(backend.Weights) == 0 || backend.Draining || !a.isAmongFirst(backend.ID) {
+		delete(a.targets, backend.ID)
+		return
+	}
+	a.targets[backend.ID] = Target{Name: string(backend.ID), Address: backend.Address}
+}
+
+func (a *Assignment) isAmongFirst(id identity.BackendID) bool {
+	a.checks++
+	return rendezvous.AmongTop(rendezvous.Key(string(id)), a.self, a.others, a.watchers)
+}
+
+// Targets returns the caches to watch among some other daemons, ordered by name. None are before these have stayed the
+// same for a moment.
+func (a *Assignment) Targets(now time.Time, others []string) []Target {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	if a.beganAt.IsZero() {
+		a.beganAt = now
+	}
+	if a.changedAt.IsZero() || !same(a.others, others) {
+		a.take(now, others)
+	}
+	if !a.settled {
+		if now.Sub(a.changedAt) < settleTime && now.Sub(a.beganAt) < longestSettle {
+			return nil
+		}
+		a.settled = true
+		a.checkAll()
+	}
+	targets := make([]Target, 0, len(a.targets))
+	for _, target := range a.targets {
+		targets = append(targets, target)
+	}
+	slices.SortFunc(targets, func(left, right Target) int { return cmp.Compare(left.Name, right.Name) })
+	return targets
+}
+
+// take takes in which other daemons there are. Where some have come and none has gone, caches can only be lost. The
+// caller holds the mutex.
+func (a *Assignment) take(now time.Time, others []string) {
+	grown := containsAll(others, a.others)
+	a.others, a.changedAt = others, now
+	switch {
+	case !a.settled:
+	case grown:
+		for id := range a.targets {
+			if !a.isAmongFirst(id) {
+				delete(a.targets, id)
+			}
+		}
+	default:
+		a.checkAll()
+	}
+}
+
+// checkAll looks at all back ends. The caller holds the mutex.
+func (a *Assignment) checkAll() {
+	clear(a.targets)
+	for _, backend := range a.all() {
+		a.check(backend)
+	}
+}
+
+// same tells whether two lists of daemons are the same slice: whoever keeps the list makes a new one at each change.
+func same(left, right []string) bool {
+	return len(left) == len(right) && (len(left) == 0 || &left[0] == &right[0])
+}
+
+func containsAll(list, contained []string) bool {
+	if len(list) < len(contained) {
+		return false
+	}
+	known := make(map[string]bool, len(list))
+	for _, each := range list {
+		known[each] = true
+	}
+	for _, each := range contained {
+		if !known[each] {
+			return false
+		}
+	}
+	return true
+}
--- a/internal/cachewatch/watcher.go
+++ b/internal/cachewatch/watcher.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"errors"
-	"slices"
 	"sync"
 	"time"
 
@@ -26,6 +25,9 @@
 	lookInterval = 400 * time.Millisecond
 	// refusedPause follows a refusal: too many daemons watch already.
 	refusedPause = 10 * time.Second
+	// begunAtOnce is how many watches begin at a look. Each opens a connection, and what is told of daemons and back ends
+	// may be wrong for a moment: tens of thousands of connections would be opened and dropped.
+	begunAtOnce = 16
 	// maximumHeld bounds the memory of one cache.
 	maximumHeld = 16384
 )
@@ -179,20 +181,26 @@
 	return nil
 }
 
-// update begins and ends watches, so that there is one for each target.
+// update begins and ends watches, so that there is one for each target in the end.
 func (w *Watcher) update(ctx context.Context, targets []Target) {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
+	wanted := make(map[string]bool, len(targets))
+	for _, target := range targets {
+		wanted[target.Name] = true
+	}
 	for name, found := range w.watched {
-		if !slices.ContainsFunc(targets, func(target Target) bool { return target.Name == name }) {
+		if !wanted[name] {
 			found.stop()
 			delete(w.watched, name)
 		}
 	}
+	begun := 0
 	for _, target := range targets {
-		if w.watched[target.Name] != nil {
+		if w.watched[target.Name] != nil || begun == begunAtOnce {
 			continue
 		}
+		begun++
 		watching, stop := context.WithCancel(ctx)
 		made := &watched{cache: &Cache{}, stop: stop}
 		w.watched[target.Name] = made
--- a/internal/core/backendpool/listing.go
+++ b/internal/core/backendpool/listing.go
@@ -9,12 +9,12 @@
 
 // Update replaces the list of back ends. What is known of those that stay is kept.
 func (p *Pool) Update(backends []Backend) Change {
-	return p.alter(func() (Change, []Backend) {
+	var gone []identity.BackendID
+	return p.alter(backends, &gone, func() (Change, []Backend) {
 		listed := make(map[identity.BackendID]bool, len(backends))
 		for index := range backends {
 			listed[backends[index].ID] = true
 		}
-		var gone []identity.BackendID
 		for id := range p.byID {
 			if !listed[id] {
 				gone = append(gone, id)
@@ -27,14 +27,21 @@
 // Apply changes the list: some back ends are listed anew or as they are described now, and some are gone. It takes the
 // same work for a back end however many are listed.
 func (p *Pool) Apply(changed []Backend, gone []identity.BackendID) Change {
-	return p.alter(func() (Change, []Backend) { return p.apply(changed, gone) })
+	return p.alter(changed, &gone, func() (Change, []Backend) { return p.apply(changed, gone) })
 }
 
-// alter changes the list, and tells of back ends that have ended.
-func (p *Pool) alter(change func() (Change, []Backend)) Change {
+// OnListed sets what is told of each change of the list: back ends that are listed anew or as described now, and those
+// that are gone. It must be set before the pool is used, and must not block.
+func (p *Pool) OnListed(listed func(changed []Backend, gone []identity.BackendID)) {
+	p.listedAnew = listed
+}
+
+// alter changes the list, and tells of that and of back ends that have ended.
+func (p *Pool) alter(changed []Backend, gone *[]identity.BackendID, change func() (Change, []Backend)) Change {
 	p.mutex.Lock()
 	done, ended := change()
 	p.mutex.Unlock()
+	p.listedAnew(changed, *gone)
 	for _, each := range ended {
 		p.tellEnded(each)
 	}
--- a/internal/core/backendpool/pool.go
+++ b/internal/core/backendpool/pool.go
@@ -114,6 +114,8 @@
 	checked func(id identity.BackendID, reached bool)
 	// suspected is called, without the mutex, when a back end is to be probed at once.
 	suspected func()
+	// listedAnew is called, without the mutex, with each change of the list.
+	listedAnew func(changed []Backend, gone []identity.BackendID)
 	// ended is called, without the mutex, with the address of a back end that has ended.
 	ended func(address string)
 }
@@ -129,17 +131,18 @@
 		freed:    func() {},
 		checked:  func(identity.BackendID, bool) {},
 
-		suspected: func() {},
-		ended:     func(string) {},
-		byKey:     map[uint64]*entry{},
-		byNameKey: map[uint64]*entry{},
-		byAddress: map[string][]*entry{},
-		newest:    map[identity.ModelName]uint64{},
-		watched:   map[*entry]bool{},
-		loaded:    map[*entry]bool{},
-		departed:  map[*entry]bool{},
-		touched:   map[*entry]bool{},
-		changed:   make(chan struct{}, 1),
+		suspected:  func() {},
+		ended:      func(string) {},
+		listedAnew: func([]Backend, []identity.BackendID) {},
+		byKey:      map[uint64]*entry{},
+		byNameKey:  map[uint64]*entry{},
+		byAddress:  map[string][]*entry{},
+		newest:     map[identity.ModelName]uint64{},
+		watched:    map[*entry]bool{},
+		loaded:     map[*entry]bool{},
+		departed:   map[*entry]bool{},
+		touched:    map[*entry]bool{},
+		changed:    make(chan struct{}, 1),
 
 		refusalAllowance: trialBurst,
 
