Tell some hundred changes of the list in pages

Cause: a reading of more than 48 changes was told as a version alone, and each daemon asked for the list. Where back ends are replaced one after the other, 89 at a time, that is four questions a second of every daemon.

Change: up to eight pages of 48 changes, each with a version of its own between those of the reading; a lost page costs a question for what changed. Repeated, and told again, are only single pages. Beyond 384 changes the version is told alone, and what changed is asked for.

Test: 270 changes of 2,000 back ends reach a hearer in six bulletins under 8 kB without a question; with any page lost by one question for at most 270.

--- a/internal/deflate/deflate.go
+++ b/internal/deflate/deflate.go
@@ -8,18 +8,28 @@
 	"errors"
 	"fmt"
 	"io"
+	"sync"
 )
 
 // ErrTooLong says that a packed message is longer than allowed once it is unpacked.
 var ErrTooLong = errors.New("a packed message is too long")
 
+// writers are kept, since one takes more than half a megabyte.
+var writers sync.Pool
+
 // Pack returns content packed, by the quickest way.
 func Pack(content []byte) ([]byte, error) {
 	var packed bytes.Buffer
-	writer, err := flate.NewWriter(&packed, flate.BestSpeed)
-	if err != nil {
-		return nil, err
+	writer, known := writers.Get().(*flate.Writer)
+	if !known {
+		made, err := flate.NewWriter(&packed, flate.BestSpeed)
+		if err != nil {
+			return nil, err
+		}
+		writer = made
 	}
+	defer writers.Put(writer)
+	writer.Reset(&packed)
 	if _, err := writer.Write(content); err != nil {
 		return nil, err
 	}
--- a/internal/directory/bulletin.go
+++ b/internal/directory/bulletin.go
@@ -13,6 +13,9 @@
 	// one costs nothing.
 	keptBatches = 3
 	keptChanges = 48
+	// toldPages is into how many bulletins a reading with more changes is cut. Of more still only the version is told, and
+	// who hears of it asks for what changed: dozens of datagrams to hundreds of daemons at once fill a link.
+	toldPages = 8
 )
 
 // Bulletin is what a daemon that reads the store tells the others: what it has
@@ -62,6 +65,36 @@
 
 func (b *batch) size() int { return len(b.changed) + len(b.gone) }
 
+// changePage is changes up to a version of the store.
+type changePage struct {
+	batch
+	to uint64
+}
+
+// pagesOf cuts what one reading changed into pages that fit into a bulletin each. The pages before the last one get
+// versions of their own between those of the reading: each change is a version of the store.
+func pagesOf(read batch, from, to uint64) []changePage {
+	count := (read.size() + keptChanges - 1) / keptChanges
+	if count <= 1 || count > toldPages || to-from < uint64(count) {
+		return []changePage{{read, to}}
+	}
+	var pages []changePage
+	for index := range count {
+		page := changePage{to: from + uint64(index) + 1}
+		page.changed, read.changed = cut(read.changed, keptChanges)
+		page.gone, read.gone = cut(read.gone, keptChanges-len(page.changed))
+		pages = append(pages, page)
+	}
+	pages[count-1].to = to
+	return pages
+}
+
+// cut returns the first elements of a list, and the others.
+func cut[Element any](list []Element, count int) (first, rest []Element) {
+	count = min(count, len(list))
+	return list[:count:count], list[count:]
+}
+
 // changeLog keeps the last changes of the list for bulletins. The zero value knows
 // none.
 type changeLog struct {
--- a/internal/directory/bulletin_test.go
+++ b/internal/directory/bulletin_test.go
@@ -11,6 +11,7 @@
 	"gotest.tools/v3/poll"
 	"pgregory.net/rapid"
 
+	"github.com/lotusward/lotusward/internal/codec"
 	"github.com/lotusward/lotusward/internal/core/backendpool"
 	"github.com/lotusward/lotusward/internal/core/identity"
 	"github.com/lotusward/lotusward/internal/core/routing"
@@ -393,3 +394,42 @@
 	}
 	assert.Equal(t, follower.turn.due(known.Add(4*time.Second), tableDeclared).task, taskRead, "the same bulletin again and again kept it from reading")
 }
+
+// TestLargeReadingsAreToldInPages has a reader find some hundred changes at once, as when back ends are replaced one
+// after the other: who hears the bulletins knows them all, without a question. A page that is lost costs a question.
+func TestLargeReadingsAreToldInPages(t *testing.T) {
+	for _, lost := range []int{-1, 0, 2} {
+		list := listOf(2_000)
+		var told []Bulletin
+		reader := readerWho(list, func(bulletin Bulletin) { told = append(told, bulletin) })
+		hearer := New(Options{Pool: backendpool.New("a"), Log: logging.Discard(), Self: "hearer"})
+		catchUpWith(t, hearer, reader)
+
+		told = nil
+		changes := &Changes{After: 1000, Last: 1300}
+		for number := range 250 {
+			changed := list[number]
+			changed.Draining = true
+			changes.Changed = append(changes.Changed, changed)
+		}
+		for number := 300; number < 320; number++ {
+			changes.Gone = append(changes.Gone, list[number].ID.Name())
+		}
+		reader.apply(message{table: tableBackends, began: time.Now(), ended: time.Now(), changes: changes})
+		assert.Equal(t, len(told), 6)
+		for index, bulletin := range told {
+			datagram, err := codec.Marshal(&bulletin)
+			assert.NilError(t, err)
+			assert.Assert(t, len(datagram) < 8<<10, "%d bytes", len(datagram))
+			if index != lost {
+				hearer.applyBulletin(time.Now(), heardBulletin{from: "reader", bulletin: bulletin})
+			}
+		}
+		asks := hearer.lag.Load() != nil
+		assert.Equal(t, asks, lost >= 0)
+		if asks {
+			assert.Assert(t, catchUpWith(t, hearer, reader) <= 270)
+		}
+		assert.DeepEqual(t, believed(hearer), believed(reader))
+	}
+}
--- a/internal/directory/listing.go
+++ b/internal/directory/listing.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"github.com/sirupsen/logrus"
 
@@ -44,13 +45,25 @@
 		changed := slices.DeleteFunc(changes.Changed, d.backends.has)
 		// What is left out here is known up to the position, not merely since the call
 		// began: other daemons must not take the changes for all since then.
-		d.changeLog.note(position.Load(), changes.Last, changed, changes.Gone)
-		d.change(changed, changes.Gone, changes.Last)
-		d.repeats = repeatedBulletins
+		d.applyPages(got.ended, pagesOf(batch{changed: changed, gone: changes.Gone}, position.Load(), changes.Last))
+		return
 	}
 	d.tellBackends(got.ended)
 }
 
+// applyPages takes in changes and tells of them, page by page.
+func (d *Directory) applyPages(now time.Time, pages []changePage) {
+	for _, page := range pages {
+		d.changeLog.note(d.positions[tableBackends].Load(), page.to, page.changed, page.gone)
+		d.change(page.changed, page.gone, page.to)
+		d.repeats = 0
+		if len(pages) == 1 {
+			d.repeats = repeatedBulletins
+		}
+		d.tellBackends(now)
+	}
+}
+
 // change applies changes up to a version of the store.
 func (d *Directory) change(changed []backendpool.Backend, gone []identity.BackendName, to uint64) {
 	advance(d.positions[tableBackends], to)
--- a/internal/directory/update_test.go
+++ b/internal/directory/update_test.go
@@ -54,6 +54,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		world := newLivesWorld(t)
 		world.reader.backends.history.begin(world.version)
+		world.reader.showBackends()
 		askers := make([]*Directory, 3)
 		for index := range askers {
 			askers[index] = New(Options{Pool: backendpool.New("a"), Log: logging.Discard(), Self: fmt.Sprint("asker", index)})
@@ -95,8 +96,13 @@
 }
 
 // readerOf is a daemon that has read a list.
-func readerOf(list []backendpool.Backend) *Directory {
-	reader := New(Options{Pool: backendpool.New("a"), Log: logging.Discard(), Self: "reader"})
+func readerOf(list []backendpool.Backend) *Directory { return readerWho(list, func(Bulletin) {}) }
+
+// readerWho is a daemon that has read a list, and tells what it reads.
+func readerWho(list []backendpool.Backend, tell func(Bulletin)) *Directory {
+	reader := New(Options{Pool: backendpool.New("a"), Log: logging.Discard(), Self: "reader", Tell: tell})
+	reader.turn.open()
+	reader.turn.due(time.Now(), tableBackends) // it reads for all
 	declared := declaration(10, 7)
 	now := time.Now()
 	reader.apply(message{table: tableDeclared, began: now, ended: now, declared: &declared})
