Let few of the daemons that start together read the store

Cause: a daemon that starts reads the store after a time drawn evenly up to 1.5 s. Of 985 that start together 130 begin within 0.2 s, before the first has told anybody that it reads, and each reads thousands of rows.

Change: the number that has begun grows by the same factor in each part of the time. Daemons of the own zone are asked first: what is told there crosses no border.

--- a/cmd/internal/daemon/wire.go
+++ b/cmd/internal/daemon/wire.go
@@ -202,6 +202,7 @@
 		}),
 		Contacts:      w.members,
 		Topology:      w.topology,
+		IsOwnZone:     func(address string) bool { return w.members.Zone(address) == w.settings.Zone },
 		StoreTime:     w.members.StoreTime,
 		Started:       w.options.Started,
 		SteadyTime:    platform.Milliseconds(bounds.ContactMs),
--- a/internal/directory/asking.go
+++ b/internal/directory/asking.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"math/rand/v2"
 	"time"
 
@@ -20,7 +21,7 @@
 	askPause = 60 * time.Millisecond
 	// A starting daemon reads the store itself after a drawn time of up to joinSpread and
 	// joinPerDaemon times the number of daemons, longestJoin at most: where all start at
-	// once, one of them is first, and the others hear of it and ask it.
+	// once, a few of them are first, and the others hear of these and ask them.
 	joinSpread    = 50 * time.Millisecond
 	joinPerDaemon = 20 * time.Millisecond
 	longestJoin   = 1500 * time.Millisecond
@@ -200,11 +201,18 @@
 }
 
 // joinDelay is how long a starting daemon asks others before it reads the store.
+//
+// How many daemons have begun to read grows as the time since the start goes on, from one at first to all in the end, by
+// the same factor in each part of it: the first has read and told what it read before more than a few others have begun,
+// however many there are. Drawn evenly, 130 of 985 would begin within 0.2 s, and read thousands of rows each.
 func joinDelay(contacts, about int) time.Duration {
 	if contacts == 0 {
 		return rand.N(joinSpread)
 	}
-	return rand.N(min(joinSpread+time.Duration(about)*joinPerDaemon, longestJoin))
+	longest := min(joinSpread+time.Duration(about)*joinPerDaemon, longestJoin)
+	drawn := 1 - rand.Float64() // above zero
+	share := 1 + math.Log(drawn)/math.Log(float64(max(about, 2)))
+	return time.Duration(max(share, 0) * float64(longest))
 }
 
 // askUntil asks daemons, a few at a time, until this one knows what they believe, or
--- a/internal/directory/asking_test.go
+++ b/internal/directory/asking_test.go
@@ -43,3 +43,24 @@
 	}, poll.WithDelay(5*time.Millisecond))
 	assert.ErrorType(t, follower.ask(ctx, "a", Have{NeedRowVersion: 12}, nil), &LackingError{})
 }
+
+// TestFewStartersReadTheStore draws the times at which daemons that start together begin to read the store: by the time
+// by which the first has told what it read, few have begun, however many there are.
+func TestFewStartersReadTheStore(t *testing.T) {
+	const toldAfter, rounds = 150 * time.Millisecond, 50
+	for _, count := range []int{100, 985, 2_000, 10_000} {
+		began, first := 0, longestJoin
+		for range rounds * count {
+			delay := joinDelay(10, count)
+			if delay < toldAfter {
+				began++
+			}
+			first = min(first, delay)
+			assert.Assert(t, delay <= longestJoin)
+		}
+		mean := float64(began) / rounds
+		t.Logf("of %d daemons %.1f begin within %s", count, mean, toldAfter)
+		assert.Assert(t, mean < 6, "%.1f of %d begin", mean, count)
+		assert.Assert(t, first == 0)
+	}
+}
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -97,6 +97,9 @@
 	Others func() []string
 	// Topology is where the other daemons are; without its Others it is made of the above.
 	Topology peerlink.Topology
+	// IsOwnZone tells whether the daemon at an address is in this one's zone: what is asked there crosses no border; nil
+	// is not known.
+	IsOwnZone func(address string) bool
 	// StoreTime returns how long this daemon's calls of the store take, zero while it isn't known;
 	// nil is never known.
 	StoreTime func() time.Duration
--- a/internal/directory/region.go
+++ b/internal/directory/region.go
@@ -1,6 +1,7 @@
 package directory
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -20,20 +21,21 @@
 	smallHandicap = 150 * time.Millisecond
 )
 
-// nearFirst puts the daemons of this one's region before the others, and keeps their order
+// nearFirst puts the daemons of this one's zone before the others, then those of its region, and keeps their order
 // otherwise.
 func (d *Directory) nearFirst(addresses []string) {
 	near := d.options.Topology.Near(d.options.Self)
-	slices.SortStableFunc(addresses, func(left, right string) int {
-		switch isNear := slices.Contains(near, left); {
-		case isNear == slices.Contains(near, right):
+	away := func(address string) int {
+		switch {
+		case d.options.IsOwnZone != nil && d.options.IsOwnZone(address):
 			return 0
-		case isNear:
-			return -1
-		default:
+		case slices.Contains(near, address):
 			return 1
+		default:
+			return 2
 		}
-	})
+	}
+	slices.SortStableFunc(addresses, func(left, right string) int { return cmp.Compare(away(left), away(right)) })
 }
 
 // anyOthers are some daemons, drawn at random, of which most are near ones.
