Let daemons that start together tell each other on

Cause: a starting daemon asked every daemon that it heard of, 16 times a second, and all of them the reader; the reader told that it reads before it knew to whom, and again a second later; its ten contacts are its neighbours by key, so that the list went round from neighbour to neighbour. One that had heard of a reader waited one second more for it, once, though a small machine takes longer to read thousands of rows, and then read them itself.

Change: a daemon that answers as many as it can names those that it has told, so that the number that knows grows by a factor in each round; starters ask in rounds whose pause doubles up to a second until somebody new is named; the reader tells newcomers as soon as it knows them; a starter waits while it hears of a reader, 10 s at most, and asks on while it reads itself.

--- a/internal/directory/asking.go
+++ b/internal/directory/asking.go
@@ -3,8 +3,8 @@
 import (
 	"context"
 	"errors"
-	"math"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/lotusward/lotusward/internal/clock"
@@ -17,16 +17,20 @@
 	// while no answer has begun: two whole answers at a time would take its link twice.
 	askedAtOnce = 2
 	askStagger  = 100 * time.Millisecond
-	// askPause lies between two rounds of questions.
-	askPause = 60 * time.Millisecond
+	// askPause lies between two rounds of questions. A starting daemon doubles it with each round that brings nobody new to
+	// ask, up to longestAskPause.
+	askPause        = 60 * time.Millisecond
+	longestAskPause = time.Second
 	// A starting daemon reads the store itself after a drawn time of up to joinSpread and
 	// joinPerDaemon times the number of daemons, longestJoin at most: where all start at
 	// once, a few of them are first, and the others hear of these and ask them.
 	joinSpread    = 50 * time.Millisecond
 	joinPerDaemon = 20 * time.Millisecond
 	longestJoin   = 1500 * time.Millisecond
-	// joinExtension is how much longer it waits once it has heard of a daemon that reads.
-	joinExtension = time.Second
+	// joinExtension is how much longer it waits since it has last heard of a daemon that reads, longestExtension in all: a
+	// list of thousands takes a small machine seconds.
+	joinExtension    = time.Second
+	longestExtension = 10 * time.Second
 	// otherAsks is how many other daemons are asked where those that surely know are busy.
 	otherAsks = 4
 	// askersEach is how many daemons ask the same one for a new configuration, so that a
@@ -53,12 +57,12 @@
 // Noticed tells of a daemon that is alive, which one that knows nothing yet can ask.
 func (d *Directory) Noticed(address string) {
 	if !d.Complete() {
-		d.fallBehind(lag{from: address})
+		d.contacts.noticed(address)
 	}
 }
 
 // catchUp asks other daemons whenever this one has fallen behind, and reads the store
-// itself where none of them helps.
+// itself where none of them helps. One that knows nothing yet asks on its own, see join.
 func (d *Directory) catchUp(ctx context.Context) {
 	for ctx.Err() == nil {
 		select {
@@ -135,6 +139,10 @@
 	have.NeedRowVersion, have.NeedBackendsTo = need.NeedRowVersion, need.NeedBackendsTo
 	asked := clock.Now()
 	update, err := d.options.Peers.Update(ctx, address, have, begun)
+	var busy *BusyError
+	if errors.As(err, &busy) && !d.Complete() {
+		d.contacts.add(slices.DeleteFunc(busy.Others, func(other string) bool { return other == d.options.Self })...)
+	}
 	if err != nil {
 		return err
 	}
@@ -176,103 +184,3 @@
 	have.MembersTo = d.positions[tableMembers].Load()
 	return have
 }
-
-// join finds other daemons at the start, and takes over what they believe. A daemon that
-// finds none that knows more reads the store itself.
-func (d *Directory) join(ctx context.Context) {
-	defer d.turn.open()
-	if d.options.Contacts == nil {
-		return
-	}
-	retries := d.newRetrying()
-	retries.spread = joinFailurePause
-	for ctx.Err() == nil {
-		contacts, about, err := d.options.Contacts.Find(ctx)
-		if err == nil {
-			d.askUntil(ctx, contacts, clock.Now().Add(joinDelay(len(contacts), about)+d.joinHandicap(contacts)))
-			return
-		}
-		d.options.Log.WithError(err).Warn("No other daemons are found at the start.")
-		retries.after(ctx, err)
-		if d.Complete() {
-			d.turn.open()
-		}
-	}
-}
-
-// joinDelay is how long a starting daemon asks others before it reads the store.
-//
-// How many daemons have begun to read grows as the time since the start goes on, from one at first to all in the end, by
-// the same factor in each part of it: the first has read and told what it read before more than a few others have begun,
-// however many there are. Drawn evenly, 130 of 985 would begin within 0.2 s, and read thousands of rows each.
-func joinDelay(contacts, about int) time.Duration {
-	if contacts == 0 {
-		return rand.N(joinSpread)
-	}
-	longest := min(joinSpread+time.Duration(about)*joinPerDaemon, longestJoin)
-	drawn := 1 - rand.Float64() // above zero
-	share := 1 + math.Log(drawn)/math.Log(float64(max(about, 2)))
-	return time.Duration(max(share, 0) * float64(longest))
-}
-
-// askUntil asks daemons, a few at a time, until this one knows what they believe, or
-// until a time. It waits longer once another daemon has told what it reads.
-func (d *Directory) askUntil(ctx context.Context, contacts []string, until time.Time) {
-	extended, round := false, 0
-	var lastError error
-	for ctx.Err() == nil && !d.Complete() {
-		if waited := d.waited.Load(); waited != nil && clock.Since(*waited) < joinExtension+d.options.Interval {
-			pause.For(ctx, askPause) // there is nothing to ask for yet
-			continue
-		}
-		if told := d.lag.Load(); told != nil && told.from != "" && !extended {
-			extended = true
-			until = until.Add(joinExtension)
-			contacts = append(contacts, told.from)
-		}
-		if !clock.Now().Before(until) {
-			d.options.Log.WithError(lastError).WithField("asked", len(contacts)).Info("No daemon tells what it believes.")
-			return
-		}
-		rand.Shuffle(len(contacts), func(left, right int) { contacts[left], contacts[right] = contacts[right], contacts[left] })
-		if round < nearRounds {
-			d.nearFirst(contacts)
-		}
-		round++
-		if lastError = d.askAny(ctx, contacts[:min(askedAtOnce, len(contacts))]); lastError == nil {
-			return
-		}
-		pause.For(ctx, min(askPause, clock.Until(until)))
-	}
-}
-
-// askAny asks daemons, the next one where the one before has failed or is slow to begin its answer. It returns as soon as
-// one told what it believes, or the last error where none did.
-func (d *Directory) askAny(ctx context.Context, addresses []string) error {
-	told := make(chan error, len(addresses))
-	begun := make(chan struct{}, len(addresses))
-	err := errNobodyKnown
-	asked, answered := 0, 0
-	for answered < asked || asked < len(addresses) {
-		var stagger <-chan time.Time
-		if asked < len(addresses) {
-			address := addresses[asked]
-			go func() { told <- d.ask(ctx, address, Have{}, func() { begun <- struct{}{} }) }()
-			asked++
-			stagger = time.After(askStagger)
-		}
-		select {
-		case err = <-told:
-			answered++
-		case <-begun:
-			err = <-told
-			answered++
-		case <-stagger:
-			continue
-		}
-		if err == nil {
-			return nil
-		}
-	}
-	return err
-}
--- a/internal/directory/bulletin.go
+++ b/internal/directory/bulletin.go
@@ -157,10 +157,11 @@
 		return
 	}
 	state := d.state.Load()
-	d.options.Tell(Bulletin{Declared: &DeclaredNews{
+	d.declaredTold, d.declaredToldTo = &DeclaredNews{
 		Clock: clock, StoreVersion: d.positions[tableDeclared].Load(), RowVersion: state.RowVersion, Versions: allSeen(state),
 		Software: d.softwareNews(),
-	}})
+	}, len(d.members.known)
+	d.options.Tell(Bulletin{Declared: d.declaredTold})
 }
 
 // tellNothing tells the others that this daemon reads the store, where operators have
@@ -209,7 +210,9 @@
 		return
 	}
 	if !d.Complete() {
-		d.fallBehind(lag{from: heard.from})
+		if news != nil {
+			d.contacts.reads(now, heard.from)
+		}
 		return
 	}
 	if news != nil {
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -134,6 +134,8 @@
 	// when it has without a pause.
 	awakeAt, awakeSince atomic.Pointer[time.Time]
 	listed              atomic.Bool
+	// contacts are whom this daemon asks while it knows nothing.
+	contacts contacts
 	// lag says what this daemon lacks, and behind has a value when it changed.
 	lag    atomic.Pointer[lag]
 	behind chan struct{}
@@ -167,6 +169,9 @@
 	software  *softwareBelief
 	// toldTryingAt is when this daemon last told that its calls fail.
 	toldTryingAt time.Time
+	// declaredTold is what was last told of what operators declared, to declaredToldTo daemons; nil is nothing.
+	declaredTold   *DeclaredNews
+	declaredToldTo int
 	// repeats is how often the last changes of the list are still to be told again.
 	repeats int
 }
--- a/internal/directory/memberlist.go
+++ b/internal/directory/memberlist.go
@@ -128,6 +128,16 @@
 	d.showRest()
 	if d.turn.readList(got.ended, tableMembers) {
 		d.tellMembers()
+		d.tellNewcomers()
+	}
+}
+
+// tellNewcomers tells daemons that came since what operators have declared was last told, that this one reads: those that
+// start wait for that.
+func (d *Directory) tellNewcomers() {
+	if count := len(d.members.known); d.declaredTold != nil && count > d.declaredToldTo {
+		d.declaredToldTo = count
+		d.options.Tell(Bulletin{Declared: d.declaredTold})
 	}
 }
 
--- a/internal/peersync/peersync.go
+++ b/internal/peersync/peersync.go
@@ -10,8 +10,11 @@
 	"io"
 	"net"
 	"net/http"
+	"net/netip"
 	"net/url"
+	"slices"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -33,6 +36,8 @@
 	needBackends = "needs_back_ends"
 	// hasMembers is zero where it lacks.
 	hasMembers = "has_daemons"
+	// askerAddress is where the asker answers others.
+	askerAddress = "asker"
 	// maximumBytes bounds an answer: 2,800 back ends of 150 bytes each and a
 	// configuration of a megabyte fit.
 	maximumBytes  = 8 << 20
@@ -40,6 +45,8 @@
 	// silenceTime is how long nothing may come of an answer: the asked daemon waits for half of it for what the asker
 	// needs.
 	silenceTime = 500 * time.Millisecond
+	// leastTold is how long an answer is that tells anything.
+	leastTold = 256
 	// longestAnswer bounds an answer that comes byte by byte.
 	longestAnswer = 10 * time.Second
 	// servedAtOnce is how many askers are answered at a time: more would all wait long on
@@ -50,14 +57,16 @@
 // Client asks other daemons. It implements directory.Peers.
 type Client struct {
 	pool *httpexchange.Pool
+	// self is where this daemon answers others.
+	self string
 	// observe is told how many bytes a daemon has sent; it may be nil.
 	observe func(address string, bytes int)
 }
 
-// NewClient makes a Client. Observe is told how many bytes the daemon at an address has sent; nil is
+// NewClient makes a Client of a daemon that answers others at an address. Observe is told how many bytes the daemon at an address has sent; nil is
 // not.
-func NewClient(pool *httpexchange.Pool, observe func(address string, bytes int)) *Client {
-	return &Client{pool: pool, observe: observe}
+func NewClient(pool *httpexchange.Pool, self string, observe func(address string, bytes int)) *Client {
+	return &Client{pool: pool, self: self, observe: observe}
 }
 
 var _ directory.Peers = (*Client)(nil)
@@ -76,6 +85,9 @@
 	if err == nil && status == http.StatusNotFound {
 		return c.snapshot(ctx, address, have, begun)
 	}
+	if err == nil && status == http.StatusServiceUnavailable {
+		return directory.Update{}, busy(address, content)
+	}
 	if err != nil || status != http.StatusOK {
 		return directory.Update{}, failed(address, status, err)
 	}
@@ -93,6 +105,17 @@
 	return update, err
 }
 
+// busy reads the refusal of a daemon that answers others. Those of earlier builds name nobody.
+func busy(address string, content []byte) error {
+	refused := &directory.BusyError{Address: address}
+	if len(content) > 0 {
+		if err := codec.Unmarshal(content, &refused.Others); err != nil {
+			return fmt.Errorf("the refusal of %s: %w", address, err)
+		}
+	}
+	return refused
+}
+
 func failed(address string, status int, err error) error {
 	if err != nil {
 		return err
@@ -109,6 +132,7 @@
 	} {
 		values.Set(name, strconv.FormatUint(value, 10))
 	}
+	values.Set(askerAddress, c.self)
 	bounded, cancel := context.WithTimeoutCause(ctx, longestAnswer, errSilent)
 	defer cancel()
 	silent, stop := context.WithCancelCause(bounded)
@@ -194,6 +218,35 @@
 	log     logrus.FieldLogger
 	// places has room for those that are answered now.
 	places chan struct{}
+	told   told
+}
+
+// toldKept is how many daemons that were told are named to others: these are told on from there, so that the number that
+// knows grows by a factor in each round.
+const toldKept = 16
+
+// told are the daemons that were told last what this one believes.
+type told struct {
+	mutex     sync.Mutex
+	addresses []string
+}
+
+// add notes one that was told.
+func (t *told) add(address string) {
+	if _, err := netip.ParseAddrPort(address); err != nil {
+		return
+	}
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	t.addresses = append(slices.DeleteFunc(t.addresses, func(known string) bool { return known == address }), address)
+	t.addresses = t.addresses[max(len(t.addresses)-toldKept, 0):]
+}
+
+// encoded names them.
+func (t *told) encoded() ([]byte, error) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	return codec.Marshal(t.addresses)
 }
 
 // Teller tells what a daemon believes. It is a directory.Directory, or a test's.
@@ -251,7 +304,7 @@
 		case s.places <- struct{}{}:
 			defer func() { <-s.places }()
 		default:
-			writer.WriteHeader(http.StatusServiceUnavailable)
+			s.refuse(writer)
 			return
 		}
 		encoded, err := tell(request.Context(), have)
@@ -261,8 +314,20 @@
 		}
 		writer.Header().Set("Content-Type", "application/msgpack")
 		writer.Header().Set("Content-Length", strconv.Itoa(len(encoded)))
-		_, _ = writer.Write(encoded) // an asker that has left needs no answer
+		if _, err := writer.Write(encoded); err == nil && len(encoded) > leastTold { // else the asker has left, or nothing was known
+			s.told.add(request.URL.Query().Get(askerAddress))
+		}
+	}
+}
+
+// refuse names daemons that were told to one that can't be answered now.
+func (s *Server) refuse(writer http.ResponseWriter) {
+	others, err := s.told.encoded()
+	if err != nil { // a list of texts always encodes into memory
+		others = nil
 	}
+	writer.WriteHeader(http.StatusServiceUnavailable)
+	_, _ = writer.Write(others)
 }
 
 func readHave(values url.Values) (directory.Have, error) {
