Pack bulletins of many changes

Cause: a page of 48 changes is 6.2 kB, and each daemon in the tree sends it to 19: 118 kB, where 96 kB may be sent at once and 160 kB a second. Most daemons would hear none of it.

Change: from eight changes on a bulletin is deflated, and told as a kind of its own. Beside it goes up to which version the list is known, for builds that know no packed ones and for whoever missed it.

Test: pages pack to less than half; a hearer that gets both goes on without a question.

--- a/cmd/internal/daemon/peers.go
+++ b/cmd/internal/daemon/peers.go
@@ -30,6 +30,10 @@
 		w.broadcast.Tell(peerlink.KindBulletin, &bulletin)
 		return
 	}
+	if packed, brief, packs := bulletin.Packs(); packs {
+		w.tree.Tell(peerlink.KindPackedBulletin, &packed)
+		bulletin = brief
+	}
 	w.tree.Tell(peerlink.KindBulletin, &bulletin)
 }
 
--- a/cmd/internal/daemon/wire.go
+++ b/cmd/internal/daemon/wire.go
@@ -211,6 +211,7 @@
 	})
 	w.namings = namingrecord.New(namingrecord.Options{Table: w.store, Directory: w.directory, Log: w.part("namings")})
 	peerlink.HandleDecoded(w.link, peerlink.KindBulletin, w.directory.Hear)
+	peerlink.HandleDecoded(w.link, peerlink.KindPackedBulletin, w.directory.HearPacked)
 	w.snapshots = peersync.NewServer(w.link.Address(), w.directory, w.part("peersync"))
 }
 
--- a/internal/directory/bulletin_test.go
+++ b/internal/directory/bulletin_test.go
@@ -421,9 +421,13 @@
 			datagram, err := codec.Marshal(&bulletin)
 			assert.NilError(t, err)
 			assert.Assert(t, len(datagram) < 8<<10, "%d bytes", len(datagram))
+			packed, brief, packs := bulletin.Packs()
+			assert.Assert(t, packs && len(packed.Packed) < len(datagram)/2, "%d bytes packed of %d", len(packed.Packed), len(datagram))
 			if index != lost {
-				hearer.applyBulletin(time.Now(), heardBulletin{from: "reader", bulletin: bulletin})
+				hearer.HearPacked("reader", packed)
+				hearer.applyBulletin(time.Now(), <-hearer.bulletins)
 			}
+			hearer.applyBulletin(time.Now(), heardBulletin{from: "reader", bulletin: brief})
 		}
 		asks := hearer.lag.Load() != nil
 		assert.Equal(t, asks, lost >= 0)
--- a/internal/peerlink/peerlink.go
+++ b/internal/peerlink/peerlink.go
@@ -63,6 +63,8 @@
 	KindRoom
 	KindRoomQuestion
 	KindRoomAnswer
+	// KindPackedBulletin tells what KindBulletin does of many back ends, deflated.
+	KindPackedBulletin
 	kindEnd
 )
 
@@ -72,7 +74,7 @@
 	KindLimitAsk: "limit_ask", KindLimitAnswer: "limit_answer", KindLimitReturn: "limit_return",
 	KindLoadNote: "load_note", KindLoadQuestion: "load_question", KindLoadAnswer: "load_answer",
 	KindCrashes: "crashes", KindTaken: "taken",
-	KindRoom: "room", KindRoomQuestion: "room_question", KindRoomAnswer: "room_answer",
+	KindRoom: "room", KindRoomQuestion: "room_question", KindRoomAnswer: "room_answer", KindPackedBulletin: "packed_bulletin",
 	KindVersionReport: "version_report", KindVersionGrant: "version_grant", KindVersionStop: "version_stop", KindVersionStanding: "version_standing",
 	KindPresenceQuestion: "presence_question", KindPresenceAnswer: "presence_answer",
 }
