Leave the probes of what others did not reach to a few daemons

Cause: every daemon that is told of a back end out of reach probes it, and again before each return, until its row lapses: one that is gone gets hundreds of connections a second from 985 daemons, 600 that crash together 600 times that.

Change: by a draw that stays the same, about 16 of all daemons probe what they know from others alone; the others leave it out for 3 s since it was last told. What a daemon has found out itself it probes as before; up to 16 daemons all do.

--- a/internal/core/backendpool/backend.go
+++ b/internal/core/backendpool/backend.go
@@ -146,12 +146,12 @@
 func (e *entry) record(now time.Time, result Result) bool {
 	switch result {
 	case ResultServed:
-		e.suspicion.unreached = false
+		e.suspicion.unreached, e.suspicion.own = false, false
 		e.failureRate *= 1 - failureWeight
 		e.ejection = 0
 		return false
 	case ResultUnreached:
-		e.suspicion.unreached = true
+		e.suspicion.unreached, e.suspicion.own = true, true
 		return e.eject(now, shortestEjection)
 	case ResultReplaced:
 		e.ejection = 0
--- a/internal/core/backendpool/large_test.go
+++ b/internal/core/backendpool/large_test.go
@@ -261,3 +261,39 @@
 		})
 	}
 }
+
+// TestFewDaemonsProbeAGoneBackEnd has all daemons be told of a back end that is gone, by two of them every second until
+// its row lapses: it gets about as many probes a second from 2,000 daemons as from 100, and nearly all leave it out.
+func TestFewDaemonsProbeAGoneBackEnd(t *testing.T) {
+	for _, count := range []int{100, 985, 2_000} {
+		pools := make([]*Pool, count)
+		for index := range pools {
+			pools[index] = New("a")
+			pools[index].SetDaemons(count)
+			pools[index].Update(fleet(10))
+		}
+		gone := fleet(10)[3].ID
+		probes, leftOut := 0, 0
+		const seconds = 6
+		for step := range seconds * 20 {
+			now := start.Add(time.Duration(step) * 50 * time.Millisecond)
+			for _, pool := range pools {
+				if step%20 == 0 {
+					pool.HearDoubts(now, "one", []Doubt{{Key: rendezvous.Key(string(gone))}})
+					pool.HearDoubts(now, "other", []Doubt{{Key: rendezvous.Key(string(gone))}})
+				}
+				for _, suspect := range pool.Suspects(now) {
+					probes++
+					pool.Probed(now, suspect.ID, false)
+				}
+				if pool.byID[gone].ejected(now) {
+					leftOut++
+				}
+			}
+		}
+		perSecond := float64(probes) / seconds
+		t.Logf("%d daemons: %.1f probes a second", count, perSecond)
+		assert.Assert(t, perSecond < 60, "%.1f probes a second of %d daemons", perSecond, count)
+		assert.Assert(t, leftOut > seconds*20*count*95/100, "left out by %d", leftOut)
+	}
+}
--- a/internal/core/backendpool/pool.go
+++ b/internal/core/backendpool/pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -77,6 +78,8 @@
 	byAddress map[string][]*entry
 	// newest are the newest versions of models' weights that any of them was known to hold.
 	newest map[identity.ModelName]uint64
+	// seed draws what this daemon does and others don't.
+	seed uint64
 	// draws counts the scopes that were drawn, and visits the back ends that were looked at for queries and updates.
 	draws, visits uint64
 	// watched are the back ends that may have to be probed: those that have requests of this daemon under way, and those
@@ -124,6 +127,7 @@
 func New(zone identity.Zone) *Pool {
 	return &Pool{
 		zone:     zone,
+		seed:     rand.Uint64(),
 		services: map[identity.ServiceName]*group{},
 		byRegion: map[regional]*group{},
 		byID:     map[identity.BackendID]*entry{},
--- a/internal/core/backendpool/suspicion.go
+++ b/internal/core/backendpool/suspicion.go
@@ -2,10 +2,12 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
 	"github.com/lotusward/lotusward/internal/core/identity"
+	"github.com/lotusward/lotusward/internal/core/rendezvous"
 )
 
 // Times of suspicion.
@@ -29,6 +31,11 @@
 	// out soon about one that is not, and tell each other.
 	silenceProbeRate  = 0.5
 	silenceProbeBurst = 4
+	// hearsayProbers is about how many of all daemons probe a back end that they know from others alone to be out of
+	// reach: one that is gone would get a connection a second of each of hundreds until its row lapses.
+	hearsayProbers = 16
+	// hearsayTime is how long those that don't probe it leave it out since it was last told: others tell again.
+	hearsayTime = 3 * time.Second
 )
 
 // suspicion is what makes a back end be probed.
@@ -47,8 +54,8 @@
 	// of the back ends ended six times in a day, 70 sendings reached nobody in place of 185
 	// (means of six seeds).
 	cutAt time.Time
-	// unreached is set since the back end could not be reached.
-	unreached bool
+	// unreached is set since the back end could not be reached, and own where this daemon has found that out.
+	unreached, own bool
 	// probing is set while a probe is under way, which began at probingFrom, and probedAt when
 	// the last one ended.
 	probing               bool
@@ -73,6 +80,10 @@
 	for candidate := range p.watched {
 		switch candidate.suspect(now) {
 		case causeUnreached:
+			if candidate.isHearsay() && !p.probesHearsay(candidate) {
+				candidate.passOver(now)
+				continue
+			}
 			found = append(found, candidate)
 		case causeSilent:
 			silent = append(silent, candidate)
@@ -106,6 +117,30 @@
 	return e.inFlight > 0 || doubt.probing || doubt.unreached || doubt.accused || !doubt.cutAt.IsZero()
 }
 
+// isHearsay tells whether only others have found the back end out of reach.
+func (e *entry) isHearsay() bool { return !e.suspicion.own && e.suspicion.cutAt.IsZero() }
+
+// probesHearsay tells whether this daemon is one of those that probe a back end that others did not reach: it is by
+// chance, the same each time. The caller holds the mutex.
+func (p *Pool) probesHearsay(found *entry) bool {
+	drawn := float64(rendezvous.Score(p.seed, found.name)) / math.MaxUint64
+	return drawn*float64(p.daemons) < hearsayProbers
+}
+
+// passOver leaves the probe of a back end to others. It stays out for as long as they may tell of it again.
+func (e *entry) passOver(now time.Time) {
+	doubt := &e.suspicion
+	doubt.accused, doubt.probedAt = false, now
+	if !doubt.unreached {
+		return
+	}
+	if now.Sub(e.accusedAt) > hearsayTime {
+		doubt.unreached = false
+		return
+	}
+	e.ejectedUntil = now.Add(shortestEjection)
+}
+
 // cause is why a back end is to be probed.
 type cause int
 
@@ -179,7 +214,7 @@
 	if !found.suspicion.unreached {
 		return ProbeChangedNothing
 	}
-	found.suspicion.unreached = false
+	found.suspicion.unreached, found.suspicion.own = false, false
 	found.ejectedUntil = now
 	found.ejection = 0
 	return ProbeBroughtBack
@@ -195,7 +230,7 @@
 	}
 	wasOut := found.ejected(now)
 	found.suspicion.probed(now)
-	found.suspicion.unreached = true
+	found.suspicion.unreached, found.suspicion.own = true, true
 	p.watched[found] = true
 	found.ejectedUntil = now.Add(unreachedEjection)
 	if wasOut {
