Keep at a back end's homes what any daemon has found out of it

Cause: what a daemon learns of a back end by its own requests (out of reach, drains, refuses), 984 others would each have to find out. It was told to all within 25 kB/s a daemon and believed of two within a second; where 700 requests a second go to 10,000 back ends, two daemons meet the same one within a second once in hours, so that nobody ever believed it, and a doubt cost 59 kB.

Change: who finds something out tells the back end's two homes, which are asked before each sending anyway; they tell it before the answer. That a back end is out of reach a home looks into itself, so that one that is cut off convinces nobody. The daemons that watch a back end's cache, the same two in one region, probe it once it stops answering.

--- a/cmd/internal/daemon/wire.go
+++ b/cmd/internal/daemon/wire.go
@@ -20,6 +20,7 @@
 	"github.com/lotusward/lotusward/internal/core/backendpool"
 	"github.com/lotusward/lotusward/internal/core/buffers"
 	"github.com/lotusward/lotusward/internal/core/distance"
+	"github.com/lotusward/lotusward/internal/core/identity"
 	"github.com/lotusward/lotusward/internal/core/promptcache"
 	"github.com/lotusward/lotusward/internal/core/retry"
 	"github.com/lotusward/lotusward/internal/crashwatch"
@@ -224,6 +225,7 @@
 	})
 	w.cachesIn = cachewatch.NewWatcher(cachewatch.Options{
 		Source: w.runners, Targets: w.watchedBackends, Rest: cacheRest, Observe: w.observeCache, Log: w.part("caches"),
+		Unreached: func(target cachewatch.Target) { w.backends.Suspect(clock.Now(), identity.BackendID(target.Name)) },
 	})
 }
 
--- a/internal/cachewatch/watcher.go
+++ b/internal/cachewatch/watcher.go
@@ -140,7 +140,9 @@
 	Rest time.Duration
 	// Observe is told of each page; nil when nobody asks.
 	Observe func(target Target, page Page)
-	Log     logrus.FieldLogger
+	// Unreached is told when a cache no longer answers; nil when nobody asks.
+	Unreached func(target Target)
+	Log       logrus.FieldLogger
 }
 
 // Watcher watches several caches.
@@ -218,6 +220,13 @@
 	}
 }
 
+// noteUnreached tells that a cache no longer answers, unless the watch has ended or is refused.
+func (w *Watcher) noteUnreached(ctx context.Context, target Target, err error) {
+	if w.options.Unreached != nil && ctx.Err() == nil && !errors.Is(err, ErrTooManyWatchers) {
+		w.options.Unreached(target)
+	}
+}
+
 // follow makes one call to a cache.
 func (w *Watcher) follow(ctx context.Context, target Target, cache *Cache) {
 	bounded, cancel := context.WithTimeout(ctx, callTimeout)
@@ -229,6 +238,7 @@
 		cache.unreached()
 		if reached {
 			log.WithError(err).Warn("A prompt cache does not answer.")
+			w.noteUnreached(ctx, target, err)
 		}
 		if errors.Is(err, ErrTooManyWatchers) {
 			pause.For(ctx, refusedPause)
--- a/internal/core/backendpool/answer.go
+++ b/internal/core/backendpool/answer.go
@@ -30,7 +30,7 @@
 	defer t.pool.mutex.Unlock()
 	var learnt Learnt
 	if !notice.IsEmpty() {
-		learnt.Noticed = t.pool.saidBy(t.Backend.ID, now).take(now, notice)
+		learnt.Noticed = t.pool.takeNotice(now, t.Backend.ID, notice)
 	}
 	t.endTrial(now, reception == ReceptionTook)
 	switch {
@@ -38,6 +38,9 @@
 		t.took()
 	case reception == ReceptionRefused && notice.RetryAfter == 0: // with a time it backs off
 		learnt.Refuses = t.refused(now)
+		if learnt.Refuses {
+			t.pool.noteFinding(Finding{Key: t.entry.key, Refusing: true})
+		}
 	}
 	return learnt
 }
--- a/internal/core/backendpool/backend.go
+++ b/internal/core/backendpool/backend.go
@@ -102,6 +102,8 @@
 	// replaced is set when a back end that was listed later has the address, and ended once the back end
 	// itself has told of a later life.
 	replaced, ended bool
+	// told is what others have found out, where this daemon is a home of the back end.
+	told told
 	// said is what the back end has said of itself in answers; nil is nothing.
 	said *said
 	// place is where it is on the ring of its group, and drawn the number of the last scope that it was drawn for.
--- a/internal/core/backendpool/doubt.go
+++ b/internal/core/backendpool/doubt.go
@@ -24,6 +24,9 @@
 
 // noteDoubt leaves a doubt to be told. The caller holds the mutex.
 func (p *Pool) noteDoubt(found *entry, result Result) {
+	if result == ResultUnreached {
+		p.noteFinding(Finding{Key: found.key, Unreached: true})
+	}
 	told := result == ResultUnreached || result == ResultReplaced
 	if told && len(p.doubts) < maximumDoubts {
 		p.doubts = append(p.doubts, Doubt{Key: found.key, Replaced: result == ResultReplaced})
--- a/internal/core/backendpool/load.go
+++ b/internal/core/backendpool/load.go
@@ -76,7 +76,7 @@
 	}
 }
 
-// Changed gets a value when what this daemon has under way has changed.
+// Changed gets a value when what this daemon has under way has changed, or it has found something out.
 func (p *Pool) Changed() <-chan struct{} { return p.changed }
 
 // ChangedLoads returns what this daemon has under way at the back ends where that has
@@ -95,6 +95,10 @@
 // touch notes that what is under way at a back end has changed. The caller holds the mutex.
 func (p *Pool) touch(found *entry) {
 	p.touched[found] = true
+	p.signalChange()
+}
+
+func (p *Pool) signalChange() {
 	select {
 	case p.changed <- struct{}{}:
 	default:
--- a/internal/core/backendpool/notice.go
+++ b/internal/core/backendpool/notice.go
@@ -42,7 +42,19 @@
 	}
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	return p.saidBy(id, now).take(now, notice)
+	return p.takeNotice(now, id, notice)
+}
+
+// takeNotice takes in what a back end says of itself, and leaves it to be told that it drains. The caller holds the
+// mutex.
+func (p *Pool) takeNotice(now time.Time, id identity.BackendID, notice Notice) bool {
+	said := p.saidBy(id, now)
+	drained := said.drains()
+	news := said.take(now, notice)
+	if found := p.byID[id]; found != nil && !drained && said.drains() {
+		p.noteFinding(Finding{Key: found.key, Draining: true})
+	}
+	return news
 }
 
 // take returns true where a notice is news.
--- a/internal/core/backendpool/pool.go
+++ b/internal/core/backendpool/pool.go
@@ -97,6 +97,8 @@
 	refusalAllowance float64
 	// silenceProbes bounds the probes of silent back ends.
 	silenceProbes *rate.Limiter
+	// findings wait to be told to the homes of the back ends.
+	findings []Finding
 	// doubts wait to be told to other daemons.
 	doubts []Doubt
 	// updates counts the updates of the list.
--- a/internal/loadhome/loadhome.go
+++ b/internal/loadhome/loadhome.go
@@ -1,5 +1,5 @@
 // Package loadhome lets many daemons know what is under way at a back end at the moment of
-// a choice. Each back end has two homes among the daemons of its region, by rendezvous hashing. Whoever
+// a choice, and what any of them has found out of it. Each back end has two homes among the daemons of its region, by rendezvous hashing. Whoever
 // sends a request there, or hears its first byte or its end, notes so at the homes, and who
 // is about to choose asks one of them. Up to some ten daemons all tell all instead (package
 // loadshare); among more that is too much to tell, and an estimate of many places that live
@@ -78,6 +78,8 @@
 	peerlink.HandleDecoded(options.Link, peerlink.KindLoadNote, made.hearNote)
 	peerlink.HandleDecoded(options.Link, peerlink.KindLoadQuestion, made.hearQuestion)
 	peerlink.HandleDecoded(options.Link, peerlink.KindLoadAnswer, made.hearAnswer)
+	peerlink.HandleDecoded(options.Link, peerlink.KindFindingNote, made.hearFindings)
+	peerlink.HandleDecoded(options.Link, peerlink.KindFindingKnown, made.hearKnown)
 	return made
 }
 
@@ -94,6 +96,7 @@
 			return nil
 		case <-h.options.Pool.Changed():
 			h.noteAll(h.options.Pool.ChangedLoads())
+			h.noteFindings(h.options.Pool.Findings())
 		case <-repeat.C:
 			h.noteAll(h.options.Pool.Loads(loadshare.MaximumLoads))
 			h.ledger.prune()
@@ -151,6 +154,7 @@
 		home := h.asked(now, key)
 		if home == h.self {
 			loads = append(loads, h.ledger.sum(now, key, h.self))
+			h.options.Pool.HearKnown(now, []backendpool.Finding{h.options.Pool.Known(now, key)})
 			continue
 		}
 		byHome[home] = append(byHome[home], key)
@@ -233,6 +237,7 @@
 // hearQuestion answers another daemon.
 func (h *Homes) hearQuestion(from string, got questionMessage) {
 	now := clock.Now()
+	h.tellKnown(now, from, got.Keys)
 	answer := &answerMessage{Number: got.Number}
 	for _, key := range got.Keys {
 		answer.Loads = append(answer.Loads, loadshare.Compact(h.ledger.sum(now, key, from)))
--- a/internal/peerlink/peerlink.go
+++ b/internal/peerlink/peerlink.go
@@ -65,6 +65,10 @@
 	KindRoomAnswer
 	// KindPackedBulletin tells what KindBulletin does of many back ends, deflated.
 	KindPackedBulletin
+	// KindFindingNote tells a home of back ends what the sender has found out of them, and KindFindingKnown tells who asks
+	// for loads what their home knows.
+	KindFindingNote
+	KindFindingKnown
 	kindEnd
 )
 
@@ -75,6 +79,7 @@
 	KindLoadNote: "load_note", KindLoadQuestion: "load_question", KindLoadAnswer: "load_answer",
 	KindCrashes: "crashes", KindTaken: "taken",
 	KindRoom: "room", KindRoomQuestion: "room_question", KindRoomAnswer: "room_answer", KindPackedBulletin: "packed_bulletin",
+	KindFindingNote: "finding_note", KindFindingKnown: "finding_known",
 	KindVersionReport: "version_report", KindVersionGrant: "version_grant", KindVersionStop: "version_stop", KindVersionStanding: "version_standing",
 	KindPresenceQuestion: "presence_question", KindPresenceAnswer: "presence_answer",
 }
