Tell homes of parts of prompts where these are, in large fleets

Cause: where a large part of a prompt is was told to all daemons: 20 kB a fact among 985, of which each daemon has about one a second, so that all hear a thousand datagrams a second and most of 25 kB/s are spent on it.

Change: among more than 128 others two homes of a part are told, and asked before a request with such a part is placed (one round trip in the region). What a daemon tells and hears goes by requests a second and daemon. Doubts about back ends, which their homes keep, are no longer told to all there. Smaller fleets tell all as before.

--- a/cmd/internal/daemon/wire.go
+++ b/cmd/internal/daemon/wire.go
@@ -231,13 +231,13 @@
 
 // wireLoads makes what daemons tell and ask each other of loads, room and limits.
 func (w *Daemon) wireLoads() {
-	w.loads = loadshare.New(loadshare.Options{
-		Link: w.link, Others: w.members.Others, Pool: w.backends, Memory: w.memory,
-	})
 	w.homes = loadhome.New(loadhome.Options{
-		Link: w.link, Others: w.members.Others, Pool: w.backends, Presence: w.presence,
+		Link: w.link, Others: w.members.Others, Pool: w.backends, Memory: w.memory, Presence: w.presence,
 		Zone: w.members.Zone, Own: w.settings.Zone, Distances: w.regions,
 	})
+	w.loads = loadshare.New(loadshare.Options{
+		Link: w.link, Others: w.members.Others, Pool: w.backends, Memory: w.memory, TellHomes: w.homes.NoteParts,
+	})
 	w.rooms = roomshare.New(roomshare.Options{
 		Link: w.link, Others: w.members.Others, Zone: w.members.Zone, Capacity: w.members.Capacity, Own: w.settings.Zone,
 		Distances: w.regions, Pool: w.backends, Refresh: w.refreshLoads,
--- a/internal/core/backendpool/listing.go
+++ b/internal/core/backendpool/listing.go
@@ -146,17 +146,24 @@
 	for of, entries := range out {
 		of.remove(entries)
 	}
-	in := map[*group][]*entry{}
 	for _, each := range altered.added {
+		p.addKeys(each)
+	}
+	p.group(altered.added)
+	p.dropEmptyGroups(altered.removed)
+}
+
+// group puts back ends into their groups. The caller holds the mutex.
+func (p *Pool) group(added []*entry) {
+	in := map[*group][]*entry{}
+	for _, each := range added {
 		for _, of := range p.groupsOf(each.backend) {
 			in[of] = append(in[of], each)
 		}
-		p.addKeys(each)
 	}
 	for of, entries := range in {
 		of.add(entries)
 	}
-	p.dropEmptyGroups(altered.removed)
 }
 
 // groupsOf are the groups that a back end belongs to. The caller holds the mutex.
--- a/internal/core/backendpool/region.go
+++ b/internal/core/backendpool/region.go
@@ -41,6 +41,9 @@
 func (p *Pool) SetDistances(distances distance.Map) {
 	p.distances = distances
 	p.region = distances.Region(p.zone)
+	clear(p.byRegion)
+	clear(p.services)
+	p.group(slices.Collect(maps.Values(p.byID)))
 }
 
 // Distances tells how far apart zones are.
--- a/internal/core/promptcache/promptcache.go
+++ b/internal/core/promptcache/promptcache.go
@@ -29,8 +29,8 @@
 	saveAgainAfter = 3 * time.Second
 	// holderTime is how long a back end is believed to hold a part that nobody asks for.
 	holderTime = 25 * time.Second
-	// largeTokens is from how many tokens on all daemons are told of a part.
-	largeTokens = 512
+	// LargeTokens is from how many tokens on other daemons are told of a part, and asked for it.
+	LargeTokens = 512
 	// retellAfter is after how long it is told again that a back end holds a part.
 	retellAfter = 8 * time.Second
 	// eventTime is how late it is told that a back end has dropped a part.
@@ -59,7 +59,7 @@
 }
 
 // ForAll tells whether the fact is worth telling all daemons.
-func (f Fact) ForAll() bool { return f.Tokens >= largeTokens }
+func (f Fact) ForAll() bool { return f.Tokens >= LargeTokens }
 
 type holder struct {
 	backend uint64
--- a/internal/core/promptcache/promptcache_test.go
+++ b/internal/core/promptcache/promptcache_test.go
@@ -100,7 +100,7 @@
 // TestDropsOfLargePartsAreForAll tells all daemons that a large part was dropped, as they were
 // told that it was read, and a few of a small one.
 func TestDropsOfLargePartsAreForAll(t *testing.T) {
-	for tokens, forAll := range map[int]bool{largeTokens: true, largeTokens - 1: false} {
+	for tokens, forAll := range map[int]bool{LargeTokens: true, LargeTokens - 1: false} {
 		memory, now := New(), time.Unix(1000, 0)
 		memory.Holds(now, Fact{Part: 1, Backend: 2, Tokens: tokens})
 		memory.HasDropped(now.Add(2*eventTime), Fact{Part: 1, Backend: 2, Tokens: 16})
--- a/internal/loadhome/loadhome.go
+++ b/internal/loadhome/loadhome.go
@@ -16,6 +16,7 @@
 	"github.com/lotusward/lotusward/internal/core/backendpool"
 	"github.com/lotusward/lotusward/internal/core/distance"
 	"github.com/lotusward/lotusward/internal/core/identity"
+	"github.com/lotusward/lotusward/internal/core/promptcache"
 	"github.com/lotusward/lotusward/internal/core/rendezvous"
 	"github.com/lotusward/lotusward/internal/loadshare"
 	"github.com/lotusward/lotusward/internal/peerlink"
@@ -39,8 +40,10 @@
 	Link peerlink.Carrier
 	// Others returns the addresses of the other daemons, in another slice whenever any of them
 	// is described anew.
-	Others   func() []string
-	Pool     *backendpool.Pool
+	Others func() []string
+	Pool   *backendpool.Pool
+	// Memory remembers where parts of prompts are.
+	Memory   *promptcache.Memory
 	Presence *presence.List
 	// Zone returns the zone of a daemon, by its address; empty is unknown. Nil knows none.
 	Zone func(address string) identity.Zone
@@ -53,12 +56,13 @@
 // Homes notes this daemon's loads at their homes, asks for others', and is a home itself.
 // It is safe for use by several goroutines.
 type Homes struct {
-	options   Options
-	self      string
-	ledger    *ledger
-	questions *peerlink.Questions[answer]
-	silence   *presence.Silence
-	groups    *peerlink.Groups
+	options       Options
+	self          string
+	ledger        *ledger
+	questions     *peerlink.Questions[answer]
+	partQuestions *peerlink.Questions[heardParts]
+	silence       *presence.Silence
+	groups        *peerlink.Groups
 
 	mutex sync.Mutex
 	// known are the homes of back ends among the daemons of knownOf.
@@ -72,12 +76,15 @@
 func New(options Options) *Homes {
 	made := &Homes{
 		options: options, self: options.Link.Address(), ledger: newLedger(),
-		questions: peerlink.NewQuestions[answer](), silence: presence.NewSilence(options.Presence),
+		questions: peerlink.NewQuestions[answer](), partQuestions: peerlink.NewQuestions[heardParts](), silence: presence.NewSilence(options.Presence),
 	}
 	made.groups = peerlink.NewGroups(made.self, made.region)
 	peerlink.HandleDecoded(options.Link, peerlink.KindLoadNote, made.hearNote)
 	peerlink.HandleDecoded(options.Link, peerlink.KindLoadQuestion, made.hearQuestion)
 	peerlink.HandleDecoded(options.Link, peerlink.KindLoadAnswer, made.hearAnswer)
+	peerlink.HandleDecoded(options.Link, peerlink.KindPartNote, made.hearPartNote)
+	peerlink.HandleDecoded(options.Link, peerlink.KindPartQuestion, made.hearPartQuestion)
+	peerlink.HandleDecoded(options.Link, peerlink.KindPartAnswer, made.hearPartAnswer)
 	peerlink.HandleDecoded(options.Link, peerlink.KindFindingNote, made.hearFindings)
 	peerlink.HandleDecoded(options.Link, peerlink.KindFindingKnown, made.hearKnown)
 	return made
@@ -86,6 +93,9 @@
 // Needed tells whether there are too many daemons to tell all of all loads.
 func (h *Homes) Needed() bool { return len(h.options.Others()) > loadshare.MaximumTargets }
 
+// TellsHomes tells whether there are too many daemons to tell all where parts of prompts are: their homes are told then.
+func (h *Homes) TellsHomes() bool { return len(h.options.Others()) > loadshare.MaximumTold }
+
 // Run notes loads as they change until the context ends.
 func (h *Homes) Run(ctx context.Context) error {
 	repeat := time.NewTicker(repeatInterval)
@@ -163,8 +173,10 @@
 }
 
 // asked is the home of a back end that is asked: the first one that answers.
-func (h *Homes) asked(now time.Time, key uint64) string {
-	homes := h.homes(key)
+func (h *Homes) asked(now time.Time, key uint64) string { return h.firstAnswering(now, h.homes(key)) }
+
+// firstAnswering is the first of some homes that was not silent lately.
+func (h *Homes) firstAnswering(now time.Time, homes []string) string {
 	for _, home := range homes {
 		if home == h.self || !h.silence.Is(home, now) {
 			return home
--- a/internal/loadhome/loadhome_test.go
+++ b/internal/loadhome/loadhome_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/lotusward/lotusward/internal/core/backendpool"
 	"github.com/lotusward/lotusward/internal/core/identity"
+	"github.com/lotusward/lotusward/internal/core/promptcache"
 	"github.com/lotusward/lotusward/internal/core/rendezvous"
 	"github.com/lotusward/lotusward/internal/peerlink/peerlinktest"
 	"github.com/lotusward/lotusward/internal/presence"
@@ -61,7 +62,7 @@
 	}
 	d.pool.Update(list)
 	d.tickets = nil
-	d.homes = New(Options{Link: d, Others: func() []string { return others }, Pool: d.pool, Presence: heard})
+	d.homes = New(Options{Link: d, Others: func() []string { return others }, Pool: d.pool, Memory: promptcache.New(), Presence: heard})
 	ctx, cancel := context.WithCancel(context.Background())
 	d.stop = cancel
 	go func() { _ = d.homes.Run(ctx) }()
--- a/internal/loadshare/loadshare.go
+++ b/internal/loadshare/loadshare.go
@@ -32,6 +32,9 @@
 	// Among more, where large parts of prompts are is still told to all, since it is told
 	// once.
 	MaximumTargets = 12
+	// MaximumTold is how many other daemons there may be for all to tell all where large parts of prompts are. Told to
+	// more, a fact costs some 3 kB and more, of which each daemon has several a second; homes of the parts are told then.
+	MaximumTold = 128
 	// aliveTargets is how many of many daemons hear in each turn that this one is there.
 	aliveTargets = 4
 	// bytesPerSecond bounds what is sent. Where it isn't enough for all targets of a
@@ -113,6 +116,8 @@
 	Others func() []string
 	Pool   *backendpool.Pool
 	Memory *promptcache.Memory
+	// TellHomes tells homes of parts of prompts where these are, among more than MaximumTold others; nil tells all.
+	TellHomes func(facts []promptcache.Fact)
 }
 
 // Sharer tells and hears loads.
@@ -173,10 +178,31 @@
 // shareAmongMany tells of parts and doubts alone; package loadhome is for the loads then. A
 // few other daemons hear each turn that this one is there.
 func (s *Sharer) shareAmongMany(now time.Time) {
-	few := s.tellAll(now, s.options.Memory.Untold(), s.options.Pool.Doubts())
+	facts, doubts := s.options.Memory.Untold(), s.options.Pool.Doubts()
+	if len(s.options.Others()) > MaximumTold && s.options.TellHomes != nil {
+		facts = s.tellHomes(facts)
+		doubts = nil // homes of the back ends keep what is found out of them
+	}
+	few := s.tellAll(now, facts, doubts)
 	s.send(s.limiter, peerlink.KindLoads, newMessage(nil, few, nil), aliveTargets)
 }
 
+// tellHomes tells homes of large parts where these are, and returns the facts of the others.
+func (s *Sharer) tellHomes(facts []promptcache.Fact) (few []promptcache.Fact) {
+	var large []promptcache.Fact
+	for _, fact := range facts {
+		if fact.ForAll() {
+			large = append(large, fact)
+		} else {
+			few = append(few, fact)
+		}
+	}
+	if len(large) > 0 {
+		s.options.TellHomes(large)
+	}
+	return few
+}
+
 // tellAll tells all of many daemons of doubts and of large parts, without the loads, which
 // are longer and told again soon. Parts are gathered for a moment. It returns the facts
 // that are for a few daemons only.
--- a/internal/peerlink/peerlink.go
+++ b/internal/peerlink/peerlink.go
@@ -69,6 +69,10 @@
 	// for loads what their home knows.
 	KindFindingNote
 	KindFindingKnown
+	// KindPartNote tells a home of parts of prompts where these are, KindPartQuestion asks it, and KindPartAnswer answers.
+	KindPartNote
+	KindPartQuestion
+	KindPartAnswer
 	kindEnd
 )
 
@@ -80,6 +84,7 @@
 	KindCrashes: "crashes", KindTaken: "taken",
 	KindRoom: "room", KindRoomQuestion: "room_question", KindRoomAnswer: "room_answer", KindPackedBulletin: "packed_bulletin",
 	KindFindingNote: "finding_note", KindFindingKnown: "finding_known",
+	KindPartNote: "part_note", KindPartQuestion: "part_question", KindPartAnswer: "part_answer",
 	KindVersionReport: "version_report", KindVersionGrant: "version_grant", KindVersionStop: "version_stop", KindVersionStanding: "version_standing",
 	KindPresenceQuestion: "presence_question", KindPresenceAnswer: "presence_answer",
 }
--- a/internal/relay/pick.go
+++ b/internal/relay/pick.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/lotusward/lotusward/internal/core/backendpool"
+	"github.com/lotusward/lotusward/internal/core/promptcache"
 )
 
 // mostSamples is how many times some more back ends are asked for what is under way there,
@@ -111,6 +112,7 @@
 // tryAsked takes a place at one of some back ends, once it is known what is under way there.
 // Where they are full, some others are tried.
 func (r *run) tryAsked(ctx context.Context, loads Loads, query backendpool.Query) *backendpool.Ticket {
+	r.askForParts(ctx, loads)
 	for range mostSamples {
 		sampled := r.relay.options.Pool.Sample(r.now(), query, query.Among)
 		if len(sampled) == 0 {
@@ -128,6 +130,24 @@
 	return nil
 }
 
+// askForParts finds out, once for a request, where the large parts of its prompt are.
+func (r *run) askForParts(ctx context.Context, loads Loads) {
+	prompt := r.admitted.request.Prompt
+	if prompt == nil || r.partsAsked {
+		return
+	}
+	r.partsAsked = true
+	var parts []promptcache.Key
+	for _, shared := range r.relay.levels(r.admitted, r.admitted.state.NewestVersion(prompt.Model)) {
+		if shared.tokens >= promptcache.LargeTokens {
+			parts = append(parts, shared.key)
+		}
+	}
+	if len(parts) > 0 {
+		loads.RefreshParts(ctx, parts)
+	}
+}
+
 func (r *run) tryQuery(query backendpool.Query) *backendpool.Ticket {
 	ticket, shortage := r.relay.options.Pool.PickOrExplain(r.now(), query)
 	if ticket == nil {
--- a/internal/relay/regions_test.go
+++ b/internal/relay/regions_test.go
@@ -42,6 +42,8 @@
 // knownLoads implements Loads: the pool knows.
 type knownLoads struct{}
 
+func (knownLoads) RefreshParts(context.Context, []promptcache.Key) {}
+
 func (knownLoads) Needed() bool                      { return true }
 func (knownLoads) Refresh(context.Context, []uint64) {}
 
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -15,6 +15,7 @@
 	"github.com/lotusward/lotusward/internal/core/buffers"
 	"github.com/lotusward/lotusward/internal/core/identity"
 	"github.com/lotusward/lotusward/internal/core/outcome"
+	"github.com/lotusward/lotusward/internal/core/promptcache"
 )
 
 // Part is one part of a prompt. Parts are shared among requests, but for the
@@ -191,6 +192,8 @@
 	// Refresh tells the pool what other daemons have under way at back ends, by the hashes
 	// of their IDs.
 	Refresh(ctx context.Context, keys []uint64)
+	// RefreshParts makes it remembered where parts of prompts are, where there are too many daemons to tell all.
+	RefreshParts(ctx context.Context, parts []promptcache.Key)
 }
 
 // Backends sends requests to back ends.
--- a/internal/relay/run.go
+++ b/internal/relay/run.go
@@ -58,6 +58,8 @@
 	// sentAt is when the present sending began.
 	sentAt   time.Time
 	shortage backendpool.Shortage
+	// partsAsked is set once it was asked where the prompt's parts are.
+	partsAsked bool
 	// overloaded is set if the request was refused a place that it waited for, or was not
 	// let wait for one.
 	overloaded bool
