--- a/internal/directory/wire_test.go
+++ b/internal/directory/wire_test.go
@@ -10,4 +10,6 @@
 func TestOtherBuildsAreUnderstood(t *testing.T) {
 	wiretest.Datagram[Bulletin](t, "bulletin", nil)
 	wiretest.Datagram[Snapshot](t, "snapshot", nil)
+	wiretest.Datagram[Update](t, "update", nil)
+	wiretest.Datagram[PackedBulletin](t, "packedbulletin", nil)
 }
--- a/internal/loadhome/wire_test.go
+++ b/internal/loadhome/wire_test.go
@@ -11,4 +11,8 @@
 	wiretest.Datagram[noteMessage](t, "load_note", nil)
 	wiretest.Datagram[questionMessage](t, "load_question", nil)
 	wiretest.Datagram[answerMessage](t, "load_answer", nil)
+	wiretest.Datagram[findingMessage](t, "finding", nil)
+	wiretest.Datagram[partNote](t, "partnote", nil)
+	wiretest.Datagram[partQuestion](t, "partquestion", nil)
+	wiretest.Datagram[partAnswer](t, "partanswer", nil)
 }
--- /dev/null
+++ b/internal/peersync/wire_test.go
@@ -0,0 +1,12 @@
+package peersync
+
+import (
+	"testing"
+
+	"github.com/lotusward/lotusward/internal/wiretest"
+)
+
+// TestOtherBuildsAreUnderstood holds what passes to other builds to the bytes that they write.
+func TestOtherBuildsAreUnderstood(t *testing.T) {
+	wiretest.Datagram[sentUpdate](t, "sentupdate", nil)
+}
