--- a/internal/members/members.go
+++ b/internal/members/members.go
@@ -144,6 +144,9 @@
 // Heard notes the address of a daemon that told something, so that one that has
 // just started is known before its row is told.
 func (l *List) Heard(address string) {
+	if _, described := (*l.described.Load())[address]; described {
+		return // nearly always: it has a row, and each datagram comes this way
+	}
 	others := *l.addresses.Load()
 	if !l.known.Load() || address == l.options.Own.Address || slices.Contains(others, address) {
 		return
