Wait for answers of homes for as long as the way between zones takes

Cause: answers of homes in the own region were waited for 10 ms. Where zones are 5.4 ms apart, one way, an answer takes 10.8: none from another zone was ever heard. Each request waited 10 ms for nothing, knew nothing of others' loads at two thirds of the back ends, and took these homes for silent.

Test: daemons in zones up to 8 ms apart know the sums of all loads (fails at 5.4 ms with the fixed 10 ms).

--- a/internal/loadhome/loadhome.go
+++ b/internal/loadhome/loadhome.go
@@ -26,9 +26,6 @@
 const (
 	// homesEach is how many homes a back end has: one may be gone.
 	homesEach = 2
-	// answerTimeout is how long the answers of homes in the own region are waited for. They
-	// take two milliseconds between zones.
-	answerTimeout = 10 * time.Millisecond
 	// repeatInterval is how often what is under way is noted again, since notes may be lost,
 	// and forgetAfter how long a note counts.
 	repeatInterval = time.Second
@@ -68,8 +65,8 @@
 	// known are the homes of back ends among the daemons of knownOf.
 	known   map[uint64][]string
 	knownOf *peerlink.Grouping
-	// farTimeout is how long answers from other regions are waited for.
-	farTimeout roundTrip
+	// nearTimeout is how long answers from the own region are waited for, and farTimeout those from others.
+	nearTimeout, farTimeout roundTrip
 }
 
 // New makes a Homes that is asked at once, and notes loads while it runs.
@@ -78,6 +75,7 @@
 		options: options, self: options.Link.Address(), ledger: newLedger(),
 		questions: peerlink.NewQuestions[answer](), partQuestions: peerlink.NewQuestions[heardParts](), silence: presence.NewSilence(options.Presence),
 	}
+	made.nearTimeout.near = true
 	made.groups = peerlink.NewGroups(made.self, made.region)
 	peerlink.HandleDecoded(options.Link, peerlink.KindLoadNote, made.hearNote)
 	peerlink.HandleDecoded(options.Link, peerlink.KindLoadQuestion, made.hearQuestion)
@@ -154,8 +152,8 @@
 }
 
 // Refresh asks the homes of back ends, by the hashes of their IDs, for what other daemons
-// have under way there, and tells the pool. It goes on with what is known after
-// answerTimeout.
+// have under way there, and tells the pool. It goes on with what is known where answers take
+// longer than they mostly do.
 func (h *Homes) Refresh(ctx context.Context, keys []uint64) {
 	now := clock.Now()
 	byHome := map[string][]uint64{}
@@ -228,14 +226,18 @@
 }
 
 func (h *Homes) noteSilent(byHome map[string][]uint64) {
-	now, far := clock.Now(), false
+	now, far, near := clock.Now(), false, false
 	for home := range byHome {
 		h.silence.Note(home, now)
 		far = far || h.isFar(home)
+		near = near || !(h.isFar(home) || h.isOwnZone(home))
 	}
 	if far {
 		h.farTimeout.late()
 	}
+	if near {
+		h.nearTimeout.late()
+	}
 }
 
 // hearNote takes in another daemon's loads.
--- a/internal/loadhome/parts.go
+++ b/internal/loadhome/parts.go
@@ -78,8 +78,8 @@
 	h.options.Memory.Heard(clock.Now(), facts)
 }
 
-// RefreshParts asks the homes of parts where these are, and remembers it. It goes on with what is known after
-// answerTimeout.
+// RefreshParts asks the homes of parts where these are, and remembers it. It goes on with what is known where answers
+// take longer than they mostly do.
 func (h *Homes) RefreshParts(ctx context.Context, parts []promptcache.Key) {
 	if !h.TellsHomes() {
 		return
@@ -103,17 +103,17 @@
 	for home, parts := range byHome {
 		peerlink.Tell(h.options.Link, home, peerlink.KindPartQuestion, &partQuestion{Number: number, Parts: parts})
 	}
-	timeout := time.NewTimer(answerTimeout)
+	asked := clock.Now()
+	timeout := time.NewTimer(h.nearTimeout.timeout())
 	defer timeout.Stop()
 	for len(byHome) > 0 {
 		select {
 		case got := <-answers:
+			h.answered(got.from, clock.Since(asked))
 			h.remember(got.partAnswer)
 			delete(byHome, got.from)
 		case <-timeout.C:
-			for home := range byHome {
-				h.silence.Note(home, clock.Now())
-			}
+			h.noteSilent(byHome)
 			return
 		case <-ctx.Done():
 			return
--- a/internal/loadhome/regions.go
+++ b/internal/loadhome/regions.go
@@ -39,6 +39,12 @@
 	return grouped.All, listed
 }
 
+// isOwnZone tells whether a daemon is surely in this one's zone, so that its answers tell nothing of the way between
+// zones.
+func (h *Homes) isOwnZone(address string) bool {
+	return h.options.Own != "" && h.zone(address) == h.options.Own
+}
+
 // isFar tells whether a daemon is in another region.
 func (h *Homes) isFar(address string) bool {
 	return h.options.Distances.Between(h.options.Own, h.zone(address)) == distance.OtherRegion
@@ -51,12 +57,15 @@
 			return h.farTimeout.timeout()
 		}
 	}
-	return answerTimeout
+	return h.nearTimeout.timeout()
 }
 
 // answered notes how long a home took to answer.
 func (h *Homes) answered(home string, took time.Duration) {
-	if h.isFar(home) {
+	switch {
+	case h.isFar(home):
 		h.farTimeout.note(took)
+	case !h.isOwnZone(home):
+		h.nearTimeout.note(took)
 	}
 }
--- a/internal/loadhome/roundtrip.go
+++ b/internal/loadhome/roundtrip.go
@@ -6,6 +6,12 @@
 )
 
 const (
+	// firstNearTimeout, leastNearTimeout and mostNearTimeout are the same for answers from the own region: zones may be a
+	// tenth of a millisecond apart, or six. Where all answers came later than they were waited for, each request would wait
+	// for nothing, and know nothing of others' loads.
+	firstNearTimeout = 30 * time.Millisecond
+	leastNearTimeout = 10 * time.Millisecond
+	mostNearTimeout  = 50 * time.Millisecond
 	// firstFarTimeout is how long an answer from another region is waited for before one was
 	// heard, and leastFarTimeout and mostFarTimeout bound it after that. A request that waits
 	// for answers has some hundred milliseconds left.
@@ -19,19 +25,35 @@
 	deviationWeight = 0.25
 	deviations      = 4
 	// lateFactor raises the mean deviation where no answer came in time: five in a row reach
-	// mostFarTimeout.
+	// the bound.
 	lateFactor = 2
 	// leastMargin is the least time beyond the mean.
 	leastMargin = 5 * time.Millisecond
 )
 
-// roundTrip learns how long answers from other regions take. It is safe for use by several
-// goroutines.
+// tripBounds bound how long answers are waited for.
+type tripBounds struct{ first, least, most time.Duration }
+
+var (
+	nearBounds = tripBounds{first: firstNearTimeout, least: leastNearTimeout, most: mostNearTimeout}
+	farBounds  = tripBounds{first: firstFarTimeout, least: leastFarTimeout, most: mostFarTimeout}
+)
+
+// roundTrip learns how long answers take. It is safe for use by several goroutines.
 type roundTrip struct {
+	// near is set for answers from the own region.
+	near            bool
 	mutex           sync.Mutex
 	mean, deviation time.Duration
 }
 
+func (r *roundTrip) bounds() tripBounds {
+	if r.near {
+		return nearBounds
+	}
+	return farBounds
+}
+
 // note takes in how long an answer took.
 func (r *roundTrip) note(took time.Duration) {
 	r.mutex.Lock()
@@ -50,7 +72,7 @@
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	if r.mean > 0 {
-		r.deviation = min(lateFactor*max(r.deviation, leastMargin/deviations), mostFarTimeout/deviations)
+		r.deviation = min(lateFactor*max(r.deviation, leastMargin/deviations), r.bounds().most/deviations)
 	}
 }
 
@@ -58,8 +80,9 @@
 func (r *roundTrip) timeout() time.Duration {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
+	bounds := r.bounds()
 	if r.mean == 0 {
-		return firstFarTimeout
+		return bounds.first
 	}
-	return min(max(r.mean+max(deviations*r.deviation, leastMargin), leastFarTimeout), mostFarTimeout)
+	return min(max(r.mean+max(deviations*r.deviation, leastMargin), bounds.least), bounds.most)
 }
--- a/internal/loadhome/roundtrip_test.go
+++ b/internal/loadhome/roundtrip_test.go
@@ -1,11 +1,16 @@
 package loadhome
 
 import (
+	"context"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
+
+	"github.com/lotusward/lotusward/internal/core/backendpool"
+	"github.com/lotusward/lotusward/internal/core/rendezvous"
 )
 
 // TestLongerWayIsLearned lets the way to another region become longer, up to what may be waited for.
@@ -49,3 +54,25 @@
 	}
 	assert.Assert(t, learned.timeout() < 60*time.Millisecond, "%v", learned.timeout())
 }
+
+// TestAnswersOfDistantZonesAreHeard has daemons in zones that are up to 8 ms apart, one way: soon each knows what all have
+// under way. Waiting 10 ms for answers that take 11, it knew nothing of two thirds of the back ends, and waited each time.
+func TestAnswersOfDistantZonesAreHeard(t *testing.T) {
+	for _, way := range []time.Duration{100 * time.Microsecond, 5400 * time.Microsecond, 8 * time.Millisecond} {
+		synctest.Test(t, func(t *testing.T) {
+			fleet := newFleet(1, 30)
+			defer fleet.stop()
+			fleet.network.SetWay(func(string, string) time.Duration { return way })
+			time.Sleep(time.Second)
+			for _, each := range fleet.daemons {
+				each.tickets = append(each.tickets, each.pool.Pick(time.Now(), backendpool.Query{Service: "s"}))
+			}
+			time.Sleep(2 * time.Second)
+			fleet.expectSums(t)
+			asking := fleet.daemons[0]
+			began := time.Now()
+			asking.homes.Refresh(context.Background(), []uint64{rendezvous.Key(string(backendID(0)))})
+			assert.Assert(t, time.Since(began) <= 2*way)
+		})
+	}
+}
