Ask whom a starting daemon hears, beside those whose rows it found

Where the store refused to tell rows it asked nobody.

Change: contacts are drawn evenly, those that don't answer are forgotten until they are heard of again, and asking goes on beside finding rows and waiting to read, sooner where somebody new is heard of. A line tells of rounds in vain.

--- a/internal/directory/asking_test.go
+++ b/internal/directory/asking_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"testing"
 	"time"
 
@@ -10,6 +11,7 @@
 	"gotest.tools/v3/poll"
 
 	"github.com/lotusward/lotusward/internal/core/backendpool"
+	"github.com/lotusward/lotusward/internal/logging"
 )
 
 // lackingPeers know nothing that one could ask them for.
@@ -64,3 +66,66 @@
 		assert.Assert(t, first == 0)
 	}
 }
+
+// knowingPeers are gone but for one, which tells what a reader believes.
+type knowingPeers struct {
+	reader  *Directory
+	knowing string
+}
+
+func (p knowingPeers) Update(_ context.Context, address string, have Have, begun func()) (Update, error) {
+	if address != p.knowing {
+		return Update{}, errors.New("gone")
+	}
+	if begun != nil {
+		begun()
+	}
+	return update(p.reader, have), nil
+}
+
+// rowsOf finds the daemons whose rows are left.
+type rowsOf []string
+
+func (r rowsOf) Find(context.Context) ([]string, int, error) { return r, len(r) + 1, nil }
+
+// refusingRows finds nobody: the store refuses.
+type refusingRows struct{}
+
+func (refusingRows) Find(context.Context) ([]string, int, error) {
+	return nil, 0, errors.New("the store refuses")
+}
+
+// TestStarterAsksWhomItHears starts a daemon whose contacts' rows are of daemons that are gone, or that finds no rows at
+// all: it asks who tells it something. Asking on those of the rows it never came to the other one, and stayed without a
+// configuration for as long as it heard of a reader.
+func TestStarterAsksWhomItHears(t *testing.T) {
+	for name, contacts := range map[string]Contacts{"rows of gone daemons": rowsOf{"a", "b", "c"}, "no rows": refusingRows{}} {
+		t.Run(name, func(t *testing.T) {
+			starter := New(Options{
+				Pool: backendpool.New("a"), Log: logging.Discard(), Self: "self", Contacts: contacts,
+				Peers: knowingPeers{reader: readerOf(listOf(3)), knowing: "heard"}, Tell: func(Bulletin) {},
+			})
+			ctx, cancel := context.WithCancel(context.Background())
+			defer cancel()
+			go starter.join(ctx)
+			go func() {
+				for ctx.Err() == nil {
+					select {
+					case got := <-starter.messages:
+						starter.apply(got)
+					case <-ctx.Done():
+					}
+				}
+			}()
+			time.Sleep(200 * time.Millisecond)
+			starter.contacts.reads(time.Now(), "c")
+			starter.Noticed("heard")
+			poll.WaitOn(t, func(poll.LogT) poll.Result {
+				if starter.Complete() {
+					return poll.Success()
+				}
+				return poll.Continue("it knows nothing")
+			}, poll.WithTimeout(3*time.Second), poll.WithDelay(5*time.Millisecond))
+		})
+	}
+}
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -231,6 +231,7 @@
 	}
 	directory := &Directory{
 		options:   options,
+		contacts:  contacts{changed: newSignal()},
 		messages:  make(chan message),
 		bulletins: make(chan heardBulletin, waitingBulletins),
 		turn: newTurn(turnOptions{
--- a/internal/directory/joining.go
+++ b/internal/directory/joining.go
@@ -2,12 +2,15 @@
 
 import (
 	"context"
+	"errors"
 	"math"
 	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"github.com/lotusward/lotusward/internal/clock"
 	"github.com/lotusward/lotusward/internal/pause"
 )
@@ -25,39 +28,40 @@
 // Error implements error.
 func (e *BusyError) Error() string { return e.Address + " answers others" }
 
-// contacts are the daemons that a starting one can ask, those that most likely know last. It is safe for use by several
-// goroutines.
+// contacts are the daemons that a starting one can ask. It is safe for use by several goroutines.
 type contacts struct {
 	mutex     sync.Mutex
 	addresses []string
 	// readerAt is when a daemon that reads the store was last heard of.
 	readerAt time.Time
-	// added counts those that were not known before.
-	added int
+	// changed has a value once there is one that was not known before.
+	changed signal
 }
 
-// noticed adds a daemon that is alive, of which it is not known whether it knows anything.
+// noticed adds a daemon that is alive, unless many are known already.
 func (c *contacts) noticed(address string) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	if len(c.addresses) < keptContacts && !slices.Contains(c.addresses, address) {
-		c.addresses = slices.Insert(c.addresses, 0, address)
-		c.added++
+	if len(c.addresses) < keptContacts {
+		c.put(address)
 	}
 }
 
-// add adds daemons that most likely know. Where there are too many, those that were told of first are forgotten.
+// put adds a daemon. The caller holds the mutex.
+func (c *contacts) put(address string) {
+	if slices.Contains(c.addresses, address) {
+		return
+	}
+	c.addresses = append(c.addresses, address)
+	c.changed.tell()
+}
+
+// add adds daemons that most likely know. Where there are too many, those that were added first are forgotten.
 func (c *contacts) add(addresses ...string) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	for _, address := range addresses {
-		at := slices.Index(c.addresses, address)
-		if at >= 0 {
-			c.addresses = slices.Delete(c.addresses, at, at+1)
-		} else {
-			c.added++
-		}
-		c.addresses = append(c.addresses, address)
+		c.put(address)
 	}
 	c.addresses = slices.Clone(c.addresses[max(len(c.addresses)-keptContacts, 0):])
 }
@@ -67,10 +71,14 @@
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	c.readerAt = now
-	if !slices.Contains(c.addresses, address) {
-		c.addresses = append(c.addresses, address)
-		c.added++
-	}
+	c.put(address)
+}
+
+// forget drops a daemon that doesn't answer: it may be gone. It is added again once it is heard of.
+func (c *contacts) forget(address string) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.addresses = slices.DeleteFunc(slices.Clone(c.addresses), func(known string) bool { return known == address })
 }
 
 // heardReader is when a daemon that reads was last heard of.
@@ -80,16 +88,13 @@
 	return c.readerAt
 }
 
-// drawn returns the contacts in a drawn order, those that most likely know mostly first, and how many were ever added.
-func (c *contacts) drawn() ([]string, int) {
+// drawn returns the contacts in a drawn order.
+func (c *contacts) drawn() []string {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	likely := slices.Clone(c.addresses[len(c.addresses)/2:])
-	others := slices.Clone(c.addresses[:len(c.addresses)/2])
-	for _, list := range [][]string{likely, others} {
-		rand.Shuffle(len(list), func(left, right int) { list[left], list[right] = list[right], list[left] })
-	}
-	return append(likely, others...), c.added
+	drawn := slices.Clone(c.addresses)
+	rand.Shuffle(len(drawn), func(left, right int) { drawn[left], drawn[right] = drawn[right], drawn[left] })
+	return drawn
 }
 
 // join finds other daemons at the start, and takes over what they believe. A daemon that
@@ -99,13 +104,14 @@
 	if d.options.Contacts == nil {
 		return
 	}
+	go d.askOn(ctx)
 	retries := d.newRetrying()
 	retries.spread = joinFailurePause
 	for ctx.Err() == nil {
 		found, about, err := d.options.Contacts.Find(ctx)
 		if err == nil {
 			d.contacts.add(found...)
-			d.askUntil(ctx, clock.Now().Add(joinDelay(len(found), about)+d.joinHandicap(found)))
+			d.awaitAnswer(ctx, clock.Now().Add(joinDelay(len(found), about)+d.joinHandicap(found)))
 			return
 		}
 		d.options.Log.WithError(err).Warn("No other daemons are found at the start.")
@@ -116,63 +122,63 @@
 	}
 }
 
-// askUntil asks daemons until this one knows what they believe. From a time on it reads the store as well, later where
-// another daemon is heard of that does.
-func (d *Directory) askUntil(ctx context.Context, until time.Time) {
-	began, asks := clock.Now(), asking{pause: askPause}
-	for ctx.Err() == nil && !d.Complete() {
-		now := clock.Now()
-		if !now.Before(d.extended(began, until)) && !asks.reads {
-			asks.reads = true
-			d.options.Log.WithError(asks.err).WithField("asked", asks.asked).Info("No daemon tells what it believes.")
-			d.turn.open()
+// awaitAnswer waits until this daemon knows what others believe, or until a time, later where another daemon is heard of
+// that reads the store: then this one is to read it too.
+func (d *Directory) awaitAnswer(ctx context.Context, until time.Time) {
+	for began := clock.Now(); ctx.Err() == nil && !d.Complete(); {
+		left := clock.Until(d.extended(began, until))
+		if left <= 0 {
+			d.options.Log.Info("No daemon tells what it believes.")
+			return
 		}
+		pause.For(ctx, min(left, askPause))
+	}
+}
+
+// askOn asks daemons until this one knows what they believe.
+func (d *Directory) askOn(ctx context.Context) {
+	wait := askPause
+	for round := 1; ctx.Err() == nil && !d.Complete(); round++ {
 		if waited := d.waited.Load(); waited != nil && clock.Since(*waited) < joinExtension+d.options.Interval {
 			pause.For(ctx, askPause) // there is nothing to ask for yet
 			continue
 		}
-		d.askRound(ctx, &asks)
-		if !d.Complete() {
-			d.pauseAsking(ctx, &asks, until)
+		d.askRound(ctx, round)
+		if d.pauseAsking(ctx, wait) {
+			wait = askPause
+		} else {
+			wait = min(2*wait, longestAskPause)
 		}
 	}
 }
 
-// asking is how a starting daemon has asked so far.
-type asking struct {
-	rounds, asked int
-	// pause is the next one, and known how many contacts there had ever been.
-	pause time.Duration
-	known int
-	// reads is set once this daemon reads the store itself, and err is the last round's.
-	reads bool
-	err   error
-}
-
 // askRound asks a few daemons.
-func (d *Directory) askRound(ctx context.Context, asks *asking) {
-	drawn, known := d.contacts.drawn()
-	if asks.rounds < nearRounds {
+func (d *Directory) askRound(ctx context.Context, round int) {
+	drawn := d.contacts.drawn()
+	if round <= nearRounds {
 		d.nearFirst(drawn)
 	}
 	drawn = drawn[:min(askedAtOnce, len(drawn))]
-	asks.rounds++
-	asks.asked += len(drawn)
-	asks.err = d.askAny(ctx, drawn)
-	asks.pause = min(2*asks.pause, longestAskPause)
-	if known > asks.known {
-		asks.known, asks.pause = known, askPause
+	err := d.askAny(ctx, drawn)
+	if err != nil && len(drawn) > 0 && round&(round-1) == 0 { // a line in each doubling of rounds
+		d.options.Log.WithError(err).WithFields(logrus.Fields{"asked": drawn, "round": round}).Info("Other daemons were asked in vain.")
 	}
 }
 
-// pauseAsking waits for the next round. Hundreds of daemons that start together would otherwise ask the first that knows
-// so often that it can't answer.
-func (d *Directory) pauseAsking(ctx context.Context, asks *asking, until time.Time) {
-	wait := asks.pause/2 + rand.N(asks.pause)
-	if left := clock.Until(until); !asks.reads && left > 0 {
-		wait = min(wait, left)
+// pauseAsking waits for the next round, until there is a new contact at the longest: it returns true then. Hundreds of
+// daemons that start together would otherwise ask the first that knows so often that it can't answer.
+func (d *Directory) pauseAsking(ctx context.Context, about time.Duration) bool {
+	pause.For(ctx, askPause/2+rand.N(askPause))
+	timer := time.NewTimer(max(about/2+rand.N(about)-askPause, 0))
+	defer timer.Stop()
+	select {
+	case <-d.contacts.changed:
+		return true
+	case <-timer.C:
+		return false
+	case <-ctx.Done():
+		return false
 	}
-	pause.For(ctx, wait)
 }
 
 // extended is until when a starting daemon waits for others: until a time, and longer while one that reads is heard of.
@@ -203,6 +209,17 @@
 	return time.Duration(max(share, 0) * float64(longest))
 }
 
+// askContact asks a daemon at the start. One that doesn't answer is forgotten.
+func (d *Directory) askContact(ctx context.Context, address string, begun func()) error {
+	err := d.ask(ctx, address, Have{}, begun)
+	var lacking *LackingError
+	var busy *BusyError
+	if err != nil && !errors.As(err, &lacking) && !errors.As(err, &busy) {
+		d.contacts.forget(address)
+	}
+	return err
+}
+
 // askAny asks daemons, the next one where the one before has failed or is slow to begin its answer. It returns as soon as
 // one told what it believes, or the last error where none did.
 func (d *Directory) askAny(ctx context.Context, addresses []string) error {
@@ -214,7 +231,7 @@
 		var stagger <-chan time.Time
 		if asked < len(addresses) {
 			address := addresses[asked]
-			go func() { told <- d.ask(ctx, address, Have{}, func() { begun <- struct{}{} }) }()
+			go func() { told <- d.askContact(ctx, address, func() { begun <- struct{}{} }) }()
 			asked++
 			stagger = time.After(askStagger)
 		}
