Watch caches from their own zone; ask a first contact at once

Change: the watchers are daemons of the back end's zone, or any where that has none. The pause between rounds follows rounds in which somebody was asked.

Test: with three zones of which one has no daemons each cache has two watchers, of its zone where it has any.

--- a/cmd/internal/daemon/wire.go
+++ b/cmd/internal/daemon/wire.go
@@ -218,7 +218,7 @@
 
 // wireCaches makes what follows the caches of back ends and stores.
 func (w *Daemon) wireCaches() {
-	w.cacheTargets = cachewatch.NewAssignment(w.link.Address(), cacheWatchers, w.backends.Backends)
+	w.cacheTargets = cachewatch.NewAssignment(w.link.Address(), cacheWatchers, w.backends.Backends, w.members.Zone)
 	w.backends.OnListed(w.cacheTargets.Listed)
 	w.promptsIn = cachewatch.NewWatcher(cachewatch.Options{
 		Source: w.runners, Targets: w.promptStores, Log: w.part("promptstore"),
--- a/internal/cachewatch/assignment.go
+++ b/internal/cachewatch/assignment.go
@@ -19,20 +19,23 @@
 const longestSettle = 6 * time.Second
 
 // Assignment says whose caches this daemon watches: those of back ends for which it ranks among the first of all
-// daemons. What it costs goes by what changes: one back end, or the daemon's own caches where a daemon has come. It is
+// daemons of the back end's zone, so that no events cross a border between zones, or of all where that zone has none.
+// What it costs goes by what changes: one back end, or the daemon's own caches where a daemon has come. It is
 // safe for use by several goroutines.
 type Assignment struct {
 	self string
 	// watchers is how many daemons watch each cache.
 	watchers int
-	// all returns the listed back ends.
-	all func() []backendpool.Backend
+	// all returns the listed back ends, and zone the zone of a daemon; empty is unknown.
+	all  func() []backendpool.Backend
+	zone func(daemon string) identity.Zone
 
 	mutex   sync.Mutex
 	targets map[identity.BackendID]Target
 	// others are the other daemons for whom the targets were found, since changedAt, and beganAt is when the first were
 	// told, zero before; settled is set once they had stayed the same for settleTime.
 	others             []string
+	byZone             map[identity.Zone][]string
 	beganAt, changedAt time.Time
 	settled            bool
 	// checks counts how often it was looked whether the daemon is among the first.
@@ -40,8 +43,8 @@
 }
 
 // NewAssignment makes an Assignment of no caches, of which a number of daemons watch each one.
-func NewAssignment(self string, watchers int, all func() []backendpool.Backend) *Assignment {
-	return &Assignment{self: self, watchers: watchers, all: all, targets: map[identity.BackendID]Target{}}
+func NewAssignment(self string, watchers int, all func() []backendpool.Backend, zone func(daemon string) identity.Zone) *Assignment {
+	return &Assignment{self: self, watchers: watchers, all: all, zone: zone, targets: map[identity.BackendID]Target{}}
 }
 
 // Listed takes in how the list of back ends changed.
@@ -61,16 +64,24 @@
 
 // check looks whether this daemon watches a back end. The caller holds the mutex.
 func (a *Assignment) check(backend backendpool.Backend) {
-	if len(backend.Weights) == 0 || backend.Draining || !a.isAmongFirst(backend.ID) {
+	if len(backend.Weights) == 0 || backend.Draining || !a.isAmongFirst(backend.ID, backend.Zone) {
 		delete(a.targets, backend.ID)
 		return
 	}
-	a.targets[backend.ID] = Target{Name: string(backend.ID), Address: backend.Address}
+	a.targets[backend.ID] = Target{Name: string(backend.ID), Address: backend.Address, zone: backend.Zone}
 }
 
-func (a *Assignment) isAmongFirst(id identity.BackendID) bool {
+func (a *Assignment) isAmongFirst(id identity.BackendID, zone identity.Zone) bool {
 	a.checks++
-	return rendezvous.AmongTop(rendezvous.Key(string(id)), a.self, a.others, a.watchers)
+	near := a.byZone[zone]
+	switch {
+	case zone != "" && zone == a.zone(a.self):
+		return rendezvous.AmongTop(rendezvous.Key(string(id)), a.self, near, a.watchers)
+	case len(near) > 0:
+		return false
+	default:
+		return rendezvous.AmongTop(rendezvous.Key(string(id)), a.self, a.others, a.watchers)
+	}
 }
 
 // Targets returns the caches to watch among some other daemons, ordered by name. None are before these have stayed the
@@ -104,11 +115,17 @@
 func (a *Assignment) take(now time.Time, others []string) {
 	grown := containsAll(others, a.others)
 	a.others, a.changedAt = others, now
+	a.byZone = map[identity.Zone][]string{}
+	for _, other := range others {
+		if zone := a.zone(other); zone != "" {
+			a.byZone[zone] = append(a.byZone[zone], other)
+		}
+	}
 	switch {
 	case !a.settled:
 	case grown:
-		for id := range a.targets {
-			if !a.isAmongFirst(id) {
+		for id, target := range a.targets {
+			if !a.isAmongFirst(id, target.zone) {
 				delete(a.targets, id)
 			}
 		}
--- a/internal/cachewatch/assignment_test.go
+++ b/internal/cachewatch/assignment_test.go
@@ -39,6 +39,42 @@
 	return addresses
 }
 
+// noZone knows no daemon's zone.
+func noZone(string) identity.Zone { return "" }
+
+// TestWatchersAreInTheZone has three zones, of which one has no daemons: caches are watched by daemons of their zone, two
+// each, and those of the third by two of all.
+func TestWatchersAreInTheZone(t *testing.T) {
+	known := listed{}
+	for number := range 300 {
+		backend := engine(number)
+		backend.Zone = identity.Zone(fmt.Sprint("z", number%3))
+		known[backend.ID] = backend
+	}
+	addresses := daemons(40)
+	zoneOf := func(daemon string) identity.Zone {
+		var number int
+		_, err := fmt.Sscanf(daemon, "d%d", &number)
+		assert.NilError(t, err)
+		return identity.Zone(fmt.Sprint("z", number%2))
+	}
+	watchers := map[string][]string{}
+	for number, self := range addresses {
+		assigned := NewAssignment(self, 2, known.all, zoneOf)
+		others := append(slices.Clone(addresses[:number]), addresses[number+1:]...)
+		assigned.Targets(start, others)
+		for _, target := range assigned.Targets(start.Add(settleTime), others) {
+			watchers[target.Name] = append(watchers[target.Name], self)
+		}
+	}
+	for id, backend := range known {
+		assert.Equal(t, len(watchers[string(id)]), 2)
+		for _, watcher := range watchers[string(id)] {
+			assert.Assert(t, backend.Zone == "z2" || zoneOf(watcher) == backend.Zone)
+		}
+	}
+}
+
 // TestStarterWatchesItsPartOnly starts among hundreds of daemons, which it learns of a few at a time: it begins no more
 // watches than are its part. Taking a part by the few that are known, it opened 232 connections in the place of 20 among
 // 985 daemons before 9,675 back ends.
@@ -49,7 +85,7 @@
 			known[engine(number).ID] = engine(number)
 		}
 		others := daemons(count / 10)
-		starter := NewAssignment("self", 2, known.all)
+		starter := NewAssignment("self", 2, known.all, noZone)
 		starter.Listed(known.all(), nil)
 		begun := map[string]bool{}
 		for step := range 40 {
@@ -74,7 +110,7 @@
 			known[engine(number).ID] = engine(number)
 		}
 		others := daemons(count / 10)
-		settled := NewAssignment("self", 2, known.all)
+		settled := NewAssignment("self", 2, known.all, noZone)
 		settled.Targets(start, others)
 		settled.Targets(start.Add(settleTime), others)
 		before := settled.checks
@@ -89,7 +125,7 @@
 func TestAssignmentIsAsRanked(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		known, others, now := listed{}, []string{}, start
-		drawn := NewAssignment("self", 2, known.all)
+		drawn := NewAssignment("self", 2, known.all, noZone)
 		drawn.Targets(now, others)
 		now = now.Add(settleTime)
 		drawn.Targets(now, others)
--- a/internal/cachewatch/watcher.go
+++ b/internal/cachewatch/watcher.go
@@ -71,6 +71,8 @@
 	Name string
 	// Address is IP:port.
 	Address string
+	// zone is the back end's.
+	zone identity.Zone
 }
 
 // Source calls caches.
--- a/internal/directory/joining.go
+++ b/internal/directory/joining.go
@@ -143,7 +143,9 @@
 			pause.For(ctx, askPause) // there is nothing to ask for yet
 			continue
 		}
-		d.askRound(ctx, round)
+		if asked := d.askRound(ctx, round); asked > 0 {
+			pause.For(ctx, askPause/2+rand.N(askPause))
+		}
 		if d.pauseAsking(ctx, wait) {
 			wait = askPause
 		} else {
@@ -152,8 +154,8 @@
 	}
 }
 
-// askRound asks a few daemons.
-func (d *Directory) askRound(ctx context.Context, round int) {
+// askRound asks a few daemons, and returns how many.
+func (d *Directory) askRound(ctx context.Context, round int) int {
 	drawn := d.contacts.drawn()
 	if round <= nearRounds {
 		d.nearFirst(drawn)
@@ -163,13 +165,13 @@
 	if err != nil && len(drawn) > 0 && round&(round-1) == 0 { // a line in each doubling of rounds
 		d.options.Log.WithError(err).WithFields(logrus.Fields{"asked": drawn, "round": round}).Info("Other daemons were asked in vain.")
 	}
+	return len(drawn)
 }
 
 // pauseAsking waits for the next round, until there is a new contact at the longest: it returns true then. Hundreds of
 // daemons that start together would otherwise ask the first that knows so often that it can't answer.
 func (d *Directory) pauseAsking(ctx context.Context, about time.Duration) bool {
-	pause.For(ctx, askPause/2+rand.N(askPause))
-	timer := time.NewTimer(max(about/2+rand.N(about)-askPause, 0))
+	timer := time.NewTimer(about/2 + rand.N(about))
 	defer timer.Stop()
 	select {
 	case <-d.contacts.changed:
