Send to each zone once what goes to all; draw when refused calls come again

Each daemon that sends on ranked all others by insertion.

Change: refused calls come again after a time drawn from twice the told one, and twice as much each time; the wait for a reader goes on by each daemon's own drawn delay; trees are made in each zone, whose first daemon gets a copy from the root; rankings of all are sorted once.

Tests: each daemon is reached once, each border between zones crossed once (400 daemons, up to six zones).

--- a/cmd/internal/daemon/regions.go
+++ b/cmd/internal/daemon/regions.go
@@ -14,7 +14,7 @@
 
 // newTopology is where the other daemons are. Where all zones are of one region it knows none.
 func newTopology(regions distance.Map, list *members.List) peerlink.Topology {
-	topology := peerlink.Topology{Others: list.Others, Capacity: list.Capacity}
+	topology := peerlink.Topology{Others: list.Others, Zone: list.Zone, Capacity: list.Capacity}
 	if regions.HasSeveralRegions() {
 		topology.Region = func(address string) identity.Region { return regions.Region(list.Zone(address)) }
 	}
--- a/internal/core/rendezvous/rendezvous.go
+++ b/internal/core/rendezvous/rendezvous.go
@@ -78,10 +78,12 @@
 // weights it ranks as Top does. A member whose weight changes moves only its own keys.
 func WeightedTop[Member ~string](key uint64, members []Member, weight func(Member) float64, count int) []Member {
 	count = min(count, len(members))
-	best := make([]weighted[Member], 0, count+1)
+	best := make([]weighted[Member], 0, len(members))
 	for _, member := range members {
-		best = keep(best, weigh(key, member, weight(member)), count)
+		best = append(best, weigh(key, member, weight(member)))
 	}
+	slices.SortFunc(best, weighted[Member].compare)
+	best = best[:count]
 	first := make([]Member, len(best))
 	for index := range best {
 		first[index] = best[index].member
@@ -89,16 +91,6 @@
 	return first
 }
 
-// keep puts a member into a ranking of count members at most.
-func keep[Member ~string](best []weighted[Member], member weighted[Member], count int) []weighted[Member] {
-	if count == 0 || (len(best) == count && best[count-1].compare(member) < 0) {
-		return best
-	}
-	at, _ := slices.BinarySearchFunc(best, member, weighted[Member].compare)
-	best = slices.Insert(best, at, member)
-	return best[:min(len(best), count)]
-}
-
 // AmongWeightedTop tells whether WeightedTop of members and this one has it among the first.
 func AmongWeightedTop[Member ~string](key uint64, member Member, members []Member, weight func(Member) float64, count int) bool {
 	own := weigh(key, member, weight(member))
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -48,6 +48,10 @@
 	// longestRetryPause bounds the pause after calls that were refused for now.
 	longestRetryPause = 2 * time.Second
 	callTimeout       = 1500 * time.Millisecond
+	// limitedSpreadFactor times the time after which refused calls may come again is over how much more time they are
+	// drawn, and over twice as much each time, mostLimitedDoublings times.
+	limitedSpreadFactor  = 2
+	mostLimitedDoublings = 3
 	// hedgeTime is after how long a check without an answer is made anew, and hedgedChecks
 	// how many there are at a time. One takes a few milliseconds, or half a second and more
 	// while the store is slow.
--- a/internal/directory/joining.go
+++ b/internal/directory/joining.go
@@ -111,7 +111,7 @@
 		found, about, err := d.options.Contacts.Find(ctx)
 		if err == nil {
 			d.contacts.add(found...)
-			d.awaitAnswer(ctx, clock.Now().Add(joinDelay(len(found), about)+d.joinHandicap(found)))
+			d.awaitAnswer(ctx, joinDelay(len(found), about)+d.joinHandicap(found))
 			return
 		}
 		d.options.Log.WithError(err).Warn("No other daemons are found at the start.")
@@ -122,11 +122,11 @@
 	}
 }
 
-// awaitAnswer waits until this daemon knows what others believe, or until a time, later where another daemon is heard of
+// awaitAnswer waits until this daemon knows what others believe, or for a delay, longer where another daemon is heard of
 // that reads the store: then this one is to read it too.
-func (d *Directory) awaitAnswer(ctx context.Context, until time.Time) {
+func (d *Directory) awaitAnswer(ctx context.Context, delay time.Duration) {
 	for began := clock.Now(); ctx.Err() == nil && !d.Complete(); {
-		left := clock.Until(d.extended(began, until))
+		left := clock.Until(d.extended(began, delay))
 		if left <= 0 {
 			d.options.Log.Info("No daemon tells what it believes.")
 			return
@@ -183,17 +183,18 @@
 	}
 }
 
-// extended is until when a starting daemon waits for others: until a time, and longer while one that reads is heard of.
-func (d *Directory) extended(began, until time.Time) time.Time {
+// extended is until when a starting daemon waits for others: for its delay, and longer while one that reads is heard of.
+// The delay counts from there again, since all that wait have heard of the same reader at the same time.
+func (d *Directory) extended(began time.Time, delay time.Duration) time.Time {
 	reader := d.contacts.heardReader()
 	if reader.IsZero() {
-		return until
+		return began.Add(delay)
 	}
 	extended := reader.Add(joinExtension + d.options.Interval)
 	if longest := began.Add(longestExtension); extended.After(longest) {
 		extended = longest
 	}
-	return later(until, extended)
+	return later(began, extended).Add(delay)
 }
 
 // joinDelay is how long a starting daemon asks others before it reads the store.
--- a/internal/directory/reader.go
+++ b/internal/directory/reader.go
@@ -139,6 +139,8 @@
 // retrying spaces the calls after failed ones.
 type retrying struct {
 	limited *backoff.ExponentialBackOff
+	// limitedCalls counts the calls in a row that were refused for now.
+	limitedCalls int
 	// spread is the pause after a call that got no answer.
 	spread time.Duration
 }
@@ -157,14 +159,28 @@
 func (r *retrying) after(ctx context.Context, err error) {
 	var limited *port.RateLimitedError
 	if errors.As(err, &limited) {
-		pause.For(ctx, max(r.limited.NextBackOff(), limited.RetryAfter))
+		r.limitedCalls++
+		pause.For(ctx, max(r.limited.NextBackOff(), limited.RetryAfter)+rand.N(r.limitedSpread(limited.RetryAfter)))
 		return
 	}
 	pause.For(ctx, r.spread/2+rand.N(r.spread))
 }
 
+// limitedSpread is over how much more time calls are drawn that the store refused for now. Hundreds of daemons that start
+// together would otherwise call again at the same moment, and most be refused again.
+func (r *retrying) limitedSpread(retryAfter time.Duration) time.Duration {
+	spread := max(retryAfter, failurePause) * limitedSpreadFactor
+	for range min(r.limitedCalls, mostLimitedDoublings) {
+		spread *= 2
+	}
+	return spread / 2
+}
+
 // succeeded starts the pauses anew.
-func (r *retrying) succeeded() { r.limited.Reset() }
+func (r *retrying) succeeded() {
+	r.limited.Reset()
+	r.limitedCalls = 0
+}
 
 // untilNextReading says when a table of a size is read as a whole again.
 func untilNextReading(now time.Time, least time.Duration, bytes int) time.Time {
--- a/internal/peerlink/forwarded.go
+++ b/internal/peerlink/forwarded.go
@@ -13,6 +13,9 @@
 	shapeTree shape = iota
 	// shapeFlat is directly from one to all: no daemon between can be gone.
 	shapeFlat
+	// shapeZones is by a tree in each zone, whose first daemon gets it from the root: it crosses each border between zones
+	// once. Builds that know no such trees pass it on as shapeTree.
+	shapeZones
 )
 
 // forwarded is a datagram that daemons pass on for each other.
--- a/internal/peerlink/topology.go
+++ b/internal/peerlink/topology.go
@@ -15,6 +15,8 @@
 	// Region returns the region of the daemon at an address, this one's too; empty is not known.
 	// Nil takes all for one region's.
 	Region func(address string) identity.Region
+	// Zone returns the zone of a daemon in the same way; nil takes all for one zone's.
+	Zone func(address string) identity.Zone
 	// Capacity returns the room of the daemon at an address relative to others', above zero.
 	// Nil takes all for equal.
 	Capacity func(address string) float64
@@ -59,6 +61,14 @@
 	return t.Region(address)
 }
 
+// ZoneOf is the zone of the daemon at an address; empty where it is not known.
+func (t *Topology) ZoneOf(address string) identity.Zone {
+	if t.Zone == nil {
+		return ""
+	}
+	return t.Zone(address)
+}
+
 // CapacityOf is the room of the daemon at an address relative to others', above zero.
 func (t *Topology) CapacityOf(address string) float64 {
 	if t.Capacity == nil {
--- a/internal/peerlink/tree.go
+++ b/internal/peerlink/tree.go
@@ -7,6 +7,7 @@
 	"golang.org/x/time/rate"
 
 	"github.com/lotusward/lotusward/internal/clock"
+	"github.com/lotusward/lotusward/internal/core/identity"
 	"github.com/lotusward/lotusward/internal/core/rendezvous"
 )
 
@@ -14,7 +15,7 @@
 const (
 	// forwardedBytes is how much longer a forwarded datagram may be than what it carries.
 	forwardedBytes = 64
-	// treeWidth is how many daemons each one sends to: two levels reach 380 daemons.
+	// treeWidth is how many daemons of its zone each one sends to: two levels reach 380, three 7,000.
 	treeWidth = 19
 	// treeBytesPerSecond bounds what one daemon sends, its own and others' together. A
 	// link of 20 Mbit/s carries 2.5 MB a second.
@@ -55,7 +56,7 @@
 		return
 	}
 	self := t.carrier.Address()
-	t.enqueue(forwarded{number: t.crossing.questions.Next(), shape: shapeTree, origin: self, root: self, carried: carried})
+	t.enqueue(forwarded{number: t.crossing.questions.Next(), shape: shapeZones, origin: self, root: self, carried: carried})
 }
 
 // enqueue returns false where there is no room.
@@ -120,7 +121,38 @@
 		return near
 	}
 	below := slices.DeleteFunc(append(slices.Clone(near), self), func(address string) bool { return address == datagram.root })
-	return children(t.topology.Rank(rendezvous.Score(datagram.number, datagram.root), below), datagram.root, self)
+	key := rendezvous.Score(datagram.number, datagram.root)
+	if datagram.shape == shapeZones {
+		return t.belowInZones(key, below, datagram.root)
+	}
+	return children(t.topology.Rank(key, below), datagram.root, self)
+}
+
+// belowInZones are the daemons below this one in the tree of its zone, and for the root the first of each other zone. The
+// others are all daemons of the region but for the root.
+func (t *Tree) belowInZones(key uint64, others []string, root string) []string {
+	self := t.carrier.Address()
+	byZone := map[identity.Zone][]string{}
+	for _, address := range others {
+		zone := t.topology.ZoneOf(address)
+		byZone[zone] = append(byZone[zone], address)
+	}
+	own := t.topology.ZoneOf(self)
+	ranked := t.topology.Rank(key, byZone[own])
+	if self != root && own != t.topology.ZoneOf(root) {
+		return children(ranked[1:], ranked[0], self) // this daemon is among them
+	}
+	below := children(ranked, root, self)
+	if self != root {
+		return below
+	}
+	heads := make([]string, 0, len(byZone))
+	for zone, there := range byZone {
+		if zone != own {
+			heads = append(heads, t.topology.Rank(key, there)[0])
+		}
+	}
+	return append(heads, below...) // who sends on first
 }
 
 // children are the daemons below one in a tree whose root sends to the first of a ranking.
--- a/internal/peerlink/tree_test.go
+++ b/internal/peerlink/tree_test.go
@@ -9,6 +9,7 @@
 	"gotest.tools/v3/poll"
 	"pgregory.net/rapid"
 
+	"github.com/lotusward/lotusward/internal/core/identity"
 	"github.com/lotusward/lotusward/internal/freeport/freeporttest"
 	"github.com/lotusward/lotusward/internal/logging"
 	"github.com/lotusward/lotusward/internal/presence"
@@ -47,6 +48,45 @@
 	})
 }
 
+// TestTreeOfZonesCrossesEachBorderOnce follows a datagram down the trees of some zones: each daemon gets it once, in few
+// steps, and each other zone gets one copy from elsewhere.
+func TestTreeOfZonesCrossesEachBorderOnce(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		count, zones := rapid.IntRange(1, 400).Draw(t, "daemons"), rapid.IntRange(1, 6).Draw(t, "zones")
+		number := rapid.Uint64().Draw(t, "number")
+		daemons, zoneOf, inUse := make([]string, count), map[string]identity.Zone{}, map[identity.Zone]bool{}
+		for index := range daemons {
+			daemons[index] = fmt.Sprintf("10.0.%d.%d:7340", index/250, index%250)
+			zoneOf[daemons[index]] = identity.Zone(fmt.Sprint("z", rapid.IntRange(1, zones).Draw(t, "zone")))
+			inUse[zoneOf[daemons[index]]] = true
+		}
+		origin := rapid.SampledFrom(daemons).Draw(t, "origin")
+		steps, crossed := map[string]int{origin: 0}, 0
+		for waiting := []string{origin}; len(waiting) > 0; waiting = waiting[1:] {
+			others := without(daemons, waiting[0])
+			tree := NewTree(New(waiting[0], logging.Discard()), Topology{
+				Others: func() []string { return others }, Zone: func(address string) identity.Zone { return zoneOf[address] },
+			}, nil)
+			sent := tree.below(forwarded{number: number, shape: shapeZones, origin: origin, root: origin})
+			assert.Assert(t, len(sent) <= treeWidth+zones-1)
+			for _, address := range sent {
+				_, again := steps[address]
+				assert.Assert(t, !again, "%s gets it twice", address)
+				steps[address] = steps[waiting[0]] + 1
+				if zoneOf[address] != zoneOf[waiting[0]] {
+					crossed++
+				}
+				waiting = append(waiting, address)
+			}
+		}
+		assert.Equal(t, len(steps), count)
+		assert.Equal(t, crossed, len(inUse)-1)
+		for address, taken := range steps {
+			assert.Assert(t, taken <= 4, "%s after %d steps", address, taken)
+		}
+	})
+}
+
 // newCrossing makes a crossing of a daemon that knows one region.
 func newCrossing(carrier Carrier) *Crossing {
 	return NewCrossing(carrier, Topology{Others: func() []string { return nil }}, presence.NewSilence(presence.New()))
