--- a/internal/peerlink/forwarded.go
+++ b/internal/peerlink/forwarded.go
@@ -9,12 +9,12 @@
 type shape byte
 
 const (
-	// shapeTree is by a tree of daemons: each sends to a few, which send on.
+	// shapeTree is by a tree of all daemons: each sends to a few, which send on. Builds that know no zones send so.
 	shapeTree shape = iota
 	// shapeFlat is directly from one to all: no daemon between can be gone.
 	shapeFlat
 	// shapeZones is by a tree in each zone, whose first daemon gets it from the root: it crosses each border between zones
-	// once. Builds that know no such trees pass it on as shapeTree.
+	// once. Builds that know no such trees pass it on as by shapeTree.
 	shapeZones
 )
 
--- a/internal/peerlink/tree.go
+++ b/internal/peerlink/tree.go
@@ -122,10 +122,10 @@
 	}
 	below := slices.DeleteFunc(append(slices.Clone(near), self), func(address string) bool { return address == datagram.root })
 	key := rendezvous.Score(datagram.number, datagram.root)
-	if datagram.shape == shapeZones {
-		return t.belowInZones(key, below, datagram.root)
+	if datagram.shape == shapeTree {
+		return children(t.topology.Rank(key, below), datagram.root, self)
 	}
-	return children(t.topology.Rank(key, below), datagram.root, self)
+	return t.belowInZones(key, below, datagram.root)
 }
 
 // belowInZones are the daemons below this one in the tree of its zone, and for the root the first of each other zone. The
