--- a/internal/core/backendpool/cached.go
+++ b/internal/core/backendpool/cached.go
@@ -102,8 +102,7 @@
 	held := cached.held(picked.key)
 	if query.farCached != nil && query.farPays(version, held, cached.movable()) {
 		// A move from another region takes three times as long as reading, but it takes only the
-		// link, while reading keeps other requests waiting: a tenth to a third less is read again
-		// (six plays of a full load in three regions). The choice of a back end doesn't count on it.
+		// link, while reading keeps other requests waiting. The choice of a back end doesn't count on it.
 		cached = query.farCached(version)
 	}
 	found.HeldTokens = held
--- a/internal/core/backendpool/choice.go
+++ b/internal/core/backendpool/choice.go
@@ -82,9 +82,7 @@
 
 // chooseForTrial takes a random one of the back ends that are not busy. Chosen by load, or by where
 // a prompt is cached, nearly all requests of a trial would go to one of them, and what one back end
-// does says little about its version. With two daemons and three back ends that fail everything,
-// a choice by load took the version for good after 172 failures at one back end; a random choice
-// found it bad after 54 (one run each).
+// does says little about its version.
 func chooseForTrial(candidates []*entry, query Query) (*entry, float64) {
 	free := slices.DeleteFunc(slices.Clone(candidates), func(candidate *entry) bool { return candidate.busy(query) })
 	if len(free) == 0 {
--- a/internal/core/backendpool/codec.go
+++ b/internal/core/backendpool/codec.go
@@ -67,8 +67,8 @@
 	return nil
 }
 
-// decodeField reads the field at a place. By their types, since lists of thousands are read at once: the library's own
-// way takes three times as long.
+// decodeField reads the field at a place. By their types, which spares the library's reflection: lists of thousands are read
+// at once.
 func (s *sentBackend) decodeField(decoder *msgpack.Decoder, place int) error {
 	switch place {
 	case 0:
@@ -132,8 +132,8 @@
 	return nil
 }
 
-// decodeSingleWeights reads the version of the only model. Thousands of back ends hold the same one, and share the map:
-// a map of its own takes more than all the rest of a back end.
+// decodeSingleWeights reads the version of the only model. Thousands of back ends hold the same one, and share the map,
+// which would take more than the rest of a back end.
 func (s *sentBackend) decodeSingleWeights(decoder *msgpack.Decoder) error {
 	var model identity.ModelName
 	if err := decodeShared(decoder, &model); err != nil {
--- a/internal/core/backendpool/notice.go
+++ b/internal/core/backendpool/notice.go
@@ -24,8 +24,7 @@
 // said is what one life of a back end has said of itself to this daemon.
 //
 // It is kept beside the list and by the life, since a row can be outdated: it stays as it was while the store is silent,
-// comes late, and is gone for a while where a heartbeat is lost. A back end whose row was still ready got requests 12 s
-// after it had said that it drains.
+// comes late, and is gone for a while where a heartbeat is lost.
 type said struct {
 	// drainingFrom is when it first said that it drains; zero is never. It is never taken back: a life that drains ends.
 	drainingFrom time.Time
--- a/internal/core/backendpool/refusal.go
+++ b/internal/core/backendpool/refusal.go
@@ -24,13 +24,8 @@
 
 // refusals are what a back end refused of this daemon's requests.
 //
-// A back end that refuses everything has nothing under way, and looks free: it draws most first sendings, and the
-// budget of second ones is spent within a second. Where half of eight back ends did so 432 to 459 of 488 requests were
-// not served (two daemons with 50 requests a second each). Of 500 requests after the first second, in steps of a
-// millisecond and with six seeds, none or 0.44 (with prompts) were served in the worst; all are. Where all places are
-// taken, 0.44 to 0.45 of twice as many as can be are served in place of 0.34 to 0.42. Ruled out: a refusal that counts
-// as load which decays (0.96 with 24 daemons and prompts, 0.99 here), and the share of refusals as a cost in the choice,
-// which never finds out that a back end is well again.
+// A back end that refuses everything has nothing under way, and looks free: it would draw most first sendings, and the
+// budget of second ones would be spent within a second.
 type refusals struct {
 	// inARow counts those that its load doesn't explain, since it last took a request.
 	inARow int
--- a/internal/core/backendpool/suspicion.go
+++ b/internal/core/backendpool/suspicion.go
@@ -48,11 +48,8 @@
 	// cutAt is when a connection with a request under way was lost; zero once a probe that
 	// began later has ended.
 	//
-	// Such a back end is probed at once. One that has ended is then found out within
-	// milliseconds in place of 0.16 s (the median over 24 ends, until a request was sent there
-	// in vain), and requests that were under way there can be held to account. Where a quarter
-	// of the back ends ended six times in a day, 70 sendings reached nobody in place of 185
-	// (means of six seeds).
+	// Such a back end is probed at once: one that has ended is found out before further requests
+	// are sent there in vain, and those that were under way there can be held to account.
 	cutAt time.Time
 	// unreached is set since the back end could not be reached, and own where this daemon has found that out.
 	unreached, own bool
--- a/internal/directory/joining.go
+++ b/internal/directory/joining.go
@@ -201,7 +201,7 @@
 //
 // How many daemons have begun to read grows as the time since the start goes on, from one at first to all in the end, by
 // the same factor in each part of it: the first has read and told what it read before more than a few others have begun,
-// however many there are. Drawn evenly, 130 of 985 would begin within 0.2 s, and read thousands of rows each.
+// however many there are. Drawn evenly, a share of all would have, and each reads all rows.
 func joinDelay(contacts, about int) time.Duration {
 	if contacts == 0 {
 		return rand.N(joinSpread)
--- a/internal/directory/listhistory.go
+++ b/internal/directory/listhistory.go
@@ -6,8 +6,8 @@
 	"github.com/lotusward/lotusward/internal/core/identity"
 )
 
-// keptHistory bounds the changes that are remembered. A daemon that missed some of them is told these alone: some
-// hundred bytes a change, where the whole list takes some 30 bytes a back end.
+// keptHistory bounds the changes that are remembered. A daemon that missed some of them is told these alone; beyond this
+// number the packed list is about as short.
 const keptHistory = 8192
 
 // listHistory remembers which back ends changed last, so that others are told what they missed and not the whole list.
--- a/internal/directory/packedbulletin.go
+++ b/internal/directory/packedbulletin.go
@@ -6,8 +6,8 @@
 )
 
 const (
-	// packedChanges is from how many changes on a bulletin is packed: 48 of some 130 bytes each, sent on to each daemon
-	// below in a tree, are more than a daemon may forward at once.
+	// packedChanges is from how many changes on a bulletin is packed. A full one, sent on to each daemon below in a tree, is
+	// more than a daemon may forward at once.
 	packedChanges = 8
 	// maximumBulletin bounds an unpacked bulletin.
 	maximumBulletin = 64 << 10
--- a/internal/loadshare/loadshare.go
+++ b/internal/loadshare/loadshare.go
@@ -32,8 +32,8 @@
 	// Among more, where large parts of prompts are is still told to all, since it is told
 	// once.
 	MaximumTargets = 12
-	// MaximumTold is how many other daemons there may be for all to tell all where large parts of prompts are. Told to
-	// more, a fact costs some 3 kB and more, of which each daemon has several a second; homes of the parts are told then.
+	// MaximumTold is how many other daemons there may be for all to tell all where large parts of prompts are. Among more,
+	// the facts of a few requests a second fill the bound on bytes; homes of the parts are told then.
 	MaximumTold = 128
 	// aliveTargets is how many of many daemons hear in each turn that this one is there.
 	aliveTargets = 4
--- a/internal/weightupdate/announcement.go
+++ b/internal/weightupdate/announcement.go
@@ -116,9 +116,8 @@
 }
 
 // toldKeysOf are the keys by which back ends are told to daemons of any build: by their lives, and by their names for
-// builds that know no lives. These would send requests to back ends that load, and by the weights from before: 85 of
-// 1,610 requests were lost where such daemons followed a holder of this build. It costs nine bytes for each back end
-// that loads or has just loaded. Those whose turn is next, which may be all of hundreds, are told once.
+// builds that know no lives. These would send requests to back ends that load, and by the weights from before. Those whose
+// turn is next, which may be all of hundreds, are told once.
 func toldKeysOf(ids ...identity.BackendID) []uint64 {
 	keys := keysOf(ids)
 	for _, id := range ids {
