--- a/internal/core/backendpool/listing.go
+++ b/internal/core/backendpool/listing.go
@@ -9,25 +9,13 @@
 
 // Update replaces the list of back ends. What is known of those that stay is kept.
 func (p *Pool) Update(backends []Backend) Change {
-	var gone []identity.BackendID
-	return p.alter(backends, &gone, func() (Change, []Backend) {
-		listed := make(map[identity.BackendID]bool, len(backends))
-		for index := range backends {
-			listed[backends[index].ID] = true
-		}
-		for id := range p.byID {
-			if !listed[id] {
-				gone = append(gone, id)
-			}
-		}
-		return p.apply(backends, gone)
-	})
+	return p.alter(backends, func() []identity.BackendID { return p.unlisted(backends) })
 }
 
 // Apply changes the list: some back ends are listed anew or as they are described now, and some are gone. It takes the
 // same work for a back end however many are listed.
 func (p *Pool) Apply(changed []Backend, gone []identity.BackendID) Change {
-	return p.alter(changed, &gone, func() (Change, []Backend) { return p.apply(changed, gone) })
+	return p.alter(changed, func() []identity.BackendID { return gone })
 }
 
 // OnListed sets what is told of each change of the list: back ends that are listed anew or as described now, and those
@@ -36,18 +24,34 @@
 	p.listedAnew = listed
 }
 
-// alter changes the list, and tells of that and of back ends that have ended.
-func (p *Pool) alter(changed []Backend, gone *[]identity.BackendID, change func() (Change, []Backend)) Change {
+// alter changes the list, and tells of that and of back ends that have ended. Gone is called with the mutex.
+func (p *Pool) alter(changed []Backend, gone func() []identity.BackendID) Change {
 	p.mutex.Lock()
-	done, ended := change()
+	ids := gone()
+	done, ended := p.apply(changed, ids)
 	p.mutex.Unlock()
-	p.listedAnew(changed, *gone)
+	p.listedAnew(changed, ids)
 	for _, each := range ended {
 		p.tellEnded(each)
 	}
 	return done
 }
 
+// unlisted are the back ends that a whole list no longer has. The caller holds the mutex.
+func (p *Pool) unlisted(backends []Backend) []identity.BackendID {
+	listed := make(map[identity.BackendID]bool, len(backends))
+	for index := range backends {
+		listed[backends[index].ID] = true
+	}
+	var gone []identity.BackendID
+	for id := range p.byID {
+		if !listed[id] {
+			gone = append(gone, id)
+		}
+	}
+	return gone
+}
+
 // apply returns what changed, and the back ends that are no longer listed or whose address another one has now. The
 // caller holds the mutex.
 func (p *Pool) apply(changed []Backend, gone []identity.BackendID) (change Change, ended []Backend) {
