--- a/internal/directory/asking_test.go
+++ b/internal/directory/asking_test.go
@@ -129,3 +129,25 @@
 		})
 	}
 }
+
+// TestOnlyStartersDrawWhenToCallAgain has the store refuse calls for now: daemons that start together come back over more
+// and more time, one that reads for all after the told time.
+func TestOnlyStartersDrawWhenToCallAgain(t *testing.T) {
+	const told = time.Second
+	reader := New(Options{Pool: backendpool.New("a"), Log: logging.Discard(), Self: "a"}).newRetrying()
+	starters := make([]*retrying, 200)
+	for index := range starters {
+		starters[index] = New(Options{Pool: backendpool.New("a"), Log: logging.Discard(), Self: "a"}).newRetrying()
+		starters[index].amongMany = true
+	}
+	for call := range 6 {
+		assert.Equal(t, reader.drawnSpread(told), time.Duration(0))
+		first, last := time.Hour, time.Duration(0)
+		for _, starter := range starters {
+			drawn := starter.drawnSpread(told)
+			first, last = min(first, drawn), max(last, drawn)
+		}
+		bound := limitedSpreadFactor * told << min(call, mostLimitedDoublings)
+		assert.Assert(t, first < bound/4 && last > bound*3/4 && last < bound, "%v to %v of %v", first, last, bound)
+	}
+}
--- a/internal/directory/joining.go
+++ b/internal/directory/joining.go
@@ -106,7 +106,7 @@
 	}
 	go d.askOn(ctx)
 	retries := d.newRetrying()
-	retries.spread = joinFailurePause
+	retries.spread, retries.amongMany = joinFailurePause, true
 	for ctx.Err() == nil {
 		found, about, err := d.options.Contacts.Find(ctx)
 		if err == nil {
--- a/internal/directory/reader.go
+++ b/internal/directory/reader.go
@@ -139,7 +139,9 @@
 // retrying spaces the calls after failed ones.
 type retrying struct {
 	limited *backoff.ExponentialBackOff
-	// limitedCalls counts the calls in a row that were refused for now.
+	// amongMany is set for calls that many daemons may make at the same time, and limitedCalls counts those in a row that
+	// were refused for now.
+	amongMany    bool
 	limitedCalls int
 	// spread is the pause after a call that got no answer.
 	spread time.Duration
@@ -159,21 +161,21 @@
 func (r *retrying) after(ctx context.Context, err error) {
 	var limited *port.RateLimitedError
 	if errors.As(err, &limited) {
-		r.limitedCalls++
-		pause.For(ctx, max(r.limited.NextBackOff(), limited.RetryAfter)+rand.N(r.limitedSpread(limited.RetryAfter)))
+		pause.For(ctx, max(r.limited.NextBackOff(), limited.RetryAfter)+r.drawnSpread(limited.RetryAfter))
 		return
 	}
 	pause.For(ctx, r.spread/2+rand.N(r.spread))
 }
 
-// limitedSpread is over how much more time calls are drawn that the store refused for now. Hundreds of daemons that start
-// together would otherwise call again at the same moment, and most be refused again.
-func (r *retrying) limitedSpread(retryAfter time.Duration) time.Duration {
-	spread := max(retryAfter, failurePause) * limitedSpreadFactor
-	for range min(r.limitedCalls, mostLimitedDoublings) {
-		spread *= 2
+// drawnSpread is how much longer a call waits that the store refused for now, where many daemons make the same one at the
+// same time: they would call again together, and most be refused again. A daemon that reads for all must not wait so.
+func (r *retrying) drawnSpread(retryAfter time.Duration) time.Duration {
+	if !r.amongMany {
+		return 0
 	}
-	return spread / 2
+	spread := limitedSpreadFactor * max(retryAfter, failurePause) << min(r.limitedCalls, mostLimitedDoublings)
+	r.limitedCalls++
+	return rand.N(spread)
 }
 
 // succeeded starts the pauses anew.
