Keep an unreached back end out while it is probed

Cause: a back end that couldn't be reached was in again once its second was over, though the probe before that, begun 250 ms earlier, was still under way: two attempts take 240 ms, so that a probe that began 10 ms late left a gap.

Change: where a probe begins, the back end stays out for as long as it may take. Test: it is out while the probe is late (fails before).

--- a/internal/core/backendpool/suspicion.go
+++ b/internal/core/backendpool/suspicion.go
@@ -23,6 +23,8 @@
 	// unreachedEjection is how long a back end is out after a failed probe. It is probed
 	// again before.
 	unreachedEjection = time.Second
+	// longestProbe is how long a probe may take at a busy daemon.
+	longestProbe = time.Second
 	// maximumSuspects bounds the probes that begin at a time: a daemon that is cut off
 	// itself may accuse many back ends.
 	maximumSuspects = 16
@@ -102,12 +104,21 @@
 	}
 	var suspects []Suspect
 	for _, candidate := range found {
-		candidate.suspicion.probing, candidate.suspicion.probingFrom = true, now
+		candidate.beginProbe(now)
 		suspects = append(suspects, Suspect{ID: candidate.backend.ID, Address: candidate.backend.Address})
 	}
 	return suspects
 }
 
+// beginProbe notes that a probe is under way. A back end that could not be reached stays out until it has ended: one that
+// is late would otherwise leave a gap in which requests go there.
+func (e *entry) beginProbe(now time.Time) {
+	e.suspicion.probing, e.suspicion.probingFrom = true, now
+	if until := now.Add(longestProbe); e.suspicion.unreached && until.After(e.ejectedUntil) {
+		e.ejectedUntil = until
+	}
+}
+
 // isWatched tells whether the back end may have to be probed soon.
 func (e *entry) isWatched() bool {
 	doubt := &e.suspicion
--- a/internal/core/backendpool/suspicion_test.go
+++ b/internal/core/backendpool/suspicion_test.go
@@ -115,3 +115,22 @@
 	}
 	assert.Assert(t, probes > 0 && float64(probes) <= seconds*silenceProbeRate+1, "%d probes", probes)
 }
+
+// TestUnreachedStaysOutWhileItIsProbed lets the probe before a back end's return take longer than its ejection lasts on: no
+// request goes there meanwhile. A busy daemon's probe left a gap of some milliseconds now and then.
+func TestUnreachedStaysOutWhileItIsProbed(t *testing.T) {
+	pool := New("a")
+	pool.Update(fleet(2))
+	id := fleet(2)[0].ID
+	pool.Suspect(start, id)
+	assert.Equal(t, len(pool.Suspects(start)), 1)
+	pool.Probed(start, id, false)
+	again := start.Add(unreachedEjection - returnLead)
+	assert.Equal(t, len(pool.Suspects(again)), 1)
+	for late := range 9 {
+		now := again.Add(time.Duration(late) * 100 * time.Millisecond)
+		assert.Assert(t, pool.byID[id].ejected(now), "%v after the probe began", now.Sub(again))
+	}
+	pool.Probed(again.Add(800*time.Millisecond), id, true)
+	assert.Assert(t, !pool.byID[id].ejected(again.Add(801*time.Millisecond)))
+}
--- a/internal/peersync/peersync_test.go
+++ b/internal/peersync/peersync_test.go
@@ -108,12 +108,12 @@
 // TestBusyServerNamesThoseItTold asks a daemon that answers as many as it can: the refused one is told who knows by now.
 func TestBusyServerNamesThoseItTold(t *testing.T) {
 	entered, leave := make(chan struct{}, 2*servedAtOnce), make(chan struct{})
-	members := make([]member.Descriptor, 100)
 	address := serve(t, func(ctx context.Context, have directory.Have) directory.Snapshot {
 		entered <- struct{}{}
 		if have.RowVersion > 0 {
 			<-leave
 		}
+		members := make([]member.Descriptor, 100)
 		for index := range members {
 			members[index] = member.Descriptor{Address: fmt.Sprintf("10.0.%d.%d:9", rand.IntN(250), rand.IntN(250)), Capacity: 1}
 		}
