Wait on while a reader tells that nothing is declared

Change: the wait begins anew with each such word. Test: a starter that is told so for longer than its delay reads nothing until a second after the last word (fails before).

--- a/internal/directory/asking_test.go
+++ b/internal/directory/asking_test.go
@@ -151,3 +151,23 @@
 		assert.Assert(t, first < bound/4 && last > bound*3/4 && last < bound, "%v to %v of %v", first, last, bound)
 	}
 }
+
+// TestStartersWaitWhileNothingIsDeclared has a reader tell that operators have declared nothing yet, for longer than the
+// starters would wait: none of them reads the store as well.
+func TestStartersWaitWhileNothingIsDeclared(t *testing.T) {
+	const interval, delay = 50 * time.Millisecond, 20 * time.Millisecond
+	starter := New(Options{Pool: backendpool.New("a"), Log: logging.Discard(), Self: "self", Tell: func(Bulletin) {}, Interval: interval})
+	ended := make(chan time.Time, 1)
+	go func() {
+		starter.awaitAnswer(context.Background(), delay)
+		ended <- time.Now()
+	}()
+	last := time.Now()
+	for range 50 {
+		last = time.Now()
+		starter.applyBulletin(last, heardBulletin{from: "reader", bulletin: Bulletin{Declared: &DeclaredNews{Clock: time.Minute}}})
+		time.Sleep(delay)
+	}
+	assert.Equal(t, len(ended), 0)
+	assert.Assert(t, (<-ended).Sub(last) >= joinExtension+interval)
+}
--- a/internal/directory/joining.go
+++ b/internal/directory/joining.go
@@ -123,9 +123,16 @@
 }
 
 // awaitAnswer waits until this daemon knows what others believe, or for a delay, longer where another daemon is heard of
-// that reads the store: then this one is to read it too.
+// that reads the store: then this one is to read it too. While another one tells that there is nothing to be read, it
+// waits on.
 func (d *Directory) awaitAnswer(ctx context.Context, delay time.Duration) {
-	for began := clock.Now(); ctx.Err() == nil && !d.Complete(); {
+	began := clock.Now()
+	for ctx.Err() == nil && !d.Complete() {
+		if d.toldOfNothing() {
+			began = clock.Now()
+			pause.For(ctx, askPause)
+			continue
+		}
 		left := clock.Until(d.extended(began, delay))
 		if left <= 0 {
 			d.options.Log.Info("No daemon tells what it believes.")
@@ -139,7 +146,7 @@
 func (d *Directory) askOn(ctx context.Context) {
 	wait := askPause
 	for round := 1; ctx.Err() == nil && !d.Complete(); round++ {
-		if waited := d.waited.Load(); waited != nil && clock.Since(*waited) < joinExtension+d.options.Interval {
+		if d.toldOfNothing() {
 			pause.For(ctx, askPause) // there is nothing to ask for yet
 			continue
 		}
@@ -154,6 +161,12 @@
 	}
 }
 
+// toldOfNothing tells whether another daemon that reads the store has lately told that operators have declared nothing.
+func (d *Directory) toldOfNothing() bool {
+	told := d.waited.Load()
+	return told != nil && clock.Since(*told) < joinExtension+d.options.Interval
+}
+
 // askRound asks a few daemons, and returns how many.
 func (d *Directory) askRound(ctx context.Context, round int) int {
 	drawn := d.contacts.drawn()
