Digest told back ends once, and ask once for what changed since the packed list

Cause: a change that was told had its digest made two or three times, in the check against the teller's digest, in looking what is new and in the list; a starting daemon's answer asked the list's goroutine for the changes since the packed list twice, once to count them. The known contacts were bounded in two of the three places that add one. Not measured. Tests of directory and peersync pass, without a change.

--- a/internal/directory/asking.go
+++ b/internal/directory/asking.go
@@ -132,8 +132,8 @@
 
 func (e *LackingError) Error() string { return e.Address + " does not know it" }
 
-// ask takes in what one daemon believes. Begun is called once its answer has begun; it may be nil. Without an error that is what this daemon needs;
-// otherwise the error is a LackingError, the context's, or that of the call.
+// ask takes in what one daemon believes. Begun is called once its answer has begun; it may be nil. Without an error that is
+// what this daemon needs; otherwise the error is a LackingError, the context's, or that of the call.
 func (d *Directory) ask(ctx context.Context, address string, need Have, begun func()) error {
 	have := d.have()
 	have.NeedRowVersion, have.NeedBackendsTo = need.NeedRowVersion, need.NeedBackendsTo
--- a/internal/directory/backendlist.go
+++ b/internal/directory/backendlist.go
@@ -118,10 +118,10 @@
 }
 
 // digestAfter is what the digest would be after changes.
-func (l *backendList) digestAfter(changed []backendpool.Backend, gone []identity.BackendName) listDigest {
+func (l *backendList) digestAfter(changed []listedBackend, gone []identity.BackendName) listDigest {
 	digest := l.digest
-	for _, backend := range changed {
-		digest ^= l.byName[backend.ID.Name()].digest ^ digestOf(backend)
+	for _, each := range changed {
+		digest ^= l.byName[each.backend.ID.Name()].digest ^ each.digest
 	}
 	for _, name := range gone {
 		digest ^= l.byName[name].digest
@@ -129,10 +129,12 @@
 	return digest
 }
 
-// has tells whether the list says the same of a back end.
-func (l *backendList) has(backend backendpool.Backend) bool {
-	known, found := l.byName[backend.ID.Name()]
-	return found && known.digest == digestOf(backend)
+// lacking are those of some back ends of which the list says nothing, or something else.
+func (l *backendList) lacking(backends []backendpool.Backend) []listedBackend {
+	return slices.DeleteFunc(digested(backends), func(each listedBackend) bool {
+		known, found := l.byName[each.backend.ID.Name()]
+		return found && known.digest == each.digest
+	})
 }
 
 // listOfAll makes a list of back ends.
--- a/internal/directory/bulletin.go
+++ b/internal/directory/bulletin.go
@@ -276,9 +276,10 @@
 	if !d.listed.Load() || d.positions[tableBackends].Load() >= news.To {
 		return
 	}
-	if d.backends.digestAfter(news.Changed, news.Gone) != news.Digest {
+	changed := digested(news.Changed)
+	if d.backends.digestAfter(changed, news.Gone) != news.Digest {
 		d.fallBehind(lag{from: from, table: tableBackends, need: Have{NeedBackendsTo: news.To}})
 		return
 	}
-	d.change(news.Changed, news.Gone, news.To)
+	d.changeListed(changed, news.Gone, news.To)
 }
--- a/internal/directory/joining.go
+++ b/internal/directory/joining.go
@@ -63,6 +63,11 @@
 	for _, address := range addresses {
 		c.put(address)
 	}
+	c.trim()
+}
+
+// trim forgets those that were added first, where there are too many. The caller holds the mutex.
+func (c *contacts) trim() {
 	c.addresses = slices.Clone(c.addresses[max(len(c.addresses)-keptContacts, 0):])
 }
 
@@ -72,6 +77,7 @@
 	defer c.mutex.Unlock()
 	c.readerAt = now
 	c.put(address)
+	c.trim()
 }
 
 // forget drops a daemon that doesn't answer: it may be gone. It is added again once it is heard of.
--- a/internal/directory/listing.go
+++ b/internal/directory/listing.go
@@ -1,7 +1,6 @@
 package directory
 
 import (
-	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -42,7 +41,7 @@
 	}
 	position := d.positions[tableBackends]
 	if changes.Last > position.Load() {
-		changed := slices.DeleteFunc(changes.Changed, d.backends.has)
+		changed := backendsOf(d.backends.lacking(changes.Changed))
 		// What is left out here is known up to the position, not merely since the call
 		// began: other daemons must not take the changes for all since then.
 		d.applyPages(got.ended, pagesOf(batch{changed: changed, gone: changes.Gone}, position.Load(), changes.Last))
@@ -66,8 +65,13 @@
 
 // change applies changes up to a version of the store.
 func (d *Directory) change(changed []backendpool.Backend, gone []identity.BackendName, to uint64) {
+	d.changeListed(digested(changed), gone, to)
+}
+
+// changeListed applies changes, with their digests, up to a version of the store.
+func (d *Directory) changeListed(changed []listedBackend, gone []identity.BackendName, to uint64) {
 	advance(d.positions[tableBackends], to)
-	d.alter(digested(changed), gone, to)
+	d.alter(changed, gone, to)
 }
 
 // loggedIDs is how many back ends a line of the log names.
--- a/internal/directory/update.go
+++ b/internal/directory/update.go
@@ -186,41 +186,37 @@
 			return answer.update(version, nil)
 		}
 	}
-	packed, answered := d.packed(ctx)
+	packed, since, answered := d.packed(ctx)
 	if !answered {
 		return nil
 	}
-	answer, answered := d.askList(ctx, &packed.to)
-	if !answered || !answer.known {
-		return nil
-	}
-	return answer.update(packed.to, packed.bytes)
+	return since.update(packed.to, packed.bytes)
 }
 
 func (a listAnswer) update(from uint64, packed []byte) *ListUpdate {
 	return &ListUpdate{From: from, To: a.to, Packed: packed, Changed: a.changed, Gone: a.gone, Digest: uint64(a.digest)}
 }
 
-// packed returns the list packed, as of not long ago.
-func (d *Directory) packed(ctx context.Context) (packedList, bool) {
+// packed returns the list packed, as of not long ago, and what changed since; false where it can't be had.
+func (d *Directory) packed(ctx context.Context) (last packedList, since listAnswer, had bool) {
 	d.packer.mutex.Lock()
 	defer d.packer.mutex.Unlock()
 	if last := d.packer.last; last.bytes != nil {
-		answer, answered := d.askList(ctx, &last.to)
-		if answered && answer.known && len(answer.changed)+len(answer.gone) <= changesOnPacked {
-			return last, true
+		since, answered := d.askList(ctx, &last.to)
+		if answered && since.known && len(since.changed)+len(since.gone) <= changesOnPacked {
+			return last, since, true
 		}
 	}
 	whole, answered := d.askList(ctx, nil)
 	if !answered {
-		return packedList{}, false
+		return packedList{}, listAnswer{}, false
 	}
 	encoded, err := pack(whole.changed)
 	if err != nil { // a struct of texts and numbers always encodes into memory
-		return packedList{}, false
+		return packedList{}, listAnswer{}, false
 	}
 	d.packer.last = packedList{to: whole.to, bytes: encoded}
-	return d.packer.last, true
+	return d.packer.last, listAnswer{to: whole.to, known: true, digest: whole.digest}, true
 }
 
 // adoptBackends takes in another daemon's list. Nothing that this daemon knows is replaced by something older.
@@ -247,17 +243,11 @@
 	if !d.listed.Load() || news.from > d.positions[tableBackends].Load() {
 		return
 	}
-	if d.backends.digestAfter(news.changed, news.gone) != news.digest {
+	changed := d.backends.lacking(news.changed)
+	if d.backends.digestAfter(changed, news.gone) != news.digest {
 		d.wantsWhole.Store(true)
 		return
 	}
 	d.wantsWhole.Store(false)
-	changed := make([]backendpool.Backend, 0, len(news.changed))
-	for _, backend := range news.changed {
-		if !d.backends.has(backend) {
-			changed = append(changed, backend)
-		}
-	}
-	advance(d.positions[tableBackends], news.to)
-	d.alter(digested(changed), news.gone, news.to)
+	d.changeListed(changed, news.gone, news.to)
 }
