Pool: one look-up of a named back end, and the group that was drawn from in the scope

The service and region of a back end named by its hash were checked in two places alike, in what a query names and in the holders of its prompt. Whether others might do was told by a flag, and the group looked up again at each pick, also where nothing was drawn: the scope names the group now. Ranks are compared without a number made of a truth value. Figures are out of two comments, where the house style doesn't want them. Behaviour is the same; tests of the pool pass, without a change.

--- a/internal/core/backendpool/backoff.go
+++ b/internal/core/backendpool/backoff.go
@@ -8,9 +8,8 @@
 
 // backoff is of the times for which a back end has asked this daemon for no requests.
 //
-// A back end that refuses everything has nothing under way, and looks free: it drew up to 61 requests of one daemon
-// in 3 s for which it had asked for none, while half of the back ends were free and two thirds of the requests
-// were refused (two daemons with 50 requests a second each, before four back ends of each kind).
+// A back end that refuses everything has nothing under way, and looks free: it would draw most requests, and nearly all
+// of these be refused, though others are free.
 type backoff struct {
 	until time.Time
 	// askedAt is when a time was last asked for.
--- a/internal/core/backendpool/candidates.go
+++ b/internal/core/backendpool/candidates.go
@@ -13,7 +13,7 @@
 // looked at, and all in the end.
 func (p *Pool) candidates(now time.Time, query Query, scope scope) (found []*entry, busy int) {
 	sorted := p.sort(now, query, scope.entries)
-	if of := p.listed(query); scope.drawn && !sorted.isEnough() {
+	if of := scope.drawnFrom; of != nil && !sorted.isEnough() {
 		sorted = p.sort(now, query, p.draw(of, query, scope.home, widerScope))
 		if !sorted.isEnough() {
 			sorted = p.sort(now, query, of.entries)
--- a/internal/core/backendpool/scope.go
+++ b/internal/core/backendpool/scope.go
@@ -21,8 +21,8 @@
 	entries []*entry
 	// home is the prompt's home where not all back ends are looked at; nil is none, or to be found among the entries.
 	home *entry
-	// drawn is set where there are others that might do.
-	drawn bool
+	// drawnFrom is the group that entries were drawn from, where there are others in it that might do; nil otherwise.
+	drawnFrom *group
 }
 
 // scope returns those that a query names, all of its service where there are few, and some of many: what a request
@@ -43,7 +43,7 @@
 	case !large:
 		return scope{entries: of.entries}
 	default:
-		return scope{entries: p.draw(of, query, home, drawnScope), home: home, drawn: true}
+		return scope{entries: p.draw(of, query, home, drawnScope), home: home, drawnFrom: of}
 	}
 }
 
@@ -59,16 +59,24 @@
 func (p *Pool) among(query Query) []*entry {
 	named := make([]*entry, 0, len(query.Among))
 	for _, key := range query.Among {
-		found := p.byKey[key]
-		if found == nil || found.backend.Service != query.Service || (query.Region != "" && p.RegionOf(found.backend.Zone) != query.Region) {
-			continue
+		if found := p.asked(key, query); found != nil {
+			named = append(named, found)
 		}
-		named = append(named, found)
 	}
 	slices.SortFunc(named, byID)
 	return slices.Compact(named)
 }
 
+// asked is the back end with a hash of its ID, if it is one of the service and region that a query asks for; nil
+// otherwise.
+func (p *Pool) asked(key uint64, query Query) *entry {
+	found := p.byKey[key]
+	if found == nil || found.backend.Service != query.Service || (query.Region != "" && p.RegionOf(found.backend.Zone) != query.Region) {
+		return nil
+	}
+	return found
+}
+
 // draw returns a number of back ends of a group, with the home and the holders of a query's prompt.
 func (p *Pool) draw(of *group, query Query, home *entry, count int) []*entry {
 	p.draws++
@@ -84,10 +92,7 @@
 	}
 	take(home)
 	for _, key := range p.holders(query) {
-		found := p.byKey[key]
-		if found != nil && found.backend.Service == query.Service && (query.Region == "" || p.RegionOf(found.backend.Zone) == query.Region) {
-			take(found)
-		}
+		take(p.asked(key, query))
 	}
 	return drawn
 }
@@ -117,15 +122,14 @@
 
 // compareRanks compares two back ends by how much a query's prompt belongs there.
 func compareRanks(left, right *entry, query Query) int {
-	if left == query.home || right == query.home {
-		return cmp.Compare(boolRank(left == query.home), boolRank(right == query.home))
-	}
-	return cmp.Compare(left.rank(query.Home), right.rank(query.Home))
-}
-
-func boolRank(is bool) int {
-	if is {
+	switch {
+	case left == right:
+		return 0
+	case left == query.home:
 		return 1
+	case right == query.home:
+		return -1
+	default:
+		return cmp.Compare(left.rank(query.Home), right.rank(query.Home))
 	}
-	return 0
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -215,8 +215,7 @@
 }
 
 // returnSpread is over which share of its wait a caller's return is drawn beyond it. Callers that are refused while
-// all back ends back off would otherwise all come back in the moment in which the first one takes requests again:
-// at 50 a second, 150 of them after 3 s.
+// all back ends back off would otherwise all come back in the moment in which the first one takes requests again.
 const returnSpread = 0.5
 
 // returnAfter is after how long callers are to come back, where all back ends of a service have asked for no
