Homes: ask for loads and for parts of prompts by one piece of code

The two waits for answers of homes were the same but for the message: which home has answered, how long it took, who was silent, until when to wait. The one for loads crossed a home off by the back ends it answered for, the one for parts by its address; both go by the address now, which is the same, since a home answers for all it is asked in one message. Parts of a prompt have their homes in the own region, so that the time for near homes is the one that is waited for as before. A finding's bits are set without a map made for each; the comment on the times stands behind what it refers to. Tests of loadhome pass with the race detector, without a change.

--- a/internal/loadhome/findings.go
+++ b/internal/loadhome/findings.go
@@ -26,10 +26,14 @@
 
 func compact(finding backendpool.Finding) compactFinding {
 	sent := compactFinding{Key: finding.Key}
-	for bit, found := range map[uint8]bool{foundUnreached: finding.Unreached, foundDraining: finding.Draining, foundRefusing: finding.Refusing} {
-		if found {
-			sent.Found |= bit
-		}
+	if finding.Unreached {
+		sent.Found |= foundUnreached
+	}
+	if finding.Draining {
+		sent.Found |= foundDraining
+	}
+	if finding.Refusing {
+		sent.Found |= foundRefusing
 	}
 	return sent
 }
--- a/internal/loadhome/loadhome.go
+++ b/internal/loadhome/loadhome.go
@@ -1,14 +1,13 @@
 // Package loadhome lets many daemons know what is under way at a back end at the moment of
-// a choice, and what any of them has found out of it. Each back end has two homes among the daemons of its region, by rendezvous hashing. Whoever
-// sends a request there, or hears its first byte or its end, notes so at the homes, and who
-// is about to choose asks one of them. Up to some ten daemons all tell all instead (package
+// a choice, and what any of them has found out of it. Each back end has two homes among the
+// daemons of its region, by rendezvous hashing. Whoever sends a request there, or hears its
+// first byte or its end, notes so at the homes, and who is about to choose asks one of them. Up to some ten daemons all tell all instead (package
 // loadshare); among more that is too much to tell, and an estimate of many places that live
 // for a second is noise.
 package loadhome
 
 import (
 	"context"
-	"slices"
 	"sync"
 	"time"
 
@@ -56,8 +55,8 @@
 	options       Options
 	self          string
 	ledger        *ledger
-	questions     *peerlink.Questions[answer]
-	partQuestions *peerlink.Questions[heardParts]
+	questions     *peerlink.Questions[heard[answerMessage]]
+	partQuestions *peerlink.Questions[heard[partAnswer]]
 	silence       *presence.Silence
 	groups        *peerlink.Groups
 
@@ -73,7 +72,7 @@
 func New(options Options) *Homes {
 	made := &Homes{
 		options: options, self: options.Link.Address(), ledger: newLedger(),
-		questions: peerlink.NewQuestions[answer](), partQuestions: peerlink.NewQuestions[heardParts](), silence: presence.NewSilence(options.Presence),
+		questions: peerlink.NewQuestions[heard[answerMessage]](), partQuestions: peerlink.NewQuestions[heard[partAnswer]](), silence: presence.NewSilence(options.Presence),
 	}
 	made.nearTimeout.near = true
 	made.groups = peerlink.NewGroups(made.self, made.region)
@@ -185,46 +184,18 @@
 
 // ask asks homes, each for some back ends.
 func (h *Homes) ask(ctx context.Context, byHome map[string][]uint64) []backendpool.Load {
-	if len(byHome) == 0 {
-		return nil
-	}
-	number := h.questions.Next()
-	answers := h.questions.Await(number, len(byHome))
-	defer h.questions.Forget(number)
-	for home, keys := range byHome {
+	var loads []backendpool.Load
+	tell := func(home string, number uint64, keys []uint64) {
 		peerlink.Tell(h.options.Link, home, peerlink.KindLoadQuestion, &questionMessage{Number: number, Keys: keys})
 	}
-	asked := clock.Now()
-	timeout := time.NewTimer(h.timeout(byHome))
-	defer timeout.Stop()
-	var loads []backendpool.Load
-	for len(byHome) > 0 {
-		select {
-		case got := <-answers:
-			h.answered(got.from, clock.Now().Sub(asked))
-			for _, load := range got.Loads {
-				loads = append(loads, load.Load())
-				forgetAnswered(byHome, load.Key)
-			}
-		case <-timeout.C:
-			h.noteSilent(byHome)
-			return loads
-		case <-ctx.Done():
-			return loads
+	gather(ctx, h, h.questions, byHome, tell, func(got answerMessage) {
+		for _, load := range got.Loads {
+			loads = append(loads, load.Load())
 		}
-	}
+	})
 	return loads
 }
 
-// forgetAnswered removes the home that has answered for a back end.
-func forgetAnswered(byHome map[string][]uint64, key uint64) {
-	for home, keys := range byHome {
-		if slices.Contains(keys, key) {
-			delete(byHome, home)
-		}
-	}
-}
-
 func (h *Homes) noteSilent(byHome map[string][]uint64) {
 	now, far, near := clock.Now(), false, false
 	for home := range byHome {
@@ -260,5 +231,5 @@
 }
 
 func (h *Homes) hearAnswer(from string, got answerMessage) {
-	h.questions.Answer(got.Number, answer{from: from, answerMessage: got})
+	h.questions.Answer(got.Number, heard[answerMessage]{from, got})
 }
--- a/internal/loadhome/message.go
+++ b/internal/loadhome/message.go
@@ -18,9 +18,3 @@
 	Number uint64
 	Loads  []loadshare.CompactLoad
 }
-
-// answer is an answerMessage with the home that it is from.
-type answer struct {
-	answerMessage
-	from string
-}
--- a/internal/loadhome/parts.go
+++ b/internal/loadhome/parts.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"time"
 
 	"github.com/lotusward/lotusward/internal/clock"
 	"github.com/lotusward/lotusward/internal/core/promptcache"
@@ -91,34 +90,10 @@
 			byHome[home] = append(byHome[home], uint64(part))
 		}
 	}
-	if len(byHome) > 0 {
-		h.askParts(ctx, byHome)
-	}
-}
-
-func (h *Homes) askParts(ctx context.Context, byHome map[string][]uint64) {
-	number := h.partQuestions.Next()
-	answers := h.partQuestions.Await(number, len(byHome))
-	defer h.partQuestions.Forget(number)
-	for home, parts := range byHome {
+	tell := func(home string, number uint64, parts []uint64) {
 		peerlink.Tell(h.options.Link, home, peerlink.KindPartQuestion, &partQuestion{Number: number, Parts: parts})
 	}
-	asked := clock.Now()
-	timeout := time.NewTimer(h.nearTimeout.timeout())
-	defer timeout.Stop()
-	for len(byHome) > 0 {
-		select {
-		case got := <-answers:
-			h.answered(got.from, clock.Since(asked))
-			h.remember(got.partAnswer)
-			delete(byHome, got.from)
-		case <-timeout.C:
-			h.noteSilent(byHome)
-			return
-		case <-ctx.Done():
-			return
-		}
-	}
+	gather(ctx, h, h.partQuestions, byHome, tell, h.remember)
 }
 
 // remember takes in where a home says that parts are.
@@ -152,11 +127,5 @@
 }
 
 func (h *Homes) hearPartAnswer(from string, got partAnswer) {
-	h.partQuestions.Answer(got.Number, heardParts{from: from, partAnswer: got})
-}
-
-// heardParts is a partAnswer with the home that it is from.
-type heardParts struct {
-	partAnswer
-	from string
+	h.partQuestions.Answer(got.Number, heard[partAnswer]{from, got})
 }
--- a/internal/loadhome/roundtrip.go
+++ b/internal/loadhome/roundtrip.go
@@ -6,18 +6,18 @@
 )
 
 const (
-	// firstNearTimeout, leastNearTimeout and mostNearTimeout are the same for answers from the own region: zones may be a
-	// tenth of a millisecond apart, or six. Where all answers came later than they were waited for, each request would wait
-	// for nothing, and know nothing of others' loads.
-	firstNearTimeout = 30 * time.Millisecond
-	leastNearTimeout = 10 * time.Millisecond
-	mostNearTimeout  = 50 * time.Millisecond
 	// firstFarTimeout is how long an answer from another region is waited for before one was
 	// heard, and leastFarTimeout and mostFarTimeout bound it after that. A request that waits
 	// for answers has some hundred milliseconds left.
 	firstFarTimeout = 100 * time.Millisecond
 	leastFarTimeout = 15 * time.Millisecond
 	mostFarTimeout  = 150 * time.Millisecond
+	// firstNearTimeout, leastNearTimeout and mostNearTimeout are the same for answers from the own region: zones may be a
+	// tenth of a millisecond apart, or six. Where all answers came later than they were waited for, each request would wait
+	// for nothing, and know nothing of others' loads.
+	firstNearTimeout = 30 * time.Millisecond
+	leastNearTimeout = 10 * time.Millisecond
+	mostNearTimeout  = 50 * time.Millisecond
 	// newestWeight and deviationWeight are of the newest round trip in the mean and in the
 	// mean deviation, and deviations how many of these an answer may take beyond the mean, as
 	// in RFC 6298.
