Note refusals for want of memory on both interfaces by one piece of code

The platform's interface had the relay note and tell such a refusal; the OpenAI interface made the same refusal itself, with the relay's reason and time, and nothing was noted: a refused request without a line or a count. The relay notes it and returns what the caller is to be told, for both; its reason and time are its own now. What callers get is as it was.

--- a/internal/openai/handler.go
+++ b/internal/openai/handler.go
@@ -99,22 +99,23 @@
 	exchange := callerio.Open(h.options.Ledger, writer)
 	defer exchange.Close()
 	exchange.Account.SetTenant(h.options.Relay.TenantOf(bearerKey(incoming.Header)))
-	parsed, failed := h.read(exchange, writer, incoming, patience)
+	request := &relay.Request{
+		ID: identity.RequestID(id.String()), Method: http.MethodPost, Host: incoming.Host,
+		Target: incoming.URL.Path, Path: incoming.URL.Path,
+		Header: http.Header{"Content-Type": {"application/json"}},
+		Key:    bearerKey(incoming.Header), ArrivedAt: arrived, Patience: patience, Account: exchange.Account,
+	}
+	parsed, failed := h.read(exchange, writer, incoming, request)
 	if failed != nil {
 		failed.write(writer)
 		return
 	}
-	request := &relay.Request{
-		ID: identity.RequestID(id.String()), Method: http.MethodPost, Host: incoming.Host,
-		Target: incoming.URL.Path, Path: incoming.URL.Path,
-		Header: http.Header{"Content-Type": {"application/json"}}, Body: parsed.engineBody(),
-		Key: bearerKey(incoming.Header), ArrivedAt: arrived, Patience: patience,
-		Prompt: &relay.Prompt{
-			Model: parsed.Model, Parts: h.splitter.split(string(parsed.Model), parsed.Prompt),
-			OutputTokens: parsed.MaxTokens, Derived: true,
-		},
-		DeclaredTokens: tokens(len(parsed.Prompt)) + parsed.MaxTokens, Account: exchange.Account,
+	request.Body = parsed.engineBody()
+	request.Prompt = &relay.Prompt{
+		Model: parsed.Model, Parts: h.splitter.split(string(parsed.Model), parsed.Prompt),
+		OutputTokens: parsed.MaxTokens, Derived: true,
 	}
+	request.DeclaredTokens = tokens(len(parsed.Prompt)) + parsed.MaxTokens
 	var caller answering = newStreamCaller(writer)
 	if !parsed.Stream {
 		caller = newWholeCaller(writer, parsed.Chat)
@@ -125,15 +126,15 @@
 	}
 }
 
-// read reads and checks a body against what operators declared.
-func (h *Handler) read(exchange *callerio.Exchange, writer http.ResponseWriter, incoming *http.Request, patience time.Duration) (*completionRequest, *failure) {
+// read reads and checks the body of a request against what operators declared.
+func (h *Handler) read(exchange *callerio.Exchange, writer http.ResponseWriter, incoming *http.Request, request *relay.Request) (*completionRequest, *failure) {
 	mediaType, _, err := mime.ParseMediaType(incoming.Header.Get("Content-Type"))
 	if err != nil || mediaType != "application/json" {
 		return nil, invalid(codeContentType, "", "the content type %q is not application/json", incoming.Header.Get("Content-Type")).
 			withStatus(http.StatusUnsupportedMediaType)
 	}
 	limit := h.options.MaximumBody()
-	body, err := exchange.ReadBody(writer, incoming, limit, patience)
+	body, err := exchange.ReadBody(writer, incoming, limit, request.Patience)
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
 		return nil, invalid(codeBodyTooLarge, "", "the body is larger than %d bytes", limit).withStatus(http.StatusRequestEntityTooLarge)
@@ -141,7 +142,7 @@
 	var full *buffers.FullError
 	if errors.As(err, &full) {
 		writer.Header().Set("Connection", "close") // the body is not read
-		return nil, failureOf(relay.Refusal{Kind: relay.RefusalNotRun, Reason: relay.ReasonNoMemory, RetryAfter: relay.MemoryRetryAfter})
+		return nil, failureOf(h.options.Relay.RefuseUnread(request))
 	}
 	if err != nil {
 		return nil, invalid(codeInvalidJSON, "", "the body cannot be read: %v", err)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -108,17 +108,17 @@
 	run.serveWithinLimit(bounded)
 }
 
-// ReasonNoMemory is the reason of refusals of requests whose bodies can't be held now.
-const ReasonNoMemory = "no_memory"
+// reasonNoMemory is the reason of refusals of requests whose bodies can't be held now.
+const reasonNoMemory = "no_memory"
 
-// MemoryRetryAfter is when a request comes back whose body can't be held now: slow callers are ended within that time.
-const MemoryRetryAfter = 2 * time.Second
+// memoryRetryAfter is when a request comes back whose body can't be held now: slow callers are ended within that time.
+const memoryRetryAfter = 2 * time.Second
 
-// RefuseUnread answers a request whose body could not be held: it has not run.
-func (r *Relay) RefuseUnread(request *Request, caller Caller) {
-	refusal := Refusal{Kind: RefusalNotRun, Reason: ReasonNoMemory, RetryAfter: MemoryRetryAfter}
+// RefuseUnread notes that a request's body could not be held, and returns what its caller is to be told: it has not run.
+func (r *Relay) RefuseUnread(request *Request) Refusal {
+	refusal := Refusal{Kind: RefusalNotRun, Reason: reasonNoMemory, RetryAfter: memoryRetryAfter}
 	r.options.Journal.Refused(request, r.arrival(request), refusal)
-	caller.Refuse(refusal)
+	return refusal
 }
 
 // TenantOf is the tenant that a key authenticates; empty where none is known to.
