Split facts of parts once, and break off ended exchanges in one place

Among many daemons facts were split into those for all and those for a few in two loops, the second over what the first had left; the ledger ended exchanges by the same loop for want of room and for their time. Behaviour is the same; tests of loadshare, buffers and loadhome pass with the race detector, without a change.

--- a/internal/core/buffers/buffers.go
+++ b/internal/core/buffers/buffers.go
@@ -179,10 +179,7 @@
 // few times a second.
 func (l *Ledger) Check(now time.Time) {
 	ended, stalls := l.check(now)
-	for _, each := range ended {
-		each.exchange.end()
-		l.ended(each.Ended)
-	}
+	l.breakOff(ended)
 	for _, tell := range stalls {
 		tell()
 	}
@@ -206,6 +203,14 @@
 	return ended, stalls
 }
 
+// breakOff breaks off what was ended, and tells of it. It is for callers without the mutex.
+func (l *Ledger) breakOff(ended []victim) {
+	for _, each := range ended {
+		each.exchange.end()
+		l.ended(each.Ended)
+	}
+}
+
 // close is for callers that hold the mutex.
 func (l *Ledger) close(exchange *Exchange) {
 	if exchange.closed {
--- a/internal/core/buffers/exchange.go
+++ b/internal/core/buffers/exchange.go
@@ -45,10 +45,7 @@
 		return nil
 	}
 	ended, err := e.hold(now, bytes)
-	for _, each := range ended {
-		each.exchange.end()
-		e.ledger.ended(each.Ended)
-	}
+	e.ledger.breakOff(ended)
 	return err
 }
 
--- a/internal/loadshare/loadshare.go
+++ b/internal/loadshare/loadshare.go
@@ -178,18 +178,18 @@
 // shareAmongMany tells of parts and doubts alone; package loadhome is for the loads then. A
 // few other daemons hear each turn that this one is there.
 func (s *Sharer) shareAmongMany(now time.Time) {
-	facts, doubts := s.options.Memory.Untold(), s.options.Pool.Doubts()
+	large, few := split(s.options.Memory.Untold())
+	doubts := s.options.Pool.Doubts()
 	if len(s.options.Others()) > MaximumTold && s.options.TellHomes != nil {
-		facts = s.tellHomes(facts)
-		doubts = nil // homes of the back ends keep what is found out of them
+		s.options.TellHomes(large)
+		large, doubts = nil, nil // homes of the back ends keep what is found out of them
 	}
-	few := s.tellAll(now, facts, doubts)
+	s.tellAll(now, large, doubts)
 	s.send(s.limiter, peerlink.KindLoads, newMessage(nil, few, nil), aliveTargets)
 }
 
-// tellHomes tells homes of large parts where these are, and returns the facts of the others.
-func (s *Sharer) tellHomes(facts []promptcache.Fact) (few []promptcache.Fact) {
-	var large []promptcache.Fact
+// split parts facts into those of large parts, for all daemons, and those for a few.
+func split(facts []promptcache.Fact) (large, few []promptcache.Fact) {
 	for _, fact := range facts {
 		if fact.ForAll() {
 			large = append(large, fact)
@@ -197,30 +197,19 @@
 			few = append(few, fact)
 		}
 	}
-	if len(large) > 0 {
-		s.options.TellHomes(large)
-	}
-	return few
+	return large, few
 }
 
 // tellAll tells all of many daemons of doubts and of large parts, without the loads, which
-// are longer and told again soon. Parts are gathered for a moment. It returns the facts
-// that are for a few daemons only.
-func (s *Sharer) tellAll(now time.Time, facts []promptcache.Fact, doubts []backendpool.Doubt) (few []promptcache.Fact) {
-	for _, fact := range facts {
-		if fact.ForAll() {
-			s.gathered = append(s.gathered, fact)
-		} else {
-			few = append(few, fact)
-		}
-	}
+// are longer and told again soon. Parts are gathered for a moment.
+func (s *Sharer) tellAll(now time.Time, large []promptcache.Fact, doubts []backendpool.Doubt) {
+	s.gathered = append(s.gathered, large...)
 	early := now.Sub(s.toldAllAt) < gatherTime
 	if len(doubts) == 0 && (len(s.gathered) == 0 || early) {
-		return few
+		return
 	}
 	s.send(s.factLimiter, peerlink.KindFacts, newMessage(nil, s.gathered, doubts), len(s.options.Others()))
 	s.gathered, s.toldAllAt = nil, now
-	return few
 }
 
 // send tells the next ones of the other daemons, within the bound on bytes.
