Name the parameters of a question once for the asker and the asked

Which parameter tells which field stood in both directions, and the newest one was read by a copy of the loop's body.

--- a/internal/peersync/peersync.go
+++ b/internal/peersync/peersync.go
@@ -63,8 +63,8 @@
 	observe func(address string, bytes int)
 }
 
-// NewClient makes a Client of a daemon that answers others at an address. Observe is told how many bytes the daemon at an address has sent; nil is
-// not.
+// NewClient makes a Client of a daemon that answers others at an address. Observe is told how many bytes the daemon at an
+// address has sent; nil is not.
 func NewClient(pool *httpexchange.Pool, self string, observe func(address string, bytes int)) *Client {
 	return &Client{pool: pool, self: self, observe: observe}
 }
@@ -127,10 +127,8 @@
 // takes goes by its length and the slower link.
 func (c *Client) get(ctx context.Context, address, path string, have directory.Have, begun func()) ([]byte, int, error) {
 	values := url.Values{}
-	for name, value := range map[string]uint64{
-		hasRow: have.RowVersion, needsRow: have.NeedRowVersion, hasBackends: have.BackendsTo, needBackends: have.NeedBackendsTo, hasMembers: have.MembersTo,
-	} {
-		values.Set(name, strconv.FormatUint(value, 10))
+	for name, value := range parametersOf(&have) {
+		values.Set(name, strconv.FormatUint(*value, 10))
 	}
 	values.Set(askerAddress, c.self)
 	bounded, cancel := context.WithTimeoutCause(ctx, longestAnswer, errSilent)
@@ -330,23 +328,25 @@
 	_, _ = writer.Write(others)
 }
 
+// parametersOf are the parameters that tell what an asker has and needs, by their names.
+func parametersOf(have *directory.Have) map[string]*uint64 {
+	return map[string]*uint64{
+		hasRow: &have.RowVersion, needsRow: &have.NeedRowVersion, hasBackends: &have.BackendsTo, needBackends: &have.NeedBackendsTo, hasMembers: &have.MembersTo,
+	}
+}
+
 func readHave(values url.Values) (directory.Have, error) {
 	var have directory.Have
-	for name, into := range map[string]*uint64{
-		hasRow: &have.RowVersion, needsRow: &have.NeedRowVersion, hasBackends: &have.BackendsTo, needBackends: &have.NeedBackendsTo,
-	} {
-		value, err := strconv.ParseUint(values.Get(name), 10, 64)
-		if err != nil {
-			return have, fmt.Errorf("parameter %s is no number: %q", name, values.Get(name))
+	for name, into := range parametersOf(&have) {
+		text := values.Get(name)
+		if text == "" && name == hasMembers {
+			continue // askers of earlier builds don't say
 		}
-		*into = value
-	}
-	if text := values.Get(hasMembers); text != "" { // askers of earlier builds don't say
 		value, err := strconv.ParseUint(text, 10, 64)
 		if err != nil {
-			return have, fmt.Errorf("parameter %s is no number: %q", hasMembers, text)
+			return have, fmt.Errorf("parameter %s is no number: %q", name, text)
 		}
-		have.MembersTo = value
+		*into = value
 	}
 	return have, nil
 }
