Judge the share of back ends that are well again by 200 requests

The share is judged over 3 s as before, or for as long as 200 of it take, and now on every draw without prompts instead of those with more than 400 requests.

--- a/internal/core/backendpool/refusal_test.go
+++ b/internal/core/backendpool/refusal_test.go
@@ -41,6 +41,9 @@
 	crowdBudgetMost  = 10
 )
 
+// leastEvenShare is how many requests a share is judged by: of 36, as many as chance allows may stay away.
+const leastEvenShare = 200
+
 func newCrowd(seed uint64, daemons, backends, slots int, prompts bool) *crowd {
 	made := &crowd{
 		luck: rand.New(rand.NewPCG(seed, 1)), budgets: make([]float64, daemons), refuses: make([]bool, backends),
@@ -163,13 +166,15 @@
 		recovering := max(2000, learning)
 		made.play(from, recovering, perSecond)
 		made.share()
-		made.play(from+recovering, 3000, perSecond)
-		again := made.arrivedAt(refusing)
-		even := float64(made.asked) * float64(refusing) / float64(backends)
-		if !made.prompts && made.asked > 400 {
+		if !made.prompts {
+			evenPerSecond := perSecond * float64(refusing) / float64(backends)
+			judged = max(3000, int(leastEvenShare*1000/evenPerSecond))
+			made.play(from+recovering, judged, perSecond)
+			again := made.arrivedAt(refusing)
+			even := float64(made.asked) * float64(refusing) / float64(backends)
 			well.play(0, from+recovering, perSecond)
 			well.share()
-			well.play(from+recovering, 3000, perSecond)
+			well.play(from+recovering, judged, perSecond)
 			share := min(even, float64(well.arrivedAt(refusing)))
 			assert.Assert(t, float64(again) > 0.6*share, "%d requests came to those that are well again, %.0f are their share", again, share)
 		}
