--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -53,6 +53,27 @@
 	})
 }
 
+// TestRequestThatSurelyDidNotRunIsServedElsewhere lets back ends refuse a request that may run once, or be out of reach, in
+// any order: as long as sendings, budget and back ends are left, it is served, and runs once.
+func TestRequestThatSurelyDidNotRunIsServedElsewhere(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		refused := rapid.IntRange(0, maximumSendings-1).Draw(t, "refused")
+		unreached := rapid.IntRange(0, maximumUnreached-1).Draw(t, "unreached")
+		world := newWorld(routing.Route{Kind: routing.KindUnsafe, MaxAttempts: 1}, refused+unreached+1, refused)
+		for range refused {
+			without := rapid.SampledFrom([]behaviour{behaveRejected, behaveReplaced}).Draw(t, "refusal")
+			world.backends.script = append(world.backends.script, without)
+		}
+		for range unreached {
+			world.backends.script = append(world.backends.script, behaveUnreached)
+		}
+		world.backends.script = rapid.Permutation(world.backends.script).Draw(t, "script")
+		caller := world.ask(nil)
+		assert.Equal(t, caller.body.String(), "whole body")
+		assert.Equal(t, world.backends.ran, 1)
+	})
+}
+
 // checkAnswer compares a success with the one whole answer that there is.
 func checkAnswer(t *rapid.T, world *world, caller *recordingCaller) {
 	if caller.head == nil || caller.head.Status != http.StatusOK {
