Log a malformed row once, and count such rows

A finding on a back end's or a daemon's row is logged when it is new; lotusward_malformed_rows tells how many there are by table. What operators declared is logged each time as before: it is read only when they have changed something.

A list of the rows for operators is still not there, the log names them.

--- a/cmd/internal/daemon/metrics.go
+++ b/cmd/internal/daemon/metrics.go
@@ -64,3 +64,13 @@
 		}, func() float64 { return float64(writer.Dropped()) }),
 	)
 }
+
+// registerMalformed adds how many findings there are on the rows of each table.
+func registerMalformed(registry *prometheus.Registry, findings func() map[string]int) {
+	for table := range findings() {
+		registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Namespace: "lotusward", Name: "malformed_rows", Help: "Findings on rows of the store that this daemon could not read, as of its last reading.",
+			ConstLabels: prometheus.Labels{"table": table},
+		}, func() float64 { return float64(findings()[table]) }))
+	}
+}
--- a/cmd/internal/daemon/wire.go
+++ b/cmd/internal/daemon/wire.go
@@ -122,6 +122,7 @@
 	made.wireLedger(registry)
 	made.wireOutside(counters)
 	made.wireBelief(traffic)
+	registerMalformed(registry, made.directory.MalformedRows)
 	made.wireRollouts(registry)
 	made.wireTraffic(counters)
 	made.wireDuty()
--- a/internal/directory/declared.go
+++ b/internal/directory/declared.go
@@ -31,7 +31,8 @@
 		d.options.Log.WithField("store_version", declared.Version).Warn("An outdated reading is passed over.")
 		return
 	}
-	if declared.Malformed != nil {
+	d.malformed.noteAll(tableDeclared, declared.Malformed)
+	if declared.Malformed != nil { // each time: it is read only when an operator has changed something
 		d.options.Log.WithError(declared.Malformed).Error("What operators declared is malformed; the last good one stays in force.")
 	}
 	d.rows = declared.Rows
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -152,7 +152,8 @@
 	packer     packer
 	wantsWhole atomic.Bool
 	// shown are the lists as other daemons may be given them.
-	shown atomic.Pointer[shownLists]
+	shown     atomic.Pointer[shownLists]
+	malformed *malformedRows
 
 	// What follows belongs to the goroutine of Run.
 	versions map[identity.ModelName][]relay.NamedVersion
@@ -251,6 +252,7 @@
 		told:      map[identity.ModelName][]Seen{},
 		freshness: map[table]*freshness{tableDeclared: {}, tableBackends: {}},
 		reachable: map[table]bool{},
+		malformed: newMalformedRows(),
 	}
 	directory.confirmed.Store(&time.Time{})
 	directory.steady.Store(&time.Time{})
--- a/internal/directory/listing.go
+++ b/internal/directory/listing.go
@@ -19,9 +19,7 @@
 		d.options.Log.WithField("store_version", listed.Version).Warn("An outdated list of back ends is passed over.")
 		return
 	}
-	if listed.Malformed != nil {
-		d.options.Log.WithError(listed.Malformed).Error("Some back ends cannot be read.")
-	}
+	d.logMalformed(d.malformed.noteAll(tableBackends, listed.Malformed), "Some back ends cannot be read.")
 	changed, gone := d.backends.difference(listOfAll(listed.Backends))
 	d.changeLog.note(position.Load(), listed.Version, backendsOf(changed), gone)
 	advance(position, listed.Version)
@@ -36,9 +34,7 @@
 func (d *Directory) applyChanges(got message) {
 	changes := got.changes
 	d.moments.note(changes.Reading)
-	if changes.Malformed != nil {
-		d.options.Log.WithError(changes.Malformed).Error("Some back ends cannot be read.")
-	}
+	d.logMalformed(d.malformed.noteChanged(tableBackends, changes.Malformed), "Some back ends cannot be read.")
 	position := d.positions[tableBackends]
 	if changes.Last > position.Load() {
 		changed := backendsOf(d.backends.lacking(changes.Changed))
--- a/internal/directory/memberlist.go
+++ b/internal/directory/memberlist.go
@@ -120,9 +120,7 @@
 // applyMembers takes in daemons' rows that were read.
 func (d *Directory) applyMembers(got message) {
 	to := max(got.members.Last, got.members.Version)
-	if got.members.Malformed != nil {
-		d.options.Log.WithError(got.members.Malformed).Error("Some daemons' rows cannot be read.")
-	}
+	d.logMalformed(d.malformed.noteChanged(tableMembers, got.members.Malformed), "Some daemons' rows cannot be read.")
 	d.learnMembers(got.members.InOrder(), to)
 	advance(d.positions[tableMembers], to)
 	d.showRest()
