Say once of a kind that a message is too long to be told

Trees, broadcasts and single messages dropped what doesn't fit a datagram in silence; a weight update's plan is the first to, beyond some 400 back ends that load at once. The daemon whose message it is says so once a kind. TestTooLargeIsNotSent counts the lines: none before, one of three tries now.

--- a/internal/peerlink/malformed.go
+++ b/internal/peerlink/malformed.go
@@ -3,6 +3,8 @@
 import (
 	"sync"
 
+	"github.com/sirupsen/logrus"
+
 	"github.com/lotusward/lotusward/internal/version"
 )
 
@@ -49,3 +51,17 @@
 
 // ObserveMalformed sets who is told of the kind of each datagram that can't be read. It must not block.
 func (l *Link) ObserveMalformed(observe func(kind Kind)) { l.observeMalformed = observe }
+
+// noteUntold says once of a kind that a message of this daemon's own can't be told: what others don't hear they take for
+// nothing to be told.
+func (l *Link) noteUntold(kind Kind, bytes int, err error) {
+	if !l.complaints.isNew(l.address, kind) {
+		return
+	}
+	line := l.log.WithFields(logrus.Fields{"kind": kind.String(), "bytes": bytes, "most_bytes": maximumDatagram})
+	if err != nil {
+		line.WithError(err).Error("A message can't be encoded, and isn't told.")
+		return
+	}
+	line.Warn("A message is too long for a datagram, and isn't told.")
+}
--- a/internal/peerlink/peerlink.go
+++ b/internal/peerlink/peerlink.go
@@ -201,7 +201,11 @@
 	encoder := msgpack.NewEncoder(&datagram)
 	encoder.UseArrayEncodedStructs(true) // names would be most of the bytes
 	err := encoder.Encode(body)
-	return datagram.Bytes(), err == nil && datagram.Len() <= maximumDatagram
+	if err == nil && datagram.Len() <= maximumDatagram {
+		return datagram.Bytes(), true
+	}
+	l.noteUntold(kind, datagram.Len(), err)
+	return nil, false
 }
 
 // Send sends a datagram to a daemon once, if the socket is open. What goes wrong
--- a/internal/peerlink/peerlink_test.go
+++ b/internal/peerlink/peerlink_test.go
@@ -85,10 +85,16 @@
 	assert.Equal(t, <-got, "hello")
 }
 
-// TestTooLargeIsNotSent tells that a body doesn't fit one datagram.
+// TestTooLargeIsNotSent tells that a body doesn't fit one datagram, and says so once.
 func TestTooLargeIsNotSent(t *testing.T) {
-	_, fits := New(freeporttest.Address(t), logging.Discard()).Encode(KindPlan, greeting{Text: string(make([]byte, maximumDatagram))})
-	assert.Assert(t, !fits)
+	log, lines := logtest.NewNullLogger()
+	link := New(freeporttest.Address(t), log)
+	for range 3 {
+		_, fits := link.Encode(KindPlan, greeting{Text: string(make([]byte, maximumDatagram))})
+		assert.Assert(t, !fits)
+	}
+	assert.Equal(t, len(lines.AllEntries()), 1)
+	assert.Equal(t, lines.LastEntry().Data["kind"], KindPlan.String())
 }
 
 // TestLinkWithoutSocketSaysSo takes the link's address away: the daemon goes on alone, and
