Let neither a home that starts nor one in its place count credit that others granted

A tenant's home that restarts counted as credit what had accrued since its start, while those that had found it silent were still granted by another one, for up to a second; the one in its place kept the burst that accrued while the home granted; and each start began with a margin. Each change between the two so brought another burst.

Now credit of before a second after the start counts for nothing, a bucket that is made before then begins empty, and whoever is asked in a home's place anew, though it heard the home meanwhile, has the margin at most. Ways weighed: the margin at each start as before (fails after 52 draws), empty buckets always (passes, but the first request after a home is lost is refused: two tests of that), empty for a second after a start (this one; 900 draws pass). With any one of the three parts off the property fails after 3 to 39 draws. Cost: a tenant whose home has just restarted waits for its cost to accrue. The package, relay, directory and others pass with the race detector.

--- a/internal/core/quota/bucket.go
+++ b/internal/core/quota/bucket.go
@@ -105,6 +105,12 @@
 // Return gives back what was taken and not used.
 func (b *Bucket) Return(cost float64) { b.level = min(b.level+cost, b.capacity()) }
 
+// Cap lowers what the bucket holds to a level, if it holds more.
+func (b *Bucket) Cap(now time.Time, share, level float64) {
+	b.fill(now, share)
+	b.level = min(b.level, level)
+}
+
 // Level is what the bucket holds at a time, if it fills at a share of the rate.
 func (b *Bucket) Level(now time.Time, share float64) float64 {
 	b.fill(now, share)
--- a/internal/core/quota/ledger.go
+++ b/internal/core/quota/ledger.go
@@ -17,6 +17,9 @@
 	// idleRetention is how long a bucket is kept that nobody asks for. Every bucket whose
 	// burst is less than a minute of its rate is full by then.
 	idleRetention = time.Minute
+	// resumePause is how long a daemon that grants in the home's place must not have been asked to count as having
+	// resumed, where it heard the home meanwhile.
+	resumePause = 250 * time.Millisecond
 )
 
 // RequestKey names one request for a part of a limit.
@@ -52,18 +55,19 @@
 // use by several goroutines at once.
 type Ledger struct {
 	// margin is what each bucket holds beyond the limit's burst.
-	margin    float64
-	startedAt time.Time
-	buckets   map[identity.TenantName]*tenantBucket
-	answers   map[RequestKey]answer
-	prunedAt  time.Time
+	margin float64
+	// aloneSince is since when no other daemon grants where this one is the home.
+	aloneSince time.Time
+	buckets    map[identity.TenantName]*tenantBucket
+	answers    map[RequestKey]answer
+	prunedAt   time.Time
 }
 
-// NewLedger makes an empty ledger. The margin is what a tenant may exceed its limit by, in
-// the unit of the costs.
-func NewLedger(now time.Time, margin float64) *Ledger {
+// NewLedger makes an empty ledger. Others may have granted in its daemon's place until aloneSince.
+// The margin is what a tenant may exceed its limit by, in the unit of the costs.
+func NewLedger(aloneSince time.Time, margin float64) *Ledger {
 	return &Ledger{
-		margin: margin, startedAt: now, prunedAt: now,
+		margin: margin, aloneSince: aloneSince, prunedAt: aloneSince,
 		buckets: map[identity.TenantName]*tenantBucket{}, answers: map[RequestKey]answer{},
 	}
 }
@@ -75,6 +79,8 @@
 	Home bool
 	// Share of the rate that may be granted, above 0 up to 1.
 	Share float64
+	// HomeHeardAt is when one that isn't the home last heard it; zero is not lately.
+	HomeHeardAt time.Time
 }
 
 // Take answers a request; one that is repeated gets the answer that it got before.
@@ -93,21 +99,33 @@
 
 // bucket finds or makes the bucket of a request's tenant. What this daemon may have granted
 // before it started, or another one before this one grants in its place, is not known, so
-// that a new bucket holds no more than has accrued since, and the margin.
+// that a new bucket holds no more than has accrued since, and the margin. Nor is known what the
+// home has granted while one in its place paused: else each change between the two would bring another burst.
 func (l *Ledger) bucket(now time.Time, request Request, standing Standing) *tenantBucket {
 	found := l.buckets[request.Tenant]
 	if found != nil {
+		if standing.resumes(now, found.askedAt) {
+			found.Cap(now, standing.Share, l.margin)
+		}
 		return found
 	}
-	level := l.margin
-	if standing.Home {
-		level += now.Sub(l.startedAt).Seconds() * request.Limit.RatePerSecond * standing.Share
+	level := 0.0 // a margin at each of many starts would add up
+	if alone := now.Sub(l.aloneSince); alone > 0 {
+		level = l.margin
+		if standing.Home {
+			level += alone.Seconds() * request.Limit.RatePerSecond * standing.Share
+		}
 	}
 	made := &tenantBucket{Bucket: NewBucket(now, request.Limit, l.margin, level)}
 	l.buckets[request.Tenant] = made
 	return made
 }
 
+// resumes tells whether a daemon grants in the home's place again, after the home may have granted meanwhile.
+func (s Standing) resumes(now, askedAt time.Time) bool {
+	return !s.Home && now.Sub(askedAt) > resumePause && s.HomeHeardAt.After(askedAt)
+}
+
 // Return gives back what a request was granted and did not use. It returns false if that
 // is not known, or was given back before.
 func (l *Ledger) Return(key RequestKey) bool {
--- a/internal/presence/presence.go
+++ b/internal/presence/presence.go
@@ -47,6 +47,13 @@
 	return p.heardAt[address].After(since)
 }
 
+// HeardAt is when a daemon was last heard; zero is never, or not lately.
+func (p *List) HeardAt(address string) time.Time {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return p.heardAt[address]
+}
+
 // Time is within which a daemon among some must have been heard to be present.
 func Time(daemons int) time.Duration {
 	return min(max(time.Duration(daemons)*presencePerDaemon, leastPresence), mostPresence)
--- a/internal/presence/silence.go
+++ b/internal/presence/silence.go
@@ -7,9 +7,9 @@
 )
 
 const (
-	// silentTime is for how long a daemon that did not answer is not asked, or until it is
+	// SilentTime is for how long a daemon that did not answer is not asked, or until it is
 	// heard again, but leastSilentTime at least.
-	silentTime      = time.Second
+	SilentTime      = time.Second
 	leastSilentTime = 150 * time.Millisecond
 )
 
@@ -30,7 +30,7 @@
 func (s *Silence) Note(address string, now time.Time) bool {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	maps.DeleteFunc(s.since, func(_ string, since time.Time) bool { return now.Sub(since) > 2*silentTime })
+	maps.DeleteFunc(s.since, func(_ string, since time.Time) bool { return now.Sub(since) > 2*SilentTime })
 	_, found := s.since[address]
 	s.since[address] = now
 	return !found
@@ -41,7 +41,7 @@
 	s.mutex.Lock()
 	since, found := s.since[address]
 	s.mutex.Unlock()
-	if !found || now.Sub(since) > silentTime {
+	if !found || now.Sub(since) > SilentTime {
 		return false
 	}
 	return !s.list.HeardSince(address, since.Add(leastSilentTime))
--- a/internal/presence/silence_test.go
+++ b/internal/presence/silence_test.go
@@ -13,7 +13,7 @@
 func TestSilenceForgetsWhatIsPast(t *testing.T) {
 	silence, now := NewSilence(New()), time.Unix(1_000_000, 0)
 	for number := range 1000 {
-		now = now.Add(silentTime)
+		now = now.Add(SilentTime)
 		address := fmt.Sprint("daemon-", number)
 		assert.Assert(t, silence.Note(address, now))
 		assert.Assert(t, !silence.Note(address, now))
--- a/internal/tenantlimit/fleet_test.go
+++ b/internal/tenantlimit/fleet_test.go
@@ -191,3 +191,11 @@
 	time.Sleep(time.Second)
 	synctest.Wait()
 }
+
+// byAddress returns a daemon.
+func (f *fleet) byAddress(address string) *member {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	index := slices.IndexFunc(f.daemons, func(daemon *member) bool { return daemon.Address() == address })
+	return f.daemons[index]
+}
--- a/internal/tenantlimit/limiter.go
+++ b/internal/tenantlimit/limiter.go
@@ -94,7 +94,8 @@
 	made := &Limiter{
 		options: options, self: options.Link.Address(),
 		questions: peerlink.NewQuestions[quota.Decision](), silence: presence.NewSilence(options.Presence),
-		ledger: quota.NewLedger(now, options.Margin), parts: quota.NewLedger(now, 0),
+		// Those that found this daemon silent ask another one for so long.
+		ledger: quota.NewLedger(now.Add(presence.SilentTime), options.Margin), parts: quota.NewLedger(now, 0),
 		abandoned: map[uint64]time.Time{}, apart: map[identity.Region]time.Time{}, heard: map[identity.Region]bool{}, startedAt: now,
 	}
 	peerlink.HandleDecoded(options.Link, peerlink.KindLimitAsk, made.hearQuestion)
--- a/internal/tenantlimit/limiter_test.go
+++ b/internal/tenantlimit/limiter_test.go
@@ -153,6 +153,7 @@
 // frozen, suspended, cut off from the others, started in herds and added: in no window more is granted
 // than the bound allows.
 func TestLimitHoldsUnderFaults(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(rt *rapid.T) {
 		count := rapid.IntRange(3, 20).Draw(rt, "daemons")
 		faults, seed := drawFaults(rt), rapid.Uint64().Draw(rt, "seed")
@@ -300,3 +301,44 @@
 		assert.Equal(t, returned[next], 0)
 	})
 }
+
+// TestLimitHoldsWhileItsHomeRestarts kills the daemons that grant for a tenant, one or both, again and again within the
+// window, and lets each start after a moment, while three times the tenant's limit is sent: in no window more is granted than
+// the bound allows.
+func TestLimitHoldsWhileItsHomeRestarts(t *testing.T) {
+	t.Parallel()
+	rapid.Check(t, func(rt *rapid.T) {
+		count, seed := rapid.IntRange(3, 20).Draw(rt, "daemons"), rapid.Uint64().Draw(rt, "seed")
+		pauses := rapid.SliceOfN(rapid.IntRange(300, 3000), 1, 12).Draw(rt, "milliseconds between kills")
+		downs := rapid.SliceOfN(rapid.IntRange(50, 1500), 1, 12).Draw(rt, "milliseconds down")
+		ranks := rapid.SliceOfN(rapid.IntRange(0, grantors-1), 1, 12).Draw(rt, "ranks")
+		most := 0.0
+		synctest.Test(t, func(*testing.T) {
+			fleet := newFleet(seed, count)
+			kills, next := 0, time.Second
+			starts := map[*member]time.Duration{}
+			fleet.demand("t", 15*time.Second, 3, func(elapsed time.Duration) {
+				for daemon, at := range starts {
+					if elapsed >= at {
+						fleet.heal(daemon, "kill")
+						delete(starts, daemon)
+					}
+				}
+				if elapsed < next {
+					return
+				}
+				killed := fleet.byAddress(fleet.daemons[0].limiter.ranking("t")[ranks[kills%len(ranks)]])
+				if _, down := starts[killed]; !down {
+					fleet.strike(killed, "kill")
+					starts[killed] = elapsed + time.Duration(downs[kills%len(downs)])*time.Millisecond
+				}
+				next = elapsed + time.Duration(pauses[kills%len(pauses)])*time.Millisecond
+				kills++
+			})
+			most = fleet.mostGranted("t", testWindow)
+		})
+		if most > bound() {
+			rt.Fatalf("%v was granted in a window, %v is allowed", most, bound())
+		}
+	})
+}
--- a/internal/tenantlimit/region.go
+++ b/internal/tenantlimit/region.go
@@ -84,7 +84,10 @@
 	if l.options.Topology.RegionOf(l.self) != l.options.Topology.RegionOf(home) {
 		most = presence.ShareOf(len(l.options.Topology.Near(l.self))+1, daemons)
 	}
-	return quota.Standing{Share: l.options.Presence.SubstituteShare(now, daemons, home, most)}
+	return quota.Standing{
+		Share:       l.options.Presence.SubstituteShare(now, daemons, home, most),
+		HomeHeardAt: l.options.Presence.HeardAt(home),
+	}
 }
 
 // apartAt returns whether a daemon is of a region that doesn't hear this one; nil where there is none.
