Ask for the whole list once where changes don't lead to it, not ever after

A daemon whose list the told changes don't lead to asks for the whole list. Having got it, it never took the wish back: only changes that fit did, and it was told none any more. From then on each of its questions, for a changed configuration or for daemons that came, brought the whole list, some 400 kB before 10,000 back ends.

The package's properties on lists pass with 1,000 draws.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -148,7 +148,7 @@
 	// waited is when another daemon last told that operators have declared nothing yet.
 	waited atomic.Pointer[time.Time]
 	// packer has the list packed for daemons that ask, and wantsWhole is set where the changes that others told don't lead
-	// to their list.
+	// to their list, until one has told it whole.
 	packer     packer
 	wantsWhole atomic.Bool
 	// shown are the lists as other daemons may be given them.
--- a/internal/directory/update.go
+++ b/internal/directory/update.go
@@ -235,6 +235,7 @@
 	advance(position, news.to)
 	d.alter(changed, gone, news.to)
 	d.listed.Store(true)
+	d.wantsWhole.Store(false)
 }
 
 // adoptChanges takes in what changed since the version that this daemon had when it asked. Where that doesn't lead to
--- a/internal/directory/update_test.go
+++ b/internal/directory/update_test.go
@@ -128,6 +128,27 @@
 	}
 }
 
+// TestMistakenListIsToldWholeOnce has a daemon believe in another list by mistake: what changed doesn't lead it to the
+// reader's list, and it is told the whole. A change that it misses after that is told alone again.
+func TestMistakenListIsToldWholeOnce(t *testing.T) {
+	const count = 1_000
+	list := listOf(count)
+	reader := readerOf(list)
+	asker := New(Options{Pool: backendpool.New("a"), Log: logging.Discard(), Self: "asker"})
+	assert.Equal(t, catchUpWith(t, asker, reader), count)
+	asker.backends.put(backendpool.Backend{ID: "nobody", Service: "s"})
+	for number := range 3 {
+		changed := list[number]
+		changed.Draining = true
+		reader.change([]backendpool.Backend{changed}, nil, uint64(1001+number))
+		told := catchUpWith(t, asker, reader)
+		assert.Equal(t, asker.backends.digest, reader.backends.digest)
+		if number > 0 {
+			assert.Equal(t, told, 1)
+		}
+	}
+}
+
 // TestListsArePackedOnce has many daemons start at once: each is told the whole list in a third of a second on a link
 // of 20 Mbit a second at 20,000 back ends, and the asked one packs it once.
 func TestListsArePackedOnce(t *testing.T) {
