Tell the version of the list without its changes, which every build reads

Ruled out: a belief that is overwritten by an older one (it never had a newer one), wrong namings.

Why this works: a version and a digest are read by all builds; who lacks the changes asks, and reads the store where no answer is readable. Datagrams a change stay three (one of the repeats becomes the version); one of some 60 bytes a second while nothing changes. It also helps this build: a change whose three datagrams were lost was found out at the next change alone.

--- a/internal/directory/bulletin.go
+++ b/internal/directory/bulletin.go
@@ -189,13 +189,29 @@
 	}
 }
 
-// tellAgain repeats the last changes of the list: a datagram may have been lost.
+// tellAgain repeats the last changes of the list, since a datagram may have been lost, and tells from time to time up to
+// which version it is known.
 func (d *Directory) tellAgain(now time.Time) {
-	if d.repeats == 0 || !d.turn.readsForAll() || d.options.Tell == nil {
+	if !d.listed.Load() || !d.turn.readsForAll() || d.options.Tell == nil {
 		return
 	}
-	d.repeats--
-	d.options.Tell(Bulletin{Backends: d.changeLog.news(d.backends.digest)})
+	if d.versionDue(now) {
+		d.versionToldAt, d.versionTold = now, d.positions[tableBackends].Load()
+		d.options.Tell(Bulletin{Backends: &BackendNews{To: d.versionTold, Digest: d.backends.digest}})
+		return
+	}
+	if d.repeats > 0 {
+		d.repeats--
+		d.options.Tell(Bulletin{Backends: d.changeLog.news(d.backends.digest)})
+	}
+}
+
+// versionDue tells whether the version of the list is to be told without its changes. Daemons that missed these, and those
+// of builds that can't read them, find out by it that they have to ask or read.
+func (d *Directory) versionDue(now time.Time) bool {
+	since := now.Sub(d.versionToldAt)
+	changed := d.positions[tableBackends].Load() > d.versionTold
+	return since >= versionInterval || (changed && since >= changedVersionInterval)
 }
 
 // applyBulletin takes in what another daemon has read.
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -71,6 +71,10 @@
 	// again: single datagrams are lost now and then.
 	repeatInterval    = 200 * time.Millisecond
 	repeatedBulletins = 2
+	// versionInterval is how often the version of the list is told though it has not changed, and changedVersionInterval
+	// how often where it has.
+	versionInterval        = time.Second
+	changedVersionInterval = 400 * time.Millisecond
 )
 
 // Options are what a Directory works with.
@@ -179,6 +183,9 @@
 	declaredToldTo int
 	// repeats is how often the last changes of the list are still to be told again.
 	repeats int
+	// versionTold is the version of the list that was last told without its changes, at versionToldAt.
+	versionTold   uint64
+	versionToldAt time.Time
 }
 
 // heardBulletin is a bulletin with the address of its sender.
--- /dev/null
+++ b/internal/directory/toldversion_test.go
@@ -0,0 +1,54 @@
+package directory
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/lotusward/lotusward/internal/core/backendpool"
+	"github.com/lotusward/lotusward/internal/core/identity"
+	"github.com/lotusward/lotusward/internal/logging"
+)
+
+// readerOfList is a daemon that reads a list of one back end for all, and what it tells.
+func readerOfList(t *testing.T, told *[]Bulletin) *Directory {
+	t.Helper()
+	reader := New(Options{
+		Pool: backendpool.New("a"), Log: logging.Discard(), Self: "a", Tell: func(bulletin Bulletin) { *told = append(*told, bulletin) },
+	})
+	reader.turn.open()
+	began := time.Now()
+	assert.Assert(t, reader.turn.due(began, tableBackends).begins)
+	listed := Listed{Reading: Reading{Version: 5}, Backends: []backendpool.Backend{{ID: identity.NewBackendID("e1", 7)}}}
+	reader.apply(message{table: tableBackends, began: began, ended: began, listed: &listed})
+	return reader
+}
+
+// TestLostChangesAreFoundByTheToldVersion loses all bulletins that tell of a change: what is told after them, and again while
+// nothing changes, shows a daemon that it lacks something.
+func TestLostChangesAreFoundByTheToldVersion(t *testing.T) {
+	var told []Bulletin
+	reader := readerOfList(t, &told)
+	now := time.Now()
+	for range 3 {
+		told = nil
+		for until := now.Add(versionInterval + repeatInterval); now.Before(until); now = now.Add(repeatInterval) {
+			reader.tellAgain(now)
+		}
+		versions := 0
+		for _, bulletin := range told {
+			if len(bulletin.Backends.Changed) > 0 {
+				continue
+			}
+			versions++
+			assert.Equal(t, bulletin.Backends.To, uint64(5))
+			follower := New(Options{Pool: backendpool.New("a"), Log: logging.Discard(), Self: "b", Tell: func(Bulletin) {}})
+			follower.listed.Store(true)
+			advance(follower.positions[tableBackends], 4)
+			follower.takeBackends("a", bulletin.Backends)
+			assert.Equal(t, follower.lag.Load().need.NeedBackendsTo, uint64(5))
+		}
+		assert.Assert(t, versions > 0 && versions <= 3, "the version was told %d times", versions)
+	}
+}
