Have all daemons try for the update's lease in the end, when nobody takes it

What callers saw: requests refused as "no_backend" with all back ends on old weights. 10 of 2,420 in TestUpgradesOfAStoreThatCameBack/to_the_present, 15 of 1,365 in one play of TestUpgradesLoseNothing/from_the_present_to_names; 2 of 12 plays in which weights are named just after most of 14 or 20 daemons were told to end or killed (12 and 18 of some 970), first load after 2.8 s.

Cause: the daemon that reads the store is to take the lease first, and was leaving. Each of the others draws whether it tries, at five of all, and stands by that for 2.5 to 7.5 s. With three left of 20 nobody tries in 42 of 100 cases.

Evidence: "The lease is held" 2.7 s after "A version of weights is named", with nobody trying before.

Why this works: the chance grows from today's to 1 by the same factor in each part of a time, an eighth of the time that a named version has, after as long for the one that is first. It counts from when a holder that was heard of has lapsed, and not while nobody reaches the store, so that few call it.

--- a/cmd/internal/daemon/bounds.go
+++ b/cmd/internal/daemon/bounds.go
@@ -44,6 +44,14 @@
 	// actShare of the lease's duration is how long after a renewal orders may be given. A
 	// renewal is due after a third.
 	actShare = 0.5
+	// updatePatienceShare of the time in which a named version must be in use is how long an update waits for the daemon
+	// that is to begin it, and as long again until all others have tried: loads need most of the rest.
+	updatePatienceShare = 0.125
+	// leastUpdatePatience holds where no such time is set.
+	leastUpdatePatience = 250 * time.Millisecond
+	// reachedIntervals is how many intervals of the daemon that reads for all its last news may be old while the store
+	// counts as reached: another one takes over in that time.
+	reachedIntervals = 4
 	// leaseLinger is how long the lease is kept after the last work.
 	leaseLinger = time.Second
 	// checkShare of the time in which a configuration must be in force, and keyCheckShare
@@ -102,6 +110,11 @@
 	return platform.Milliseconds(bounds.LeaseMs)
 }
 
+// updatePatience is how long an update of weights waits for the daemon that is to begin it.
+func updatePatience(bounds platform.Bounds) time.Duration {
+	return max(time.Duration(updatePatienceShare*float64(platform.Milliseconds(bounds.VersionMs))), leastUpdatePatience)
+}
+
 // leaseDuration is how long a grant of the lease of weight updates lasts.
 func leaseDuration(bounds platform.Bounds) time.Duration {
 	return time.Duration(leaseShare * float64(platform.Milliseconds(bounds.LeaseMs)))
--- a/cmd/internal/daemon/duty.go
+++ b/cmd/internal/daemon/duty.go
@@ -17,7 +17,12 @@
 	bounds := w.settings.Bounds
 	duty := &leasekeeper.Duty{
 		Pending: func() bool { return w.weights.Pending() }, First: w.directory.ReadsForAll,
-		Candidate: &leasekeeper.Candidate{Count: w.members.Count, Share: w.shareOfRoom, Held: w.holdsLease},
+		Patience: updatePatience(bounds),
+		Candidate: &leasekeeper.Candidate{
+			Count: w.members.Count, Share: w.shareOfRoom, Held: w.holdsLease, Growth: updatePatience(bounds),
+		},
+		HolderHeardAt: func() time.Time { return w.follower.HeardAt() }, Lapse: leaseDuration(bounds),
+		Reachable: func() bool { return clock.Since(w.directory.ConfirmedAt()) < reachedIntervals*checkInterval(bounds) },
 		Linger:    rest(bounds) + leaseLinger,
 	}
 	w.keeper = leasekeeper.New(leasekeeper.Options{
--- a/internal/leasekeeper/candidate.go
+++ b/internal/leasekeeper/candidate.go
@@ -1,6 +1,7 @@
 package leasekeeper
 
 import (
+	"math"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -18,8 +19,8 @@
 )
 
 // Candidate decides whether a daemon tries for a lease, so that with hundreds of
-// daemons only a few read its row. Each draws lots anew from time to time, so that
-// there are candidates whichever daemons are gone.
+// daemons only a few read its row. Each draws lots anew from time to time. While nobody takes the lease more and more of
+// them try, in the end all, since those that were drawn may be gone.
 type Candidate struct {
 	// Count returns how many daemons there may be.
 	Count func() int
@@ -28,25 +29,46 @@
 	Share func() float64
 	// Held tells whether this daemon holds the lease; a holder stays a candidate.
 	Held func() bool
+	// Growth is within what time of waiting all daemons have become candidates: their number grows by the same factor in
+	// each part of it. Zero never makes them more.
+	Growth time.Duration
 
-	mutex  sync.Mutex
-	drawn  bool
+	mutex sync.Mutex
+	// lot is between 0 and 1; the daemon is a candidate while its chance is greater.
+	lot    float64
 	redraw time.Time
 }
 
-// Eligible tells whether the daemon tries for the lease now.
-func (c *Candidate) Eligible(now time.Time) bool {
+// Eligible tells whether the daemon tries for the lease now, for which nobody has waited.
+func (c *Candidate) Eligible(now time.Time) bool { return c.EligibleAfter(now, 0) }
+
+// EligibleAfter tells whether the daemon tries for the lease now, which nobody has taken for a time.
+func (c *Candidate) EligibleAfter(now time.Time, waited time.Duration) bool {
 	count := c.Count()
 	if count <= expectedCandidates || c.Held() {
 		return true
 	}
+	return c.drawn(now) < c.chance(count, waited)
+}
+
+// drawn returns the daemon's lot.
+func (c *Candidate) drawn(now time.Time) float64 {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	if now.After(c.redraw) {
 		c.redraw = now.Add(candidateTime/2 + rand.N(candidateTime))
-		c.drawn = rand.Float64() < expectedCandidates*c.share(count)
+		c.lot = rand.Float64()
+	}
+	return c.lot
+}
+
+// chance is that of a candidate once nobody has taken the lease for a time.
+func (c *Candidate) chance(count int, waited time.Duration) float64 {
+	first := expectedCandidates * c.share(count)
+	if c.Growth <= 0 || waited <= 0 || first >= 1 {
+		return first
 	}
-	return c.drawn
+	return math.Pow(first, 1-min(float64(waited)/float64(c.Growth), 1))
 }
 
 // share is the chance of one candidate's lot.
--- a/internal/leasekeeper/duty.go
+++ b/internal/leasekeeper/duty.go
@@ -9,10 +9,6 @@
 // ends.
 const lookInterval = 200 * time.Millisecond
 
-// candidatePatience is how long the daemon that is to take the lease first has for it
-// before others try.
-const candidatePatience = time.Second
-
 // Duty decides whether a daemon tries for a lease that is needed only while there is
 // work: nobody holds it, or calls the table for it, while there is none.
 type Duty struct {
@@ -20,8 +16,17 @@
 	Pending func() bool
 	// First tells whether this daemon is to take the lease at once; others wait.
 	First func() bool
+	// Patience is how long the one that is to take the lease first has for it before others try.
+	Patience time.Duration
 	// Candidate draws who tries beside it.
 	Candidate *Candidate
+	// HolderHeardAt tells when a holder of the lease was last heard of, and Lapse after how long its lease has surely lapsed;
+	// nil hears of none. More candidates try only from then on.
+	HolderHeardAt func() time.Time
+	Lapse         time.Duration
+	// Reachable tells whether any daemon reaches the table; nil takes it for reached. While none does, more candidates
+	// gain nothing.
+	Reachable func() bool
 	// Linger is how long a holder keeps the lease after the work: the next one need not
 	// wait then.
 	Linger time.Duration
@@ -31,39 +36,62 @@
 	lookedAt time.Time
 	// since is when the present work was first seen, and last when there was any.
 	since, last time.Time
+	// unreachedAt is when no daemon was last known to reach the table.
+	unreachedAt time.Time
 }
 
 // Eligible tells whether the daemon tries for the lease now.
 func (d *Duty) Eligible(now time.Time) bool {
 	held := d.Candidate.Held()
-	since, last := d.note(now)
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	d.note(now)
 	switch {
 	case held:
-		return now.Sub(last) <= d.Linger
-	case since.IsZero():
+		return now.Sub(d.last) <= d.Linger
+	case d.since.IsZero():
 		return false
 	default:
-		return d.First() || (now.Sub(since) > candidatePatience && d.Candidate.Eligible(now))
+		return d.First() || d.othersTry(now)
 	}
 }
 
-// note looks whether there is work.
-func (d *Duty) note(now time.Time) (since, last time.Time) {
-	d.mutex.Lock()
-	defer d.mutex.Unlock()
+// othersTry tells whether this daemon tries though another one is to take the lease first. The caller holds the mutex.
+func (d *Duty) othersTry(now time.Time) bool {
+	from := d.since.Add(d.Patience)
+	return now.After(from) && d.Candidate.EligibleAfter(now, now.Sub(d.untakenSince(from)))
+}
+
+// untakenSince is since when nobody takes the lease though somebody could. The caller holds the mutex.
+func (d *Duty) untakenSince(from time.Time) time.Time {
+	if d.HolderHeardAt != nil {
+		from = later(from, d.HolderHeardAt().Add(d.Lapse))
+	}
+	return later(from, d.unreachedAt)
+}
+
+func later(left, right time.Time) time.Time {
+	if left.After(right) {
+		return left
+	}
+	return right
+}
+
+// note looks whether there is work. The caller holds the mutex.
+func (d *Duty) note(now time.Time) {
 	if now.Sub(d.lookedAt) < lookInterval {
-		return d.since, d.last
+		return
 	}
 	d.lookedAt = now
-	pending := d.Pending()
-	switch {
-	case !pending:
+	if !d.Pending() {
 		d.since = time.Time{}
-	case d.since.IsZero():
+		return
+	}
+	d.last = now
+	if d.since.IsZero() {
 		d.since = now
 	}
-	if pending {
-		d.last = now
+	if d.Reachable != nil && !d.Reachable() {
+		d.unreachedAt = now
 	}
-	return d.since, d.last
 }
--- a/internal/weightupdate/follower.go
+++ b/internal/weightupdate/follower.go
@@ -76,11 +76,16 @@
 	return true
 }
 
-// Hears tells whether a holder announces its plan, so that its row need not be read.
-func (f *Follower) Hears() bool {
+// HeardAt is when a holder last announced its plan; zero is never.
+func (f *Follower) HeardAt() time.Time {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	return clock.Since(f.heardAt) < announcementTimeout
+	return f.heardAt
+}
+
+// Hears tells whether a holder announces its plan, so that its row need not be read.
+func (f *Follower) Hears() bool {
+	return clock.Since(f.HeardAt()) < announcementTimeout
 }
 
 // Run follows the plan until the context ends. The row is read only while nobody has
