Bound the takeover from a reader that is gone by how old news may become

Cause: eight successors took over 0.1 s apart by rank over all known daemons, those that are gone among them; the others followed after 0.8 s, 0.3 s drawn and 4 ms a daemon drawn, on top of 1.5 intervals and 0.3 s. That sum did not go by the age up to which requests are served: 1.2 s where revokeMs is 1.5 s.

Evidence: "This daemon reads the store for all" with without_news_ms above 1,200.

Why this works: the number of daemons that have taken over grows by the same factor in each part of the time that is left until news is too old, less 0.2 s for the call, so that the last one is in time however many are gone. At first they are 0.1 s apart as before where that is earlier. Against many readers at a silent store, where each would wait for its call's end (3 s) before it told others: it tells so after half a second without an answer.

--- a/cmd/internal/daemon/bounds.go
+++ b/cmd/internal/daemon/bounds.go
@@ -80,6 +80,19 @@
 	return interval
 }
 
+// newsBound is how old what is known of operators' declarations may become: requests with keys, or of a service that moves
+// to another version, are refused from then on, or a configuration must be in force.
+func newsBound(bounds platform.Bounds) time.Duration {
+	bound := platform.Milliseconds(bounds.ConfigApplyMs)
+	if bounds.RevokeFailClosed && bounds.RevokeMs > 0 {
+		bound = min(bound, time.Duration(confirmationShare*float64(platform.Milliseconds(bounds.RevokeMs))))
+	}
+	if bounds.OffersRollouts() && bounds.RollbackMs > 0 {
+		bound = min(bound, softwareConfirmationLimit(bounds))
+	}
+	return bound
+}
+
 // quietTime is how long no daemon must have reached the store before failed calls show that it is
 // disturbed: the time in which daemons in touch hear of each other, and that in which another one takes
 // over from a reader that is gone.
--- a/cmd/internal/daemon/wire.go
+++ b/cmd/internal/daemon/wire.go
@@ -199,7 +199,7 @@
 		Quarantine: w.crashes, Software: bounds.OffersRollouts(),
 		Source: w.store, Pool: w.backends, Log: w.part("directory"),
 		Self: w.link.Address(), Tell: w.tell,
-		Interval: checkInterval(bounds), Others: w.members.Others, OnMembers: w.members.Set,
+		Interval: checkInterval(bounds), NewsBound: newsBound(bounds), Others: w.members.Others, OnMembers: w.members.Set,
 		Peers: peersync.NewClient(w.pool, w.link.Address(), func(address string, bytes int) {
 			traffic.sent(kindSnapshot, w.distanceTo(address), bytes)
 		}),
--- a/internal/core/rendezvous/rendezvous.go
+++ b/internal/core/rendezvous/rendezvous.go
@@ -124,6 +124,18 @@
 	return count > 0
 }
 
+// WeightedRank is how many of the members rank before one of them for the key, as WeightedTop ranks them.
+func WeightedRank[Member ~string](key uint64, member Member, members []Member, weight func(Member) float64) int {
+	own := weigh(key, member, weight(member))
+	rank := 0
+	for _, other := range members {
+		if other != member && weigh(key, other, weight(other)).compare(own) < 0 {
+			rank++
+		}
+	}
+	return rank
+}
+
 // weighted is a member with its place in a ranking.
 type weighted[Member ~string] struct {
 	member Member
--- a/internal/core/rendezvous/rendezvous_test.go
+++ b/internal/core/rendezvous/rendezvous_test.go
@@ -126,6 +126,18 @@
 	})
 }
 
+// TestRankIsThePlaceInTheRanking compares the rank of one member with its place in the ranking of all.
+func TestRankIsThePlaceInTheRanking(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		key := rapid.Uint64().Draw(t, "key")
+		members := rapid.SliceOfNDistinct(rapid.StringMatching("[a-z]{1,3}"), 1, 60, rapid.ID).Draw(t, "members")
+		weight := func(member string) float64 { return float64(len(member)) }
+		for rank, member := range WeightedTop(key, members, weight, len(members)) {
+			assert.Equal(t, WeightedRank(key, member, members, weight), rank)
+		}
+	})
+}
+
 // BenchmarkRanking ranks 340 daemons for a key, for the first two by scores alone (21 microseconds; 73 where all are
 // sorted for it) and by capacity (42; 170), and for all by capacity (147).
 func BenchmarkRanking(b *testing.B) {
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -85,6 +85,9 @@
 	// Interval is how often the daemon that reads for all checks that what operators
 	// declared is still the newest; zero is a default.
 	Interval time.Duration
+	// NewsBound is how old what is known of operators' declarations may become at any daemon while the store answers: by then
+	// another daemon has taken over from one that read for all. Zero is a default.
+	NewsBound time.Duration
 	// GuessedNaming is when versions count as named that this daemon finds at its start and of
 	// which nobody tells. It must be so early that requests on older weights have ended by the time
 	// that this daemon is held to the true naming, which may be long before. Zero is longAgo.
@@ -221,7 +224,9 @@
 	// standing was written by a daemon.
 	standing *rollout.Standing
 	question *listQuestion
-	err      error
+	// unanswered is set where a check has had no answer for a while, and goes on.
+	unanswered bool
+	err        error
 }
 
 // New makes a Directory that knows nothing until it runs.
@@ -247,7 +252,7 @@
 		messages:  make(chan message),
 		bulletins: make(chan heardBulletin, waitingBulletins),
 		turn: newTurn(turnOptions{
-			self: options.Self, alone: options.Tell == nil, interval: options.Interval, others: options.Others,
+			self: options.Self, alone: options.Tell == nil, interval: options.Interval, newsBound: options.NewsBound, others: options.Others,
 			capacity: options.Topology.CapacityOf, storeTime: options.StoreTime,
 		}),
 		positions: map[table]*atomic.Uint64{tableDeclared: {}, tableBackends: {}, tableMembers: {}},
@@ -312,7 +317,7 @@
 		d.noteReachability(got)
 	}
 	switch {
-	case got.err != nil:
+	case got.err != nil, got.unanswered:
 		d.tellTrying(got.ended)
 	case got.declared != nil:
 		d.applyDeclared(got)
--- a/internal/directory/reader.go
+++ b/internal/directory/reader.go
@@ -221,7 +221,8 @@
 }
 
 // checkHedged makes the call anew while it has no answer, and takes the first answer to any
-// of them: the store may be slow, or have lost that one.
+// of them: the store may be slow, or have lost that one. Others hear of it, so that not all of them take over from a daemon
+// whose store is silent for all.
 func (d *Directory) checkHedged(ctx context.Context, rows map[string]uint64) check {
 	bounded, cancel := context.WithTimeout(ctx, callTimeout+hedgedChecks*hedgeTime)
 	defer cancel()
@@ -239,6 +240,7 @@
 			timer.Stop()
 			return answer
 		case <-timer.C:
+			d.post(ctx, message{ended: clock.Now(), unanswered: true})
 		}
 	}
 	return <-answers
--- /dev/null
+++ b/internal/directory/takeover_test.go
@@ -0,0 +1,105 @@
+package directory
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+	"pgregory.net/rapid"
+
+	"github.com/lotusward/lotusward/internal/core/backendpool"
+	"github.com/lotusward/lotusward/internal/logging"
+)
+
+// takeoverSetting is how often news comes and how old it may become.
+type takeoverSetting struct{ interval, bound time.Duration }
+
+// takeoverSettings are of bounds that revoked keys and configurations set.
+var takeoverSettings = []takeoverSetting{
+	{300 * time.Millisecond, 1200 * time.Millisecond}, {500 * time.Millisecond, 2 * time.Second}, {500 * time.Millisecond, 4 * time.Second},
+}
+
+// waitingTurns are the turns of some of the daemons of a fleet, whose reader told news at a moment and is gone.
+func waitingTurns(setting takeoverSetting, daemons int, left []int, newsAt time.Time) []*turn {
+	addresses := make([]string, daemons)
+	for index := range addresses {
+		addresses[index] = turnAddress(index)
+	}
+	var turns []*turn
+	for _, index := range left {
+		made := newTurn(turnOptions{
+			self: addresses[index], interval: setting.interval, newsBound: setting.bound, others: func() []string { return addresses },
+		})
+		made.open()
+		made.newsAt, made.newsFrom = newsAt, addresses[0]
+		turns = append(turns, made)
+	}
+	return turns
+}
+
+// TestReaderIsReplacedWhoeverIsGone kills the reader and any number of the others, the first of its successors too: one of those left
+// takes over before requests are refused for news that is too old. It once took over after that.
+func TestReaderIsReplacedWhoeverIsGone(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		setting := rapid.SampledFrom(takeoverSettings).Draw(t, "setting")
+		daemons := rapid.SampledFrom([]int{3, 24, 295, 985}).Draw(t, "daemons")
+		left := rapid.SliceOfNDistinct(rapid.IntRange(1, daemons-1), 1, 4, rapid.ID[int]).Draw(t, "left")
+		newsAt := time.Unix(1_000_000, 0)
+		due := newsAt.Add(setting.bound - readingMargin + time.Millisecond)
+		for _, turn := range waitingTurns(setting, daemons, left, newsAt) {
+			assert.Assert(t, turn.due(due, tableDeclared).begins, "one of %d daemons waits on", daemons)
+		}
+	})
+}
+
+// TestSilentCallIsToldOf has a daemon whose check of the store has no answer tell so before others take over from it.
+func TestSilentCallIsToldOf(t *testing.T) {
+	source := &slowSource{memorySource: &memorySource{declared: declaration(10, 7)}, takes: time.Hour}
+	tried := make(chan time.Time, 1)
+	directory := New(Options{
+		Source: source, Pool: backendpool.New("a"), Log: logging.Discard(), Self: "a", Interval: testInterval,
+		Tell: func(bulletin Bulletin) {
+			if bulletin.Trying {
+				select {
+				case tried <- time.Now():
+				default:
+				}
+			}
+		},
+	})
+	go func() { _ = directory.Run(t.Context()) }()
+	poll.WaitOn(t, inForce(directory, 7))
+	select {
+	case at := <-tried:
+		assert.Assert(t, at.Sub(directory.ConfirmedAt()) < directory.turn.overdueAfter()+hedgeTime)
+	case <-time.After(callTimeout):
+		t.Fatal("the daemon doesn't tell that the store is silent")
+	}
+}
+
+// TestFewTakeOverAtFirst has few of the daemons take over in the first moments, while the news of the first is on its way.
+func TestFewTakeOverAtFirst(t *testing.T) {
+	const onItsWay = 60 * time.Millisecond
+	for _, setting := range takeoverSettings {
+		for _, daemons := range []int{24, 295, 985} {
+			t.Run(fmt.Sprint(setting, daemons), func(t *testing.T) {
+				var all []int
+				for index := range daemons - 1 {
+					all = append(all, index+1)
+				}
+				newsAt := time.Unix(1_000_000, 0)
+				began := 0
+				turns := waitingTurns(setting, daemons, all, newsAt)
+				at := newsAt.Add(turns[0].overdueAfter() + onItsWay)
+				for _, turn := range turns {
+					if turn.due(at, tableDeclared).begins {
+						began++
+					}
+				}
+				assert.Assert(t, began >= 1 && began <= successors, "%d of %d daemons took over", began, daemons)
+			})
+		}
+	}
+}
--- a/internal/directory/turn.go
+++ b/internal/directory/turn.go
@@ -1,6 +1,7 @@
 package directory
 
 import (
+	"math"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -16,16 +17,19 @@
 	// only with luck, but a second reader does no harm.
 	missedNews = 1.5
 	newsMargin = 300 * time.Millisecond
-	// successors are the daemons that take over first from a reader that is gone, one
-	// after the other, successorPause apart; the others follow after othersPause,
-	// spread over othersSpread and more for each daemon, so that hundreds of daemons
-	// don't all read when only the first few were gone too. The store may turn away a
+	// successorPause lies between the first daemons that take over from a reader that is gone, one after the other in the
+	// order of their ranks. Many of these may be gone too: later ones follow each other faster, so that the last one takes
+	// over in time.
+	successorPause = 100 * time.Millisecond
+	// readingMargin of the time in which there must be news is for the call of the one that takes over, and for telling it;
+	// leastTakeover is how long a takeover may last where too little time is left.
+	readingMargin = 200 * time.Millisecond
+	leastTakeover = 100 * time.Millisecond
+	// defaultNewsIntervals is how many intervals old news may be where no bound is set.
+	defaultNewsIntervals = 4
+	// successors is how many daemons don't wait longer while calls of the store fail. The store may turn away a
 	// half of the daemons: eight are all among them in four cases of a thousand.
-	successors      = 8
-	successorPause  = 100 * time.Millisecond
-	othersPause     = 800 * time.Millisecond
-	othersSpread    = 300 * time.Millisecond
-	spreadPerDaemon = 4 * time.Millisecond
+	successors = 8
 	// triersPerInterval is how many more daemons than the successors try in the time between
 	// two news, while those that do fail: the store may serve others.
 	triersPerInterval = 1
@@ -68,6 +72,8 @@
 	alone bool
 	// interval is how often the reader tells news at least.
 	interval time.Duration
+	// newsBound is how old news may become at any daemon; zero is a default.
+	newsBound time.Duration
 	// others returns the addresses of the other daemons, and capacity the room of one's machine
 	// relative to others'; nil takes all for equal.
 	others   func() []string
@@ -109,6 +115,9 @@
 }
 
 func newTurn(options turnOptions) *turn {
+	if options.newsBound == 0 {
+		options.newsBound = defaultNewsIntervals * options.interval
+	}
 	if options.others == nil {
 		options.others = func() []string { return nil }
 	}
@@ -298,7 +307,7 @@
 	if t.newsAt.IsZero() {
 		return 0
 	}
-	least := time.Duration(missedNews*float64(t.options.interval)) + newsMargin
+	least := t.overdueAfter()
 	if left := least - now.Sub(t.newsAt); left > 0 {
 		return left
 	}
@@ -316,6 +325,11 @@
 	return left
 }
 
+// overdueAfter is how old news is when it is overdue.
+func (t *turn) overdueAfter() time.Duration {
+	return time.Duration(missedNews*float64(t.options.interval)) + newsMargin
+}
+
 // extension is how much longer this daemon waits since another one's call of the store
 // failed. The store may turn that one away and serve others: the successors don't wait for
 // longer.
@@ -329,9 +343,18 @@
 // rank is this daemon's place among the first successors of the reader before; negative if it
 // is none of them.
 func (t *turn) rank() int {
-	others := slices.DeleteFunc(slices.Clone(t.options.others()), func(address string) bool { return address == t.newsFrom })
-	first := rendezvous.WeightedTop(rendezvous.Key(t.newsFrom), append(others, t.options.self), t.options.capacity, successors)
-	return slices.Index(first, t.options.self)
+	rank, _ := t.place()
+	if rank >= successors {
+		return -1
+	}
+	return rank
+}
+
+// place is this daemon's rank among all that may take over from the reader before, and how many these are.
+func (t *turn) place() (rank, count int) {
+	candidates := slices.DeleteFunc(slices.Clone(t.options.others()), func(address string) bool { return address == t.newsFrom })
+	rank = rendezvous.WeightedRank(rendezvous.Key(t.newsFrom), t.options.self, candidates, t.options.capacity)
+	return rank, len(candidates) + 1
 }
 
 // handicap is how much longer this daemon waits since its calls of the store take long.
@@ -339,10 +362,23 @@
 	return min(storeTimeFactor*t.options.storeTime(), longestHandicap)
 }
 
+// takeoverTime is within what time of overdue news the last daemon takes over.
+func (t *turn) takeoverTime() time.Duration {
+	return max(t.options.newsBound-t.overdueAfter()-readingMargin, leastTakeover)
+}
+
 // delay is how long after overdue news this daemon takes over from the reader before.
 func (t *turn) delay() time.Duration {
-	if rank := t.rank(); rank >= 0 {
-		return time.Duration(rank)*successorPause + t.handicap()
+	rank, count := t.place()
+	return min(takeoverDelay(rank, count, t.takeoverTime())+t.handicap(), t.takeoverTime())
+}
+
+// takeoverDelay is after how long a daemon of a rank takes over, of a number of daemons. How many have taken over grows by
+// the same factor in each part of the time for it, and more slowly at first where there is time enough.
+func takeoverDelay(rank, count int, within time.Duration) time.Duration {
+	if rank == 0 {
+		return 0
 	}
-	return othersPause + t.handicap() + rand.N(othersSpread+time.Duration(len(t.options.others()))*spreadPerDaemon)
+	share := math.Log(float64(rank+1)) / math.Log(float64(count))
+	return min(time.Duration(rank)*successorPause, time.Duration(share*float64(within)))
 }
