Have a test's server say that another process listens at its address

Cause: the test's log was discarded and any listener satisfied its wait. Ports were drawn, checked and listened on a moment later; another test process could listen there meanwhile, and answer nothing.

--- a/internal/peersync/peersync_test.go
+++ b/internal/peersync/peersync_test.go
@@ -19,7 +19,6 @@
 	"github.com/lotusward/lotusward/internal/core/member"
 	"github.com/lotusward/lotusward/internal/directory"
 	"github.com/lotusward/lotusward/internal/freeport/freeporttest"
-	"github.com/lotusward/lotusward/internal/logging"
 	"github.com/lotusward/lotusward/internal/port"
 )
 
@@ -49,19 +48,30 @@
 func serveTeller(t *testing.T, told Teller) string {
 	t.Helper()
 	address := freeporttest.Address(t)
-	server := NewServer(address, told, logging.Discard())
+	log, lines := logtest.NewNullLogger()
+	server := NewServer(address, told, log)
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
 	go func() { _ = server.Run(ctx) }()
-	poll.WaitOn(t, func(poll.LogT) poll.Result {
-		connection, err := net.Dial("tcp4", address)
+	poll.WaitOn(t, answers(address, lines), poll.WithDelay(5*time.Millisecond))
+	return address
+}
+
+// answers tells whether a server answers at an address: another process may listen there and answer nothing, which the
+// server's log tells.
+func answers(address string, lines *logtest.Hook) poll.Check {
+	client := http.Client{Timeout: 200 * time.Millisecond}
+	return func(poll.LogT) poll.Result {
+		if entry := lines.LastEntry(); entry != nil {
+			return poll.Error(fmt.Errorf("%s %v", entry.Message, entry.Data))
+		}
+		answer, err := client.Get("http://" + address + "/")
 		if err != nil {
 			return poll.Continue("%v", err)
 		}
-		_ = connection.Close()
+		_ = answer.Body.Close()
 		return poll.Success()
-	}, poll.WithDelay(5*time.Millisecond))
-	return address
+	}
 }
 
 // TestSnapshotsAreCarriedWhole asks a server: it sees what the asker has and needs, and the
