--- a/cmd/lotusward/callers_test.go
+++ b/cmd/lotusward/callers_test.go
@@ -2,8 +2,12 @@
 
 import (
 	"fmt"
+	"net/http"
 	"sync"
+	"testing"
 	"time"
+
+	"gotest.tools/v3/assert"
 )
 
 // askInterval lies between two requests of one caller, where nothing else is set.
@@ -52,6 +56,19 @@
 	c.asking.Wait()
 }
 
+// checkServed holds that all requests were served. Nobody may ask any more.
+func (c *callers) checkServed(t *testing.T) {
+	t.Helper()
+	var lost []string
+	for _, one := range c.asked {
+		if one.got.err != nil || one.got.status != http.StatusOK {
+			lost = append(lost, fmt.Sprintf("%s at %s: %d %v, as %s", one.call.id, one.at.name, one.got.status, one.got.err, one.at.reasonOf(one.call.id)))
+		}
+	}
+	t.Logf("%d of %d requests were lost", len(lost), len(c.asked))
+	assert.Check(t, len(lost) == 0, "%d of %d requests were lost: %s", len(lost), len(c.asked), firstOf(lost))
+}
+
 // askByTurns sends a request of one of the four kinds, by a count, and returns what its caller saw.
 func askByTurns(daemon *process, id string, count int) exchange {
 	sent := call{id: id, body: "body of " + id}
--- a/internal/directory/reader.go
+++ b/internal/directory/reader.go
@@ -193,6 +193,7 @@
 func (d *Directory) readDeclared(ctx context.Context) (message, follow) {
 	bounded, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
+	defer d.tellIfUnanswered(ctx)()
 	began := clock.Now()
 	declared, err := d.options.Source.Declared(bounded)
 	got := message{table: tableDeclared, began: began, ended: clock.Now(), declared: &declared, err: err}
@@ -221,11 +222,11 @@
 }
 
 // checkHedged makes the call anew while it has no answer, and takes the first answer to any
-// of them: the store may be slow, or have lost that one. Others hear of it, so that not all of them take over from a daemon
-// whose store is silent for all.
+// of them: the store may be slow, or have lost that one.
 func (d *Directory) checkHedged(ctx context.Context, rows map[string]uint64) check {
 	bounded, cancel := context.WithTimeout(ctx, callTimeout+hedgedChecks*hedgeTime)
 	defer cancel()
+	defer d.tellIfUnanswered(ctx)()
 	answers := make(chan check, hedgedChecks)
 	call := func() {
 		began := clock.Now()
@@ -240,12 +241,18 @@
 			timer.Stop()
 			return answer
 		case <-timer.C:
-			d.post(ctx, message{ended: clock.Now(), unanswered: true})
 		}
 	}
 	return <-answers
 }
 
+// tellIfUnanswered tells others once a call has had no answer for a while, until the returned function is called: the store may be
+// silent for all, and not all need to take over from this daemon to find that out.
+func (d *Directory) tellIfUnanswered(ctx context.Context) (answered func() bool) {
+	timer := time.AfterFunc(hedgeTime, func() { d.post(ctx, message{ended: clock.Now(), unanswered: true}) })
+	return timer.Stop
+}
+
 func (d *Directory) readBackends(ctx context.Context) (message, follow) {
 	began := clock.Now()
 	listed, err := d.readPages(ctx)
--- a/internal/directory/turn.go
+++ b/internal/directory/turn.go
@@ -1,38 +1,12 @@
 package directory
 
 import (
-	"math"
-	"math/rand/v2"
-	"slices"
 	"sync"
 	"time"
-
-	"github.com/lotusward/lotusward/internal/core/rendezvous"
 )
 
 // Times and numbers of turns.
 const (
-	// missedNews and newsMargin say when news is overdue: after so many intervals of
-	// the reader, and a while for the call and the way. One lost datagram is borne
-	// only with luck, but a second reader does no harm.
-	missedNews = 1.5
-	newsMargin = 300 * time.Millisecond
-	// successorPause lies between the first daemons that take over from a reader that is gone, one after the other in the
-	// order of their ranks. Many of these may be gone too: later ones follow each other faster, so that the last one takes
-	// over in time.
-	successorPause = 100 * time.Millisecond
-	// readingMargin of the time in which there must be news is for the call of the one that takes over, and for telling it;
-	// leastTakeover is how long a takeover may last where too little time is left.
-	readingMargin = 200 * time.Millisecond
-	leastTakeover = 100 * time.Millisecond
-	// defaultNewsIntervals is how many intervals old news may be where no bound is set.
-	defaultNewsIntervals = 4
-	// successors is how many daemons don't wait longer while calls of the store fail. The store may turn away a
-	// half of the daemons: eight are all among them in four cases of a thousand.
-	successors = 8
-	// triersPerInterval is how many more daemons than the successors try in the time between
-	// two news, while those that do fail: the store may serve others.
-	triersPerInterval = 1
 	// ownReadingInterval is how often a daemon reads though another one tells it, so
 	// that its idea of the store's clock stays true: usual steady clocks differ by less than
 	// 100 parts in a million, which is 60 ms in this time and within clockSlack.
@@ -44,11 +18,6 @@
 	// their addresses are. Daemons that don't know another's capacity yet take it for a small
 	// machine's.
 	clearlyMore = 2
-	// storeTimeFactor times the time of its calls of the store is how much longer a daemon waits
-	// before it reads for all, so that one near the store is first: some 0.2 s from another region.
-	// longestHandicap bounds it, since the store may be slow for all.
-	storeTimeFactor = 4
-	longestHandicap = 300 * time.Millisecond
 	// shortestTurnCheck bounds how often it looks.
 	shortestTurnCheck = 10 * time.Millisecond
 )
@@ -301,84 +270,3 @@
 	}
 	return begun
 }
-
-// patienceLeft is how much longer this daemon waits for news. The caller holds the mutex.
-func (t *turn) patienceLeft(now time.Time) time.Duration {
-	if t.newsAt.IsZero() {
-		return 0
-	}
-	least := t.overdueAfter()
-	if left := least - now.Sub(t.newsAt); left > 0 {
-		return left
-	}
-	if t.patienceFor != t.newsAt {
-		t.patienceFor = t.newsAt
-		t.patience = least + t.delay()
-		t.extended = false
-	}
-	left := t.patience - now.Sub(t.newsAt)
-	if left <= 0 && !t.extended && now.Sub(t.triedAt) < 2*t.options.interval {
-		t.extended = true
-		t.patience += t.extension()
-		left = t.patience - now.Sub(t.newsAt)
-	}
-	return left
-}
-
-// overdueAfter is how old news is when it is overdue.
-func (t *turn) overdueAfter() time.Duration {
-	return time.Duration(missedNews*float64(t.options.interval)) + newsMargin
-}
-
-// extension is how much longer this daemon waits since another one's call of the store
-// failed. The store may turn that one away and serve others: the successors don't wait for
-// longer.
-func (t *turn) extension() time.Duration {
-	if t.rank() >= 0 {
-		return 0
-	}
-	return rand.N(time.Duration(len(t.options.others())+1) * t.options.interval / triersPerInterval)
-}
-
-// rank is this daemon's place among the first successors of the reader before; negative if it
-// is none of them.
-func (t *turn) rank() int {
-	rank, _ := t.place()
-	if rank >= successors {
-		return -1
-	}
-	return rank
-}
-
-// place is this daemon's rank among all that may take over from the reader before, and how many these are.
-func (t *turn) place() (rank, count int) {
-	candidates := slices.DeleteFunc(slices.Clone(t.options.others()), func(address string) bool { return address == t.newsFrom })
-	rank = rendezvous.WeightedRank(rendezvous.Key(t.newsFrom), t.options.self, candidates, t.options.capacity)
-	return rank, len(candidates) + 1
-}
-
-// handicap is how much longer this daemon waits since its calls of the store take long.
-func (t *turn) handicap() time.Duration {
-	return min(storeTimeFactor*t.options.storeTime(), longestHandicap)
-}
-
-// takeoverTime is within what time of overdue news the last daemon takes over.
-func (t *turn) takeoverTime() time.Duration {
-	return max(t.options.newsBound-t.overdueAfter()-readingMargin, leastTakeover)
-}
-
-// delay is how long after overdue news this daemon takes over from the reader before.
-func (t *turn) delay() time.Duration {
-	rank, count := t.place()
-	return min(takeoverDelay(rank, count, t.takeoverTime())+t.handicap(), t.takeoverTime())
-}
-
-// takeoverDelay is after how long a daemon of a rank takes over, of a number of daemons. How many have taken over grows by
-// the same factor in each part of the time for it, and more slowly at first where there is time enough.
-func takeoverDelay(rank, count int, within time.Duration) time.Duration {
-	if rank == 0 {
-		return 0
-	}
-	share := math.Log(float64(rank+1)) / math.Log(float64(count))
-	return min(time.Duration(rank)*successorPause, time.Duration(share*float64(within)))
-}
