--- a/internal/leasekeeper/candidate.go
+++ b/internal/leasekeeper/candidate.go
@@ -29,8 +29,8 @@
 	Share func() float64
 	// Held tells whether this daemon holds the lease; a holder stays a candidate.
 	Held func() bool
-	// Growth is within what time of waiting all daemons have become candidates: their number grows by the same factor in
-	// each part of it. Zero never makes them more.
+	// Growth is how long nobody must have taken the lease until all daemons are candidates: their number grows by the same
+	// factor in each part of it. Zero leaves them as few as at first.
 	Growth time.Duration
 
 	mutex sync.Mutex
@@ -39,10 +39,10 @@
 	redraw time.Time
 }
 
-// Eligible tells whether the daemon tries for the lease now, for which nobody has waited.
+// Eligible tells whether the daemon tries for a lease that has just become free.
 func (c *Candidate) Eligible(now time.Time) bool { return c.EligibleAfter(now, 0) }
 
-// EligibleAfter tells whether the daemon tries for the lease now, which nobody has taken for a time.
+// EligibleAfter tells whether the daemon tries for a lease that nobody has taken for a time.
 func (c *Candidate) EligibleAfter(now time.Time, waited time.Duration) bool {
 	count := c.Count()
 	if count <= expectedCandidates || c.Held() {
@@ -62,7 +62,7 @@
 	return c.lot
 }
 
-// chance is that of a candidate once nobody has taken the lease for a time.
+// chance is the daemon's chance of being a candidate once nobody has taken the lease for a time.
 func (c *Candidate) chance(count int, waited time.Duration) float64 {
 	first := expectedCandidates * c.share(count)
 	if c.Growth <= 0 || waited <= 0 || first >= 1 {
