--- a/cmd/lotusward/earlierlist_test.go
+++ b/cmd/lotusward/earlierlist_test.go
@@ -13,8 +13,8 @@
 	"github.com/lotusward/lotusward/platform/standin"
 )
 
-// loadsForgotten is after how long a holder no longer tells that a back end has new weights.
-const loadsForgotten = 3 * time.Second
+// loadsForgotten is after how long a holder surely no longer tells that a back end has new weights.
+const loadsForgotten = 4 * time.Second
 
 // awaitLoads waits until all engines hold a version of the weights.
 func (d *deployment) awaitLoads(version uint64) {
