Tell a version of the list that its changes have reached the others with

Cause: the version was told without its changes as soon as it was known. Where it overtakes them on the way down the tree, each hearer lacks them and asks the teller. That they overtake is by reading.

--- a/internal/directory/bulletin.go
+++ b/internal/directory/bulletin.go
@@ -195,9 +195,11 @@
 	if !d.listed.Load() || !d.turn.readsForAll() || d.options.Tell == nil {
 		return
 	}
-	if d.versionDue(now) {
-		d.versionToldAt, d.versionTold = now, d.positions[tableBackends].Load()
-		d.options.Tell(Bulletin{Backends: &BackendNews{To: d.versionTold, Digest: d.backends.digest}})
+	mark := d.listMark
+	d.listMark = BackendNews{To: d.positions[tableBackends].Load(), Digest: d.backends.digest}
+	if d.versionDue(now, mark.To) {
+		d.versionToldAt, d.versionTold = now, mark.To
+		d.options.Tell(Bulletin{Backends: &mark})
 		return
 	}
 	if d.repeats > 0 {
@@ -206,12 +208,12 @@
 	}
 }
 
-// versionDue tells whether the version of the list is to be told without its changes. Daemons that missed these, and those
-// of builds that can't read them, find out by it that they have to ask or read.
-func (d *Directory) versionDue(now time.Time) bool {
+// versionDue tells whether a version of the list is to be told without its changes. Daemons that missed these, and those
+// of builds that can't read them, find out by it that they have to ask or read. It is that of a moment ago: ahead of its
+// changes it would have all daemons ask.
+func (d *Directory) versionDue(now time.Time, version uint64) bool {
 	since := now.Sub(d.versionToldAt)
-	changed := d.positions[tableBackends].Load() > d.versionTold
-	return since >= versionInterval || (changed && since >= changedVersionInterval)
+	return version > 0 && (since >= versionInterval || (version > d.versionTold && since >= changedVersionInterval))
 }
 
 // applyBulletin takes in what another daemon has read.
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -186,6 +186,8 @@
 	declaredToldTo int
 	// repeats is how often the last changes of the list are still to be told again.
 	repeats int
+	// listMark is the version and digest of the list as of the last repeat.
+	listMark BackendNews
 	// versionTold is the version of the list that was last told without its changes, at versionToldAt.
 	versionTold   uint64
 	versionToldAt time.Time
