--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -226,7 +226,7 @@
 	// standing was written by a daemon.
 	standing *rollout.Standing
 	question *listQuestion
-	// unanswered is set where a check has had no answer for a while, and goes on.
+	// unanswered is set where a reading or a check has had no answer for a while, and goes on.
 	unanswered bool
 	err        error
 }
