Show that callers of daemons without links to back ends are not served

httpexchange.Options.Dial and daemon.Options.Dial let the tests carry connections; nothing else changes.

--- a/cmd/internal/daemon/wire.go
+++ b/cmd/internal/daemon/wire.go
@@ -105,6 +105,8 @@
 	Started time.Time
 	// Placement is how back ends are chosen; empty is the usual way.
 	Placement backendpool.Placement
+	// Dial opens the daemon's TCP connections; nil uses the network directly.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 }
 
 // New connects the daemon's parts; nothing runs yet.
@@ -137,7 +139,7 @@
 
 // wireOutside makes the clients of the store and the runners.
 func (w *Daemon) wireOutside(counters *requestlog.Counters) {
-	w.pool = httpexchange.NewPool(httpexchange.Options{LocalAddress: w.settings.IP})
+	w.pool = httpexchange.NewPool(httpexchange.Options{LocalAddress: w.settings.IP, Dial: w.options.Dial})
 	w.store = platform.NewStore(w.pool, w.settings.Store.Address, &storeObserver{counters: counters, daemon: w})
 	if w.settings.Bounds.OffersRollouts() {
 		w.store.FollowRollouts()
--- a/cmd/lotusward/deployment_test.go
+++ b/cmd/lotusward/deployment_test.go
@@ -32,7 +32,7 @@
 
 func TestMain(m *testing.M) {
 	if os.Getenv(runAsDaemon) != "" {
-		os.Exit(start())
+		os.Exit(start(gatewayDial()))
 	}
 	os.Exit(m.Run())
 }
@@ -55,6 +55,8 @@
 	metrics string
 	openAI  string
 	admin   string
+	// gateway carries the daemon's connections; nil without one.
+	gateway *standin.Gateway
 	// startedAt is just before the process was started.
 	startedAt time.Time
 	mutex     sync.Mutex
@@ -83,6 +85,10 @@
 	memoryMegabytes int
 	// room is that of the machines of daemons that start; zero is not told.
 	room machineRoom
+	// zone is that of daemons that start; empty is "a".
+	zone string
+	// gateways puts a gateway between each daemon that starts and the back ends.
+	gateways bool
 }
 
 // machineRoom is what a machine has.
@@ -192,7 +198,7 @@
 	settings := fmt.Sprintf(`
 nodeName: %q
 ip: "127.0.0.1"
-zone: "a"
+zone: %q
 listen:
   front: %q
   ready: %q
@@ -204,7 +210,7 @@
   linkMbps: %g
 platform:
   address: %q
-bounds:%s`, name, made.front, made.ready, portOf(freeporttest.Address(d.t)), d.memoryMegabytes, d.room.cores, d.room.linkMbps, cmp.Or(d.storeAddress, d.store.Address()), d.bounds)
+bounds:%s`, name, cmp.Or(d.zone, "a"), made.front, made.ready, portOf(freeporttest.Address(d.t)), d.memoryMegabytes, d.room.cores, d.room.linkMbps, cmp.Or(d.storeAddress, d.store.Address()), d.bounds)
 	path := filepath.Join(d.t.TempDir(), "node.yaml")
 	assert.NilError(d.t, os.WriteFile(path, []byte(settings), 0o600))
 	made.metrics = freeporttest.Address(d.t)
@@ -212,6 +218,10 @@
 	made.command = exec.Command(program, "--metrics-port", portOf(made.metrics),
 		"--openai-port", portOf(made.openAI), "--admin-port", portOf(made.admin))
 	made.command.Env = append(os.Environ(), runAsDaemon+"=1", "LOTUSWARD_SETTINGS="+path, adminTokenVariable+"="+testToken)
+	if d.gateways {
+		made.gateway = d.newGateway()
+		made.command.Env = append(made.command.Env, gatewayVariable+"="+made.gateway.Address())
+	}
 	output, err := made.command.StdoutPipe()
 	assert.NilError(d.t, err)
 	made.command.Stderr = os.Stderr
--- a/cmd/lotusward/main.go
+++ b/cmd/lotusward/main.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"net"
 	"os"
 	"os/signal"
 	"syscall"
@@ -40,10 +41,14 @@
 const adminTokenVariable = "LOTUSWARD_ADMIN_TOKEN"
 
 func main() {
-	os.Exit(start())
+	os.Exit(start(nil))
 }
 
-func start() int {
+// dialFunc opens TCP connections.
+type dialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
+// start runs the program and returns its exit code. A nil dial uses the network directly.
+func start(dial dialFunc) int {
 	started := clock.Now()
 	var given options
 	given.Settings = os.Getenv(platform.SettingsVariable)
@@ -76,11 +81,11 @@
 		fmt.Println("no findings")
 		return exitcode.OK
 	}
-	return serve(settings, given, started)
+	return serve(settings, given, started, dial)
 }
 
 // serve runs the daemon until a signal or a failure.
-func serve(settings platform.Settings, given options, started time.Time) int {
+func serve(settings platform.Settings, given options, started time.Time, dial dialFunc) int {
 	writer := eventlog.NewWriter(os.Stdout)
 	defer writer.Stop(logFlushTime)
 	logger, err := eventlog.NewLogger(writer)
@@ -91,7 +96,7 @@
 	log := logging.Part(logger, "daemon").WithField("node", settings.NodeName)
 	made := daemon.New(settings, daemon.Options{
 		MetricsPort: given.Metrics, OpenAIPort: given.OpenAI, AdminPort: given.Admin, AdminToken: os.Getenv(adminTokenVariable),
-		Logger: logger, Writer: writer, Started: started,
+		Logger: logger, Writer: writer, Started: started, Dial: dial,
 	})
 
 	var group run.Group
--- a/internal/adapter/httpexchange/pool.go
+++ b/internal/adapter/httpexchange/pool.go
@@ -40,13 +40,15 @@
 	IdlePerPeer int
 	// LocalAddress is the IP that connections come from; empty is any.
 	LocalAddress string
+	// Dial opens TCP connections; nil uses a net.Dialer that applies LocalAddress. The context it is given ends after
+	// DialTimeout.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 }
 
 // Pool keeps unused connections by address. It is safe for use by several
 // goroutines.
 type Pool struct {
 	options Options
-	dialer  net.Dialer
 	mutex   sync.Mutex
 	idle    map[string][]*connection
 	opened  atomic.Uint64
@@ -64,11 +66,18 @@
 	if options.IdlePerPeer == 0 {
 		options.IdlePerPeer = DefaultIdlePerPeer
 	}
-	dialer := net.Dialer{Timeout: options.DialTimeout, KeepAlive: -1, Control: setUserTimeout}
+	if options.Dial == nil {
+		options.Dial = newDialer(options).DialContext
+	}
+	return &Pool{options: options, idle: map[string][]*connection{}}
+}
+
+func newDialer(options Options) *net.Dialer {
+	dialer := &net.Dialer{Timeout: options.DialTimeout, KeepAlive: -1, Control: setUserTimeout}
 	if ip := net.ParseIP(options.LocalAddress); ip != nil {
 		dialer.LocalAddr = &net.TCPAddr{IP: ip}
 	}
-	return &Pool{options: options, dialer: dialer, idle: map[string][]*connection{}}
+	return dialer
 }
 
 // Opened is how many connections were opened.
@@ -151,7 +160,9 @@
 }
 
 func (p *Pool) dial(ctx context.Context, address string) (*connection, error) {
-	socket, err := p.dialer.DialContext(ctx, "tcp4", address)
+	ctx, cancel := context.WithTimeout(ctx, p.options.DialTimeout)
+	defer cancel()
+	socket, err := p.options.Dial(ctx, "tcp4", address)
 	if err != nil {
 		return nil, err
 	}
