Send requests through other daemons while the own links to back ends are down

Cause: a daemon had no path but its own, found out back end by back end, and blamed the back end. Now a connection that fails is checked with a few other daemons (datagrams, three at first): where one reaches the back end, the link is down and the request goes through a daemon that reaches it, in one hop that never forwards again. Three links down with nothing heard since: all requests take that path at once. Requests that hang on a lost link count as no load and no failure; the prober and the crash evidence go by the same check.

Weighed and not taken: to hand whole requests to the other daemon, which would count limits and attempts twice; unreadiness, which takes two seconds and moves no open connection.

--- a/cmd/internal/daemon/serving.go
+++ b/cmd/internal/daemon/serving.go
@@ -43,13 +43,15 @@
 	// the last request has ended.
 	stopping atomic.Bool
 	stopped  chan struct{}
+	// waitForwarded waits for requests that are in flight for other daemons.
+	waitForwarded func(ctx context.Context)
 	// ledger accounts for what is held for callers.
 	ledger *buffers.Tracker
 	log    logrus.FieldLogger
 }
 
 func newServing(settings platform.Settings, relaying *relay.Relay, known *directory.Directory, informed func() bool, ledger *buffers.Tracker, log logrus.FieldLogger) *serving {
-	made := &serving{settings: settings, directory: known, informed: informed, ledger: ledger, log: log, stopped: make(chan struct{})}
+	made := &serving{settings: settings, directory: known, informed: informed, ledger: ledger, log: log, stopped: make(chan struct{}), waitForwarded: func(context.Context) {}}
 	made.addCallers(settings.Listen.Front, platform.NewFront(relaying, made.maximumBody, made.stopping.Load, ledger))
 	made.addOperators(settings.Listen.Ready, platform.ReadyHandler(made.isReady))
 	return made
@@ -145,6 +147,7 @@
 	for _, caller := range s.callers {
 		ended.Go(func() { s.end(ctx, caller.server) })
 	}
+	ended.Go(func() { s.waitForwarded(ctx) })
 	ended.Wait()
 }
 
--- a/cmd/internal/daemon/wire.go
+++ b/cmd/internal/daemon/wire.go
@@ -16,6 +16,7 @@
 	"github.com/lotusward/lotusward/internal/adapter/httpexchange"
 	"github.com/lotusward/lotusward/internal/administration"
 	"github.com/lotusward/lotusward/internal/backendlimit"
+	"github.com/lotusward/lotusward/internal/backendpath"
 	"github.com/lotusward/lotusward/internal/cachewatch"
 	"github.com/lotusward/lotusward/internal/clock"
 	"github.com/lotusward/lotusward/internal/core/backendpool"
@@ -27,6 +28,7 @@
 	"github.com/lotusward/lotusward/internal/crashwatch"
 	"github.com/lotusward/lotusward/internal/directory"
 	"github.com/lotusward/lotusward/internal/eventlog"
+	"github.com/lotusward/lotusward/internal/forward"
 	"github.com/lotusward/lotusward/internal/leasekeeper"
 	"github.com/lotusward/lotusward/internal/loadhome"
 	"github.com/lotusward/lotusward/internal/loadshare"
@@ -54,9 +56,12 @@
 	options  Options
 	logger   *logrus.Logger
 
-	pool     *httpexchange.Pool
-	store    *platform.Store
-	runners  *platform.Runners
+	pool    *httpexchange.Pool
+	store   *platform.Store
+	runners *platform.Runners
+	// paths sends requests to back ends, directly or through other daemons, whose requests forwards sends.
+	paths    *backendpath.Router
+	forwards *forward.Server
 	backends *backendpool.Pool
 	memory   *promptcache.Index
 	budgets  *relay.RetryBudgets
@@ -125,6 +130,7 @@
 	made.wireLedger(registry)
 	made.wireOutside(counters)
 	made.wireBelief(traffic)
+	made.registerPaths(registry)
 	registerMalformed(registry, made.directory.MalformedRows)
 	made.wireRollouts(registry)
 	made.wireTraffic(counters)
@@ -172,9 +178,10 @@
 		Link: w.link, Topology: w.topology, Crossing: crossing, Table: w.store, Log: w.part("quarantine"),
 		Reads: func() bool { return w.directory.IsReader() }, Era: w.store.Era,
 	})
-	w.backends.OnReachability(w.crashes.Checked)
+	w.backends.OnReachability(w.noteReachability)
 	w.backends.OnEnded(w.pool.Forget)
 	w.wireDirectory(traffic)
+	w.wirePaths()
 	w.wireCaches()
 	w.wireLoads()
 }
@@ -258,19 +265,20 @@
 		Margin: limitMarginShare * w.settings.Bounds.QuotaSlack, Log: w.part("limits"),
 		BackendHomes: w.homes.LimitHomes, BackendLimit: backendlimit.NewestLimit(w.backends.RequestLimit),
 	})
-	w.prober = prober.New(prober.Options{Pool: w.backends, Reach: w.runners.Reach, Log: w.part("probe")})
+	w.prober = prober.New(prober.Options{Pool: w.backends, Reach: w.paths.Reach, Log: w.part("probe")})
 }
 
 // wireTraffic makes what serves callers.
 func (w *Daemon) wireTraffic(counters *requestlog.Counters) {
 	relaying := relay.New(relay.Options{
-		Control: w.directory, Pool: w.backends, Backends: w.runners, Budgets: w.budgets,
+		Control: w.directory, Pool: w.backends, Backends: w.paths, Budgets: w.budgets,
 		Policy: policy(w.settings.Bounds), Memory: w.memory, Stores: w.promptsIn.Cache,
 		Daemons: w.members.Count, Limits: w.limits, BackendLimits: backendlimit.New(w.limits, w.members.Count, counters.BackendLimit), Loads: w.homes, Rooms: w.rooms, Crashes: w.crashes,
 		Versions: w.versions(),
 		Observer: requestlog.New(w.part("relay"), counters),
 	})
 	w.serving = newServing(w.settings, relaying, w.directory, w.crashes.Informed, w.ledger, w.part("front"))
+	w.serving.waitForwarded = w.forwards.Wait
 	w.addInterfaces(relaying)
 }
 
--- /dev/null
+++ b/internal/backendpath/check.go
@@ -0,0 +1,186 @@
+package backendpath
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/lotusward/lotusward/internal/clock"
+	"github.com/lotusward/lotusward/internal/forward"
+	"github.com/lotusward/lotusward/internal/pause"
+)
+
+const (
+	// runInterval is the interval at which links that are down are checked.
+	runInterval = 100 * time.Millisecond
+	// helperDemandTime is how long after a forwarded request other daemons are asked in advance whether they forward more.
+	helperDemandTime = 2 * time.Second
+	// helperRefreshInterval is the interval of these questions.
+	helperRefreshInterval = 300 * time.Millisecond
+	// isolationSamples is how many back ends a daemon without links checks at a time, beside those whose links it knows to
+	// be down, which may have ended in the meantime.
+	isolationSamples = 2
+	// recentActivity is how recently a back end must have been heard to count as reached without a check.
+	recentActivity = 300 * time.Millisecond
+	// linkProofTime is how recently any back end must have been heard for the daemon's own links to count as sound.
+	linkProofTime = time.Second
+)
+
+// linkState is the result of a check.
+type linkState int
+
+const (
+	// linkWorks means that the back end accepts connections.
+	linkWorks linkState = iota
+	// linkDown means that only other daemons reach it.
+	linkDown
+	// backendDown means that other daemons don't reach it either, or can't tell.
+	backendDown
+)
+
+// Reach implements relay.Backends: it reports whether a back end accepts a connection of this daemon or of another one.
+func (r *Router) Reach(_ context.Context, address string) bool {
+	return r.check(address) != backendDown
+}
+
+// check finds out whether a back end can be reached and by whom. Concurrent callers share one check.
+func (r *Router) check(address string) linkState {
+	return shared(r, &r.checks, "check "+address, func() linkState {
+		began := clock.Now()
+		connected, silent := r.connect(context.Background(), address)
+		if connected {
+			return linkWorks
+		}
+		if !r.explainFailure(address, began, &connectError{timedOut: silent}) {
+			return backendDown
+		}
+		return linkDown
+	})
+}
+
+// connect reports whether an address accepts a connection, and if not, whether it was silent.
+func (r *Router) connect(ctx context.Context, address string) (connected, silent bool) {
+	bounded, cancel := context.WithTimeout(ctx, connectTimeout)
+	defer cancel()
+	if !r.options.Direct.Reach(bounded, address) {
+		return false, bounded.Err() != nil
+	}
+	r.noteConnected(address)
+	return true, false
+}
+
+// noteConnected records that a link works.
+func (r *Router) noteConnected(address string) {
+	if r.links.Connected(clock.Now(), address) {
+		r.options.Log.WithField("address", address).Info("The link to a back end works again.")
+	}
+	r.noteIsolation()
+}
+
+// CheckFor returns whether this daemon reaches a back end itself, given by the hash of its ID, or any if that is zero. It is
+// for other daemons, and never asks any.
+func (r *Router) CheckFor(ctx context.Context, key uint64) forward.Reachability {
+	if r.links.Isolated() {
+		return forward.ReachabilityUnknown
+	}
+	now := clock.Now()
+	if key == 0 {
+		return r.checkAny(ctx, now)
+	}
+	backend, listed := r.options.Pool.BackendByKey(key)
+	switch {
+	case !listed:
+		return forward.ReachabilityUnknown
+	case r.options.Pool.RespondedSince(key, now.Add(-recentActivity)) && !r.links.IsDown(now, backend.Address):
+		return forward.Reached
+	case r.connects(ctx, backend.Address):
+		return forward.Reached
+	case r.links.HeardSince(clock.Now().Add(-linkProofTime)):
+		return forward.Unreached
+	default:
+		return forward.ReachabilityUnknown
+	}
+}
+
+// checkAny returns whether this daemon reaches back ends at all.
+func (r *Router) checkAny(ctx context.Context, now time.Time) forward.Reachability {
+	if r.links.HeardSince(now.Add(-linkProofTime)) {
+		return forward.Reached
+	}
+	for _, address := range r.sample(1) {
+		if r.connects(ctx, address) {
+			return forward.Reached
+		}
+	}
+	return forward.ReachabilityUnknown
+}
+
+// connects is connect for other daemons' questions, which share one attempt.
+func (r *Router) connects(ctx context.Context, address string) bool {
+	return shared(r, &r.checks, "connect "+address, func() bool {
+		connected, _ := r.connect(ctx, address)
+		return connected
+	})
+}
+
+// sample returns the addresses of some back ends, drawn at random.
+func (r *Router) sample(count int) []string {
+	all := r.options.Pool.Backends()
+	var drawn []string
+	for range min(count, len(all)) {
+		drawn = append(drawn, all[rand.IntN(len(all))].Address)
+	}
+	return drawn
+}
+
+// Run checks links that are down, and keeps known who forwards requests while some are sent through others, until the
+// context ends.
+func (r *Router) Run(ctx context.Context) error {
+	var refreshedAt time.Time
+	pause.Every(ctx, runInterval, func(now time.Time) {
+		r.checkDue(ctx, now)
+		r.forgetResults(now)
+		if now.Sub(refreshedAt) >= helperRefreshInterval && r.isForwarding(now) {
+			refreshedAt = now
+			go r.options.Helpers.FindHelpers(ctx)
+		}
+	})
+	return nil
+}
+
+// checkDue checks the links that are due.
+func (r *Router) checkDue(ctx context.Context, now time.Time) {
+	due := r.links.TakeDueChecks(now)
+	if len(due) > 0 && r.links.Isolated() {
+		due = append(due, r.sample(isolationSamples)...)
+	}
+	for _, address := range due {
+		go func() {
+			began := clock.Now()
+			if connected, _ := r.connect(ctx, address); !connected && ctx.Err() == nil {
+				r.links.Failed(began, address)
+			}
+		}()
+	}
+}
+
+// isForwarding reports whether requests were sent through other daemons lately.
+func (r *Router) isForwarding(now time.Time) bool {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return now.Sub(r.forwardedAt) <= helperDemandTime
+}
+
+// forgetResults drops results that are used no more.
+func (r *Router) forgetResults(now time.Time) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	for key, known := range r.recent {
+		if now.Sub(known.at) >= resultLifetime {
+			delete(r.recent, key)
+		}
+	}
+}
+
+// SetTotal sets the number of back ends that there are.
+func (r *Router) SetTotal(total int) { r.links.SetTotal(total) }
--- /dev/null
+++ b/internal/backendpath/router.go
@@ -0,0 +1,262 @@
+// Package backendpath chooses the path that requests take to a back end: directly or, while the daemon's own link to it is
+// down, through another daemon. A connection that fails is blamed on the back end only if other daemons don't reach it
+// either.
+package backendpath
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"golang.org/x/sync/singleflight"
+
+	"github.com/lotusward/lotusward/internal/clock"
+	"github.com/lotusward/lotusward/internal/core/backendpool"
+	"github.com/lotusward/lotusward/internal/core/identity"
+	"github.com/lotusward/lotusward/internal/core/linkhealth"
+	"github.com/lotusward/lotusward/internal/core/outcome"
+	"github.com/lotusward/lotusward/internal/forward"
+	"github.com/lotusward/lotusward/internal/relay"
+)
+
+const (
+	// connectTimeout is how long a back end may take to accept a connection if other daemons can be asked about it. Its
+	// network answers within a few milliseconds, however busy it is.
+	connectTimeout = 150 * time.Millisecond
+	// resultLifetime is how long the result of a check or a question is used again.
+	resultLifetime = 150 * time.Millisecond
+)
+
+// errConnectTimeout cancels an attempt whose back end accepts no connection.
+var errConnectTimeout = errors.New("the back end took too long to accept a connection")
+
+// Helpers are the other daemons.
+type Helpers interface {
+	// Ask returns whether other daemons reach a back end.
+	Ask(ctx context.Context, backend identity.BackendID) forward.Reachability
+	// FindHelpers looks for daemons that forward requests.
+	FindHelpers(ctx context.Context)
+}
+
+// Pool is what the router needs to know of the back ends. It is implemented by backendpool.Pool.
+type Pool interface {
+	Backends() []backendpool.Backend
+	BackendAt(address string) (backendpool.Backend, bool)
+	BackendByKey(key uint64) (backendpool.Backend, bool)
+	RespondedSince(key uint64, since time.Time) bool
+}
+
+// Options configures a Router.
+type Options struct {
+	// Direct sends requests over the daemon's own links.
+	Direct relay.Backends
+	// Forward sends a request through another daemon.
+	Forward func(ctx context.Context, dispatch *relay.Dispatch) (*relay.Answer, error)
+	Helpers Helpers
+	// Others returns the addresses of the other daemons.
+	Others func() []string
+	Pool   Pool
+	Log    logrus.FieldLogger
+}
+
+// Router implements relay.Backends. It is safe for concurrent use.
+type Router struct {
+	options Options
+	links   *linkhealth.Tracker
+	// checks and questions are shared by all who need the same result.
+	checks, questions singleflight.Group
+
+	mutex sync.Mutex
+	// inFlight are the direct exchanges.
+	inFlight map[*exchange]bool
+	// isolated is the last logged state of the links.
+	isolated bool
+	// forwardedAt is when a request was last sent through another daemon.
+	forwardedAt time.Time
+	// recent holds results of checks and questions, by their key.
+	recent map[string]result
+}
+
+// result is the result of a check or a question.
+type result struct {
+	at    time.Time
+	value any
+}
+
+// New returns a Router. Its state is kept up to date while Run runs.
+func New(options Options) *Router {
+	return &Router{options: options, links: linkhealth.New(), inFlight: map[*exchange]bool{}, recent: map[string]result{}}
+}
+
+var _ relay.Backends = (*Router)(nil)
+
+// Isolated reports whether the daemon reaches no back end directly although other daemons do.
+func (r *Router) Isolated() bool { return r.links.Isolated() }
+
+// Impaired reports whether the daemon reaches too few back ends directly for duties that concern all of them.
+func (r *Router) Impaired() bool { return r.links.Impaired() }
+
+// Uncertain reports whether back ends that can't be reached need not have failed.
+func (r *Router) Uncertain() bool { return r.links.Uncertain() }
+
+// LinksDown returns the number of back ends that other daemons reach and this one does not.
+func (r *Router) LinksDown() int { return r.links.Down() }
+
+// Send implements relay.Backends.
+func (r *Router) Send(ctx context.Context, dispatch *relay.Dispatch) (*relay.Answer, error) {
+	if r.links.IsDown(clock.Now(), dispatch.Address) {
+		return r.sendThroughOthers(ctx, dispatch)
+	}
+	began := clock.Now()
+	answer, err := r.SendDirect(ctx, dispatch)
+	var failed *connectError
+	if !errors.As(err, &failed) || ctx.Err() != nil {
+		return answer, err
+	}
+	if !r.explainFailure(dispatch.Address, began, failed) {
+		return nil, err
+	}
+	return r.sendThroughOthers(ctx, dispatch)
+}
+
+// connectError is the cause of an attempt that made no connection.
+type connectError struct {
+	cause error
+	// timedOut is set if the back end was silent.
+	timedOut bool
+}
+
+// Error implements error.
+func (e *connectError) Error() string { return e.cause.Error() }
+
+// Unwrap returns the underlying error.
+func (e *connectError) Unwrap() error { return e.cause }
+
+// SendDirect makes one attempt over the daemon's own link.
+func (r *Router) SendDirect(ctx context.Context, dispatch *relay.Dispatch) (*relay.Answer, error) {
+	bounded, cancel := context.WithCancelCause(ctx)
+	connecting := r.limitConnecting(func() { cancel(errConnectTimeout) })
+	defer connecting.Stop()
+	made := r.begin(dispatch)
+	connected := false
+	attempt := *dispatch
+	attempt.CheckAccepting = func() error {
+		if !connecting.Stop() {
+			return errConnectTimeout
+		}
+		connected = true
+		if dispatch.CheckAccepting == nil {
+			return nil
+		}
+		return dispatch.CheckAccepting()
+	}
+	answer, err := r.options.Direct.Send(bounded, &attempt)
+	if err == nil {
+		made.heard(clock.Now())
+		r.links.Connected(clock.Now(), dispatch.Address)
+		answer.Body = &directBody{ReadCloser: answer.Body, exchange: made, context: ctx}
+		return answer, nil
+	}
+	made.end()
+	var failed *relay.SendError
+	switch {
+	case ctx.Err() != nil || !errors.As(err, &failed):
+	case failed.Evidence != outcome.Unreached:
+		made.checkLost(ctx)
+	case !connected:
+		failed.Cause = &connectError{cause: failed.Cause, timedOut: errors.Is(failed.Cause, errConnectTimeout)}
+	}
+	return nil, err
+}
+
+// limitConnecting bounds the time of connecting, if another path might be quicker.
+func (r *Router) limitConnecting(cancel func()) *time.Timer {
+	timeout := connectTimeout
+	if len(r.options.Others()) == 0 {
+		timeout = time.Hour // the dialer has a timeout of its own
+	}
+	return time.AfterFunc(timeout, cancel)
+}
+
+// sendThroughOthers sends a request through another daemon.
+func (r *Router) sendThroughOthers(ctx context.Context, dispatch *relay.Dispatch) (*relay.Answer, error) {
+	r.mutex.Lock()
+	r.forwardedAt = clock.Now()
+	r.mutex.Unlock()
+	return r.options.Forward(ctx, dispatch)
+}
+
+// explainFailure returns true if a connection failed because of this daemon's own link.
+func (r *Router) explainFailure(address string, began time.Time, failed *connectError) bool {
+	r.links.Failed(began, address)
+	if r.askOthers(address) != forward.Reached {
+		return false
+	}
+	r.setDown(address, began, failed.timedOut)
+	return true
+}
+
+// askOthers returns whether other daemons reach the back end at an address. Concurrent callers share one question.
+func (r *Router) askOthers(address string) forward.Reachability {
+	return shared(r, &r.questions, "question "+address, func() forward.Reachability {
+		backend, listed := r.options.Pool.BackendAt(address)
+		if !listed || len(r.options.Others()) == 0 {
+			return forward.ReachabilityUnknown
+		}
+		return r.options.Helpers.Ask(context.Background(), backend.ID)
+	})
+}
+
+// shared returns the result of a function, or one that is a moment old. Concurrent callers share one call.
+func shared[Value any](r *Router, group *singleflight.Group, key string, call func() Value) Value {
+	r.mutex.Lock()
+	known, found := r.recent[key]
+	r.mutex.Unlock()
+	if found && clock.Since(known.at) < resultLifetime {
+		return known.value.(Value)
+	}
+	value, _, _ := group.Do(key, func() (any, error) {
+		made := call()
+		r.mutex.Lock()
+		defer r.mutex.Unlock()
+		r.recent[key] = result{at: clock.Now(), value: made}
+		return made, nil
+	})
+	return value.(Value)
+}
+
+// setDown marks the link to an address as down, and reports it to the requests that depend on it.
+func (r *Router) setDown(address string, began time.Time, silent bool) {
+	if r.links.ReachedElsewhere(clock.Now(), address) {
+		r.options.Log.WithFields(logrus.Fields{"address": address, "silent": silent, "links_down": r.links.Down()}).
+			Warn("The link to a back end is down: other daemons reach it, and requests go through them.")
+	}
+	isolated := r.noteIsolation()
+	if !silent {
+		return // open connections are reset as well, or still work
+	}
+	for _, each := range r.silentSince(began) {
+		if isolated || each.address == address {
+			each.lose()
+		}
+	}
+}
+
+// noteIsolation logs whether the daemon is isolated if that has changed, and returns it.
+func (r *Router) noteIsolation() bool {
+	isolated := r.links.Isolated()
+	r.mutex.Lock()
+	changed := r.isolated != isolated
+	r.isolated = isolated
+	r.mutex.Unlock()
+	log := r.options.Log.WithField("links_down", r.links.Down())
+	switch {
+	case changed && isolated:
+		log.Warn("The daemon reaches no back end directly: all requests go through other daemons.")
+	case changed:
+		log.Info("The daemon reaches back ends directly again.")
+	}
+	return isolated
+}
--- a/internal/core/backendpool/backend.go
+++ b/internal/core/backendpool/backend.go
@@ -74,8 +74,8 @@
 	far bool
 	// leaving is whether the back end is being taken out of service deliberately.
 	leaving leavingState
-	// inFlight is the number of this daemon's requests in flight.
-	inFlight int
+	// inFlight is the number of this daemon's requests in flight that count as load, and suspended that of the others.
+	inFlight, suspended int
 	// reading is the outstanding prefill work of requests without a first byte, in tokens.
 	reading float64
 	// tokens is the total prompt length of the requests in flight.
@@ -138,6 +138,9 @@
 	e.learned[model] = max(e.learned[model], version)
 }
 
+// requests returns the number of this daemon's requests in flight.
+func (e *entry) requests() int { return e.inFlight + e.suspended }
+
 func (e *entry) ejected(now time.Time) bool { return now.Before(e.ejectedUntil) }
 
 // record updates the health state with the outcome of a request. It returns true if the back end is ejected because
--- a/internal/core/backendpool/listing.go
+++ b/internal/core/backendpool/listing.go
@@ -86,7 +86,7 @@
 		change.Removed = append(change.Removed, id)
 		ended = append(ended, found.backend)
 		delta.remove(found)
-		if found.inFlight > 0 {
+		if found.requests() > 0 {
 			p.departed[found] = true // unlisted, with requests of this daemon in flight
 		}
 	}
--- a/internal/core/backendpool/probes.go
+++ b/internal/core/backendpool/probes.go
@@ -121,7 +121,7 @@
 // isWatched reports whether the back end may have to be probed soon.
 func (e *entry) isWatched() bool {
 	state := &e.probeState
-	return e.inFlight > 0 || state.probing || state.unreachable || state.reportedDown || !state.connectionLostAt.IsZero()
+	return e.requests() > 0 || state.probing || state.unreachable || state.reportedDown || !state.connectionLostAt.IsZero()
 }
 
 // isSecondHand reports whether only other daemons have found the back end unreachable.
--- a/internal/core/backendpool/software.go
+++ b/internal/core/backendpool/software.go
@@ -54,12 +54,12 @@
 	count := 0
 	for _, found := range p.entriesOf(service) {
 		if found.backend.Software != except {
-			count += found.inFlight
+			count += found.requests()
 		}
 	}
 	for found := range p.departed {
 		if found.backend.Service == service && found.backend.Software != except {
-			count += found.inFlight
+			count += found.requests()
 		}
 	}
 	return count
--- a/internal/core/backendpool/ticket.go
+++ b/internal/core/backendpool/ticket.go
@@ -36,6 +36,8 @@
 	reading bool
 	// onLost is called when the back end becomes unreachable; it may be nil.
 	onLost func()
+	// suspended is set while the request counts as no load.
+	suspended bool
 }
 
 // WorkTokens returns the work of the back end before the first byte of the response, in tokens to be computed;
@@ -48,6 +50,41 @@
 	defer t.pool.mutex.Unlock()
 	t.entry.lastActivityAt = now
 	t.entry.probeState.silentSince = now
+	t.resume()
+}
+
+// Suspend excludes the request from the load of the back end until data arrives or the reservation ends. It is for a request
+// whose network link has failed, which the back end does not run as far as is known. It may be called at any time.
+func (t *Ticket) Suspend() {
+	defer t.pool.onCapacityFreed()
+	t.pool.mutex.Lock()
+	defer t.pool.mutex.Unlock()
+	if t.suspended || !t.entry.tickets[t] {
+		return
+	}
+	t.suspended = true
+	t.entry.suspended++
+	t.entry.inFlight--
+	t.entry.tokens -= t.tokens
+	if t.reading {
+		t.entry.reading = max(t.entry.reading-t.work, 0)
+	}
+	t.pool.markLoadChanged(t.entry)
+}
+
+// resume ends a suspension. The caller holds the mutex.
+func (t *Ticket) resume() {
+	if !t.suspended {
+		return
+	}
+	t.suspended = false
+	t.entry.suspended--
+	t.entry.inFlight++
+	t.entry.tokens += t.tokens
+	if t.reading {
+		t.entry.reading += t.work
+	}
+	t.pool.markLoadChanged(t.entry)
 }
 
 // RecordFirstByte records the first byte of the response, which ends the prefill.
@@ -92,8 +129,9 @@
 	}
 	t.pool.mutex.Lock()
 	defer t.pool.mutex.Unlock()
+	t.resume()
 	t.entry.inFlight--
-	if t.entry.inFlight == 0 {
+	if t.entry.requests() == 0 {
 		delete(t.pool.departed, t.entry)
 	}
 	delete(t.entry.tickets, t)
--- /dev/null
+++ b/internal/forward/client.go
@@ -0,0 +1,189 @@
+package forward
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/lotusward/lotusward/internal/adapter/httpexchange"
+	"github.com/lotusward/lotusward/internal/clock"
+	"github.com/lotusward/lotusward/internal/codec"
+	"github.com/lotusward/lotusward/internal/core/distance"
+	"github.com/lotusward/lotusward/internal/core/outcome"
+	"github.com/lotusward/lotusward/internal/relay"
+)
+
+const (
+	// maxHelpers bounds the daemons that one attempt is offered to. All but the last have surely not sent it.
+	maxHelpers = 3
+	// connectTimeout is how long a daemon may take to accept a connection.
+	connectTimeout = 150 * time.Millisecond
+	contentType    = "application/msgpack"
+)
+
+var (
+	// errNoHelper means that no other daemon is known to reach the back ends.
+	errNoHelper = errors.New("no daemon forwards requests now")
+	// errConnectTimeout cancels an exchange with a daemon that accepts no connection.
+	errConnectTimeout = errors.New("the daemon took too long to accept a connection")
+)
+
+// RefusedError reports a daemon that didn't take a request, which it has not sent.
+type RefusedError struct {
+	Address string
+	// Status is the HTTP status of the refusal.
+	Status int
+}
+
+// Error implements error.
+func (e *RefusedError) Error() string {
+	return fmt.Sprintf("daemon %s refused to forward a request with status %d", e.Address, e.Status)
+}
+
+// ClientOptions configures a Client.
+type ClientOptions struct {
+	Pool    *httpexchange.Pool
+	Inquiry *Inquiry
+	// Distance returns how far away the daemon at an address is.
+	Distance func(address string) distance.Distance
+}
+
+// Client sends requests through other daemons. It is safe for concurrent use.
+type Client struct {
+	options ClientOptions
+	// finding is held by the goroutine that looks for daemons on behalf of all.
+	finding sync.Mutex
+}
+
+// NewClient returns a Client.
+func NewClient(options ClientOptions) *Client { return &Client{options: options} }
+
+// Send makes one attempt to send a request through another daemon. Its errors are of type *relay.SendError; with
+// outcome.Unreached the request was surely not sent by anyone.
+func (c *Client) Send(ctx context.Context, dispatch *relay.Dispatch) (*relay.Answer, error) {
+	failed := &relay.SendError{Evidence: outcome.Unreached, Cause: errNoHelper}
+	body, err := codec.Marshal(messageOf(dispatch))
+	if err != nil {
+		return nil, &relay.SendError{Evidence: outcome.Unreached, Cause: err}
+	}
+	tried := map[string]bool{}
+	for range maxHelpers {
+		address := c.acquire(ctx, tried)
+		if address == "" {
+			break
+		}
+		tried[address] = true
+		answer, err := c.sendThrough(ctx, address, dispatch, body)
+		if err == nil {
+			return answer, nil
+		}
+		failed = err
+		if err.Evidence != outcome.Unreached || ctx.Err() != nil {
+			break
+		}
+	}
+	return nil, failed
+}
+
+// acquire returns the daemon to send through, and looks for daemons if none is known.
+func (c *Client) acquire(ctx context.Context, tried map[string]bool) string {
+	helpers := c.options.Inquiry.helpers
+	if address := helpers.acquire(clock.Now(), tried, c.options.Distance); address != "" {
+		return address
+	}
+	c.finding.Lock()
+	defer c.finding.Unlock()
+	if address := helpers.acquire(clock.Now(), tried, c.options.Distance); address != "" {
+		return address
+	}
+	c.options.Inquiry.FindHelpers(ctx)
+	return helpers.acquire(clock.Now(), tried, c.options.Distance)
+}
+
+// sendThrough sends a request through the daemon at an address.
+func (c *Client) sendThrough(ctx context.Context, address string, dispatch *relay.Dispatch, body []byte) (*relay.Answer, *relay.SendError) {
+	release := sync.OnceFunc(func() { c.options.Inquiry.helpers.release(clock.Now(), address, false) })
+	fail := func(evidence outcome.Evidence, cause error) *relay.SendError {
+		c.options.Inquiry.helpers.release(clock.Now(), address, ctx.Err() == nil)
+		return &relay.SendError{Evidence: evidence, Via: address, Cause: cause}
+	}
+	answer, err := c.exchange(ctx, address, dispatch, body)
+	var exchanged *httpexchange.Error
+	switch {
+	case errors.As(err, &exchanged) && exchanged.Stage == httpexchange.StageUnreached:
+		return nil, fail(outcome.Unreached, err)
+	case err != nil:
+		loseLink(ctx, dispatch)
+		return nil, fail(outcome.Sent, err)
+	case answer.Status != http.StatusOK:
+		answer.Close()
+		return nil, fail(outcome.Unreached, &RefusedError{Address: address, Status: answer.Status})
+	}
+	received, err := readHead(answer)
+	if err != nil {
+		answer.Close()
+		loseLink(ctx, dispatch)
+		return nil, fail(outcome.Sent, err)
+	}
+	if received.Failed {
+		answer.Close()
+		release()
+		return nil, &relay.SendError{Evidence: received.Evidence, Via: address, Cause: errors.New(received.Cause)}
+	}
+	read := received.answer()
+	read.Via = address
+	read.Body = &forwardedBody{answer: answer, release: release, lose: func() { loseLink(ctx, dispatch) }}
+	return read, nil
+}
+
+// exchange makes the HTTP exchange with a daemon, which must accept the connection within connectTimeout.
+func (c *Client) exchange(ctx context.Context, address string, dispatch *relay.Dispatch, body []byte) (*httpexchange.Answer, error) {
+	bounded, cancel := context.WithCancelCause(ctx)
+	connecting := time.AfterFunc(connectTimeout, func() { cancel(errConnectTimeout) })
+	defer connecting.Stop()
+	return c.options.Pool.Do(bounded, address, &httpexchange.Request{
+		Method: http.MethodPost, Target: Path, Host: address, Header: http.Header{"Content-Type": {contentType}}, Body: body,
+		Stands: func() error {
+			if !connecting.Stop() {
+				return errConnectTimeout
+			}
+			if dispatch.CheckAccepting == nil {
+				return nil
+			}
+			return dispatch.CheckAccepting()
+		},
+	})
+}
+
+// loseLink reports that the connection to a daemon was lost with a request in flight, unless it was the request that ended.
+func loseLink(ctx context.Context, dispatch *relay.Dispatch) {
+	if ctx.Err() == nil && dispatch.OnLinkLost != nil {
+		dispatch.OnLinkLost()
+	}
+}
+
+// forwardedBody is the body of an answer that comes through another daemon.
+type forwardedBody struct {
+	answer        *httpexchange.Answer
+	release, lose func()
+}
+
+// Read implements io.Reader.
+func (b *forwardedBody) Read(into []byte) (int, error) {
+	count, err := b.answer.Read(into)
+	if err != nil && err != io.EOF {
+		b.lose()
+	}
+	return count, err
+}
+
+// Close implements io.Closer.
+func (b *forwardedBody) Close() error {
+	b.answer.Close()
+	b.release()
+	return nil
+}
--- /dev/null
+++ b/internal/forward/inquiry.go
@@ -0,0 +1,188 @@
+package forward
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/lotusward/lotusward/internal/clock"
+	"github.com/lotusward/lotusward/internal/core/identity"
+	"github.com/lotusward/lotusward/internal/core/rendezvous"
+	"github.com/lotusward/lotusward/internal/peerlink"
+)
+
+const (
+	// firstAsked is how many daemons are asked at first whether they reach a back end, and moreAsked how many more if none
+	// of them can tell.
+	firstAsked = 3
+	moreAsked  = 6
+	// answerTimeout is how long answers are waited for. It covers a check of the asked daemon that times out.
+	answerTimeout = 250 * time.Millisecond
+	// maxChecks bounds the checks that a daemon makes for others at a time.
+	maxChecks = 32
+)
+
+// Reachability is what a daemon knows of its own way to a back end.
+type Reachability uint8
+
+const (
+	// ReachabilityUnknown means that the daemon can't tell, such as without links of its own.
+	ReachabilityUnknown Reachability = iota
+	// Reached means that the back end accepts connections from the daemon.
+	Reached
+	// Unreached means that it doesn't, though other back ends do.
+	Unreached
+)
+
+// String names the reachability in logs.
+func (r Reachability) String() string {
+	return [...]string{"unknown", "reached", "unreached"}[min(r, Unreached)]
+}
+
+// question asks whether the receiver reaches a back end. Fields are only ever added at the end.
+type question struct {
+	Number uint64
+	// Backend is the hash of the back end's ID; zero asks about back ends in general.
+	Backend uint64
+}
+
+// reply answers a question. Fields are only ever added at the end.
+type reply struct {
+	Number       uint64
+	Reachability Reachability
+	// Accepts is set if the daemon forwards requests for others now, and Active is how many it has in flight.
+	Accepts bool
+	Active  int
+}
+
+// heardReply is a reply with its sender.
+type heardReply struct {
+	reply
+	from string
+}
+
+// InquiryOptions configures an Inquiry.
+type InquiryOptions struct {
+	Link peerlink.Carrier
+	// Others returns the addresses of the other daemons.
+	Others func() []string
+	// Check reports whether this daemon reaches a back end, given by the hash of its ID, or, for zero, any. It may block.
+	Check func(ctx context.Context, backend uint64) Reachability
+	// Capacity reports whether this daemon forwards requests for others now, and how many it has in flight.
+	Capacity func() (accepts bool, active int)
+}
+
+// Inquiry asks other daemons which back ends they reach, and answers their questions. It is safe for concurrent use.
+type Inquiry struct {
+	options InquiryOptions
+	waiting *peerlink.Questions[heardReply]
+	helpers *helpers
+	checks  chan struct{}
+}
+
+// NewInquiry returns an Inquiry that answers questions at once.
+func NewInquiry(options InquiryOptions) *Inquiry {
+	made := &Inquiry{options: options, waiting: peerlink.NewQuestions[heardReply](), helpers: newHelpers(), checks: make(chan struct{}, maxChecks)}
+	peerlink.HandleDecoded(options.Link, peerlink.KindReachQuestion, made.answer)
+	peerlink.HandleDecoded(options.Link, peerlink.KindReachAnswer, made.receive)
+	return made
+}
+
+// answer answers another daemon's question. Beyond maxChecks the question is dropped.
+func (i *Inquiry) answer(from string, asked question) {
+	select {
+	case i.checks <- struct{}{}:
+	default:
+		return
+	}
+	go func() {
+		defer func() { <-i.checks }()
+		ctx, cancel := context.WithTimeout(context.Background(), answerTimeout)
+		defer cancel()
+		reachability := i.options.Check(ctx, asked.Backend)
+		accepts, active := i.options.Capacity()
+		peerlink.Tell(i.options.Link, from, peerlink.KindReachAnswer, &reply{
+			Number: asked.Number, Reachability: reachability, Accepts: accepts, Active: active,
+		})
+	}()
+}
+
+func (i *Inquiry) receive(from string, received reply) {
+	answered := heardReply{reply: received, from: from}
+	i.helpers.record(clock.Now(), answered)
+	i.waiting.Answer(received.Number, answered)
+}
+
+// Ask returns whether other daemons reach a back end: Reached if any does, and Unreached if the only ones that can tell
+// don't.
+func (i *Inquiry) Ask(ctx context.Context, backend identity.BackendID) Reachability {
+	return i.ask(ctx, rendezvous.Key(string(backend)))
+}
+
+// FindHelpers asks which daemons could forward requests.
+func (i *Inquiry) FindHelpers(ctx context.Context) { i.ask(ctx, 0) }
+
+func (i *Inquiry) ask(ctx context.Context, backend uint64) Reachability {
+	candidates := i.candidates()
+	bounded, cancel := context.WithTimeout(ctx, answerTimeout)
+	defer cancel()
+	first := min(firstAsked, len(candidates))
+	found := i.askAll(bounded, backend, candidates[:first])
+	if found != ReachabilityUnknown || first == len(candidates) {
+		return found
+	}
+	again, cancelAgain := context.WithTimeout(ctx, answerTimeout)
+	defer cancelAgain()
+	return i.askAll(again, backend, candidates[first:min(first+moreAsked, len(candidates))])
+}
+
+// candidates returns the daemons to ask: those that were of help lately first, then others in random order.
+func (i *Inquiry) candidates() []string {
+	others := slices.Clone(i.options.Others())
+	rand.Shuffle(len(others), func(left, right int) { others[left], others[right] = others[right], others[left] })
+	known := i.helpers.useful(clock.Now())
+	slices.SortStableFunc(others, func(left, right string) int {
+		switch {
+		case known[left] == known[right]:
+			return 0
+		case known[left]:
+			return -1
+		default:
+			return 1
+		}
+	})
+	return others
+}
+
+// askAll asks some daemons, and returns once one reaches the back end, all have answered, or the context has ended.
+func (i *Inquiry) askAll(ctx context.Context, backend uint64, addresses []string) Reachability {
+	number := i.waiting.Next()
+	replies := i.waiting.Await(number, len(addresses))
+	defer i.waiting.Forget(number)
+	for _, address := range addresses {
+		peerlink.Tell(i.options.Link, address, peerlink.KindReachQuestion, &question{Number: number, Backend: backend})
+	}
+	found := ReachabilityUnknown
+	for range addresses {
+		select {
+		case <-ctx.Done():
+			return found
+		case received := <-replies:
+			if received.Reachability == Reached {
+				return Reached
+			}
+			found = max(found, received.Reachability)
+		}
+	}
+	return found
+}
+
+// helpers are the daemons that have answered lately, with what is known of them.
+type helpers struct {
+	mutex sync.Mutex
+	known map[string]*helper
+}
+
+func newHelpers() *helpers { return &helpers{known: map[string]*helper{}} }
--- a/internal/peerlink/peerlink.go
+++ b/internal/peerlink/peerlink.go
@@ -81,6 +81,9 @@
 	// from a copy: builds that don't know its eras pass them over.
 	KindEraBulletin
 	KindPackedEraBulletin
+	// KindReachQuestion asks whether a daemon reaches a back end, and KindReachAnswer answers.
+	KindReachQuestion
+	KindReachAnswer
 	kindEnd
 )
 
@@ -94,7 +97,7 @@
 	KindFindingNote: "finding_note", KindFindingKnown: "finding_known",
 	KindPartNote: "part_note", KindPartQuestion: "part_question", KindPartAnswer: "part_answer", KindRequestLimits: "request_limits", KindRequestLimitsQuestion: "request_limits_question", KindEraBulletin: "era_bulletin", KindPackedEraBulletin: "packed_era_bulletin",
 	KindVersionReport: "version_report", KindVersionGrant: "version_grant", KindVersionStop: "version_stop", KindVersionStanding: "version_standing",
-	KindPresenceQuestion: "presence_question", KindPresenceAnswer: "presence_answer",
+	KindPresenceQuestion: "presence_question", KindPresenceAnswer: "presence_answer", KindReachQuestion: "reach_question", KindReachAnswer: "reach_answer",
 }
 
 // String names the kind for logs and metrics.
--- a/internal/peersync/peersync.go
+++ b/internal/peersync/peersync.go
@@ -214,6 +214,7 @@
 // Server answers other daemons.
 type Server struct {
 	address string
+	mux     *http.ServeMux
 	server  *http.Server
 	teller  Teller
 	log     logrus.FieldLogger
@@ -260,8 +261,8 @@
 
 // NewServer makes a Server that listens on an address (IP:port) once it runs.
 func NewServer(address string, teller Teller, log logrus.FieldLogger) *Server {
-	made := &Server{address: address, teller: teller, log: log, places: make(chan struct{}, servedAtOnce)}
 	mux := http.NewServeMux()
+	made := &Server{address: address, mux: mux, teller: teller, log: log, places: make(chan struct{}, servedAtOnce)}
 	mux.HandleFunc("GET "+updatePath, made.serve(func(ctx context.Context, asked question) ([]byte, error) {
 		if asked.ordersByEra {
 			return encode(teller.Update(ctx, asked.have))
@@ -276,6 +277,9 @@
 	return made
 }
 
+// Handle adds what else daemons ask each other over HTTP. It must be called before Run.
+func (s *Server) Handle(pattern string, handler http.Handler) { s.mux.Handle(pattern, handler) }
+
 // Run serves until the context ends. Without a listener the daemon goes on, and others
 // ask elsewhere.
 func (s *Server) Run(ctx context.Context) error {
--- a/internal/relay/choosing.go
+++ b/internal/relay/choosing.go
@@ -120,8 +120,11 @@
 
 // firstByteLatency returns the time to the first byte of the answer or, if the caller left before
 // it, the time that the caller waited. Otherwise a version so slow that callers give up would
-// leave no evidence.
+// leave no evidence. An attempt whose network link failed has none.
 func (r *run) firstByteLatency(ended failure) time.Duration {
+	if ended.reason == reasonLinkLost {
+		return 0
+	}
 	if r.progress.firstByte == 0 && ended.result == backendpool.ResultAbandoned {
 		return r.now().Sub(r.sentAt)
 	}
--- a/internal/relay/observer.go
+++ b/internal/relay/observer.go
@@ -54,9 +54,11 @@
 	Limit backendpool.RequestLimit
 	// LimitGrant is the attempt's grant from that limit, or nil.
 	LimitGrant *sharedlimit.Grant
-	Elapsed    time.Duration
-	Result     backendpool.Result
-	Reason     string
+	// Via is the address of the daemon that the attempt went through; empty if it went directly.
+	Via     string
+	Elapsed time.Duration
+	Result  backendpool.Result
+	Reason  string
 }
 
 // ReplacedWeights records when a request had to start at a backend whose weights were replaced by
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -204,13 +204,18 @@
 	}, nil
 }
 
-// fingerprint returns a hash of the tenant and the content of a request.
+// fingerprint returns the fingerprint of a request; tenant is nil for anonymous ones.
 func fingerprint(request *Request, tenant *routing.Tenant) quarantine.Fingerprint {
-	name := ""
-	if tenant != nil {
-		name = string(tenant.Name)
+	if tenant == nil {
+		return Fingerprint(request, "")
 	}
-	return quarantine.FingerprintOf(name, request.Method, request.Host, request.Target, request.Body)
+	return Fingerprint(request, tenant.Name)
+}
+
+// Fingerprint returns a hash of the tenant, which is empty for anonymous requests, and the content
+// of a request.
+func Fingerprint(request *Request, tenant identity.TenantName) quarantine.Fingerprint {
+	return quarantine.FingerprintOf(string(tenant), request.Method, request.Host, request.Target, request.Body)
 }
 
 // denial returns a permanent refusal, or a temporary one if the configuration may be outdated.
@@ -331,6 +336,8 @@
 		Address:     ticket.Backend.Address,
 		Priority:    admitted.priority(),
 		ResumeAfter: resumeAfter,
+
+		Configuration: admitted.state.Table.Version(),
 	}
 	if !admitted.deadline.IsZero() {
 		// at least a millisecond, because zero would mean no bound
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -137,6 +137,12 @@
 	// CheckAccepting must be called right before the request is sent, if connecting took time. An
 	// error cancels the attempt. Nil means no check.
 	CheckAccepting func() error
+	// Configuration is the version of the configuration that the request was admitted with.
+	Configuration uint64
+	// OnLinkLost is called if the request is in flight on a network link that has failed, so that
+	// silence or a lost connection says nothing about the backend. It must not block. Nil is not
+	// called.
+	OnLinkLost func()
 }
 
 // Verdict classifies a backend's answer.
@@ -169,13 +175,17 @@
 	WeightsVersion uint64
 	// Notice is what the backend announces about itself in the head of the answer.
 	Notice backendpool.Notice
-	Body   io.ReadCloser
+	// Via is the address of the daemon that the answer came through; empty if it came directly.
+	Via  string
+	Body io.ReadCloser
 }
 
 // SendError is the error of an attempt without an answer.
 type SendError struct {
 	Evidence outcome.Evidence
-	Cause    error
+	// Via is the address of the daemon that the request was sent through; empty if it was sent directly.
+	Via   string
+	Cause error
 }
 
 // Error implements error.
--- a/internal/relay/run.go
+++ b/internal/relay/run.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync/atomic"
 	"time"
 
 	"github.com/lotusward/lotusward/internal/core/backendpool"
@@ -30,6 +31,8 @@
 	// errOldWeights cuts a request that is queued at a backend with weights on which requests may
 	// no longer start.
 	errOldWeights = errors.New("the back end has old weights and has not begun")
+	// errLinkLost cuts a request that is in flight on a network link that has failed.
+	errLinkLost = errors.New("the network link to the back end has failed")
 	// errNotAccepting cancels an attempt before any byte is sent.
 	errNotAccepting = errors.New("the back end drains or wants no requests since it was chosen")
 )
@@ -71,6 +74,8 @@
 	progress answerProgress
 	// startWatch watches for the start of the current attempt.
 	startWatch *startWatch
+	// linkLost is set once the network link of the current attempt has failed.
+	linkLost *atomic.Bool
 	// grant is the request's grant from its tenant's limit, or nil if there is no limit.
 	grant *sharedlimit.Grant
 	// limitGrant is the current ticket's grant from its backend's limit, or nil.
--- a/internal/relay/sending.go
+++ b/internal/relay/sending.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync/atomic"
 
 	"github.com/lotusward/lotusward/internal/core/backendpool"
 	"github.com/lotusward/lotusward/internal/core/identity"
@@ -32,6 +33,8 @@
 	watch := r.watchFirstByte(ticket, cancel)
 	dispatch := r.relay.dispatch(r.admitted, ticket, r.lastEvent)
 	dispatch.CheckAccepting = func() error { return r.checkAccepting(ticket) }
+	r.linkLost = new(atomic.Bool)
+	dispatch.OnLinkLost = r.linkLossHandler(ticket, cancel)
 	r.attempt.FetchFrom, r.attempt.SaveTo = dispatch.FetchFrom, dispatch.SaveTo
 	ended := r.reportSent(ticket)
 	answer, err := r.relay.options.Backends.Send(sending, dispatch)
@@ -45,6 +48,7 @@
 			r.returnLimitGrant()
 		}
 	default:
+		r.attempt.Via = answer.Via
 		ticket.RecordActivity(r.now())
 		r.recordNotice(ticket, answer)
 		r.recordHead(answer)
@@ -87,6 +91,22 @@
 	return errNotAccepting
 }
 
+// reasonLinkLost is the reason of attempts that ended because a network link failed.
+const reasonLinkLost = "link_lost"
+
+// linkLossHandler returns what is called if the link of an attempt fails. The backend is no longer loaded by the request as
+// far as is known, and the request is retried if it may be.
+func (r *run) linkLossHandler(ticket *backendpool.Ticket, cancel context.CancelCauseFunc) func() {
+	lost, retryable := r.linkLost, r.retryPossible()
+	return func() {
+		lost.Store(true)
+		ticket.Suspend()
+		if retryable {
+			cancel(errLinkLost)
+		}
+	}
+}
+
 // reasonCallerLeft is the reason of requests whose caller disconnected.
 const reasonCallerLeft = "caller_left"
 
@@ -99,6 +119,7 @@
 	var sendError *SendError
 	if errors.As(err, &sendError) {
 		evidence = sendError.Evidence
+		r.attempt.Via = sendError.Via
 	}
 	return r.adjustForCancel(ctx, failure{evidence: evidence, result: resultOf(evidence), reason: cancelReason(ctx, evidence.String())})
 }
@@ -107,6 +128,8 @@
 // that it does not count against the backend like a cut connection.
 func (r *run) adjustForCancel(ctx context.Context, failed failure) failure {
 	switch cause := context.Cause(ctx); {
+	case r.linkLost.Load() && !errors.Is(cause, context.Canceled):
+		failed.result, failed.reason = backendpool.ResultAbandoned, reasonLinkLost
 	case cause == nil:
 	case errors.Is(cause, errSilentBackend), errors.Is(cause, errDeadline):
 		if failed.result == backendpool.ResultConnectionLost {
@@ -131,6 +154,8 @@
 		return reasonDeadline
 	case errors.Is(cause, errOldWeights):
 		return "old_weights"
+	case errors.Is(cause, errLinkLost):
+		return reasonLinkLost
 	default:
 		return reasonCallerLeft
 	}
--- a/internal/requestlog/requestlog.go
+++ b/internal/requestlog/requestlog.go
@@ -245,6 +245,9 @@
 		fields["order"] = software.Order
 		fields["standing"] = software.Row
 	}
+	if attempt.Via != "" {
+		fields["via"] = attempt.Via
+	}
 	if attempt.FetchFrom != "" {
 		fields["fetch_from"] = attempt.FetchFrom
 	}
