Check back ends afresh when another daemon asks

A daemon answered that it reached a back end if that had answered within 0.3 s, so a back end that had just ended looked reached, and the requests under which it ended left no evidence. Results of checks were used again for 150 ms, with the same effect on the prober.

Now each check connects, and an asked daemon that fails proves its own links at other back ends before it says that the back end is unreached.

--- a/internal/backendpath/check.go
+++ b/internal/backendpath/check.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/lotusward/lotusward/internal/clock"
@@ -20,10 +21,10 @@
 	// isolationSamples is how many back ends a daemon without links checks at a time, beside those whose links it knows to
 	// be down, which may have ended in the meantime.
 	isolationSamples = 2
-	// recentActivity is how recently a back end must have been heard to count as reached without a check.
+	// proofSamples is how many back ends are tried to prove that the daemon's own links work.
+	proofSamples = 2
+	// recentActivity is how recently any back end must have been heard for the daemon to offer help without a check.
 	recentActivity = 300 * time.Millisecond
-	// linkProofTime is how recently any back end must have been heard for the daemon's own links to count as sound.
-	linkProofTime = time.Second
 )
 
 // linkState is the result of a check.
@@ -43,19 +44,19 @@
 	return r.check(address) != backendDown
 }
 
-// check finds out whether a back end can be reached and by whom. Concurrent callers share one check.
+// check finds out whether a back end can be reached now and by whom. It never relies on an earlier result, because the back end
+// may have ended since.
 func (r *Router) check(address string) linkState {
-	return shared(r, &r.checks, "check "+address, func() linkState {
-		began := clock.Now()
-		connected, silent := r.connect(context.Background(), address)
-		if connected {
-			return linkWorks
-		}
-		if !r.explainFailure(address, began, &connectError{timedOut: silent}) {
-			return backendDown
-		}
+	began := clock.Now()
+	connected, silent := r.connect(context.Background(), address)
+	switch {
+	case connected:
+		return linkWorks
+	case r.explainFailure(address, began, &connectError{timedOut: silent}):
 		return linkDown
-	})
+	default:
+		return backendDown
+	}
 }
 
 // connect reports whether an address accepts a connection, and if not, whether it was silent.
@@ -83,44 +84,43 @@
 	if r.links.Isolated() {
 		return forward.ReachabilityUnknown
 	}
-	now := clock.Now()
 	if key == 0 {
-		return r.checkAny(ctx, now)
+		return r.checkAny(ctx)
 	}
 	backend, listed := r.options.Pool.BackendByKey(key)
-	switch {
-	case !listed:
+	if !listed {
 		return forward.ReachabilityUnknown
-	case r.options.Pool.RespondedSince(key, now.Add(-recentActivity)) && !r.links.IsDown(now, backend.Address):
-		return forward.Reached
-	case r.connects(ctx, backend.Address):
+	}
+	began := clock.Now()
+	if r.connectShared(ctx, backend.Address) {
 		return forward.Reached
-	case r.links.HeardSince(clock.Now().Add(-linkProofTime)):
+	}
+	if r.links.HeardSince(began) || r.connectsToAny(ctx) {
 		return forward.Unreached
-	default:
-		return forward.ReachabilityUnknown
 	}
+	return forward.ReachabilityUnknown
 }
 
 // checkAny returns whether this daemon reaches back ends at all.
-func (r *Router) checkAny(ctx context.Context, now time.Time) forward.Reachability {
-	if r.links.HeardSince(now.Add(-linkProofTime)) {
+func (r *Router) checkAny(ctx context.Context) forward.Reachability {
+	if r.links.HeardSince(clock.Now().Add(-recentActivity)) || r.connectsToAny(ctx) {
 		return forward.Reached
 	}
-	for _, address := range r.sample(1) {
-		if r.connects(ctx, address) {
-			return forward.Reached
-		}
-	}
 	return forward.ReachabilityUnknown
 }
 
-// connects is connect for other daemons' questions, which share one attempt.
-func (r *Router) connects(ctx context.Context, address string) bool {
-	return shared(r, &r.checks, "connect "+address, func() bool {
+// connectsToAny reports whether any of a few back ends accepts a connection, which proves that the daemon's own links work.
+func (r *Router) connectsToAny(ctx context.Context) bool {
+	return slices.ContainsFunc(r.sample(proofSamples), func(address string) bool { return r.connectShared(ctx, address) })
+}
+
+// connectShared is connect for other daemons' questions, of which several may come at the same moment.
+func (r *Router) connectShared(ctx context.Context, address string) bool {
+	connected, _, _ := r.connecting.Do(address, func() (any, error) {
 		connected, _ := r.connect(ctx, address)
-		return connected
+		return connected, nil
 	})
+	return connected.(bool)
 }
 
 // sample returns the addresses of some back ends, drawn at random.
@@ -139,7 +139,6 @@
 	var refreshedAt time.Time
 	pause.Every(ctx, runInterval, func(now time.Time) {
 		r.checkDue(ctx, now)
-		r.forgetResults(now)
 		if now.Sub(refreshedAt) >= helperRefreshInterval && r.isForwarding(now) {
 			refreshedAt = now
 			go r.options.Helpers.FindHelpers(ctx)
@@ -171,16 +170,5 @@
 	return now.Sub(r.forwardedAt) <= helperDemandTime
 }
 
-// forgetResults drops results that are used no more.
-func (r *Router) forgetResults(now time.Time) {
-	r.mutex.Lock()
-	defer r.mutex.Unlock()
-	for key, known := range r.recent {
-		if now.Sub(known.at) >= resultLifetime {
-			delete(r.recent, key)
-		}
-	}
-}
-
 // SetTotal sets the number of back ends that there are.
 func (r *Router) SetTotal(total int) { r.links.SetTotal(total) }
--- a/internal/backendpath/router.go
+++ b/internal/backendpath/router.go
@@ -25,8 +25,6 @@
 	// connectTimeout is how long a back end may take to accept a connection if other daemons can be asked about it. Its
 	// network answers within a few milliseconds, however busy it is.
 	connectTimeout = 150 * time.Millisecond
-	// resultLifetime is how long the result of a check or a question is used again.
-	resultLifetime = 150 * time.Millisecond
 )
 
 // errConnectTimeout cancels an attempt whose back end accepts no connection.
@@ -45,7 +43,6 @@
 	Backends() []backendpool.Backend
 	BackendAt(address string) (backendpool.Backend, bool)
 	BackendByKey(key uint64) (backendpool.Backend, bool)
-	RespondedSince(key uint64, since time.Time) bool
 }
 
 // Options configures a Router.
@@ -65,8 +62,8 @@
 type Router struct {
 	options Options
 	links   *linkhealth.Tracker
-	// checks and questions are shared by all who need the same result.
-	checks, questions singleflight.Group
+	// connecting and asking share attempts to connect for other daemons, and questions to them, by address.
+	connecting, asking singleflight.Group
 
 	mutex sync.Mutex
 	// inFlight are the direct exchanges.
@@ -75,19 +72,11 @@
 	isolated bool
 	// forwardedAt is when a request was last sent through another daemon.
 	forwardedAt time.Time
-	// recent holds results of checks and questions, by their key.
-	recent map[string]result
-}
-
-// result is the result of a check or a question.
-type result struct {
-	at    time.Time
-	value any
 }
 
 // New returns a Router. Its state is kept up to date while Run runs.
 func New(options Options) *Router {
-	return &Router{options: options, links: linkhealth.New(), inFlight: map[*exchange]bool{}, recent: map[string]result{}}
+	return &Router{options: options, links: linkhealth.New(), inFlight: map[*exchange]bool{}}
 }
 
 var _ relay.Backends = (*Router)(nil)
@@ -198,33 +187,16 @@
 	return true
 }
 
-// askOthers returns whether other daemons reach the back end at an address. Concurrent callers share one question.
+// askOthers returns whether other daemons reach the back end at an address now. Concurrent callers share one question.
 func (r *Router) askOthers(address string) forward.Reachability {
-	return shared(r, &r.questions, "question "+address, func() forward.Reachability {
-		backend, listed := r.options.Pool.BackendAt(address)
-		if !listed || len(r.options.Others()) == 0 {
-			return forward.ReachabilityUnknown
-		}
-		return r.options.Helpers.Ask(context.Background(), backend.ID)
-	})
-}
-
-// shared returns the result of a function, or one that is a moment old. Concurrent callers share one call.
-func shared[Value any](r *Router, group *singleflight.Group, key string, call func() Value) Value {
-	r.mutex.Lock()
-	known, found := r.recent[key]
-	r.mutex.Unlock()
-	if found && clock.Since(known.at) < resultLifetime {
-		return known.value.(Value)
+	backend, listed := r.options.Pool.BackendAt(address)
+	if !listed || len(r.options.Others()) == 0 {
+		return forward.ReachabilityUnknown
 	}
-	value, _, _ := group.Do(key, func() (any, error) {
-		made := call()
-		r.mutex.Lock()
-		defer r.mutex.Unlock()
-		r.recent[key] = result{at: clock.Now(), value: made}
-		return made, nil
+	answer, _, _ := r.asking.Do(address, func() (any, error) {
+		return r.options.Helpers.Ask(context.Background(), backend.ID), nil
 	})
-	return value.(Value)
+	return answer.(forward.Reachability)
 }
 
 // setDown marks the link to an address as down, and reports it to the requests that depend on it.
--- a/internal/core/backendpool/lookup.go
+++ b/internal/core/backendpool/lookup.go
@@ -1,7 +1,5 @@
 package backendpool
 
-import "time"
-
 // BackendAt returns the back end at an address; false if none is listed there. A replaced one counts only if there is no other.
 func (p *Pool) BackendAt(address string) (Backend, bool) {
 	p.mutex.Lock()
@@ -29,11 +27,3 @@
 	}
 	return found.described(), true
 }
-
-// RespondedSince reports whether data arrived from a back end, given by the hash of its ID, after a time.
-func (p *Pool) RespondedSince(key uint64, since time.Time) bool {
-	p.mutex.Lock()
-	defer p.mutex.Unlock()
-	found := p.byPeerKey(key)
-	return found != nil && found.lastActivityAt.After(since)
-}
