Take no evidence of crashes from daemons whose links are in doubt

Two links that failed with nothing heard since put all of them in doubt: a back end that can't be reached is then no evidence.

--- a/cmd/internal/daemon/paths.go
+++ b/cmd/internal/daemon/paths.go
@@ -117,6 +117,9 @@
 // noteReachability takes in whether a back end can be reached. While the daemon's own links are in doubt, one that can't
 // be is no evidence against the requests that it had.
 func (w *Daemon) noteReachability(id identity.BackendID, reached bool) {
+	if !reached && w.paths.Uncertain() {
+		return
+	}
 	w.crashes.Checked(id, reached)
 }
 
--- a/cmd/lotusward/linkloss_test.go
+++ b/cmd/lotusward/linkloss_test.go
@@ -266,3 +266,15 @@
 		})
 	}
 }
+
+// TestLossOfAllLinksBlamesNoRequest guards against evidence from daemons none of which can tell its links from the back ends.
+func TestLossOfAllLinksBlamesNoRequest(t *testing.T) {
+	play := newLinkLossWith(t, 4, 4, 30, 10*time.Millisecond)
+	for _, daemon := range play.daemons {
+		play.asking.Go(func() { play.askPopular(daemon) })
+	}
+	time.Sleep(500 * time.Millisecond)
+	play.cut(standin.CutReset, func() {})
+	play.checkNoBlame()
+	play.checkOnce()
+}
