--- a/cmd/internal/daemon/paths.go
+++ b/cmd/internal/daemon/paths.go
@@ -115,12 +115,17 @@
 }
 
 // noteReachability takes in whether a back end can be reached. While the daemon's own links are in doubt, one that can't
-// be is no evidence against the requests that it had.
+// be is evidence against the requests that it had only once another back end was reached.
 func (w *Daemon) noteReachability(id identity.BackendID, reached bool) {
-	if !reached && w.paths.Uncertain() {
+	if reached || !w.paths.Uncertain() {
+		w.crashes.Checked(id, reached)
 		return
 	}
-	w.crashes.Checked(id, reached)
+	go func() {
+		if w.paths.ProveLinks(context.Background()) {
+			w.crashes.Checked(id, false)
+		}
+	}()
 }
 
 // countBackends keeps the number of back ends known to what judges the daemon's links.
--- a/internal/backendpath/check.go
+++ b/internal/backendpath/check.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/lotusward/lotusward/internal/clock"
+	"github.com/lotusward/lotusward/internal/core/backendpool"
 	"github.com/lotusward/lotusward/internal/forward"
 	"github.com/lotusward/lotusward/internal/pause"
 )
@@ -114,6 +115,16 @@
 	return slices.ContainsFunc(r.sample(proofSamples), func(address string) bool { return r.connectShared(ctx, address) })
 }
 
+// ProveLinks reports whether a back end that was not known to be unreachable accepts a connection, which means that others
+// that don't have failed themselves.
+func (r *Router) ProveLinks(ctx context.Context) bool {
+	untried := slices.DeleteFunc(r.options.Pool.Backends(), func(backend backendpool.Backend) bool { return r.links.HasFailed(backend.Address) })
+	rand.Shuffle(len(untried), func(left, right int) { untried[left], untried[right] = untried[right], untried[left] })
+	return slices.ContainsFunc(untried[:min(len(untried), proofSamples)], func(backend backendpool.Backend) bool {
+		return r.connectShared(ctx, backend.Address)
+	})
+}
+
 // connectShared is connect for other daemons' questions, of which several may come at the same moment.
 func (r *Router) connectShared(ctx context.Context, address string) bool {
 	connected, _, _ := r.connecting.Do(address, func() (any, error) {
--- a/internal/core/linkhealth/linkhealth.go
+++ b/internal/core/linkhealth/linkhealth.go
@@ -149,6 +149,13 @@
 	return failed >= suspicionLinks
 }
 
+// HasFailed reports whether the last attempt to connect to an address failed.
+func (t *Tracker) HasFailed(address string) bool {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	return t.links[address] != nil
+}
+
 // Impaired reports whether the daemon is isolated or many of its links are down.
 func (t *Tracker) Impaired() bool {
 	t.mutex.Lock()
