Ask for each back end who reaches it, and check links in doubt before use

A daemon now forwards only for back ends that it has just connected to, which it is asked for one by one, and refuses the others at once. For 3 s after a link went down, other links are checked before they are used, and those with silent requests at once.

--- a/internal/backendpath/check.go
+++ b/internal/backendpath/check.go
@@ -15,17 +15,11 @@
 const (
 	// runInterval is the interval at which links that are down are checked.
 	runInterval = 100 * time.Millisecond
-	// helperDemandTime is how long after a forwarded request other daemons are asked in advance whether they forward more.
-	helperDemandTime = 2 * time.Second
-	// helperRefreshInterval is the interval of these questions.
-	helperRefreshInterval = 300 * time.Millisecond
 	// isolationSamples is how many back ends a daemon without links checks at a time, beside those whose links it knows to
 	// be down, which may have ended in the meantime.
 	isolationSamples = 2
 	// proofSamples is how many back ends are tried to prove that the daemon's own links work.
 	proofSamples = 2
-	// recentActivity is how recently any back end must have been heard for the daemon to offer help without a check.
-	recentActivity = 300 * time.Millisecond
 )
 
 // linkState is the result of a check.
@@ -79,15 +73,12 @@
 	r.noteIsolation()
 }
 
-// CheckFor returns whether this daemon reaches a back end itself, given by the hash of its ID, or any if that is zero. It is
-// for other daemons, and never asks any.
+// CheckFor returns whether this daemon reaches a back end itself, given by the hash of its ID. It is for other daemons, and
+// never asks any.
 func (r *Router) CheckFor(ctx context.Context, key uint64) forward.Reachability {
 	if r.links.Isolated() {
 		return forward.ReachabilityUnknown
 	}
-	if key == 0 {
-		return r.checkAny(ctx)
-	}
 	backend, listed := r.options.Pool.BackendByKey(key)
 	if !listed {
 		return forward.ReachabilityUnknown
@@ -102,14 +93,6 @@
 	return forward.ReachabilityUnknown
 }
 
-// checkAny returns whether this daemon reaches back ends at all.
-func (r *Router) checkAny(ctx context.Context) forward.Reachability {
-	if r.links.HeardSince(clock.Now().Add(-recentActivity)) || r.connectsToAny(ctx) {
-		return forward.Reached
-	}
-	return forward.ReachabilityUnknown
-}
-
 // connectsToAny reports whether any of a few back ends accepts a connection, which proves that the daemon's own links work.
 func (r *Router) connectsToAny(ctx context.Context) bool {
 	return slices.ContainsFunc(r.sample(proofSamples), func(address string) bool { return r.connectShared(ctx, address) })
@@ -144,17 +127,9 @@
 	return drawn
 }
 
-// Run checks links that are down, and keeps known who forwards requests while some are sent through others, until the
-// context ends.
+// Run checks links that are down until the context ends.
 func (r *Router) Run(ctx context.Context) error {
-	var refreshedAt time.Time
-	pause.Every(ctx, runInterval, func(now time.Time) {
-		r.checkDue(ctx, now)
-		if now.Sub(refreshedAt) >= helperRefreshInterval && r.isForwarding(now) {
-			refreshedAt = now
-			go r.options.Helpers.FindHelpers(ctx)
-		}
-	})
+	pause.Every(ctx, runInterval, func(now time.Time) { r.checkDue(ctx, now) })
 	return nil
 }
 
@@ -174,12 +149,5 @@
 	}
 }
 
-// isForwarding reports whether requests were sent through other daemons lately.
-func (r *Router) isForwarding(now time.Time) bool {
-	r.mutex.Lock()
-	defer r.mutex.Unlock()
-	return now.Sub(r.forwardedAt) <= helperDemandTime
-}
-
 // SetTotal sets the number of back ends that there are.
 func (r *Router) SetTotal(total int) { r.links.SetTotal(total) }
--- a/internal/backendpath/router.go
+++ b/internal/backendpath/router.go
@@ -34,8 +34,6 @@
 type Helpers interface {
 	// Ask returns whether other daemons reach a back end.
 	Ask(ctx context.Context, backend identity.BackendID) forward.Reachability
-	// FindHelpers looks for daemons that forward requests.
-	FindHelpers(ctx context.Context)
 }
 
 // Pool is what the router needs to know of the back ends. It is implemented by backendpool.Pool.
@@ -70,8 +68,6 @@
 	inFlight map[*exchange]bool
 	// isolated is the last logged state of the links.
 	isolated bool
-	// forwardedAt is when a request was last sent through another daemon.
-	forwardedAt time.Time
 }
 
 // New returns a Router. Its state is kept up to date while Run runs.
@@ -96,7 +92,10 @@
 // Send implements relay.Backends.
 func (r *Router) Send(ctx context.Context, dispatch *relay.Dispatch) (*relay.Answer, error) {
 	if r.links.IsDown(clock.Now(), dispatch.Address) {
-		return r.sendThroughOthers(ctx, dispatch)
+		return r.options.Forward(ctx, dispatch)
+	}
+	if r.links.InDoubt(clock.Now(), dispatch.Address) && r.check(dispatch.Address) == linkDown {
+		return r.options.Forward(ctx, dispatch)
 	}
 	began := clock.Now()
 	answer, err := r.SendDirect(ctx, dispatch)
@@ -107,7 +106,7 @@
 	if !r.explainFailure(dispatch.Address, began, failed) {
 		return nil, err
 	}
-	return r.sendThroughOthers(ctx, dispatch)
+	return r.options.Forward(ctx, dispatch)
 }
 
 // connectError is the cause of an attempt that made no connection.
@@ -169,14 +168,6 @@
 	return time.AfterFunc(timeout, cancel)
 }
 
-// sendThroughOthers sends a request through another daemon.
-func (r *Router) sendThroughOthers(ctx context.Context, dispatch *relay.Dispatch) (*relay.Answer, error) {
-	r.mutex.Lock()
-	r.forwardedAt = clock.Now()
-	r.mutex.Unlock()
-	return r.options.Forward(ctx, dispatch)
-}
-
 // explainFailure returns true if a connection failed because of this daemon's own link.
 func (r *Router) explainFailure(address string, began time.Time, failed *connectError) bool {
 	r.links.Failed(began, address)
@@ -209,9 +200,17 @@
 	if !silent {
 		return // open connections are reset as well, or still work
 	}
+	others := map[string]bool{}
 	for _, each := range r.silentSince(began) {
 		if isolated || each.address == address {
 			each.lose()
+		} else {
+			others[each.address] = true
+		}
+	}
+	for other := range others {
+		if r.links.InDoubt(clock.Now(), other) {
+			go r.check(other)
 		}
 	}
 }
--- a/internal/core/linkhealth/linkhealth.go
+++ b/internal/core/linkhealth/linkhealth.go
@@ -23,6 +23,8 @@
 	// a time.
 	recheckInterval = 250 * time.Millisecond
 	maxRechecks     = 8
+	// episodeTime is how long after a link went down other links are in doubt.
+	episodeTime = 3 * time.Second
 	// unusedTime is after how long the state of a link is dropped if nothing uses it.
 	unusedTime = 10 * time.Second
 )
@@ -46,10 +48,14 @@
 	heardAt time.Time
 	// total is the number of links.
 	total int
+	// episodeAt is when the first of a series of links went down, and lastDownAt when the last one did. checked is when
+	// other links were last checked since the former.
+	episodeAt, lastDownAt time.Time
+	checked               map[string]time.Time
 }
 
 // New returns a tracker whose links all work.
-func New() *Tracker { return &Tracker{links: map[string]*link{}} }
+func New() *Tracker { return &Tracker{links: map[string]*link{}, checked: map[string]time.Time{}} }
 
 // SetTotal sets the number of back ends that there are.
 func (t *Tracker) SetTotal(total int) {
@@ -77,6 +83,9 @@
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	t.heardAt = now
+	if t.inEpisode(now) {
+		t.checked[address] = now
+	}
 	found := t.links[address]
 	delete(t.links, address)
 	return found != nil && found.down
@@ -104,6 +113,28 @@
 		return false // it has worked again in the meantime, or is known
 	}
 	found.down, found.checkedAt, found.usedAt = true, now, now
+	if !t.inEpisode(now) {
+		t.episodeAt = now
+		clear(t.checked)
+	}
+	t.lastDownAt = now
+	return true
+}
+
+// inEpisode reports whether links went down lately. The caller holds the mutex.
+func (t *Tracker) inEpisode(now time.Time) bool {
+	return !t.lastDownAt.IsZero() && now.Sub(t.lastDownAt) <= episodeTime
+}
+
+// InDoubt reports whether links went down lately and the link to an address has not been checked since. An open connection
+// may then be silent as well. It counts as checked from now on.
+func (t *Tracker) InDoubt(now time.Time, address string) bool {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	if !t.inEpisode(now) || !t.checked[address].IsZero() {
+		return false
+	}
+	t.checked[address] = now
 	return true
 }
 
--- a/internal/forward/client.go
+++ b/internal/forward/client.go
@@ -9,11 +9,14 @@
 	"sync"
 	"time"
 
+	"golang.org/x/sync/singleflight"
+
 	"github.com/lotusward/lotusward/internal/adapter/httpexchange"
 	"github.com/lotusward/lotusward/internal/clock"
 	"github.com/lotusward/lotusward/internal/codec"
 	"github.com/lotusward/lotusward/internal/core/distance"
 	"github.com/lotusward/lotusward/internal/core/outcome"
+	"github.com/lotusward/lotusward/internal/core/rendezvous"
 	"github.com/lotusward/lotusward/internal/relay"
 )
 
@@ -26,8 +29,8 @@
 )
 
 var (
-	// errNoHelper means that no other daemon is known to reach the back ends.
-	errNoHelper = errors.New("no daemon forwards requests now")
+	// errNoHelper means that no other daemon is known to reach the back end.
+	errNoHelper = errors.New("no other daemon is known to reach the back end")
 	// errConnectTimeout cancels an exchange with a daemon that accepts no connection.
 	errConnectTimeout = errors.New("the daemon took too long to accept a connection")
 )
@@ -55,8 +58,8 @@
 // Client sends requests through other daemons. It is safe for concurrent use.
 type Client struct {
 	options ClientOptions
-	// finding is held by the goroutine that looks for daemons on behalf of all.
-	finding sync.Mutex
+	// asking shares questions about a back end.
+	asking singleflight.Group
 }
 
 // NewClient returns a Client.
@@ -72,7 +75,7 @@
 	}
 	tried := map[string]bool{}
 	for range maxHelpers {
-		address := c.acquire(ctx, tried)
+		address := c.acquire(ctx, dispatch, tried)
 		if address == "" {
 			break
 		}
@@ -89,32 +92,36 @@
 	return nil, failed
 }
 
-// acquire returns the daemon to send through, and looks for daemons if none is known.
-func (c *Client) acquire(ctx context.Context, tried map[string]bool) string {
-	helpers := c.options.Inquiry.helpers
-	if address := helpers.acquire(clock.Now(), tried, c.options.Distance); address != "" {
-		return address
-	}
-	c.finding.Lock()
-	defer c.finding.Unlock()
-	if address := helpers.acquire(clock.Now(), tried, c.options.Distance); address != "" {
+// acquire returns the daemon to send through, and asks others if none is known to reach the back end.
+func (c *Client) acquire(ctx context.Context, dispatch *relay.Dispatch, tried map[string]bool) string {
+	backend := rendezvous.Key(string(dispatch.Backend))
+	if address := c.helpers().acquire(clock.Now(), backend, tried, c.options.Distance); address != "" {
 		return address
 	}
-	c.options.Inquiry.FindHelpers(ctx)
-	return helpers.acquire(clock.Now(), tried, c.options.Distance)
+	_, _, _ = c.asking.Do(string(dispatch.Backend), func() (any, error) {
+		c.options.Inquiry.Ask(context.WithoutCancel(ctx), dispatch.Backend)
+		return nil, nil
+	})
+	return c.helpers().acquire(clock.Now(), backend, tried, c.options.Distance)
 }
 
+func (c *Client) helpers() *helpers { return c.options.Inquiry.helpers }
+
 // sendThrough sends a request through the daemon at an address.
 func (c *Client) sendThrough(ctx context.Context, address string, dispatch *relay.Dispatch, body []byte) (*relay.Answer, *relay.SendError) {
-	release := sync.OnceFunc(func() { c.options.Inquiry.helpers.release(clock.Now(), address, false) })
+	release := func(ended end) {
+		c.helpers().release(clock.Now(), address, rendezvous.Key(string(dispatch.Backend)), ended)
+	}
 	fail := func(evidence outcome.Evidence, cause error) *relay.SendError {
-		c.options.Inquiry.helpers.release(clock.Now(), address, ctx.Err() == nil)
+		release(endFailed)
 		return &relay.SendError{Evidence: evidence, Via: address, Cause: cause}
 	}
 	answer, err := c.exchange(ctx, address, dispatch, body)
-	var exchanged *httpexchange.Error
 	switch {
-	case errors.As(err, &exchanged) && exchanged.Stage == httpexchange.StageUnreached:
+	case err != nil && ctx.Err() != nil:
+		release(endForwarded)
+		return nil, &relay.SendError{Evidence: evidenceOf(err), Via: address, Cause: err}
+	case err != nil && evidenceOf(err) == outcome.Unreached:
 		return nil, fail(outcome.Unreached, err)
 	case err != nil:
 		loseLink(ctx, dispatch)
@@ -131,15 +138,34 @@
 	}
 	if received.Failed {
 		answer.Close()
-		release()
+		release(received.end())
 		return nil, &relay.SendError{Evidence: received.Evidence, Via: address, Cause: errors.New(received.Cause)}
 	}
 	read := received.answer()
 	read.Via = address
-	read.Body = &forwardedBody{answer: answer, release: release, lose: func() { loseLink(ctx, dispatch) }}
+	read.Body = &forwardedBody{
+		answer: answer, release: sync.OnceFunc(func() { release(endForwarded) }), lose: func() { loseLink(ctx, dispatch) },
+	}
 	return read, nil
 }
 
+// end returns how a request without an answer ended.
+func (h *head) end() end {
+	if h.Evidence == outcome.Unreached {
+		return endUnreached
+	}
+	return endForwarded
+}
+
+// evidenceOf returns what may have become of a request whose exchange with another daemon failed.
+func evidenceOf(err error) outcome.Evidence {
+	var exchanged *httpexchange.Error
+	if errors.As(err, &exchanged) && exchanged.Stage == httpexchange.StageUnreached {
+		return outcome.Unreached
+	}
+	return outcome.Sent
+}
+
 // exchange makes the HTTP exchange with a daemon, which must accept the connection within connectTimeout.
 func (c *Client) exchange(ctx context.Context, address string, dispatch *relay.Dispatch, body []byte) (*httpexchange.Answer, error) {
 	bounded, cancel := context.WithCancelCause(ctx)
--- a/internal/forward/inquiry.go
+++ b/internal/forward/inquiry.go
@@ -4,7 +4,6 @@
 	"context"
 	"math/rand/v2"
 	"slices"
-	"sync"
 	"time"
 
 	"github.com/lotusward/lotusward/internal/clock"
@@ -44,14 +43,14 @@
 // question asks whether the receiver reaches a back end. Fields are only ever added at the end.
 type question struct {
 	Number uint64
-	// Backend is the hash of the back end's ID; zero asks about back ends in general.
+	// Backend is the hash of the back end's ID.
 	Backend uint64
 }
 
 // reply answers a question. Fields are only ever added at the end.
 type reply struct {
-	Number       uint64
-	Reachability Reachability
+	Number, Backend uint64
+	Reachability    Reachability
 	// Accepts is set if the daemon forwards requests for others now, and Active is how many it has in flight.
 	Accepts bool
 	Active  int
@@ -68,7 +67,7 @@
 	Link peerlink.Carrier
 	// Others returns the addresses of the other daemons.
 	Others func() []string
-	// Check reports whether this daemon reaches a back end, given by the hash of its ID, or, for zero, any. It may block.
+	// Check reports whether this daemon reaches a back end, given by the hash of its ID. It may block.
 	Check func(ctx context.Context, backend uint64) Reachability
 	// Capacity reports whether this daemon forwards requests for others now, and how many it has in flight.
 	Capacity func() (accepts bool, active int)
@@ -104,7 +103,7 @@
 		reachability := i.options.Check(ctx, asked.Backend)
 		accepts, active := i.options.Capacity()
 		peerlink.Tell(i.options.Link, from, peerlink.KindReachAnswer, &reply{
-			Number: asked.Number, Reachability: reachability, Accepts: accepts, Active: active,
+			Number: asked.Number, Backend: asked.Backend, Reachability: reachability, Accepts: accepts, Active: active,
 		})
 	}()
 }
@@ -117,15 +116,8 @@
 
 // Ask returns whether other daemons reach a back end: Reached if any does, and Unreached if the only ones that can tell
 // don't.
-func (i *Inquiry) Ask(ctx context.Context, backend identity.BackendID) Reachability {
-	return i.ask(ctx, rendezvous.Key(string(backend)))
-}
-
-// FindHelpers asks which daemons could forward requests.
-func (i *Inquiry) FindHelpers(ctx context.Context) { i.ask(ctx, 0) }
-
-func (i *Inquiry) ask(ctx context.Context, backend uint64) Reachability {
-	candidates := i.candidates()
+func (i *Inquiry) Ask(ctx context.Context, id identity.BackendID) Reachability {
+	backend, candidates := rendezvous.Key(string(id)), i.candidates()
 	bounded, cancel := context.WithTimeout(ctx, answerTimeout)
 	defer cancel()
 	first := min(firstAsked, len(candidates))
@@ -178,11 +170,3 @@
 	}
 	return found
 }
-
-// helpers are the daemons that have answered lately, with what is known of them.
-type helpers struct {
-	mutex sync.Mutex
-	known map[string]*helper
-}
-
-func newHelpers() *helpers { return &helpers{known: map[string]*helper{}} }
