Let daemons that reach only some back ends update weights last

A daemon with half of its links down never tried for the lease, so that nobody would have it where a partition leaves each daemon a part of the back ends. It now tries a quarter of the time for a version later than the others, and a daemon that is isolated not at all.

--- a/cmd/internal/daemon/bounds.go
+++ b/cmd/internal/daemon/bounds.go
@@ -48,6 +48,8 @@
 	// updatePatienceShare of the time in which a named version must be in use is how long an update waits for the daemon
 	// that is to begin it, and as long again until all others have tried: loads need most of the rest.
 	updatePatienceShare = 0.125
+	// impairedPatienceFactor times the same wait is how much later daemons begin an update that reach only some back ends.
+	impairedPatienceFactor = 2
 	// leastUpdatePatience holds where no such time is set.
 	leastUpdatePatience = 250 * time.Millisecond
 	// reachedIntervals is how many intervals of the daemon that reads for all its last news may be old while the store
--- a/cmd/internal/daemon/duty.go
+++ b/cmd/internal/daemon/duty.go
@@ -23,14 +23,15 @@
 		},
 		HolderAnnouncedAt: func() time.Time { return w.follower.LastAnnouncementAt() }, LeaseLifetime: leaseDuration(bounds),
 		Reachable: func() bool { return clock.Since(w.directory.ConfirmedAt()) < reachedIntervals*checkInterval(bounds) },
-		Linger:    rest(bounds) + leaseLinger,
+		Impaired:  w.paths.Impaired, ImpairedTimeout: impairedPatienceFactor * updatePatience(bounds),
+		Linger: rest(bounds) + leaseLinger,
 	}
 	w.keeper = leasekeeper.New(leasekeeper.Options{
 		Table: w.store, Log: w.part("lease"),
 		Eligible: func() bool {
 			leaves := w.serving.stopping.Load() && len(w.members.Others()) > 0
 			mayBecome := w.directory.Complete() && !leaves
-			return (mayBecome || w.holdsLease()) && !w.paths.Impaired() && duty.Eligible(clock.Now())
+			return (mayBecome || w.holdsLease()) && !w.paths.Isolated() && duty.Eligible(clock.Now())
 		},
 		Settings: lease.Settings{
 			Key: weightupdate.KeyLease, Holder: w.settings.NodeName, Incarnation: identity.Incarnation(rand.Uint64()),
--- a/internal/core/linkhealth/linkhealth.go
+++ b/internal/core/linkhealth/linkhealth.go
@@ -17,7 +17,7 @@
 	// suspicionLinks is how many links must have failed in the same way for it to be uncertain whether back ends have
 	// failed.
 	suspicionLinks = 2
-	// impairedShare is the share of the links from which a daemon can't carry out duties that need most back ends.
+	// impairedShare is the share of links down from which a daemon counts as unfit for duties that concern all back ends.
 	impairedShare = 0.5
 	// recheckInterval is the interval of checks of one link that is down, and maxRechecks bounds the checks that are due at
 	// a time.
--- a/internal/forward/client.go
+++ b/internal/forward/client.go
@@ -73,6 +73,11 @@
 	if err != nil {
 		return nil, &relay.SendError{Evidence: outcome.Unreached, Cause: err}
 	}
+	account := dispatch.Request.Account
+	if err := account.Reserve(clock.Now(), int64(len(body))); err != nil {
+		return nil, &relay.SendError{Evidence: outcome.Unreached, Cause: err}
+	}
+	defer account.Release(int64(len(body)))
 	tried := map[string]bool{}
 	for range maxHelpers {
 		address := c.acquire(ctx, dispatch, tried)
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -54,6 +54,8 @@
 	// asked counts the HTTP requests, and noted the lost connections that it reported.
 	asked, noted atomic.Int32
 	address      string
+	// ended has a value once a silent request has ended; nil has none.
+	ended chan struct{}
 }
 
 // cutReader ends early.
@@ -82,6 +84,9 @@
 	case silent:
 		h.runs.Add(1)
 		<-ctx.Done()
+		if h.ended != nil {
+			h.ended <- struct{}{}
+		}
 		return nil, &relay.SendError{Evidence: outcome.Sent, Cause: ctx.Err()}
 	case diesWaiting:
 		h.runs.Add(1)
@@ -271,3 +276,24 @@
 		assert.Assert(t, helper.runs.Load() > 0 && helper.runs.Load() < 9, "%d of 9", helper.runs.Load())
 	}
 }
+
+// TestLeavingCallerEndsForwardedRequest guards against work at a back end for a caller that has left another daemon.
+func TestLeavingCallerEndsForwardedRequest(t *testing.T) {
+	network, pool := peerlinktest.NewNetwork(1), httpexchange.NewPool(httpexchange.Options{})
+	t.Cleanup(pool.Close)
+	helper := &fakeHelper{behaviour: silent, ended: make(chan struct{}, 1)}
+	t.Cleanup(helper.start(network))
+	client := newClient(network, pool, []string{helper.address})
+	ctx, cancel := context.WithCancel(context.Background())
+	time.AfterFunc(100*time.Millisecond, cancel)
+	dispatch := newDispatch(new(atomic.Int32))
+	dispatch.Timeout = time.Minute
+	_, err := client.Send(ctx, dispatch)
+	assert.Assert(t, err != nil)
+	select {
+	case <-helper.ended:
+	case <-time.After(500 * time.Millisecond):
+		t.Fatal("the back end still works on it")
+	}
+	assert.Equal(t, helper.noted.Load(), int32(0))
+}
--- a/internal/forward/server.go
+++ b/internal/forward/server.go
@@ -12,6 +12,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/lotusward/lotusward/internal/callerio"
+	"github.com/lotusward/lotusward/internal/clock"
 	"github.com/lotusward/lotusward/internal/codec"
 	"github.com/lotusward/lotusward/internal/core/buffers"
 	"github.com/lotusward/lotusward/internal/core/identity"
@@ -151,6 +152,9 @@
 	if err != nil {
 		return nil, http.StatusServiceUnavailable
 	}
+	if exchange.Account.Reserve(clock.Now(), int64(len(body))) != nil { // decoding copies the body
+		return nil, http.StatusServiceUnavailable
+	}
 	var received message
 	if err := codec.Unmarshal(body, &received); err != nil {
 		s.options.Log.WithError(err).WithField("from", incoming.RemoteAddr).Warn("A request to forward can't be read and is refused.")
--- a/internal/leasekeeper/duty.go
+++ b/internal/leasekeeper/duty.go
@@ -28,6 +28,10 @@
 	// Reachable reports whether any daemon reaches the table; nil means that it is always reachable. While none does, more
 	// candidates would gain nothing.
 	Reachable func() bool
+	// Impaired reports whether this daemon could do only part of the work; nil means never. It then tries only once all
+	// others have had ImpairedTimeout longer than PreferredTimeout, and releases the lease before that.
+	Impaired        func() bool
+	ImpairedTimeout time.Duration
 	// Linger is how long a holder keeps the lease after the work has ended, so that new work need not wait for a holder.
 	Linger time.Duration
 
@@ -49,6 +53,8 @@
 	defer d.mutex.Unlock()
 	d.refresh(now)
 	switch {
+	case d.Impaired != nil && d.Impaired() && now.Before(d.pendingSince.Add(d.PreferredTimeout+d.ImpairedTimeout)):
+		return false
 	case held:
 		return now.Sub(d.lastPendingAt) <= d.Linger
 	case d.pendingSince.IsZero():
--- a/internal/leasekeeper/duty_test.go
+++ b/internal/leasekeeper/duty_test.go
@@ -110,3 +110,20 @@
 		})
 	}
 }
+
+// TestImpairedDaemonsTryLast guards against a lease that is held by daemons that can do part of the work only, and against one
+// that nobody takes because all are impaired.
+func TestImpairedDaemonsTryLast(t *testing.T) {
+	const impairedTimeout = time.Second
+	fleet := newDutyFleet(3)
+	for _, duty := range fleet.duties {
+		duty.ImpairedTimeout = impairedTimeout
+		duty.Impaired = func() bool { return true }
+	}
+	fleet.duties[0].Impaired = func() bool { return false }
+	const most = dutyPreferredTimeout + dutyGrowth + checkInterval
+	assert.Equal(t, fleet.eligibleAfter(most), 1)
+	fleet.duties[0].Impaired = func() bool { return true }
+	assert.Equal(t, fleet.eligibleAfter(100*time.Millisecond), 0)
+	assert.Equal(t, fleet.eligibleAfter(impairedTimeout), 3)
+}
--- a/internal/relay/fixture_test.go
+++ b/internal/relay/fixture_test.go
@@ -70,6 +70,8 @@
 	reachable  bool
 	// hang lists the attempts that block until their context ends.
 	hang map[int]bool
+	// linkLost lists the attempts whose network link fails.
+	linkLost map[int]bool
 }
 
 func (b *scriptedBackends) Reach(context.Context, string) bool { return b.reachable }
@@ -106,6 +108,9 @@
 // Send implements Backends.
 func (b *scriptedBackends) Send(ctx context.Context, dispatch *Dispatch) (*Answer, error) {
 	action, number := b.next(dispatch)
+	if b.linkLost[number] {
+		dispatch.OnLinkLost()
+	}
 	if b.hang[number] {
 		b.run()
 		<-ctx.Done()
@@ -248,7 +253,7 @@
 	}
 	made := &fixture{
 		control:  &fakeControl{state: &State{Table: routing.Compile(configuration)}, confirmed: time.Now()},
-		backends: &scriptedBackends{reachable: true, hang: map[int]bool{}},
+		backends: &scriptedBackends{reachable: true, hang: map[int]bool{}, linkLost: map[int]bool{}},
 		pool:     backendpool.New("a"),
 		observer: &lastObserver{},
 		route:    &route,
