--- a/cmd/lotusward/linkloss_test.go
+++ b/cmd/lotusward/linkloss_test.go
@@ -212,6 +212,25 @@
 	}
 }
 
+// TestCallersOfDaemonsWithFewLinksAreServed guards against daemons that reach one back end of each kind and crowd there, or
+// offer help for others that they don't reach.
+func TestCallersOfDaemonsWithFewLinksAreServed(t *testing.T) {
+	for _, cutOff := range []int{2, 5} {
+		for _, how := range []standin.Cut{standin.CutSilent, standin.CutReset} {
+			t.Run(fmt.Sprintf("%d of 6, %s", cutOff, how), func(t *testing.T) {
+				play := newLinkLoss(t, 6, cutOff)
+				for _, kept := range play.runners[:2] {
+					play.reached.Delete(kept.Address())
+				}
+				play.cut(how, func() {})
+				play.checkTries()
+				play.checkOnce()
+				play.checkNoBlame()
+			})
+		}
+	}
+}
+
 // firstOrder returns when the first back end was told to load a version of the weights; the zero time if none was.
 func (d *deployment) firstOrder(version uint64) time.Time {
 	var first time.Time
