Take answers on open connections for no proof of new ones

A link that refuses new connections while open ones live on was taken for sound again at each answer on the latter, and found down at the next dial.

--- a/internal/backendpath/exchange.go
+++ b/internal/backendpath/exchange.go
@@ -40,7 +40,7 @@
 // heard records that data arrived.
 func (e *exchange) heard(now time.Time) {
 	e.heardAt.Store(&now)
-	e.router.links.Heard(now)
+	e.router.links.Heard(now, e.address)
 }
 
 // lose reports that the link is down.
--- a/internal/backendpath/router.go
+++ b/internal/backendpath/router.go
@@ -150,7 +150,6 @@
 	answer, err := r.options.Direct.Send(bounded, &attempt)
 	if err == nil {
 		made.heard(clock.Now())
-		r.links.Connected(clock.Now(), dispatch.Address)
 		answer.Body = &directBody{ReadCloser: answer.Body, exchange: made, context: ctx}
 		return answer, nil
 	}
--- a/internal/core/linkhealth/linkhealth.go
+++ b/internal/core/linkhealth/linkhealth.go
@@ -23,8 +23,8 @@
 	// a time.
 	recheckInterval = 250 * time.Millisecond
 	maxRechecks     = 8
-	// episodeTime is how long after a link went down other links are in doubt.
-	episodeTime = 3 * time.Second
+	// seriesTime is how long after a link went down other links are in doubt.
+	seriesTime = 3 * time.Second
 	// unusedTime is after how long the state of a link is dropped if nothing uses it.
 	unusedTime = 10 * time.Second
 )
@@ -48,14 +48,14 @@
 	heardAt time.Time
 	// total is the number of links.
 	total int
-	// episodeAt is when the first of a series of links went down, and lastDownAt when the last one did. checked is when
-	// other links were last checked since the former.
-	episodeAt, lastDownAt time.Time
-	checked               map[string]time.Time
+	// lastDownAt is when the last link went down. checked holds the links that were checked since the first one of the
+	// series did.
+	lastDownAt time.Time
+	checked    map[string]bool
 }
 
 // New returns a tracker whose links all work.
-func New() *Tracker { return &Tracker{links: map[string]*link{}, checked: map[string]time.Time{}} }
+func New() *Tracker { return &Tracker{links: map[string]*link{}, checked: map[string]bool{}} }
 
 // SetTotal sets the number of back ends that there are.
 func (t *Tracker) SetTotal(total int) {
@@ -64,11 +64,15 @@
 	t.total = total
 }
 
-// Heard records that data arrived from an address directly.
-func (t *Tracker) Heard(now time.Time) {
+// Heard records that data arrived from an address directly. On a connection that was open before, it doesn't prove that new
+// ones can be made.
+func (t *Tracker) Heard(now time.Time, address string) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	t.heardAt = now
+	if found := t.links[address]; found != nil && !found.down {
+		delete(t.links, address)
+	}
 }
 
 // HeardSince reports whether any back end was heard directly after a time.
@@ -83,8 +87,8 @@
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	t.heardAt = now
-	if t.inEpisode(now) {
-		t.checked[address] = now
+	if t.inSeries(now) {
+		t.checked[address] = true
 	}
 	found := t.links[address]
 	delete(t.links, address)
@@ -113,17 +117,16 @@
 		return false // it has worked again in the meantime, or is known
 	}
 	found.down, found.checkedAt, found.usedAt = true, now, now
-	if !t.inEpisode(now) {
-		t.episodeAt = now
+	if !t.inSeries(now) {
 		clear(t.checked)
 	}
 	t.lastDownAt = now
 	return true
 }
 
-// inEpisode reports whether links went down lately. The caller holds the mutex.
-func (t *Tracker) inEpisode(now time.Time) bool {
-	return !t.lastDownAt.IsZero() && now.Sub(t.lastDownAt) <= episodeTime
+// inSeries reports whether links went down lately. The caller holds the mutex.
+func (t *Tracker) inSeries(now time.Time) bool {
+	return !t.lastDownAt.IsZero() && now.Sub(t.lastDownAt) <= seriesTime
 }
 
 // InDoubt reports whether links went down lately and the link to an address has not been checked since. An open connection
@@ -131,10 +134,10 @@
 func (t *Tracker) InDoubt(now time.Time, address string) bool {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	if !t.inEpisode(now) || !t.checked[address].IsZero() {
+	if !t.inSeries(now) || t.checked[address] {
 		return false
 	}
-	t.checked[address] = now
+	t.checked[address] = true
 	return true
 }
 
