Ask daemons that were heard lately before those that may be gone

Rows of daemons that are gone stay, so that in an old fleet most questions would have waited 250 ms for nobody (TestDaemonsThatAreGoneAreAskedLast).

--- a/cmd/internal/daemon/paths.go
+++ b/cmd/internal/daemon/paths.go
@@ -35,8 +35,9 @@
 func (w *Daemon) wirePaths() {
 	inquiry := forward.NewInquiry(forward.InquiryOptions{
 		Link: w.link, Others: w.members.Others,
-		Check:    func(ctx context.Context, backend uint64) forward.Reachability { return w.paths.CheckFor(ctx, backend) },
-		Capacity: func() (bool, int) { return w.forwards.Capacity() },
+		IsPresent: func(address string) bool { return w.presence.Present(clock.Now(), w.members.Count(), address) },
+		Check:     func(ctx context.Context, backend uint64) forward.Reachability { return w.paths.CheckFor(ctx, backend) },
+		Capacity:  func() (bool, int) { return w.forwards.Capacity() },
 	})
 	client := forward.NewClient(forward.ClientOptions{Pool: w.pool, Inquiry: inquiry, Distance: w.distanceTo})
 	w.paths = backendpath.New(backendpath.Options{
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"net/http/httptest"
@@ -123,7 +124,7 @@
 	node := network.Add(h.address)
 	if h.behaviour != earlier {
 		NewInquiry(InquiryOptions{
-			Link: node, Others: func() []string { return nil },
+			Link: node, Others: func() []string { return nil }, IsPresent: func(string) bool { return true },
 			Check:    func(context.Context, uint64) Reachability { return Reached },
 			Capacity: func() (bool, int) { return true, 0 }, // it changes right after
 		})
@@ -134,7 +135,7 @@
 // newClient returns the client of a daemon without links that knows some helpers.
 func newClient(network *peerlinktest.Network, pool *httpexchange.Pool, addresses []string) *Client {
 	inquiry := NewInquiry(InquiryOptions{
-		Link: network.Add("asker"), Others: func() []string { return addresses },
+		Link: network.Add("asker"), Others: func() []string { return addresses }, IsPresent: func(address string) bool { return !strings.HasPrefix(address, "gone") },
 		Check:    func(context.Context, uint64) Reachability { return ReachabilityUnknown },
 		Capacity: func() (bool, int) { return false, 0 },
 	})
@@ -299,3 +300,19 @@
 	}
 	assert.Equal(t, helper.noted.Load(), int32(0))
 }
+
+// TestDaemonsThatAreGoneAreAskedLast guards against questions that wait for daemons whose rows are still there.
+func TestDaemonsThatAreGoneAreAskedLast(t *testing.T) {
+	network, pool := peerlinktest.NewNetwork(1), httpexchange.NewPool(httpexchange.Options{})
+	t.Cleanup(pool.Close)
+	helper := &fakeHelper{behaviour: answers}
+	t.Cleanup(helper.start(network))
+	addresses := []string{helper.address}
+	for number := range 50 {
+		addresses = append(addresses, fmt.Sprint("gone", number))
+	}
+	client := newClient(network, pool, addresses)
+	began := time.Now()
+	assert.Equal(t, client.options.Inquiry.Ask(context.Background(), "b1"), Reached)
+	assert.Assert(t, time.Since(began) < answerTimeout/2)
+}
--- a/internal/forward/inquiry.go
+++ b/internal/forward/inquiry.go
@@ -17,7 +17,8 @@
 	// of them can tell.
 	firstAsked = 3
 	moreAsked  = 6
-	// answerTimeout is how long answers are waited for. It covers a check of the asked daemon that times out.
+	// answerTimeout is how long the answers of each of these groups are waited for. It covers a check of the asked daemon
+	// that times out.
 	answerTimeout = 250 * time.Millisecond
 	// maxChecks bounds the checks that a daemon makes for others at a time.
 	maxChecks = 32
@@ -67,6 +68,8 @@
 	Link peerlink.Carrier
 	// Others returns the addresses of the other daemons.
 	Others func() []string
+	// IsPresent reports whether the daemon at an address was heard lately. Others are asked last, since they may be gone.
+	IsPresent func(address string) bool
 	// Check reports whether this daemon reaches a back end, given by the hash of its ID. It may block.
 	Check func(ctx context.Context, backend uint64) Reachability
 	// Capacity reports whether this daemon forwards requests for others now, and how many it has in flight.
@@ -130,21 +133,23 @@
 	return i.askAll(again, backend, candidates[first:min(first+moreAsked, len(candidates))])
 }
 
-// candidates returns the daemons to ask: those that were of help lately first, then others in random order.
+// candidates returns the daemons to ask: those that were of help lately, then others that were heard lately, then the rest, in
+// random order each.
 func (i *Inquiry) candidates() []string {
 	others := slices.Clone(i.options.Others())
 	rand.Shuffle(len(others), func(left, right int) { others[left], others[right] = others[right], others[left] })
-	known := i.helpers.useful(clock.Now())
-	slices.SortStableFunc(others, func(left, right string) int {
+	useful := i.helpers.useful(clock.Now())
+	rank := make(map[string]int, len(others))
+	for _, address := range others {
 		switch {
-		case known[left] == known[right]:
-			return 0
-		case known[left]:
-			return -1
+		case useful[address]:
+		case i.options.IsPresent(address):
+			rank[address] = 1
 		default:
-			return 1
+			rank[address] = 2
 		}
-	})
+	}
+	slices.SortStableFunc(others, func(left, right string) int { return rank[left] - rank[right] })
 	return others
 }
 
