--- a/cmd/internal/daemon/paths.go
+++ b/cmd/internal/daemon/paths.go
@@ -45,13 +45,26 @@
 	})
 }
 
-// registerPaths makes the server of other daemons' requests, and adds what is counted of them.
-func (w *Daemon) registerPaths(registry *prometheus.Registry) {
+// wireForwards makes what sends requests of other daemons, and counts them.
+func (w *Daemon) wireForwards(registry *prometheus.Registry) {
 	ended := prometheus.NewCounterVec(prometheus.CounterOpts{
 		Namespace: "lotusward", Name: "forwarded_for_others_total",
 		Help: "Requests of other daemons by how they ended here (answered, failed, cut, refused).",
 	}, []string{"outcome"})
-	registry.MustRegister(ended,
+	registry.MustRegister(ended)
+	w.forwards = forward.NewServer(forward.ServerOptions{
+		Send: w.paths.SendDirect, IsDaemon: w.isDaemon, Permits: w.permitsForward, Lost: w.noteForwardLost,
+		Accepting: func() bool { return !w.serving.stopping.Load() && !w.paths.Isolated() },
+		MaxBody:   func() int64 { return w.serving.maximumBody() },
+		Capacity:  forwardCapacity(w.settings.Limits.MaxFds), Ledger: w.ledger,
+		Observe: func(outcome string) { ended.WithLabelValues(outcome).Inc() }, Log: w.part("forward"),
+	})
+	w.snapshots.Handle("POST "+forward.Path, w.forwards)
+}
+
+// registerLinks adds the state of the daemon's own links to back ends.
+func (w *Daemon) registerLinks(registry *prometheus.Registry) {
+	registry.MustRegister(
 		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 			Namespace: "lotusward", Name: "links_down", Help: "Back ends that other daemons reach and this one does not.",
 		}, func() float64 { return float64(w.paths.LinksDown()) }),
@@ -64,14 +77,6 @@
 			return 0
 		}),
 	)
-	w.forwards = forward.NewServer(forward.ServerOptions{
-		Send: w.paths.SendDirect, IsDaemon: w.isDaemon, Permits: w.permitsForward, Lost: w.noteForwardLost,
-		Accepting: func() bool { return !w.serving.stopping.Load() && !w.paths.Isolated() },
-		MaxBody:   func() int64 { return w.serving.maximumBody() },
-		Capacity:  forwardCapacity(w.settings.Limits.MaxFds), Ledger: w.ledger,
-		Observe: func(outcome string) { ended.WithLabelValues(outcome).Inc() }, Log: w.part("forward"),
-	})
-	w.snapshots.Handle("POST "+forward.Path, w.forwards)
 }
 
 // isDaemon reports whether another daemon has an IP address.
--- a/internal/backendpath/check.go
+++ b/internal/backendpath/check.go
@@ -34,7 +34,8 @@
 	backendDown
 )
 
-// Reach implements relay.Backends: it reports whether a back end accepts a connection of this daemon or of another one.
+// Reach implements relay.Backends. It takes connectTimeout and the time of a question to other daemons at most, whatever the
+// context.
 func (r *Router) Reach(_ context.Context, address string) bool {
 	return r.check(address) != backendDown
 }
@@ -69,7 +70,7 @@
 
 // noteConnected records that a link works.
 func (r *Router) noteConnected(address string) {
-	if r.links.Connected(clock.Now(), address) {
+	if r.links.Connected(clock.Now(), address) && r.lines.Allow() {
 		r.options.Log.WithField("address", address).Info("The link to a back end works again.")
 	}
 	r.noteIsolation()
--- a/internal/backendpath/router.go
+++ b/internal/backendpath/router.go
@@ -11,6 +11,7 @@
 
 	"github.com/sirupsen/logrus"
 	"golang.org/x/sync/singleflight"
+	"golang.org/x/time/rate"
 
 	"github.com/lotusward/lotusward/internal/adapter/httpexchange"
 	"github.com/lotusward/lotusward/internal/clock"
@@ -29,6 +30,8 @@
 	// askAhead is how long a connection may take before other daemons are asked, so that the answer is there when it fails.
 	// Connections to another region take 80 ms.
 	askAhead = 100 * time.Millisecond
+	// linkLineRate bounds the log lines on single links, in lines a second.
+	linkLineRate = 20
 )
 
 // errConnectTimeout cancels an attempt whose back end accepts no connection.
@@ -64,6 +67,7 @@
 type Router struct {
 	options Options
 	links   *linkhealth.Tracker
+	lines   *rate.Limiter
 	// connecting and asking share attempts to connect for other daemons, and questions to them, by address.
 	connecting, asking singleflight.Group
 
@@ -76,7 +80,7 @@
 
 // New returns a Router. Its state is kept up to date while Run runs.
 func New(options Options) *Router {
-	return &Router{options: options, links: linkhealth.New(), inFlight: map[*exchange]bool{}}
+	return &Router{options: options, links: linkhealth.New(), lines: rate.NewLimiter(linkLineRate, linkLineRate), inFlight: map[*exchange]bool{}}
 }
 
 var _ relay.Backends = (*Router)(nil)
@@ -202,7 +206,7 @@
 
 // setDown marks the link to an address as down, and reports it to the requests that depend on it.
 func (r *Router) setDown(address string, began time.Time, silent bool) {
-	if r.links.ReachedElsewhere(clock.Now(), address) {
+	if r.links.ReachedElsewhere(clock.Now(), address) && r.lines.Allow() {
 		r.options.Log.WithFields(logrus.Fields{"address": address, "silent": silent, "links_down": r.links.Down()}).
 			Warn("The link to a back end is down: other daemons reach it, and requests go through them.")
 	}
--- a/internal/forward/server.go
+++ b/internal/forward/server.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
+	"golang.org/x/time/rate"
 
 	"github.com/lotusward/lotusward/internal/callerio"
 	"github.com/lotusward/lotusward/internal/clock"
@@ -30,6 +31,8 @@
 	// reserved for requests more urgent than that.
 	leastUrgent = 9
 	urgentShare = 0.5
+	// lineRate bounds the log lines on requests of other daemons, in lines a second.
+	lineRate = 20
 )
 
 // errLinkLost ends a request whose network link from this daemon has failed.
@@ -64,6 +67,7 @@
 // Server sends requests of other daemons to back ends. It implements http.Handler and is safe for concurrent use.
 type Server struct {
 	options ServerOptions
+	lines   *rate.Limiter
 
 	mutex  sync.Mutex
 	active int
@@ -71,7 +75,9 @@
 }
 
 // NewServer returns a Server.
-func NewServer(options ServerOptions) *Server { return &Server{options: options} }
+func NewServer(options ServerOptions) *Server {
+	return &Server{options: options, lines: rate.NewLimiter(lineRate, lineRate)}
+}
 
 // Capacity reports whether the server takes requests now, and how many it has in flight.
 func (s *Server) Capacity() (accepts bool, active int) {
@@ -173,10 +179,9 @@
 // forward sends a request and passes the answer back.
 func (s *Server) forward(ctx context.Context, writer http.ResponseWriter, received *message) {
 	dispatch := received.dispatch()
-	log := s.options.Log.WithFields(logrus.Fields{"request": dispatch.Request.ID, "backend": dispatch.Backend})
 	if !s.options.Permits(dispatch, received.Key) {
-		log.Info("A request of another daemon is not forwarded: its key, route or back end is not known here.")
-		s.answer(writer, failedHead(outcome.Unreached, errNotSent))
+		s.log(dispatch, "A request of another daemon is not forwarded: its key, route or back end is not known here.", errNotSent)
+		_ = s.answer(writer, failedHead(outcome.Unreached, errNotSent)) // the other daemon may have left
 		s.options.Observe("refused")
 		return
 	}
@@ -193,7 +198,8 @@
 	answer, err := s.options.Send(ctx, dispatch)
 	if err != nil {
 		s.options.Observe("failed")
-		s.answer(writer, failedHead(s.evidenceOf(ctx, dispatch, err), err))
+		s.log(dispatch, "A request of another daemon has no answer.", err)
+		_ = s.answer(writer, failedHead(s.evidenceOf(ctx, dispatch, err), err)) // the other daemon may have left
 		return
 	}
 	defer func() { _ = answer.Body.Close() }()
@@ -204,6 +210,7 @@
 	read := &recordedReader{reader: answer.Body}
 	if err := pass(writer, read); err != nil {
 		s.options.Observe("cut")
+		s.log(dispatch, "The answer to a request of another daemon ended early.", err)
 		if read.failed {
 			s.noteLost(ctx, dispatch)
 		}
@@ -212,6 +219,13 @@
 	s.options.Observe("answered")
 }
 
+// log logs why a request of another daemon has no whole answer.
+func (s *Server) log(dispatch *relay.Dispatch, sentence string, cause error) {
+	if s.lines.Allow() {
+		s.options.Log.WithError(cause).WithFields(logrus.Fields{"request": dispatch.Request.ID, "backend": dispatch.Backend}).Info(sentence)
+	}
+}
+
 // evidenceOf returns what the back end may have done with a request that has no answer.
 func (s *Server) evidenceOf(ctx context.Context, dispatch *relay.Dispatch, err error) outcome.Evidence {
 	var failed *relay.SendError
