--- a/cmd/lotusward/linkloss_test.go
+++ b/cmd/lotusward/linkloss_test.go
@@ -249,7 +249,7 @@
 func TestWeightsLoadWhileDaemonsHaveNoLinks(t *testing.T) {
 	const firstLoadBound = linkLossContact + 1500*time.Millisecond
 	for third := range 3 {
-		for _, how := range []standin.Cut{standin.CutSilent, standin.CutReset} {
+		for _, how := range []standin.Cut{standin.CutSilent, standin.CutReset, standin.CutKept} {
 			t.Run(fmt.Sprintf("third %d, %s", third, how), func(t *testing.T) {
 				play := newLinkLoss(t, 6, 2)
 				play.cutOff = play.daemons[2*third : 2*third+2]
