Look up forwarded requests without shifting the traffic split

A daemon that forwards for another one checked the route by Table.Match, which moves the route's weighted round-robin on by one. On a split route its own callers then got every second service twice in a row or not at all; TestHasRouteLeavesTheSplitAlone has the case: with Match in its place the counts of two equal services are 0 and 10 of 10.

Found by reading. Table.HasRoute looks up alone.

--- a/cmd/internal/daemon/paths.go
+++ b/cmd/internal/daemon/paths.go
@@ -104,7 +104,7 @@
 	if state.Table.Version() < dispatch.Configuration {
 		return true
 	}
-	if _, found := state.Table.Match(dispatch.Request.Host, dispatch.Request.Path); !found {
+	if !state.Table.HasRoute(dispatch.Request.Host, dispatch.Request.Path) {
 		return false
 	}
 	if dispatch.Tenant == "" {
--- a/internal/core/routing/table.go
+++ b/internal/core/routing/table.go
@@ -117,12 +117,24 @@
 // Match finds the route of the host whose path prefix is the longest match. It returns false if
 // there is none.
 func (t *Table) Match(host, path string) (Match, bool) {
+	compiled := t.find(host, path)
+	if compiled == nil {
+		return Match{}, false
+	}
+	return Match{Route: compiled.route, Service: compiled.nextService()}, true
+}
+
+// HasRoute reports whether Match finds a route. Unlike Match, it does not advance the route's traffic split.
+func (t *Table) HasRoute(host, path string) bool { return t.find(host, path) != nil }
+
+// find returns the route with the longest matching prefix, or nil.
+func (t *Table) find(host, path string) *compiledRoute {
 	for _, compiled := range t.byHost[strings.ToLower(withoutPort(host))] {
 		if strings.HasPrefix(path, compiled.route.PathPrefix) {
-			return Match{Route: compiled.route, Service: compiled.nextService()}, true
+			return compiled
 		}
 	}
-	return Match{}, false
+	return nil
 }
 
 // withoutPort strips the port from a host.
--- a/internal/core/routing/table_test.go
+++ b/internal/core/routing/table_test.go
@@ -67,6 +67,22 @@
 	})
 }
 
+// TestHasRouteLeavesTheSplitAlone guards against lookups that shift a route's traffic split.
+func TestHasRouteLeavesTheSplitAlone(t *testing.T) {
+	table := Compile(&Configuration{Routes: []Route{{
+		Host: "h", PathPrefix: "/a", Split: []Share{{Service: "first", Weight: 1}, {Service: "second", Weight: 1}},
+	}}})
+	chosen := map[identity.ServiceName]int{}
+	for range 10 {
+		match, found := table.Match("h", "/a/b")
+		assert.Assert(t, found)
+		chosen[match.Service]++
+		assert.Assert(t, table.HasRoute("h:80", "/a/b"))
+		assert.Assert(t, !table.HasRoute("h", "/b"))
+	}
+	assert.Equal(t, chosen["first"], 5)
+}
+
 // TestTenantByKey looks up a tenant by each of its keys, and none without a key.
 func TestTenantByKey(t *testing.T) {
 	table := Compile(&Configuration{Tenants: []Tenant{{Name: "a", Keys: []string{"k1", "k2"}}}})
