Try a link once more before it is taken for lost

Cause: a connection that hung was compared with one that another daemon made later. The back end may have come back in between, and so may this daemon, if it was paused.

Now the link is tried once more after another daemon has reached the back end. If it works, nothing is concluded, and the request is sent on it. Shared attempts are not used here, since one begun earlier says nothing.

TestSilenceThatEndsIsNoLostLink failed before (1 link down where none is).

--- a/internal/backendpath/check.go
+++ b/internal/backendpath/check.go
@@ -34,8 +34,8 @@
 	backendDown
 )
 
-// Reach implements relay.Backends. It takes connectTimeout and the time of a question to other daemons at most, whatever the
-// context.
+// Reach implements relay.Backends. It takes twice connectTimeout and the time of a question to other daemons at most, whatever
+// the context.
 func (r *Router) Reach(_ context.Context, address string) bool {
 	return r.check(address) != backendDown
 }
@@ -47,14 +47,10 @@
 	asking := r.askSoon(address)
 	connected, silent := r.connect(context.Background(), address)
 	asking.Stop()
-	switch {
-	case connected:
+	if connected {
 		return linkWorks
-	case r.explainFailure(address, began, &connectError{timedOut: silent}):
-		return linkDown
-	default:
-		return backendDown
 	}
+	return r.explainFailure(address, began, silent)
 }
 
 // connect reports whether an address accepts a connection, and if not, whether it was silent.
--- a/internal/backendpath/router.go
+++ b/internal/backendpath/router.go
@@ -111,10 +111,14 @@
 	if !errors.As(err, &failed) || ctx.Err() != nil {
 		return answer, err
 	}
-	if !r.explainFailure(dispatch.Address, began, failed) {
+	switch r.explainFailure(dispatch.Address, began, failed.timedOut) {
+	case linkDown:
+		return r.options.Forward(ctx, dispatch)
+	case linkWorks:
+		return r.SendDirect(ctx, dispatch)
+	default:
 		return nil, err
 	}
-	return r.options.Forward(ctx, dispatch)
 }
 
 // connectError is the cause of an attempt that made no connection.
@@ -182,14 +186,21 @@
 	return time.AfterFunc(askAhead, func() { r.askOthers(address) })
 }
 
-// explainFailure returns true if a connection failed because of this daemon's own link.
-func (r *Router) explainFailure(address string, began time.Time, failed *connectError) bool {
+// explainFailure returns the state of a link on which a connection failed that was begun at a time; silent is set if it timed
+// out. If another daemon reaches the back end, the link is tried once more: the back end may have been silent until then, or
+// this daemon paused.
+func (r *Router) explainFailure(address string, began time.Time, silent bool) linkState {
 	r.links.Failed(began, address)
 	if r.askOthers(address) != forward.Reached {
-		return false
+		return backendDown
+	}
+	retriedAt := clock.Now()
+	if connected, _ := r.connect(context.Background(), address); connected {
+		return linkWorks
 	}
-	r.setDown(address, began, failed.timedOut)
-	return true
+	r.links.Failed(retriedAt, address)
+	r.setDown(address, began, silent)
+	return linkDown
 }
 
 // askOthers returns whether other daemons reach the back end at an address now. Concurrent callers share one question.
--- a/internal/backendpath/router_test.go
+++ b/internal/backendpath/router_test.go
@@ -34,6 +34,8 @@
 	modeEnded
 	// modeOpenSilent is modeSilent for a daemon that has an idle connection: requests are sent and get no answer.
 	modeOpenSilent
+	// modeSilentForNow is modeSilent until other daemons are asked: the back end itself was silent until then.
+	modeSilentForNow
 )
 
 // network is what a router sees of the outside. It implements relay.Backends, Helpers and Pool.
@@ -102,7 +104,7 @@
 	switch n.mode(address) {
 	case modeWorks:
 		return true
-	case modeSilent, modeOpenSilent:
+	case modeSilent, modeOpenSilent, modeSilentForNow:
 		<-ctx.Done()
 	}
 	return false
@@ -115,8 +117,11 @@
 
 // Ask implements Helpers.
 func (n *network) Ask(_ context.Context, backend identity.BackendID) forward.Reachability {
-	if n.mode(string(backend)) == modeEnded {
+	switch n.mode(string(backend)) {
+	case modeEnded:
 		return forward.Unreached
+	case modeSilentForNow:
+		n.set(modeWorks, string(backend))
 	}
 	return forward.Reached
 }
@@ -172,6 +177,25 @@
 	assert.Equal(t, router.LinksDown(), 0)
 }
 
+// TestSilenceThatEndsIsNoLostLink guards against links that are taken for lost because another daemon connected to a back end
+// once it was no longer silent.
+func TestSilenceThatEndsIsNoLostLink(t *testing.T) {
+	for _, request := range []bool{false, true} {
+		outside, router := newNetwork("a", "b", "c", "d")
+		for _, address := range []string{"a", "b", "c", "d"} {
+			outside.set(modeSilentForNow, address)
+			if request {
+				_, _ = send(t, router, address) // it may be unreached, and is then sent elsewhere
+			} else {
+				assert.Assert(t, router.Reach(context.Background(), address))
+			}
+			assert.Equal(t, router.LinksDown(), 0)
+		}
+		assert.Assert(t, !router.Isolated())
+		assert.Equal(t, outside.forwarded.Load(), int32(0))
+	}
+}
+
 // TestLostLinksAreBypassedAndUsedAgain guards against requests that wait for links known to be lost, or never return to them.
 func TestLostLinksAreBypassedAndUsedAgain(t *testing.T) {
 	for _, how := range []mode{modeSilent, modeRefused} {
