Name what claims the check of a link, and activity on links, as elsewhere

InDoubt looked like a question but marks the link as checked: it is ClaimCheck now. Data that arrives is activity, as on tickets. Names and comments alone.

--- a/internal/backendpath/check.go
+++ b/internal/backendpath/check.go
@@ -86,7 +86,7 @@
 	if r.connectShared(ctx, backend.Address) {
 		return forward.Reached
 	}
-	if r.links.HeardSince(began) || r.connectsToAny(ctx) {
+	if r.links.ActiveSince(began) || r.connectsToAny(ctx) {
 		return forward.Unreached
 	}
 	return forward.ReachabilityUnknown
--- a/internal/backendpath/exchange.go
+++ b/internal/backendpath/exchange.go
@@ -14,9 +14,9 @@
 type exchange struct {
 	router  *Router
 	address string
-	// heardAt is when data last arrived, or when the request was begun.
-	heardAt atomic.Pointer[time.Time]
-	// onLost is told that the link is down; nil is not.
+	// lastActivityAt is when data last arrived, or when the request was begun.
+	lastActivityAt atomic.Pointer[time.Time]
+	// onLost is called if the link is down; it may be nil.
 	onLost func()
 }
 
@@ -24,7 +24,7 @@
 func (r *Router) begin(dispatch *relay.Dispatch) *exchange {
 	made := &exchange{router: r, address: dispatch.Address, onLost: dispatch.OnLinkLost}
 	now := clock.Now()
-	made.heardAt.Store(&now)
+	made.lastActivityAt.Store(&now)
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	r.inFlight[made] = true
@@ -37,10 +37,10 @@
 	delete(e.router.inFlight, e)
 }
 
-// heard records that data arrived.
-func (e *exchange) heard(now time.Time) {
-	e.heardAt.Store(&now)
-	e.router.links.Heard(now, e.address)
+// recordActivity records that data arrived.
+func (e *exchange) recordActivity(now time.Time) {
+	e.lastActivityAt.Store(&now)
+	e.router.links.RecordActivity(now, e.address)
 }
 
 // lose reports that the link is down.
@@ -57,13 +57,13 @@
 	}
 }
 
-// silentSince returns the exchanges that were begun before a time and of which nothing was heard since.
+// silentSince returns the exchanges that were begun before a time and of which no data arrived since.
 func (r *Router) silentSince(since time.Time) []*exchange {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	var silent []*exchange
 	for each := range r.inFlight {
-		if each.heardAt.Load().Before(since) {
+		if each.lastActivityAt.Load().Before(since) {
 			silent = append(silent, each)
 		}
 	}
@@ -81,7 +81,7 @@
 func (b *directBody) Read(into []byte) (int, error) {
 	count, err := b.ReadCloser.Read(into)
 	if count > 0 {
-		b.exchange.heard(clock.Now())
+		b.exchange.recordActivity(clock.Now())
 	}
 	if err != nil && err != io.EOF {
 		b.exchange.checkLost(b.context)
--- a/internal/backendpath/router.go
+++ b/internal/backendpath/router.go
@@ -102,7 +102,7 @@
 	if r.links.IsDown(clock.Now(), dispatch.Address) {
 		return r.options.Forward(ctx, dispatch)
 	}
-	if r.links.InDoubt(clock.Now(), dispatch.Address) && r.check(dispatch.Address) == linkDown {
+	if r.links.ClaimCheck(clock.Now(), dispatch.Address) && r.check(dispatch.Address) == linkDown {
 		return r.options.Forward(ctx, dispatch)
 	}
 	began := clock.Now()
@@ -157,7 +157,7 @@
 	}
 	answer, err := r.options.Direct.Send(bounded, &attempt)
 	if err == nil {
-		made.heard(clock.Now())
+		made.recordActivity(clock.Now())
 		answer.Body = &directBody{ReadCloser: answer.Body, exchange: made, context: ctx}
 		return answer, nil
 	}
@@ -248,7 +248,7 @@
 		}
 	}
 	for other := range others {
-		if r.links.InDoubt(clock.Now(), other) {
+		if r.links.ClaimCheck(clock.Now(), other) {
 			go r.check(other)
 		}
 	}
--- a/internal/core/linkhealth/linkhealth.go
+++ b/internal/core/linkhealth/linkhealth.go
@@ -44,8 +44,8 @@
 	mutex sync.Mutex
 	// links holds the links that don't work, by address.
 	links map[string]*link
-	// heardAt is when a back end was last heard directly.
-	heardAt time.Time
+	// lastActivityAt is when data last arrived from a back end directly.
+	lastActivityAt time.Time
 	// total is the number of links.
 	total int
 	// lastDownAt is when the last link went down. checked holds the links that were checked since the first one of the
@@ -64,29 +64,29 @@
 	t.total = total
 }
 
-// Heard records that data arrived from an address directly. On a connection that was open before, it doesn't prove that new
-// ones can be made.
-func (t *Tracker) Heard(now time.Time, address string) {
+// RecordActivity records that data arrived from an address directly. On a connection that was open before, it doesn't prove
+// that new ones can be made.
+func (t *Tracker) RecordActivity(now time.Time, address string) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	t.heardAt = now
+	t.lastActivityAt = now
 	if found := t.links[address]; found != nil && !found.down {
 		delete(t.links, address)
 	}
 }
 
-// HeardSince reports whether any back end was heard directly after a time.
-func (t *Tracker) HeardSince(since time.Time) bool {
+// ActiveSince reports whether data arrived from any back end directly after a time.
+func (t *Tracker) ActiveSince(since time.Time) bool {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	return t.heardAt.After(since)
+	return t.lastActivityAt.After(since)
 }
 
 // Connected records that a connection to an address was made. It returns true if the link was down.
 func (t *Tracker) Connected(now time.Time, address string) bool {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	t.heardAt = now
+	t.lastActivityAt = now
 	if t.inSeries(now) {
 		t.checked[address] = true
 	}
@@ -129,9 +129,9 @@
 	return !t.lastDownAt.IsZero() && now.Sub(t.lastDownAt) <= seriesTime
 }
 
-// InDoubt reports whether links went down lately and the link to an address has not been checked since. An open connection
-// may then be silent as well. It counts as checked from now on.
-func (t *Tracker) InDoubt(now time.Time, address string) bool {
+// ClaimCheck reports whether the caller is to check the link to an address before it is used: links went down lately, and this
+// one has not been checked since, so that an open connection may be silent as well. It returns true once for each link.
+func (t *Tracker) ClaimCheck(now time.Time, address string) bool {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	if !t.inSeries(now) || t.checked[address] {
@@ -162,7 +162,7 @@
 func (t *Tracker) isolated() bool {
 	down := 0
 	for _, each := range t.links {
-		if each.down && each.failedAt.After(t.heardAt) {
+		if each.down && each.failedAt.After(t.lastActivityAt) {
 			down++
 		}
 	}
@@ -176,7 +176,7 @@
 	defer t.mutex.Unlock()
 	failed := 0
 	for _, each := range t.links {
-		if each.failedSince.After(t.heardAt) {
+		if each.failedSince.After(t.lastActivityAt) {
 			failed++
 		}
 	}
--- a/internal/core/linkhealth/linkhealth_test.go
+++ b/internal/core/linkhealth/linkhealth_test.go
@@ -114,7 +114,7 @@
 			wasDown := model.down(address)
 			switch kind {
 			case "heard":
-				tracker.Heard(now, address)
+				tracker.RecordActivity(now, address)
 			case "connected":
 				assert.Equal(t, tracker.Connected(now, address), wasDown)
 			case "failed":
@@ -175,9 +175,9 @@
 	assert.Equal(t, len(checked), links)
 }
 
-// TestLinksAreInDoubtOnceAfterOthersWentDown holds that the other links are in doubt for a time after the first one of a series
-// went down, each until it is checked or connected to.
-func TestLinksAreInDoubtOnceAfterOthersWentDown(t *testing.T) {
+// TestLinksAreCheckedOnceAfterOthersWentDown holds that each other link is to be checked once in the time after a link went down,
+// unless a connection was made to it.
+func TestLinksAreCheckedOnceAfterOthersWentDown(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		tracker := New()
 		tracker.SetTotal(10)
@@ -198,7 +198,7 @@
 				}
 				lastDown = now
 			case "ask":
-				assert.Equal(t, tracker.InDoubt(now, address), series && !checked[address])
+				assert.Equal(t, tracker.ClaimCheck(now, address), series && !checked[address])
 				checked[address] = checked[address] || series
 			case "connect":
 				tracker.Connected(now, address)
--- a/internal/forward/helpers.go
+++ b/internal/forward/helpers.go
@@ -45,7 +45,7 @@
 func newHelpers() *helpers { return &helpers{known: map[string]*helper{}} }
 
 // record records a reply.
-func (h *helpers) record(now time.Time, received heardReply) {
+func (h *helpers) record(now time.Time, received receivedReply) {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
 	found := h.known[received.from]
--- a/internal/forward/inquiry.go
+++ b/internal/forward/inquiry.go
@@ -57,8 +57,8 @@
 	Active  int
 }
 
-// heardReply is a reply with its sender.
-type heardReply struct {
+// receivedReply is a reply with its sender.
+type receivedReply struct {
 	reply
 	from string
 }
@@ -68,7 +68,7 @@
 	Link peerlink.Carrier
 	// Others returns the addresses of the other daemons.
 	Others func() []string
-	// IsPresent reports whether the daemon at an address was heard lately. Others are asked last, since they may be gone.
+	// IsPresent reports whether datagrams of the daemon at an address arrived lately. Others are asked last, since they may be gone.
 	IsPresent func(address string) bool
 	// Check reports whether this daemon reaches a back end, given by the hash of its ID. It may block.
 	Check func(ctx context.Context, backend uint64) Reachability
@@ -79,14 +79,14 @@
 // Inquiry asks other daemons which back ends they reach, and answers their questions. It is safe for concurrent use.
 type Inquiry struct {
 	options InquiryOptions
-	waiting *peerlink.Questions[heardReply]
+	waiting *peerlink.Questions[receivedReply]
 	helpers *helpers
 	checks  chan struct{}
 }
 
 // NewInquiry returns an Inquiry that answers questions at once.
 func NewInquiry(options InquiryOptions) *Inquiry {
-	made := &Inquiry{options: options, waiting: peerlink.NewQuestions[heardReply](), helpers: newHelpers(), checks: make(chan struct{}, maxChecks)}
+	made := &Inquiry{options: options, waiting: peerlink.NewQuestions[receivedReply](), helpers: newHelpers(), checks: make(chan struct{}, maxChecks)}
 	peerlink.HandleDecoded(options.Link, peerlink.KindReachQuestion, made.answer)
 	peerlink.HandleDecoded(options.Link, peerlink.KindReachAnswer, made.receive)
 	return made
@@ -112,7 +112,7 @@
 }
 
 func (i *Inquiry) receive(from string, received reply) {
-	answered := heardReply{reply: received, from: from}
+	answered := receivedReply{reply: received, from: from}
 	i.helpers.record(clock.Now(), answered)
 	i.waiting.Answer(received.Number, answered)
 }
@@ -133,7 +133,7 @@
 	return i.askAll(again, backend, candidates[first:min(first+moreAsked, len(candidates))])
 }
 
-// candidates returns the daemons to ask: those that were of help lately, then others that were heard lately, then the rest, in
+// candidates returns the daemons to ask: those that were of help lately, then others that are present, then the rest, in
 // random order each.
 func (i *Inquiry) candidates() []string {
 	others := slices.Clone(i.options.Others())
--- a/internal/forward/server.go
+++ b/internal/forward/server.go
@@ -49,7 +49,7 @@
 	IsDaemon func(ip string) bool
 	// Permits reports whether a request may be sent, by what this daemon knows of its caller's key and its back end.
 	Permits func(dispatch *relay.Dispatch, key string) bool
-	// Lost is told of requests whose connection to the back end was lost.
+	// Lost is called for each request whose connection to the back end was lost.
 	Lost func(dispatch *relay.Dispatch)
 	// Accepting reports whether this daemon forwards requests now.
 	Accepting func() bool
@@ -59,7 +59,7 @@
 	Capacity int
 	// Ledger accounts for the bodies; nil accounts for none.
 	Ledger *buffers.Tracker
-	// Observe is told how each request of another daemon ended: "answered", "failed", "cut" or "refused".
+	// Observe is called with how each request of another daemon ended: "answered", "failed", "cut" or "refused".
 	Observe func(outcome string)
 	Log     logrus.FieldLogger
 }
