Leave back ends that are merely silent only after a time

A sound back end that was silent for a second lost its repeatable requests: they were cut after half a second, when two probes had had no response, and ran again elsewhere.

Cause: a connection that times out was taken for one that is refused. A refused one shows that no process listens there; one that times out shows nothing about what becomes of the requests that the back end has.

An attempt to connect now has one of three results (backendpool.ConnectResult). Where it is refused, requests leave at once, as before (TestLostBackEndIsLeftAtOnce, TestSilentBackEndIsLeft). Where it times out, the back end is ejected for new requests at once, as before, and requests that it has are left once nothing has arrived on them for 1.75 s and it still doesn't respond.

TestBackEndThatIsSilentForAMomentKeepsRequests fails without the change. In tests of probes the results true and false became Connected and ConnectRefused, with the same checks.

Relay's own bound of silence at a back end that accepts connections (2.5 times the target latency) is as it was.

--- a/internal/adapter/httpexchange/exchange_test.go
+++ b/internal/adapter/httpexchange/exchange_test.go
@@ -297,7 +297,7 @@
 	address := server.Listener.Addr().String()
 	pool := NewPool(Options{})
 	for range 2 {
-		assert.Assert(t, pool.Reach(context.Background(), address))
+		assert.NilError(t, pool.Connect(context.Background(), address))
 	}
 	pool.Forget(address)
 	assert.Assert(t, pool.pop(address) == nil)
--- a/internal/adapter/httpexchange/pool.go
+++ b/internal/adapter/httpexchange/pool.go
@@ -83,14 +83,14 @@
 // Opened is how many connections were opened.
 func (p *Pool) Opened() uint64 { return p.opened.Load() }
 
-// Reach tells whether an address accepts a connection, which is then kept.
-func (p *Pool) Reach(ctx context.Context, address string) bool {
+// Connect opens a connection to an address and keeps it for later exchanges.
+func (p *Pool) Connect(ctx context.Context, address string) error {
 	made, err := p.dial(ctx, address)
 	if err != nil {
-		return false
+		return err
 	}
 	made.keep(0)
-	return true
+	return nil
 }
 
 // setUserTimeout bounds how long sent bytes may stay unacknowledged.
--- a/internal/backendpath/check.go
+++ b/internal/backendpath/check.go
@@ -30,14 +30,23 @@
 	linkWorks linkState = iota
 	// linkDown means that only other daemons reach it.
 	linkDown
-	// backendDown means that other daemons don't reach it either, or can't tell.
-	backendDown
+	// backendRefuses and backendSilent mean that other daemons don't reach it either, or can't tell. It refuses this daemon's
+	// connections, or doesn't respond.
+	backendRefuses
+	backendSilent
 )
 
 // Reach implements relay.Backends. It takes twice connectTimeout and the time of a question to other daemons at most, whatever
 // the context.
-func (r *Router) Reach(_ context.Context, address string) bool {
-	return r.check(address) != backendDown
+func (r *Router) Reach(_ context.Context, address string) backendpool.ConnectResult {
+	switch r.check(address) {
+	case backendRefuses:
+		return backendpool.ConnectRefused
+	case backendSilent:
+		return backendpool.ConnectTimedOut
+	default:
+		return backendpool.Connected
+	}
 }
 
 // check finds out whether a back end can be reached now and by whom. It never relies on an earlier result, because the back end
@@ -45,23 +54,23 @@
 func (r *Router) check(address string) linkState {
 	began := clock.Now()
 	asking := r.askSoon(address)
-	connected, silent := r.connect(context.Background(), address)
+	result := r.connect(context.Background(), address)
 	asking.Stop()
-	if connected {
+	if result == backendpool.Connected {
 		return linkWorks
 	}
-	return r.explainFailure(address, began, silent)
+	return r.explainFailure(address, began, result == backendpool.ConnectTimedOut)
 }
 
-// connect reports whether an address accepts a connection, and if not, whether it was silent.
-func (r *Router) connect(ctx context.Context, address string) (connected, silent bool) {
+// connect tries to connect to an address.
+func (r *Router) connect(ctx context.Context, address string) backendpool.ConnectResult {
 	bounded, cancel := context.WithTimeout(ctx, connectTimeout)
 	defer cancel()
-	if !r.options.Direct.Reach(bounded, address) {
-		return false, bounded.Err() != nil
+	result := r.options.Direct.Reach(bounded, address)
+	if result == backendpool.Connected {
+		r.noteConnected(address)
 	}
-	r.noteConnected(address)
-	return true, false
+	return result
 }
 
 // noteConnected records that a link works.
@@ -110,8 +119,7 @@
 // connectShared is connect for other daemons' questions, of which several may come at the same moment.
 func (r *Router) connectShared(ctx context.Context, address string) bool {
 	connected, _, _ := r.connecting.Do(address, func() (any, error) {
-		connected, _ := r.connect(ctx, address)
-		return connected, nil
+		return r.connect(ctx, address) == backendpool.Connected, nil
 	})
 	return connected.(bool)
 }
@@ -141,7 +149,7 @@
 	for _, address := range due {
 		go func() {
 			began := clock.Now()
-			if connected, _ := r.connect(ctx, address); !connected && ctx.Err() == nil {
+			if r.connect(ctx, address) != backendpool.Connected && ctx.Err() == nil {
 				r.links.Failed(began, address)
 			}
 		}()
--- a/internal/backendpath/router.go
+++ b/internal/backendpath/router.go
@@ -192,10 +192,13 @@
 func (r *Router) explainFailure(address string, began time.Time, silent bool) linkState {
 	r.links.Failed(began, address)
 	if r.askOthers(address) != forward.Reached {
-		return backendDown
+		if silent {
+			return backendSilent
+		}
+		return backendRefuses
 	}
 	retriedAt := clock.Now()
-	if connected, _ := r.connect(context.Background(), address); connected {
+	if r.connect(context.Background(), address) == backendpool.Connected {
 		return linkWorks
 	}
 	r.links.Failed(retriedAt, address)
--- a/internal/backendpath/router_test.go
+++ b/internal/backendpath/router_test.go
@@ -83,7 +83,7 @@
 // Send implements relay.Backends.
 func (n *network) Send(ctx context.Context, dispatch *relay.Dispatch) (*relay.Answer, error) {
 	state := n.mode(dispatch.Address)
-	if state != modeOpenSilent && !n.Reach(ctx, dispatch.Address) {
+	if state != modeOpenSilent && n.Reach(ctx, dispatch.Address) != backendpool.Connected {
 		return nil, &relay.SendError{Evidence: outcome.Unreached, Cause: context.Cause(ctx)}
 	}
 	if err := dispatch.CheckAccepting(); err != nil {
@@ -100,14 +100,16 @@
 }
 
 // Reach implements relay.Backends.
-func (n *network) Reach(ctx context.Context, address string) bool {
+func (n *network) Reach(ctx context.Context, address string) backendpool.ConnectResult {
 	switch n.mode(address) {
 	case modeWorks:
-		return true
+		return backendpool.Connected
 	case modeSilent, modeOpenSilent, modeSilentForNow:
 		<-ctx.Done()
+		return backendpool.ConnectTimedOut
+	default:
+		return backendpool.ConnectRefused
 	}
-	return false
 }
 
 func (n *network) forward(context.Context, *relay.Dispatch) (*relay.Answer, error) {
@@ -173,7 +175,7 @@
 	assert.Assert(t, errors.As(err, &failed))
 	assert.Equal(t, failed.Evidence, outcome.Unreached)
 	assert.Equal(t, outside.forwarded.Load(), int32(0))
-	assert.Assert(t, !router.Reach(context.Background(), "a"))
+	assert.Equal(t, router.Reach(context.Background(), "a"), backendpool.ConnectRefused)
 	assert.Equal(t, router.LinksDown(), 0)
 }
 
@@ -187,7 +189,7 @@
 			if request {
 				_, _ = send(t, router, address) // it may be unreached, and is then sent elsewhere
 			} else {
-				assert.Assert(t, router.Reach(context.Background(), address))
+				assert.Equal(t, router.Reach(context.Background(), address), backendpool.Connected)
 			}
 			assert.Equal(t, router.LinksDown(), 0)
 		}
@@ -245,7 +247,7 @@
 		}
 		return poll.Continue("the request is not sent")
 	}, poll.WithDelay(time.Millisecond))
-	assert.Assert(t, router.Reach(context.Background(), "a"), "other daemons reach it")
+	assert.Equal(t, router.Reach(context.Background(), "a"), backendpool.Connected, "other daemons reach it")
 	assert.Equal(t, lost.Load(), int32(1))
 }
 
@@ -274,5 +276,5 @@
 	_, err := send(t, router, "a")
 	assert.Assert(t, err != nil)
 	assert.Equal(t, outside.forwarded.Load(), int32(0))
-	assert.Assert(t, !router.Reach(context.Background(), "a"))
+	assert.Equal(t, router.Reach(context.Background(), "a"), backendpool.ConnectRefused)
 }
--- a/internal/core/backendpool/ended.go
+++ b/internal/core/backendpool/ended.go
@@ -15,7 +15,7 @@
 	}
 	p.notifyEnded(gone)
 	for _, notify := range lost {
-		notify()
+		notify(false)
 	}
 }
 
@@ -27,7 +27,7 @@
 
 // end marks a back end as ended, and returns it with the callbacks of the requests in flight there. It returns
 // false if the back end was known to have ended or isn't listed.
-func (p *Pool) end(id identity.BackendID) (gone Backend, lost []func(), known bool) {
+func (p *Pool) end(id identity.BackendID) (gone Backend, lost []func(silent bool), known bool) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	found := p.byID[id]
--- a/internal/core/backendpool/ended_test.go
+++ b/internal/core/backendpool/ended_test.go
@@ -28,7 +28,7 @@
 	pool.LearnVersion(first, "m", 5)
 	ticket := pool.Pick(now, Query{Service: "s", Model: "m"})
 	assert.Equal(t, ticket.Backend.ID, first)
-	pool.RecordProbe(now, first, false)
+	pool.RecordProbe(now, first, ConnectRefused)
 	var ended []identity.BackendID
 	pool.OnReachability(func(id identity.BackendID, reached bool) {
 		assert.Assert(t, !reached)
@@ -60,7 +60,7 @@
 	pool.OnEnded(func(address string) { dropped = append(dropped, address) })
 	ticket := pool.Pick(now, Query{Service: "s"})
 	lost := 0
-	ticket.OnLost(func() { lost++ })
+	ticket.OnLost(func(bool) { lost++ })
 	for range 2 {
 		pool.Ended(identity.NewBackendID("b", 1))
 	}
--- a/internal/core/backendpool/large_test.go
+++ b/internal/core/backendpool/large_test.go
@@ -288,7 +288,7 @@
 				}
 				for _, suspect := range pool.TakeDueProbes(now) {
 					probes++
-					pool.RecordProbe(now, suspect.ID, false)
+					pool.RecordProbe(now, suspect.ID, ConnectRefused)
 				}
 				if pool.byID[gone].ejected(now) {
 					leftOut++
--- a/internal/core/backendpool/probes.go
+++ b/internal/core/backendpool/probes.go
@@ -198,17 +198,17 @@
 	ProbeReinstated
 )
 
-// RecordProbe records whether a probe reached a back end. An unreachable one is ejected until a probe reaches it,
-// and its requests are notified.
-func (p *Pool) RecordProbe(now time.Time, id identity.BackendID, reached bool) ProbeOutcome {
-	defer p.onReachability(id, reached)
-	if reached {
+// RecordProbe records the result of a probe. A back end that it can't connect to is ejected until a probe connects, and its
+// requests are notified.
+func (p *Pool) RecordProbe(now time.Time, id identity.BackendID, result ConnectResult) ProbeOutcome {
+	defer p.onReachability(id, result == Connected)
+	if result == Connected {
 		defer p.onCapacityFreed()
 		return p.probeReached(now, id)
 	}
 	outcome, lost := p.probeFailed(now, id)
 	for _, notify := range lost {
-		notify()
+		notify(result == ConnectTimedOut)
 	}
 	return outcome
 }
@@ -231,7 +231,7 @@
 }
 
 // probeFailed returns the callbacks of the requests in flight.
-func (p *Pool) probeFailed(now time.Time, id identity.BackendID) (ProbeOutcome, []func()) {
+func (p *Pool) probeFailed(now time.Time, id identity.BackendID) (ProbeOutcome, []func(silent bool)) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	found := p.byID[id]
@@ -261,8 +261,8 @@
 }
 
 // lost returns the callbacks of the requests in flight.
-func (e *entry) lost() []func() {
-	var notify []func()
+func (e *entry) lost() []func(silent bool) {
+	var notify []func(silent bool)
 	for ticket := range e.tickets {
 		if ticket.onLost != nil {
 			notify = append(notify, ticket.onLost)
@@ -281,8 +281,9 @@
 // used, and must not block.
 func (p *Pool) OnProbeRequested(callback func()) { p.onProbeRequested = callback }
 
-// OnLost sets the callback for when the back end becomes unreachable. It must not block.
-func (t *Ticket) OnLost(lost func()) {
+// OnLost sets the callback for when the back end becomes unreachable. silent is set if it doesn't respond, so that it may be
+// about to go on with its requests; otherwise it has ended. The callback must not block.
+func (t *Ticket) OnLost(lost func(silent bool)) {
 	t.pool.mutex.Lock()
 	defer t.pool.mutex.Unlock()
 	t.onLost = lost
--- a/internal/core/backendpool/probes_test.go
+++ b/internal/core/backendpool/probes_test.go
@@ -36,7 +36,7 @@
 	now = now.Add(2 * silenceThreshold)
 	assert.DeepEqual(t, suspects(pool, now), []identity.BackendID{ticket.Backend.ID})
 	assert.Equal(t, len(suspects(pool, now)), 0, "one probe at a time")
-	assert.Equal(t, pool.RecordProbe(now, ticket.Backend.ID, true), ProbeNoChange)
+	assert.Equal(t, pool.RecordProbe(now, ticket.Backend.ID, Connected), ProbeNoChange)
 	assert.Equal(t, len(suspects(pool, now.Add(probeInterval-time.Millisecond))), 0)
 	assert.Equal(t, len(suspects(pool, now.Add(probeInterval))), 1)
 	ticket.Release(now, ResultServed)
@@ -50,25 +50,25 @@
 	ticket := pickOne(pool, start)
 	id := ticket.Backend.ID
 	lost := 0
-	ticket.OnLost(func() { lost++ })
+	ticket.OnLost(func(bool) { lost++ })
 	ended := pickOne(pool, start)
-	ended.OnLost(func() { lost += 100 })
+	ended.OnLost(func(bool) { lost += 100 })
 	ended.Release(start, ResultServed)
 
 	now := start.Add(silenceThreshold)
 	assert.DeepEqual(t, suspects(pool, now), []identity.BackendID{id})
-	assert.Equal(t, pool.RecordProbe(now, id, false), ProbeEjected)
+	assert.Equal(t, pool.RecordProbe(now, id, ConnectRefused), ProbeEjected)
 	assert.Equal(t, lost, 1)
 	assert.Equal(t, len(pool.TakeFailureReports()), 1)
 	for range 5 {
 		assert.Assert(t, !pickedAll(pool, now)[string(id)])
 		now = now.Add(unreachableEjection - reprobeLead)
 		assert.DeepEqual(t, suspects(pool, now), []identity.BackendID{id})
-		assert.Equal(t, pool.RecordProbe(now, id, false), ProbeNoChange, "it is out already")
+		assert.Equal(t, pool.RecordProbe(now, id, ConnectRefused), ProbeNoChange, "it is out already")
 	}
 	now = now.Add(unreachableEjection - reprobeLead)
 	assert.DeepEqual(t, suspects(pool, now), []identity.BackendID{id})
-	assert.Equal(t, pool.RecordProbe(now, id, true), ProbeReinstated)
+	assert.Equal(t, pool.RecordProbe(now, id, Connected), ProbeReinstated)
 	assert.Assert(t, pickedAll(pool, now)[string(id)])
 }
 
@@ -82,7 +82,7 @@
 	pool.ReceiveFailureReports(start, "one", reporter.TakeFailureReports())
 	assert.DeepEqual(t, suspects(pool, start), []identity.BackendID{ticket.Backend.ID})
 	assert.Assert(t, pickedAll(pool, start)[string(ticket.Backend.ID)])
-	pool.RecordProbe(start, ticket.Backend.ID, true)
+	pool.RecordProbe(start, ticket.Backend.ID, Connected)
 	assert.Equal(t, len(suspects(pool, start.Add(time.Hour))), 0)
 }
 
@@ -109,7 +109,7 @@
 		now = now.Add(50 * time.Millisecond)
 		for _, id := range suspects(pool, now) {
 			probes++
-			pool.RecordProbe(now, id, true)
+			pool.RecordProbe(now, id, Connected)
 		}
 	}
 	assert.Assert(t, probes > 0 && float64(probes) <= seconds*silenceProbeRate+1, "%d probes", probes)
@@ -124,13 +124,13 @@
 	id := fleet(2)[0].ID
 	pool.RequestProbe(start, id)
 	assert.Equal(t, len(pool.TakeDueProbes(start)), 1)
-	pool.RecordProbe(start, id, false)
+	pool.RecordProbe(start, id, ConnectRefused)
 	again := start.Add(unreachableEjection - reprobeLead)
 	assert.Equal(t, len(pool.TakeDueProbes(again)), 1)
 	for late := range 9 {
 		now := again.Add(time.Duration(late) * 100 * time.Millisecond)
 		assert.Assert(t, pool.byID[id].ejected(now), "%v after the probe began", now.Sub(again))
 	}
-	pool.RecordProbe(again.Add(800*time.Millisecond), id, true)
+	pool.RecordProbe(again.Add(800*time.Millisecond), id, Connected)
 	assert.Assert(t, !pool.byID[id].ejected(again.Add(801*time.Millisecond)))
 }
--- a/internal/core/backendpool/ticket.go
+++ b/internal/core/backendpool/ticket.go
@@ -35,7 +35,7 @@
 	// reading is set until the first byte of the response.
 	reading bool
 	// onLost is called when the back end becomes unreachable; it may be nil.
-	onLost func()
+	onLost func(silent bool)
 	// suspended is set while the request counts as no load.
 	suspended bool
 }
--- a/internal/loadhome/findings_test.go
+++ b/internal/loadhome/findings_test.go
@@ -17,7 +17,11 @@
 	for _, each := range f.daemons {
 		for _, suspect := range each.pool.TakeDueProbes(time.Now()) {
 			probes++
-			each.pool.RecordProbe(time.Now(), suspect.ID, !gone(suspect))
+			result := backendpool.Connected
+			if gone(suspect) {
+				result = backendpool.ConnectRefused
+			}
+			each.pool.RecordProbe(time.Now(), suspect.ID, result)
 		}
 	}
 	return probes
--- a/internal/prober/prober.go
+++ b/internal/prober/prober.go
@@ -26,8 +26,8 @@
 // Options are what a Prober works with.
 type Options struct {
 	Pool *backendpool.Pool
-	// Reach tells whether a back end accepts a connection.
-	Reach func(ctx context.Context, address string) bool
+	// Reach connects to a back end.
+	Reach func(ctx context.Context, address string) backendpool.ConnectResult
 	Log   logrus.FieldLogger
 }
 
@@ -81,14 +81,15 @@
 // probe tells the pool whether one back end can be reached.
 func (p *Prober) probe(ctx context.Context, suspect backendpool.ProbeTarget) {
 	began := clock.Now()
-	reached := p.reach(ctx, suspect.Address)
+	result := p.reach(ctx, suspect.Address)
 	if ctx.Err() != nil {
 		return
 	}
 	log := p.options.Log.WithFields(logrus.Fields{
 		"backend": suspect.ID, "address": suspect.Address, "took_ms": clock.Since(began).Milliseconds(),
+		"result": result.String(),
 	})
-	switch p.options.Pool.RecordProbe(clock.Now(), suspect.ID, reached) {
+	switch p.options.Pool.RecordProbe(clock.Now(), suspect.ID, result) {
 	case backendpool.ProbeEjected:
 		log.Warn("A back end can't be reached and is taken out.")
 	case backendpool.ProbeReinstated:
@@ -96,15 +97,16 @@
 	}
 }
 
-// reach tells whether one of a few attempts in a row succeeds.
-func (p *Prober) reach(ctx context.Context, address string) bool {
+// reach makes a few attempts to connect, until one succeeds, and returns the result of the last.
+func (p *Prober) reach(ctx context.Context, address string) backendpool.ConnectResult {
+	var result backendpool.ConnectResult
 	for range attempts {
 		bounded, cancel := context.WithTimeout(ctx, reachTimeout)
-		reached := p.options.Reach(bounded, address)
+		result = p.options.Reach(bounded, address)
 		cancel()
-		if reached {
-			return true
+		if result == backendpool.Connected {
+			break
 		}
 	}
-	return false
+	return result
 }
--- a/internal/prober/prober_test.go
+++ b/internal/prober/prober_test.go
@@ -21,13 +21,13 @@
 	attempts atomic.Int64
 }
 
-func (n *network) reach(ctx context.Context, _ string) bool {
+func (n *network) reach(ctx context.Context, _ string) backendpool.ConnectResult {
 	n.attempts.Add(1)
 	if n.reachable.Load() && n.lost.Add(-1) < 0 {
-		return true
+		return backendpool.Connected
 	}
 	<-ctx.Done()
-	return false
+	return backendpool.ConnectTimedOut
 }
 
 func startProber(t *testing.T, outside *network) *backendpool.Pool {
--- a/internal/prober/woken_test.go
+++ b/internal/prober/woken_test.go
@@ -16,12 +16,12 @@
 // TestCutConnectionIsLookedIntoAtOnce loses a connection with a request under way: the back end
 // is probed, and who wants to know is told whether it is there.
 func TestCutConnectionIsLookedIntoAtOnce(t *testing.T) {
-	for _, reached := range []bool{true, false} {
+	for _, result := range []backendpool.ConnectResult{backendpool.Connected, backendpool.ConnectRefused, backendpool.ConnectTimedOut} {
 		pool := backendpool.New("a")
 		told := make(chan bool, 4)
 		pool.OnReachability(func(_ identity.BackendID, reached bool) { told <- reached })
 		prober := New(Options{
-			Pool: pool, Log: logging.Discard(), Reach: func(context.Context, string) bool { return reached },
+			Pool: pool, Log: logging.Discard(), Reach: func(context.Context, string) backendpool.ConnectResult { return result },
 		})
 		pool.Update([]backendpool.Backend{{ID: "b", Service: "s", Zone: "a", Address: "10.0.0.1:80"}})
 		ctx, stop := context.WithCancel(t.Context())
@@ -37,7 +37,7 @@
 			}
 			return poll.Continue("nothing is told")
 		}, poll.WithDelay(time.Millisecond), poll.WithTimeout(2*time.Second))
-		assert.Equal(t, <-told, reached)
+		assert.Equal(t, <-told, result == backendpool.Connected)
 		stop()
 		<-ended
 	}
--- a/internal/relay/fixture_test.go
+++ b/internal/relay/fixture_test.go
@@ -67,14 +67,15 @@
 	events     int
 	dispatches []*Dispatch
 	ran        int
-	reachable  bool
+	// reach is the result of attempts to connect.
+	reach backendpool.ConnectResult
 	// hang lists the attempts that block until their context ends.
 	hang map[int]bool
 	// linkLost lists the attempts whose network link fails.
 	linkLost map[int]bool
 }
 
-func (b *scriptedBackends) Reach(context.Context, string) bool { return b.reachable }
+func (b *scriptedBackends) Reach(context.Context, string) backendpool.ConnectResult { return b.reach }
 
 func (b *scriptedBackends) next(dispatch *Dispatch) (behaviour, int) {
 	b.mutex.Lock()
@@ -253,7 +254,7 @@
 	}
 	made := &fixture{
 		control:  &fakeControl{state: &State{Table: routing.Compile(configuration)}, confirmed: time.Now()},
-		backends: &scriptedBackends{reachable: true, hang: map[int]bool{}, linkLost: map[int]bool{}},
+		backends: &scriptedBackends{hang: map[int]bool{}, linkLost: map[int]bool{}},
 		pool:     backendpool.New("a"),
 		observer: &lastObserver{},
 		route:    &route,
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -209,7 +209,7 @@
 func TestSilentBackEndIsLeft(t *testing.T) {
 	route := routing.Route{Kind: routing.KindSafe, MaxAttempts: 2, TargetLatency: 30 * time.Millisecond}
 	fixture := newFixture(route, 2, 5)
-	fixture.backends.reachable = false
+	fixture.backends.reach = backendpool.ConnectRefused
 	fixture.backends.hang[0] = true
 	started := time.Now()
 	caller := fixture.ask(nil)
@@ -233,7 +233,7 @@
 		fixture.backends.mutex.Lock()
 		id := fixture.backends.dispatches[0].Backend
 		fixture.backends.mutex.Unlock()
-		fixture.pool.RecordProbe(time.Now(), id, false)
+		fixture.pool.RecordProbe(time.Now(), id, backendpool.ConnectRefused)
 	}
 	time.AfterFunc(50*time.Millisecond, lose)
 	started := time.Now()
@@ -251,6 +251,28 @@
 	assert.Equal(t, len(fixture.backends.dispatches), 1)
 }
 
+// TestBackEndThatIsSilentForAMomentKeepsRequests guards against repeatable requests that run again because their backend sent
+// nothing for a moment, on any connection, and against ones that wait for it much longer.
+func TestBackEndThatIsSilentForAMomentKeepsRequests(t *testing.T) {
+	for _, target := range []time.Duration{700 * time.Millisecond, time.Minute} { // found silent by the request, or by a probe
+		route := routing.Route{Kind: routing.KindSafe, MaxAttempts: 2, TargetLatency: target}
+		fixture := newFixture(route, 2, 5)
+		fixture.backends.reach = backendpool.ConnectTimedOut
+		fixture.backends.hang[0] = true
+		time.AfterFunc(50*time.Millisecond, func() {
+			fixture.backends.mutex.Lock()
+			id := fixture.backends.dispatches[0].Backend
+			fixture.backends.mutex.Unlock()
+			fixture.pool.RecordProbe(time.Now(), id, backendpool.ConnectTimedOut)
+		})
+		started := time.Now()
+		caller := fixture.ask(nil)
+		assert.Equal(t, caller.body.String(), "whole body")
+		assert.Assert(t, time.Since(started) >= soundSilence)
+		assert.Assert(t, time.Since(started) < soundSilence+time.Second)
+	}
+}
+
 // TestDeadlineEndsRequest answers at the route's timeout if the request was sent and no answer
 // arrived.
 func TestDeadlineEndsRequest(t *testing.T) {
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -213,7 +213,6 @@
 	// Send makes a single attempt. Its errors are of type *SendError. When the context ends, the
 	// exchange is cut, which cancels the request at the backend.
 	Send(ctx context.Context, dispatch *Dispatch) (*Answer, error)
-	// Reach reports whether a backend accepts a connection, of this daemon or of another one that requests could take their
-	// path through.
-	Reach(ctx context.Context, address string) bool
+	// Reach connects to a backend, from this daemon or from another one that requests could take their path through.
+	Reach(ctx context.Context, address string) backendpool.ConnectResult
 }
--- a/internal/relay/watch.go
+++ b/internal/relay/watch.go
@@ -24,6 +24,9 @@
 	LastBegin = 400 * time.Millisecond
 	// startCheckInterval is the interval of the check for newly named versions.
 	startCheckInterval = 300 * time.Millisecond
+	// soundSilence is how long a backend that doesn't respond to attempts to connect may send nothing
+	// on a request. It may be silent for a moment and then go on with the request.
+	soundSilence = 1750 * time.Millisecond
 	// reachTimeout is how long a backend may take to accept a connection.
 	reachTimeout = 300 * time.Millisecond
 )
@@ -39,8 +42,10 @@
 	probeAfter time.Duration
 	maxSilence time.Duration
 	lastHeard  time.Time
-	// reachedAt is when the backend last accepted a connection.
+	// reachedAt is when the backend last accepted a connection. suspected is set if a later probe got no
+	// response.
 	reachedAt time.Time
+	suspected bool
 	stopped   bool
 	// paused is set while nothing is read from the backend.
 	paused bool
@@ -153,7 +158,7 @@
 	watch.mutex.Lock()
 	defer watch.mutex.Unlock()
 	watch.timer = time.AfterFunc(probeAfter, watch.check)
-	ticket.OnLost(watch.cut)
+	ticket.OnLost(watch.lose)
 	return watch
 }
 
@@ -161,9 +166,11 @@
 // next check. If the backend has been silent on all requests, it is probed first; if it can be
 // reached, it gets more time.
 func (w *watchdog) check() {
-	if w.probeDue() && !w.reach() {
-		w.cut()
-		return
+	if w.probeDue() {
+		if result := w.reach(); result != backendpool.Connected {
+			w.lose(result == backendpool.ConnectTimedOut)
+			return
+		}
 	}
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
@@ -180,7 +187,7 @@
 }
 
 // probeDue reports whether nothing has been received from the backend, on any request, for the
-// duration of probeAfter.
+// duration of probeAfter, or since a probe that got no response.
 func (w *watchdog) probeDue() bool {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
@@ -188,26 +195,34 @@
 	if w.reachedAt.After(since) {
 		since = w.reachedAt
 	}
-	return !w.stopped && !w.paused && w.run.now().Sub(since) >= w.probeAfter && w.ticket.SilentSince(since)
+	due := w.suspected || w.run.now().Sub(since) >= w.probeAfter
+	return due && !w.stopped && !w.paused && w.ticket.SilentSince(since)
 }
 
-// reach reports whether the backend accepts a connection.
-func (w *watchdog) reach() bool {
+// reach probes the backend.
+func (w *watchdog) reach() backendpool.ConnectResult {
 	ctx, cancel := context.WithTimeout(context.Background(), reachTimeout)
 	defer cancel()
-	if !w.run.relay.options.Backends.Reach(ctx, w.ticket.Backend.Address) {
-		return false
+	result := w.run.relay.options.Backends.Reach(ctx, w.ticket.Backend.Address)
+	if result == backendpool.Connected {
+		w.mutex.Lock()
+		defer w.mutex.Unlock()
+		w.reachedAt, w.suspected = w.run.now(), false
 	}
-	w.mutex.Lock()
-	defer w.mutex.Unlock()
-	w.reachedAt = w.run.now()
-	return true
+	return result
 }
 
-// cut cancels the attempt.
-func (w *watchdog) cut() {
+// lose cuts the attempt because the backend can't be reached. One that is merely silent may still go on
+// with the request, and is left only once it has been silent for soundSilence.
+func (w *watchdog) lose(silent bool) {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
+	left := soundSilence - w.run.now().Sub(w.lastHeard)
+	if silent && left > 0 && !w.stopped {
+		w.suspected = true
+		w.timer.Reset(left)
+		return
+	}
 	w.cutLocked()
 }
 
@@ -238,7 +253,7 @@
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
 	w.lastHeard = w.run.now()
-	w.paused = false
+	w.paused, w.suspected = false, false
 }
 
 func (w *watchdog) stop() {
