--- a/cmd/lotusward/linkloss_test.go
+++ b/cmd/lotusward/linkloss_test.go
@@ -171,9 +171,8 @@
 	assert.Check(l.t, before.share() >= 0.98, "the others in the first second: %s", firstOf(before.lost))
 }
 
-// checkOnce holds that no request that may run once was run twice, or ran though it was said not to.
-func (l *linkLoss) checkOnce() {
-	l.t.Helper()
+// runs returns how often each request was run, by its ID.
+func (l *linkLoss) runs() map[string]int {
 	ran := map[string]int{}
 	for _, runner := range l.runners {
 		for _, arrival := range runner.Arrivals() {
@@ -182,6 +181,13 @@
 			}
 		}
 	}
+	return ran
+}
+
+// checkOnce holds that no request that may run once was run twice, or ran though it was said not to.
+func (l *linkLoss) checkOnce() {
+	l.t.Helper()
+	ran := l.runs()
 	for _, one := range l.asked {
 		if !strings.HasPrefix(one.call.path, "/unsafe") && !strings.HasPrefix(one.call.path, "/once") {
 			continue
--- a/cmd/lotusward/silence_test.go
+++ b/cmd/lotusward/silence_test.go
@@ -19,21 +19,18 @@
 	silenceServed = time.Second
 )
 
-// silence is a time in which sound back ends send and receive nothing.
-type silence struct{ from, to time.Time }
-
 // newSilencePlay starts three daemons, whose callers ask for pages and for streams of 300 ms.
 func newSilencePlay(t *testing.T) *linkLoss { return newLinkLossWith(t, 3, 0, 30, 10*time.Millisecond) }
 
-// silence lets some back ends be silent, as seen by all daemons, a number of times.
-func (l *linkLoss) silence(silent []*standin.Runner, lasts time.Duration, times int) []silence {
+// silenceBackEnds lets some back ends send and receive nothing, as seen by all daemons, a number of times. It returns when each
+// of these times ended, and stops the callers.
+func (l *linkLoss) silenceBackEnds(silent []*standin.Runner, lasts time.Duration, times int) []time.Time {
 	l.reached.Clear()
 	for _, runner := range silent {
 		l.reached.Store(runner.Address(), true)
 	}
-	var silences []silence
+	var ends []time.Time
 	for range times {
-		began := time.Now()
 		for _, daemon := range l.daemons {
 			daemon.gateway.CutOff(standin.CutSilent)
 		}
@@ -41,24 +38,17 @@
 		for _, daemon := range l.daemons {
 			daemon.gateway.Heal()
 		}
-		silences = append(silences, silence{from: began, to: time.Now()})
+		ends = append(ends, time.Now())
 		time.Sleep(silencePause)
 	}
 	l.stopAsking()
-	return silences
+	return ends
 }
 
 // checkRanOnce holds that no request ran again, also of those that may.
 func (l *linkLoss) checkRanOnce() {
 	l.t.Helper()
-	ran := map[string]int{}
-	for _, runner := range l.runners {
-		for _, arrival := range runner.Arrivals() {
-			if arrival.Ran {
-				ran[arrival.ID]++
-			}
-		}
-	}
+	ran := l.runs()
 	var again []string
 	for id, count := range ran {
 		if count > 1 {
@@ -69,11 +59,11 @@
 }
 
 // checkServedAfter holds that requests sent a moment after a silence are served as before it.
-func (l *linkLoss) checkServedAfter(silences []silence) {
+func (l *linkLoss) checkServedAfter(ends []time.Time) {
 	l.t.Helper()
 	for _, one := range l.asked {
-		for _, each := range silences {
-			since := one.from.Sub(each.to)
+		for _, end := range ends {
+			since := one.from.Sub(end)
 			if since < silenceMoment || since > silencePause-silenceServed/2 {
 				continue
 			}
@@ -88,7 +78,7 @@
 func TestSilentBackEndsAreNoLostLinks(t *testing.T) {
 	t.Parallel()
 	play := newSilencePlay(t)
-	play.silence(play.runners, time.Second, 2)
+	play.silenceBackEnds(play.runners, time.Second, 2)
 	for _, daemon := range play.daemons {
 		assert.Check(t, !strings.Contains(daemon.log(), "The link to a back end is down"), "at %s", daemon.name)
 	}
@@ -108,9 +98,9 @@
 					if all {
 						silent = play.runners
 					}
-					silences := play.silence(silent, lasts, times)
+					ends := play.silenceBackEnds(silent, lasts, times)
 					play.checkServed(t)
-					play.checkServedAfter(silences)
+					play.checkServedAfter(ends)
 					play.checkRanOnce()
 					play.checkOnce()
 					play.checkNoBlame()
