Count connections made meanwhile, and time-outs of a dial, in the verdict on links

The retry of a link recorded its failure anew, which hid that another connection had been made since the first attempt: such a connection now proves the link (Tracker.ConnectedSince). And an exchange whose connection was given up reported "context canceled" in place of the cause, so that the router took a time-out for a refusal, and did not tell the requests that hang on that link: the cause is reported now.

TestConnectionMadeMeanwhileIsNoLostLink and TestCanceledConnectReportsItsCause fail without these; TestSilentLinkIsReportedToHangingRequests holds what the second is for.

--- a/internal/adapter/httpexchange/connection_test.go
+++ b/internal/adapter/httpexchange/connection_test.go
@@ -55,3 +55,20 @@
 	assert.Assert(t, time.Since(began) >= unacknowledgedTime)
 	assert.Assert(t, time.Since(began) < 2*unacknowledgedTime+time.Second, "it took %s", time.Since(began))
 }
+
+// TestCanceledConnectReportsItsCause guards against a connection that timed out and looks like one that was refused.
+func TestCanceledConnectReportsItsCause(t *testing.T) {
+	t.Parallel()
+	tooLong := errors.New("it took too long")
+	pool := NewPool(Options{Dial: func(ctx context.Context, _, _ string) (net.Conn, error) {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}})
+	t.Cleanup(pool.Close)
+	ctx, cancel := context.WithCancelCause(t.Context())
+	time.AfterFunc(10*time.Millisecond, func() { cancel(tooLong) })
+	_, err := pool.Do(ctx, "127.0.0.1:1", request("1"))
+	var failed *Error
+	assert.Assert(t, errors.As(err, &failed) && errors.Is(err, tooLong), "%v", err)
+	assert.Equal(t, failed.Stage, StageUnreached)
+}
--- a/internal/adapter/httpexchange/exchange.go
+++ b/internal/adapter/httpexchange/exchange.go
@@ -137,6 +137,9 @@
 func (p *Pool) Do(ctx context.Context, address string, request *Request) (*Answer, error) {
 	taken, err := p.take(ctx, address)
 	if err != nil {
+		if ctx.Err() != nil {
+			err = context.Cause(ctx)
+		}
 		return nil, &Error{Address: address, Stage: StageUnreached, Cause: err}
 	}
 	if err := request.stands(); err != nil {
--- a/internal/backendpath/router.go
+++ b/internal/backendpath/router.go
@@ -198,7 +198,7 @@
 		return backendRefuses
 	}
 	retriedAt := clock.Now()
-	if r.connect(context.Background(), address) == backendpool.Connected {
+	if r.connect(context.Background(), address) == backendpool.Connected || r.links.ConnectedSince(began, address) {
 		return linkWorks
 	}
 	r.links.Failed(retriedAt, address)
--- a/internal/backendpath/router_test.go
+++ b/internal/backendpath/router_test.go
@@ -278,3 +278,35 @@
 	assert.Equal(t, outside.forwarded.Load(), int32(0))
 	assert.Equal(t, router.Reach(context.Background(), "a"), backendpool.ConnectRefused)
 }
+
+// TestConnectionMadeMeanwhileIsNoLostLink guards against links that are taken for lost although a connection was made since the
+// attempt that failed began.
+func TestConnectionMadeMeanwhileIsNoLostLink(t *testing.T) {
+	outside, router := newNetwork("a", "b", "c", "d")
+	outside.set(modeSilent, "a")
+	time.AfterFunc(connectTimeout/2, func() { router.noteConnected("a") })
+	assert.Equal(t, router.Reach(context.Background(), "a"), backendpool.Connected)
+	assert.Equal(t, router.LinksDown(), 0)
+}
+
+// TestSilentLinkIsReportedToHangingRequests guards against requests that hang on a silent link which another request found to be
+// down.
+func TestSilentLinkIsReportedToHangingRequests(t *testing.T) {
+	outside, router := newNetwork("a", "b", "c", "d")
+	outside.set(modeOpenSilent, "a")
+	lost := new(atomic.Int32)
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	go func() { _, _ = router.Send(ctx, dispatchTo("a", lost)) }()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if outside.sendings("a") == 1 {
+			return poll.Success()
+		}
+		return poll.Continue("the request is not sent")
+	}, poll.WithDelay(time.Millisecond))
+	outside.set(modeSilent, "a")
+	answer, err := send(t, router, "a")
+	assert.NilError(t, err)
+	assert.Equal(t, answer.Via, "other")
+	assert.Equal(t, lost.Load(), int32(1))
+}
--- a/internal/core/linkhealth/linkhealth.go
+++ b/internal/core/linkhealth/linkhealth.go
@@ -5,6 +5,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -44,6 +45,8 @@
 	mutex sync.Mutex
 	// links holds the links that don't work, by address.
 	links map[string]*link
+	// connectedAt is when a connection to an address was last made, for unusedTime.
+	connectedAt map[string]time.Time
 	// lastActivityAt is when data last arrived from a back end directly.
 	lastActivityAt time.Time
 	// total is the number of links.
@@ -55,7 +58,9 @@
 }
 
 // New returns a tracker whose links all work.
-func New() *Tracker { return &Tracker{links: map[string]*link{}, checked: map[string]bool{}} }
+func New() *Tracker {
+	return &Tracker{links: map[string]*link{}, connectedAt: map[string]time.Time{}, checked: map[string]bool{}}
+}
 
 // SetTotal sets the number of back ends that there are.
 func (t *Tracker) SetTotal(total int) {
@@ -86,6 +91,7 @@
 func (t *Tracker) Connected(now time.Time, address string) bool {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
+	t.connectedAt[address] = now
 	t.lastActivityAt = now
 	if t.inSeries(now) {
 		t.checked[address] = true
@@ -95,6 +101,13 @@
 	return found != nil && found.down
 }
 
+// ConnectedSince reports whether a connection to an address was made after a time, at most unusedTime ago.
+func (t *Tracker) ConnectedSince(since time.Time, address string) bool {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	return t.connectedAt[address].After(since)
+}
+
 // Failed records an attempt to connect that failed, with the time of its start.
 func (t *Tracker) Failed(startedAt time.Time, address string) {
 	t.mutex.Lock()
@@ -218,6 +231,7 @@
 func (t *Tracker) TakeDueChecks(now time.Time) []string {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
+	maps.DeleteFunc(t.connectedAt, func(_ string, at time.Time) bool { return now.Sub(at) > unusedTime })
 	var due []string
 	for address, each := range t.links {
 		if now.Sub(each.usedAt) > unusedTime {
