Give a back end that another daemon reached longer to accept the retry

TestSilentBackEndsAreNoLostLinks still failed on a busy machine: 17 of 18 plays with the race detector, three at once beside five busy processes. When a silence ends, all connections that were held back come through at once, and one of a few hundred milliseconds is no lost link although another daemon's came through sooner.

The retry has 400 ms instead of 150. A silent link is then found down 0.4 s after the other daemon's answer, a refused one at once as before.

--- a/internal/backendpath/check.go
+++ b/internal/backendpath/check.go
@@ -36,8 +36,8 @@
 	backendSilent
 )
 
-// Reach implements relay.Backends. It takes twice connectTimeout and the time of a question to other daemons at most, whatever
-// the context.
+// Reach implements relay.Backends. It takes connectTimeout, the time of a question to other daemons, and retryTimeout at most,
+// whatever the context.
 func (r *Router) Reach(_ context.Context, address string) backendpool.ConnectResult {
 	switch r.check(address) {
 	case backendRefuses:
@@ -62,9 +62,13 @@
 	return r.explainFailure(address, began, result == backendpool.ConnectTimedOut)
 }
 
-// connect tries to connect to an address.
+// connect tries to connect to an address within connectTimeout.
 func (r *Router) connect(ctx context.Context, address string) backendpool.ConnectResult {
-	bounded, cancel := context.WithTimeout(ctx, connectTimeout)
+	return r.connectWithin(ctx, address, connectTimeout)
+}
+
+func (r *Router) connectWithin(ctx context.Context, address string, timeout time.Duration) backendpool.ConnectResult {
+	bounded, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	result := r.options.Direct.Reach(bounded, address)
 	if result == backendpool.Connected {
--- a/internal/backendpath/router.go
+++ b/internal/backendpath/router.go
@@ -27,6 +27,9 @@
 	// connectTimeout is how long a back end may take to accept a connection if other daemons can be asked about it. Its
 	// network answers within a few milliseconds, however busy it is.
 	connectTimeout = 150 * time.Millisecond
+	// retryTimeout is how long the back end may take that another daemon has reached. Many connections are made at once when a
+	// back end is no longer silent.
+	retryTimeout = 400 * time.Millisecond
 	// askAhead is how long a connection may take before other daemons are asked, so that the answer is there when it fails.
 	// Connections to another region take 80 ms.
 	askAhead = 100 * time.Millisecond
@@ -198,7 +201,7 @@
 		return backendRefuses
 	}
 	retriedAt := clock.Now()
-	if r.connect(context.Background(), address) == backendpool.Connected || r.links.ConnectedSince(began, address) {
+	if r.connectWithin(context.Background(), address, retryTimeout) == backendpool.Connected || r.links.ConnectedSince(began, address) {
 		return linkWorks
 	}
 	r.links.Failed(retriedAt, address)
