--- a/internal/backendpath/check.go
+++ b/internal/backendpath/check.go
@@ -67,6 +67,7 @@
 	return r.connectWithin(ctx, address, connectTimeout)
 }
 
+// connectWithin tries to connect to an address within a time.
 func (r *Router) connectWithin(ctx context.Context, address string, timeout time.Duration) backendpool.ConnectResult {
 	bounded, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
--- a/internal/backendpath/router.go
+++ b/internal/backendpath/router.go
@@ -191,7 +191,7 @@
 
 // explainFailure returns the state of a link on which a connection failed that was begun at a time; silent is set if it timed
 // out. If another daemon reaches the back end, the link is tried once more: the back end may have been silent until then, or
-// this daemon paused.
+// this daemon paused. A connection that was made meanwhile proves the link as well.
 func (r *Router) explainFailure(address string, began time.Time, silent bool) linkState {
 	r.links.Failed(began, address)
 	if r.askOthers(address) != forward.Reached {
--- a/internal/core/backendpool/probes.go
+++ b/internal/core/backendpool/probes.go
@@ -198,7 +198,7 @@
 	ProbeReinstated
 )
 
-// RecordProbe records the result of a probe. A back end that it can't connect to is ejected until a probe connects, and its
+// RecordProbe records the result of a probe. A back end that a probe can't connect to is ejected until one does, and its
 // requests are notified.
 func (p *Pool) RecordProbe(now time.Time, id identity.BackendID, result ConnectResult) ProbeOutcome {
 	defer p.onReachability(id, result == Connected)
--- a/internal/core/linkhealth/linkhealth.go
+++ b/internal/core/linkhealth/linkhealth.go
@@ -45,7 +45,7 @@
 	mutex sync.Mutex
 	// links holds the links that don't work, by address.
 	links map[string]*link
-	// connectedAt is when a connection to an address was last made, for unusedTime.
+	// connectedAt is when a connection to an address was last made. It is kept for unusedTime.
 	connectedAt map[string]time.Time
 	// lastActivityAt is when data last arrived from a back end directly.
 	lastActivityAt time.Time
