Read what fake back ends loaded under their mutex

The race is the test's; the product's code took no part, and load can only make it show.

Both tests that read so hold the mutex now. The checks are as they were.

--- a/internal/weightupdate/update_test.go
+++ b/internal/weightupdate/update_test.go
@@ -273,6 +273,8 @@
 	named.version.Store(3)
 	named.version.Store(4)
 	poll.WaitOn(t, allHold(engines, 4), poll.WithTimeout(15*time.Second))
+	engines.mutex.Lock()
+	defer engines.mutex.Unlock()
 	assert.Assert(t, engines.mostBusy <= 3, "loading at a time: %d", engines.mostBusy)
 	for id, engine := range engines.engines {
 		for _, version := range engine.history {
@@ -295,6 +297,8 @@
 	poll.WaitOn(t, allHold(engines, 5), poll.WithTimeout(30*time.Second))
 	time.Sleep(time.Second) // late orders arrive
 	assert.Assert(t, engines.all(5))
+	engines.mutex.Lock()
+	defer engines.mutex.Unlock()
 	for id, engine := range engines.engines {
 		for index := 1; index < len(engine.history); index++ {
 			assert.Assert(t, engine.history[index] > engine.history[index-1], "%s went back: %v", id, engine.history)
