Continue streams only at back ends that name the listed incarnation

Callers got streams with events of two software versions when they came to a daemon whose links to back ends were cut: it continued them, through another daemon, at back ends that had just restarted under their names as another version.

Cause: a back end whose report can't be had was taken for the listed incarnation, for the sake of daemons without links. What is unknown was read as harmless. The report was also asked for on another connection than the request's, twice for each continued stream.

The daemon that sends a request, itself or for another one, now asks on the connection of the request, before it is sent. A connection ends with the process that accepted it, so that one question holds for all requests on a connection. A request that continues a stream isn't sent to another incarnation and, where several versions were listed lately, not to a back end that doesn't tell. Between daemons header fields carry question and answer, because messages by position can't grow: earlier builds ignore them, and what comes through such a daemon is not passed on beside several versions.

Weighed: refusing wherever the own report can't be had; daemons without links could continue no stream then (the rule on lost links).

--- a/cmd/internal/daemon/incarnations.go
+++ b/cmd/internal/daemon/incarnations.go
@@ -15,7 +15,7 @@
 // incarnationTimeout bounds the wait for a back end's report.
 const incarnationTimeout = 150 * time.Millisecond
 
-// incarnations implements relay.Incarnations by the reports of back ends.
+// incarnations finds out by the reports of back ends whether they have restarted.
 type incarnations struct {
 	report func(ctx context.Context, backend backendpool.Backend) (weightupdate.Report, error)
 	log    logrus.FieldLogger
@@ -27,7 +27,7 @@
 	return errors.As(err, &failed) && failed.Stage != httpexchange.StageUnreached
 }
 
-// Restarted implements relay.Incarnations.
+// Restarted reports whether a back end itself names another incarnation than the listed one, or loses the connection when it is asked.
 func (i *incarnations) Restarted(ctx context.Context, backend backendpool.Backend) bool {
 	listed := backend.ID.Incarnation()
 	if listed == 0 {
--- a/cmd/internal/daemon/wire.go
+++ b/cmd/internal/daemon/wire.go
@@ -290,8 +290,7 @@
 		Policy: policy(w.settings.Bounds), Memory: w.memory, Stores: w.promptsIn.Cache,
 		Daemons: w.members.Count, Limits: w.limits, BackendLimits: backendlimit.New(w.limits, w.members.Count, counters.BackendLimit), Loads: w.homes, Rooms: w.rooms, Crashes: w.crashes,
 		Versions: w.versions(), StreamOrigins: w.streams,
-		Incarnations: w.incarnations,
-		Observer:     requestlog.New(w.part("relay"), counters),
+		Observer: requestlog.New(w.part("relay"), counters),
 	})
 	w.serving = newServing(w.settings, relaying, w.directory, w.crashes.Informed, w.ledger, w.part("front"))
 	w.serving.waitForwarded = w.forwards.Wait
--- a/internal/adapter/httpexchange/exchange.go
+++ b/internal/adapter/httpexchange/exchange.go
@@ -82,6 +82,8 @@
 	Stands func() error
 	// Belongs tells whether an answer is this request's; nil means any is.
 	Belongs func(http.Header) bool
+	// Identify makes the process at the other end tell who it is before the request is sent; nil asks for nothing.
+	Identify *Identification
 }
 
 // Answer is the head of an answer with its body. Close must be called.
@@ -94,6 +96,8 @@
 	Delimited bool
 	// Closing is set when the other side will close the connection.
 	Closing bool
+	// Peer is the identity that the process at the other end of the connection has told; zero if it was not asked, or didn't tell.
+	Peer uint64
 
 	body       io.ReadCloser
 	connection *connection
@@ -146,17 +150,13 @@
 // Do sends a request and reads the head of its answer. The context bounds the
 // whole exchange: when it ends, the connection is closed.
 func (p *Pool) Do(ctx context.Context, address string, request *Request) (*Answer, error) {
-	taken, err := p.take(ctx, address)
+	taken, err := p.connect(ctx, address, request)
 	if err != nil {
 		if ctx.Err() != nil {
 			err = context.Cause(ctx)
 		}
 		return nil, &Error{Address: address, Stage: StageUnreached, Cause: err}
 	}
-	if err := request.stands(); err != nil {
-		taken.keep(0)
-		return nil, &Error{Address: address, Stage: StageUnreached, Reused: taken.reused, Cause: err}
-	}
 	stop := context.AfterFunc(ctx, taken.close)
 	answer, err := taken.exchange(request)
 	if err != nil {
@@ -167,10 +167,26 @@
 		}
 		return nil, &Error{Address: address, Stage: taken.stage(), Reused: taken.reused, Cause: err}
 	}
-	answer.stop = stop
+	answer.stop, answer.Peer = stop, taken.peer
 	return answer, nil
 }
 
+// connect returns a connection on which the request may be sent. One that may not carry it is kept.
+func (p *Pool) connect(ctx context.Context, address string, request *Request) (*connection, error) {
+	taken, err := p.take(ctx, address)
+	if err != nil {
+		return nil, err
+	}
+	if err := request.stands(); err != nil {
+		taken.keep(0)
+		return nil, err
+	}
+	if request.Identify == nil {
+		return taken, nil
+	}
+	return p.connectIdentified(ctx, taken, request)
+}
+
 // stands tells why the request is not to be sent any more; nil if it is.
 func (r *Request) stands() error {
 	if r.Stands == nil {
--- a/internal/adapter/httpexchange/pool.go
+++ b/internal/adapter/httpexchange/pool.go
@@ -107,13 +107,15 @@
 
 // connection is one connection with its buffers.
 type connection struct {
-	pool      *Pool
-	address   string
-	socket    net.Conn
-	heads     *headLimiter
-	reader    *bufio.Reader
-	writer    *bufio.Writer
-	reused    bool
+	pool    *Pool
+	address string
+	socket  net.Conn
+	heads   *headLimiter
+	reader  *bufio.Reader
+	writer  *bufio.Writer
+	reused  bool
+	// peer is the identity that the process at the other end has told, or zero.
+	peer      uint64
 	written   atomic.Int64
 	idleUntil time.Time
 	closeOnce sync.Once
--- a/internal/backendpath/router.go
+++ b/internal/backendpath/router.go
@@ -145,7 +145,7 @@
 	connected := false
 	attempt := *dispatch
 	attempt.CheckAccepting = func() error {
-		if !connecting.Stop() {
+		if !connected && !connecting.Stop() {
 			return errConnectTimeout
 		}
 		connected = true
--- a/internal/forward/client.go
+++ b/internal/forward/client.go
@@ -90,7 +90,7 @@
 			return answer, nil
 		}
 		failed = err
-		if err.Evidence != outcome.Unreached || ctx.Err() != nil {
+		if err.Evidence != outcome.Unreached || ctx.Err() != nil || errors.Is(err, relay.ErrRestarted) {
 			break
 		}
 	}
@@ -143,11 +143,15 @@
 	}
 	if received.Failed {
 		answer.Close()
+		if cause := notSentCause(answer.Header); cause != nil {
+			release(endForwarded)
+			return nil, &relay.SendError{Evidence: received.Evidence, Via: address, Cause: cause}
+		}
 		release(received.end())
 		return nil, &relay.SendError{Evidence: received.Evidence, Via: address, Cause: errors.New(received.Cause)}
 	}
 	read := received.answer()
-	read.Via = address
+	read.Via, read.Incarnation = address, incarnationOf(answer.Header)
 	read.Body = &forwardedBody{
 		answer: answer, release: sync.OnceFunc(func() { release(endForwarded) }), lose: func() { loseLink(ctx, dispatch) },
 	}
@@ -177,7 +181,7 @@
 	connecting := time.AfterFunc(connectTimeout, func() { cancel(errConnectTimeout) })
 	defer connecting.Stop()
 	return c.options.Pool.Do(bounded, address, &httpexchange.Request{
-		Method: http.MethodPost, Target: Path, Host: address, Header: http.Header{"Content-Type": {contentType}}, Body: body,
+		Method: http.MethodPost, Target: Path, Host: address, Header: confirmationHeader(dispatch), Body: body,
 		Stands: func() error {
 			if !connecting.Stop() {
 				return errConnectTimeout
--- a/internal/forward/server.go
+++ b/internal/forward/server.go
@@ -119,7 +119,9 @@
 		s.refuse(writer, status)
 		return
 	}
-	s.forward(incoming.Context(), writer, received)
+	dispatch := received.dispatch()
+	dispatch.Confirmation = confirmationOf(incoming.Header)
+	s.forward(incoming.Context(), writer, dispatch, received.Key)
 }
 
 // enter reserves capacity for a request. It returns false if there is none.
@@ -176,10 +178,9 @@
 	return &received, http.StatusOK
 }
 
-// forward sends a request and passes the answer back.
-func (s *Server) forward(ctx context.Context, writer http.ResponseWriter, received *message) {
-	dispatch := received.dispatch()
-	if !s.options.Permits(dispatch, received.Key) {
+// forward sends a request of a caller with a key and passes the answer back.
+func (s *Server) forward(ctx context.Context, writer http.ResponseWriter, dispatch *relay.Dispatch, key string) {
+	if !s.options.Permits(dispatch, key) {
 		s.log(dispatch, "A request of another daemon is not forwarded: its key, route or back end is not known here.", errNotSent)
 		_ = s.answer(writer, failedHead(outcome.Unreached, errNotSent)) // the other daemon may have left
 		s.options.Observe("refused")
@@ -199,10 +200,12 @@
 	if err != nil {
 		s.options.Observe("failed")
 		s.log(dispatch, "A request of another daemon has no answer.", err)
+		setNotSent(writer.Header(), err)
 		_ = s.answer(writer, failedHead(s.evidenceOf(ctx, dispatch, err), err)) // the other daemon may have left
 		return
 	}
 	defer func() { _ = answer.Body.Close() }()
+	setIncarnation(writer.Header(), answer.Incarnation)
 	if s.answer(writer, answeredHead(answer)) != nil {
 		s.options.Observe("cut")
 		return
--- a/internal/relay/fixture_test.go
+++ b/internal/relay/fixture_test.go
@@ -58,6 +58,8 @@
 	behaveCutStream
 	behaviours
 
+	// behaveRestarted names another incarnation than the listed one before the request is sent; it is never drawn.
+	behaveRestarted
 	// behaveEndInEvent ends a stream inside an event with complete framing; it is never drawn.
 	behaveEndInEvent
 )
@@ -78,6 +80,8 @@
 	onDispatch func()
 	// endless returns the answer of an attempt; nil, as the function or its result, follows the script.
 	endless func(number int) *Answer
+	// incarnation is what backends name to attempts that ask for it; nil names none.
+	incarnation func(backend identity.BackendID) identity.Incarnation
 	// linkLost lists the attempts whose network link fails.
 	linkLost map[int]bool
 }
@@ -133,6 +137,8 @@
 		}
 	}
 	switch action {
+	case behaveRestarted:
+		return nil, &SendError{Evidence: outcome.Unreached, Cause: ErrRestarted}
 	case behaveUnreached:
 		return nil, &SendError{Evidence: outcome.Unreached, Cause: errors.New("no connection")}
 	case behaveLostBeforeRun:
@@ -166,12 +172,12 @@
 		// A stream contains nothing but its events, even if none is left to resume.
 		cutAt := min(first+(b.events-first)/2, b.events)
 		stream := eventsText(first, cutAt) + "id: 9"
-		return cut(b.stream(stream)), nil
+		return cut(b.stream(dispatch, stream)), nil
 	}
 	if action == behaveEndInEvent {
-		return b.stream(eventsText(first, b.events-1) + fmt.Sprintf("id: %d\ndata: pi", b.events)), nil
+		return b.stream(dispatch, eventsText(first, b.events-1)+fmt.Sprintf("id: %d\ndata: pi", b.events)), nil
 	}
-	return b.stream(eventsText(first, b.events)), nil
+	return b.stream(dispatch, eventsText(first, b.events)), nil
 }
 
 func eventsText(first, last int) string {
@@ -190,8 +196,11 @@
 	}
 }
 
-func (b *scriptedBackends) stream(text string) *Answer {
+func (b *scriptedBackends) stream(dispatch *Dispatch, text string) *Answer {
 	answer := b.answer(VerdictAnswer, http.StatusOK, text)
+	if b.incarnation != nil && dispatch.Confirmation != ConfirmationNone {
+		answer.Incarnation = b.incarnation(dispatch.Backend)
+	}
 	answer.Stream = true
 	answer.Head.Length = -1
 	return answer
--- a/internal/relay/pick.go
+++ b/internal/relay/pick.go
@@ -22,7 +22,7 @@
 			return nil, r.shortageReason(ctx)
 		}
 		reason := r.blockedReason(ctx) // the deadline may have passed while the request waited for a slot
-		if reason == "" && !r.mayRunOtherVersion(ctx, ticket) && r.choiceValid() {
+		if reason == "" && r.choiceValid() {
 			return ticket, ""
 		}
 		ticket.Release(r.now(), backendpool.ResultAbandoned)
--- a/internal/relay/readahead_test.go
+++ b/internal/relay/readahead_test.go
@@ -58,9 +58,9 @@
 	body *io.PipeReader
 }
 
-func (b *pipeBackends) Send(ctx context.Context, _ *Dispatch) (*Answer, error) {
+func (b *pipeBackends) Send(ctx context.Context, dispatch *Dispatch) (*Answer, error) {
 	context.AfterFunc(ctx, func() { _ = b.body.CloseWithError(context.Cause(ctx)) })
-	answer := b.stream("")
+	answer := b.stream(dispatch, "")
 	answer.Body = b.body
 	return answer, nil
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -65,9 +65,6 @@
 	Versions Versions
 	// StreamOrigins remembers which software version began a stream; nil remembers none.
 	StreamOrigins StreamOrigins
-	// Incarnations checks, before a stream is continued, whether the backend has restarted; nil
-	// checks nothing.
-	Incarnations Incarnations
 	// Observer is notified of each decision.
 	Observer Observer
 	// Now is the clock for deadlines and durations; nil means clock.Now.
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net/http"
 	"time"
@@ -116,6 +117,44 @@
 	Refuse(refusal Refusal)
 }
 
+// Confirmation is how sure it must be that the listed incarnation of a backend answers. A later one takes requests too, and may run
+// another software version.
+type Confirmation int
+
+// Confirmations.
+const (
+	// ConfirmationNone asks for none.
+	ConfirmationNone Confirmation = iota
+	// ConfirmationWanted asks the backend for its incarnation. The request is not sent to another one than the listed, but to one
+	// that does not tell.
+	ConfirmationWanted
+	// ConfirmationRequired sends the request to the listed incarnation alone.
+	ConfirmationRequired
+)
+
+// Errors of attempts that were not sent because of the backend's incarnation.
+var (
+	// ErrRestarted means that the backend has restarted since it was listed.
+	ErrRestarted = errors.New("the back end has restarted since it was listed")
+	// ErrUnconfirmed means that the backend did not tell its incarnation.
+	ErrUnconfirmed = errors.New("the back end does not tell its incarnation")
+)
+
+// Accept returns an error if a request must not be sent to a backend that names an incarnation, which is zero if it named none.
+// Where no incarnation is listed, any is accepted.
+func (c Confirmation) Accept(backend identity.BackendID, incarnation identity.Incarnation) error {
+	listed := backend.Incarnation()
+	switch {
+	case c == ConfirmationNone || listed == 0 || incarnation == listed:
+		return nil
+	case incarnation != 0:
+		return ErrRestarted
+	case c == ConfirmationRequired:
+		return ErrUnconfirmed
+	}
+	return nil
+}
+
 // Dispatch is one attempt to send a request to one backend.
 type Dispatch struct {
 	Request *Request
@@ -140,6 +179,8 @@
 	// CheckAccepting must be called right before the request is sent, if connecting took time. An
 	// error cancels the attempt. Nil means no check.
 	CheckAccepting func() error
+	// Confirmation is how sure it must be that the listed incarnation of the backend answers.
+	Confirmation Confirmation
 	// Configuration is the version of the configuration that the request was admitted with.
 	Configuration uint64
 	// EndOnLinkLoss is set if the attempt is to be ended rather than to wait for a network link that has failed.
@@ -178,6 +219,8 @@
 	Delimited bool
 	// WeightsVersion is the version of the weights that the answer names, or zero.
 	WeightsVersion uint64
+	// Incarnation is the one that the backend named on the connection of the answer; zero if it was not asked or didn't tell.
+	Incarnation identity.Incarnation
 	// Notice is what the backend announces about itself in the head of the answer.
 	Notice backendpool.Notice
 	// Via is the address of the daemon that the answer came through; empty if it came directly.
--- a/internal/relay/sending.go
+++ b/internal/relay/sending.go
@@ -33,6 +33,7 @@
 	defer r.startWatch.stop()
 	watch := r.watchFirstByte(ticket, cancel)
 	dispatch := r.relay.dispatch(r.admitted, ticket, r.lastEvent)
+	dispatch.Confirmation = r.confirmation()
 	dispatch.CheckAccepting = func() error { return r.checkAccepting(ticket) }
 	r.linkLost = new(atomic.Bool)
 	dispatch.EndOnLinkLoss = r.retryPossible()
@@ -117,12 +118,16 @@
 	if errors.Is(err, errNotAccepting) {
 		return failure{evidence: outcome.Unreached, result: backendpool.ResultAbandoned, reason: "unwanted"}
 	}
+	if reason := incarnationReason(err); reason != "" {
+		r.noteVia(err)
+		return failure{evidence: outcome.Unreached, result: backendpool.ResultAbandoned, reason: reason}
+	}
 	evidence := outcome.Sent
 	var sendError *SendError
 	if errors.As(err, &sendError) {
 		evidence = sendError.Evidence
-		r.attempt.Via = sendError.Via
 	}
+	r.noteVia(err)
 	failed := failure{evidence: evidence, result: resultOf(evidence)}
 	reason := r.noteTooLong(err, evidence.String())
 	if reason == reasonTooLong {
@@ -132,6 +137,14 @@
 	return r.adjustForCancel(ctx, failed)
 }
 
+// noteVia records which daemon an attempt without an answer was sent through.
+func (r *run) noteVia(err error) {
+	var failed *SendError
+	if errors.As(err, &failed) {
+		r.attempt.Via = failed.Via
+	}
+}
+
 // reasonTooLong is the reason of attempts whose answer exceeded a limit. Its connection was closed by the daemon.
 const reasonTooLong = "too_long"
 
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -91,8 +91,8 @@
 		ticket.RecordActivity(r.now())
 		if first {
 			ticket.RecordFirstByte()
-			if r.mayRunOtherVersion(ctx, ticket) {
-				return stepRetry, failure{evidence: outcome.Answered, result: backendpool.ResultAbandoned, reason: reasonRestarted}
+			if reason := r.reasonUnaccepted(answer, ticket); reason != "" {
+				return stepRetry, failure{evidence: outcome.Answered, result: backendpool.ResultAbandoned, reason: reason}
 			}
 			r.keepVersion(ticket)
 			r.recordReplaced(true)
--- a/internal/relay/streamorigin.go
+++ b/internal/relay/streamorigin.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/lotusward/lotusward/internal/core/backendpool"
@@ -21,13 +22,8 @@
 	// Outdated reports whether the listed version of a backend, given by the hash of its ID, was
 	// that of an earlier incarnation when a stream began there. It may ask the backend.
 	Outdated(ctx context.Context, backend uint64, beganAt time.Time) bool
-}
-
-// Incarnations finds out whether backends have restarted since they were listed.
-type Incarnations interface {
-	// Restarted reports whether the backend itself names another incarnation than the listed one, or
-	// loses the connection when it is asked. It returns false if it can't be reached or is silent.
-	Restarted(ctx context.Context, backend backendpool.Backend) bool
+	// Several reports whether several versions of a service were listed lately.
+	Several(service identity.ServiceName) bool
 }
 
 // reasonUnknownOrigin is the refusal reason of requests that continue a stream of which it is not
@@ -55,20 +51,45 @@
 	return r.beganBackend != 0 && origins != nil && origins.Outdated(ctx, r.beganBackend, r.beganAt)
 }
 
-// reasonRestarted is the reason of attempts to continue a stream at a backend that has restarted.
-const reasonRestarted = "restarted"
+// Reasons of attempts that ended because of the backend's incarnation.
+const (
+	reasonRestarted   = "restarted"
+	reasonUnconfirmed = "unconfirmed_incarnation"
+)
+
+// confirmation returns how sure it must be which incarnation of a backend answers: a
+// continued stream must not go to another one than the listed.
+func (r *run) confirmation() Confirmation {
+	origins, match := r.relay.options.StreamOrigins, r.admitted.match
+	switch {
+	case r.began == nil || origins == nil || match.Route.Kind != routing.KindStreaming:
+		return ConfirmationNone
+	case origins.Several(match.Service):
+		return ConfirmationRequired
+	}
+	return ConfirmationWanted
+}
+
+// reasonUnaccepted returns why an answer can't continue the stream: its backend may run another
+// version than the listed one. It returns an empty string if it can. Daemons of earlier builds send
+// requests of others without a confirmation.
+func (r *run) reasonUnaccepted(answer *Answer, ticket *backendpool.Ticket) string {
+	if r.began == nil {
+		return ""
+	}
+	return incarnationReason(r.confirmation().Accept(ticket.Backend.ID, answer.Incarnation))
+}
 
-// mayRunOtherVersion reports whether the backend may run another version than the one that began
-// the stream, because it has restarted and its listed version is outdated. Such a backend gets no
-// further attempts of the request. It is asked before the request is sent, and again before the
-// first event is passed on: only an incarnation that is still there then has surely answered.
-func (r *run) mayRunOtherVersion(ctx context.Context, ticket *backendpool.Ticket) bool {
-	incarnations := r.relay.options.Incarnations
-	if r.began == nil || incarnations == nil || !incarnations.Restarted(ctx, ticket.Backend) {
-		return false
+// incarnationReason returns the reason of an attempt that failed because of the backend's
+// incarnation; empty if it failed for another one.
+func incarnationReason(err error) string {
+	switch {
+	case errors.Is(err, ErrRestarted):
+		return reasonRestarted
+	case errors.Is(err, ErrUnconfirmed):
+		return reasonUnconfirmed
 	}
-	r.excluded = append(r.excluded, ticket.Backend.ID)
-	return true
+	return ""
 }
 
 // stream identifies the stream that began with a request.
--- a/internal/relay/streamversion_test.go
+++ b/internal/relay/streamversion_test.go
@@ -3,12 +3,15 @@
 import (
 	"context"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
 	"github.com/lotusward/lotusward/internal/core/backendpool"
 	"github.com/lotusward/lotusward/internal/core/identity"
 	"github.com/lotusward/lotusward/internal/core/routing"
+	corestream "github.com/lotusward/lotusward/internal/core/streamorigin"
+	"github.com/lotusward/lotusward/internal/streamorigin"
 )
 
 // newStreamVersionFixture returns a fixture of a resumable route with backends of v1 and v2, without rollouts.
@@ -68,45 +71,61 @@
 	assert.Assert(t, versions[0] != versions[1])
 }
 
-// restartedBackends is an Incarnations that knows which backends have restarted.
-type restartedBackends map[identity.BackendID]bool
-
-func (b restartedBackends) Restarted(_ context.Context, backend backendpool.Backend) bool {
-	return b[backend.ID]
+// knownOrigins is a StreamOrigins that knows whether several versions were listed.
+type knownOrigins struct {
+	several bool
+	found   streamorigin.Found
 }
 
-// restartsAfter is an Incarnations whose backend restarts after it was asked a number of times.
-type restartsAfter struct {
-	backend identity.BackendID
-	left    int
-}
+func (o *knownOrigins) Begun(corestream.Stream, backendpool.Backend)               {}
+func (o *knownOrigins) Find(context.Context, corestream.Stream) streamorigin.Found { return o.found }
+func (o *knownOrigins) Several(identity.ServiceName) bool                          { return o.several }
+func (o *knownOrigins) Outdated(context.Context, uint64, time.Time) bool           { return false }
 
-func (b *restartsAfter) Restarted(_ context.Context, backend backendpool.Backend) bool {
-	if backend.ID != b.backend {
-		return false
+// newIncarnationFixture returns a fixture whose backends are listed as incarnations 1, and name them.
+func newIncarnationFixture(several bool, count int) (*fixture, *knownOrigins) {
+	made := newStreamVersionFixture(count, 0)
+	list := softwareList(count, 0)
+	for index := range list {
+		list[index].ID = identity.NewBackendID(list[index].ID.Name(), 1)
 	}
-	b.left--
-	return b.left < 0
+	made.pool.Update(list)
+	origins := &knownOrigins{several: several}
+	made.relay.options.StreamOrigins = origins
+	made.backends.incarnation = func(identity.BackendID) identity.Incarnation { return 1 }
+	return made, origins
 }
 
-// TestEventOfABackendThatRestartedMeanwhileIsDropped restarts a backend between the check and its first event.
+// TestEventOfABackendThatRestartedMeanwhileIsDropped guards against passing on events of a backend whose answer is of another
+// incarnation than the listed one, or, beside several versions, of one that it doesn't name.
 func TestEventOfABackendThatRestartedMeanwhileIsDropped(t *testing.T) {
-	fixture := newStreamVersionFixture(3, 0)
-	fixture.relay.options.Incarnations = &restartsAfter{backend: "b1", left: 1}
-	fixture.backends.script = []behaviour{behaveCutStream}
-	caller := fixture.ask(nil)
-	assert.Equal(t, caller.body.String(), eventsText(1, 6))
-	assert.Equal(t, len(fixture.backends.dispatches), 3)
-	assert.Equal(t, fixture.backends.dispatches[2].Backend, identity.BackendID("b2"))
-	assert.Equal(t, fixture.backends.dispatches[2].ResumeAfter, fixture.backends.dispatches[1].ResumeAfter)
+	for _, named := range []identity.Incarnation{2, 0} {
+		fixture, _ := newIncarnationFixture(true, 3)
+		fixture.backends.incarnation = func(backend identity.BackendID) identity.Incarnation {
+			if backend.Name() == "b1" {
+				return named
+			}
+			return 1
+		}
+		fixture.backends.script = []behaviour{behaveCutStream}
+		caller := fixture.ask(nil)
+		assert.Equal(t, caller.body.String(), eventsText(1, 6))
+		assert.Equal(t, len(fixture.backends.dispatches), 3)
+		assert.Equal(t, fixture.backends.dispatches[1].Backend.Name(), identity.BackendName("b1"))
+		assert.Equal(t, fixture.backends.dispatches[2].Backend.Name(), identity.BackendName("b2"))
+		assert.Equal(t, fixture.backends.dispatches[2].ResumeAfter, fixture.backends.dispatches[1].ResumeAfter)
+	}
 }
 
 // TestStreamIsContinuedAtNoRestartedBackend cuts a stream while another backend of its listed version has restarted.
 func TestStreamIsContinuedAtNoRestartedBackend(t *testing.T) {
-	fixture := newStreamVersionFixture(3, 0)
-	fixture.relay.options.Incarnations = restartedBackends{"b1": true}
-	fixture.backends.script = []behaviour{behaveCutStream}
-	caller := fixture.ask(nil)
-	assert.Equal(t, caller.body.String(), eventsText(1, 6))
-	assert.Equal(t, fixture.backends.dispatches[1].Backend, identity.BackendID("b2"))
+	for _, several := range []bool{true, false} {
+		fixture, _ := newIncarnationFixture(several, 3)
+		fixture.backends.script = []behaviour{behaveCutStream, behaveRestarted}
+		caller := fixture.ask(nil)
+		assert.Equal(t, caller.body.String(), eventsText(1, 6))
+		wanted := map[bool]Confirmation{true: ConfirmationRequired, false: ConfirmationWanted}[several]
+		assert.Equal(t, fixture.backends.dispatches[1].Confirmation, wanted)
+		assert.Equal(t, fixture.backends.dispatches[2].Backend.Name(), identity.BackendName("b2"))
+	}
 }
--- a/internal/streamorigin/registry.go
+++ b/internal/streamorigin/registry.go
@@ -140,6 +140,13 @@
 	return r.earlier != EarlierUnknown || (!r.listedSince.IsZero() && now.Sub(r.listedSince) >= streamorigin.Retention)
 }
 
+// Several reports whether several versions of a service were listed lately.
+func (r *Registry) Several(service identity.ServiceName) bool {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return r.listed.Several(r.options.Now(), service)
+}
+
 // Begun records which back end began a stream. It must be called before the first event is passed on.
 func (r *Registry) Begun(stream streamorigin.Stream, backend backendpool.Backend) {
 	now, key := r.options.Now(), stream.Key()
