Take the recorded version of a stream for certain only if its back end named its incarnation

Callers got streams with events of two software versions where the back end that began them had just restarted under its name as another version, while its row still told the earlier one.

Cause: the record of a stream held the version of the row and the hash of the listed incarnation. Whether the row was outdated was found out later, by what a daemon had itself seen of restarts (Listed.replaced) and by asking the back end. A daemon that started later had seen nothing, and one without links couldn't ask; both took the record for certain. Class: absence of knowledge taken for knowledge of absence, in a map that is filled by seeing a change and read as the fact.

While a service has several versions, the incarnation is asked for on the connection on which a stream begins, once for each connection, and what it answers goes into the record: a confirmed one needs no further question, a back end that has restarted unseen gets no stream unless there is no other. An unconfirmed record is certain only if the back end still names the incarnation that began the stream; otherwise the stream is refused while several versions are known. Nothing is remembered of restarts any more.

Weighed: a report for each stream (a call each; refused before); the listed incarnation in each record, compared with the list of whoever is asked (no answer where the back end is gone); doubt until a heartbeat has confirmed the list (refuses streams of back ends that crash).

--- a/cmd/internal/daemon/incarnations.go
+++ b/cmd/internal/daemon/incarnations.go
@@ -9,13 +9,14 @@
 
 	"github.com/lotusward/lotusward/internal/adapter/httpexchange"
 	"github.com/lotusward/lotusward/internal/core/backendpool"
+	"github.com/lotusward/lotusward/internal/core/streamorigin"
 	"github.com/lotusward/lotusward/internal/weightupdate"
 )
 
 // incarnationTimeout bounds the wait for a back end's report.
 const incarnationTimeout = 150 * time.Millisecond
 
-// incarnations finds out by the reports of back ends whether they have restarted.
+// incarnations finds out by the reports of back ends whether they are the listed incarnations.
 type incarnations struct {
 	report func(ctx context.Context, backend backendpool.Backend) (weightupdate.Report, error)
 	log    logrus.FieldLogger
@@ -27,11 +28,11 @@
 	return errors.As(err, &failed) && failed.Stage != httpexchange.StageUnreached
 }
 
-// Restarted reports whether a back end itself names another incarnation than the listed one, or loses the connection when it is asked.
-func (i *incarnations) Restarted(ctx context.Context, backend backendpool.Backend) bool {
+// confirm returns whether a back end is the listed incarnation. One that loses the connection counts as restarted.
+func (i *incarnations) confirm(ctx context.Context, backend backendpool.Backend) streamorigin.Certainty {
 	listed := backend.ID.Incarnation()
 	if listed == 0 {
-		return false
+		return streamorigin.CertaintySure
 	}
 	bounded, cancel := context.WithTimeout(ctx, incarnationTimeout)
 	defer cancel()
@@ -40,14 +41,16 @@
 		report, err = i.report(bounded, backend)
 	}
 	log := i.log.WithFields(logrus.Fields{"backend": backend.ID.Name(), "listed_incarnation": listed})
-	if err != nil {
-		lost := connectionLost(err) && bounded.Err() == nil
-		log.WithError(err).WithField("restarted", lost).Warn("A back end doesn't report its incarnation for a stream that began or is to be continued there.")
-		return lost
+	switch {
+	case err == nil && report.Incarnation == listed:
+		return streamorigin.CertaintySure
+	case err == nil:
+		log.WithField("incarnation", report.Incarnation).Warn("A back end has restarted since it was listed: no stream that began there goes on.")
+		return streamorigin.CertaintyRestarted
+	case connectionLost(err) && bounded.Err() == nil:
+		log.WithError(err).Warn("A back end lost the connection when it was asked for its incarnation: no stream that began there goes on.")
+		return streamorigin.CertaintyRestarted
 	}
-	if report.Incarnation == listed {
-		return false
-	}
-	log.WithField("incarnation", report.Incarnation).Warn("A back end has restarted since it was listed: no stream that began there or is to be continued there goes on.")
-	return true
+	log.WithError(err).Warn("A back end doesn't report its incarnation: streams that began there go on only if the service has a single version.")
+	return streamorigin.CertaintyUnknown
 }
--- a/cmd/internal/daemon/wire.go
+++ b/cmd/internal/daemon/wire.go
@@ -262,7 +262,7 @@
 	})
 	w.incarnations = &incarnations{report: w.runners.Report, log: w.part("streams")}
 	w.streams = streamorigin.New(streamorigin.Options{
-		Link: w.link, Topology: w.topology, Presence: w.presence, Restarted: w.incarnations.Restarted, Log: w.part("streams"),
+		Link: w.link, Topology: w.topology, Presence: w.presence, Confirm: w.incarnations.confirm, Log: w.part("streams"),
 		Stopping: func() bool { return w.serving.stopping.Load() },
 	})
 	w.streamRecord = streamorigin.NewRecorder(streamorigin.RecorderOptions{
--- a/cmd/lotusward/soakversions_test.go
+++ b/cmd/lotusward/soakversions_test.go
@@ -49,18 +49,31 @@
 // TestSoakVersions plays seeds one after the other.
 func TestSoakVersions(t *testing.T) {
 	for seed := *soakVersionsFirst; seed < *soakVersionsFirst+uint64(*soakVersionsSeeds); seed++ {
-		t.Run(fmt.Sprint("seed", seed), func(t *testing.T) {
-			added := &versionSoak{draws: rand.New(rand.NewPCG(seed, versionsStream)), ending: make(chan struct{})}
-			plain := plainSoak()
-			playSoakWith(t, seed, soakExtra{
-				bounds: plain.bounds,
-				begin:  func(s *soak) { added.begin(s, plain) },
-				step:   added.step, end: added.end, check: added.check,
-			})
-		})
+		t.Run(fmt.Sprint("seed", seed), func(t *testing.T) { playVersionSoak(t, seed) })
 	}
 }
 
+// soakVersionsFound are seeds with streams of two versions: daemons that started after back ends had restarted as another version, or
+// could not ask them.
+var soakVersionsFound = []uint64{13655, 20003, 40004, 40005, 40009}
+
+// TestSoakVersionsFound plays the seeds that showed a fault.
+func TestSoakVersionsFound(t *testing.T) {
+	for _, seed := range soakVersionsFound {
+		t.Run(fmt.Sprint("seed", seed), func(t *testing.T) { playVersionSoak(t, seed) })
+	}
+}
+
+func playVersionSoak(t *testing.T, seed uint64) {
+	added := &versionSoak{draws: rand.New(rand.NewPCG(seed, versionsStream)), ending: make(chan struct{})}
+	plain := plainSoak()
+	playSoakWith(t, seed, soakExtra{
+		bounds: plain.bounds,
+		begin:  func(s *soak) { added.begin(s, plain) },
+		step:   added.step, end: added.end, check: added.check,
+	})
+}
+
 func (v *versionSoak) begin(s *soak, plain soakExtra) {
 	v.soak = s
 	s.addEngine = v.addVersioned
--- a/internal/core/streamorigin/listed.go
+++ b/internal/core/streamorigin/listed.go
@@ -1,7 +1,6 @@
 package streamorigin
 
 import (
-	"maps"
 	"slices"
 	"time"
 
@@ -10,27 +9,15 @@
 	"github.com/lotusward/lotusward/internal/core/rendezvous"
 )
 
-// restartLag is how long after a back end restarted its row may tell of the incarnation before.
-const restartLag = 3 * time.Second
-
 // Listed tracks which software versions of each service were listed within the last Retention. It is not safe for concurrent
 // use.
 type Listed struct {
-	// byKey finds listed back ends by the hashes of their IDs, and replaced those that restarted as another version.
+	// byKey finds listed back ends by the hashes of their IDs.
 	byKey    map[uint64]backendpool.Backend
-	replaced map[uint64]time.Time
-	// byName is the newest incarnation of each back end that was listed within the last Retention.
-	byName   map[identity.BackendName]incarnation
 	backends map[identity.BackendID]listing
 	versions map[identity.ServiceName]map[identity.SoftwareVersion]*listedVersion
 }
 
-// incarnation is a back end that is listed, or was until goneAt.
-type incarnation struct {
-	backend backendpool.Backend
-	goneAt  time.Time
-}
-
 // listing is the service and version of a listed back end.
 type listing struct {
 	service identity.ServiceName
@@ -51,7 +38,7 @@
 // NewListed returns a Listed without back ends.
 func NewListed() *Listed {
 	return &Listed{
-		byKey: map[uint64]backendpool.Backend{}, replaced: map[uint64]time.Time{}, byName: map[identity.BackendName]incarnation{},
+		byKey:    map[uint64]backendpool.Backend{},
 		backends: map[identity.BackendID]listing{}, versions: map[identity.ServiceName]map[identity.SoftwareVersion]*listedVersion{},
 	}
 }
@@ -62,7 +49,7 @@
 	for _, backend := range changed {
 		several := l.Several(now, backend.Service)
 		l.add(now, backend.ID, listing{service: backend.Service, version: backend.Software})
-		l.noteIncarnation(now, backend)
+		l.byKey[rendezvous.Key(string(backend.ID))] = backend
 		if !several && l.Several(now, backend.Service) {
 			became = append(became, backend.Service)
 		}
@@ -70,39 +57,38 @@
 	for _, id := range gone {
 		l.remove(now, id)
 	}
-	l.prune(now)
 	return became
 }
 
-// prune drops what was noted of restarts longer than Retention ago.
-func (l *Listed) prune(now time.Time) {
-	maps.DeleteFunc(l.replaced, func(_ uint64, at time.Time) bool { return now.Sub(at) > Retention })
-	maps.DeleteFunc(l.byName, func(_ identity.BackendName, each incarnation) bool {
-		return !each.goneAt.IsZero() && now.Sub(each.goneAt) > Retention
-	})
-}
-
-// noteIncarnation notes a listed back end, and whether it is one that restarted as another version.
-func (l *Listed) noteIncarnation(now time.Time, backend backendpool.Backend) {
-	last, known := l.byName[backend.ID.Name()]
-	if known && last.backend.ID != backend.ID && last.backend.Software != backend.Software {
-		l.replaced[rendezvous.Key(string(last.backend.ID))] = now
-	}
-	l.byName[backend.ID.Name()] = incarnation{backend: backend}
-	l.byKey[rendezvous.Key(string(backend.ID))] = backend
-}
+// Certainty is how sure it is that the back end that began a stream was of the recorded version.
+type Certainty int
 
-// Backend returns a listed back end by the hash of its ID.
-func (l *Listed) Backend(key uint64) (backendpool.Backend, bool) {
-	found, listed := l.byKey[key]
-	return found, listed
-}
+// Certainties.
+const (
+	// CertaintyUnknown means that it may have restarted before, unseen.
+	CertaintyUnknown Certainty = iota
+	// CertaintyRestarted means that it is another incarnation or version by now, and may have been before.
+	CertaintyRestarted
+	// CertaintyListed means that the incarnation is still listed and can be asked.
+	CertaintyListed
+	// CertaintySure means that it was of that version.
+	CertaintySure
+)
 
-// Outdated reports whether an origin's back end was found to have restarted as another version so soon after the stream began
-// that it may have done so before: its row says so only later.
-func (l *Listed) Outdated(origin Origin) bool {
-	at, replaced := l.replaced[origin.Backend]
-	return replaced && at.Sub(origin.At) < restartLag
+// Certainty returns how sure it is that a stream began at the version of its origin, and the back end to ask if it is listed. It goes
+// by the origin and the present list alone: a daemon that started a moment ago has seen no restart.
+func (l *Listed) Certainty(origin Origin) (Certainty, backendpool.Backend) {
+	if origin.Confirmed() {
+		return CertaintySure, backendpool.Backend{}
+	}
+	listed, found := l.byKey[origin.Backend]
+	switch {
+	case !found:
+		return CertaintyUnknown, backendpool.Backend{}
+	case listed.Software != origin.Version:
+		return CertaintyRestarted, backendpool.Backend{}
+	}
+	return CertaintyListed, listed
 }
 
 // add lists a back end under its ID.
@@ -130,10 +116,6 @@
 	}
 	delete(l.backends, id)
 	delete(l.byKey, rendezvous.Key(string(id)))
-	if last := l.byName[id.Name()]; last.backend.ID == id {
-		last.goneAt = now
-		l.byName[id.Name()] = last
-	}
 	version := l.versions[was.service][was.version]
 	version.backends--
 	version.goneAt = now
--- a/internal/core/streamorigin/table.go
+++ b/internal/core/streamorigin/table.go
@@ -8,7 +8,9 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/lotusward/lotusward/internal/core/backendpool"
 	"github.com/lotusward/lotusward/internal/core/identity"
+	"github.com/lotusward/lotusward/internal/core/rendezvous"
 )
 
 const (
@@ -48,11 +50,24 @@
 type Origin struct {
 	// Version is the software version of the back end that began it, as listed then.
 	Version identity.SoftwareVersion
-	// Backend is the hash of that back end's ID; zero is not known.
+	// Backend is the hash of the ID of that back end, which may have restarted as another version before. It is zero if the back end
+	// has told that it is the listed incarnation: Version is certain then.
 	Backend uint64
 	At      time.Time
 }
 
+// NewOrigin returns the origin of a stream that a back end began. Confirmed is set if that has told its incarnation.
+func NewOrigin(backend backendpool.Backend, confirmed bool, at time.Time) *Origin {
+	made := &Origin{Version: backend.Software, At: at}
+	if !confirmed {
+		made.Backend = rendezvous.Key(string(backend.ID))
+	}
+	return made
+}
+
+// Confirmed reports whether the version is certain.
+func (o Origin) Confirmed() bool { return o.Backend == 0 }
+
 // Table holds the origins of streams for Retention. It is not safe for concurrent use.
 type Table struct {
 	origins map[Key]Origin
--- a/internal/relay/pick.go
+++ b/internal/relay/pick.go
@@ -18,6 +18,9 @@
 func (r *run) acquireTicket(ctx context.Context) (*backendpool.Ticket, string) {
 	for range maxVersionChoices {
 		ticket := r.pickOrWait(ctx)
+		if ticket == nil && r.readmitRestarted() {
+			continue
+		}
 		if ticket == nil {
 			return nil, r.shortageReason(ctx)
 		}
--- a/internal/relay/run.go
+++ b/internal/relay/run.go
@@ -10,6 +10,7 @@
 	"github.com/lotusward/lotusward/internal/core/identity"
 	"github.com/lotusward/lotusward/internal/core/outcome"
 	"github.com/lotusward/lotusward/internal/core/quarantine"
+	corestream "github.com/lotusward/lotusward/internal/core/streamorigin"
 	"github.com/lotusward/lotusward/internal/sharedlimit"
 	"github.com/lotusward/lotusward/internal/streamorigin"
 )
@@ -58,10 +59,12 @@
 	// began is the software version that began the stream, at whose backends alone it may be
 	// continued. It is nil if the request may go to any version.
 	began *identity.SoftwareVersion
-	// beganAt and beganBackend are when the stream began in this request and the hash of the ID of
-	// the backend that began it; zero if it did not.
-	beganAt      time.Time
-	beganBackend uint64
+	// beginning is how the stream began in this request; nil if it did not.
+	beginning *corestream.Origin
+	// restarted are the excluded backends that had restarted when the stream was to begin there, and
+	// beginsAnywhere is set once it may begin there because there are no others.
+	restarted      []identity.BackendID
+	beginsAnywhere bool
 	// origin is what was known of the beginning of the stream that the request continues.
 	origin  streamorigin.Found
 	attempt Attempt
--- a/internal/relay/sending.go
+++ b/internal/relay/sending.go
@@ -81,6 +81,9 @@
 		r.unreached++
 	}
 	r.excluded = append(r.excluded, ticket.Backend.ID)
+	if failed.reason == reasonRestarted {
+		r.restarted = append(r.restarted, ticket.Backend.ID)
+	}
 	return next, failed
 }
 
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -94,7 +94,7 @@
 			if reason := r.reasonUnaccepted(answer, ticket); reason != "" {
 				return stepRetry, failure{evidence: outcome.Answered, result: backendpool.ResultAbandoned, reason: reason}
 			}
-			r.keepVersion(ticket)
+			r.keepVersion(ticket, answer.Incarnation)
 			r.recordReplaced(true)
 			r.recordFirstByte()
 			r.startWatch.stop()
--- a/internal/relay/streamorigin.go
+++ b/internal/relay/streamorigin.go
@@ -3,7 +3,7 @@
 import (
 	"context"
 	"errors"
-	"time"
+	"slices"
 
 	"github.com/lotusward/lotusward/internal/core/backendpool"
 	"github.com/lotusward/lotusward/internal/core/identity"
@@ -15,13 +15,13 @@
 // StreamOrigins remembers for all daemons which software version began a stream.
 type StreamOrigins interface {
 	// Begun records which backend began a stream, before its first event is passed on. It never
-	// blocks.
-	Begun(stream corestream.Stream, backend backendpool.Backend)
+	// blocks. Confirmed is set if the listed incarnation of the backend surely made the event.
+	Begun(stream corestream.Stream, backend backendpool.Backend, confirmed bool)
 	// Find returns what is known of the beginning of a stream. It may ask other daemons.
 	Find(ctx context.Context, stream corestream.Stream) streamorigin.Found
-	// Outdated reports whether the listed version of a backend, given by the hash of its ID, was
-	// that of an earlier incarnation when a stream began there. It may ask the backend.
-	Outdated(ctx context.Context, backend uint64, beganAt time.Time) bool
+	// Outdated reports whether another version than the recorded one may have begun a stream of a
+	// service, because its backend had restarted. It may ask the backend.
+	Outdated(ctx context.Context, service identity.ServiceName, origin corestream.Origin) bool
 	// Several reports whether several versions of a service were listed lately.
 	Several(service identity.ServiceName) bool
 }
@@ -48,7 +48,7 @@
 // than the one listed for its backend, because that had just restarted.
 func (r *run) beganElsewhere(ctx context.Context) bool {
 	origins := r.relay.options.StreamOrigins
-	return r.beganBackend != 0 && origins != nil && origins.Outdated(ctx, r.beganBackend, r.beganAt)
+	return r.beginning != nil && origins != nil && origins.Outdated(ctx, r.admitted.match.Service, *r.beginning)
 }
 
 // Reasons of attempts that ended because of the backend's incarnation.
@@ -57,17 +57,21 @@
 	reasonUnconfirmed = "unconfirmed_incarnation"
 )
 
-// confirmation returns how sure it must be which incarnation of a backend answers: a
-// continued stream must not go to another one than the listed.
+// confirmation returns how sure it must be which incarnation of a backend answers: that of a stream
+// is recorded, and a continued stream must not go to another one than the listed.
 func (r *run) confirmation() Confirmation {
 	origins, match := r.relay.options.StreamOrigins, r.admitted.match
-	switch {
-	case r.began == nil || origins == nil || match.Route.Kind != routing.KindStreaming:
+	if origins == nil || match.Route.Kind != routing.KindStreaming {
 		return ConfirmationNone
-	case origins.Several(match.Service):
+	}
+	several := origins.Several(match.Service)
+	switch {
+	case r.began != nil && several:
 		return ConfirmationRequired
+	case r.began != nil, several && match.Route.Resumable && !r.beginsAnywhere:
+		return ConfirmationWanted
 	}
-	return ConfirmationWanted
+	return ConfirmationNone
 }
 
 // reasonUnaccepted returns why an answer can't continue the stream: its backend may run another
@@ -92,6 +96,18 @@
 	return ""
 }
 
+// readmitRestarted makes backends eligible again that the stream did not begin at because they have
+// restarted. It returns false if there are none. A stream that begins there can be continued nowhere
+// else.
+func (r *run) readmitRestarted() bool {
+	if r.began != nil || len(r.restarted) == 0 {
+		return false
+	}
+	r.excluded = slices.DeleteFunc(r.excluded, func(id identity.BackendID) bool { return slices.Contains(r.restarted, id) })
+	r.restarted, r.beginsAnywhere, r.overloaded = nil, true, false
+	return true
+}
+
 // stream identifies the stream that began with a request.
 func (r *run) stream(began identity.RequestID) corestream.Stream {
 	request := r.admitted.request
@@ -102,14 +118,16 @@
 
 // keepVersion restricts further attempts, and later requests that continue the stream, to the
 // software version of the first event's backend.
-func (r *run) keepVersion(ticket *backendpool.Ticket) {
+func (r *run) keepVersion(ticket *backendpool.Ticket, incarnation identity.Incarnation) {
 	if r.began != nil {
 		return
 	}
-	began := ticket.Backend.Software
-	r.began, r.beganAt, r.beganBackend = &began, r.now(), ticket.Key
+	began, listed := ticket.Backend.Software, ticket.Backend.ID.Incarnation()
+	confirmed := incarnation == listed // both are zero where the list names none
+	r.began = &began
+	r.beginning = corestream.NewOrigin(ticket.Backend, confirmed, r.now())
 	request, origins := r.admitted.request, r.relay.options.StreamOrigins
 	if origins != nil && request.ResumeAfter == "" && r.admitted.match.Route.Resumable {
-		origins.Begun(r.stream(request.ID), ticket.Backend)
+		origins.Begun(r.stream(request.ID), ticket.Backend, confirmed)
 	}
 }
--- a/internal/relay/streamversion_test.go
+++ b/internal/relay/streamversion_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"testing"
-	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -71,16 +70,24 @@
 	assert.Assert(t, versions[0] != versions[1])
 }
 
-// knownOrigins is a StreamOrigins that knows whether several versions were listed.
+// knownOrigins is a StreamOrigins that remembers what began.
 type knownOrigins struct {
 	several bool
 	found   streamorigin.Found
+	// confirmed is what was told of each beginning, and outdated is whether beginnings are.
+	confirmed []bool
+	outdated  bool
+}
+
+func (o *knownOrigins) Begun(_ corestream.Stream, _ backendpool.Backend, confirmed bool) {
+	o.confirmed = append(o.confirmed, confirmed)
 }
 
-func (o *knownOrigins) Begun(corestream.Stream, backendpool.Backend)               {}
 func (o *knownOrigins) Find(context.Context, corestream.Stream) streamorigin.Found { return o.found }
 func (o *knownOrigins) Several(identity.ServiceName) bool                          { return o.several }
-func (o *knownOrigins) Outdated(context.Context, uint64, time.Time) bool           { return false }
+func (o *knownOrigins) Outdated(context.Context, identity.ServiceName, corestream.Origin) bool {
+	return o.outdated
+}
 
 // newIncarnationFixture returns a fixture whose backends are listed as incarnations 1, and name them.
 func newIncarnationFixture(several bool, count int) (*fixture, *knownOrigins) {
@@ -129,3 +136,38 @@
 		assert.Equal(t, fixture.backends.dispatches[2].Backend.Name(), identity.BackendName("b2"))
 	}
 }
+
+// TestStreamThatBeganUnconfirmedIsNotContinuedIfOutdated guards against continuing, within one answer, a stream that may have begun at
+// another version than the listed one.
+func TestStreamThatBeganUnconfirmedIsNotContinuedIfOutdated(t *testing.T) {
+	fixture, origins := newIncarnationFixture(true, 3)
+	origins.outdated = true
+	fixture.backends.incarnation = nil
+	fixture.backends.script = []behaviour{behaveCutStream}
+	caller := fixture.ask(nil)
+	assert.Assert(t, caller.aborted)
+	assert.Equal(t, len(fixture.backends.dispatches), 1)
+	assert.DeepEqual(t, origins.confirmed, []bool{false})
+}
+
+// TestStreamsBeginWhileAllBackendsHaveRestarted guards against refusing new streams until the list tells of restarts. Their beginnings
+// are not confirmed.
+func TestStreamsBeginWhileAllBackendsHaveRestarted(t *testing.T) {
+	fixture, origins := newIncarnationFixture(true, 2)
+	fixture.backends.incarnation = nil
+	fixture.backends.script = []behaviour{behaveRestarted, behaveRestarted}
+	caller := fixture.ask(nil)
+	assert.Equal(t, caller.body.String(), eventsText(1, 6))
+	assert.Equal(t, len(fixture.backends.dispatches), 3)
+	assert.Equal(t, fixture.backends.dispatches[2].Confirmation, ConfirmationNone)
+	assert.DeepEqual(t, origins.confirmed, []bool{false})
+}
+
+// TestBeginningsAreConfirmedBesideSeveralVersions records streams with and without several versions of the service.
+func TestBeginningsAreConfirmedBesideSeveralVersions(t *testing.T) {
+	for _, several := range []bool{true, false} {
+		fixture, origins := newIncarnationFixture(several, 1)
+		fixture.ask(nil)
+		assert.DeepEqual(t, origins.confirmed, []bool{several})
+	}
+}
--- a/internal/requestlog/requestlog.go
+++ b/internal/requestlog/requestlog.go
@@ -225,6 +225,7 @@
 	if completion.Origin.Known {
 		fields["stream_version"] = completion.Origin.Version
 		fields["stream_version_by"] = completion.Origin.From
+		fields["stream_version_confirmed"] = completion.Origin.From != "" && completion.Origin.Origin.Confirmed()
 	}
 	if doubt := completion.Origin.Doubt; doubt != "" {
 		fields["stream_doubt"] = doubt
--- a/internal/streamorigin/cost_test.go
+++ b/internal/streamorigin/cost_test.go
@@ -47,7 +47,7 @@
 	registry, link := newLargeFleetRegistry(985)
 	const streams = 100
 	for number := range streams {
-		registry.Begun(stream(number), backendOf("v1.1"))
+		registry.Begun(stream(number), backendOf("v1.1"), true)
 	}
 	assert.Assert(t, link.sent <= homesPerStream*streams, "%d datagrams", link.sent)
 	assert.Assert(t, link.bytes <= 44*link.sent, "%d bytes in %d datagrams", link.bytes, link.sent)
@@ -61,7 +61,7 @@
 			registry, _ := newLargeFleetRegistry(985)
 			for number := 0; b.Loop(); number++ {
 				begun := streamorigin.Stream{Service: service, Tenant: "t", Host: "h", Target: "/x", Request: identity.RequestID(fmt.Sprint("q", number))}
-				registry.Begun(begun, backendOf("v1.1"))
+				registry.Begun(begun, backendOf("v1.1"), true)
 			}
 		})
 	}
--- a/internal/streamorigin/evidence.go
+++ b/internal/streamorigin/evidence.go
@@ -19,6 +19,8 @@
 	DoubtUnlisted Doubt = "no_version_listed"
 	// DoubtRestarted is that the back end which began the stream has restarted since as another version.
 	DoubtRestarted Doubt = "restarted"
+	// DoubtUnconfirmed is that it can't be found out whether that back end had restarted before, and the service has several versions.
+	DoubtUnconfirmed Doubt = "unconfirmed_incarnation"
 )
 
 // evidence is what is known of the versions of a service that were listed within the last Retention.
--- a/internal/streamorigin/finding.go
+++ b/internal/streamorigin/finding.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/lotusward/lotusward/internal/core/backendpool"
 	"github.com/lotusward/lotusward/internal/core/identity"
 	"github.com/lotusward/lotusward/internal/core/streamorigin"
 	"github.com/lotusward/lotusward/internal/peerlink"
@@ -29,9 +30,8 @@
 	// From is the address of the daemon that remembers the stream. It is empty if none does, but no other version than Version
 	// was listed lately.
 	From string
-	// Backend is the hash of the ID of the back end that began it, at BeganAt; zero if no daemon remembers the stream.
-	Backend uint64
-	BeganAt time.Time
+	// Origin is the beginning as it is remembered; zero if no daemon remembers the stream.
+	Origin streamorigin.Origin
 	// Doubt is why it is not known; empty if Known is set.
 	Doubt Doubt
 }
@@ -40,20 +40,42 @@
 // stream without a request ID can't be looked up.
 func (r *Registry) Find(ctx context.Context, stream streamorigin.Stream) Found {
 	found := r.find(ctx, stream)
-	if found.Known && r.Outdated(ctx, found.Backend, found.BeganAt) {
-		found.Known, found.Doubt = false, DoubtRestarted
+	if found.Known && found.From != "" {
+		found.Doubt = r.doubt(ctx, stream.Service, found.Origin)
+		found.Known = found.Doubt == ""
 	}
 	return found
 }
 
-// Outdated reports whether the listed version of a back end that began a stream may have been that of an earlier incarnation. It
-// asks the back end itself, if that is listed.
-func (r *Registry) Outdated(ctx context.Context, backend uint64, beganAt time.Time) bool {
+// Outdated reports whether another version than the recorded one may have begun a stream, because the back end had restarted and its
+// row told the version of before. It asks the back end if that must be known. Where a service has a single version, a back end that
+// can't be asked is taken for the listed one.
+func (r *Registry) Outdated(ctx context.Context, service identity.ServiceName, origin streamorigin.Origin) bool {
+	return r.doubt(ctx, service, origin) != ""
+}
+
+// doubt returns why another version than the recorded one may have begun a stream; empty if none may.
+func (r *Registry) doubt(ctx context.Context, service identity.ServiceName, origin streamorigin.Origin) Doubt {
 	r.mutex.Lock()
-	outdated := r.listed.Outdated(streamorigin.Origin{Backend: backend, At: beganAt})
-	listed, found := r.listed.Backend(backend)
+	certainty, backend := r.listed.Certainty(origin)
 	r.mutex.Unlock()
-	return outdated || (found && r.options.Restarted != nil && r.options.Restarted(ctx, listed))
+	if certainty == streamorigin.CertaintyListed {
+		certainty = r.confirm(ctx, backend)
+	}
+	switch {
+	case certainty == streamorigin.CertaintyRestarted:
+		return DoubtRestarted
+	case certainty == streamorigin.CertaintyUnknown && r.Several(service):
+		return DoubtUnconfirmed
+	}
+	return ""
+}
+
+func (r *Registry) confirm(ctx context.Context, backend backendpool.Backend) streamorigin.Certainty {
+	if r.options.Confirm == nil {
+		return streamorigin.CertaintySure
+	}
+	return r.options.Confirm(ctx, backend)
 }
 
 func (r *Registry) find(ctx context.Context, stream streamorigin.Stream) Found {
@@ -89,7 +111,7 @@
 	var found Found
 	for _, table := range tables {
 		if origin, known := table.Get(now, key); known {
-			found = Found{Known: true, Version: origin.Version, From: r.self, Backend: origin.Backend, BeganAt: origin.At}
+			found = Found{Known: true, Version: origin.Version, From: r.self, Origin: origin}
 		}
 	}
 	return found, r.evidence(service)
@@ -130,7 +152,7 @@
 	})
 	peerlink.Tell(r.options.Link, from, peerlink.KindStreamAnswer, &answerMessage{
 		Number: asked.Number, Known: found.Known, Version: string(found.Version), Several: own.several,
-		Backend: found.Backend, AgeMs: r.ageOf(found),
+		Backend: found.Origin.Backend, AgeMs: r.ageOf(found),
 	})
 }
 
@@ -139,7 +161,7 @@
 	if !found.Known {
 		return 0
 	}
-	return uint32(max(r.options.Now().Sub(found.BeganAt), 0).Milliseconds())
+	return uint32(max(r.options.Now().Sub(found.Origin.At), 0).Milliseconds())
 }
 
 func (r *Registry) receiveAnswer(from string, got answerMessage) {
--- a/internal/streamorigin/fleet_test.go
+++ b/internal/streamorigin/fleet_test.go
@@ -209,7 +209,7 @@
 				fleet.network.Lose(0.01)
 				const streams = 300
 				for number := range streams {
-					fleet.daemons[number%3].registry.Begun(stream(number), backendOf(fleet.listed[number%2]))
+					fleet.daemons[number%3].registry.Begun(stream(number), backendOf(fleet.listed[number%2]), true)
 				}
 				time.Sleep(200 * time.Millisecond)
 				for index, each := range fleet.daemons {
@@ -235,7 +235,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		fleet := newFleet(1, 20, "v1")
 		for number := range 300 {
-			fleet.daemons[0].registry.Begun(stream(number), backendOf("v1"))
+			fleet.daemons[0].registry.Begun(stream(number), backendOf("v1"), true)
 		}
 		fleet.relist("v1", "v2")
 		time.Sleep(listLag + 100*time.Millisecond)
@@ -252,7 +252,7 @@
 func TestOthersStreamsAreNotFound(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		fleet := newFleet(1, 3, "v1", "v2")
-		fleet.daemons[0].registry.Begun(stream(1), backendOf("v1"))
+		fleet.daemons[0].registry.Begun(stream(1), backendOf("v1"), true)
 		for _, change := range []func(*streamorigin.Stream){
 			func(other *streamorigin.Stream) { other.Tenant = "other" },
 			func(other *streamorigin.Stream) { other.Host = "other" },
@@ -298,7 +298,7 @@
 		case action < 45:
 			listed := daemon.lists()
 			version := listed[luck.IntN(len(listed))]
-			daemon.registry.Begun(stream(number), backendOf(version))
+			daemon.registry.Begun(stream(number), backendOf(version), true)
 			began[number], beganAt[number] = version, time.Now()
 		case action < 80 && len(began) > 0:
 			which := luck.IntN(number)
@@ -402,7 +402,7 @@
 // beginStreams begins streams of all versions at all daemons.
 func (f *fleet) beginStreams(count int) {
 	for number := range count {
-		f.daemons[number%len(f.daemons)].registry.Begun(stream(number), backendOf(f.listed[number%len(f.listed)]))
+		f.daemons[number%len(f.daemons)].registry.Begun(stream(number), backendOf(f.listed[number%len(f.listed)]), true)
 	}
 	time.Sleep(200 * time.Millisecond)
 }
--- a/internal/streamorigin/inquiry.go
+++ b/internal/streamorigin/inquiry.go
@@ -68,8 +68,9 @@
 	i.answered = true
 	i.others = i.others.with(evidence{several: got.Several})
 	if got.Known {
-		began := i.registry.options.Now().Add(-time.Duration(got.AgeMs) * time.Millisecond)
-		i.found = Found{Known: true, Version: identity.SoftwareVersion(got.Version), From: got.from, Backend: got.Backend, BeganAt: began}
+		origin := streamorigin.Origin{Version: identity.SoftwareVersion(got.Version), Backend: got.Backend}
+		origin.At = i.registry.options.Now().Add(-time.Duration(got.AgeMs) * time.Millisecond)
+		i.found = Found{Known: true, Version: origin.Version, From: got.from, Origin: origin}
 		clear(i.waiting)
 	}
 }
--- a/internal/streamorigin/record_test.go
+++ b/internal/streamorigin/record_test.go
@@ -70,7 +70,7 @@
 					fleet := newRecordingFleet(1, 3, each.before...)
 					defer fleet.stop()
 					time.Sleep(recordLag)
-					fleet.daemons[0].registry.Begun(stream(1), backendOf(each.before[0]))
+					fleet.daemons[0].registry.Begun(stream(1), backendOf(each.before[0]), true)
 					fleet.listed = each.after
 					end(fleet)
 					time.Sleep(recordLag)
@@ -93,7 +93,7 @@
 		copied := fleet.service.Table.Copy()
 		fleet.relist("v1", "v2")
 		time.Sleep(recordLag)
-		fleet.daemons[0].registry.Begun(stream(1), backendOf("v2"))
+		fleet.daemons[0].registry.Begun(stream(1), backendOf("v2"), true)
 		fleet.service.Table.Restore(copied)
 		fleet.era.Add(1)
 		fleet.listed = []identity.SoftwareVersion{"v1"}
@@ -133,7 +133,7 @@
 		fleet := newRecordingFleet(1, 3, "v1")
 		defer fleet.stop()
 		time.Sleep(recordLag)
-		fleet.daemons[0].registry.Begun(stream(1), backendOf("v1"))
+		fleet.daemons[0].registry.Begun(stream(1), backendOf("v1"), true)
 		for _, daemon := range fleet.daemons {
 			daemon.SetDown(true)
 			daemon.kill()
@@ -288,7 +288,7 @@
 		return
 	}
 	version := listed[p.luck.IntN(len(listed))]
-	daemon.registry.Begun(stream(number), backendOf(version))
+	daemon.registry.Begun(stream(number), backendOf(version), true)
 	p.began[number] = beganStream{version: version, at: time.Now()}
 }
 
--- a/internal/streamorigin/registry.go
+++ b/internal/streamorigin/registry.go
@@ -18,7 +18,6 @@
 	"github.com/lotusward/lotusward/internal/clock"
 	"github.com/lotusward/lotusward/internal/core/backendpool"
 	"github.com/lotusward/lotusward/internal/core/identity"
-	"github.com/lotusward/lotusward/internal/core/rendezvous"
 	"github.com/lotusward/lotusward/internal/core/streamorigin"
 	"github.com/lotusward/lotusward/internal/peerlink"
 	"github.com/lotusward/lotusward/internal/presence"
@@ -34,8 +33,9 @@
 	Topology peerlink.Topology
 	// Presence records which daemons were heard lately.
 	Presence *presence.List
-	// Restarted reports whether a back end itself names another incarnation than the listed one; nil asks none.
-	Restarted func(ctx context.Context, backend backendpool.Backend) bool
+	// Confirm asks a listed back end for its incarnation. It returns CertaintySure if that is the listed one, CertaintyRestarted if it
+	// is another one, and CertaintyUnknown if the back end can't be asked. Nil takes all for sure.
+	Confirm func(ctx context.Context, backend backendpool.Backend) streamorigin.Certainty
 	// Stopping reports whether this daemon stops; nil means never.
 	Stopping func() bool
 	// Now is the clock; nil means clock.Now.
@@ -147,10 +147,11 @@
 	return r.listed.Several(r.options.Now(), service)
 }
 
-// Begun records which back end began a stream. It must be called before the first event is passed on.
-func (r *Registry) Begun(stream streamorigin.Stream, backend backendpool.Backend) {
+// Begun records which back end began a stream. It must be called before the first event is passed on. Confirmed is set if the back
+// end has told that it is the listed incarnation.
+func (r *Registry) Begun(stream streamorigin.Stream, backend backendpool.Backend, confirmed bool) {
 	now, key := r.options.Now(), stream.Key()
-	origin := streamorigin.Origin{Version: backend.Software, Backend: rendezvous.Key(string(backend.ID))}
+	origin := *streamorigin.NewOrigin(backend, confirmed, now)
 	r.mutex.Lock()
 	table := r.own[stream.Service]
 	if table == nil {
