Take a missing record of versions for none only if no back end was removed lately

Cause: without the row a daemon took the versions that it lists for all that were listed lately, as in a new deployment. The answers of daemons of that build say nothing of what they know, and the first row that a new reader wrote said what it had seen since its start and was read as complete. The same class again: no record was read as a record of none.

A daemon that finds no row asks the store for its history of the list: if no back end was removed within it, the present list has all versions. Daemons that are not the reader wait a second for the reader's row first, so that one daemon makes these calls: one for each bit of the store's version at most, once in the life of a deployment.

--- a/internal/streamorigin/fleet_test.go
+++ b/internal/streamorigin/fleet_test.go
@@ -58,9 +58,10 @@
 	// listed are the versions that the store lists, since relistedAt.
 	listed     []identity.SoftwareVersion
 	relistedAt time.Time
-	// service holds the daemons' rows, of an era; records runs a Recorder in each daemon, until stop is called.
+	// service holds the daemons' rows, of an era, and removed is set once a version was removed from the list; records runs a Recorder in each daemon, until stop is called.
 	service *porttest.Service
 	era     atomic.Uint64
+	removed atomic.Bool
 	records bool
 	running context.Context
 	stop    context.CancelFunc
@@ -115,7 +116,8 @@
 	log.SetOutput(io.Discard)
 	recorder := NewRecorder(RecorderOptions{
 		Table: f.service, Registry: d.registry, Log: log, Era: f.era.Load,
-		Directory: testDirectory{isReader: func() bool { return f.reader() == d }},
+		RemovedLately: func(context.Context) (bool, error) { return f.removed.Load(), nil },
+		Directory:     testDirectory{isReader: func() bool { return f.reader() == d }},
 	})
 	go func() { _ = recorder.Run(running) }()
 	go func() { _ = d.registry.Run(running) }()
@@ -189,12 +191,20 @@
 
 // relist changes the list; each daemon knows of it within listLag.
 func (f *fleet) relist(versions ...identity.SoftwareVersion) {
+	f.noteRemoved(versions)
 	f.listed, f.relistedAt = versions, time.Now()
 	for _, each := range f.daemons {
 		time.AfterFunc(time.Duration(f.luck.Int64N(int64(listLag))), func() { each.list(versions) })
 	}
 }
 
+// noteRemoved notes whether a list that replaces the present one lacks a version.
+func (f *fleet) noteRemoved(next []identity.SoftwareVersion) {
+	if slices.ContainsFunc(f.listed, func(version identity.SoftwareVersion) bool { return !slices.Contains(next, version) }) {
+		f.removed.Store(true)
+	}
+}
+
 func stream(number int) streamorigin.Stream {
 	return streamorigin.Stream{Service: testService, Tenant: "t", Host: "h", Target: "/x", Request: identity.RequestID(fmt.Sprint("q", number))}
 }
--- a/internal/streamorigin/record.go
+++ b/internal/streamorigin/record.go
@@ -28,6 +28,12 @@
 	// recordTimeout bounds a call for the row; recordRetry is the mean wait after a failed one.
 	recordTimeout = 700 * time.Millisecond
 	recordRetry   = 300 * time.Millisecond
+	// recordPatience is how long a daemon that is not the reader waits for the first row before it looks at the store's history
+	// itself, and recordPoll how often it looks for the row meanwhile.
+	recordPatience = time.Second
+	recordPoll     = 300 * time.Millisecond
+	// historyTimeout bounds the look at the store's history, which may take a call for each bit of a version.
+	historyTimeout = 3 * time.Second
 	// recordFormat is the format of the row. A row without it was not written by a daemon.
 	recordFormat = 1
 	// maxRowBytes bounds the row. Rows of the store hold 65,536 bytes.
@@ -68,6 +74,9 @@
 	Log       logrus.FieldLogger
 	// Era counts how often the store was restored from an earlier copy; nil means never.
 	Era port.EraSource
+	// RemovedLately reports whether back ends were removed from the list within the history that the store keeps. It fails if the store
+	// keeps none; nil always does.
+	RemovedLately func(ctx context.Context) (bool, error)
 }
 
 // Recorder reads the row for a daemon that has started, and maintains it while this daemon is the reader. Only the goroutine that
@@ -80,6 +89,8 @@
 	stored record
 	// failing is set while calls for the row fail.
 	failing bool
+	// absentSince is when the row was first found to be missing, and pollAt when to look for it again.
+	absentSince, pollAt time.Time
 }
 
 // NewRecorder returns a Recorder that does nothing until Run is called.
@@ -115,14 +126,12 @@
 	if !r.options.Directory.Complete() {
 		return nil
 	}
-	bounded, cancel := context.WithTimeout(ctx, recordTimeout)
-	defer cancel()
 	reader := r.options.Directory.IsReader()
 	if !reader {
 		r.row.Forget()
 	}
 	if !r.read || (reader && !r.row.Current()) {
-		return r.load(bounded)
+		return r.load(ctx, reader)
 	}
 	if !reader {
 		return nil
@@ -131,6 +140,8 @@
 	if reflect.DeepEqual(known, r.stored) {
 		return nil
 	}
+	bounded, cancel := context.WithTimeout(ctx, recordTimeout)
+	defer cancel()
 	return r.write(bounded, known)
 }
 
@@ -145,18 +156,66 @@
 }
 
 // load reads the row and adopts its versions, unless this daemon knows more.
-func (r *Recorder) load(ctx context.Context) error {
-	value, err := r.row.Read(ctx)
+func (r *Recorder) load(ctx context.Context, reader bool) error {
+	now := r.options.Registry.options.Now()
+	if !reader && now.Before(r.pollAt) {
+		return nil
+	}
+	bounded, cancel := context.WithTimeout(ctx, recordTimeout)
+	defer cancel()
+	value, err := r.row.Read(bounded)
 	if err != nil {
 		return err
 	}
+	if value == nil && !r.read && !reader && r.waitsForFirst(now) {
+		return nil
+	}
+	first := !r.read
 	r.read, r.stored = true, record{}
-	earlier := EarlierUnrecorded
+	earlier := EarlierUnknown
 	if value != nil {
 		earlier = r.decode(value)
+	} else if first {
+		earlier = r.withoutRow(ctx)
 	}
+	r.adopt(earlier)
+	return nil
+}
+
+// waitsForFirst reports whether the row, which is missing, should be looked for again: the reader may be about to write it.
+func (r *Recorder) waitsForFirst(now time.Time) bool {
+	if r.absentSince.IsZero() {
+		r.absentSince = now
+	}
+	r.pollAt = now.Add(recordPoll/2 + rand.N(recordPoll))
+	return now.Sub(r.absentSince) < recordPatience
+}
+
+// withoutRow returns what is known of earlier versions if no row was ever written, because the deployment is new or daemons of earlier
+// builds were there. The list is the same as before then, unless back ends were removed within the history of the store. A store that
+// was restored doesn't tell what was removed before.
+func (r *Recorder) withoutRow(ctx context.Context) Earlier {
+	log := r.options.Log.WithField("row", RowKey)
+	if r.options.RemovedLately == nil || r.options.Era.Era() > 0 {
+		log.Warn("There is no record of listed versions, and no history of the list: earlier versions are unknown.")
+		return EarlierUnknown
+	}
+	bounded, cancel := context.WithTimeout(ctx, historyTimeout)
+	defer cancel()
+	removed, err := r.options.RemovedLately(bounded)
+	log = log.WithField("removed", removed)
+	if err != nil || removed {
+		log.WithError(err).Warn("There is no record of listed versions, and back ends may have been removed lately: earlier versions are unknown.")
+		return EarlierUnknown
+	}
+	log.Info("There is no record of listed versions, and no back end was removed lately: all versions are listed.")
+	return EarlierUnrecorded
+}
+
+// adopt adds what the row, or its absence, tells of earlier versions, unless this daemon knows more.
+func (r *Recorder) adopt(earlier Earlier) {
 	if _, complete := r.options.Registry.RecentVersions(); complete {
-		return nil
+		return
 	}
 	versions := map[identity.ServiceName][]identity.SoftwareVersion{}
 	for _, each := range r.stored.Services {
@@ -164,9 +223,8 @@
 	}
 	r.options.Registry.AdoptEarlier(versions, earlier)
 	r.options.Log.WithFields(logrus.Fields{
-		"row_version": r.row.Version(), "services": len(versions), "complete": earlier == EarlierKnown, "era": r.stored.Era, "partial": r.stored.Partial,
+		"row_version": r.row.Version(), "services": len(versions), "complete": earlier != EarlierUnknown, "era": r.stored.Era, "partial": r.stored.Partial,
 	}).Info("The record of listed versions was read.")
-	return nil
 }
 
 // decode decodes the row. A malformed row holds no versions.
--- a/internal/streamorigin/record_test.go
+++ b/internal/streamorigin/record_test.go
@@ -126,6 +126,57 @@
 	})
 }
 
+// TestFirstFleetWithARecordKnowsWhetherVersionsWereRemoved guards against taking the only listed version for the one that began a
+// stream, at daemons that find no record because earlier builds were there, unless no back end was removed lately.
+func TestFirstFleetWithARecordKnowsWhetherVersionsWereRemoved(t *testing.T) {
+	for name, each := range map[string]struct {
+		removed bool
+		era     uint64
+		doubt   Doubt
+	}{
+		"none was removed":       {},
+		"one was removed":        {removed: true, doubt: DoubtIncomplete},
+		"the store was restored": {era: 1, doubt: DoubtIncomplete},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				fleet := newRecordingFleet(1, 0, "v2")
+				defer fleet.stop()
+				fleet.removed.Store(each.removed)
+				fleet.era.Store(each.era)
+				for range 3 {
+					fleet.add()
+				}
+				time.Sleep(recordPatience + recordLag)
+				for _, daemon := range fleet.daemons {
+					found := daemon.registry.Find(context.Background(), stream(1))
+					assert.Equal(t, found.Known, each.doubt == "", "%+v", found)
+					assert.Equal(t, found.Doubt, each.doubt)
+				}
+				time.Sleep(streamorigin.Retention)
+				found := fleet.daemons[0].registry.Find(context.Background(), stream(1))
+				assert.Assert(t, found.Known, "streams go on once the list was known for longer than they last: %+v", found)
+			})
+		})
+	}
+}
+
+// TestStarterBesideAnEarlierBuildsReaderContinuesStreams guards against refusing the streams of a single version until a daemon that
+// records versions is the reader.
+func TestStarterBesideAnEarlierBuildsReaderContinuesStreams(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fleet := newRecordingFleet(1, 0, "v1")
+		defer fleet.stop()
+		fleet.records = false
+		fleet.add()
+		fleet.records = true
+		fleet.add()
+		time.Sleep(recordPatience + recordLag)
+		found := fleet.daemons[1].registry.Find(context.Background(), stream(1))
+		assert.Assert(t, found.Known && found.Version == "v1", "%+v", found)
+	})
+}
+
 // TestLoneStarterContinuesStreams guards against refusing the streams of a single version because no other daemon of a fleet that
 // ended has started yet.
 func TestLoneStarterContinuesStreams(t *testing.T) {
--- a/internal/streamorigin/registry.go
+++ b/internal/streamorigin/registry.go
@@ -70,7 +70,8 @@
 const (
 	// EarlierUnknown means that there may have been others.
 	EarlierUnknown Earlier = iota
-	// EarlierUnrecorded means that no daemon has recorded any: a new deployment, or one of earlier builds.
+	// EarlierUnrecorded means that no daemon has recorded any, and that no back end was removed from the list lately: a new deployment, or
+	// one of earlier builds.
 	EarlierUnrecorded
 	// EarlierKnown means that all are known.
 	EarlierKnown
