--- a/cmd/lotusward/soakversions_test.go
+++ b/cmd/lotusward/soakversions_test.go
@@ -4,6 +4,7 @@
 	"flag"
 	"fmt"
 	"math/rand/v2"
+	"os"
 	"slices"
 	"strings"
 	"sync"
@@ -22,6 +23,9 @@
 var (
 	soakVersionsSeeds = flag.Int("soakversions.seeds", 2, "how many seeds the soak of versions plays, one after the other")
 	soakVersionsFirst = flag.Uint64("soakversions.first", 1, "the first seed")
+	// A deployment's bounds, as its settings have them, and an earlier build show what its users saw.
+	soakVersionsBounds = flag.String("soakversions.bounds", "", "a file with the bounds of the daemons' settings, indented by two; empty is those of the tests")
+	soakVersionsBuild  = flag.String("soakversions.build", presentBuild, "the commit of which all daemons are; empty is the present build")
 )
 
 const (
@@ -80,13 +84,24 @@
 	added := &versionSoak{draws: rand.New(rand.NewPCG(seed, versionsStream)), ending: make(chan struct{}), earlier: earlier}
 	plain := plainSoak()
 	playSoakWith(t, seed, soakExtra{
-		bounds:  plain.bounds,
+		bounds:  versionSoakBounds(t, plain.bounds),
 		program: added.program(),
 		begin:   func(s *soak) { added.begin(s, plain) },
 		step:    added.step, end: added.end, check: added.check,
 	})
 }
 
+// versionSoakBounds returns the bounds of the deployment that is played.
+func versionSoakBounds(t *testing.T, otherwise string) string {
+	t.Helper()
+	if *soakVersionsBounds == "" {
+		return otherwise
+	}
+	text, err := os.ReadFile(*soakVersionsBounds)
+	assert.NilError(t, err)
+	return "\n" + string(text)
+}
+
 // program returns what daemons run that start now.
 func (v *versionSoak) program() func(*soak) string {
 	upgradeAt := time.Now().Add(*soakTime / 2)
@@ -94,7 +109,7 @@
 		if v.earlier != "" && time.Now().Before(upgradeAt) {
 			return v.earlier
 		}
-		return programOf(v.t, presentBuild)
+		return programOf(v.t, *soakVersionsBuild)
 	}
 }
 
