Let few daemons read the history of the list in a large fleet

By reading, the reader takes more than a second to write the first row of listed versions there, and all others then read the store's history of the list, as many bytes as the list has.

Daemons that are not the reader wait longer for the row where there are many, each for another time, and look for it less often. TestHistoryOfALargeFleetIsReadByFew: 300 daemons whose reader comes after five seconds look at the history once (300 times before).

--- a/cmd/internal/daemon/wire.go
+++ b/cmd/internal/daemon/wire.go
@@ -267,7 +267,7 @@
 	})
 	w.streamRecord = streamorigin.NewRecorder(streamorigin.RecorderOptions{
 		Table: w.store, Directory: w.directory, Registry: w.streams, Log: w.part("streams"), Era: w.store.Era,
-		RemovedLately: w.store.BackendsRemovedLately,
+		Daemons: w.members.Count, RemovedLately: w.store.BackendsRemovedLately,
 	})
 	w.loads = loadshare.New(loadshare.Options{
 		Link: w.link, Others: w.members.Others, Pool: w.backends, Memory: w.memory, PublishParts: w.homes.PublishParts,
--- a/internal/streamorigin/record.go
+++ b/internal/streamorigin/record.go
@@ -29,9 +29,12 @@
 	recordTimeout = 700 * time.Millisecond
 	recordRetry   = 300 * time.Millisecond
 	// recordPatience is how long a daemon that is not the reader waits for the first row before it looks at the store's history
-	// itself, and recordPoll how often it looks for the row meanwhile.
-	recordPatience = time.Second
-	recordPoll     = 300 * time.Millisecond
+	// itself, which may take as many bytes as the list, and recordPoll how often it looks for the row meanwhile. Both are longer by
+	// a time for each daemon, so that the daemons of a large fleet don't all do so at once.
+	recordPatience          = time.Second
+	recordPatiencePerDaemon = 30 * time.Millisecond
+	recordPoll              = 300 * time.Millisecond
+	recordPollPerDaemon     = 3 * time.Millisecond
 	// historyTimeout bounds the look at the store's history, which may take a call for each bit of a version.
 	historyTimeout = 3 * time.Second
 	// recordFormat is the format of the row. A row without it was not written by a daemon.
@@ -74,6 +77,8 @@
 	Log       logrus.FieldLogger
 	// Era counts how often the store was restored from an earlier copy; nil means never.
 	Era port.EraSource
+	// Daemons returns the number of daemons.
+	Daemons func() int
 	// RemovedLately reports whether back ends were removed from the list within the history that the store keeps. It fails if the store
 	// keeps none; nil always does.
 	RemovedLately func(ctx context.Context) (bool, error)
@@ -89,8 +94,8 @@
 	stored record
 	// failing is set while calls for the row fail.
 	failing bool
-	// absentSince is when the row was first found to be missing, and pollAt when to look for it again.
-	absentSince, pollAt time.Time
+	// waitsUntil is when a daemon that is not the reader waits for the first row no longer, and pollAt when to look for it again.
+	waitsUntil, pollAt time.Time
 }
 
 // NewRecorder returns a Recorder that does nothing until Run is called.
@@ -184,11 +189,14 @@
 
 // waitsForFirst reports whether the row, which is missing, should be looked for again: the reader may be about to write it.
 func (r *Recorder) waitsForFirst(now time.Time) bool {
-	if r.absentSince.IsZero() {
-		r.absentSince = now
+	daemons := time.Duration(r.options.Daemons())
+	if r.waitsUntil.IsZero() {
+		patience := recordPatience + daemons*recordPatiencePerDaemon
+		r.waitsUntil = now.Add(patience + rand.N(patience))
 	}
-	r.pollAt = now.Add(recordPoll/2 + rand.N(recordPoll))
-	return now.Sub(r.absentSince) < recordPatience
+	poll := recordPoll + daemons*recordPollPerDaemon
+	r.pollAt = now.Add(poll/2 + rand.N(poll))
+	return now.Before(r.waitsUntil)
 }
 
 // withoutRow returns what is known of earlier versions if no row was ever written, because the deployment is new or daemons of earlier
