Await a daemon's evidence on a stream, which its answer may overtake

A daemon that knows nothing of a stream sends its evidence on the listed versions before its answer, in a datagram of its own. Whoever asked went on once all had answered, though the evidence of some was still to come, and refused streams that the others could have vouched for (stream_doubt earlier_versions_unknown).

The test logged all three others as knowing all versions, so that only their evidence can have been lost on the way.

--- a/internal/streamorigin/inquiry.go
+++ b/internal/streamorigin/inquiry.go
@@ -13,9 +13,10 @@
 type inquiry struct {
 	registry *Registry
 	question *questionMessage
-	// waiting are the daemons that have not answered.
-	waiting map[string]bool
-	found   Found
+	// waiting are the daemons that have not answered, evident those whose evidence has arrived, and early those that have answered
+	// before it.
+	waiting, evident, early map[string]bool
+	found                   Found
 	// others is what the daemons that answered know together.
 	others evidence
 	// asked is set if there were daemons to ask, and answered if one answered.
@@ -25,7 +26,7 @@
 func (r *Registry) newInquiry(stream streamorigin.Stream) *inquiry {
 	key := stream.Key()
 	made := &inquiry{
-		registry: r, waiting: map[string]bool{},
+		registry: r, waiting: map[string]bool{}, evident: map[string]bool{}, early: map[string]bool{},
 		question: &questionMessage{Number: r.questions.Next(), Key: uint64(key), Service: string(stream.Service)},
 	}
 	for _, address := range r.asked(key) {
@@ -62,9 +63,17 @@
 func (i *inquiry) receive(got answer) {
 	if told := got.evidence; told != nil {
 		i.others = i.others.with(told.evidence())
+		i.evident[got.from] = true
+		if i.early[got.from] {
+			delete(i.waiting, got.from)
+		}
 		return
 	}
-	delete(i.waiting, got.from)
+	// An answer may overtake the evidence that was sent before it. Earlier builds send none: their second answer is enough.
+	if i.evident[got.from] || i.early[got.from] {
+		delete(i.waiting, got.from)
+	}
+	i.early[got.from] = true
 	i.answered = true
 	i.others = i.others.with(evidence{several: got.Several})
 	if got.Known {
