--- a/cmd/lotusward/streamupgrades_test.go
+++ b/cmd/lotusward/streamupgrades_test.go
@@ -73,6 +73,28 @@
 	})
 }
 
+// TestNoStreamChangesItsVersionAfterAnUpgrade guards against the same where all daemons were upgraded a moment before the service moves,
+// and are killed during the move.
+func TestNoStreamChangesItsVersionAfterAnUpgrade(t *testing.T) {
+	upgradePlays(t, func(t *testing.T, from string, inTurn bool) {
+		fleet := newKilledFleetOf(t, from)
+		fleet.upgradeAll(presentBuild, inTurn)
+		fleet.restarted = make(chan struct{})
+		wait := fleet.take()
+		time.Sleep(300 * time.Millisecond)
+		fleet.addEngine("e-v2-1", "v2")
+		fleet.addEngine("e-v2-2", "v2")
+		time.Sleep(300 * time.Millisecond)
+		fleet.store.Remove("servers", "e-v1")
+		time.Sleep(400 * time.Millisecond)
+		fleet.killAll()
+		resumed, wentOn, mixed := count(wait())
+		t.Logf("%d resumed, %d went on, %d mixed", resumed, wentOn, mixed)
+		assert.Equal(t, resumed, outlastingStreams)
+		assert.Equal(t, mixed, 0, "streams with events of several software versions")
+	})
+}
+
 // TestStreamsOfOneVersionGoOnInAnUpgrade guards against refusing streams of a service that never had another version.
 func TestStreamsOfOneVersionGoOnInAnUpgrade(t *testing.T) {
 	upgradePlays(t, func(t *testing.T, from string, inTurn bool) {
--- a/internal/streamorigin/wire_test.go
+++ b/internal/streamorigin/wire_test.go
@@ -11,4 +11,7 @@
 	wiretest.Datagram[confirmMessage](t, "stream_begin_confirm", nil)
 	wiretest.Datagram[questionMessage](t, "stream_question", nil)
 	wiretest.Datagram[answerMessage](t, "stream_answer", nil)
+	wiretest.Datagram[evidenceMessage](t, "stream_evidence", nil)
+	wiretest.Datagram[handoverMessage](t, "stream_handover", nil)
+	wiretest.Row[record](t, "stream_versions", nil)
 }
