--- a/cmd/lotusward/streamkills_test.go
+++ b/cmd/lotusward/streamkills_test.go
@@ -47,6 +47,16 @@
 	return f.keep(standin.NewRunner(f.store, id, "llm", testModel, outlastingEvents, outlastingPause, standin.WithSoftware(version), standin.WithMarkedEvents()))
 }
 
+// moveToV2 lists back ends of v2 a moment after streams began at v1, and takes the row of v1 away.
+func (f *killedFleet) moveToV2() {
+	time.Sleep(300 * time.Millisecond)
+	f.addEngine("e-v2-1", "v2")
+	f.addEngine("e-v2-2", "v2")
+	time.Sleep(300 * time.Millisecond)
+	f.store.Remove("servers", "e-v1")
+	time.Sleep(400 * time.Millisecond)
+}
+
 func (f *killedFleet) startDaemons() {
 	f.daemons = nil
 	for number := range 3 {
@@ -119,12 +129,7 @@
 func TestNoStreamChangesItsVersionAfterAllDaemonsWereKilled(t *testing.T) {
 	fleet := newKilledFleet(t)
 	wait := fleet.take()
-	time.Sleep(300 * time.Millisecond)
-	fleet.addEngine("e-v2-1", "v2")
-	fleet.addEngine("e-v2-2", "v2")
-	time.Sleep(300 * time.Millisecond)
-	fleet.store.Remove("servers", "e-v1")
-	time.Sleep(400 * time.Millisecond)
+	fleet.moveToV2()
 	fleet.killAll()
 	resumed, wentOn, mixed := count(wait())
 	t.Logf("%d resumed, %d went on, %d mixed", resumed, wentOn, mixed)
