--- a/internal/adapter/httpexchange/identify_test.go
+++ b/internal/adapter/httpexchange/identify_test.go
@@ -114,16 +114,14 @@
 
 // TestNothingIsSentToAnotherProcess guards against sending a request to a process that was not expected, or is silent.
 func TestNothingIsSentToAnotherProcess(t *testing.T) {
-	for _, identity := range []int{8, 0} {
+	for identity, asked := range map[int][]string{8: {"/who "}, 0: {"/who ", "/who "}} {
 		address, got := serveIdentity(t, func(int) int { return identity })
 		pool := NewPool(Options{})
 		_, err := doIdentified(pool, address, identified(7, true))
 		var failed *Error
 		assert.Assert(t, errors.As(err, &failed) && errors.Is(err, errOtherIdentity), "%v", err)
 		assert.Equal(t, failed.Stage, StageUnreached)
-		for _, target := range got.list() {
-			assert.Equal(t, target, "/who ")
-		}
+		assert.DeepEqual(t, got.list(), asked)
 		pool.Close()
 	}
 }
