--- a/internal/requestlog/requestlog.go
+++ b/internal/requestlog/requestlog.go
@@ -230,6 +230,10 @@
 	if doubt := completion.Origin.Doubt; doubt != "" {
 		fields["stream_doubt"] = doubt
 	}
+	if asked := completion.Origin.Asked; asked > 0 {
+		fields["stream_asked"] = asked
+		fields["stream_answered"] = completion.Origin.Answered
+	}
 	if shortage := completion.Shortage; shortage != (backendpool.Shortage{}) {
 		fields["back_ends"] = shortage.Listed
 		fields["draining"] = shortage.Draining
--- a/internal/streamorigin/finding.go
+++ b/internal/streamorigin/finding.go
@@ -34,6 +34,8 @@
 	Origin streamorigin.Origin
 	// Doubt is why it is not known; empty if Known is set.
 	Doubt Doubt
+	// Asked and Answered are how many other daemons were asked, and how many of these answered.
+	Asked, Answered int
 }
 
 // Find returns which version began a stream. It waits for other daemons for up to answerTimeout if this one doesn't know. A
@@ -93,10 +95,13 @@
 			return found
 		}
 	}
+	asked, answered := found.Asked, found.Answered
 	// The list is read after the answers: a version that was listed meanwhile may have begun the stream.
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	return r.evidence(stream.Service).with(others).found()
+	found = r.evidence(stream.Service).with(others).found()
+	found.Asked, found.Answered = asked, answered
+	return found
 }
 
 // lookup returns what this daemon remembers of a stream, and what it knows of the versions of the service.
--- a/internal/streamorigin/inquiry.go
+++ b/internal/streamorigin/inquiry.go
@@ -19,29 +19,32 @@
 	found                   Found
 	// others is what the daemons that answered know together.
 	others evidence
-	// asked is set if there were daemons to ask, and answered if one answered.
-	asked, answered bool
+	// asked is the number of daemons that were asked, and answered are those that answered.
+	asked    int
+	answered map[string]bool
 }
 
 func (r *Registry) newInquiry(stream streamorigin.Stream) *inquiry {
 	key := stream.Key()
 	made := &inquiry{
-		registry: r, waiting: map[string]bool{}, evident: map[string]bool{}, early: map[string]bool{},
+		registry: r, waiting: map[string]bool{}, evident: map[string]bool{}, early: map[string]bool{}, answered: map[string]bool{},
 		question: &questionMessage{Number: r.questions.Next(), Key: uint64(key), Service: string(stream.Service)},
 	}
 	for _, address := range r.asked(key) {
 		made.waiting[address] = true
 	}
-	made.asked = len(made.waiting) > 0
+	made.asked = len(made.waiting)
 	return made
 }
 
 // result returns what was found, and what the daemons that answered know.
 func (i *inquiry) result() (Found, evidence) {
-	if i.asked && !i.answered && i.registry.startedUnrecorded() {
-		return Found{Doubt: DoubtAlone}, evidence{}
+	found := i.found
+	if i.asked > 0 && len(i.answered) == 0 && i.registry.startedUnrecorded() {
+		found = Found{Doubt: DoubtAlone}
 	}
-	return i.found, i.others
+	found.Asked, found.Answered = i.asked, len(i.answered)
+	return found, i.others
 }
 
 // startedUnrecorded reports whether this daemon has just started and found no record: daemons of earlier builds may have seen
@@ -74,7 +77,7 @@
 		delete(i.waiting, got.from)
 	}
 	i.early[got.from] = true
-	i.answered = true
+	i.answered[got.from] = true
 	i.others = i.others.with(evidence{several: got.Several})
 	if got.Known {
 		origin := streamorigin.Origin{Version: identity.SoftwareVersion(got.Version), Backend: got.Backend}
--- a/internal/streamorigin/record.go
+++ b/internal/streamorigin/record.go
@@ -203,7 +203,7 @@
 // builds were there. The list is the same as before then, unless back ends were removed within the history of the store. A store that
 // was restored doesn't tell what was removed before.
 func (r *Recorder) withoutRow(ctx context.Context) Earlier {
-	log := r.options.Log.WithField("row", RowKey)
+	log := r.options.Log.WithFields(logrus.Fields{"row": RowKey, "era": r.options.Era.Era()})
 	if r.options.RemovedLately == nil || r.options.Era.Era() > 0 {
 		log.Warn("There is no record of listed versions, and no history of the list: earlier versions are unknown.")
 		return EarlierUnknown
