Reproduce streams of two versions at a daemon out of step, and refusals after all daemons were killed

Tests over real processes. All daemons are killed: 0 of 16 streams go on where the store names era 1 or 7 (16 of 16 at era 0), and 0 of 16 where two versions serve.

To cut a daemon off from datagrams, its socket is opened by a function that tests replace, as its connections are.

--- a/cmd/internal/daemon/wire.go
+++ b/cmd/internal/daemon/wire.go
@@ -117,6 +117,8 @@
 	Placement backendpool.Placement
 	// Dial opens the daemon's TCP connections; nil uses the network directly.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
+	// Listen opens the socket for datagrams of other daemons; nil uses the network directly.
+	Listen peerlink.ListenFunc
 }
 
 // New connects the daemon's parts; nothing runs yet.
@@ -194,6 +196,7 @@
 
 // wirePeers makes what carries datagrams to other daemons.
 func (w *Daemon) wirePeers(traffic *peerTraffic) *peerlink.Crossing {
+	w.link.SetListen(w.options.Listen)
 	w.link.Observe(w.hear)
 	w.presence = presence.New()
 	w.topology = newTopology(w.regions, w.members)
--- a/cmd/lotusward/deployment_test.go
+++ b/cmd/lotusward/deployment_test.go
@@ -32,7 +32,7 @@
 
 func TestMain(m *testing.M) {
 	if os.Getenv(runAsDaemon) != "" {
-		os.Exit(start(gatewayDial()))
+		os.Exit(start(network{dial: gatewayDial(), listen: mutedListen()}))
 	}
 	os.Exit(m.Run())
 }
@@ -57,6 +57,8 @@
 	admin   string
 	// gateway carries the daemon's connections; nil without one.
 	gateway *standin.Gateway
+	// muteFile is the file while which exists the daemon's datagrams are dropped; empty is none.
+	muteFile string
 	// startedAt is just before the process was started.
 	startedAt time.Time
 	mutex     sync.Mutex
@@ -92,6 +94,8 @@
 	// gateways puts a gateway between each daemon that starts and the back ends, whose addresses are in reached.
 	gateways bool
 	reached  sync.Map
+	// muted makes the datagrams of each daemon that starts be dropped while its file (process.muteFile) exists.
+	muted bool
 }
 
 // machineRoom is what a machine has.
@@ -226,6 +230,10 @@
 		made.gateway = d.newGateway()
 		made.command.Env = append(made.command.Env, gatewayVariable+"="+made.gateway.Address())
 	}
+	if d.muted {
+		made.muteFile = filepath.Join(d.t.TempDir(), "mute")
+		made.command.Env = append(made.command.Env, muteVariable+"="+made.muteFile)
+	}
 	output, err := made.command.StdoutPipe()
 	assert.NilError(d.t, err)
 	made.command.Stderr = os.Stderr
--- a/cmd/lotusward/main.go
+++ b/cmd/lotusward/main.go
@@ -20,6 +20,7 @@
 	"github.com/lotusward/lotusward/internal/exitcode"
 	"github.com/lotusward/lotusward/internal/finding"
 	"github.com/lotusward/lotusward/internal/logging"
+	"github.com/lotusward/lotusward/internal/peerlink"
 	"github.com/lotusward/lotusward/internal/version"
 	"github.com/lotusward/lotusward/platform"
 )
@@ -41,14 +42,18 @@
 const adminTokenVariable = "LOTUSWARD_ADMIN_TOKEN"
 
 func main() {
-	os.Exit(start(nil))
+	os.Exit(start(network{}))
 }
 
-// dialFunc opens TCP connections.
-type dialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+// network is what the daemon reaches others through. Nil functions use the machine's network directly.
+type network struct {
+	// dial opens TCP connections, and listen the socket for datagrams.
+	dial   func(ctx context.Context, network, address string) (net.Conn, error)
+	listen peerlink.ListenFunc
+}
 
-// start runs the program and returns its exit code. A nil dial uses the network directly.
-func start(dial dialFunc) int {
+// start runs the program and returns its exit code.
+func start(through network) int {
 	started := clock.Now()
 	var given options
 	given.Settings = os.Getenv(platform.SettingsVariable)
@@ -81,11 +86,11 @@
 		fmt.Println("no findings")
 		return exitcode.OK
 	}
-	return serve(settings, given, started, dial)
+	return serve(settings, given, started, through)
 }
 
 // serve runs the daemon until a signal or a failure.
-func serve(settings platform.Settings, given options, started time.Time, dial dialFunc) int {
+func serve(settings platform.Settings, given options, started time.Time, through network) int {
 	writer := eventlog.NewWriter(os.Stdout)
 	defer writer.Stop(logFlushTime)
 	logger, err := eventlog.NewLogger(writer)
@@ -96,7 +101,7 @@
 	log := logging.Part(logger, "daemon").WithField("node", settings.NodeName)
 	made := daemon.New(settings, daemon.Options{
 		MetricsPort: given.Metrics, OpenAIPort: given.OpenAI, AdminPort: given.Admin, AdminToken: os.Getenv(adminTokenVariable),
-		Logger: logger, Writer: writer, Started: started, Dial: dial,
+		Logger: logger, Writer: writer, Started: started, Dial: through.dial, Listen: through.listen,
 	})
 
 	var group run.Group
--- a/cmd/lotusward/streamkills_test.go
+++ b/cmd/lotusward/streamkills_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cmp"
 	"fmt"
 	"strings"
 	"sync"
@@ -28,6 +29,8 @@
 	restarted chan struct{}
 	// build is the program of daemons that start.
 	build string
+	// size is the number of daemons; zero is three.
+	size int
 }
 
 func newKilledFleet(t *testing.T) *killedFleet { return newKilledFleetOf(t, presentBuild) }
@@ -59,7 +62,7 @@
 
 func (f *killedFleet) startDaemons() {
 	f.daemons = nil
-	for number := range 3 {
+	for number := range cmp.Or(f.size, 3) {
 		f.daemons = append(f.daemons, f.daemonOf(f.build, fmt.Sprint("d", number), false))
 	}
 	f.awaitReady()
@@ -150,3 +153,53 @@
 	assert.Equal(t, wentOn, outlastingStreams)
 	assert.Equal(t, mixed, 0)
 }
+
+// TestStreamsOfOneVersionGoOnInAnyEraOfTheStore guards against refusing them because the store was restored before the deployment's
+// first start.
+func TestStreamsOfOneVersionGoOnInAnyEraOfTheStore(t *testing.T) {
+	for _, era := range []int{0, 1, 7} {
+		t.Run(fmt.Sprint("era", era), func(t *testing.T) {
+			fleet := &killedFleet{deployment: newDeployment(t), restarted: make(chan struct{}), build: programOf(t, presentBuild)}
+			fleet.store.SetEra(era)
+			fleet.addEngine("e-v1-1", "v1")
+			fleet.addEngine("e-v1-2", "v1")
+			fleet.configure(testKey)
+			fleet.name(1)
+			fleet.startDaemons()
+			time.Sleep(2 * time.Second)
+			wait := fleet.take()
+			time.Sleep(time.Second)
+			fleet.killAll()
+			resumed, wentOn, mixed := count(wait())
+			t.Logf("%d resumed, %d went on, %d mixed", resumed, wentOn, mixed)
+			assert.Equal(t, resumed, outlastingStreams)
+			assert.Equal(t, wentOn, outlastingStreams)
+			assert.Equal(t, mixed, 0)
+		})
+	}
+}
+
+// TestStreamsOfSeveralVersionsGoOnAfterAllDaemonsWereKilled guards against refusing all streams of a service with several versions
+// because no daemon is left that remembers them.
+func TestStreamsOfSeveralVersionsGoOnAfterAllDaemonsWereKilled(t *testing.T) {
+	for name, daemons := range map[string]int{"three daemons": 3, "one daemon": 1} {
+		t.Run(name, func(t *testing.T) {
+			fleet := &killedFleet{deployment: newDeployment(t), restarted: make(chan struct{}), build: programOf(t, presentBuild), size: daemons}
+			for number := range 2 {
+				fleet.addEngine(fmt.Sprint("e-v1-", number), "v1")
+				fleet.addEngine(fmt.Sprint("e-v2-", number), "v2")
+			}
+			fleet.configure(testKey)
+			fleet.name(1)
+			fleet.startDaemons()
+			wait := fleet.take()
+			time.Sleep(time.Second)
+			fleet.killAll()
+			resumed, wentOn, mixed := count(wait())
+			t.Logf("%d resumed, %d went on, %d mixed", resumed, wentOn, mixed)
+			assert.Equal(t, resumed, outlastingStreams)
+			assert.Equal(t, wentOn, outlastingStreams)
+			assert.Equal(t, mixed, 0)
+		})
+	}
+}
--- a/internal/peerlink/peerlink.go
+++ b/internal/peerlink/peerlink.go
@@ -185,12 +185,41 @@
 	observeMalformed func(kind Kind)
 	complaints       complaints
 
-	socket atomic.Pointer[net.UDPConn]
+	listen ListenFunc
+	socket atomic.Pointer[Socket]
 	log    logrus.FieldLogger
 }
 
+// Socket carries datagrams. *net.UDPConn is one.
+type Socket interface {
+	ReadFromUDPAddrPort(datagram []byte) (count int, from netip.AddrPort, err error)
+	WriteToUDPAddrPort(datagram []byte, to netip.AddrPort) (int, error)
+	Close() error
+}
+
+// ListenFunc opens a socket at an address (IP:port).
+type ListenFunc func(address string) (Socket, error)
+
+// ListenUDP opens a UDP socket at an address (IP:port).
+func ListenUDP(address string) (Socket, error) {
+	local, err := net.ResolveUDPAddr("udp4", address)
+	if err != nil {
+		return nil, err
+	}
+	return net.ListenUDP("udp4", local)
+}
+
 // New makes a Link that listens on an address (IP:port) once it runs.
-func New(address string, log logrus.FieldLogger) *Link { return &Link{address: address, log: log} }
+func New(address string, log logrus.FieldLogger) *Link {
+	return &Link{address: address, log: log, listen: ListenUDP}
+}
+
+// SetListen sets what opens the link's socket; nil leaves it as it is. It must be called before Run.
+func (l *Link) SetListen(listen ListenFunc) {
+	if listen != nil {
+		l.listen = listen
+	}
+}
 
 // Address is where this daemon is reached, IP:port.
 func (l *Link) Address() string { return l.address }
@@ -239,7 +268,7 @@
 	if socket == nil || err != nil {
 		return
 	}
-	_, _ = socket.WriteToUDPAddrPort(datagram, address)
+	_, _ = (*socket).WriteToUDPAddrPort(datagram, address)
 	if l.observeSent != nil {
 		l.observeSent(to, datagram)
 	}
@@ -247,28 +276,20 @@
 
 // Run receives until the context ends. Without a socket the daemon goes on alone.
 func (l *Link) Run(ctx context.Context) error {
-	socket, err := l.listen()
+	socket, err := l.listen(l.address)
 	if err != nil {
 		l.log.WithError(err).WithField("address", l.address).Error("Other daemons can't be heard.")
 		<-ctx.Done()
 		return nil
 	}
-	l.socket.Store(socket)
+	l.socket.Store(&socket)
 	stop := context.AfterFunc(ctx, func() { _ = socket.Close() })
 	defer stop()
 	l.receive(ctx, socket)
 	return nil
 }
 
-func (l *Link) listen() (*net.UDPConn, error) {
-	address, err := net.ResolveUDPAddr("udp4", l.address)
-	if err != nil {
-		return nil, err
-	}
-	return net.ListenUDP("udp4", address)
-}
-
-func (l *Link) receive(ctx context.Context, socket *net.UDPConn) {
+func (l *Link) receive(ctx context.Context, socket Socket) {
 	buffer := make([]byte, maximumDatagram+forwardedBytes)
 	for ctx.Err() == nil {
 		count, from, err := socket.ReadFromUDPAddrPort(buffer)
