Continue a stream at the only listed version only if that is so up to now

Cause: a daemon that has watched the list for long enough claims to know all versions that were listed, without saying up to when, and tells others so.

Now the claim has an end. A daemon that is asked to continue a stream that nobody remembers asks the store at the same time as the others: a transaction that only expects the record of versions, and the changes of the list. If the store doesn't answer within 300 ms, a majority of the daemons must have answered since, and the claim is that of one that was in contact with a majority ever since its list was last verified. A daemon that reaches neither the store nor another one refuses. Concurrent questions to the store share a call, and are spaced by the number of daemons.

Weighed: a bound on the age of news alone lets streams be mixed within that bound, and refuses all while the store is silent to all.

Fleets of that test list changes in the order of the store now, as daemons do; else a late one undid a newer one.

--- a/cmd/internal/daemon/wire.go
+++ b/cmd/internal/daemon/wire.go
@@ -88,12 +88,14 @@
 	streams      *streamorigin.Registry
 	// streamRecord keeps the software versions that were listed lately in the store, for daemons that start.
 	streamRecord *streamorigin.Recorder
-	incarnations *incarnations
-	prober       *prober.Prober
-	crashes      *crashwatch.Watcher
-	ledger       *buffers.Tracker
-	serving      *serving
-	keeper       *leasekeeper.Keeper
+	// streamVerifier asks the store for versions of which this daemon may not have heard.
+	streamVerifier *streamorigin.Verifier
+	incarnations   *incarnations
+	prober         *prober.Prober
+	crashes        *crashwatch.Watcher
+	ledger         *buffers.Tracker
+	serving        *serving
+	keeper         *leasekeeper.Keeper
 	// rollouts is nil where the settings offer none.
 	rollouts   *rollout.Coordinator
 	weights    *weightupdate.Keeper
@@ -267,6 +269,10 @@
 	w.streams = streamorigin.New(streamorigin.Options{
 		Link: w.link, Topology: w.topology, Presence: w.presence, Confirm: w.incarnations.confirm, Log: w.part("streams"),
 		Stopping: func() bool { return w.serving.stopping.Load() },
+		Verify:   func(ctx context.Context, since time.Time) error { return w.streamVerifier.Verify(ctx, since) },
+	})
+	w.streamVerifier = streamorigin.NewVerifier(streamorigin.VerifierOptions{
+		Table: w.store, Refresh: w.directory.RefreshBackends, Registry: w.streams, Era: w.store.Era, Daemons: w.members.Count, Log: w.part("streams"),
 	})
 	w.streamRecord = streamorigin.NewRecorder(streamorigin.RecorderOptions{
 		Table: w.store, Directory: w.directory, Registry: w.streams, Log: w.part("streams"), Era: w.store.Era,
--- a/cmd/lotusward/streamapart_test.go
+++ b/cmd/lotusward/streamapart_test.go
@@ -10,14 +10,15 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
 
 	"github.com/lotusward/lotusward/platform/standin"
 )
 
 const (
-	// apartTime is how long a daemon is apart before callers continue streams there, and healTime how much longer the store is silent
-	// to it.
-	apartTime = 1700 * time.Millisecond
+	// apartTime is how long streams run while a daemon is apart before callers continue them there, and healTime how much longer the
+	// store is silent to it.
+	apartTime = 1400 * time.Millisecond
 	healTime  = 1500 * time.Millisecond
 	// apartStreams is how many streams begin at the other daemons meanwhile.
 	apartStreams = 24
@@ -89,9 +90,11 @@
 	apart, others := fleet.daemons[p.daemons-1], fleet.daemons[:p.daemons-1]
 	fleet.separate(apart, p.asleep)
 	fleet.addV2()
-	time.Sleep(300 * time.Millisecond)
+	for _, each := range others {
+		poll.WaitOn(t, lists(each, "e-v2-"), poll.WithTimeout(5*time.Second))
+	}
 	wait := fleet.takeApart(p, apart, others)
-	time.Sleep(apartTime - 300*time.Millisecond)
+	time.Sleep(apartTime)
 	if p.silent {
 		fleet.store.SetTrouble(standin.TroubleSilent)
 	}
@@ -164,6 +167,16 @@
 	f.reached.Store(f.store.Address(), true)
 }
 
+// lists reports whether a daemon has logged that it lists back ends with a prefix.
+func lists(daemon *process, prefix string) poll.Check {
+	return func(poll.LogT) poll.Result {
+		if strings.Contains(daemon.log(), `"added":["`+prefix) {
+			return poll.Success()
+		}
+		return poll.Continue("%s does not list %s", daemon.name, prefix)
+	}
+}
+
 // takeApart has callers begin streams at the other daemons, and continue them at the one that is apart.
 func (f *killedFleet) takeApart(play apartPlay, apart *process, others []*process) (wait func() []takenStream) {
 	taken := make([]takenStream, apartStreams)
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -226,6 +226,8 @@
 	// unanswered is set while a read or check has had no answer for hedgeTime and is still running.
 	unanswered bool
 	err        error
+	// applied is closed once the message was applied; nil if nobody waits for that.
+	applied chan struct{}
 }
 
 // New returns a Directory without data; Run fills it.
@@ -339,6 +341,9 @@
 	case got.standing != nil:
 		d.applyStanding(*got.standing)
 	}
+	if got.applied != nil {
+		close(got.applied)
+	}
 }
 
 // confirm records that a call which began at a time showed the local data to be the newest.
--- a/internal/streamorigin/evidence.go
+++ b/internal/streamorigin/evidence.go
@@ -11,6 +11,9 @@
 const (
 	// DoubtSeveral is that several versions may have begun the stream, and no daemon in reach remembers which one did.
 	DoubtSeveral Doubt = "several_versions"
+	// DoubtUnverified is that other versions may have been listed of which this daemon has not heard: the store does not answer, and
+	// too few other daemons do.
+	DoubtUnverified Doubt = "versions_unverified"
 	// DoubtIncomplete is that no daemon in reach knows all versions that were listed lately.
 	DoubtIncomplete Doubt = "earlier_versions_unknown"
 	// DoubtAlone is that the daemon has just started without a record, and no other one answers.
@@ -27,8 +30,10 @@
 type evidence struct {
 	// several is set if there was more than one.
 	several bool
-	// complete is set if all of them are known.
+	// complete is set if all of them are known, up to the last time at which the daemon was in contact with the others.
 	complete bool
+	// current is set if that is the present time.
+	current bool
 	// single is set if there was one, only. It is still listed if listed is set.
 	single, listed bool
 	only           identity.SoftwareVersion
@@ -39,7 +44,8 @@
 	differ := e.single && other.single && e.only != other.only
 	joined := evidence{
 		several: e.several || other.several || differ, complete: e.complete || other.complete,
-		single: e.single || other.single, listed: e.listed || other.listed, only: e.only,
+		current: (e.complete && e.current) || (other.complete && other.current),
+		single:  e.single || other.single, listed: e.listed || other.listed, only: e.only,
 	}
 	if !e.single {
 		joined.only = other.only
@@ -50,7 +56,7 @@
 // evidence returns what this daemon knows of a service. The caller holds the mutex.
 func (r *Registry) evidence(service identity.ServiceName) evidence {
 	now := r.options.Now()
-	found := evidence{several: r.listed.Several(now, service), complete: r.complete(now)}
+	found := evidence{several: r.listed.Several(now, service), complete: r.complete(now), current: r.inContact()}
 	found.only, found.listed, found.single = r.listed.Only(now, service)
 	return found
 }
@@ -62,13 +68,15 @@
 		return Found{Doubt: DoubtSeveral}
 	case !e.complete:
 		return Found{Doubt: DoubtIncomplete}
+	case !e.current:
+		return Found{Doubt: DoubtUnverified}
 	case !e.single, !e.listed:
 		return Found{Doubt: DoubtUnlisted}
 	}
 	return Found{Known: true, Version: e.only}
 }
 
-// evidence returns what another daemon has told.
+// evidence returns what another daemon has told. One that is out of contact tells that it is not complete.
 func (m *evidenceMessage) evidence() evidence {
-	return evidence{several: m.Several, complete: m.Complete, single: m.Single, listed: m.Listed, only: identity.SoftwareVersion(m.Only)}
+	return evidence{several: m.Several, complete: m.Complete, current: m.Complete, single: m.Single, listed: m.Listed, only: identity.SoftwareVersion(m.Only)}
 }
--- a/internal/streamorigin/finding.go
+++ b/internal/streamorigin/finding.go
@@ -81,27 +81,46 @@
 }
 
 func (r *Registry) find(ctx context.Context, stream streamorigin.Stream) Found {
+	since := r.options.Now()
 	found, own := r.lookup(stream.Key(), stream.Service)
 	if found.Known {
 		return found
 	}
-	var others evidence
-	if stream.Request != "" {
-		timeout := singleTimeout
-		if own.several {
-			timeout = answerTimeout
-		}
-		if found, others = r.ask(ctx, stream, timeout); found.Known || found.Doubt != "" {
-			return found
-		}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	timeout := singleTimeout
+	verified := make(chan bool, 1)
+	if own.several {
+		timeout = answerTimeout
+		verified <- false
+	} else {
+		go func() { verified <- r.verifyWithin(ctx, since) }()
 	}
-	asked, answered := found.Asked, found.Answered
-	// The list is read after the answers: a version that was listed meanwhile may have begun the stream.
+	found, others := r.ask(ctx, stream, timeout)
+	if found.Known || found.Doubt != "" {
+		return found
+	}
+	concluded := r.conclude(stream.Service, others, <-verified, found)
+	concluded.Asked, concluded.Answered = found.Asked, found.Answered
+	return concluded
+}
+
+// verifyWithin verifies the list as of a time after since, and reports whether that was done within answerTimeout.
+func (r *Registry) verifyWithin(ctx context.Context, since time.Time) bool {
+	bounded, cancel := context.WithTimeout(ctx, answerTimeout)
+	defer cancel()
+	return r.verify(bounded, since) == nil
+}
+
+// conclude returns the only version that may have begun a stream which no daemon in reach remembers, from what others have told in
+// their answers. The stream began before these. Verified is set if the store was asked since then.
+func (r *Registry) conclude(service identity.ServiceName, others evidence, verified bool, asked Found) Found {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	found = r.evidence(stream.Service).with(others).found()
-	found.Asked, found.Answered = asked, answered
-	return found
+	own, answered := r.evidence(service), r.enough(asked.Asked, asked.Answered)
+	own.current = verified || (own.current && answered)
+	others.current = others.current && (verified || answered)
+	return own.with(others).found()
 }
 
 // lookup returns what this daemon remembers of a stream, and what it knows of the versions of the service.
@@ -153,7 +172,7 @@
 func (r *Registry) receiveQuestion(from string, asked questionMessage) {
 	found, own := r.lookup(streamorigin.Key(asked.Key), identity.ServiceName(asked.Service))
 	peerlink.Tell(r.options.Link, from, peerlink.KindStreamEvidence, &evidenceMessage{
-		Number: asked.Number, Several: own.several, Complete: own.complete, Single: own.single, Listed: own.listed, Only: string(own.only),
+		Number: asked.Number, Several: own.several, Complete: own.complete && own.current, Single: own.single, Listed: own.listed, Only: string(own.only),
 	})
 	peerlink.Tell(r.options.Link, from, peerlink.KindStreamAnswer, &answerMessage{
 		Number: asked.Number, Known: found.Known, Version: string(found.Version), Several: own.several,
--- a/internal/streamorigin/fleet_test.go
+++ b/internal/streamorigin/fleet_test.go
@@ -42,8 +42,9 @@
 	stopping atomic.Bool
 
 	mutex sync.Mutex
-	// view are the versions that it lists.
-	view []identity.SoftwareVersion
+	// view are the versions that it lists, as of a change of the list.
+	view   []identity.SoftwareVersion
+	change int
 }
 
 // fleet is a set of daemons in three zones, in the time of a synctest bubble.
@@ -58,6 +59,8 @@
 	// listed are the versions that the store lists, since relistedAt.
 	listed     []identity.SoftwareVersion
 	relistedAt time.Time
+	// changes counts the changes of the list.
+	changes int
 	// service holds the daemons' rows, of an era, and removed is set once a version was removed from the list; records runs a Recorder in each daemon, until stop is called.
 	service *porttest.Service
 	era     atomic.Uint64
@@ -105,13 +108,33 @@
 		Others: func() []string { return f.others(added) },
 		Zone:   func(address string) identity.Zone { return identity.Zone(rune('a' + f.indexOf(address)%3)) },
 	}
-	added.registry = New(Options{Link: added, Topology: topology, Presence: heard, Now: time.Now, Log: log, Stopping: added.stopping.Load})
-	added.list(f.listed)
+	var verifier *Verifier
+	added.registry = New(Options{
+		Link: added, Topology: topology, Presence: heard, Now: time.Now, Log: log, Stopping: added.stopping.Load,
+		Verify: func(ctx context.Context, since time.Time) error { return verifier.Verify(ctx, since) },
+	})
+	verifier = NewVerifier(VerifierOptions{
+		Table: f.service, Registry: added.registry, Era: f.era.Load, Daemons: f.size, Log: log,
+		Refresh: func(ctx context.Context) error { return f.refresh(ctx, added) },
+	})
+	added.list(f.listed, f.changes)
 	if f.records {
 		added.record(f)
 	}
 }
 
+// refresh makes a daemon list the present versions if the store answers.
+func (f *fleet) refresh(ctx context.Context, daemon *testDaemon) error {
+	if _, err := f.service.Read(ctx, "list"); err != nil {
+		return err
+	}
+	f.mutex.Lock()
+	listed, change := f.listed, f.changes
+	f.mutex.Unlock()
+	daemon.list(listed, change)
+	return nil
+}
+
 // record runs the daemon's Recorder.
 func (d *testDaemon) record(f *fleet) {
 	var running context.Context
@@ -178,10 +201,14 @@
 	return backendpool.Backend{ID: identity.BackendID("b-" + version), Service: testService, Software: version}
 }
 
-// list makes the daemon list one back end of each of some versions.
-func (d *testDaemon) list(versions []identity.SoftwareVersion) {
+// list makes the daemon list one back end of each of some versions, unless it knows of a later change.
+func (d *testDaemon) list(versions []identity.SoftwareVersion, change int) {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
+	if change < d.change {
+		return
+	}
+	d.change = change
 	var changed []backendpool.Backend
 	var gone []identity.BackendID
 	for _, version := range versions {
@@ -206,9 +233,13 @@
 // relist changes the list; each daemon knows of it within listLag.
 func (f *fleet) relist(versions ...identity.SoftwareVersion) {
 	f.noteRemoved(versions)
+	f.mutex.Lock()
 	f.listed, f.relistedAt = versions, time.Now()
+	f.changes++
+	change := f.changes
+	f.mutex.Unlock()
 	for _, each := range f.daemons {
-		time.AfterFunc(time.Duration(f.luck.Int64N(int64(listLag))), func() { each.list(versions) })
+		time.AfterFunc(time.Duration(f.luck.Int64N(int64(listLag))), func() { each.list(versions, change) })
 	}
 }
 
--- a/internal/streamorigin/handover.go
+++ b/internal/streamorigin/handover.go
@@ -20,8 +20,10 @@
 	maxHandover = 2000
 )
 
-// Run hands over what this daemon remembers while it stops, until the context is cancelled.
+// Run watches the contact with other daemons, and hands over what this daemon remembers while it stops, until the context is cancelled.
 func (r *Registry) Run(ctx context.Context) error {
+	go r.watchContact(ctx)
+	go r.reverify(ctx)
 	pause.Every(ctx, handoverInterval, func(time.Time) {
 		if r.options.Stopping != nil && r.options.Stopping() {
 			r.handOver()
--- a/internal/streamorigin/message.go
+++ b/internal/streamorigin/message.go
@@ -55,7 +55,7 @@
 	Number uint64
 	// Several is set if there was more than one.
 	Several bool
-	// Complete is set if the sender knows all of them.
+	// Complete is set if the sender knows all of them up to now.
 	Complete bool
 	// Single is set if there was one, Only, and Listed if it still is listed.
 	Single, Listed bool
--- a/internal/streamorigin/record.go
+++ b/internal/streamorigin/record.go
@@ -225,10 +225,7 @@
 	if _, complete := r.options.Registry.RecentVersions(); complete {
 		return
 	}
-	versions := map[identity.ServiceName][]identity.SoftwareVersion{}
-	for _, each := range r.stored.Services {
-		versions[each.Service] = each.Versions
-	}
+	versions := r.stored.versions()
 	r.options.Registry.AdoptEarlier(versions, earlier)
 	r.options.Log.WithFields(logrus.Fields{
 		"row_version": r.row.Version(), "services": len(versions), "complete": earlier != EarlierUnknown, "era": r.stored.Era, "partial": r.stored.Partial,
@@ -237,13 +234,9 @@
 
 // decode decodes the row. A malformed row holds no versions.
 func (r *Recorder) decode(value []byte) Earlier {
-	err := codec.Unmarshal(value, &r.stored)
-	if err == nil && r.stored.Format != recordFormat {
-		err = fmt.Errorf("format %d is not %d", r.stored.Format, recordFormat)
-	}
-	if err != nil {
+	var err error
+	if r.stored, err = decodeRecord(value); err != nil {
 		r.options.Log.WithError(err).WithField("row", RowKey).Error("The record of listed versions is malformed; overwriting it.")
-		r.stored = record{}
 		return EarlierUnknown
 	}
 	if r.stored.Partial || r.stored.Era != r.options.Era.Era() {
@@ -252,6 +245,19 @@
 	return EarlierKnown
 }
 
+// decodeRecord decodes the row. A malformed one is empty.
+func decodeRecord(value []byte) (record, error) {
+	var stored record
+	err := codec.Unmarshal(value, &stored)
+	if err == nil && stored.Format != recordFormat {
+		err = fmt.Errorf("format %d is not %d", stored.Format, recordFormat)
+	}
+	if err != nil {
+		return record{}, err
+	}
+	return stored, nil
+}
+
 // write replaces the row.
 func (r *Recorder) write(ctx context.Context, known record) error {
 	value, err := msgpack.Marshal(known)
--- a/internal/streamorigin/registry.go
+++ b/internal/streamorigin/registry.go
@@ -10,6 +10,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 
@@ -36,6 +37,9 @@
 	// Confirm asks a listed back end for its incarnation. It returns CertaintySure if that is the listed one, CertaintyRestarted if it
 	// is another one, and CertaintyUnknown if the back end can't be asked. Nil takes all for sure.
 	Confirm func(ctx context.Context, backend backendpool.Backend) streamorigin.Certainty
+	// Verify makes the registry know all versions that were listed or recorded in the store at a moment after since. Nil always fails:
+	// the store can't be asked.
+	Verify func(ctx context.Context, since time.Time) error
 	// Stopping reports whether this daemon stops; nil means never.
 	Stopping func() bool
 	// Now is the clock; nil means clock.Now.
@@ -62,6 +66,7 @@
 	// listedSince is when the list was first known, and earlier what is known of the versions that were listed before.
 	listedSince time.Time
 	earlier     Earlier
+	contact     contact
 }
 
 // Earlier is what is known of the versions that were listed before this daemon knew the list.
@@ -141,6 +146,17 @@
 	return r.earlier != EarlierUnknown || (!r.listedSince.IsZero() && now.Sub(r.listedSince) >= streamorigin.Retention)
 }
 
+// errNoStore is returned if there is no store to ask.
+var errNoStore = errors.New("there is no store to ask")
+
+// verify asks the store, see Options.Verify.
+func (r *Registry) verify(ctx context.Context, since time.Time) error {
+	if r.options.Verify == nil {
+		return errNoStore
+	}
+	return r.options.Verify(ctx, since)
+}
+
 // Several reports whether several versions of a service were listed lately.
 func (r *Registry) Several(service identity.ServiceName) bool {
 	r.mutex.Lock()
