Don't take an era above zero for a store that was restored lately

What callers saw: all daemons of a service with one version were killed some time after the deployment's first start, and 0 of 16 streams went on (earlier_versions_unknown) where the store named era 1 or 7; 16 of 16 where it named era 0.

Cause: without a record of listed versions, an era above zero was read as a restore a moment ago. It only counts restores, and a store that was restored before the deployment's first start names it for good; the reader wrote its row as partial then, for two minutes. The history of the list decides now, as in era 0. A record from before a restore names an earlier era, and proves nothing as before.

--- a/internal/streamorigin/record.go
+++ b/internal/streamorigin/record.go
@@ -200,11 +200,11 @@
 }
 
 // withoutRow returns what is known of earlier versions if no row was ever written, because the deployment is new or daemons of earlier
-// builds were there. The list is the same as before then, unless back ends were removed within the history of the store. A store that
-// was restored doesn't tell what was removed before.
+// builds were there. The list is the same as before then, unless back ends were removed within the history of the store. Its era tells
+// nothing: a store may have been restored long ago, and a record that was written before it was restored names an earlier era.
 func (r *Recorder) withoutRow(ctx context.Context) Earlier {
 	log := r.options.Log.WithFields(logrus.Fields{"row": RowKey, "era": r.options.Era.Era()})
-	if r.options.RemovedLately == nil || r.options.Era.Era() > 0 {
+	if r.options.RemovedLately == nil {
 		log.Warn("There is no record of listed versions, and no history of the list: earlier versions are unknown.")
 		return EarlierUnknown
 	}
