Keep in the store which versions began streams while a service has several

Cause: daemons alone remembered which version began a stream, and no machine keeps anything over an end of all.

Each daemon now writes the beginnings that it tells its homes to rows of its own in the store too: at once if it has not written lately, and at most a hundred times a second over all daemons. The first event never waits for it. A daemon reads all rows at its start, and again, at most once a second, for a stream that no daemon remembers. Rows hold facts that never change, so that none is outdated; a daemon keeps 64 rows of 64 streams, overwrites the oldest, over its starts too, and removes them once none can be continued. Fleets of more than 128 daemons write and read none: each starter reads all rows.

--- a/cmd/internal/daemon/control.go
+++ b/cmd/internal/daemon/control.go
@@ -34,7 +34,7 @@
 // control are the parts that keep what this daemon believes, and act on it.
 func (w *Daemon) control() []func(context.Context) error {
 	parts := []func(context.Context) error{
-		w.directory.Run, w.members.Run, w.namings.Run, w.streams.Run, w.streamRecord.Run, w.weights.Run, w.follower.Run, w.link.Run, w.snapshots.Run, w.broadcast.Run, w.tree.Run, w.loads.Run,
+		w.directory.Run, w.members.Run, w.namings.Run, w.streams.Run, w.streamRecord.Run, w.streamArchive.Run, w.weights.Run, w.follower.Run, w.link.Run, w.snapshots.Run, w.broadcast.Run, w.tree.Run, w.loads.Run,
 		w.homes.Run, w.rooms.Run, w.limits.Run, w.paths.Run, w.prober.Run, w.crashes.Run, w.crashes.KeepRow, w.promptsIn.Run, w.cachesIn.Run, w.sweep, w.countBackends, w.watchClock, w.checkLedger, w.keeper.Run,
 	}
 	if w.rollouts != nil {
--- a/cmd/internal/daemon/wire.go
+++ b/cmd/internal/daemon/wire.go
@@ -90,12 +90,14 @@
 	streamRecord *streamorigin.Recorder
 	// streamVerifier asks the store for versions of which this daemon may not have heard.
 	streamVerifier *streamorigin.Verifier
-	incarnations   *incarnations
-	prober         *prober.Prober
-	crashes        *crashwatch.Watcher
-	ledger         *buffers.Tracker
-	serving        *serving
-	keeper         *leasekeeper.Keeper
+	// streamArchive keeps the beginnings of streams in the store while a service has several versions.
+	streamArchive *streamorigin.Archive
+	incarnations  *incarnations
+	prober        *prober.Prober
+	crashes       *crashwatch.Watcher
+	ledger        *buffers.Tracker
+	serving       *serving
+	keeper        *leasekeeper.Keeper
 	// rollouts is nil where the settings offer none.
 	rollouts   *rollout.Coordinator
 	weights    *weightupdate.Keeper
@@ -270,6 +272,10 @@
 		Link: w.link, Topology: w.topology, Presence: w.presence, Confirm: w.incarnations.confirm, Log: w.part("streams"),
 		Stopping: func() bool { return w.serving.stopping.Load() },
 		Verify:   func(ctx context.Context, since time.Time) error { return w.streamVerifier.Verify(ctx, since) },
+		Archive:  func() *streamorigin.Archive { return w.streamArchive },
+	})
+	w.streamArchive = streamorigin.NewArchive(streamorigin.ArchiveOptions{
+		Table: w.store, Self: string(w.settings.NodeName), Registry: w.streams, Ready: w.directory.Complete, Daemons: w.members.Count, Log: w.part("streams"),
 	})
 	w.streamVerifier = streamorigin.NewVerifier(streamorigin.VerifierOptions{
 		Table: w.store, Refresh: w.directory.RefreshBackends, Registry: w.streams, Era: w.store.Era, Daemons: w.members.Count, Log: w.part("streams"),
--- /dev/null
+++ b/internal/streamorigin/archive.go
@@ -0,0 +1,391 @@
+package streamorigin
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/lotusward/lotusward/internal/clock"
+	"github.com/lotusward/lotusward/internal/codec"
+	"github.com/lotusward/lotusward/internal/core/identity"
+	"github.com/lotusward/lotusward/internal/core/streamorigin"
+	"github.com/lotusward/lotusward/internal/pause"
+	"github.com/lotusward/lotusward/internal/port"
+)
+
+const (
+	// archivePrefix begins the keys of the rows with beginnings of streams: archivePrefix, the daemon's name, a slash, and the row's
+	// number.
+	archivePrefix = "begun/"
+	// archiveIntervalPerDaemon times the number of daemons is the time between two writes of a daemon, and at least
+	// minArchiveInterval: all together write a hundred times a second at most. Streams that begin in this time before all daemons end
+	// are lost.
+	archiveIntervalPerDaemon = 10 * time.Millisecond
+	minArchiveInterval       = 50 * time.Millisecond
+	// oldRowsInterval is how often a daemon looks for rows of its own to remove.
+	oldRowsInterval = 10 * time.Second
+	// archiveTimeout bounds a call.
+	archiveTimeout = 700 * time.Millisecond
+	// A daemon keeps archiveRows rows of up to streamsPerRow streams each, and overwrites the oldest.
+	archiveRows   = 64
+	streamsPerRow = 64
+	// maxRowsPerWrite bounds one transaction.
+	maxRowsPerWrite = 16
+	// archivePage is the number of rows that are read in one call, and maxArchivedStreams that of the streams that are taken over, the
+	// newest first.
+	archivePage        = 500
+	maxArchivedStreams = 1 << 15
+	// rereadInterval is the time between two readings of all rows, for streams that no daemon remembers.
+	rereadInterval = time.Second
+	// maxArchivingDaemons is the number of daemons up to which they archive: all rows are read by each daemon that starts.
+	maxArchivingDaemons = 128
+	// archiveFormat is the format of the rows.
+	archiveFormat = 1
+)
+
+// archiveRow is a row with beginnings of streams. Sequence rises with each row of a daemon's name, over all its starts.
+type archiveRow struct {
+	Format   int
+	Sequence uint64
+	// Versions are the software versions that Streams name by their index.
+	Versions []identity.SoftwareVersion
+	Streams  []archivedStream
+}
+
+type archivedStream struct {
+	Key     uint64
+	Version int
+	// Backend is the hash of the ID of the back end that began the stream; zero if that has told its incarnation.
+	Backend uint64
+}
+
+// add adds the beginning of a stream.
+func (a *archiveRow) add(begun beginning) {
+	version := identity.SoftwareVersion(begun.Version)
+	index := slices.Index(a.Versions, version)
+	if index < 0 {
+		index = len(a.Versions)
+		a.Versions = append(a.Versions, version)
+	}
+	a.Streams = append(a.Streams, archivedStream{Key: begun.Key, Version: index, Backend: begun.Backend})
+}
+
+// ArchiveOptions configures an Archive.
+type ArchiveOptions struct {
+	Table port.TableService
+	// Self is this daemon's name, which it keeps over its starts.
+	Self     string
+	Registry *Registry
+	// Ready reports whether the list of back ends is known.
+	Ready func() bool
+	// Daemons returns the number of daemons.
+	Daemons func() int
+	Log     logrus.FieldLogger
+}
+
+// Archive keeps in the store which versions began streams while their services had several, for daemons that start once all that
+// remembered them have ended. What it holds never changes, so that it is never outdated.
+type Archive struct {
+	options ArchiveOptions
+
+	mutex sync.Mutex
+	// pending are beginnings that were not written yet, and added has a value once there are some.
+	pending []beginning
+	added   chan struct{}
+	reading *archiveReading
+
+	// The fields below are owned by the goroutine of Run. next is the row that is written next.
+	next    archiveRow
+	failing bool
+	// writtenAt is when a row was last written; zero if there is none.
+	writtenAt time.Time
+}
+
+// archiveReading is one reading of all rows.
+type archiveReading struct {
+	began time.Time
+	done  chan struct{}
+	err   error
+	// sequence is the highest one of this daemon's own rows.
+	sequence uint64
+}
+
+// NewArchive returns an Archive that writes nothing until Run is called.
+func NewArchive(options ArchiveOptions) *Archive {
+	return &Archive{options: options, added: make(chan struct{}, 1), next: archiveRow{Format: archiveFormat}}
+}
+
+// enabled reports whether daemons archive: they are few enough.
+func (a *Archive) enabled() bool { return a.options.Daemons() <= maxArchivingDaemons }
+
+// add adds beginnings of streams that this daemon has seen. It never blocks.
+func (a *Archive) add(begun []beginning) {
+	if len(begun) == 0 || !a.enabled() {
+		return
+	}
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	a.pending = append(a.pending, begun...)
+	if excess := len(a.pending) - archiveRows*streamsPerRow; excess > 0 {
+		a.pending = slices.Clone(a.pending[excess:])
+	}
+	a.wake()
+}
+
+// wake makes Run write.
+func (a *Archive) wake() {
+	select {
+	case a.added <- struct{}{}:
+	default:
+	}
+}
+
+// Run reads all rows once, and then writes what is added, until the context is cancelled.
+func (a *Archive) Run(ctx context.Context) error {
+	for ctx.Err() == nil && !a.begin(ctx) {
+		pause.For(ctx, minArchiveInterval)
+	}
+	old := time.NewTicker(oldRowsInterval)
+	defer old.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-old.C:
+			a.removeOld(ctx)
+		case <-a.added:
+			a.writeAdded(ctx)
+		}
+	}
+}
+
+// writeAdded writes once and waits until the next write may follow.
+func (a *Archive) writeAdded(ctx context.Context) {
+	if err := a.write(ctx); err != nil {
+		a.logFirstFailure(err)
+		pause.For(ctx, archiveTimeout)
+		a.wake()
+		return
+	}
+	a.failing = false
+	pause.For(ctx, max(minArchiveInterval, time.Duration(a.options.Daemons())*archiveIntervalPerDaemon))
+}
+
+func (a *Archive) logFirstFailure(err error) {
+	if !a.failing {
+		a.options.Log.WithError(err).WithField("rows", archivePrefix).Warn("Beginnings of streams can't be read or written in the store; retrying.")
+	}
+	a.failing = true
+}
+
+// begin reads the rows of before this daemon's start, and returns true once that is done.
+func (a *Archive) begin(ctx context.Context) bool {
+	if !a.options.Ready() || !a.enabled() {
+		return false
+	}
+	reading := a.read()
+	select {
+	case <-reading.done:
+	case <-ctx.Done():
+		return false
+	}
+	if reading.err != nil {
+		a.logFirstFailure(reading.err)
+		return false
+	}
+	a.next.Sequence = reading.sequence + 1
+	if reading.sequence > 0 {
+		a.writtenAt = clock.Now()
+	}
+	return true
+}
+
+// write writes what was added since the last time.
+func (a *Archive) write(ctx context.Context) error {
+	a.mutex.Lock()
+	pending := a.pending[:min(len(a.pending), maxRowsPerWrite*streamsPerRow-len(a.next.Streams))]
+	a.mutex.Unlock()
+	if len(pending) == 0 {
+		return nil
+	}
+	rows := a.rowsOf(pending)
+	var writes []port.Write
+	for _, row := range rows {
+		value, err := codec.Marshal(&row)
+		if err != nil {
+			return err
+		}
+		writes = append(writes, port.Write{Key: a.key(row.Sequence), Value: value})
+	}
+	bounded, cancel := context.WithTimeout(ctx, archiveTimeout)
+	defer cancel()
+	if _, err := a.options.Table.Commit(bounded, port.Transaction{Writes: writes}); err != nil {
+		return err
+	}
+	a.next, a.writtenAt = rows[len(rows)-1], clock.Now()
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	if a.pending = slices.Clone(a.pending[min(len(pending), len(a.pending)):]); len(a.pending) > 0 {
+		a.wake()
+	}
+	return nil
+}
+
+// rowsOf returns the rows to write: the present one with more streams, and further ones.
+func (a *Archive) rowsOf(pending []beginning) []archiveRow {
+	current := archiveRow{Format: archiveFormat, Sequence: a.next.Sequence, Versions: slices.Clone(a.next.Versions), Streams: slices.Clone(a.next.Streams)}
+	var rows []archiveRow
+	for _, begun := range pending {
+		if len(current.Streams) == streamsPerRow {
+			rows = append(rows, current)
+			current = archiveRow{Format: archiveFormat, Sequence: current.Sequence + 1}
+		}
+		current.add(begun)
+	}
+	return append(rows, current)
+}
+
+// key returns the key of a row of this daemon.
+func (a *Archive) key(sequence uint64) string {
+	return fmt.Sprintf("%s%02d", a.ownPrefix(), sequence%archiveRows)
+}
+
+func (a *Archive) ownPrefix() string { return archivePrefix + a.options.Self + "/" }
+
+// removeOld removes this daemon's rows once no stream in them can be continued.
+func (a *Archive) removeOld(ctx context.Context) {
+	if a.writtenAt.IsZero() || clock.Now().Sub(a.writtenAt) < streamorigin.Retention {
+		return
+	}
+	bounded, cancel := context.WithTimeout(ctx, archiveTimeout)
+	defer cancel()
+	var writes []port.Write
+	for number := range uint64(archiveRows) {
+		writes = append(writes, port.Write{Key: a.key(number), Delete: true})
+	}
+	if _, err := a.options.Table.Commit(bounded, port.Transaction{Writes: writes}); err != nil {
+		a.logFirstFailure(err)
+		return
+	}
+	a.writtenAt = time.Time{}
+	a.next = archiveRow{Format: archiveFormat, Sequence: a.next.Sequence + 1}
+}
+
+// Recall makes the registry know the streams that daemons had written at a moment shortly before. It returns when that is done, has
+// failed, or the context has ended.
+func (a *Archive) Recall(ctx context.Context) error {
+	if !a.enabled() {
+		return errNotArchived
+	}
+	reading := a.read()
+	select {
+	case <-reading.done:
+		return reading.err
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// errNotArchived is returned if there are too many daemons to archive streams.
+var errNotArchived = errors.New("beginnings of streams are not archived in a fleet of this size")
+
+// read returns the reading of all rows that is under way, the last one if it is recent, or a new one.
+func (a *Archive) read() *archiveReading {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	now := clock.Now()
+	if a.reading != nil && now.Sub(a.reading.began) < rereadInterval && !a.reading.failed() {
+		return a.reading
+	}
+	a.reading = &archiveReading{began: now, done: make(chan struct{})}
+	go a.run(a.reading)
+	return a.reading
+}
+
+func (r *archiveReading) failed() bool {
+	select {
+	case <-r.done:
+		return r.err != nil
+	default:
+		return false
+	}
+}
+
+func (a *Archive) run(reading *archiveReading) {
+	defer close(reading.done)
+	ctx, cancel := context.WithTimeout(context.Background(), archiveTimeout)
+	defer cancel()
+	rows, err := a.scan(ctx)
+	if err != nil {
+		reading.err = err
+		return
+	}
+	// The newest rows come first: rows of daemons that are gone may be old.
+	slices.SortFunc(rows, func(left, right port.Row) int { return cmp.Compare(right.Version, left.Version) })
+	streams, malformed := map[streamorigin.Key]streamorigin.Origin{}, 0
+	for _, row := range rows {
+		stored, err := decodeArchiveRow(row.Value)
+		if err != nil {
+			malformed++
+			continue
+		}
+		if strings.HasPrefix(row.Key, a.ownPrefix()) {
+			reading.sequence = max(reading.sequence, stored.Sequence)
+		}
+		if len(streams) < maxArchivedStreams {
+			maps.Copy(streams, stored.origins())
+		}
+	}
+	added := a.options.Registry.recall(streams)
+	if added > 0 || malformed > 0 {
+		a.options.Log.WithFields(logrus.Fields{"rows": len(rows), "streams": len(streams), "new": added, "malformed": malformed}).Info("Beginnings of streams were read from the store.")
+	}
+}
+
+// scan returns all rows of all daemons.
+func (a *Archive) scan(ctx context.Context) ([]port.Row, error) {
+	var rows []port.Row
+	after := ""
+	for {
+		page, err := a.options.Table.Scan(ctx, archivePrefix, after, archivePage)
+		rows = append(rows, page...)
+		if err != nil || len(page) < archivePage {
+			return rows, err
+		}
+		after = page[len(page)-1].Key
+	}
+}
+
+// decodeArchiveRow decodes a row.
+func decodeArchiveRow(value []byte) (archiveRow, error) {
+	var stored archiveRow
+	if err := codec.Unmarshal(value, &stored); err != nil {
+		return archiveRow{}, err
+	}
+	if stored.Format != archiveFormat {
+		return archiveRow{}, fmt.Errorf("format %d is not %d", stored.Format, archiveFormat)
+	}
+	for index, stream := range stored.Streams {
+		if stream.Version < 0 || stream.Version >= len(stored.Versions) {
+			return archiveRow{}, fmt.Errorf("stream %d: there is no version %d", index, stream.Version)
+		}
+	}
+	return stored, nil
+}
+
+// origins returns the origins of the row's streams.
+func (a *archiveRow) origins() map[streamorigin.Key]streamorigin.Origin {
+	origins := map[streamorigin.Key]streamorigin.Origin{}
+	for _, stream := range a.Streams {
+		origins[streamorigin.Key(stream.Key)] = streamorigin.Origin{Version: a.Versions[stream.Version], Backend: stream.Backend}
+	}
+	return origins
+}
--- a/internal/streamorigin/finding.go
+++ b/internal/streamorigin/finding.go
@@ -81,6 +81,19 @@
 }
 
 func (r *Registry) find(ctx context.Context, stream streamorigin.Stream) Found {
+	found := r.findAmongDaemons(ctx, stream)
+	if found.Known || !r.recallArchived(ctx) {
+		return found
+	}
+	if recalled, _ := r.lookup(stream.Key(), stream.Service); recalled.Known {
+		recalled.Asked, recalled.Answered = found.Asked, found.Answered
+		return recalled
+	}
+	return found
+}
+
+// findAmongDaemons finds a stream by what daemons remember, and by which versions were listed.
+func (r *Registry) findAmongDaemons(ctx context.Context, stream streamorigin.Stream) Found {
 	since := r.options.Now()
 	found, own := r.lookup(stream.Key(), stream.Service)
 	if found.Known {
@@ -105,6 +118,17 @@
 	return concluded
 }
 
+// recallArchived records the streams that the store keeps, and reports whether that was done within answerTimeout.
+func (r *Registry) recallArchived(ctx context.Context) bool {
+	archive := r.archive()
+	if archive == nil {
+		return false
+	}
+	bounded, cancel := context.WithTimeout(ctx, answerTimeout)
+	defer cancel()
+	return archive.Recall(bounded) == nil
+}
+
 // verifyWithin verifies the list as of a time after since, and reports whether that was done within answerTimeout.
 func (r *Registry) verifyWithin(ctx context.Context, since time.Time) bool {
 	bounded, cancel := context.WithTimeout(ctx, answerTimeout)
--- a/internal/streamorigin/registry.go
+++ b/internal/streamorigin/registry.go
@@ -40,6 +40,8 @@
 	// Verify makes the registry know all versions that were listed or recorded in the store at a moment after since. Nil always fails:
 	// the store can't be asked.
 	Verify func(ctx context.Context, since time.Time) error
+	// Archive keeps the beginnings of streams in the store; nil keeps none.
+	Archive func() *Archive
 	// Stopping reports whether this daemon stops; nil means never.
 	Stopping func() bool
 	// Now is the clock; nil means clock.Now.
@@ -119,7 +121,7 @@
 	}
 	streams := r.recentOf(now, r.listed.Update(now, changed, gone))
 	r.mutex.Unlock()
-	r.tell(streams, maxRounds)
+	r.publish(streams)
 }
 
 // AdoptEarlier adds versions that were listed before this daemon knew the list.
@@ -129,7 +131,7 @@
 	r.earlier = max(r.earlier, earlier)
 	streams := r.recentOf(now, r.listed.Adopt(now, versions))
 	r.mutex.Unlock()
-	r.tell(streams, maxRounds)
+	r.publish(streams)
 }
 
 // RecentVersions returns the versions of each service that were listed lately, as far as this daemon knows, and whether these are
@@ -179,6 +181,36 @@
 	several := r.listed.Several(now, stream.Service)
 	r.mutex.Unlock()
 	if several {
-		r.tell([]beginning{{Key: uint64(key), Version: string(origin.Version), Backend: origin.Backend}}, maxRounds)
+		r.publish([]beginning{{Key: uint64(key), Version: string(origin.Version), Backend: origin.Backend}})
+	}
+}
+
+// publish tells the homes of streams of them, and archives them.
+func (r *Registry) publish(streams []beginning) {
+	r.tell(streams, maxRounds)
+	if archive := r.archive(); archive != nil {
+		archive.add(streams)
+	}
+}
+
+// archive returns the archive; nil if there is none.
+func (r *Registry) archive() *Archive {
+	if r.options.Archive == nil {
+		return nil
+	}
+	return r.options.Archive()
+}
+
+// recall records streams that began some time ago, and returns how many of them were unknown.
+func (r *Registry) recall(streams map[streamorigin.Key]streamorigin.Origin) int {
+	now, added := r.options.Now(), 0
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	for key, origin := range streams {
+		if _, known := r.told.Get(now, key); !known {
+			added++
+			r.told.Put(now, key, origin)
+		}
 	}
+	return added
 }
