--- a/internal/peerlink/peerlinktest/network.go
+++ b/internal/peerlink/peerlinktest/network.go
@@ -172,6 +172,13 @@
 	return !n.down && !n.frozen
 }
 
+// Reaches reports whether datagrams of the node reach another one.
+func (n *Node) Reaches(other *Node) bool {
+	n.network.mutex.Lock()
+	defer n.network.mutex.Unlock()
+	return !n.down && !other.down && n.side == other.side
+}
+
 // SetSide puts a node on a side of a cut; nodes of different sides don't reach each other.
 func (n *Node) SetSide(side int) {
 	n.network.mutex.Lock()
--- a/internal/streamorigin/finding.go
+++ b/internal/streamorigin/finding.go
@@ -67,12 +67,21 @@
 	switch {
 	case certainty == streamorigin.CertaintyRestarted:
 		return DoubtRestarted
-	case certainty == streamorigin.CertaintyUnknown && r.Several(service):
+	case certainty == streamorigin.CertaintyUnknown && r.mayHaveSeveral(ctx, service):
 		return DoubtUnconfirmed
 	}
 	return ""
 }
 
+// mayHaveSeveral reports whether several versions of a service were listed lately, as far as this daemon can know. One that was out of
+// contact asks the store.
+func (r *Registry) mayHaveSeveral(ctx context.Context, service identity.ServiceName) bool {
+	if r.lostContact() && !r.verifyWithin(ctx, r.options.Now()) {
+		return true
+	}
+	return r.Several(service)
+}
+
 func (r *Registry) confirm(ctx context.Context, backend backendpool.Backend) streamorigin.Certainty {
 	if r.options.Confirm == nil {
 		return streamorigin.CertaintySure
--- a/internal/streamorigin/fleet_test.go
+++ b/internal/streamorigin/fleet_test.go
@@ -19,6 +19,7 @@
 	"github.com/lotusward/lotusward/internal/core/backendpool"
 	"github.com/lotusward/lotusward/internal/core/identity"
 	"github.com/lotusward/lotusward/internal/core/streamorigin"
+	"github.com/lotusward/lotusward/internal/pause"
 	"github.com/lotusward/lotusward/internal/peerlink"
 	"github.com/lotusward/lotusward/internal/peerlink/peerlinktest"
 	"github.com/lotusward/lotusward/internal/port/porttest"
@@ -30,10 +31,14 @@
 // listLag is the longest time until a daemon knows of a change of the list.
 const listLag = 300 * time.Millisecond
 
+// loadsInterval is how often daemons tell each other of their loads.
+const loadsInterval = 400 * time.Millisecond
+
 // testDaemon is a daemon of a fleet.
 type testDaemon struct {
 	*peerlinktest.Node
 	registry *Registry
+	heard    *presence.List
 	side     int
 	down     bool
 	addedAt  time.Time
@@ -87,6 +92,7 @@
 func newRecordingFleet(seed uint64, count int, versions ...identity.SoftwareVersion) *fleet {
 	made := newFleet(seed, 0, versions...)
 	made.records = true
+	go made.hearEachOther()
 	for range count {
 		made.add()
 	}
@@ -103,6 +109,7 @@
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	heard := presence.New()
+	added.heard = heard
 	added.Observe(func(from string) { heard.Heard(from, time.Now()) })
 	topology := peerlink.Topology{
 		Others: func() []string { return f.others(added) },
@@ -151,6 +158,22 @@
 	go func() { _ = d.registry.Run(running) }()
 }
 
+// hearEachOther makes all daemons on one side of the network hear each other all the time, as those that tell of their loads.
+func (f *fleet) hearEachOther() {
+	pause.Every(f.running, loadsInterval, func(time.Time) {
+		now := time.Now()
+		f.mutex.Lock()
+		defer f.mutex.Unlock()
+		for _, from := range f.daemons {
+			for _, to := range f.daemons {
+				if from != to && from.Reaches(to.Node) {
+					to.heard.Heard(from.Address(), now)
+				}
+			}
+		}
+	})
+}
+
 // testDirectory is a Directory that knows the list.
 type testDirectory struct{ isReader func() bool }
 
