Let a refresh of the list make no daemon read it regularly

Found by review, by reading: a refresh counted as a reading of one's own, after which a daemon reads the whole list each ten minutes; at 985 daemons all would, ten minutes after a zone's crash. A list that hasn't changed for longer than the store's history made each refresh fail (410); one of up to 500 back ends is read whole then.

--- a/internal/directory/bulletin.go
+++ b/internal/directory/bulletin.go
@@ -179,8 +179,12 @@
 }
 
 // broadcastBackends sends the latest changes of the list, if this daemon is the reader.
-func (d *Directory) broadcastBackends(now time.Time) {
-	if d.role.noteOwnRead(now, tableBackends) {
+func (d *Directory) broadcastBackends(got message) {
+	reads := d.role.isReader() && d.options.Broadcast != nil
+	if got.applied == nil { // a refresh makes no daemon read the table regularly
+		reads = d.role.noteOwnRead(got.ended, tableBackends)
+	}
+	if reads {
 		d.options.Broadcast(Bulletin{Backends: d.changeLog.news(d.backends.digest)})
 	}
 }
--- a/internal/directory/listing.go
+++ b/internal/directory/listing.go
@@ -1,8 +1,6 @@
 package directory
 
 import (
-	"time"
-
 	"github.com/sirupsen/logrus"
 
 	"github.com/lotusward/lotusward/internal/clock"
@@ -29,7 +27,7 @@
 	d.applyListChange(changed, gone, listed.Version)
 	d.listed.Store(true)
 	d.repeats = bulletinRepeats
-	d.broadcastBackends(got.ended)
+	d.broadcastBackends(got)
 }
 
 // applyChanges applies changes of the list since it was read. Changes no newer than the known position came from
@@ -43,14 +41,14 @@
 		changed := backendsOf(d.backends.differing(changes.Changed))
 		// What is left out here is known up to the position, not merely since the call began: other daemons must
 		// not treat the remaining changes as complete since then.
-		d.applyPages(got.ended, pagesOf(batch{changed: changed, gone: changes.Gone}, position.Load(), changes.Last))
+		d.applyPages(got, pagesOf(batch{changed: changed, gone: changes.Gone}, position.Load(), changes.Last))
 		return
 	}
-	d.broadcastBackends(got.ended)
+	d.broadcastBackends(got)
 }
 
 // applyPages applies and broadcasts changes, page by page.
-func (d *Directory) applyPages(now time.Time, pages []changePage) {
+func (d *Directory) applyPages(got message, pages []changePage) {
 	for _, page := range pages {
 		d.changeLog.note(d.positions[tableBackends].Load(), page.to, page.changed, page.gone)
 		d.change(page.changed, page.gone, page.to)
@@ -58,7 +56,7 @@
 		if len(pages) == 1 {
 			d.repeats = bulletinRepeats
 		}
-		d.broadcastBackends(now)
+		d.broadcastBackends(got)
 	}
 }
 
