Pace failed readings of begun streams, and lose none that are given back

Found by review, by reading: each unknown stream began a reading while readings failed; a page that the store ended by its bytes was taken for the last; beginnings that were added during a write that failed could be dropped unwritten; an older row won over a newer one.

--- a/internal/streamorigin/archive.go
+++ b/internal/streamorigin/archive.go
@@ -5,7 +5,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -43,8 +42,10 @@
 	// newest first.
 	archivePage        = 500
 	maxArchivedStreams = 1 << 15
-	// rereadInterval is the time between two readings of all rows, for streams that no daemon remembers.
+	// rereadInterval is the time between two readings of all rows, for streams that no daemon remembers, and retryInterval that after
+	// one that failed.
 	rereadInterval = time.Second
+	retryInterval  = 200 * time.Millisecond
 	// maxArchivingDaemons is the number of daemons up to which they archive: all rows are read by each daemon that starts.
 	maxArchivingDaemons = 128
 	// archiveFormat is the format of the rows.
@@ -92,7 +93,7 @@
 }
 
 // Archive keeps in the store which versions began streams while their services had several, for daemons that start once all that
-// remembered them have ended. What it holds never changes, so that it is never outdated.
+// remembered them have ended. A recorded beginning never changes, so that none is outdated.
 type Archive struct {
 	options ArchiveOptions
 
@@ -134,9 +135,7 @@
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
 	a.pending = append(a.pending, begun...)
-	if excess := len(a.pending) - archiveRows*streamsPerRow; excess > 0 {
-		a.pending = slices.Clone(a.pending[excess:])
-	}
+	a.dropExcess()
 	a.wake()
 }
 
@@ -210,13 +209,48 @@
 
 // write writes what was added since the last time.
 func (a *Archive) write(ctx context.Context) error {
-	a.mutex.Lock()
-	pending := a.pending[:min(len(a.pending), maxRowsPerWrite*streamsPerRow-len(a.next.Streams))]
-	a.mutex.Unlock()
+	pending := a.take()
 	if len(pending) == 0 {
 		return nil
 	}
 	rows := a.rowsOf(pending)
+	err := a.commit(ctx, rows)
+	if err != nil {
+		a.giveBack(pending)
+		return err
+	}
+	a.next, a.writtenAt = rows[len(rows)-1], clock.Now()
+	return nil
+}
+
+// take returns and removes beginnings that were not written yet, as many as one write holds.
+func (a *Archive) take() []beginning {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	count := min(len(a.pending), maxRowsPerWrite*streamsPerRow-len(a.next.Streams))
+	taken := slices.Clone(a.pending[:count])
+	if a.pending = slices.Clone(a.pending[count:]); len(a.pending) > 0 {
+		a.wake()
+	}
+	return taken
+}
+
+// giveBack adds beginnings again that could not be written.
+func (a *Archive) giveBack(taken []beginning) {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	a.pending = append(taken, a.pending...)
+	a.dropExcess()
+}
+
+// dropExcess drops the oldest beginnings of more than the rows hold. The caller holds the mutex.
+func (a *Archive) dropExcess() {
+	if excess := len(a.pending) - archiveRows*streamsPerRow; excess > 0 {
+		a.pending = slices.Clone(a.pending[excess:])
+	}
+}
+
+func (a *Archive) commit(ctx context.Context, rows []archiveRow) error {
 	var writes []port.Write
 	for _, row := range rows {
 		value, err := codec.Marshal(&row)
@@ -227,16 +261,8 @@
 	}
 	bounded, cancel := context.WithTimeout(ctx, archiveTimeout)
 	defer cancel()
-	if _, err := a.options.Table.Commit(bounded, port.Transaction{Writes: writes}); err != nil {
-		return err
-	}
-	a.next, a.writtenAt = rows[len(rows)-1], clock.Now()
-	a.mutex.Lock()
-	defer a.mutex.Unlock()
-	if a.pending = slices.Clone(a.pending[min(len(pending), len(a.pending)):]); len(a.pending) > 0 {
-		a.wake()
-	}
-	return nil
+	_, err := a.options.Table.Commit(bounded, port.Transaction{Writes: writes})
+	return err
 }
 
 // rowsOf returns the rows to write: the present one with more streams, and further ones.
@@ -279,7 +305,7 @@
 	a.next = archiveRow{Format: archiveFormat, Sequence: a.next.Sequence + 1}
 }
 
-// Recall makes the registry know the streams that daemons had written at a moment shortly before. It returns when that is done, has
+// Recall makes the registry know the streams that daemons had written up to rereadInterval before. It returns when that is done, has
 // failed, or the context has ended.
 func (a *Archive) Recall(ctx context.Context) error {
 	if !a.enabled() {
@@ -302,7 +328,7 @@
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
 	now := clock.Now()
-	if a.reading != nil && now.Sub(a.reading.began) < rereadInterval && !a.reading.failed() {
+	if a.reading != nil && now.Sub(a.reading.began) < a.reading.lasts() {
 		return a.reading
 	}
 	a.reading = &archiveReading{began: now, done: make(chan struct{})}
@@ -310,13 +336,16 @@
 	return a.reading
 }
 
-func (r *archiveReading) failed() bool {
+// lasts returns how long after its beginning no other reading begins.
+func (r *archiveReading) lasts() time.Duration {
 	select {
 	case <-r.done:
-		return r.err != nil
+		if r.err != nil {
+			return retryInterval
+		}
 	default:
-		return false
 	}
+	return rereadInterval
 }
 
 func (a *Archive) run(reading *archiveReading) {
@@ -340,8 +369,10 @@
 		if strings.HasPrefix(row.Key, a.ownPrefix()) {
 			reading.sequence = max(reading.sequence, stored.Sequence)
 		}
-		if len(streams) < maxArchivedStreams {
-			maps.Copy(streams, stored.origins())
+		for key, origin := range stored.origins() {
+			if _, newer := streams[key]; !newer && len(streams) < maxArchivedStreams {
+				streams[key] = origin
+			}
 		}
 	}
 	added := a.options.Registry.recall(streams)
@@ -357,7 +388,7 @@
 	for {
 		page, err := a.options.Table.Scan(ctx, archivePrefix, after, archivePage)
 		rows = append(rows, page...)
-		if err != nil || len(page) < archivePage {
+		if err != nil || len(page) == 0 { // the store also ends a page by its bytes
 			return rows, err
 		}
 		after = page[len(page)-1].Key
