Verify versions by a record that can prove them, and adopt it whole after a loss of contact

Standing still is 0.8 s in any fleet. A daemon that is alone no longer verifies each second. - Verifications take a writing call each: at most a hundred a second over all daemons now, in place of a thousand. - Recalled streams are in a table of their own, behind what daemons tell.

--- a/cmd/lotusward/streamapart_test.go
+++ b/cmd/lotusward/streamapart_test.go
@@ -121,6 +121,7 @@
 	}
 	t.Logf("%d resumed, %d went on, %d mixed; began %v", resumed, wentOn, mixed, began)
 	assert.Check(t, began["v2"] > 0, "no stream began at v2")
+	assert.Check(t, resumed == apartStreams, "%d of %d streams were taken up", resumed, apartStreams)
 	assert.Check(t, mixed == 0, "%d streams have events of several software versions", mixed)
 }
 
@@ -145,7 +146,10 @@
 
 // putReaderFirst orders the daemons so that the last one does not read the store for all.
 func (f *killedFleet) putReaderFirst() {
-	reader := slices.IndexFunc(f.daemons, func(each *process) bool { return strings.Contains(each.log(), "This daemon reads the store for all.") })
+	reader := slices.IndexFunc(f.daemons, func(each *process) bool {
+		log := each.log()
+		return strings.LastIndex(log, "This daemon reads the store for all.") > strings.LastIndex(log, "Another daemon reads the store for all.")
+	})
 	assert.Assert(f.t, reader >= 0, "no daemon reads the store")
 	f.daemons[0], f.daemons[reader] = f.daemons[reader], f.daemons[0]
 }
--- a/internal/core/streamorigin/listed.go
+++ b/internal/core/streamorigin/listed.go
@@ -121,14 +121,15 @@
 	version.goneAt = now
 }
 
-// Adopt adds versions that were listed before this daemon knew the list. Those that are not listed count as removed now. It
-// returns the services that have several versions since then.
-func (l *Listed) Adopt(now time.Time, earlier map[identity.ServiceName][]identity.SoftwareVersion) []identity.ServiceName {
+// Adopt adds versions that were listed before this daemon knew the list. Those that are not listed count as removed now if they are
+// new here, or if this daemon has missed changes of the list: they may have been listed again. It returns the services that have several
+// versions since then.
+func (l *Listed) Adopt(now time.Time, earlier map[identity.ServiceName][]identity.SoftwareVersion, missed bool) []identity.ServiceName {
 	var became []identity.ServiceName
 	for service, versions := range earlier {
 		several := l.Several(now, service)
 		for _, version := range versions {
-			l.adopt(now, service, version)
+			l.adopt(now, service, version, missed)
 		}
 		if !several && l.Several(now, service) {
 			became = append(became, service)
@@ -137,12 +138,16 @@
 	return became
 }
 
-func (l *Listed) adopt(now time.Time, service identity.ServiceName, version identity.SoftwareVersion) {
+func (l *Listed) adopt(now time.Time, service identity.ServiceName, version identity.SoftwareVersion, missed bool) {
 	if l.versions[service] == nil {
 		l.versions[service] = map[identity.SoftwareVersion]*listedVersion{}
 	}
-	if l.versions[service][version] == nil {
+	found := l.versions[service][version]
+	switch {
+	case found == nil:
 		l.versions[service][version] = &listedVersion{goneAt: now}
+	case found.backends == 0 && (missed || found.expired(now)):
+		found.goneAt = now
 	}
 }
 
--- a/internal/streamorigin/contact.go
+++ b/internal/streamorigin/contact.go
@@ -5,18 +5,20 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/lotusward/lotusward/internal/core/streamorigin"
 	"github.com/lotusward/lotusward/internal/pause"
 )
 
 const (
-	// contactInterval is how often a daemon checks whether it is in contact with the others.
+	// contactInterval is how often a daemon checks whether it is in contact with the others. One that hasn't checked for maxContactGap
+	// has stood still.
 	contactInterval = 200 * time.Millisecond
-	// A daemon that was heard within contactWindowPerDaemon times the number of daemons, and at least minContactWindow, is in contact. All
-	// tell each other of their loads three times in this time.
+	maxContactGap   = 800 * time.Millisecond
+	// A daemon that was heard within contactWindowPerDaemon times the number of daemons, and at least minContactWindow, is in contact.
 	contactWindowPerDaemon = 25 * time.Millisecond
 	minContactWindow       = 800 * time.Millisecond
-	// contactGrace times the window is how long a daemon that is no longer heard counts: those that are lost within this time are lost
-	// at once.
+	// contactGrace times the window is how long a daemon that is no longer heard still counts. Daemons that are lost within this time
+	// of each other count as lost together.
 	contactGrace = 2
 	// A daemon that was out of contact tries to verify its list each reverifyPerDaemon times the number of daemons, and at least each
 	// minReverifyInterval.
@@ -29,12 +31,15 @@
 type contact struct {
 	// checkedAt is when contact was last checked; zero if it never was.
 	checkedAt time.Time
-	// heardAt is when each other daemon was last found to be in contact, and counted how many of them counted at the last check.
+	// heardAt is when each other daemon was last heard, and counted how many of them counted at the last check.
 	heardAt map[string]time.Time
 	counted int
-	// lostAt is when the daemon last stood still, heard nobody, or was out of contact with half of those that count; zero if the list was
-	// verified since.
-	lostAt time.Time
+	// apart is set while the daemon hears nobody, or less than a majority of those that count, and missedAt is when it last was apart or
+	// stood still; zero if it never did.
+	apart    bool
+	missedAt time.Time
+	// verifiedAt is when the list and the record of versions were last verified.
+	verifiedAt time.Time
 }
 
 // contactWindow returns the time within which a daemon must have been heard.
@@ -42,90 +47,122 @@
 	return max(time.Duration(daemons)*contactWindowPerDaemon, minContactWindow)
 }
 
-// check updates the contact. Heard reports whether another daemon was heard within the window.
-func (c *contact) check(now time.Time, others []string, heard func(address string) bool) {
+// check updates the contact. Heard returns when another daemon was last heard; zero if that is not known or long ago.
+func (c *contact) check(now time.Time, others []string, heard func(address string) time.Time) {
 	window := contactWindow(len(others) + 1)
 	present, counted := 0, 0
 	before := c.heardAt
 	c.heardAt = make(map[string]time.Time, len(others))
 	for _, address := range others {
-		switch last, known := before[address]; {
-		case heard(address):
-			c.heardAt[address] = now
+		last := before[address]
+		if at := heard(address); at.After(last) {
+			last = at
+		}
+		if now.Sub(last) > contactGrace*window {
+			continue
+		}
+		c.heardAt[address] = last
+		counted++
+		if now.Sub(last) <= window {
 			present++
-			counted++
-		case known && now.Sub(last) <= contactGrace*window:
-			c.heardAt[address] = last
-			counted++
 		}
 	}
-	stoodStill := !c.checkedAt.IsZero() && now.Sub(c.checkedAt) > window
 	alone := present == 0 && len(others) > 0
-	if stoodStill || alone || !isMajority(present, counted) {
-		c.lostAt = now
+	c.apart = alone || !isMajority(present, counted)
+	if c.apart || c.stoodStill(now) {
+		c.missedAt = now
 	}
 	c.checkedAt, c.counted = now, counted
 }
 
+// stoodStill reports whether contact was not checked for too long.
+func (c *contact) stoodStill(now time.Time) bool {
+	return !c.checkedAt.IsZero() && now.Sub(c.checkedAt) > maxContactGap
+}
+
+// missed reports whether this daemon may not have heard of all versions that a majority knew within the last Retention.
+func (c *contact) missed(now time.Time) bool {
+	switch {
+	case c.apart, c.stoodStill(now):
+		return true
+	case c.missedAt.IsZero():
+		return false
+	}
+	return !c.verifiedAt.After(c.missedAt) && now.Sub(c.missedAt) <= streamorigin.Retention
+}
+
 // isMajority reports whether some of the other daemons and this one are more than half of all.
 func isMajority(some, others int) bool { return 2*(some+1) > others+1 }
 
-// checkContact updates the contact of this daemon, and returns when it was lost.
-func (r *Registry) checkContact() time.Time {
+// checkContact updates the contact of this daemon, and reports whether it has missed versions.
+func (r *Registry) checkContact() bool {
 	others, now := r.options.Topology.Near(r.self), r.options.Now()
-	since := now.Add(-contactWindow(len(others) + 1))
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	r.contact.check(now, others, func(address string) bool { return r.options.Presence.HeardSince(address, since) })
-	return r.contact.lostAt
+	r.contact.check(now, others, r.options.Presence.HeardAt)
+	return r.contact.missed(now)
 }
 
 // watchContact checks the contact with other daemons until the context is cancelled.
 func (r *Registry) watchContact(ctx context.Context) {
-	wasLost := false
+	before := false
 	pause.Every(ctx, contactInterval, func(time.Time) {
-		lost := !r.checkContact().IsZero()
-		if lost && !wasLost {
-			r.options.Log.Info("This daemon was out of contact with the others. The list of back ends will be verified.")
+		missed := r.checkContact()
+		if missed && !before {
+			r.options.Log.Info("This daemon is or was out of contact with the others: versions that it lists may not be all.")
+		}
+		if !missed && before {
+			r.options.Log.Info("This daemon is in contact with the others again, and the versions that it lists are verified.")
 		}
-		wasLost = lost
+		before = missed
 	})
 }
 
-// reverify verifies the list after contact was lost, until the context is cancelled.
+// reverify verifies the list once contact that was lost is back, until the context is cancelled.
 func (r *Registry) reverify(ctx context.Context) {
 	for ctx.Err() == nil {
 		interval := max(time.Duration(len(r.options.Topology.Others()))*reverifyPerDaemon, minReverifyInterval)
 		pause.For(ctx, interval/2+rand.N(interval))
-		if r.lostContact() && r.verify(ctx, r.options.Now()) == nil {
-			r.options.Log.Info("The list of back ends was verified.")
+		if r.missedInContact() {
+			_ = r.verify(ctx, r.options.Now())
 		}
 	}
 }
 
-func (r *Registry) lostContact() bool {
+// missedInContact reports whether this daemon is in contact, but has missed versions before.
+func (r *Registry) missedInContact() bool {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	return !r.inContact()
+	return !r.contact.apart && r.contact.missed(r.options.Now())
+}
+
+// missed reports whether this daemon may not know all versions that others knew lately.
+func (r *Registry) missed() bool {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return r.contact.missed(r.options.Now())
 }
 
 // verified records that all versions that the store listed or recorded at a time are known here.
 func (r *Registry) verified(at time.Time) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	if r.contact.lostAt.Before(at) {
-		r.contact.lostAt = time.Time{}
+	if at.After(r.contact.verifiedAt) {
+		r.contact.verifiedAt = at
 	}
 }
 
-// inContact reports whether all versions that a majority of the daemons knows are known here. The caller holds the mutex.
-func (r *Registry) inContact() bool { return r.contact.lostAt.IsZero() }
-
-// enough reports whether the daemons that answered a question can tell what a majority knows. The caller holds the mutex.
-func (r *Registry) enough(asked, answered int) bool {
-	others := asked
-	if asked <= maxAskAll {
+// enough reports whether the daemons whose evidence is complete can tell what a majority knows. The caller holds the mutex.
+func (r *Registry) enough(asked []string, complete map[string]bool) bool {
+	others, answered := len(asked), 0
+	near := r.contact.heardAt
+	if others <= maxAskAll {
 		others = r.contact.counted
 	}
+	for _, address := range asked {
+		if _, counts := near[address]; complete[address] && (counts || len(asked) > maxAskAll) {
+			answered++
+		}
+	}
 	return answered > 0 && isMajority(answered, others)
 }
--- a/internal/streamorigin/evidence.go
+++ b/internal/streamorigin/evidence.go
@@ -30,9 +30,9 @@
 type evidence struct {
 	// several is set if there was more than one.
 	several bool
-	// complete is set if all of them are known, up to the last time at which the daemon was in contact with the others.
+	// complete is set if all of them are known, but for those of which the daemon has not heard.
 	complete bool
-	// current is set if that is the present time.
+	// current is set if it has heard of all.
 	current bool
 	// single is set if there was one, only. It is still listed if listed is set.
 	single, listed bool
@@ -56,7 +56,7 @@
 // evidence returns what this daemon knows of a service. The caller holds the mutex.
 func (r *Registry) evidence(service identity.ServiceName) evidence {
 	now := r.options.Now()
-	found := evidence{several: r.listed.Several(now, service), complete: r.complete(now), current: r.inContact()}
+	found := evidence{several: r.listed.Several(now, service), complete: r.complete(now), current: !r.contact.missed(now)}
 	found.only, found.listed, found.single = r.listed.Only(now, service)
 	return found
 }
--- a/internal/streamorigin/finding.go
+++ b/internal/streamorigin/finding.go
@@ -76,7 +76,7 @@
 // mayHaveSeveral reports whether several versions of a service were listed lately, as far as this daemon can know. One that was out of
 // contact asks the store.
 func (r *Registry) mayHaveSeveral(ctx context.Context, service identity.ServiceName) bool {
-	if r.lostContact() && !r.verifyWithin(ctx, r.options.Now()) {
+	if r.missed() && !r.verifyWithin(ctx, r.options.Now()) {
 		return true
 	}
 	return r.Several(service)
@@ -118,11 +118,11 @@
 	} else {
 		go func() { verified <- r.verifyWithin(ctx, since) }()
 	}
-	found, others := r.ask(ctx, stream, timeout)
+	found, others, from := r.ask(ctx, stream, timeout)
 	if found.Known || found.Doubt != "" {
 		return found
 	}
-	concluded := r.conclude(stream.Service, others, <-verified, found)
+	concluded := r.conclude(stream.Service, others, from, <-verified)
 	concluded.Asked, concluded.Answered = found.Asked, found.Answered
 	return concluded
 }
@@ -146,13 +146,13 @@
 }
 
 // conclude returns the only version that may have begun a stream which no daemon in reach remembers, from what others have told in
-// their answers. The stream began before these. Verified is set if the store was asked since then.
-func (r *Registry) conclude(service identity.ServiceName, others evidence, verified bool, asked Found) Found {
+// their replies. The stream began before these. Verified is set if the store was asked since then.
+func (r *Registry) conclude(service identity.ServiceName, others evidence, from replies, verified bool) Found {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	own, answered := r.evidence(service), r.enough(asked.Asked, asked.Answered)
-	own.current = verified || (own.current && answered)
-	others.current = others.current && (verified || answered)
+	own, enough := r.evidence(service), r.enough(from.asked, from.complete)
+	own.current = verified || (own.current && enough)
+	others.current = others.current && (verified || enough)
 	return own.with(others).found()
 }
 
@@ -161,7 +161,7 @@
 	now := r.options.Now()
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	tables := []*streamorigin.Table{r.told}
+	tables := []*streamorigin.Table{r.recalled, r.told}
 	if own := r.own[service]; own != nil {
 		tables = append(tables, own)
 	}
@@ -176,7 +176,7 @@
 
 // ask asks other daemons about a stream. It returns once one knows it, all have answered, or the time has passed. Those that
 // did not respond lately are asked too, but not waited for longer than singleTimeout.
-func (r *Registry) ask(ctx context.Context, stream streamorigin.Stream, atMost time.Duration) (Found, evidence) {
+func (r *Registry) ask(ctx context.Context, stream streamorigin.Stream, atMost time.Duration) (Found, evidence, replies) {
 	inquiry := r.newInquiry(stream)
 	answers := r.questions.Await(inquiry.question.Number, answersPerDaemon*len(inquiry.waiting))
 	defer r.questions.Forget(inquiry.question.Number)
--- a/internal/streamorigin/fleet_test.go
+++ b/internal/streamorigin/fleet_test.go
@@ -124,7 +124,10 @@
 		Table: f.service, Registry: added.registry, Era: f.era.Load, Daemons: f.size, Log: log,
 		Refresh: func(ctx context.Context) error { return f.refresh(ctx, added) },
 	})
-	added.list(f.listed, f.changes)
+	f.mutex.Lock()
+	listed, change := f.listed, f.changes
+	f.mutex.Unlock()
+	added.list(listed, change)
 	if f.records {
 		added.record(f)
 	}
@@ -266,6 +269,13 @@
 	}
 }
 
+// setListed changes the list; daemons that start, or ask the store, know of it.
+func (f *fleet) setListed(versions []identity.SoftwareVersion) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.listed = versions
+}
+
 // noteRemoved notes whether a list that replaces the present one lacks a version.
 func (f *fleet) noteRemoved(next []identity.SoftwareVersion) {
 	if slices.ContainsFunc(f.listed, func(version identity.SoftwareVersion) bool { return !slices.Contains(next, version) }) {
--- a/internal/streamorigin/inquiry.go
+++ b/internal/streamorigin/inquiry.go
@@ -19,32 +19,37 @@
 	found                   Found
 	// others is what the daemons that answered know together.
 	others evidence
-	// asked is the number of daemons that were asked, and answered are those that answered.
-	asked    int
-	answered map[string]bool
+	replies
+}
+
+// replies are the daemons that were asked, those that answered, and those that know all versions that were listed lately.
+type replies struct {
+	asked              []string
+	answered, complete map[string]bool
 }
 
 func (r *Registry) newInquiry(stream streamorigin.Stream) *inquiry {
 	key := stream.Key()
 	made := &inquiry{
-		registry: r, waiting: map[string]bool{}, evident: map[string]bool{}, early: map[string]bool{}, answered: map[string]bool{},
+		registry: r, waiting: map[string]bool{}, evident: map[string]bool{}, early: map[string]bool{},
+		replies:  replies{answered: map[string]bool{}, complete: map[string]bool{}},
 		question: &questionMessage{Number: r.questions.Next(), Key: uint64(key), Service: string(stream.Service)},
 	}
-	for _, address := range r.asked(key) {
+	made.asked = r.asked(key)
+	for _, address := range made.asked {
 		made.waiting[address] = true
 	}
-	made.asked = len(made.waiting)
 	return made
 }
 
-// result returns what was found, and what the daemons that answered know.
-func (i *inquiry) result() (Found, evidence) {
+// result returns what was found, what the daemons that answered know, and which these are.
+func (i *inquiry) result() (Found, evidence, replies) {
 	found := i.found
-	if i.asked > 0 && len(i.answered) == 0 && i.registry.startedUnrecorded() {
+	if len(i.asked) > 0 && len(i.answered) == 0 && i.registry.startedUnrecorded() {
 		found = Found{Doubt: DoubtAlone}
 	}
-	found.Asked, found.Answered = i.asked, len(i.answered)
-	return found, i.others
+	found.Asked, found.Answered = len(i.asked), len(i.answered)
+	return found, i.others, i.replies
 }
 
 // startedUnrecorded reports whether this daemon has just started and found no record: daemons of earlier builds may have seen
@@ -67,6 +72,9 @@
 	if told := got.evidence; told != nil {
 		i.others = i.others.with(told.evidence())
 		i.evident[got.from] = true
+		if told.Complete {
+			i.complete[got.from] = true
+		}
 		if i.early[got.from] {
 			delete(i.waiting, got.from)
 		}
--- a/internal/streamorigin/record.go
+++ b/internal/streamorigin/record.go
@@ -89,9 +89,10 @@
 type Recorder struct {
 	options RecorderOptions
 	row     *storedrow.Row
-	// read is set once the row was read, and stored is what it holds.
+	// read is set once the row was read, stored is what it holds, and proves is set if that names all versions.
 	read   bool
 	stored record
+	proves bool
 	// failing is set while calls for the row fail.
 	failing bool
 	// waitsUntil is when a daemon that is not the reader waits for the first row no longer, and pollAt when to look for it again.
@@ -153,7 +154,8 @@
 // known returns the record of what this daemon knows.
 func (r *Recorder) known() record {
 	versions, complete := r.options.Registry.RecentVersions()
-	made := record{Format: recordFormat, Era: r.options.Era.Era(), Partial: !complete}
+	partial := !complete || (!r.proves && r.options.Registry.missed())
+	made := record{Format: recordFormat, Era: r.options.Era.Era(), Partial: partial}
 	for _, service := range slices.Sorted(maps.Keys(versions)) {
 		made.Services = append(made.Services, recordedService{Service: service, Versions: versions[service]})
 	}
@@ -180,10 +182,15 @@
 	earlier := EarlierUnknown
 	if value != nil {
 		earlier = r.decode(value)
-	} else if first {
+	}
+	r.proves = earlier == EarlierKnown
+	if value == nil && first {
 		earlier = r.withoutRow(ctx)
 	}
 	r.adopt(earlier)
+	if earlier != EarlierUnknown {
+		r.options.Registry.verified(now)
+	}
 	return nil
 }
 
@@ -220,13 +227,14 @@
 	return EarlierUnrecorded
 }
 
-// adopt adds what the row, or its absence, tells of earlier versions, unless this daemon knows more.
+// adopt adds what the row, or its absence, tells of earlier versions. A daemon that knows all versions may not have heard of the last.
 func (r *Recorder) adopt(earlier Earlier) {
-	if _, complete := r.options.Registry.RecentVersions(); complete {
-		return
-	}
+	_, complete := r.options.Registry.RecentVersions()
 	versions := r.stored.versions()
 	r.options.Registry.AdoptEarlier(versions, earlier)
+	if complete {
+		return
+	}
 	r.options.Log.WithFields(logrus.Fields{
 		"row_version": r.row.Version(), "services": len(versions), "complete": earlier != EarlierUnknown, "era": r.stored.Era, "partial": r.stored.Partial,
 	}).Info("The record of listed versions was read.")
@@ -276,7 +284,7 @@
 	}
 	replaced, err := r.row.Replace(ctx, value)
 	if replaced {
-		r.stored = known
+		r.stored, r.proves = known, !known.Partial
 	}
 	return err
 }
--- a/internal/streamorigin/record_test.go
+++ b/internal/streamorigin/record_test.go
@@ -71,7 +71,7 @@
 					defer fleet.stop()
 					time.Sleep(recordLag)
 					fleet.daemons[0].registry.Begun(stream(1), backendOf(each.before[0]), true)
-					fleet.listed = each.after
+					fleet.setListed(each.after)
 					end(fleet)
 					time.Sleep(recordLag)
 					for _, daemon := range fleet.daemons {
@@ -96,7 +96,7 @@
 		fleet.daemons[0].registry.Begun(stream(1), backendOf("v2"), true)
 		fleet.service.Table.Restore(copied)
 		fleet.era.Add(1)
-		fleet.listed = []identity.SoftwareVersion{"v1"}
+		fleet.setListed([]identity.SoftwareVersion{"v1"})
 		fleet.killAll(time.Second)
 		time.Sleep(recordLag)
 		found := fleet.daemons[0].registry.Find(context.Background(), stream(1))
@@ -225,11 +225,11 @@
 		fleet := newRecordingFleet(1, 2, "v1")
 		defer fleet.stop()
 		time.Sleep(recordLag)
-		fleet.listed = nil
+		fleet.setListed(nil)
 		fleet.killAll(time.Second)
 		time.Sleep(recordLag)
 		fleet.service.Refuse(true)
-		fleet.listed = []identity.SoftwareVersion{"v2"}
+		fleet.setListed([]identity.SoftwareVersion{"v2"})
 		fleet.add()
 		time.Sleep(recordLag)
 		fleet.daemons[1].SetDown(true)
@@ -406,7 +406,7 @@
 		p.unrecorded[version] = time.Since(at) < recordLag
 	}
 	if !p.single && p.luck.IntN(2) == 0 {
-		p.listed = p.nextList()
+		p.setListed(p.nextList())
 	}
 	p.killAll(time.Duration(p.luck.Int64N(int64(2 * time.Second))))
 }
--- a/internal/streamorigin/registry.go
+++ b/internal/streamorigin/registry.go
@@ -4,8 +4,8 @@
 // stops, it tells others what it remembers.
 //
 // A daemon that is to continue a stream asks those that may be homes. If none of them knows the stream, and a single version was
-// listed for longer than streams last, that version began it. A row of the store records which versions were listed lately, for
-// daemons that have just started.
+// listed for longer than streams last, up to the present, that version began it. A row of the store records which versions were listed
+// lately, for daemons that have just started or have not heard of all. Further rows keep which version began streams.
 package streamorigin
 
 import (
@@ -62,9 +62,11 @@
 
 	mutex sync.Mutex
 	// own are the streams that this daemon began, by service, and told those of other daemons.
-	own    map[identity.ServiceName]*streamorigin.Table
-	told   *streamorigin.Table
-	listed *streamorigin.Listed
+	own  map[identity.ServiceName]*streamorigin.Table
+	told *streamorigin.Table
+	// recalled are streams that were read from the store.
+	recalled *streamorigin.Table
+	listed   *streamorigin.Listed
 	// listedSince is when the list was first known, and earlier what is known of the versions that were listed before.
 	listedSince time.Time
 	earlier     Earlier
@@ -100,7 +102,7 @@
 	made := &Registry{
 		options: options, self: options.Link.Address(), startedAt: options.Now(), silence: presence.NewUnresponsive(options.Presence),
 		questions: peerlink.NewQuestions[answer](), confirms: peerlink.NewQuestions[struct{}](),
-		own: map[identity.ServiceName]*streamorigin.Table{}, told: streamorigin.NewTable(), listed: streamorigin.NewListed(),
+		own: map[identity.ServiceName]*streamorigin.Table{}, told: streamorigin.NewTable(), recalled: streamorigin.NewTable(), listed: streamorigin.NewListed(),
 	}
 	peerlink.HandleDecoded(options.Link, peerlink.KindStreamBegin, made.receiveBegin)
 	peerlink.HandleDecoded(options.Link, peerlink.KindStreamBeginConfirm, made.receiveConfirm)
@@ -124,18 +126,18 @@
 	r.publish(streams)
 }
 
-// AdoptEarlier adds versions that were listed before this daemon knew the list.
+// AdoptEarlier adds versions that were listed before this daemon knew the list, or of which it has not heard.
 func (r *Registry) AdoptEarlier(versions map[identity.ServiceName][]identity.SoftwareVersion, earlier Earlier) {
 	now := r.options.Now()
 	r.mutex.Lock()
 	r.earlier = max(r.earlier, earlier)
-	streams := r.recentOf(now, r.listed.Adopt(now, versions))
+	streams := r.recentOf(now, r.listed.Adopt(now, versions, r.contact.missed(now)))
 	r.mutex.Unlock()
 	r.publish(streams)
 }
 
 // RecentVersions returns the versions of each service that were listed lately, as far as this daemon knows, and whether these are
-// all.
+// all but those of which it has not heard.
 func (r *Registry) RecentVersions() (versions map[identity.ServiceName][]identity.SoftwareVersion, complete bool) {
 	now := r.options.Now()
 	r.mutex.Lock()
@@ -207,9 +209,9 @@
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	for key, origin := range streams {
-		if _, known := r.told.Get(now, key); !known {
+		if _, known := r.recalled.Get(now, key); !known {
 			added++
-			r.told.Put(now, key, origin)
+			r.recalled.Put(now, key, origin)
 		}
 	}
 	return added
--- a/internal/streamorigin/verifier.go
+++ b/internal/streamorigin/verifier.go
@@ -18,8 +18,9 @@
 	// verifyTimeout bounds the calls of one verification.
 	verifyTimeout = 700 * time.Millisecond
 	// verifyIntervalPerDaemon times the number of daemons is the time between two verifications of a daemon, and at least
-	// minVerifyInterval: after the crash of a zone callers continue streams at all others at once.
-	verifyIntervalPerDaemon = time.Millisecond
+	// minVerifyInterval: after the crash of a zone callers continue streams at all others at once, and each verification takes one of the
+	// store's few writing calls.
+	verifyIntervalPerDaemon = 10 * time.Millisecond
 	minVerifyInterval       = 20 * time.Millisecond
 )
 
@@ -43,8 +44,10 @@
 
 	mutex   sync.Mutex
 	current *verification
-	// rowVersion is the version of the row that was last adopted.
+	// rowVersion is the version of the row that was last adopted, and rowProves is set if that names all versions. Only one verification
+	// at a time accesses them.
 	rowVersion uint64
+	rowProves  bool
 }
 
 // verification is one look at the store.
@@ -115,36 +118,50 @@
 	defer cancel()
 	refreshed := make(chan error, 1)
 	go func() { refreshed <- v.options.Refresh(ctx) }()
-	started.err = errors.Join(v.adoptRow(ctx), <-refreshed)
-	if started.err == nil {
+	missed := v.options.Registry.missed()
+	proves, err := v.adoptRow(ctx, missed)
+	started.err = errors.Join(err, <-refreshed)
+	switch {
+	case started.err != nil:
+	case proves:
 		v.options.Registry.verified(started.began)
+	case missed:
+		started.err = errUnproven
 	}
 }
 
-// adoptRow adopts the recorded versions if they have changed since the last time. A transaction that only expects the row never
-// shows an outdated one.
-func (v *Verifier) adoptRow(ctx context.Context) error {
-	_, err := v.options.Table.Commit(ctx, port.Transaction{Conditions: []port.Condition{{Key: RowKey, Version: v.rowVersion}}})
+// errUnproven is returned if the record may lack versions of which this daemon has not heard.
+var errUnproven = errors.New("the record of listed versions is missing, partial, or of before the store was restored")
+
+// adoptRow adopts the recorded versions, and reports whether these are all. If the daemon has missed none, it adopts them only if they
+// have changed since the last time. A transaction that only expects the row never shows an outdated one.
+func (v *Verifier) adoptRow(ctx context.Context, missed bool) (proves bool, err error) {
+	expected := v.rowVersion
+	if missed {
+		expected = 0
+	}
+	_, err = v.options.Table.Commit(ctx, port.Transaction{Conditions: []port.Condition{{Key: RowKey, Version: expected}}})
 	var changed *port.ConflictError
 	if !errors.As(err, &changed) {
-		return err
+		return v.rowProves && expected > 0, err
 	}
+	v.rowVersion, v.rowProves = 0, false
 	for _, row := range changed.Current {
 		if row.Key != RowKey || row.Version == 0 {
 			continue
 		}
 		stored, err := decodeRecord(row.Value)
 		if err != nil {
-			return err
+			return false, err
 		}
 		earlier := EarlierUnknown
-		if !stored.Partial && stored.Era == v.options.Era.Era() {
+		if v.rowProves = !stored.Partial && stored.Era == v.options.Era.Era(); v.rowProves {
 			earlier = EarlierKnown
 		}
 		v.options.Registry.AdoptEarlier(stored.versions(), earlier)
 		v.rowVersion = row.Version
 	}
-	return nil
+	return v.rowProves, nil
 }
 
 // versions returns the recorded versions by service.
