Restore the completed version that the soak with roll-outs ends

Traced, with the soak's log and the rows of all back ends: v2-2 says in its answers that it drains; of v2-0 and v2-1 one crashes in the trial, and the other at 17.49, after the order went to shift (v2 was served by one sound back end then) and 0.64 s before it was completed (18.13). The soak adds one back end for each, but of v1, the stable version of that moment. The refusal tells the rest: 8 back ends of the service, all of another version. In the stages shift and completed only the target gets requests, and operators end the old back ends once an order is completed, so no answer but the refusal is allowed.

The check stays: all daemons must serve all kinds of requests once calm. If, and only if, an order was completed and none of its back ends is left that runs and doesn't drain, the soak starts one more of that version first, as an operator would.

--- a/cmd/lotusward/soakrollout_test.go
+++ b/cmd/lotusward/soakrollout_test.go
@@ -5,6 +5,7 @@
 	"flag"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -76,6 +77,10 @@
 	}
 }
 
+// TestServiceReturnsWithItsCompletedVersion guards against a service that nobody serves after the last back end of its
+// completed version was replaced. The soak ends or drains all of them by this seed.
+func TestServiceReturnsWithItsCompletedVersion(t *testing.T) { playSoakRollOuts(t, 57319) }
+
 func playSoakRollOuts(t *testing.T, seed uint64) {
 	operator := &soakOperator{luck: rand.New(rand.NewPCG(seed, 9)), count: 1}
 	playSoakWith(t, seed, soakExtra{
@@ -193,7 +198,7 @@
 	}
 }
 
-// end waits until the last order has ended.
+// end waits until the last order has ended, and starts a back end of its target if the soak has ended them all.
 func (o *soakOperator) end() {
 	if len(o.orders) == 0 {
 		return
@@ -206,6 +211,19 @@
 		}
 		return poll.Continue("the roll-out of %s is under way", last.target)
 	}, poll.WithTimeout(until))
+	o.restore(last)
+}
+
+// restore starts a back end of a completed order's target if none is left that serves: until then nobody may serve
+// its requests, since back ends of other versions get none.
+func (o *soakOperator) restore(order *soakOrder) {
+	state, _ := o.ended(order)
+	if state != "completed" || slices.ContainsFunc(order.runners, (*standin.Runner).Serves) {
+		return
+	}
+	o.t.Logf("no back end of %s is left, another one starts", order.target)
+	restored := o.keep(standin.NewRunner(o.store, order.target+"-restored", "pages", "", 0, 0, standin.WithSoftware(order.target)))
+	order.runners = append(order.runners, restored)
 }
 
 // check holds orders against what arrived at back ends.
