Show the levels of limits without filling their buckets

Limiter.Usages, which the administration's table of limits reads, computed each level by filling the owner's bucket at the whole rate. A daemon that may grant only a part of the rate, as a substitute or on one side of a partition, thus granted the whole one for the time until each reading.

Level now returns what the bucket would hold. TestShowingUsageGrantsNothing fails before (101 of a half rate's 100 granted) and passes after, with all of internal/core/quota.

--- a/internal/core/quota/bucket.go
+++ b/internal/core/quota/bucket.go
@@ -70,7 +70,7 @@
 
 // fill adds what has accrued since the last fill at a share of the rate.
 func (b *Bucket) fill(now time.Time, share float64) {
-	accrued := now.Sub(b.filledAt).Seconds() * b.limit.RatePerSecond * share
+	accrued := b.accrued(now, share)
 	if accrued <= 0 {
 		return
 	}
@@ -79,6 +79,11 @@
 	b.reserved = max(b.reserved-accrued, 0)
 }
 
+// accrued returns what has accrued since the last fill at a share of the rate.
+func (b *Bucket) accrued(now time.Time, share float64) float64 {
+	return now.Sub(b.filledAt).Seconds() * b.limit.RatePerSecond * share
+}
+
 // Take consumes a cost if the bucket has capacity, filling it at a share of the rate. A rejected
 // caller is assumed to return after the announced wait.
 func (b *Bucket) Take(now time.Time, cost, share float64) Decision {
@@ -125,8 +130,7 @@
 	b.level = level
 }
 
-// Level returns the bucket's level at a time, if it fills at a share of the rate.
+// Level returns what the bucket would hold at a time, filled at a share of the rate. It doesn't fill the bucket.
 func (b *Bucket) Level(now time.Time, share float64) float64 {
-	b.fill(now, share)
-	return b.level
+	return min(b.level+max(b.accrued(now, share), 0), b.capacity())
 }
--- a/internal/core/quota/quota_test.go
+++ b/internal/core/quota/quota_test.go
@@ -147,3 +147,20 @@
 func tenantName(index int) Owner {
 	return Owner(fmt.Sprint("tenant-", index))
 }
+
+// TestShowingUsageGrantsNothing guards against a table for operators that fills the bucket of a daemon that may grant
+// only a part of the rate.
+func TestShowingUsageGrantsNothing(t *testing.T) {
+	limit := Limit{Version: 1, RatePerSecond: 100, Burst: 1000}
+	limiter, half := NewLimiter(start, 0), Role{Share: 0.5}
+	request := func(now time.Time, number uint64, cost float64) bool {
+		return limiter.Take(now, Request{Key: RequestKey{From: "a", Number: number}, Owner: "t", Limit: limit, Cost: cost}, half).Granted
+	}
+	assert.Assert(t, !request(start, 1, 1))
+	later := start.Add(2 * time.Second)
+	for range 2 {
+		assert.DeepEqual(t, limiter.Usages(later), []Usage{{Owner: "t", Limit: limit, Level: 200}})
+	}
+	assert.Assert(t, !request(later, 2, 101))
+	assert.Assert(t, request(later, 3, 100))
+}
