Check in virtual time how old confirmations of a slow store get

Cause: the test ran in real time and left the machine 0.1 s. A check takes 900 ms and confirms the moment at which it began; the next one begins 100 ms after it. The oldest confirmation is thus 900 + 100 + 900 ms old, and 1.9 s is the most that a trial in virtual time measured. Timers that come late on a busy machine made up the other 0.17 s.

The test runs in a synctest bubble now. The bound stays at 2 s, and the age is looked at each millisecond for 3 s, where it was each 100 ms.

--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
@@ -406,15 +407,20 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			source.memorySource = &memorySource{declared: declaration(10, 7)}
-			directory := New(Options{Source: source, Pool: backendpool.New("a"), Log: logging.Discard(), SteadyTime: time.Second, Interval: testInterval})
-			go func() { _ = directory.Run(t.Context()) }()
-			poll.WaitOn(t, inForce(directory, 7))
-			for range 30 {
-				time.Sleep(100 * time.Millisecond)
-				age := time.Since(directory.ConfirmedAt())
-				assert.Assert(t, age < 2*time.Second, "confirmed %s ago", age)
-			}
+			synctest.Test(t, func(t *testing.T) {
+				source.memorySource = &memorySource{declared: declaration(10, 7)}
+				directory := New(Options{Source: source, Pool: backendpool.New("a"), Log: logging.Discard(), SteadyTime: time.Second, Interval: testInterval})
+				ctx, cancel := context.WithCancel(t.Context())
+				defer time.Sleep(listTimeout) // the last calls end
+				defer cancel()
+				go func() { _ = directory.Run(ctx) }()
+				poll.WaitOn(t, inForce(directory, 7))
+				for range 3000 {
+					time.Sleep(time.Millisecond)
+					age := time.Since(directory.ConfirmedAt())
+					assert.Assert(t, age < 2*time.Second, "confirmed %s ago", age)
+				}
+			})
 		})
 	}
 }
