Take over a lease whose row holds a token or a duration out of range

A record that another writer left was taken as it was if it was complete: with a duration of 2^62 or 2^63-1 ns nobody could hold the lease again, so that weights were loaded no more; after a token of 2^64-1 the next one was zero, which others took for malformed.

Tokens from 2^62 on and durations of more than a hundred of this daemon's own make the row malformed now: a daemon waits as for an unknown holder, and repairs it.

--- a/internal/core/lease/machine.go
+++ b/internal/core/lease/machine.go
@@ -384,8 +384,8 @@
 		return record, nil
 	}
 	err := json.Unmarshal(row.Value, &record)
-	if err == nil && !record.isComplete() {
-		err = errIncompleteRecord
+	if err == nil {
+		err = record.check(m.settings.Duration)
 	}
 	if err != nil {
 		unknown := Record{Token: identity.FencingToken(row.Version), Duration: m.settings.Duration, Acting: true}
--- a/internal/core/lease/record.go
+++ b/internal/core/lease/record.go
@@ -36,14 +36,35 @@
 	Released bool `json:"released,omitempty"`
 }
 
-// errIncompleteRecord reports a row that lacks a mandatory field: holder, token or duration.
-var errIncompleteRecord = errors.New("missing holder, token or duration")
+// Errors of rows that can be decoded but hold no usable record.
+var (
+	errIncompleteRecord  = errors.New("missing holder, token or duration")
+	errImplausibleRecord = errors.New("token or duration out of range")
+)
+
+const (
+	// maxToken is above all tokens that can be reached: each takes a commit, and each era of the table begins a new range. The token
+	// after the highest number would be zero.
+	maxToken = 1 << 62
+	// maxDurationRatio bounds the duration of others' records, in those of this daemon. Nobody could hold the lease before the duration
+	// of the last record is over.
+	maxDurationRatio = 100
+)
 
-// isComplete reports whether a record has its mandatory fields: holder, token and duration. A record
-// without a duration would free the lease at once, although its holder may still act.
-func (r Record) isComplete() bool { return r.Holder != "" && r.Token > 0 && r.Duration > 0 }
+// check returns what makes a record unusable for a daemon whose own records have a duration. A record without a duration would free the
+// lease at once, although its holder may still act.
+func (r Record) check(duration time.Duration) error {
+	switch {
+	case r.Holder == "" || r.Token == 0 || r.Duration <= 0:
+		return errIncompleteRecord
+	case r.Token >= maxToken || r.Duration/maxDurationRatio > duration:
+		return errImplausibleRecord
+	default:
+		return nil
+	}
+}
 
-// MalformedError reports that the lease's row could not be parsed or lacks a mandatory field. The
+// MalformedError reports that the lease's row could not be parsed, lacks a mandatory field or has one out of range. The
 // lease then counts as held by an unknown holder that has just acted, for the configured duration.
 type MalformedError struct {
 	Key   string
