--- a/internal/namingrecord/namingrecord_test.go
+++ b/internal/namingrecord/namingrecord_test.go
@@ -1,8 +1,11 @@
 package namingrecord
 
 import (
+	"bytes"
 	"context"
+	"math"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -88,11 +91,21 @@
 
 // FuzzRow checks that arbitrary row contents cause no panic and that the stored list is sorted afterwards.
 func FuzzRow(f *testing.F) {
-	for _, held := range [][]directory.SeenVersion{nil, {seen(2, time.Second), seen(1, 0), seen(2, 0)}, {seen(9, -time.Hour)}} {
+	for _, held := range [][]directory.SeenVersion{
+		nil, {seen(2, time.Second), seen(1, 0), seen(2, 0)}, {seen(9, -time.Hour)}, {seen(math.MaxUint64, math.MaxInt64), seen(1<<62, math.MinInt64), seen(0, -1)},
+		{{Model: identity.ModelName(strings.Repeat("m", 60_000)), Version: 1, StoreClock: 1}},
+	} {
 		value, err := msgpack.Marshal(held)
 		assert.NilError(f, err)
 		f.Add(value)
 	}
+	for _, levels := range []int{9_000, 65_535, 200_000} {
+		f.Add(append(bytes.Repeat([]byte{0x91}, levels), 0xc0))
+		f.Add(append(bytes.Repeat([]byte("\x81\xa5Model"), levels/7), 0xc0))
+	}
+	for _, number := range []string{"\xcf\xff\xff\xff\xff\xff\xff\xff\xff", "\xd3\x80\x00\x00\x00\x00\x00\x00\x00", "\xcb\x7e\x37\xe4\x3c\x88\x00\x75\x9c", "\xff"} {
+		f.Add([]byte("\x91\x83\xa5Model\xa1m\xa7Version" + number + "\xaaStoreClock" + number))
+	}
 	f.Add([]byte("nonsense"))
 	f.Fuzz(func(t *testing.T, value []byte) {
 		service := porttest.NewService()
