Cut long findings on malformed rows

A finding quotes the row's text: a daemon's descriptor in full. A row of 60 kB that changes each 50 ms would be logged each time and remembered up to a thousand times until the next reading of the whole table. Findings are cut after 300 bytes. TestLongFindingsAreCut failed before with 1,000 findings in place of 1.

--- a/internal/directory/malformedrows.go
+++ b/internal/directory/malformedrows.go
@@ -11,6 +11,8 @@
 	maxLoggedFindings = 16
 	// maxKnownFindings bounds the findings remembered of each table; further ones are logged at each read.
 	maxKnownFindings = 1000
+	// maxFindingBytes bounds the text of a finding, which may quote a whole row.
+	maxFindingBytes = 300
 )
 
 // malformedRows remembers what could not be read in each table, so that it is logged once: other writers' malformed
@@ -49,6 +51,7 @@
 	}
 	var unknown []string
 	for finding := range strings.SplitSeq(malformed.Error(), "\n") {
+		finding = strings.Clone(finding[:min(len(finding), maxFindingBytes)])
 		if !before[finding] {
 			unknown = append(unknown, finding)
 		}
--- a/internal/directory/malformedrows_test.go
+++ b/internal/directory/malformedrows_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -46,3 +47,15 @@
 	assert.Equal(t, rows.counts()[tableMembers], maxKnownFindings)
 	assert.Equal(t, len(rows.noteChanged(tableMembers, errors.New("members/0: no address"))), 0)
 }
+
+// TestLongFindingsAreCut guards against remembering whole rows of other writers, and logging each that differs after hundreds of bytes.
+func TestLongFindingsAreCut(t *testing.T) {
+	rows := newMalformedRows()
+	for row := range maxKnownFindings {
+		rows.noteChanged(tableMembers, fmt.Errorf("members/1: %s %d", strings.Repeat("x", 60_000), row))
+	}
+	assert.Equal(t, rows.counts()[tableMembers], 1)
+	for finding := range rows.known[tableMembers] {
+		assert.Assert(t, len(finding) <= maxFindingBytes)
+	}
+}
