--- a/cmd/lotusward/soakapart_test.go
+++ b/cmd/lotusward/soakapart_test.go
@@ -21,6 +21,8 @@
 	apartLongest  = 3 * time.Second
 	// unheardEnded is how many back ends more a request may end at a daemon that hears nothing of the others.
 	unheardEnded = 2
+	// apartResumers is how many callers continue streams: many wait for daemons that are apart.
+	apartResumers = 18
 )
 
 // apartSoak adds daemons that are apart to the soak of versions, back ends of new versions that join meanwhile, and odd rows.
@@ -62,6 +64,7 @@
 
 func playApartSoak(t *testing.T, seed uint64) {
 	added := &apartSoak{versionSoak: newVersionSoak(seed, ""), luck: rand.New(rand.NewPCG(seed, apartStream)), newest: 2, apart: map[*process]time.Time{}}
+	added.resumers = apartResumers
 	added.moving = added.luck.IntN(2) == 0
 	if added.moving {
 		added.newest = 1
--- a/cmd/lotusward/soakversions_test.go
+++ b/cmd/lotusward/soakversions_test.go
@@ -31,7 +31,7 @@
 const (
 	// versionsStream is the stream of the seed that draws what is added here.
 	versionsStream = 6 << 32
-	// soakResumers is how many callers continue streams.
+	// soakResumers is how many callers continue streams in the soak of versions.
 	soakResumers = 6
 )
 
@@ -45,6 +45,8 @@
 	callers sync.WaitGroup
 	started bool
 	ending  chan struct{}
+	// resumers is how many callers continue streams.
+	resumers int
 
 	streams sync.Mutex
 	taken   []takenStream
@@ -92,7 +94,7 @@
 }
 
 func newVersionSoak(seed uint64, earlier string) *versionSoak {
-	return &versionSoak{draws: rand.New(rand.NewPCG(seed, versionsStream)), ending: make(chan struct{}), earlier: earlier}
+	return &versionSoak{draws: rand.New(rand.NewPCG(seed, versionsStream)), ending: make(chan struct{}), earlier: earlier, resumers: soakResumers}
 }
 
 // versionSoakBounds returns the bounds of the deployment that is played.
@@ -156,7 +158,7 @@
 		return
 	}
 	v.started = true
-	for number := range soakResumers {
+	for number := range v.resumers {
 		luck := rand.New(rand.NewPCG(v.draws.Uint64(), uint64(number)))
 		v.callers.Go(func() { v.resume(luck, number) })
 	}
