--- a/cmd/lotusward/soakversions_test.go
+++ b/cmd/lotusward/soakversions_test.go
@@ -31,7 +31,7 @@
 const (
 	// versionsStream is the stream of the seed that draws what is added here.
 	versionsStream = 6 << 32
-	// soakResumers is how many callers continue streams.
+	// soakResumers is how many callers continue streams in the soak of versions.
 	soakResumers = 6
 )
 
@@ -45,6 +45,8 @@
 	callers sync.WaitGroup
 	started bool
 	ending  chan struct{}
+	// resumers is how many callers continue streams.
+	resumers int
 
 	streams sync.Mutex
 	taken   []takenStream
@@ -81,7 +83,7 @@
 }
 
 func playVersionSoak(t *testing.T, seed uint64, earlier string) {
-	added := &versionSoak{draws: rand.New(rand.NewPCG(seed, versionsStream)), ending: make(chan struct{}), earlier: earlier}
+	added := newVersionSoak(seed, earlier)
 	plain := plainSoak()
 	playSoakWith(t, seed, soakExtra{
 		bounds:  versionSoakBounds(t, plain.bounds),
@@ -91,6 +93,10 @@
 	})
 }
 
+func newVersionSoak(seed uint64, earlier string) *versionSoak {
+	return &versionSoak{draws: rand.New(rand.NewPCG(seed, versionsStream)), ending: make(chan struct{}), earlier: earlier, resumers: soakResumers}
+}
+
 // versionSoakBounds returns the bounds of the deployment that is played.
 func versionSoakBounds(t *testing.T, otherwise string) string {
 	t.Helper()
@@ -141,15 +147,25 @@
 	return false
 }
 
-// step restarts a back end with another version now and then.
 func (v *versionSoak) step() {
-	if !v.started {
-		v.started = true
-		for number := range soakResumers {
-			luck := rand.New(rand.NewPCG(v.draws.Uint64(), uint64(number)))
-			v.callers.Go(func() { v.resume(luck, number) })
-		}
+	v.startResumers()
+	v.restartOne()
+}
+
+// startResumers starts the callers that continue streams, once.
+func (v *versionSoak) startResumers() {
+	if v.started {
+		return
+	}
+	v.started = true
+	for number := range v.resumers {
+		luck := rand.New(rand.NewPCG(v.draws.Uint64(), uint64(number)))
+		v.callers.Go(func() { v.resume(luck, number) })
 	}
+}
+
+// restartOne restarts a back end with another version now and then.
+func (v *versionSoak) restartOne() {
 	if v.draws.IntN(5) > 0 {
 		return
 	}
