Let a daemon that woke tell others that it doesn't know all versions

A caller that continued a stream could be sent on to another version: a daemon that had stood still while a version joined told others that it knew all versions, until it checked its contact again up to 200 ms after the wake. The contact is kept only while it was checked within the window.

--- /dev/null
+++ b/internal/streamorigin/apart_test.go
@@ -0,0 +1,685 @@
+package streamorigin
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/lotusward/lotusward/internal/core/identity"
+	"github.com/lotusward/lotusward/internal/core/streamorigin"
+	"github.com/lotusward/lotusward/internal/logging"
+	"github.com/lotusward/lotusward/internal/pause"
+	"github.com/lotusward/lotusward/internal/peerlink"
+	"github.com/lotusward/lotusward/internal/port"
+	"github.com/lotusward/lotusward/internal/presence"
+)
+
+// storeReach is how a daemon reaches the store.
+type storeReach int32
+
+const (
+	storeAnswers storeReach = iota
+	// storeRefuses makes calls fail at once.
+	storeRefuses
+	// storeSilent leaves calls without an answer.
+	storeSilent
+)
+
+const (
+	// storeDelay is the time that a call takes each way.
+	storeDelay = 2 * time.Millisecond
+	// newsInterval is how often news spreads, and newsLag the longest time until a daemon in reach has it.
+	newsInterval = 20 * time.Millisecond
+	newsLag      = 150 * time.Millisecond
+	// nextStream is the difference between the numbers of streams that begin in one action.
+	nextStream = 1000
+)
+
+// daemonStore is the store as one daemon reaches it. It implements port.TableService.
+type daemonStore struct {
+	*apartFleet
+	daemon *apartDaemon
+	reach  atomic.Int32
+}
+
+var _ port.TableService = (*daemonStore)(nil)
+
+func (s *daemonStore) answers() bool {
+	return storeReach(s.reach.Load()) == storeAnswers && !s.silentToAll.Load()
+}
+
+// call makes a call. A daemon that stands still neither sends it nor reads its answer.
+func (s *daemonStore) call(ctx context.Context, apply func()) error {
+	s.daemon.awaitAwake()
+	time.Sleep(storeDelay)
+	if storeReach(s.reach.Load()) == storeRefuses {
+		return &port.UnavailableError{Service: "table", Cause: errors.New("refused")}
+	}
+	if !s.answers() {
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	apply()
+	time.Sleep(storeDelay)
+	s.daemon.awaitAwake()
+	return ctx.Err()
+}
+
+// Read implements port.TableService.
+func (s *daemonStore) Read(ctx context.Context, keys ...string) (rows []port.Row, err error) {
+	failed := s.call(ctx, func() { rows, err = s.service.Read(ctx, keys...) })
+	return rows, errors.Join(failed, err)
+}
+
+// Scan implements port.TableService.
+func (s *daemonStore) Scan(ctx context.Context, prefix, after string, limit int) (rows []port.Row, err error) {
+	failed := s.call(ctx, func() { rows, err = s.service.Scan(ctx, prefix, after, limit) })
+	return rows, errors.Join(failed, err)
+}
+
+// Commit implements port.TableService.
+func (s *daemonStore) Commit(ctx context.Context, transaction port.Transaction) (rows []port.Row, err error) {
+	if failed := s.call(ctx, func() { rows, err = s.service.Commit(ctx, transaction) }); failed != nil {
+		return nil, failed
+	}
+	return rows, err
+}
+
+// apartDaemon is a daemon that reaches the others and the store in its own way.
+type apartDaemon struct {
+	*testDaemon
+	name   string
+	store  *daemonStore
+	asleep bool
+	// nextNews is when it has the news that is in its reach. It is owned by the goroutine that spreads news.
+	nextNews time.Time
+	complete atomic.Bool
+}
+
+// awaitAwake waits until the daemon doesn't stand still.
+func (d *apartDaemon) awaitAwake() {
+	awake := make(chan struct{})
+	d.WhenAwake(func() { close(awake) })
+	<-awake
+}
+
+// knows reports whether the daemon knows that a version was listed lately.
+func (d *apartDaemon) knows(version identity.SoftwareVersion) bool {
+	versions, _ := d.registry.RecentVersions()
+	return slices.Contains(versions[testService], version)
+}
+
+// apartFleet is a fleet whose daemons know of changes of the list only if they reach the store, or a daemon that knows of them.
+type apartFleet struct {
+	*fleet
+	archives    bool
+	silentToAll atomic.Bool
+	// members are the daemons of the fleet, guarded by its mutex.
+	members []*apartDaemon
+	// newsLuck is owned by the goroutine that spreads news.
+	newsLuck *rand.Rand
+}
+
+func newApartFleet(seed uint64, count int, archives bool) *apartFleet {
+	made := &apartFleet{fleet: newFleet(seed, 0, "v1"), archives: archives, newsLuck: rand.New(rand.NewPCG(seed, 3))}
+	go made.hearEachOther()
+	go pause.Every(made.running, newsInterval, func(time.Time) { made.spreadNews() })
+	for range count {
+		made.join()
+	}
+	return made
+}
+
+// join adds a daemon that all know at once.
+func (f *apartFleet) join() *apartDaemon {
+	added := f.newDaemon(fmt.Sprint("d", f.added))
+	f.mutex.Lock()
+	f.daemons, f.members = append(f.daemons, added.testDaemon), append(f.members, added)
+	f.added++
+	f.mutex.Unlock()
+	f.run(added)
+	return added
+}
+
+// newDaemon returns a daemon of a name, at the address that all of this name have.
+func (f *apartFleet) newDaemon(name string) *apartDaemon {
+	node := f.network.Add(name + ":1")
+	added := &apartDaemon{name: name, testDaemon: &testDaemon{addedAt: time.Now(), Node: node, heard: presence.New(), change: -1}}
+	added.store = &daemonStore{apartFleet: f, daemon: added}
+	added.Observe(func(from string) { added.heard.Heard(from, time.Now()) })
+	return added
+}
+
+// run runs what a daemon runs.
+func (f *apartFleet) run(daemon *apartDaemon) {
+	var verifier *Verifier
+	var archive *Archive
+	log := logging.Discard()
+	daemon.registry = New(Options{
+		Link: daemon, Presence: daemon.heard, Now: time.Now, Log: log,
+		Topology: peerlink.Topology{
+			Others: func() []string { return f.others(daemon.testDaemon) },
+			Zone:   func(address string) identity.Zone { return identity.Zone(rune('a' + f.indexOf(address)%3)) },
+		},
+		Verify:  func(ctx context.Context, since time.Time) error { return verifier.Verify(ctx, since) },
+		Archive: func() *Archive { return archive },
+	})
+	verifier = NewVerifier(VerifierOptions{
+		Table: daemon.store, Registry: daemon.registry, Era: f.era.Load, Daemons: f.size, Log: log,
+		Refresh: func(ctx context.Context) error { return f.refresh(ctx, daemon) },
+	})
+	recorder := NewRecorder(RecorderOptions{
+		Table: daemon.store, Registry: daemon.registry, Log: log, Era: f.era.Load, Daemons: f.size,
+		RemovedLately: func(ctx context.Context) (bool, error) { return f.removed.Load(), daemon.store.call(ctx, func() {}) },
+		Directory:     apartDirectory{fleet: f, daemon: daemon},
+	})
+	var running context.Context
+	running, daemon.kill = context.WithCancel(f.running)
+	if f.archives {
+		archive = NewArchive(ArchiveOptions{
+			Table: daemon.store, Self: daemon.name, Registry: daemon.registry, Ready: daemon.complete.Load, Daemons: f.size, Log: log,
+		})
+		go func() { _ = archive.Run(running) }()
+	}
+	go func() { _ = recorder.Run(running) }()
+	go daemon.registry.reverify(running)
+	go pause.Every(running, contactInterval, func(time.Time) {
+		if daemon.Working() {
+			daemon.registry.checkContact()
+		}
+	})
+}
+
+// apartDirectory implements Directory.
+type apartDirectory struct {
+	fleet  *apartFleet
+	daemon *apartDaemon
+}
+
+func (d apartDirectory) Complete() bool { return d.daemon.complete.Load() }
+
+// IsReader implements Directory: the first daemon on each side of the network that reaches the store reads it.
+func (d apartDirectory) IsReader() bool {
+	d.fleet.mutex.Lock()
+	defer d.fleet.mutex.Unlock()
+	for _, each := range d.fleet.members {
+		if each.Working() && each.store.answers() && each.Reaches(d.daemon.Node) {
+			return each == d.daemon
+		}
+	}
+	return false
+}
+
+// refresh makes a daemon list the present versions if the store answers.
+func (f *apartFleet) refresh(ctx context.Context, daemon *apartDaemon) error {
+	if !daemon.complete.Load() {
+		return errors.New("the list is not known")
+	}
+	var listed []identity.SoftwareVersion
+	change := 0
+	err := daemon.store.call(ctx, func() { listed, change = f.present() })
+	if err == nil {
+		daemon.list(listed, change)
+	}
+	return err
+}
+
+func (f *apartFleet) present() ([]identity.SoftwareVersion, int) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.listed, f.changes
+}
+
+// spreadNews makes daemons list what the store, or another daemon in their reach, lists.
+func (f *apartFleet) spreadNews() {
+	now := time.Now()
+	f.mutex.Lock()
+	members := slices.Clone(f.members)
+	f.mutex.Unlock()
+	for _, each := range members {
+		if !each.Working() || now.Before(each.nextNews) {
+			continue
+		}
+		each.nextNews = now.Add(time.Duration(f.newsLuck.Int64N(int64(newsLag))))
+		if versions, change := f.newest(members, each); change >= 0 {
+			each.list(versions, change)
+			each.complete.Store(true)
+		}
+	}
+}
+
+// newest returns the newest list in reach of a daemon, and -1 if there is none.
+func (f *apartFleet) newest(members []*apartDaemon, daemon *apartDaemon) (versions []identity.SoftwareVersion, change int) {
+	change = -1
+	for _, each := range members {
+		if each != daemon && (!each.Working() || !each.Reaches(daemon.Node)) {
+			continue
+		}
+		if each.store.answers() {
+			return f.present()
+		}
+		each.mutex.Lock()
+		if each.change > change {
+			versions, change = each.view, each.change
+		}
+		each.mutex.Unlock()
+	}
+	return versions, change
+}
+
+// relistApart changes the list in the store.
+func (f *apartFleet) relistApart(versions []identity.SoftwareVersion) {
+	f.noteRemoved(versions)
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.listed, f.relistedAt = versions, time.Now()
+	f.changes++
+}
+
+// end kills a daemon. It stays a member until it is replaced.
+func (f *apartFleet) end(daemon *apartDaemon) {
+	daemon.down = true
+	daemon.SetDown(true)
+	daemon.kill()
+	f.wake(daemon)
+}
+
+func (f *apartFleet) wake(daemon *apartDaemon) {
+	if daemon.asleep {
+		daemon.asleep = false
+		daemon.Thaw()
+	}
+}
+
+// replace starts a daemon under the name of one that is down.
+func (f *apartFleet) replace(ended *apartDaemon) {
+	added := f.newDaemon(ended.name)
+	added.side = ended.side
+	added.SetSide(added.side)
+	added.store.reach.Store(ended.store.reach.Load())
+	f.mutex.Lock()
+	at := slices.Index(f.members, ended)
+	f.members[at], f.daemons[at] = added, added.testDaemon
+	f.mutex.Unlock()
+	f.run(added)
+}
+
+// apartPlay is a play of actions before an apartFleet.
+type apartPlay struct {
+	*apartFleet
+	began map[int]beganStream
+	// told are the daemons that ever knew a version since it was listed, of those that were members then.
+	told  map[identity.SoftwareVersion]map[*apartDaemon]bool
+	start time.Time
+	trace []string
+}
+
+// TestDaemonsApartContinueNoStreamAtAnotherVersion draws daemons that are cut off from each other and from the store, stand still, are
+// killed and replaced, while versions join and leave, and streams begin at all that list them. What is found must be the version that
+// began the stream, but for what the design says that a daemon can't know.
+func TestDaemonsApartContinueNoStreamAtAnotherVersion(t *testing.T) {
+	for name, archives := range map[string]bool{"with an archive": true, "without an archive": false} {
+		t.Run(name, func(t *testing.T) {
+			rapid.Check(t, func(drawn *rapid.T) {
+				seed := rapid.Uint64().Draw(drawn, "seed")
+				count := rapid.SampledFrom([]int{1, 2, 3, 4, 5, 6, 7, 20}).Draw(drawn, "daemons")
+				actions := rapid.SliceOfN(rapid.IntRange(0, 99), 5, 60).Draw(drawn, "actions")
+				failed := ""
+				synctest.Test(t, func(*testing.T) {
+					play := &apartPlay{
+						apartFleet: newApartFleet(seed, count, archives), began: map[int]beganStream{},
+						told: map[identity.SoftwareVersion]map[*apartDaemon]bool{},
+					}
+					failed = play.run(actions)
+					play.finish()
+				})
+				if failed != "" {
+					drawn.Fatal(failed)
+				}
+			})
+		})
+	}
+}
+
+// finish ends all daemons.
+func (f *apartFleet) finish() {
+	f.stop()
+	for _, each := range f.members {
+		f.wake(each)
+	}
+	time.Sleep(5 * time.Second)
+}
+
+// run plays actions and returns how a stream was found wrongly; empty if none was.
+func (p *apartPlay) run(actions []int) string {
+	p.start = time.Now()
+	p.network.Lose([]float64{0, 0.03}[p.luck.IntN(2)])
+	time.Sleep(2 * time.Second)
+	for number, action := range actions {
+		daemon := p.members[p.luck.IntN(len(p.members))]
+		did, wrong := p.act(number, action, daemon)
+		p.note(did)
+		if wrong != "" {
+			return wrong + "\n" + strings.Join(p.trace, "\n")
+		}
+		time.Sleep(time.Duration(p.luck.Int64N(int64(100 * time.Millisecond))))
+		p.noteKnowledge()
+	}
+	return ""
+}
+
+// act plays one action and returns what was done, and how a stream was found wrongly.
+func (p *apartPlay) act(number, action int, daemon *apartDaemon) (did, wrong string) {
+	switch {
+	case action < 14:
+		return p.begin(number, daemon), ""
+	case action < 32:
+		return p.find(p.luck.IntN(number+1), daemon)
+	case action < 38:
+		return p.relistOnce(p.nextList()), ""
+	case action < 62:
+		return "", p.missVersion(number, daemon)
+	case action < 67:
+		return p.cutOff([]*apartDaemon{daemon}), ""
+	case action < 70:
+		return p.cutOff(p.minority()), ""
+	case action < 75:
+		return p.sleepOrWake(daemon), ""
+	case action < 81:
+		return p.reachStore(daemon, storeReach(p.luck.Int32N(3))), ""
+	case action < 83:
+		p.silentToAll.Store(!p.silentToAll.Load())
+		return fmt.Sprint("the store is silent to all: ", p.silentToAll.Load()), ""
+	case action < 88:
+		return p.endOrReplace(daemon), ""
+	case action < 90 && len(p.members) < 24:
+		return p.join().name + " joins", ""
+	case action < 92:
+		return p.heal(), ""
+	case action < 95:
+		return p.calm(), ""
+	default:
+		time.Sleep(time.Duration(p.luck.Int64N(int64(4 * time.Second))))
+		return "", ""
+	}
+}
+
+// missVersion takes daemons out of step while a version joins and begins streams at the others, which end or go on. The streams are
+// looked up at one that was out of step, at once or a moment after it reaches others again.
+func (p *apartPlay) missVersion(number int, daemon *apartDaemon) string {
+	first, missing := number, []*apartDaemon{daemon}
+	if p.luck.IntN(4) == 0 {
+		missing = append(missing, p.minority()...)
+	}
+	p.takeOut(missing)
+	p.waitUpTo(3 * time.Second)
+	p.note(p.relistOnce(append(slices.Clone(p.listed), identity.SoftwareVersion(fmt.Sprint("n", number)))))
+	p.waitUpTo(2 * newsLag)
+	for _, each := range p.members {
+		if !slices.Contains(missing, each) {
+			number += nextStream
+			p.note(p.begin(number, each))
+		}
+	}
+	p.waitUpTo(300 * time.Millisecond)
+	if p.luck.IntN(2) == 0 {
+		p.endOthers(missing)
+	}
+	p.bringBack(missing)
+	if p.luck.IntN(2) == 0 {
+		p.waitUpTo(4 * time.Second)
+	}
+	for which := number; which > first; which -= nextStream {
+		did, wrong := p.find(which, daemon)
+		p.note(did)
+		if wrong != "" {
+			return wrong
+		}
+	}
+	return ""
+}
+
+// takeOut cuts daemons off from others, from the store or both, or makes them stand still.
+func (p *apartPlay) takeOut(missing []*apartDaemon) {
+	asleep, together, reach := p.luck.IntN(3) == 0, p.luck.IntN(4) > 0, storeReach(p.luck.Int32N(3))
+	for _, each := range missing {
+		p.note(p.reachStore(each, reach))
+		switch {
+		case asleep && !each.asleep:
+			p.note(p.sleepOrWake(each))
+		case together && each.side == 0:
+			p.note(p.cutOff([]*apartDaemon{each}))
+		}
+	}
+}
+
+// endOthers kills all daemons but some, and may start others in their place.
+func (p *apartPlay) endOthers(missing []*apartDaemon) {
+	replaced := p.luck.IntN(2) == 0
+	for _, each := range slices.Clone(p.members) {
+		if slices.Contains(missing, each) || each.down {
+			continue
+		}
+		p.note(p.endOrReplace(each))
+		if replaced {
+			p.note(p.endOrReplace(each))
+		}
+	}
+}
+
+// bringBack wakes daemons, and may bring them back to the others and to the store.
+func (p *apartPlay) bringBack(missing []*apartDaemon) {
+	rejoins, reaches := p.luck.IntN(4) > 0, p.luck.IntN(3) == 0
+	for _, each := range missing {
+		if reaches {
+			p.note(p.reachStore(each, storeAnswers))
+		}
+		if rejoins && each.side == 1 {
+			p.note(p.cutOff([]*apartDaemon{each}))
+		}
+		if each.asleep {
+			p.note(p.sleepOrWake(each))
+		}
+	}
+}
+
+func (p *apartPlay) waitUpTo(most time.Duration) {
+	time.Sleep(time.Duration(p.luck.Int64N(int64(most))))
+	p.noteKnowledge()
+}
+
+// note adds what was done to the trace.
+func (p *apartPlay) note(did string) {
+	if did != "" {
+		p.trace = append(p.trace, fmt.Sprintf("%.3f s: %s", time.Since(p.start).Seconds(), did))
+	}
+}
+
+// minority returns some daemons that are fewer than the others.
+func (p *apartPlay) minority() []*apartDaemon {
+	var few []*apartDaemon
+	for _, at := range p.luck.Perm(len(p.members))[:(len(p.members)-1)/2] {
+		few = append(few, p.members[at])
+	}
+	return few
+}
+
+func (p *apartPlay) reachStore(daemon *apartDaemon, reach storeReach) string {
+	daemon.store.reach.Store(int32(reach))
+	return fmt.Sprintf("%s reaches the store: %s", daemon.name, []string{"yes", "refused", "silent"}[reach])
+}
+
+// calm ends what daemons are apart by, and waits until a single version has been listed for longer than streams last.
+func (p *apartPlay) calm() string {
+	p.heal()
+	p.relistOnce([]identity.SoftwareVersion{p.listed[p.luck.IntN(len(p.listed))]})
+	time.Sleep(streamorigin.Retention + time.Second)
+	return "a single version was listed for long"
+}
+
+// begin begins a stream at a version that a daemon lists.
+func (p *apartPlay) begin(number int, daemon *apartDaemon) string {
+	listed := daemon.lists()
+	if daemon.down || daemon.asleep || len(listed) == 0 {
+		return ""
+	}
+	version := listed[p.luck.IntN(len(listed))]
+	daemon.registry.Begun(stream(number), backendOf(version), true)
+	p.began[number] = beganStream{version: version, at: time.Now()}
+	return fmt.Sprintf("stream %d of %s begins at %s", number, version, daemon.name)
+}
+
+// relistOnce changes the list if a daemon reaches the store: back ends reach it through the same network.
+func (p *apartPlay) relistOnce(next []identity.SoftwareVersion) string {
+	if p.silentToAll.Load() {
+		return ""
+	}
+	before := p.listed
+	p.relistApart(next)
+	for _, version := range next {
+		if !slices.Contains(before, version) {
+			p.told[version] = map[*apartDaemon]bool{}
+			for _, each := range p.members {
+				if !each.down {
+					p.told[version][each] = false
+				}
+			}
+		}
+	}
+	return fmt.Sprint("the store lists ", next)
+}
+
+func (p *apartPlay) cutOff(daemons []*apartDaemon) string {
+	did := "on another side:"
+	for _, each := range daemons {
+		each.side = 1 - each.side
+		each.SetSide(each.side)
+		did += fmt.Sprintf(" %s %d", each.name, each.side)
+	}
+	return did
+}
+
+func (p *apartPlay) sleepOrWake(daemon *apartDaemon) string {
+	switch {
+	case daemon.down:
+		return ""
+	case daemon.asleep:
+		p.wake(daemon)
+		return daemon.name + " wakes"
+	}
+	daemon.asleep = true
+	daemon.Freeze()
+	return daemon.name + " stands still"
+}
+
+func (p *apartPlay) endOrReplace(daemon *apartDaemon) string {
+	p.noteKnowledge()
+	if daemon.down {
+		p.replace(daemon)
+		return daemon.name + " is replaced"
+	}
+	p.end(daemon)
+	return daemon.name + " is killed"
+}
+
+// heal ends what daemons are apart by.
+func (p *apartPlay) heal() string {
+	p.silentToAll.Store(false)
+	for _, each := range p.members {
+		each.side = 0
+		each.SetSide(0)
+		each.store.reach.Store(int32(storeAnswers))
+		p.wake(each)
+	}
+	return "all reach each other and the store"
+}
+
+// noteKnowledge notes which daemons know which versions.
+func (p *apartPlay) noteKnowledge() {
+	for version, told := range p.told {
+		for daemon := range told {
+			told[daemon] = told[daemon] || daemon.knows(version)
+		}
+	}
+}
+
+// find looks up a stream and returns how it was found wrongly.
+func (p *apartPlay) find(number int, daemon *apartDaemon) (did, wrong string) {
+	began, known := p.began[number]
+	if !known || daemon.down || daemon.asleep || time.Since(began.at) > streamorigin.Retention-time.Second {
+		return "", ""
+	}
+	found := daemon.registry.Find(context.Background(), stream(number))
+	p.noteKnowledge()
+	did = fmt.Sprintf("stream %d of %s is looked up at %s: %+v", number, began.version, daemon.name, found)
+	if !found.Known || found.Version == began.version {
+		return did, ""
+	}
+	if found.From == "" && (p.unrecorded(began.version) || p.listedToFew(daemon, began.version)) {
+		return did + " (can't be known)", ""
+	}
+	return did, fmt.Sprintf("stream %d of %s: %+v at %s, which lists %v", number, began.version, found, daemon.name, daemon.lists())
+}
+
+// unrecorded reports whether all daemons that knew a version have ended before it was written to the store: it is known to none then.
+func (p *apartPlay) unrecorded(version identity.SoftwareVersion) bool {
+	if slices.ContainsFunc(p.members, func(each *apartDaemon) bool { return !each.down && each.knows(version) }) {
+		return false
+	}
+	rows := p.service.Table.Read([]string{RowKey})
+	if len(rows) == 0 {
+		return true
+	}
+	stored, err := decodeRecord(rows[0].Value)
+	return err == nil && !slices.Contains(stored.versions()[testService], version)
+}
+
+// listedToFew reports whether the store is silent to a daemon, and listed a version only to a minority that the daemon doesn't reach: a
+// majority that is left can't tell this from an outage of the store.
+func (p *apartPlay) listedToFew(daemon *apartDaemon, version identity.SoftwareVersion) bool {
+	told, few := p.told[version], 0
+	for each, knew := range told {
+		if knew {
+			few++
+		}
+		if knew && !each.down && !each.asleep && each.Reaches(daemon.Node) {
+			return false
+		}
+	}
+	return !daemon.store.answers() && 2*few < len(told)
+}
+
+// TestDaemonThatWakesProvesNothingOfBefore guards against answers of a daemon that stood still and has not noticed it yet, which told that
+// it knows all versions.
+func TestDaemonThatWakesProvesNothingOfBefore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fleet := newApartFleet(1, 3, false)
+		defer fleet.finish()
+		time.Sleep(3*time.Second + contactInterval/2)
+		sleeper, asker := fleet.members[0], fleet.members[1]
+		for _, each := range fleet.members {
+			each.store.reach.Store(int32(storeRefuses))
+		}
+		sleeper.Freeze()
+		time.Sleep(2 * minContactWindow)
+		sleeper.Thaw()
+		_, others := asker.registry.ask(context.Background(), stream(1), singleTimeout)
+		assert.Assert(t, others.complete, "the third daemon knows all versions")
+		fleet.members[2].SetDown(true)
+		sleeper.Freeze()
+		time.Sleep(2 * minContactWindow)
+		sleeper.Thaw()
+		_, others = asker.registry.ask(context.Background(), stream(1), singleTimeout)
+		assert.Assert(t, !others.complete, "the one that slept doesn't")
+	})
+}
--- a/internal/streamorigin/contact.go
+++ b/internal/streamorigin/contact.go
@@ -35,6 +35,13 @@
 	// lostAt is when the daemon last stood still, heard nobody, or was out of contact with half of those that count; zero if the list was
 	// verified since.
 	lostAt time.Time
+	// window is the window of the last check.
+	window time.Duration
+}
+
+// kept reports whether contact was kept since the list was last verified. A daemon that stood still may not have checked it since.
+func (c *contact) kept(now time.Time) bool {
+	return c.lostAt.IsZero() && (c.checkedAt.IsZero() || now.Sub(c.checkedAt) <= c.window)
 }
 
 // contactWindow returns the time within which a daemon must have been heard.
@@ -64,7 +71,7 @@
 	if stoodStill || alone || !isMajority(present, counted) {
 		c.lostAt = now
 	}
-	c.checkedAt, c.counted = now, counted
+	c.checkedAt, c.counted, c.window = now, counted, window
 }
 
 // isMajority reports whether some of the other daemons and this one are more than half of all.
@@ -119,7 +126,7 @@
 }
 
 // inContact reports whether all versions that a majority of the daemons knows are known here. The caller holds the mutex.
-func (r *Registry) inContact() bool { return r.contact.lostAt.IsZero() }
+func (r *Registry) inContact() bool { return r.contact.kept(r.options.Now()) }
 
 // enough reports whether the daemons that answered a question can tell what a majority knows. The caller holds the mutex.
 func (r *Registry) enough(asked, answered int) bool {
