--- a/internal/streamorigin/apart_test.go
+++ b/internal/streamorigin/apart_test.go
@@ -143,11 +143,11 @@
 // join adds a daemon that all know at once.
 func (f *apartFleet) join() *apartDaemon {
 	added := f.newDaemon(fmt.Sprint("d", f.added))
+	f.run(added)
 	f.mutex.Lock()
+	defer f.mutex.Unlock()
 	f.daemons, f.members = append(f.daemons, added.testDaemon), append(f.members, added)
 	f.added++
-	f.mutex.Unlock()
-	f.run(added)
 	return added
 }
 
@@ -307,11 +307,11 @@
 	added.side = ended.side
 	added.SetSide(added.side)
 	added.store.reach.Store(ended.store.reach.Load())
+	f.run(added)
 	f.mutex.Lock()
+	defer f.mutex.Unlock()
 	at := slices.Index(f.members, ended)
 	f.members[at], f.daemons[at] = added, added.testDaemon
-	f.mutex.Unlock()
-	f.run(added)
 }
 
 // apartPlay is a play of actions before an apartFleet.
@@ -396,7 +396,7 @@
 	case action < 75:
 		return p.sleepOrWake(daemon), ""
 	case action < 81:
-		return p.reachStore(daemon, storeReach(p.luck.Int32N(3))), ""
+		return p.reachStore(daemon, storeReach(p.luck.Int32N(int32(storeSilent) + 1))), ""
 	case action < 83:
 		p.silentToAll.Store(!p.silentToAll.Load())
 		return fmt.Sprint("the store is silent to all: ", p.silentToAll.Load()), ""
@@ -451,7 +451,7 @@
 
 // takeOut cuts daemons off from others, from the store or both, or makes them stand still.
 func (p *apartPlay) takeOut(missing []*apartDaemon) {
-	asleep, together, reach := p.luck.IntN(3) == 0, p.luck.IntN(4) > 0, storeReach(p.luck.Int32N(3))
+	asleep, together, reach := p.luck.IntN(3) == 0, p.luck.IntN(4) > 0, storeReach(p.luck.Int32N(int32(storeSilent) + 1))
 	for _, each := range missing {
 		p.note(p.reachStore(each, reach))
 		switch {
