Let a daemon that has just started answer only what it knows

A caller that continued a stream could be sent on to another version at a daemon that was cut off for less than a window (0.8 s): the others had begun the stream, were killed and started again, and their answers counted as those of a majority that knows no other version. A daemon that doesn't know all versions yet leaves questions about streams that it doesn't know without an answer for a window; whoever asks waits for 75 ms and doesn't count it.

Found by TestDaemonsApartContinueNoStreamAtAnotherVersion/without_an_archive, rapid., once in 2276 draws: 7 daemons, one cut off from the others and the store for 0.36 s.

--- a/internal/streamorigin/apart_test.go
+++ b/internal/streamorigin/apart_test.go
@@ -396,7 +396,7 @@
 	case action < 75:
 		return p.sleepOrWake(daemon), ""
 	case action < 81:
-		return p.reachStore(daemon, storeReach(p.luck.Int32N(int32(storeSilent) + 1))), ""
+		return p.reachStore(daemon, storeReach(p.luck.Int32N(int32(storeSilent)+1))), ""
 	case action < 83:
 		p.silentToAll.Store(!p.silentToAll.Load())
 		return fmt.Sprint("the store is silent to all: ", p.silentToAll.Load()), ""
@@ -451,7 +451,7 @@
 
 // takeOut cuts daemons off from others, from the store or both, or makes them stand still.
 func (p *apartPlay) takeOut(missing []*apartDaemon) {
-	asleep, together, reach := p.luck.IntN(3) == 0, p.luck.IntN(4) > 0, storeReach(p.luck.Int32N(int32(storeSilent) + 1))
+	asleep, together, reach := p.luck.IntN(3) == 0, p.luck.IntN(4) > 0, storeReach(p.luck.Int32N(int32(storeSilent)+1))
 	for _, each := range missing {
 		p.note(p.reachStore(each, reach))
 		switch {
@@ -683,3 +683,26 @@
 		assert.Assert(t, !others.complete, "the one that slept doesn't")
 	})
 }
+
+// TestStartersDontVouchForThoseThatEnded guards against a daemon that was cut off for less than a window, and takes answers of daemons that
+// have just started in place of those that knew another version for answers of these.
+func TestStartersDontVouchForThoseThatEnded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fleet := newApartFleet(1, 3, false)
+		defer fleet.finish()
+		time.Sleep(3 * time.Second)
+		apart := fleet.members[0]
+		apart.SetSide(1)
+		apart.store.reach.Store(int32(storeRefuses))
+		fleet.relistApart([]identity.SoftwareVersion{"v1", "v2"})
+		time.Sleep(2 * newsLag)
+		fleet.members[1].registry.Begun(stream(1), backendOf("v2"), true)
+		for _, each := range slices.Clone(fleet.members[1:]) {
+			fleet.end(each)
+			fleet.replace(each)
+		}
+		apart.SetSide(0)
+		found := apart.registry.Find(context.Background(), stream(1))
+		assert.Assert(t, !found.Known, "%+v", found)
+	})
+}
--- a/internal/streamorigin/finding.go
+++ b/internal/streamorigin/finding.go
@@ -204,6 +204,9 @@
 
 func (r *Registry) receiveQuestion(from string, asked questionMessage) {
 	found, own := r.lookup(streamorigin.Key(asked.Key), identity.ServiceName(asked.Service))
+	if !found.Known && !own.several && !own.complete && r.startedWithinWindow() {
+		return
+	}
 	peerlink.Tell(r.options.Link, from, peerlink.KindStreamEvidence, &evidenceMessage{
 		Number: asked.Number, Several: own.several, Complete: own.complete && own.current, Single: own.single, Listed: own.listed, Only: string(own.only),
 	})
@@ -213,6 +216,12 @@
 	})
 }
 
+// startedWithinWindow reports whether others may not have noticed that an earlier daemon at this address has ended. An answer would count
+// as one of a daemon that knows which versions were listed since.
+func (r *Registry) startedWithinWindow() bool {
+	return r.options.Now().Sub(r.startedAt) <= contactWindow(len(r.options.Topology.Near(r.self))+1)
+}
+
 // ageOf returns how long ago a known stream began, in milliseconds.
 func (r *Registry) ageOf(found Found) uint32 {
 	if !found.Known {
