--- a/internal/streamorigin/message.go
+++ b/internal/streamorigin/message.go
@@ -8,7 +8,7 @@
 	Backend uint64
 }
 
-// beginMessage tells a home which versions began streams. Fields are only ever added at the end.
+// beginMessage tells a home which versions began streams. Its fields are sent by position, so that they never change.
 type beginMessage struct {
 	Streams []beginning
 	// Number is confirmed by the home; zero asks for no confirmation.
