Write a whole first record though daemons have not heard each other yet

A partial record verifies nobody, so nobody's contact was verified until the list had been watched for two minutes. A loop: unverified because the record is partial, and partial because it is unverified.

An absent row proves as much as a whole one: whoever recorded another version meanwhile would have written it, and the write, which expects no row, would fail. So the history's answer counts as proof until the first record is written.

Ruled out: a history that fails or tells of a removal (the logs say that none was removed), and an era (0, 1 and 7 failed alike).

The new test fails before in all three cases (100 ms, 500 ms, 3 s apart) and passes now.

--- a/internal/streamorigin/record.go
+++ b/internal/streamorigin/record.go
@@ -89,7 +89,8 @@
 type Recorder struct {
 	options RecorderOptions
 	row     *storedrow.Row
-	// read is set once the row was read, stored is what it holds, and proves is set if that names all versions.
+	// read is set once the row was read, stored is what it holds, and proves is set if that names all versions, or if there was no row
+	// and all versions are listed.
 	read   bool
 	stored record
 	proves bool
@@ -183,10 +184,10 @@
 	if value != nil {
 		earlier = r.decode(value)
 	}
-	r.proves = earlier == EarlierKnown
 	if value == nil && first {
 		earlier = r.withoutRow(ctx)
 	}
+	r.proves = earlier != EarlierUnknown
 	r.adopt(earlier)
 	if earlier != EarlierUnknown {
 		r.options.Registry.verified(now)
--- a/internal/streamorigin/record_test.go
+++ b/internal/streamorigin/record_test.go
@@ -162,6 +162,37 @@
 	}
 }
 
+// TestFirstRecordIsWholeThoughDaemonsHaveNotHeardEachOther guards against refusing the streams of a new deployment, because its first
+// record was written before daemons that started at once had heard each other.
+func TestFirstRecordIsWholeThoughDaemonsHaveNotHeardEachOther(t *testing.T) {
+	for _, apart := range []time.Duration{100 * time.Millisecond, 500 * time.Millisecond, 3 * time.Second} {
+		t.Run(apart.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				fleet := newRecordingFleet(1, 3, "v1")
+				defer fleet.stop()
+				fleet.service.Refuse(true)
+				for side, each := range fleet.daemons {
+					each.SetSide(side)
+				}
+				time.Sleep(2 * contactInterval)
+				fleet.service.Refuse(false)
+				time.Sleep(apart)
+				for _, each := range fleet.daemons {
+					each.SetSide(0)
+				}
+				time.Sleep(3 * time.Second)
+				fleet.daemons[0].registry.Begun(stream(1), backendOf("v1"), true)
+				fleet.killAll(time.Second)
+				time.Sleep(recordLag)
+				for _, each := range fleet.daemons {
+					found := each.registry.Find(context.Background(), stream(1))
+					assert.Assert(t, found.Known, "%+v", found)
+				}
+			})
+		})
+	}
+}
+
 // TestHistoryOfALargeFleetIsReadByFew guards against all daemons of a large new fleet reading the list's history at once, because the
 // reader took seconds to write the first row.
 func TestHistoryOfALargeFleetIsReadByFew(t *testing.T) {
