Ask the store's history again after a look that failed

Callers of a new deployment, or of one upgraded from builds without a record, would see streams refused as unknown_stream_version for two minutes because one call failed while the first daemon started.

A look at the history that fails is repeated up to three times now, with the pause of other failed calls. A store that keeps no history is not asked again, and one that fails three times counts as before.

The new test fails before with one and two failures, and passes now; with nine, earlier versions stay unknown, before and after.

--- a/internal/streamorigin/fleet_test.go
+++ b/internal/streamorigin/fleet_test.go
@@ -70,8 +70,8 @@
 	service *porttest.Service
 	era     atomic.Uint64
 	removed atomic.Bool
-	// looks counts the looks at the store's history.
-	looks atomic.Int64
+	// looks counts the looks at the store's history, of which the first ones fail.
+	looks, failures atomic.Int64
 	// withoutReader is set while no daemon is the reader.
 	withoutReader atomic.Bool
 	records       bool
@@ -154,13 +154,21 @@
 	recorder := NewRecorder(RecorderOptions{
 		Table: f.service, Registry: d.registry, Log: log, Era: f.era.Load,
 		Daemons:       f.size,
-		RemovedLately: func(context.Context) (bool, error) { f.looks.Add(1); return f.removed.Load(), nil },
+		RemovedLately: f.removedLately,
 		Directory:     testDirectory{isReader: func() bool { return f.reader() == d }},
 	})
 	go func() { _ = recorder.Run(running) }()
 	go func() { _ = d.registry.Run(running) }()
 }
 
+// removedLately is a look at the store's history.
+func (f *fleet) removedLately(context.Context) (bool, error) {
+	if f.looks.Add(1) <= f.failures.Load() {
+		return false, context.DeadlineExceeded
+	}
+	return f.removed.Load(), nil
+}
+
 // hearEachOther makes all daemons on one side of the network hear each other all the time, as those that tell of their loads.
 func (f *fleet) hearEachOther() {
 	pause.Every(f.running, loadsInterval, func(time.Time) {
--- a/internal/streamorigin/record.go
+++ b/internal/streamorigin/record.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"maps"
 	"math/rand/v2"
@@ -35,8 +36,10 @@
 	recordPatiencePerDaemon = 30 * time.Millisecond
 	recordPoll              = 300 * time.Millisecond
 	recordPollPerDaemon     = 3 * time.Millisecond
-	// historyTimeout bounds the look at the store's history, which may take a call for each bit of a version.
-	historyTimeout = 3 * time.Second
+	// historyTimeout bounds the look at the store's history, which may take a call for each bit of a version. After maxHistoryFailures
+	// of these looks earlier versions count as unknown.
+	historyTimeout     = 3 * time.Second
+	maxHistoryFailures = 3
 	// recordFormat is the format of the row. A row without it was not written by a daemon.
 	recordFormat = 1
 	// maxRowBytes bounds the row. Rows of the store hold 65,536 bytes.
@@ -94,6 +97,8 @@
 	read   bool
 	stored record
 	proves bool
+	// historyFailures counts the looks at the store's history that failed.
+	historyFailures int
 	// failing is set while calls for the row fail.
 	failing bool
 	// waitsUntil is when a daemon that is not the reader waits for the first row no longer, and pollAt when to look for it again.
@@ -179,14 +184,17 @@
 		return nil
 	}
 	first := !r.read
-	r.read, r.stored = true, record{}
+	r.stored = record{}
 	earlier := EarlierUnknown
 	if value != nil {
 		earlier = r.decode(value)
 	}
 	if value == nil && first {
-		earlier = r.withoutRow(ctx)
+		if earlier, err = r.withoutRow(ctx); err != nil {
+			return err
+		}
 	}
+	r.read = true
 	r.proves = earlier != EarlierUnknown
 	r.adopt(earlier)
 	if earlier != EarlierUnknown {
@@ -209,23 +217,37 @@
 
 // withoutRow returns what is known of earlier versions if no row was ever written, because the deployment is new or daemons of earlier
 // builds were there. The list is the same as before then, unless back ends were removed within the history of the store. Its era tells
-// nothing: a store may have been restored long ago, and a record that was written before it was restored names an earlier era.
-func (r *Recorder) withoutRow(ctx context.Context) Earlier {
+// nothing: a store may have been restored long ago, and a record that was written before it was restored names an earlier era. It fails if
+// the store doesn't answer and should be asked again.
+func (r *Recorder) withoutRow(ctx context.Context) (Earlier, error) {
 	log := r.options.Log.WithFields(logrus.Fields{"row": RowKey, "era": r.options.Era.Era()})
 	if r.options.RemovedLately == nil {
 		log.Warn("There is no record of listed versions, and no history of the list: earlier versions are unknown.")
-		return EarlierUnknown
+		return EarlierUnknown, nil
 	}
 	bounded, cancel := context.WithTimeout(ctx, historyTimeout)
 	defer cancel()
 	removed, err := r.options.RemovedLately(bounded)
+	if r.asksAgain(err) {
+		return EarlierUnknown, err
+	}
 	log = log.WithField("removed", removed)
 	if err != nil || removed {
 		log.WithError(err).Warn("There is no record of listed versions, and back ends may have been removed lately: earlier versions are unknown.")
-		return EarlierUnknown
+		return EarlierUnknown, nil
 	}
 	log.Info("There is no record of listed versions, and no back end was removed lately: all versions are listed.")
-	return EarlierUnrecorded
+	return EarlierUnrecorded, nil
+}
+
+// asksAgain counts a look at the store's history that failed, and reports whether another one may tell more.
+func (r *Recorder) asksAgain(err error) bool {
+	var none *port.NotFoundError
+	if err == nil || errors.As(err, &none) {
+		return false
+	}
+	r.historyFailures++
+	return r.historyFailures < maxHistoryFailures
 }
 
 // adopt adds what the row, or its absence, tells of earlier versions. A daemon that knows all versions may not have heard of the last.
--- a/internal/streamorigin/record_test.go
+++ b/internal/streamorigin/record_test.go
@@ -193,6 +193,26 @@
 	}
 }
 
+// TestHistoryIsAskedAgainAfterAFailure guards against refusing streams for two minutes because one look at the store's history failed.
+func TestHistoryIsAskedAgainAfterAFailure(t *testing.T) {
+	for failures, doubt := range map[int]Doubt{1: "", maxHistoryFailures - 1: "", 3 * maxHistoryFailures: DoubtIncomplete} {
+		t.Run(fmt.Sprint(failures), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				fleet := newRecordingFleet(1, 3, "v1")
+				defer fleet.stop()
+				fleet.failures.Store(int64(failures))
+				time.Sleep(5 * time.Second)
+				fleet.daemons[0].registry.Begun(stream(1), backendOf("v1"), true)
+				fleet.killAll(time.Second)
+				time.Sleep(recordLag)
+				for _, each := range fleet.daemons {
+					assert.Equal(t, each.registry.Find(context.Background(), stream(1)).Doubt, doubt)
+				}
+			})
+		})
+	}
+}
+
 // TestHistoryOfALargeFleetIsReadByFew guards against all daemons of a large new fleet reading the list's history at once, because the
 // reader took seconds to write the first row.
 func TestHistoryOfALargeFleetIsReadByFew(t *testing.T) {
