Log how many daemons were heard when contact is lost

It names the daemons that count and those heard within the window, the time between the last two checks, and the age of the last verification now.

--- a/internal/streamorigin/contact.go
+++ b/internal/streamorigin/contact.go
@@ -5,6 +5,8 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"github.com/lotusward/lotusward/internal/core/streamorigin"
 	"github.com/lotusward/lotusward/internal/pause"
 )
@@ -31,9 +33,12 @@
 type contact struct {
 	// checkedAt is when contact was last checked; zero if it never was.
 	checkedAt time.Time
-	// heardAt is when each other daemon was last heard, and counted how many of them counted at the last check.
-	heardAt map[string]time.Time
-	counted int
+	// heardAt is when each other daemon was last heard. At the last check, counted of them counted, and present of these were heard
+	// within the window.
+	heardAt          map[string]time.Time
+	counted, present int
+	// gap is the time between the last two checks.
+	gap time.Duration
 	// apart is set while the daemon hears nobody, or less than a majority of those that count, and missedAt is when it last was apart or
 	// stood still; zero if it never did.
 	apart    bool
@@ -72,7 +77,10 @@
 	if c.apart || c.stoodStill(now) {
 		c.missedAt = now
 	}
-	c.checkedAt, c.counted = now, counted
+	if !c.checkedAt.IsZero() {
+		c.gap = now.Sub(c.checkedAt)
+	}
+	c.checkedAt, c.counted, c.present = now, counted, present
 }
 
 // stoodStill reports whether contact was not checked for too long.
@@ -109,15 +117,29 @@
 	pause.Every(ctx, contactInterval, func(time.Time) {
 		missed := r.checkContact()
 		if missed && !before {
-			r.options.Log.Info("This daemon is or was out of contact with the others: versions that it lists may not be all.")
+			r.options.Log.WithFields(r.contactFields()).Info("This daemon is or was out of contact with the others: versions that it lists may not be all.")
 		}
 		if !missed && before {
-			r.options.Log.Info("This daemon is in contact with the others again, and the versions that it lists are verified.")
+			r.options.Log.WithFields(r.contactFields()).Info("This daemon is in contact with the others again, and the versions that it lists are verified.")
 		}
 		before = missed
 	})
 }
 
+// contactFields tells which daemons were heard at the last check, how long before it the last one was, and how old the last verification
+// is; -1 without any.
+func (r *Registry) contactFields() logrus.Fields {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	verified := int64(-1)
+	if !r.contact.verifiedAt.IsZero() {
+		verified = r.options.Now().Sub(r.contact.verifiedAt).Milliseconds()
+	}
+	return logrus.Fields{
+		"counted": r.contact.counted, "heard": r.contact.present, "check_gap_ms": r.contact.gap.Milliseconds(), "verified_ms_ago": verified,
+	}
+}
+
 // reverify verifies the list once contact that was lost is back, until the context is cancelled.
 func (r *Registry) reverify(ctx context.Context) {
 	for ctx.Err() == nil {
