List quarantined requests and blamed parts of prompts for operators

`show quarantines` lists both, with the fingerprints that log lines have, how many back ends ended, how long ago, until when, and how many other parts explain the same ends.

A property compares the list with the status of each request and part after drawn crashes and answers; a test asks for it in the operators' language.

--- a/cmd/internal/daemon/wire.go
+++ b/cmd/internal/daemon/wire.go
@@ -321,7 +321,10 @@
 		}))
 	}
 	if port := w.options.AdminPort; port > 0 {
-		tables := &administration.Snapshot{Control: w.directory, Pool: w.backends, Self: w.link.Address(), Others: w.members.Others, Limits: w.limits.Uses, Rollouts: w.rolloutTable(), Held: w.ledger.Usage}
+		tables := &administration.Snapshot{
+			Control: w.directory, Pool: w.backends, Self: w.link.Address(), Others: w.members.Others, Quarantines: w.crashes.Blamed,
+			Rollouts: w.rolloutTable(), Limits: w.limits.Uses, Held: w.ledger.Usage,
+		}
 		w.serving.addOperators(w.address(port), administration.New(tables, w.options.AdminToken, w.part("administration")))
 	}
 }
--- a/internal/administration/tables.go
+++ b/internal/administration/tables.go
@@ -11,6 +11,7 @@
 	"github.com/lotusward/lotusward/internal/core/backendpool"
 	"github.com/lotusward/lotusward/internal/core/buffers"
 	"github.com/lotusward/lotusward/internal/core/identity"
+	"github.com/lotusward/lotusward/internal/core/quarantine"
 	"github.com/lotusward/lotusward/internal/core/query"
 	"github.com/lotusward/lotusward/internal/core/quota"
 	"github.com/lotusward/lotusward/internal/core/routing"
@@ -29,6 +30,8 @@
 	Others func() []string
 	// Rollouts returns the state of services' software versions; nil where roll-outs are off.
 	Rollouts func() []query.Rollout
+	// Quarantines returns what this daemon blames for ends of back ends.
+	Quarantines func() []quarantine.Blamed
 	// Limits returns what this daemon grants of limits.
 	Limits func() []quota.Usage
 	// Held returns what this daemon holds for callers; nil is not known.
@@ -45,6 +48,8 @@
 		return query.TableOf(s.backends(true)), nil
 	case source == query.SourceDaemons:
 		return query.TableOf(s.daemons()), nil
+	case source == query.SourceQuarantines:
+		return query.TableOf(quarantinesOf(s.Quarantines())), nil
 	case source == query.SourceRollouts:
 		return query.TableOf(s.rollouts()), nil
 	case state == nil:
@@ -86,6 +91,17 @@
 	return s.Rollouts()
 }
 
+func quarantinesOf(blamed []quarantine.Blamed) []query.Quarantine {
+	rows := make([]query.Quarantine, 0, len(blamed))
+	for _, each := range blamed {
+		rows = append(rows, query.Quarantine{
+			Fingerprint: each.Fingerprint.String(), Part: each.Part, Crashes: each.Crashes, Newest: each.Newest, Remaining: each.Remaining,
+			Companions: each.Companions,
+		})
+	}
+	return rows
+}
+
 func versionsText(versions map[identity.ModelName]uint64) string {
 	var texts []string
 	for _, model := range slices.Sorted(maps.Keys(versions)) {
--- a/internal/administration/tables_test.go
+++ b/internal/administration/tables_test.go
@@ -7,6 +7,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/lotusward/lotusward/internal/core/backendpool"
+	"github.com/lotusward/lotusward/internal/core/quarantine"
 	"github.com/lotusward/lotusward/internal/core/query"
 	"github.com/lotusward/lotusward/internal/relay"
 )
@@ -36,6 +37,22 @@
 	assert.Equal(t, show(t, tables, "show rollouts"), 0)
 }
 
+// TestOperatorsSeeWhatIsQuarantined asks for requests and shared parts of prompts that are blamed for ends of back ends.
+func TestOperatorsSeeWhatIsQuarantined(t *testing.T) {
+	tracker, now := quarantine.NewTracker(), time.Now()
+	request, part := quarantine.Fingerprint(1), quarantine.PartFingerprintOf("", "p")
+	for backend := range uint64(2) {
+		at := now.Add(time.Duration(backend) * time.Second)
+		tracker.Add(at, quarantine.Crash{Fingerprint: request, Backend: backend, At: at})
+		at = at.Add(time.Minute)
+		tracker.Add(at, quarantine.Crash{Fingerprint: part, Backend: 10 + backend, At: at, Part: true})
+	}
+	tables := &Snapshot{Control: emptyControl{}, Quarantines: func() []quarantine.Blamed { return tracker.Blamed(now.Add(2 * time.Minute)) }}
+	assert.Equal(t, show(t, tables, "show quarantines"), 2)
+	assert.Equal(t, show(t, tables, "show quarantines where part = true and crashes = 2 and fingerprint = "+part.String()), 1)
+	assert.Equal(t, show(t, tables, "show quarantines where part = false and newest > 100s and remaining < 9m"), 1)
+}
+
 // show returns how many rows a statement finds.
 func show(t *testing.T, tables *Snapshot, statement string) int {
 	t.Helper()
--- a/internal/core/quarantine/parts_test.go
+++ b/internal/core/quarantine/parts_test.go
@@ -84,6 +84,41 @@
 	assert.Assert(t, !tracker.StatusOfParts(now, partsOf("part")).IsBlamed())
 }
 
+// TestBlamedAgreesWithStatus lists what is blamed after drawn crashes and successes; the oracle asks for the status of each.
+func TestBlamedAgreesWithStatus(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		tracker, now := NewTracker(), start
+		ids := []string{"a", "b", "c", "d"}
+		for range rapid.IntRange(0, 40).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(1, 200).Draw(t, "seconds")) * time.Second)
+			id, backend := rapid.SampledFrom(ids).Draw(t, "part"), uint64(rapid.IntRange(1, 9).Draw(t, "backend"))
+			switch rapid.IntRange(0, 3).Draw(t, "step") {
+			case 0:
+				serve(tracker, now, id)
+			case 1:
+				tracker.Add(now, Crash{Fingerprint: Fingerprint(backend % 3), Backend: backend, At: now})
+			default:
+				crashUnder(tracker, now, backend, id, rapid.SampledFrom(ids).Draw(t, "companion"))
+			}
+			listed := map[Fingerprint]Blamed{}
+			for _, each := range tracker.Blamed(now) {
+				listed[each.Fingerprint] = each
+			}
+			for _, part := range partsOf(ids...) {
+				status, found := tracker.StatusOfParts(now, []Fingerprint{part}), listed[part]
+				assert.Equal(t, found.Part, status.IsBlamed())
+				assert.Equal(t, found.Companions > 0, status.Ambiguous)
+				assert.Equal(t, found.Crashes, status.Crashes)
+			}
+			for request := range Fingerprint(3) {
+				status, found := tracker.Status(now, request), listed[request]
+				assert.Equal(t, found.Crashes > 0, status.Quarantined)
+				assert.Equal(t, found.Remaining, status.Remaining)
+			}
+		}
+	})
+}
+
 // TestBlameEnds lets the evidence expire.
 func TestBlameEnds(t *testing.T) {
 	tracker := NewTracker()
--- a/internal/core/query/expect.go
+++ b/internal/core/query/expect.go
@@ -7,7 +7,7 @@
 
 // vocabulary lists the keywords of the language.
 var vocabulary = []string{
-	"show", "leaving", "backends", "daemons", "models", "rollouts", "routes", "services", "tenants",
+	"show", "leaving", "backends", "daemons", "models", "quarantines", "rollouts", "routes", "services", "tenants",
 	"where", "and", "order", "by", "asc", "desc", "limit",
 }
 
--- a/internal/core/query/parse_test.go
+++ b/internal/core/query/parse_test.go
@@ -100,7 +100,7 @@
 		"show backends where running ~ 3":       "running is a number, and ~ compares texts only",
 		"show models where named < soon":        "expected a duration such as 250ms or 10s",
 		"show backends where leaving = perhaps": "expected true or false",
-		"show":                                  "the statement ends too early; expected leaving, backends, daemons, models, rollouts, routes, services or tenants",
+		"show":                                  "the statement ends too early; expected leaving, backends, daemons, models, quarantines, rollouts, routes, services or tenants",
 		"":                                      "the statement is empty; expected show",
 		"drain backend a":                       "column 1: unexpected \"drain\"; expected show",
 		"show tenants limit x":                  "expected a number",
--- a/internal/core/query/rows.go
+++ b/internal/core/query/rows.go
@@ -57,6 +57,22 @@
 	Behind   int `column:"behind"`
 }
 
+// Quarantine is a request, or a shared part of prompts, that the asked daemon blames for the ends of back ends.
+type Quarantine struct {
+	// Fingerprint is what log lines have as fingerprint of a request, and as prompt_part of a part.
+	Fingerprint string `column:"fingerprint,key"`
+	// Part is set for a shared part of prompts.
+	Part bool `column:"part"`
+	// Crashes is the number of back ends that ended under it.
+	Crashes int `column:"crashes"`
+	// Newest is how long ago the last of them ended.
+	Newest time.Duration `column:"newest"`
+	// Remaining is the time until the quarantine ends if no further back end does.
+	Remaining time.Duration `column:"remaining"`
+	// Companions is how many other parts explain the same ends: a prompt with only some of them is sent, one at a time.
+	Companions int `column:"companions"`
+}
+
 // Rollout is how a service moves to back ends of another version of its software, on one route.
 type Rollout struct {
 	Service identity.ServiceName `column:"service,key"`
--- a/internal/core/query/source.go
+++ b/internal/core/query/source.go
@@ -15,6 +15,7 @@
 	SourceLeavingBackends Source = "leaving backends"
 	SourceDaemons         Source = "daemons"
 	SourceModels          Source = "models"
+	SourceQuarantines     Source = "quarantines"
 	SourceRollouts        Source = "rollouts"
 	SourceRoutes          Source = "routes"
 	SourceServices        Source = "services"
@@ -33,6 +34,7 @@
 	SourceLeavingBackends: columnsOf(reflect.TypeFor[Backend]()),
 	SourceDaemons:         columnsOf(reflect.TypeFor[Daemon]()),
 	SourceModels:          columnsOf(reflect.TypeFor[Model]()),
+	SourceQuarantines:     columnsOf(reflect.TypeFor[Quarantine]()),
 	SourceRollouts:        columnsOf(reflect.TypeFor[Rollout]()),
 	SourceRoutes:          columnsOf(reflect.TypeFor[Route]()),
 	SourceServices:        columnsOf(reflect.TypeFor[Service]()),
--- a/internal/core/query/statement.go
+++ b/internal/core/query/statement.go
@@ -12,7 +12,7 @@
 
 // Show is a query: it asks for the rows of one source.
 type Show struct {
-	Source Source      `parser:"'show' @( 'leaving' 'backends' | 'backends' | 'daemons' | 'models' | 'rollouts' | 'routes' | 'services' | 'tenants' )"`
+	Source Source      `parser:"'show' @( 'leaving' 'backends' | 'backends' | 'daemons' | 'models' | 'quarantines' | 'rollouts' | 'routes' | 'services' | 'tenants' )"`
 	Where  []Condition `parser:"( 'where' @@ ( 'and' @@ )* )?"`
 	Order  *Order      `parser:"( 'order' 'by' @@ )?"`
 	Limit  *Count      `parser:"( 'limit' @@ )?"`
--- a/internal/core/query/table_test.go
+++ b/internal/core/query/table_test.go
@@ -14,8 +14,8 @@
 )
 
 var sources = []query.Source{
-	query.SourceBackends, query.SourceLeavingBackends, query.SourceDaemons, query.SourceModels, query.SourceRollouts, query.SourceRoutes,
-	query.SourceServices, query.SourceTenants,
+	query.SourceBackends, query.SourceLeavingBackends, query.SourceDaemons, query.SourceModels, query.SourceQuarantines, query.SourceRollouts,
+	query.SourceRoutes, query.SourceServices, query.SourceTenants,
 }
 
 func TestEverySourceHasNamedColumnsAndAKey(t *testing.T) {
--- a/internal/crashwatch/watcher.go
+++ b/internal/crashwatch/watcher.go
@@ -237,6 +237,14 @@
 	return newEvidence(now, w.quarantined(now, maximumRequests))
 }
 
+// Blamed returns what is blamed for ends of back ends, for operators.
+func (w *Watcher) Blamed() []quarantine.Blamed {
+	now := clock.Now()
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	return w.ledger.Blamed(now)
+}
+
 func (w *Watcher) quarantined(now time.Time, most int) []quarantine.Crash {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
--- a/internal/operator/session.go
+++ b/internal/operator/session.go
@@ -17,7 +17,7 @@
 const prompt = programName + "> "
 
 const sessionHelp = `Queries:   show SOURCE [where FIELD OP VALUE [and ...]] [order by FIELD [asc|desc]] [limit N]
-           sources: backends, leaving backends, daemons, models, rollouts, routes, services, tenants
+           sources: backends, leaving backends, daemons, models, quarantines, rollouts, routes, services, tenants
 Also:      help, help grammar, exit. The tab key completes words; the arrow keys recall earlier lines.
 `
 
