Verify the list of a daemon that was out of contact within 0.6 s

Cause: daemons that start together haven't heard each other at the first check of their contact, 0.2 s after the start. So they count as having missed versions until they have verified their lists, 0.5 to 1.5 s later, and tell meanwhile that they don't know all. In the test the store refuses from 1.3 s on, so some never verify. On the users' platform the same costs a second in which no daemon's evidence counts, after each start of all.

The pause before a verification is 0.2 to 0.6 s now in small fleets, 0.5 to 1.5 s before; from 20 daemons on it is as it was, 50 ms for each daemon. Only a daemon that was out of contact, and is in contact, verifies.

--- a/internal/streamorigin/contact.go
+++ b/internal/streamorigin/contact.go
@@ -25,7 +25,7 @@
 	// A daemon that was out of contact tries to verify its list each reverifyPerDaemon times the number of daemons, and at least each
 	// minReverifyInterval.
 	reverifyPerDaemon   = 50 * time.Millisecond
-	minReverifyInterval = time.Second
+	minReverifyInterval = 400 * time.Millisecond
 )
 
 // contact tracks whether a daemon was in contact with a majority of the daemons of its region ever since its list was last verified.
