Ask the store's history again if a later reader finds no record

What it had learned of the history at its start no longer proves anything, so it wrote a partial record, and streams that nobody remembers were refused for two minutes after all daemons ended.

A daemon that has never seen a record asks the history whenever it reads none. Only the first reading verifies its list: a daemon that was out of contact before may list fewer versions than the store by then, and is verified by the next refreshed list.

--- a/internal/streamorigin/record.go
+++ b/internal/streamorigin/record.go
@@ -92,9 +92,10 @@
 type Recorder struct {
 	options RecorderOptions
 	row     *storedrow.Row
-	// read is set once the row was read, stored is what it holds, and proves is set if that names all versions, or if there was no row
-	// and all versions are listed.
+	// read is set once the row was read, and seen once there was one. stored is what it holds, and proves is set if that names all
+	// versions, or if there was no row and all versions are listed.
 	read   bool
+	seen   bool
 	stored record
 	proves bool
 	// historyFailures counts the looks at the store's history that failed.
@@ -184,12 +185,12 @@
 		return nil
 	}
 	first := !r.read
-	r.stored = record{}
+	r.stored, r.seen = record{}, r.seen || value != nil
 	earlier := EarlierUnknown
 	if value != nil {
 		earlier = r.decode(value)
 	}
-	if value == nil && first {
+	if !r.seen {
 		if earlier, err = r.withoutRow(ctx); err != nil {
 			return err
 		}
@@ -197,7 +198,7 @@
 	r.read = true
 	r.proves = earlier != EarlierUnknown
 	r.adopt(earlier)
-	if earlier != EarlierUnknown {
+	if first && earlier != EarlierUnknown {
 		r.options.Registry.verified(now)
 	}
 	return nil
@@ -307,7 +308,7 @@
 	}
 	replaced, err := r.row.Replace(ctx, value)
 	if replaced {
-		r.stored, r.proves = known, !known.Partial
+		r.stored, r.proves, r.seen = known, !known.Partial, true
 	}
 	return err
 }
