Let tests' daemons hear others from the moment they are added

The fleet of the tests of streamorigin panicked in 4 of some 9,000 runs of one test: a daemon was visible to the goroutine that has all hear each other before its list of heard daemons was made. The new test of the store's history set its number of failures after its daemons had started, so that the first look may have come before (some 1 in 80 runs). Both are faults of the tests alone.

0 of 2,000 to 6,000 runs of the tests of the record fail now.

--- a/internal/streamorigin/fleet_test.go
+++ b/internal/streamorigin/fleet_test.go
@@ -97,15 +97,14 @@
 
 // add adds a daemon that all know at once.
 func (f *fleet) add() {
-	added := &testDaemon{addedAt: time.Now(), Node: f.network.Add(fmt.Sprintf("10.0.0.%d:1", f.added))}
+	heard := presence.New()
+	added := &testDaemon{addedAt: time.Now(), heard: heard, Node: f.network.Add(fmt.Sprintf("10.0.0.%d:1", f.added))}
 	f.added++
 	f.mutex.Lock()
 	f.daemons = append(f.daemons, added)
 	f.mutex.Unlock()
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	heard := presence.New()
-	added.heard = heard
 	added.Observe(func(from string) { heard.Heard(from, time.Now()) })
 	topology := peerlink.Topology{
 		Others: func() []string { return f.others(added) },
--- a/internal/streamorigin/record_test.go
+++ b/internal/streamorigin/record_test.go
@@ -226,9 +226,12 @@
 	for failures, doubt := range map[int]Doubt{1: "", maxHistoryFailures - 1: "", 1000: DoubtIncomplete} {
 		t.Run(fmt.Sprint(failures), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				fleet := newRecordingFleet(1, 3, "v1")
+				fleet := newRecordingFleet(1, 0, "v1")
 				defer fleet.stop()
 				fleet.failures.Store(int64(failures))
+				for range 3 {
+					fleet.add()
+				}
 				time.Sleep(5 * time.Second)
 				fleet.daemons[0].registry.Begun(stream(1), backendOf("v1"), true)
 				fleet.killAll(time.Second)
