Let continued streams wait for their version, and before later requests

A new stream may begin at a back end of any version; one that is continued may go on at its own version's alone, waited no longer than its first event could meet its target, though the caller has had that, and new requests that came later took the slots that it waited for.

A continued stream waits for the share of its time limit that requests without a target have, and back ends of a version count as busy for requests that come after a waiting stream of it, as ordered by priority and arrival.

--- a/internal/core/backendpool/limits.go
+++ b/internal/core/backendpool/limits.go
@@ -1,5 +1,7 @@
 package backendpool
 
+import "slices"
+
 // Limits bound a back end's load for it to accept one more request. A back end over a limit is busy: further
 // requests queue at the daemon, where they can still be sent to another back end and are ordered by priority. Zero
 // means no bound.
@@ -14,8 +16,11 @@
 	EnforceSlots bool
 }
 
-// full reports whether all slots of a back end are taken.
+// full reports whether all slots of a back end are taken, or reserved.
 func (e *entry) full(query Query) bool {
+	if slices.Contains(query.ReservedSoftware, e.backend.Software) {
+		return true
+	}
 	return query.Limits.EnforceSlots && e.backend.Slots > 0 && float64(e.inFlight)+e.others.InFlight >= float64(e.backend.Slots)
 }
 
--- a/internal/core/backendpool/pool.go
+++ b/internal/core/backendpool/pool.go
@@ -44,6 +44,8 @@
 	ExactSoftware bool
 	// OtherSoftware lists further versions that the back end may run.
 	OtherSoftware []identity.SoftwareVersion
+	// ReservedSoftware lists versions whose back ends count as busy, because requests wait that may run at these alone.
+	ReservedSoftware []identity.SoftwareVersion
 	// AllowedKeys are the hashes of the IDs of the back ends that may serve the request; nil means all.
 	AllowedKeys []uint64
 	// ExcludeLimited excludes back ends that have stated a request limit.
--- a/internal/core/backendpool/software_test.go
+++ b/internal/core/backendpool/software_test.go
@@ -151,6 +151,21 @@
 	assert.Equal(t, shortage, Shortage{Listed: 5, Draining: 1, OtherVersion: 4})
 }
 
+// TestReservedVersionsAreBusy checks that back ends of a version for which others wait are not picked, and count as busy.
+func TestReservedVersionsAreBusy(t *testing.T) {
+	pool := New("a")
+	pool.Update(versioned(5, 2))
+	query := Query{Service: "llm", ReservedSoftware: []identity.SoftwareVersion{"v1"}}
+	for range 20 {
+		ticket, _ := pool.PickOrExplain(start, query)
+		assert.Equal(t, ticket.Backend.Software, identity.SoftwareVersion("v2"))
+		ticket.Release(start, ResultServed)
+	}
+	query.ReservedSoftware = append(query.ReservedSoftware, "v2")
+	_, shortage := pool.PickOrExplain(start, query)
+	assert.Equal(t, shortage, Shortage{Listed: 5, Busy: 5})
+}
+
 // TestSamplesKeepToTheVersion checks that samples contain only back ends of the required version, even if the
 // prompt's holder or home runs another one.
 func TestSamplesKeepToTheVersion(t *testing.T) {
--- a/internal/relay/choosing.go
+++ b/internal/relay/choosing.go
@@ -86,6 +86,8 @@
 	}
 	if r.began != nil {
 		query.Software, query.OtherSoftware, query.ExactSoftware = *r.began, nil, true
+	} else if query.Limits != (backendpool.Limits{}) {
+		query.ReservedSoftware = r.relay.waitLists.awaitedVersions(r.waitList(), r.queuePosition())
 	}
 }
 
--- a/internal/relay/pick.go
+++ b/internal/relay/pick.go
@@ -76,11 +76,12 @@
 	return nil
 }
 
-// queuePosition returns the request's position among waiting requests.
+// queuePosition returns the request's position among waiting requests. A stream that is continued has had its first event, and is never
+// late.
 func (r *run) queuePosition() queuePosition {
 	route, arrived := r.admitted.match.Route, r.admitted.request.ArrivedAt
 	position := queuePosition{priority: r.admitted.priority(), arrivedAt: arrived}
-	if target := route.TargetLatency; target > 0 {
+	if target := route.TargetLatency; target > 0 && r.began == nil {
 		position.lateAt = arrived.Add(max(target-r.relay.startLatencies.upperEstimate(route.Name), 0))
 	}
 	return position
--- a/internal/relay/streamversion_test.go
+++ b/internal/relay/streamversion_test.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
 	"github.com/lotusward/lotusward/internal/core/backendpool"
 	"github.com/lotusward/lotusward/internal/core/identity"
+	"github.com/lotusward/lotusward/internal/core/rendezvous"
 	"github.com/lotusward/lotusward/internal/core/routing"
 	corestream "github.com/lotusward/lotusward/internal/core/streamorigin"
 	"github.com/lotusward/lotusward/internal/streamorigin"
@@ -124,6 +126,39 @@
 	}
 }
 
+// TestContinuedStreamsOutwaitTheirTarget guards against refusing streams that are continued because their version's backends are busy
+// for longer than a first event may take, and against later requests taking the slots that these wait for.
+func TestContinuedStreamsOutwaitTheirTarget(t *testing.T) {
+	route := routing.Route{Kind: routing.KindStreaming, Resumable: true, MaxAttempts: 1, TargetLatency: 100 * time.Millisecond, Timeout: 5 * time.Second}
+	fixture := newFixture(route, 2, 50)
+	fixture.backends.streaming, fixture.backends.events = true, 6
+	fixture.pool.Update(softwareList(2, 1))
+	fixture.relay.options.StreamOrigins = &knownOrigins{several: true, found: streamorigin.Found{Known: true, Version: "v2", From: "d1"}}
+	fixture.fillAll()
+	continued := make(chan *recordingCaller)
+	go func() {
+		continued <- fixture.ask(func(request *Request) {
+			longPrompt(request)
+			request.Resumes, request.ResumeAfter = "q0", "2"
+		})
+	}()
+	time.Sleep(3 * route.TargetLatency)
+	later := make(chan *recordingCaller)
+	go func() { later <- fixture.ask(longPrompt) }()
+	time.Sleep(route.TargetLatency / 4)
+	loads := map[uint64]backendpool.Load{}
+	for _, backend := range fixture.pool.Backends() {
+		free := map[identity.SoftwareVersion]float64{"v2": 1}[backend.Software]
+		loads[rendezvous.Key(string(backend.ID))] = backendpool.Load{InFlight: 4 - free}
+	}
+	fixture.pool.SetOthersLoad(loads, false)
+	caller := <-continued
+	<-later
+	assert.Assert(t, caller.refusal == nil, "%+v", caller.refusal)
+	assert.Equal(t, softwareOf(fixture, fixture.backends.dispatches[0].Backend), identity.SoftwareVersion("v2"))
+	assert.Equal(t, fixture.backends.dispatches[0].ResumeAfter, "2")
+}
+
 // TestStreamIsContinuedAtNoRestartedBackend cuts a stream while another backend of its listed version has restarted.
 func TestStreamIsContinuedAtNoRestartedBackend(t *testing.T) {
 	for _, several := range []bool{true, false} {
--- a/internal/relay/waiting.go
+++ b/internal/relay/waiting.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
+	"github.com/lotusward/lotusward/internal/core/identity"
 	"github.com/lotusward/lotusward/internal/core/waitqueue"
 )
 
@@ -17,6 +19,9 @@
 // those of one of its software versions.
 type waitListName string
 
+// versionSeparator separates the service from the software version in the name of a list.
+const versionSeparator = "\x00"
+
 // waitList returns the list that the request waits in. A stream that is continued waits apart from
 // other requests, because they need not wait for backends of its software version.
 func (r *run) waitList() waitListName {
@@ -24,13 +29,14 @@
 	if r.began == nil {
 		return service
 	}
-	return service + "\x00" + waitListName(*r.began)
+	return service + versionSeparator + waitListName(*r.began)
 }
 
 // waitLists holds the requests waiting at this daemon for a backend, by the backends they wait for.
 // They are ordered by priority, then requests that can still meet their target latency before late
 // ones, then by arrival. A request that is already late gains nothing from going first and would
-// only make others late. It is safe for concurrent use.
+// only make others late. Streams that are continued precede later requests at the backends of their
+// version, which others need not wait for. It is safe for concurrent use.
 type waitLists struct {
 	mutex    sync.Mutex
 	services map[waitListName][]*waiter
@@ -138,12 +144,22 @@
 	list := slices.DeleteFunc(l.services[name], func(other *waiter) bool { return other == left })
 	if len(list) == 0 {
 		delete(l.services, name)
+		l.wakeOthers(name)
 		return
 	}
 	l.services[name] = list
 	l.first(name).wake()
 }
 
+// wakeOthers wakes the first of the requests that could not have the backends which the streams of a list waited for. The caller
+// holds the mutex.
+func (l *waitLists) wakeOthers(name waitListName) {
+	service, _, continued := strings.Cut(string(name), versionSeparator)
+	if first := l.first(waitListName(service)); continued && first != nil {
+		first.wake()
+	}
+}
+
 // wakeFirst wakes the first waiting request of each list.
 func (l *waitLists) wakeFirst() {
 	l.mutex.Lock()
@@ -165,6 +181,21 @@
 	return first
 }
 
+// awaitedVersions returns the software versions of a service for whose backends streams that are continued wait which precede a
+// request.
+func (l *waitLists) awaitedVersions(service waitListName, at queuePosition) []identity.SoftwareVersion {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	var awaited []identity.SoftwareVersion
+	for name := range l.services {
+		version, continued := strings.CutPrefix(string(name), string(service)+versionSeparator)
+		if continued && !at.before(l.now(), l.first(name).position) {
+			awaited = append(awaited, identity.SoftwareVersion(version))
+		}
+	}
+	return awaited
+}
+
 // isFirst reports whether no other request precedes the given one.
 func (l *waitLists) isFirst(name waitListName, asking *waiter) bool {
 	l.mutex.Lock()
--- a/internal/relay/waiting_test.go
+++ b/internal/relay/waiting_test.go
@@ -11,6 +11,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/lotusward/lotusward/internal/core/backendpool"
+	"github.com/lotusward/lotusward/internal/core/identity"
 	"github.com/lotusward/lotusward/internal/core/rendezvous"
 	"github.com/lotusward/lotusward/internal/core/routing"
 )
@@ -84,6 +85,43 @@
 	return sorted[0]
 }
 
+// TestContinuedStreamsPrecedeLaterRequests lets streams that are continued and other requests wait. A request must leave alone the
+// versions of those that precede it, and be woken when the last of them leaves.
+func TestContinuedStreamsPrecedeLaterRequests(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		now := time.Now()
+		lists := newWaitLists(func() time.Time { return now })
+		drawPosition := func(name string) queuePosition {
+			return queuePosition{
+				priority:  rapid.IntRange(0, 2).Draw(t, name+" priority"),
+				arrivedAt: now.Add(-time.Duration(rapid.IntRange(0, 9).Draw(t, name+" age")) * time.Second),
+			}
+		}
+		at, precedes := drawPosition("own"), map[identity.SoftwareVersion]bool{}
+		waiting := lists.enter("s", at)
+		entered := map[waitListName][]*waiter{}
+		for range rapid.IntRange(0, 8).Draw(t, "streams") {
+			version, other := identity.SoftwareVersion(rapid.SampledFrom([]string{"", "v1", "v2"}).Draw(t, "version")), drawPosition("other")
+			name := "s" + versionSeparator + waitListName(version)
+			entered[name] = append(entered[name], lists.enter(name, other))
+			lists.enter("t"+versionSeparator+"v3", other)
+			precedes[version] = precedes[version] || !at.before(now, other)
+		}
+		awaited := lists.awaitedVersions("s", at)
+		for version, expected := range precedes {
+			assert.Equal(t, slices.Contains(awaited, version), expected)
+		}
+		assert.Assert(t, len(awaited) <= len(precedes))
+		for name, streams := range entered {
+			for _, each := range streams {
+				lists.leave(name, each)
+			}
+			assert.Equal(t, len(waiting.wakeup), 1)
+			<-waiting.wakeup
+		}
+	})
+}
+
 // TestLinkIsUsedWithinItsShare checks that transfers over a store's link are permitted only within
 // its capacity, and that each kind of use has a share of its own.
 func TestLinkIsUsedWithinItsShare(t *testing.T) {
