Take the store's history for a proof only at once, in its era, and with a fresh list

Streams could have gone on at another version: the last commits on the first record let a daemon claim that it knows all versions when it doesn't.

- A daemon whose first look at the history told of a removal looked again as the reader, when the history no longer reached back to it.
- One that had never seen a record looked again after the store had come back from before the first one.
- One that stood still between the look and its write left out a version that daemons of earlier builds served meanwhile.
- One that was apart wrote a list that was older than the history's answer.

Cause: the argument "whoever recorded another version meanwhile has written a row" fails for builds that record none, for a store that loses rows, and says nothing of the daemon's own list. A look counts now if the list was refreshed after it, and for 0.8 s, the time after which a daemon counts as having stood still; then it is made again. A daemon that reads no row later than at its start looks only if it knew all versions before, in the same era.

--- a/cmd/internal/daemon/wire.go
+++ b/cmd/internal/daemon/wire.go
@@ -282,7 +282,7 @@
 	})
 	w.streamRecord = streamorigin.NewRecorder(streamorigin.RecorderOptions{
 		Table: w.store, Directory: w.directory, Registry: w.streams, Log: w.part("streams"), Era: w.store.Era,
-		Daemons: w.members.Count, RemovedLately: w.store.BackendsRemovedLately,
+		Daemons: w.members.Count, RemovedLately: w.store.BackendsRemovedLately, Refresh: w.directory.RefreshBackends,
 	})
 	w.loads = loadshare.New(loadshare.Options{
 		Link: w.link, Others: w.members.Others, Pool: w.backends, Memory: w.memory, PublishParts: w.homes.PublishParts,
--- a/internal/streamorigin/apartfleet_test.go
+++ b/internal/streamorigin/apartfleet_test.go
@@ -175,6 +175,7 @@
 		Table: daemon.store, Registry: daemon.registry, Log: log, Era: f.era.Load, Daemons: f.size,
 		RemovedLately: func(ctx context.Context) (bool, error) { return f.removed.Load(), daemon.store.call(ctx, func() {}) },
 		Directory:     apartDirectory{fleet: f, daemon: daemon},
+		Refresh:       func(ctx context.Context) error { return f.refresh(ctx, daemon) },
 	})
 	var running context.Context
 	running, daemon.kill = context.WithCancel(f.running)
--- a/internal/streamorigin/fleet_test.go
+++ b/internal/streamorigin/fleet_test.go
@@ -150,6 +150,7 @@
 		Table: f.service, Registry: d.registry, Log: log, Era: f.era.Load,
 		Daemons:       f.size,
 		RemovedLately: f.removedLately,
+		Refresh:       func(ctx context.Context) error { return f.refresh(ctx, d) },
 		Directory:     testDirectory{isReader: func() bool { return f.reader() == d }},
 	})
 	go func() { _ = recorder.Run(running) }()
--- a/internal/streamorigin/record.go
+++ b/internal/streamorigin/record.go
@@ -36,10 +36,10 @@
 	recordPatiencePerDaemon = 30 * time.Millisecond
 	recordPoll              = 300 * time.Millisecond
 	recordPollPerDaemon     = 3 * time.Millisecond
-	// historyTimeout bounds the look at the store's history, which may take a call for each bit of a version. After maxHistoryFailures
-	// of these looks earlier versions count as unknown.
-	historyTimeout     = 3 * time.Second
-	maxHistoryFailures = 3
+	// historyTimeout bounds the look at the store's history, which may take a call for each bit of a version. Looks that fail are
+	// repeated for historyPatience; then earlier versions count as unknown.
+	historyTimeout  = 3 * time.Second
+	historyPatience = 10 * time.Second
 	// recordFormat is the format of the row. A row without it was not written by a daemon.
 	recordFormat = 1
 	// maxRowBytes bounds the row. Rows of the store hold 65,536 bytes.
@@ -85,6 +85,8 @@
 	// RemovedLately reports whether back ends were removed from the list within the history that the store keeps. It fails if the store
 	// keeps none; nil always does.
 	RemovedLately func(ctx context.Context) (bool, error)
+	// Refresh brings the list of back ends up to date; nil leaves it as it is.
+	Refresh func(ctx context.Context) error
 }
 
 // Recorder reads the row for a daemon that has started, and maintains it while this daemon is the reader. Only the goroutine that
@@ -98,8 +100,12 @@
 	seen   bool
 	stored record
 	proves bool
-	// historyFailures counts the looks at the store's history that failed.
-	historyFailures int
+	// unwritten is set while the only proof is what the store's history told, as of lookedAt and in lookedEra.
+	unwritten bool
+	lookedAt  time.Time
+	lookedEra uint64
+	// failedSince is when the first look at the store's history failed; zero if none did.
+	failedSince time.Time
 	// failing is set while calls for the row fail.
 	failing bool
 	// waitsUntil is when a daemon that is not the reader waits for the first row no longer, and pollAt when to look for it again.
@@ -143,7 +149,7 @@
 	if !reader {
 		r.row.Forget()
 	}
-	if !r.read || (reader && !r.row.Current()) {
+	if !r.read || (reader && !r.row.Current()) || (reader && r.outdatedProof()) {
 		return r.load(ctx, reader)
 	}
 	if !reader {
@@ -190,7 +196,7 @@
 	if value != nil {
 		earlier = r.decode(value)
 	}
-	if !r.seen {
+	if r.unwritten = r.mayAskHistory(first); r.unwritten {
 		if earlier, err = r.withoutRow(ctx); err != nil {
 			return err
 		}
@@ -204,6 +210,18 @@
 	return nil
 }
 
+// mayAskHistory reports whether the store's history may prove, in place of a row, which versions were listed: the daemon has never seen
+// one, and it starts, or it knew all versions of this era, so that the history only has to tell of those since.
+func (r *Recorder) mayAskHistory(first bool) bool {
+	_, complete := r.options.Registry.RecentVersions()
+	return !r.seen && (first || (complete && r.lookedEra == r.options.Era.Era()))
+}
+
+// outdatedProof reports whether what the history told may have changed since, unrecorded, because this daemon stood still.
+func (r *Recorder) outdatedProof() bool {
+	return r.unwritten && r.options.Registry.options.Now().Sub(r.lookedAt) > maxContactGap
+}
+
 // waitsForFirst reports whether the row, which is missing, should be looked for again: the reader may be about to write it.
 func (r *Recorder) waitsForFirst(now time.Time) bool {
 	daemons := time.Duration(r.options.Daemons())
@@ -228,7 +246,11 @@
 	}
 	bounded, cancel := context.WithTimeout(ctx, historyTimeout)
 	defer cancel()
+	r.lookedEra = r.options.Era.Era()
 	removed, err := r.options.RemovedLately(bounded)
+	if err == nil && !removed {
+		err = r.refresh(ctx)
+	}
 	if r.asksAgain(err) {
 		return EarlierUnknown, err
 	}
@@ -241,14 +263,28 @@
 	return EarlierUnrecorded, nil
 }
 
-// asksAgain counts a look at the store's history that failed, and reports whether another one may tell more.
+// asksAgain reports whether a look at the store's history failed, and another one may tell more.
 func (r *Recorder) asksAgain(err error) bool {
 	var none *port.NotFoundError
 	if err == nil || errors.As(err, &none) {
 		return false
 	}
-	r.historyFailures++
-	return r.historyFailures < maxHistoryFailures
+	now := r.options.Registry.options.Now()
+	if r.failedSince.IsZero() {
+		r.failedSince = now
+	}
+	return now.Sub(r.failedSince) < historyPatience
+}
+
+// refresh brings the list up to date, so that it has all versions that were listed as the history was read.
+func (r *Recorder) refresh(ctx context.Context) error {
+	r.lookedAt = r.options.Registry.options.Now()
+	if r.options.Refresh == nil {
+		return nil
+	}
+	bounded, cancel := context.WithTimeout(ctx, recordTimeout)
+	defer cancel()
+	return r.options.Refresh(bounded)
 }
 
 // adopt adds what the row, or its absence, tells of earlier versions. A daemon that knows all versions may not have heard of the last.
@@ -308,7 +344,7 @@
 	}
 	replaced, err := r.row.Replace(ctx, value)
 	if replaced {
-		r.stored, r.proves, r.seen = known, !known.Partial, true
+		r.stored, r.proves, r.seen, r.unwritten = known, !known.Partial, true, false
 	}
 	return err
 }
