Reserve slots for continued streams only where they wait for these

A continued stream waits until the later of its target and the share of its time limit. A back end of an awaited version keeps its last slot for the stream; prompts that are long enough to have a limit on the reading ahead still go after it.

--- a/internal/core/backendpool/limits.go
+++ b/internal/core/backendpool/limits.go
@@ -16,12 +16,17 @@
 	EnforceSlots bool
 }
 
-// full reports whether all slots of a back end are taken, or reserved.
+// full reports whether all slots of a back end are taken. Of one that is reserved for others the last slot is, and a query with a limit
+// on the prefill work ahead gets none, since these wait for that work too.
 func (e *entry) full(query Query) bool {
+	taken := float64(e.inFlight) + e.others.InFlight
 	if slices.Contains(query.ReservedSoftware, e.backend.Software) {
-		return true
+		if query.Limits.Reading > 0 {
+			return true
+		}
+		taken++
 	}
-	return query.Limits.EnforceSlots && e.backend.Slots > 0 && float64(e.inFlight)+e.others.InFlight >= float64(e.backend.Slots)
+	return query.Limits.EnforceSlots && e.backend.Slots > 0 && taken >= float64(e.backend.Slots)
 }
 
 // busy reports whether a back end is over the query's load limits. One without load never is.
--- a/internal/core/backendpool/pool.go
+++ b/internal/core/backendpool/pool.go
@@ -44,7 +44,7 @@
 	ExactSoftware bool
 	// OtherSoftware lists further versions that the back end may run.
 	OtherSoftware []identity.SoftwareVersion
-	// ReservedSoftware lists versions whose back ends count as busy, because requests wait that may run at these alone.
+	// ReservedSoftware lists versions at whose back ends requests wait that may run at these alone, see entry.full.
 	ReservedSoftware []identity.SoftwareVersion
 	// AllowedKeys are the hashes of the IDs of the back ends that may serve the request; nil means all.
 	AllowedKeys []uint64
--- a/internal/core/backendpool/software_test.go
+++ b/internal/core/backendpool/software_test.go
@@ -151,11 +151,16 @@
 	assert.Equal(t, shortage, Shortage{Listed: 5, Draining: 1, OtherVersion: 4})
 }
 
-// TestReservedVersionsAreBusy checks that back ends of a version for which others wait are not picked, and count as busy.
+// TestReservedVersionsAreBusy checks that back ends of a version for which others wait are not picked for long prompts, and count as busy,
+// and that short prompts leave them one slot.
 func TestReservedVersionsAreBusy(t *testing.T) {
 	pool := New("a")
-	pool.Update(versioned(5, 2))
-	query := Query{Service: "llm", ReservedSoftware: []identity.SoftwareVersion{"v1"}}
+	list := versioned(5, 2)
+	for index := range list {
+		list[index].Slots = 3
+	}
+	pool.Update(list)
+	query := Query{Service: "llm", ReservedSoftware: []identity.SoftwareVersion{"v1"}, Limits: Limits{Reading: 1000, EnforceSlots: true}}
 	for range 20 {
 		ticket, _ := pool.PickOrExplain(start, query)
 		assert.Equal(t, ticket.Backend.Software, identity.SoftwareVersion("v2"))
@@ -164,6 +169,13 @@
 	query.ReservedSoftware = append(query.ReservedSoftware, "v2")
 	_, shortage := pool.PickOrExplain(start, query)
 	assert.Equal(t, shortage, Shortage{Listed: 5, Busy: 5})
+	query.Limits.Reading = 0
+	for range 5 * 2 {
+		ticket, _ := pool.PickOrExplain(start, query)
+		assert.Assert(t, ticket != nil)
+	}
+	_, shortage = pool.PickOrExplain(start, query)
+	assert.Equal(t, shortage, Shortage{Listed: 5, Busy: 5})
 }
 
 // TestSamplesKeepToTheVersion checks that samples contain only back ends of the required version, even if the
--- a/internal/relay/pick.go
+++ b/internal/relay/pick.go
@@ -79,14 +79,22 @@
 // queuePosition returns the request's position among waiting requests. A stream that is continued has had its first event, and is never
 // late.
 func (r *run) queuePosition() queuePosition {
-	route, arrived := r.admitted.match.Route, r.admitted.request.ArrivedAt
-	position := queuePosition{priority: r.admitted.priority(), arrivedAt: arrived}
-	if target := route.TargetLatency; target > 0 && r.began == nil {
-		position.lateAt = arrived.Add(max(target-r.relay.startLatencies.upperEstimate(route.Name), 0))
+	position := queuePosition{priority: r.admitted.priority(), arrivedAt: r.admitted.request.ArrivedAt}
+	if r.began == nil {
+		position.lateAt = r.lateAt()
 	}
 	return position
 }
 
+// lateAt returns the time from which a request that waits can no longer meet its target latency; the zero time means never.
+func (r *run) lateAt() time.Time {
+	route := r.admitted.match.Route
+	if route.TargetLatency == 0 {
+		return time.Time{}
+	}
+	return r.admitted.request.ArrivedAt.Add(max(route.TargetLatency-r.relay.startLatencies.upperEstimate(route.Name), 0))
+}
+
 // loadLimits bounds the load that a backend may have to accept the request now. Retries have no
 // bound.
 func (r *run) loadLimits() backendpool.Limits {
@@ -155,16 +163,20 @@
 }
 
 // waitDeadline returns until when the request waits for a slot: as long as it can meet its target
-// latency or, without a target, for a share of its time limit.
+// latency or, without a target, for a share of its time limit. A stream that is continued waits until
+// the later of the two.
 func (r *run) waitDeadline(at queuePosition) time.Time {
 	if !at.lateAt.IsZero() {
 		return at.lateAt
 	}
-	arrived, deadline := r.admitted.request.ArrivedAt, r.admitted.deadline
-	if deadline.IsZero() {
-		return arrived
+	until, deadline := r.admitted.request.ArrivedAt, r.admitted.deadline
+	if !deadline.IsZero() {
+		until = until.Add(time.Duration(maxWaitShare * float64(deadline.Sub(until))))
+	}
+	if late := r.lateAt(); late.After(until) {
+		return late
 	}
-	return arrived.Add(time.Duration(maxWaitShare * float64(deadline.Sub(arrived))))
+	return until
 }
 
 // reasonBusy is the refusal reason if no slot became free.
--- a/internal/relay/streamversion_test.go
+++ b/internal/relay/streamversion_test.go
@@ -159,6 +159,69 @@
 	assert.Equal(t, fixture.backends.dispatches[0].ResumeAfter, "2")
 }
 
+// TestContinuedStreamWaitsWithoutATimeLimit guards against refusing a stream that is continued at once where there is no time limit.
+func TestContinuedStreamWaitsWithoutATimeLimit(t *testing.T) {
+	route := routing.Route{Kind: routing.KindStreaming, Resumable: true, MaxAttempts: 1, TargetLatency: 400 * time.Millisecond}
+	fixture := newFixture(route, 2, 50)
+	fixture.backends.streaming, fixture.backends.events = true, 6
+	fixture.pool.Update(softwareList(2, 1))
+	fixture.relay.options.StreamOrigins = &knownOrigins{several: true, found: streamorigin.Found{Known: true, Version: "v2", From: "d1"}}
+	fixture.fillAll()
+	time.AfterFunc(100*time.Millisecond, func() {
+		loads := map[uint64]backendpool.Load{}
+		for _, backend := range fixture.pool.Backends() {
+			loads[rendezvous.Key(string(backend.ID))] = backendpool.Load{InFlight: 3}
+		}
+		fixture.pool.SetOthersLoad(loads, false)
+	})
+	caller := fixture.ask(func(request *Request) {
+		longPrompt(request)
+		request.Resumes, request.ResumeAfter, request.Timeout = "q0", "2", 0
+	})
+	assert.Assert(t, caller.refusal == nil, "%+v", caller.refusal)
+}
+
+// TestShortPromptsPassAStreamThatWaits guards against refusing short prompts while a stream that is continued waits for back ends that read
+// too much for it, and have free slots.
+func TestShortPromptsPassAStreamThatWaits(t *testing.T) {
+	route := routing.Route{Kind: routing.KindStreaming, Resumable: true, MaxAttempts: 1, TargetLatency: 400 * time.Millisecond, Timeout: 5 * time.Second}
+	fixture := newFixture(route, 2, 50)
+	fixture.backends.streaming, fixture.backends.events = true, 6
+	fixture.pool.Update(softwareList(2, 0))
+	fixture.relay.options.StreamOrigins = &knownOrigins{found: streamorigin.Found{Known: true, Version: "v1"}}
+	list, loads := fixture.pool.Backends(), map[uint64]backendpool.Load{}
+	for index := range list {
+		list[index].Slots = 4
+		loads[rendezvous.Key(string(list[index].ID))] = backendpool.Load{InFlight: 1, Reading: 1e6}
+	}
+	fixture.pool.Update(list)
+	fixture.pool.SetOthersLoad(loads, true)
+	short := func(request *Request) { request.Prompt = promptOf(10) }
+	before := fixture.ask(short)
+	assert.Assert(t, before.refusal == nil, "a short prompt passes while no stream waits: %+v", before.refusal)
+	continued := make(chan *recordingCaller)
+	began := time.Now()
+	go func() {
+		continued <- fixture.ask(func(request *Request) {
+			longPrompt(request)
+			request.Resumes, request.ResumeAfter = "q0", "2"
+		})
+	}()
+	time.Sleep(50 * time.Millisecond)
+	served, refused := 0, 0
+	for time.Since(began) < 1900*time.Millisecond {
+		if caller := fixture.ask(short); caller.refusal == nil {
+			served++
+		} else {
+			refused++
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	<-continued
+	assert.Assert(t, served > 0)
+	assert.Equal(t, refused, 0)
+}
+
 // TestStreamIsContinuedAtNoRestartedBackend cuts a stream while another backend of its listed version has restarted.
 func TestStreamIsContinuedAtNoRestartedBackend(t *testing.T) {
 	for _, several := range []bool{true, false} {
