Write a partial first record if a later look at the history tells of a removal

Found by reading again: a look that was repeated because the daemon stood still before its write, and then told of a removal or failed, was outdated at once, so that it was repeated twenty times a second and no record was written until the removal had left the store's history. And a refresh of the list that failed counted as one that was done.

A look proves, and may be outdated, only if it told of no removal and the list was refreshed after it.

TestPauseBeforeTheFirstRecordProvesNothing holds now that a partial record is written after the second look; it fails before.

--- a/internal/streamorigin/firstrecord_test.go
+++ b/internal/streamorigin/firstrecord_test.go
@@ -189,6 +189,8 @@
 		time.Sleep(10 * time.Millisecond)
 		go func() { _ = recorder.Run(ctx) }()
 		time.Sleep(15 * time.Second)
+		assert.Assert(t, fleet.stored(t).Partial)
+		assert.Equal(t, fleet.looks.Load(), int64(2))
 		for _, each := range others {
 			each.kill = func() {}
 		}
--- a/internal/streamorigin/record.go
+++ b/internal/streamorigin/record.go
@@ -196,12 +196,13 @@
 	if value != nil {
 		earlier = r.decode(value)
 	}
-	if r.unwritten = r.mayAskHistory(first); r.unwritten {
+	asks := r.mayAskHistory(first)
+	if asks {
 		if earlier, err = r.withoutRow(ctx); err != nil {
 			return err
 		}
 	}
-	r.read = true
+	r.read, r.unwritten = true, asks && earlier != EarlierUnknown
 	r.proves = earlier != EarlierUnknown
 	r.adopt(earlier)
 	if first && earlier != EarlierUnknown {
@@ -278,13 +279,16 @@
 
 // refresh brings the list up to date, so that it has all versions that were listed as the history was read.
 func (r *Recorder) refresh(ctx context.Context) error {
-	r.lookedAt = r.options.Registry.options.Now()
-	if r.options.Refresh == nil {
-		return nil
+	began := r.options.Registry.options.Now()
+	if r.options.Refresh != nil {
+		bounded, cancel := context.WithTimeout(ctx, recordTimeout)
+		defer cancel()
+		if err := r.options.Refresh(bounded); err != nil {
+			return err
+		}
 	}
-	bounded, cancel := context.WithTimeout(ctx, recordTimeout)
-	defer cancel()
-	return r.options.Refresh(bounded)
+	r.lookedAt = began
+	return nil
 }
 
 // adopt adds what the row, or its absence, tells of earlier versions. A daemon that knows all versions may not have heard of the last.
