Verify the writer of the first record by the history instead of taking that for a record

The cause of all: what the history told was kept as a proof beside contact. For ten seconds after a clean look at its start, the writer of the first record that is verified by nothing else waits until it is in contact, refreshes its list, looks again, and counts as verified as of before that; then it writes what it knows. A list that is refreshed before the look has all versions that were listed up to the refresh, if none was removed up to the look.

--- a/internal/streamorigin/record.go
+++ b/internal/streamorigin/record.go
@@ -37,7 +37,8 @@
 	recordPoll              = 300 * time.Millisecond
 	recordPollPerDaemon     = 3 * time.Millisecond
 	// historyTimeout bounds the look at the store's history, which may take a call for each bit of a version. Looks that fail are
-	// repeated for historyPatience; then earlier versions count as unknown.
+	// repeated for historyPatience; then earlier versions count as unknown. For as long after a look that told of no removal, the first
+	// row waits until its writer has verified its list.
 	historyTimeout  = 3 * time.Second
 	historyPatience = 10 * time.Second
 	// recordFormat is the format of the row. A row without it was not written by a daemon.
@@ -94,16 +95,14 @@
 type Recorder struct {
 	options RecorderOptions
 	row     *storedrow.Row
-	// read is set once the row was read, and seen once there was one. stored is what it holds, and proves is set if that names all
-	// versions, or if there was no row and all versions are listed.
+	// read is set once the row was read, stored is what it holds, and proves is set if that names all versions.
 	read   bool
-	seen   bool
 	stored record
 	proves bool
-	// unwritten is set while the only proof is what the store's history told, as of lookedAt and in lookedEra.
-	unwritten bool
-	lookedAt  time.Time
-	lookedEra uint64
+	// cleanAt is when the store's history told, at the daemon's start, that no back end was removed lately, and cleanEra the era of the
+	// store then; zero if it didn't. It is asked again from lookAt on.
+	cleanAt, lookAt time.Time
+	cleanEra        uint64
 	// failedSince is when the first look at the store's history failed; zero if none did.
 	failedSince time.Time
 	// failing is set while calls for the row fail.
@@ -149,7 +148,7 @@
 	if !reader {
 		r.row.Forget()
 	}
-	if !r.read || (reader && !r.row.Current()) || (reader && r.outdatedProof()) {
+	if !r.read || (reader && !r.row.Current()) {
 		return r.load(ctx, reader)
 	}
 	if !reader {
@@ -159,6 +158,9 @@
 	if reflect.DeepEqual(known, r.stored) {
 		return nil
 	}
+	if known.Partial && r.mayBecomeWhole() {
+		return r.verifyByHistory(ctx)
+	}
 	bounded, cancel := context.WithTimeout(ctx, recordTimeout)
 	defer cancel()
 	return r.write(bounded, known)
@@ -191,19 +193,18 @@
 		return nil
 	}
 	first := !r.read
-	r.stored, r.seen = record{}, r.seen || value != nil
+	r.stored = record{}
 	earlier := EarlierUnknown
 	if value != nil {
 		earlier = r.decode(value)
 	}
-	asks := r.mayAskHistory(first)
-	if asks {
+	r.proves = earlier == EarlierKnown
+	if value == nil && first {
 		if earlier, err = r.withoutRow(ctx); err != nil {
 			return err
 		}
 	}
-	r.read, r.unwritten = true, asks && earlier != EarlierUnknown
-	r.proves = earlier != EarlierUnknown
+	r.read = true
 	r.adopt(earlier)
 	if first && earlier != EarlierUnknown {
 		r.options.Registry.verified(now)
@@ -211,16 +212,45 @@
 	return nil
 }
 
-// mayAskHistory reports whether the store's history may prove, in place of a row, which versions were listed: the daemon has never seen
-// one, and it starts, or it knew all versions of this era, so that the history only has to tell of those since.
-func (r *Recorder) mayAskHistory(first bool) bool {
-	_, complete := r.options.Registry.RecentVersions()
-	return !r.seen && (first || (complete && r.lookedEra == r.options.Era.Era()))
+// mayBecomeWhole reports whether there is no row yet, and this daemon, which knew all versions at its start, may soon have verified those
+// since: daemons that start together have not heard each other at first.
+func (r *Recorder) mayBecomeWhole() bool {
+	recent := !r.cleanAt.IsZero() && r.options.Registry.options.Now().Sub(r.cleanAt) < historyPatience
+	return recent && r.row.Version() == 0 && r.cleanEra == r.options.Era.Era()
 }
 
-// outdatedProof reports whether what the history told may have changed since, unrecorded, because this daemon stood still.
-func (r *Recorder) outdatedProof() bool {
-	return r.unwritten && r.options.Registry.options.Now().Sub(r.lookedAt) > maxContactGap
+// verifyByHistory verifies the list of a daemon that was out of contact, and no longer is, by the store's history in place of a row.
+func (r *Recorder) verifyByHistory(ctx context.Context) error {
+	now := r.options.Registry.options.Now()
+	if now.Before(r.lookAt) || !r.options.Registry.missedInContact() {
+		return nil
+	}
+	r.lookAt = now.Add(recordRetry)
+	removed, err := r.look(ctx)
+	if err != nil {
+		return err
+	}
+	if removed {
+		r.cleanAt = time.Time{}
+		return nil
+	}
+	r.options.Registry.verified(now)
+	return nil
+}
+
+// look refreshes the list, and reports whether back ends were removed from it within the store's history. If none was, the list has all
+// versions that were listed within that time up to the refresh.
+func (r *Recorder) look(ctx context.Context) (removed bool, err error) {
+	if r.options.Refresh != nil {
+		bounded, cancel := context.WithTimeout(ctx, recordTimeout)
+		defer cancel()
+		if err := r.options.Refresh(bounded); err != nil {
+			return false, err
+		}
+	}
+	bounded, cancel := context.WithTimeout(ctx, historyTimeout)
+	defer cancel()
+	return r.options.RemovedLately(bounded)
 }
 
 // waitsForFirst reports whether the row, which is missing, should be looked for again: the reader may be about to write it.
@@ -245,13 +275,8 @@
 		log.Warn("There is no record of listed versions, and no history of the list: earlier versions are unknown.")
 		return EarlierUnknown, nil
 	}
-	bounded, cancel := context.WithTimeout(ctx, historyTimeout)
-	defer cancel()
-	r.lookedEra = r.options.Era.Era()
-	removed, err := r.options.RemovedLately(bounded)
-	if err == nil && !removed {
-		err = r.refresh(ctx)
-	}
+	now, era := r.options.Registry.options.Now(), r.options.Era.Era()
+	removed, err := r.look(ctx)
 	if r.asksAgain(err) {
 		return EarlierUnknown, err
 	}
@@ -260,6 +285,7 @@
 		log.WithError(err).Warn("There is no record of listed versions, and back ends may have been removed lately: earlier versions are unknown.")
 		return EarlierUnknown, nil
 	}
+	r.cleanAt, r.cleanEra = now, era
 	log.Info("There is no record of listed versions, and no back end was removed lately: all versions are listed.")
 	return EarlierUnrecorded, nil
 }
@@ -277,20 +303,6 @@
 	return now.Sub(r.failedSince) < historyPatience
 }
 
-// refresh brings the list up to date, so that it has all versions that were listed as the history was read.
-func (r *Recorder) refresh(ctx context.Context) error {
-	began := r.options.Registry.options.Now()
-	if r.options.Refresh != nil {
-		bounded, cancel := context.WithTimeout(ctx, recordTimeout)
-		defer cancel()
-		if err := r.options.Refresh(bounded); err != nil {
-			return err
-		}
-	}
-	r.lookedAt = began
-	return nil
-}
-
 // adopt adds what the row, or its absence, tells of earlier versions. A daemon that knows all versions may not have heard of the last.
 func (r *Recorder) adopt(earlier Earlier) {
 	_, complete := r.options.Registry.RecentVersions()
@@ -348,7 +360,7 @@
 	}
 	replaced, err := r.row.Replace(ctx, value)
 	if replaced {
-		r.stored, r.proves, r.seen, r.unwritten = known, !known.Partial, true, false
+		r.stored, r.proves = known, !known.Partial
 	}
 	return err
 }
