--- a/internal/relay/pick.go
+++ b/internal/relay/pick.go
@@ -77,11 +77,13 @@
 }
 
 // queuePosition returns the request's position among waiting requests. A stream that is continued has had its first event, and is never
-// late.
+// late. Backends are reserved for it for as long as another request would wait.
 func (r *run) queuePosition() queuePosition {
 	position := queuePosition{priority: r.admitted.priority(), arrivedAt: r.admitted.request.ArrivedAt}
 	if r.began == nil {
 		position.lateAt = r.lateAt()
+	} else {
+		position.reservesUntil = r.lateAt()
 	}
 	return position
 }
--- a/internal/relay/waiting.go
+++ b/internal/relay/waiting.go
@@ -58,6 +58,9 @@
 	// lateAt is the time from which the request can no longer meet its target latency; the zero
 	// time means never.
 	lateAt time.Time
+	// reservesUntil is until when backends of its software version are reserved for a stream that is
+	// continued; the zero time means never.
+	reservesUntil time.Time
 }
 
 // isLate reports whether the request can no longer meet its target latency.
@@ -74,6 +77,11 @@
 	return p.arrivedAt.Before(other.arrivedAt)
 }
 
+// reserves reports whether the waiting request reserves backends before another one.
+func (w *waiter) reserves(now time.Time, other queuePosition) bool {
+	return now.Before(w.position.reservesUntil) && !other.before(now, w.position)
+}
+
 func (w *waiter) wake() {
 	select {
 	case w.wakeup <- struct{}{}:
@@ -181,15 +189,15 @@
 	return first
 }
 
-// awaitedVersions returns the software versions of a service for whose backends streams that are continued wait which precede a
+// awaitedVersions returns the software versions of a service whose backends are reserved for streams that are continued and precede a
 // request.
 func (l *waitLists) awaitedVersions(service waitListName, at queuePosition) []identity.SoftwareVersion {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	var awaited []identity.SoftwareVersion
+	now, awaited := l.now(), []identity.SoftwareVersion(nil)
 	for name := range l.services {
 		version, continued := strings.CutPrefix(string(name), string(service)+versionSeparator)
-		if continued && !at.before(l.now(), l.first(name).position) {
+		if continued && slices.ContainsFunc(l.services[name], func(each *waiter) bool { return each.reserves(now, at) }) {
 			awaited = append(awaited, identity.SoftwareVersion(version))
 		}
 	}
