--- a/internal/core/backendpool/limits.go
+++ b/internal/core/backendpool/limits.go
@@ -16,8 +16,8 @@
 	EnforceSlots bool
 }
 
-// full reports whether all slots of a back end are taken. Of one that is reserved for others the last slot is, and a query with a limit
-// on the prefill work ahead gets none, since these wait for that work too.
+// full reports whether all slots of a back end are taken. While the back end is reserved, its last slot counts as taken, and for a query
+// that bounds the prefill work ahead all slots do: the request that it is reserved for may be waiting for that work.
 func (e *entry) full(query Query) bool {
 	taken := float64(e.inFlight) + e.others.InFlight
 	if slices.Contains(query.ReservedSoftware, e.backend.Software) {
--- a/internal/relay/waiting.go
+++ b/internal/relay/waiting.go
@@ -35,8 +35,8 @@
 // waitLists holds the requests waiting at this daemon for a backend, by the backends they wait for.
 // They are ordered by priority, then requests that can still meet their target latency before late
 // ones, then by arrival. A request that is already late gains nothing from going first and would
-// only make others late. Streams that are continued precede later requests at the backends of their
-// version, which others need not wait for. It is safe for concurrent use.
+// only make others late. Backends of a software version may be reserved for a waiting stream that
+// can run at these alone. It is safe for concurrent use.
 type waitLists struct {
 	mutex    sync.Mutex
 	services map[waitListName][]*waiter
