Take an answer without a length as whole only if its connection ended in order

What callers saw: a back end answered a long upload at once with a 200 that had no length, sent part of its body and reset the connection while the upload was being written. Callers got the part as a whole answer, on all kinds of routes, also with HTTP/1.0, with `Connection: close`, with a 500, on streams, and through another daemon.

Cause: the kernel reports a reset once. If the goroutine that writes the request gets it, the one that reads the answer sees an ordinary end of the connection, and Answer.Read took that for the end of the body.

Fix, in Answer.Read, which all readers of answers use (back ends, other daemons, reports, cache events, the store): after such an end the kernel's state of the connection is read. A closed socket was reset, whoever was told. While the peer has not acknowledged the whole request, a reset is awaited for at most 250 ms, and the error of the write counts too. A peer that half-closes and reads the rest is whole once the rest is acknowledged; one that never reads it delays the end by 250 ms, not until the deadline.

The state is kept because it tells of a reset at once, and also where the kernel had taken the whole request before the peer closed. A reset more than 250 ms after an ordered end does not count: net/http servers that answer early reset the connection 500 ms after they half-close it.

--- /dev/null
+++ b/cmd/lotusward/brokenanswers_test.go
@@ -0,0 +1,168 @@
+package main
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/lotusward/lotusward/platform/standin"
+)
+
+const (
+	scriptedFields = "Lotusward-Request-Id: {id}\r\nLotusward-Response-Stamp: stamp\r\nLotusward-Weight-Versions: 1\r\n"
+	scriptedOK     = "HTTP/1.1 200 OK\r\n" + scriptedFields
+	scriptedEvents = 5
+	// scriptedRepeats is how often each kind of request is sent.
+	scriptedRepeats = 4
+	// uploadBytes are more than an answer's reader waits for before it reads.
+	uploadBytes = 300 << 10
+)
+
+// scriptedPlay is a deployment whose back ends send scripted answers.
+type scriptedPlay struct {
+	*deployment
+	daemon *process
+	// faulty and sound are of pages and of streams, one each.
+	faulty, sound []*standin.Runner
+	asked         int
+}
+
+// newScriptedPlay starts back ends and a daemon, which sends through another one if it is indirect.
+func newScriptedPlay(t *testing.T, indirect bool) *scriptedPlay {
+	play := &scriptedPlay{deployment: newDeployment(t)}
+	play.faulty = []*standin.Runner{play.page("p1"), play.engine("e1", scriptedEvents, 0)}
+	play.sound = []*standin.Runner{play.page("p2"), play.engine("e2", scriptedEvents, 0)}
+	play.configure(testKey)
+	play.name(1)
+	play.daemon = nil
+	if indirect {
+		play.deployment.daemon("d0", true)
+		play.gateways = true
+	}
+	play.daemon = play.deployment.daemon("d1", true)
+	if indirect {
+		time.Sleep(500 * time.Millisecond) // until they know each other
+		play.daemon.gateway.CutOff(standin.CutReset)
+	}
+	return play
+}
+
+// send sends a request with a body of a size to a route.
+func (p *scriptedPlay) send(path string, size int) (string, reply) {
+	p.asked++
+	id := fmt.Sprint("q", p.asked)
+	sent := call{path: path + id, id: id, body: strings.Repeat("x", size)}
+	if strings.HasPrefix(path, "/stream") || strings.HasPrefix(path, "/once") {
+		sent.header = prompt(fmt.Sprintf("a%d:80,b%d:20", p.asked, p.asked))
+	}
+	return id, p.daemon.ask(sent)
+}
+
+// ran returns how many back ends received a request.
+func (p *scriptedPlay) ran(id string) int {
+	count := 0
+	for _, runner := range p.runners {
+		for _, arrival := range runner.Arrivals() {
+			if arrival.ID == id {
+				count++
+			}
+		}
+	}
+	return count
+}
+
+// checkNeverWhole sends requests of each kind of route while one of two back ends, and then each, gives a scripted answer. No client
+// may get it, and no request that may run once may run twice or be called not run.
+func (p *scriptedPlay) checkNeverWhole(page, stream *standin.ScriptedAnswer, size int) {
+	p.t.Helper()
+	for _, all := range []bool{false, true} {
+		answer := func(runners []*standin.Runner, page, stream *standin.ScriptedAnswer) {
+			runners[0].AnswerWith(page)
+			runners[1].AnswerWith(stream)
+		}
+		answer(p.faulty, page, stream)
+		if all {
+			answer(p.sound, page, stream)
+		}
+		begun := len(p.faulty[0].Arrivals()) + len(p.faulty[1].Arrivals())
+		for range scriptedRepeats {
+			for _, path := range []string{"/unsafe/", "/safe/", "/once/", "/stream/"} {
+				id, got := p.send(path, size)
+				p.checkReply(path, id, got, all)
+			}
+		}
+		assert.Assert(p.t, len(p.faulty[0].Arrivals())+len(p.faulty[1].Arrivals()) > begun, "no scripted answer was given")
+		answer(p.faulty, nil, nil)
+		answer(p.sound, nil, nil)
+	}
+}
+
+// checkReply holds what a client got while one of two back ends, or all, are faulty.
+func (p *scriptedPlay) checkReply(path, id string, got reply, all bool) {
+	p.t.Helper()
+	isWhole := got.err == nil && got.status < http.StatusBadGateway
+	body := standin.PageBody
+	if path == "/stream/" || path == "/once/" {
+		body = events(1, scriptedEvents)
+	}
+	ran := p.ran(id)
+	assert.Check(p.t, !isWhole || (!all && got.status == http.StatusOK && got.body == body), "%s%s: %d %q %v", path, id, got.status, got.body, got.header)
+	assert.Check(p.t, got.status != http.StatusServiceUnavailable || ran == 0, "%s%s ran and was said not to have", path, id)
+	assert.Check(p.t, ran <= 1 || path == "/safe/" || path == "/stream/", "%s%s ran %d times", path, id, ran)
+	for name := range got.header {
+		assert.Check(p.t, !strings.ContainsAny(name, " \t"), "%s%s: field %q", path, id, name)
+	}
+}
+
+// TestResetDuringUploadReachesNoClient guards against a part of an answer that counts as whole because its connection was reset while
+// a long request was being sent.
+func TestResetDuringUploadReachesNoClient(t *testing.T) {
+	t.Parallel()
+	heads := map[string]string{
+		"without a length": scriptedOK,
+		"closing":          scriptedOK + "Connection: close\r\n",
+		"HTTP 1.0":         strings.Replace(scriptedOK, "HTTP/1.1", "HTTP/1.0", 1),
+		"failure":          "HTTP/1.1 500 Failed\r\n" + scriptedFields,
+	}
+	for name, head := range heads {
+		for _, indirect := range []bool{false, true} {
+			if indirect && name != "without a length" {
+				continue
+			}
+			t.Run(fmt.Sprintf("%s, through another daemon %t", name, indirect), func(t *testing.T) {
+				play := newScriptedPlay(t, indirect)
+				play.checkNeverWhole(
+					&standin.ScriptedAnswer{Text: head + "\r\n" + standin.PageBody[:5], Early: true},
+					&standin.ScriptedAnswer{Text: head + "Content-Type: text/event-stream\r\n\r\n" + events(1, 1), Early: true},
+					uploadBytes,
+				)
+			})
+		}
+	}
+}
+
+// TestHalfClosedEarlyAnswerReachesClients guards against refusing an answer without a length of a back end that answers early, closes
+// its direction and reads the rest of the request.
+func TestHalfClosedEarlyAnswerReachesClients(t *testing.T) {
+	play := newScriptedPlay(t, false)
+	for _, runner := range play.runners[:4:4] {
+		text := scriptedOK + "\r\n" + standin.PageBody
+		if strings.HasPrefix(runner.ID, "e") {
+			text = scriptedOK + "Content-Type: text/event-stream\r\n\r\n" + events(1, scriptedEvents)
+		}
+		runner.AnswerWith(&standin.ScriptedAnswer{Text: text, Early: true, End: standin.EndHalfClose})
+	}
+	for range scriptedRepeats {
+		for path, body := range map[string]string{"/unsafe/": standin.PageBody, "/safe/": standin.PageBody, "/once/": events(1, scriptedEvents), "/stream/": events(1, scriptedEvents)} {
+			id, got := play.send(path, uploadBytes)
+			assert.NilError(t, got.err)
+			assert.Equal(t, got.status, http.StatusOK, "%s%s", path, id)
+			assert.Equal(t, got.body, body)
+			assert.Equal(t, play.ran(id), 1)
+		}
+	}
+}
--- a/internal/adapter/httpexchange/exchange.go
+++ b/internal/adapter/httpexchange/exchange.go
@@ -102,7 +102,7 @@
 	body       io.ReadCloser
 	connection *connection
 	stop       func() bool
-	wrote      chan error
+	sent       *transmission
 	whole      bool
 }
 
@@ -110,11 +110,22 @@
 func (a *Answer) Read(buffer []byte) (int, error) {
 	count, err := a.body.Read(buffer)
 	if err == io.EOF {
-		a.whole = true
+		err = a.end()
 	}
 	return count, err
 }
 
+// end returns io.EOF if the body is whole, now that nothing more of it follows.
+func (a *Answer) end() error {
+	if !a.whole && !a.Delimited {
+		if err := a.connection.checkEnd(a.sent); err != nil {
+			return err
+		}
+	}
+	a.whole = true
+	return io.EOF
+}
+
 // ReadAll reads a whole body of at most limit bytes. It fails with *outcome.TooLongError where the body, which part names, is longer.
 func (a *Answer) ReadAll(part string, limit int64) ([]byte, error) {
 	content, err := io.ReadAll(io.LimitReader(a, limit+1))
@@ -129,24 +140,13 @@
 // request at the other side.
 func (a *Answer) Close() {
 	uncancelled := a.stop()
-	if !uncancelled || !a.whole || a.Closing || !a.Delimited || !a.requestWritten() {
+	if !uncancelled || !a.whole || a.Closing || !a.Delimited || !a.sent.complete() {
 		a.connection.close()
 		return
 	}
 	a.connection.keep(keepAliveTime(a.Header))
 }
 
-// requestWritten tells whether the whole request was written before the answer
-// was complete.
-func (a *Answer) requestWritten() bool {
-	select {
-	case err := <-a.wrote:
-		return err == nil
-	default:
-		return false
-	}
-}
-
 // Do sends a request and reads the head of its answer. The context bounds the
 // whole exchange: when it ends, the connection is closed.
 func (p *Pool) Do(ctx context.Context, address string, request *Request) (*Answer, error) {
@@ -199,13 +199,13 @@
 // written while the answer is awaited, since the other side may answer early.
 func (c *connection) exchange(request *Request) (*Answer, error) {
 	message := request.message()
-	wrote := make(chan error, 1)
+	sent := newTransmission()
 	write := func() error {
 		err := message.Write(c.writer)
 		if err == nil {
 			err = c.writer.Flush()
 		}
-		wrote <- err
+		sent.end(err)
 		return err
 	}
 	c.written.Store(0)
@@ -226,7 +226,7 @@
 		Closing:    response.Close,
 		body:       response.Body,
 		connection: c,
-		wrote:      wrote,
+		sent:       sent,
 	}, nil
 }
 
--- a/internal/adapter/httpexchange/identify.go
+++ b/internal/adapter/httpexchange/identify.go
@@ -64,7 +64,7 @@
 	if err != nil {
 		return err
 	}
-	if !stop() || !answer.whole || answer.Closing || !answer.Delimited || !answer.requestWritten() || c.reader.Buffered() > 0 {
+	if !stop() || !answer.whole || answer.Closing || !answer.Delimited || !answer.sent.complete() || c.reader.Buffered() > 0 {
 		return errUnusable
 	}
 	c.peer = identity
