Refuse answers whose status HTTP does not have

What callers saw: the head of an answer with status 000, 001, 099 or +20 was dropped, and what followed in its body was read as the next head: callers got a body that looks like an answer as the answer. Status 600 and 999 were passed on.

Cause: readFinal took each status below 200 for an interim answer, which has no body, and each other one for final.

Fix: httpexchange, where all answers are read, takes only 100 to 599 (RFC 9110, section 15) as a head; 100 to 199 alone are interim. Anything else is a MalformedError. The request was sent and may have run: repeatable ones go elsewhere within their attempts, others get a refusal of unknown outcome. The connection is closed. Heads that net/http refuses are named the same way, so that a back end that sends garbage no longer counts as one whose connection the request crashed. An answer to the question for a back end's incarnation that is malformed does not show a restart.

TestBytesThatAreNoHeadAreNamed and TestHeadThatIsCutIsNoAnswer hold what was refused already.

--- a/cmd/internal/daemon/incarnations.go
+++ b/cmd/internal/daemon/incarnations.go
@@ -9,6 +9,7 @@
 
 	"github.com/lotusward/lotusward/internal/adapter/httpexchange"
 	"github.com/lotusward/lotusward/internal/core/backendpool"
+	"github.com/lotusward/lotusward/internal/core/outcome"
 	"github.com/lotusward/lotusward/internal/core/streamorigin"
 	"github.com/lotusward/lotusward/internal/weightupdate"
 )
@@ -24,6 +25,10 @@
 
 // connectionLost reports whether a call reached a back end and its connection was lost before the answer.
 func connectionLost(err error) bool {
+	var malformed *outcome.MalformedError
+	if errors.As(err, &malformed) {
+		return false
+	}
 	var failed *httpexchange.Error
 	return errors.As(err, &failed) && failed.Stage != httpexchange.StageUnreached
 }
--- a/cmd/lotusward/brokenanswers_test.go
+++ b/cmd/lotusward/brokenanswers_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -22,6 +23,9 @@
 	uploadBytes = 300 << 10
 )
 
+// refusals are the statuses of requests that the daemon gives up.
+var refusals = []int{http.StatusBadGateway, http.StatusServiceUnavailable, http.StatusGatewayTimeout}
+
 // scriptedPlay is a deployment whose back ends send scripted answers.
 type scriptedPlay struct {
 	*deployment
@@ -38,7 +42,6 @@
 	play.sound = []*standin.Runner{play.page("p2"), play.engine("e2", scriptedEvents, 0)}
 	play.configure(testKey)
 	play.name(1)
-	play.daemon = nil
 	if indirect {
 		play.deployment.daemon("d0", true)
 		play.gateways = true
@@ -104,7 +107,7 @@
 // checkReply holds what a client got while one of two back ends, or all, are faulty.
 func (p *scriptedPlay) checkReply(path, id string, got reply, all bool) {
 	p.t.Helper()
-	isWhole := got.err == nil && got.status < http.StatusBadGateway
+	isWhole := got.err == nil && !slices.Contains(refusals, got.status)
 	body := standin.PageBody
 	if path == "/stream/" || path == "/once/" {
 		body = events(1, scriptedEvents)
@@ -118,6 +121,28 @@
 	}
 }
 
+// scriptedImitation is a body that looks like an answer.
+const scriptedImitation = scriptedOK + "Content-Length: 6\r\n\r\nforged"
+
+// checkMalformed plays answers that are written whole and form none. The log names their part.
+func checkMalformed(t *testing.T, text, part string, indirect bool) {
+	play := newScriptedPlay(t, indirect)
+	answer := &standin.ScriptedAnswer{Text: text, End: standin.EndHalfClose}
+	play.checkNeverWhole(answer, answer, 0)
+	assert.Check(t, strings.Contains(play.daemon.log(), fmt.Sprintf("%q:%q", "malformed", part)), "the log doesn't name the %s", part)
+}
+
+// TestImpossibleStatusReachesNoClient guards against answers whose status HTTP doesn't have, and against taking their bodies for
+// answers.
+func TestImpossibleStatusReachesNoClient(t *testing.T) {
+	t.Parallel()
+	for _, status := range []string{"000", "001", "099", "+20", "600", "999"} {
+		t.Run(status, func(t *testing.T) {
+			checkMalformed(t, "HTTP/1.1 "+status+" Odd\r\n"+scriptedFields+"\r\n"+scriptedImitation, "status code", status == "000")
+		})
+	}
+}
+
 // TestResetDuringUploadReachesNoClient guards against a part of an answer that counts as whole because its connection was reset while
 // a long request was being sent.
 func TestResetDuringUploadReachesNoClient(t *testing.T) {
--- a/internal/adapter/httpexchange/exchange.go
+++ b/internal/adapter/httpexchange/exchange.go
@@ -293,7 +293,7 @@
 	c.heads.start(c.reader.Buffered())
 	defer c.heads.stop()
 	for {
-		response, err := http.ReadResponse(c.reader, message)
+		response, err := c.readHead(message)
 		if err != nil {
 			return nil, err
 		}
@@ -301,11 +301,24 @@
 			return response, nil
 		}
 		if response.StatusCode == http.StatusSwitchingProtocols {
-			return nil, errors.New("an unasked change of protocol")
+			return nil, outcome.NewMalformedError(partStatus, "unrequested change of protocol")
 		}
 	}
 }
 
+// readHead reads one head. It fails with *outcome.MalformedError if the peer sent something else.
+func (c *connection) readHead(message *http.Request) (*http.Response, error) {
+	response, err := http.ReadResponse(c.reader, message)
+	switch {
+	case err == nil:
+		return response, checkHead(response)
+	case c.heads.failed == nil:
+		return nil, outcome.NewMalformedError(partHead, err.Error())
+	default:
+		return nil, err
+	}
+}
+
 // delimited tells whether the answer's end can be seen without the connection's.
 func delimited(response *http.Response) bool {
 	if response.ContentLength >= 0 {
--- a/internal/adapter/httpexchange/headlimit.go
+++ b/internal/adapter/httpexchange/headlimit.go
@@ -19,11 +19,13 @@
 	// limited is set while a head is read, of which at most left bytes may follow.
 	limited bool
 	left    int
+	// failed is why no more bytes of the head came, or nil.
+	failed error
 }
 
 // start begins a head of which some bytes are buffered already.
 func (l *headLimiter) start(buffered int) {
-	l.limited, l.left = true, maxHeadBytes-buffered
+	l.limited, l.left, l.failed = true, maxHeadBytes-buffered, nil
 }
 
 // stop lifts the limit for the body.
@@ -35,9 +37,11 @@
 		return l.socket.Read(into)
 	}
 	if l.left <= 0 {
-		return 0, &outcome.TooLongError{Part: headPart, Limit: maxHeadBytes}
+		l.failed = &outcome.TooLongError{Part: headPart, Limit: maxHeadBytes}
+		return 0, l.failed
 	}
 	count, err := l.socket.Read(into[:min(len(into), l.left)])
 	l.left -= count
+	l.failed = err
 	return count, err
 }
--- /dev/null
+++ b/internal/adapter/httpexchange/malformed_test.go
@@ -0,0 +1,135 @@
+package httpexchange
+
+import (
+	"bufio"
+	"errors"
+	"io"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/lotusward/lotusward/internal/core/outcome"
+)
+
+// imitation is a body that looks like an answer.
+const imitation = "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 6\r\n\r\nforged"
+
+// checkMalformed holds that bytes form no answer, that the error names the part, and that their connection is not used again.
+func checkMalformed(t *testing.T, text, part string) {
+	t.Helper()
+	address := serveRaw(t, func(number int, socket net.Conn) {
+		reader := bufio.NewReader(socket)
+		_, _ = readRequest(reader)
+		if number > 0 {
+			_, _ = io.WriteString(socket, whole)
+			return
+		}
+		_, _ = io.WriteString(socket, text)
+		_, _ = readRequest(reader)
+	})
+	pool := NewPool(Options{})
+	t.Cleanup(pool.Close)
+	body, err := exchange(t, pool, address, "1")
+	var malformed *outcome.MalformedError
+	assert.Assert(t, errors.As(err, &malformed), "%q, %v", body, err)
+	assert.Equal(t, malformed.Part, part)
+	var failed *Error
+	assert.Assert(t, !errors.As(err, &failed) || failed.Stage == StageSent)
+	body, err = exchange(t, pool, address, "1")
+	assert.NilError(t, err)
+	assert.Equal(t, body, "one")
+	assert.Equal(t, pool.Opened(), uint64(2))
+}
+
+// TestImpossibleStatusIsNoAnswer guards against an answer whose status HTTP doesn't have, and against a body that is read as the next
+// head because its own head counts as an interim one.
+func TestImpossibleStatusIsNoAnswer(t *testing.T) {
+	t.Parallel()
+	for _, status := range []string{"000", "001", "020", "099", "+20", "+99", "600", "999"} {
+		for name, rest := range map[string]string{
+			"with a length":          " Odd\r\nId: 1\r\nContent-Length: 58\r\n\r\n" + imitation,
+			"without a length":       " Odd\r\nId: 1\r\n\r\n" + imitation,
+			"in chunks":              " Odd\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n" + imitation,
+			"without a phrase":       "\r\nId: 1\r\n\r\n" + imitation,
+			"after an interim one":   "",
+			"of another's exchange":  " Odd\r\nId: 2\r\nContent-Length: 0\r\n\r\n" + imitation,
+			"without a body":         " Odd\r\nId: 1\r\nContent-Length: 0\r\n\r\n",
+			"with other bytes after": " Odd\r\nId: 1\r\n\r\nforged",
+		} {
+			t.Run(status+" "+name, func(t *testing.T) {
+				t.Parallel()
+				text := "HTTP/1.1 " + status + rest
+				if rest == "" {
+					text = "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 " + status + " Odd\r\n\r\n" + imitation
+				}
+				checkMalformed(t, text, partStatus)
+			})
+		}
+	}
+}
+
+// TestBytesThatAreNoHeadAreNamed guards against a back end that sends other bytes and counts as one that lost its connection.
+func TestBytesThatAreNoHeadAreNamed(t *testing.T) {
+	t.Parallel()
+	for name, text := range map[string]string{
+		"no answer":             "no answer at all\r\n\r\n",
+		"negative status":       "HTTP/1.1 -20 Odd\r\nId: 1\r\n\r\n" + imitation,
+		"long status":           "HTTP/1.1 2000 Odd\r\nId: 1\r\n\r\n" + imitation,
+		"status in letters":     "HTTP/1.1 20x Odd\r\nId: 1\r\n\r\n" + imitation,
+		"contradictory lengths": answerHead + "Content-Length: 3\r\nContent-Length: 6\r\n\r\nforged",
+		"list of lengths":       answerHead + "Content-Length: 3, 6\r\n\r\nforged",
+		"signed length":         answerHead + "Content-Length: +6\r\n\r\nforged",
+		"negative length":       answerHead + "Content-Length: -1\r\n\r\nforged",
+		"empty length":          answerHead + "Content-Length: \r\n\r\nforged",
+		"unknown coding":        answerHead + "Transfer-Encoding: other\r\n\r\nforged",
+		"two codings":           answerHead + "Transfer-Encoding: gzip, chunked\r\n\r\nforged",
+		"control byte in name":  answerHead + "Od\x01d: x\r\nContent-Length: 6\r\n\r\nforged",
+		"tab in name":           answerHead + "Od\td: x\r\nContent-Length: 6\r\n\r\nforged",
+		"byte over 127 in name": answerHead + "Od\xffd: x\r\nContent-Length: 6\r\n\r\nforged",
+		"DEL in name":           answerHead + "Od\x7fd: x\r\nContent-Length: 6\r\n\r\nforged",
+		"parenthesis in name":   answerHead + "Od(d: x\r\nContent-Length: 6\r\n\r\nforged",
+		"no name":               answerHead + ": x\r\nContent-Length: 6\r\n\r\nforged",
+		"no colon":              answerHead + "Odd\r\nContent-Length: 6\r\n\r\nforged",
+		"NUL in value":          answerHead + "Odd: \x00\r\nContent-Length: 6\r\n\r\nforged",
+		"CR in value":           answerHead + "Odd: a\rb\r\nContent-Length: 6\r\n\r\nforged",
+		"control byte in value": answerHead + "Odd: a\x01b\r\nContent-Length: 6\r\n\r\nforged",
+		"blank before a name":   "HTTP/1.1 200 OK\r\n Id: 1\r\nContent-Length: 6\r\n\r\nforged",
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			checkMalformed(t, text, partHead)
+		})
+	}
+}
+
+// TestHeadThatIsCutIsNoAnswer guards against an answer with an empty or short body whose head or chunks were cut, and against one that
+// counts as malformed although its connection was lost.
+func TestHeadThatIsCutIsNoAnswer(t *testing.T) {
+	t.Parallel()
+	for name, text := range map[string]string{
+		"length":          answerHead + "Content-Length: 3\r\n\r\none",
+		"chunks":          answerHead + "Transfer-Encoding: chunked\r\n\r\n3\r\none\r\n0\r\n\r\n",
+		"no length, head": answerHead + "Odd: x\r\n\r\n",
+	} {
+		cuts := len(text)
+		for end := range cuts {
+			for _, resets := range []bool{false, true} {
+				address := serveRaw(t, func(_ int, socket net.Conn) {
+					_, _ = readRequest(bufio.NewReader(socket))
+					_, _ = io.WriteString(socket, text[:end])
+					if resets {
+						time.Sleep(time.Millisecond)
+						_ = socket.(*net.TCPConn).SetLinger(0)
+					}
+				})
+				body, err := exchange(t, NewPool(Options{}), address, "1")
+				assert.Assert(t, err != nil, "%s, cut after %q: %q", name, text[:end], body)
+				var malformed *outcome.MalformedError
+				assert.Assert(t, !errors.As(err, &malformed), "%s, cut after %q: %v", name, strings.TrimSpace(text[:end]), err)
+			}
+		}
+	}
+}
--- a/internal/forward/client.go
+++ b/internal/forward/client.go
@@ -148,7 +148,7 @@
 			return nil, &relay.SendError{Evidence: received.Evidence, Via: address, Cause: cause}
 		}
 		release(received.end())
-		return nil, &relay.SendError{Evidence: received.Evidence, Via: address, Cause: errors.New(received.Cause)}
+		return nil, &relay.SendError{Evidence: received.Evidence, Via: address, Cause: received.cause(answer.Header)}
 	}
 	read := received.answer()
 	read.Via, read.Incarnation = address, incarnationOf(answer.Header)
--- a/internal/forward/confirmation.go
+++ b/internal/forward/confirmation.go
@@ -6,6 +6,7 @@
 	"strconv"
 
 	"github.com/lotusward/lotusward/internal/core/identity"
+	"github.com/lotusward/lotusward/internal/core/outcome"
 	"github.com/lotusward/lotusward/internal/relay"
 )
 
@@ -19,6 +20,8 @@
 	headerNotSent      = "Forward-Not-Sent"
 	notSentRestarted   = "restarted"
 	notSentUnconfirmed = "unconfirmed"
+	// headerMalformed names the part of a back end's answer that was malformed.
+	headerMalformed = "Forward-Malformed"
 )
 
 // confirmationHeader returns the header of a request.
@@ -69,6 +72,14 @@
 	}
 }
 
+// setMalformed tells which part of a back end's answer was malformed, if that is the cause.
+func setMalformed(header http.Header, cause error) {
+	var malformed *outcome.MalformedError
+	if errors.As(cause, &malformed) {
+		header.Set(headerMalformed, malformed.Part)
+	}
+}
+
 // notSentCause returns the error behind headerNotSent; nil if there is none.
 func notSentCause(header http.Header) error {
 	switch header.Get(headerNotSent) {
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -39,6 +39,7 @@
 	loses     behaviour = "the back end loses the request"
 	cuts      behaviour = "the back end cuts its answer"
 	silent    behaviour = "the back end is silent"
+	malformed behaviour = "the back end sends what forms no answer"
 	// refuses and the next ones are failures of the helper.
 	refuses     behaviour = "the helper refuses"
 	forbids     behaviour = "the helper doesn't permit the request"
@@ -82,6 +83,9 @@
 	case loses:
 		h.runs.Add(1)
 		return nil, &relay.SendError{Evidence: outcome.Sent, Cause: errors.New("reset")}
+	case malformed:
+		h.runs.Add(1)
+		return nil, &relay.SendError{Evidence: outcome.Sent, Cause: outcome.NewMalformedError("status code", "000")}
 	case silent:
 		h.runs.Add(1)
 		<-ctx.Done()
@@ -316,3 +320,20 @@
 	assert.Equal(t, client.options.Inquiry.Ask(context.Background(), "b1"), Reached)
 	assert.Assert(t, time.Since(began) < answerTimeout/2)
 }
+
+// TestMalformedAnswerKeepsItsCause guards against a malformed answer that counts as a lost connection because it came through another
+// daemon.
+func TestMalformedAnswerKeepsItsCause(t *testing.T) {
+	network, pool := peerlinktest.NewNetwork(1), httpexchange.NewPool(httpexchange.Options{})
+	defer pool.Close()
+	helper, lost := &fakeHelper{behaviour: malformed}, new(atomic.Int32)
+	defer helper.start(network)()
+	_, err := newClient(network, pool, []string{helper.address}).Send(t.Context(), newDispatch(lost))
+	var failed *relay.SendError
+	assert.Assert(t, errors.As(err, &failed))
+	assert.Equal(t, failed.Evidence, outcome.Sent)
+	var cause *outcome.MalformedError
+	assert.Assert(t, errors.As(err, &cause), "%v", err)
+	assert.Equal(t, cause.Part, "status code")
+	assert.Equal(t, helper.noted.Load()+lost.Load(), int32(0))
+}
--- a/internal/forward/message.go
+++ b/internal/forward/message.go
@@ -118,6 +118,14 @@
 	return &head{Failed: true, Evidence: evidence, Cause: cause.Error()}
 }
 
+// cause returns why there is no answer. The header is that of the exchange with the other daemon.
+func (h *head) cause(header http.Header) error {
+	if part := header.Get(headerMalformed); part != "" {
+		return outcome.NewMalformedError(part, h.Cause)
+	}
+	return errors.New(h.Cause)
+}
+
 // answeredHead describes an answer.
 func answeredHead(answer *relay.Answer) *head {
 	return &head{
--- a/internal/forward/server.go
+++ b/internal/forward/server.go
@@ -201,6 +201,7 @@
 		s.options.Observe("failed")
 		s.log(dispatch, "A request of another daemon has no answer.", err)
 		setNotSent(writer.Header(), err)
+		setMalformed(writer.Header(), err)
 		_ = s.answer(writer, failedHead(s.evidenceOf(ctx, dispatch, err), err)) // the other daemon may have left
 		return
 	}
@@ -235,7 +236,10 @@
 	if errors.As(err, &failed) && failed.Evidence == outcome.Unreached {
 		return outcome.Unreached
 	}
-	s.noteLost(ctx, dispatch)
+	var malformed *outcome.MalformedError
+	if !errors.As(err, &malformed) { // the daemon closed that connection itself
+		s.noteLost(ctx, dispatch)
+	}
 	return outcome.Sent
 }
 
--- a/internal/relay/fixture_test.go
+++ b/internal/relay/fixture_test.go
@@ -62,6 +62,8 @@
 	behaveRestarted
 	// behaveEndInEvent ends a stream inside an event with complete framing; it is never drawn.
 	behaveEndInEvent
+	// behaveMalformed sends bytes that form no answer; it is never drawn.
+	behaveMalformed
 )
 
 // scriptedBackends follow a script, attempt by attempt, and record what actually ran.
@@ -146,6 +148,9 @@
 	case behaveLostAfterRun:
 		b.run()
 		return nil, &SendError{Evidence: outcome.Sent, Cause: errors.New("reset")}
+	case behaveMalformed:
+		b.run()
+		return nil, &SendError{Evidence: outcome.Sent, Cause: outcome.NewMalformedError("status code", "000")}
 	case behaveRejected:
 		return b.answer(VerdictNotRun, http.StatusServiceUnavailable, "full"), nil
 	case behaveReplaced:
--- a/internal/relay/observer.go
+++ b/internal/relay/observer.go
@@ -65,6 +65,8 @@
 	Reason  string
 	// TooLong is set if a part of the answer exceeded a limit.
 	TooLong *outcome.TooLongError
+	// Malformed is set if what the backend sent forms no answer.
+	Malformed *outcome.MalformedError
 }
 
 // ReplacedWeights records when a request had to start at a backend whose weights were replaced by
--- a/internal/relay/sending.go
+++ b/internal/relay/sending.go
@@ -132,8 +132,8 @@
 	}
 	r.noteVia(err)
 	failed := failure{evidence: evidence, result: resultOf(evidence)}
-	reason := r.noteTooLong(err, evidence.String())
-	if reason == reasonTooLong {
+	reason := r.noteBroken(err, evidence.String())
+	if isBroken(reason) {
 		failed.result = brokenResult(reason)
 	}
 	failed.reason = cancelReason(ctx, reason)
@@ -148,21 +148,33 @@
 	}
 }
 
-// reasonTooLong is the reason of attempts whose answer exceeded a limit. Its connection was closed by the daemon.
-const reasonTooLong = "too_long"
+// Reasons of attempts whose connection was closed by the daemon, because of what the backend sent.
+const (
+	// reasonTooLong means that the answer exceeded a limit.
+	reasonTooLong = "too_long"
+	// reasonMalformed means that what came forms no answer.
+	reasonMalformed = "malformed"
+)
+
+// isBroken reports whether an attempt's reason is what the backend sent.
+func isBroken(reason string) bool { return reason == reasonTooLong || reason == reasonMalformed }
 
-// noteTooLong records which part of the attempt's answer exceeded a limit. It returns the reason of the attempt's end, which is the
-// given one if none did.
-func (r *run) noteTooLong(err error, otherwise string) string {
-	if !errors.As(err, &r.attempt.TooLong) {
+// noteBroken records which part of the attempt's answer exceeded a limit or was malformed. It returns the reason of the attempt's end,
+// which is the given one if none was.
+func (r *run) noteBroken(err error, otherwise string) string {
+	switch {
+	case errors.As(err, &r.attempt.TooLong):
+		return reasonTooLong
+	case errors.As(err, &r.attempt.Malformed):
+		return reasonMalformed
+	default:
 		return otherwise
 	}
-	return reasonTooLong
 }
 
 // brokenResult returns the result of an attempt whose answer broke off for a reason.
 func brokenResult(reason string) backendpool.Result {
-	if reason == reasonTooLong {
+	if isBroken(reason) {
 		return backendpool.ResultFailed
 	}
 	return backendpool.ResultConnectionLost
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -85,7 +85,7 @@
 			return r.endStream(ctx, answer, got.bytes)
 		}
 		if err != nil {
-			return r.handleBrokenStream(ctx, r.noteTooLong(err, "cut_stream"))
+			return r.handleBrokenStream(ctx, r.noteBroken(err, "cut_stream"))
 		}
 		watch.reset()
 		ticket.RecordActivity(r.now())
--- a/internal/relay/whole.go
+++ b/internal/relay/whole.go
@@ -42,7 +42,7 @@
 		err = errFailureTooLong
 	}
 	if err != io.EOF {
-		reason := r.noteTooLong(err, "cut_answer")
+		reason := r.noteBroken(err, "cut_answer")
 		failed := failure{evidence: outcome.Answered, result: brokenResult(reason), reason: cancelReason(ctx, reason)}
 		return stepRetry, r.adjustForCancel(ctx, failed)
 	}
--- a/internal/requestlog/requestlog.go
+++ b/internal/requestlog/requestlog.go
@@ -308,6 +308,10 @@
 		fields["too_long"] = attempt.TooLong.Part
 		fields["limit_bytes"] = attempt.TooLong.Limit
 	}
+	if attempt.Malformed != nil {
+		fields["malformed"] = attempt.Malformed.Part
+		fields["malformed_detail"] = attempt.Malformed.Detail
+	}
 	if attempt.Reason != "" {
 		fields["attempt_reason"] = attempt.Reason
 	}
