Refuse answers with a field whose name HTTP does not permit

What callers saw: a field whose name holds a blank, or a blank before its colon, was passed on as it was. Where it was Content-Length or Transfer-Encoding, the framing that the back end meant was lost, and callers got chunk sizes as a body. Lotusward-Not-Executed with a blank was not read.

Cause: http.ReadResponse keeps names with blanks as they are, does not read them as the fields that they resemble, and nothing looked at them afterwards.

Fix: httpexchange checks each name and value of a head, of an interim one too, with golang.org/x/net/http/httpguts, and the names of trailers when the body has ended. RFC 9112 (section 5.1) lets a proxy remove a blank before the colon before it forwards an answer; that would need a parser of our own to frame the body anew, so such an answer is refused, which forwards nothing. A line that continues the one before it stays allowed: net/http joins it, as section 5.2 asks.

Tabs, control bytes, DEL, bytes over 127, parentheses, no name and no colon were refused already: TestBytesThatAreNoHeadAreNamed holds that.

--- a/cmd/lotusward/brokenanswers_test.go
+++ b/cmd/lotusward/brokenanswers_test.go
@@ -143,6 +143,22 @@
 	}
 }
 
+// TestFieldNameWithBlankReachesNoClient guards against passing on a field whose name holds a blank, and against bodies that are not the
+// back end's because such a field was meant to delimit them.
+func TestFieldNameWithBlankReachesNoClient(t *testing.T) {
+	t.Parallel()
+	for _, field := range []string{"Odd Name: x", "Odd : x", "Content-Length : 6", "Transfer-Encoding : chunked", "Lotusward-Not-Executed : 1"} {
+		for name, rest := range map[string]string{
+			"with a length": "Content-Length: 6\r\n\r\nforged", "without a length": "\r\n6\r\nforged\r\n0\r\n\r\n",
+			"stream": "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n15\r\n" + events(1, 1) + "\r\n0\r\n\r\n",
+		} {
+			t.Run(field+" "+name, func(t *testing.T) {
+				checkMalformed(t, scriptedOK+field+"\r\n"+rest, "field name", name == "stream" && field == "Odd : x")
+			})
+		}
+	}
+}
+
 // TestResetDuringUploadReachesNoClient guards against a part of an answer that counts as whole because its connection was reset while
 // a long request was being sent.
 func TestResetDuringUploadReachesNoClient(t *testing.T) {
--- a/internal/adapter/httpexchange/exchange.go
+++ b/internal/adapter/httpexchange/exchange.go
@@ -99,7 +99,7 @@
 	// Peer is the identity that the process at the other end of the connection has told; zero if it was not asked, or didn't tell.
 	Peer uint64
 
-	body       io.ReadCloser
+	response   *http.Response
 	connection *connection
 	stop       func() bool
 	sent       *transmission
@@ -108,7 +108,7 @@
 
 // Read reads the body. It returns io.EOF only at the end of a whole body.
 func (a *Answer) Read(buffer []byte) (int, error) {
-	count, err := a.body.Read(buffer)
+	count, err := a.response.Body.Read(buffer)
 	if err == io.EOF {
 		err = a.end()
 	}
@@ -117,7 +117,13 @@
 
 // end returns io.EOF if the body is whole, now that nothing more of it follows.
 func (a *Answer) end() error {
-	if !a.whole && !a.Delimited {
+	if a.whole {
+		return io.EOF
+	}
+	if err := checkFields(a.response.Trailer); err != nil {
+		return err
+	}
+	if !a.Delimited {
 		if err := a.connection.checkEnd(a.sent); err != nil {
 			return err
 		}
@@ -224,7 +230,7 @@
 		Length:     response.ContentLength,
 		Delimited:  delimited(response),
 		Closing:    response.Close,
-		body:       response.Body,
+		response:   response,
 		connection: c,
 		sent:       sent,
 	}, nil
--- a/internal/adapter/httpexchange/malformed_test.go
+++ b/internal/adapter/httpexchange/malformed_test.go
@@ -71,6 +71,31 @@
 	}
 }
 
+// TestFieldNameWithBlankIsNoAnswer guards against passing on a field whose name is none, and against a body that is not the peer's
+// because a field of that kind was meant to delimit it.
+func TestFieldNameWithBlankIsNoAnswer(t *testing.T) {
+	t.Parallel()
+	for _, field := range []string{
+		"Odd Name: x", "Odd : x", "Content-Length : 6", "Content Length: 6", "Content-Length  : 6", "Transfer-Encoding : chunked",
+		"Transfer Encoding: chunked", "Id : 1", "Lotusward-Not-Executed : 1", "Connection : close", "Set-Cookie : a=b",
+	} {
+		for name, text := range map[string]string{
+			"without a length": answerHead + field + "\r\n\r\n" + imitation,
+			"with a length":    answerHead + field + "\r\nContent-Length: 6\r\n\r\nforged",
+			"first":            "HTTP/1.1 200 OK\r\nOdd Name: x\r\n" + field + "\r\nContent-Length: 6\r\n\r\nforged",
+			"interim":          "HTTP/1.1 103 Early Hints\r\n" + field + "\r\n\r\n" + whole,
+			"of another":       "HTTP/1.1 200 OK\r\nId: 2\r\n" + field + "\r\nContent-Length: 0\r\n\r\n" + whole,
+			"HTTP 1.0":         "HTTP/1.0 200 OK\r\nId: 1\r\n" + field + "\r\n\r\nforged",
+			"trailer":          answerHead + "Transfer-Encoding: chunked\r\n\r\n6\r\nforged\r\n0\r\n" + field + "\r\n\r\n",
+		} {
+			t.Run(field+" "+name, func(t *testing.T) {
+				t.Parallel()
+				checkMalformed(t, text, partFieldName)
+			})
+		}
+	}
+}
+
 // TestBytesThatAreNoHeadAreNamed guards against a back end that sends other bytes and counts as one that lost its connection.
 func TestBytesThatAreNoHeadAreNamed(t *testing.T) {
 	t.Parallel()
--- a/internal/adapter/httpexchange/wellformed.go
+++ b/internal/adapter/httpexchange/wellformed.go
@@ -4,6 +4,8 @@
 	"net/http"
 	"strconv"
 
+	"golang.org/x/net/http/httpguts"
+
 	"github.com/lotusward/lotusward/internal/core/outcome"
 )
 
@@ -15,8 +17,10 @@
 
 // Parts of answers that errors name.
 const (
-	partHead   = "head"
-	partStatus = "status code"
+	partHead       = "head"
+	partStatus     = "status code"
+	partFieldName  = "field name"
+	partFieldValue = "field value"
 )
 
 // checkHead returns *outcome.MalformedError for what net/http reads as the head of an answer and HTTP/1.1 does not permit.
@@ -24,5 +28,21 @@
 	if response.StatusCode < minStatus || response.StatusCode > maxStatus {
 		return outcome.NewMalformedError(partStatus, strconv.Itoa(response.StatusCode))
 	}
+	return checkFields(response.Header)
+}
+
+// checkFields returns *outcome.MalformedError for a field whose name or value HTTP does not permit (RFC 9110, section 5). net/http reads
+// names with blanks, also where they resemble the fields that delimit a body.
+func checkFields(header http.Header) error {
+	for name, values := range header {
+		if !httpguts.ValidHeaderFieldName(name) {
+			return outcome.NewMalformedError(partFieldName, name)
+		}
+		for _, value := range values {
+			if !httpguts.ValidHeaderFieldValue(value) {
+				return outcome.NewMalformedError(partFieldValue, name+": "+value)
+			}
+		}
+	}
 	return nil
 }
