Refuse answers whose first line names another protocol's version

What callers saw: an answer that begins with HTTP/0.9, HTTP/2.0, HTTP/3.0 or HTTP/9.9 was passed on as one of HTTP/1.1. So was one whose reason phrase holds NUL, CR, DEL or another control byte; the phrase itself is not passed on.

Cause: http.ReadResponse takes each digit for a version and each byte for a phrase, and nothing looked at them afterwards.

Fix: httpexchange takes major version 1 alone. A later minor one is still read as HTTP/1.1, as RFC 9110 (section 2.5) asks. The phrase is held to the bytes that RFC 9112 (section 4) permits, which are those of a field's value; section 2.2 asks to refuse or replace a bare CR.

TestLaterMinorVersionIsAnswered holds what must stay.

--- a/cmd/lotusward/brokenanswers_test.go
+++ b/cmd/lotusward/brokenanswers_test.go
@@ -143,6 +143,16 @@
 	}
 }
 
+// TestOtherProtocolReachesNoClient guards against answers whose first lines name another protocol's version.
+func TestOtherProtocolReachesNoClient(t *testing.T) {
+	t.Parallel()
+	for _, version := range []string{"HTTP/0.9", "HTTP/2.0", "HTTP/3.0"} {
+		t.Run(version, func(t *testing.T) {
+			checkMalformed(t, version+" 200 OK\r\n"+scriptedFields+"Content-Length: 6\r\n\r\nforged", "protocol version", false)
+		})
+	}
+}
+
 // TestFieldNameWithBlankReachesNoClient guards against passing on a field whose name holds a blank, and against bodies that are not the
 // back end's because such a field was meant to delimit them.
 func TestFieldNameWithBlankReachesNoClient(t *testing.T) {
--- a/internal/adapter/httpexchange/malformed_test.go
+++ b/internal/adapter/httpexchange/malformed_test.go
@@ -71,6 +71,43 @@
 	}
 }
 
+// TestOtherProtocolIsNoAnswer guards against an answer whose first line names another protocol's version, or holds control bytes.
+func TestOtherProtocolIsNoAnswer(t *testing.T) {
+	t.Parallel()
+	fields := "\r\nId: 1\r\nContent-Length: 6\r\n\r\nforged"
+	for line, part := range map[string]string{
+		"HTTP/0.0 200 OK": partVersion, "HTTP/0.9 200 OK": partVersion, "HTTP/2.0 200 OK": partVersion, "HTTP/2.1 200 OK": partVersion,
+		"HTTP/3.0 200 OK": partVersion, "HTTP/9.9 200 OK": partVersion, "HTTP/2.0 103 Hints": partVersion,
+		"HTTP/1.1 200 O\x00K": partPhrase, "HTTP/1.1 200 O\rId: 2": partPhrase, "HTTP/1.1 200 O\x7fK": partPhrase, "HTTP/1.0 200 \x1b[2J": partPhrase,
+		"HTTP/2 200 OK": partHead, "HTTP/1 200 OK": partHead, "HTTP/1.10 200 OK": partHead, "HTTP/1.x 200 OK": partHead, "HTTP/+1.1 200 OK": partHead,
+		"http/1.1 200 OK": partHead, "ICY 200 OK": partHead, "RTSP/1.0 200 OK": partHead, "SIP/2.0 200 OK": partHead, "HTTP/1.1\t200 OK": partHead, "200 OK": partHead,
+	} {
+		t.Run(line, func(t *testing.T) {
+			t.Parallel()
+			checkMalformed(t, line+fields, part)
+		})
+	}
+}
+
+// TestLaterMinorVersionIsAnswered guards against refusing answers that HTTP lets a recipient read as HTTP/1.1.
+func TestLaterMinorVersionIsAnswered(t *testing.T) {
+	t.Parallel()
+	for _, line := range []string{"HTTP/1.0 200 OK", "HTTP/1.1 200 OK", "HTTP/1.2 200 OK", "HTTP/1.9 200 OK", "HTTP/1.1 200", "HTTP/1.1 200 ", "HTTP/1.1 200 T\tr\xe8s bien"} {
+		t.Run(line, func(t *testing.T) {
+			t.Parallel()
+			address := serveRaw(t, func(_ int, socket net.Conn) {
+				_, _ = readRequest(bufio.NewReader(socket))
+				_, _ = io.WriteString(socket, line+"\r\nId: 1\r\nFolded: a\r\n b\r\nContent-Length: 3\r\n\r\none")
+			})
+			pool := NewPool(Options{})
+			t.Cleanup(pool.Close)
+			body, err := exchange(t, pool, address, "1")
+			assert.NilError(t, err)
+			assert.Equal(t, body, "one")
+		})
+	}
+}
+
 // TestFieldNameWithBlankIsNoAnswer guards against passing on a field whose name is none, and against a body that is not the peer's
 // because a field of that kind was meant to delimit it.
 func TestFieldNameWithBlankIsNoAnswer(t *testing.T) {
--- a/internal/adapter/httpexchange/wellformed.go
+++ b/internal/adapter/httpexchange/wellformed.go
@@ -18,15 +18,22 @@
 // Parts of answers that errors name.
 const (
 	partHead       = "head"
+	partVersion    = "protocol version"
 	partStatus     = "status code"
+	partPhrase     = "reason phrase"
 	partFieldName  = "field name"
 	partFieldValue = "field value"
 )
 
 // checkHead returns *outcome.MalformedError for what net/http reads as the head of an answer and HTTP/1.1 does not permit.
 func checkHead(response *http.Response) error {
-	if response.StatusCode < minStatus || response.StatusCode > maxStatus {
+	switch {
+	case response.ProtoMajor != 1: // a later minor version is read as HTTP/1.1 (RFC 9110, section 2.5)
+		return outcome.NewMalformedError(partVersion, response.Proto)
+	case response.StatusCode < minStatus || response.StatusCode > maxStatus:
 		return outcome.NewMalformedError(partStatus, strconv.Itoa(response.StatusCode))
+	case !httpguts.ValidHeaderFieldValue(response.Status):
+		return outcome.NewMalformedError(partPhrase, response.Status)
 	}
 	return checkFields(response.Header)
 }
