Refuse answers of HTTP/1.0 that name a transfer coding

What callers saw: an answer of HTTP/1.0 with `Transfer-Encoding: chunked` was passed on with its chunk sizes as its body, or cut at a length that stood beside it.

Cause: HTTP/1.0 has no transfer codings. http.ReadResponse drops the field there without a word and frames the body without it.

Fix: RFC 9112 (section 6.1) has a recipient treat such framing as faulty, even with a length. httpexchange copies heads that may be of HTTP/1.0 while net/http reads them, and looks the field up with net/textproto. Heads of HTTP/1.1 are not copied, unless their first piece is shorter than the version.

TestEarlierVersionIsAnswered and TestHeadInPiecesIsReadAsOne hold what must stay.

--- a/cmd/lotusward/brokenanswers_test.go
+++ b/cmd/lotusward/brokenanswers_test.go
@@ -153,6 +153,19 @@
 	}
 }
 
+// TestCodingOfEarlierVersionReachesNoClient guards against bodies that are passed on with their chunk sizes.
+func TestCodingOfEarlierVersionReachesNoClient(t *testing.T) {
+	t.Parallel()
+	head := strings.Replace(scriptedOK, "HTTP/1.1", "HTTP/1.0", 1) + "Transfer-Encoding: chunked\r\n"
+	for name, rest := range map[string]string{
+		"without a length": "\r\n6\r\nforged\r\n0\r\n\r\n",
+		"with a length":    "Content-Length: 16\r\n\r\n6\r\nforged\r\n0\r\n\r\n",
+		"stream":           "Content-Type: text/event-stream\r\n\r\n15\r\n" + events(1, 1) + "\r\n0\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) { checkMalformed(t, head+rest, "transfer coding", false) })
+	}
+}
+
 // TestFieldNameWithBlankReachesNoClient guards against passing on a field whose name holds a blank, and against bodies that are not the
 // back end's because such a field was meant to delimit them.
 func TestFieldNameWithBlankReachesNoClient(t *testing.T) {
--- a/internal/adapter/httpexchange/exchange.go
+++ b/internal/adapter/httpexchange/exchange.go
@@ -314,15 +314,37 @@
 
 // readHead reads one head. It fails with *outcome.MalformedError if the peer sent something else.
 func (c *connection) readHead(message *http.Request) (*http.Response, error) {
+	if err := c.copyEarlierHead(); err != nil {
+		return nil, err
+	}
 	response, err := http.ReadResponse(c.reader, message)
+	copied := c.heads.takeCopy()
 	switch {
-	case err == nil:
-		return response, checkHead(response)
-	case c.heads.failed == nil:
+	case err != nil && c.heads.failed == nil:
 		return nil, outcome.NewMalformedError(partHead, err.Error())
-	default:
+	case err != nil:
+		return nil, err
+	}
+	if err := checkHead(response); err != nil {
 		return nil, err
 	}
+	return response, checkCoding(response, copied)
+}
+
+// copyEarlierHead waits for the first bytes of a head and has it copied unless they exclude HTTP/1.0.
+func (c *connection) copyEarlierHead() error {
+	_, err := c.reader.Peek(1)
+	if err == io.EOF {
+		return io.ErrUnexpectedEOF
+	}
+	if err != nil {
+		return err
+	}
+	buffered, err := c.reader.Peek(c.reader.Buffered())
+	if bytes.HasPrefix([]byte(earlierVersion), buffered[:min(len(buffered), len(earlierVersion))]) {
+		c.heads.copied = bytes.NewBuffer(bytes.Clone(buffered))
+	}
+	return err
 }
 
 // delimited tells whether the answer's end can be seen without the connection's.
--- a/internal/adapter/httpexchange/headlimit.go
+++ b/internal/adapter/httpexchange/headlimit.go
@@ -1,6 +1,7 @@
 package httpexchange
 
 import (
+	"bytes"
 	"io"
 
 	"github.com/lotusward/lotusward/internal/core/outcome"
@@ -21,6 +22,8 @@
 	left    int
 	// failed is why no more bytes of the head came, or nil.
 	failed error
+	// copied holds the bytes of the head, and perhaps some of its body; nil where none are copied.
+	copied *bytes.Buffer
 }
 
 // start begins a head of which some bytes are buffered already.
@@ -43,5 +46,15 @@
 	count, err := l.socket.Read(into[:min(len(into), l.left)])
 	l.left -= count
 	l.failed = err
+	if l.copied != nil {
+		l.copied.Write(into[:count])
+	}
 	return count, err
 }
+
+// takeCopy returns what was copied, if anything, and ends the copying.
+func (l *headLimiter) takeCopy() *bytes.Buffer {
+	copied := l.copied
+	l.copied = nil
+	return copied
+}
--- a/internal/adapter/httpexchange/malformed_test.go
+++ b/internal/adapter/httpexchange/malformed_test.go
@@ -133,6 +133,91 @@
 	}
 }
 
+// TestCodingOfEarlierVersionIsNoAnswer guards against a body in chunks that is passed on with its chunk sizes, since HTTP/1.0 has no
+// Transfer-Encoding, and against one that ends within a chunk.
+func TestCodingOfEarlierVersionIsNoAnswer(t *testing.T) {
+	t.Parallel()
+	const head, body = "HTTP/1.0 200 OK\r\nId: 1\r\n", "\r\n6\r\nforged\r\n0\r\n\r\n"
+	long := "Long: " + strings.Repeat("x", 3*readBufferBytes) + "\r\n"
+	for name, text := range map[string]string{
+		"without a length":       head + "Transfer-Encoding: chunked\r\n" + body,
+		"with a length":          head + "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n" + body,
+		"other coding":           head + "Transfer-Encoding: gzip\r\n" + body,
+		"other case":             head + "tRANSFER-eNCODING: identity\r\n" + body,
+		"kept":                   head + "Connection: keep-alive\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n" + body,
+		"after a long field":     head + long + "Transfer-Encoding: chunked\r\n" + body,
+		"before a long field":    head + "Transfer-Encoding: chunked\r\n" + long + body,
+		"after an interim one":   "HTTP/1.1 103 Early Hints\r\n\r\n" + head + "Transfer-Encoding: chunked\r\n" + body,
+		"after long interim one": "HTTP/1.1 103 Early Hints\r\n" + long + "\r\n" + head + "Transfer-Encoding: chunked\r\n" + body,
+		"of another's exchange":  "HTTP/1.0 200 OK\r\nId: 2\r\nConnection: keep-alive\r\nContent-Length: 0\r\nTransfer-Encoding: chunked\r\n\r\n" + whole,
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			checkMalformed(t, text, partCoding)
+		})
+	}
+}
+
+// TestHeadInPiecesIsReadAsOne guards against a verdict that depends on how the bytes of a head arrive.
+func TestHeadInPiecesIsReadAsOne(t *testing.T) {
+	t.Parallel()
+	const chunks = "Transfer-Encoding: chunked\r\n\r\n3\r\none\r\n0\r\n\r\n"
+	for text, part := range map[string]string{
+		answerHead + chunks: "",
+		"HTTP/1.0 200 OK\r\nId: 1\r\nContent-Length: 3\r\n\r\none": "",
+		"HTTP/1.0 200 OK\r\nId: 1\r\n" + chunks:                    partCoding,
+		answerHead + "Odd Name: x\r\n" + chunks:                    partFieldName,
+		"HTTP/1.1 000 Odd\r\n\r\n" + whole:                         partStatus,
+	} {
+		t.Run(text, func(t *testing.T) {
+			t.Parallel()
+			address := serveRaw(t, func(_ int, socket net.Conn) {
+				reader := bufio.NewReader(socket)
+				_, _ = readRequest(reader)
+				for _, one := range []byte(text) {
+					_, _ = socket.Write([]byte{one})
+					time.Sleep(100 * time.Microsecond)
+				}
+				_, _ = readRequest(reader)
+			})
+			pool := NewPool(Options{})
+			t.Cleanup(pool.Close)
+			body, err := exchange(t, pool, address, "1")
+			if part == "" {
+				assert.NilError(t, err)
+				assert.Equal(t, body, "one")
+				return
+			}
+			var malformed *outcome.MalformedError
+			assert.Assert(t, errors.As(err, &malformed), "%v", err)
+			assert.Equal(t, malformed.Part, part)
+		})
+	}
+}
+
+// TestEarlierVersionIsAnswered guards against refusing sound answers of HTTP/1.0.
+func TestEarlierVersionIsAnswered(t *testing.T) {
+	t.Parallel()
+	long := strings.Repeat("x", 3*readBufferBytes)
+	for name, fields := range map[string]string{
+		"with a length": "Content-Length: 3\r\n", "until closed": "", "named in a value": "Odd: Transfer-Encoding: chunked\r\n",
+		"named in a phrase": "Odd: x\r\n Transfer-Encoding: chunked\r\n", "long": "Long: " + long + "\r\nContent-Length: 3\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			address := serveRaw(t, func(_ int, socket net.Conn) {
+				_, _ = readRequest(bufio.NewReader(socket))
+				_, _ = io.WriteString(socket, "HTTP/1.0 200 Transfer-Encoding: chunked\r\nId: 1\r\n"+fields+"\r\none")
+			})
+			pool := NewPool(Options{})
+			t.Cleanup(pool.Close)
+			body, err := exchange(t, pool, address, "1")
+			assert.NilError(t, err)
+			assert.Equal(t, body, "one")
+		})
+	}
+}
+
 // TestBytesThatAreNoHeadAreNamed guards against a back end that sends other bytes and counts as one that lost its connection.
 func TestBytesThatAreNoHeadAreNamed(t *testing.T) {
 	t.Parallel()
--- a/internal/adapter/httpexchange/wellformed.go
+++ b/internal/adapter/httpexchange/wellformed.go
@@ -1,8 +1,12 @@
 package httpexchange
 
 import (
+	"bufio"
+	"bytes"
 	"net/http"
+	"net/textproto"
 	"strconv"
+	"strings"
 
 	"golang.org/x/net/http/httpguts"
 
@@ -21,6 +25,7 @@
 	partVersion    = "protocol version"
 	partStatus     = "status code"
 	partPhrase     = "reason phrase"
+	partCoding     = "transfer coding"
 	partFieldName  = "field name"
 	partFieldValue = "field value"
 )
@@ -38,6 +43,29 @@
 	return checkFields(response.Header)
 }
 
+// earlierVersion begins the answers of HTTP/1.0, which has no Transfer-Encoding.
+const earlierVersion = "HTTP/1.0"
+
+// checkCoding returns *outcome.MalformedError for an answer of HTTP/1.0 that names a transfer coding: its framing is faulty, even if it
+// has a length (RFC 9112, section 6.1). net/http drops the field, so that it is looked up in the copied head.
+func checkCoding(response *http.Response, copied *bytes.Buffer) error {
+	if response.ProtoAtLeast(1, 1) || copied == nil {
+		return nil
+	}
+	reader := textproto.NewReader(bufio.NewReader(copied))
+	if _, err := reader.ReadLine(); err != nil {
+		return err
+	}
+	fields, err := reader.ReadMIMEHeader()
+	if err != nil {
+		return err
+	}
+	if coding, found := fields["Transfer-Encoding"]; found {
+		return outcome.NewMalformedError(partCoding, strings.Join(coding, ", "))
+	}
+	return nil
+}
+
 // checkFields returns *outcome.MalformedError for a field whose name or value HTTP does not permit (RFC 9110, section 5). net/http reads
 // names with blanks, also where they resemble the fields that delimit a body.
 func checkFields(header http.Header) error {
