Refuse interim answers that declare a body

What callers saw: an interim answer (100, 102, 103) with a length or a transfer coding, and in its body something that looks like an answer: callers got that as the answer.

Cause: interim answers have no body, whatever their fields say, so the next bytes are read as a head. That is the rule of RFC 9112 (section 6.3), but no sound sender declares a body there (RFC 9110, section 8.6; RFC 9112, section 6.1), and what it means as a body is not its answer.

Fix: httpexchange refuses an interim answer that names a transfer coding or a length other than 0. Others are passed over as before.

TestInterimAnswersArePassedOver holds what must stay.

--- a/cmd/lotusward/brokenanswers_test.go
+++ b/cmd/lotusward/brokenanswers_test.go
@@ -143,6 +143,12 @@
 	}
 }
 
+// TestInterimAnswerWithBodyReachesNoClient guards against taking the body that an interim answer declares for the answer.
+func TestInterimAnswerWithBodyReachesNoClient(t *testing.T) {
+	text := fmt.Sprintf("HTTP/1.1 103 Early Hints\r\nContent-Length: %d\r\n\r\n", len(scriptedImitation)) + scriptedImitation
+	checkMalformed(t, text, "interim answer", false)
+}
+
 // TestOtherProtocolReachesNoClient guards against answers whose first lines name another protocol's version.
 func TestOtherProtocolReachesNoClient(t *testing.T) {
 	t.Parallel()
--- a/internal/adapter/httpexchange/malformed_test.go
+++ b/internal/adapter/httpexchange/malformed_test.go
@@ -71,6 +71,36 @@
 	}
 }
 
+// TestInterimAnswerHasNoBody guards against a body that is read as the next head because its own head is an interim one.
+func TestInterimAnswerHasNoBody(t *testing.T) {
+	t.Parallel()
+	for name, text := range map[string]string{
+		"length":       "HTTP/1.1 103 Early Hints\r\nContent-Length: 48\r\n\r\n" + imitation,
+		"chunks":       "HTTP/1.1 100 Continue\r\nTransfer-Encoding: chunked\r\n\r\n" + imitation,
+		"other status": "HTTP/1.1 199 Odd\r\nContent-Length: 48\r\n\r\n" + imitation,
+		"second":       "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 102 Processing\r\nContent-Length: 48\r\n\r\n" + imitation,
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			checkMalformed(t, text, partInterim)
+		})
+	}
+}
+
+// TestInterimAnswersArePassedOver guards against refusing answers that follow interim ones.
+func TestInterimAnswersArePassedOver(t *testing.T) {
+	t.Parallel()
+	address := serveRaw(t, func(_ int, socket net.Conn) {
+		_, _ = readRequest(bufio.NewReader(socket))
+		_, _ = io.WriteString(socket, "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: x\r\nContent-Length: 0\r\n\r\n"+whole)
+	})
+	pool := NewPool(Options{})
+	t.Cleanup(pool.Close)
+	body, err := exchange(t, pool, address, "1")
+	assert.NilError(t, err)
+	assert.Equal(t, body, "one")
+}
+
 // TestOtherProtocolIsNoAnswer guards against an answer whose first line names another protocol's version, or holds control bytes.
 func TestOtherProtocolIsNoAnswer(t *testing.T) {
 	t.Parallel()
--- a/internal/adapter/httpexchange/wellformed.go
+++ b/internal/adapter/httpexchange/wellformed.go
@@ -26,6 +26,7 @@
 	partStatus     = "status code"
 	partPhrase     = "reason phrase"
 	partCoding     = "transfer coding"
+	partInterim    = "interim answer"
 	partFieldName  = "field name"
 	partFieldValue = "field value"
 )
@@ -39,10 +40,19 @@
 		return outcome.NewMalformedError(partStatus, strconv.Itoa(response.StatusCode))
 	case !httpguts.ValidHeaderFieldValue(response.Status):
 		return outcome.NewMalformedError(partPhrase, response.Status)
+	case response.StatusCode < http.StatusOK && declaresBody(response):
+		return outcome.NewMalformedError(partInterim, "a body is declared")
 	}
 	return checkFields(response.Header)
 }
 
+// declaresBody reports whether the framing fields of an interim answer, which has no body, declare one (RFC 9110, section 8.6, and
+// RFC 9112, section 6.1). What the sender means as its body would be read as the next head.
+func declaresBody(interim *http.Response) bool {
+	length := interim.Header.Get("Content-Length")
+	return len(interim.TransferEncoding) > 0 || (length != "" && length != "0")
+}
+
 // earlierVersion begins the answers of HTTP/1.0, which has no Transfer-Encoding.
 const earlierVersion = "HTTP/1.0"
 
