Name a head that is too long also where it is cut within a line's end

What operators saw: an endless head whose limit fell between CR and LF was reported as `malformed MIME header line`, without `too_long`. Callers were not affected: the answer was cut all the same.

Cause: net/textproto takes the bytes before the limit for a whole line, and reports that instead of the limit.

Fix: where reading failed, that is the cause of a head that is not whole.

--- a/internal/adapter/httpexchange/exchange.go
+++ b/internal/adapter/httpexchange/exchange.go
@@ -323,7 +323,7 @@
 	case err != nil && c.heads.failed == nil:
 		return nil, outcome.NewMalformedError(partHead, err.Error())
 	case err != nil:
-		return nil, err
+		return nil, c.heads.cause()
 	}
 	if err := checkHead(response); err != nil {
 		return nil, err
@@ -333,12 +333,8 @@
 
 // copyEarlierHead waits for the first bytes of a head and has it copied unless they exclude HTTP/1.0.
 func (c *connection) copyEarlierHead() error {
-	_, err := c.reader.Peek(1)
-	if err == io.EOF {
-		return io.ErrUnexpectedEOF
-	}
-	if err != nil {
-		return err
+	if _, err := c.reader.Peek(1); err != nil {
+		return c.heads.cause()
 	}
 	buffered, err := c.reader.Peek(c.reader.Buffered())
 	if bytes.HasPrefix([]byte(earlierVersion), buffered[:min(len(buffered), len(earlierVersion))]) {
--- a/internal/adapter/httpexchange/headlimit.go
+++ b/internal/adapter/httpexchange/headlimit.go
@@ -52,6 +52,14 @@
 	return count, err
 }
 
+// cause returns why a head was not read to its end. net/http may say instead that its last line, which is cut, is malformed.
+func (l *headLimiter) cause() error {
+	if l.failed == io.EOF {
+		return io.ErrUnexpectedEOF
+	}
+	return l.failed
+}
+
 // takeCopy returns what was copied, if anything, and ends the copying.
 func (l *headLimiter) takeCopy() *bytes.Buffer {
 	copied := l.copied
