--- a/cmd/lotusward/brokenanswers_test.go
+++ b/cmd/lotusward/brokenanswers_test.go
@@ -83,13 +83,9 @@
 func (p *scriptedPlay) checkNeverWhole(page, stream *standin.ScriptedAnswer, size int) {
 	p.t.Helper()
 	for _, all := range []bool{false, true} {
-		answer := func(runners []*standin.Runner, page, stream *standin.ScriptedAnswer) {
-			runners[0].AnswerWith(page)
-			runners[1].AnswerWith(stream)
-		}
-		answer(p.faulty, page, stream)
+		p.giveScripted(p.faulty, page, stream)
 		if all {
-			answer(p.sound, page, stream)
+			p.giveScripted(p.sound, page, stream)
 		}
 		begun := len(p.faulty[0].Arrivals()) + len(p.faulty[1].Arrivals())
 		for range scriptedRepeats {
@@ -99,8 +95,18 @@
 			}
 		}
 		assert.Assert(p.t, len(p.faulty[0].Arrivals())+len(p.faulty[1].Arrivals()) > begun, "no scripted answer was given")
-		answer(p.faulty, nil, nil)
-		answer(p.sound, nil, nil)
+		p.giveScripted(p.runners, nil, nil)
+	}
+}
+
+// giveScripted makes back ends give scripted answers to requests for pages and for streams.
+func (p *scriptedPlay) giveScripted(runners []*standin.Runner, page, stream *standin.ScriptedAnswer) {
+	for _, runner := range runners {
+		answer := page
+		if runner.Service == "llm" {
+			answer = stream
+		}
+		runner.AnswerWith(answer)
 	}
 }
 
@@ -215,17 +221,49 @@
 	}
 }
 
+// TestCutAnswerReachesNoClient guards against an empty or short body, framed as whole, of an answer whose head or chunks are cut near the
+// end of each line.
+func TestCutAnswerReachesNoClient(t *testing.T) {
+	t.Parallel()
+	const body = "Transfer-Encoding: chunked\r\n\r\n6\r\nforged\r\n0\r\n\r\n"
+	text := scriptedOK + body
+	for _, end := range []standin.AnswerEnd{standin.EndReset, standin.EndHalfClose} {
+		t.Run(fmt.Sprintf("reset %t", end == standin.EndReset), func(t *testing.T) {
+			play := newScriptedPlay(t, false)
+			for position := range text {
+				if text[position] != '\n' {
+					continue
+				}
+				for _, cut := range []int{position - 1, position, position + 1} {
+					if cut == len(text) {
+						continue
+					}
+					answer := &standin.ScriptedAnswer{Text: text[:cut], End: end}
+					play.giveScripted(play.runners, answer, answer)
+					for _, path := range []string{"/unsafe/", "/safe/", "/once/", "/stream/"} {
+						id, got := play.send(path, 0)
+						play.checkReply(path, id, got, true)
+					}
+				}
+			}
+			given := 0
+			for _, runner := range play.runners {
+				given += len(runner.Arrivals())
+			}
+			t.Logf("%d cut answers to %d requests", given, play.asked)
+			assert.Check(t, given >= play.asked/2, "too few cut answers were given")
+		})
+	}
+}
+
 // TestHalfClosedEarlyAnswerReachesClients guards against refusing an answer without a length of a back end that answers early, closes
 // its direction and reads the rest of the request.
 func TestHalfClosedEarlyAnswerReachesClients(t *testing.T) {
 	play := newScriptedPlay(t, false)
-	for _, runner := range play.runners[:4:4] {
-		text := scriptedOK + "\r\n" + standin.PageBody
-		if strings.HasPrefix(runner.ID, "e") {
-			text = scriptedOK + "Content-Type: text/event-stream\r\n\r\n" + events(1, scriptedEvents)
-		}
-		runner.AnswerWith(&standin.ScriptedAnswer{Text: text, Early: true, End: standin.EndHalfClose})
-	}
+	play.giveScripted(play.runners,
+		&standin.ScriptedAnswer{Text: scriptedOK + "\r\n" + standin.PageBody, Early: true, End: standin.EndHalfClose},
+		&standin.ScriptedAnswer{Text: scriptedOK + "Content-Type: text/event-stream\r\n\r\n" + events(1, scriptedEvents), Early: true, End: standin.EndHalfClose},
+	)
 	for range scriptedRepeats {
 		for path, body := range map[string]string{"/unsafe/": standin.PageBody, "/safe/": standin.PageBody, "/once/": events(1, scriptedEvents), "/stream/": events(1, scriptedEvents)} {
 			id, got := play.send(path, uploadBytes)
--- a/cmd/lotusward/callers_test.go
+++ b/cmd/lotusward/callers_test.go
@@ -69,8 +69,8 @@
 	assert.Check(t, len(lost) == 0, "%d of %d requests were lost: %s", len(lost), len(c.asked), firstOf(lost))
 }
 
-// askByTurns sends a request of one of the four kinds, by a count, and returns what its caller saw.
-func askByTurns(daemon *process, id string, count int) exchange {
+// callByTurns returns a request of one of the four kinds, by a count.
+func callByTurns(id string, count int) call {
 	sent := call{id: id, body: "body of " + id}
 	switch count % 4 {
 	case 0:
@@ -82,6 +82,12 @@
 	default:
 		sent.path, sent.header = "/once/"+id, prompt(fmt.Sprintf("p%d:80,%s:20", count%7, id))
 	}
+	return sent
+}
+
+// askByTurns sends a request of one of the four kinds, by a count, and returns what its caller saw.
+func askByTurns(daemon *process, id string, count int) exchange {
+	sent := callByTurns(id, count)
 	one := exchange{call: sent, at: daemon, from: time.Now()}
 	one.got = daemon.ask(sent)
 	one.to = time.Now()
