Log what was malformed in a long answer's trailer as well

An answer that is too long to be held until its end is passed on as it comes. If its trailer is malformed, its connection to the caller is broken, as before, and the line of the attempt now names the part; the back end counts as failed, not as lost. By reading: the other two readers of bodies did so already.

--- a/internal/relay/whole.go
+++ b/internal/relay/whole.go
@@ -88,7 +88,8 @@
 	}
 	if _, err := io.Copy(callerWriter{r}, answer.Body); err != nil {
 		r.caller.Abort()
-		return stepDone, r.adjustForCancel(ctx, failure{result: backendpool.ResultConnectionLost, reason: cancelReason(ctx, "cut_answer")})
+		reason := r.noteBroken(err, "cut_answer")
+		return stepDone, r.adjustForCancel(ctx, failure{result: brokenResult(reason), reason: cancelReason(ctx, reason)})
 	}
 	_ = r.flush()
 	return stepDone, failure{result: backendpool.ResultServed}
