--- a/internal/adapter/httpexchange/drawn_test.go
+++ b/internal/adapter/httpexchange/drawn_test.go
@@ -60,56 +60,80 @@
 		resets:    rapid.IntRange(0, 3).Draw(t, "resets") == 0,
 		pieces:    rapid.SliceOfN(rapid.IntRange(1, 3000), 1, 4).Draw(t, "pieces"),
 	}
-	version := rapid.SampledFrom([]string{"HTTP/1.0", "HTTP/1.1", "HTTP/1.2"}).Draw(t, "version")
-	if drawn.framing == framingChunks && version == "HTTP/1.0" {
-		version = "HTTP/1.1"
+	head := drawHead(t, drawn.framing)
+	drawn.malformed = head.breakOnce(t)
+	text := head.render(t)
+	drawn.text = text + drawn.framed()
+	drawn.drawCut(t, len(text))
+	return drawn
+}
+
+// framed returns the fields that delimit the body, and the body.
+func (d *drawnAnswer) framed() string {
+	switch {
+	case d.framing == framingLength:
+		return fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(d.body), d.body)
+	case d.framing == framingEnd:
+		return "\r\n" + d.body
+	case d.body == "":
+		return "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n"
+	default:
+		return fmt.Sprintf("Transfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", len(d.body), d.body)
+	}
+}
+
+// drawnHead is a head without the fields that delimit the body.
+type drawnHead struct {
+	interim, version, status, phrase string
+	fields                           []string
+}
+
+// drawHead draws a sound head.
+func drawHead(t *rapid.T, framed framing) *drawnHead {
+	head := &drawnHead{
+		interim: strings.Repeat("HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n", rapid.IntRange(0, 2).Draw(t, "interim")),
+		version: rapid.SampledFrom([]string{"HTTP/1.0", "HTTP/1.1", "HTTP/1.2"}).Draw(t, "version"),
+		status:  rapid.SampledFrom([]string{"200", "201", "299", "400", "500", "599"}).Draw(t, "status"),
+		phrase:  rapid.SampledFrom([]string{"", " ", " OK"}).Draw(t, "phrase"),
+		fields:  []string{"Id: 1"},
+	}
+	if framed == framingChunks && head.version == "HTTP/1.0" {
+		head.version = "HTTP/1.1"
 	}
-	line := fmt.Sprintf("%s %d", version, rapid.SampledFrom([]int{200, 201, 299, 400, 500, 599}).Draw(t, "status"))
-	fields := []string{"Id: 1"}
 	for range rapid.IntRange(0, 5).Draw(t, "fields") {
 		name := rapid.StringMatching("[A-Za-z!#$%&'*+.^_`|~0-9-]{1,20}").Draw(t, "name")
-		fields = append(fields, "X-"+name+": "+rapid.SampledFrom([]string{"", "x", "a\tb", "\xe8", "a: b", strings.Repeat("x", 9000)}).Draw(t, "value"))
+		value := rapid.SampledFrom([]string{"", "x", "a\tb", "\xe8", "a: b", strings.Repeat("x", 9000)}).Draw(t, "value")
+		head.fields = append(head.fields, "X-"+name+": "+value)
 	}
-	interim := strings.Repeat("HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n", rapid.IntRange(0, 2).Draw(t, "interim"))
+	return head
+}
+
+// breakOnce may make the head malformed, and reports whether it did.
+func (h *drawnHead) breakOnce(t *rapid.T) bool {
 	switch rapid.SampledFrom([]string{"", "", "", "", "status", "version", "name", "coding", "phrase", "interim"}).Draw(t, "fault") {
-	case "":
-		line += " OK"
 	case "status":
-		line = version + " " + rapid.SampledFrom([]string{"000", "001", "020", "099", "+20", "600", "601", "999"}).Draw(t, "odd status") + " Odd"
-		drawn.malformed = true
+		h.status = rapid.SampledFrom([]string{"000", "001", "020", "099", "+20", "600", "601", "999"}).Draw(t, "odd status")
 	case "version":
-		line = rapid.SampledFrom([]string{"HTTP/0.9", "HTTP/2.0", "HTTP/3.0"}).Draw(t, "odd version") + strings.TrimPrefix(line, version)
-		drawn.malformed = true
+		h.version = rapid.SampledFrom([]string{"HTTP/0.9", "HTTP/2.0", "HTTP/3.0"}).Draw(t, "odd version")
 	case "name":
-		odd := rapid.SampledFrom([]string{"Odd Name", "Odd ", "Content-Length ", "Transfer Encoding", "Transfer-Encoding ", "Odd\t", "O(d", "\x7f", ""}).Draw(t, "odd name")
-		fields = append(fields, odd+": 6")
-		drawn.malformed = true
+		names := []string{"Odd Name", "Odd ", "Content-Length ", "Transfer Encoding", "Transfer-Encoding ", "Odd\t", "O(d", "\x7f", ""}
+		h.fields = append(h.fields, rapid.SampledFrom(names).Draw(t, "odd name")+": 6")
 	case "coding":
-		line, fields = "HTTP/1.0 200", append(fields, "Transfer-Encoding: chunked")
-		drawn.malformed = true
+		h.version, h.fields = "HTTP/1.0", append(h.fields, "Transfer-Encoding: chunked")
 	case "phrase":
-		line += " O\x00K"
-		drawn.malformed = true
+		h.phrase = " O\x00K"
 	case "interim":
-		interim += "HTTP/1.1 102 Processing\r\nContent-Length: 9\r\n\r\n"
-		drawn.malformed = true
-	}
-	fields = rapid.Permutation(fields).Draw(t, "order")
-	head := interim + line + "\r\n" + strings.Join(fields, "\r\n") + "\r\n"
-	switch drawn.framing {
-	case framingLength:
-		drawn.text = fmt.Sprintf("%sContent-Length: %d\r\n\r\n%s", head, len(drawn.body), drawn.body)
-	case framingChunks:
-		drawn.text = head + "Transfer-Encoding: chunked\r\n\r\n"
-		if drawn.body != "" {
-			drawn.text += fmt.Sprintf("%x\r\n%s\r\n", len(drawn.body), drawn.body)
-		}
-		drawn.text += "0\r\n\r\n"
-	case framingEnd:
-		drawn.text = head + "\r\n" + drawn.body
+		h.interim += "HTTP/1.1 102 Processing\r\nContent-Length: 9\r\n\r\n"
+	default:
+		return false
 	}
-	drawn.drawCut(t, len(head))
-	return drawn
+	return true
+}
+
+// render returns the head, its fields in any order.
+func (h *drawnHead) render(t *rapid.T) string {
+	fields := rapid.Permutation(h.fields).Draw(t, "order")
+	return h.interim + h.version + " " + h.status + h.phrase + "\r\n" + strings.Join(fields, "\r\n") + "\r\n"
 }
 
 // drawCut ends the bytes early, in the head alone where nothing but the end of the connection ends the body.
--- a/internal/adapter/httpexchange/ending.go
+++ b/internal/adapter/httpexchange/ending.go
@@ -11,8 +11,9 @@
 )
 
 const (
-	// resetTimeout bounds the wait for a reset after the peer has closed its direction while it still receives the request. net/http
-	// servers that have answered early reset the connection 500 ms after that, which must not count.
+	// resetTimeout bounds the wait for a reset after the peer has closed its direction while it still receives the request. It is longer
+	// than the kernel's shortest time to retransmit, 200 ms, and shorter than the 500 ms after which net/http servers that have
+	// answered early reset a connection that they closed in order.
 	resetTimeout      = 250 * time.Millisecond
 	resetPollInterval = 2 * time.Millisecond
 )
