--- a/cmd/lotusward/brokenanswers_test.go
+++ b/cmd/lotusward/brokenanswers_test.go
@@ -19,7 +19,7 @@
 	scriptedEvents = 5
 	// scriptedRepeats is how often each kind of request is sent.
 	scriptedRepeats = 4
-	// uploadBytes are more than an answer's reader waits for before it reads.
+	// uploadBytes is the size of a body that is still being sent when an early answer comes.
 	uploadBytes = 300 << 10
 )
 
@@ -78,8 +78,8 @@
 	return count
 }
 
-// checkNeverWhole sends requests of each kind of route while one of two back ends, and then each, gives a scripted answer. No client
-// may get it, and no request that may run once may run twice or be called not run.
+// checkNeverWhole sends requests of each kind of route while one of two back ends, and then both, give a scripted answer. No client may
+// get it, and no request that may run once may run twice or be called not run.
 func (p *scriptedPlay) checkNeverWhole(page, stream *standin.ScriptedAnswer, size int) {
 	p.t.Helper()
 	for _, all := range []bool{false, true} {
@@ -97,6 +97,7 @@
 		assert.Assert(p.t, len(p.faulty[0].Arrivals())+len(p.faulty[1].Arrivals()) > begun, "no scripted answer was given")
 		p.giveScripted(p.runners, nil, nil)
 	}
+	assert.Check(p.t, p.gateways == strings.Contains(p.daemon.log(), `"via":`), "attempts went through another daemon: %t is expected", p.gateways)
 }
 
 // giveScripted makes back ends give scripted answers to requests for pages and for streams.
@@ -130,7 +131,7 @@
 // scriptedImitation is a body that looks like an answer.
 const scriptedImitation = scriptedOK + "Content-Length: 6\r\n\r\nforged"
 
-// checkMalformed plays answers that are written whole and form none. The log names their part.
+// checkMalformed plays malformed answers, whose malformed part the log must name.
 func checkMalformed(t *testing.T, text, part string, indirect bool) {
 	play := newScriptedPlay(t, indirect)
 	answer := &standin.ScriptedAnswer{Text: text, End: standin.EndHalfClose}
--- a/cmd/lotusward/calmstop_test.go
+++ b/cmd/lotusward/calmstop_test.go
@@ -33,7 +33,7 @@
 // calmStopWork are the times that back ends work on a request.
 var calmStopWork = []time.Duration{50 * time.Millisecond, time.Second, 4 * time.Second}
 
-// lateReader has no bytes, and takes calmStopBody to say so.
+// lateReader is an empty reader that takes calmStopBody to reach its end.
 type lateReader struct{}
 
 // Read implements io.Reader.
--- a/internal/adapter/httpexchange/reset_test.go
+++ b/internal/adapter/httpexchange/reset_test.go
@@ -44,7 +44,7 @@
 	return string(body), err
 }
 
-// serveEarly answers each request once its head was read, and leaves the connection to end.
+// serveEarly answers each request once its head was read, and then calls end, which ends the connection.
 func serveEarly(t *testing.T, answer string, end func(reader *bufio.Reader, socket *net.TCPConn)) string {
 	t.Helper()
 	return serveRaw(t, func(_ int, socket net.Conn) {
