Log a malformed part of an answer as it was sent

What operators saw: `malformed_detail` named status 000 as `0` and +20 as `20`, and of an interim answer that declares a body neither its status nor the length or coding.

Cause: the detail was made from what net/http had parsed, or was a fixed sentence.

Fix: it is the status with its phrase as they came, and for an interim answer the field that declares the body too. Which answers are refused is unchanged. TestMalformedPartIsQuotedAsSent fails before in 5 of 8 cases.

--- a/internal/adapter/httpexchange/malformed_test.go
+++ b/internal/adapter/httpexchange/malformed_test.go
@@ -310,3 +310,34 @@
 		}
 	}
 }
+
+// TestMalformedPartIsQuotedAsSent guards against log lines that name another value than the one that came.
+func TestMalformedPartIsQuotedAsSent(t *testing.T) {
+	t.Parallel()
+	for text, detail := range map[string]string{
+		"HTTP/1.1 000 Odd\r\n\r\n":                                    "000 Odd",
+		"HTTP/1.1 +20 Odd\r\n\r\n":                                    "+20 Odd",
+		"HTTP/1.1 101 Switch\r\n\r\n":                                 "101 Switch",
+		"HTTP/1.1 103 Hints\r\nContent-Length: 48\r\n\r\n":            "103 Hints, Content-Length: 48",
+		"HTTP/1.1 100 Continue\r\nTransfer-Encoding: chunked\r\n\r\n": "100 Continue, Transfer-Encoding: chunked",
+		"HTTP/2.0 200 OK\r\n\r\n":                                     "HTTP/2.0",
+		answerHead + "Odd Name: x\r\n\r\n":                            "Odd Name",
+		"HTTP/1.0 200 OK\r\nTransfer-Encoding: gzip, chunked\r\n\r\n": "gzip, chunked",
+	} {
+		t.Run(detail, func(t *testing.T) {
+			t.Parallel()
+			address := serveRaw(t, func(_ int, socket net.Conn) {
+				reader := bufio.NewReader(socket)
+				_, _ = readRequest(reader)
+				_, _ = io.WriteString(socket, text)
+				_, _ = readRequest(reader)
+			})
+			pool := NewPool(Options{})
+			t.Cleanup(pool.Close)
+			_, err := exchange(t, pool, address, "1")
+			var malformed *outcome.MalformedError
+			assert.Assert(t, errors.As(err, &malformed), "%v", err)
+			assert.Equal(t, malformed.Detail, detail)
+		})
+	}
+}
--- a/internal/adapter/httpexchange/reading.go
+++ b/internal/adapter/httpexchange/reading.go
@@ -42,7 +42,7 @@
 			return response, nil
 		}
 		if response.StatusCode == http.StatusSwitchingProtocols {
-			return nil, outcome.NewMalformedError(partStatus, "unrequested change of protocol")
+			return nil, outcome.NewMalformedError(partStatus, response.Status) // no change of protocol was asked for
 		}
 	}
 }
--- a/internal/adapter/httpexchange/wellformed.go
+++ b/internal/adapter/httpexchange/wellformed.go
@@ -5,7 +5,6 @@
 	"bytes"
 	"net/http"
 	"net/textproto"
-	"strconv"
 	"strings"
 
 	"golang.org/x/net/http/httpguts"
@@ -37,20 +36,25 @@
 	case response.ProtoMajor != 1: // a later minor version is read as HTTP/1.1 (RFC 9110, section 2.5)
 		return outcome.NewMalformedError(partVersion, response.Proto)
 	case response.StatusCode < minStatus || response.StatusCode > maxStatus:
-		return outcome.NewMalformedError(partStatus, strconv.Itoa(response.StatusCode))
+		return outcome.NewMalformedError(partStatus, response.Status)
 	case !httpguts.ValidHeaderFieldValue(response.Status):
 		return outcome.NewMalformedError(partPhrase, response.Status)
-	case response.StatusCode < http.StatusOK && declaresBody(response):
-		return outcome.NewMalformedError(partInterim, "a body is declared")
+	case response.StatusCode < http.StatusOK && declaredBody(response) != "":
+		return outcome.NewMalformedError(partInterim, response.Status+", "+declaredBody(response))
 	}
 	return checkFields(response.Header)
 }
 
-// declaresBody reports whether the framing fields of an interim answer, which has no body, declare one (RFC 9110, section 8.6, and
-// RFC 9112, section 6.1). What the sender means as its body would be read as the next head.
-func declaresBody(interim *http.Response) bool {
-	length := interim.Header.Get("Content-Length")
-	return len(interim.TransferEncoding) > 0 || (length != "" && length != "0")
+// declaredBody returns the field with which an interim answer, which has no body, declares one (RFC 9110, section 8.6, and RFC 9112,
+// section 6.1); empty if none. What the sender means as its body would be read as the next head.
+func declaredBody(interim *http.Response) string {
+	if len(interim.TransferEncoding) > 0 {
+		return "Transfer-Encoding: " + strings.Join(interim.TransferEncoding, ", ")
+	}
+	if length := interim.Header.Get("Content-Length"); length != "" && length != "0" {
+		return "Content-Length: " + length
+	}
+	return ""
 }
 
 // earlierVersion begins the answers of HTTP/1.0, which has no Transfer-Encoding.
