Show a request that runs twice after a surplus answer without an id

A faulty runner sends its 429 to a daemon's call for cache events once more, late, in the place of the answer to the next request on that connection. The daemon takes it for that request's answer, as it has no request id, and sends the request, which may run at most once, to another runner as well.

Cause: Belongs in platform/send.go takes an answer without an id for the request's own, and one pool carries requests and calls.

--- /dev/null
+++ b/review/play2/main.go
@@ -0,0 +1,69 @@
+// Command review-play2 plays the scripted cases of the second review: it starts the daemon as separate processes, before stand-ins of
+// the store, of runners and of clients in this process, and judges what these saw.
+//
+//	review-play2 [-trouble=false] RECORD
+//
+// It exits with 1 if a rule was broken, 0 if it held, and 2 if the case couldn't run.
+package main
+
+import (
+	"bufio"
+	"flag"
+	"fmt"
+	"os"
+	"sync"
+	"time"
+)
+
+const (
+	exitHeld   = 0
+	exitBroken = 1
+	exitNotRun = 2
+)
+
+// record is the file that tells what was sent, answered and run. It is safe for concurrent use.
+type record struct {
+	mutex   sync.Mutex
+	file    *os.File
+	writer  *bufio.Writer
+	started time.Time
+}
+
+func newRecord(path string) (*record, error) {
+	file, err := os.Create(path)
+	if err != nil {
+		return nil, err
+	}
+	return &record{file: file, writer: bufio.NewWriter(file), started: time.Now()}, nil
+}
+
+// note writes one line, which begins with the time since the start.
+func (r *record) note(format string, values ...any) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	_, _ = fmt.Fprintf(r.writer, "%8.3f s  %s\n", time.Since(r.started).Seconds(), fmt.Sprintf(format, values...))
+}
+
+func (r *record) close() {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	_ = r.writer.Flush()
+	_ = r.file.Close()
+}
+
+func main() {
+	trouble := flag.Bool("trouble", true, "play the disruption")
+	flag.Parse()
+	if flag.NArg() != 1 {
+		fmt.Fprintln(os.Stderr, "usage: review-play2 [-trouble=false] RECORD")
+		os.Exit(exitNotRun)
+	}
+	written, err := newRecord(flag.Arg(0))
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(exitNotRun)
+	}
+	code := playSurplus(written, *trouble)
+	written.close()
+	os.Exit(code)
+}
