Show streams that are continued at another software version

A runner crashes, is back under its id with another version of its service's software, and crashes again before its row tells of that. Streams that began there in between go on at runners of the listed version.

Cause: while one version is listed, the incarnation of a runner is not asked for before a stream begins there, and one that can't be asked afterwards is taken for the listed one.

--- a/review/play2/deployment.go
+++ b/review/play2/deployment.go
@@ -114,6 +114,7 @@
 	command := exec.Command(program, "--metrics-port", metricsPort)
 	command.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + d.folder, "LOTUSWARD_SETTINGS=" + settings}
 	command.Stdout, command.Stderr = output, output
+	command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL} // main is locked to its thread
 	if err := command.Start(); err != nil {
 		return nil, err
 	}
--- a/review/play2/main.go
+++ b/review/play2/main.go
@@ -1,7 +1,9 @@
 // Command review-play2 plays the scripted cases of the second review: it starts the daemon as separate processes, before stand-ins of
 // the store, of runners and of clients in this process, and judges what these saw.
 //
-//	review-play2 [-trouble=false] RECORD
+//	review-play2 [-trouble=false] CASE RECORD
+//
+// CASE is surplus, reborn or lateorder.
 //
 // It exits with 1 if a rule was broken, 0 if it held, and 2 if the case couldn't run.
 package main
@@ -11,6 +13,7 @@
 	"flag"
 	"fmt"
 	"os"
+	"runtime"
 	"sync"
 	"time"
 )
@@ -51,19 +54,24 @@
 	_ = r.file.Close()
 }
 
+// init locks main to the first thread, which lives as long as the process: the daemons end with the thread that started them.
+func init() { runtime.LockOSThread() }
+
 func main() {
 	trouble := flag.Bool("trouble", true, "play the disruption")
 	flag.Parse()
-	if flag.NArg() != 1 {
-		fmt.Fprintln(os.Stderr, "usage: review-play2 [-trouble=false] RECORD")
+	plays := map[string]func(*record, bool) int{"surplus": playSurplus, "reborn": playReborn, "lateorder": playLateOrder}
+	play := plays[flag.Arg(0)]
+	if flag.NArg() != 2 || play == nil {
+		fmt.Fprintln(os.Stderr, "usage: review-play2 [-trouble=false] surplus|reborn|lateorder RECORD")
 		os.Exit(exitNotRun)
 	}
-	written, err := newRecord(flag.Arg(0))
+	written, err := newRecord(flag.Arg(1))
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(exitNotRun)
 	}
-	code := playSurplus(written, *trouble)
+	code := play(written, *trouble)
 	written.close()
 	os.Exit(code)
 }
--- a/review/play2/runner.go
+++ b/review/play2/runner.go
@@ -12,10 +12,11 @@
 	"time"
 )
 
-const (
-	eventCount = 4
-	eventPause = 25 * time.Millisecond
-)
+// streamShape is how many events a stream has, and the pause before each.
+type streamShape struct {
+	events int
+	pause  time.Duration
+}
 
 // run is one run of a request at a runner.
 type run struct {
@@ -44,46 +45,85 @@
 // runner is a stand-in of a model runner. It holds maxInFlight calls for cache events at once and answers any more with 429.
 type runner struct {
 	id, service, model string
-	listener           net.Listener
-	born               time.Time
+	address            string
 	record             *record
 	runs               *runs
 	maxInFlight        int
+	shape              streamShape
 
-	mutex sync.Mutex
-	held  int
+	mutex    sync.Mutex
+	listener net.Listener
+	// born is when the present life began, software its version, and open are its connections.
+	born     time.Time
+	software string
+	open     map[net.Conn]bool
+	held     int
+	weights  weights
+	// list writes the row of the runner, if it is set.
+	list func()
 	// surplus is how many answers the runner still sends a second time, late, in the place of the next answer.
 	surplus int
 	turned  int
 }
 
-func newRunner(id, service, model string, maxInFlight, surplus int, written *record, all *runs) (*runner, error) {
-	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+func newRunner(id string, shape streamShape, maxInFlight, surplus int, written *record, all *runs) (*runner, error) {
+	made := &runner{
+		id: id, service: service, model: model, address: "127.0.0.1:0", record: written, runs: all, shape: shape,
+		maxInFlight: maxInFlight, surplus: surplus, weights: weights{version: 1},
+	}
+	return made, made.start("v1")
+}
+
+// start begins a life of the runner, at the address of the one before.
+func (r *runner) start(software string) error {
+	listener, err := net.Listen("tcp4", r.address)
 	if err != nil {
-		return nil, err
+		return err
 	}
-	made := &runner{
-		id: id, service: service, model: model, listener: listener, born: time.Now(), record: written, runs: all,
-		maxInFlight: maxInFlight, surplus: surplus,
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.listener, r.address = listener, listener.Addr().String()
+	r.born, r.software, r.open, r.held = time.Now(), software, map[net.Conn]bool{}, 0
+	r.weights = weights{version: r.weights.version} // counts and fences are not kept
+	go r.accept(listener, r.open)
+	return nil
+}
+
+// crash ends the present life and all its connections.
+func (r *runner) crash() {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	_ = r.listener.Close()
+	for socket := range r.open {
+		_ = socket.Close()
 	}
-	go made.accept()
-	return made, nil
+	clear(r.open)
+}
+
+func (r *runner) life() (born time.Time, software string) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return r.born, r.software
 }
 
 // row is the runner's entry in the store.
 func (r *runner) row() map[string]any {
+	born, software := r.life()
 	return map[string]any{
-		"service": r.service, "address": r.listener.Addr().String(), "zone": "a", "version": "v1", "slots": 64, "state": "ready",
-		"coldRemainingMs": 0, "sequence": 1, "born": r.born.UnixMilli(), "models": []any{map[string]any{"name": r.model, "version": 1, "adapters": []any{}}},
+		"service": r.service, "address": r.address, "zone": "a", "version": software, "slots": 64, "state": "ready",
+		"coldRemainingMs": 0, "sequence": 1, "born": born.UnixMilli(), "models": []any{map[string]any{"name": r.model, "version": r.state().version, "adapters": []any{}}},
 	}
 }
 
-func (r *runner) accept() {
+func (r *runner) accept(listener net.Listener, open map[net.Conn]bool) {
 	for {
-		socket, err := r.listener.Accept()
+		socket, err := listener.Accept()
 		if err != nil {
 			return
 		}
+		r.mutex.Lock()
+		open[socket] = true
+		r.mutex.Unlock()
 		go r.serve(socket)
 	}
 }
@@ -105,7 +145,8 @@
 		if err != nil {
 			return
 		}
-		if _, err := io.Copy(io.Discard, request.Body); err != nil {
+		body, err := io.ReadAll(request.Body)
+		if err != nil {
 			return
 		}
 		if link.late != "" {
@@ -114,21 +155,25 @@
 			_, _ = io.WriteString(link, link.late)
 			link.late = ""
 		}
-		if !r.answer(link, request) {
+		if !r.answer(link, request, body) {
 			return
 		}
 	}
 }
 
 // answer answers one request. It returns false if the connection is broken.
-func (r *runner) answer(link *connection, request *http.Request) bool {
+func (r *runner) answer(link *connection, request *http.Request, body []byte) bool {
+	born, _ := r.life()
 	expected := request.Header.Get("Lotusward-Expect-Instance")
 	switch {
 	case expected != "" && expected != r.id:
 		return write(link, head(request, "421 Misdirected Request", "Lotusward-Instance-Id: "+r.id, "Content-Length: 0"))
 	case request.URL.Path == "/-/report":
-		return write(link, withBody(request, fmt.Sprintf(`{"stage":"both","models":[{"name":%q,"version":1,"adapters":[]}],"busy":false,"sequence":0,`+
-			`"queued":0,"active":0,"kvUsed":0,"kvTotal":90000,"handles":0,"born":%d}`, r.model, r.born.UnixMilli())))
+		held := r.state()
+		return write(link, withBody(request, fmt.Sprintf(`{"stage":"both","models":[{"name":%q,"version":%d,"adapters":[]}],"busy":%t,"sequence":%d,`+
+			`"queued":0,"active":0,"kvUsed":0,"kvTotal":90000,"handles":0,"born":%d}`, r.model, held.version, held.loading > 0, held.sequence, born.UnixMilli())))
+	case request.URL.Path == "/-/order":
+		return r.answerOrder(link, request, body)
 	case request.URL.Path == "/-/kv-events":
 		return r.answerEvents(link, request)
 	case strings.HasPrefix(request.URL.Path, "/-/"):
@@ -151,7 +196,8 @@
 	defer r.release()
 	wait, _ := strconv.Atoi(request.Header.Get("Wait-Ms"))
 	time.Sleep(min(time.Duration(wait)*time.Millisecond, time.Second))
-	return write(link, withBody(request, fmt.Sprintf(`{"bootEpoch":1,"nextPageToken":0,"lost":false,"events":[],"born":%d}`, r.born.UnixMilli())))
+	born, _ := r.life()
+	return write(link, withBody(request, fmt.Sprintf(`{"bootEpoch":%[1]d,"nextPageToken":0,"lost":false,"events":[],"born":%[1]d}`, born.UnixMilli())))
 }
 
 func (r *runner) hold() bool {
@@ -184,15 +230,24 @@
 // answerStream runs a request.
 func (r *runner) answerStream(link *connection, request *http.Request) bool {
 	id := request.Header.Get("Lotusward-Request-Id")
+	_, software := r.life()
+	held := r.state()
+	if wanted := request.Header.Get("Lotusward-Expect-Version"); wanted != "" && wanted != fmt.Sprint(held.version) {
+		return write(link, head(request, "421 Misdirected Request", "Lotusward-Instance-Id: "+r.id, fmt.Sprint("Lotusward-Weight-Versions: ", held.version), "Content-Length: 0"))
+	}
+	if held.loading > 0 {
+		return write(link, head(request, "503 Service Unavailable", "Lotusward-Not-Executed: 1", "Content-Length: 0"))
+	}
+	last, _ := strconv.Atoi(request.Header.Get("Last-Event-Id"))
 	r.runs.add(id, r.id)
-	r.record.note("runner %s runs request %s", r.id, id)
+	r.record.note("runner %s (software %s) runs request %s after event %d", r.id, software, id, last)
 	if !write(link, head(request, "200 OK", "Content-Type: text/event-stream", "Lotusward-Response-Stamp: stamp-of-"+r.id,
-		"Lotusward-Weight-Versions: 1", "Transfer-Encoding: chunked")) {
+		fmt.Sprint("Lotusward-Weight-Versions: ", held.version), "Transfer-Encoding: chunked")) {
 		return false
 	}
-	for number := 1; number <= eventCount; number++ {
-		time.Sleep(eventPause)
-		event := fmt.Sprintf("id: %d\ndata: piece %d of %s\n\n", number, number, r.id)
+	for number := last + 1; number <= r.shape.events; number++ {
+		time.Sleep(r.shape.pause)
+		event := fmt.Sprintf("id: %d\ndata: %s\n\n", number, software)
 		if !write(link, fmt.Sprintf("%x\r\n%s\r\n", len(event), event)) {
 			return false
 		}
--- a/review/play2/surplus.go
+++ b/review/play2/surplus.go
@@ -14,13 +14,13 @@
 )
 
 const (
-	host       = "jepu9.example"
-	apiKey     = "ctnfzs989anu6wsjnban"
-	model      = "daka510000"
-	service    = "huvo11a"
-	playTime   = 40 * time.Second
-	clients    = 16
-	clientRest = 120 * time.Millisecond
+	host           = "jepu9.example"
+	apiKey         = "ctnfzs989anu6wsjnban"
+	model          = "daka510000"
+	service        = "huvo11a"
+	surplusTime    = 40 * time.Second
+	surplusClients = 16
+	surplusRest    = 120 * time.Millisecond
 	// surplusAnswers is how many answers the faulty runner sends a second time.
 	surplusAnswers = 3
 	maxInFlight    = 1
@@ -31,6 +31,7 @@
 type answered struct {
 	id, machine string
 	status      int
+	body        string
 	err         error
 }
 
@@ -48,14 +49,14 @@
 		id      string
 		surplus int
 	}{{"i-7f3a91c2", surplus}, {"i-02d9e6b4", 0}} {
-		started, err := newRunner(each.id, service, model, maxInFlight, each.surplus, written, all)
+		started, err := newRunner(each.id, streamShape{events: 4, pause: 25 * time.Millisecond}, maxInFlight, each.surplus, written, all)
 		if err != nil {
 			written.note("the case couldn't run: %v", err)
 			return exitNotRun
 		}
 		store.Put("servers", started.id, started.row())
 	}
-	declare(store)
+	declare(store, false)
 	made, err := startDeployment(store, 2)
 	if made != nil {
 		defer made.stop()
@@ -64,18 +65,18 @@
 		written.note("the case couldn't run: %v", err)
 		return exitNotRun
 	}
-	ended := sendAll(written, made)
+	ended := sendAll(written, made, surplusClients, 1, surplusTime, surplusRest)
 	return judge(written, all, ended)
 }
 
-// declare writes a configuration with one route whose requests may run at most once each.
-func declare(store *standin.Store) {
+// declare writes a configuration with one route. Without resumable its requests may run at most once each.
+func declare(store *standin.Store, resumable bool) {
 	store.Put("op", "version/"+model, map[string]any{"model": model, "version": 1})
 	store.Put("op", "config", map[string]any{
 		"version": 7,
 		"routes": []any{map[string]any{
 			"name": "r-6sz9frg", "host": host, "pathPrefix": "/lepu270/", "type": "streaming", "timeoutMs": 6000, "targetLatencyMs": 800,
-			"priority": 1, "service": service, "maxAttempts": 2, "allowAnonymous": false, "sticky": true, "resumable": false, "gapTargetMs": 500,
+			"priority": 1, "service": service, "maxAttempts": 2, "allowAnonymous": false, "sticky": true, "resumable": resumable, "gapTargetMs": 500,
 		}},
 		"services": []any{map[string]any{
 			"name": service, "healthPath": "/health", "maxConnections": 360, "protocol": "h1", "tls": false,
@@ -89,8 +90,9 @@
 	})
 }
 
-// sendAll lets clients send one request after the other, each to one daemon, until the play is over.
-func sendAll(written *record, made *deployment) []answered {
+// sendAll lets clients send one request after the other, each to one daemon, until the play is over. Their prompts begin with one of some
+// prefixes.
+func sendAll(written *record, made *deployment, clients, prefixes int, playTime, rest time.Duration) []answered {
 	var mutex sync.Mutex
 	var ended []answered
 	var group sync.WaitGroup
@@ -100,12 +102,12 @@
 		client := &http.Client{Transport: &http.Transport{DisableCompression: true}, Timeout: deadlineMs * time.Millisecond}
 		group.Go(func() {
 			for count := 0; time.Now().Before(until); count++ {
-				got := send(client, machine, fmt.Sprintf("%04x%012x", number+1, count))
+				got := send(client, machine, fmt.Sprintf("%04x%012x", number+1, count), fmt.Sprintf("%08x:800", 0x5c1e07a2+(number*1000+count)%prefixes))
 				written.note("client %d: request %s at %s: status %d, error %v", number, got.id, got.machine, got.status, got.err)
 				mutex.Lock()
 				ended = append(ended, got)
 				mutex.Unlock()
-				time.Sleep(rand.N(2 * clientRest))
+				time.Sleep(rand.N(2 * rest))
 			}
 		})
 	}
@@ -114,7 +116,7 @@
 }
 
 // send sends one request and reads its whole answer.
-func send(client *http.Client, machine *machine, id string) answered {
+func send(client *http.Client, machine *machine, id, prefix string) answered {
 	got := answered{id: id, machine: machine.ip}
 	request, err := http.NewRequest(http.MethodPost, "http://"+machine.front()+"/lepu270/2f", strings.NewReader("a short prompt"))
 	if err != nil {
@@ -124,7 +126,7 @@
 	request.Host = host
 	for name, value := range map[string]string{
 		"Lotusward-Request-Id": id, "Lotusward-Model": model, "Lotusward-Token-Usage": "1460,80",
-		"Lotusward-Prompt-Prefix": "5c1e07a2:800,91bd3f06:410," + id + ":250", "Lotusward-Request-Deadline-Ms": fmt.Sprint(deadlineMs),
+		"Lotusward-Prompt-Prefix": prefix + "," + id + ":660", "Lotusward-Request-Deadline-Ms": fmt.Sprint(deadlineMs),
 		"Authorization": "Bearer " + apiKey,
 	} {
 		request.Header[name] = []string{value}
@@ -136,7 +138,8 @@
 	}
 	defer func() { _ = answer.Body.Close() }()
 	got.status = answer.StatusCode
-	_, got.err = io.Copy(io.Discard, answer.Body)
+	content, err := io.ReadAll(answer.Body)
+	got.body, got.err = string(content), err
 	return got
 }
 
