--- a/review/play2/lateorder.go
+++ b/review/play2/lateorder.go
@@ -36,7 +36,7 @@
 			written.note("the case couldn't run: %v", err)
 			return exitNotRun
 		}
-		started.list = func() { store.Put("servers", started.id, started.row()) }
+		started.list = func() { store.Put(names.Servers, started.id, started.row()) }
 		started.list()
 		runners = append(runners, started)
 	}
@@ -50,7 +50,7 @@
 		return exitNotRun
 	}
 	name := func(version int) {
-		store.Put("op", "version/"+model, map[string]any{"model": model, "version": version})
+		store.Put(names.Operator, "version/"+model, map[string]any{"model": model, "version": version})
 		written.note("version %d is named", version)
 	}
 	time.AfterFunc(secondNamed, func() { name(2) })
--- a/review/play2/orders.go
+++ b/review/play2/orders.go
@@ -18,10 +18,19 @@
 }
 
 // order is an order to load weights.
-type order struct {
-	Version  uint64 `json:"version"`
-	Token    uint64 `json:"fencingToken"`
-	Expected uint64 `json:"expected"`
+type order struct{ version, token, expected uint64 }
+
+// readOrder reads an order. Other fields are texts, and are passed over.
+func readOrder(body []byte) (order, error) {
+	var fields map[string]any
+	if err := json.Unmarshal(body, &fields); err != nil {
+		return order{}, err
+	}
+	number := func(name string) uint64 {
+		value, _ := fields[name].(float64)
+		return uint64(value)
+	}
+	return order{version: number(names.Version), token: number(names.Token), expected: number(names.Expected)}, nil
 }
 
 func (r *runner) state() weights {
@@ -39,19 +48,19 @@
 
 // answerOrder carries out an order, or leaves it unanswered.
 func (r *runner) answerOrder(link *connection, request *http.Request, body []byte) bool {
-	var got order
-	if err := json.Unmarshal(body, &got); err != nil {
+	got, err := readOrder(body)
+	if err != nil {
 		return write(link, head(request, "400 Bad Request", "Content-Length: 0"))
 	}
 	if delay, left := r.takeUnanswered(); left {
-		r.record.note("runner %s leaves an order for version %d unanswered (expected %d)", r.id, got.Version, got.Expected)
+		r.record.note("runner %s leaves an order for version %d unanswered (expected %d)", r.id, got.version, got.expected)
 		time.AfterFunc(delay, func() {
-			r.record.note("runner %s carries out the late order for version %d: %s", r.id, got.Version, r.take(got))
+			r.record.note("runner %s carries out the late order for version %d: %s", r.id, got.version, r.take(got))
 		})
 		return true
 	}
 	status := r.take(got)
-	r.record.note("runner %s gets an order for version %d (expected %d): %s", r.id, got.Version, got.Expected, status)
+	r.record.note("runner %s gets an order for version %d (expected %d): %s", r.id, got.version, got.expected, status)
 	return write(link, head(request, status, "Content-Length: 0"))
 }
 
@@ -71,17 +80,17 @@
 	defer r.mutex.Unlock()
 	held := &r.weights
 	switch {
-	case got.Token < held.fence:
+	case got.token < held.fence:
 		return "412 Precondition Failed"
-	case held.loading > 0 || got.Expected != held.sequence:
+	case held.loading > 0 || got.expected != held.sequence:
 		return "409 Conflict"
-	case got.Version == held.version:
+	case got.version == held.version:
 		return "200 OK"
 	}
-	held.fence, held.loading = got.Token, got.Version
+	held.fence, held.loading = got.token, got.version
 	held.sequence++
 	born := r.born
-	time.AfterFunc(loadTime, func() { r.loaded(born, got.Version) })
+	time.AfterFunc(loadTime, func() { r.loaded(born, got.version) })
 	return "202 Accepted"
 }
 
--- a/review/play2/reborn.go
+++ b/review/play2/reborn.go
@@ -36,7 +36,7 @@
 			written.note("the case couldn't run: %v", err)
 			return exitNotRun
 		}
-		store.Put("servers", started.id, started.row())
+		store.Put(names.Servers, started.id, started.row())
 		runners = append(runners, started)
 	}
 	declare(store, true)
--- a/review/play2/runner.go
+++ b/review/play2/runner.go
@@ -151,7 +151,7 @@
 		}
 		if link.late != "" {
 			r.record.note("runner %s: before it answers %s %s (request %s) on a kept connection it sends its last answer there once more",
-				r.id, request.Method, request.URL.Path, request.Header.Get("Lotusward-Request-Id"))
+				r.id, request.Method, request.URL.Path, request.Header.Get(header("Request-Id")))
 			_, _ = io.WriteString(link, link.late)
 			link.late = ""
 		}
@@ -164,19 +164,19 @@
 // answer answers one request. It returns false if the connection is broken.
 func (r *runner) answer(link *connection, request *http.Request, body []byte) bool {
 	born, _ := r.life()
-	expected := request.Header.Get("Lotusward-Expect-Instance")
+	expected := request.Header.Get(header("Expect-Instance"))
 	switch {
 	case expected != "" && expected != r.id:
-		return write(link, head(request, "421 Misdirected Request", "Lotusward-Instance-Id: "+r.id, "Content-Length: 0"))
-	case request.URL.Path == "/-/report":
+		return write(link, head(request, "421 Misdirected Request", header("Instance-Id")+": "+r.id, "Content-Length: 0"))
+	case request.URL.Path == call("report"):
 		held := r.state()
 		return write(link, withBody(request, fmt.Sprintf(`{"stage":"both","models":[{"name":%q,"version":%d,"adapters":[]}],"busy":%t,"sequence":%d,`+
 			`"queued":0,"active":0,"kvUsed":0,"kvTotal":90000,"handles":0,"born":%d}`, r.model, held.version, held.loading > 0, held.sequence, born.UnixMilli())))
-	case request.URL.Path == "/-/order":
+	case request.URL.Path == call("order"):
 		return r.answerOrder(link, request, body)
-	case request.URL.Path == "/-/kv-events":
+	case request.URL.Path == call("kv-events"):
 		return r.answerEvents(link, request)
-	case strings.HasPrefix(request.URL.Path, "/-/"):
+	case strings.HasPrefix(request.URL.Path, call("")):
 		return write(link, head(request, "404 Not Found", "Content-Length: 0"))
 	default:
 		return r.answerStream(link, request)
@@ -186,7 +186,7 @@
 // answerEvents holds a call for cache events, of which there are none, or turns it away.
 func (r *runner) answerEvents(link *connection, request *http.Request) bool {
 	if !r.hold() {
-		text := head(request, "429 Too Many Requests", "Lotusward-Not-Executed: 1", "Content-Length: 0")
+		text := head(request, "429 Too Many Requests", header("Not-Executed")+": 1", "Content-Length: 0")
 		r.record.note("runner %s: a call for cache events gets 429, as it holds %d already", r.id, r.maxInFlight)
 		if r.takeSurplus() {
 			link.late = text
@@ -229,20 +229,20 @@
 
 // answerStream runs a request.
 func (r *runner) answerStream(link *connection, request *http.Request) bool {
-	id := request.Header.Get("Lotusward-Request-Id")
+	id := request.Header.Get(header("Request-Id"))
 	_, software := r.life()
 	held := r.state()
-	if wanted := request.Header.Get("Lotusward-Expect-Version"); wanted != "" && wanted != fmt.Sprint(held.version) {
-		return write(link, head(request, "421 Misdirected Request", "Lotusward-Instance-Id: "+r.id, fmt.Sprint("Lotusward-Weight-Versions: ", held.version), "Content-Length: 0"))
+	if wanted := request.Header.Get(header("Expect-Version")); wanted != "" && wanted != fmt.Sprint(held.version) {
+		return write(link, head(request, "421 Misdirected Request", header("Instance-Id")+": "+r.id, fmt.Sprint(header("Weight-Versions")+": ", held.version), "Content-Length: 0"))
 	}
 	if held.loading > 0 {
-		return write(link, head(request, "503 Service Unavailable", "Lotusward-Not-Executed: 1", "Content-Length: 0"))
+		return write(link, head(request, "503 Service Unavailable", header("Not-Executed")+": 1", "Content-Length: 0"))
 	}
 	last, _ := strconv.Atoi(request.Header.Get("Last-Event-Id"))
 	r.runs.add(id, r.id)
 	r.record.note("runner %s (software %s) runs request %s after event %d", r.id, software, id, last)
-	if !write(link, head(request, "200 OK", "Content-Type: text/event-stream", "Lotusward-Response-Stamp: stamp-of-"+r.id,
-		fmt.Sprint("Lotusward-Weight-Versions: ", held.version), "Transfer-Encoding: chunked")) {
+	if !write(link, head(request, "200 OK", "Content-Type: text/event-stream", header("Response-Stamp")+": stamp-of-"+r.id,
+		fmt.Sprint(header("Weight-Versions")+": ", held.version), "Transfer-Encoding: chunked")) {
 		return false
 	}
 	for number := last + 1; number <= r.shape.events; number++ {
@@ -257,8 +257,8 @@
 
 // head is the head of an answer. It carries the request's id back, if the request has one.
 func head(request *http.Request, status string, fields ...string) string {
-	if id := request.Header.Get("Lotusward-Request-Id"); id != "" {
-		fields = append(fields, "Lotusward-Request-Id: "+id)
+	if id := request.Header.Get(header("Request-Id")); id != "" {
+		fields = append(fields, header("Request-Id")+": "+id)
 	}
 	return "HTTP/1.1 " + status + "\r\n" + strings.Join(fields, "\r\n") + "\r\n\r\n"
 }
--- a/review/play2/surplus.go
+++ b/review/play2/surplus.go
@@ -54,7 +54,7 @@
 			written.note("the case couldn't run: %v", err)
 			return exitNotRun
 		}
-		store.Put("servers", started.id, started.row())
+		store.Put(names.Servers, started.id, started.row())
 	}
 	declare(store, false)
 	made, err := startDeployment(store, 2)
@@ -71,8 +71,8 @@
 
 // declare writes a configuration with one route. Without resumable its requests may run at most once each.
 func declare(store *standin.Store, resumable bool) {
-	store.Put("op", "version/"+model, map[string]any{"model": model, "version": 1})
-	store.Put("op", "config", map[string]any{
+	store.Put(names.Operator, "version/"+model, map[string]any{"model": model, "version": 1})
+	store.Put(names.Operator, "config", map[string]any{
 		"version": 7,
 		"routes": []any{map[string]any{
 			"name": "r-6sz9frg", "host": host, "pathPrefix": "/lepu270/", "type": "streaming", "timeoutMs": 6000, "targetLatencyMs": 800,
@@ -125,8 +125,8 @@
 	}
 	request.Host = host
 	for name, value := range map[string]string{
-		"Lotusward-Request-Id": id, "Lotusward-Model": model, "Lotusward-Token-Usage": "1460,80",
-		"Lotusward-Prompt-Prefix": prefix + "," + id + ":660", "Lotusward-Request-Deadline-Ms": fmt.Sprint(deadlineMs),
+		header("Request-Id"): id, header("Model"): model, header("Token-Usage"): "1460,80",
+		header("Prompt-Prefix"): prefix + "," + id + ":660", header("Request-Deadline-Ms"): fmt.Sprint(deadlineMs),
 		"Authorization": "Bearer " + apiKey,
 	} {
 		request.Header[name] = []string{value}
