End interrupted plays of the second review as not run

A play that gets INT, TERM or HUP exits with 2 and leaves no process and no temporary folder; one whose daemon ends by itself exits with 2 as well.

--- a/review/play2/deployment.go
+++ b/review/play2/deployment.go
@@ -65,11 +65,7 @@
 }
 
 // startDeployment starts daemons on loopback addresses of their own.
-func startDeployment(store *standin.Store, count int) (*deployment, error) {
-	folder, err := os.MkdirTemp("", "review-play2-")
-	if err != nil {
-		return nil, err
-	}
+func startDeployment(store *standin.Store, count int, folder string) (*deployment, error) {
 	made := &deployment{store: store, folder: folder}
 	// Addresses are drawn so that plays side by side don't meet.
 	network := fmt.Sprintf("127.%d.%d", 10+rand.IntN(200), 1+rand.IntN(250))
@@ -140,6 +136,9 @@
 					break
 				}
 			}
+			if each.hasEnded() {
+				return fmt.Errorf("%s ended by itself", each.ip)
+			}
 			if time.Now().After(until) {
 				return fmt.Errorf("%s isn't ready", each.ip)
 			}
@@ -149,6 +148,25 @@
 	return nil
 }
 
+func (m *machine) hasEnded() bool {
+	select {
+	case <-m.ended:
+		return true
+	default:
+		return false
+	}
+}
+
+// checkRunning returns an error if a daemon has ended by itself.
+func (d *deployment) checkRunning() error {
+	for _, each := range d.machines {
+		if each.hasEnded() {
+			return fmt.Errorf("%s ended by itself", each.ip)
+		}
+	}
+	return nil
+}
+
 // stop ends the processes that were started.
 func (d *deployment) stop() {
 	for _, each := range d.machines {
@@ -163,5 +181,4 @@
 			<-each.ended
 		}
 	}
-	_ = os.RemoveAll(d.folder)
 }
--- a/review/play2/lateorder.go
+++ b/review/play2/lateorder.go
@@ -41,10 +41,8 @@
 		runners = append(runners, started)
 	}
 	declare(store, true)
-	made, err := startDeployment(store, 2)
-	if made != nil {
-		defer made.stop()
-	}
+	made, err := startDeployment(store, 2, written.folder)
+	defer made.stop()
 	if err != nil {
 		written.note("the case couldn't run: %v", err)
 		return exitNotRun
@@ -62,6 +60,10 @@
 		}
 	}
 	ended := sendAll(written, made, lateClients, latePrefixes, lateTime, rebornRest)
+	if err := made.checkRunning(); err != nil {
+		written.note("the case couldn't run: %v", err)
+		return exitNotRun
+	}
 	return judgeWeights(written, runners, ended)
 }
 
--- a/review/play2/main.go
+++ b/review/play2/main.go
@@ -13,8 +13,10 @@
 	"flag"
 	"fmt"
 	"os"
+	"os/signal"
 	"runtime"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -30,6 +32,8 @@
 	file    *os.File
 	writer  *bufio.Writer
 	started time.Time
+	// folder is for the settings and the output of the daemons.
+	folder string
 }
 
 func newRecord(path string) (*record, error) {
@@ -37,7 +41,11 @@
 	if err != nil {
 		return nil, err
 	}
-	return &record{file: file, writer: bufio.NewWriter(file), started: time.Now()}, nil
+	folder, err := os.MkdirTemp("", "review-play2-")
+	if err != nil {
+		return nil, err
+	}
+	return &record{file: file, writer: bufio.NewWriter(file), started: time.Now(), folder: folder}, nil
 }
 
 // note writes one line, which begins with the time since the start.
@@ -52,12 +60,22 @@
 	defer r.mutex.Unlock()
 	_ = r.writer.Flush()
 	_ = r.file.Close()
+	_ = os.RemoveAll(r.folder)
+}
+
+// exitAtSignal ends an interrupted play as one that couldn't run. The kernel ends the daemons with it.
+func (r *record) exitAtSignal(signals <-chan os.Signal) {
+	r.note("the case couldn't run: %v", <-signals)
+	r.close()
+	os.Exit(exitNotRun)
 }
 
 // init locks main to the first thread, which lives as long as the process: the daemons end with the thread that started them.
 func init() { runtime.LockOSThread() }
 
 func main() {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, os.Interrupt, syscall.SIGTERM, syscall.SIGHUP)
 	trouble := flag.Bool("trouble", true, "play the disruption")
 	flag.Parse()
 	plays := map[string]func(*record, bool) int{"surplus": playSurplus, "reborn": playReborn, "lateorder": playLateOrder}
@@ -71,6 +89,7 @@
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(exitNotRun)
 	}
+	go written.exitAtSignal(signals)
 	code := play(written, *trouble)
 	written.close()
 	os.Exit(code)
--- a/review/play2/reborn.go
+++ b/review/play2/reborn.go
@@ -40,10 +40,8 @@
 		runners = append(runners, started)
 	}
 	declare(store, true)
-	made, err := startDeployment(store, 2)
-	if made != nil {
-		defer made.stop()
-	}
+	made, err := startDeployment(store, 2, written.folder)
+	defer made.stop()
 	if err != nil {
 		written.note("the case couldn't run: %v", err)
 		return exitNotRun
@@ -51,7 +49,12 @@
 	if trouble {
 		go restartOnce(written, runners[0])
 	}
-	return judgeStreams(written, sendAll(written, made, rebornClients, 1, rebornTime, rebornRest))
+	ended := sendAll(written, made, rebornClients, 1, rebornTime, rebornRest)
+	if err := made.checkRunning(); err != nil {
+		written.note("the case couldn't run: %v", err)
+		return exitNotRun
+	}
+	return judgeStreams(written, ended)
 }
 
 // restartOnce makes a runner crash, start again as another version, and crash again before it has written its row.
--- a/review/play2/surplus.go
+++ b/review/play2/surplus.go
@@ -57,15 +57,17 @@
 		store.Put(names.Servers, started.id, started.row())
 	}
 	declare(store, false)
-	made, err := startDeployment(store, 2)
-	if made != nil {
-		defer made.stop()
-	}
+	made, err := startDeployment(store, 2, written.folder)
+	defer made.stop()
 	if err != nil {
 		written.note("the case couldn't run: %v", err)
 		return exitNotRun
 	}
 	ended := sendAll(written, made, surplusClients, 1, surplusTime, surplusRest)
+	if err := made.checkRunning(); err != nil {
+		written.note("the case couldn't run: %v", err)
+		return exitNotRun
+	}
 	return judge(written, all, ended)
 }
 
